--- /dev/null
+++ b/src/cowsliprill/dispatch/messages.py
@@ -0,0 +1,82 @@
+"""Messages that the dispatch process takes from peers and gives to them."""
+
+import dataclasses
+
+from cowsliprill.decisions import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SlotsRequest:
+    """Body of `POST /v1/slots`.
+
+    Attributes:
+      entry: Incarnation of the asking entry process.
+      asks: Its standing with each endpoint that it uses of this home.
+      wait_s: How long the home may hold the answer back while it can grant
+        nothing beyond what is in use.
+    """
+
+    entry: str
+    asks: tuple[messages.SlotAsk, ...]
+    wait_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WireGrant:
+    """A `messages.SlotGrant` with the time left in place of a time.
+
+    The two processes' clocks count from different boots.
+
+    Attributes:
+      endpoint_id: The endpoint.
+      slots: Slots that the entry holds in all.
+      expires_in_s: Time left of the lease when the answer was written.
+      report_age_s: Age of the endpoint's load report, seconds.
+      waiting: Asks that the home could not meet.
+      prefix_hashes: Prefix blocks newly known to be cached there.
+    """
+
+    endpoint_id: str
+    slots: int
+    expires_in_s: float
+    report_age_s: float = 0.0
+    waiting: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SlotsAnswer:
+    """Answer of `POST /v1/slots`.
+
+    Attributes:
+      grants: One for each asked endpoint that is homed here.
+      not_home: Asked endpoints that are not; the asker's VM list and this
+        one's differ, and the asker looks for the home anew.
+    """
+
+    grants: tuple[WireGrant, ...] = ()
+    not_home: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CancelOrder:
+    """One request that an engine has to drop.
+
+    Attributes:
+      endpoint_id: The engine.
+      request_id: Attempt id.
+    """
+
+    endpoint_id: str
+    request_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CancelsRequest:
+    """Body of `POST /v1/cancels`.
+
+    Attributes:
+      cancels: Orders that the sender could not get acknowledged.
+    """
+
+    cancels: tuple[CancelOrder, ...]
