Add the client side of engines and plain services

tornado's AsyncHTTPClient can't be cancelled before its first chunk and queues silently, so a caller that leaves would go on holding an engine's memory. The connection is owned here instead, on tornado's TCPClient and HTTP1Connection; closing the socket ends a call at once. Nothing is measured yet.

--- /dev/null
+++ b/src/cowsliprill/engines/http_client.py
@@ -0,0 +1,236 @@
+"""An HTTP/1.1 client whose calls can be cancelled at any time.
+
+tornado's `AsyncHTTPClient.fetch` can't be cancelled before its first chunk and
+queues silently beyond `max_clients`. A caller that leaves would go on holding
+an engine's memory. So the connection is owned here: tornado's `TCPClient` and
+`HTTP1Connection` do the protocol, and closing the socket ends a call at once.
+"""
+
+import asyncio
+import re
+from collections.abc import Mapping
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+from tornado import tcpclient
+
+from cowsliprill import clock
+from cowsliprill.decisions import call as call_lib
+from cowsliprill.engines import errors
+from cowsliprill.engines import exchange as exchange_lib
+
+_READ_BYTES = 65_536
+_MAX_STREAM_BYTES = 262_144
+_MAX_HEADER_BYTES = 65_536
+_MAX_BODY_BYTES = 2**40
+_MAX_IDLE_PER_ENDPOINT = 64
+_IDLE_S = 30.0
+_TARGET = re.compile(r"[!-~]+")
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
+_PARAMETERS = http1connection.HTTP1ConnectionParameters(
+    no_keep_alive=False,
+    chunk_size=_READ_BYTES,
+    max_header_size=_MAX_HEADER_BYTES,
+    max_body_size=_MAX_BODY_BYTES,
+)
+
+
+class HttpClient:
+    """Calls endpoints over pooled connections.
+
+    There is no queue: a call starts at once or fails. How many may run is for
+    the slot leases to say.
+    """
+
+    def __init__(self) -> None:
+        self._tcp = tcpclient.TCPClient()
+        self._idle_by_address: dict[
+            tuple[str, int], list[tuple[float, iostream.IOStream]]
+        ] = {}
+        self._readers: set[asyncio.Task[None]] = set()
+
+    async def call(
+        self,
+        host: str,
+        port: int,
+        method: str,
+        path: str,
+        headers: Mapping[str, str] | httputil.HTTPHeaders,
+        body: bytes = b"",
+        *,
+        connect_timeout_s: float = 1.0,
+        timeout_s: float = 120.0,
+        stall_s: float | None = None,
+        fresh: bool = False,
+        progress: call_lib.Progress | None = None,
+    ) -> exchange_lib.Response:
+        """Sends a request and waits for the answer's status and headers.
+
+        Cancelling the calling task closes the connection.
+
+        Args:
+          host: IP number.
+          port: TCP port.
+          method: HTTP method.
+          path: Path and query.
+          headers: Headers besides `Host` and `Content-Length`.
+          body: The body.
+          connect_timeout_s: Time for the connection.
+          timeout_s: Time for the whole call, the answer's body included.
+          stall_s: Time without a byte after which the call fails.
+          fresh: Whether to open a new connection. An endpoint may close an
+            idle one just as a request goes out on it, which leaves unknown
+            whether that was run.
+          progress: Told how far the call got, for use after a cancel.
+
+        Returns:
+          The response.
+
+        Raises:
+          errors.CallError: There was no answer; `run` says what is known.
+        """
+        progress = progress or call_lib.Progress()
+        if not _TOKEN.fullmatch(method) or not _TARGET.fullmatch(path):
+            raise errors.CallError(
+                f"no such request: {method} {path!r}", run=progress.run
+            )
+        stream = None if fresh else self._take_idle(host, port)
+        if stream is None:
+            stream = await self._connect(host, port, connect_timeout_s)
+        exchange = exchange_lib.Exchange(stream, method)
+        try:
+            connection = _write(
+                stream, (method, path, headers, body), (host, port), progress
+            )
+            exchange.start_timers(timeout_s, stall_s)
+            self._read(connection, exchange, (host, port))
+            await exchange.wait_for_head()
+        except (ValueError, httputil.HTTPOutputError) as error:
+            stream.close()
+            raise errors.CallError(str(error), run=progress.run) from error
+        except BaseException:
+            exchange.fail(errors.CallError("call given up"))
+            stream.close()
+            raise
+        return exchange_lib.Response(exchange)
+
+    def close(self) -> None:
+        """Closes the idle connections; calls in progress go on."""
+        for idle in self._idle_by_address.values():
+            for _, stream in idle:
+                stream.close()
+        self._idle_by_address.clear()
+        self._tcp.close()
+
+    async def _connect(
+        self, host: str, port: int, timeout_s: float
+    ) -> iostream.IOStream:
+        try:
+            stream = await self._tcp.connect(
+                host,
+                port,
+                timeout=timeout_s,
+                max_buffer_size=_MAX_STREAM_BYTES,
+            )
+        except (OSError, iostream.StreamClosedError) as error:
+            raise errors.ConnectFailed(f"{host}:{port}: {error}") from error
+        stream.set_nodelay(True)
+        return stream
+
+    def _take_idle(self, host: str, port: int) -> iostream.IOStream | None:
+        idle = self._idle_by_address.get((host, port), [])
+        oldest = clock.now() - _IDLE_S
+        while idle:
+            since, stream = idle.pop()
+            if _is_quiet(stream) and since > oldest:
+                stream.set_close_callback(None)
+                return stream
+            stream.close()
+        return None
+
+    def _keep_idle(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        if len(idle) >= _MAX_IDLE_PER_ENDPOINT:
+            stream.close()
+            return
+        idle.append((clock.now(), stream))
+        # Listening for the close tells at once when the endpoint hangs up, so
+        # that a dead connection is hardly ever taken for the next call.
+        stream.set_close_callback(lambda: self._drop_idle(stream, address))
+
+    def _drop_idle(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        idle = self._idle_by_address.get(address, [])
+        idle[:] = [entry for entry in idle if entry[1] is not stream]
+        if not idle:
+            self._idle_by_address.pop(address, None)
+
+    def _read(
+        self,
+        connection: http1connection.HTTP1Connection,
+        exchange: exchange_lib.Exchange,
+        address: tuple[str, int],
+    ) -> None:
+        task = asyncio.create_task(
+            self._read_answer(connection, exchange, address)
+        )
+        self._readers.add(task)
+        task.add_done_callback(self._readers.discard)
+
+    async def _read_answer(
+        self,
+        connection: http1connection.HTTP1Connection,
+        exchange: exchange_lib.Exchange,
+        address: tuple[str, int],
+    ) -> None:
+        stream = connection.stream
+        try:
+            await connection.read_response(exchange)
+        except (OSError, iostream.StreamClosedError) as error:
+            exchange.fail(errors.CallError(f"connection lost: {error}"))
+        except iostream.UnsatisfiableReadError as error:
+            exchange.fail(errors.CallError(f"answer is malformed: {error}"))
+        exchange.fail(errors.CallError("answer is malformed"))
+        if exchange.whole and _may_keep(exchange, stream):
+            self._keep_idle(stream, address)
+        else:
+            stream.close()
+
+
+def _write(
+    stream: iostream.IOStream,
+    request: tuple[str, str, Mapping[str, str], bytes],
+    address: tuple[str, int],
+    progress: call_lib.Progress,
+) -> http1connection.HTTP1Connection:
+    method, path, headers, body = request
+    all_headers = httputil.HTTPHeaders(headers)
+    all_headers["Host"] = f"{address[0]}:{address[1]}"
+    all_headers["Content-Length"] = str(len(body))
+    connection = http1connection.HTTP1Connection(stream, True, _PARAMETERS)
+    start_line = httputil.RequestStartLine(method, path, "HTTP/1.1")
+    if stream.closed():
+        raise errors.ConnectFailed("connection closed before the request")
+    progress.writing()
+    connection.write_headers(start_line, all_headers, body)
+    connection.finish()
+    return connection
+
+
+def _may_keep(
+    exchange: exchange_lib.Exchange, stream: iostream.IOStream
+) -> bool:
+    asked_to_close = exchange.headers.get("Connection", "").lower() == "close"
+    return not asked_to_close and _is_quiet(stream)
+
+
+def _is_quiet(stream: iostream.IOStream) -> bool:
+    # Bytes that nobody asked for, such as the late half of a doubled answer,
+    # would be read as the answer of the next call on this connection. tornado
+    # has no public way to see them.
+    return not stream.closed() and not stream._read_buffer_size
--- /dev/null
+++ b/src/cowsliprill/engines/load_report.py
@@ -0,0 +1,59 @@
+"""Reads an engine's load from its Prometheus text."""
+
+import re
+
+from cowsliprill.engines import errors
+from cowsliprill.engines import model
+from cowsliprill.engines import protocol
+
+_SAMPLE = re.compile(
+    r"^(?P<name>\w+)(?:\{[^}]*\})? (?P<value>[-+.\deE]+)", re.MULTILINE
+)
+
+
+def parse(text: bytes) -> model.LoadReport:
+    """Reads the four gauges that the router uses.
+
+    Args:
+      text: Prometheus text format.
+
+    Returns:
+      The load report.
+
+    Raises:
+      errors.EngineFailed: A gauge is missing or isn't a number.
+    """
+    values_by_name = {
+        match["name"]: match["value"]
+        for match in _SAMPLE.finditer(text.decode(errors="replace"))
+    }
+    try:
+        return model.LoadReport(
+            running=int(float(values_by_name[protocol.METRIC_RUNNING])),
+            waiting=int(float(values_by_name[protocol.METRIC_WAITING])),
+            kv_usage=float(values_by_name[protocol.METRIC_KV_USAGE]),
+            slots=int(float(values_by_name[protocol.METRIC_SLOTS])),
+        )
+    except (KeyError, ValueError) as error:
+        raise errors.EngineFailed(f"load report lacks {error}") from error
+
+
+def render(report: model.LoadReport) -> bytes:
+    """Writes a load report, as an engine does.
+
+    Args:
+      report: The load.
+
+    Returns:
+      Prometheus text format.
+    """
+    values_by_name = {
+        protocol.METRIC_RUNNING: report.running,
+        protocol.METRIC_WAITING: report.waiting,
+        protocol.METRIC_KV_USAGE: report.kv_usage,
+        protocol.METRIC_SLOTS: report.slots,
+    }
+    lines = []
+    for name, value in values_by_name.items():
+        lines.append(f"# TYPE {name} gauge\n{name} {value}\n")
+    return "".join(lines).encode()
--- /dev/null
+++ b/src/cowsliprill/engines/token_stream.py
@@ -0,0 +1,66 @@
+"""The checked tokens of one attempt at a model request."""
+
+from collections.abc import AsyncIterator
+
+from cowsliprill.decisions import stream as stream_lib
+from cowsliprill.engines import errors
+from cowsliprill.engines import exchange as exchange_lib
+
+
+class TokenStream:
+    """The checked tokens of one attempt, as bytes of server-sent events.
+
+    Iterate with `async for`; the end of the iteration means that the answer
+    is whole. A `errors.StreamBroken` that is `resumable` may be followed by
+    `EngineClient.resume`, after which the iteration goes on.
+
+    Attributes:
+      request_id: The attempt's id.
+      checker: Where the stream stands.
+    """
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+        self.checker = stream_lib.Checker(request_id)
+        self._response: exchange_lib.Response | None = None
+
+    def attach(self, response: exchange_lib.Response) -> None:
+        """Takes the connection that the next events come by.
+
+        Args:
+          response: The engine's answer.
+        """
+        self._response = response
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yields checked events.
+
+        Raises:
+          errors.StreamBroken: The answer isn't whole.
+        """
+        reason = stream_lib.Reason.CUT
+        try:
+            async for chunk in self._response.chunks():
+                result = self.checker.feed(chunk)
+                if result.data:
+                    yield result.data
+                if not isinstance(result, stream_lib.Events):
+                    break
+        except errors.CallTimeout:
+            reason = stream_lib.Reason.STALLED
+        except errors.CallError:
+            pass
+        finally:
+            self.close()
+        result = self.checker.end(reason)
+        if isinstance(result, stream_lib.Broken):
+            raise errors.StreamBroken(
+                f"stream is {result.reason} after token {result.last_token}",
+                reason=result.reason,
+                last_token=result.last_token,
+            )
+
+    def close(self) -> None:
+        """Drops the connection; the engine holds its memory until a cancel."""
+        if self._response is not None:
+            self._response.close()
