--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -140,6 +140,8 @@
       waiting: Asks by other entries that the home could not meet: above 0,
         slots are scarce and unused ones go back at once.
       prefix_hashes: Prefix blocks newly known to be cached there.
+      used: Slots of the endpoint in use by all entries, as last stated.
+      sequence: The `SlotAsk.sequence` that this answers.
     """
 
     endpoint_id: str
@@ -148,6 +150,8 @@
     report_age_s: float = 0.0
     waiting: int = 0
     prefix_hashes: tuple[int, ...] = ()
+    used: int = 0
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -252,7 +256,13 @@
       want: Slots wanted in all, those in use included.
       priority: Highest priority among the waiting requests.
       deadline_in_s: Time left to the nearest deadline among these, seconds.
-      user_wants: Waiting requests by user, for fair sharing.
+      user_wants: Waiting requests by user, for fair sharing. Their sum is the
+        part of `want` that is needed now; the rest is a reserve.
+      user_in_use: Running requests by user, for fair sharing.
+      held: Slots that the entry goes on holding, those in use included; it
+        gives up any others with this message. -1 keeps all.
+      sequence: Rises with each statement of an entry, so that a home can tell
+        one that was overtaken. 0 means unnumbered.
     """
 
     endpoint_id: str
@@ -261,6 +271,9 @@
     priority: int = 0
     deadline_in_s: float = 0.0
     user_wants: tuple[tuple[str, int], ...] = ()
+    user_in_use: tuple[tuple[str, int], ...] = ()
+    held: int = -1
+    sequence: int = 0
 
 
 Action = Start | Refuse | CancelAttempt | SlotAsk
