--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -140,6 +140,9 @@
       waiting: Asks by other entries that the home could not meet: above 0,
         slots are scarce and unused ones go back at once.
       prefix_hashes: Prefix blocks newly known to be cached there.
+      prefix_hashes_gone: Prefix blocks newly known to be evicted there.
+      prefix_epoch: Another number than in the grant before means that earlier
+        news of prefixes may be stale; 0 means unknown.
       used: Slots of the endpoint in use by all entries, as last stated.
       sequence: The `SlotAsk.sequence` that this answers.
     """
@@ -150,6 +153,8 @@
     report_age_s: float = 0.0
     waiting: int = 0
     prefix_hashes: tuple[int, ...] = ()
+    prefix_hashes_gone: tuple[int, ...] = ()
+    prefix_epoch: int = 0
     used: int = 0
     sequence: int = 0
 
--- a/src/cowsliprill/dispatch/homes.py
+++ b/src/cowsliprill/dispatch/homes.py
@@ -9,6 +9,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import ownership
 from cowsliprill.decisions import slots
+from cowsliprill.dispatch import prefix_feed
 
 
 @dataclasses.dataclass(slots=True)
@@ -19,13 +20,17 @@
       endpoint: The endpoint as the settings describe it.
       ledger: Its slot leases.
       since: When this process became its home.
-      heard_by_entry: When each entry last asked for its slots.
+      reported_at: When its newest load report was read.
+      prefixes: What is known of its prefix cache.
     """
 
     endpoint: model.Endpoint
     ledger: slots.SlotLedger
     since: float
-    heard_by_entry: dict[str, float] = dataclasses.field(default_factory=dict)
+    reported_at: float
+    prefixes: prefix_feed.PrefixFeed = dataclasses.field(
+        default_factory=prefix_feed.PrefixFeed
+    )
 
 
 class Homes:
@@ -50,12 +55,19 @@
           now: Time, seconds.
         """
         vms = list(fleet.vms_by_id.values())
+        shares_by_user = {
+            user.id: user.share for user in snapshot.users_by_id.values()
+        }
         kept = {}
         for endpoint in snapshot.endpoints_by_id.values():
-            home = ownership.home_of(endpoint.id, vms)
-            if home is None or home.id != self._vm_id:
+            if endpoint.kind is model.EndpointKind.PLAIN:
                 continue
-            kept[endpoint.id] = self._kept_or_new(endpoint, now)
+            vm = ownership.home_of(endpoint.id, vms)
+            if vm is None or vm.id != self._vm_id:
+                continue
+            home = self._kept_or_new(endpoint, now)
+            home.ledger.shares_by_user = shares_by_user
+            kept[endpoint.id] = home
         self.by_endpoint = kept
 
     def ask(
@@ -74,24 +86,65 @@
         home = self.by_endpoint.get(ask.endpoint_id)
         if home is None:
             return None
-        home.heard_by_entry[entry] = now
-        if now < home.since + slots.LEASE_S:
-            ask = _without_new_work(ask)
         return home.ledger.ask(entry, ask, now)
 
+    def regrant(self, now: float) -> list[tuple[str, messages.SlotGrant]]:
+        """Finds the entries that should hear from this home unasked.
+
+        Args:
+          now: Time, seconds.
+
+        Returns:
+          Pairs of entry and its present grant.
+        """
+        changed = []
+        for home in self.by_endpoint.values():
+            changed.extend(home.ledger.regrant(now))
+        return changed
+
+    def with_news(
+        self, entry: str, grant: messages.SlotGrant, now: float
+    ) -> messages.SlotGrant:
+        """Adds to a grant what the home has learned of the endpoint.
+
+        Args:
+          entry: Who gets the grant.
+          grant: The grant.
+          now: Time, seconds.
+
+        Returns:
+          The grant with age of the load report and news of cached prefixes.
+        """
+        home = self.by_endpoint.get(grant.endpoint_id)
+        if home is None:
+            return grant
+        news = home.prefixes.news_for(entry)
+        return dataclasses.replace(
+            grant,
+            report_age_s=now - home.reported_at,
+            prefix_hashes=news.stored,
+            prefix_hashes_gone=news.gone,
+            prefix_epoch=news.epoch,
+        )
+
+    def next_expiry(self) -> float | None:
+        """Returns when the next lease of any endpoint runs out."""
+        times = [
+            home.ledger.next_expiry() for home in self.by_endpoint.values()
+        ]
+        return min((at for at in times if at is not None), default=None)
+
     def _kept_or_new(self, endpoint: model.Endpoint, now: float) -> Home:
         home = self.by_endpoint.get(endpoint.id)
         if home is not None and home.endpoint.slots == endpoint.slots:
             home.endpoint = endpoint
             return home
-        ledger = slots.SlotLedger(endpoint.id, endpoint.slots)
-        return Home(endpoint, ledger, now)
-
-
-def _without_new_work(ask: messages.SlotAsk) -> messages.SlotAsk:
-    # A home that has just started, or has just taken the endpoint over, knows
-    # nothing of the leases of its forerunner. Granting from an empty ledger
-    # would promise the same slots twice; one would notice refusals with
-    # `engine_full` after each restart of a home. After one lease time every
-    # lease of the forerunner has run out or was asked for again here.
-    return dataclasses.replace(ask, want=ask.in_use)
+        # A home that has just started, or has just taken the endpoint over,
+        # knows nothing of its forerunner's leases. Granting from an empty
+        # ledger would promise slots twice; one would notice refusals with
+        # `engine_full` after each restart of a home. After one lease time
+        # every old lease has run out or was stated again here.
+        ledger = slots.SlotLedger(
+            endpoint.id, endpoint.slots, silent_until=now + slots.LEASE_S
+        )
+        return Home(endpoint, ledger, since=now, reported_at=now)
--- a/src/cowsliprill/dispatch/messages.py
+++ b/src/cowsliprill/dispatch/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from cowsliprill.decisions import cancels
 from cowsliprill.decisions import messages
 
 
@@ -30,10 +31,18 @@
     Attributes:
       endpoint_id: The endpoint.
       slots: Slots that the entry holds in all.
-      expires_in_s: Time left of the lease when the answer was written.
+      expires_in_s: Length of the lease, which the entry counts from when it
+        sent the ask. Counted from the answer's arrival, an answer that lay in
+        a buffer while the entry was paused would give a lease that ran out
+        long ago.
       report_age_s: Age of the endpoint's load report, seconds.
       waiting: Asks that the home could not meet.
       prefix_hashes: Prefix blocks newly known to be cached there.
+      prefix_hashes_gone: Prefix blocks newly known to be evicted there.
+      prefix_epoch: Another number than before means that earlier news of
+        prefixes may be stale.
+      used: Slots of the endpoint in use by all entries, as last stated.
+      sequence: The `SlotAsk.sequence` that this answers.
     """
 
     endpoint_id: str
@@ -42,6 +51,10 @@
     report_age_s: float = 0.0
     waiting: int = 0
     prefix_hashes: tuple[int, ...] = ()
+    prefix_hashes_gone: tuple[int, ...] = ()
+    prefix_epoch: int = 0
+    used: int = 0
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,19 +71,6 @@
     not_home: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CancelOrder:
-    """One request that an engine has to drop.
-
-    Attributes:
-      endpoint_id: The engine.
-      request_id: Attempt id.
-    """
-
-    endpoint_id: str
-    request_id: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CancelsRequest:
     """Body of `POST /v1/cancels`.
@@ -79,4 +79,4 @@
       cancels: Orders that the sender could not get acknowledged.
     """
 
-    cancels: tuple[CancelOrder, ...]
+    cancels: tuple[cancels.CancelOrder, ...]
--- a/src/cowsliprill/dispatch/slot_desk.py
+++ b/src/cowsliprill/dispatch/slot_desk.py
@@ -4,18 +4,33 @@
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages as decision_messages
+from cowsliprill.decisions import slots
 from cowsliprill.dispatch import errors
 from cowsliprill.dispatch import homes as homes_lib
 from cowsliprill.dispatch import messages
 
-MAX_WAIT_S = 10.0
-# Leases that run out free slots without any message, so a held answer is
-# looked at again this often even when nobody else asks.
-_RECHECK_S = 0.5
+# A lease that ran out during the wait would make the answer worthless, and the
+# home takes an entry for silent that doesn't state its standing in that time.
+MAX_WAIT_S = 0.8 * slots.LEASE_S
+_IDLE_S = 0.5
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiting:
+    """One held answer.
+
+    Attributes:
+      grants_by_endpoint: The answer so far.
+      news: Set when the answer should go out.
+    """
+
+    grants_by_endpoint: dict[str, decision_messages.SlotGrant]
+    news: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
 class SlotDesk:
@@ -24,16 +39,19 @@
     Args:
       homes: The ledgers.
       clock: Returns the time, seconds.
+      hear: Called with the incarnation of each entry that asks.
     """
 
     def __init__(
-        self, homes: homes_lib.Homes, clock: Callable[[], float]
+        self,
+        homes: homes_lib.Homes,
+        clock: Callable[[], float],
+        hear: Callable[[identity.Incarnation], None],
     ) -> None:
         self._homes = homes
         self._clock = clock
-        self._turn_by_entry: dict[str, object] = {}
-        self._waiting_by_entry: dict[str, asyncio.Event] = {}
-        self.heard_by_entry: dict[str, float] = {}
+        self._hear = hear
+        self._waiting_by_entry: dict[str, _Waiting] = {}
 
     async def answer(
         self, request: messages.SlotsRequest
@@ -44,135 +62,128 @@
           request: The asks.
 
         Returns:
-          The grants. If nothing can be granted beyond what is in use, the
-          answer waits until something can, `wait_s` is over, or the same
-          entry asks again.
+          The grants. If there is no news for the entry, the answer waits until
+          there is, `wait_s` is over, or the same entry asks again.
 
         Raises:
           errors.InvalidAskError: The asks make no sense.
         """
-        _check(request)
-        entry = request.entry
-        turn = object()
-        self._turn_by_entry[entry] = turn
-        self._wake(entry)
-        end = self._clock() + min(request.wait_s, MAX_WAIT_S)
-        try:
-            return await self._answer_by(request, turn, end)
-        finally:
-            if self._turn_by_entry.get(entry) is turn:
-                del self._turn_by_entry[entry]
-
-    def wake_all(self) -> None:
-        """Looks at all held answers again, after the homes have changed."""
-        for event in self._waiting_by_entry.values():
-            event.set()
-
-    async def _answer_by(
-        self, request: messages.SlotsRequest, turn: object, end: float
-    ) -> messages.SlotsAnswer:
-        grants = self._ask_all(request)
-        self._wake_others(request.entry)
-        while not _worth_answering(request, grants):
-            left = end - self._clock()
-            if left <= 0:
-                break
-            await self._wait(request.entry, min(left, _RECHECK_S))
-            # The entry's newer statement holds now. Stating the older one
-            # again would bring back slots that the entry has given up, and
-            # they would stay idle for a lease.
-            if self._turn_by_entry.get(request.entry) is not turn:
-                break
-            grants = self._ask_all(request)
-        return self._written(request, grants)
+        self._hear(_checked_entry(request))
+        received_at = self._clock()
+        older = self._waiting_by_entry.pop(request.entry, None)
+        if older is not None:
+            older.news.set()
+        grants_by_endpoint = self._ask_all(request)
+        self.regrant()
+        wait_s = min(request.wait_s, MAX_WAIT_S)
+        if wait_s > 0 and not _has_news(request, grants_by_endpoint):
+            await self._wait(request.entry, grants_by_endpoint, wait_s)
+        return self._written(request, grants_by_endpoint, received_at)
+
+    def regrant(self) -> None:
+        """Sends the held answers for which there is news."""
+        for entry, grant in self._homes.regrant(self._clock()):
+            waiting = self._waiting_by_entry.get(entry)
+            if waiting is None:
+                continue
+            waiting.grants_by_endpoint[grant.endpoint_id] = grant
+            waiting.news.set()
+
+    async def run(self) -> None:
+        """Looks again whenever a lease runs out; ends by cancellation.
+
+        Slots of an entry that died come free without any message. Without
+        this, entries that wait for them would wait until their next ask.
+        """
+        while True:
+            expiry = self._homes.next_expiry()
+            now = self._clock()
+            left = _IDLE_S if expiry is None else expiry - now
+            await asyncio.sleep(min(max(left, 0.01), _IDLE_S))
+            self.regrant()
 
     def _ask_all(
         self, request: messages.SlotsRequest
-    ) -> list[decision_messages.SlotGrant]:
+    ) -> dict[str, decision_messages.SlotGrant]:
         now = self._clock()
-        self.heard_by_entry[request.entry] = now
-        answers = [
-            self._homes.ask(request.entry, ask, now) for ask in request.asks
-        ]
-        return [grant for grant in answers if grant is not None]
+        grants_by_endpoint = {}
+        for ask in request.asks:
+            grant = self._homes.ask(request.entry, ask, now)
+            if grant is not None:
+                grants_by_endpoint[ask.endpoint_id] = grant
+        return grants_by_endpoint
+
+    async def _wait(
+        self,
+        entry: str,
+        grants_by_endpoint: dict[str, decision_messages.SlotGrant],
+        wait_s: float,
+    ) -> None:
+        waiting = _Waiting(grants_by_endpoint)
+        self._waiting_by_entry[entry] = waiting
+        try:
+            await asyncio.wait_for(waiting.news.wait(), wait_s)
+        except TimeoutError:
+            pass
+        finally:
+            if self._waiting_by_entry.get(entry) is waiting:
+                del self._waiting_by_entry[entry]
 
     def _written(
         self,
         request: messages.SlotsRequest,
-        grants: list[decision_messages.SlotGrant],
+        grants_by_endpoint: dict[str, decision_messages.SlotGrant],
+        received_at: float,
     ) -> messages.SlotsAnswer:
         now = self._clock()
-        granted_ids = {grant.endpoint_id for grant in grants}
+        grants = [
+            self._homes.with_news(request.entry, grant, now)
+            for grant in grants_by_endpoint.values()
+        ]
         return messages.SlotsAnswer(
-            grants=tuple(_on_wire(grant, now) for grant in grants),
+            grants=tuple(_on_wire(grant, received_at) for grant in grants),
             not_home=tuple(
                 ask.endpoint_id
                 for ask in request.asks
-                if ask.endpoint_id not in granted_ids
+                if ask.endpoint_id not in grants_by_endpoint
             ),
         )
 
-    async def _wait(self, entry: str, timeout_s: float) -> None:
-        event = asyncio.Event()
-        self._waiting_by_entry[entry] = event
-        try:
-            await asyncio.wait_for(event.wait(), timeout_s)
-        except TimeoutError:
-            pass
-        finally:
-            if self._waiting_by_entry.get(entry) is event:
-                del self._waiting_by_entry[entry]
-
-    def _wake(self, entry: str) -> None:
-        event = self._waiting_by_entry.get(entry)
-        if event is not None:
-            event.set()
-
-    def _wake_others(self, entry: str) -> None:
-        for other in self._waiting_by_entry:
-            if other != entry:
-                self._wake(other)
 
-
-def _worth_answering(
+def _has_news(
     request: messages.SlotsRequest,
-    grants: list[decision_messages.SlotGrant],
+    grants_by_endpoint: dict[str, decision_messages.SlotGrant],
 ) -> bool:
-    asks_by_endpoint = {ask.endpoint_id: ask for ask in request.asks}
-    if len(grants) < len(asks_by_endpoint):
-        return True
-    wanting = [
-        grant
-        for grant in grants
-        if asks_by_endpoint[grant.endpoint_id].want
-        > asks_by_endpoint[grant.endpoint_id].in_use
-    ]
-    if not wanting:
-        return True
-    return any(
-        grant.slots > asks_by_endpoint[grant.endpoint_id].in_use
-        for grant in wanting
-    )
+    wanting = False
+    for ask in request.asks:
+        grant = grants_by_endpoint.get(ask.endpoint_id)
+        if grant is None:
+            return True
+        if grant.slots > max(ask.in_use, ask.held):
+            return True
+        wanting = wanting or ask.want > ask.in_use
+    # An entry that wants nothing has nothing to wait for.
+    return not wanting
 
 
 def _on_wire(
-    grant: decision_messages.SlotGrant, now: float
+    grant: decision_messages.SlotGrant, received_at: float
 ) -> messages.WireGrant:
     return messages.WireGrant(
         endpoint_id=grant.endpoint_id,
         slots=grant.slots,
-        expires_in_s=max(grant.expires_at - now, 0.0),
+        expires_in_s=max(grant.expires_at - received_at, 0.0),
         report_age_s=grant.report_age_s,
         waiting=grant.waiting,
         prefix_hashes=grant.prefix_hashes,
+        prefix_hashes_gone=grant.prefix_hashes_gone,
+        prefix_epoch=grant.prefix_epoch,
+        used=grant.used,
+        sequence=grant.sequence,
     )
 
 
-def _check(request: messages.SlotsRequest) -> None:
-    try:
-        identity.Incarnation.parse(request.entry)
-    except identity.IdentityError as error:
-        raise errors.InvalidAskError(str(error)) from error
+def _checked_entry(request: messages.SlotsRequest) -> identity.Incarnation:
     for ask in request.asks:
         if not 0 <= ask.in_use <= ask.want:
             raise errors.InvalidAskError(
@@ -180,3 +191,7 @@
             )
     if len({ask.endpoint_id for ask in request.asks}) < len(request.asks):
         raise errors.InvalidAskError("two asks for one endpoint")
+    try:
+        return identity.Incarnation.parse(request.entry)
+    except identity.IdentityError as error:
+        raise errors.InvalidAskError(str(error)) from error
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -14,7 +14,9 @@
   of the local processes.
 Dispatch process (one a VM):
   `POST /v1/slots` `{"entry", "asks": [SlotAsk], "wait_s"}` ->
-  `{"grants": [SlotGrant]}` with `expires_in_s` in place of `expires_at`.
+  `{"grants": [SlotGrant], "not_home": [endpoint id]}` with `expires_in_s` in
+  place of `expires_at`; the entry counts it from when it sent the ask. With
+  `wait_s` the answer is held back while there is nothing new to grant.
   `POST /v1/cancels` `{"cancels": [{"endpoint_id", "request_id"}]}`: cancel
   orders taken over from an entry that leaves.
 Entry process (several a VM; the peer port):
--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -56,8 +56,13 @@
 
 
 def _ask(endpoint_id: str, in_use: int, want: int) -> decision_messages.SlotAsk:
+    waiting = (("umurongo", want - in_use),) if want > in_use else ()
     return decision_messages.SlotAsk(
-        endpoint_id=endpoint_id, in_use=in_use, want=want
+        endpoint_id=endpoint_id,
+        in_use=in_use,
+        want=want,
+        held=in_use,
+        user_wants=waiting,
     )
 
 
@@ -115,7 +120,7 @@
     homes = homes_lib.Homes("vm-a")
     homes.update(_world(_endpoint("d0", 1)), _fleet("vm-a"), 0.0)
     now = _Clock()
-    return slot_desk.SlotDesk(homes, now), now
+    return slot_desk.SlotDesk(homes, now, lambda incarnation: None), now
 
 
 async def _started(desk: slot_desk.SlotDesk, entry: str) -> asyncio.Task:
