--- a/src/cowsliprill/decisions/cancels.py
+++ b/src/cowsliprill/decisions/cancels.py
@@ -118,10 +118,7 @@
         if not engine.failing:
             engine.failing = True
             engine.blocked_until = now + engine.retry_s
-        # The next try begins with another order: one that the engine can't
-        # cope with must not keep back the rest.
-        state = engine.orders_by_request.pop(order.request_id)
-        engine.orders_by_request[order.request_id] = state
+        state = engine.orders_by_request[order.request_id]
         state.next_at = now + min(
             FIRST_RETRY_S * 2**state.tries, LONGEST_RETRY_S
         )
@@ -182,4 +179,11 @@
             for request_id, order in engine.orders_by_request.items()
             if order.next_at <= now
         ]
-        return request_ids[:ORDERS_PER_TRY] if engine.failing else request_ids
+        if not engine.failing:
+            return request_ids
+        # Those that have waited longest go first: orders which the engine
+        # can't cope with must not keep back the rest.
+        request_ids.sort(
+            key=lambda request_id: engine.orders_by_request[request_id].next_at
+        )
+        return request_ids[:ORDERS_PER_TRY]
--- a/src/cowsliprill/decisions/fencing.py
+++ b/src/cowsliprill/decisions/fencing.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Iterable
 
 from cowsliprill.decisions import model
 
@@ -102,6 +103,7 @@
 @dataclasses.dataclass(slots=True)
 class _Engine:
     target: model.EngineTarget
+    checks_fencing: bool
     fencing_min: int
     highest_seen: int = 0
     read_at: float = float("-inf")
@@ -137,30 +139,24 @@
             self._woke_at = now
         return paused
 
-    def see_targets(
-        self, revision: int, targets_by_id: dict[str, model.EngineTarget]
+    def see_engines(
+        self, revision: int, endpoints: Iterable[model.Endpoint]
     ) -> None:
         """Takes the settings in force and which engines are homed here.
 
         Args:
           revision: The accepted revision; a lower one than before is ignored.
-          targets_by_id: What each engine that is homed here should be.
+          endpoints: The engines that are homed here; those without a target
+            are passed over.
         """
         if revision < self._revision:
             return
         self._revision = revision
-        engines_by_id = {}
-        for endpoint_id, target in targets_by_id.items():
-            engine = self._engines_by_id.get(endpoint_id)
-            if engine is None:
-                engine = _Engine(target, fencing_min=revision)
-            elif engine.target != target:
-                # Without the new number an older home could still turn back
-                # an engine that happens to be what it should be already.
-                engine.target = target
-                engine.fencing_min = revision
-            engines_by_id[endpoint_id] = engine
-        self._engines_by_id = engines_by_id
+        self._engines_by_id = {
+            endpoint.id: self._kept_or_new(endpoint, endpoint.target)
+            for endpoint in endpoints
+            if endpoint.target is not None
+        }
 
     def to_read(self, now: float) -> list[str]:
         """Returns the engines to read back now.
@@ -214,8 +210,7 @@
             read = engine.read
             if read is None or now - engine.read_at > READ_S:
                 continue
-            raised = read.fencing >= fencing_number(engine.fencing_min)
-            if read.target == engine.target and raised:
+            if read.target == engine.target and _is_raised(engine, read):
                 continue
             orders.append(
                 Order(
@@ -276,5 +271,26 @@
             return
         if engine.read is not None and engine.read.target != order.target:
             self._sent_at = now
-        engine.read = None
         engine.read_at = float("-inf")
+
+    def _kept_or_new(
+        self, endpoint: model.Endpoint, target: model.EngineTarget
+    ) -> _Engine:
+        engine = self._engines_by_id.get(endpoint.id)
+        if engine is None:
+            return _Engine(
+                target, endpoint.checks_fencing, fencing_min=self._revision
+            )
+        if engine.target != target:
+            # Without the new number an older home could still turn back an
+            # engine that happens to be what it should be already.
+            engine.target = target
+            engine.fencing_min = self._revision
+        engine.checks_fencing = endpoint.checks_fencing
+        return engine
+
+
+def _is_raised(engine: _Engine, read: ReadBack) -> bool:
+    if not engine.checks_fencing:
+        return True
+    return read.fencing >= fencing_number(engine.fencing_min)
--- a/src/cowsliprill/decisions/orphans.py
+++ b/src/cowsliprill/decisions/orphans.py
@@ -6,22 +6,21 @@
 The hard part is not to cancel for a live owner that only this home can't
 reach. Silence therefore never counts as an end; these do:
 
-* Another incarnation of the same process was heard after the owner had been
-  quiet for `QUIET_S`: a process holds its peer port until it ends, so its
-  successor proves its end.
-* For `REFUSED_S` without a break, each port that the list gives for the VM's
+* For `ENDED_S` without a break, each port that the list gives for the VM's
   entry processes either answered as another incarnation or refused the
-  connection. A refusal comes from the VM's own kernel; a partition is silent.
+  connection, and the owner itself was not heard. A refusal comes from the VM's
+  own kernel; a partition is silent.
 * The VM was dropped from the platform's list for `ABSENT_S`, none of its ports
   answered in that time, and this home reaches most of its own zone, so that it
   isn't the one cut off.
 * The request is older at the engine than any request may become: a live owner
   has given it up by itself.
 
-Each needs the owner to be quiet towards this home as well. What remains: a VM
-that is dropped from the list, alive, and cut off from this home but not from
-the engine for `ABSENT_S` loses its running streams there; its callers get an
-error event, never a wrong answer.
+What remains: a VM that is dropped from the list, alive, and cut off from this
+home but not from the engine for `ABSENT_S` loses its running streams there;
+and so does an entry that no longer asks for its slots while the list gives
+wrong ports for its VM, after `ENDED_S`. Their callers get an error event, never
+a wrong answer.
 """
 
 import dataclasses
@@ -32,8 +31,7 @@
 from cowsliprill.decisions import model
 
 SUSPECT_S = 2.5
-QUIET_S = 5.0
-REFUSED_S = 4.0
+ENDED_S = 4.0
 ABSENT_S = 60.0
 OVERAGE_MARGIN_S = 30.0
 # Observations further apart than this don't count as one unbroken time: the
@@ -81,8 +79,7 @@
 class Reason(enum.StrEnum):
     """Why a request's owner counts as gone."""
 
-    SUCCESSOR = "successor"
-    REFUSED = "refused"
+    ENDED = "ended"
     ABSENT = "absent"
     OVERAGE = "overage"
 
@@ -251,45 +248,29 @@
     def _gone(
         self, owner: identity.Incarnation, reaches_zone: bool, now: float
     ) -> Reason | None:
-        if self._quiet_s(owner, now) < QUIET_S:
-            return None
-        if self._has_successor(owner, now):
-            return Reason.SUCCESSOR
         record = self._records_by_vm.get(owner.vm)
         if record is None:
             # A VM that this home's list has never shown may be a new one.
             return None
-        if self._is_refused(record, owner, now):
-            return Reason.REFUSED
+        if self._has_ended(record, owner):
+            return Reason.ENDED
         if reaches_zone and self._is_absent(record, owner, now):
             return Reason.ABSENT
         return None
 
-    def _has_successor(self, owner: identity.Incarnation, now: float) -> bool:
-        heard_at = self._heard_at(owner)
-        return any(
-            other.vm == owner.vm
-            and other.process == owner.process
-            and other.nonce != owner.nonce
-            and other_at - heard_at >= QUIET_S
-            and now - other_at <= QUIET_S
-            for other, other_at in self._heard_by_incarnation.items()
-        )
-
-    def _is_refused(
-        self, record: _VmRecord, owner: identity.Incarnation, now: float
+    def _has_ended(
+        self, record: _VmRecord, owner: identity.Incarnation
     ) -> bool:
         since = record.no_silence_since
-        if since is None or now - record.probed_at > MAX_GAP_S:
+        if since is None:
             return False
-        unheard = self._heard_at(owner) < since
-        return unheard and record.probed_at - since >= REFUSED_S
+        return record.probed_at - max(since, self._heard_at(owner)) >= ENDED_S
 
     def _is_absent(
         self, record: _VmRecord, owner: identity.Incarnation, now: float
     ) -> bool:
         since = record.absent_since
-        if since is None or now - self._list_seen_at > MAX_GAP_S:
+        if since is None:
             return False
         signs = (self._heard_at(owner), record.answered_at, since)
         probed = record.probed_at > since
