--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
 
 class EndpointKind(enum.StrEnum):
@@ -224,8 +225,10 @@
     """
 
     revision: int = 0
-    users_by_id: dict[str, User] = dataclasses.field(default_factory=dict)
-    users_by_key_hash: dict[str, User] = dataclasses.field(default_factory=dict)
+    users_by_id: Mapping[str, User] = dataclasses.field(default_factory=dict)
+    users_by_key_hash: Mapping[str, User] = dataclasses.field(
+        default_factory=dict
+    )
     services_by_id: dict[str, Service] = dataclasses.field(default_factory=dict)
     endpoints_by_id: dict[str, Endpoint] = dataclasses.field(
         default_factory=dict
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -35,6 +35,8 @@
       platform_url: URL of the platform, settings process only.
       vm_list_url: URL of the VM list, settings process only.
       boot_peers: URLs of settings processes to ask before the list is known.
+      peer_secret: Secret that our processes share, by which they tell each
+        other from strangers; empty accepts all.
       seed: Seed of the process's random numbers; None draws one.
     """
 
@@ -50,6 +52,7 @@
     platform_url: str = ""
     vm_list_url: str = ""
     boot_peers: tuple[str, ...] = ()
+    peer_secret: pydantic.SecretStr = pydantic.SecretStr("")
     seed: int | None = None
 
 
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -5,13 +5,17 @@
 with the same field names.
 
 Settings process (one a VM):
-  `GET /v1/settings?have=REVISION&wait_s=S` -> `{"revision", "document"}` as
-  soon as a revision above `have` is in force, else after `wait_s` with 204.
+  `GET /v1/settings?have=REVISION&index=HASH&wait_s=S` ->
+  `settings.parts.Head` as soon as another version is in force, else after
+  `wait_s` with 204. `GET /v1/settings/parts/HASH` -> one part's text;
+  `POST /v1/settings/parts` `{"hashes"}` -> `{"texts"}` by hash.
+  `GET /v1/settings/document` -> the whole tree.
   `GET /v1/fleet?have=VERSION&wait_s=S` -> the `model.Fleet` as JSON, likewise.
   `POST /v1/fleet/leaving` `{"endpoint_id", "ttl_s"}`: an endpoint gave a
   draining answer; passed on to peers with its own expiry.
   `GET /v1/audit` -> the recent audit entries. `POST /v1/audit` takes entries
   of the local processes.
+  `POST /v1/exchange` takes and answers `settings.exchange.Exchange`.
 Dispatch process (one a VM):
   `POST /v1/slots` `{"entry", "asks": [SlotAsk], "wait_s"}` ->
   `{"grants": [SlotGrant]}` with `expires_in_s` in place of `expires_at`.
@@ -20,10 +24,15 @@
 Entry process (several a VM; the peer port):
   `GET /v1/incarnation` -> `{"incarnation"}`.
   `POST /v1/forward`: a caller's request whose ticket names this incarnation.
+Bodies of POST, and answers that peers act on, carry `X-Peer-Signature` where
+the VMs share a secret (`peer_auth`).
 All processes: `GET /healthz`, `GET /readyz`, `GET /metrics`, `GET /v1/status`.
 """
 
 SETTINGS_PATH = "/v1/settings"
+PARTS_PATH = "/v1/settings/parts"
+DOCUMENT_PATH = "/v1/settings/document"
+EXCHANGE_PATH = "/v1/exchange"
 FLEET_PATH = "/v1/fleet"
 LEAVING_PATH = "/v1/fleet/leaving"
 AUDIT_PATH = "/v1/audit"
