--- /dev/null
+++ b/src/cowsliprill/settings/core.py
@@ -0,0 +1,33 @@
+"""The settings process: one a VM, its only reader of the platform."""
+
+from cowsliprill import environment as environment_lib
+from cowsliprill import process
+from cowsliprill.observability import audit as audit_lib
+from cowsliprill.observability import log as log_lib
+from cowsliprill.observability import metrics as metrics_lib
+from cowsliprill.settings import handlers
+from cowsliprill.settings import service as service_lib
+
+
+async def serve(environment: environment_lib.Environment) -> None:
+    """Runs the settings process until it is told to stop.
+
+    Args:
+      environment: What the process was told about itself.
+    """
+    log = log_lib.open_log(f"settings.{environment.vm}")
+    metrics = metrics_lib.Metrics()
+    audit = audit_lib.AuditTrail(environment.vm)
+    service = service_lib.SettingsService(environment, log, metrics, audit)
+    shell = process.Process(
+        environment,
+        log,
+        metrics,
+        unready_reason=service.unready_reason,
+        status=service.status,
+        drain=service.stop,
+    )
+    shell.listen(handlers.routes(service))
+    service.url = f"http://{environment.host}:{shell.port}"
+    service.start()
+    await shell.run_until_stopped()
--- /dev/null
+++ b/src/cowsliprill/settings/handlers.py
@@ -0,0 +1,166 @@
+"""HTTP interface of the settings process."""
+
+import json
+from typing import Any
+
+from tornado import web
+
+from cowsliprill import codec
+from cowsliprill import peer_auth
+from cowsliprill import peers
+from cowsliprill.settings import exchange as exchange_lib
+from cowsliprill.settings import fetch
+from cowsliprill.settings import parts
+from cowsliprill.settings import resolve
+from cowsliprill.settings import service as service_lib
+
+_LONGEST_WAIT_S = 30.0
+_STATUS_NOTHING_NEW = 204
+_MAX_PARTS_BYTES = 1_000_000
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, service: service_lib.SettingsService) -> None:
+        self.service = service
+
+    def answer(self, body: bytes) -> None:
+        """Writes JSON signed for peers."""
+        self.set_header("Content-Type", "application/json")
+        for name, value in self.service.auth.headers(body).items():
+            self.set_header(name, value)
+        self.write(body)
+
+    def fail(self, status: int, code: str, message: str) -> None:
+        """Writes an error."""
+        self.set_status(status)
+        self.write({"error": {"code": code, "message": message}})
+
+    def read_body(self, kind: Any) -> Any:
+        """Returns the body as a type, or None after an error was written."""
+        signature = self.request.headers.get(peer_auth.HEADER)
+        if not self.service.auth.accepts(self.request.body, signature):
+            self.fail(403, "peer_unknown", "the body isn't signed by a peer")
+            return None
+        try:
+            return codec.decode(kind, self.request.body)
+        except codec.CodecError as error:
+            self.fail(400, error.code, str(error))
+            return None
+
+    def number(self, name: str) -> float:
+        """Returns a number of the query, 0 if it isn't there or isn't one."""
+        try:
+            return float(self.get_query_argument(name, "0"))
+        except ValueError:
+            return 0.0
+
+    def wait_s(self) -> float:
+        """Returns how long the caller is ready to wait, seconds."""
+        return max(0.0, min(self.number("wait_s"), _LONGEST_WAIT_S))
+
+
+class _SettingsHandler(_Handler):
+    async def get(self) -> None:
+        have = (int(self.number("have")), self.get_query_argument("index", ""))
+        head = await self.service.wait_for_head(have, self.wait_s())
+        if head is None:
+            self.set_status(_STATUS_NOTHING_NEW)
+            return
+        self.answer(codec.encode(head))
+
+
+class _PartHandler(_Handler):
+    def get(self, text_hash: str) -> None:
+        text = self.service.store.text(text_hash)
+        if text is None:
+            self.fail(404, "part_missing", f"no part {text_hash}")
+            return
+        self.answer(text.encode())
+
+
+class _PartsHandler(_Handler):
+    def post(self) -> None:
+        # Unsigned: a hash can only be asked for by one who knows the index.
+        try:
+            body = fetch.reply(
+                self.service.store, self.request.body, _MAX_PARTS_BYTES
+            )
+        except codec.CodecError as error:
+            self.fail(400, error.code, str(error))
+            return
+        self.answer(body)
+
+
+class _DocumentHandler(_Handler):
+    def get(self) -> None:
+        head = self.service.settings.head
+        if head is None:
+            self.fail(503, "no_settings", "no revision is in force yet")
+            return
+        self.answer(self._document(head).encode())
+
+    def _document(self, head: parts.Head) -> str:
+        store = self.service.store
+        texts = {
+            part: store.text(text_hash) or ""
+            for part, text_hash in store.hashes_by_part.items()
+        }
+        tree = json.loads(resolve.document_of(texts))
+        fields = {
+            "revision": head.revision,
+            "published_by": head.published_by,
+            "published_at": head.published_at,
+        }
+        return json.dumps({**fields, **tree})
+
+
+class _FleetHandler(_Handler):
+    async def get(self) -> None:
+        have = int(self.number("have"))
+        fleet = await self.service.wait_for_fleet(have, self.wait_s())
+        if fleet is None:
+            self.set_status(_STATUS_NOTHING_NEW)
+            return
+        self.answer(codec.encode(fleet))
+
+
+class _LeavingHandler(_Handler):
+    def post(self) -> None:
+        report = self.read_body(service_lib.LeavingReport)
+        if report is not None:
+            self.service.fleet.report_leaving(report.endpoint_id, report.ttl_s)
+            self.write({})
+
+
+class _ExchangeHandler(_Handler):
+    def post(self) -> None:
+        message = self.read_body(exchange_lib.Exchange)
+        if message is not None:
+            self.service.exchange.hear(message)
+            self.answer(codec.encode(self.service.exchange.message()))
+
+
+class _AuditHandler(_Handler):
+    def get(self) -> None:
+        self.answer(json.dumps(self.service.audit.entries()).encode())
+
+    def post(self) -> None:
+        entry = self.read_body(dict[str, Any])
+        if entry is not None:
+            self.service.audit.take(entry)
+            self.write({})
+
+
+def routes(service: service_lib.SettingsService) -> list[tuple]:
+    """Returns the tornado routes of a settings process."""
+    options = {"service": service}
+    return [
+        (peers.SETTINGS_PATH, _SettingsHandler, options),
+        (peers.PARTS_PATH, _PartsHandler, options),
+        (peers.PARTS_PATH + "/([0-9a-f]+)", _PartHandler, options),
+        (peers.DOCUMENT_PATH, _DocumentHandler, options),
+        (peers.FLEET_PATH, _FleetHandler, options),
+        (peers.LEAVING_PATH, _LeavingHandler, options),
+        (peers.EXCHANGE_PATH, _ExchangeHandler, options),
+        (peers.AUDIT_PATH, _AuditHandler, options),
+    ]
--- /dev/null
+++ b/src/cowsliprill/settings/parts.py
@@ -0,0 +1,309 @@
+"""The tree split into parts, so that a change moves only what changed.
+
+The platform holds values of up to a megabyte. One value, the head, names the
+revision and the hash of the index; the index names the hash of each part;
+index and parts are stored under their hash. A part read from anywhere (a stale
+replica, a peer) is therefore either exactly the one meant or refused.
+
+Parts are `root`, `user/NAME`, `children/NAME/BUCKET` (the child users of NAME
+whose names hash to BUCKET) and `pool/NAME`.
+"""
+
+import dataclasses
+import hashlib
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import xxhash
+
+from cowsliprill import codec
+from cowsliprill.settings import errors
+from cowsliprill.settings import schema
+
+HEAD_NAME = "settings.head"
+PART_PREFIX = "settings.part."
+MAX_VALUE_BYTES = 1_000_000
+
+_HASH_DIGITS = 32
+# About 32 child users make a part of some 4 KB: at 25,000 changes a day one
+# part a change stays far below the 4 KB/s that a node may spend on control.
+_CHILDREN_PER_BUCKET = 32
+# Changes that the head repeats, so that a reader a few revisions behind needs
+# no whole index.
+_CHANGES_IN_HEAD = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Change:
+    """What one revision changed in the index.
+
+    Attributes:
+      revision: The revision.
+      previous: Hash of the index that it changed.
+      parts: New hash by part name; None for a part that went.
+    """
+
+    revision: int
+    previous: str
+    parts: dict[str, str | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """The small value that readers watch.
+
+    Attributes:
+      revision: Number of the revision.
+      index: Hash of the index.
+      published_by: Operator who published it.
+      published_at: When, as the operator's tool wrote it.
+      changes: The last revisions' changes, oldest first.
+    """
+
+    revision: int
+    index: str
+    published_by: str
+    published_at: str = ""
+    changes: tuple[Change, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Publication:
+    """What an operator publishes: parts and index first, the head last.
+
+    Attributes:
+      head: The head.
+      texts_by_hash: Text of the index and of each part.
+    """
+
+    head: Head
+    texts_by_hash: dict[str, str]
+
+
+def hash_of(text: str) -> str:
+    """Returns the hash under which a text is stored."""
+    return hashlib.sha256(text.encode()).hexdigest()[:_HASH_DIGITS]
+
+
+def canonical(value: Any) -> str:
+    """Writes JSON of which equal values give equal texts."""
+    return json.dumps(value, sort_keys=True, separators=(",", ":"))
+
+
+def bucket_of(name: str, buckets: int) -> int:
+    """Returns the bucket that a child user's name hashes to."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % buckets
+
+
+def head_text(head: Head) -> str:
+    """Writes a head as JSON."""
+    return codec.encode(head).decode()
+
+
+def read_head(text: bytes) -> Head:
+    """Reads a head.
+
+    Args:
+      text: JSON of `Head`.
+
+    Returns:
+      The head.
+
+    Raises:
+      SettingsError: The text isn't a head.
+    """
+    check_size(text)
+    try:
+        head = codec.decode(Head, text)
+    except codec.CodecError as error:
+        raise errors.SettingsError(f"head: {error}") from error
+    if not 1 <= head.revision <= schema.MAX_REVISION:
+        raise errors.SettingsError(f"head: revision {head.revision}")
+    return head
+
+
+def split(document: str) -> dict[str, str]:
+    """Splits a whole document.
+
+    Args:
+      document: JSON of `schema.Document`.
+
+    Returns:
+      Text by part name.
+
+    Raises:
+      SettingsError: The document isn't valid.
+    """
+    schema.parse(schema.Document, document)
+    tree = json.loads(document)
+    root = {
+        key: tree[key]
+        for key in ("service_defaults", "endpoint_defaults")
+        if key in tree
+    }
+    values: dict[str, Any] = {"root": root}
+    for name, user in tree.get("users", {}).items():
+        values.update(_user_parts(name, user))
+    for name, pool in tree.get("pools", {}).items():
+        values[f"pool/{name}"] = pool
+    return {name: canonical(value) for name, value in values.items()}
+
+
+def _user_parts(name: str, user: dict[str, Any]) -> dict[str, Any]:
+    children = user.get("users", {})
+    buckets = 0
+    if children:
+        wanted = -(-len(children) // _CHILDREN_PER_BUCKET)
+        # A power of two, so that most growth leaves the buckets alone.
+        buckets = 1 << (wanted - 1).bit_length()
+    own = {key: value for key, value in user.items() if key != "users"}
+    values: dict[str, Any] = {f"user/{name}": {**own, "buckets": buckets}}
+    for child, node in children.items():
+        part = f"children/{name}/{bucket_of(child, buckets)}"
+        values.setdefault(part, {})[child] = node
+    return values
+
+
+def index_text(hashes_by_part: Mapping[str, str]) -> str:
+    """Writes an index."""
+    return canonical(dict(hashes_by_part))
+
+
+def publish(document: str, previous: Publication | None = None) -> Publication:
+    """Makes the values that an operator publishes for a document.
+
+    Args:
+      document: JSON of `schema.Document`.
+      previous: What was published before, if known.
+
+    Returns:
+      The publication.
+
+    Raises:
+      SettingsError: The document isn't valid, or a part is too large.
+    """
+    texts = split(document)
+    hashes = {part: hash_of(text) for part, text in texts.items()}
+    index = index_text(hashes)
+    texts_by_hash = {hash_of(text): text for text in [*texts.values(), index]}
+    for text in texts_by_hash.values():
+        check_size(text.encode())
+    fields = json.loads(document)
+    changes: tuple[Change, ...] = ()
+    if previous is not None:
+        old = json.loads(previous.texts_by_hash[previous.head.index])
+        change = Change(
+            revision=fields["revision"],
+            previous=previous.head.index,
+            parts=_index_change(old, hashes),
+        )
+        changes = (*previous.head.changes, change)[-_CHANGES_IN_HEAD:]
+    head = Head(
+        revision=fields["revision"],
+        index=hash_of(index),
+        published_by=fields["published_by"],
+        published_at=fields.get("published_at", ""),
+        changes=changes,
+    )
+    return Publication(head, texts_by_hash)
+
+
+def _index_change(
+    old: dict[str, str], new: dict[str, str]
+) -> dict[str, str | None]:
+    names = old.keys() | new.keys()
+    return {
+        name: new.get(name)
+        for name in sorted(names)
+        if old.get(name) != new.get(name)
+    }
+
+
+def derive_index(
+    head: Head, index_hash: str, hashes_by_part: Mapping[str, str]
+) -> dict[str, str] | None:
+    """Works out the head's index from an older one and the head's changes.
+
+    Args:
+      head: The head.
+      index_hash: Hash of the older index.
+      hashes_by_part: The older index.
+
+    Returns:
+      The head's index, or None if the changes don't lead to it; then the whole
+      index has to be read.
+    """
+    current = index_hash
+    derived = dict(hashes_by_part)
+    for change in head.changes:
+        if change.previous != current:
+            continue
+        for part, new_hash in change.parts.items():
+            if new_hash is None:
+                derived.pop(part, None)
+            else:
+                derived[part] = new_hash
+        current = hash_of(index_text(derived))
+    return derived if current == head.index else None
+
+
+def checked_text(content: bytes, text_hash: str) -> str:
+    """Checks the bytes that came for a hash.
+
+    Args:
+      content: The bytes.
+      text_hash: Hash that was asked for.
+
+    Returns:
+      The text.
+
+    Raises:
+      SettingsError: They are too many, or not the ones of the hash: a reader
+        got half a value, or another's.
+    """
+    check_size(content)
+    try:
+        text = content.decode()
+    except UnicodeDecodeError:
+        text = ""
+    if hash_of(text) != text_hash:
+        raise errors.SettingsError(
+            f"part {text_hash}: the content has another hash",
+            code="part_mismatch",
+        )
+    return text
+
+
+def read_index(text: str) -> dict[str, str]:
+    """Reads an index.
+
+    Args:
+      text: JSON object of hash by part name.
+
+    Returns:
+      The index.
+
+    Raises:
+      SettingsError: It isn't one.
+    """
+    try:
+        return codec.decode(dict[str, str], text)
+    except codec.CodecError as error:
+        raise errors.SettingsError(f"index: {error}") from error
+
+
+def check_size(value: bytes) -> None:
+    """Refuses a value that the platform couldn't hold.
+
+    Args:
+      value: The bytes.
+
+    Raises:
+      SettingsError: There are too many.
+    """
+    if len(value) > MAX_VALUE_BYTES:
+        raise errors.SettingsError(
+            f"value of {len(value)} bytes, allowed are {MAX_VALUE_BYTES}",
+            code="value_too_large",
+        )
