--- a/src/cowsliprill/settings/service.py
+++ b/src/cowsliprill/settings/service.py
@@ -115,6 +115,7 @@
             self._platform, self.fleet, self._random, log, metrics
         )
         self._booted = False
+        self._stopping = False
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
@@ -133,6 +134,7 @@
 
     async def stop(self) -> None:
         """Ends the tasks and lets waiting callers go."""
+        self._stopping = True
         for task in self._tasks:
             task.cancel()
         self.settings.changes.notify()
@@ -187,7 +189,7 @@
         ends_at = clock.now() + wait_s
         while not self._has_other(have):
             left_s = ends_at - clock.now()
-            if left_s <= 0:
+            if left_s <= 0 or self._stopping:
                 return None
             await self.settings.changes.wait(left_s)
         return self.settings.head
@@ -207,7 +209,7 @@
         ends_at = clock.now() + wait_s
         while not self.fleet.listed or self.fleet.fleet.version == have:
             left_s = ends_at - clock.now()
-            if left_s <= 0:
+            if left_s <= 0 or self._stopping:
                 return None
             await self.fleet.changes.wait(left_s)
         return self.fleet.fleet
--- a/src/cowsliprill/standins/platform.py
+++ b/src/cowsliprill/standins/platform.py
@@ -75,6 +75,7 @@
       calls_per_s: Calls answered in a second; the others get 429.
       mode: How it misbehaves.
       calls: Counted calls by kind.
+      stopping: Whether waiting watches are to be let go.
     """
 
     calls_per_s: int = 2_000
@@ -84,6 +85,7 @@
     calls: dict[str, int] = dataclasses.field(
         default_factory=lambda: {"values": 0, "vms": 0, "refused": 0}
     )
+    stopping: bool = False
     _history: dict[str, list[Value]] = dataclasses.field(default_factory=dict)
     _frozen: dict[str, Value] = dataclasses.field(default_factory=dict)
     _publication: parts.Publication | None = None
@@ -124,6 +126,11 @@
         self.mode = mode
         self._wake()
 
+    def stop(self) -> None:
+        """Lets all waiting watches go."""
+        self.stopping = True
+        self.set_mode({"mode": "up"})
+
     def mode_for(self, kind: str) -> dict[str, Any]:
         """Returns the mode that holds for `values` or `vms`."""
         only = self.mode.get("only", kind)
@@ -183,7 +190,7 @@
             if value and (value.revision > above or stale):
                 break
             left = ends_at - time.monotonic()
-            if left <= 0:
+            if left <= 0 or self.platform.stopping:
                 self.set_status(404 if value is None else 204)
                 return
             await self.platform.changed(left)
@@ -288,7 +295,7 @@
     _load(platform, arguments)
 
     async def drain() -> None:
-        platform.set_mode({"mode": "up"})
+        platform.stop()
 
     shell = process.Process(
         environment_lib.Environment(
