--- a/src/cowsliprill/settings/resolve.py
+++ b/src/cowsliprill/settings/resolve.py
@@ -21,6 +21,15 @@
 _ENDPOINT_REQUIRED = ("kind", "host", "port", "availability_zone", "slots")
 _SERVICE_REQUIRED = ("kind", "pool")
 
+# Without these the time of a prefill, a transfer or a token can't be worked
+# out, and no request could be placed within its targets.
+_ENGINE_REQUIRED = ("link_bytes_per_s", "kv_bytes_per_token")
+_SPEED_REQUIRED = {
+    model.EndpointKind.PREFILL: ("prefill_tokens_per_s", *_ENGINE_REQUIRED),
+    model.EndpointKind.DECODE: ("seconds_per_token", *_ENGINE_REQUIRED),
+    model.EndpointKind.PLAIN: (),
+}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tree:
@@ -231,12 +240,10 @@
     merged = layers.merge(
         layers.endpoint_layers(tree.root, pool_name, pool, name)
     )
-    _require(
-        f"pools.{pool_name}.endpoints.{name}",
-        merged.fields,
-        _ENDPOINT_REQUIRED,
-    )
     fields = dict(merged.fields)
+    where = f"pools.{pool_name}.endpoints.{name}"
+    _require(where, fields, _ENDPOINT_REQUIRED)
+    _require(where, fields, _SPEED_REQUIRED[fields["kind"]])
     target = fields.pop("target", None)
     if target is not None:
         target = {"role": fields["kind"], "model": "", **target}
--- a/src/cowsliprill/settings/schema.py
+++ b/src/cowsliprill/settings/schema.py
@@ -6,6 +6,7 @@
 """
 
 import difflib
+import ipaddress
 import json
 import re
 from typing import Annotated
@@ -20,6 +21,12 @@
 
 MAX_REVISION = 2**53
 
+
+def _checked_ip_number(text: str) -> str:
+    ipaddress.ip_address(text)
+    return text
+
+
 _NEAREST_CUTOFF = 0.5
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]*")
 
@@ -29,6 +36,8 @@
 _NotNegative = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
 _Count = Annotated[int, pydantic.Field(ge=1, le=2**31, strict=True)]
 _Priority = Annotated[int, pydantic.Field(ge=-100, le=100, strict=True)]
+_Method = Annotated[str, pydantic.Field(pattern=r"^[A-Z]{1,20}$")]
+_IpNumber = Annotated[str, pydantic.AfterValidator(_checked_ip_number)]
 _Port = Annotated[int, pydantic.Field(ge=1, le=65535, strict=True)]
 
 _Node = TypeVar("_Node", bound="Node")
@@ -44,11 +53,19 @@
     def _refuse_unknown_names(cls, value: Any) -> Any:
         if not isinstance(value, dict):
             return value
-        for name in value:
+        for name, stated in value.items():
             if name not in cls.model_fields:
                 raise pydantic_core.PydanticCustomError(
                     "unknown_name", "{problem}", {"problem": cls._hint(name)}
                 )
+            if stated is None:
+                # Would pass for "not stated", and what the parent says would
+                # hold where the operator meant to switch something off.
+                raise pydantic_core.PydanticCustomError(
+                    "null_value",
+                    "{name} is null; leave it out to inherit it",
+                    {"name": repr(name)},
+                )
         return value
 
     @classmethod
@@ -89,7 +106,9 @@
     max_body_bytes: _Count | None = None
     goodput_weight: _NotNegative | None = None
     wasted_prefill_weight: _NotNegative | None = None
-    methods: tuple[str, ...] | None = None
+    methods: Annotated[
+        tuple[_Method, ...] | None, pydantic.Field(min_length=1)
+    ] = None
     echoes_request_id: bool | None = None
 
 
@@ -106,7 +125,7 @@
     """What a node says about an endpoint; see `model.Endpoint`."""
 
     kind: model_lib.EndpointKind | None = None
-    host: str | None = None
+    host: _IpNumber | None = None
     port: _Port | None = None
     availability_zone: str | None = None
     slots: _Count | None = None
