--- /dev/null
+++ b/src/cowsliprill/standins/engine.py
@@ -0,0 +1,352 @@
+"""Stand-in of one engine, for prefill or decode."""
+
+import asyncio
+import dataclasses
+import heapq
+import itertools
+import json
+import time
+from typing import Annotated
+from typing import Any
+
+import cappa
+import xxhash
+
+from cowsliprill.decisions import model
+from cowsliprill.engines import errors
+from cowsliprill.engines import http_client
+from cowsliprill.engines import model as engine_model
+from cowsliprill.engines import prefix
+from cowsliprill.engines import protocol
+from cowsliprill.standins import engine_handlers
+from cowsliprill.standins import engine_memory
+from cowsliprill.standins import misbehaviour as misbehaviour_lib
+from cowsliprill.standins import shell
+
+_DEFAULT_MAX_TOKENS = 16
+_TRANSFER_TIMEOUT_S = 30.0
+_MAX_KV_BYTES = 1_073_741_824
+_Stage = engine_memory.RequestStage
+
+
+@cappa.command(name="engine", help="Stand-in of a prefill or decode engine.")
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EngineCommand:
+    """An engine's stand-in.
+
+    Attributes:
+      id: Its id.
+      role: `prefill` or `decode`.
+      host: IP number to listen on.
+      port: TCP port, 0 for any.
+      slots: Places in the batch.
+      kv_blocks: KV blocks of 16 tokens.
+      cache_blocks: Blocks of the prefix cache.
+      prefill_tokens_per_s: Speed of a prefill.
+      seconds_per_token: Time between two tokens of one stream.
+      export_ttl_s: How long a finished prefill waits to be fetched.
+      link_bytes_per_s: Rate of the link by which KV cache leaves.
+      kv_bytes_per_token: Size of one prompt token's KV cache.
+      report_lag_s: How old a load report gets.
+      checks_fencing: Whether it refuses orders with an old fencing number.
+      model: Model that it has loaded.
+    """
+
+    id: Annotated[str, cappa.Arg(long=True)]
+    role: Annotated[str, cappa.Arg(long=True)]
+    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
+    port: Annotated[int, cappa.Arg(long=True)] = 0
+    slots: Annotated[int, cappa.Arg(long=True)] = 20
+    kv_blocks: Annotated[int, cappa.Arg(long=True)] = 65_536
+    cache_blocks: Annotated[int, cappa.Arg(long=True)] = 8_192
+    prefill_tokens_per_s: Annotated[float, cappa.Arg(long=True)] = 20_000.0
+    seconds_per_token: Annotated[float, cappa.Arg(long=True)] = 0.02
+    export_ttl_s: Annotated[float, cappa.Arg(long=True)] = 0.8
+    link_bytes_per_s: Annotated[float, cappa.Arg(long=True)] = 100_000_000.0
+    kv_bytes_per_token: Annotated[int, cappa.Arg(long=True)] = 1_000
+    report_lag_s: Annotated[float, cappa.Arg(long=True)] = 0.5
+    checks_fencing: Annotated[bool, cappa.Arg(long=True)] = False
+    model: Annotated[str, cappa.Arg(long=True)] = "standin"
+
+
+class _Turns:
+    """Lets prefills run one at a time, those of high priority first."""
+
+    def __init__(self) -> None:
+        self._busy = False
+        self._count = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    async def acquire(self, priority: int) -> None:
+        if not self._busy:
+            self._busy = True
+            return
+        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiting, (-priority, next(self._count), turn))
+        await turn
+
+    def release(self) -> None:
+        while self._waiting:
+            turn = heapq.heappop(self._waiting)[2]
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self._busy = False
+
+
+class Engine:
+    """The stand-in's state and work.
+
+    Args:
+      command: Its configuration.
+
+    Attributes:
+      command: Its configuration.
+      memory: What it holds.
+      conduct: Its misbehaviour.
+      order: What it was ordered to be.
+      report: Its lagging load report.
+    """
+
+    def __init__(self, command: EngineCommand) -> None:
+        self.command = command
+        self.memory = engine_memory.Memory(
+            command.slots, command.kv_blocks, command.cache_blocks
+        )
+        self.conduct = misbehaviour_lib.Conduct()
+        self.order = engine_model.EngineOrder(
+            fencing=0,
+            target=model.EngineTarget(
+                role=model.EndpointKind(command.role), model=command.model
+            ),
+        )
+        self.report = self._load()
+        self._http = http_client.HttpClient()
+        self._turns = _Turns()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._link = _Turns()
+
+    def start(self) -> None:
+        """Starts the task that refreshes the load report."""
+        self._spawn(self._refresh_report())
+
+    async def stop(self) -> None:
+        """Stops all work."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._http.close()
+
+    async def prefill(
+        self,
+        request: engine_memory.Request,
+        body: dict[str, Any],
+        conduct: misbehaviour_lib.Misbehaviour,
+    ) -> None:
+        """Computes a prompt and leaves its KV cache for export.
+
+        Args:
+          request: The admitted request; its stage tells the outcome.
+          body: The request's body.
+          conduct: What to do wrong.
+        """
+        salt = str(body.get(prefix.SALT_FIELD, ""))
+        hashes = prefix.block_hashes(request.text, salt)
+        await self._turns.acquire(int(body.get("priority", 0)))
+        try:
+            cached = self.memory.count_cached(hashes) * prefix.BLOCK_TOKENS
+            tokens = max(request.prompt_tokens - cached, 1)
+            seconds = tokens / self.command.prefill_tokens_per_s
+            await self._work(request, seconds * conduct.slow_factor)
+        finally:
+            self._turns.release()
+        if request.stage is not _Stage.PREFILL:
+            return
+        self.memory.store(hashes)
+        await request.move(_Stage.EXPORTED)
+        self._spawn(self._evict(request))
+
+    async def fetch(
+        self, request: engine_memory.Request, transfer: dict[str, Any]
+    ) -> bool:
+        """Fetches the KV cache from the prefill engine.
+
+        Args:
+          request: The admitted request.
+          transfer: Its `kv_transfer_params`.
+
+        Returns:
+          Whether all of it came, and the request wasn't cancelled meanwhile.
+        """
+        fetching = asyncio.create_task(self._fetch(request, transfer))
+        watching = asyncio.create_task(request.left(_Stage.TRANSFER))
+        await asyncio.wait(
+            {fetching, watching}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in (fetching, watching):
+            task.cancel()
+        await asyncio.gather(fetching, watching, return_exceptions=True)
+        fetched = not fetching.cancelled() and fetching.result()
+        if request.stage is not _Stage.TRANSFER:
+            return False
+        if not fetched:
+            await request.move(_Stage.FAILED)
+            return False
+        await request.move(_Stage.DECODE)
+        return True
+
+    def generate(
+        self,
+        request: engine_memory.Request,
+        body: dict[str, Any],
+        conduct: misbehaviour_lib.Misbehaviour,
+    ) -> None:
+        """Starts to generate the tokens, whether or not anyone listens.
+
+        Args:
+          request: The admitted request.
+          body: The request's body.
+          conduct: What to do wrong.
+        """
+        self._spawn(self._generate(request, body, conduct))
+
+    async def pace_link(self, size: int) -> None:
+        """Waits until so many bytes may leave by the link."""
+        await self._link.acquire(0)
+        try:
+            await asyncio.sleep(size / self.command.link_bytes_per_s)
+        finally:
+            self._link.release()
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _load(self) -> engine_model.LoadReport:
+        used = self.memory.used_blocks()
+        return engine_model.LoadReport(
+            running=self.memory.used_slots(),
+            waiting=0,
+            kv_usage=used / self.memory.blocks,
+            slots=self.memory.slots,
+        )
+
+    async def _refresh_report(self) -> None:
+        while True:
+            self.report = self._load()
+            await asyncio.sleep(self.command.report_lag_s)
+
+    async def _work(
+        self, request: engine_memory.Request, seconds: float
+    ) -> None:
+        stage = request.stage
+        try:
+            await asyncio.wait_for(request.left(stage), seconds)
+        except TimeoutError:
+            pass
+
+    async def _evict(self, request: engine_memory.Request) -> None:
+        await asyncio.sleep(self.command.export_ttl_s)
+        if request.stage is _Stage.EXPORTED:
+            await request.move(_Stage.EVICTED)
+
+    async def _fetch(
+        self, request: engine_memory.Request, transfer: dict[str, Any]
+    ) -> bool:
+        try:
+            response = await self._http.call(
+                str(transfer["remote_host"]),
+                int(transfer["remote_port"]),
+                "GET",
+                protocol.KV_PATH + str(transfer["remote_handle"]),
+                {protocol.REQUEST_ID_HEADER: request.request_id},
+                timeout_s=_TRANSFER_TIMEOUT_S,
+            )
+            try:
+                async for _ in response.chunks():
+                    pass
+            finally:
+                response.close()
+        except errors.CallError:
+            return False
+        ok = 200
+        return response.status == ok
+
+    async def _generate(
+        self,
+        request: engine_memory.Request,
+        body: dict[str, Any],
+        conduct: misbehaviour_lib.Misbehaviour,
+    ) -> None:
+        count = int(body.get("max_tokens", _DEFAULT_MAX_TOKENS))
+        seconds = self.command.seconds_per_token * conduct.slow_factor
+        writer = _EventWriter(request, body, count, conduct)
+        due = time.monotonic()
+        for number in range(1, count + 1):
+            due += seconds
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            if conduct.stall_at_token == number - 1:
+                await request.left(_Stage.DECODE)
+            if request.stage is not _Stage.DECODE:
+                return
+            await request.add(writer.event(number))
+        await request.move(_Stage.FINISHED)
+
+
+class _EventWriter:
+    """Writes the events of one answer; its text tells whose it is."""
+
+    def __init__(
+        self,
+        request: engine_memory.Request,
+        body: dict[str, Any],
+        count: int,
+        conduct: misbehaviour_lib.Misbehaviour,
+    ) -> None:
+        self._id = request.request_id
+        self._model = str(body.get("model", ""))
+        self._count = count
+        self._chat = "messages" in body
+        self._counted = count + int(conduct.wrong_count)
+        digest = xxhash.xxh3_64_hexdigest(request.text.encode())
+        self._word = f" {digest[:8]}"
+
+    def event(self, number: int) -> bytes:
+        """Returns the event of one token."""
+        last = number == self._count
+        text = f"{self._word}-{number}"
+        choice: dict[str, Any] = {"index": 0}
+        if self._chat:
+            choice["delta"] = {"content": text}
+        else:
+            choice["text"] = text
+        choice["finish_reason"] = "length" if last else None
+        fields = {
+            "id": self._id,
+            "object": "chat.completion.chunk" if self._chat else "text_completion",
+            "created": int(time.time()),
+            "model": self._model,
+            "choices": [choice],
+        }
+        if last:
+            fields["usage"] = {"completion_tokens": self._counted}
+        data = json.dumps(fields)
+        return f"id: {self._id}/{number}\ndata: {data}\n\n".encode()
+
+
+async def serve(command: EngineCommand) -> None:
+    """Serves until SIGTERM.
+
+    Args:
+      command: Its configuration.
+    """
+    engine = Engine(command)
+    engine.start()
+    server = shell.Server(
+        engine_handlers.routes(engine), command.host, command.port
+    )
+    await shell.run_until_signal(
+        f"standin.{command.id}", server, role=command.role
+    )
+    await engine.stop()
