--- a/src/cowsliprill/decisions/stream.py
+++ b/src/cowsliprill/decisions/stream.py
@@ -204,8 +204,9 @@
         return int(digits)
 
     def _hold(self, event: bytes, number: int) -> None:
-        # The last event carries the last token, or none.
-        if not self.last_token <= number <= self.last_token + 1:
+        # The last event carries the last token; an answer may have none at all.
+        empty = number == self.last_token == 0
+        if number != self.last_token + 1 and not empty:
             raise _FaultError(Reason.OUT_OF_ORDER)
         self._final = event
 
--- a/src/cowsliprill/standins/engine.py
+++ b/src/cowsliprill/standins/engine.py
@@ -308,6 +308,9 @@
         self._model = str(body.get("model", ""))
         self._count = count
         self._chat = "messages" in body
+        self._object = (
+            "chat.completion.chunk" if self._chat else "text_completion"
+        )
         self._counted = count + int(conduct.wrong_count)
         digest = xxhash.xxh3_64_hexdigest(request.text.encode())
         self._word = f" {digest[:8]}"
@@ -324,7 +327,7 @@
         choice["finish_reason"] = "length" if last else None
         fields = {
             "id": self._id,
-            "object": "chat.completion.chunk" if self._chat else "text_completion",
+            "object": self._object,
             "created": int(time.time()),
             "model": self._model,
             "choices": [choice],
