Add the replay with four baselines and a bound

Traces are recipes of one line each, drawn with a seed; a file may carry its own requests instead. The scheduler is still the thin one, which lives on as the naive baseline.

--- /dev/null
+++ b/src/cowsliprill/replay/baselines.py
@@ -0,0 +1,209 @@
+"""Simple routers to compare with, and the naive version of the scheduler.
+
+None knows of slot leases but the naive version. They start at once, go to the
+next engine when one is full or fails, up to the service's number of attempts,
+and refuse then. That is how common proxies behave.
+"""
+
+import collections
+import random
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.replay import homes
+
+_RETRY_AFTER_S = 1.0
+_NEVER_S = 3600.0
+_AFFINITY_BLOCKS = 8
+
+
+class Baseline:
+    """Starts each request at once on engines that a subclass picks.
+
+    Args:
+      availability_zone: Unused; baselines take part in the same interface.
+      seed: Seed of its random numbers.
+    """
+
+    def __init__(self, availability_zone: str, seed: int) -> None:
+        del availability_zone
+        self.random = random.Random(seed)
+        self.own: collections.Counter[str] = collections.Counter()
+        self._pools: dict[model.EndpointKind, list[str]] = {}
+        self._submits_by_id: dict[int, messages.Submit] = {}
+        self._starts_by_id: dict[int, messages.Start] = {}
+        self._streaming: set[int] = set()
+
+    def handle(
+        self, event: messages.Event, now: float
+    ) -> list[messages.Action]:
+        """Takes one event."""
+        del now
+        match event:
+            case messages.WorldChanged(snapshot, _):
+                for endpoint in snapshot.endpoints_by_id.values():
+                    self._pools.setdefault(endpoint.kind, []).append(
+                        endpoint.id
+                    )
+            case messages.Submit():
+                self._submits_by_id[event.request_id] = event
+                return [self._start(event, 0)]
+            case messages.PrefillFinished(request_id):
+                self.own[self._starts_by_id[request_id].prefill_id] -= 1
+            case messages.FirstToken(request_id):
+                self._streaming.add(request_id)
+            case messages.Finished(request_id):
+                self._streaming.discard(request_id)
+                start = self._starts_by_id.pop(request_id)
+                del self._submits_by_id[request_id]
+                self.own[start.decode_id] -= 1
+            case messages.Cancel(request_id):
+                return self._cancel(request_id)
+            case messages.AttemptFailed():
+                return self._failed(event)
+        return []
+
+    def asks(self, now: float) -> list[messages.SlotAsk]:
+        """Returns nothing: a baseline asks for no slots."""
+        del now
+        return []
+
+    def next_wakeup(self, now: float) -> float:
+        """Returns a time after every trace."""
+        return now + _NEVER_S
+
+    def pick(
+        self,
+        submit: messages.Submit,
+        kind: model.EndpointKind,
+        endpoint_ids: list[str],
+        attempt: int,
+    ) -> str:
+        """Picks an engine for a request."""
+        raise NotImplementedError
+
+    def _start(self, submit: messages.Submit, attempt: int) -> messages.Start:
+        picked = {
+            kind: self.pick(submit, kind, endpoint_ids, attempt)
+            for kind, endpoint_ids in self._pools.items()
+        }
+        start = messages.Start(
+            request_id=submit.request_id,
+            attempt=attempt,
+            prefill_id=picked[model.EndpointKind.PREFILL],
+            decode_id=picked[model.EndpointKind.DECODE],
+        )
+        self._starts_by_id[submit.request_id] = start
+        self.own.update(picked.values())
+        return start
+
+    def _cancel(self, request_id: int) -> list[messages.Action]:
+        start = self._starts_by_id.pop(request_id, None)
+        self._submits_by_id.pop(request_id, None)
+        self._streaming.discard(request_id)
+        if start is None:
+            return []
+        self.own[start.decode_id] -= 1
+        return [
+            messages.CancelAttempt(
+                request_id=request_id,
+                attempt=start.attempt,
+                endpoint_ids=(start.prefill_id, start.decode_id),
+            )
+        ]
+
+    def _failed(self, event: messages.AttemptFailed) -> list[messages.Action]:
+        start = self._starts_by_id.pop(event.request_id)
+        submit = self._submits_by_id[event.request_id]
+        self.own[start.decode_id] -= 1
+        if event.stage is messages.Stage.PREFILL:
+            self.own[start.prefill_id] -= 1
+        if event.request_id in self._streaming:
+            del self._submits_by_id[event.request_id]
+            return []
+        if start.attempt + 1 < submit.service.retries.attempts:
+            return [self._start(submit, start.attempt + 1)]
+        del self._submits_by_id[event.request_id]
+        return [
+            messages.Refuse(
+                request_id=event.request_id,
+                code=messages.RefusalCode.ENDPOINT_FAILED,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        ]
+
+
+class RoundRobin(Baseline):
+    """Takes the engines in turn."""
+
+    def __init__(self, availability_zone: str, seed: int) -> None:
+        super().__init__(availability_zone, seed)
+        first = self.random.randrange(1000)
+        self._turns = {kind: first for kind in model.EndpointKind}
+
+    def pick(
+        self,
+        submit: messages.Submit,
+        kind: model.EndpointKind,
+        endpoint_ids: list[str],
+        attempt: int,
+    ) -> str:
+        """Picks the next engine."""
+        del submit, attempt
+        self._turns[kind] += 1
+        return endpoint_ids[self._turns[kind] % len(endpoint_ids)]
+
+
+class LeastOutstanding(Baseline):
+    """Takes the engine with the least load: last report and its own since."""
+
+    def __init__(self, availability_zone: str, seed: int) -> None:
+        super().__init__(availability_zone, seed)
+        self._reported: collections.Counter[str] = collections.Counter()
+        self._own_at_report: collections.Counter[str] = collections.Counter()
+
+    def report(self, report: homes.LoadReport) -> None:
+        """Takes in a lagging load report."""
+        self._reported[report.endpoint_id] = report.held
+        self._own_at_report[report.endpoint_id] = self.own[report.endpoint_id]
+
+    def pick(
+        self,
+        submit: messages.Submit,
+        kind: model.EndpointKind,
+        endpoint_ids: list[str],
+        attempt: int,
+    ) -> str:
+        """Picks the least loaded engine, at random among equals."""
+        del submit, kind, attempt
+        return min(
+            endpoint_ids,
+            key=lambda name: (
+                self._reported[name]
+                + self.own[name]
+                - self._own_at_report[name],
+                self.random.random(),
+            ),
+        )
+
+
+class PrefixAffinity(Baseline):
+    """Sends equal prefixes to the same prefill engine; decode in turn."""
+
+    def __init__(self, availability_zone: str, seed: int) -> None:
+        super().__init__(availability_zone, seed)
+        self._turn = self.random.randrange(1000)
+
+    def pick(
+        self,
+        submit: messages.Submit,
+        kind: model.EndpointKind,
+        endpoint_ids: list[str],
+        attempt: int,
+    ) -> str:
+        """Picks by the hash of the first blocks, else the next engine."""
+        self._turn += 1
+        if kind is model.EndpointKind.PREFILL and submit.prefix_hashes:
+            head = hash(submit.prefix_hashes[:_AFFINITY_BLOCKS])
+            return endpoint_ids[(head + attempt) % len(endpoint_ids)]
+        return endpoint_ids[self._turn % len(endpoint_ids)]
--- /dev/null
+++ b/src/cowsliprill/replay/bound.py
@@ -0,0 +1,135 @@
+"""A bound on goodput that no router can beat, worked out from a trace.
+
+It looks at one resource at a time (decode slots, prefill engines, links),
+lets work be split over all engines of a kind at will, knows the future and
+the true length of every answer, and asks only that work be done between its
+arrival and the end of the trace. Then the most requests that fit are found
+exactly by the Moore-Hodgson rule, run backwards from the end.
+"""
+
+from collections.abc import Callable
+import heapq
+
+from cowsliprill.decisions import model
+from cowsliprill.replay import sites
+from cowsliprill.replay import trace as traces
+
+
+def most_on_time(
+    jobs: list[tuple[float, float]], capacity_after: Callable[[float], float]
+) -> int:
+    """Finds how many jobs fit at most.
+
+    Args:
+      jobs: Pairs of release time and cost.
+      capacity_after: Capacity from a time to the end.
+
+    Returns:
+      The largest number of jobs of which, for every time, those released
+      after it cost no more than the capacity from then on.
+    """
+    taken: list[float] = []
+    total = 0.0
+    for released, cost in sorted(jobs, reverse=True):
+        heapq.heappush(taken, -cost)
+        total += cost
+        if total > capacity_after(released):
+            total += heapq.heappop(taken)
+    return len(taken)
+
+
+class _Bound:
+    """The three resources of one trace."""
+
+    def __init__(self, trace: traces.Trace) -> None:
+        self._trace = trace
+        self._site = sites.SITES_BY_NAME[trace.site]
+        self._endpoints = self._site.endpoints()
+        self._services = self._site.service_models()
+
+    def good(self) -> int:
+        """Returns the bound on requests within both targets."""
+        decode_jobs = []
+        prefill_jobs = []
+        link_jobs = []
+        seen: set[int] = set()
+        for demand in self._trace.demands:
+            prefill_s = self._prefill_s(demand, seen)
+            seen.update(demand.prefix)
+            link_s = demand.prompt_tokens * 100_000 / 4e9
+            decode_s = demand.output_tokens * self._site.seconds_per_token
+            if not self._reachable(demand, prefill_s + link_s, decode_s):
+                continue
+            decode_jobs.append((demand.at, decode_s + link_s))
+            prefill_jobs.append((demand.at, prefill_s))
+            link_jobs.append((demand.at, link_s))
+        kinds = model.EndpointKind
+        return min(
+            most_on_time(decode_jobs, self._capacity(kinds.DECODE)),
+            most_on_time(prefill_jobs, self._capacity(kinds.PREFILL)),
+            most_on_time(link_jobs, self._capacity(kinds.PREFILL)),
+        )
+
+    def _prefill_s(self, demand: traces.Demand, seen: set[int]) -> float:
+        cached = 0
+        for block in demand.prefix:
+            if block not in seen:
+                break
+            cached += sites.BLOCK_TOKENS
+        tokens = demand.prompt_tokens - cached
+        return 0.01 + tokens / self._site.prefill_tokens_per_s
+
+    def _reachable(
+        self, demand: traces.Demand, start_s: float, decode_s: float
+    ) -> bool:
+        target = self._services[demand.service].ttft_target_s
+        if start_s + self._site.seconds_per_token > target:
+            return False
+        needed = start_s + decode_s
+        if demand.gone_after and demand.gone_after < needed:
+            return False
+        return demand.at + needed < self._trace.duration_s
+
+    def _capacity(self, kind: model.EndpointKind) -> Callable[[float], float]:
+        engines = [
+            endpoint
+            for endpoint in self._endpoints.values()
+            if endpoint.kind is kind
+        ]
+
+        def capacity_after(time: float) -> float:
+            return sum(self._engine_after(engine, time) for engine in engines)
+
+        return capacity_after
+
+    def _engine_after(self, endpoint: model.Endpoint, time: float) -> float:
+        is_decode = endpoint.kind is model.EndpointKind.DECODE
+        width = endpoint.slots if is_decode else 1
+        useful = self._trace.duration_s - time
+        for fault in self._trace.faults:
+            if fault.endpoint != endpoint.id or fault.kind == "link":
+                continue
+            lost = max(fault.end - max(fault.start, time), 0.0)
+            if fault.kind == "slow":
+                lost *= self._slow_share(fault.factor, is_decode)
+            useful -= lost
+        return width * useful
+
+    def _slow_share(self, factor: float, is_decode: bool) -> float:
+        """Returns the share of an engine's worth that slowness costs."""
+        pace = self._site.seconds_per_token * factor
+        if is_decode and pace > self._site.tpot_target_s:
+            return 1.0
+        return 0.0 if is_decode else 1 - 1 / factor
+
+
+def good_requests(trace: traces.Trace) -> int:
+    """Bounds the goodput of a trace.
+
+    Args:
+      trace: A trace with its demands.
+
+    Returns:
+      A number of requests within both targets that no router can exceed.
+    """
+    return _Bound(trace).good()
--- /dev/null
+++ b/src/cowsliprill/replay/command.py
@@ -0,0 +1,68 @@
+"""The `replay` command's arguments."""
+
+import dataclasses
+import pathlib
+from typing import Annotated
+
+import cappa
+
+from cowsliprill.replay import trace as traces
+
+TRACES_FOLDER = pathlib.Path("traces")
+
+
+@cappa.command(
+    name="replay",
+    help="Play traces through the decision code in virtual time.",
+)
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ReplayCommand:
+    """Plays traces and prints figures beside baselines and a bound.
+
+    Attributes:
+      traces: Trace files.
+      all: Whether to play every trace of `traces/`.
+      seeds: Seeds; figures of the table are medians over these.
+      policies: Names of policies to play; all if none is named.
+      json: Where to write all figures as JSON.
+      jobs: Processes that share the work.
+    """
+
+    traces: Annotated[
+        list[pathlib.Path], cappa.Arg(help="Trace files.")
+    ] = dataclasses.field(default_factory=list)
+    all: Annotated[
+        bool, cappa.Arg(long=True, help="Play traces/*.jsonl.")
+    ] = False
+    seeds: Annotated[
+        list[int], cappa.Arg(long="--seed", help="A seed; default 1 2 3.")
+    ] = dataclasses.field(default_factory=list)
+    policies: Annotated[
+        list[str], cappa.Arg(long="--policy", help="A policy; default all.")
+    ] = dataclasses.field(default_factory=list)
+    json: Annotated[
+        pathlib.Path | None, cappa.Arg(long=True, help="JSON file to write.")
+    ] = None
+    jobs: Annotated[
+        int, cappa.Arg(long=True, help="Processes to use.")
+    ] = 4
+
+
+def trace_paths(command: ReplayCommand) -> list[pathlib.Path]:
+    """Returns the files that a command names.
+
+    Args:
+      command: The command.
+
+    Returns:
+      Paths of traces.
+
+    Raises:
+      trace.TraceError: It names none.
+    """
+    paths = list(command.traces)
+    if command.all:
+        paths.extend(sorted(TRACES_FOLDER.glob("*.jsonl")))
+    if not paths:
+        raise traces.TraceError("no trace named: give files or --all")
+    return paths
--- /dev/null
+++ b/src/cowsliprill/replay/main.py
@@ -0,0 +1,143 @@
+"""Runs the `replay` command."""
+
+import collections
+import concurrent.futures
+import dataclasses
+import json
+import pathlib
+import sys
+
+from cowsliprill import errors
+from cowsliprill.decisions import scheduler
+from cowsliprill.replay import baselines
+from cowsliprill.replay import bound
+from cowsliprill.replay import command as commands
+from cowsliprill.replay import generate
+from cowsliprill.replay import naive
+from cowsliprill.replay import report
+from cowsliprill.replay import simulation
+from cowsliprill.replay import trace as traces
+
+_DEFAULT_SEEDS = (1, 2, 3)
+
+OURS = "cowsliprill"
+
+POLICIES_BY_NAME: dict[str, simulation.PolicyFactory] = {
+    OURS: scheduler.Scheduler,
+    "round-robin": baselines.RoundRobin,
+    "least-outstanding": baselines.LeastOutstanding,
+    "prefix-affinity": baselines.PrefixAffinity,
+    "naive": naive.NaiveScheduler,
+}
+
+Runs = dict[tuple[str, str], list[report.Figures]]
+
+
+def play(trace: traces.Trace, policy: str, seed: int) -> report.Figures:
+    """Plays one trace with one policy and one seed.
+
+    Args:
+      trace: The trace.
+      policy: A key of `POLICIES_BY_NAME`.
+      seed: The seed.
+
+    Returns:
+      The figures.
+    """
+    filled = generate.fill(trace, seed)
+    result = simulation.Simulation(
+        filled, POLICIES_BY_NAME[policy], seed
+    ).run()
+    return report.figures(filled, result, bound.good_requests(filled))
+
+
+def _play_all(
+    loaded: list[traces.Trace], policies: list[str], seeds: list[int], jobs: int
+) -> Runs:
+    runs: Runs = collections.defaultdict(list)
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        futures = [
+            (trace.name, policy, pool.submit(play, trace, policy, seed))
+            for trace in loaded
+            for policy in policies
+            for seed in seeds
+        ]
+        for name, policy, future in futures:
+            runs[name, policy].append(future.result())
+    return runs
+
+
+def _row(name: str, policy: str, runs: list[report.Figures]) -> str:
+    def median(field: str) -> float:
+        return report.median(runs, field)
+
+    bounded = median("good") / max(median("bound"), 1)
+    ttft = sorted(run.ttft_s for run in runs)[len(runs) // 2]
+    tpot = sorted(run.tpot_s for run in runs)[len(runs) // 2]
+    refused = sorted(run.refused_after_s for run in runs)[len(runs) // 2]
+    urgent = sorted(
+        run.by_priority["1"].good / run.by_priority["1"].demands
+        for run in runs
+        if "1" in run.by_priority
+    )
+    urgent_share = urgent[len(urgent) // 2] if urgent else 0.0
+    return (
+        f"{name:24} {policy:18} {median('demands'):6.0f} {median('good'):6.0f}"
+        f" {bounded:6.1%} {urgent_share:6.1%} {median('prefills'):6.0f}"
+        f" {median('wasted'):6.0f} {median('wasted_share'):6.2%}"
+        f" {median('refusals'):6.0f} {refused[0]:6.2f} {refused[1]:6.2f}"
+        f" {median('late_refusal_s') * 1000:6.1f}"
+        f" {ttft[0]:5.2f} {ttft[1]:5.2f} {ttft[2]:5.2f}"
+        f" {tpot[1] * 1000:5.1f} {median('fairness'):5.2f}"
+        f" {median('messages'):7.0f}"
+    )
+
+
+_HEADER = (
+    f"{'trace':24} {'policy':18} {'demand':>6} {'good':>6} {'/bound':>6}"
+    f" {'urgent':>6} {'prefil':>6} {'wasted':>6} {'waste%':>6} {'refuse':>6}"
+    f" {'rf p50':>6} {'rf p95':>6} {'late':>6} {'ttft':>5} {'p95':>5}"
+    f" {'p99':>5} {'tpot':>5} {'fair':>5} {'msgs':>7}"
+)
+
+
+def _write_json(path: pathlib.Path, runs: Runs) -> None:
+    document = [
+        {
+            "trace": name,
+            "policy": policy,
+            "runs": [dataclasses.asdict(run) for run in found],
+        }
+        for (name, policy), found in runs.items()
+    ]
+    path.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
+
+
+def run(command: commands.ReplayCommand) -> int:
+    """Plays traces, prints a table and writes JSON if asked.
+
+    Args:
+      command: The arguments.
+
+    Returns:
+      The exit code.
+    """
+    try:
+        paths = commands.trace_paths(command)
+        loaded = [traces.read(path) for path in paths]
+    except errors.CowsliprillError as error:
+        print(f"{error.code}: {error.message}", file=sys.stderr)
+        return error.exit_code
+    unknown = set(command.policies) - set(POLICIES_BY_NAME)
+    if unknown:
+        print(f"unknown policy: {sorted(unknown)}", file=sys.stderr)
+        return errors.ExitCode.USAGE
+    policies = list(command.policies) or list(POLICIES_BY_NAME)
+    seeds = list(command.seeds) or list(_DEFAULT_SEEDS)
+    runs = _play_all(loaded, policies, seeds, command.jobs)
+    print(_HEADER)
+    for (name, policy), found in runs.items():
+        print(_row(name, policy, found))
+    if command.json:
+        _write_json(command.json, runs)
+    return errors.ExitCode.OK
--- /dev/null
+++ b/src/cowsliprill/replay/naive.py
@@ -0,0 +1,218 @@
+"""The naive version of the scheduler, to compare and to test against.
+
+First come, first served; the engines with the most free leased slots; waits
+as long as the service allows and refuses then. Slow, plain and obvious.
+"""
+
+import collections
+import dataclasses
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+
+_RETRY_AFTER_S = 1.0
+_IDLE_WAKEUP_S = 0.5
+
+
+@dataclasses.dataclass(slots=True)
+class _Request:
+    submit: messages.Submit
+    arrived_at: float
+    stage: messages.Stage = messages.Stage.QUEUED
+    attempt: int = -1
+    prefill_id: str = ""
+    decode_id: str = ""
+
+
+class NaiveScheduler:
+    """Places the model requests of one entry process.
+
+    Args:
+      availability_zone: Where this process runs.
+      seed: Seed of its random numbers.
+    """
+
+    def __init__(self, availability_zone: str, seed: int) -> None:
+        self._availability_zone = availability_zone
+        self._seed = seed
+        self._snapshot = model.Snapshot()
+        self._fleet = model.Fleet()
+        self._requests_by_id: dict[int, _Request] = {}
+        self._grants_by_endpoint: dict[str, messages.SlotGrant] = {}
+
+    def handle(
+        self, event: messages.Event, now: float
+    ) -> list[messages.Action]:
+        """Takes one event.
+
+        Args:
+          event: What happened.
+          now: Time, seconds, on the clock of all other times here.
+
+        Returns:
+          What the shell has to do, in order.
+        """
+        match event:
+            case messages.Submit():
+                request = _Request(event, now)
+                self._requests_by_id[event.request_id] = request
+                return self._place(now) + self.asks(now)
+            case messages.Cancel(request_id):
+                return self._cancel(request_id)
+            case messages.PrefillFinished(request_id):
+                self._set_stage(request_id, messages.Stage.TRANSFER)
+            case messages.FirstToken(request_id):
+                self._set_stage(request_id, messages.Stage.DECODE)
+            case messages.Finished(request_id, _):
+                self._requests_by_id.pop(request_id, None)
+                return self._place(now) + self.asks(now)
+            case messages.AttemptFailed():
+                return self._fail(event)
+            case messages.SlotGrant():
+                self._grants_by_endpoint[event.endpoint_id] = event
+            case messages.WorldChanged(snapshot, fleet):
+                self._snapshot = snapshot
+                self._fleet = fleet
+            case messages.HomeUnreachable() | messages.Tick():
+                pass
+        return self._expire(now) + self._place(now)
+
+    def asks(self, now: float) -> list[messages.SlotAsk]:
+        """States this entry's standing with every endpoint it uses.
+
+        Args:
+          now: Time, seconds.
+
+        Returns:
+          One ask per endpoint; the shell sends them to the homes, at each
+          renewal and whenever `handle` returns some.
+        """
+        del now
+        wants = collections.Counter(
+            request.submit.user
+            for request in self._requests_by_id.values()
+            if request.stage is messages.Stage.QUEUED
+        )
+        return [
+            messages.SlotAsk(
+                endpoint_id=endpoint.id,
+                in_use=self._in_use(endpoint.id),
+                want=self._in_use(endpoint.id) + wants.total(),
+                user_wants=tuple(sorted(wants.items())),
+            )
+            for endpoint in self._usable()
+        ]
+
+    def next_wakeup(self, now: float) -> float:
+        """Returns the time at which the shell must send `Tick`."""
+        return now + _IDLE_WAKEUP_S
+
+    def _usable(self) -> list[model.Endpoint]:
+        return [
+            endpoint
+            for endpoint in self._snapshot.endpoints_by_id.values()
+            if endpoint.kind is not model.EndpointKind.PLAIN
+            and endpoint.id not in self._fleet.leaving_endpoint_ids
+        ]
+
+    def _in_use(self, endpoint_id: str) -> int:
+        used = 0
+        for request in self._requests_by_id.values():
+            if request.stage is messages.Stage.QUEUED:
+                continue
+            if request.decode_id == endpoint_id:
+                used += 1
+            in_prefill = request.stage is messages.Stage.PREFILL
+            if in_prefill and request.prefill_id == endpoint_id:
+                used += 1
+        return used
+
+    def _free(self, endpoint_id: str, now: float) -> int:
+        grant = self._grants_by_endpoint.get(endpoint_id)
+        if grant is None or grant.expires_at <= now:
+            return 0
+        return grant.slots - self._in_use(endpoint_id)
+
+    def _choose(
+        self, kind: model.EndpointKind, pool: str, now: float
+    ) -> str | None:
+        candidates = [
+            (self._free(endpoint.id, now), endpoint.id)
+            for endpoint in self._usable()
+            if endpoint.kind is kind and endpoint.pool == pool
+        ]
+        free, endpoint_id = max(candidates, default=(0, ""))
+        return endpoint_id if free > 0 else None
+
+    def _place(self, now: float) -> list[messages.Action]:
+        actions: list[messages.Action] = []
+        for request_id, request in self._requests_by_id.items():
+            if request.stage is not messages.Stage.QUEUED:
+                continue
+            pool = request.submit.service.pool
+            decode = self._choose(model.EndpointKind.DECODE, pool, now)
+            prefill = self._choose(model.EndpointKind.PREFILL, pool, now)
+            if decode is None or prefill is None:
+                continue
+            request.stage = messages.Stage.PREFILL
+            request.attempt += 1
+            request.prefill_id = prefill
+            request.decode_id = decode
+            actions.append(
+                messages.Start(
+                    request_id=request_id,
+                    attempt=request.attempt,
+                    prefill_id=prefill,
+                    decode_id=decode,
+                )
+            )
+        return actions
+
+    def _set_stage(self, request_id: int, stage: messages.Stage) -> None:
+        request = self._requests_by_id.get(request_id)
+        if request is not None:
+            request.stage = stage
+
+    def _cancel(self, request_id: int) -> list[messages.Action]:
+        request = self._requests_by_id.pop(request_id, None)
+        if request is None or request.stage is messages.Stage.QUEUED:
+            return []
+        return [
+            messages.CancelAttempt(
+                request_id=request_id,
+                attempt=request.attempt,
+                endpoint_ids=(request.prefill_id, request.decode_id),
+            )
+        ]
+
+    def _fail(self, event: messages.AttemptFailed) -> list[messages.Action]:
+        request = self._requests_by_id.get(event.request_id)
+        actions = self._cancel(event.request_id)
+        if request is not None and request.stage is messages.Stage.DECODE:
+            return actions
+        actions.append(
+            messages.Refuse(
+                request_id=event.request_id,
+                code=messages.RefusalCode.ENDPOINT_FAILED,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        )
+        return actions
+
+    def _expire(self, now: float) -> list[messages.Action]:
+        late = [
+            request_id
+            for request_id, request in self._requests_by_id.items()
+            if request.stage is messages.Stage.QUEUED
+            and now - request.arrived_at > request.submit.service.may_wait_s
+        ]
+        for request_id in late:
+            del self._requests_by_id[request_id]
+        return [
+            messages.Refuse(
+                request_id=request_id,
+                code=messages.RefusalCode.WAITED_TOO_LONG,
+                retry_after_s=_RETRY_AFTER_S,
+            )
+            for request_id in late
+        ]
--- /dev/null
+++ b/src/cowsliprill/replay/sites.py
@@ -0,0 +1,154 @@
+"""The two users' fleets at today's sizes, as the brief gives them.
+
+The brief gives the numbers of engines, zones and slots, the delays and that a
+prefill costs as much as many tens of output tokens. Speeds, lengths and link
+rates are chosen to agree with it and are not measured on real engines.
+"""
+
+import dataclasses
+
+from cowsliprill.decisions import model
+
+POOL = "generate"
+BLOCK_TOKENS = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Site:
+    """One user's fleet and what its callers ask for.
+
+    Attributes:
+      name: Its name.
+      zones: Availability zones.
+      zone_delay_s: One way, between availability zones.
+      entries: Number of entry processes.
+      prefill: Number of prefill engines.
+      decode: Number of decode engines.
+      prefill_tokens_per_s: Speed of a prefill engine.
+      seconds_per_token: Time between tokens of one stream.
+      prompt_median: Median length of a prompt, tokens.
+      prompt_sigma: Sigma of its log-normal distribution.
+      output_median: Median length of an answer, tokens.
+      output_sigma: Sigma of its log-normal distribution.
+      ttft_target_s: Target for the time to first token.
+      tpot_target_s: Target for the time between tokens.
+      user: The user that declares the services.
+      children: Its child users, the callers.
+      services: Names of the common and the high-priority service.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    zone_delay_s: float
+    entries: int = 8
+    prefill: int
+    decode: int
+    prefill_tokens_per_s: float
+    seconds_per_token: float = 0.025
+    prompt_median: float
+    prompt_sigma: float = 0.6
+    output_median: float
+    output_sigma: float = 0.35
+    ttft_target_s: float
+    tpot_target_s: float = 0.04
+    user: str
+    children: tuple[str, ...]
+    services: tuple[str, str]
+
+    def endpoints(self) -> dict[str, model.Endpoint]:
+        """Returns the engines by id."""
+        engines = [
+            self._endpoint(model.EndpointKind.PREFILL, number)
+            for number in range(self.prefill)
+        ]
+        engines += [
+            self._endpoint(model.EndpointKind.DECODE, number)
+            for number in range(self.decode)
+        ]
+        return {engine.id: engine for engine in engines}
+
+    def service_models(self) -> dict[str, model.Service]:
+        """Returns the services by id, the high-priority one last."""
+        common, urgent = self.services
+        services = [self._service(common, 0), self._service(urgent, 1)]
+        return {service.id: service for service in services}
+
+    def snapshot(self) -> model.Snapshot:
+        """Returns the settings that the schedulers get."""
+        users = {
+            child: model.User(id=child, parent=self.user)
+            for child in self.children
+        }
+        users[self.user] = model.User(id=self.user)
+        return model.Snapshot(
+            revision=1,
+            users_by_id=users,
+            services_by_id=self.service_models(),
+            endpoints_by_id=self.endpoints(),
+        )
+
+    def _endpoint(
+        self, kind: model.EndpointKind, number: int
+    ) -> model.Endpoint:
+        is_prefill = kind is model.EndpointKind.PREFILL
+        offset = 0 if is_prefill else 1
+        return model.Endpoint(
+            id=f"{kind}-{number}",
+            kind=kind,
+            host="127.0.0.1",
+            port=1,
+            availability_zone=self.zones[(number + offset) % len(self.zones)],
+            pool=POOL,
+            slots=4 if is_prefill else 20,
+            prefill_tokens_per_s=self.prefill_tokens_per_s,
+            seconds_per_token=self.seconds_per_token,
+            link_bytes_per_s=4e9,
+            kv_bytes_per_token=100_000,
+            export_ttl_s=0.8,
+        )
+
+    def _service(self, name: str, priority: int) -> model.Service:
+        return model.Service(
+            id=f"{self.user}/{name}",
+            user=self.user,
+            name=name,
+            kind=model.ServiceKind.MODEL,
+            pool=POOL,
+            ttft_target_s=self.ttft_target_s,
+            tpot_target_s=self.tpot_target_s,
+            priority=priority,
+            may_wait_s=self.ttft_target_s,
+        )
+
+
+SITES_BY_NAME = {
+    "umurongo": Site(
+        name="umurongo",
+        zones=("nyarugenge", "gasabo", "kicukiro", "remera"),
+        zone_delay_s=0.001,
+        prefill=2,
+        decode=3,
+        prefill_tokens_per_s=24_000.0,
+        prompt_median=3_000.0,
+        output_median=200.0,
+        ttft_target_s=2.0,
+        user="umurongo",
+        children=tuple(f"umurongo/firm-{name}" for name in "abcd"),
+        services=("brief", "brief-now"),
+    ),
+    "zarqa": Site(
+        name="zarqa",
+        zones=("abdoun", "shmeisani", "marka", "tabarbour"),
+        zone_delay_s=0.0015,
+        prefill=4,
+        decode=5,
+        prefill_tokens_per_s=28_000.0,
+        prompt_median=3_400.0,
+        output_median=160.0,
+        output_sigma=0.4,
+        ttft_target_s=4.0,
+        user="zarqa",
+        children=("zarqa/bagroute", "zarqa/handover"),
+        services=("summary", "summary-express"),
+    ),
+}
