Place jointly on leased slots and refuse what can't be met

The thin scheduler started requests in order of arrival and refused only after the whole wait, so almost every answer at overload was late.

Ruled out: asking for both kinds at once under scarcity, as two entries could each hold what the other lacks. New optional event Progress shows a slow decode engine after some tokens instead of after the whole answer.

--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,4 @@
 	$(PYTHON) -m cowsliprill.capacity
 
 replay: setup
-	$(PYTHON) -m cowsliprill.cli replay --all
+	$(PYTHON) -m cowsliprill.replay --all
--- /dev/null
+++ b/src/cowsliprill/decisions/admission.py
@@ -0,0 +1,78 @@
+"""When to refuse, and when to tell callers to come back."""
+
+import dataclasses
+import random
+
+RETRY_AFTER_MIN_S = 0.5
+RETRY_AFTER_MAX_S = 10.0
+
+_JITTER = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Backlog:
+    """What stands between a pool and the next request.
+
+    Attributes:
+      waiting: Requests that wait, at all entries.
+      free_slots: Decode slots that no entry uses.
+      slots: Decode slots in all.
+      hold_s: Mean time that a request holds a decode slot.
+      prefills: Prefill engines.
+      prefill_s: Mean time of a prefill.
+    """
+
+    waiting: int
+    free_slots: int
+    slots: int
+    hold_s: float
+    prefills: int
+    prefill_s: float
+
+    def wait_s(self) -> float:
+        """Returns how long the last waiting request will wait."""
+        if not self.slots or not self.prefills:
+            return float("inf")
+        blocked = max(self.waiting - self.free_slots, 0)
+        decode_wait = blocked * self.hold_s / self.slots
+        prefill_wait = self.waiting * self.prefill_s / self.prefills
+        return max(decode_wait, prefill_wait)
+
+
+class ReturnTimes:
+    """Hands out times at which refused callers should come back.
+
+    Each gets the next opening in a calendar that advances by the time the
+    pool needs for one request, so that as many come back as can be served.
+    Were all told the same time, they would return together and be refused
+    together.
+
+    Args:
+      rng: Random numbers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._random = rng
+        self._next_at = 0.0
+
+    def retry_after_s(self, now: float, wait_s: float, step_s: float) -> float:
+        """Returns when a caller refused now should come back.
+
+        Args:
+          now: Time, seconds.
+          wait_s: Expected wait of a request that joins the queue now.
+          step_s: Time this entry's share of the pool needs for one request.
+
+        Returns:
+          Seconds from now.
+        """
+        earliest = now + RETRY_AFTER_MIN_S + min(wait_s, RETRY_AFTER_MAX_S)
+        latest = now + RETRY_AFTER_MAX_S
+        at = max(earliest, self._next_at)
+        if at >= latest:
+            # The calendar is full: spread evenly over its second half.
+            at = now + self._random.uniform(0.5, 1.0) * RETRY_AFTER_MAX_S
+        else:
+            self._next_at = at + step_s
+        jitter = 1 + self._random.uniform(-_JITTER, _JITTER)
+        return max((at - now) * jitter, RETRY_AFTER_MIN_S)
--- /dev/null
+++ b/src/cowsliprill/decisions/health.py
@@ -0,0 +1,135 @@
+"""What an entry has learnt of endpoints from their own answers.
+
+An endpoint that fails or is slow is left alone for a while that doubles each
+time, then one request tries it again. No health checks are sent: a probe that
+is answered says little of how an engine serves requests.
+"""
+
+import dataclasses
+
+# A stream this much slower than its settings say is slow for sure; batching
+# and bad luck stay below.
+_SLOW_RATIO = 1.5
+
+# A transfer shares its links with others, so only much slower ones count.
+_SLOW_TRANSFER_RATIO = 5.0
+
+_STRIKES_TO_AVOID = 2
+_AVOID_MIN_S = 2.0
+_AVOID_MAX_S = 30.0
+
+# A probe whose outcome is never heard of must not keep an endpoint out.
+_PROBE_TIMEOUT_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class _State:
+    strikes: int = 0
+    avoid_s: float = 0.0
+    avoid_until: float = 0.0
+    probe_until: float = 0.0
+    avoided: bool = False
+
+
+class Health:
+    """Strikes against endpoints, and when each may be used again."""
+
+    def __init__(self) -> None:
+        self._states_by_endpoint: dict[str, _State] = {}
+
+    def usable(self, endpoint_id: str, now: float) -> bool:
+        """Returns whether an endpoint may get a request now."""
+        state = self._states_by_endpoint.get(endpoint_id)
+        if state is None or not state.avoided:
+            return True
+        return now >= state.avoid_until and now >= state.probe_until
+
+    def is_probe(self, endpoint_id: str) -> bool:
+        """Returns whether a request placed now would be a probe."""
+        state = self._states_by_endpoint.get(endpoint_id)
+        return state is not None and state.avoided
+
+    def avoided(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint is being left alone or probed."""
+        return self.is_probe(endpoint_id)
+
+    def placed(self, endpoint_id: str, now: float) -> None:
+        """Notes a request placed: only one probes at a time."""
+        state = self._states_by_endpoint.get(endpoint_id)
+        if state is not None and state.avoided:
+            state.probe_until = now + _PROBE_TIMEOUT_S
+
+    def failed(self, endpoint_id: str, now: float) -> None:
+        """Notes a failure: one is enough."""
+        self._avoid(self._state(endpoint_id), now)
+
+    def pace(self, endpoint_id: str, ratio: float, now: float) -> None:
+        """Notes a measured time over the expected one.
+
+        Args:
+          endpoint_id: Whose it is.
+          ratio: Measured over expected.
+          now: Time, seconds.
+        """
+        self._judge(endpoint_id, ratio > _SLOW_RATIO, now)
+
+    def transfer(
+        self, prefill_id: str, decode_id: str, ratio: float, now: float
+    ) -> None:
+        """Notes the time of a transfer between two engines.
+
+        A slow transfer doesn't tell whose link is slow. The engine that has
+        had more of them in a row is blamed; one good transfer clears both.
+
+        Args:
+          prefill_id: One end.
+          decode_id: The other end.
+          ratio: Measured over expected; infinite if it was evicted first.
+          now: Time, seconds.
+        """
+        slow = ratio > _SLOW_TRANSFER_RATIO
+        ends = [self._state(prefill_id), self._state(decode_id)]
+        if not slow:
+            for state in ends:
+                self._clear(state)
+            return
+        for state in ends:
+            state.strikes += 1
+        blamed = max(reversed(ends), key=lambda state: state.strikes)
+        if blamed.strikes >= _STRIKES_TO_AVOID or blamed.avoided:
+            self._avoid(blamed, now)
+
+    def forget_except(self, endpoint_ids: set[str]) -> None:
+        """Drops what is known of endpoints that are gone."""
+        for endpoint_id in self._states_by_endpoint.keys() - endpoint_ids:
+            del self._states_by_endpoint[endpoint_id]
+
+    def _state(self, endpoint_id: str) -> _State:
+        return self._states_by_endpoint.setdefault(endpoint_id, _State())
+
+    def _judge(self, endpoint_id: str, bad: bool, now: float) -> None:
+        state = self._state(endpoint_id)
+        if not bad:
+            self._clear(state)
+            return
+        state.strikes += 1
+        if state.strikes >= _STRIKES_TO_AVOID or state.avoided:
+            self._avoid(state, now)
+
+    def _clear(self, state: _State) -> None:
+        state.strikes = 0
+        state.avoided = False
+        # The time to leave it alone shrinks with each good answer, so that an
+        # endpoint which keeps changing between good and bad is soon left
+        # alone for long.
+        state.avoid_s /= 2
+
+    def _avoid(self, state: _State, now: float) -> None:
+        # Requests placed before the first failure fail soon after it. They
+        # are the same piece of news and must not lengthen the time again.
+        if state.avoided and now < state.avoid_until:
+            return
+        state.avoid_s = min(max(state.avoid_s * 2, _AVOID_MIN_S), _AVOID_MAX_S)
+        state.avoided = True
+        state.avoid_until = now + state.avoid_s
+        state.probe_until = 0.0
--- /dev/null
+++ b/src/cowsliprill/decisions/leases.py
@@ -0,0 +1,108 @@
+"""The entry's side of slot leases: what it holds at each endpoint."""
+
+import dataclasses
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import prefixes
+
+
+@dataclasses.dataclass(slots=True)
+class Holding:
+    """Slots of one endpoint held by this entry.
+
+    Attributes:
+      in_use: Slots with running work of this entry.
+      slots: Slots held in all, as far as the lease is valid.
+      expires_at: When no new work may be placed any more.
+      fallback: Slots this entry may use without a lease, because the home
+        can't be reached.
+      others_waiting: Requests of other entries that wait for a slot.
+      used: Slots in use by all entries.
+      in_use_by_user: `in_use` by user.
+      cached: Prompt blocks cached there.
+      stated_need: Waiting requests in the newest statement.
+      answered: Sequence of the newest statement answered.
+      unanswered: Sequence and held slots of statements not answered yet.
+    """
+
+    in_use: int = 0
+    slots: int = 0
+    expires_at: float = 0.0
+    fallback: int = 0
+    others_waiting: int = 0
+    used: int = 0
+    in_use_by_user: dict[str, int] = dataclasses.field(default_factory=dict)
+    cached: prefixes.CachedBlocks = dataclasses.field(
+        default_factory=prefixes.CachedBlocks
+    )
+    stated_need: int = 0
+    answered: int = 0
+    unanswered: list[tuple[int, int]] = dataclasses.field(default_factory=list)
+
+    def held(self, now: float) -> int:
+        """Returns the slots held, work that outlived its lease included."""
+        leased = self.slots if self.expires_at > now else 0
+        return max(leased, self.in_use)
+
+    def free(self, now: float) -> int:
+        """Returns the slots on which new work may be placed now."""
+        leased = self.slots if self.expires_at > now else 0
+        return max(leased, self.fallback) - self.in_use
+
+    def idle(self, now: float) -> int:
+        """Returns the leased slots without work."""
+        return self.held(now) - self.in_use
+
+    def take(self, user: str) -> None:
+        """Takes a slot for work of a user."""
+        self.in_use += 1
+        self.used += 1
+        self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + 1
+
+    def release(self, user: str) -> None:
+        """Frees a slot of a user's work."""
+        self.in_use -= 1
+        self.used = max(self.used - 1, self.in_use)
+        left = self.in_use_by_user[user] - 1
+        if left:
+            self.in_use_by_user[user] = left
+        else:
+            del self.in_use_by_user[user]
+
+    def grant(self, grant: messages.SlotGrant) -> None:
+        """Takes in a home's answer.
+
+        A grant that crossed a newer statement on its way must not bring back
+        slots that this statement gave up: the home may have leased them to
+        another entry since.
+
+        Args:
+          grant: The answer.
+        """
+        if grant.sequence < self.answered:
+            return
+        self.answered = grant.sequence
+        self.unanswered = [
+            (sequence, held)
+            for sequence, held in self.unanswered
+            if sequence > grant.sequence
+        ]
+        given_up_to = min(
+            (held for _, held in self.unanswered), default=grant.slots
+        )
+        self.slots = min(grant.slots, given_up_to)
+        self.expires_at = grant.expires_at
+        self.fallback = 0
+        self.others_waiting = grant.waiting
+        self.used = max(grant.used, self.in_use)
+        self.cached.add(grant.prefix_hashes)
+
+    def drop_free(self) -> None:
+        """Gives up free slots: the endpoint itself said that it is full."""
+        self.slots = min(self.slots, self.in_use)
+        self.fallback = min(self.fallback, self.in_use)
+
+    def state(self, sequence: int, held: int) -> None:
+        """Notes a statement that gives up all but `held` slots."""
+        self.slots = min(self.slots, held)
+        self.unanswered.append((sequence, held))
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -95,6 +95,21 @@
     request_id: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progress:
+    """Some tokens have come; shows a slow engine long before the end.
+
+    Sent once or a few times per stream, not for each token.
+
+    Attributes:
+      request_id: The request.
+      output_tokens: Tokens that came so far.
+    """
+
+    request_id: int
+    output_tokens: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finished:
     """The answer is complete and the decode slot is free.
@@ -184,6 +199,7 @@
     | Cancel
     | PrefillFinished
     | FirstToken
+    | Progress
     | Finished
     | AttemptFailed
     | SlotGrant
--- /dev/null
+++ b/src/cowsliprill/decisions/pool.py
@@ -0,0 +1,224 @@
+"""One pool of engines as an entry sees it: leases, queue and backlog."""
+
+import random
+from collections.abc import Iterator
+
+from cowsliprill.decisions import admission
+from cowsliprill.decisions import estimates
+from cowsliprill.decisions import leases
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import queue
+
+_LEARNING_RATE = 0.05
+_HOLD_START_S = 5.0
+_PREFILL_START_S = 0.2
+
+# Slots kept at each endpoint beyond those in use while nobody waits, so that
+# a calm pool needs no message for a request.
+_RESERVE = 1
+
+
+class Pool:
+    """State of one pool.
+
+    Args:
+      rng: Random numbers for the times to come back.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.queue = queue.WaitingQueue()
+        self.prefills: list[model.Endpoint] = []
+        self.decodes: list[model.Endpoint] = []
+        self.holdings_by_endpoint: dict[str, leases.Holding] = {}
+        self.in_use_by_user: dict[str, int] = {}
+        self.shares_by_user: dict[str, float] = {}
+        self.hold_s = _HOLD_START_S
+        self.prefill_s = _PREFILL_START_S
+        self.returns = admission.ReturnTimes(rng)
+
+    def set_engines(
+        self, prefills: list[model.Endpoint], decodes: list[model.Endpoint]
+    ) -> None:
+        """Takes over the engines to use; running work keeps its holdings."""
+        self.prefills = prefills
+        self.decodes = decodes
+        wanted = {endpoint.id for endpoint in prefills + decodes}
+        for endpoint_id in wanted:
+            self.holding(endpoint_id)
+        for endpoint_id, holding in list(self.holdings_by_endpoint.items()):
+            if endpoint_id not in wanted and not holding.in_use:
+                del self.holdings_by_endpoint[endpoint_id]
+
+    def holding(self, endpoint_id: str) -> leases.Holding:
+        """Returns what this entry holds at an endpoint."""
+        holding = self.holdings_by_endpoint.get(endpoint_id)
+        if holding is None:
+            holding = leases.Holding()
+            self.holdings_by_endpoint[endpoint_id] = holding
+        return holding
+
+    def learn_hold(self, seconds: float) -> None:
+        """Takes in how long a request held its decode slot."""
+        self.hold_s += (seconds - self.hold_s) * _LEARNING_RATE
+
+    def learn_prefill(self, seconds: float) -> None:
+        """Takes in the expected time of a prefill that is started."""
+        self.prefill_s += (seconds - self.prefill_s) * _LEARNING_RATE
+
+    def take(self, user: str) -> None:
+        """Counts a request that starts, for fair sharing."""
+        self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + 1
+
+    def release(self, user: str) -> None:
+        """Counts a request that ends."""
+        left = self.in_use_by_user[user] - 1
+        if left:
+            self.in_use_by_user[user] = left
+        else:
+            del self.in_use_by_user[user]
+
+    def over_share(self, user: str) -> float:
+        """Returns how far a user's running work is above its fair share."""
+        active = self.in_use_by_user.keys() | set(self.queue.users())
+        weight = sum(self.shares_by_user.get(name, 1.0) for name in active)
+        total = sum(self.in_use_by_user.values())
+        fair = (total + 1) / weight if weight else 0.0
+        share = self.shares_by_user.get(user, 1.0)
+        used = (self.in_use_by_user.get(user, 0) + 1) / share
+        return max(used - fair, 0.0)
+
+    def backlog(self) -> admission.Backlog:
+        """Returns what stands before the queue's last request."""
+        holdings = [self.holding(item.id) for item in self.decodes]
+        others = max((item.others_waiting for item in holdings), default=0)
+        slots = sum(item.slots for item in self.decodes)
+        used = sum(item.used for item in holdings)
+        return admission.Backlog(
+            waiting=len(self.queue) + others,
+            free_slots=max(slots - used, 0),
+            slots=slots,
+            hold_s=self.hold_s,
+            prefills=len(self.prefills),
+            prefill_s=self.prefill_s,
+        )
+
+    def latest_start(self, submit: messages.Submit, now: float) -> float:
+        """Returns when starting a request would be too late.
+
+        Args:
+          submit: The request.
+          now: When it arrived.
+        """
+        best = min(
+            (
+                estimates.prefill_s(
+                    endpoint,
+                    submit,
+                    self.holding(endpoint.id).cached.cached_tokens(
+                        submit.prefix_hashes
+                    ),
+                )
+                for endpoint in self.prefills
+            ),
+            default=0.0,
+        )
+        transfer = min(
+            (
+                estimates.transfer_s(prefill, decode, submit.prompt_tokens)
+                for prefill in self.prefills[:1]
+                for decode in self.decodes
+            ),
+            default=0.0,
+        )
+        first_token = estimates.seconds_per_token(self.decodes)
+        needed = best + transfer + first_token
+        return min(submit.deadline - needed, now + submit.service.may_wait_s)
+
+    def asks(
+        self, now: float, sequence: int, *, only_urgent: bool
+    ) -> Iterator[messages.SlotAsk]:
+        """States this entry's standing with the pool's endpoints.
+
+        A decode slot is asked for first, and a prefill slot beyond the
+        reserve only once a decode slot is held. With one order for all, no
+        two entries can each hold what the other lacks.
+
+        Args:
+          now: Time, seconds.
+          sequence: Number of these statements.
+          only_urgent: Leave out those that can wait for the next renewal.
+
+        Yields:
+          One ask per endpoint.
+        """
+        waiting = len(self.queue)
+        held = yield from self._asks_of(
+            self.decodes, waiting, now, sequence, only_urgent
+        )
+        yield from self._asks_of(
+            self.prefills, min(waiting, held), now, sequence, only_urgent
+        )
+
+    def _asks_of(
+        self,
+        endpoints: list[model.Endpoint],
+        needed: int,
+        now: float,
+        sequence: int,
+        only_urgent: bool,
+    ) -> Iterator[messages.SlotAsk]:
+        """Yields asks and returns how many idle slots are held."""
+        holdings = [self.holding(item.id) for item in endpoints]
+        idle = sum(holding.idle(now) for holding in holdings)
+        unmet = max(needed - idle, 0)
+        spare = max(idle - needed, 0)
+        for endpoint, holding in zip(endpoints, holdings, strict=True):
+            own_idle = holding.idle(now)
+            scarce = holding.others_waiting > 0
+            given_up = min(own_idle, spare) if scarce else 0
+            spare -= given_up
+            need = own_idle - given_up + unmet if needed else 0
+            stale = need > holding.stated_need or (
+                need == 0 and holding.stated_need > 0
+            )
+            if only_urgent and not given_up and not stale:
+                continue
+            yield self._ask(endpoint.id, holding, need, given_up, now, sequence)
+        return idle
+
+    def _ask(
+        self,
+        endpoint_id: str,
+        holding: leases.Holding,
+        need: int,
+        given_up: int,
+        now: float,
+        sequence: int,
+    ) -> messages.SlotAsk:
+        held = holding.held(now) - given_up
+        reserve = 0 if holding.others_waiting else _RESERVE
+        holding.stated_need = need
+        holding.state(sequence, held)
+        first = self.queue.first(self.over_share) if need else None
+        return messages.SlotAsk(
+            endpoint_id=endpoint_id,
+            in_use=holding.in_use,
+            want=max(holding.in_use + max(need, reserve), held),
+            priority=first.submit.priority if first else 0,
+            deadline_in_s=max(first.latest_start - now, 0.0) if first else 0.0,
+            user_wants=self._wants(need),
+            user_in_use=tuple(holding.in_use_by_user.items()),
+            held=held,
+            sequence=sequence,
+        )
+
+    def _wants(self, need: int) -> tuple[tuple[str, int], ...]:
+        wants = []
+        left = need
+        for user, count in self.queue.wants():
+            taken = min(count, left)
+            if taken:
+                wants.append((user, taken))
+            left -= taken
+        return tuple(wants)
--- a/src/cowsliprill/replay/baselines.py
+++ b/src/cowsliprill/replay/baselines.py
@@ -139,7 +139,7 @@
     def __init__(self, availability_zone: str, seed: int) -> None:
         super().__init__(availability_zone, seed)
         first = self.random.randrange(1000)
-        self._turns = {kind: first for kind in model.EndpointKind}
+        self._turns = dict.fromkeys(model.EndpointKind, first)
 
     def pick(
         self,
--- a/src/cowsliprill/replay/bound.py
+++ b/src/cowsliprill/replay/bound.py
@@ -7,8 +7,8 @@
 exactly by the Moore-Hodgson rule, run backwards from the end.
 """
 
-from collections.abc import Callable
 import heapq
+from collections.abc import Callable
 
 from cowsliprill.decisions import model
 from cowsliprill.replay import sites
--- a/src/cowsliprill/replay/command.py
+++ b/src/cowsliprill/replay/command.py
@@ -28,12 +28,12 @@
       jobs: Processes that share the work.
     """
 
-    traces: Annotated[
-        list[pathlib.Path], cappa.Arg(help="Trace files.")
-    ] = dataclasses.field(default_factory=list)
-    all: Annotated[
-        bool, cappa.Arg(long=True, help="Play traces/*.jsonl.")
-    ] = False
+    traces: Annotated[list[pathlib.Path], cappa.Arg(help="Trace files.")] = (
+        dataclasses.field(default_factory=list)
+    )
+    all: Annotated[bool, cappa.Arg(long=True, help="Play traces/*.jsonl.")] = (
+        False
+    )
     seeds: Annotated[
         list[int], cappa.Arg(long="--seed", help="A seed; default 1 2 3.")
     ] = dataclasses.field(default_factory=list)
@@ -43,9 +43,7 @@
     json: Annotated[
         pathlib.Path | None, cappa.Arg(long=True, help="JSON file to write.")
     ] = None
-    jobs: Annotated[
-        int, cappa.Arg(long=True, help="Processes to use.")
-    ] = 4
+    jobs: Annotated[int, cappa.Arg(long=True, help="Processes to use.")] = 4
 
 
 def trace_paths(command: ReplayCommand) -> list[pathlib.Path]:
--- a/src/cowsliprill/replay/engines.py
+++ b/src/cowsliprill/replay/engines.py
@@ -5,8 +5,8 @@
 """
 
 import collections
-from collections.abc import Callable
 import dataclasses
+from collections.abc import Callable
 
 from cowsliprill.decisions import model
 from cowsliprill.replay import sites
@@ -15,6 +15,9 @@
 _CACHE_BLOCKS = 600
 _PREFILL_OVERHEAD_S = 0.01
 
+# Tokens after which the shell reports a stream's progress.
+PROGRESS_TOKENS = 16
+
 
 @dataclasses.dataclass(slots=True)
 class Work:
@@ -83,6 +86,10 @@
             report()
 
 
+def _ignore(blocks: list[int]) -> None:
+    del blocks
+
+
 class PrefillEngine(Engine):
     """Computes one prompt after another and caches blocks of prompts."""
 
@@ -97,7 +104,7 @@
         self._cache: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
         )
-        self.on_stored: Callable[[list[int]], None] = lambda blocks: None
+        self.on_stored: Callable[[list[int]], None] = _ignore
 
     def run(self, work: Work, done: Callable[[], None]) -> None:
         """Computes a prompt in its turn."""
@@ -247,6 +254,10 @@
         work.used = True
         pace = self.endpoint.seconds_per_token * self.slow
         self.clock.after(pace, lambda: self._first(work, events))
+        if work.output_tokens > PROGRESS_TOKENS:
+            self.clock.after(
+                pace * PROGRESS_TOKENS, lambda: self._progress(work, events)
+            )
         self.clock.after(
             pace * work.output_tokens, lambda: self._finish(work, events)
         )
@@ -255,6 +266,10 @@
         if work.key in self.held:
             events.first_token()
 
+    def _progress(self, work: Work, events: "DecodeEvents") -> None:
+        if work.key in self.held:
+            events.progress()
+
     def _finish(self, work: Work, events: "DecodeEvents") -> None:
         if work.key in self.held:
             self.release(work)
@@ -267,4 +282,5 @@
 
     evicted: Callable[[], None]
     first_token: Callable[[], None]
+    progress: Callable[[], None]
     finished: Callable[[], None]
--- a/src/cowsliprill/replay/homes.py
+++ b/src/cowsliprill/replay/homes.py
@@ -1,8 +1,8 @@
 """The homes of the engines in a replay: slot ledgers and cache news."""
 
-from collections.abc import Callable
 import dataclasses
 import random
+from collections.abc import Callable
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import slots
--- a/src/cowsliprill/replay/main.py
+++ b/src/cowsliprill/replay/main.py
@@ -45,9 +45,7 @@
       The figures.
     """
     filled = generate.fill(trace, seed)
-    result = simulation.Simulation(
-        filled, POLICIES_BY_NAME[policy], seed
-    ).run()
+    result = simulation.Simulation(filled, POLICIES_BY_NAME[policy], seed).run()
     return report.figures(filled, result, bound.good_requests(filled))
 
 
--- a/src/cowsliprill/replay/report.py
+++ b/src/cowsliprill/replay/report.py
@@ -1,12 +1,12 @@
 """Figures of a replay, for tables and JSON."""
 
 import collections
-from collections.abc import Iterable
 import dataclasses
 import statistics
+from collections.abc import Iterable
 
-from cowsliprill.replay import sites
 from cowsliprill.replay import simulation
+from cowsliprill.replay import sites
 from cowsliprill.replay import trace as traces
 
 _QUANTILES = (0.5, 0.95, 0.99)
@@ -125,7 +125,14 @@
         user = outcome.demand.user
         wanted = outcome.demand.output_tokens * site.seconds_per_token
         demand_by_user[user] = demand_by_user.get(user, 0.0) + wanted
-    used = result.slot_seconds_by_user
+    used: dict[str, float] = {}
+    for use in result.runs:
+        # Answers still running at the end count as far as they got.
+        running = not use.ended_at and use.work.key in result.unused_at_end
+        ended_at = result.ended_at if running else use.ended_at
+        if ended_at:
+            seconds = used.get(use.user, 0.0) + ended_at - use.began_at
+            used[use.user] = seconds
     fair = fair_shares(sum(used.values()), demand_by_user)
     shares = {
         user: round(used.get(user, 0.0) / share, 3) if share else 1.0
--- a/src/cowsliprill/replay/simulation.py
+++ b/src/cowsliprill/replay/simulation.py
@@ -1,8 +1,8 @@
 """Plays a trace through schedulers, homes and fake engines."""
 
-from collections.abc import Callable
 import dataclasses
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from cowsliprill.decisions import messages
@@ -77,6 +77,25 @@
         return (self.finished_at - self.first_token_at) / tokens
 
 
+@dataclasses.dataclass(slots=True)
+class SlotUse:
+    """A decode slot used by an attempt.
+
+    Attributes:
+      user: Whose request it is.
+      work: The attempt.
+      endpoint_id: The decode engine.
+      began_at: When the slot was taken.
+      ended_at: When the answer was complete, 0 if it isn't.
+    """
+
+    user: str
+    work: engines.Work
+    endpoint_id: str
+    began_at: float
+    ended_at: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Result:
     """What a replay saw.
@@ -84,17 +103,17 @@
     Attributes:
       outcomes: One per demand that arrived.
       works: Every attempt that reached a prefill engine.
-      slot_seconds_by_user: Decode slot time used by each user.
+      runs: Use of decode slots that brought tokens.
       messages_sent: Messages between entries and homes.
+      ended_at: Time of the end.
       unused_at_end: Keys of attempts still on their way at the end.
     """
 
     outcomes: list[Outcome]
     works: list[engines.Work] = dataclasses.field(default_factory=list)
-    slot_seconds_by_user: dict[str, float] = dataclasses.field(
-        default_factory=dict
-    )
+    runs: list[SlotUse] = dataclasses.field(default_factory=list)
     messages_sent: int = 0
+    ended_at: float = 0.0
     unused_at_end: set[tuple[int, int, int]] = dataclasses.field(
         default_factory=set
     )
@@ -292,17 +311,20 @@
         source = self.world.engines_by_id[attempt.action.prefill_id]
         delay = self.world.delay(self.zone, engine)
         clock = self.world.clock
-        began = clock.now
         user = self._outcomes_by_request[attempt.action.request_id].demand.user
 
+        self.world.result.runs.append(
+            SlotUse(user, attempt.work, engine.endpoint.id, clock.now)
+        )
+        use = self.world.result.runs[-1]
+
         def evicted() -> None:
             self._failed(
                 attempt, messages.Stage.TRANSFER, source, refused=False
             )
 
         def finished() -> None:
-            used = self.world.result.slot_seconds_by_user
-            used[user] = used.get(user, 0.0) + clock.now - began
+            use.ended_at = clock.now
             clock.after(delay, lambda: self._finished(attempt))
 
         engine.run(
@@ -312,6 +334,7 @@
             engines.DecodeEvents(
                 evicted,
                 lambda: clock.after(delay, lambda: self._first_token(attempt)),
+                lambda: clock.after(delay, lambda: self._progress(attempt)),
                 finished,
             ),
         )
@@ -323,6 +346,12 @@
             outcome.first_token_at = self.world.clock.now
             self.deliver(messages.FirstToken(request_id))
 
+    def _progress(self, attempt: _Attempt) -> None:
+        if not attempt.over:
+            request_id = attempt.action.request_id
+            tokens = engines.PROGRESS_TOKENS
+            self.deliver(messages.Progress(request_id, tokens))
+
     def _finished(self, attempt: _Attempt) -> None:
         if attempt.over:
             return
@@ -434,6 +463,7 @@
             self.clock.at(fault.start, lambda fault=fault: self._begin(fault))
             self.clock.at(fault.end, lambda fault=fault: self._end(fault))
         self.clock.run_until(self.trace.duration_s)
+        self.result.ended_at = self.clock.now
         for engine in self.engines_by_id.values():
             self.result.unused_at_end.update(engine.held)
         self.result.unused_at_end.update(
--- a/src/cowsliprill/replay/timeline.py
+++ b/src/cowsliprill/replay/timeline.py
@@ -1,7 +1,7 @@
 """Virtual time: a heap of callbacks."""
 
-from collections.abc import Callable
 import heapq
+from collections.abc import Callable
 
 
 class Timeline:
