--- a/src/cowsliprill/dispatch/errors.py
+++ b/src/cowsliprill/dispatch/errors.py
@@ -13,3 +13,9 @@
     """Raised for a message of a peer that can't be used."""
 
     code = "invalid_message"
+
+
+class PeerUnknownError(DispatchError):
+    """Raised for a message that no peer has signed."""
+
+    code = "peer_unknown"
--- a/src/cowsliprill/dispatch/homes.py
+++ b/src/cowsliprill/dispatch/homes.py
@@ -10,6 +10,7 @@
 from cowsliprill.decisions import ownership
 from cowsliprill.decisions import slots
 from cowsliprill.dispatch import prefix_feed
+from cowsliprill.engines import model as engine_model
 
 
 @dataclasses.dataclass(slots=True)
@@ -21,6 +22,7 @@
       ledger: Its slot leases.
       since: When this process became its home.
       reported_at: When its newest load report was read.
+      load: Its newest load report, None before the first.
       prefixes: What is known of its prefix cache.
     """
 
@@ -28,6 +30,7 @@
     ledger: slots.SlotLedger
     since: float
     reported_at: float
+    load: engine_model.LoadReport | None = None
     prefixes: prefix_feed.PrefixFeed = dataclasses.field(
         default_factory=prefix_feed.PrefixFeed
     )
--- a/src/cowsliprill/dispatch/messages.py
+++ b/src/cowsliprill/dispatch/messages.py
@@ -80,3 +80,14 @@
     """
 
     cancels: tuple[cancels.CancelOrder, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CancelsAnswer:
+    """Answer of `POST /v1/cancels`.
+
+    Attributes:
+      taken: How many orders were taken over.
+    """
+
+    taken: int
--- /dev/null
+++ b/src/cowsliprill/dispatch/port_probe.py
@@ -0,0 +1,32 @@
+"""Tells a port on which nothing listens from a host that can't be reached."""
+
+from tornado import iostream
+from tornado import tcpclient
+
+from cowsliprill.decisions import orphans
+
+_TIMEOUT_S = 1.0
+
+
+async def reply_of(host: str, port: int) -> orphans.PortReply:
+    """Opens a connection and closes it at once.
+
+    Args:
+      host: IP number.
+      port: TCP port.
+
+    Returns:
+      Refused if the host's kernel said that nothing listens, else silent; a
+      connection that comes about proves nothing about who is behind it.
+    """
+    client = tcpclient.TCPClient()
+    try:
+        stream = await client.connect(host, port, timeout=_TIMEOUT_S)
+    except ConnectionRefusedError:
+        return orphans.Refused()
+    except (TimeoutError, OSError, iostream.StreamClosedError):
+        return orphans.Silent()
+    finally:
+        client.close()
+    stream.close()
+    return orphans.Silent()
--- a/src/cowsliprill/dispatch/slot_desk.py
+++ b/src/cowsliprill/dispatch/slot_desk.py
@@ -89,6 +89,11 @@
             waiting.grants_by_endpoint[grant.endpoint_id] = grant
             waiting.news.set()
 
+    def release(self) -> None:
+        """Sends all held answers as they are, since the process stops."""
+        for waiting in self._waiting_by_entry.values():
+            waiting.news.set()
+
     async def run(self) -> None:
         """Looks again whenever a lease runs out; ends by cancellation.
 
--- a/src/cowsliprill/engines/engine_caller.py
+++ b/src/cowsliprill/engines/engine_caller.py
@@ -147,7 +147,8 @@
 ) -> None:
     text = await response.read(_MAX_ANSWER_BYTES)
     error = protocol.error_of(text)
-    answer_id = response.headers.get(protocol.REQUEST_ID_HEADER)
+    # A call about no request (a load report, an order) has no id to echo.
+    answer_id = response.headers.get(protocol.REQUEST_ID_HEADER, "")
     if error.code == protocol.CODE_STALE_FENCING:
         raise errors.StaleFencing(
             error.message, code=error.code, highest=error.highest
--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -11,6 +11,7 @@
 from tornado import netutil
 from tornado import web
 
+from cowsliprill import peer_auth
 from cowsliprill import peer_client
 from cowsliprill import peers
 from cowsliprill.decisions import messages as decision_messages
@@ -180,7 +181,12 @@
     talk: Callable[[str, peer_client.PeerClient], Awaitable[Any]],
 ) -> Any:
     desk, _ = _desk()
-    route = (peers.SLOTS_PATH, handlers.SlotsHandler, {"desk": desk})
+    auth = peer_auth.PeerAuth("")
+    route = (
+        peers.SLOTS_PATH,
+        handlers.SlotsHandler,
+        {"auth": auth, "desk": desk},
+    )
     server = httpserver.HTTPServer(web.Application([route]))
     sockets = netutil.bind_sockets(0, "127.0.0.1")
     server.add_sockets(sockets)
