--- /dev/null
+++ b/src/cowsliprill/dispatch/homes.py
@@ -0,0 +1,150 @@
+"""The slot ledgers of the endpoints whose home this VM is.
+
+Owned by the dispatch process' event loop; nothing else touches a ledger.
+"""
+
+import dataclasses
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import ownership
+from cowsliprill.decisions import slots
+from cowsliprill.dispatch import prefix_feed
+
+
+@dataclasses.dataclass(slots=True)
+class Home:
+    """One endpoint that is homed here.
+
+    Attributes:
+      endpoint: The endpoint as the settings describe it.
+      ledger: Its slot leases.
+      since: When this process became its home.
+      reported_at: When its newest load report was read.
+      prefixes: What is known of its prefix cache.
+    """
+
+    endpoint: model.Endpoint
+    ledger: slots.SlotLedger
+    since: float
+    reported_at: float
+    prefixes: prefix_feed.PrefixFeed = dataclasses.field(
+        default_factory=prefix_feed.PrefixFeed
+    )
+
+
+class Homes:
+    """Which endpoints are homed here, and their ledgers.
+
+    Args:
+      vm_id: Id of this VM.
+    """
+
+    def __init__(self, vm_id: str) -> None:
+        self._vm_id = vm_id
+        self.by_endpoint: dict[str, Home] = {}
+
+    def update(
+        self, snapshot: model.Snapshot, fleet: model.Fleet, now: float
+    ) -> None:
+        """Takes new settings or a new VM list.
+
+        Args:
+          snapshot: The settings in force.
+          fleet: The VM list.
+          now: Time, seconds.
+        """
+        vms = list(fleet.vms_by_id.values())
+        shares_by_user = {
+            user.id: user.share for user in snapshot.users_by_id.values()
+        }
+        kept = {}
+        for endpoint in snapshot.endpoints_by_id.values():
+            if endpoint.kind is model.EndpointKind.PLAIN:
+                continue
+            vm = ownership.home_of(endpoint.id, vms)
+            if vm is None or vm.id != self._vm_id:
+                continue
+            home = self._kept_or_new(endpoint, now)
+            home.ledger.shares_by_user = shares_by_user
+            kept[endpoint.id] = home
+        self.by_endpoint = kept
+
+    def ask(
+        self, entry: str, ask: messages.SlotAsk, now: float
+    ) -> messages.SlotGrant | None:
+        """Answers one ask.
+
+        Args:
+          entry: Incarnation of the asking entry process.
+          ask: Its statement.
+          now: Time, seconds.
+
+        Returns:
+          The grant, or None if the endpoint isn't homed here.
+        """
+        home = self.by_endpoint.get(ask.endpoint_id)
+        if home is None:
+            return None
+        return home.ledger.ask(entry, ask, now)
+
+    def regrant(self, now: float) -> list[tuple[str, messages.SlotGrant]]:
+        """Finds the entries that should hear from this home unasked.
+
+        Args:
+          now: Time, seconds.
+
+        Returns:
+          Pairs of entry and its present grant.
+        """
+        changed = []
+        for home in self.by_endpoint.values():
+            changed.extend(home.ledger.regrant(now))
+        return changed
+
+    def with_news(
+        self, entry: str, grant: messages.SlotGrant, now: float
+    ) -> messages.SlotGrant:
+        """Adds to a grant what the home has learned of the endpoint.
+
+        Args:
+          entry: Who gets the grant.
+          grant: The grant.
+          now: Time, seconds.
+
+        Returns:
+          The grant with age of the load report and news of cached prefixes.
+        """
+        home = self.by_endpoint.get(grant.endpoint_id)
+        if home is None:
+            return grant
+        news = home.prefixes.news_for(entry)
+        return dataclasses.replace(
+            grant,
+            report_age_s=now - home.reported_at,
+            prefix_hashes=news.stored,
+            prefix_hashes_gone=news.gone,
+            prefix_epoch=news.epoch,
+        )
+
+    def next_expiry(self) -> float | None:
+        """Returns when the next lease of any endpoint runs out."""
+        times = [
+            home.ledger.next_expiry() for home in self.by_endpoint.values()
+        ]
+        return min((at for at in times if at is not None), default=None)
+
+    def _kept_or_new(self, endpoint: model.Endpoint, now: float) -> Home:
+        home = self.by_endpoint.get(endpoint.id)
+        if home is not None and home.endpoint.slots == endpoint.slots:
+            home.endpoint = endpoint
+            return home
+        # A home that has just started, or has just taken the endpoint over,
+        # knows nothing of its forerunner's leases. Granting from an empty
+        # ledger would promise slots twice; one would notice refusals with
+        # `engine_full` after each restart of a home. After one lease time
+        # every old lease has run out or was stated again here.
+        ledger = slots.SlotLedger(
+            endpoint.id, endpoint.slots, silent_until=now + slots.LEASE_S
+        )
+        return Home(endpoint, ledger, since=now, reported_at=now)
