--- a/src/cowsliprill/entry/__init__.py
+++ b/src/cowsliprill/entry/__init__.py
@@ -1,1 +1,1 @@
-"""The process that serves callers."""
+"""The process that callers talk to."""
--- /dev/null
+++ b/src/cowsliprill/entry/context.py
@@ -0,0 +1,156 @@
+"""What is known of one request on its way through the filters."""
+
+import dataclasses
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+
+from tornado import httputil
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import prefix
+from cowsliprill.entry import reply as reply_lib
+from cowsliprill.entry import schema
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """What the caller sent.
+
+    Attributes:
+      method: HTTP method.
+      path: Path without the query.
+      query: Query without the question mark.
+      headers: Headers.
+      body: Body.
+      forwarded: Whether a peer passed it on because of its ticket.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    forwarded: bool = False
+
+    @property
+    def target(self) -> str:
+        """Path and query."""
+        return f"{self.path}?{self.query}" if self.query else self.path
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Generation:
+    """A model request, as checked.
+
+    Attributes:
+      request: The checked body.
+      fields: The body's fields as the caller sent them.
+      path: The engines' path of this kind of request.
+      prompt: Size and prefix of the prompt.
+      output_tokens: Limit of the answer.
+    """
+
+    request: schema.GenerationRequest
+    fields: dict[str, Any]
+    path: str
+    prompt: prefix.Prompt
+    output_tokens: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Progress:
+    """How far a request has come; read for logs, metrics and errors.
+
+    Attributes:
+      run: What may be said of whether it was run. It never turns back from
+        UNKNOWN to NO.
+      prefills: Prefills started.
+      prefills_used: Prefills whose decode gave a token.
+      first_token_at: When the first token was there, 0 if none was.
+      last_token_at: When the last token was there.
+      tokens: Tokens that the caller was sent.
+      attempts: Attempts made.
+      outcome: The request's end, for logs and metrics.
+    """
+
+    run: messages.Run = messages.Run.NO
+    prefills: int = 0
+    prefills_used: int = 0
+    first_token_at: float = 0.0
+    last_token_at: float = 0.0
+    tokens: int = 0
+    attempts: int = 0
+    outcome: str = ""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Context:
+    """One request; each filter fills in what it finds out.
+
+    Attributes:
+      number: Number of the request within this incarnation.
+      request_id: `<incarnation>.<number>`, in every log line about it.
+      call: What the caller sent.
+      reply: Where the answer goes.
+      arrived_at: Time of arrival, seconds.
+      snapshot: Settings in force at arrival; they hold for all of the request.
+      user: The calling user; by `identify`.
+      service: The service called; by `resolve`.
+      generation: The model request, None for plain calls; by `resolve`.
+      service_path: Rest of the path of a plain call; by `resolve`.
+      priority: The service's priority with the caller's offset; by `urgency`.
+      deadline: Latest useful time of the first token; by `urgency`.
+      idempotency_key: Key or ticket, empty for none; by `idempotency`.
+      survives_caller: Whether the run goes on without its caller; by
+        `idempotency`.
+      start: Where the present attempt runs; by `placement`.
+      endpoint: Endpoint of a plain call; by `placement`.
+      progress: How far it has come.
+    """
+
+    number: int
+    request_id: str
+    call: Call
+    reply: reply_lib.Reply
+    arrived_at: float
+    snapshot: model.Snapshot
+    user: model.User | None = None
+    service: model.Service | None = None
+    generation: Generation | None = None
+    service_path: str = ""
+    priority: int = 0
+    deadline: float = 0.0
+    idempotency_key: str = ""
+    survives_caller: bool = False
+    start: messages.Start | None = None
+    endpoint: model.Endpoint | None = None
+    progress: Progress = dataclasses.field(default_factory=Progress)
+
+
+Handle = Callable[[Context], Awaitable[None]]
+Filter = Callable[[Context, Handle], Awaitable[None]]
+
+
+def chain(filters: list[Filter], last: Handle) -> Handle:
+    """Joins filters into one handler.
+
+    Args:
+      filters: The filters, outermost first.
+      last: What the innermost filter passes the request to.
+
+    Returns:
+      The handler.
+    """
+    handle = last
+    for outer in reversed(filters):
+        handle = _link(outer, handle)
+    return handle
+
+
+def _link(outer: Filter, inner: Handle) -> Handle:
+    async def handle(ctx: Context) -> None:
+        await outer(ctx, inner)
+
+    return handle
--- /dev/null
+++ b/src/cowsliprill/entry/errors.py
@@ -0,0 +1,121 @@
+"""Errors of the entry process, as callers see them."""
+
+import enum
+import json
+import math
+from http import HTTPStatus
+
+from cowsliprill import errors
+from cowsliprill.decisions import messages
+
+
+class Code(enum.StrEnum):
+    """Codes of the callers' interface; the refusals' codes come besides."""
+
+    INVALID_JSON = "invalid_json"
+    INVALID_REQUEST = "invalid_request"
+    INVALID_HEADER = "invalid_header"
+    PROMPT_TOO_LARGE = "prompt_too_large"
+    OUTPUT_TOO_LARGE = "output_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    INVALID_API_KEY = "invalid_api_key"
+    SERVICE_NOT_FOUND = "service_not_found"
+    PATH_NOT_FOUND = "path_not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    IN_PROGRESS = "in_progress"
+    KEY_REUSED = "idempotency_key_reused"
+    ANSWER_NOT_STORED = "answer_not_stored"
+    TICKET_INVALID = "ticket_invalid"
+    TICKET_EXPIRED = "ticket_expired"
+    TICKET_OWNER_GONE = "ticket_owner_gone"
+    TICKET_OWNER_UNREACHABLE = "ticket_owner_unreachable"
+    TOO_MANY_KEYS = "too_many_keys"
+    OVERLOADED = "overloaded"
+    NOT_READY = "not_ready"
+    NO_ENDPOINT = "no_endpoint"
+    ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    STREAM_BROKEN = "stream_broken"
+    TIMEOUT = "timeout"
+    INTERNAL = "internal_error"
+
+
+_STATUS_BY_CODE = {
+    Code.INVALID_JSON: HTTPStatus.BAD_REQUEST,
+    Code.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
+    Code.INVALID_HEADER: HTTPStatus.BAD_REQUEST,
+    Code.PROMPT_TOO_LARGE: HTTPStatus.BAD_REQUEST,
+    Code.OUTPUT_TOO_LARGE: HTTPStatus.BAD_REQUEST,
+    Code.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Code.HEADERS_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Code.INVALID_API_KEY: HTTPStatus.UNAUTHORIZED,
+    Code.SERVICE_NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Code.PATH_NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Code.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
+    Code.IN_PROGRESS: HTTPStatus.CONFLICT,
+    Code.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.ANSWER_NOT_STORED: HTTPStatus.CONFLICT,
+    Code.TICKET_INVALID: HTTPStatus.BAD_REQUEST,
+    Code.TICKET_EXPIRED: HTTPStatus.GONE,
+    Code.TICKET_OWNER_GONE: HTTPStatus.GONE,
+    Code.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
+    Code.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
+    Code.STREAM_BROKEN: HTTPStatus.BAD_GATEWAY,
+    Code.TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+}
+
+
+class EntryError(errors.CowsliprillError):
+    """A request's end without its answer.
+
+    Attributes:
+      status: HTTP status.
+      run: What is known of whether the request was run.
+      retry_after_s: When the caller should come back, None for never.
+    """
+
+    def __init__(
+        self,
+        code: Code | messages.RefusalCode,
+        message: str,
+        *,
+        run: messages.Run = messages.Run.NO,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(message, code=code.value)
+        self.status = _STATUS_BY_CODE.get(
+            Code(code.value) if code.value in _CODES else None,
+            HTTPStatus.SERVICE_UNAVAILABLE,
+        )
+        self.run = run
+        self.retry_after_s = retry_after_s
+
+    def body(self) -> bytes:
+        """Returns the JSON that the caller gets."""
+        fields = {
+            "code": self.code,
+            "message": self.message,
+            "run": self.run.value,
+        }
+        if self.retry_after_s is not None:
+            fields["retry_after_s"] = round(self.retry_after_s, 3)
+        return json.dumps({"error": fields}).encode()
+
+    def headers(self) -> dict[str, str]:
+        """Returns the headers of the answer."""
+        headers = {"Content-Type": "application/json"}
+        if self.retry_after_s is not None:
+            # The header holds whole seconds; rounding down would bring the
+            # caller back before there is room.
+            headers["Retry-After"] = str(math.ceil(self.retry_after_s))
+        if self.status == HTTPStatus.UNAUTHORIZED:
+            headers["WWW-Authenticate"] = "Bearer"
+        return headers
+
+    def event(self) -> bytes:
+        """Returns the server-sent event that ends a broken stream."""
+        return b"data: " + self.body() + b"\n\n"
+
+
+_CODES = frozenset(code.value for code in Code)
--- /dev/null
+++ b/src/cowsliprill/entry/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that each request passes, in order; each has one job."""
--- /dev/null
+++ b/src/cowsliprill/entry/filters/resolve.py
@@ -0,0 +1,153 @@
+"""Which service is called, and whether the request is within its limits."""
+
+from cowsliprill.decisions import model
+from cowsliprill.decisions import prefix
+from cowsliprill.engines import protocol
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.entry import schema
+
+SERVICES_PATH = "/services/"
+
+_KIND_BY_PATH: dict[str, type[schema.GenerationRequest]] = {
+    protocol.COMPLETIONS_PATH: schema.CompletionRequest,
+    protocol.CHAT_PATH: schema.ChatRequest,
+}
+
+
+def services_of(
+    user: model.User, snapshot: model.Snapshot
+) -> dict[str, model.Service]:
+    """Lists the services that a user may call, its own before its parents'.
+
+    Args:
+      user: The user.
+      snapshot: The settings.
+
+    Returns:
+      Services by name.
+    """
+    lineage = _lineage(user, snapshot)
+    services_by_name: dict[str, model.Service] = {}
+    for service in snapshot.services_by_id.values():
+        if service.user not in lineage:
+            continue
+        other = services_by_name.get(service.name)
+        nearest = other is None or (
+            lineage.index(service.user) < lineage.index(other.user)
+        )
+        if nearest:
+            services_by_name[service.name] = service
+    return services_by_name
+
+
+def find_service(
+    name: str, user: model.User, snapshot: model.Snapshot
+) -> model.Service:
+    """Finds a service by the name that a user calls it by.
+
+    Args:
+      name: The name.
+      user: The calling user.
+      snapshot: The settings.
+
+    Returns:
+      The service.
+
+    Raises:
+      errors.EntryError: The user has no service of this name. Another user's
+        service gives the same 404 as none at all: a 403 would tell a rival
+        firm which services exist.
+    """
+    for owner in _lineage(user, snapshot):
+        service = snapshot.services_by_id.get(f"{owner}/{name}")
+        if service is not None:
+            return service
+    raise errors.EntryError(
+        errors.Code.SERVICE_NOT_FOUND, f"There is no service {name!r} for you."
+    )
+
+
+async def resolve_generation(
+    ctx: context.Context, proceed: context.Handle
+) -> None:
+    """Checks a model request and finds its service."""
+    fields = schema.parse_json(ctx.call.body)
+    request = schema.validate(_KIND_BY_PATH[ctx.call.path], fields)
+    service = find_service(request.model, ctx.user, ctx.snapshot)
+    if service.kind is not model.ServiceKind.MODEL:
+        raise errors.EntryError(
+            errors.Code.SERVICE_NOT_FOUND,
+            f"{service.name!r} is called at {SERVICES_PATH}{service.name}/.",
+        )
+    _check_body(ctx.call.body, service)
+    ctx.service = service
+    ctx.generation = _generation(ctx, request, fields, service)
+    await proceed(ctx)
+
+
+async def resolve_plain(ctx: context.Context, proceed: context.Handle) -> None:
+    """Finds the service of a plain call."""
+    name, slash, rest = ctx.call.path[len(SERVICES_PATH) :].partition("/")
+    service = find_service(name, ctx.user, ctx.snapshot)
+    if service.kind is not model.ServiceKind.PLAIN:
+        raise errors.EntryError(
+            errors.Code.SERVICE_NOT_FOUND,
+            f"{name!r} is called at {protocol.COMPLETIONS_PATH}.",
+        )
+    if ctx.call.method not in service.methods:
+        raise errors.EntryError(
+            errors.Code.METHOD_NOT_ALLOWED,
+            f"{name!r} takes {', '.join(service.methods)}.",
+        )
+    _check_body(ctx.call.body, service)
+    ctx.service = service
+    query = f"?{ctx.call.query}" if ctx.call.query else ""
+    ctx.service_path = f"{slash or '/'}{rest}{query}"
+    await proceed(ctx)
+
+
+def _lineage(user: model.User, snapshot: model.Snapshot) -> list[str]:
+    lineage = [user.id]
+    parent = user.parent
+    while parent and parent not in lineage:
+        lineage.append(parent)
+        above = snapshot.users_by_id.get(parent)
+        parent = above.parent if above else ""
+    return lineage
+
+
+def _check_body(body: bytes, service: model.Service) -> None:
+    if len(body) > service.max_body_bytes:
+        raise errors.EntryError(
+            errors.Code.BODY_TOO_LARGE,
+            f"The body has over {service.max_body_bytes} bytes.",
+        )
+
+
+def _generation(
+    ctx: context.Context,
+    request: schema.GenerationRequest,
+    fields: dict,
+    service: model.Service,
+) -> context.Generation:
+    prompt = prefix.describe(request.prompt_text(), ctx.user.id)
+    if prompt.tokens > service.max_prompt_tokens:
+        raise errors.EntryError(
+            errors.Code.PROMPT_TOO_LARGE,
+            f"The prompt has about {prompt.tokens} tokens, over"
+            f" {service.max_prompt_tokens}.",
+        )
+    output_tokens = request.output_limit or service.max_output_tokens
+    if output_tokens > service.max_output_tokens:
+        raise errors.EntryError(
+            errors.Code.OUTPUT_TOO_LARGE,
+            f"At most {service.max_output_tokens} tokens are generated.",
+        )
+    return context.Generation(
+        request=request,
+        fields=fields,
+        path=ctx.call.path,
+        prompt=prompt,
+        output_tokens=output_tokens,
+    )
--- /dev/null
+++ b/src/cowsliprill/entry/forward.py
@@ -0,0 +1,120 @@
+"""Passing a request on to the process that owns its ticket."""
+
+import dataclasses
+from http import HTTPStatus
+
+from tornado import httputil
+
+from cowsliprill import peers
+from cowsliprill.decisions import identity
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import tickets
+from cowsliprill.engines import errors as engine_errors
+from cowsliprill.engines import http_client
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.entry import hop_headers
+from cowsliprill.entry import world
+
+METHOD_HEADER = "X-Forwarded-Method"
+TARGET_HEADER = "X-Forwarded-Target"
+OWNER_HEADER = "X-Ticket-Owner"
+
+_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Forwarder:
+    """Calls the owners of tickets over their peer ports.
+
+    Attributes:
+      client: HTTP client.
+      world: The VM list in force.
+    """
+
+    client: http_client.HttpClient
+    world: world.World
+
+    async def forward(
+        self, ctx: context.Context, ticket: tickets.Ticket
+    ) -> None:
+        """Has the owner of a ticket run the request, or tells its last answer.
+
+        Whatever goes wrong, the request is not run here: the ticket may have
+        been used at its owner before, and nobody else can know.
+
+        Args:
+          ctx: The request.
+          ticket: Its ticket.
+
+        Raises:
+          errors.EntryError: The owner is gone or can't be reached.
+        """
+        vm = self._owner(ticket)
+        if ctx.call.forwarded or vm is None:
+            # A forwarded ticket of another incarnation has found the process
+            # that took over its owner's port; passing it on again would go
+            # round in a circle.
+            raise _owner_gone()
+        ctx.progress.run = messages.Run.UNKNOWN
+        try:
+            response = await self.client.call(
+                vm.host,
+                ticket.port,
+                "POST",
+                peers.FORWARD_PATH,
+                _headers(ctx.call, ticket.incarnation),
+                ctx.call.body,
+                timeout_s=ctx.service.timeout_s,
+                fresh=True,
+            )
+            await _relay(ctx, response)
+        except engine_errors.CallError as error:
+            if ctx.reply.started:
+                ctx.reply.abort()
+            raise errors.EntryError(
+                errors.Code.TICKET_OWNER_UNREACHABLE,
+                "The process that owns this ticket can't be reached.",
+                run=messages.Run.UNKNOWN,
+                retry_after_s=_RETRY_AFTER_S,
+            ) from error
+
+    def _owner(self, ticket: tickets.Ticket) -> model.Vm | None:
+        # Host and port come from the VM list: a made-up ticket could else have
+        # this process call any address that its author likes.
+        vm = self.world.fleet.vms_by_id.get(ticket.incarnation.vm)
+        if vm is None or ticket.port not in vm.entry_ports:
+            return None
+        return vm
+
+
+def _headers(
+    call: context.Call, owner: identity.Incarnation
+) -> httputil.HTTPHeaders:
+    headers = hop_headers.end_to_end(call.headers)
+    headers[METHOD_HEADER] = call.method
+    headers[TARGET_HEADER] = call.target
+    headers[OWNER_HEADER] = str(owner)
+    return headers
+
+
+async def _relay(ctx: context.Context, response: http_client.Response) -> None:
+    headers = hop_headers.end_to_end(response.headers)
+    if "Content-Length" in response.headers:
+        headers["Content-Length"] = response.headers["Content-Length"]
+    await ctx.reply.start(response.status, headers.get_all())
+    async for chunk in response.chunks():
+        await ctx.reply.write(chunk)
+    await ctx.reply.end()
+    ok = response.status < HTTPStatus.BAD_REQUEST
+    ctx.progress.outcome = "forwarded" if ok else "forwarded_error"
+
+
+def _owner_gone() -> errors.EntryError:
+    return errors.EntryError(
+        errors.Code.TICKET_OWNER_GONE,
+        "The process that owns this ticket is gone. The request is never run"
+        " again.",
+        run=messages.Run.UNKNOWN,
+    )
