--- /dev/null
+++ b/src/cowsliprill/entry/attempts.py
@@ -0,0 +1,42 @@
+"""How one attempt at a request ends without an answer."""
+
+from cowsliprill.decisions import messages
+
+
+class AttemptLost(Exception):  # noqa: N818
+    """Raised when an attempt came to nothing and another may be made.
+
+    Attributes:
+      endpoint_id: The endpoint that failed or refused.
+      stage: Where the attempt was.
+      refused: Whether the endpoint refused, being full or draining.
+      reason: One sentence for the log.
+    """
+
+    def __init__(
+        self,
+        endpoint_id: str,
+        stage: messages.Stage,
+        reason: str,
+        *,
+        refused: bool = False,
+    ) -> None:
+        super().__init__(reason)
+        self.endpoint_id = endpoint_id
+        self.stage = stage
+        self.refused = refused
+        self.reason = reason
+
+
+class PlainCallLost(Exception):  # noqa: N818
+    """Raised when a call to a plain service gave no answer.
+
+    Attributes:
+      run: What is known of whether this call was run.
+      reason: One sentence for the log.
+    """
+
+    def __init__(self, run: messages.Run, reason: str) -> None:
+        super().__init__(reason)
+        self.run = run
+        self.reason = reason
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -10,6 +10,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import prefix
+from cowsliprill.entry import errors
 from cowsliprill.entry import reply as reply_lib
 from cowsliprill.entry import schema
 
@@ -24,6 +25,7 @@
       query: Query without the question mark.
       headers: Headers.
       body: Body.
+      fault: What is wrong with its size, None if nothing.
       forwarded: Whether a peer passed it on because of its ticket.
     """
 
@@ -32,6 +34,7 @@
     query: str
     headers: httputil.HTTPHeaders
     body: bytes
+    fault: errors.EntryError | None = None
     forwarded: bool = False
 
     @property
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -41,6 +41,8 @@
     INTERNAL = "internal_error"
 
 
+METHOD_NOT_ALLOWED = HTTPStatus.METHOD_NOT_ALLOWED
+
 _STATUS_BY_CODE = {
     Code.INVALID_JSON: HTTPStatus.BAD_REQUEST,
     Code.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
@@ -66,6 +68,12 @@
 }
 
 
+class HomeError(errors.CowsliprillError):
+    """Raised when the home of an endpoint refuses an ask."""
+
+    code = "home_failed"
+
+
 class EntryError(errors.CowsliprillError):
     """A request's end without its answer.
 
--- /dev/null
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -0,0 +1,142 @@
+"""Where a model request runs, attempt by attempt."""
+
+import asyncio
+import dataclasses
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.entry import attempts
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.entry import scheduling as scheduling_lib
+from cowsliprill.observability import log as log_lib
+
+_TEXT_BY_REFUSAL = {
+    messages.RefusalCode.OVERLOADED: "There is no room for it now.",
+    messages.RefusalCode.TARGET_UNREACHABLE: "It can't be in time now.",
+    messages.RefusalCode.WAITED_TOO_LONG: "No slot came free in time.",
+    messages.RefusalCode.NO_ENDPOINT: "No engine serves this now.",
+    messages.RefusalCode.RETRY_BUDGET_SPENT: (
+        "Engines failed, and too many retries run already."
+    ),
+    messages.RefusalCode.ENDPOINT_FAILED: "The engines failed.",
+}
+
+
+@dataclasses.dataclass(slots=True)
+class ModelPlacement:
+    """Asks the scheduler where to run, and again after a lost attempt.
+
+    Attributes:
+      scheduling: The scheduler's task.
+      log: The process's log.
+    """
+
+    scheduling: scheduling_lib.Scheduling
+    log: log_lib.Log
+
+    async def __call__(
+        self, ctx: context.Context, proceed: context.Handle
+    ) -> None:
+        """Runs attempts until one answers or the scheduler refuses."""
+        decisions = self.scheduling.submit(_submit(ctx))
+        answered = False
+        try:
+            async with asyncio.timeout(ctx.service.timeout_s) as timeout:
+                await self._attempts(ctx, proceed, decisions)
+            answered = True
+        except TimeoutError as error:
+            if not timeout.expired():
+                raise
+            raise errors.EntryError(
+                errors.Code.TIMEOUT,
+                f"There was no answer within {ctx.service.timeout_s} s.",
+                run=ctx.progress.run,
+            ) from error
+        finally:
+            self.scheduling.forget(ctx.number)
+            # Whatever ended the request (its caller left, its time was up,
+            # its stream broke), engines may still hold memory for it. The
+            # scheduler knows which, and orders the cancels.
+            if not answered:
+                self.scheduling.post(messages.Cancel(ctx.number))
+
+    async def _attempts(
+        self,
+        ctx: context.Context,
+        proceed: context.Handle,
+        decisions: asyncio.Queue[scheduling_lib.Decision],
+    ) -> None:
+        while True:
+            match await decisions.get():
+                case messages.Refuse(code=code, retry_after_s=retry_after_s):
+                    raise errors.EntryError(
+                        code,
+                        _TEXT_BY_REFUSAL[code],
+                        run=ctx.progress.run,
+                        retry_after_s=retry_after_s,
+                    )
+                case messages.Start() as start:
+                    if await self._attempt(ctx, proceed, start):
+                        return
+
+    async def _attempt(
+        self,
+        ctx: context.Context,
+        proceed: context.Handle,
+        start: messages.Start,
+    ) -> bool:
+        ctx.start = start
+        ctx.progress.attempts += 1
+        try:
+            await proceed(ctx)
+        except attempts.AttemptLost as lost:
+            self._report_lost(ctx, lost)
+            return False
+        self.scheduling.post(
+            messages.Finished(ctx.number, ctx.progress.tokens)
+        )
+        return True
+
+    def _report_lost(
+        self, ctx: context.Context, lost: attempts.AttemptLost
+    ) -> None:
+        self.log.warning(
+            "attempt_lost",
+            request=ctx.request_id,
+            attempt=ctx.start.attempt,
+            endpoint=lost.endpoint_id,
+            stage=lost.stage.value,
+            refused=lost.refused,
+            reason=lost.reason,
+        )
+        ran = ctx.progress.run is messages.Run.UNKNOWN
+        unrepeatable = model.Idempotency.UNREPEATABLE
+        if ran and ctx.service.idempotency is unrepeatable:
+            raise errors.EntryError(
+                errors.Code.ENDPOINT_FAILED,
+                "The engines failed; the request may have been run.",
+                run=messages.Run.UNKNOWN,
+            ) from lost
+        self.scheduling.post(
+            messages.AttemptFailed(
+                request_id=ctx.number,
+                endpoint_id=lost.endpoint_id,
+                stage=lost.stage,
+                refused=lost.refused,
+            )
+        )
+
+
+def _submit(ctx: context.Context) -> messages.Submit:
+    generation = ctx.generation
+    return messages.Submit(
+        request_id=ctx.number,
+        service=ctx.service,
+        user=ctx.user.id,
+        prompt_tokens=generation.prompt.tokens,
+        output_tokens=generation.output_tokens,
+        prefix_hashes=generation.prompt.block_hashes,
+        priority=ctx.priority,
+        deadline=ctx.deadline,
+    )
--- /dev/null
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -0,0 +1,159 @@
+"""Where a plain call runs."""
+
+import collections
+import dataclasses
+import random
+
+from cowsliprill import clock
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import retry
+from cowsliprill.entry import attempts
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.entry import world as world_lib
+from cowsliprill.observability import log as log_lib
+
+_AVOID_S = 1.0
+_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class PlainPlacement:
+    """Chooses the least busy server, and another after a safe failure.
+
+    Attributes:
+      availability_zone: Where this process runs.
+      world: The settings and the VM list in force.
+      budgets: Budgets of retries.
+      log: The process's log.
+      random_source: Breaks ties.
+    """
+
+    availability_zone: str
+    world: world_lib.World
+    budgets: retry.RetryBudgets
+    log: log_lib.Log
+    random_source: random.Random
+    _running_by_endpoint: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    _avoid_until_by_endpoint: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    async def __call__(
+        self, ctx: context.Context, proceed: context.Handle
+    ) -> None:
+        """Makes calls until one is answered or none may follow."""
+        budget = self.budgets.of(ctx.service)
+        budget.earn()
+        ctx.endpoint = self._choose(ctx)
+        while True:
+            ctx.progress.attempts += 1
+            try:
+                await self._run(ctx, proceed)
+                return
+            except attempts.PlainCallLost as lost:
+                self._note_lost(ctx, lost)
+                repeatable = _may_repeat(ctx)
+                if not repeatable or not budget.spend(ctx.progress.attempts):
+                    raise _failure(ctx) from lost
+            # An endpoint that checks keys knows its own calls only, so a call
+            # which may have run there is repeated there and nowhere else.
+            if not _may_have_booked(ctx):
+                ctx.endpoint = self._choose(ctx)
+
+    async def _run(self, ctx: context.Context, proceed: context.Handle) -> None:
+        endpoint_id = ctx.endpoint.id
+        self._running_by_endpoint[endpoint_id] += 1
+        try:
+            await proceed(ctx)
+        finally:
+            self._running_by_endpoint[endpoint_id] -= 1
+            if not self._running_by_endpoint[endpoint_id]:
+                del self._running_by_endpoint[endpoint_id]
+
+    def _choose(self, ctx: context.Context) -> model.Endpoint:
+        serving = [
+            endpoint
+            for endpoint in self.world.snapshot.endpoints_by_id.values()
+            if endpoint.kind is model.EndpointKind.PLAIN
+            and endpoint.pool == ctx.service.pool
+            and endpoint.id not in self.world.fleet.leaving_endpoint_ids
+        ]
+        if not serving:
+            raise _refusal(ctx, messages.RefusalCode.NO_ENDPOINT)
+        free = [
+            endpoint
+            for endpoint in serving
+            if self._running_by_endpoint[endpoint.id] < endpoint.slots
+        ]
+        if not free:
+            raise _refusal(ctx, messages.RefusalCode.OVERLOADED)
+        return min(free, key=self._cost)
+
+    def _cost(self, endpoint: model.Endpoint) -> tuple[bool, float, bool, float]:
+        avoid_until = self._avoid_until_by_endpoint.get(endpoint.id, 0.0)
+        return (
+            avoid_until > clock.now(),
+            self._running_by_endpoint[endpoint.id],
+            endpoint.availability_zone != self.availability_zone,
+            self.random_source.random(),
+        )
+
+    def _note_lost(
+        self, ctx: context.Context, lost: attempts.PlainCallLost
+    ) -> None:
+        now = clock.now()
+        self._avoid_until_by_endpoint = {
+            endpoint_id: until
+            for endpoint_id, until in self._avoid_until_by_endpoint.items()
+            if until > now
+        }
+        self._avoid_until_by_endpoint[ctx.endpoint.id] = now + _AVOID_S
+        self.log.warning(
+            "call_lost",
+            request=ctx.request_id,
+            endpoint=ctx.endpoint.id,
+            run=lost.run.value,
+            reason=lost.reason,
+        )
+
+
+def _may_have_booked(ctx: context.Context) -> bool:
+    return (
+        ctx.progress.run is messages.Run.UNKNOWN
+        and ctx.service.idempotency is model.Idempotency.UNREPEATABLE
+    )
+
+
+def _may_repeat(ctx: context.Context) -> bool:
+    # What counts is the whole request, not its last attempt: one that may
+    # have run at first isn't safe to repeat because the attempt after it
+    # found a closed port.
+    if not _may_have_booked(ctx):
+        return True
+    return bool(ctx.idempotency_key) and ctx.endpoint.checks_idempotency_keys
+
+
+def _failure(ctx: context.Context) -> errors.EntryError:
+    ran = ctx.progress.run is messages.Run.UNKNOWN
+    text = "it may have been run" if ran else "it was not run"
+    return errors.EntryError(
+        errors.Code.ENDPOINT_FAILED,
+        f"The service gave no answer; {text}.",
+        run=ctx.progress.run,
+        retry_after_s=None if ran else _RETRY_AFTER_S,
+    )
+
+
+def _refusal(
+    ctx: context.Context, code: messages.RefusalCode
+) -> errors.EntryError:
+    return errors.EntryError(
+        code,
+        "No server of this service is free now.",
+        run=ctx.progress.run,
+        retry_after_s=_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/cowsliprill/entry/filters/report.py
@@ -0,0 +1,123 @@
+"""What became of a request: the error to its caller, a log line, metrics."""
+
+import asyncio
+import dataclasses
+
+from cowsliprill import clock
+from cowsliprill.decisions import model
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.entry import reply as reply_lib
+from cowsliprill.observability import log as log_lib
+from cowsliprill.observability import metrics as metrics_lib
+
+CALLER_GONE = "caller_gone"
+COMPLETED = "completed"
+_MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """The outermost filter.
+
+    Attributes:
+      log: The process's log.
+      metrics: The process's metrics.
+    """
+
+    log: log_lib.Log
+    metrics: metrics_lib.Metrics
+
+    async def __call__(
+        self, ctx: context.Context, proceed: context.Handle
+    ) -> None:
+        """Passes the request on and reports its end, whatever it is."""
+        try:
+            await proceed(ctx)
+            ctx.progress.outcome = ctx.progress.outcome or COMPLETED
+        except errors.EntryError as error:
+            ctx.progress.outcome = error.code
+            await _answer_error(ctx, error)
+        except reply_lib.CallerGone:
+            ctx.progress.outcome = CALLER_GONE
+        except asyncio.CancelledError:
+            ctx.progress.outcome = CALLER_GONE
+            raise
+        except Exception as error:
+            # A fault of ours in one request must not end the others.
+            ctx.progress.outcome = errors.Code.INTERNAL.value
+            self.log.error(
+                "internal_error", request=ctx.request_id, reason=repr(error)
+            )
+            await _answer_error(ctx, _internal(ctx))
+        finally:
+            self._record(ctx)
+
+    def _record(self, ctx: context.Context) -> None:
+        progress = ctx.progress
+        labels = {"service": ctx.service.id if ctx.service else ""}
+        self.metrics.requests.inc({**labels, "outcome": progress.outcome})
+        for _ in range(progress.prefills - progress.prefills_used):
+            self.metrics.wasted_prefills.inc(labels)
+        now = clock.now()
+        ttft_s = (progress.first_token_at or now) - ctx.arrived_at
+        tpot_s = _tpot(progress)
+        if progress.first_token_at:
+            self.metrics.ttft_s.observe(labels, ttft_s)
+            self.metrics.tpot_s.observe(labels, tpot_s)
+        if _is_good(ctx, ttft_s, tpot_s):
+            self.metrics.goodput.inc(labels)
+        self.log.event(
+            "request_ended",
+            request=ctx.request_id,
+            user=ctx.user.id if ctx.user else "",
+            service=labels["service"],
+            outcome=progress.outcome,
+            run=progress.run.value,
+            attempts=progress.attempts,
+            tokens=progress.tokens,
+            ttft_ms=round(ttft_s * _MS_PER_S, 1),
+            took_ms=round((now - ctx.arrived_at) * _MS_PER_S, 1),
+        )
+
+
+def _tpot(progress: context.Progress) -> float:
+    if progress.tokens < 2:
+        return 0.0
+    span_s = progress.last_token_at - progress.first_token_at
+    return span_s / (progress.tokens - 1)
+
+
+def _is_good(ctx: context.Context, ttft_s: float, tpot_s: float) -> bool:
+    if ctx.progress.outcome != COMPLETED or ctx.service is None:
+        return False
+    if ctx.service.kind is model.ServiceKind.PLAIN:
+        return ttft_s <= ctx.service.ttft_target_s
+    return (
+        ttft_s <= ctx.service.ttft_target_s
+        and tpot_s <= ctx.service.tpot_target_s
+    )
+
+
+async def _answer_error(
+    ctx: context.Context, error: errors.EntryError
+) -> None:
+    try:
+        if not ctx.reply.started:
+            await reply_lib.send(
+                ctx.reply, error.status, error.headers().items(), error.body()
+            )
+            return
+        if ctx.generation is not None and ctx.generation.request.stream:
+            await ctx.reply.write(error.event())
+        ctx.reply.abort()
+    except reply_lib.CallerGone:
+        pass
+
+
+def _internal(ctx: context.Context) -> errors.EntryError:
+    return errors.EntryError(
+        errors.Code.INTERNAL,
+        f"Something went wrong here; ask about {ctx.request_id}.",
+        run=ctx.progress.run,
+    )
--- a/src/cowsliprill/entry/forward.py
+++ b/src/cowsliprill/entry/forward.py
@@ -56,7 +56,7 @@
             # A forwarded ticket of another incarnation has found the process
             # that took over its owner's port; passing it on again would go
             # round in a circle.
-            raise _owner_gone()
+            raise owner_gone()
         ctx.progress.run = messages.Run.UNKNOWN
         try:
             response = await self.client.call(
@@ -111,7 +111,8 @@
     ctx.progress.outcome = "forwarded" if ok else "forwarded_error"
 
 
-def _owner_gone() -> errors.EntryError:
+def owner_gone() -> errors.EntryError:
+    """Returns the answer for a ticket whose owner has ended."""
     return errors.EntryError(
         errors.Code.TICKET_OWNER_GONE,
         "The process that owns this ticket is gone. The request is never run"
--- /dev/null
+++ b/src/cowsliprill/entry/gate.py
@@ -0,0 +1,88 @@
+"""Where calls enter: numbers them, bounds their bodies, knows which run."""
+
+import asyncio
+import dataclasses
+
+from cowsliprill import clock
+from cowsliprill.decisions import identity
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.entry import reply as reply_lib
+from cowsliprill.entry import world as world_lib
+
+MAX_BODY_BYTES = 8_388_608
+MAX_HEADER_BYTES = 16_384
+_MAX_BUFFERED_BYTES = 16_777_216
+_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Gate:
+    """What the callers' and peers' handlers share.
+
+    Attributes:
+      incarnation: This process.
+      world: The settings in force.
+      draining: Whether the process is leaving.
+      buffered_bytes: Bytes of bodies that are held in memory.
+      tasks: Requests in progress.
+    """
+
+    incarnation: identity.Incarnation
+    world: world_lib.World
+    draining: bool = False
+    buffered_bytes: int = 0
+    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    _next_number: int = 0
+
+    def open(
+        self, call: context.Call, reply: reply_lib.Reply
+    ) -> context.Context:
+        """Gives a call its number and the settings that hold for it."""
+        number = self._next_number
+        self._next_number += 1
+        return context.Context(
+            number=number,
+            request_id=f"{self.incarnation}.{number}",
+            call=call,
+            reply=reply,
+            arrived_at=clock.now(),
+            snapshot=self.world.snapshot,
+        )
+
+    def run(
+        self, handle: context.Handle, ctx: context.Context
+    ) -> asyncio.Task[None]:
+        """Starts the handling of a request.
+
+        Args:
+          handle: Its filters.
+          ctx: The request.
+
+        Returns:
+          The task; a graceful shutdown waits for it.
+        """
+        task = asyncio.create_task(handle(ctx))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def wait_until_empty(self) -> None:
+        """Waits until no request is in progress."""
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+
+    def check_room(self, size: int) -> errors.EntryError | None:
+        """Returns why a body of a size can't be taken, None if it can."""
+        if size > MAX_BODY_BYTES:
+            return errors.EntryError(
+                errors.Code.BODY_TOO_LARGE,
+                f"The body has over {MAX_BODY_BYTES} bytes.",
+            )
+        if self.buffered_bytes + size > _MAX_BUFFERED_BYTES:
+            return errors.EntryError(
+                errors.Code.OVERLOADED,
+                "This process holds as many bodies as it can.",
+                retry_after_s=_RETRY_AFTER_S,
+            )
+        return None
--- /dev/null
+++ b/src/cowsliprill/entry/handlers.py
@@ -0,0 +1,211 @@
+"""tornado handlers of the callers' interface and of the peers'."""
+
+import asyncio
+import json
+
+from tornado import httputil
+from tornado import web
+
+from cowsliprill.decisions import identity
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.entry import forward
+from cowsliprill.entry import gate as gate_lib
+from cowsliprill.entry import reply as reply_lib
+
+# A body beyond the limit is read and dropped up to here, so that its sender
+# gets to read the 413; beyond, the connection is closed.
+_MAX_DROPPED_BYTES = 4 * gate_lib.MAX_BODY_BYTES
+
+
+@web.stream_request_body
+class CallHandler(web.RequestHandler):
+    """Reads one call and passes it to its filters."""
+
+    SUPPORTED_METHODS = (
+        "GET",
+        "HEAD",
+        "POST",
+        "DELETE",
+        "PATCH",
+        "PUT",
+        "OPTIONS",
+    )
+
+    def initialize(
+        self, gate: gate_lib.Gate, handle: context.Handle
+    ) -> None:
+        """Keeps what the handler needs.
+
+        Args:
+          gate: Where calls enter.
+          handle: The filters of this path.
+        """
+        # An answer that was broken off must not be ended by tornado: its
+        # receiver would take it for whole.
+        self._auto_finish = False
+        self._gate = gate
+        self._handle = handle
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._fault: errors.EntryError | None = None
+        self._ctx: context.Context | None = None
+        self._task: asyncio.Task | None = None
+
+    def set_default_headers(self) -> None:
+        """Asks callers to come by another process when this one leaves."""
+        self.clear_header("Server")
+        gate = getattr(self, "_gate", None)
+        if gate is not None and gate.draining:
+            self.set_header("Connection", "close")
+
+    def compute_etag(self) -> None:
+        """Computes none: answers are passed on as they are."""
+
+    async def prepare(self) -> None:
+        """Checks the sizes that are known before the body comes."""
+        headers = self.request.headers
+        size = sum(
+            len(name) + len(value) for name, value in headers.get_all()
+        )
+        if size + len(self.request.uri or "") > gate_lib.MAX_HEADER_BYTES:
+            self._fault = errors.EntryError(
+                errors.Code.HEADERS_TOO_LARGE,
+                f"The headers have over {gate_lib.MAX_HEADER_BYTES} bytes.",
+            )
+        length = headers.get("Content-Length", "0")
+        if length.isdigit():
+            self._fault = self._fault or self._gate.check_room(int(length))
+            if int(length) > _MAX_DROPPED_BYTES:
+                await self._serve()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes a part of the body."""
+        self._size += len(chunk)
+        if self._size > _MAX_DROPPED_BYTES:
+            self.request.connection.stream.close()
+        self._fault = self._fault or self._gate.check_room(len(chunk))
+        if self._size > gate_lib.MAX_BODY_BYTES:
+            self._fault = self._gate.check_room(self._size)
+        if self._fault is None:
+            self._chunks.append(chunk)
+            self._gate.buffered_bytes += len(chunk)
+
+    async def get(self, *_: str) -> None:
+        """Serves the call."""
+        await self._serve()
+
+    head = post = put = patch = delete = options = get
+
+    def on_connection_close(self) -> None:
+        """Ends the request of a caller that is gone."""
+        if self._task is None or self._ctx.survives_caller:
+            return
+        self._task.cancel()
+
+    def call(self, body: bytes) -> context.Call:
+        """Returns the caller's call."""
+        return context.Call(
+            method=self.request.method or "",
+            path=self.request.path,
+            query=self.request.query,
+            headers=self.request.headers,
+            body=body,
+            fault=self._fault,
+        )
+
+    async def _serve(self) -> None:
+        body = b"".join(self._chunks)
+        held = len(body)
+        self._chunks.clear()
+        reply = reply_lib.HttpReply(self)
+        self._ctx = self._gate.open(self.call(body), reply)
+        self._task = self._gate.run(self._handle, self._ctx)
+        try:
+            await asyncio.wait([self._task])
+        finally:
+            self._gate.buffered_bytes -= held
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Answers what tornado itself refuses in the same JSON shape."""
+        del kwargs
+        self.set_status(status_code)
+        error = errors.EntryError(
+            errors.Code.METHOD_NOT_ALLOWED
+            if status_code == errors.METHOD_NOT_ALLOWED
+            else errors.Code.INVALID_REQUEST,
+            "The request isn't valid.",
+        )
+        self.set_header("Content-Type", "application/json")
+        self.finish(error.body())
+
+
+class ForwardHandler(CallHandler):
+    """`POST /v1/forward`: a call whose ticket names this incarnation.
+
+    The peer is trusted with nothing: the call carries its caller's API key and
+    passes the same filters as if it had come here at first.
+    """
+
+    def initialize(
+        self,
+        gate: gate_lib.Gate,
+        handles_by_prefix: list[tuple[str, context.Handle]],
+    ) -> None:
+        """Keeps what the handler needs.
+
+        Args:
+          gate: Where calls enter.
+          handles_by_prefix: Filters by the beginning of the path.
+        """
+        super().initialize(gate, _not_found)
+        self._handles_by_prefix = handles_by_prefix
+
+    def call(self, body: bytes) -> context.Call:
+        """Returns the call that the peer has passed on."""
+        headers = httputil.HTTPHeaders(self.request.headers)
+        method = headers.pop(forward.METHOD_HEADER, "")
+        target = headers.pop(forward.TARGET_HEADER, "")
+        owner = headers.pop(forward.OWNER_HEADER, "")
+        path, _, query = target.partition("?")
+        for prefix, handle in self._handles_by_prefix:
+            if path.startswith(prefix):
+                self._handle = handle
+                break
+        return context.Call(
+            method=method,
+            path=path,
+            query=query,
+            headers=headers,
+            body=body,
+            fault=self._fault or self._check_owner(owner),
+            forwarded=True,
+        )
+
+    def _check_owner(self, owner: str) -> errors.EntryError | None:
+        if owner == str(self._gate.incarnation):
+            return None
+        return forward.owner_gone()
+
+
+async def _not_found(ctx: context.Context) -> None:
+    raise errors.EntryError(
+        errors.Code.PATH_NOT_FOUND, f"There is nothing at {ctx.call.path}."
+    )
+
+
+class IncarnationHandler(web.RequestHandler):
+    """`GET /v1/incarnation`."""
+
+    def initialize(self, incarnation: identity.Incarnation) -> None:
+        """Keeps what the handler needs.
+
+        Args:
+          incarnation: This process.
+        """
+        self._incarnation = incarnation
+
+    def get(self) -> None:
+        """Answers with this process's incarnation."""
+        self.set_header("Content-Type", "application/json")
+        self.write(json.dumps({"incarnation": str(self._incarnation)}))
--- /dev/null
+++ b/src/cowsliprill/entry/sinks.py
@@ -0,0 +1,58 @@
+"""How tokens reach the caller: as they come, or all at once."""
+
+import json
+from typing import Protocol
+
+from cowsliprill.decisions import stream as stream_lib
+from cowsliprill.entry import context
+from cowsliprill.entry import reply as reply_lib
+
+_OK = 200
+_STREAM_HEADERS = (
+    ("Content-Type", "text/event-stream; charset=utf-8"),
+    ("Cache-Control", "no-cache"),
+)
+_JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+class Sink(Protocol):
+    """Takes the checked events of one whole answer."""
+
+    async def take(self, events: bytes) -> None:
+        """Takes events, in order."""
+
+    async def end(self) -> None:
+        """Takes the end; the answer is whole."""
+
+
+class _StreamSink:
+    def __init__(self, reply: reply_lib.Reply) -> None:
+        self._reply = reply
+
+    async def take(self, events: bytes) -> None:
+        if not self._reply.started:
+            await self._reply.start(_OK, _STREAM_HEADERS)
+        await self._reply.write(events)
+
+    async def end(self) -> None:
+        await self._reply.end()
+
+
+class _WholeSink:
+    def __init__(self, reply: reply_lib.Reply) -> None:
+        self._reply = reply
+        self._collector = stream_lib.Collector()
+
+    async def take(self, events: bytes) -> None:
+        self._collector.add(events)
+
+    async def end(self) -> None:
+        body = json.dumps(self._collector.answer()).encode()
+        await reply_lib.send(self._reply, _OK, _JSON_HEADERS, body)
+
+
+def sink_for(ctx: context.Context) -> Sink:
+    """Returns where the tokens of a request go."""
+    if ctx.generation.request.stream:
+        return _StreamSink(ctx.reply)
+    return _WholeSink(ctx.reply)
--- /dev/null
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -0,0 +1,239 @@
+"""The task that asks the homes of endpoints for slots.
+
+Each home has at most one call outstanding, whatever the rate of requests; a
+call states the whole standing of this process with all endpoints of the home.
+"""
+
+import asyncio
+import dataclasses
+
+from cowsliprill import clock
+from cowsliprill import codec
+from cowsliprill import errors as base_errors
+from cowsliprill import peers
+from cowsliprill.decisions import identity
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.dispatch import messages as slot_messages
+from cowsliprill.engines import errors as engine_errors
+from cowsliprill.engines import http_client
+from cowsliprill.entry import errors
+from cowsliprill.entry import leases as leases_lib
+from cowsliprill.entry import scheduling as scheduling_lib
+from cowsliprill.entry import world as world_lib
+from cowsliprill.observability import log as log_lib
+
+# How long a home may hold back its answer while it has nothing to grant.
+_WAIT_S = 0.5
+_ANSWER_S = 1.0
+# A newer standing waits this long for the answer to the one before it, and
+# then replaces it: the home may be holding that answer back.
+_SUPERSEDE_S = 0.01
+_RENEW_S = 1.0
+_MIN_RENEW_S = 0.05
+_BACK_OFF_S = 0.25
+_MAX_ANSWER_BYTES = 1_048_576
+_OK = 200
+
+
+@dataclasses.dataclass(slots=True)
+class _Home:
+    vm: model.Vm
+    news: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    task: asyncio.Task | None = None
+    reachable: bool = True
+
+
+class SlotAsker:
+    """Keeps this process's leases.
+
+    Args:
+      incarnation: This process.
+      client: HTTP client; its calls can be cancelled.
+      scheduling: The scheduler's task: takes grants, tells the standing.
+      leases: Where ends of leases are kept.
+      world: The VM list in force.
+      log: The process's log.
+    """
+
+    def __init__(
+        self,
+        incarnation: identity.Incarnation,
+        client: http_client.HttpClient,
+        scheduling: scheduling_lib.Scheduling,
+        leases: leases_lib.Leases,
+        world: world_lib.World,
+        log: log_lib.Log,
+    ) -> None:
+        self._entry = str(incarnation)
+        self._client = client
+        self._scheduling = scheduling
+        self._leases = leases
+        self._world = world
+        self._log = log
+        self._homes_by_vm: dict[str, _Home] = {}
+
+    async def run(self) -> None:
+        """Asks for ever, when the scheduler wants and at each renewal."""
+        try:
+            while True:
+                for ask in await self._scheduling.asks.get():
+                    self._notify(ask.endpoint_id)
+        finally:
+            for home in self._homes_by_vm.values():
+                home.task.cancel()
+
+    async def hand_back(self) -> None:
+        """Returns all leases, as the last act of this process."""
+        asks_by_vm = self._by_home(
+            [
+                messages.SlotAsk(endpoint_id=endpoint_id, in_use=0, want=0)
+                for endpoint_id in self._leases.endpoint_ids()
+            ]
+        )
+        calls = [
+            self._call(vm, asks, 0.0) for vm, asks in asks_by_vm.values()
+        ]
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    def _notify(self, endpoint_id: str) -> None:
+        vm = self._world.home_of(endpoint_id)
+        if vm is None:
+            self._give_up((endpoint_id,))
+            return
+        home = self._homes_by_vm.get(vm.id)
+        if home is None:
+            home = _Home(vm)
+            home.task = asyncio.create_task(self._serve(home))
+            self._homes_by_vm[vm.id] = home
+        home.vm = vm
+        home.news.set()
+
+    async def _serve(self, home: _Home) -> None:
+        while True:
+            await self._wait_for_turn(home)
+            home.news.clear()
+            _, asks = self._by_home(self._scheduling.standing()).get(
+                home.vm.id, (home.vm, [])
+            )
+            if asks:
+                await self._ask(home, asks)
+
+    async def _wait_for_turn(self, home: _Home) -> None:
+        now = clock.now()
+        end = self._leases.earliest_end(self._endpoints_of(home), now)
+        renew_s = _RENEW_S if end is None else (end - now) / 2
+        try:
+            async with asyncio.timeout(max(renew_s, _MIN_RENEW_S)):
+                await home.news.wait()
+        except TimeoutError:
+            pass
+
+    async def _ask(self, home: _Home, asks: list[messages.SlotAsk]) -> None:
+        wants_more = any(ask.want > ask.in_use for ask in asks)
+        call = asyncio.create_task(
+            self._call(home.vm, asks, _WAIT_S if wants_more else 0.0)
+        )
+        try:
+            await self._until_superseded(home, call)
+            if not call.done():
+                return
+            self._take(home, call.result())
+        except (
+            base_errors.CowsliprillError,
+            engine_errors.CallError,
+        ) as error:
+            await self._fail(home, asks, error)
+        finally:
+            call.cancel()
+
+    async def _until_superseded(self, home: _Home, call: asyncio.Task) -> None:
+        news = asyncio.create_task(home.news.wait())
+        try:
+            await asyncio.wait(
+                [call, news], return_when=asyncio.FIRST_COMPLETED
+            )
+            if not call.done():
+                await asyncio.wait([call], timeout=_SUPERSEDE_S)
+        finally:
+            news.cancel()
+
+    async def _call(
+        self, vm: model.Vm, asks: list[messages.SlotAsk], wait_s: float
+    ) -> slot_messages.SlotsAnswer:
+        request = slot_messages.SlotsRequest(
+            entry=self._entry, asks=tuple(asks), wait_s=wait_s
+        )
+        # A lease's end is counted from before the call: whatever time the
+        # answer took, the home's own count of it ends later than ours.
+        sent_at = clock.now()
+        response = await self._client.call(
+            vm.host,
+            vm.dispatch_port,
+            "POST",
+            peers.SLOTS_PATH,
+            {"Content-Type": "application/json"},
+            codec.encode(request),
+            connect_timeout_s=_ANSWER_S,
+            timeout_s=wait_s + _ANSWER_S,
+        )
+        text = await response.read(_MAX_ANSWER_BYTES)
+        if response.status != _OK:
+            raise errors.HomeError(f"{vm.id}: status {response.status}")
+        answer = codec.decode(slot_messages.SlotsAnswer, text)
+        for grant in answer.grants:
+            self._take_grant(grant, sent_at)
+        return answer
+
+    def _take_grant(
+        self, wire: slot_messages.WireGrant, sent_at: float
+    ) -> None:
+        grant = messages.SlotGrant(
+            endpoint_id=wire.endpoint_id,
+            slots=wire.slots,
+            expires_at=sent_at + wire.expires_in_s,
+            report_age_s=wire.report_age_s,
+            waiting=wire.waiting,
+            prefix_hashes=wire.prefix_hashes,
+        )
+        self._leases.grant(grant)
+        self._scheduling.post(grant)
+
+    def _take(self, home: _Home, answer: slot_messages.SlotsAnswer) -> None:
+        if not home.reachable:
+            self._log.event("home_reachable", vm=home.vm.id)
+        home.reachable = True
+        if answer.not_home:
+            self._give_up(answer.not_home)
+
+    async def _fail(
+        self, home: _Home, asks: list[messages.SlotAsk], error: Exception
+    ) -> None:
+        if home.reachable:
+            self._log.warning(
+                "home_unreachable", vm=home.vm.id, reason=str(error)
+            )
+        home.reachable = False
+        self._give_up(tuple(ask.endpoint_id for ask in asks))
+        await asyncio.sleep(_BACK_OFF_S)
+
+    def _give_up(self, endpoint_ids: tuple[str, ...]) -> None:
+        self._leases.fall_back(endpoint_ids, clock.now())
+        self._scheduling.post(messages.HomeUnreachable(endpoint_ids))
+
+    def _by_home(
+        self, asks: list[messages.SlotAsk]
+    ) -> dict[str, tuple[model.Vm, list[messages.SlotAsk]]]:
+        asks_by_vm: dict[str, tuple[model.Vm, list[messages.SlotAsk]]] = {}
+        for ask in asks:
+            vm = self._world.home_of(ask.endpoint_id)
+            if vm is not None:
+                asks_by_vm.setdefault(vm.id, (vm, []))[1].append(ask)
+        return asks_by_vm
+
+    def _endpoints_of(self, home: _Home) -> set[str]:
+        return {
+            endpoint_id
+            for endpoint_id in self._leases.endpoint_ids()
+            if self._world.home_of(endpoint_id) is home.vm
+        }
