Serve a streamed completion and a plain call through the entry

Thin path: filters, scheduler task, slot asker, prefill, transfer, decode, checked relay. Process.stop does what SIGTERM does, so that a test in one loop can drain.

--- a/src/cowsliprill/decisions/tickets.py
+++ b/src/cowsliprill/decisions/tickets.py
@@ -58,9 +58,7 @@
         return f"{self._signed()}.{self.mac}"
 
     def _signed(self) -> str:
-        return (
-            f"{self.incarnation}.{self.port}.{self.number}.{self.issued_at}"
-        )
+        return f"{self.incarnation}.{self.port}.{self.number}.{self.issued_at}"
 
     def sign(self, secret: bytes, user: str, service: str) -> str:
         """Returns the code that the owner gives this ticket."""
@@ -247,9 +245,9 @@
         record = self._records_by_key.get(key)
         if record is not None:
             return _repeat(record, fingerprint)
-        if len(self._records_by_key) >= self._max_records:
-            if not (self._evict and self._evict_oldest()):
-                return Full()
+        full = len(self._records_by_key) >= self._max_records
+        if full and not (self._evict and self._evict_oldest()):
+            return Full()
         self._records_by_key[key] = _Record(fingerprint, expires_at)
         return Granted(key)
 
@@ -326,6 +324,9 @@
       port: Its peer port.
       secret: Random bytes that no other process has.
       max_records: Most tickets, and most keys, remembered at once.
+
+    Attributes:
+      port: The peer port that tickets name.
     """
 
     def __init__(
@@ -336,7 +337,7 @@
         max_records: int = MAX_RECORDS,
     ) -> None:
         self._incarnation = incarnation
-        self._port = port
+        self.port = port
         self._secret = secret
         self._next_number = 0
         half = MAX_STORED_BYTES // 2
@@ -356,7 +357,7 @@
         """
         bare = Ticket(
             incarnation=self._incarnation,
-            port=self._port,
+            port=self.port,
             number=self._next_number,
             issued_at=int(now),
             mac="",
--- a/src/cowsliprill/entry/answers.py
+++ b/src/cowsliprill/entry/answers.py
@@ -50,9 +50,7 @@
         """Gives out a ticket for one request of a service."""
         fields = schema.parse_json(ctx.call.body)
         request = schema.validate(schema.TicketRequest, fields)
-        service = resolve.find_service(
-            request.service, ctx.user, ctx.snapshot
-        )
+        service = resolve.find_service(request.service, ctx.user, ctx.snapshot)
         ticket = self.book.issue(ctx.user.id, service.id, clock.now())
         await _send_json(
             ctx,
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -9,7 +9,6 @@
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
-from cowsliprill.decisions import prefix
 from cowsliprill.entry import errors
 from cowsliprill.entry import reply as reply_lib
 from cowsliprill.entry import schema
@@ -51,14 +50,16 @@
       request: The checked body.
       fields: The body's fields as the caller sent them.
       path: The engines' path of this kind of request.
-      prompt: Size and prefix of the prompt.
+      prompt_tokens: Estimated tokens of the prompt.
+      prefix_hashes: Hashes of its first blocks, salted by the user.
       output_tokens: Limit of the answer.
     """
 
     request: schema.GenerationRequest
     fields: dict[str, Any]
     path: str
-    prompt: prefix.Prompt
+    prompt_tokens: int
+    prefix_hashes: tuple[int, ...]
     output_tokens: int
 
 
--- /dev/null
+++ b/src/cowsliprill/entry/core.py
@@ -0,0 +1,239 @@
+"""The entry process as a whole: its parts, its start and its end."""
+
+import asyncio
+import random
+import secrets
+from typing import Any
+
+from cowsliprill import environment as environment_lib
+from cowsliprill import process
+from cowsliprill.decisions import identity
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import retry
+from cowsliprill.decisions import scheduler as scheduler_lib
+from cowsliprill.decisions import tickets
+from cowsliprill.engines import engine_client
+from cowsliprill.engines import http_client
+from cowsliprill.engines import service_client
+from cowsliprill.entry import canceller
+from cowsliprill.entry import forward
+from cowsliprill.entry import gate as gate_lib
+from cowsliprill.entry import leases as leases_lib
+from cowsliprill.entry import model_relay
+from cowsliprill.entry import plain_relay
+from cowsliprill.entry import routes
+from cowsliprill.entry import scheduling as scheduling_lib
+from cowsliprill.entry import slot_asker
+from cowsliprill.entry import stream_resume
+from cowsliprill.entry import world as world_lib
+from cowsliprill.entry.filters import admission
+from cowsliprill.entry.filters import idempotency
+from cowsliprill.entry.filters import model_placement
+from cowsliprill.entry.filters import plain_placement
+from cowsliprill.entry.filters import report
+from cowsliprill.observability import log as log_lib
+from cowsliprill.observability import metrics as metrics_lib
+
+_NONCE_BYTES = 4
+_SECRET_BYTES = 32
+_CANCELS_SETTLE_S = 2.0
+_SEED_BITS = 32
+_MAX_HEADER_BYTES = 131_072
+# Bodies are bounded by the gate, which answers in our own shape.
+_MAX_BODY_BYTES = 2**40
+_IDLE_CONNECTION_S = 75.0
+
+
+class Entry:
+    """One entry process.
+
+    Args:
+      environment: What it was told about itself.
+      log: Its log.
+      source: Where settings and VM list come from.
+
+    Attributes:
+      shell: Its servers, health and signals.
+    """
+
+    def __init__(
+        self,
+        environment: environment_lib.Environment,
+        log: log_lib.Log,
+        source: world_lib.Source,
+    ) -> None:
+        self._environment = environment
+        self._log = log
+        self._metrics = metrics_lib.Metrics()
+        seed = environment.seed
+        self._random = random.Random(
+            secrets.randbits(_SEED_BITS) if seed is None else seed
+        )
+        self._incarnation = identity.Incarnation(
+            environment.vm,
+            environment.process,
+            secrets.token_hex(_NONCE_BYTES),
+        )
+        self._world = world_lib.World()
+        self._leases = leases_lib.Leases()
+        self._budgets = retry.RetryBudgets()
+        self._http = http_client.HttpClient()
+        self._engines = engine_client.EngineClient(self._http)
+        self._gate = gate_lib.Gate(self._incarnation, self._world)
+        self._canceller = canceller.Canceller(
+            self._engines,
+            self._http,
+            self._world,
+            self._metrics,
+            log,
+            self._random,
+        )
+        self._scheduling = scheduling_lib.Scheduling(
+            scheduler_lib.Scheduler(
+                environment.availability_zone,
+                self._random.getrandbits(_SEED_BITS),
+            ),
+            self._incarnation,
+            self._canceller,
+        )
+        self._asker = slot_asker.SlotAsker(
+            self._incarnation,
+            self._http,
+            self._scheduling,
+            self._leases,
+            self._world,
+            self._metrics,
+            log,
+        )
+        self._source = source
+        self.shell = process.Process(
+            environment=environment,
+            log=log,
+            metrics=self._metrics,
+            unready_reason=self._unready_reason,
+            status=self._status,
+            drain=self._drain,
+        )
+        self._public_server = None
+        self._reports: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Serves until a signal, then drains and returns."""
+        self._listen()
+        self._source.subscribe(self._take_world)
+        self._take_world()
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._source.run(),
+                self._scheduling.run(),
+                self._asker.run(),
+            )
+        ]
+        ended = asyncio.create_task(self.shell.run_until_stopped())
+        await asyncio.wait([ended, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        # A task that ends by itself is a fault of ours. Going on without it
+        # would look alive and serve nothing.
+        for task in tasks:
+            if task.done():
+                task.result()
+            task.cancel()
+        await ended
+        self._http.close()
+
+    def _listen(self) -> None:
+        # The peer port must be known before the first ticket names it, and
+        # tornado takes no call before this method is left.
+        book = tickets.TicketBook(
+            self._incarnation,
+            self._environment.port,
+            secrets.token_bytes(_SECRET_BYTES),
+        )
+        parts = self._parts(book)
+        self.shell.listen(routes.peer_routes(self._gate, parts))
+        book.port = self.shell.port
+        self._public_server = self.shell.listen_public(
+            routes.public_application(self._gate, parts),
+            max_header_size=_MAX_HEADER_BYTES,
+            max_body_size=_MAX_BODY_BYTES,
+            idle_connection_timeout=_IDLE_CONNECTION_S,
+        )
+
+    def _parts(self, book: tickets.TicketBook) -> routes.Parts:
+        resumer = stream_resume.Resumer(
+            self._engines, self._budgets, self._metrics, self._log
+        )
+        return routes.Parts(
+            report=report.Report(self._log, self._metrics),
+            idempotency=idempotency.Idempotency(
+                book, forward.Forwarder(self._http, self._world)
+            ),
+            admission=admission.Admission(),
+            model_placement=model_placement.ModelPlacement(
+                self._scheduling, self._log
+            ),
+            plain_placement=plain_placement.PlainPlacement(
+                self._environment.availability_zone,
+                self._world,
+                self._budgets,
+                self._log,
+                self._random,
+            ),
+            model_relay=model_relay.ModelRelay(
+                self._incarnation,
+                self._engines,
+                self._scheduling,
+                self._leases,
+                self._world,
+                resumer,
+                self._report_leaving,
+            ),
+            plain_relay=plain_relay.PlainRelay(
+                self._incarnation, service_client.ServiceClient(self._http)
+            ),
+            book=book,
+        )
+
+    def _take_world(self) -> None:
+        snapshot, fleet = self._source.snapshot, self._source.fleet
+        self._world.update(snapshot, fleet)
+        self._leases.keep_only(set(snapshot.endpoints_by_id))
+        self._budgets.keep_only(set(snapshot.services_by_id))
+        self._metrics.revision.set({}, snapshot.revision)
+        self._scheduling.post(messages.WorldChanged(snapshot, fleet))
+
+    def _report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
+        # The request that met the draining answer doesn't wait for the report.
+        self._log.event("endpoint_leaving", endpoint=endpoint_id)
+        report = asyncio.create_task(
+            self._source.report_leaving(endpoint_id, ttl_s)
+        )
+        self._reports.add(report)
+        report.add_done_callback(self._reports.discard)
+
+    def _unready_reason(self) -> str:
+        if self._gate.draining:
+            return "draining"
+        return "" if self._world.snapshot.revision else "no settings yet"
+
+    def _status(self) -> dict[str, Any]:
+        return {
+            "incarnation": str(self._incarnation),
+            "revision": self._world.snapshot.revision,
+            "requests": len(self._gate.tasks),
+            "pending_cancels": self._canceller.pending,
+            "draining": self._gate.draining,
+        }
+
+    async def _drain(self) -> None:
+        """Leaves without cutting a request.
+
+        The balancer goes on sending connections until it has seen that the
+        process isn't ready; closing the port before would refuse them.
+        """
+        self._gate.draining = True
+        await asyncio.sleep(self._environment.drain_notice_s)
+        self._public_server.stop()
+        await self._gate.wait_until_empty()
+        await self._canceller.settle(_CANCELS_SETTLE_S)
+        await self._asker.hand_back()
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -1,9 +1,9 @@
 """Errors of the entry process, as callers see them."""
 
 import enum
+import http
 import json
 import math
-from http import HTTPStatus
 
 from cowsliprill import errors
 from cowsliprill.decisions import messages
@@ -41,30 +41,30 @@
     INTERNAL = "internal_error"
 
 
-METHOD_NOT_ALLOWED = HTTPStatus.METHOD_NOT_ALLOWED
+METHOD_NOT_ALLOWED = http.HTTPStatus.METHOD_NOT_ALLOWED
 
 _STATUS_BY_CODE = {
-    Code.INVALID_JSON: HTTPStatus.BAD_REQUEST,
-    Code.INVALID_REQUEST: HTTPStatus.BAD_REQUEST,
-    Code.INVALID_HEADER: HTTPStatus.BAD_REQUEST,
-    Code.PROMPT_TOO_LARGE: HTTPStatus.BAD_REQUEST,
-    Code.OUTPUT_TOO_LARGE: HTTPStatus.BAD_REQUEST,
-    Code.BODY_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    Code.HEADERS_TOO_LARGE: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-    Code.INVALID_API_KEY: HTTPStatus.UNAUTHORIZED,
-    Code.SERVICE_NOT_FOUND: HTTPStatus.NOT_FOUND,
-    Code.PATH_NOT_FOUND: HTTPStatus.NOT_FOUND,
-    Code.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
-    Code.IN_PROGRESS: HTTPStatus.CONFLICT,
-    Code.KEY_REUSED: HTTPStatus.UNPROCESSABLE_ENTITY,
-    Code.ANSWER_NOT_STORED: HTTPStatus.CONFLICT,
-    Code.TICKET_INVALID: HTTPStatus.BAD_REQUEST,
-    Code.TICKET_EXPIRED: HTTPStatus.GONE,
-    Code.TICKET_OWNER_GONE: HTTPStatus.GONE,
-    Code.INTERNAL: HTTPStatus.INTERNAL_SERVER_ERROR,
-    Code.ENDPOINT_FAILED: HTTPStatus.BAD_GATEWAY,
-    Code.STREAM_BROKEN: HTTPStatus.BAD_GATEWAY,
-    Code.TIMEOUT: HTTPStatus.GATEWAY_TIMEOUT,
+    Code.INVALID_JSON: http.HTTPStatus.BAD_REQUEST,
+    Code.INVALID_REQUEST: http.HTTPStatus.BAD_REQUEST,
+    Code.INVALID_HEADER: http.HTTPStatus.BAD_REQUEST,
+    Code.PROMPT_TOO_LARGE: http.HTTPStatus.BAD_REQUEST,
+    Code.OUTPUT_TOO_LARGE: http.HTTPStatus.BAD_REQUEST,
+    Code.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Code.HEADERS_TOO_LARGE: http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Code.INVALID_API_KEY: http.HTTPStatus.UNAUTHORIZED,
+    Code.SERVICE_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
+    Code.PATH_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
+    Code.METHOD_NOT_ALLOWED: http.HTTPStatus.METHOD_NOT_ALLOWED,
+    Code.IN_PROGRESS: http.HTTPStatus.CONFLICT,
+    Code.KEY_REUSED: http.HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.ANSWER_NOT_STORED: http.HTTPStatus.CONFLICT,
+    Code.TICKET_INVALID: http.HTTPStatus.BAD_REQUEST,
+    Code.TICKET_EXPIRED: http.HTTPStatus.GONE,
+    Code.TICKET_OWNER_GONE: http.HTTPStatus.GONE,
+    Code.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
+    Code.ENDPOINT_FAILED: http.HTTPStatus.BAD_GATEWAY,
+    Code.STREAM_BROKEN: http.HTTPStatus.BAD_GATEWAY,
+    Code.TIMEOUT: http.HTTPStatus.GATEWAY_TIMEOUT,
 }
 
 
@@ -94,7 +94,7 @@
         super().__init__(message, code=code.value)
         self.status = _STATUS_BY_CODE.get(
             Code(code.value) if code.value in _CODES else None,
-            HTTPStatus.SERVICE_UNAVAILABLE,
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
         )
         self.run = run
         self.retry_after_s = retry_after_s
@@ -117,7 +117,7 @@
             # The header holds whole seconds; rounding down would bring the
             # caller back before there is room.
             headers["Retry-After"] = str(math.ceil(self.retry_after_s))
-        if self.status == HTTPStatus.UNAUTHORIZED:
+        if self.status == http.HTTPStatus.UNAUTHORIZED:
             headers["WWW-Authenticate"] = "Bearer"
         return headers
 
--- a/src/cowsliprill/entry/filters/identify.py
+++ b/src/cowsliprill/entry/filters/identify.py
@@ -11,7 +11,9 @@
 _SCHEME = "bearer "
 
 
-def user_of(headers: httputil.HTTPHeaders, snapshot: model.Snapshot) -> model.User:
+def user_of(
+    headers: httputil.HTTPHeaders, snapshot: model.Snapshot
+) -> model.User:
     """Finds the user of the API key in a request's headers.
 
     The settings hold only SHA-256 digests of keys, so who reads them can't
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -93,9 +93,7 @@
         except attempts.AttemptLost as lost:
             self._report_lost(ctx, lost)
             return False
-        self.scheduling.post(
-            messages.Finished(ctx.number, ctx.progress.tokens)
-        )
+        self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
         return True
 
     def _report_lost(
@@ -134,9 +132,9 @@
         request_id=ctx.number,
         service=ctx.service,
         user=ctx.user.id,
-        prompt_tokens=generation.prompt.tokens,
+        prompt_tokens=generation.prompt_tokens,
         output_tokens=generation.output_tokens,
-        prefix_hashes=generation.prompt.block_hashes,
+        prefix_hashes=generation.prefix_hashes,
         priority=ctx.priority,
         deadline=ctx.deadline,
     )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -93,7 +93,9 @@
             raise _refusal(ctx, messages.RefusalCode.OVERLOADED)
         return min(free, key=self._cost)
 
-    def _cost(self, endpoint: model.Endpoint) -> tuple[bool, float, bool, float]:
+    def _cost(
+        self, endpoint: model.Endpoint
+    ) -> tuple[bool, float, bool, float]:
         avoid_until = self._avoid_until_by_endpoint.get(endpoint.id, 0.0)
         return (
             avoid_until > clock.now(),
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -99,9 +99,7 @@
     )
 
 
-async def _answer_error(
-    ctx: context.Context, error: errors.EntryError
-) -> None:
+async def _answer_error(ctx: context.Context, error: errors.EntryError) -> None:
     try:
         if not ctx.reply.started:
             await reply_lib.send(
--- a/src/cowsliprill/entry/filters/resolve.py
+++ b/src/cowsliprill/entry/filters/resolve.py
@@ -1,7 +1,9 @@
 """Which service is called, and whether the request is within its limits."""
 
+from typing import Any
+
 from cowsliprill.decisions import model
-from cowsliprill.decisions import prefix
+from cowsliprill.engines import prefix
 from cowsliprill.engines import protocol
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
@@ -9,6 +11,10 @@
 
 SERVICES_PATH = "/services/"
 
+# Hashes of 256 blocks of 16 tokens. More would seldom change the choice of an
+# engine, and those of a long prompt would take more memory than the prompt.
+_HASHED_CHARACTERS = 16_384
+
 _KIND_BY_PATH: dict[str, type[schema.GenerationRequest]] = {
     protocol.COMPLETIONS_PATH: schema.CompletionRequest,
     protocol.CHAT_PATH: schema.ChatRequest,
@@ -128,16 +134,18 @@
 def _generation(
     ctx: context.Context,
     request: schema.GenerationRequest,
-    fields: dict,
+    fields: dict[str, Any],
     service: model.Service,
 ) -> context.Generation:
-    prompt = prefix.describe(request.prompt_text(), ctx.user.id)
-    if prompt.tokens > service.max_prompt_tokens:
+    text = prefix.prompt_text(fields)
+    prompt_tokens = prefix.count_tokens(text)
+    if prompt_tokens > service.max_prompt_tokens:
         raise errors.EntryError(
             errors.Code.PROMPT_TOO_LARGE,
-            f"The prompt has about {prompt.tokens} tokens, over"
+            f"The prompt has about {prompt_tokens} tokens, over"
             f" {service.max_prompt_tokens}.",
         )
+    salt = ctx.user.id
     output_tokens = request.output_limit or service.max_output_tokens
     if output_tokens > service.max_output_tokens:
         raise errors.EntryError(
@@ -148,6 +156,9 @@
         request=request,
         fields=fields,
         path=ctx.call.path,
-        prompt=prompt,
+        prompt_tokens=prompt_tokens,
+        # Rival firms that send the same prompt share no block: a firm could
+        # else tell by its time to first token what a rival has asked.
+        prefix_hashes=prefix.block_hashes(text[:_HASHED_CHARACTERS], salt),
         output_tokens=output_tokens,
     )
--- a/src/cowsliprill/entry/forward.py
+++ b/src/cowsliprill/entry/forward.py
@@ -1,7 +1,7 @@
 """Passing a request on to the process that owns its ticket."""
 
 import dataclasses
-from http import HTTPStatus
+import http
 
 from tornado import httputil
 
@@ -11,6 +11,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import errors as engine_errors
+from cowsliprill.engines import exchange
 from cowsliprill.engines import http_client
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
@@ -99,7 +100,7 @@
     return headers
 
 
-async def _relay(ctx: context.Context, response: http_client.Response) -> None:
+async def _relay(ctx: context.Context, response: exchange.Response) -> None:
     headers = hop_headers.end_to_end(response.headers)
     if "Content-Length" in response.headers:
         headers["Content-Length"] = response.headers["Content-Length"]
@@ -107,7 +108,7 @@
     async for chunk in response.chunks():
         await ctx.reply.write(chunk)
     await ctx.reply.end()
-    ok = response.status < HTTPStatus.BAD_REQUEST
+    ok = response.status < http.HTTPStatus.BAD_REQUEST
     ctx.progress.outcome = "forwarded" if ok else "forwarded_error"
 
 
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -32,9 +32,7 @@
         "OPTIONS",
     )
 
-    def initialize(
-        self, gate: gate_lib.Gate, handle: context.Handle
-    ) -> None:
+    def initialize(self, gate: gate_lib.Gate, handle: context.Handle) -> None:
         """Keeps what the handler needs.
 
         Args:
@@ -65,9 +63,7 @@
     async def prepare(self) -> None:
         """Checks the sizes that are known before the body comes."""
         headers = self.request.headers
-        size = sum(
-            len(name) + len(value) for name, value in headers.get_all()
-        )
+        size = sum(len(name) + len(value) for name, value in headers.get_all())
         if size + len(self.request.uri or "") > gate_lib.MAX_HEADER_BYTES:
             self._fault = errors.EntryError(
                 errors.Code.HEADERS_TOO_LARGE,
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -11,6 +11,7 @@
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import errors as engine_errors
 from cowsliprill.engines import model as engine_model
+from cowsliprill.engines import prefix
 from cowsliprill.engines import protocol
 from cowsliprill.engines import token_stream
 from cowsliprill.entry import attempts
@@ -22,14 +23,18 @@
 from cowsliprill.entry import stream_resume
 from cowsliprill.entry import world as world_lib
 
+ReportLeaving = Callable[[str, float], None]
+
 _LEAVING_TTL_S = 60.0
 # A prefill that takes this much longer than its engine's speed tells has
 # stalled; waiting on would keep the promised decode slot idle.
 _PREFILL_PATIENCE = 4.0
 _PREFILL_GRACE_S = 2.0
-_TEMPORARY_REFUSALS = frozenset(
+_BUSY = frozenset(
     {protocol.CODE_FULL, protocol.CODE_DRAINING, protocol.CODE_EVICTED}
 )
+# No engine would take this request, so trying another wastes its time.
+_CODES_OF_CALLERS_FAULTS = frozenset({"bad_request", "invalid_request"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,7 +57,7 @@
     leases: leases_lib.Leases
     world: world_lib.World
     resumer: stream_resume.Resumer
-    report_leaving: Callable[[str, float], None]
+    report_leaving: ReportLeaving
 
     async def __call__(self, ctx: context.Context) -> None:
         """Runs the attempt of `ctx.start` and answers the caller.
@@ -63,9 +68,7 @@
         """
         start = ctx.start
         number, attempt = start.request_id, start.attempt
-        request_id = str(
-            identity.AttemptId(self.incarnation, number, attempt)
-        )
+        request_id = str(identity.AttemptId(self.incarnation, number, attempt))
         prefilled = await self._prefill(ctx, request_id)
         self.scheduling.post(messages.PrefillFinished(number))
         stream = await self._decode(ctx, request_id, prefilled)
@@ -188,7 +191,7 @@
         ctx: context.Context,
         endpoint: model.Endpoint,
         stage: messages.Stage,
-        report_leaving: Callable[[str, float], None],
+        report_leaving: ReportLeaving,
     ) -> None:
         self._ctx = ctx
         self._endpoint = endpoint
@@ -212,14 +215,17 @@
         refused = isinstance(error, engine_errors.EngineRefused)
         if refused and error.code == protocol.CODE_DRAINING:
             self._report_leaving(self._endpoint.id, _LEAVING_TTL_S)
-        if refused and error.code not in _TEMPORARY_REFUSALS:
+        if refused and error.code in _CODES_OF_CALLERS_FAULTS:
             raise errors.EntryError(
                 errors.Code.ENDPOINT_REFUSED,
                 f"The engine refused it: {error.message}",
                 run=self._ctx.progress.run,
             ) from error
         raise attempts.AttemptLost(
-            self._endpoint.id, self._stage, str(error), refused=refused
+            self._endpoint.id,
+            self._stage,
+            str(error),
+            refused=refused and error.code in _BUSY,
         ) from error
 
     def _take_back(self) -> None:
@@ -233,17 +239,18 @@
     fields = dict(generation.fields)
     fields.pop("max_completion_tokens", None)
     fields["model"] = ctx.service.model or ctx.service.name
+    fields["priority"] = ctx.priority
     fields["max_tokens"] = generation.output_tokens
     # Engines key their prefix caches by this as well, so that rivals who send
     # the same prompt don't share blocks. A caller's own salt is overridden.
-    fields["cache_salt"] = ctx.user.id
+    fields[prefix.SALT_FIELD] = ctx.user.id
     return fields
 
 
 def _prefill_timeout(ctx: context.Context, endpoint: model.Endpoint) -> float:
     if endpoint.prefill_tokens_per_s <= 0:
         return ctx.service.timeout_s
-    tokens = ctx.generation.prompt.tokens
+    tokens = ctx.generation.prompt_tokens
     expected_s = tokens / endpoint.prefill_tokens_per_s
     patience_s = _PREFILL_GRACE_S + _PREFILL_PATIENCE * expected_s
     return min(patience_s, ctx.service.timeout_s)
--- a/src/cowsliprill/entry/plain_relay.py
+++ b/src/cowsliprill/entry/plain_relay.py
@@ -38,9 +38,7 @@
             ctx.reply, answer.status, answer.headers.get_all(), answer.body
         )
 
-    async def _call(
-        self, ctx: context.Context
-    ) -> service_client.ServiceAnswer:
+    async def _call(self, ctx: context.Context) -> service_client.ServiceAnswer:
         progress = call_lib.Progress()
         # An attempt's number counts from 0.
         attempt = ctx.progress.attempts - 1
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -92,9 +92,7 @@
     )
 
 
-def public_application(
-    gate: gate_lib.Gate, parts: Parts
-) -> web.Application:
+def public_application(gate: gate_lib.Gate, parts: Parts) -> web.Application:
     """Returns what callers reach."""
     generate = generation(parts)
     chains_by_pattern = {
--- a/src/cowsliprill/entry/schema.py
+++ b/src/cowsliprill/entry/schema.py
@@ -46,10 +46,6 @@
         """The limit of the answer, None if the caller names none."""
         return self.max_completion_tokens or self.max_tokens
 
-    def prompt_text(self) -> bytes:
-        """Returns the text by which the prompt's size is estimated."""
-        raise NotImplementedError
-
 
 class CompletionRequest(GenerationRequest):
     """Body of `POST /v1/completions`.
@@ -60,14 +56,6 @@
 
     prompt: str | list[_TokenId]
 
-    def prompt_text(self) -> bytes:
-        """Returns the prompt's text; token ids have four bytes each."""
-        if isinstance(self.prompt, str):
-            return self.prompt.encode("utf-8", "surrogatepass")
-        return b"".join(
-            (token & 0xFFFFFFFF).to_bytes(4, "little") for token in self.prompt
-        )
-
 
 class ChatMessage(_Request):
     """One message of a conversation.
@@ -90,15 +78,6 @@
 
     messages: Annotated[list[ChatMessage], pydantic.Field(min_length=1)]
 
-    def prompt_text(self) -> bytes:
-        """Returns roles and contents, one after the other."""
-        parts = []
-        for message in self.messages:
-            content = message.content
-            text = content if isinstance(content, str) else json.dumps(content)
-            parts.append(f"{message.role}\n{text}\n")
-        return "".join(parts).encode("utf-8", "surrogatepass")
-
 
 class TicketRequest(_Request):
     """Body of `POST /v1/tickets`.
--- a/src/cowsliprill/entry/slot_asker.py
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -22,6 +22,7 @@
 from cowsliprill.entry import scheduling as scheduling_lib
 from cowsliprill.entry import world as world_lib
 from cowsliprill.observability import log as log_lib
+from cowsliprill.observability import metrics as metrics_lib
 
 # How long a home may hold back its answer while it has nothing to grant.
 _WAIT_S = 0.5
@@ -53,6 +54,7 @@
       scheduling: The scheduler's task: takes grants, tells the standing.
       leases: Where ends of leases are kept.
       world: The VM list in force.
+      metrics: The process's metrics.
       log: The process's log.
     """
 
@@ -63,6 +65,7 @@
         scheduling: scheduling_lib.Scheduling,
         leases: leases_lib.Leases,
         world: world_lib.World,
+        metrics: metrics_lib.Metrics,
         log: log_lib.Log,
     ) -> None:
         self._entry = str(incarnation)
@@ -70,6 +73,7 @@
         self._scheduling = scheduling
         self._leases = leases
         self._world = world
+        self._metrics = metrics
         self._log = log
         self._homes_by_vm: dict[str, _Home] = {}
 
@@ -91,9 +95,7 @@
                 for endpoint_id in self._leases.endpoint_ids()
             ]
         )
-        calls = [
-            self._call(vm, asks, 0.0) for vm, asks in asks_by_vm.values()
-        ]
+        calls = [self._call(vm, asks, 0.0) for vm, asks in asks_by_vm.values()]
         await asyncio.gather(*calls, return_exceptions=True)
 
     def _notify(self, endpoint_id: str) -> None:
@@ -161,6 +163,9 @@
     async def _call(
         self, vm: model.Vm, asks: list[messages.SlotAsk], wait_s: float
     ) -> slot_messages.SlotsAnswer:
+        for ask in asks:
+            labels = {"endpoint": ask.endpoint_id, "state": "in_use"}
+            self._metrics.slots.set(labels, ask.in_use)
         request = slot_messages.SlotsRequest(
             entry=self._entry, asks=tuple(asks), wait_s=wait_s
         )
@@ -197,6 +202,8 @@
             prefix_hashes=wire.prefix_hashes,
         )
         self._leases.grant(grant)
+        labels = {"endpoint": wire.endpoint_id, "state": "granted"}
+        self._metrics.slots.set(labels, wire.slots)
         self._scheduling.post(grant)
 
     def _take(self, home: _Home, answer: slot_messages.SlotsAnswer) -> None:
--- a/src/cowsliprill/entry/world.py
+++ b/src/cowsliprill/entry/world.py
@@ -1,11 +1,34 @@
 """The settings and the VM list in force, as this process knows them."""
 
 import dataclasses
+from collections.abc import Callable
+from typing import Protocol
 
 from cowsliprill.decisions import model
 from cowsliprill.decisions import ownership
 
 
+class Source(Protocol):
+    """Where settings and VM list come from: `settings.follower.Follower`.
+
+    Attributes:
+      snapshot: The settings in force.
+      fleet: The VM list with news.
+    """
+
+    snapshot: model.Snapshot
+    fleet: model.Fleet
+
+    async def run(self) -> None:
+        """Follows for ever."""
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Has a function called after each change."""
+
+    async def report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
+        """Tells all VMs that an endpoint is leaving."""
+
+
 @dataclasses.dataclass(slots=True)
 class World:
     """What the process's tasks read; only the follower's callback writes it.
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -35,6 +35,8 @@
       platform_url: URL of the platform, settings process only.
       vm_list_url: URL of the VM list, settings process only.
       boot_peers: URLs of settings processes to ask before the list is known.
+      drain_notice_s: How long the balancer may need to see that a process
+        isn't ready; it serves on for this long before it takes no more.
       seed: Seed of the process's random numbers; None draws one.
     """
 
@@ -50,6 +52,7 @@
     platform_url: str = ""
     vm_list_url: str = ""
     boot_peers: tuple[str, ...] = ()
+    drain_notice_s: float = pydantic.Field(default=5.0, ge=0.0, le=600.0)
     seed: int | None = None
 
 
--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -131,11 +131,15 @@
         self._servers.append(server)
         return server
 
+    def stop(self) -> None:
+        """Begins to drain, as the first SIGTERM does."""
+        self._stopping.set()
+
     async def run_until_stopped(self) -> None:
         """Announces the port, waits for a signal, drains and stops."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stopping.set)
+            loop.add_signal_handler(number, self.stop)
         self.log.event("started", port=self.port, public_port=self.public_port)
         await self._stopping.wait()
         self.log.event("draining")
--- /dev/null
+++ b/tests/entry_site.py
@@ -0,0 +1,398 @@
+"""An entry with stand-ins round it, all in one event loop, for tests."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import io
+import json
+from typing import Any
+
+from tornado import web
+
+from cowsliprill import clock
+from cowsliprill import codec
+from cowsliprill import environment as environment_lib
+from cowsliprill import peers
+from cowsliprill.decisions import model
+from cowsliprill.decisions import slots
+from cowsliprill.dispatch import messages as slot_messages
+from cowsliprill.engines import errors
+from cowsliprill.engines import exchange
+from cowsliprill.engines import http_client
+from cowsliprill.entry import core
+from cowsliprill.observability import log as log_lib
+from cowsliprill.standins import engine as engine_lib
+from cowsliprill.standins import engine_handlers
+from cowsliprill.standins import service as service_lib
+from cowsliprill.standins import shell
+
+HOST = "127.0.0.1"
+KEYS = {
+    "umurongo/amahoro": "key-amahoro",
+    "umurongo/inkomoko": "key-inkomoko",
+    "zarqa": "key-zarqa",
+}
+
+
+class Source:
+    """Settings and VM list that a test sets itself."""
+
+    def __init__(self) -> None:
+        self.snapshot = model.Snapshot()
+        self.fleet = model.Fleet()
+        self.left: list[str] = []
+        self._callbacks = []
+
+    def subscribe(self, callback) -> None:
+        self._callbacks.append(callback)
+
+    def set(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
+        self.snapshot, self.fleet = snapshot, fleet
+        for callback in self._callbacks:
+            callback()
+
+    async def run(self) -> None:
+        await asyncio.Event().wait()
+
+    async def report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
+        self.left.append(endpoint_id)
+
+
+class SlotsHandler(web.RequestHandler):
+    """A home that grants by the ledger, without waiting."""
+
+    def initialize(self, home) -> None:
+        self.home = home
+
+    def post(self) -> None:
+        request = codec.decode(slot_messages.SlotsRequest, self.request.body)
+        self.home.asked.append(request)
+        self.write(codec.encode(self.home.answer(request)))
+
+
+class CancelsHandler(web.RequestHandler):
+    """Takes cancel orders over from an entry that leaves."""
+
+    def initialize(self, home) -> None:
+        self.home = home
+
+    def post(self) -> None:
+        request = codec.decode(slot_messages.CancelsRequest, self.request.body)
+        self.home.cancels.extend(request.cancels)
+        self.write({})
+
+
+class Home:
+    """The home of all endpoints."""
+
+    def __init__(self) -> None:
+        self.ledgers: dict[str, slots.SlotLedger] = {}
+        self.asked: list[slot_messages.SlotsRequest] = []
+        self.cancels: list[slot_messages.CancelOrder] = []
+        own = {"home": self}
+        self.server = shell.Server(
+            [
+                (peers.SLOTS_PATH, SlotsHandler, own),
+                (peers.CANCELS_PATH, CancelsHandler, own),
+            ],
+            HOST,
+            0,
+        )
+
+    def answer(
+        self, request: slot_messages.SlotsRequest
+    ) -> slot_messages.SlotsAnswer:
+        now = clock.now()
+        grants = []
+        for ask in request.asks:
+            ledger = self.ledgers[ask.endpoint_id]
+            grant = ledger.ask(request.entry, ask, now)
+            grants.append(
+                slot_messages.WireGrant(
+                    endpoint_id=grant.endpoint_id,
+                    slots=grant.slots,
+                    expires_in_s=grant.expires_at - now,
+                    waiting=grant.waiting,
+                )
+            )
+        return slot_messages.SlotsAnswer(grants=tuple(grants))
+
+
+@dataclasses.dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: Any
+    body: bytes
+
+    def json(self) -> Any:
+        return json.loads(self.body)
+
+
+class Site:
+    """An entry or two, a home, four engines and two plain services."""
+
+    def __init__(self) -> None:
+        self.home = Home()
+        self.engines: dict[str, engine_lib.Engine] = {}
+        self.services: dict[str, service_lib.Service] = {}
+        self.endpoints: dict[str, model.Endpoint] = {}
+        self.entries: list[core.Entry] = []
+        self.tasks: list[asyncio.Task] = []
+        self.sources: list[Source] = []
+        self.logs: list[io.StringIO] = []
+        self.http = http_client.HttpClient()
+        self._stack = contextlib.AsyncExitStack()
+
+    def add_engine(self, endpoint_id: str, kind: str, slots_: int) -> None:
+        engine = engine_lib.Engine(
+            engine_lib.EngineCommand(
+                id=endpoint_id,
+                role=kind,
+                slots=slots_,
+                seconds_per_token=0.002,
+                link_bytes_per_s=1e9,
+            )
+        )
+        server = shell.Server(engine_handlers.routes(engine), HOST, 0)
+        engine.start()
+        self._stack.push_async_callback(server.stop)
+        self._stack.push_async_callback(engine.stop)
+        self.engines[endpoint_id] = engine
+        self._add_endpoint(endpoint_id, kind, "engines", server.port, slots_)
+
+    def add_service(
+        self, endpoint_id: str, pool: str, *, checks: bool = False
+    ) -> None:
+        service = service_lib.Service(
+            service_lib.ServiceCommand(
+                id=endpoint_id, checks_idempotency_keys=checks
+            )
+        )
+        server = shell.Server(service.routes(), HOST, 0)
+        self._stack.push_async_callback(server.stop)
+        self.services[endpoint_id] = service
+        self._add_endpoint(endpoint_id, "plain", pool, server.port, 8, checks)
+
+    def _add_endpoint(
+        self, endpoint_id, kind, pool, port, slots_, checks=False
+    ) -> None:
+        self.endpoints[endpoint_id] = model.Endpoint(
+            id=endpoint_id,
+            kind=model.EndpointKind(kind),
+            host=HOST,
+            port=port,
+            availability_zone="gasabo",
+            pool=pool,
+            slots=slots_,
+            checks_idempotency_keys=checks,
+        )
+        self.home.ledgers[endpoint_id] = slots.SlotLedger(endpoint_id, slots_)
+
+    def snapshot(self, revision: int = 1, **changes: Any) -> model.Snapshot:
+        firm = {"kind": model.ServiceKind.MODEL, "pool": "engines"}
+        plain = {
+            "kind": model.ServiceKind.PLAIN,
+            "methods": ("GET", "POST"),
+            "timeout_s": 5.0,
+        }
+        booking = {**plain, "idempotency": model.Idempotency.UNREPEATABLE}
+        services = [
+            model.Service(
+                id="umurongo/brief",
+                user="umurongo",
+                name="brief",
+                model="standin",
+                **firm,
+                **changes,
+            ),
+            model.Service(
+                id="zarqa/summary", user="zarqa", name="summary", **firm
+            ),
+            model.Service(
+                id="umurongo/booking",
+                user="umurongo",
+                name="booking",
+                pool="desk",
+                **booking,
+            ),
+            model.Service(
+                id="umurongo/safe-booking",
+                user="umurongo",
+                name="safe-booking",
+                pool="safe",
+                **booking,
+            ),
+            model.Service(
+                id="umurongo/lookup",
+                user="umurongo",
+                name="lookup",
+                pool="desk",
+                **plain,
+            ),
+        ]
+        users = [
+            model.User(
+                id=name,
+                parent=name.partition("/")[0] if "/" in name else "",
+                key_hashes=frozenset(
+                    {hashlib.sha256(key.encode()).hexdigest()}
+                ),
+            )
+            for name, key in KEYS.items()
+        ]
+        users.append(model.User(id="umurongo"))
+        return model.Snapshot(
+            revision=revision,
+            users_by_id={user.id: user for user in users},
+            users_by_key_hash={
+                digest: user for user in users for digest in user.key_hashes
+            },
+            services_by_id={service.id: service for service in services},
+            endpoints_by_id=self.endpoints,
+        )
+
+    def fleet(self) -> model.Fleet:
+        return model.Fleet(
+            version=1,
+            vms_by_id={
+                "vm-0": model.Vm(
+                    id="vm-0",
+                    host=HOST,
+                    availability_zone="gasabo",
+                    role=model.VmRole.ENTRY,
+                    dispatch_port=self.home.server.port,
+                    entry_ports=tuple(
+                        entry.shell.port for entry in self.entries
+                    ),
+                )
+            },
+        )
+
+    def add_entry(self) -> core.Entry:
+        number = len(self.entries)
+        environment = environment_lib.Environment(
+            vm="vm-0",
+            availability_zone="gasabo",
+            process=f"e{number}",
+            drain_notice_s=0.0,
+            seed=number,
+        )
+        stream = io.StringIO()
+        source = Source()
+        log = log_lib.open_log(f"entry.{number}", stream)
+        entry = core.Entry(environment, log, source)
+        self.entries.append(entry)
+        self.sources.append(source)
+        self.logs.append(stream)
+        self.tasks.append(asyncio.create_task(entry.run()))
+        return entry
+
+    def publish(self, snapshot: model.Snapshot | None = None) -> None:
+        for source in self.sources:
+            source.set(snapshot or self.snapshot(), self.fleet())
+
+    async def start(self, entries: int = 1) -> None:
+        for name in ("prefill-0", "prefill-1"):
+            self.add_engine(name, "prefill", 4)
+        for name in ("decode-0", "decode-1"):
+            self.add_engine(name, "decode", 4)
+        self.add_service("desk-0", "desk")
+        self.add_service("desk-1", "desk")
+        self.add_service("safe-0", "safe", checks=True)
+        for _ in range(entries):
+            self.add_entry()
+        await asyncio.sleep(0)
+        self.publish()
+
+    async def stop(self) -> None:
+        for entry in self.entries:
+            entry.shell.stop()
+        await asyncio.wait_for(asyncio.gather(*self.tasks), 20)
+        await self._stack.aclose()
+        await self.home.server.stop()
+        self.http.close()
+
+    def url_port(self, entry: int = 0) -> int:
+        return self.entries[entry].shell.public_port
+
+    async def open(
+        self,
+        method: str,
+        path: str,
+        body: Any = b"",
+        headers: dict[str, str] | None = None,
+        *,
+        user: str = "umurongo/amahoro",
+        entry: int = 0,
+    ) -> exchange.Response:
+        """Sends a call and leaves its answer open."""
+        if not isinstance(body, bytes):
+            body = json.dumps(body).encode()
+        key = {"Authorization": f"Bearer {KEYS[user]}"} if user else {}
+        return await self.http.call(
+            HOST,
+            self.url_port(entry),
+            method,
+            path,
+            {**key, **(headers or {})},
+            body,
+            fresh=True,
+        )
+
+    async def call(self, *arguments: Any, **named: Any) -> Answer:
+        """Sends a call and reads its whole answer."""
+        response = await self.open(*arguments, **named)
+        body = await response.read(1 << 24)
+        return Answer(response.status, response.headers, body)
+
+    async def until_free(self) -> None:
+        """Waits until no engine holds anything; fails after ten seconds."""
+        async with asyncio.timeout(10):
+            while any(
+                engine.memory.held_requests()
+                for engine in self.engines.values()
+            ):
+                await asyncio.sleep(0.005)
+
+    async def until_held(self, endpoint_kind: str, stage: str) -> None:
+        """Waits until an engine holds a request in a stage."""
+        async with asyncio.timeout(10):
+            while not any(
+                request.stage == stage
+                for name, engine in self.engines.items()
+                if name.startswith(endpoint_kind)
+                for request in engine.memory.held_requests()
+            ):
+                await asyncio.sleep(0.001)
+
+
+async def read_broken(response: exchange.Response) -> tuple[bytes, bool]:
+    """Reads an answer; returns its bytes and whether it ended cleanly."""
+    parts = []
+    try:
+        async for chunk in response.chunks():
+            parts.append(chunk)
+    except errors.CallError:
+        return b"".join(parts), False
+    return b"".join(parts), True
+
+
+@contextlib.asynccontextmanager
+async def running(entries: int = 1, **changes: Any):
+    """Runs a site for one test.
+
+    Args:
+      entries: Entry processes.
+      **changes: Fields of the service `brief`.
+    """
+    site = Site()
+    await site.start(entries)
+    if changes:
+        site.publish(site.snapshot(2, **changes))
+    try:
+        yield site
+    finally:
+        await site.stop()
