--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -6,6 +6,7 @@
 import hashlib
 import io
 import json
+from collections.abc import Callable
 from typing import Any
 
 from tornado import web
@@ -350,23 +351,30 @@
 
     async def until_free(self) -> None:
         """Waits until no engine holds anything; fails after ten seconds."""
-        async with asyncio.timeout(10):
-            while any(
+        await until(
+            lambda: not any(
                 engine.memory.held_requests()
                 for engine in self.engines.values()
-            ):
-                await asyncio.sleep(0.005)
+            )
+        )
 
-    async def until_held(self, endpoint_kind: str, stage: str) -> None:
-        """Waits until an engine holds a request in a stage."""
-        async with asyncio.timeout(10):
-            while not any(
+    async def until_held(self, kind: str, stage: str) -> None:
+        """Waits until an engine of a kind holds a request in a stage."""
+        await until(
+            lambda: any(
                 request.stage == stage
                 for name, engine in self.engines.items()
-                if name.startswith(endpoint_kind)
+                if name.startswith(kind)
                 for request in engine.memory.held_requests()
-            ):
-                await asyncio.sleep(0.001)
+            )
+        )
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Waits for a condition of a stand-in; fails after ten seconds."""
+    async with asyncio.timeout(10):
+        while not condition():  # noqa: ASYNC110 stand-ins tell no events
+            await asyncio.sleep(0.002)
 
 
 async def read_broken(response: exchange.Response) -> tuple[bytes, bool]:
