Add the local fleet and the demonstration; log changes of readiness

Ruled out: fixed ports (two runs on one machine collide) and polling /readyz (a log event is waited on instead). Before: no way to start the whole.

--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -175,7 +175,7 @@
     """A user or one of its child users (a firm of a consortium).
 
     Attributes:
-      id: Path from the root, for example `umurongo/inkomoko`.
+      id: Path from the root, for example `umurongo/firm-1`.
       parent: Id of the parent user, empty at the top.
       key_hashes: Hex SHA-256 digests of its API keys.
       share: Weight in the fair sharing of slots.
--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -17,6 +17,10 @@
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 
+# How soon a change of readiness is logged; the handler itself always tells
+# the present state.
+_READINESS_CHECK_S = 0.05
+
 
 class _HealthHandler(web.RequestHandler):
     def get(self) -> None:
@@ -141,13 +145,26 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
         self.log.event("started", port=self.port, public_port=self.public_port)
+        readiness = asyncio.create_task(self._log_readiness())
         await self._stopping.wait()
         self.log.event("draining")
         await self.drain()
+        readiness.cancel()
         for server in self._servers:
             server.stop()
         self.log.event("stopped")
 
+    async def _log_readiness(self) -> None:
+        reason = None
+        while True:
+            now = self.unready_reason()
+            if now != reason and now:
+                self.log.event("unready", reason=now)
+            elif now != reason:
+                self.log.event("ready")
+            reason = now
+            await asyncio.sleep(_READINESS_CHECK_S)
+
 
 def _log_nothing(handler: web.RequestHandler) -> None:
     del handler
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -31,7 +31,7 @@
 HOST = "127.0.0.1"
 KEYS = {
     "umurongo/amahoro": "key-amahoro",
-    "umurongo/inkomoko": "key-inkomoko",
+    "umurongo/firm-1": "key-firm-1",
     "zarqa": "key-zarqa",
 }
 
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,222 @@
+"""The demonstration behind `make run` and `make up`.
+
+Starts the stand-ins and one VM's processes, sends a few requests of both
+users, prints what became of each, and stops everything.
+"""
+
+import dataclasses
+import json
+import pathlib
+import signal
+import sys
+import time
+from collections.abc import Callable
+
+from cowsliprill import errors
+from tools import child
+from tools import http_calls
+from tools import local_fleet
+
+_EXAMPLE = pathlib.Path("examples/both.json")
+_BRIEF_USER = "umurongo/firm-1"
+_SUMMARY_USER = "zarqa-lane"
+_CASE_FILE = "The client owes three lenders and has kept every receipt. " * 400
+_MANIFEST = "Bag 114, blue, from Aqaba to Petra, fragile, by noon. " * 300
+_TOKENS = 40
+_SHOWN = 60
+
+
+class DemoError(Exception):
+    """Raised when a request doesn't end as it should."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Site:
+    url: str
+
+    def headers(self, user: str, **more: str) -> dict[str, str]:
+        key = local_fleet.key_of(user)
+        return {"Authorization": f"Bearer {key}", **more}
+
+
+def _expect(answer: http_calls.Answer, status: int) -> None:
+    if answer.status != status:
+        raise DemoError(f"status {answer.status}: {answer.body.decode()}")
+
+
+def _text_of(events: list[bytes]) -> str:
+    texts = []
+    for event in events:
+        data = event.partition(b"data: ")[2]
+        if data.startswith(b"{"):
+            chunk = json.loads(data)
+            texts.extend(choice["text"] for choice in chunk["choices"])
+    return "".join(texts)
+
+
+def _long_brief(site: _Site) -> str:
+    body = {
+        "model": "brief",
+        "prompt": _CASE_FILE,
+        "max_tokens": _TOKENS,
+        "stream": True,
+    }
+    start = time.monotonic()
+    stream = http_calls.open_stream(
+        f"{site.url}/v1/completions", body, site.headers(_BRIEF_USER)
+    )
+    events = []
+    first_s = 0.0
+    for event in stream.events():
+        first_s = first_s or time.monotonic() - start
+        events.append(event)
+    if not events or not events[-1].endswith(b"data: [DONE]"):
+        raise DemoError(f"status {stream.status}, the stream has no end")
+    text = _text_of(events)[:_SHOWN]
+    return (
+        f"{len(_CASE_FILE):,} characters read, first token after "
+        f"{first_s * 1000:.0f} ms, whole answer streamed: {text!r}..."
+    )
+
+
+def _booking_and_retry(site: _Site) -> str:
+    headers = site.headers(_BRIEF_USER)
+    ticket = http_calls.call(
+        "POST", f"{site.url}/v1/tickets", {"service": "booking"}, headers
+    )
+    _expect(ticket, 200)
+    key = ticket.json()["ticket"]
+    headers["Idempotency-Key"] = key
+    slot = {"client": "C-17", "adviser": "A-3", "at": "2026-12-03T09:00"}
+    url = f"{site.url}/services/booking/appointments"
+    first = http_calls.call("POST", url, slot, headers)
+    _expect(first, 200)
+    again = http_calls.call("POST", url, slot, headers)
+    _expect(again, 200)
+    if again.headers.get("idempotent-replayed") != "true":
+        raise DemoError("the retry was not answered from the first run")
+    if again.body != first.body:
+        raise DemoError("the retry got another answer than the first")
+    return "booked once; the retry got the same answer, marked as replayed"
+
+
+def _lookup(site: _Site) -> str:
+    url = f"{site.url}/services/lookup/bags/114"
+    answer = http_calls.call("GET", url, None, site.headers(_SUMMARY_USER))
+    _expect(answer, 200)
+    return f"answered: {answer.body.decode()[:_SHOWN]}"
+
+
+def _summary(site: _Site) -> str:
+    body = {"model": "summary", "prompt": _MANIFEST, "max_tokens": _TOKENS}
+    answer = http_calls.call(
+        "POST",
+        f"{site.url}/v1/completions",
+        body,
+        site.headers(_SUMMARY_USER),
+    )
+    _expect(answer, 200)
+    usage = answer.json()["usage"]
+    text = answer.json()["choices"][0]["text"][:_SHOWN]
+    return f"{usage['completion_tokens']} tokens in one answer: {text!r}..."
+
+
+def _foreign_key(site: _Site) -> str:
+    body = {"model": "brief", "prompt": "hello", "max_tokens": 1}
+    answer = http_calls.call(
+        "POST",
+        f"{site.url}/v1/completions",
+        body,
+        site.headers(_SUMMARY_USER),
+    )
+    _expect(answer, 404)
+    error = answer.json()["error"]
+    return f"refused: {error['code']}, run: {error['run']}"
+
+
+_STEPS: tuple[tuple[str, Callable[[_Site], str]], ...] = (
+    ("Umurongo, a long brief", _long_brief),
+    ("Umurongo, a booking and its retry", _booking_and_retry),
+    ("Zarqa Lane, a lookup", _lookup),
+    ("Zarqa Lane, a summary", _summary),
+    ("Zarqa Lane, another user's service", _foreign_key),
+)
+
+
+def _send_requests(site: _Site) -> bool:
+    succeeded = True
+    for name, step in _STEPS:
+        try:
+            print(f"  ok      {name}: {step(site)}")
+        except (DemoError, OSError, KeyError) as error:
+            succeeded = False
+            print(f"  FAILED  {name}: {error}")
+    return succeeded
+
+
+def _start(fleet: local_fleet.LocalFleet) -> _Site:
+    print("starting the stand-ins and one VM's processes ...")
+    fleet.start()
+    count = len(fleet.children_by_name)
+    print(f"{count} processes run; callers' URL: {fleet.url()}")
+    return _Site(fleet.url())
+
+
+def _stop(fleet: local_fleet.LocalFleet) -> bool:
+    print("stopping ...")
+    codes = fleet.stop()
+    bad = {name: code for name, code in codes.items() if code}
+    if bad:
+        print(f"exit codes other than 0: {bad}")
+    else:
+        print(f"all {len(codes)} processes ended cleanly")
+    return not bad
+
+
+def _wait_for_interrupt(site: _Site, fleet: local_fleet.LocalFleet) -> None:
+    key = local_fleet.key_of(_BRIEF_USER)
+    print("send a request, for example:")
+    print(f"  curl -N {site.url}/v1/completions \\")
+    print(f"    -H 'Authorization: Bearer {key}' \\")
+    print(
+        '    -d \'{"model": "brief", "prompt": "Hello", "max_tokens": 20, '
+        '"stream": true}\''
+    )
+    for process in fleet.vms_by_id["vm-0"].ports_by_process:
+        print(f"{process}: {fleet.peer_url('vm-0', process)}/v1/status")
+    print("Ctrl-C stops everything.")
+    signals = {signal.SIGINT, signal.SIGTERM}
+    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+    signal.sigwait(signals)
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the demonstration.
+
+    Args:
+      arguments: `run` or `up`.
+
+    Returns:
+      The exit code.
+    """
+    if arguments not in (["run"], ["up"]):
+        print("usage: python -m tools.demo run|up")
+        return errors.ExitCode.USAGE
+    document = json.loads(_EXAMPLE.read_text(encoding="utf-8"))
+    try:
+        with local_fleet.LocalFleet(document) as fleet:
+            site = _start(fleet)
+            if arguments == ["up"]:
+                _wait_for_interrupt(site, fleet)
+                succeeded = True
+            else:
+                succeeded = _send_requests(site)
+            succeeded = _stop(fleet) and succeeded
+    except child.ChildError as error:
+        print(f"FAILED  {error}")
+        return errors.ExitCode.ERROR
+    return errors.ExitCode.OK if succeeded else errors.ExitCode.ERROR
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tools/local_fleet.py
@@ -0,0 +1,374 @@
+"""The whole product on one machine: stand-ins and VMs' processes.
+
+Used by the demonstration, the features and the benchmark. Ports are picked by
+the kernel and learnt from each process's log.
+"""
+
+import copy
+import dataclasses
+import hashlib
+import json
+import pathlib
+import signal
+import tempfile
+from typing import Any
+
+from tools import child
+from tools import http_calls
+
+HOST = "127.0.0.1"
+_PEER_SECRET = "local-fleet"
+_ENGINE_FLAGS = (
+    "slots",
+    "prefill_tokens_per_s",
+    "seconds_per_token",
+    "export_ttl_s",
+    "link_bytes_per_s",
+    "kv_bytes_per_token",
+)
+_PLAIN = "plain"
+
+
+@dataclasses.dataclass(slots=True)
+class LocalVm:
+    """A VM of the local fleet.
+
+    Attributes:
+      id: Its id.
+      availability_zone: Where it is said to be.
+      state: `live` or `leaving`, as the VM list will say.
+      ports_by_process: Peer ports by process name, e.g. `settings`, `e0`.
+      public_port: Port for callers.
+    """
+
+    id: str
+    availability_zone: str
+    state: str = "live"
+    ports_by_process: dict[str, int] = dataclasses.field(default_factory=dict)
+    public_port: int = 0
+
+
+def key_of(user: str) -> str:
+    """Returns the API key that a local fleet gives a user."""
+    return f"key-{user.replace('/', '-')}"
+
+
+def _set_keys(users: dict[str, Any], parent: str = "") -> None:
+    for name, user in users.items():
+        path = f"{parent}/{name}" if parent else name
+        digest = hashlib.sha256(key_of(path).encode()).hexdigest()
+        user["key_hashes"] = [digest]
+        _set_keys(user.get("users", {}), path)
+
+
+class LocalFleet:
+    """Starts, disturbs and ends processes of one local fleet.
+
+    A context manager; on exit it kills what it has started.
+
+    Args:
+      document: Settings, as in examples/; hosts, ports and keys are replaced.
+      entries: Entry processes a VM.
+      drain_notice_s: How long a draining entry still takes connections.
+
+    Attributes:
+      document: The settings last published.
+      vms_by_id: The VMs.
+      children_by_name: The processes: `platform`, an endpoint's id, or
+        `<vm>.<process>`.
+    """
+
+    def __init__(
+        self,
+        document: dict[str, Any],
+        *,
+        entries: int = 1,
+        drain_notice_s: float = 0.0,
+    ) -> None:
+        self.document = copy.deepcopy(document)
+        self.vms_by_id: dict[str, LocalVm] = {}
+        self.children_by_name: dict[str, child.Child] = {}
+        self._entries = entries
+        self._drain_notice_s = drain_notice_s
+        self._folder = tempfile.TemporaryDirectory()
+        self._platform_port = 0
+
+    def __enter__(self) -> "LocalFleet":
+        return self
+
+    def __exit__(self, *unused: object) -> None:
+        for process in self.children_by_name.values():
+            process.end()
+        self._folder.cleanup()
+
+    # --- Starting ---------------------------------------------------------
+
+    def start(self, vms: int = 1) -> None:
+        """Starts stand-ins and VMs and waits until all are ready.
+
+        Args:
+          vms: How many entry VMs.
+        """
+        self.start_platform()
+        self.start_endpoints()
+        self.publish()
+        zones = self.availability_zones()
+        for number in range(vms):
+            self.start_vm(f"vm-{number}", zones[number % len(zones)])
+        self.publish_vms()
+        for vm_id in self.vms_by_id:
+            self.wait_until_ready(vm_id)
+
+    def start_platform(self) -> None:
+        """Starts the platform's stand-in."""
+        process = self._start(
+            "platform",
+            "cowsliprill.standins",
+            ["platform", "--port", str(self._platform_port)],
+        )
+        started = process.wait_for_event("started")
+        self._platform_port = int(started["port"])
+
+    def start_endpoints(self) -> None:
+        """Starts a stand-in for each endpoint and notes its address."""
+        for pool in self.document["pools"].values():
+            defaults = pool.get("endpoint_defaults", {})
+            for endpoint_id, endpoint in pool["endpoints"].items():
+                fields = {**defaults, **endpoint}
+                self._start_endpoint(endpoint_id, fields)
+        for pool in self.document["pools"].values():
+            for endpoint_id, endpoint in pool["endpoints"].items():
+                process = self.children_by_name[endpoint_id]
+                started = process.wait_for_event("started")
+                endpoint["host"] = HOST
+                endpoint["port"] = int(started["port"])
+        _set_keys(self.document["users"])
+
+    def _start_endpoint(self, endpoint_id: str, fields: dict[str, Any]) -> None:
+        arguments = ["--id", endpoint_id]
+        if fields["kind"] == _PLAIN:
+            if fields.get("checks_idempotency_keys"):
+                arguments.append("--checks-idempotency-keys")
+            kind = ["service"]
+        else:
+            kind = ["engine", "--role", fields["kind"]]
+            for flag in _ENGINE_FLAGS:
+                if flag in fields:
+                    name = "--" + flag.replace("_", "-")
+                    arguments += [name, str(fields[flag])]
+            if fields.get("checks_fencing"):
+                arguments.append("--checks-fencing")
+        self._start(endpoint_id, "cowsliprill.standins", kind + arguments)
+
+    def start_vm(self, vm_id: str, availability_zone: str) -> LocalVm:
+        """Starts a VM's processes; the VM list is not told.
+
+        Args:
+          vm_id: Id of the VM, may be one that was used before.
+          availability_zone: Where it is said to be.
+
+        Returns:
+          The VM.
+        """
+        vm = LocalVm(vm_id, availability_zone)
+        peers = [
+            f"http://{HOST}:{other.ports_by_process['settings']}"
+            for other in self.vms_by_id.values()
+        ]
+        self.vms_by_id[vm_id] = vm
+        platform = f"http://{HOST}:{self._platform_port}"
+        self.start_process(
+            vm,
+            "settings",
+            platform_url=platform,
+            vm_list_url=f"{platform}/v1/vms",
+            boot_peers=peers,
+        )
+        self.start_process(vm, "dispatch")
+        for number in range(self._entries):
+            self.start_process(vm, f"e{number}")
+        return vm
+
+    def start_process(self, vm: LocalVm, name: str, **more: Any) -> child.Child:
+        """Starts one process of a VM and waits for its ports.
+
+        Args:
+          vm: The VM.
+          name: `settings`, `dispatch`, or `e<number>`.
+          **more: Further fields of the process's file.
+
+        Returns:
+          The process.
+        """
+        fields = {
+            "vm": vm.id,
+            "availability_zone": vm.availability_zone,
+            "process": name,
+            "host": HOST,
+            "peer_secret": _PEER_SECRET,
+            "drain_notice_s": self._drain_notice_s,
+            **more,
+        }
+        if name != "settings":
+            port = vm.ports_by_process["settings"]
+            fields["settings_url"] = f"http://{HOST}:{port}"
+        kind = name
+        if name not in {"settings", "dispatch"}:
+            kind = "entry"
+            fields["public_port"] = vm.public_port
+        path = pathlib.Path(self._folder.name, f"{vm.id}.{name}.json")
+        path.write_text(json.dumps(fields), encoding="utf-8")
+        process = self._start(
+            f"{vm.id}.{name}", f"cowsliprill.{kind}", [str(path)]
+        )
+        started = process.wait_for_event("started")
+        vm.ports_by_process[name] = int(started["port"])
+        if kind == "entry":
+            vm.public_port = int(started["public_port"])
+        return process
+
+    def _start(
+        self, name: str, module: str, arguments: list[str]
+    ) -> child.Child:
+        earlier = self.children_by_name.get(name)
+        if earlier is not None:
+            earlier.end()
+        process = child.Child(name, module, arguments)
+        self.children_by_name[name] = process
+        return process
+
+    # --- Publishing -------------------------------------------------------
+
+    def publish(self, document: dict[str, Any] | None = None) -> None:
+        """Publishes settings through the platform's stand-in.
+
+        Args:
+          document: New settings; None publishes the present ones.
+        """
+        if document is not None:
+            self.document = document
+        self.platform("PUT", "/standin/document", self.document)
+
+    def publish_vms(self) -> None:
+        """Publishes the VM list, the endpoints' VMs included."""
+        vms = [self._listed(vm) for vm in self.vms_by_id.values()]
+        self.platform("PUT", "/standin/vms", vms)
+
+    def _listed(self, vm: LocalVm) -> dict[str, Any]:
+        ports = vm.ports_by_process
+        return {
+            "id": vm.id,
+            "host": HOST,
+            "availability_zone": vm.availability_zone,
+            "role": "entry",
+            "state": vm.state,
+            "settings_port": ports["settings"],
+            "dispatch_port": ports["dispatch"],
+            "entry_ports": [
+                port
+                for name, port in ports.items()
+                if name not in {"settings", "dispatch"}
+            ],
+        }
+
+    def platform(self, method: str, path: str, body: Any = None) -> Any:
+        """Calls the platform's stand-in.
+
+        Args:
+          method: HTTP method.
+          path: Path with query.
+          body: Sent as JSON.
+
+        Returns:
+          The answer's JSON, None if it has none.
+        """
+        url = f"http://{HOST}:{self._platform_port}{path}"
+        return self._json(http_calls.call(method, url, body))
+
+    def standin(
+        self, endpoint_id: str, method: str, path: str, body: Any = None
+    ) -> Any:
+        """Calls an endpoint's stand-in; arguments as for `platform`."""
+        url = f"{self.endpoint_url(endpoint_id)}{path}"
+        return self._json(http_calls.call(method, url, body))
+
+    def _json(self, answer: http_calls.Answer) -> Any:
+        if answer.status >= 300:
+            raise child.ChildError(f"{answer.status}: {answer.body!r}")
+        return answer.json() if answer.body else None
+
+    # --- Looking ----------------------------------------------------------
+
+    def availability_zones(self) -> list[str]:
+        """Lists the availability zones that the settings name."""
+        zones = []
+        for pool in self.document["pools"].values():
+            for endpoint in pool["endpoints"].values():
+                zone = endpoint["availability_zone"]
+                if zone not in zones:
+                    zones.append(zone)
+        return zones
+
+    def endpoint_url(self, endpoint_id: str) -> str:
+        """Returns the URL of an endpoint's stand-in."""
+        for pool in self.document["pools"].values():
+            if endpoint_id in pool["endpoints"]:
+                port = pool["endpoints"][endpoint_id]["port"]
+                return f"http://{HOST}:{port}"
+        raise child.ChildError(f"no endpoint {endpoint_id}")
+
+    def endpoint_ids(self, *kinds: str) -> list[str]:
+        """Lists the endpoints of some kinds."""
+        return [
+            endpoint_id
+            for pool in self.document["pools"].values()
+            for endpoint_id, endpoint in pool["endpoints"].items()
+            if endpoint.get("kind", pool.get("endpoint_defaults", {}).get("kind"))
+            in kinds
+        ]
+
+    def url(self, vm_id: str = "vm-0") -> str:
+        """Returns the URL that callers use on a VM."""
+        return f"http://{HOST}:{self.vms_by_id[vm_id].public_port}"
+
+    def peer_url(self, vm_id: str, process: str) -> str:
+        """Returns the URL of a process for peers and operators."""
+        port = self.vms_by_id[vm_id].ports_by_process[process]
+        return f"http://{HOST}:{port}"
+
+    def wait_until_ready(self, vm_id: str) -> None:
+        """Waits until all processes of a VM are ready."""
+        for name in self.vms_by_id[vm_id].ports_by_process:
+            self.children_by_name[f"{vm_id}.{name}"].wait_for_event("ready")
+
+    # --- Disturbing -------------------------------------------------------
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Sends a process a signal."""
+        self.children_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kills a process as a crash does, and reaps it."""
+        self.children_by_name[name].end()
+
+    def stop(self) -> dict[str, int]:
+        """Stops everything gracefully, callers' side first.
+
+        Returns:
+          Exit codes by process name.
+        """
+        names = [
+            f"{vm.id}.{name}"
+            for vm in self.vms_by_id.values()
+            for name in reversed(vm.ports_by_process)
+        ]
+        rest = [name for name in self.children_by_name if name not in names]
+        codes = {}
+        for name in names:
+            self.signal(name, signal.SIGTERM)
+            codes[name] = self.children_by_name[name].wait()
+        for name in rest:
+            self.signal(name, signal.SIGTERM)
+        for name in rest:
+            codes[name] = self.children_by_name[name].wait()
+        return codes
