--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -158,7 +158,7 @@
                     retry_after_s=_IDLE_WAKEUP_S,
                 )
             ]
-        self._budgets.earn(event.service)
+        self._budgets.of(event.service).earn()
         latest_start = pool.latest_start(event, now)
         request = _Request(event, latest_start, pool)
         self._requests_by_id[event.request_id] = request
@@ -303,7 +303,7 @@
             return messages.RefusalCode.ENDPOINT_FAILED
         if request.latest_start <= now:
             return messages.RefusalCode.ENDPOINT_FAILED
-        if not self._budgets.spend(service):
+        if not self._budgets.of(service).spend(request.attempt + 1):
             return messages.RefusalCode.RETRY_BUDGET_SPENT
         return None
 
