--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -70,6 +70,10 @@
             parts.append(chunk)
         return b"".join(parts)
 
+    def buffered(self) -> int:
+        """Counts the bytes that came in and weren't taken yet."""
+        return self._exchange.buffered
+
     def close(self) -> None:
         """Drops the connection at once, unless the body is already whole."""
         self._exchange.fail(errors.CallError("closed by this side"))
@@ -80,6 +84,12 @@
 
     A task reads the connection and hands over through `_chunks`; the consumer
     waits on `_arrival`, the reading task on `_room`.
+
+    Attributes:
+      status: HTTP status, 0 before it has come.
+      headers: HTTP headers.
+      whole: Whether the answer's body has come to its end.
+      buffered: Bytes that came in and weren't taken yet.
     """
 
     def __init__(self, stream: iostream.IOStream, method: str) -> None:
@@ -90,7 +100,7 @@
         self._loop = asyncio.get_running_loop()
         self._stream = stream
         self._chunks: collections.deque[bytes] = collections.deque()
-        self._buffered = 0
+        self.buffered = 0
         self._arrival: asyncio.Future[None] | None = None
         self._room: asyncio.Future[None] | None = None
         self._head: asyncio.Future[None] = self._loop.create_future()
@@ -119,12 +129,12 @@
         if self._error is not None:
             return None
         self._chunks.append(chunk)
-        self._buffered += len(chunk)
+        self.buffered += len(chunk)
         self._activity = self._loop.time()
         if self._arrival is not None:
             _wake(self._arrival)
             self._arrival = None
-        if self._buffered < _BUFFER_BYTES:
+        if self.buffered < _BUFFER_BYTES:
             return None
         self._room = self._loop.create_future()
         return self._room
@@ -161,8 +171,8 @@
             self._arrival = self._loop.create_future()
             await self._arrival
         chunk = self._chunks.popleft()
-        self._buffered -= len(chunk)
-        if self._room is not None and self._buffered < _BUFFER_BYTES:
+        self.buffered -= len(chunk)
+        if self._room is not None and self.buffered < _BUFFER_BYTES:
             _wake(self._room)
             self._room = None
         return chunk
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -8,11 +8,14 @@
 
 import asyncio
 import re
+import socket
 from collections.abc import Mapping
+from typing import Any
 
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
+from tornado import netutil
 from tornado import tcpclient
 
 from cowsliprill import clock
@@ -27,6 +30,7 @@
 _MAX_IDLE_PER_ENDPOINT = 64
 _IDLE_S = 30.0
 _TARGET = re.compile(r"[!-~]+")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 _TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 
 _PARAMETERS = http1connection.HTTP1ConnectionParameters(
@@ -37,6 +41,29 @@
 )
 
 
+class _NumericResolver(netutil.Resolver):
+    """Takes IP numbers as they are.
+
+    tornado's own resolver asks a thread for each connection, and a name that
+    a slow name server must resolve would hold up calls.
+    """
+
+    async def resolve(
+        self,
+        host: str,
+        port: int,
+        family: socket.AddressFamily = socket.AF_UNSPEC,
+    ) -> list[tuple[int, Any]]:
+        found = socket.getaddrinfo(
+            host,
+            port,
+            family,
+            socket.SOCK_STREAM,
+            flags=socket.AI_NUMERICHOST,
+        )
+        return [(entry[0], entry[4]) for entry in found]
+
+
 class HttpClient:
     """Calls endpoints over pooled connections.
 
@@ -45,7 +72,7 @@
     """
 
     def __init__(self) -> None:
-        self._tcp = tcpclient.TCPClient()
+        self._tcp = tcpclient.TCPClient(_NumericResolver())
         self._idle_by_address: dict[
             tuple[str, int], list[tuple[float, iostream.IOStream]]
         ] = {}
@@ -92,9 +119,10 @@
           errors.CallError: There was no answer; `run` says what is known.
         """
         progress = progress or call_lib.Progress()
-        if not _TOKEN.fullmatch(method) or not _TARGET.fullmatch(path):
+        all_headers = _headers(headers, (host, port), len(body))
+        if not _is_well_formed(method, path, all_headers):
             raise errors.CallError(
-                f"no such request: {method} {path!r}", run=progress.run
+                f"malformed request: {method} {path!r}", run=progress.run
             )
         stream = None if fresh else self._take_idle(host, port)
         if stream is None:
@@ -102,20 +130,21 @@
         exchange = exchange_lib.Exchange(stream, method)
         try:
             connection = _write(
-                stream, (method, path, headers, body), (host, port), progress
+                stream, (method, path, all_headers, body), progress
             )
             exchange.start_timers(timeout_s, stall_s)
             self._read(connection, exchange, (host, port))
             await exchange.wait_for_head()
-        except (ValueError, httputil.HTTPOutputError) as error:
-            stream.close()
-            raise errors.CallError(str(error), run=progress.run) from error
         except BaseException:
             exchange.fail(errors.CallError("call given up"))
             stream.close()
             raise
         return exchange_lib.Response(exchange)
 
+    def idle_count(self) -> int:
+        """Counts the idle connections that are kept."""
+        return sum(len(idle) for idle in self._idle_by_address.values())
+
     def close(self) -> None:
         """Closes the idle connections; calls in progress go on."""
         for idle in self._idle_by_address.values():
@@ -127,13 +156,22 @@
     async def _connect(
         self, host: str, port: int, timeout_s: float
     ) -> iostream.IOStream:
-        try:
-            stream = await self._tcp.connect(
+        connecting = asyncio.ensure_future(
+            self._tcp.connect(
                 host,
                 port,
                 timeout=timeout_s,
                 max_buffer_size=_MAX_STREAM_BYTES,
             )
+        )
+        try:
+            # A cancel that meets a connection which has just come about would
+            # lose the stream and leave it open. So connecting goes on by
+            # itself, for `timeout_s` at most, and is then closed.
+            stream = await asyncio.shield(connecting)
+        except asyncio.CancelledError:
+            connecting.add_done_callback(_close_unclaimed)
+            raise
         except (OSError, iostream.StreamClosedError) as error:
             raise errors.ConnectFailed(f"{host}:{port}: {error}") from error
         stream.set_nodelay(True)
@@ -202,22 +240,50 @@
             stream.close()
 
 
+def _close_unclaimed(connecting: asyncio.Future[iostream.IOStream]) -> None:
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
+def _headers(
+    headers: Mapping[str, str] | httputil.HTTPHeaders,
+    address: tuple[str, int],
+    length: int,
+) -> httputil.HTTPHeaders:
+    whole = httputil.HTTPHeaders(headers)
+    whole["Host"] = f"{address[0]}:{address[1]}"
+    whole["Content-Length"] = str(length)
+    return whole
+
+
+def _is_well_formed(
+    method: str, path: str, headers: httputil.HTTPHeaders
+) -> bool:
+    # A line end within a part of the head would make a second request of the
+    # rest, for which nobody waits. Checked before anything is written, so that
+    # "not run" can be said.
+    return (
+        _TOKEN.fullmatch(method) is not None
+        and _TARGET.fullmatch(path) is not None
+        and all(
+            _TOKEN.fullmatch(name) and _VALUE.fullmatch(value)
+            for name, value in headers.get_all()
+        )
+    )
+
+
 def _write(
     stream: iostream.IOStream,
-    request: tuple[str, str, Mapping[str, str], bytes],
-    address: tuple[str, int],
+    request: tuple[str, str, httputil.HTTPHeaders, bytes],
     progress: call_lib.Progress,
 ) -> http1connection.HTTP1Connection:
     method, path, headers, body = request
-    all_headers = httputil.HTTPHeaders(headers)
-    all_headers["Host"] = f"{address[0]}:{address[1]}"
-    all_headers["Content-Length"] = str(len(body))
     connection = http1connection.HTTP1Connection(stream, True, _PARAMETERS)
     start_line = httputil.RequestStartLine(method, path, "HTTP/1.1")
     if stream.closed():
         raise errors.ConnectFailed("connection closed before the request")
     progress.writing()
-    connection.write_headers(start_line, all_headers, body)
+    connection.write_headers(start_line, headers, body)
     connection.finish()
     return connection
 
