--- a/src/cowsliprill/engines/service_client.py
+++ b/src/cowsliprill/engines/service_client.py
@@ -112,7 +112,7 @@
             endpoint.port,
             request.method,
             request.path,
-            _request_headers(request),
+            request_headers(request),
             request.body,
             timeout_s=service.timeout_s,
             fresh=service.idempotency is model.Idempotency.UNREPEATABLE,
@@ -144,7 +144,16 @@
     return kept
 
 
-def _request_headers(request: ServiceRequest) -> httputil.HTTPHeaders:
+def request_headers(request: ServiceRequest) -> httputil.HTTPHeaders:
+    """Builds the headers that go to the service.
+
+    Args:
+      request: The call.
+
+    Returns:
+      The caller's end-to-end headers, less its key for this router, with the
+      attempt's id and the idempotency key.
+    """
     headers = _end_to_end(request.headers)
     headers.pop("Authorization", None)
     headers[protocol.REQUEST_ID_HEADER] = request.request_id
--- a/src/cowsliprill/standins/shell.py
+++ b/src/cowsliprill/standins/shell.py
@@ -21,6 +21,20 @@
 _TOO_MANY = 429
 
 
+def refusal_body(code: str) -> bytes:
+    """Writes the body of a refusal.
+
+    Args:
+      code: The refusal's code.
+
+    Returns:
+      JSON that says that nothing was run.
+    """
+    message = f"stand-in says {code}"
+    error = {"code": code, "message": message, "run": "no"}
+    return json.dumps({"error": error}).encode()
+
+
 class Handler(web.RequestHandler):
     """Answers in JSON and can cut its own connection."""
 
@@ -68,10 +82,7 @@
         """
         full = conduct.refuse == protocol.CODE_FULL
         self.set_status(_TOO_MANY if full else _UNAVAILABLE)
-        message = f"stand-in says {conduct.refuse}"
-        body = json.dumps(
-            {"error": {"code": conduct.refuse, "message": message, "run": "no"}}
-        ).encode()
+        body = refusal_body(conduct.refuse)
         self.set_header("Content-Type", "application/json")
         self.set_header("Content-Length", str(len(body)))
         if conduct.cut_refusal_at_byte is None:
