--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -170,7 +170,7 @@
             ),
             admission=admission.Admission(),
             model_placement=model_placement.ModelPlacement(
-                self._scheduling, self._log
+                self._scheduling, self._budgets, self._log
             ),
             plain_placement=plain_placement.PlainPlacement(
                 self._environment.availability_zone,
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -5,6 +5,7 @@
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import retry
 from cowsliprill.entry import attempts
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
@@ -29,16 +30,20 @@
 
     Attributes:
       scheduling: The scheduler's task.
+      budgets: Budgets of resumed streams, earned here by each request. The
+        scheduler keeps those of whole attempts.
       log: The process's log.
     """
 
     scheduling: scheduling_lib.Scheduling
+    budgets: retry.RetryBudgets
     log: log_lib.Log
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handle
     ) -> None:
         """Runs attempts until one answers or the scheduler refuses."""
+        self.budgets.of(ctx.service).earn()
         decisions = self.scheduling.submit(_submit(ctx))
         answered = False
         try:
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -25,6 +25,8 @@
 
 ReportLeaving = Callable[[str, float], None]
 
+# How often the scheduler hears of a stream's pace.
+_REPORT_S = 1.0
 _LEAVING_TTL_S = 60.0
 # A prefill that takes this much longer than its engine's speed tells has
 # stalled; waiting on would keep the promised decode slot idle.
@@ -127,7 +129,8 @@
             except engine_errors.StreamBroken as broken:
                 if await self.resumer.resume(ctx, endpoint, stream, broken):
                     continue
-                if ctx.reply.started:
+                if ctx.progress.first_token_at:
+                    # The scheduler starts nothing anew once a token was there.
                     raise errors.EntryError(
                         errors.Code.STREAM_BROKEN,
                         "The stream broke and couldn't be resumed.",
@@ -144,13 +147,20 @@
         sink: sinks.Sink,
     ) -> None:
         progress = ctx.progress
+        reported_at = clock.now()
         async for events in stream:
-            progress.last_token_at = clock.now()
+            now = clock.now()
+            progress.last_token_at = now
+            progress.tokens = stream.checker.last_token
             if not progress.first_token_at:
-                progress.first_token_at = progress.last_token_at
+                progress.first_token_at = now
                 progress.prefills_used += 1
                 self.scheduling.post(messages.FirstToken(ctx.number))
-            progress.tokens = stream.checker.last_token
+            elif now - reported_at > _REPORT_S:
+                reported_at = now
+                self.scheduling.post(
+                    messages.Progress(ctx.number, progress.tokens)
+                )
             await sink.take(events)
         await sink.end()
 
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -351,6 +351,10 @@
         body = await response.read(1 << 24)
         return Answer(response.status, response.headers, body)
 
+    def status(self, entry: int = 0) -> dict[str, Any]:
+        """Returns what an entry's `GET /v1/status` answers."""
+        return self.entries[entry].shell.status()
+
     async def until_free(self) -> None:
         """Waits until no engine holds anything; fails after ten seconds."""
         await until(
