Bound resumed streams and pass draining news to this process at once

A test that cuts each resumed stream again showed 10 resumes of one request: the count began anew with each resume. Now a request's resumes count until a new token came, so the service's attempts bound them. A draining answer was only told to the settings process, and the scheduler went on to the leaving engine until the news came back; it now holds here at once.

--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -76,6 +76,8 @@
       last_token_at: When the last token was there.
       tokens: Tokens that the caller was sent.
       attempts: Attempts made.
+      resumes: Tries to resume its stream since the last new token.
+      resumed_at_token: The last token when it was last resumed.
       outcome: The request's end, for logs and metrics.
     """
 
@@ -86,6 +88,8 @@
     last_token_at: float = 0.0
     tokens: int = 0
     attempts: int = 0
+    resumes: int = 0
+    resumed_at_token: int = -1
     outcome: str = ""
 
 
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -5,6 +5,7 @@
 import secrets
 from typing import Any
 
+from cowsliprill import clock
 from cowsliprill import environment as environment_lib
 from cowsliprill import process
 from cowsliprill.decisions import identity
@@ -195,16 +196,24 @@
         )
 
     def _take_world(self) -> None:
-        snapshot, fleet = self._source.snapshot, self._source.fleet
-        self._world.update(snapshot, fleet)
+        snapshot = self._source.snapshot
+        self._world.update(snapshot, self._source.fleet)
         self._leases.keep_only(set(snapshot.endpoints_by_id))
         self._budgets.keep_only(set(snapshot.services_by_id))
         self._metrics.revision.set({}, snapshot.revision)
-        self._scheduling.post(messages.WorldChanged(snapshot, fleet))
+        self._announce_world()
+
+    def _announce_world(self) -> None:
+        fleet = self._world.fleet_at(clock.now())
+        self._scheduling.post(
+            messages.WorldChanged(self._world.snapshot, fleet)
+        )
 
     def _report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
-        # The request that met the draining answer doesn't wait for the report.
         self._log.event("endpoint_leaving", endpoint=endpoint_id)
+        self._world.note_leaving(endpoint_id, clock.now() + ttl_s)
+        self._announce_world()
+        # The request that met the draining answer doesn't wait for the report.
         report = asyncio.create_task(
             self._source.report_leaving(endpoint_id, ttl_s)
         )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -75,12 +75,13 @@
                 del self._running_by_endpoint[endpoint_id]
 
     def _choose(self, ctx: context.Context) -> model.Endpoint:
+        leaving = self.world.fleet_at(clock.now()).leaving_endpoint_ids
         serving = [
             endpoint
             for endpoint in self.world.snapshot.endpoints_by_id.values()
             if endpoint.kind is model.EndpointKind.PLAIN
             and endpoint.pool == ctx.service.pool
-            and endpoint.id not in self.world.fleet.leaving_endpoint_ids
+            and endpoint.id not in leaving
         ]
         if not serving:
             raise _refusal(ctx, messages.RefusalCode.NO_ENDPOINT)
--- a/src/cowsliprill/entry/stream_resume.py
+++ b/src/cowsliprill/entry/stream_resume.py
@@ -51,11 +51,16 @@
         """
         if not (ctx.service.resume and broken.resumable):
             return False
+        progress = ctx.progress
+        if broken.last_token > progress.resumed_at_token:
+            progress.resumes = 0
+        progress.resumed_at_token = broken.last_token
         budget = self.budgets.of(ctx.service)
         back_off_s = _FIRST_BACK_OFF_S
-        tries = 1
-        while budget.spend(tries):
-            tries += 1
+        # A stream that is cut again and again without a new token counts as
+        # one that failed as often: else it would be resumed without end.
+        while budget.spend(1 + progress.resumes):
+            progress.resumes += 1
             try:
                 await self.client.resume(
                     endpoint, stream, timeout_s=ctx.service.timeout_s
--- a/src/cowsliprill/entry/world.py
+++ b/src/cowsliprill/entry/world.py
@@ -40,6 +40,9 @@
 
     snapshot: model.Snapshot = dataclasses.field(default_factory=model.Snapshot)
     fleet: model.Fleet = dataclasses.field(default_factory=model.Fleet)
+    _leaving_until_by_endpoint: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     _homes_by_endpoint: dict[str, model.Vm | None] = dataclasses.field(
         default_factory=dict
     )
@@ -50,6 +53,26 @@
         self.fleet = fleet
         self._homes_by_endpoint = {}
 
+    def note_leaving(self, endpoint_id: str, until: float) -> None:
+        """Notes an endpoint's own draining answer until its news expire.
+
+        The VM list hears of it through the settings process and the peers;
+        until then this process would go on sending work there.
+        """
+        self._leaving_until_by_endpoint[endpoint_id] = until
+
+    def fleet_at(self, now: float) -> model.Fleet:
+        """Returns the VM list with this process's own news."""
+        own = {
+            endpoint_id
+            for endpoint_id, until in self._leaving_until_by_endpoint.items()
+            if until > now
+        }
+        return dataclasses.replace(
+            self.fleet,
+            leaving_endpoint_ids=self.fleet.leaving_endpoint_ids | own,
+        )
+
     def home_of(self, endpoint_id: str) -> model.Vm | None:
         """Returns the VM that is home to an endpoint, None if there is none."""
         if endpoint_id not in self._homes_by_endpoint:
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -351,6 +351,20 @@
         body = await response.read(1 << 24)
         return Answer(response.status, response.headers, body)
 
+    async def raw_post(self, path: str, body: Any) -> bytes:
+        """Posts over a bare connection; returns all bytes until its end."""
+        reader, writer = await asyncio.open_connection(HOST, self.url_port())
+        content = json.dumps(body).encode()
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: entry\r\n"
+            f"Authorization: Bearer {KEYS['umurongo/amahoro']}\r\n"
+            f"Content-Length: {len(content)}\r\n\r\n"
+        )
+        writer.write(head.encode() + content)
+        answer = await reader.read()
+        writer.close()
+        return answer
+
     def status(self, entry: int = 0) -> dict[str, Any]:
         """Returns what an entry's `GET /v1/status` answers."""
         return self.entries[entry].shell.status()
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import pytest
-
 from tests import entry_site
 
 _PROMPT = {"model": "brief", "prompt": "a case file " * 20, "max_tokens": 5}
@@ -232,6 +231,13 @@
         assert "outcome=invalid_json" in lines[1]
 
 
-def test_error_shape():
-    answer = _call("GET", "/nothing")
-    assert set(json.loads(answer.body)["error"]) == {"code", "message", "run"}
+class TestErrors:
+    """Errors have one shape."""
+
+    def test_shape(self):
+        answer = _call("GET", "/nothing")
+        assert set(json.loads(answer.body)["error"]) == {
+            "code",
+            "message",
+            "run",
+        }
--- a/tests/test_entry_gone.py
+++ b/tests/test_entry_gone.py
@@ -3,7 +3,6 @@
 import asyncio
 
 import pytest
-
 from tests import entry_site
 
 _COMPLETIONS = "/v1/completions"
