--- a/src/cowsliprill/standins/engine_handlers.py
+++ b/src/cowsliprill/standins/engine_handlers.py
@@ -5,6 +5,8 @@
 import time
 from typing import TYPE_CHECKING
 
+from tornado import iostream
+
 from cowsliprill import codec
 from cowsliprill.decisions import model
 from cowsliprill.engines import load_report
@@ -106,7 +108,12 @@
             self.is_cut = True
         self._handler.write(event)
         self._sent += len(event)
-        await self._handler.flush()
+        try:
+            await self._handler.flush()
+        except iostream.StreamClosedError:
+            # The reader is gone; the request goes on until it is cancelled.
+            self.is_cut = True
+            return
         if number is not None and number == conduct.cut_at_token:
             self.is_cut = True
         if self.is_cut:
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -11,6 +11,7 @@
 import pathlib
 import signal
 import tempfile
+import time
 from typing import Any
 
 from tools import child
@@ -27,6 +28,8 @@
     "kv_bytes_per_token",
 )
 _PLAIN = "plain"
+_RESTARTS = 5
+_RESTART_PAUSE_S = 0.2
 # Stand-ins move this part of the bytes at this part of the rate: a transfer
 # takes as long as at a real engine without a gigabyte through Python.
 _BYTES_SCALE = 1 / 1024
@@ -52,6 +55,10 @@
     public_port: int = 0
 
 
+def _module(name: str) -> str:
+    return f"cowsliprill.{'entry' if name.startswith('e') else name}"
+
+
 def key_of(user: str) -> str:
     """Returns the API key that a local fleet gives a user."""
     return f"key-{user.replace('/', '-')}"
@@ -74,6 +81,7 @@
       document: Settings, as in examples/; hosts, ports and keys are replaced.
       entries: Entry processes a VM.
       drain_notice_s: How long a draining entry still takes connections.
+      plain_call_s: How long a plain service takes for a call.
 
     Attributes:
       document: The settings last published.
@@ -88,12 +96,14 @@
         *,
         entries: int = 1,
         drain_notice_s: float = 0.0,
+        plain_call_s: float = 0.01,
     ) -> None:
         self.document = copy.deepcopy(document)
         self.vms_by_id: dict[str, LocalVm] = {}
         self.children_by_name: dict[str, child.Child] = {}
         self._entries = entries
         self._drain_notice_s = drain_notice_s
+        self._plain_call_s = plain_call_s
         self._folder = tempfile.TemporaryDirectory()
         self._platform_port = 0
 
@@ -154,6 +164,7 @@
             if fields.get("checks_idempotency_keys"):
                 arguments.append("--checks-idempotency-keys")
             kind = ["service"]
+            arguments += ["--seconds-per-call", str(self._plain_call_s)]
         else:
             kind = ["engine", "--role", fields["kind"]]
             for flag in _ENGINE_FLAGS:
@@ -191,22 +202,60 @@
             vm_list_url=f"{platform}/v1/vms",
             boot_peers=peers,
         )
-        self.start_process(vm, "dispatch")
-        for number in range(self._entries):
-            self.start_process(vm, f"e{number}")
+        # The first entry must be there before the others can share its port.
+        for names in self._start_order():
+            for name in names:
+                self._begin_process(vm, name)
+            for name in names:
+                self._note_ports(vm, name)
         return vm
 
-    def start_process(self, vm: LocalVm, name: str, **more: Any) -> child.Child:
+    def _start_order(self) -> list[list[str]]:
+        others = [f"e{number}" for number in range(1, self._entries)]
+        return [["dispatch", "e0"], others]
+
+    def start_process(self, vm: LocalVm, name: str, **more: Any) -> None:
         """Starts one process of a VM and waits for its ports.
 
         Args:
           vm: The VM.
           name: `settings`, `dispatch`, or `e<number>`.
           **more: Further fields of the process's file.
+        """
+        self._begin_process(vm, name, **more)
+        self._note_ports(vm, name)
 
-        Returns:
-          The process.
+    def restart_process(self, vm_id: str, name: str) -> None:
+        """Starts a process anew on the ports that it had before.
+
+        Args:
+          vm_id: The VM.
+          name: `settings`, `dispatch`, or `e<number>`.
+
+        Raises:
+          ChildError: It didn't start, also when tried again.
         """
+        vm = self.vms_by_id[vm_id]
+        path = self._file_of(vm, name)
+        fields = json.loads(path.read_text(encoding="utf-8"))
+        fields["port"] = vm.ports_by_process[name]
+        if name.startswith("e"):
+            fields["public_port"] = vm.public_port
+        path.write_text(json.dumps(fields), encoding="utf-8")
+        for attempt in range(_RESTARTS):
+            self._start(f"{vm.id}.{name}", _module(name), [str(path)])
+            try:
+                self._note_ports(vm, name)
+            except child.ChildError:
+                # While the process was away, the kernel may have lent its port
+                # to some connection for a moment.
+                if attempt == _RESTARTS - 1:
+                    raise
+                time.sleep(_RESTART_PAUSE_S)
+            else:
+                return
+
+    def _begin_process(self, vm: LocalVm, name: str, **more: Any) -> None:
         fields = {
             "vm": vm.id,
             "availability_zone": vm.availability_zone,
@@ -219,20 +268,21 @@
         if name != "settings":
             port = vm.ports_by_process["settings"]
             fields["settings_url"] = f"http://{HOST}:{port}"
-        kind = name
-        if name not in {"settings", "dispatch"}:
-            kind = "entry"
+        if name.startswith("e"):
             fields["public_port"] = vm.public_port
-        path = pathlib.Path(self._folder.name, f"{vm.id}.{name}.json")
+        path = self._file_of(vm, name)
         path.write_text(json.dumps(fields), encoding="utf-8")
-        process = self._start(
-            f"{vm.id}.{name}", f"cowsliprill.{kind}", [str(path)]
-        )
+        self._start(f"{vm.id}.{name}", _module(name), [str(path)])
+
+    def _file_of(self, vm: LocalVm, name: str) -> pathlib.Path:
+        return pathlib.Path(self._folder.name, f"{vm.id}.{name}.json")
+
+    def _note_ports(self, vm: LocalVm, name: str) -> None:
+        process = self.children_by_name[f"{vm.id}.{name}"]
         started = process.wait_for_event("started")
         vm.ports_by_process[name] = int(started["port"])
-        if kind == "entry":
+        if name.startswith("e"):
             vm.public_port = int(started["public_port"])
-        return process
 
     def _start(
         self, name: str, module: str, arguments: list[str]
--- /dev/null
+++ b/tools/mixed_run.py
@@ -0,0 +1,144 @@
+"""Both users' traffic over several VMs while a seeded schedule of faults runs.
+
+`python -m tools.mixed_run SEED...` runs seeds and prints what was untrue.
+"""
+
+import collections
+import dataclasses
+import sys
+
+from tools import child
+from tools import faults
+from tools import local_fleet
+from tools import small_site
+from tools import traffic
+from tools import truth
+
+_VMS = 3
+_CALLERS = 8
+_REQUESTS = 16
+_ROUNDS = 10
+# A round's faults are mended after this many further requests, or, since a
+# frozen process may keep all callers waiting, after this many seconds.
+_REQUESTS_A_ROUND = 10
+_ROUND_S = 3.0
+# Long enough for a fault to meet a call that is running.
+_PLAIN_CALL_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a mixed run found.
+
+    Attributes:
+      rounds: The faults.
+      outcomes: Calls by kind, end and code.
+      faults: A sentence for each thing that was untrue or left behind.
+    """
+
+    rounds: list[tuple[faults.Fault, ...]]
+    outcomes: collections.Counter
+    faults: list[str]
+
+
+def run(seed: int) -> Report:
+    """Runs one seed against real processes.
+
+    Args:
+      seed: Seed of traffic and faults.
+
+    Returns:
+      What was found.
+    """
+    document = small_site.document()
+    with local_fleet.LocalFleet(document, plain_call_s=_PLAIN_CALL_S) as fleet:
+        fleet.start(vms=_VMS)
+        rounds = faults.schedule(fleet, seed, _ROUNDS)
+        load = traffic.Traffic(
+            fleet, seed, callers=_CALLERS, requests=_REQUESTS
+        )
+        load.start()
+        _disturb(fleet, load, rounds)
+        asked = load.finish()
+        return Report(rounds, _count(asked), _check(fleet, asked))
+
+
+def _disturb(
+    fleet: local_fleet.LocalFleet,
+    load: traffic.Traffic,
+    rounds: list[tuple[faults.Fault, ...]],
+) -> None:
+    for number, together in enumerate(rounds, start=1):
+        for fault in together:
+            faults.begin(fleet, fault)
+        load.wait_for(number * _REQUESTS_A_ROUND, _ROUND_S)
+        for fault in together:
+            faults.mend(fleet, fault)
+
+
+def _count(asked: list[traffic.Asked]) -> collections.Counter:
+    return collections.Counter(
+        (request.kind.value, outcome.end.value, outcome.code)
+        for request in asked
+        for outcome in request.outcomes
+    )
+
+
+def _check(
+    fleet: local_fleet.LocalFleet, asked: list[traffic.Asked]
+) -> list[str]:
+    held = truth.wait_until_nothing_is_held(fleet)
+    found = [f"{name} still holds {state}" for name, state in held.items()]
+    ran = truth.plain_runs(fleet)
+    for request in asked:
+        found.extend(truth.lies(request, ran))
+    for name, process in fleet.children_by_name.items():
+        found.extend(_revision_falls(name, process))
+        found.extend(_log_faults(name, process))
+    return found
+
+
+def _revision_falls(name: str, process: child.Child) -> list[str]:
+    """The revision in force never falls in any process's own log."""
+    highest = 0
+    falls = []
+    for line in process.lines:
+        pairs = child.parse_line(line)
+        if pairs.get("event") != "settings_in_force":
+            continue
+        revision = int(pairs["revision"])
+        if revision < highest:
+            falls.append(f"{name}: revision fell from {highest} to {revision}")
+        highest = max(highest, revision)
+    return falls
+
+
+def _log_faults(name: str, process: child.Child) -> list[str]:
+    return [f"{name}: {line}" for line in process.lines if "Traceback" in line]
+
+
+def main(seeds: list[str]) -> int:
+    """Runs seeds.
+
+    Args:
+      seeds: Seeds as decimal numbers.
+
+    Returns:
+      The exit code: 0 if nothing was found.
+    """
+    failed = False
+    for seed in seeds:
+        report = run(int(seed))
+        print(f"seed {seed}")
+        for together in report.rounds:
+            print("  fault  ", *together)
+        for key, count in sorted(report.outcomes.items()):
+            print("  outcome", *key, count)
+        for fault in report.faults:
+            print("  UNTRUE ", fault)
+        failed = failed or bool(report.faults)
+    return int(failed)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tools/small_site.py
@@ -0,0 +1,32 @@
+"""A small form of the example settings, for tests with real processes."""
+
+import json
+import pathlib
+from typing import Any
+
+_EXAMPLE = pathlib.Path("examples/both.json")
+_ENDPOINTS_BY_KIND = {"prefill": 1, "decode": 2, "plain": 2}
+_SECONDS_PER_TOKEN = 0.01
+
+
+def document() -> dict[str, Any]:
+    """Returns both users' settings with few and quick engines."""
+    settings = json.loads(_EXAMPLE.read_text(encoding="utf-8"))
+    for pool in settings["pools"].values():
+        pool["endpoints"] = _few(pool["endpoints"])
+    return settings
+
+
+def _few(endpoints_by_id: dict[str, Any]) -> dict[str, Any]:
+    taken_by_kind: dict[str, int] = {}
+    few = {}
+    for endpoint_id, endpoint in endpoints_by_id.items():
+        kind = endpoint.get("kind", "plain")
+        taken = taken_by_kind.get(kind, 0)
+        if taken >= _ENDPOINTS_BY_KIND[kind]:
+            continue
+        taken_by_kind[kind] = taken + 1
+        if kind == "decode":
+            endpoint["seconds_per_token"] = _SECONDS_PER_TOKEN
+        few[endpoint_id] = endpoint
+    return few
