--- a/src/cowsliprill/standins/engine.py
+++ b/src/cowsliprill/standins/engine.py
@@ -210,7 +210,7 @@
         """
         self._spawn(self._generate(request, body, conduct))
 
-    async def pace_link(self, size: int) -> None:
+    async def pace_link(self, size: float) -> None:
         """Waits until so many bytes may leave by the link."""
         await self._link.acquire(0)
         try:
