Start the benchmark of the whole path beside a bare tornado relay

The engine client reads 16 KiB at a time, since tornado allocates the whole read size for each read however little comes.

--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -23,9 +23,11 @@
 from cowsliprill.engines import errors
 from cowsliprill.engines import exchange as exchange_lib
 
-_READ_BYTES = 65_536
-_MAX_STREAM_BYTES = 262_144
-_MAX_HEADER_BYTES = 65_536
+_READ_BYTES = 16_384
+_MAX_HEADER_BYTES = 16_384
+# tornado allocates half of this for each read, however little comes. Tokens
+# are small, and one chunk may be read beyond what was asked for.
+_MAX_STREAM_BYTES = 2 * _READ_BYTES
 _MAX_BODY_BYTES = 2**40
 _MAX_IDLE_PER_ENDPOINT = 64
 _IDLE_S = 30.0
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,296 @@
+"""`make bench`: what the whole path costs, beside a bare tornado relay.
+
+One run starts the stand-ins, one VM's processes and the bare relay, and puts
+the same load on both. Figures are ratios or differences within this run, as
+the machine's speed isn't ours.
+"""
+
+import asyncio
+import dataclasses
+import statistics
+import sys
+from collections.abc import Callable
+
+import psutil
+
+from tools import bench_load
+from tools import child
+from tools import local_fleet
+
+_STREAMS = 200
+# Few enough that neither side comes near a whole core: a busy process finds
+# several chunks at once in a socket and then seems cheap.
+_COST_STREAMS = 80
+_SHORT_TOKENS = 20
+_LONG_TOKENS = 120
+_ROUNDS = 10
+_PAIRS = 5
+_WARM_UP_ROUNDS = 2
+_SEQUENTIAL = 150
+_MIB = 1024 * 1024
+_USER = "bench"
+_SERVICE = "bench"
+_PROMPT = "A short question. " * 4
+
+_MAX_RATIO = 1.5
+_MAX_ADDED_S = 0.003
+_MAX_RESIDENT = 64 * _MIB
+# A round that grows by less than this is the allocator's noise.
+_MAX_GROWTH = 1 * _MIB
+
+_DOCUMENT = {
+    "revision": 1,
+    "published_by": "bench",
+    "published_at": "2026-12-01T08:00:00Z",
+    "users": {
+        _USER: {
+            "key_hashes": [],
+            "services": {
+                _SERVICE: {
+                    "kind": "model",
+                    "pool": "bench",
+                    "model": "standin",
+                    "ttft_target_s": 10.0,
+                    "tpot_target_s": 1.0,
+                    "may_wait_s": 10.0,
+                }
+            },
+        }
+    },
+    "pools": {
+        "bench": {
+            "endpoint_defaults": {
+                "slots": 80,
+                "kv_bytes_per_token": 1_000,
+                "export_ttl_s": 5.0,
+                "link_bytes_per_s": 1e12,
+                "host": "127.0.0.1",
+                "port": 1,
+                "prefill_tokens_per_s": 1e9,
+                "seconds_per_token": 0.04,
+                "target": {"model": "standin", "version": "1"},
+            },
+            "endpoints": {
+                f"{kind}-{number}": {"kind": kind, "availability_zone": "one"}
+                for kind in ("prefill", "decode")
+                for number in range(4)
+            },
+        }
+    },
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Figure:
+    """One measured figure and its bound.
+
+    Attributes:
+      name: What was measured.
+      value: The figure.
+      bound: What it must not exceed.
+      show: Writes a value for people.
+    """
+
+    name: str
+    value: float
+    bound: float
+    show: Callable[[float], str]
+
+    def line(self) -> str:
+        """Returns the figure as a line of the report."""
+        verdict = "within" if self.value <= self.bound else "MISSED"
+        return (
+            f"{self.name:<52} {self.show(self.value):>10}"
+            f"  bound {self.show(self.bound):>9}  {verdict}"
+        )
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _measured_cpu(
+    target: bench_load.Target, process: psutil.Process, tokens: int
+) -> float:
+    before = _cpu_s(process)
+    asyncio.run(bench_load.many(target, _COST_STREAMS, tokens))
+    return _cpu_s(process) - before
+
+
+def _cpu_per_chunk(
+    target: bench_load.Target, process: psutil.Process
+) -> tuple[float, float]:
+    # The slope between short and long streams is what a chunk costs; the rest
+    # is what a request costs.
+    short_s = _measured_cpu(target, process, _SHORT_TOKENS)
+    long_s = _measured_cpu(target, process, _LONG_TOKENS)
+    chunks = _COST_STREAMS * (_LONG_TOKENS - _SHORT_TOKENS)
+    chunk_s = (long_s - short_s) / chunks
+    request_s = short_s / _COST_STREAMS - chunk_s * _SHORT_TOKENS
+    return chunk_s, request_s
+
+
+def _microseconds(seconds: float) -> str:
+    return f"{seconds * 1e6:.1f} us"
+
+
+def _mebibytes(size: float) -> str:
+    return f"{size / _MIB:.1f} MB"
+
+
+@dataclasses.dataclass(slots=True)
+class Bench:
+    """The processes under measurement.
+
+    Attributes:
+      entry: The entry process.
+      relay: The bare relay's process.
+      others: Further processes of the VM by name.
+      routed: Where callers reach the entry.
+      bare: Where callers reach the bare relay.
+    """
+
+    entry: psutil.Process
+    relay: psutil.Process
+    others: dict[str, psutil.Process]
+    routed: bench_load.Target
+    bare: bench_load.Target
+
+    def warm_up(self) -> None:
+        """Lets leases grow and code paths be run before measuring."""
+        for _ in range(_WARM_UP_ROUNDS):
+            for target in (self.routed, self.bare):
+                asyncio.run(bench_load.many(target, _STREAMS, _SHORT_TOKENS))
+
+    def chunk_cost(self) -> Figure:
+        """Compares the CPU time of a streamed chunk."""
+        pairs = [
+            (
+                _cpu_per_chunk(self.bare, self.relay),
+                _cpu_per_chunk(self.routed, self.entry),
+            )
+            for _ in range(_PAIRS)
+        ]
+        bare = statistics.median(bare[0] for bare, _ in pairs)
+        routed = statistics.median(routed[0] for _, routed in pairs)
+        request = statistics.median(routed[1] for _, routed in pairs)
+        bare_request = statistics.median(bare[1] for bare, _ in pairs)
+        print(
+            f"bare relay: {_microseconds(bare)} a chunk, "
+            f"{_microseconds(bare_request)} a request"
+        )
+        print(
+            f"whole path: {_microseconds(routed)} a chunk, "
+            f"{_microseconds(request)} a request"
+        )
+        return Figure(
+            "CPU a streamed chunk, entry / bare relay",
+            routed / bare,
+            _MAX_RATIO,
+            lambda value: f"{value:.2f}",
+        )
+
+    def added_latency(self) -> Figure:
+        """Compares the time to first token on an idle machine."""
+        routed, bare = asyncio.run(
+            bench_load.one_by_one(
+                [self.routed, self.bare], _SEQUENTIAL, tokens=2
+            )
+        )
+        medians = [
+            statistics.median(one.first_token_s for one in results)
+            for results in (routed, bare)
+        ]
+        return Figure(
+            "added time to first token, median, entry - bare relay",
+            medians[0] - medians[1],
+            _MAX_ADDED_S,
+            lambda value: f"{value * 1e3:.2f} ms",
+        )
+
+    def memory(self) -> list[Figure]:
+        """Watches memory over rounds of concurrent streams."""
+        sizes = []
+        for _ in range(_ROUNDS):
+            asyncio.run(bench_load.many(self.routed, _STREAMS, _SHORT_TOKENS))
+            sizes.append(self.entry.memory_info().rss)
+        half = _ROUNDS // 2
+        growth = statistics.median(sizes[half:]) - statistics.median(
+            sizes[:half]
+        )
+        figures = [
+            Figure(
+                f"growth over {_ROUNDS} rounds of {_STREAMS} streams",
+                growth,
+                _MAX_GROWTH,
+                _mebibytes,
+            )
+        ]
+        for name, process in {"entry": self.entry, **self.others}.items():
+            size = process.memory_info().rss
+            figures.append(
+                Figure(f"resident, {name}", size, _MAX_RESIDENT, _mebibytes)
+            )
+        return figures
+
+
+def _ports(fleet: local_fleet.LocalFleet, kind: str) -> str:
+    urls = [fleet.endpoint_url(name) for name in fleet.endpoint_ids(kind)]
+    return ",".join(url.rpartition(":")[2] for url in urls)
+
+
+def _process(fleet: local_fleet.LocalFleet, name: str) -> psutil.Process:
+    return psutil.Process(fleet.children_by_name[f"vm-0.{name}"].pid)
+
+
+def main() -> int:
+    """Runs the benchmark and prints its figures.
+
+    Returns:
+      The exit code: 0 if every figure is within its bound.
+    """
+    relay = None
+    with local_fleet.LocalFleet(_DOCUMENT) as fleet:
+        try:
+            fleet.start()
+            relay = child.Child(
+                "relay",
+                "tools.bench_relay",
+                [_ports(fleet, "prefill"), _ports(fleet, "decode")],
+            )
+            port = int(relay.wait_for_event("started")["port"])
+            figures = _measure(fleet, psutil.Process(relay.pid), port)
+        finally:
+            if relay is not None:
+                relay.end()
+    for figure in figures:
+        print(figure.line())
+    return int(any(figure.value > figure.bound for figure in figures))
+
+
+def _measure(
+    fleet: local_fleet.LocalFleet, relay: psutil.Process, relay_port: int
+) -> list[Figure]:
+    bare = bench_load.Target(
+        port=relay_port,
+        key=local_fleet.key_of(_USER),
+        model=_SERVICE,
+        prompt=_PROMPT,
+    )
+    routed = dataclasses.replace(bare, port=fleet.vms_by_id["vm-0"].public_port)
+    bench = Bench(
+        entry=_process(fleet, "e0"),
+        relay=relay,
+        others={
+            name: _process(fleet, name) for name in ("dispatch", "settings")
+        },
+        routed=routed,
+        bare=bare,
+    )
+    bench.warm_up()
+    return [bench.added_latency(), bench.chunk_cost(), *bench.memory()]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
