Measure the whole path: chunk cost, time to first token, memory

The bare relay isn't the yardstick of latency, as it opens a connection for each call and was slower than the whole path.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -13,6 +13,7 @@
 
 import psutil
 
+from cowsliprill.decisions import model
 from tools import bench_load
 from tools import child
 from tools import local_fleet
@@ -24,9 +25,11 @@
 _SHORT_TOKENS = 20
 _LONG_TOKENS = 120
 _ROUNDS = 10
-_PAIRS = 5
-_WARM_UP_ROUNDS = 2
-_SEQUENTIAL = 150
+_PAIRS = 3
+# The allocator reaches its plateau only after some rounds of full load.
+_WARM_UP_ROUNDS = 8
+_SEQUENTIAL = 100
+_FEW_TOKENS = 2
 _MIB = 1024 * 1024
 _USER = "bench"
 _SERVICE = "bench"
@@ -135,6 +138,10 @@
     return f"{seconds * 1e6:.1f} us"
 
 
+def _milliseconds(seconds: float) -> str:
+    return f"{seconds * 1e3:.2f} ms"
+
+
 def _mebibytes(size: float) -> str:
     return f"{size / _MIB:.1f} MB"
 
@@ -149,6 +156,7 @@
       others: Further processes of the VM by name.
       routed: Where callers reach the entry.
       bare: Where callers reach the bare relay.
+      engines: A prefill and a decode engine.
     """
 
     entry: psutil.Process
@@ -156,12 +164,16 @@
     others: dict[str, psutil.Process]
     routed: bench_load.Target
     bare: bench_load.Target
+    engines: tuple[model.Endpoint, model.Endpoint]
 
     def warm_up(self) -> None:
         """Lets leases grow and code paths be run before measuring."""
         for _ in range(_WARM_UP_ROUNDS):
-            for target in (self.routed, self.bare):
-                asyncio.run(bench_load.many(target, _STREAMS, _SHORT_TOKENS))
+            self._round(self.routed)
+        self._round(self.bare)
+
+    def _round(self, target: bench_load.Target) -> None:
+        asyncio.run(bench_load.many(target, _STREAMS, _SHORT_TOKENS))
 
     def chunk_cost(self) -> Figure:
         """Compares the CPU time of a streamed chunk."""
@@ -192,28 +204,40 @@
         )
 
     def added_latency(self) -> Figure:
-        """Compares the time to first token on an idle machine."""
-        routed, bare = asyncio.run(
-            bench_load.one_by_one(
-                [self.routed, self.bare], _SEQUENTIAL, tokens=2
-            )
+        """Compares the time to first token, one request at a time."""
+        routed_s, bare_s, direct_s = asyncio.run(self._first_tokens())
+        print(
+            f"median time to first token: direct {_milliseconds(direct_s)}, "
+            f"bare relay {_milliseconds(bare_s)}, "
+            f"whole path {_milliseconds(routed_s)}"
         )
-        medians = [
-            statistics.median(one.first_token_s for one in results)
-            for results in (routed, bare)
-        ]
         return Figure(
-            "added time to first token, median, entry - bare relay",
-            medians[0] - medians[1],
+            "added time to first token, median, entry - direct",
+            routed_s - direct_s,
             _MAX_ADDED_S,
-            lambda value: f"{value * 1e3:.2f} ms",
+            _milliseconds,
+        )
+
+    async def _first_tokens(self) -> list[float]:
+        async def time_of(target: bench_load.Target) -> float:
+            streamed = await bench_load.stream(target, _FEW_TOKENS)
+            return streamed.first_token_s
+
+        caller = bench_load.DirectCaller(*self.engines, _PROMPT)
+        return await bench_load.in_turns(
+            [
+                lambda: time_of(self.routed),
+                lambda: time_of(self.bare),
+                lambda: caller.first_token_s(_FEW_TOKENS),
+            ],
+            _SEQUENTIAL,
         )
 
     def memory(self) -> list[Figure]:
         """Watches memory over rounds of concurrent streams."""
         sizes = []
         for _ in range(_ROUNDS):
-            asyncio.run(bench_load.many(self.routed, _STREAMS, _SHORT_TOKENS))
+            self._round(self.routed)
             sizes.append(self.entry.memory_info().rss)
         half = _ROUNDS // 2
         growth = statistics.median(sizes[half:]) - statistics.median(
@@ -240,6 +264,19 @@
     return ",".join(url.rpartition(":")[2] for url in urls)
 
 
+def _endpoint(fleet: local_fleet.LocalFleet, kind: str) -> model.Endpoint:
+    name = fleet.endpoint_ids(kind)[0]
+    return model.Endpoint(
+        id=name,
+        kind=model.EndpointKind(kind),
+        host=local_fleet.HOST,
+        port=int(fleet.endpoint_url(name).rpartition(":")[2]),
+        availability_zone="one",
+        pool="bench",
+        slots=1,
+    )
+
+
 def _process(fleet: local_fleet.LocalFleet, name: str) -> psutil.Process:
     return psutil.Process(fleet.children_by_name[f"vm-0.{name}"].pid)
 
@@ -287,6 +324,7 @@
         },
         routed=routed,
         bare=bare,
+        engines=(_endpoint(fleet, "prefill"), _endpoint(fleet, "decode")),
     )
     bench.warm_up()
     return [bench.added_latency(), bench.chunk_cost(), *bench.memory()]
--- a/tools/bench_load.py
+++ b/tools/bench_load.py
@@ -2,9 +2,16 @@
 
 import asyncio
 import dataclasses
+import itertools
 import json
+import statistics
 import time
+from collections.abc import Awaitable
+from collections.abc import Callable
 
+from cowsliprill.decisions import model
+from cowsliprill.engines import engine_client
+from cowsliprill.engines import http_client
 from cowsliprill.engines import protocol
 
 _HOST = "127.0.0.1"
@@ -122,22 +129,62 @@
     )
 
 
-async def one_by_one(
-    targets: list[Target], count: int, tokens: int
-) -> list[list[Streamed]]:
-    """Reads streams one at a time, taking turns among targets.
+class DirectCaller:
+    """A caller that knows the engines itself, with nothing between.
 
     Args:
-      targets: Where; taking turns, so that a change of the machine's load
-        meets all alike.
-      count: Streams from each.
-      tokens: Tokens to ask for, each.
+      prefill: The prefill engine.
+      decode: The decode engine.
+      prompt: The prompt.
+    """
+
+    def __init__(
+        self, prefill: model.Endpoint, decode: model.Endpoint, prompt: str
+    ) -> None:
+        self._client = engine_client.EngineClient(http_client.HttpClient())
+        self._prefill = prefill
+        self._decode = decode
+        self._prompt = prompt
+        self._numbers = itertools.count()
+
+    async def first_token_s(self, tokens: int) -> float:
+        """Has an answer streamed.
+
+        Args:
+          tokens: Tokens to ask for.
+
+        Returns:
+          Time to the first token, seconds.
+        """
+        request_id = f"bench.direct.x.{next(self._numbers)}.0"
+        body = {"prompt": self._prompt, "max_tokens": tokens}
+        started = time.perf_counter()
+        result = await self._client.prefill(self._prefill, request_id, body)
+        events = await self._client.decode(
+            self._decode, request_id, body, result
+        )
+        first_token_s = 0.0
+        async for _ in events:
+            first_token_s = first_token_s or time.perf_counter() - started
+        return first_token_s
+
+
+async def in_turns(
+    callers: list[Callable[[], Awaitable[float]]], count: int
+) -> list[float]:
+    """Times callers one at a time, so that nothing queues.
+
+    They take turns, so that a change of the machine's load meets all alike.
+
+    Args:
+      callers: Each returns a time in seconds.
+      count: Calls of each.
 
     Returns:
-      What came, by target.
+      The median by caller.
     """
-    results: list[list[Streamed]] = [[] for _ in targets]
+    times: list[list[float]] = [[] for _ in callers]
     for _ in range(count):
-        for target, result in zip(targets, results, strict=True):
-            result.append(await stream(target, tokens))
-    return results
+        for caller, own in zip(callers, times, strict=True):
+            own.append(await caller())
+    return [statistics.median(own) for own in times]
