--- /dev/null
+++ b/features/support/dispatch_site.py
@@ -0,0 +1,218 @@
+"""A small site for the dispatch features: real processes on kernel's ports."""
+
+import json
+import pathlib
+import signal
+import tempfile
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from tools import child
+from tools import http_calls
+
+_ZONE = "gasabo"
+_TIMEOUT_S = 15.0
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    """Asks a process again and again until its state is as expected."""
+    pause = threading.Event()
+    for _ in range(int(_TIMEOUT_S * 10)):
+        if condition():
+            return
+        pause.wait(0.1)
+    raise AssertionError(f"not within {_TIMEOUT_S} s: {what}")
+
+
+class Vm:
+    """One VM: its settings and its dispatch process.
+
+    Attributes:
+      name: Id of the VM.
+      settings: The settings process.
+      dispatch: The dispatch process.
+      entry_ports: Ports of its (fake) entry processes.
+    """
+
+    def __init__(self, name: str, folder: pathlib.Path, platform: str) -> None:
+        self.name = name
+        self._folder = folder
+        self.entry_ports: list[int] = []
+        self.settings = self._start(
+            "settings",
+            platform_url=platform,
+            vm_list_url=f"{platform}/v1/vms",
+        )
+        self.settings_port = _port(self.settings)
+        self.dispatch_port = 0
+        self.start_dispatch()
+
+    @property
+    def url(self) -> str:
+        """URL of the dispatch process."""
+        return f"http://127.0.0.1:{self.dispatch_port}"
+
+    def start_dispatch(self) -> None:
+        """Starts the dispatch process, again on its port if it had one."""
+        self.dispatch = self._start(
+            "dispatch",
+            port=self.dispatch_port,
+            settings_url=f"http://127.0.0.1:{self.settings_port}",
+        )
+        self.dispatch_port = _port(self.dispatch)
+
+    def listed(self) -> dict[str, Any]:
+        """Returns the VM as the platform lists it."""
+        return {
+            "id": self.name,
+            "host": "127.0.0.1",
+            "availability_zone": _ZONE,
+            "role": "entry",
+            "settings_port": self.settings_port,
+            "dispatch_port": self.dispatch_port,
+            "entry_ports": self.entry_ports,
+        }
+
+    def send(self, number: signal.Signals) -> None:
+        """Signals both processes, as when the whole VM is paused."""
+        self.settings.send_signal(number)
+        self.dispatch.send_signal(number)
+
+    def _start(self, kind: str, **fields: Any) -> child.Child:
+        path = self._folder / f"{self.name}-{kind}.json"
+        own = {"vm": self.name, "availability_zone": _ZONE, "process": kind}
+        path.write_text(json.dumps({**own, **fields}), encoding="utf-8")
+        module = f"cowsliprill.{kind}"
+        return child.Child(f"{kind}.{self.name}", module, [str(path)])
+
+
+class Site:
+    """A platform, VMs, engines and fake entries.
+
+    Attributes:
+      vms_by_name: The VMs.
+      engines_by_id: Processes of the engines.
+      entries_by_incarnation: Processes of the fake entries.
+    """
+
+    def __init__(self) -> None:
+        self._temporary = tempfile.TemporaryDirectory()
+        self._folder = pathlib.Path(self._temporary.name)
+        self._platform = child.Child(
+            "platform", "cowsliprill.standins", ["platform"]
+        )
+        port = int(self._platform.wait_for_event("started")["port"])
+        self._platform_url = f"http://127.0.0.1:{port}"
+        self.vms_by_name: dict[str, Vm] = {}
+        self.engines_by_id: dict[str, child.Child] = {}
+        self.entries_by_incarnation: dict[str, child.Child] = {}
+        self._ports_by_engine: dict[str, int] = {}
+        self._nodes_by_engine: dict[str, dict[str, Any]] = {}
+        self._revision = 0
+
+    def add_vm(self, name: str) -> Vm:
+        """Starts a VM's processes; it is listed by `list_vms`."""
+        vm = Vm(name, self._folder, self._platform_url)
+        self.vms_by_name[name] = vm
+        return vm
+
+    def add_entry(self, vm_name: str, process: str, nonce: str) -> str:
+        """Starts a fake entry process on a VM and returns its incarnation."""
+        incarnation = f"{vm_name}.{process}.{nonce}"
+        entry = child.Child(
+            incarnation, "features.support.fake_entry", [incarnation, "0"]
+        )
+        self.vms_by_name[vm_name].entry_ports.append(_port(entry))
+        self.entries_by_incarnation[incarnation] = entry
+        return incarnation
+
+    def add_engine(self, name: str, role: str, *arguments: str) -> None:
+        """Starts an engine's stand-in and describes it for the settings."""
+        engine = child.Child(
+            name,
+            "cowsliprill.standins",
+            ["engine", f"--id={name}", f"--role={role}", *arguments],
+        )
+        self.engines_by_id[name] = engine
+        self._ports_by_engine[name] = _port(engine)
+        self._nodes_by_engine[name] = {
+            "kind": role,
+            "host": "127.0.0.1",
+            "port": self._ports_by_engine[name],
+            "availability_zone": _ZONE,
+            "slots": 20,
+            "prefill_tokens_per_s": 20_000,
+            "seconds_per_token": 0.2,
+            "link_bytes_per_s": 100_000_000,
+            "kv_bytes_per_token": 1_000,
+        }
+
+    def engine_url(self, name: str) -> str:
+        """Returns an engine's URL."""
+        return f"http://127.0.0.1:{self._ports_by_engine[name]}"
+
+    def list_vms(self, *names: str) -> None:
+        """Has the platform list these VMs, all if none are named."""
+        chosen = names or tuple(self.vms_by_name)
+        vms = [self.vms_by_name[name].listed() for name in chosen]
+        self._put("/standin/vms", vms)
+
+    def publish(self, **fields_by_engine: dict[str, Any]) -> int:
+        """Publishes the engines with changed fields as the next revision."""
+        for name, fields in fields_by_engine.items():
+            self._nodes_by_engine[name].update(fields)
+        self._revision += 1
+        document = {
+            "revision": self._revision,
+            "published_by": "feature",
+            "users": {},
+            "pools": {"briefs": {"endpoints": self._nodes_by_engine}},
+        }
+        self._put("/standin/document", document)
+        return self._revision
+
+    def wait_ready(self, *names: str) -> None:
+        """Waits until dispatch processes know settings and VM list."""
+        for name in names or tuple(self.vms_by_name):
+            url = f"{self.vms_by_name[name].url}/readyz"
+            wait_until(
+                lambda url=url: http_calls.call("GET", url).status == 200,
+                f"{name} is ready",
+            )
+
+    def held(self, engine: str) -> dict[str, int]:
+        """Returns what an engine holds in memory."""
+        url = f"{self.engine_url(engine)}/standin/held"
+        return http_calls.call("GET", url).json()
+
+    def running_ids(self, engine: str) -> set[str]:
+        """Returns the ids of the requests that an engine holds."""
+        url = f"{self.engine_url(engine)}/v1/running"
+        requests = http_calls.call("GET", url).json()["requests"]
+        return {request["request_id"] for request in requests}
+
+    def misbehave(self, engine: str, **fields: Any) -> None:
+        """Has an engine misbehave; without fields it behaves again."""
+        url = f"{self.engine_url(engine)}/standin/misbehave"
+        assert http_calls.call("POST", url, fields).status == 200
+
+    def close(self) -> None:
+        """Ends everything that was started."""
+        processes = [
+            *self.entries_by_incarnation.values(),
+            *self.engines_by_id.values(),
+        ]
+        for vm in self.vms_by_name.values():
+            processes += [vm.dispatch, vm.settings]
+        for process in [*processes, self._platform]:
+            process.end()
+        self._temporary.cleanup()
+
+    def _put(self, path: str, value: Any) -> None:
+        answer = http_calls.call("PUT", self._platform_url + path, value)
+        assert answer.status == 200, answer.body
+
+
+def _port(process: child.Child) -> int:
+    return int(process.wait_for_event("started")["port"])
--- a/src/cowsliprill/dispatch/port_probe.py
+++ b/src/cowsliprill/dispatch/port_probe.py
@@ -22,9 +22,10 @@
     client = tcpclient.TCPClient()
     try:
         stream = await client.connect(host, port, timeout=_TIMEOUT_S)
-    except ConnectionRefusedError:
-        return orphans.Refused()
-    except (TimeoutError, OSError, iostream.StreamClosedError):
+    except iostream.StreamClosedError as error:
+        refused = isinstance(error.real_error, ConnectionRefusedError)
+        return orphans.Refused() if refused else orphans.Silent()
+    except (TimeoutError, OSError):
         return orphans.Silent()
     finally:
         client.close()
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -323,7 +323,9 @@
             endpoint_id
             for pool in self.document["pools"].values()
             for endpoint_id, endpoint in pool["endpoints"].items()
-            if endpoint.get("kind", pool.get("endpoint_defaults", {}).get("kind"))
+            if endpoint.get(
+                "kind", pool.get("endpoint_defaults", {}).get("kind")
+            )
             in kinds
         ]
 
