Show that a home that wakes doesn't turn engines back

Shown failing first: without the check of the highest number read back the sleeper sends its order and the scenario fails at 'held because behind'. Before: only virtual time. After: the scenario passes; a late order of the old revision is refused by the one engine, taken by the other and corrected. Conclusion: the remaining window is one read-back interval.

--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -6,6 +6,7 @@
 
 import behave
 from features.support import dispatch_site
+from tools import child
 from tools import http_calls
 
 _PROMPT = " ".join(f"word{number}" for number in range(200))
@@ -195,3 +196,119 @@
 @behave.then('the decode engine still holds the request of "{incarnation}"')
 def step_still_held(context, incarnation: str) -> None:
     assert f"{incarnation}.1.0" in context.site.running_ids("d0")
+
+
+_ENGINES = ("checks", "trusts")
+
+
+def _version(version: str) -> dict:
+    target = {"role": "decode", "model": "standin", "version": version}
+    return {"target": target}
+
+
+@behave.given(
+    'two VMs and the engines "checks" and "trusts" at version "{version}"'
+)
+def step_two_vms(context, version: str) -> None:
+    site = dispatch_site.Site()
+    context.site = site
+    context.add_cleanup(site.close)
+    site.add_engine("checks", "decode", "--checks-fencing")
+    site.add_engine("trusts", "decode")
+    aims = {name: _version(version) for name in _ENGINES}
+    aims["checks"]["checks_fencing"] = True
+    site.publish(**aims)
+    site.add_vm("vm-a")
+    site.add_vm("vm-b")
+    # While only this one is listed, it is the home of both engines.
+    site.list_vms("vm-a")
+    site.wait_ready()
+    _wait_for_version(context, version)
+
+
+def _order_in_force(context, engine: str) -> dict:
+    url = f"{context.site.engine_url(engine)}/v1/orders"
+    return http_calls.call("GET", url).json()
+
+
+def _wait_for_version(context, version: str) -> None:
+    for engine in _ENGINES:
+        dispatch_site.wait_until(
+            lambda engine=engine: (
+                _order_in_force(context, engine)["version"] == version
+            ),
+            f"{engine} is ordered to {version}",
+        )
+
+
+@behave.when("the home of the engines is paused")
+def step_pause_home(context) -> None:
+    context.site.vms_by_name["vm-a"].send(signal.SIGSTOP)
+
+
+@behave.when(
+    'the platform\'s list drops it and version "{version}" is published'
+)
+def step_replace_home(context, version: str) -> None:
+    context.site.list_vms("vm-b")
+    context.revision = context.site.publish(
+        **{name: _version(version) for name in _ENGINES}
+    )
+
+
+@behave.then('both engines are ordered to version "{version}" by the other VM')
+def step_ordered(context, version: str) -> None:
+    _wait_for_version(context, version)
+    for engine in _ENGINES:
+        order = _order_in_force(context, engine)
+        assert order["fencing"] == context.revision, order
+
+
+@behave.when("the old home wakes, its settings process still paused")
+def step_wake_home(context) -> None:
+    context.site.vms_by_name["vm-a"].dispatch.send_signal(signal.SIGCONT)
+
+
+@behave.then('the old home holds its orders back because it is "{reason}"')
+def step_held_back(context, reason: str) -> None:
+    dispatch = context.site.vms_by_name["vm-a"].dispatch
+    for engine in _ENGINES:
+        dispatch.wait_for_event("order_held", endpoint=engine, reason=reason)
+
+
+@behave.then("the old home has sent no order since its pause")
+def step_no_order(context) -> None:
+    lines = context.site.vms_by_name["vm-a"].dispatch.lines
+    events = [child.parse_line(line)["event"] for line in lines]
+    woke = events.index("woke_from_pause")
+    assert "order_sent" in events[:woke]
+    assert "order_sent" not in events[woke:]
+
+
+@behave.when("an order of the old home that was delayed on the way arrives")
+def step_late_order(context) -> None:
+    fields = {"fencing": context.revision - 1, **_version("v1")["target"]}
+    context.statuses_by_engine = {
+        engine: http_calls.call(
+            "POST", f"{context.site.engine_url(engine)}/v1/orders", fields
+        ).status
+        for engine in _ENGINES
+    }
+
+
+@behave.then('only the engine "trusts" takes it')
+def step_only_trusts(context) -> None:
+    assert context.statuses_by_engine == {"checks": 409, "trusts": 200}
+
+
+@behave.then("every order stands in the audit trail with its revision")
+def step_audited(context) -> None:
+    vm = context.site.vms_by_name["vm-b"]
+    url = f"http://127.0.0.1:{vm.settings_port}/v1/audit"
+    entries = http_calls.call("GET", url).json()
+    audited = {
+        (entry["endpoint"], entry["fencing"], entry["version"])
+        for entry in entries
+        if entry["audit"] == "order_sent"
+    }
+    assert audited >= {(name, context.revision, "v2") for name in _ENGINES}
