--- a/src/cowsliprill/entry/canceller.py
+++ b/src/cowsliprill/entry/canceller.py
@@ -14,6 +14,7 @@
 import random
 
 from cowsliprill import codec
+from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.decisions import cancels
 from cowsliprill.decisions import model
@@ -48,6 +49,7 @@
       client: Client of engines.
       http: HTTP client for the homes.
       world: The settings and the VM list.
+      auth: Signs what homes get.
       metrics: The process's metrics.
       log: The process's log.
       random_source: Spreads the retries.
@@ -58,6 +60,7 @@
         client: engine_client.EngineClient,
         http: http_client.HttpClient,
         world: world_lib.World,
+        auth: peer_auth.PeerAuth,
         metrics: metrics_lib.Metrics,
         log: log_lib.Log,
         random_source: random.Random,
@@ -65,6 +68,7 @@
         self._client = client
         self._http = http
         self._world = world
+        self._auth = auth
         self._metrics = metrics
         self._log = log
         self._random = random_source
@@ -162,15 +166,19 @@
     async def _send(
         self, vm: model.Vm, orders: list[cancels.CancelOrder]
     ) -> None:
-        body = dispatch_messages.CancelsRequest(cancels=tuple(orders))
+        request = dispatch_messages.CancelsRequest(cancels=tuple(orders))
+        body = codec.encode(request)
         try:
             response = await self._http.call(
                 vm.host,
                 vm.dispatch_port,
                 "POST",
                 peers.CANCELS_PATH,
-                {"Content-Type": "application/json"},
-                codec.encode(body),
+                {
+                    "Content-Type": "application/json",
+                    **self._auth.headers(body),
+                },
+                body,
                 timeout_s=_HAND_OVER_S,
             )
             taken = response.status == _OK
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -7,6 +7,7 @@
 
 from cowsliprill import clock
 from cowsliprill import environment as environment_lib
+from cowsliprill import peer_auth
 from cowsliprill import process
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
@@ -75,6 +76,9 @@
             environment.process,
             secrets.token_hex(_NONCE_BYTES),
         )
+        self._auth = peer_auth.PeerAuth(
+            environment.peer_secret.get_secret_value()
+        )
         self._world = world_lib.World()
         self._leases = leases_lib.Leases()
         self._budgets = retry.RetryBudgets()
@@ -85,6 +89,7 @@
             self._engines,
             self._http,
             self._world,
+            self._auth,
             self._metrics,
             log,
             self._random,
@@ -103,6 +108,7 @@
             self._scheduling,
             self._leases,
             self._world,
+            self._auth,
             self._metrics,
             log,
         )
@@ -151,7 +157,7 @@
             secrets.token_bytes(_SECRET_BYTES),
         )
         parts = self._parts(book)
-        self.shell.listen(routes.peer_routes(self._gate, parts))
+        self.shell.listen(routes.peer_routes(self._gate, parts, self._auth))
         book.port = self.shell.port
         self._public_server = self.shell.listen_public(
             routes.public_application(self._gate, parts),
@@ -167,7 +173,7 @@
         return routes.Parts(
             report=report.Report(self._log, self._metrics),
             idempotency=idempotency.Idempotency(
-                book, forward.Forwarder(self._http, self._world)
+                book, forward.Forwarder(self._http, self._world, self._auth)
             ),
             admission=admission.Admission(),
             model_placement=model_placement.ModelPlacement(
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -20,6 +20,7 @@
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     INVALID_API_KEY = "invalid_api_key"
+    NOT_A_PEER = "not_a_peer"
     SERVICE_NOT_FOUND = "service_not_found"
     PATH_NOT_FOUND = "path_not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
@@ -52,6 +53,7 @@
     Code.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Code.HEADERS_TOO_LARGE: http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Code.INVALID_API_KEY: http.HTTPStatus.UNAUTHORIZED,
+    Code.NOT_A_PEER: http.HTTPStatus.FORBIDDEN,
     Code.SERVICE_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
     Code.PATH_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
     Code.METHOD_NOT_ALLOWED: http.HTTPStatus.METHOD_NOT_ALLOWED,
--- a/src/cowsliprill/entry/forward.py
+++ b/src/cowsliprill/entry/forward.py
@@ -5,6 +5,7 @@
 
 from tornado import httputil
 
+from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
@@ -32,10 +33,12 @@
     Attributes:
       client: HTTP client.
       world: The VM list in force.
+      auth: Signs the bodies that are passed on.
     """
 
     client: http_client.HttpClient
     world: world.World
+    auth: peer_auth.PeerAuth
 
     async def forward(
         self, ctx: context.Context, ticket: tickets.Ticket
@@ -65,7 +68,7 @@
                 ticket.port,
                 "POST",
                 peers.FORWARD_PATH,
-                _headers(ctx.call, ticket.incarnation),
+                self._headers(ctx.call, ticket.incarnation),
                 ctx.call.body,
                 timeout_s=ctx.service.timeout_s,
                 fresh=True,
@@ -89,15 +92,16 @@
             return None
         return vm
 
-
-def _headers(
-    call: context.Call, owner: identity.Incarnation
-) -> httputil.HTTPHeaders:
-    headers = hop_headers.end_to_end(call.headers)
-    headers[METHOD_HEADER] = call.method
-    headers[TARGET_HEADER] = call.target
-    headers[OWNER_HEADER] = str(owner)
-    return headers
+    def _headers(
+        self, call: context.Call, owner: identity.Incarnation
+    ) -> httputil.HTTPHeaders:
+        headers = hop_headers.end_to_end(call.headers)
+        headers[METHOD_HEADER] = call.method
+        headers[TARGET_HEADER] = call.target
+        headers[OWNER_HEADER] = str(owner)
+        for name, value in self.auth.headers(call.body).items():
+            headers[name] = value
+        return headers
 
 
 async def _relay(ctx: context.Context, response: exchange.Response) -> None:
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -6,6 +6,7 @@
 from tornado import httputil
 from tornado import web
 
+from cowsliprill import peer_auth
 from cowsliprill.decisions import identity
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
@@ -147,14 +148,17 @@
         self,
         gate: gate_lib.Gate,
         handles_by_prefix: list[tuple[str, context.Handle]],
+        auth: peer_auth.PeerAuth,
     ) -> None:
         """Keeps what the handler needs.
 
         Args:
           gate: Where calls enter.
           handles_by_prefix: Filters by the beginning of the path.
+          auth: Tells peers from strangers.
         """
         super().initialize(gate, _not_found)
+        self._auth = auth
         self._handles_by_prefix = handles_by_prefix
 
     def call(self, body: bytes) -> context.Call:
@@ -163,6 +167,7 @@
         method = headers.pop(forward.METHOD_HEADER, "")
         target = headers.pop(forward.TARGET_HEADER, "")
         owner = headers.pop(forward.OWNER_HEADER, "")
+        signature = headers.pop(peer_auth.HEADER, None)
         path, _, query = target.partition("?")
         for prefix, handle in self._handles_by_prefix:
             if path.startswith(prefix):
@@ -174,10 +179,21 @@
             query=query,
             headers=headers,
             body=body,
-            fault=self._fault or self._check_owner(owner),
+            fault=self._fault
+            or self._check_peer(body, signature)
+            or self._check_owner(owner),
             forwarded=True,
         )
 
+    def _check_peer(
+        self, body: bytes, signature: str | None
+    ) -> errors.EntryError | None:
+        if self._auth.accepts(body, signature):
+            return None
+        return errors.EntryError(
+            errors.Code.NOT_A_PEER, "Only peers may pass requests on."
+        )
+
     def _check_owner(self, owner: str) -> errors.EntryError | None:
         if owner == str(self._gate.incarnation):
             return None
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -4,6 +4,7 @@
 
 from tornado import web
 
+from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import protocol
@@ -112,7 +113,9 @@
     )
 
 
-def peer_routes(gate: gate_lib.Gate, parts: Parts) -> list[tuple]:
+def peer_routes(
+    gate: gate_lib.Gate, parts: Parts, auth: peer_auth.PeerAuth
+) -> list[tuple]:
     """Returns what peers reach."""
     generate = generation(parts)
     handles_by_prefix = [
@@ -121,7 +124,11 @@
         (resolve.SERVICES_PATH, plain(parts)),
     ]
     incarnation = {"incarnation": gate.incarnation}
-    forward = {"gate": gate, "handles_by_prefix": handles_by_prefix}
+    forward = {
+        "gate": gate,
+        "handles_by_prefix": handles_by_prefix,
+        "auth": auth,
+    }
     return [
         (peers.INCARNATION_PATH, handlers.IncarnationHandler, incarnation),
         (peers.FORWARD_PATH, handlers.ForwardHandler, forward),
--- a/src/cowsliprill/entry/slot_asker.py
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -10,6 +10,7 @@
 from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill import errors as base_errors
+from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
@@ -54,6 +55,7 @@
       scheduling: The scheduler's task: takes grants, tells the standing.
       leases: Where ends of leases are kept.
       world: The VM list in force.
+      auth: Signs what homes get.
       metrics: The process's metrics.
       log: The process's log.
     """
@@ -65,6 +67,7 @@
         scheduling: scheduling_lib.Scheduling,
         leases: leases_lib.Leases,
         world: world_lib.World,
+        auth: peer_auth.PeerAuth,
         metrics: metrics_lib.Metrics,
         log: log_lib.Log,
     ) -> None:
@@ -73,6 +76,7 @@
         self._scheduling = scheduling
         self._leases = leases
         self._world = world
+        self._auth = auth
         self._metrics = metrics
         self._log = log
         self._homes_by_vm: dict[str, _Home] = {}
@@ -169,6 +173,7 @@
         request = slot_messages.SlotsRequest(
             entry=self._entry, asks=tuple(asks), wait_s=wait_s
         )
+        body = codec.encode(request)
         # A lease's end is counted from before the call: whatever time the
         # answer took, the home's own count of it ends later than ours.
         sent_at = clock.now()
@@ -177,8 +182,8 @@
             vm.dispatch_port,
             "POST",
             peers.SLOTS_PATH,
-            {"Content-Type": "application/json"},
-            codec.encode(request),
+            {"Content-Type": "application/json", **self._auth.headers(body)},
+            body,
             connect_timeout_s=_ANSWER_S,
             timeout_s=wait_s + _ANSWER_S,
         )
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -15,6 +15,7 @@
 from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill import environment as environment_lib
+from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.decisions import model
 from cowsliprill.decisions import slots
@@ -30,6 +31,7 @@
 from cowsliprill.standins import shell
 
 HOST = "127.0.0.1"
+SECRET = "shared by the VMs"
 KEYS = {
     "umurongo/amahoro": "key-amahoro",
     "umurongo/firm-1": "key-firm-1",
@@ -61,6 +63,11 @@
         self.left.append(endpoint_id)
 
 
+def _is_signed(request) -> bool:
+    signature = request.headers.get(peer_auth.HEADER)
+    return peer_auth.PeerAuth(SECRET).accepts(request.body, signature)
+
+
 class SlotsHandler(web.RequestHandler):
     """A home that grants by the ledger, without waiting."""
 
@@ -68,6 +75,9 @@
         self.home = home
 
     def post(self) -> None:
+        if not _is_signed(self.request):
+            self.set_status(403)
+            return
         request = codec.decode(slot_messages.SlotsRequest, self.request.body)
         self.home.asked.append(request)
         self.write(codec.encode(self.home.answer(request)))
@@ -80,6 +90,9 @@
         self.home = home
 
     def post(self) -> None:
+        if not _is_signed(self.request):
+            self.set_status(403)
+            return
         request = codec.decode(slot_messages.CancelsRequest, self.request.body)
         self.home.cancels.extend(request.cancels)
         self.write({})
@@ -283,6 +296,7 @@
             process=f"e{number}",
             drain_notice_s=0.0,
             seed=number,
+            peer_secret=SECRET,
         )
         stream = io.StringIO()
         source = Source()
