Sign the entry's calls to homes; let the fall-back last until a grant

Cause: homes refuse unsigned bodies (403), and the entry didn't sign, so that every entry ran on its fall-back share; that permission ended in the entry before it ended in the scheduler, and each request was then given up after three attempts that were never sent. Ruled out: the engines, whose journals show no such attempt. One client for homes replaces two copies of the call.

--- a/src/cowsliprill/entry/canceller.py
+++ b/src/cowsliprill/entry/canceller.py
@@ -13,14 +13,13 @@
 import dataclasses
 import random
 
-from cowsliprill import codec
 from cowsliprill import peers
 from cowsliprill.decisions import cancels
 from cowsliprill.decisions import model
 from cowsliprill.dispatch import messages as dispatch_messages
 from cowsliprill.engines import engine_client
-from cowsliprill.engines import errors as engine_errors
-from cowsliprill.engines import http_client
+from cowsliprill.entry import errors
+from cowsliprill.entry import home_client
 from cowsliprill.entry import world as world_lib
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
@@ -28,7 +27,6 @@
 _FIRST_BACK_OFF_S = 0.05
 _MAX_BACK_OFF_S = 2.0
 _HAND_OVER_S = 2.0
-_OK = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,7 +44,7 @@
 
     Args:
       client: Client of engines.
-      http: HTTP client for the homes.
+      homes: Calls the homes.
       world: The settings and the VM list.
       metrics: The process's metrics.
       log: The process's log.
@@ -56,14 +54,14 @@
     def __init__(
         self,
         client: engine_client.EngineClient,
-        http: http_client.HttpClient,
+        homes: home_client.HomeClient,
         world: world_lib.World,
         metrics: metrics_lib.Metrics,
         log: log_lib.Log,
         random_source: random.Random,
     ) -> None:
         self._client = client
-        self._http = http
+        self._homes = homes
         self._world = world
         self._metrics = metrics
         self._log = log
@@ -164,17 +162,9 @@
     ) -> None:
         body = dispatch_messages.CancelsRequest(cancels=tuple(orders))
         try:
-            response = await self._http.call(
-                vm.host,
-                vm.dispatch_port,
-                "POST",
-                peers.CANCELS_PATH,
-                {"Content-Type": "application/json"},
-                codec.encode(body),
-                timeout_s=_HAND_OVER_S,
-            )
-            taken = response.status == _OK
-        except engine_errors.CallError:
+            await self._homes.post(vm, peers.CANCELS_PATH, body, _HAND_OVER_S)
+            taken = True
+        except errors.HomeError:
             taken = False
         # Orders that the home didn't take are found by its sweep, once this
         # incarnation is known to be gone.
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -7,6 +7,7 @@
 
 from cowsliprill import clock
 from cowsliprill import environment as environment_lib
+from cowsliprill import peer_auth
 from cowsliprill import process
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
@@ -19,6 +20,7 @@
 from cowsliprill.entry import canceller
 from cowsliprill.entry import forward
 from cowsliprill.entry import gate as gate_lib
+from cowsliprill.entry import home_client
 from cowsliprill.entry import leases as leases_lib
 from cowsliprill.entry import model_relay
 from cowsliprill.entry import plain_relay
@@ -81,9 +83,11 @@
         self._http = http_client.HttpClient()
         self._engines = engine_client.EngineClient(self._http)
         self._gate = gate_lib.Gate(self._incarnation, self._world)
+        secret = environment.peer_secret.get_secret_value()
+        homes = home_client.HomeClient(self._http, peer_auth.PeerAuth(secret))
         self._canceller = canceller.Canceller(
             self._engines,
-            self._http,
+            homes,
             self._world,
             self._metrics,
             log,
@@ -99,7 +103,7 @@
         )
         self._asker = slot_asker.SlotAsker(
             self._incarnation,
-            self._http,
+            homes,
             self._scheduling,
             self._leases,
             self._world,
--- a/src/cowsliprill/entry/leases.py
+++ b/src/cowsliprill/entry/leases.py
@@ -1,13 +1,10 @@
 """What this process may place work on, and until when."""
 
 import dataclasses
+import math
 
 from cowsliprill.decisions import messages
 
-# Without its home an endpoint may be used for this long after each failed
-# ask, within the small share that the scheduler allows itself.
-FALLBACK_S = 2.0
-
 
 @dataclasses.dataclass(slots=True)
 class Leases:
@@ -27,11 +24,19 @@
         """Takes a home's grant."""
         self._ends_by_endpoint[grant.endpoint_id] = grant.expires_at
 
-    def fall_back(self, endpoint_ids: tuple[str, ...], now: float) -> None:
-        """Notes that the home of some endpoints gives no answer."""
+    def fall_back(self, endpoint_ids: tuple[str, ...]) -> None:
+        """Notes that the home of some endpoints gives no answer.
+
+        The scheduler then allows itself a small share until the home grants
+        again. That share is no lease and has no end: an end of its own here
+        would let the scheduler place requests that this process then refuses
+        to run, which callers see as `endpoint_failed` without any try.
+
+        Args:
+          endpoint_ids: The endpoints.
+        """
         for endpoint_id in endpoint_ids:
-            end = self._ends_by_endpoint.get(endpoint_id, 0.0)
-            self._ends_by_endpoint[endpoint_id] = max(end, now + FALLBACK_S)
+            self._ends_by_endpoint[endpoint_id] = math.inf
 
     def allow(self, endpoint_id: str, now: float) -> bool:
         """Returns whether work may be placed on an endpoint right now."""
@@ -46,7 +51,7 @@
         ends = [
             end
             for endpoint_id, end in self._ends_by_endpoint.items()
-            if endpoint_id in endpoint_ids and end > now
+            if endpoint_id in endpoint_ids and now < end < math.inf
         ]
         return min(ends, default=None)
 
--- a/src/cowsliprill/entry/slot_asker.py
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -9,15 +9,13 @@
 
 from cowsliprill import clock
 from cowsliprill import codec
-from cowsliprill import errors as base_errors
+from cowsliprill import errors
 from cowsliprill import peers
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.dispatch import messages as slot_messages
-from cowsliprill.engines import errors as engine_errors
-from cowsliprill.engines import http_client
-from cowsliprill.entry import errors
+from cowsliprill.entry import home_client
 from cowsliprill.entry import leases as leases_lib
 from cowsliprill.entry import scheduling as scheduling_lib
 from cowsliprill.entry import world as world_lib
@@ -33,8 +31,6 @@
 _RENEW_S = 1.0
 _MIN_RENEW_S = 0.05
 _BACK_OFF_S = 0.25
-_MAX_ANSWER_BYTES = 1_048_576
-_OK = 200
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,7 +46,7 @@
 
     Args:
       incarnation: This process.
-      client: HTTP client; its calls can be cancelled.
+      homes: Calls the homes.
       scheduling: The scheduler's task: takes grants, tells the standing.
       leases: Where ends of leases are kept.
       world: The VM list in force.
@@ -61,7 +57,7 @@
     def __init__(
         self,
         incarnation: identity.Incarnation,
-        client: http_client.HttpClient,
+        homes: home_client.HomeClient,
         scheduling: scheduling_lib.Scheduling,
         leases: leases_lib.Leases,
         world: world_lib.World,
@@ -69,7 +65,7 @@
         log: log_lib.Log,
     ) -> None:
         self._entry = str(incarnation)
-        self._client = client
+        self._homes = homes
         self._scheduling = scheduling
         self._leases = leases
         self._world = world
@@ -141,10 +137,7 @@
             if not call.done():
                 return
             self._take(home, call.result())
-        except (
-            base_errors.CowsliprillError,
-            engine_errors.CallError,
-        ) as error:
+        except errors.CowsliprillError as error:
             await self._fail(home, asks, error)
         finally:
             call.cancel()
@@ -172,19 +165,9 @@
         # A lease's end is counted from before the call: whatever time the
         # answer took, the home's own count of it ends later than ours.
         sent_at = clock.now()
-        response = await self._client.call(
-            vm.host,
-            vm.dispatch_port,
-            "POST",
-            peers.SLOTS_PATH,
-            {"Content-Type": "application/json"},
-            codec.encode(request),
-            connect_timeout_s=_ANSWER_S,
-            timeout_s=wait_s + _ANSWER_S,
+        text = await self._homes.post(
+            vm, peers.SLOTS_PATH, request, wait_s + _ANSWER_S
         )
-        text = await response.read(_MAX_ANSWER_BYTES)
-        if response.status != _OK:
-            raise errors.HomeError(f"{vm.id}: status {response.status}")
         answer = codec.decode(slot_messages.SlotsAnswer, text)
         for grant in answer.grants:
             self._take_grant(grant, sent_at)
@@ -229,7 +212,7 @@
         await asyncio.sleep(_BACK_OFF_S)
 
     def _give_up(self, endpoint_ids: tuple[str, ...]) -> None:
-        self._leases.fall_back(endpoint_ids, clock.now())
+        self._leases.fall_back(endpoint_ids)
         self._scheduling.post(messages.HomeUnreachable(endpoint_ids))
 
     def _by_home(
