Keep homes up by differences; look shares up one by one

Cause: working the homes out anew costs endpoints times VMs. Ruled out: a ring with virtual nodes (would change who is home for every process at once). After: shares are looked up when needed, the longest request at changes only. Conclusion: the entry should use the map too.

--- a/src/cowsliprill/decisions/cancels.py
+++ b/src/cowsliprill/decisions/cancels.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections.abc import Container
 
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 2.0
@@ -124,7 +125,7 @@
         )
         state.tries += 1
 
-    def expire(self, known_endpoint_ids: set[str], now: float) -> int:
+    def expire(self, known_endpoint_ids: Container[str], now: float) -> int:
         """Drops orders to endpoints that are no more, and very old ones.
 
         Args:
--- a/src/cowsliprill/dispatch/canceller.py
+++ b/src/cowsliprill/dispatch/canceller.py
@@ -71,7 +71,7 @@
 
     def _send_due(self) -> None:
         now = clock.now()
-        known = set(self._world.follower.snapshot.endpoints_by_id)
+        known = self._world.follower.snapshot.endpoints_by_id.keys()
         if known and (dropped := self._book.expire(known, now)):
             self._world.log.warning("cancels_dropped", count=dropped)
             self._world.count("cancel_dropped", dropped)
--- a/src/cowsliprill/dispatch/homes.py
+++ b/src/cowsliprill/dispatch/homes.py
@@ -4,10 +4,12 @@
 """
 
 import dataclasses
+from collections.abc import Iterator
+from collections.abc import Mapping
 
+from cowsliprill.decisions import home_map
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
-from cowsliprill.decisions import ownership
 from cowsliprill.decisions import slots
 from cowsliprill.dispatch import prefix_feed
 from cowsliprill.engines import model as engine_model
@@ -36,6 +38,26 @@
     )
 
 
+class _Shares(Mapping[str, float]):
+    """Shares of users, looked up one by one.
+
+    Copying those of all users would read tens of thousands of packed users at
+    every change of the settings, for the few that ask for slots.
+    """
+
+    def __init__(self, users_by_id: Mapping[str, model.User]) -> None:
+        self._users_by_id = users_by_id
+
+    def __getitem__(self, user_id: str) -> float:
+        return self._users_by_id[user_id].share
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._users_by_id)
+
+    def __len__(self) -> int:
+        return len(self._users_by_id)
+
+
 class Homes:
     """Which endpoints are homed here, and their ledgers.
 
@@ -45,6 +67,7 @@
 
     def __init__(self, vm_id: str) -> None:
         self._vm_id = vm_id
+        self._map = home_map.HomeMap()
         self.by_endpoint: dict[str, Home] = {}
 
     def update(
@@ -57,22 +80,25 @@
           fleet: The VM list.
           now: Time, seconds.
         """
-        vms = list(fleet.vms_by_id.values())
-        shares_by_user = {
-            user.id: user.share for user in snapshot.users_by_id.values()
-        }
+        self._map.update(fleet.vms_by_id.values())
+        self._map.keep_only(snapshot.endpoints_by_id)
+        shares_by_user = _Shares(snapshot.users_by_id)
         kept = {}
         for endpoint in snapshot.endpoints_by_id.values():
             if endpoint.kind is model.EndpointKind.PLAIN:
                 continue
-            vm = ownership.home_of(endpoint.id, vms)
-            if vm is None or vm.id != self._vm_id:
+            if not self.is_here(endpoint.id):
                 continue
             home = self._kept_or_new(endpoint, now)
             home.ledger.shares_by_user = shares_by_user
             kept[endpoint.id] = home
         self.by_endpoint = kept
 
+    def is_here(self, endpoint_id: str) -> bool:
+        """Returns whether the newest VM list makes this VM the home."""
+        vm = self._map.home_of(endpoint_id)
+        return vm is not None and vm.id == self._vm_id
+
     def ask(
         self, entry: str, ask: messages.SlotAsk, now: float
     ) -> messages.SlotGrant | None:
--- a/src/cowsliprill/dispatch/process.py
+++ b/src/cowsliprill/dispatch/process.py
@@ -147,6 +147,7 @@
                 homed=len(after),
             )
         self._world.metrics.revision.set({}, follower.snapshot.revision)
+        self._sweeper.update()
         self._orderer.update()
         self._desk.regrant()
 
--- a/src/cowsliprill/dispatch/sweeper.py
+++ b/src/cowsliprill/dispatch/sweeper.py
@@ -56,6 +56,14 @@
         """Notes that an entry process has asked for slots."""
         self._sweep.hear(incarnation, clock.now())
 
+    def update(self) -> None:
+        """Takes new settings from the world."""
+        # Never lowered: requests that began under an earlier revision may be
+        # as old as that one allowed.
+        services = self._world.follower.snapshot.services_by_id.values()
+        longest_s = max((each.timeout_s for each in services), default=0.0)
+        self._longest_request_s = max(self._longest_request_s, longest_s)
+
     async def run(self) -> None:
         """Sweeps until cancelled."""
         while True:
@@ -65,7 +73,6 @@
     async def _turn(self) -> None:
         fleet = self._world.follower.fleet
         self._sweep.see_list(fleet.vms_by_id.values(), clock.now())
-        self._note_longest_request()
         if clock.now() - self._read_at >= self._interval_s():
             self._read_at = clock.now()
             await self._read_all()
@@ -76,13 +83,6 @@
             await self._zone.ask_if_older()
         self._cancel_orphans()
 
-    def _note_longest_request(self) -> None:
-        # Never lowered: requests that began under an earlier revision may be
-        # as old as that one allowed.
-        services = self._world.follower.snapshot.services_by_id.values()
-        longest_s = max((each.timeout_s for each in services), default=0.0)
-        self._longest_request_s = max(self._longest_request_s, longest_s)
-
     def _interval_s(self) -> float:
         requests = sum(map(len, self._running_by_endpoint.values()))
         engines = len(self._world.homes.by_endpoint)
--- a/src/cowsliprill/dispatch/world.py
+++ b/src/cowsliprill/dispatch/world.py
@@ -6,7 +6,6 @@
 from cowsliprill import peer_auth
 from cowsliprill import peer_client
 from cowsliprill.decisions import model
-from cowsliprill.decisions import ownership
 from cowsliprill.dispatch import homes as homes_lib
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import errors as engine_errors
@@ -54,9 +53,7 @@
 
     def is_home(self, endpoint_id: str) -> bool:
         """Returns whether the newest VM list makes this VM the home."""
-        vms = self.follower.fleet.vms_by_id.values()
-        home = ownership.home_of(endpoint_id, vms)
-        return home is not None and home.id == self.environment.vm
+        return self.homes.is_here(endpoint_id)
 
     def count(self, event: str, amount: int = 1) -> None:
         """Counts an event for the metrics."""
