--- a/src/cowsliprill/replay/naive.py
+++ b/src/cowsliprill/replay/naive.py
@@ -93,11 +93,12 @@
             for request in self._requests_by_id.values()
             if request.stage is messages.Stage.QUEUED
         )
+        usage = self._usage()
         return [
             messages.SlotAsk(
                 endpoint_id=endpoint.id,
-                in_use=self._in_use(endpoint.id),
-                want=self._in_use(endpoint.id) + wants.total(),
+                in_use=usage[endpoint.id],
+                want=usage[endpoint.id] + wants.total(),
                 user_wants=tuple(sorted(wants.items())),
             )
             for endpoint in self._usable()
@@ -115,49 +116,50 @@
             and endpoint.id not in self._fleet.leaving_endpoint_ids
         ]
 
-    def _in_use(self, endpoint_id: str) -> int:
-        used = 0
+    def _usage(self) -> collections.Counter[str]:
+        used: collections.Counter[str] = collections.Counter()
         for request in self._requests_by_id.values():
             if request.stage is messages.Stage.QUEUED:
                 continue
-            if request.decode_id == endpoint_id:
-                used += 1
-            in_prefill = request.stage is messages.Stage.PREFILL
-            if in_prefill and request.prefill_id == endpoint_id:
-                used += 1
+            used[request.decode_id] += 1
+            if request.stage is messages.Stage.PREFILL:
+                used[request.prefill_id] += 1
         return used
 
-    def _free(self, endpoint_id: str, now: float) -> int:
-        grant = self._grants_by_endpoint.get(endpoint_id)
-        if grant is None or grant.expires_at <= now:
-            return 0
-        return grant.slots - self._in_use(endpoint_id)
-
     def _choose(
-        self, kind: model.EndpointKind, pool: str, now: float
+        self,
+        kind: model.EndpointKind,
+        pool: str,
+        usage: collections.Counter[str],
+        now: float,
     ) -> str | None:
-        candidates = [
-            (self._free(endpoint.id, now), endpoint.id)
-            for endpoint in self._usable()
-            if endpoint.kind is kind and endpoint.pool == pool
-        ]
+        candidates = []
+        for endpoint in self._usable():
+            grant = self._grants_by_endpoint.get(endpoint.id)
+            if grant is None or grant.expires_at <= now:
+                continue
+            if endpoint.kind is kind and endpoint.pool == pool:
+                free = grant.slots - usage[endpoint.id]
+                candidates.append((free, endpoint.id))
         free, endpoint_id = max(candidates, default=(0, ""))
         return endpoint_id if free > 0 else None
 
     def _place(self, now: float) -> list[messages.Action]:
         actions: list[messages.Action] = []
+        usage = self._usage()
         for request_id, request in self._requests_by_id.items():
             if request.stage is not messages.Stage.QUEUED:
                 continue
             pool = request.submit.service.pool
-            decode = self._choose(model.EndpointKind.DECODE, pool, now)
-            prefill = self._choose(model.EndpointKind.PREFILL, pool, now)
+            decode = self._choose(model.EndpointKind.DECODE, pool, usage, now)
+            prefill = self._choose(model.EndpointKind.PREFILL, pool, usage, now)
             if decode is None or prefill is None:
                 continue
             request.stage = messages.Stage.PREFILL
             request.attempt += 1
             request.prefill_id = prefill
             request.decode_id = decode
+            usage.update((prefill, decode))
             actions.append(
                 messages.Start(
                     request_id=request_id,
