--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -63,8 +63,8 @@
             ("umurongo/brief", "retries.ratio 0.1 service_defaults"),
             ("umurongo/brief", "resume True built-in default"),
             (
-                "umurongo/isoko/brief",
-                "umurongo/isoko/brief is umurongo/brief, inherited whole",
+                "umurongo/firm-2/brief",
+                "umurongo/firm-2/brief is umurongo/brief, inherited whole",
             ),
             (
                 "brief-d1",
@@ -80,13 +80,13 @@
 
     def test_a_child_user_that_overrides(self, tmp_path: pathlib.Path) -> None:
         def change(tree: dict) -> None:
-            firm = tree["users"]["umurongo"]["users"]["isoko"]
+            firm = tree["users"]["umurongo"]["users"]["firm-2"]
             firm["service_defaults"] = {"priority": 3}
 
         path = _changed(tmp_path, change)
-        _, out, _ = _run(commands.ShowCommand(path, "umurongo/isoko/brief"))
+        _, out, _ = _run(commands.ShowCommand(path, "umurongo/firm-2/brief"))
         lines = [" ".join(each.split()) for each in out.splitlines()]
-        origin = "users.umurongo.users.isoko.service_defaults"
+        origin = "users.umurongo.users.firm-2.service_defaults"
         assert f"priority 3 {origin}" in lines
         assert "tpot_target_s 0.032 users.umurongo.services.brief" in lines
 
@@ -103,14 +103,14 @@
         def change(tree: dict) -> None:
             tree["revision"] = 2
             tree["users"]["umurongo"]["service_defaults"] = {"timeout_s": 30.0}
-            del tree["users"]["umurongo"]["users"]["isoko"]
+            del tree["users"]["umurongo"]["users"]["firm-2"]
 
         path = _changed(tmp_path, change)
         _, out, _ = _run(commands.DiffCommand(_BOTH, path))
         assert out.splitlines() == [
             "Revision 1 -> 2",
             "service umurongo/brief: timeout_s 60.0 -> 30.0",
-            "user umurongo/isoko removed",
+            "user umurongo/firm-2 removed",
         ]
 
     def test_a_revision_that_does_not_rise(self) -> None:
@@ -137,5 +137,5 @@
     """`cowsliprill hash`."""
 
     def test_hash_of_an_example_key(self) -> None:
-        _, out, _ = _run(commands.HashCommand(), "example-key-isoko\n")
+        _, out, _ = _run(commands.HashCommand(), "example-key-firm-2\n")
         assert out.strip() in _BOTH.read_text(encoding="utf-8")
