Tell entries which endpoints a home has only just taken over

Cause: a home that just took an endpoint over grants nothing for one lease time, since it doesn't know its forerunner's leases; entries waited, and briefs (which may wait 1 s) were refused at each restart of a VM. Ruled out: granting at once (it would promise slots twice).

--- a/src/cowsliprill/dispatch/homes.py
+++ b/src/cowsliprill/dispatch/homes.py
@@ -156,6 +156,11 @@
             prefix_epoch=news.epoch,
         )
 
+    def unsettled(self, endpoint_id: str, now: float) -> bool:
+        """Returns whether an endpoint is homed here since a short time only."""
+        home = self.by_endpoint.get(endpoint_id)
+        return home is not None and now < home.since + slots.LEASE_S
+
     def next_expiry(self) -> float | None:
         """Returns when the next lease of any endpoint runs out."""
         times = [
--- a/src/cowsliprill/dispatch/messages.py
+++ b/src/cowsliprill/dispatch/messages.py
@@ -65,10 +65,14 @@
       grants: One for each asked endpoint that is homed here.
       not_home: Asked endpoints that are not; the asker's VM list and this
         one's differ, and the asker looks for the home anew.
+      unsettled: Asked endpoints that this process is home to only since less
+        than a lease time. It can't grant slots which its forerunner may have
+        leased; the asker keeps to its fall-back share meanwhile.
     """
 
     grants: tuple[WireGrant, ...] = ()
     not_home: tuple[str, ...] = ()
+    unsettled: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/dispatch/slot_desk.py
+++ b/src/cowsliprill/dispatch/slot_desk.py
@@ -76,7 +76,10 @@
         grants_by_endpoint = self._ask_all(request)
         self.regrant()
         wait_s = min(request.wait_s, MAX_WAIT_S)
-        if wait_s > 0 and not _has_news(request, grants_by_endpoint):
+        # An asker falls back on its own share of an unsettled endpoint as soon
+        # as it knows; held back, its callers would be refused meanwhile.
+        settled = not self._unsettled(request)
+        if settled and wait_s and not _has_news(request, grants_by_endpoint):
             await self._wait(request.entry, grants_by_endpoint, wait_s)
         return self._written(request, grants_by_endpoint, received_at)
 
@@ -152,6 +155,15 @@
                 for ask in request.asks
                 if ask.endpoint_id not in grants_by_endpoint
             ),
+            unsettled=self._unsettled(request),
+        )
+
+    def _unsettled(self, request: messages.SlotsRequest) -> tuple[str, ...]:
+        now = self._clock()
+        return tuple(
+            ask.endpoint_id
+            for ask in request.asks
+            if self._homes.unsettled(ask.endpoint_id, now)
         )
 
 
--- a/src/cowsliprill/entry/slot_asker.py
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -197,8 +197,11 @@
         if not home.reachable:
             self._log.event("home_reachable", vm=home.vm.id)
         home.reachable = True
-        if answer.not_home:
-            self._give_up(answer.not_home)
+        # A new home can't grant for one lease time. Waiting for it would have
+        # callers refused at each restart of a VM, so the small share serves.
+        without_grants = (*answer.not_home, *answer.unsettled)
+        if without_grants:
+            self._give_up(without_grants)
 
     async def _fail(
         self, home: _Home, asks: list[messages.SlotAsk], error: Exception
