Send the scheduler's own statements to homes, not ones made up later

Cause: the scheduler counts on each statement of its standing: until it is answered, slots it said it gave up stay given up. The entry only took its statements as a hint and made new ones when it sent, so statements that were never sent held granted slots back, and a statement made ahead of a queued grant gave that grant back. Ruled out: the ledger (granted each time) and the engines. Conclusion: statements go out as they were made, newest first, repeated until answered.

--- a/src/cowsliprill/entry/leases.py
+++ b/src/cowsliprill/entry/leases.py
@@ -46,12 +46,12 @@
         """Lists the endpoints that have or had a lease."""
         return list(self._ends_by_endpoint)
 
-    def earliest_end(self, endpoint_ids: set[str], now: float) -> float | None:
-        """Returns when the first of the leases on endpoints runs out."""
+    def earliest_end(self, now: float) -> float | None:
+        """Returns when the first of the leases runs out, None without one."""
         ends = [
             end
-            for endpoint_id, end in self._ends_by_endpoint.items()
-            if endpoint_id in endpoint_ids and now < end < math.inf
+            for end in self._ends_by_endpoint.values()
+            if now < end < math.inf
         ]
         return min(ends, default=None)
 
--- a/src/cowsliprill/entry/scheduling.py
+++ b/src/cowsliprill/entry/scheduling.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import math
 
 from cowsliprill import clock
@@ -19,6 +20,11 @@
 _MIN_SLEEP_S = 0.001
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Renewal:
+    """It is time to restate the standing with all endpoints."""
+
+
 class Scheduling:
     """Runs the scheduler.
 
@@ -37,7 +43,7 @@
         self._scheduler = scheduler
         self._incarnation = incarnation
         self._canceller = canceller
-        self._events: asyncio.Queue[messages.Event] = asyncio.Queue()
+        self._events: asyncio.Queue[messages.Event | _Renewal] = asyncio.Queue()
         self._decisions_by_request: dict[int, asyncio.Queue[Decision]] = {}
         self.asks: asyncio.Queue[list[messages.SlotAsk]] = asyncio.Queue()
 
@@ -63,18 +69,26 @@
         """Ends a request's queue of decisions."""
         self._decisions_by_request.pop(request_id, None)
 
-    def standing(self) -> list[messages.SlotAsk]:
-        """Returns the present asks of all endpoints in use."""
-        return self._scheduler.asks(clock.now())
+    def renew(self) -> None:
+        """Has the scheduler state its standing with all endpoints in use.
+
+        It does so after the events that came before. A statement made ahead
+        of a grant that still waits in the queue would give its slots back.
+        """
+        self._events.put_nowait(_Renewal())
 
     async def run(self) -> None:
         """Handles events for ever."""
         while True:
             event = await self._next()
-            for action in self._scheduler.handle(event, clock.now()):
+            now = clock.now()
+            if isinstance(event, _Renewal):
+                self.asks.put_nowait(self._scheduler.asks(now))
+                continue
+            for action in self._scheduler.handle(event, now):
                 self._perform(action)
 
-    async def _next(self) -> messages.Event:
+    async def _next(self) -> messages.Event | _Renewal:
         if not self._events.empty():
             return self._events.get_nowait()
         now = clock.now()
--- a/src/cowsliprill/entry/slot_asker.py
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -36,6 +36,9 @@
 @dataclasses.dataclass(slots=True)
 class _Home:
     vm: model.Vm
+    pending_by_endpoint: dict[str, messages.SlotAsk] = dataclasses.field(
+        default_factory=dict
+    )
     news: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     task: asyncio.Task | None = None
     reachable: bool = True
@@ -74,15 +77,31 @@
         self._homes_by_vm: dict[str, _Home] = {}
 
     async def run(self) -> None:
-        """Asks for ever, when the scheduler wants and at each renewal."""
+        """Passes on what the scheduler states, and has it restate in time."""
+        renewing = asyncio.create_task(self._renew())
         try:
             while True:
                 for ask in await self._scheduling.asks.get():
-                    self._notify(ask.endpoint_id)
+                    self._enqueue(ask)
         finally:
+            renewing.cancel()
             for home in self._homes_by_vm.values():
                 home.task.cancel()
 
+    async def _renew(self) -> None:
+        while True:
+            now = clock.now()
+            end = self._leases.earliest_end(now)
+            renew_s = _RENEW_S if end is None else (end - now) / 2
+            await asyncio.sleep(min(max(renew_s, _MIN_RENEW_S), _RENEW_S))
+            self._forget_gone_homes()
+            self._scheduling.renew()
+
+    def _forget_gone_homes(self) -> None:
+        vms_by_id = self._world.fleet.vms_by_id
+        for vm_id in self._homes_by_vm.keys() - vms_by_id.keys():
+            self._homes_by_vm.pop(vm_id).task.cancel()
+
     async def hand_back(self) -> None:
         """Returns all leases, as the last act of this process."""
         asks_by_vm = self._by_home(
@@ -94,10 +113,13 @@
         calls = [self._call(vm, asks, 0.0) for vm, asks in asks_by_vm.values()]
         await asyncio.gather(*calls, return_exceptions=True)
 
-    def _notify(self, endpoint_id: str) -> None:
-        vm = self._world.home_of(endpoint_id)
+    def _enqueue(self, ask: messages.SlotAsk) -> None:
+        # The statement itself has to go out, not one made up later: the
+        # scheduler counts on each of its statements, so that one which is
+        # never sent would have it give back slots that it was granted.
+        vm = self._world.home_of(ask.endpoint_id)
         if vm is None:
-            self._give_up((endpoint_id,))
+            self._give_up((ask.endpoint_id,))
             return
         home = self._homes_by_vm.get(vm.id)
         if home is None:
@@ -105,27 +127,16 @@
             home.task = asyncio.create_task(self._serve(home))
             self._homes_by_vm[vm.id] = home
         home.vm = vm
+        home.pending_by_endpoint[ask.endpoint_id] = ask
         home.news.set()
 
     async def _serve(self, home: _Home) -> None:
         while True:
-            await self._wait_for_turn(home)
+            await home.news.wait()
             home.news.clear()
-            _, asks = self._by_home(self._scheduling.standing()).get(
-                home.vm.id, (home.vm, [])
-            )
-            if asks:
-                await self._ask(home, asks)
-
-    async def _wait_for_turn(self, home: _Home) -> None:
-        now = clock.now()
-        end = self._leases.earliest_end(self._endpoints_of(home), now)
-        renew_s = _RENEW_S if end is None else (end - now) / 2
-        try:
-            async with asyncio.timeout(max(renew_s, _MIN_RENEW_S)):
-                await home.news.wait()
-        except TimeoutError:
-            pass
+            asks = list(home.pending_by_endpoint.values())
+            home.pending_by_endpoint.clear()
+            await self._ask(home, asks)
 
     async def _ask(self, home: _Home, asks: list[messages.SlotAsk]) -> None:
         wants_more = any(ask.want > ask.in_use for ask in asks)
@@ -134,9 +145,13 @@
         )
         try:
             await self._until_superseded(home, call)
-            if not call.done():
+            if call.done():
+                self._take(home, call.result())
                 return
-            self._take(home, call.result())
+            # What isn't stated anew goes out again; the home knows repeated
+            # statements by their sequence.
+            for ask in asks:
+                home.pending_by_endpoint.setdefault(ask.endpoint_id, ask)
         except errors.CowsliprillError as error:
             await self._fail(home, asks, error)
         finally:
@@ -227,10 +242,3 @@
             if vm is not None:
                 asks_by_vm.setdefault(vm.id, (vm, []))[1].append(ask)
         return asks_by_vm
-
-    def _endpoints_of(self, home: _Home) -> set[str]:
-        return {
-            endpoint_id
-            for endpoint_id in self._leases.endpoint_ids()
-            if self._world.home_of(endpoint_id) is home.vm
-        }
