--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -20,6 +20,7 @@
 from cowsliprill.entry import canceller
 from cowsliprill.entry import forward
 from cowsliprill.entry import gate as gate_lib
+from cowsliprill.entry import home_client
 from cowsliprill.entry import leases as leases_lib
 from cowsliprill.entry import model_relay
 from cowsliprill.entry import plain_relay
@@ -85,11 +86,11 @@
         self._http = http_client.HttpClient()
         self._engines = engine_client.EngineClient(self._http)
         self._gate = gate_lib.Gate(self._incarnation, self._world)
+        homes = home_client.HomeClient(self._http, self._auth)
         self._canceller = canceller.Canceller(
             self._engines,
-            self._http,
+            homes,
             self._world,
-            self._auth,
             self._metrics,
             log,
             self._random,
@@ -104,11 +105,10 @@
         )
         self._asker = slot_asker.SlotAsker(
             self._incarnation,
-            self._http,
+            homes,
             self._scheduling,
             self._leases,
             self._world,
-            self._auth,
             self._metrics,
             log,
         )
--- a/src/cowsliprill/entry/slot_asker.py
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -9,16 +9,13 @@
 
 from cowsliprill import clock
 from cowsliprill import codec
-from cowsliprill import errors as base_errors
-from cowsliprill import peer_auth
+from cowsliprill import errors
 from cowsliprill import peers
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.dispatch import messages as slot_messages
-from cowsliprill.engines import errors as engine_errors
-from cowsliprill.engines import http_client
-from cowsliprill.entry import errors
+from cowsliprill.entry import home_client
 from cowsliprill.entry import leases as leases_lib
 from cowsliprill.entry import scheduling as scheduling_lib
 from cowsliprill.entry import world as world_lib
@@ -34,13 +31,14 @@
 _RENEW_S = 1.0
 _MIN_RENEW_S = 0.05
 _BACK_OFF_S = 0.25
-_MAX_ANSWER_BYTES = 1_048_576
-_OK = 200
 
 
 @dataclasses.dataclass(slots=True)
 class _Home:
     vm: model.Vm
+    pending_by_endpoint: dict[str, messages.SlotAsk] = dataclasses.field(
+        default_factory=dict
+    )
     news: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
     task: asyncio.Task | None = None
     reachable: bool = True
@@ -51,11 +49,10 @@
 
     Args:
       incarnation: This process.
-      client: HTTP client; its calls can be cancelled.
+      homes: Calls the homes.
       scheduling: The scheduler's task: takes grants, tells the standing.
       leases: Where ends of leases are kept.
       world: The VM list in force.
-      auth: Signs what homes get.
       metrics: The process's metrics.
       log: The process's log.
     """
@@ -63,34 +60,48 @@
     def __init__(
         self,
         incarnation: identity.Incarnation,
-        client: http_client.HttpClient,
+        homes: home_client.HomeClient,
         scheduling: scheduling_lib.Scheduling,
         leases: leases_lib.Leases,
         world: world_lib.World,
-        auth: peer_auth.PeerAuth,
         metrics: metrics_lib.Metrics,
         log: log_lib.Log,
     ) -> None:
         self._entry = str(incarnation)
-        self._client = client
+        self._homes = homes
         self._scheduling = scheduling
         self._leases = leases
         self._world = world
-        self._auth = auth
         self._metrics = metrics
         self._log = log
         self._homes_by_vm: dict[str, _Home] = {}
 
     async def run(self) -> None:
-        """Asks for ever, when the scheduler wants and at each renewal."""
+        """Passes on what the scheduler states, and has it restate in time."""
+        renewing = asyncio.create_task(self._renew())
         try:
             while True:
                 for ask in await self._scheduling.asks.get():
-                    self._notify(ask.endpoint_id)
+                    self._enqueue(ask)
         finally:
+            renewing.cancel()
             for home in self._homes_by_vm.values():
                 home.task.cancel()
 
+    async def _renew(self) -> None:
+        while True:
+            now = clock.now()
+            end = self._leases.earliest_end(now)
+            renew_s = _RENEW_S if end is None else (end - now) / 2
+            await asyncio.sleep(min(max(renew_s, _MIN_RENEW_S), _RENEW_S))
+            self._forget_gone_homes()
+            self._scheduling.renew()
+
+    def _forget_gone_homes(self) -> None:
+        vms_by_id = self._world.fleet.vms_by_id
+        for vm_id in self._homes_by_vm.keys() - vms_by_id.keys():
+            self._homes_by_vm.pop(vm_id).task.cancel()
+
     async def hand_back(self) -> None:
         """Returns all leases, as the last act of this process."""
         asks_by_vm = self._by_home(
@@ -102,10 +113,13 @@
         calls = [self._call(vm, asks, 0.0) for vm, asks in asks_by_vm.values()]
         await asyncio.gather(*calls, return_exceptions=True)
 
-    def _notify(self, endpoint_id: str) -> None:
-        vm = self._world.home_of(endpoint_id)
+    def _enqueue(self, ask: messages.SlotAsk) -> None:
+        # The statement itself has to go out, not one made up later: the
+        # scheduler counts on each of its statements, so that one which is
+        # never sent would have it give back slots that it was granted.
+        vm = self._world.home_of(ask.endpoint_id)
         if vm is None:
-            self._give_up((endpoint_id,))
+            self._give_up((ask.endpoint_id,))
             return
         home = self._homes_by_vm.get(vm.id)
         if home is None:
@@ -113,27 +127,16 @@
             home.task = asyncio.create_task(self._serve(home))
             self._homes_by_vm[vm.id] = home
         home.vm = vm
+        home.pending_by_endpoint[ask.endpoint_id] = ask
         home.news.set()
 
     async def _serve(self, home: _Home) -> None:
         while True:
-            await self._wait_for_turn(home)
+            await home.news.wait()
             home.news.clear()
-            _, asks = self._by_home(self._scheduling.standing()).get(
-                home.vm.id, (home.vm, [])
-            )
-            if asks:
-                await self._ask(home, asks)
-
-    async def _wait_for_turn(self, home: _Home) -> None:
-        now = clock.now()
-        end = self._leases.earliest_end(self._endpoints_of(home), now)
-        renew_s = _RENEW_S if end is None else (end - now) / 2
-        try:
-            async with asyncio.timeout(max(renew_s, _MIN_RENEW_S)):
-                await home.news.wait()
-        except TimeoutError:
-            pass
+            asks = list(home.pending_by_endpoint.values())
+            home.pending_by_endpoint.clear()
+            await self._ask(home, asks)
 
     async def _ask(self, home: _Home, asks: list[messages.SlotAsk]) -> None:
         wants_more = any(ask.want > ask.in_use for ask in asks)
@@ -142,13 +145,14 @@
         )
         try:
             await self._until_superseded(home, call)
-            if not call.done():
+            if call.done():
+                self._take(home, call.result())
                 return
-            self._take(home, call.result())
-        except (
-            base_errors.CowsliprillError,
-            engine_errors.CallError,
-        ) as error:
+            # What isn't stated anew goes out again; the home knows repeated
+            # statements by their sequence.
+            for ask in asks:
+                home.pending_by_endpoint.setdefault(ask.endpoint_id, ask)
+        except errors.CowsliprillError as error:
             await self._fail(home, asks, error)
         finally:
             call.cancel()
@@ -173,23 +177,12 @@
         request = slot_messages.SlotsRequest(
             entry=self._entry, asks=tuple(asks), wait_s=wait_s
         )
-        body = codec.encode(request)
         # A lease's end is counted from before the call: whatever time the
         # answer took, the home's own count of it ends later than ours.
         sent_at = clock.now()
-        response = await self._client.call(
-            vm.host,
-            vm.dispatch_port,
-            "POST",
-            peers.SLOTS_PATH,
-            {"Content-Type": "application/json", **self._auth.headers(body)},
-            body,
-            connect_timeout_s=_ANSWER_S,
-            timeout_s=wait_s + _ANSWER_S,
+        text = await self._homes.post(
+            vm, peers.SLOTS_PATH, request, wait_s + _ANSWER_S
         )
-        text = await response.read(_MAX_ANSWER_BYTES)
-        if response.status != _OK:
-            raise errors.HomeError(f"{vm.id}: status {response.status}")
         answer = codec.decode(slot_messages.SlotsAnswer, text)
         for grant in answer.grants:
             self._take_grant(grant, sent_at)
@@ -219,8 +212,11 @@
         if not home.reachable:
             self._log.event("home_reachable", vm=home.vm.id)
         home.reachable = True
-        if answer.not_home:
-            self._give_up(answer.not_home)
+        # A new home can't grant for one lease time. Waiting for it would have
+        # callers refused at each restart of a VM, so the small share serves.
+        without_grants = (*answer.not_home, *answer.unsettled)
+        if without_grants:
+            self._give_up(without_grants)
 
     async def _fail(
         self, home: _Home, asks: list[messages.SlotAsk], error: Exception
@@ -234,7 +230,7 @@
         await asyncio.sleep(_BACK_OFF_S)
 
     def _give_up(self, endpoint_ids: tuple[str, ...]) -> None:
-        self._leases.fall_back(endpoint_ids, clock.now())
+        self._leases.fall_back(endpoint_ids)
         self._scheduling.post(messages.HomeUnreachable(endpoint_ids))
 
     def _by_home(
@@ -246,10 +242,3 @@
             if vm is not None:
                 asks_by_vm.setdefault(vm.id, (vm, []))[1].append(ask)
         return asks_by_vm
-
-    def _endpoints_of(self, home: _Home) -> set[str]:
-        return {
-            endpoint_id
-            for endpoint_id in self._leases.endpoint_ids()
-            if self._world.home_of(endpoint_id) is home.vm
-        }
