Give tickets of a staying process while this one leaves

A ticket of a process that is shutting down was worth nothing a moment later: its caller heard 'unknown' for a booking that nobody had made. While draining, another entry issues it over its peer port; if none can, this one still does.

--- a/src/cowsliprill/entry/answers.py
+++ b/src/cowsliprill/entry/answers.py
@@ -9,6 +9,8 @@
 from cowsliprill.decisions import tickets
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
+from cowsliprill.entry import forward
+from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import reply as reply_lib
 from cowsliprill.entry import schema
 from cowsliprill.entry.filters import resolve
@@ -42,15 +44,22 @@
 
     Attributes:
       book: The tickets of this incarnation.
+      gate: Knows whether the process is leaving.
+      forwarder: Reaches the processes that stay.
     """
 
     book: tickets.TicketBook
+    gate: gate_lib.Gate
+    forwarder: forward.Forwarder
 
     async def __call__(self, ctx: context.Context) -> None:
         """Gives out a ticket for one request of a service."""
         fields = schema.parse_json(ctx.call.body)
         request = schema.validate(schema.TicketRequest, fields)
         service = resolve.find_service(request.service, ctx.user, ctx.snapshot)
+        leaving = self.gate.draining and not ctx.call.forwarded
+        if leaving and await self.forwarder.issue_elsewhere(ctx):
+            return
         ticket = self.book.issue(ctx.user.id, service.id, clock.now())
         await _send_json(
             ctx,
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -173,7 +173,14 @@
         return routes.Parts(
             report=report.Report(self._log, self._metrics),
             idempotency=idempotency.Idempotency(
-                book, forward.Forwarder(self._http, self._world, self._auth)
+                book,
+                forward.Forwarder(
+                    self._http,
+                    self._world,
+                    self._auth,
+                    self._environment.vm,
+                    self._random,
+                ),
             ),
             admission=admission.Admission(),
             model_placement=model_placement.ModelPlacement(
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -42,8 +42,6 @@
     INTERNAL = "internal_error"
 
 
-METHOD_NOT_ALLOWED = http.HTTPStatus.METHOD_NOT_ALLOWED
-
 _STATUS_BY_CODE = {
     Code.INVALID_JSON: http.HTTPStatus.BAD_REQUEST,
     Code.INVALID_REQUEST: http.HTTPStatus.BAD_REQUEST,
@@ -129,3 +127,25 @@
 
 
 _CODES = frozenset(code.value for code in Code)
+
+
+def of_status(status: int) -> EntryError:
+    """Returns the error for what tornado itself refuses or fails at.
+
+    Args:
+      status: HTTP status.
+
+    Returns:
+      The error; a failure of ours says nothing of whether the request ran.
+    """
+    match status:
+        case http.HTTPStatus.METHOD_NOT_ALLOWED:
+            return EntryError(Code.METHOD_NOT_ALLOWED, "No such method.")
+        case _ if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            return EntryError(Code.INVALID_REQUEST, "The request isn't valid.")
+        case _:
+            return EntryError(
+                Code.INTERNAL,
+                "Something went wrong here.",
+                run=messages.Run.UNKNOWN,
+            )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -50,6 +50,8 @@
         budget.earn()
         ctx.endpoint = self._choose(ctx)
         while True:
+            if clock.now() >= ctx.deadline:
+                raise _refusal(ctx, messages.RefusalCode.TARGET_UNREACHABLE)
             ctx.progress.attempts += 1
             try:
                 await self._run(ctx, proceed)
@@ -154,9 +156,11 @@
 def _refusal(
     ctx: context.Context, code: messages.RefusalCode
 ) -> errors.EntryError:
+    late = code is messages.RefusalCode.TARGET_UNREACHABLE
+    text = "It can't be in time." if late else "No server is free now."
     return errors.EntryError(
         code,
-        "No server of this service is free now.",
+        text,
         run=ctx.progress.run,
         retry_after_s=_RETRY_AFTER_S,
     )
--- a/src/cowsliprill/entry/forward.py
+++ b/src/cowsliprill/entry/forward.py
@@ -2,12 +2,13 @@
 
 import dataclasses
 import http
+import random
 
 from tornado import httputil
 
+from cowsliprill import codec
 from cowsliprill import peer_auth
 from cowsliprill import peers
-from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import tickets
@@ -24,6 +25,9 @@
 OWNER_HEADER = "X-Ticket-Owner"
 
 _RETRY_AFTER_S = 1.0
+_ASK_S = 1.0
+_MAX_TRIES = 2
+_MAX_INCARNATION_BYTES = 1_024
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,11 +38,15 @@
       client: HTTP client.
       world: The VM list in force.
       auth: Signs the bodies that are passed on.
+      vm_id: This VM.
+      random_source: Spreads requests over the other processes.
     """
 
     client: http_client.HttpClient
     world: world.World
     auth: peer_auth.PeerAuth
+    vm_id: str
+    random_source: random.Random
 
     async def forward(
         self, ctx: context.Context, ticket: tickets.Ticket
@@ -62,18 +70,9 @@
             # round in a circle.
             raise owner_gone()
         ctx.progress.run = messages.Run.UNKNOWN
+        address = (vm.host, ticket.port)
         try:
-            response = await self.client.call(
-                vm.host,
-                ticket.port,
-                "POST",
-                peers.FORWARD_PATH,
-                self._headers(ctx.call, ticket.incarnation),
-                ctx.call.body,
-                timeout_s=ctx.service.timeout_s,
-                fresh=True,
-            )
-            await _relay(ctx, response)
+            await self._pass_on(ctx, address, str(ticket.incarnation))
         except engine_errors.CallError as error:
             if ctx.reply.started:
                 ctx.reply.abort()
@@ -84,6 +83,61 @@
                 retry_after_s=_RETRY_AFTER_S,
             ) from error
 
+    async def issue_elsewhere(self, ctx: context.Context) -> bool:
+        """Has a process that stays give out a ticket.
+
+        A ticket of a process that is leaving would soon be worth nothing.
+
+        Args:
+          ctx: The request for a ticket.
+
+        Returns:
+          Whether another process has answered it.
+        """
+        others = self._others()
+        self.random_source.shuffle(others)
+        for address in others[:_MAX_TRIES]:
+            try:
+                incarnation = await self._incarnation_at(address)
+                await self._pass_on(ctx, address, incarnation)
+                return True
+            except (engine_errors.CallError, codec.CodecError):
+                if ctx.reply.started:
+                    raise
+        return False
+
+    async def _incarnation_at(self, address: tuple[str, int]) -> str:
+        response = await self.client.call(
+            *address, "GET", peers.INCARNATION_PATH, {}, timeout_s=_ASK_S
+        )
+        text = await response.read(_MAX_INCARNATION_BYTES)
+        return codec.decode(dict[str, str], text).get("incarnation", "")
+
+    async def _pass_on(
+        self, ctx: context.Context, address: tuple[str, int], owner: str
+    ) -> None:
+        timeout_s = ctx.service.timeout_s if ctx.service else _ASK_S
+        response = await self.client.call(
+            *address,
+            "POST",
+            peers.FORWARD_PATH,
+            self._headers(ctx.call, owner),
+            ctx.call.body,
+            timeout_s=timeout_s,
+            fresh=True,
+        )
+        await _relay(ctx, response)
+
+    def _others(self) -> list[tuple[str, int]]:
+        return [
+            (vm.host, port)
+            for vm in self.world.fleet.vms_by_id.values()
+            if vm.role is model.VmRole.ENTRY
+            and vm.state is model.VmState.LIVE
+            and vm.id != self.vm_id
+            for port in vm.entry_ports
+        ]
+
     def _owner(self, ticket: tickets.Ticket) -> model.Vm | None:
         # Host and port come from the VM list: a made-up ticket could else have
         # this process call any address that its author likes.
@@ -92,13 +146,11 @@
             return None
         return vm
 
-    def _headers(
-        self, call: context.Call, owner: identity.Incarnation
-    ) -> httputil.HTTPHeaders:
+    def _headers(self, call: context.Call, owner: str) -> httputil.HTTPHeaders:
         headers = hop_headers.end_to_end(call.headers)
         headers[METHOD_HEADER] = call.method
         headers[TARGET_HEADER] = call.target
-        headers[OWNER_HEADER] = str(owner)
+        headers[OWNER_HEADER] = owner
         for name, value in self.auth.headers(call.body).items():
             headers[name] = value
         return headers
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -117,6 +117,7 @@
         self._chunks.clear()
         reply = reply_lib.HttpReply(self)
         self._ctx = self._gate.open(self.call(body), reply)
+        reply.request_id = self._ctx.request_id
         self._task = self._gate.run(self._handle, self._ctx)
         try:
             await asyncio.wait([self._task])
@@ -127,13 +128,9 @@
         """Answers what tornado itself refuses in the same JSON shape."""
         del kwargs
         self.set_status(status_code)
-        error = errors.EntryError(
-            errors.Code.METHOD_NOT_ALLOWED
-            if status_code == errors.METHOD_NOT_ALLOWED
-            else errors.Code.INVALID_REQUEST,
-            "The request isn't valid.",
-        )
-        self.set_header("Content-Type", "application/json")
+        error = errors.of_status(status_code)
+        for name, value in error.headers().items():
+            self.set_header(name, value)
         self.finish(error.body())
 
 
--- a/src/cowsliprill/entry/reply.py
+++ b/src/cowsliprill/entry/reply.py
@@ -1,6 +1,5 @@
 """Where the answer to a caller goes."""
 
-import asyncio
 import dataclasses
 from collections.abc import Iterable
 from typing import Protocol
@@ -9,6 +8,7 @@
 from tornado import web
 
 from cowsliprill.decisions import tickets
+from cowsliprill.engines import protocol
 
 Headers = Iterable[tuple[str, str]]
 
@@ -62,11 +62,16 @@
 
     Args:
       handler: The handler of the caller's request.
+
+    Attributes:
+      started: Whether status and headers have been given.
+      request_id: Told to the caller, who can name it to an operator.
     """
 
     def __init__(self, handler: web.RequestHandler) -> None:
         self._handler = handler
         self.started = False
+        self.request_id = ""
 
     async def start(self, status: int, headers: Headers) -> None:
         """Gives status and headers; they go out with the first chunk."""
@@ -74,8 +79,10 @@
         self._handler.clear()
         self._handler.set_status(status)
         self._handler.clear_header("Content-Type")
+        self._handler.set_header(protocol.REQUEST_ID_HEADER, self.request_id)
         for name, value in headers:
-            self._handler.add_header(name, value)
+            if name.lower() != protocol.REQUEST_ID_HEADER.lower():
+                self._handler.add_header(name, value)
 
     async def write(self, chunk: bytes) -> None:
         """Sends a part of the body.
@@ -179,9 +186,3 @@
             await send(*arguments)
         except CallerGone:
             self.caller_gone = True
-
-
-async def cancelled(task: asyncio.Task) -> None:
-    """Cancels a task and waits until it has ended, whatever its end."""
-    task.cancel()
-    await asyncio.wait([task])
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -93,6 +93,11 @@
     )
 
 
+def _tickets(gate: gate_lib.Gate, parts: Parts) -> context.Handle:
+    issue = answers.IssueTicket(parts.book, gate, parts.idempotency.forwarder)
+    return _own(parts, "POST", issue)
+
+
 def public_application(gate: gate_lib.Gate, parts: Parts) -> web.Application:
     """Returns what callers reach."""
     generate = generation(parts)
@@ -101,7 +106,7 @@
         protocol.CHAT_PATH: generate,
         resolve.SERVICES_PATH + ".*": plain(parts),
         MODELS_PATH: _own(parts, "GET", answers.list_models),
-        TICKETS_PATH: _own(parts, "POST", answers.IssueTicket(parts.book)),
+        TICKETS_PATH: _tickets(gate, parts),
         "/.*": context.chain([parts.report], answers.refuse_path),
     }
     return web.Application(
@@ -122,6 +127,7 @@
         (protocol.COMPLETIONS_PATH, generate),
         (protocol.CHAT_PATH, generate),
         (resolve.SERVICES_PATH, plain(parts)),
+        (TICKETS_PATH, _tickets(gate, parts)),
     ]
     incarnation = {"incarnation": gate.incarnation}
     forward = {
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -151,7 +151,8 @@
 class Site:
     """An entry or two, a home, four engines and two plain services."""
 
-    def __init__(self) -> None:
+    def __init__(self, drain_notice_s: float = 0.0) -> None:
+        self.drain_notice_s = drain_notice_s
         self.home = Home()
         self.engines: dict[str, engine_lib.Engine] = {}
         self.services: dict[str, service_lib.Service] = {}
@@ -275,26 +276,25 @@
         return model.Fleet(
             version=1,
             vms_by_id={
-                "vm-0": model.Vm(
-                    id="vm-0",
+                f"vm-{number}": model.Vm(
+                    id=f"vm-{number}",
                     host=HOST,
                     availability_zone="gasabo",
                     role=model.VmRole.ENTRY,
                     dispatch_port=self.home.server.port,
-                    entry_ports=tuple(
-                        entry.shell.port for entry in self.entries
-                    ),
+                    entry_ports=(entry.shell.port,),
                 )
+                for number, entry in enumerate(self.entries)
             },
         )
 
     def add_entry(self) -> core.Entry:
         number = len(self.entries)
         environment = environment_lib.Environment(
-            vm="vm-0",
+            vm=f"vm-{number}",
             availability_zone="gasabo",
-            process=f"e{number}",
-            drain_notice_s=0.0,
+            process="e0",
+            drain_notice_s=self.drain_notice_s,
             seed=number,
             peer_secret=SECRET,
         )
@@ -449,14 +449,17 @@
 
 
 @contextlib.asynccontextmanager
-async def running(entries: int = 1, **changes: Any):
+async def running(
+    entries: int = 1, drain_notice_s: float = 0.0, **changes: Any
+):
     """Runs a site for one test.
 
     Args:
-      entries: Entry processes.
+      entries: Entry processes, each on a VM of its own.
+      drain_notice_s: How long a leaving one still takes requests.
       **changes: Fields of the service `brief`.
     """
-    site = Site()
+    site = Site(drain_notice_s)
     await site.start(entries)
     if changes:
         site.publish(site.snapshot(2, **changes))
--- a/tests/test_entry_tickets.py
+++ b/tests/test_entry_tickets.py
@@ -177,6 +177,23 @@
         statuses = sorted(answer.status for answer in answers)
         assert statuses == [200, 409, 409, 409]
 
+    def test_leaving_process_gives_no_tickets_of_its_own(self):
+        """A caller gets a ticket from a process that is shutting down.
+
+        Its own tickets would be worth nothing a moment later, and the booking
+        could not be made with it any more.
+        """
+
+        async def run():
+            async with entry_site.running(2, drain_notice_s=0.5) as site:
+                site.entries[0].shell.stop()
+                await entry_site.until(lambda: site.status()["draining"])
+                key = await _ticket(site)
+                await site.tasks[0]
+                return await site.call("POST", _BOOK, _BODY, key, entry=1)
+
+        assert asyncio.run(run()).status == 200
+
     @pytest.mark.parametrize("used", [True, False])
     def test_owner_gone(self, used):
         """The owner has ended; its port refuses connections.
