--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -218,6 +218,28 @@
         if conduct.get("refuse") == "engine_draining":
             assert left == ["decode-0"]
 
+    def test_evicted_prefill_counts_as_a_failure(self):
+        """The answer of a prefill comes after its KV cache was evicted.
+
+        Taken for a refusal it would say nothing of the engines, and one that
+        is tried again after a failure would stay out with all slots free.
+        """
+
+        async def scenario():
+            async with entry_site.running() as site:
+                late = {"delay_s": 1.0, "times": 1}
+                for name, engine in site.engines.items():
+                    if name.startswith("prefill"):
+                        engine.conduct.set(late)
+                answer = await site.call("POST", _COMPLETIONS, _BODY)
+                return answer, site.logs[0].getvalue()
+
+        answer, log = asyncio.run(scenario())
+        assert answer.status in (200, 503)
+        lost = [line for line in log.splitlines() if "attempt_lost" in line]
+        assert any("kv_evicted" in line for line in lost)
+        assert all("refused=false" in line for line in lost)
+
     def test_not_run_when_all_refuse(self):
         async def scenario():
             async with entry_site.running() as site:
--- a/tests/test_entry_tickets.py
+++ b/tests/test_entry_tickets.py
@@ -6,9 +6,11 @@
 import pytest
 from tests import entry_site
 
+from cowsliprill import peers
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import model
 from cowsliprill.decisions import tickets
+from cowsliprill.entry import forward
 
 _BOOK = "/services/booking/slots"
 _SAFE = "/services/safe-booking/slots"
@@ -267,6 +269,35 @@
         assert runs == 0
         assert _is_unknown(answer, "ticket_owner_gone")
 
+    def test_only_peers_may_pass_requests_on(self):
+        """A stranger reaches the peer port and sends a request for the owner.
+
+        It lacks the secret that the VMs share, so nothing of it is run.
+        """
+
+        async def steps(site):
+            port = site.entries[0].shell.port
+            response = await site.http.call(
+                entry_site.HOST,
+                port,
+                "POST",
+                peers.FORWARD_PATH,
+                {
+                    "Authorization": "Bearer key-amahoro",
+                    forward.METHOD_HEADER: "POST",
+                    forward.TARGET_HEADER: _BOOK,
+                    forward.OWNER_HEADER: site.status()["incarnation"],
+                },
+                _BODY,
+            )
+            body = await response.read(1_000)
+            return entry_site.Answer(response.status, response.headers, body)
+
+        answer, runs = _scenario(steps)
+        assert runs == 0
+        assert answer.status == 403
+        assert answer.json()["error"]["code"] == "not_a_peer"
+
 
 class TestFaults:
     """The service fails before, amid and after its run."""
