Count each request's own prefill and keep the usual delay in hand

The cost that decides what fits took a mean prefill for every request, so long prompts were admitted as if short; and a request could start so late that the wait before it at the prefill engine made it miss its target.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -1,5 +1,6 @@
 """One pool of engines as an entry sees it: leases, queue and backlog."""
 
+import dataclasses
 import random
 from collections.abc import Iterator
 
@@ -25,6 +26,25 @@
 _OVER_SLOTS = 2
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BestTimes:
+    """What a request takes on free engines, in seconds.
+
+    Attributes:
+      prefill_s: Its prefill, with what is cached.
+      transfer_s: The transfer of its KV cache.
+      token_s: One token.
+    """
+
+    prefill_s: float
+    transfer_s: float
+    token_s: float
+
+    def first_token_s(self) -> float:
+        """Returns the least time to first token."""
+        return self.prefill_s + self.transfer_s + self.token_s
+
+
 class Pool:
     """State of one pool.
 
@@ -42,6 +62,7 @@
         self.shares_by_user: dict[str, float] = {}
         self.hold_s = _HOLD_START_S
         self.prefill_s = _PREFILL_START_S
+        self.start_delay_s = 0.0
         self.returns = admission.ReturnTimes(rng)
 
     def set_engines(
@@ -69,6 +90,11 @@
         """Takes in how long a request held its decode slot."""
         self.hold_s += (seconds - self.hold_s) * _LEARNING_RATE
 
+    def learn_start_delay(self, seconds: float) -> None:
+        """Takes in by how much a first token came later than unhindered."""
+        change = max(seconds, 0.0) - self.start_delay_s
+        self.start_delay_s += change * _LEARNING_RATE
+
     def learn_prefill(self, seconds: float) -> None:
         """Takes in the expected time of a prefill that is started."""
         self.prefill_s += (seconds - self.prefill_s) * _LEARNING_RATE
@@ -122,14 +148,13 @@
             prefill_s=self.prefill_s,
         )
 
-    def latest_start(self, submit: messages.Submit, now: float) -> float:
-        """Returns when starting a request would be too late.
+    def best_times(self, submit: messages.Submit) -> BestTimes:
+        """Returns what a request takes on free engines.
 
         Args:
           submit: The request.
-          now: When it arrived.
         """
-        best = min(
+        prefill_s = min(
             (
                 estimates.prefill_s(
                     endpoint,
@@ -142,7 +167,7 @@
             ),
             default=0.0,
         )
-        transfer = min(
+        transfer_s = min(
             (
                 estimates.transfer_s(prefill, decode, submit.prompt_tokens)
                 for prefill in self.prefills[:1]
@@ -150,9 +175,11 @@
             ),
             default=0.0,
         )
-        first_token = estimates.seconds_per_token(self.decodes)
-        needed = best + transfer + first_token
-        return min(submit.deadline - needed, now + submit.service.may_wait_s)
+        return BestTimes(
+            prefill_s=prefill_s,
+            transfer_s=transfer_s,
+            token_s=estimates.seconds_per_token(self.decodes),
+        )
 
     def asks(
         self, now: float, sequence: int, *, only_urgent: bool
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -25,10 +25,15 @@
 
 # A caller waits in the queue only if the backlog is expected to drain within
 # this multiple of the time it has.
-_ADMIT_FACTOR = float(__import__("os").environ.get("AF", "1"))
+_ADMIT_FACTOR = 1.0
 
 # How many seconds of waiting a second of expected decode time outweighs.
-_SIZE_WORTH = float(__import__("os").environ.get("SW", "0"))
+_SIZE_WORTH = 3.0
+
+# Requests start late enough to miss their targets when others are before them
+# at the prefill engine or on the link. This multiple of the mean delay that
+# this costs is kept in hand.
+_DELAY_MARGIN = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,6 +43,8 @@
     Attributes:
       submit: The request.
       latest_start: When starting it would be too late.
+      first_token_s: Least time to its first token.
+      cost_s: Decode slot time that it is expected to cost.
       pool: Its pool.
       stage: Where it is.
       attempt: Number of the newest attempt.
@@ -49,6 +56,8 @@
 
     submit: messages.Submit
     latest_start: float
+    first_token_s: float
+    cost_s: float
     pool: pools.Pool
     stage: messages.Stage = messages.Stage.QUEUED
     attempt: int = -1
@@ -160,10 +169,18 @@
                 )
             ]
         self._budgets.earn(event.service)
-        latest_start = pool.latest_start(event, now)
-        request = _Request(event, latest_start, pool)
+        times = pool.best_times(event)
+        unhindered_start = event.deadline - times.first_token_s()
+        latest_start = min(
+            unhindered_start - pool.start_delay_s * _DELAY_MARGIN,
+            now + event.service.may_wait_s,
+        )
+        cost_s = self._cost_s(event, times)
+        request = _Request(
+            event, latest_start, times.first_token_s(), cost_s, pool
+        )
         self._requests_by_id[event.request_id] = request
-        if latest_start < now:
+        if unhindered_start < now:
             code = messages.RefusalCode.TARGET_UNREACHABLE
             return [self._refuse(request, code, now)]
         item = self._demand_item(request, now)
@@ -184,15 +201,17 @@
             at=now,
             user=request.submit.user,
             priority=request.submit.priority,
-            cost_s=self._hold_s(request),
+            cost_s=request.cost_s,
             worth=weight,
         )
 
-    def _hold_s(self, request: _Request) -> float:
-        """Returns how long a request is expected to hold a decode slot."""
-        tokens = self._lengths.expected_tokens(request.submit)
-        pace = estimates.seconds_per_token(request.pool.decodes)
-        return tokens * pace + 2 * request.pool.prefill_s
+    def _cost_s(self, submit: messages.Submit, times: pools.BestTimes) -> float:
+        """Returns the decode slot time that a request is expected to cost.
+
+        Its slot is held from the start of the prefill on.
+        """
+        tokens = self._lengths.expected_tokens(submit)
+        return times.first_token_s() + tokens * times.token_s
 
     def _enqueue(self, request: _Request) -> None:
         request.stage = messages.Stage.QUEUED
@@ -200,7 +219,7 @@
             queue.Waiting(
                 submit=request.submit,
                 latest_start=request.latest_start,
-                cost_s=self._hold_s(request),
+                cost_s=request.cost_s,
                 size_worth=_SIZE_WORTH,
             )
         )
@@ -243,6 +262,9 @@
         self._health.transfer(prefill.id, decode.id, ratio, now)
         request.stage = messages.Stage.DECODE
         request.stage_at = now
+        request.pool.learn_start_delay(
+            now - request.started_at - request.first_token_s
+        )
         return []
 
     def _progress(
--- a/src/cowsliprill/replay/catalogue.py
+++ b/src/cowsliprill/replay/catalogue.py
@@ -10,8 +10,8 @@
     "Synthetic: Poisson arrivals, log-normal lengths, Zipf prefixes, drawn"
     " with a seed; sizes and delays from the brief, the rest assumed."
 )
-_FAULT_START_S = 15.0
-_FAULT_END_S = 45.0
+_FAULT_START_S = 30.0
+_FAULT_END_S = 90.0
 _SLOW_FACTOR = 3.0
 
 
--- a/src/cowsliprill/replay/trace.py
+++ b/src/cowsliprill/replay/trace.py
@@ -88,7 +88,7 @@
     name: str
     note: str
     site: str
-    duration_s: float = 60.0
+    duration_s: float = 120.0
     load: float = 0.7
     burst: float = 1.0
     cancel_share: float = 0.0
