--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -1,9 +1,11 @@
 """One pool of engines as an entry sees it: leases, queue and backlog."""
 
+import dataclasses
 import random
 from collections.abc import Iterator
 
 from cowsliprill.decisions import admission
+from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import leases
 from cowsliprill.decisions import messages
@@ -18,6 +20,30 @@
 # a calm pool needs no message for a request.
 _RESERVE = 1
 
+# An entry sees a part of each user's work, so small differences say nothing.
+# Only a user that is clearly above its share here has to stand back.
+_OVER_SHARE = 1.5
+_OVER_SLOTS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BestTimes:
+    """What a request takes on free engines, in seconds.
+
+    Attributes:
+      prefill_s: Its prefill, with what is cached.
+      transfer_s: The transfer of its KV cache.
+      token_s: One token.
+    """
+
+    prefill_s: float
+    transfer_s: float
+    token_s: float
+
+    def first_token_s(self) -> float:
+        """Returns the least time to first token."""
+        return self.prefill_s + self.transfer_s + self.token_s
+
 
 class Pool:
     """State of one pool.
@@ -28,6 +54,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.queue = queue.WaitingQueue()
+        self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
         self.decodes: list[model.Endpoint] = []
         self.holdings_by_endpoint: dict[str, leases.Holding] = {}
@@ -35,6 +62,7 @@
         self.shares_by_user: dict[str, float] = {}
         self.hold_s = _HOLD_START_S
         self.prefill_s = _PREFILL_START_S
+        self.start_delay_s = 0.0
         self.returns = admission.ReturnTimes(rng)
 
     def set_engines(
@@ -62,6 +90,11 @@
         """Takes in how long a request held its decode slot."""
         self.hold_s += (seconds - self.hold_s) * _LEARNING_RATE
 
+    def learn_start_delay(self, seconds: float) -> None:
+        """Takes in by how much a first token came later than unhindered."""
+        change = max(seconds, 0.0) - self.start_delay_s
+        self.start_delay_s += change * _LEARNING_RATE
+
     def learn_prefill(self, seconds: float) -> None:
         """Takes in the expected time of a prefill that is started."""
         self.prefill_s += (seconds - self.prefill_s) * _LEARNING_RATE
@@ -86,16 +119,28 @@
         fair = (total + 1) / weight if weight else 0.0
         share = self.shares_by_user.get(user, 1.0)
         used = (self.in_use_by_user.get(user, 0) + 1) / share
-        return max(used - fair, 0.0)
+        return max(used - fair * _OVER_SHARE - _OVER_SLOTS, 0.0)
+
+    def slots(self) -> int:
+        """Returns the decode slots of the pool, those of others included."""
+        return sum(endpoint.slots for endpoint in self.decodes)
+
+    def backlog(self, priority: int) -> admission.Backlog:
+        """Returns what stands before the last request of a priority.
 
-    def backlog(self) -> admission.Backlog:
-        """Returns what stands before the queue's last request."""
+        Args:
+          priority: Requests of a lower one don't stand before it. How many
+            of the requests at other entries do isn't known; they are taken
+            to have the same mix as those here.
+        """
         holdings = [self.holding(item.id) for item in self.decodes]
         others = max((item.others_waiting for item in holdings), default=0)
-        slots = sum(item.slots for item in self.decodes)
+        own = sum(item.submit.priority >= priority for item in self.queue)
+        ahead = others * self.demand.share_at_least(priority)
+        slots = self.slots()
         used = sum(item.used for item in holdings)
         return admission.Backlog(
-            waiting=len(self.queue) + others,
+            waiting=own + ahead,
             free_slots=max(slots - used, 0),
             slots=slots,
             hold_s=self.hold_s,
@@ -103,14 +148,13 @@
             prefill_s=self.prefill_s,
         )
 
-    def latest_start(self, submit: messages.Submit, now: float) -> float:
-        """Returns when starting a request would be too late.
+    def best_times(self, submit: messages.Submit) -> BestTimes:
+        """Returns what a request takes on free engines.
 
         Args:
           submit: The request.
-          now: When it arrived.
         """
-        best = min(
+        prefill_s = min(
             (
                 estimates.prefill_s(
                     endpoint,
@@ -123,7 +167,7 @@
             ),
             default=0.0,
         )
-        transfer = min(
+        transfer_s = min(
             (
                 estimates.transfer_s(prefill, decode, submit.prompt_tokens)
                 for prefill in self.prefills[:1]
@@ -131,9 +175,11 @@
             ),
             default=0.0,
         )
-        first_token = estimates.seconds_per_token(self.decodes)
-        needed = best + transfer + first_token
-        return min(submit.deadline - needed, now + submit.service.may_wait_s)
+        return BestTimes(
+            prefill_s=prefill_s,
+            transfer_s=transfer_s,
+            token_s=estimates.seconds_per_token(self.decodes),
+        )
 
     def asks(
         self, now: float, sequence: int, *, only_urgent: bool
@@ -206,7 +252,7 @@
             in_use=holding.in_use,
             want=max(holding.in_use + max(need, reserve), held),
             priority=first.submit.priority if first else 0,
-            deadline_in_s=max(first.latest_start - now, 0.0) if first else 0.0,
+            deadline_in_s=first.urgency() - now if first else 0.0,
             user_wants=self._wants(need),
             user_in_use=tuple(holding.in_use_by_user.items()),
             held=held,
