--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -77,14 +77,16 @@
             environment.process,
             secrets.token_hex(_NONCE_BYTES),
         )
+        self._auth = peer_auth.PeerAuth(
+            environment.peer_secret.get_secret_value()
+        )
         self._world = world_lib.World()
         self._leases = leases_lib.Leases()
         self._budgets = retry.RetryBudgets()
         self._http = http_client.HttpClient()
         self._engines = engine_client.EngineClient(self._http)
         self._gate = gate_lib.Gate(self._incarnation, self._world)
-        secret = environment.peer_secret.get_secret_value()
-        homes = home_client.HomeClient(self._http, peer_auth.PeerAuth(secret))
+        homes = home_client.HomeClient(self._http, self._auth)
         self._canceller = canceller.Canceller(
             self._engines,
             homes,
@@ -155,7 +157,7 @@
             secrets.token_bytes(_SECRET_BYTES),
         )
         parts = self._parts(book)
-        self.shell.listen(routes.peer_routes(self._gate, parts))
+        self.shell.listen(routes.peer_routes(self._gate, parts, self._auth))
         book.port = self.shell.port
         self._public_server = self.shell.listen_public(
             routes.public_application(self._gate, parts),
@@ -171,7 +173,7 @@
         return routes.Parts(
             report=report.Report(self._log, self._metrics),
             idempotency=idempotency.Idempotency(
-                book, forward.Forwarder(self._http, self._world)
+                book, forward.Forwarder(self._http, self._world, self._auth)
             ),
             admission=admission.Admission(),
             model_placement=model_placement.ModelPlacement(
