Let a new home grant as soon as every entry has stated what it holds

Ruled out: granting at once (it promises what the other entries still hold). Shown failing first by leaving out the replay of the statements and the check of their number.

--- a/src/cowsliprill/dispatch/homes.py
+++ b/src/cowsliprill/dispatch/homes.py
@@ -12,6 +12,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import slots
 from cowsliprill.dispatch import prefix_feed
+from cowsliprill.dispatch import settling as settling_lib
 from cowsliprill.engines import model as engine_model
 
 
@@ -22,7 +23,8 @@
     Attributes:
       endpoint: The endpoint as the settings describe it.
       ledger: Its slot leases.
-      since: When this process became its home.
+      settling: What was stated since this process became its home, until the
+        forerunner's leases are over or known; None from then on.
       reported_at: When its newest load report was read.
       load: Its newest load report, None before the first.
       prefixes: What is known of its prefix cache.
@@ -30,7 +32,7 @@
 
     endpoint: model.Endpoint
     ledger: slots.SlotLedger
-    since: float
+    settling: settling_lib.Settling | None
     reported_at: float
     load: engine_model.LoadReport | None = None
     prefixes: prefix_feed.PrefixFeed = dataclasses.field(
@@ -68,6 +70,7 @@
     def __init__(self, vm_id: str) -> None:
         self._vm_id = vm_id
         self._map = home_map.HomeMap()
+        self._entries_by_vm: dict[str, int] = {}
         self.by_endpoint: dict[str, Home] = {}
 
     def update(
@@ -82,6 +85,11 @@
         """
         self._map.update(fleet.vms_by_id.values())
         self._map.keep_only(snapshot.endpoints_by_id)
+        self._entries_by_vm = {
+            vm.id: len(vm.entry_ports)
+            for vm in fleet.vms_by_id.values()
+            if vm.role is model.VmRole.ENTRY
+        }
         shares_by_user = _Shares(snapshot.users_by_id)
         kept = {}
         for endpoint in snapshot.endpoints_by_id.values():
@@ -115,6 +123,9 @@
         home = self.by_endpoint.get(ask.endpoint_id)
         if home is None:
             return None
+        if home.settling is not None:
+            home.settling.note(entry, ask)
+            self._settle_if_possible(home, now)
         return home.ledger.ask(entry, ask, now)
 
     def regrant(self, now: float) -> list[tuple[str, messages.SlotGrant]]:
@@ -159,7 +170,9 @@
     def unsettled(self, endpoint_id: str, now: float) -> bool:
         """Returns whether an endpoint is homed here since a short time only."""
         home = self.by_endpoint.get(endpoint_id)
-        return home is not None and now < home.since + slots.LEASE_S
+        if home is None or home.settling is None:
+            return False
+        return now < home.settling.ends_at
 
     def next_expiry(self) -> float | None:
         """Returns when the next lease of any endpoint runs out."""
@@ -173,12 +186,20 @@
         if home is not None and home.endpoint.slots == endpoint.slots:
             home.endpoint = endpoint
             return home
-        # A home that has just started, or has just taken the endpoint over,
-        # knows nothing of its forerunner's leases. Granting from an empty
-        # ledger would promise slots twice; one would notice refusals with
-        # `engine_full` after each restart of a home. After one lease time
-        # every old lease has run out or was stated again here.
+        settling = settling_lib.Settling(now)
         ledger = slots.SlotLedger(
-            endpoint.id, endpoint.slots, silent_until=now + slots.LEASE_S
+            endpoint.id, endpoint.slots, silent_until=settling.ends_at
         )
-        return Home(endpoint, ledger, since=now, reported_at=now)
+        return Home(endpoint, ledger, settling, reported_at=now)
+
+    def _settle_if_possible(self, home: Home, now: float) -> None:
+        settling = home.settling
+        assert settling is not None
+        if now >= settling.ends_at:
+            home.settling = None
+        elif settling.has_heard_all(self._entries_by_vm):
+            shares_by_user = home.ledger.shares_by_user
+            endpoint = home.endpoint
+            home.ledger = settling.ledger(endpoint.id, endpoint.slots, now)
+            home.ledger.shares_by_user = shares_by_user
+            home.settling = None
