Hold the new home's ledger to what later entries hold

Cause: leaving out the split of holding and wanting in the replay of statements broke no test. Before: that edit survived. After: it fails one. Conclusion: each part of the settling now has its test.

--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -142,6 +142,17 @@
         assert together.slots == 1
         assert not homes.unsettled("d0", 0.2)
 
+    def test_an_early_want_takes_nothing_that_a_later_entry_holds(self) -> None:
+        homes = _homes_of_two_vms(4)
+        other = dataclasses.replace(_ask("d0", 1, 3), held=3, user_wants=())
+        homes.ask(_ENTRY_A, _ask("d0", 0, 4), 0.1)
+        holder = homes.ask(_ENTRY_B, other, 0.2)
+        wanter = homes.ask(_ENTRY_A, _ask("d0", 0, 4), 0.3)
+        assert holder is not None
+        assert holder.slots == 3
+        assert wanter is not None
+        assert wanter.slots == 1
+
     def test_an_update_that_changes_nothing_keeps_the_leases(self) -> None:
         homes = homes_lib.Homes("vm-a")
         homes.update(_world(_endpoint("d0", 2)), _fleet("vm-a"), 0.0)
