Reuse the connection of a whole stream; let idle ones expire

The reader of a token stream knows at the end marker that the answer is whole, while the end of the chunked coding comes a moment later: the connection was dropped then, so that each decode opened a new one. It is now released: it serves another call if the body ends within a second, and is closed otherwise. A check that nothing more came meanwhile was tried and taken out again: no test could tell the difference, as the framing already keeps answers apart. Idle connections closed only when their endpoint was called again; each has a timer now, so those of an endpoint that left don't stay. A claimed Transfer-Encoding is dropped, as two headers of length let a request be split. Seen to fail without each.

--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -12,6 +12,7 @@
 # Beyond this much unread data a response is no longer read from the socket,
 # so that TCP slows the sender down to the pace of a slow reader.
 _BUFFER_BYTES = 65_536
+_RELEASE_S = 1.0
 
 
 class Response:
@@ -74,6 +75,15 @@
         """Counts the bytes that came in and weren't taken yet."""
         return self._exchange.buffered
 
+    def release(self) -> None:
+        """Keeps the connection for another call if the body ends soon.
+
+        For a reader that knows by the content that nothing more is to come,
+        while the framing's end is still on its way. Otherwise the connection
+        is dropped.
+        """
+        self._exchange.release()
+
     def close(self) -> None:
         """Drops the connection at once, unless the body is already whole."""
         self._exchange.fail(errors.CallError("closed by this side"))
@@ -190,6 +200,11 @@
             self._head.exception()
         self._end()
 
+    def release(self) -> None:
+        """Lets the answer end unread, within a short time."""
+        if not self.whole and self._error is None:
+            self.start_timers(_RELEASE_S, None)
+
     def start_timers(self, timeout_s: float, stall_s: float | None) -> None:
         """Bounds the whole exchange, and each wait for more of it.
 
@@ -197,6 +212,7 @@
           timeout_s: Time for the whole exchange.
           stall_s: Time without a byte after which it fails, None for any.
         """
+        self._cancel_timers()
         self._activity = self._loop.time()
         self._deadline = self._loop.call_later(
             timeout_s, self.fail, errors.CallTimeout("time is up")
@@ -227,13 +243,16 @@
         )
 
     def _end(self) -> None:
-        for timer in (self._deadline, self._stall_check):
-            if timer is not None:
-                timer.cancel()
+        self._cancel_timers()
         for future in (self._arrival, self._room):
             if future is not None:
                 _wake(future)
 
+    def _cancel_timers(self) -> None:
+        for timer in (self._deadline, self._stall_check):
+            if timer is not None:
+                timer.cancel()
+
 
 def _wake(future: asyncio.Future[None]) -> None:
     if not future.done():
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import dataclasses
 import re
 import socket
 from collections.abc import Mapping
@@ -18,7 +19,6 @@
 from tornado import netutil
 from tornado import tcpclient
 
-from cowsliprill import clock
 from cowsliprill.decisions import call as call_lib
 from cowsliprill.engines import errors
 from cowsliprill.engines import exchange as exchange_lib
@@ -43,6 +43,15 @@
 )
 
 
+_Address = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Idle:
+    stream: iostream.IOStream
+    expiry: asyncio.TimerHandle
+
+
 class _NumericResolver(netutil.Resolver):
     """Takes IP numbers as they are.
 
@@ -75,9 +84,7 @@
 
     def __init__(self) -> None:
         self._tcp = tcpclient.TCPClient(_NumericResolver())
-        self._idle_by_address: dict[
-            tuple[str, int], list[tuple[float, iostream.IOStream]]
-        ] = {}
+        self._idle_by_address: dict[_Address, list[_Idle]] = {}
         self._readers: set[asyncio.Task[None]] = set()
 
     async def call(
@@ -126,7 +133,7 @@
             raise errors.CallError(
                 f"malformed request: {method} {path!r}", run=progress.run
             )
-        stream = None if fresh else self._take_idle(host, port)
+        stream = None if fresh else self._take_idle((host, port))
         if stream is None:
             stream = await self._connect(host, port, connect_timeout_s)
         exchange = exchange_lib.Exchange(stream, method)
@@ -149,10 +156,9 @@
 
     def close(self) -> None:
         """Closes the idle connections; calls in progress go on."""
-        for idle in self._idle_by_address.values():
-            for _, stream in idle:
-                stream.close()
-        self._idle_by_address.clear()
+        for idle in list(self._idle_by_address.values()):
+            for entry in list(idle):
+                entry.stream.close()
         self._tcp.close()
 
     async def _connect(
@@ -179,34 +185,35 @@
         stream.set_nodelay(True)
         return stream
 
-    def _take_idle(self, host: str, port: int) -> iostream.IOStream | None:
-        idle = self._idle_by_address.get((host, port), [])
-        oldest = clock.now() - _IDLE_S
+    def _take_idle(self, address: _Address) -> iostream.IOStream | None:
+        idle = self._idle_by_address.get(address, [])
         while idle:
-            since, stream = idle.pop()
-            if _is_quiet(stream) and since > oldest:
-                stream.set_close_callback(None)
-                return stream
-            stream.close()
+            newest = idle.pop()
+            newest.expiry.cancel()
+            newest.stream.set_close_callback(None)
+            if _is_quiet(newest.stream):
+                return newest.stream
+            newest.stream.close()
         return None
 
-    def _keep_idle(
-        self, stream: iostream.IOStream, address: tuple[str, int]
-    ) -> None:
+    def _keep_idle(self, stream: iostream.IOStream, address: _Address) -> None:
         idle = self._idle_by_address.setdefault(address, [])
         if len(idle) >= _MAX_IDLE_PER_ENDPOINT:
             stream.close()
             return
-        idle.append((clock.now(), stream))
+        loop = asyncio.get_running_loop()
+        idle.append(_Idle(stream, loop.call_later(_IDLE_S, stream.close)))
         # Listening for the close tells at once when the endpoint hangs up, so
         # that a dead connection is hardly ever taken for the next call.
         stream.set_close_callback(lambda: self._drop_idle(stream, address))
 
-    def _drop_idle(
-        self, stream: iostream.IOStream, address: tuple[str, int]
-    ) -> None:
+    def _drop_idle(self, stream: iostream.IOStream, address: _Address) -> None:
         idle = self._idle_by_address.get(address, [])
-        idle[:] = [entry for entry in idle if entry[1] is not stream]
+        for entry in idle:
+            if entry.stream is stream:
+                entry.expiry.cancel()
+                idle.remove(entry)
+                break
         if not idle:
             self._idle_by_address.pop(address, None)
 
@@ -214,7 +221,7 @@
         self,
         connection: http1connection.HTTP1Connection,
         exchange: exchange_lib.Exchange,
-        address: tuple[str, int],
+        address: _Address,
     ) -> None:
         task = asyncio.create_task(
             self._read_answer(connection, exchange, address)
@@ -226,7 +233,7 @@
         self,
         connection: http1connection.HTTP1Connection,
         exchange: exchange_lib.Exchange,
-        address: tuple[str, int],
+        address: _Address,
     ) -> None:
         stream = connection.stream
         try:
@@ -249,12 +256,15 @@
 
 def _headers(
     headers: Mapping[str, str] | httputil.HTTPHeaders,
-    address: tuple[str, int],
+    address: _Address,
     length: int,
 ) -> httputil.HTTPHeaders:
     whole = httputil.HTTPHeaders(headers)
     whole["Host"] = f"{address[0]}:{address[1]}"
     whole["Content-Length"] = str(length)
+    # An endpoint that went by the one header of length while we went by the
+    # other would read a part of the body as a second request.
+    whole.pop("Transfer-Encoding", None)
     return whole
 
 
--- a/src/cowsliprill/engines/token_stream.py
+++ b/src/cowsliprill/engines/token_stream.py
@@ -51,7 +51,7 @@
         except errors.CallError:
             pass
         finally:
-            self.close()
+            self._let_go()
         result = self.checker.end(reason)
         if isinstance(result, stream_lib.Broken):
             raise errors.StreamBroken(
@@ -60,7 +60,18 @@
                 last_token=result.last_token,
             )
 
-    def close(self) -> None:
-        """Drops the connection; the engine holds its memory until a cancel."""
-        if self._response is not None:
+    def _let_go(self) -> None:
+        if self._response is None:
+            return
+        if self.checker.complete:
+            self._response.release()
+        else:
             self._response.close()
+
+    def close(self) -> None:
+        """Ends the reading, at any time.
+
+        The connection of an answer that isn't whole is dropped; the engine
+        holds its memory until a cancel.
+        """
+        self._let_go()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -150,6 +150,7 @@
             ("PO ST", "/", {}),
             ("POST", "/a b", {}),
             ("POST", "/", {"A": "b\r\nC: d"}),
+            ("POST", "/", {"A\r\nB": "c"}),
         ],
     )
     def test_request_that_would_split(self, method, path, headers) -> None:
@@ -173,6 +174,28 @@
 
         asyncio.run(scenario())
 
+    def test_two_headers_of_length(self) -> None:
+        """A caller claims chunked coding for a body of known length.
+
+        An endpoint would take the rest of the body for a second request.
+        """
+
+        async def script(connection) -> None:
+            await connection.run()
+            await connection.send(raw_endpoint.answer(b""))
+
+        async def scenario() -> None:
+            headers = {"Transfer-Encoding": "chunked", "Content-Length": "9"}
+            async with raw_endpoint.RawEndpoint(script) as endpoint:
+                await http_client.HttpClient().call(
+                    "127.0.0.1", endpoint.port, "POST", "/", headers, b"abc"
+                )
+                head = endpoint.ran[0].lower()
+                assert b"transfer-encoding" not in head
+                assert head.count(b"content-length: 3") == 1
+
+        asyncio.run(scenario())
+
 
 class TestCancel:
     """The caller leaves while its call is somewhere on its way."""
@@ -323,6 +346,44 @@
 
         asyncio.run(scenario())
 
+    @pytest.mark.parametrize("ends", [True, False])
+    def test_released_before_the_end_has_come(self, ends) -> None:
+        """A reader knows by the content that it has the whole answer.
+
+        Its connection serves another call once the answer has ended, and is
+        closed if that never comes: sockets of a faulty engine would pile up.
+        """
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+        async def scenario() -> None:
+            released = asyncio.Event()
+
+            async def script(connection) -> None:
+                await connection.run()
+                await connection.send(head + b"3\r\none\r\n")
+                await released.wait()
+                if ends:
+                    await connection.send(b"0\r\n\r\n")
+                await connection.wait_for_hang_up()
+
+            client = http_client.HttpClient()
+            async with raw_endpoint.RawEndpoint(script) as endpoint:
+                response = await client.call(
+                    "127.0.0.1", endpoint.port, "POST", "/", {}
+                )
+                async for chunk in response.chunks():
+                    assert chunk == b"one"
+                    break
+                response.release()
+                released.set()
+                if ends:
+                    await _turns_until(lambda: client.idle_count() == 1)
+                else:
+                    await endpoint.hung_up.wait()
+                    assert client.idle_count() == 0
+
+        asyncio.run(scenario())
+
     def test_answer_before_the_whole_request_was_read(self) -> None:
         """An endpoint refuses a large body without reading it.
 
