Make the cost of a change independent of the number of users

The first resolver read every part again for each change and kept pydantic objects of all endpoints. Now a part that is as it was keeps its object, services and endpoints are remembered by part, keys stand in sorted arrays of 12 bytes a key that a change copies, endpoints are split into parts as users are, and texts are kept compressed and shared with the store.

--- a/src/cowsliprill/cli/show.py
+++ b/src/cowsliprill/cli/show.py
@@ -9,6 +9,7 @@
 from cowsliprill.settings import layers
 from cowsliprill.settings import resolve
 from cowsliprill.settings import schema
+from cowsliprill.settings import tree as tree_lib
 
 _BUILT_IN = "built-in default"
 _CHILD_DEPTH = 3
@@ -32,8 +33,13 @@
     tree = resolve.read_tree(document)
     if name in snapshot.endpoints_by_id:
         endpoint = snapshot.endpoints_by_id[name]
-        pool = tree.pools[endpoint.pool]
-        found = layers.endpoint_layers(tree.root, endpoint.pool, pool, name)
+        found = layers.endpoint_layers(
+            tree.root,
+            endpoint.pool,
+            tree.pools[endpoint.pool],
+            name,
+            _endpoint_node(tree, name),
+        )
         return _lines(endpoint, layers.merge(found), {"id", "pool"})
     service = find_service(snapshot, name)
     if service is None:
@@ -67,7 +73,7 @@
 
 
 def _nodes(
-    tree: resolve.Tree, user_id: str
+    tree: tree_lib.Tree, user_id: str
 ) -> list[tuple[str, schema.ChildUserNode]]:
     top, _, child = user_id.partition("/")
     nodes: list[tuple[str, schema.ChildUserNode]] = [
@@ -80,6 +86,14 @@
     return nodes
 
 
+def _endpoint_node(tree: tree_lib.Tree, name: str) -> schema.EndpointNode:
+    for part in tree.endpoints.values():
+        nodes = part.nodes()
+        if name in nodes:
+            return nodes[name]
+    raise KeyError(name)
+
+
 def _lines(
     resolved: Any, merged: layers.Merged, derived: set[str]
 ) -> list[str]:
--- a/src/cowsliprill/settings/controller.py
+++ b/src/cowsliprill/settings/controller.py
@@ -161,7 +161,9 @@
             self._note("settings_incomplete", head, error)
             return Outcome.INCOMPLETE
         try:
-            snapshot = self._resolver.resolve(head.revision, self._texts(index))
+            snapshot = self._resolver.resolve(
+                head.revision, index, self._store.held
+            )
         except errors.SettingsError as error:
             return self._refuse(head, error)
         if not self._keeper.accept(version_of(head)):
@@ -169,10 +171,6 @@
         self._put_in_force(head, index, snapshot)
         return Outcome.ACCEPTED
 
-    def _texts(self, index: dict[str, str]) -> dict[str, str]:
-        texts = {part: self._store.text(each) for part, each in index.items()}
-        return {part: text for part, text in texts.items() if text is not None}
-
     def _refuse(self, head: parts.Head, error: errors.SettingsError) -> Outcome:
         self._keeper.refuse(version_of(head), f"{error.code}: {error}")
         self._store.drop_pending()
--- a/src/cowsliprill/settings/customers.py
+++ b/src/cowsliprill/settings/customers.py
@@ -8,20 +8,19 @@
 """
 
 import array
-import bisect
 import collections
 import dataclasses
 import json
-import zlib
 from collections.abc import Iterator
 from collections.abc import Mapping
 
 from cowsliprill.decisions import model
 from cowsliprill.settings import errors
+from cowsliprill.settings import key_table
+from cowsliprill.settings import packed
 from cowsliprill.settings import parts
 from cowsliprill.settings import schema
 
-_PREFIX_DIGITS = 16
 _USERS_KEPT = 512
 
 
@@ -31,29 +30,26 @@
 
     Attributes:
       parent: Name of the parent user.
-      packed: The text, compressed.
+      text: The text.
       count: Number of users in it.
       prefixes: First 64 bits of each API key's hash.
       overriding: Users that state services or service defaults, by name.
     """
 
     parent: str
-    packed: bytes
+    text: packed.PackedText
     count: int
     prefixes: array.array
     overriding: dict[str, schema.ChildUserNode]
 
     def nodes(self) -> dict[str, dict]:
         """Returns the users' JSON objects by name."""
-        return json.loads(zlib.decompress(self.packed))
+        return json.loads(str(self.text))
 
 
-def prefix_of(key_hash: str) -> int:
-    """Returns the first 64 bits of an API key's hash."""
-    return int(key_hash[:_PREFIX_DIGITS], 16)
-
-
-def read_children(part: str, text: str, buckets: int) -> ChildrenPart:
+def read_children(
+    part: str, text: packed.PackedText, buckets: int
+) -> ChildrenPart:
     """Checks a part of child users.
 
     Args:
@@ -69,25 +65,17 @@
     """
     _, parent, bucket = part.split("/")
     where = f"users.{parent}.users"
-    tree = json.loads(text)
-    if not isinstance(tree, dict):
-        raise errors.SettingsError(f"{where}: not an object")
+    tree = parts.read_members(str(text), where)
     prefixes = array.array("Q")
     overriding = {}
     for name, value in tree.items():
         path = f"{where}.{name}"
         node = schema.check(schema.ChildUserNode, value, path)
-        if not schema.is_name(name):
-            raise errors.SettingsError(f"{path}: not a name")
-        # The bucket is found from the name. A user elsewhere would be listed
-        # but never found, and its calls refused.
-        if parts.bucket_of(name, buckets) != int(bucket):
-            raise errors.SettingsError(f"{path}: in the wrong part {part}")
-        prefixes.extend(prefix_of(key) for key in node.key_hashes)
+        parts.check_bucket(name, buckets, int(bucket), where)
+        prefixes.extend(key_table.prefix_of(key) for key in node.key_hashes)
         if node.services or node.service_defaults.model_fields_set:
             overriding[name] = node
-    packed = zlib.compress(text.encode())
-    return ChildrenPart(parent, packed, len(tree), prefixes, overriding)
+    return ChildrenPart(parent, text, len(tree), prefixes, overriding)
 
 
 def _user(user_id: str, parent: str, node: schema.ChildUserNode) -> model.User:
@@ -165,36 +153,25 @@
 
     Args:
       top: Checked parts of the users at the top, by name.
-      children: Checked parts of child users, by part name.
+      keys: Where the child users' keys stand.
       users: All users.
 
     Raises:
-      SettingsError: One API key stands at two users. Told apart are the first
-        64 bits of the hashes; that two different keys agree in them has a
-        chance of about one in 10^10 at 42,000 keys.
+      SettingsError: One API key stands at two users.
     """
 
     def __init__(
         self,
         top: Mapping[str, schema.UserPart],
-        children: Mapping[str, ChildrenPart],
+        keys: key_table.KeyTable,
         users: UsersById,
     ) -> None:
         self._users = users
-        self._top = {
-            key: users[name]
-            for name, node in top.items()
-            for key in node.key_hashes
-        }
-        self._part_names = sorted(children)
-        numbered = sorted(
-            (prefix, number)
-            for number, part in enumerate(self._part_names)
-            for prefix in children[part].prefixes
-        )
-        self._prefixes = array.array("Q", (pair[0] for pair in numbered))
-        self._numbers = array.array("I", (pair[1] for pair in numbered))
-        self._refuse_repeats(top)
+        self._keys = keys
+        self._top: dict[str, model.User] = {}
+        for name, node in top.items():
+            for key in node.key_hashes:
+                self._add_top(key, users[name])
 
     def __getitem__(self, key_hash: str) -> model.User:
         if key_hash in self._top:
@@ -209,27 +186,20 @@
             yield from user.key_hashes
 
     def __len__(self) -> int:
-        return len(self._top) + len(self._prefixes)
+        return len(self._top) + len(self._keys)
+
+    def _add_top(self, key_hash: str, user: model.User) -> None:
+        taken = self._keys.part_of(key_table.prefix_of(key_hash)) is not None
+        if taken or key_hash in self._top:
+            raise errors.SettingsError(
+                f"users.{user.id}: the API key hash {key_hash[:16]}... "
+                "stands twice"
+            )
+        self._top[key_hash] = user
 
     def _candidates(self, key_hash: str) -> list[model.User]:
         try:
-            prefix = prefix_of(key_hash)
+            part = self._keys.part_of(key_table.prefix_of(key_hash))
         except ValueError:
             return []
-        place = bisect.bisect_left(self._prefixes, prefix)
-        if place == len(self._prefixes) or self._prefixes[place] != prefix:
-            return []
-        return self._users.in_part(self._part_names[self._numbers[place]])
-
-    def _refuse_repeats(self, top: Mapping[str, schema.UserPart]) -> None:
-        # A key at two users would give one firm the other's answers, depending
-        # on which of the two happened to be found first.
-        keys = [key for node in top.values() for key in node.key_hashes]
-        prefixes = [*self._prefixes, *(prefix_of(key) for key in keys)]
-        prefixes.sort()
-        for left, right in zip(prefixes, prefixes[1:], strict=False):
-            if left == right:
-                digits = f"{left:016x}"
-                raise errors.SettingsError(
-                    f"users: the API key hash {digits}... stands twice"
-                )
+        return [] if part is None else self._users.in_part(part)
--- a/src/cowsliprill/settings/difference.py
+++ b/src/cowsliprill/settings/difference.py
@@ -66,7 +66,14 @@
     kind: str, old: Mapping[str, Any], new: Mapping[str, Any]
 ) -> list[FieldChange]:
     found = []
-    for each in sorted(old.keys() | new.keys()):
+    # What a change doesn't touch is the same object in both snapshots, and
+    # need not be compared.
+    touched = [
+        each
+        for each in old.keys() | new.keys()
+        if old.get(each) is not new.get(each)
+    ]
+    for each in sorted(touched):
         if each not in old:
             found.append(FieldChange(kind, each, "", None, new[each]))
         elif each not in new:
--- a/src/cowsliprill/settings/follower.py
+++ b/src/cowsliprill/settings/follower.py
@@ -158,8 +158,9 @@
         self, head: parts.Head, version: revision.Version
     ) -> None:
         index = await self._fetcher.complete(head, self._url)
-        texts = {part: self._store.text(each) for part, each in index.items()}
-        snapshot = self._resolver.resolve(head.revision, texts)
+        snapshot = self._resolver.resolve(
+            head.revision, index, self._store.held
+        )
         if not self._keeper.accept(version):
             return
         self._store.put_in_force(head.index, index)
--- a/src/cowsliprill/settings/handlers.py
+++ b/src/cowsliprill/settings/handlers.py
@@ -11,8 +11,8 @@
 from cowsliprill.settings import exchange as exchange_lib
 from cowsliprill.settings import fetch
 from cowsliprill.settings import parts
-from cowsliprill.settings import resolve
 from cowsliprill.settings import service as service_lib
+from cowsliprill.settings import tree as tree_lib
 
 _LONGEST_WAIT_S = 30.0
 _STATUS_NOTHING_NEW = 204
@@ -105,7 +105,7 @@
             part: store.text(text_hash) or ""
             for part, text_hash in store.hashes_by_part.items()
         }
-        tree = json.loads(resolve.document_of(texts))
+        tree = json.loads(tree_lib.document_of(texts))
         fields = {
             "revision": head.revision,
             "published_by": head.published_by,
--- a/src/cowsliprill/settings/layers.py
+++ b/src/cowsliprill/settings/layers.py
@@ -101,15 +101,20 @@
 
 
 def endpoint_layers(
-    root: schema.RootPart, pool_name: str, pool: schema.PoolNode, name: str
+    root: schema.RootPart,
+    pool_name: str,
+    pool: schema.PoolPart,
+    name: str,
+    node: schema.EndpointNode,
 ) -> list[Layer]:
     """Collects the layers of an endpoint.
 
     Args:
       root: The root's defaults.
       pool_name: Name of the pool.
-      pool: The pool.
+      pool: The pool's own part.
       name: Name of the endpoint.
+      node: The endpoint's own node.
 
     Returns:
       The layers, the root's first.
@@ -118,5 +123,5 @@
     return [
         layer("endpoint_defaults", root.endpoint_defaults),
         layer(f"{path}.endpoint_defaults", pool.endpoint_defaults),
-        layer(f"{path}.endpoints.{name}", pool.endpoints[name]),
+        layer(f"{path}.endpoints.{name}", node),
     ]
--- a/src/cowsliprill/settings/parts.py
+++ b/src/cowsliprill/settings/parts.py
@@ -6,12 +6,13 @@
 replica, a peer) is therefore either exactly the one meant or refused.
 
 Parts are `root`, `user/NAME`, `children/NAME/BUCKET` (the child users of NAME
-whose names hash to BUCKET) and `pool/NAME`.
+whose names hash to BUCKET), `pool/NAME` and `endpoints/NAME/BUCKET`.
 """
 
 import dataclasses
 import hashlib
 import json
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 
@@ -19,6 +20,7 @@
 
 from cowsliprill import codec
 from cowsliprill.settings import errors
+from cowsliprill.settings import packed
 from cowsliprill.settings import schema
 
 HEAD_NAME = "settings.head"
@@ -26,9 +28,9 @@
 MAX_VALUE_BYTES = 1_000_000
 
 _HASH_DIGITS = 32
-# About 32 child users make a part of some 4 KB: at 25,000 changes a day one
-# part a change stays far below the 4 KB/s that a node may spend on control.
-_CHILDREN_PER_BUCKET = 32
+# About 32 child users or endpoints make a part of some 4 KB: at 25,000 changes
+# a day one part a change stays below the 4 KB/s that a node may spend.
+_NAMES_PER_BUCKET = 32
 # Changes that the head repeats, so that a reader a few revisions behind needs
 # no whole index.
 _CHANGES_IN_HEAD = 4
@@ -92,7 +94,7 @@
 
 
 def bucket_of(name: str, buckets: int) -> int:
-    """Returns the bucket that a child user's name hashes to."""
+    """Returns the bucket that a child user's or endpoint's name hashes to."""
     return xxhash.xxh3_64_intdigest(name.encode()) % buckets
 
 
@@ -144,27 +146,87 @@
     }
     values: dict[str, Any] = {"root": root}
     for name, user in tree.get("users", {}).items():
-        values.update(_user_parts(name, user))
+        values.update(_bucketed("user", "children", "users", name, user))
     for name, pool in tree.get("pools", {}).items():
-        values[f"pool/{name}"] = pool
+        values.update(_bucketed("pool", "endpoints", "endpoints", name, pool))
     return {name: canonical(value) for name, value in values.items()}
 
 
-def _user_parts(name: str, user: dict[str, Any]) -> dict[str, Any]:
-    children = user.get("users", {})
+def _bucketed(
+    kind: str, below: str, key: str, name: str, node: dict[str, Any]
+) -> dict[str, Any]:
+    """Splits a node: what it says itself, and buckets of what is below."""
+    members = node.get(key, {})
     buckets = 0
-    if children:
-        wanted = -(-len(children) // _CHILDREN_PER_BUCKET)
+    if members:
+        wanted = -(-len(members) // _NAMES_PER_BUCKET)
         # A power of two, so that most growth leaves the buckets alone.
         buckets = 1 << (wanted - 1).bit_length()
-    own = {key: value for key, value in user.items() if key != "users"}
-    values: dict[str, Any] = {f"user/{name}": {**own, "buckets": buckets}}
-    for child, node in children.items():
-        part = f"children/{name}/{bucket_of(child, buckets)}"
-        values.setdefault(part, {})[child] = node
+    own = {field: value for field, value in node.items() if field != key}
+    values: dict[str, Any] = {f"{kind}/{name}": {**own, "buckets": buckets}}
+    for member, value in members.items():
+        part = f"{below}/{name}/{bucket_of(member, buckets)}"
+        values.setdefault(part, {})[member] = value
     return values
 
 
+def read_members(text: str, where: str) -> dict[str, Any]:
+    """Reads a part of child users or endpoints.
+
+    Args:
+      text: Its text.
+      where: Path in the tree, for the message.
+
+    Returns:
+      JSON values by name.
+
+    Raises:
+      SettingsError: It isn't a JSON object.
+    """
+    try:
+        members = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise errors.SettingsError(
+            f"{where}: not JSON: {error}", code="settings_not_json"
+        ) from error
+    if not isinstance(members, dict):
+        raise errors.SettingsError(f"{where}: not an object")
+    return members
+
+
+def check_bucket(name: str, buckets: int, bucket: int, where: str) -> None:
+    """Refuses what stands in a bucket that its name doesn't hash to.
+
+    The bucket is found from the name. A user elsewhere would be listed but
+    never found, and its calls refused; and one name could stand twice.
+
+    Args:
+      name: Name of the child user or endpoint.
+      buckets: Number of buckets.
+      bucket: Where it stands.
+      where: Path in the tree, for the message.
+
+    Raises:
+      SettingsError: It stands in the wrong bucket, or the name isn't one.
+    """
+    if not schema.is_name(name):
+        raise errors.SettingsError(f"{where}: {name!r} is not a name")
+    if bucket_of(name, buckets) != bucket:
+        raise errors.SettingsError(f"{where}.{name}: stands in the wrong part")
+
+
+def index_of(
+    texts_by_part: Mapping[str, str],
+) -> tuple[dict[str, str], Callable[[str], packed.PackedText]]:
+    """Returns the index of texts at hand, and what gives the text of a hash."""
+    index = {part: hash_of(text) for part, text in texts_by_part.items()}
+    texts = {
+        index[part]: packed.PackedText(text)
+        for part, text in texts_by_part.items()
+    }
+    return index, texts.__getitem__
+
+
 def index_text(hashes_by_part: Mapping[str, str]) -> str:
     """Writes an index."""
     return canonical(dict(hashes_by_part))
--- a/src/cowsliprill/settings/resolve.py
+++ b/src/cowsliprill/settings/resolve.py
@@ -2,11 +2,11 @@
 
 A pure function of the text, so that all processes accept or all refuse a
 revision. `Resolver` remembers what it made of each part, so that a change
-costs what it touches and not the whole tree.
+costs what it touches and not the whole tree; the result is the same.
 """
 
-import dataclasses
 import json
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Mapping
 from typing import Any
@@ -14,9 +14,12 @@
 from cowsliprill.decisions import model
 from cowsliprill.settings import customers
 from cowsliprill.settings import errors
+from cowsliprill.settings import key_table
 from cowsliprill.settings import layers
+from cowsliprill.settings import packed
 from cowsliprill.settings import parts
 from cowsliprill.settings import schema
+from cowsliprill.settings import tree as tree_lib
 
 _ENDPOINT_REQUIRED = ("kind", "host", "port", "availability_zone", "slots")
 _SERVICE_REQUIRED = ("kind", "pool")
@@ -31,23 +34,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tree:
-    """The checked parts of one revision.
-
-    Attributes:
-      root: Defaults of the whole tree.
-      users: Users at the top by name.
-      children: Parts of child users by part name.
-      pools: Pools by name.
-    """
-
-    root: schema.RootPart
-    users: dict[str, schema.UserPart]
-    children: dict[str, customers.ChildrenPart]
-    pools: dict[str, schema.PoolNode]
-
-
 def resolve(document: str) -> model.Snapshot:
     """Resolves a whole document.
 
@@ -60,11 +46,12 @@
     Raises:
       SettingsError: The document isn't valid.
     """
-    revision = schema.parse(schema.Document, document).revision
-    return Resolver().resolve(revision, parts.split(document))
+    texts_by_part = parts.split(document)
+    revision = json.loads(document)["revision"]
+    return Resolver().resolve_texts(revision, texts_by_part)
 
 
-def read_tree(document: str) -> Tree:
+def read_tree(document: str) -> tree_lib.Tree:
     """Reads a whole document as a tree, for tools that show it.
 
     Args:
@@ -76,23 +63,59 @@
     Raises:
       SettingsError: The document isn't valid.
     """
-    return Resolver().read(parts.split(document))
+    texts_by_part = parts.split(document)
+    index, text_of = parts.index_of(texts_by_part)
+    return tree_lib.TreeReader().read(index, text_of)
+
+
+class _Memory:
+    """Results by part, kept while what they were made from is the same."""
+
+    def __init__(self) -> None:
+        self._kept: dict[str, tuple[tuple, Any]] = {}
+
+    def get(self, part: str, made_from: tuple, make: Callable[[], Any]) -> Any:
+        kept = self._kept.get(part)
+        if kept is None or any(
+            old is not new for old, new in zip(kept[0], made_from, strict=True)
+        ):
+            kept = (made_from, make())
+            self._kept[part] = kept
+        return kept[1]
+
+    def keep_only(self, part_names: set[str]) -> None:
+        for part in self._kept.keys() - part_names:
+            del self._kept[part]
 
 
 class Resolver:
     """Resolves revisions, one after the other."""
 
     def __init__(self) -> None:
-        self._read_by_part: dict[str, tuple[Any, Any]] = {}
+        self._reader = tree_lib.TreeReader()
+        self._services = _Memory()
+        self._endpoints = _Memory()
+        self._keys = key_table.KeyTable()
+        self._keys_made_from: dict[str, customers.ChildrenPart] = {}
 
-    def resolve(
+    def resolve_texts(
         self, revision: int, texts_by_part: Mapping[str, str]
+    ) -> model.Snapshot:
+        """Resolves a revision whose texts are all at hand; as `resolve`."""
+        return self.resolve(revision, *parts.index_of(texts_by_part))
+
+    def resolve(
+        self,
+        revision: int,
+        index: Mapping[str, str],
+        text_of: Callable[[str], packed.PackedText],
     ) -> model.Snapshot:
         """Resolves one revision.
 
         Args:
           revision: Its number.
-          texts_by_part: Text of every part by the part's name.
+          index: Hash by part name.
+          text_of: Returns the text of a hash.
 
         Returns:
           The snapshot.
@@ -100,99 +123,84 @@
         Raises:
           SettingsError: The settings aren't valid.
         """
-        tree = self.read(texts_by_part)
+        tree = self._reader.read(index, text_of)
         users = customers.UsersById(tree.users, tree.children)
         snapshot = model.Snapshot(
             revision=revision,
             users_by_id=users,
             users_by_key_hash=customers.UsersByKeyHash(
-                tree.users, tree.children, users
+                tree.users, self._updated_keys(tree), users
             ),
-            services_by_id=dict(_services(tree)),
-            endpoints_by_id=dict(_endpoints(tree)),
+            services_by_id=self._all_services(tree),
+            endpoints_by_id=self._all_endpoints(tree),
         )
         _check_pools(snapshot, tree)
         return snapshot
 
-    def read(self, texts_by_part: Mapping[str, str]) -> Tree:
-        """Reads all parts; otherwise as `resolve`."""
-        tree = Tree(schema.RootPart(), {}, {}, {})
-        # Users come before their child users: these need the bucket count.
-        for name in sorted(texts_by_part, key=_reading_order):
-            self._read_part(tree, name, texts_by_part[name])
-        for name in self._read_by_part.keys() - texts_by_part.keys():
-            del self._read_by_part[name]
-        return dataclasses.replace(tree, root=self._root(texts_by_part))
-
-    def _root(self, texts_by_part: Mapping[str, str]) -> schema.RootPart:
-        if "root" not in texts_by_part:
-            raise errors.SettingsError("part 'root' is missing")
-        return schema.parse(schema.RootPart, texts_by_part["root"])
-
-    def _read_part(self, tree: Tree, part: str, text: str) -> None:
-        match part.split("/"):
-            case ["root"]:
-                pass
-            case ["user", name] if schema.is_name(name):
-                tree.users[name] = self._remember(
-                    part, text, f"users.{name}", schema.UserPart
-                )
-            case ["pool", name] if schema.is_name(name):
-                tree.pools[name] = self._remember(
-                    part, text, f"pools.{name}", schema.PoolNode
-                )
-            case ["children", name, bucket] if bucket.isdecimal():
-                buckets = _buckets(tree, part, name, int(bucket))
-                tree.children[part] = self._children(part, text, buckets)
-            case _:
-                raise errors.SettingsError(f"unknown part {part!r}")
-
-    def _remember(self, part: str, text: str, where: str, kind: Any) -> Any:
-        key = parts.hash_of(text)
-        remembered = self._read_by_part.get(part)
-        if remembered is None or remembered[0] != key:
-            remembered = (key, schema.parse(kind, text, where))
-            self._read_by_part[part] = remembered
-        return remembered[1]
-
-    def _children(
-        self, part: str, text: str, buckets: int
-    ) -> customers.ChildrenPart:
-        key = (parts.hash_of(text), buckets)
-        remembered = self._read_by_part.get(part)
-        if remembered is None or remembered[0] != key:
-            found = customers.read_children(part, text, buckets)
-            remembered = (key, found)
-            self._read_by_part[part] = remembered
-        return remembered[1]
-
-
-def _reading_order(part: str) -> tuple[bool, str]:
-    return (part.startswith("children/"), part)
-
-
-def _buckets(tree: Tree, part: str, parent: str, bucket: int) -> int:
-    user = tree.users.get(parent)
-    if user is None or bucket >= user.buckets:
-        raise errors.SettingsError(f"part {part!r} belongs to no user")
-    return user.buckets
-
-
-def _services(tree: Tree) -> Iterator[tuple[str, model.Service]]:
-    for name, user in tree.users.items():
-        path = f"users.{name}"
-        for service in user.services:
-            yield _service(tree, name, [(path, user)], service)
-    for part in tree.children.values():
-        yield from _child_services(tree, part)
+    def _updated_keys(self, tree: tree_lib.Tree) -> key_table.KeyTable:
+        old, new = self._keys_made_from, tree.children
+        changed = [
+            part
+            for part in old.keys() | new.keys()
+            if old.get(part) is not new.get(part)
+        ]
+        if changed:
+            self._keys = self._keys.replaced(
+                {part: old[part].prefixes for part in changed if part in old},
+                {part: new[part].prefixes for part in changed if part in new},
+            )
+            self._keys_made_from = dict(new)
+        return self._keys
+
+    def _all_services(self, tree: tree_lib.Tree) -> dict[str, model.Service]:
+        found: dict[str, model.Service] = {}
+        for name, user in tree.users.items():
+            found |= self._services.get(
+                f"user/{name}",
+                (tree.root, user),
+                lambda name=name: dict(_services(tree, name)),
+            )
+        for part, children in tree.children.items():
+            if not children.overriding:
+                continue
+            found |= self._services.get(
+                part,
+                (tree.root, tree.users[children.parent], children),
+                lambda part=part: dict(_child_services(tree, part)),
+            )
+        users = {f"user/{name}" for name in tree.users}
+        self._services.keep_only(users | tree.children.keys())
+        return found
+
+    def _all_endpoints(self, tree: tree_lib.Tree) -> dict[str, model.Endpoint]:
+        found: dict[str, model.Endpoint] = {}
+        for part, endpoints in tree.endpoints.items():
+            made = self._endpoints.get(
+                part,
+                (tree.root, tree.pools[endpoints.pool], endpoints),
+                lambda part=part: dict(_endpoints(tree, part)),
+            )
+            _refuse_repeats(found, made)
+            found |= made
+        self._endpoints.keep_only(set(tree.endpoints))
+        return found
+
+
+def _services(
+    tree: tree_lib.Tree, name: str
+) -> Iterator[tuple[str, model.Service]]:
+    user = tree.users[name]
+    for service in user.services:
+        yield _service(tree, name, [(f"users.{name}", user)], service)
 
 
 def _child_services(
-    tree: Tree, part: customers.ChildrenPart
+    tree: tree_lib.Tree, part: str
 ) -> Iterator[tuple[str, model.Service]]:
-    parent = tree.users[part.parent]
-    path = f"users.{part.parent}"
-    for child, node in part.overriding.items():
+    children = tree.children[part]
+    parent = tree.users[children.parent]
+    path = f"users.{children.parent}"
+    for child, node in children.overriding.items():
         names = set(node.services)
         if node.service_defaults.model_fields_set:
             # What a child user states for all services holds for those that
@@ -200,11 +208,11 @@
             names |= set(parent.services)
         nodes = [(path, parent), (f"{path}.users.{child}", node)]
         for service in sorted(names):
-            yield _service(tree, f"{part.parent}/{child}", nodes, service)
+            yield _service(tree, f"{children.parent}/{child}", nodes, service)
 
 
 def _service(
-    tree: Tree,
+    tree: tree_lib.Tree,
     user_id: str,
     nodes: list[tuple[str, schema.ChildUserNode]],
     name: str,
@@ -221,24 +229,21 @@
     return service.id, service
 
 
-def _endpoints(tree: Tree) -> Iterator[tuple[str, model.Endpoint]]:
-    pools_by_endpoint: dict[str, str] = {}
-    for pool_name, pool in tree.pools.items():
-        for name in pool.endpoints:
-            other = pools_by_endpoint.setdefault(name, pool_name)
-            if other != pool_name:
-                raise errors.SettingsError(
-                    f"pools.{pool_name}.endpoints.{name}: stands in pool "
-                    f"{other!r} as well"
-                )
-            yield name, _endpoint(tree, pool_name, pool, name)
+def _endpoints(
+    tree: tree_lib.Tree, part: str
+) -> Iterator[tuple[str, model.Endpoint]]:
+    endpoints = tree.endpoints[part]
+    for name, node in endpoints.nodes().items():
+        yield name, _endpoint(tree, endpoints.pool, name, node)
 
 
 def _endpoint(
-    tree: Tree, pool_name: str, pool: schema.PoolNode, name: str
+    tree: tree_lib.Tree, pool_name: str, name: str, node: schema.EndpointNode
 ) -> model.Endpoint:
     merged = layers.merge(
-        layers.endpoint_layers(tree.root, pool_name, pool, name)
+        layers.endpoint_layers(
+            tree.root, pool_name, tree.pools[pool_name], name, node
+        )
     )
     fields = dict(merged.fields)
     where = f"pools.{pool_name}.endpoints.{name}"
@@ -251,6 +256,16 @@
     return model.Endpoint(id=name, pool=pool_name, **fields)
 
 
+def _refuse_repeats(
+    found: dict[str, model.Endpoint], made: dict[str, model.Endpoint]
+) -> None:
+    for name in found.keys() & made.keys():
+        raise errors.SettingsError(
+            f"pools.{made[name].pool}.endpoints.{name}: stands in pool "
+            f"{found[name].pool!r} as well"
+        )
+
+
 def _require(
     where: str, fields: dict[str, Any], required: tuple[str, ...]
 ) -> None:
@@ -261,7 +276,7 @@
             )
 
 
-def _check_pools(snapshot: model.Snapshot, tree: Tree) -> None:
+def _check_pools(snapshot: model.Snapshot, tree: tree_lib.Tree) -> None:
     kinds_by_pool: dict[str, set[model.EndpointKind]] = {
         name: set() for name in tree.pools
     }
@@ -290,26 +305,3 @@
             f"service {service.id}: pool {service.pool!r} has no "
             f"{missing[0]} endpoint"
         )
-
-
-def document_of(snapshot_texts: Mapping[str, str]) -> str:
-    """Puts parts together to the part of a document below its head.
-
-    Args:
-      snapshot_texts: Text by part name.
-
-    Returns:
-      JSON with the tree, without revision and publisher.
-    """
-    tree: dict[str, Any] = {**json.loads(snapshot_texts["root"])}
-    for part in sorted(snapshot_texts, key=_reading_order):
-        value = json.loads(snapshot_texts[part])
-        match part.split("/"):
-            case ["user", name]:
-                value.pop("buckets", None)
-                tree.setdefault("users", {})[name] = value
-            case ["pool", name]:
-                tree.setdefault("pools", {})[name] = value
-            case ["children", name, _]:
-                tree["users"][name].setdefault("users", {}).update(value)
-    return json.dumps(tree)
--- a/src/cowsliprill/settings/schema.py
+++ b/src/cowsliprill/settings/schema.py
@@ -169,6 +169,9 @@
     endpoint_defaults: EndpointNode = EndpointNode()
 
 
+_Buckets = Annotated[int, pydantic.Field(ge=0, le=65_536)]
+
+
 class UserPart(ChildUserNode):
     """Part `user/NAME`: a user without its child users.
 
@@ -176,7 +179,18 @@
       buckets: Number of `children/NAME/BUCKET` parts.
     """
 
-    buckets: Annotated[int, pydantic.Field(ge=0, le=65_536)] = 0
+    buckets: _Buckets = 0
+
+
+class PoolPart(Node):
+    """Part `pool/NAME`: a pool without its endpoints.
+
+    Attributes:
+      buckets: Number of `endpoints/NAME/BUCKET` parts.
+    """
+
+    endpoint_defaults: EndpointNode = EndpointNode()
+    buckets: _Buckets = 0
 
 
 class Document(RootPart):
--- a/src/cowsliprill/settings/store.py
+++ b/src/cowsliprill/settings/store.py
@@ -1,8 +1,8 @@
 """Texts of the parts that this process holds, compressed, by hash."""
 
-import zlib
 from collections.abc import Iterable
 
+from cowsliprill.settings import packed
 from cowsliprill.settings import parts
 
 # Parts fetched for a revision that isn't complete yet. They are kept, so that
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self.index_hash = ""
         self.hashes_by_part: dict[str, str] = {}
-        self._packed_by_hash: dict[str, bytes] = {}
+        self._packed_by_hash: dict[str, packed.PackedText] = {}
         self._pending_bytes = 0
 
     def add(self, text: str) -> None:
@@ -29,16 +29,20 @@
         text_hash = parts.hash_of(text)
         if text_hash in self._packed_by_hash:
             return
-        packed = zlib.compress(text.encode())
-        if self._pending_bytes + len(packed) > _MAX_PENDING_BYTES:
+        kept = packed.PackedText(text)
+        if self._pending_bytes + len(kept) > _MAX_PENDING_BYTES:
             self.drop_pending()
-        self._packed_by_hash[text_hash] = packed
-        self._pending_bytes += len(packed)
+        self._packed_by_hash[text_hash] = kept
+        self._pending_bytes += len(kept)
 
     def text(self, text_hash: str) -> str | None:
         """Returns the text of a hash, or None if it isn't held."""
-        packed = self._packed_by_hash.get(text_hash)
-        return None if packed is None else zlib.decompress(packed).decode()
+        kept = self._packed_by_hash.get(text_hash)
+        return None if kept is None else str(kept)
+
+    def held(self, text_hash: str) -> packed.PackedText:
+        """Returns what is kept of a hash that is known to be held."""
+        return self._packed_by_hash[text_hash]
 
     def missing(self, hashes: Iterable[str]) -> list[str]:
         """Returns those of the hashes whose text isn't held."""
--- a/tests/test_settings_resolve.py
+++ b/tests/test_settings_resolve.py
@@ -14,6 +14,7 @@
 from cowsliprill.settings import errors
 from cowsliprill.settings import parts
 from cowsliprill.settings import resolve
+from cowsliprill.settings import tree as tree_lib
 
 _EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
 _FIELDS = ("priority", "timeout_s", "ttft_target_s")
@@ -257,7 +258,9 @@
         for path, fields in edits:
             tree = _edited(tree, path, fields)
             document = json.dumps(tree)
-            snapshot = resolver.resolve(tree["revision"], parts.split(document))
+            snapshot = resolver.resolve_texts(
+                tree["revision"], parts.split(document)
+            )
             # What was remembered of earlier revisions makes no difference.
             fresh = resolve.resolve(document)
             assert snapshot.services_by_id == fresh.services_by_id
@@ -335,7 +338,7 @@
     def test_parts_make_the_document_again(self) -> None:
         tree = _many(100)
         texts = parts.split(json.dumps(tree))
-        rest = json.loads(resolve.document_of(texts))
+        rest = json.loads(tree_lib.document_of(texts))
         for name in ("revision", "published_by", "published_at"):
             del tree[name]
         assert rest == tree
@@ -360,7 +363,7 @@
         first, second = names[:2]
         texts[first], texts[second] = texts[second], texts[first]
         with pytest.raises(errors.SettingsError, match="wrong part"):
-            resolve.Resolver().resolve(1, texts)
+            resolve.Resolver().resolve_texts(1, texts)
 
     def test_a_value_above_a_megabyte_is_refused(self) -> None:
         tree = _both()
--- /dev/null
+++ b/tests/test_settings_size.py
@@ -0,0 +1,106 @@
+"""Tests of what settings cost as they grow, and of the shortcuts for it."""
+
+import hashlib
+import json
+from typing import Any
+
+import hypothesis
+from hypothesis import strategies
+
+from cowsliprill.decisions import model
+from cowsliprill.settings import errors
+from cowsliprill.settings import measure
+from cowsliprill.settings import parts
+from cowsliprill.settings import resolve
+
+_KEYS = [
+    hashlib.sha256(str(number).encode()).hexdigest() for number in range(6)
+]
+
+# Moves of keys between users, of which some lead to a key that stands twice.
+_moves = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 79),
+        strategies.lists(strategies.sampled_from(_KEYS), max_size=2),
+    ),
+    max_size=12,
+)
+
+
+def _resolved(
+    resolver: resolve.Resolver, tree: dict[str, Any]
+) -> model.Snapshot | str:
+    texts = parts.split(json.dumps(tree))
+    try:
+        return resolver.resolve_texts(tree["revision"], texts)
+    except errors.SettingsError as error:
+        return error.code
+
+
+class TestShortcuts:
+    """A resolver that remembers earlier revisions."""
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, database=None, max_examples=30
+    )
+    @hypothesis.given(_moves)
+    def test_keys_that_move_between_users(self, moves: list) -> None:
+        """Operators move API keys from one user to another.
+
+        A table that kept an old place would let a caller in as another user,
+        or refuse a valid revision.
+        """
+        tree = measure.tree_of_size(80, 6)
+        firms = tree["users"]["site"]["users"]
+        resolver = resolve.Resolver()
+        for number, keys in moves:
+            firms[f"firm-{number}"]["key_hashes"] = keys
+            tree["revision"] += 1
+            found = _resolved(resolver, tree)
+            expected = _resolved(resolve.Resolver(), tree)
+            if isinstance(expected, str):
+                assert found == expected
+                continue
+            assert dict(found.users_by_id) == dict(expected.users_by_id)
+            for key in _KEYS:
+                user = expected.users_by_key_hash.get(key)
+                assert found.users_by_key_hash.get(key) == user
+                assert user is None or key in user.key_hashes
+
+    def test_an_older_snapshot_keeps_its_keys(self) -> None:
+        """A request was let in under revision 1 while 2 comes into force."""
+        tree = measure.tree_of_size(80, 6)
+        resolver = resolve.Resolver()
+        old = _resolved(resolver, tree)
+        firm = tree["users"]["site"]["users"]["firm-7"]
+        key = firm["key_hashes"][0]
+        firm["key_hashes"] = []
+        tree["revision"] = 2
+        new = _resolved(resolver, tree)
+        assert old.users_by_key_hash[key].id == "site/firm-7"
+        assert key not in new.users_by_key_hash
+
+
+class TestCosts:
+    """Costs that must not grow with the number of users."""
+
+    def test_a_change_moves_little(self) -> None:
+        """Tens of thousands of users change their settings each day.
+
+        If each change moved all of them, control would need more bandwidth
+        than answers do.
+        """
+        small = measure.change_cost(500, 30, changes=3)
+        large = measure.change_cost(4_000, 30, changes=3)
+        assert large.moved_bytes < 1.5 * small.moved_bytes
+        assert large.moved_bytes < 5_000
+
+    def test_a_user_takes_little_memory(self) -> None:
+        """A user as a data class in two dicts takes some 600 bytes.
+
+        With 42,000 of them an entry would outgrow its 64 MB and be killed.
+        """
+        small = measure.change_cost(500, 30, changes=1)
+        large = measure.change_cost(4_000, 30, changes=1)
+        grown = large.memory_bytes - small.memory_bytes
+        assert grown / 3_500 < 200
