--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
 
 class EndpointKind(enum.StrEnum):
@@ -174,7 +175,7 @@
     """A user or one of its child users (a firm of a consortium).
 
     Attributes:
-      id: Path from the root, for example `umurongo/inkomoko`.
+      id: Path from the root, for example `umurongo/firm-1`.
       parent: Id of the parent user, empty at the top.
       key_hashes: Hex SHA-256 digests of its API keys.
       share: Weight in the fair sharing of slots.
@@ -224,8 +225,10 @@
     """
 
     revision: int = 0
-    users_by_id: dict[str, User] = dataclasses.field(default_factory=dict)
-    users_by_key_hash: dict[str, User] = dataclasses.field(default_factory=dict)
+    users_by_id: Mapping[str, User] = dataclasses.field(default_factory=dict)
+    users_by_key_hash: Mapping[str, User] = dataclasses.field(
+        default_factory=dict
+    )
     services_by_id: dict[str, Service] = dataclasses.field(default_factory=dict)
     endpoints_by_id: dict[str, Endpoint] = dataclasses.field(
         default_factory=dict
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -168,7 +168,7 @@
                     retry_after_s=_IDLE_WAKEUP_S,
                 )
             ]
-        self._budgets.earn(event.service)
+        self._budgets.of(event.service).earn()
         times = pool.best_times(event)
         unhindered_start = event.deadline - times.first_token_s()
         latest_start = min(
@@ -208,10 +208,16 @@
     def _cost_s(self, submit: messages.Submit, times: pools.BestTimes) -> float:
         """Returns the decode slot time that a request is expected to cost.
 
-        Its slot is held from the start of the prefill on.
+        Its slot is held from the start of the prefill on. A transfer that
+        takes much of the time for which its prefill is kept may come too
+        late, the more so the more links are shared; the service says how much
+        an unused prefill matters.
         """
         tokens = self._lengths.expected_tokens(submit)
-        return times.first_token_s() + tokens * times.token_s
+        held_s = times.first_token_s() + tokens * times.token_s
+        risk = times.transfer_s / times.export_ttl_s
+        weight = submit.service.wasted_prefill_weight
+        return held_s * (1 + weight * risk)
 
     def _enqueue(self, request: _Request) -> None:
         request.stage = messages.Stage.QUEUED
@@ -349,7 +355,7 @@
             return messages.RefusalCode.ENDPOINT_FAILED
         if request.latest_start <= now:
             return messages.RefusalCode.ENDPOINT_FAILED
-        if not self._budgets.spend(service):
+        if not self._budgets.of(service).spend(request.attempt + 1):
             return messages.RefusalCode.RETRY_BUDGET_SPENT
         return None
 
--- /dev/null
+++ b/src/cowsliprill/engines/http_client.py
@@ -0,0 +1,304 @@
+"""An HTTP/1.1 client whose calls can be cancelled at any time.
+
+tornado's `AsyncHTTPClient.fetch` can't be cancelled before its first chunk and
+queues silently beyond `max_clients`. A caller that leaves would go on holding
+an engine's memory. So the connection is owned here: tornado's `TCPClient` and
+`HTTP1Connection` do the protocol, and closing the socket ends a call at once.
+"""
+
+import asyncio
+import re
+import socket
+from collections.abc import Mapping
+from typing import Any
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+from tornado import netutil
+from tornado import tcpclient
+
+from cowsliprill import clock
+from cowsliprill.decisions import call as call_lib
+from cowsliprill.engines import errors
+from cowsliprill.engines import exchange as exchange_lib
+
+_READ_BYTES = 16_384
+_MAX_HEADER_BYTES = 16_384
+# tornado allocates half of this for each read, however little comes. Tokens
+# are small, and one chunk may be read beyond what was asked for.
+_MAX_STREAM_BYTES = 2 * _READ_BYTES
+_MAX_BODY_BYTES = 2**40
+_MAX_IDLE_PER_ENDPOINT = 64
+_IDLE_S = 30.0
+_TARGET = re.compile(r"[!-~]+")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
+_PARAMETERS = http1connection.HTTP1ConnectionParameters(
+    no_keep_alive=False,
+    chunk_size=_READ_BYTES,
+    max_header_size=_MAX_HEADER_BYTES,
+    max_body_size=_MAX_BODY_BYTES,
+)
+
+
+class _NumericResolver(netutil.Resolver):
+    """Takes IP numbers as they are.
+
+    tornado's own resolver asks a thread for each connection, and a name that
+    a slow name server must resolve would hold up calls.
+    """
+
+    async def resolve(
+        self,
+        host: str,
+        port: int,
+        family: socket.AddressFamily = socket.AF_UNSPEC,
+    ) -> list[tuple[int, Any]]:
+        found = socket.getaddrinfo(
+            host,
+            port,
+            family,
+            socket.SOCK_STREAM,
+            flags=socket.AI_NUMERICHOST,
+        )
+        return [(entry[0], entry[4]) for entry in found]
+
+
+class HttpClient:
+    """Calls endpoints over pooled connections.
+
+    There is no queue: a call starts at once or fails. How many may run is for
+    the slot leases to say.
+    """
+
+    def __init__(self) -> None:
+        self._tcp = tcpclient.TCPClient(_NumericResolver())
+        self._idle_by_address: dict[
+            tuple[str, int], list[tuple[float, iostream.IOStream]]
+        ] = {}
+        self._readers: set[asyncio.Task[None]] = set()
+
+    async def call(
+        self,
+        host: str,
+        port: int,
+        method: str,
+        path: str,
+        headers: Mapping[str, str] | httputil.HTTPHeaders,
+        body: bytes = b"",
+        *,
+        connect_timeout_s: float = 1.0,
+        timeout_s: float = 120.0,
+        stall_s: float | None = None,
+        fresh: bool = False,
+        progress: call_lib.Progress | None = None,
+    ) -> exchange_lib.Response:
+        """Sends a request and waits for the answer's status and headers.
+
+        Cancelling the calling task closes the connection.
+
+        Args:
+          host: IP number.
+          port: TCP port.
+          method: HTTP method.
+          path: Path and query.
+          headers: Headers besides `Host` and `Content-Length`.
+          body: The body.
+          connect_timeout_s: Time for the connection.
+          timeout_s: Time for the whole call, the answer's body included.
+          stall_s: Time without a byte after which the call fails.
+          fresh: Whether to open a new connection. An endpoint may close an
+            idle one just as a request goes out on it, which leaves unknown
+            whether that was run.
+          progress: Told how far the call got, for use after a cancel.
+
+        Returns:
+          The response.
+
+        Raises:
+          errors.CallError: There was no answer; `run` says what is known.
+        """
+        progress = progress or call_lib.Progress()
+        all_headers = _headers(headers, (host, port), len(body))
+        if not _is_well_formed(method, path, all_headers):
+            raise errors.CallError(
+                f"malformed request: {method} {path!r}", run=progress.run
+            )
+        stream = None if fresh else self._take_idle(host, port)
+        if stream is None:
+            stream = await self._connect(host, port, connect_timeout_s)
+        exchange = exchange_lib.Exchange(stream, method)
+        try:
+            connection = _write(
+                stream, (method, path, all_headers, body), progress
+            )
+            exchange.start_timers(timeout_s, stall_s)
+            self._read(connection, exchange, (host, port))
+            await exchange.wait_for_head()
+        except BaseException:
+            exchange.fail(errors.CallError("call given up"))
+            stream.close()
+            raise
+        return exchange_lib.Response(exchange)
+
+    def idle_count(self) -> int:
+        """Counts the idle connections that are kept."""
+        return sum(len(idle) for idle in self._idle_by_address.values())
+
+    def close(self) -> None:
+        """Closes the idle connections; calls in progress go on."""
+        for idle in self._idle_by_address.values():
+            for _, stream in idle:
+                stream.close()
+        self._idle_by_address.clear()
+        self._tcp.close()
+
+    async def _connect(
+        self, host: str, port: int, timeout_s: float
+    ) -> iostream.IOStream:
+        connecting = asyncio.ensure_future(
+            self._tcp.connect(
+                host,
+                port,
+                timeout=timeout_s,
+                max_buffer_size=_MAX_STREAM_BYTES,
+            )
+        )
+        try:
+            # A cancel that meets a connection which has just come about would
+            # lose the stream and leave it open. So connecting goes on by
+            # itself, for `timeout_s` at most, and is then closed.
+            stream = await asyncio.shield(connecting)
+        except asyncio.CancelledError:
+            connecting.add_done_callback(_close_unclaimed)
+            raise
+        except (OSError, iostream.StreamClosedError) as error:
+            raise errors.ConnectFailed(f"{host}:{port}: {error}") from error
+        stream.set_nodelay(True)
+        return stream
+
+    def _take_idle(self, host: str, port: int) -> iostream.IOStream | None:
+        idle = self._idle_by_address.get((host, port), [])
+        oldest = clock.now() - _IDLE_S
+        while idle:
+            since, stream = idle.pop()
+            if _is_quiet(stream) and since > oldest:
+                stream.set_close_callback(None)
+                return stream
+            stream.close()
+        return None
+
+    def _keep_idle(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        if len(idle) >= _MAX_IDLE_PER_ENDPOINT:
+            stream.close()
+            return
+        idle.append((clock.now(), stream))
+        # Listening for the close tells at once when the endpoint hangs up, so
+        # that a dead connection is hardly ever taken for the next call.
+        stream.set_close_callback(lambda: self._drop_idle(stream, address))
+
+    def _drop_idle(
+        self, stream: iostream.IOStream, address: tuple[str, int]
+    ) -> None:
+        idle = self._idle_by_address.get(address, [])
+        idle[:] = [entry for entry in idle if entry[1] is not stream]
+        if not idle:
+            self._idle_by_address.pop(address, None)
+
+    def _read(
+        self,
+        connection: http1connection.HTTP1Connection,
+        exchange: exchange_lib.Exchange,
+        address: tuple[str, int],
+    ) -> None:
+        task = asyncio.create_task(
+            self._read_answer(connection, exchange, address)
+        )
+        self._readers.add(task)
+        task.add_done_callback(self._readers.discard)
+
+    async def _read_answer(
+        self,
+        connection: http1connection.HTTP1Connection,
+        exchange: exchange_lib.Exchange,
+        address: tuple[str, int],
+    ) -> None:
+        stream = connection.stream
+        try:
+            await connection.read_response(exchange)
+        except (OSError, iostream.StreamClosedError) as error:
+            exchange.fail(errors.CallError(f"connection lost: {error}"))
+        except iostream.UnsatisfiableReadError as error:
+            exchange.fail(errors.CallError(f"answer is malformed: {error}"))
+        exchange.fail(errors.CallError("answer is malformed"))
+        if exchange.whole and _may_keep(exchange, stream):
+            self._keep_idle(stream, address)
+        else:
+            stream.close()
+
+
+def _close_unclaimed(connecting: asyncio.Future[iostream.IOStream]) -> None:
+    if not connecting.cancelled() and connecting.exception() is None:
+        connecting.result().close()
+
+
+def _headers(
+    headers: Mapping[str, str] | httputil.HTTPHeaders,
+    address: tuple[str, int],
+    length: int,
+) -> httputil.HTTPHeaders:
+    whole = httputil.HTTPHeaders(headers)
+    whole["Host"] = f"{address[0]}:{address[1]}"
+    whole["Content-Length"] = str(length)
+    return whole
+
+
+def _is_well_formed(
+    method: str, path: str, headers: httputil.HTTPHeaders
+) -> bool:
+    # A line end within a part of the head would make a second request of the
+    # rest, for which nobody waits. Checked before anything is written, so that
+    # "not run" can be said.
+    return (
+        _TOKEN.fullmatch(method) is not None
+        and _TARGET.fullmatch(path) is not None
+        and all(
+            _TOKEN.fullmatch(name) and _VALUE.fullmatch(value)
+            for name, value in headers.get_all()
+        )
+    )
+
+
+def _write(
+    stream: iostream.IOStream,
+    request: tuple[str, str, httputil.HTTPHeaders, bytes],
+    progress: call_lib.Progress,
+) -> http1connection.HTTP1Connection:
+    method, path, headers, body = request
+    connection = http1connection.HTTP1Connection(stream, True, _PARAMETERS)
+    start_line = httputil.RequestStartLine(method, path, "HTTP/1.1")
+    if stream.closed():
+        raise errors.ConnectFailed("connection closed before the request")
+    progress.writing()
+    connection.write_headers(start_line, headers, body)
+    connection.finish()
+    return connection
+
+
+def _may_keep(
+    exchange: exchange_lib.Exchange, stream: iostream.IOStream
+) -> bool:
+    asked_to_close = exchange.headers.get("Connection", "").lower() == "close"
+    return not asked_to_close and _is_quiet(stream)
+
+
+def _is_quiet(stream: iostream.IOStream) -> bool:
+    # Bytes that nobody asked for, such as the late half of a doubled answer,
+    # would be read as the answer of the next call on this connection. tornado
+    # has no public way to see them.
+    return not stream.closed() and not stream._read_buffer_size
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -35,6 +35,10 @@
       platform_url: URL of the platform, settings process only.
       vm_list_url: URL of the VM list, settings process only.
       boot_peers: URLs of settings processes to ask before the list is known.
+      drain_notice_s: How long the balancer may need to see that a process
+        isn't ready; it serves on for this long before it takes no more.
+      peer_secret: Secret that our processes share, by which they tell each
+        other from strangers; empty accepts all.
       seed: Seed of the process's random numbers; None draws one.
     """
 
@@ -50,6 +54,8 @@
     platform_url: str = ""
     vm_list_url: str = ""
     boot_peers: tuple[str, ...] = ()
+    drain_notice_s: float = pydantic.Field(default=5.0, ge=0.0, le=600.0)
+    peer_secret: pydantic.SecretStr = pydantic.SecretStr("")
     seed: int | None = None
 
 
--- a/src/cowsliprill/replay/sites.py
+++ b/src/cowsliprill/replay/sites.py
@@ -34,6 +34,7 @@
       tpot_target_s: Target for the time between tokens.
       user: The user that declares the services.
       children: Its child users, the callers.
+      wasted_prefill_weight: How much an unused prefill costs its services.
       services: Names of the common and the high-priority service.
     """
 
@@ -53,6 +54,7 @@
     tpot_target_s: float = 0.04
     user: str
     children: tuple[str, ...]
+    wasted_prefill_weight: float
     services: tuple[str, str]
 
     def endpoints(self) -> dict[str, model.Endpoint]:
@@ -118,6 +120,7 @@
             tpot_target_s=self.tpot_target_s,
             priority=priority,
             may_wait_s=self.ttft_target_s,
+            wasted_prefill_weight=self.wasted_prefill_weight,
         )
 
 
@@ -133,6 +136,7 @@
         output_median=200.0,
         ttft_target_s=2.0,
         user="umurongo",
+        wasted_prefill_weight=0.2,
         children=tuple(f"umurongo/firm-{name}" for name in "abcd"),
         services=("brief", "brief-now"),
     ),
@@ -148,6 +152,7 @@
         output_sigma=0.4,
         ttft_target_s=4.0,
         user="zarqa",
+        wasted_prefill_weight=1.0,
         children=("zarqa/bagroute", "zarqa/handover"),
         services=("summary", "summary-express"),
     ),
--- /dev/null
+++ b/tools/bench_load.py
@@ -0,0 +1,190 @@
+"""Callers of the benchmark: many streams at once, counted and timed."""
+
+import asyncio
+import dataclasses
+import itertools
+import json
+import statistics
+import time
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from cowsliprill.decisions import model
+from cowsliprill.engines import engine_client
+from cowsliprill.engines import http_client
+from cowsliprill.engines import protocol
+
+_HOST = "127.0.0.1"
+_READ_BYTES = 65_536
+_EVENT = b"\ndata: {"
+_DONE = b"data: [DONE]"
+_LAST_CHUNK = b"0\r\n\r\n"
+_TIMEOUT_S = 120.0
+
+
+class BenchError(Exception):
+    """Raised when a stream of the benchmark isn't whole."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Target:
+    """Where streams are asked for.
+
+    Attributes:
+      port: TCP port.
+      key: API key.
+      model: Name of the service.
+      prompt: The prompt.
+    """
+
+    port: int
+    key: str
+    model: str
+    prompt: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Streamed:
+    """One whole stream.
+
+    Attributes:
+      first_token_s: Time to the first token.
+      events: Tokens that came.
+    """
+
+    first_token_s: float
+    events: int
+
+
+def _request(target: Target, tokens: int) -> bytes:
+    body = json.dumps(
+        {
+            "model": target.model,
+            "prompt": target.prompt,
+            "max_tokens": tokens,
+            "stream": True,
+        }
+    )
+    return (
+        f"POST {protocol.COMPLETIONS_PATH} HTTP/1.1\r\n"
+        f"Host: {_HOST}:{target.port}\r\n"
+        f"Authorization: Bearer {target.key}\r\n"
+        f"Content-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+async def stream(target: Target, tokens: int) -> Streamed:
+    """Asks for one stream and reads it to its end.
+
+    Args:
+      target: Where.
+      tokens: Tokens to ask for.
+
+    Returns:
+      What came.
+
+    Raises:
+      BenchError: The stream isn't whole.
+    """
+    reader, writer = await asyncio.open_connection(_HOST, target.port)
+    started = time.perf_counter()
+    writer.write(_request(target, tokens))
+    first_token_s = 0.0
+    events = 0
+    rest = b""
+    try:
+        async with asyncio.timeout(_TIMEOUT_S):
+            while not rest.endswith(_LAST_CHUNK):
+                chunk = await reader.read(_READ_BYTES)
+                if not chunk:
+                    raise BenchError(f"stream ended: {rest!r}")
+                # The end of what came before is kept, as a mark may be cut.
+                seen = rest.count(_EVENT)
+                rest += chunk
+                events += rest.count(_EVENT) - seen
+                if events and not first_token_s:
+                    first_token_s = time.perf_counter() - started
+                rest = rest[-len(_DONE) - 64 :]
+    finally:
+        writer.close()
+    if events != tokens or _DONE not in rest:
+        raise BenchError(f"{events} of {tokens} tokens: {rest!r}")
+    return Streamed(first_token_s, events)
+
+
+async def many(target: Target, streams: int, tokens: int) -> list[Streamed]:
+    """Reads many streams at once.
+
+    Args:
+      target: Where.
+      streams: How many.
+      tokens: Tokens to ask for, each.
+
+    Returns:
+      What came.
+    """
+    return await asyncio.gather(
+        *(stream(target, tokens) for _ in range(streams))
+    )
+
+
+class DirectCaller:
+    """A caller that knows the engines itself, with nothing between.
+
+    Args:
+      prefill: The prefill engine.
+      decode: The decode engine.
+      prompt: The prompt.
+    """
+
+    def __init__(
+        self, prefill: model.Endpoint, decode: model.Endpoint, prompt: str
+    ) -> None:
+        self._client = engine_client.EngineClient(http_client.HttpClient())
+        self._prefill = prefill
+        self._decode = decode
+        self._prompt = prompt
+        self._numbers = itertools.count()
+
+    async def first_token_s(self, tokens: int) -> float:
+        """Has an answer streamed.
+
+        Args:
+          tokens: Tokens to ask for.
+
+        Returns:
+          Time to the first token, seconds.
+        """
+        request_id = f"bench.direct.x.{next(self._numbers)}.0"
+        body = {"prompt": self._prompt, "max_tokens": tokens}
+        started = time.perf_counter()
+        result = await self._client.prefill(self._prefill, request_id, body)
+        events = await self._client.decode(
+            self._decode, request_id, body, result
+        )
+        first_token_s = 0.0
+        async for _ in events:
+            first_token_s = first_token_s or time.perf_counter() - started
+        return first_token_s
+
+
+async def in_turns(
+    callers: list[Callable[[], Awaitable[float]]], count: int
+) -> list[float]:
+    """Times callers one at a time, so that nothing queues.
+
+    They take turns, so that a change of the machine's load meets all alike.
+
+    Args:
+      callers: Each returns a time in seconds.
+      count: Calls of each.
+
+    Returns:
+      The median by caller.
+    """
+    times: list[list[float]] = [[] for _ in callers]
+    for _ in range(count):
+        for caller, own in zip(callers, times, strict=True):
+            own.append(await caller())
+    return [statistics.median(own) for own in times]
