--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -34,11 +34,13 @@
       prefill_s: Its prefill, with what is cached.
       transfer_s: The transfer of its KV cache.
       token_s: One token.
+      export_ttl_s: How long a finished prefill is kept for its transfer.
     """
 
     prefill_s: float
     transfer_s: float
     token_s: float
+    export_ttl_s: float
 
     def first_token_s(self) -> float:
         """Returns the least time to first token."""
@@ -179,6 +181,9 @@
             prefill_s=prefill_s,
             transfer_s=transfer_s,
             token_s=estimates.seconds_per_token(self.decodes),
+            export_ttl_s=min(
+                (item.export_ttl_s for item in self.prefills), default=1.0
+            ),
         )
 
     def asks(
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -208,10 +208,16 @@
     def _cost_s(self, submit: messages.Submit, times: pools.BestTimes) -> float:
         """Returns the decode slot time that a request is expected to cost.
 
-        Its slot is held from the start of the prefill on.
+        Its slot is held from the start of the prefill on. A transfer that
+        takes much of the time for which its prefill is kept may come too
+        late, the more so the more links are shared; the service says how much
+        an unused prefill matters.
         """
         tokens = self._lengths.expected_tokens(submit)
-        return times.first_token_s() + tokens * times.token_s
+        held_s = times.first_token_s() + tokens * times.token_s
+        risk = times.transfer_s / times.export_ttl_s
+        weight = submit.service.wasted_prefill_weight
+        return held_s * (1 + weight * risk)
 
     def _enqueue(self, request: _Request) -> None:
         request.stage = messages.Stage.QUEUED
