Give back the bytes of broken uploads; bound recorded answers in all

Reading the code anew showed three leaks. A caller that left amid its upload left its bytes counted, so that three of them made the process refuse every call; recorded answers were bounded each but not together (200 streams with keys: up to 50 MB); and the scheduler wasn't told when an endpoint's leaving news expired, so that it stayed out until the next change of the settings.

--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -223,9 +223,14 @@
         )
 
     def _report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
+        now = clock.now()
+        if self._world.is_leaving(endpoint_id, now):
+            return
         self._log.event("endpoint_leaving", endpoint=endpoint_id)
-        self._world.note_leaving(endpoint_id, clock.now() + ttl_s)
+        self._world.note_leaving(endpoint_id, now + ttl_s)
         self._announce_world()
+        # The scheduler has to hear too when the news expire.
+        asyncio.get_running_loop().call_later(ttl_s, self._announce_world)
         # The request that met the draining answer doesn't wait for the report.
         report = asyncio.create_task(
             self._source.report_leaving(endpoint_id, ttl_s)
@@ -243,6 +248,7 @@
             "incarnation": str(self._incarnation),
             "revision": self._world.snapshot.revision,
             "requests": len(self._gate.tasks),
+            "buffered_bytes": self._gate.buffered_bytes,
             "pending_cancels": self._canceller.pending,
             "draining": self._gate.draining,
         }
--- a/src/cowsliprill/entry/filters/idempotency.py
+++ b/src/cowsliprill/entry/filters/idempotency.py
@@ -26,10 +26,14 @@
     Attributes:
       book: Tickets and keys of this incarnation.
       forwarder: Passes requests on to the owners of their tickets.
+      room: Room for answers while they are recorded.
     """
 
     book: tickets.TicketBook
     forwarder: forward.Forwarder
+    room: reply_lib.RecordingRoom = dataclasses.field(
+        default_factory=reply_lib.RecordingRoom
+    )
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handle
@@ -72,7 +76,7 @@
     async def _run(
         self, ctx: context.Context, proceed: context.Handle, record: str
     ) -> None:
-        recording = reply_lib.RecordingReply(ctx.reply)
+        recording = reply_lib.RecordingReply(ctx.reply, self.room)
         ctx.reply = recording
         # A booking whose caller is gone has most likely been made. Going on to
         # its end costs no engine memory, and the caller's retry then learns
@@ -89,7 +93,10 @@
         except BaseException:
             self._settle_unknown(record, ctx)
             raise
-        self.book.finish(record, recording.answer())
+        else:
+            self.book.finish(record, recording.answer())
+        finally:
+            recording.forget()
 
     def _settle_error(
         self,
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -37,6 +37,7 @@
             ctx.progress.outcome = ctx.progress.outcome or COMPLETED
         except errors.EntryError as error:
             ctx.progress.outcome = error.code
+            ctx.progress.run = error.run
             await _answer_error(ctx, error)
         except reply_lib.CallerGone:
             ctx.progress.outcome = CALLER_GONE
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -47,6 +47,7 @@
         self._handle = handle
         self._chunks: list[bytes] = []
         self._size = 0
+        self._held = 0
         self._fault: errors.EntryError | None = None
         self._ctx: context.Context | None = None
         self._task: asyncio.Task | None = None
@@ -86,6 +87,7 @@
             self._fault = self._gate.check_room(self._size)
         if self._fault is None:
             self._chunks.append(chunk)
+            self._held += len(chunk)
             self._gate.buffered_bytes += len(chunk)
 
     async def get(self, *_: str) -> None:
@@ -96,9 +98,12 @@
 
     def on_connection_close(self) -> None:
         """Ends the request of a caller that is gone."""
-        if self._task is None or self._ctx.survives_caller:
-            return
-        self._task.cancel()
+        if self._task is None:
+            # It left amid its upload. Bytes that stayed counted would add up
+            # until every call is refused as one too many.
+            self._release_body()
+        elif not self._ctx.survives_caller:
+            self._task.cancel()
 
     def call(self, body: bytes) -> context.Call:
         """Returns the caller's call."""
@@ -113,8 +118,6 @@
 
     async def _serve(self) -> None:
         body = b"".join(self._chunks)
-        held = len(body)
-        self._chunks.clear()
         reply = reply_lib.HttpReply(self)
         self._ctx = self._gate.open(self.call(body), reply)
         reply.request_id = self._ctx.request_id
@@ -122,7 +125,12 @@
         try:
             await asyncio.wait([self._task])
         finally:
-            self._gate.buffered_bytes -= held
+            self._release_body()
+
+    def _release_body(self) -> None:
+        self._chunks.clear()
+        self._gate.buffered_bytes -= self._held
+        self._held = 0
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answers what tornado itself refuses in the same JSON shape."""
--- a/src/cowsliprill/entry/reply.py
+++ b/src/cowsliprill/entry/reply.py
@@ -121,6 +121,17 @@
             stream.close()
 
 
+@dataclasses.dataclass(slots=True)
+class RecordingRoom:
+    """Room for the answers that are being recorded, shared by all of them.
+
+    Attributes:
+      left: Bytes that may yet be taken.
+    """
+
+    left: int = tickets.MAX_STORED_BYTES
+
+
 @dataclasses.dataclass(slots=True)
 class RecordingReply:
     """Keeps a copy of an answer, so that it can be given again.
@@ -128,21 +139,27 @@
     It goes on taking the answer when the caller is gone: the caller's retry
     with the same key then gets the answer of the one run.
 
+    Without room for all of an answer nothing of it is kept: many long streams
+    with keys would else take more memory than the process has.
+
     Attributes:
       inner: Where the answer goes besides.
+      room: Room that it shares.
       started: Whether status and headers have been given.
       whole: Whether the answer has been ended.
       caller_gone: Whether the caller's connection is lost.
     """
 
     inner: Reply
+    room: RecordingRoom
     started: bool = False
     whole: bool = False
     caller_gone: bool = False
     _status: int = 0
     _headers: tuple[tuple[str, str], ...] = ()
     _chunks: list[bytes] = dataclasses.field(default_factory=list)
-    _size: int = 0
+    _taken: int = 0
+    _complete: bool = True
 
     async def start(self, status: int, headers: Headers) -> None:
         """Takes status and headers."""
@@ -154,11 +171,7 @@
 
     async def write(self, chunk: bytes) -> None:
         """Takes a part of the body."""
-        self._size += len(chunk)
-        if self._size <= tickets.MAX_ANSWER_BYTES:
-            self._chunks.append(chunk)
-        else:
-            self._chunks.clear()
+        self._record(chunk)
         await self._pass_on(self.inner.write, chunk)
 
     async def end(self) -> None:
@@ -172,13 +185,30 @@
 
     def answer(self) -> tickets.Answer | None:
         """Returns the answer, None if it isn't whole or is too large."""
-        if not self.whole or self._size > tickets.MAX_ANSWER_BYTES:
+        if not (self.whole and self._complete):
             return None
         body = b"".join(self._chunks)
         return tickets.Answer(
             status=self._status, headers=self._headers, body=body
         )
 
+    def forget(self) -> None:
+        """Gives its room back; to be called once, at the end."""
+        self._chunks.clear()
+        self.room.left += self._taken
+        self._taken = 0
+
+    def _record(self, chunk: bytes) -> None:
+        size = len(chunk)
+        fits = self._taken + size <= tickets.MAX_ANSWER_BYTES
+        if not (self._complete and fits and size <= self.room.left):
+            self._complete = False
+            self.forget()
+            return
+        self._chunks.append(chunk)
+        self._taken += size
+        self.room.left -= size
+
     async def _pass_on(self, send, *arguments) -> None:
         if self.caller_gone:
             return
--- a/src/cowsliprill/entry/world.py
+++ b/src/cowsliprill/entry/world.py
@@ -61,6 +61,10 @@
         """
         self._leaving_until_by_endpoint[endpoint_id] = until
 
+    def is_leaving(self, endpoint_id: str, now: float) -> bool:
+        """Returns whether an endpoint is known to be leaving."""
+        return endpoint_id in self.fleet_at(now).leaving_endpoint_ids
+
     def fleet_at(self, now: float) -> model.Fleet:
         """Returns the VM list with this process's own news."""
         own = {
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -367,9 +367,13 @@
         return Answer(response.status, response.headers, body)
 
     async def raw_open(
-        self, path: str, body: Any, receive_buffer: int = 65_536
+        self,
+        path: str,
+        body: Any,
+        receive_buffer: int = 65_536,
+        cut: int = 0,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        """Posts over a bare connection and reads nothing yet."""
+        """Posts all but the last `cut` bytes and reads nothing yet."""
         bare = socket.socket()
         bare.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         bare.setblocking(False)
@@ -384,7 +388,7 @@
             f"Authorization: Bearer {KEYS['umurongo/amahoro']}\r\n"
             f"Content-Length: {len(content)}\r\n\r\n"
         )
-        writer.write(head.encode() + content)
+        writer.write(head.encode() + content[: len(content) - cut])
         return reader, writer
 
     async def raw_post(self, path: str, body: Any) -> bytes:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -156,6 +156,36 @@
         assert answer.headers["Retry-After"] == "1"
 
 
+class TestBrokenUploads:
+    """Callers leave amid their uploads."""
+
+    def test_their_bytes_are_given_back(self):
+        """Three callers in turn send most of a large body and leave.
+
+        Were their bytes still counted, the next caller would be refused for
+        want of room, and so would everyone after it.
+        """
+
+        async def scenario():
+            async with entry_site.running() as site:
+                body = {**_PROMPT, "prompt": "x" * 7_000_000}
+                for _ in range(3):
+                    before = site.status()["buffered_bytes"]
+                    _, writer = await site.raw_open(_COMPLETIONS, body, cut=100)
+                    await writer.drain()
+                    await entry_site.until(
+                        lambda: site.status()["buffered_bytes"] > 6_000_000
+                    )
+                    writer.close()
+                    await entry_site.until(
+                        lambda: site.status()["buffered_bytes"] == 0
+                    )
+                    assert before == 0
+                return await site.call("POST", _COMPLETIONS, _PROMPT)
+
+        assert asyncio.run(scenario()).status == 200
+
+
 class TestScheduling:
     """What reaches the scheduler and the homes."""
 
--- a/tests/test_entry_tickets.py
+++ b/tests/test_entry_tickets.py
@@ -11,6 +11,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import tickets
 from cowsliprill.entry import forward
+from cowsliprill.entry import reply
 
 _BOOK = "/services/booking/slots"
 _SAFE = "/services/safe-booking/slots"
@@ -390,6 +391,46 @@
         assert runs == 1
 
 
+class TestRecording:
+    """Answers are kept for their keys, within bounded memory."""
+
+    def test_without_room_nothing_of_an_answer_is_kept(self):
+        """Many long answers with keys come at once.
+
+        A part of one must not be given as the whole, nor may all be kept.
+        """
+
+        async def record():
+            room = reply.RecordingRoom(left=10)
+            first = reply.RecordingReply(_Nowhere(), room)
+            second = reply.RecordingReply(_Nowhere(), room)
+            for recording in (first, second):
+                await recording.start(200, [])
+                await recording.write(b"123456")
+                await recording.end()
+            answers = [first.answer(), second.answer()]
+            for recording in (first, second):
+                recording.forget()
+            return answers, room.left
+
+        (kept, dropped), left = asyncio.run(record())
+        assert kept.body == b"123456"
+        assert dropped is None
+        assert left == 10
+
+
+class _Nowhere:
+    started = False
+
+    async def start(self, status, headers) -> None: ...
+
+    async def write(self, chunk) -> None: ...
+
+    async def end(self) -> None: ...
+
+    def abort(self) -> None: ...
+
+
 class TestOwnKeys:
     """A caller's own key holds within one process, and no further."""
 
