--- a/src/cowsliprill/settings/controller.py
+++ b/src/cowsliprill/settings/controller.py
@@ -71,6 +71,8 @@
     Attributes:
       head: Head of the version in force, None before the first.
       snapshot: The settings in force.
+      heard_at: Where that version was heard of: a URL, or empty for the
+        platform.
       in_force_since: When they came into force, seconds.
       changes: Notified after each change.
     """
@@ -85,6 +87,7 @@
     ) -> None:
         self.head: parts.Head | None = None
         self.snapshot = model.Snapshot()
+        self.heard_at = ""
         self.in_force_since = 0.0
         self.changes = changes_lib.Changes()
         self._store = store
@@ -161,18 +164,17 @@
             self._note("settings_incomplete", head, error)
             return Outcome.INCOMPLETE
         try:
-            snapshot = self._resolver.resolve(head.revision, self._texts(index))
+            snapshot = self._resolver.resolve(
+                head.revision, index, self._store.held
+            )
         except errors.SettingsError as error:
             return self._refuse(head, error)
         if not self._keeper.accept(version_of(head)):
             return Outcome.OLDER
+        self.heard_at = offer.heard_at
         self._put_in_force(head, index, snapshot)
         return Outcome.ACCEPTED
 
-    def _texts(self, index: dict[str, str]) -> dict[str, str]:
-        texts = {part: self._store.text(each) for part, each in index.items()}
-        return {part: text for part, text in texts.items() if text is not None}
-
     def _refuse(self, head: parts.Head, error: errors.SettingsError) -> Outcome:
         self._keeper.refuse(version_of(head), f"{error.code}: {error}")
         self._store.drop_pending()
