--- a/src/cowsliprill/capacity/measure.py
+++ b/src/cowsliprill/capacity/measure.py
@@ -92,13 +92,19 @@
 
 
 def _resolved(customers: int, services: int, engines: int) -> tuple:
-    document = synthetic.text(customers, services, engines)
-    texts = parts.split(document)
-    store = store_lib.PartStore()
-    for text in texts.values():
-        store.add(text)
+    texts = parts.split(synthetic.text(customers, services, engines))
+    store = _stored(texts)
     resolver = resolve.Resolver()
-    return resolver, store, resolver.resolve(1, texts)
+    index, _ = parts.index_of(texts)
+    return resolver, store, resolver.resolve(1, index, store.held)
+
+
+def _stored(*texts_by_part: dict[str, str]) -> store_lib.PartStore:
+    store = store_lib.PartStore()
+    for texts in texts_by_part:
+        for text in texts.values():
+            store.add(text)
+    return store
 
 
 def _settings_slopes() -> list[fit.Slope]:
@@ -158,8 +164,6 @@
     document = synthetic.document(customers, 3, engines)
     before = parts.publish(json.dumps(document))
     texts = parts.split(json.dumps(document))
-    resolver = resolve.Resolver()
-    resolver.resolve(1, texts)
     users = document["users"][synthetic.PARENT]["users"]
     users["customer-00000"]["share"] = 2.0
     document["revision"] = 2
@@ -172,21 +176,23 @@
     index = new.pop(after.head.index)
     changed = parts.split(json.dumps(document))
     moved = sum(map(len, new.values())) + len(parts.head_text(after.head))
-    cpu = _resolve_cpu_s(resolver, texts, changed)
+    cpu = _resolve_cpu_s(texts, changed)
     return _Change(float(moved), float(len(index)), cpu)
 
 
-def _resolve_cpu_s(
-    resolver: resolve.Resolver, old: dict[str, str], new: dict[str, str]
-) -> float:
-    turn = 0
+def _resolve_cpu_s(old: dict[str, str], new: dict[str, str]) -> float:
+    """Measures resolving again after one customer has changed."""
+    store = _stored(old, new)
+    indexes = [parts.index_of(texts)[0] for texts in (old, new)]
+    resolver = resolve.Resolver()
+    numbers = itertools.count(1)
 
     def step() -> None:
-        nonlocal turn
-        turn += 1
-        resolver.resolve(turn, new if turn % 2 else old)
+        number = next(numbers)
+        resolver.resolve(number, indexes[number % 2], store.held)
 
-    return gauge.cpu_s(step, 2)
+    step()
+    return gauge.cpu_s(step, 4)
 
 
 def _list_slopes() -> list[fit.Slope]:
