Move the lookup of shares to the decisions, for the scheduler too

Cause: the dispatch process already looks shares up one by one; the scheduler needs the same. Before: a private class.

--- a/src/cowsliprill/dispatch/homes.py
+++ b/src/cowsliprill/dispatch/homes.py
@@ -4,12 +4,11 @@
 """
 
 import dataclasses
-from collections.abc import Iterator
-from collections.abc import Mapping
 
 from cowsliprill.decisions import home_map
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import shares
 from cowsliprill.decisions import slots
 from cowsliprill.dispatch import prefix_feed
 from cowsliprill.dispatch import settling as settling_lib
@@ -40,26 +39,6 @@
     )
 
 
-class _Shares(Mapping[str, float]):
-    """Shares of users, looked up one by one.
-
-    Copying those of all users would read tens of thousands of packed users at
-    every change of the settings, for the few that ask for slots.
-    """
-
-    def __init__(self, users_by_id: Mapping[str, model.User]) -> None:
-        self._users_by_id = users_by_id
-
-    def __getitem__(self, user_id: str) -> float:
-        return self._users_by_id[user_id].share
-
-    def __iter__(self) -> Iterator[str]:
-        return iter(self._users_by_id)
-
-    def __len__(self) -> int:
-        return len(self._users_by_id)
-
-
 class Homes:
     """Which endpoints are homed here, and their ledgers.
 
@@ -90,7 +69,7 @@
             for vm in fleet.vms_by_id.values()
             if vm.role is model.VmRole.ENTRY
         }
-        shares_by_user = _Shares(snapshot.users_by_id)
+        shares_by_user = shares.Shares(snapshot.users_by_id)
         kept = {}
         for endpoint in snapshot.endpoints_by_id.values():
             if endpoint.kind is model.EndpointKind.PLAIN:
