--- a/src/cowsliprill/capacity/measure.py
+++ b/src/cowsliprill/capacity/measure.py
@@ -139,20 +139,40 @@
         fit.fit("change_bytes", "customers", "B", moved),
         fit.fit("index_bytes", "customers", "B", index),
         fit.fit("change_cpu", "customers (with engines)", "µs", cpu),
-        fit.fit("pool_bytes", "engines of one pool", "B", _pool_bytes()),
+        fit.fit(
+            "engine_change_bytes",
+            "engines of one pool",
+            "B",
+            _engine_change_bytes(),
+        ),
     ]
 
 
-def _pool_bytes() -> list[tuple[float, float]]:
-    """Sizes of the part that moves when one engine of a pool changes."""
+def _engine_change_bytes() -> list[tuple[float, float]]:
+    """Sizes of head and parts that move when one engine of a pool changes."""
     points = []
     for engines in _ENDPOINTS:
-        texts = parts.split(synthetic.text(1, 1, engines))
-        size = len(texts[f"pool/{synthetic.POOL}"])
-        points.append((engines, float(size)))
+        document = synthetic.document(1, 1, engines)
+        before = parts.publish(json.dumps(document))
+        pool = document["pools"][synthetic.POOL]
+        pool["endpoints"]["engine-0000"]["slots"] = 10
+        document["revision"] = 2
+        moved = _moved(before, parts.publish(json.dumps(document), before))
+        points.append((engines, float(moved)))
     return points
 
 
+def _moved(before: parts.Publication, after: parts.Publication) -> int:
+    """Returns bytes of the new head and parts, the whole index left out."""
+    new = {
+        text_hash: text
+        for text_hash, text in after.texts_by_hash.items()
+        if text_hash not in before.texts_by_hash
+    }
+    del new[after.head.index]
+    return sum(map(len, new.values())) + len(parts.head_text(after.head))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Change:
     moved_bytes: float
@@ -168,14 +188,9 @@
     users["customer-00000"]["share"] = 2.0
     document["revision"] = 2
     after = parts.publish(json.dumps(document), before)
-    new = {
-        text_hash: text
-        for text_hash, text in after.texts_by_hash.items()
-        if text_hash not in before.texts_by_hash
-    }
-    index = new.pop(after.head.index)
     changed = parts.split(json.dumps(document))
-    moved = sum(map(len, new.values())) + len(parts.head_text(after.head))
+    index = after.texts_by_hash[after.head.index]
+    moved = _moved(before, after)
     cpu = _resolve_cpu_s(texts, changed)
     return _Change(float(moved), float(len(index)), cpu)
 
--- a/src/cowsliprill/capacity/roles.py
+++ b/src/cowsliprill/capacity/roles.py
@@ -11,7 +11,7 @@
 # Assumptions that are neither measured nor in the letter.
 ENTRIES_PER_NODE = 2
 RENEWALS_PER_S = 1.0
-FAN_OUT = 7
+FAN_OUT = 2
 EXCHANGE_BODY_BYTES = 300
 EXCHANGE_INTERVAL_S = 3.0
 LIST_INTERVAL_S = 2.0
@@ -222,7 +222,7 @@
     slopes_by_name: Mapping[str, fit.Slope], fleet: fleet_lib.FleetSize
 ) -> list[Row]:
     moved = slopes_by_name["change_bytes"].at(fleet.customers)
-    part = slopes_by_name["pool_bytes"].at(fleet.engines / POOLS)
+    part = slopes_by_name["engine_change_bytes"].at(fleet.engines / POOLS)
     resolving = slopes_by_name["change_cpu"].at(fleet.customers)
     schedulers = (
         slopes_by_name["world_cpu"].at(fleet.engines)
