Drop the connection of a reader that is cancelled amid its answer

A caller that left while its answer came in left the connection open until the whole call's time was up: the reading was cancelled, but nobody closed it. The test meant for this cancelled before the client had seen the head, so it passed without the mechanism; reading the code as a newcomer showed it. It is now two tests, before and amid the answer. Both cases of the second fail without the mend (the fake waits ten seconds for the hang-up) and pass with it.

--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -12,7 +12,10 @@
 # Beyond this much unread data a response is no longer read from the socket,
 # so that TCP slows the sender down to the pace of a slow reader.
 _BUFFER_BYTES = 65_536
+# How long a released answer may take to end.
 _RELEASE_S = 1.0
+_FIRST_FINAL_STATUS = 200
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class Response:
@@ -58,17 +61,21 @@
           The body.
 
         Raises:
-          errors.AnswerTooLarge: The body is larger; the connection is closed.
+          errors.AnswerTooLarge: The body is larger.
           errors.CallError: As for `chunks`.
         """
         parts = []
         size = 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > limit:
-                self.close()
-                raise errors.AnswerTooLarge(f"answer has over {limit} bytes")
-            parts.append(chunk)
+        try:
+            async for chunk in self.chunks():
+                size += len(chunk)
+                if size > limit:
+                    raise errors.AnswerTooLarge(f"over {limit} bytes came")
+                parts.append(chunk)
+        finally:
+            # A reader that is cancelled leaves nobody to read the rest; the
+            # connection would stay open until the whole call's time is up.
+            self.close()
         return b"".join(parts)
 
     def buffered(self) -> int:
@@ -127,8 +134,7 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Takes the status and headers; interim answers are passed over."""
-        first_final = 200
-        if start_line.code < first_final or self._head.done():
+        if start_line.code < _FIRST_FINAL_STATUS or self._head.done():
             return
         self.status = start_line.code
         self.headers = headers
@@ -234,12 +240,11 @@
         self._stall_check = self._loop.call_later(wait_s, self._watch, stall_s)
 
     def _is_framed(self) -> bool:
-        no_body = (204, 304)
         return (
             not self._has_body
             or "Content-Length" in self.headers
             or "Transfer-Encoding" in self.headers
-            or self.status in no_body
+            or self.status in _STATUSES_WITHOUT_BODY
         )
 
     def _end(self) -> None:
--- a/tests/raw_endpoint.py
+++ b/tests/raw_endpoint.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable
 from typing import Self
 
+# Only a client that never hangs up takes so long.
+_PATIENCE_S = 10
+
 
 class RawEndpoint:
     """Serves each connection by a script and keeps a journal of what ran.
@@ -16,7 +19,6 @@
       port: Port it listens on.
       connections: Connections taken so far.
       ran: Whole requests that the script ran.
-      hung_up: Set when a client has closed its connection.
     """
 
     def __init__(
@@ -25,7 +27,7 @@
         self.port = 0
         self.connections = 0
         self.ran: list[bytes] = []
-        self.hung_up = asyncio.Event()
+        self._hung_up = asyncio.Event()
         self._script = script
         self._server: asyncio.Server | None = None
 
@@ -39,6 +41,15 @@
         """Stops listening."""
         self._server.close()
 
+    async def wait_for_hang_up(self) -> None:
+        """Waits until a client has closed its connection."""
+        async with asyncio.timeout(_PATIENCE_S):
+            await self._hung_up.wait()
+
+    def note_hang_up(self) -> None:
+        """Notes that a client has closed its connection."""
+        self._hung_up.set()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -46,7 +57,7 @@
         try:
             await self._script(Connection(self, reader, writer))
         except (OSError, asyncio.IncompleteReadError):
-            self.hung_up.set()
+            self._hung_up.set()
         except asyncio.CancelledError:
             pass  # The test is over.
         finally:
@@ -88,7 +99,7 @@
         """Waits until the client has closed the connection."""
         while await self.reader.read(65_536):
             pass
-        self.endpoint.hung_up.set()
+        self.endpoint.note_hang_up()
 
 
 def answer(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -227,39 +227,63 @@
 
         asyncio.run(scenario())
 
-    @pytest.mark.parametrize("sent", ["nothing", "head", "part"])
-    def test_endpoint_sees_it_at_once(self, sent) -> None:
-        """The caller leaves before the answer, or amid it.
+    def test_before_the_answer(self) -> None:
+        """The caller leaves while the endpoint is at work.
 
-        The endpoint would go on sending to nobody.
+        The endpoint must notice, or it would go on for nobody.
         """
-        whole = raw_endpoint.answer(b"0123456789")
-        length = {"nothing": 0, "head": len(whole) - 10, "part": len(whole) - 4}
 
         async def scenario() -> None:
-            ready = asyncio.Event()
+            ran = asyncio.Event()
 
             async def script(connection) -> None:
                 await connection.run()
-                await connection.send(whole[: length[sent]])
-                ready.set()
+                ran.set()
                 await connection.wait_for_hang_up()
 
             progress = call_lib.Progress()
+            client = http_client.HttpClient()
             async with raw_endpoint.RawEndpoint(script) as endpoint:
                 call = asyncio.create_task(
-                    _post(
-                        http_client.HttpClient(),
-                        endpoint.port,
-                        progress=progress,
-                    )
+                    _post(client, endpoint.port, progress=progress)
                 )
-                await ready.wait()
+                await ran.wait()
                 call.cancel()
                 with pytest.raises(asyncio.CancelledError):
                     await call
-                await endpoint.hung_up.wait()
+                await endpoint.wait_for_hang_up()
                 assert progress.run is messages.Run.UNKNOWN
+            client.close()
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize("part", [b"", b"0123"])
+    def test_amid_the_answer(self, part) -> None:
+        """The caller leaves while its answer comes in.
+
+        The connection would stay open until the whole call's time is up, and
+        sockets would pile up with each caller that leaves.
+        """
+
+        async def script(connection) -> None:
+            await connection.run()
+            await connection.send(raw_endpoint.answer(part, length=10))
+            await connection.wait_for_hang_up()
+
+        async def scenario() -> None:
+            client = http_client.HttpClient()
+            async with raw_endpoint.RawEndpoint(script) as endpoint:
+                response = await client.call(
+                    "127.0.0.1", endpoint.port, "POST", "/", {}
+                )
+                reading = asyncio.create_task(response.read(100))
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                reading.cancel()
+                with pytest.raises(asyncio.CancelledError):
+                    await reading
+                await endpoint.wait_for_hang_up()
+            client.close()
 
         asyncio.run(scenario())
 
@@ -284,7 +308,7 @@
                     http_client.HttpClient(), endpoint.port, **limits
                 )
                 assert isinstance(error, errors.CallTimeout)
-                await endpoint.hung_up.wait()
+                await endpoint.wait_for_hang_up()
 
         asyncio.run(scenario())
 
@@ -379,7 +403,7 @@
                 if ends:
                     await _turns_until(lambda: client.idle_count() == 1)
                 else:
-                    await endpoint.hung_up.wait()
+                    await endpoint.wait_for_hang_up()
                     assert client.idle_count() == 0
 
         asyncio.run(scenario())
