--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -9,6 +9,7 @@
 import dataclasses
 import random
 
+from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
 from cowsliprill.decisions import leases
@@ -27,7 +28,12 @@
 _ADMIT_FACTOR = 1.0
 
 # How many seconds of waiting a second of expected decode time outweighs.
-_SIZE_WORTH = 0.0
+_SIZE_WORTH = 3.0
+
+# Requests start late enough to miss their targets when others are before them
+# at the prefill engine or on the link. This multiple of the mean delay that
+# this costs is kept in hand.
+_DELAY_MARGIN = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,6 +43,8 @@
     Attributes:
       submit: The request.
       latest_start: When starting it would be too late.
+      first_token_s: Least time to its first token.
+      cost_s: Decode slot time that it is expected to cost.
       pool: Its pool.
       stage: Where it is.
       attempt: Number of the newest attempt.
@@ -48,6 +56,8 @@
 
     submit: messages.Submit
     latest_start: float
+    first_token_s: float
+    cost_s: float
     pool: pools.Pool
     stage: messages.Stage = messages.Stage.QUEUED
     attempt: int = -1
@@ -159,24 +169,68 @@
                 )
             ]
         self._budgets.of(event.service).earn()
-        latest_start = pool.latest_start(event, now)
-        request = _Request(event, latest_start, pool)
+        times = pool.best_times(event)
+        unhindered_start = event.deadline - times.first_token_s()
+        latest_start = min(
+            unhindered_start - pool.start_delay_s * _DELAY_MARGIN,
+            now + event.service.may_wait_s,
+        )
+        cost_s = self._cost_s(event, times)
+        request = _Request(
+            event, latest_start, times.first_token_s(), cost_s, pool
+        )
         self._requests_by_id[event.request_id] = request
-        if latest_start < now:
+        if unhindered_start < now:
             code = messages.RefusalCode.TARGET_UNREACHABLE
             return [self._refuse(request, code, now)]
+        item = self._demand_item(request, now)
+        pool.demand.add(item)
         self._enqueue(request)
-        return self._advance(pool, now)
+        starts = self._place_all(pool, now)
+        fits = pool.demand.fits(
+            item, pool.slots() / self._entries, pool.shares_by_user
+        )
+        # A long answer on an idle pool costs more than this entry's part of
+        # the slots in the window, yet only waits for its lease to be granted.
+        # Refused for that, its caller would never be served.
+        full = pool.backlog(event.priority).free_slots <= 0
+        if request.stage is messages.Stage.QUEUED and full and not fits:
+            code = messages.RefusalCode.OVERLOADED
+            starts.append(self._refuse(request, code, now))
+        return starts + self._advance(pool, now)
+
+    def _demand_item(self, request: _Request, now: float) -> demand.Item:
+        service = request.submit.service
+        weight = service.goodput_weight
+        return demand.Item(
+            at=now,
+            user=request.submit.user,
+            priority=request.submit.priority,
+            cost_s=request.cost_s,
+            worth=weight,
+        )
+
+    def _cost_s(self, submit: messages.Submit, times: pools.BestTimes) -> float:
+        """Returns the decode slot time that a request is expected to cost.
+
+        Its slot is held from the start of the prefill on. A transfer that
+        takes much of the time for which its prefill is kept may come too
+        late, the more so the more links are shared; the service says how much
+        an unused prefill matters.
+        """
+        tokens = self._lengths.expected_tokens(submit)
+        held_s = times.first_token_s() + tokens * times.token_s
+        risk = times.transfer_s / times.export_ttl_s
+        weight = submit.service.wasted_prefill_weight
+        return held_s * (1 + weight * risk)
 
     def _enqueue(self, request: _Request) -> None:
-        tokens = self._lengths.expected_tokens(request.submit)
-        pace = estimates.seconds_per_token(request.pool.decodes)
         request.stage = messages.Stage.QUEUED
         request.pool.queue.add(
             queue.Waiting(
                 submit=request.submit,
                 latest_start=request.latest_start,
-                cost_s=tokens * pace,
+                cost_s=request.cost_s,
                 size_worth=_SIZE_WORTH,
             )
         )
@@ -219,6 +273,9 @@
         self._health.transfer(prefill.id, decode.id, ratio, now)
         request.stage = messages.Stage.DECODE
         request.stage_at = now
+        request.pool.learn_start_delay(
+            now - request.started_at - request.first_token_s
+        )
         return []
 
     def _progress(
@@ -336,13 +393,12 @@
         request_id = request.submit.request_id
         pool.queue.remove(request_id)
         del self._requests_by_id[request_id]
-        slots = max(sum(item.slots for item in pool.decodes), 1)
-        step_s = pool.hold_s / slots * self._entries
+        step_s = pool.hold_s / max(pool.slots(), 1) * self._entries
         return messages.Refuse(
             request_id=request_id,
             code=code,
             retry_after_s=pool.returns.retry_after_s(
-                now, pool.backlog().wait_s(), step_s
+                now, pool.backlog(request.submit.priority).wait_s(), step_s
             ),
         )
 
@@ -435,17 +491,21 @@
 
     def _advance(self, pool: pools.Pool, now: float) -> list[messages.Action]:
         """Does all that is possible now for a pool's waiting requests."""
-        actions: list[messages.Action] = []
-        while len(pool.queue):
-            start = self._place_first(pool, now)
-            if start is None:
-                break
-            actions.append(start)
+        actions = self._place_all(pool, now)
         actions.extend(self._give_up(pool, now))
         self._sequence += 1
         actions.extend(pool.asks(now, self._sequence, only_urgent=True))
         return actions
 
+    def _place_all(self, pool: pools.Pool, now: float) -> list[messages.Action]:
+        starts: list[messages.Action] = []
+        while len(pool.queue):
+            start = self._place_first(pool, now)
+            if start is None:
+                break
+            starts.append(start)
+        return starts
+
     def _give_up(self, pool: pools.Pool, now: float) -> list[messages.Refuse]:
         """Refuses at once what is too late or will be."""
         refusals = []
@@ -457,7 +517,8 @@
             last = pool.queue.last(pool.over_share)
             assert last is not None
             time_left = last.latest_start - now
-            if pool.backlog().wait_s() <= time_left * _ADMIT_FACTOR:
+            wait_s = pool.backlog(last.submit.priority).wait_s()
+            if wait_s <= time_left * _ADMIT_FACTOR:
                 break
             request = self._requests_by_id[last.submit.request_id]
             code = messages.RefusalCode.OVERLOADED
