Keep taking revisions after a fault in the checks

An unforeseen exception while a revision was resolved ended the controller's task; it was started again, but the offer was never answered, so the reader waited for ever and the VM stayed at its revision with a healthy health check. Found by reading. Such a revision is now refused with internal_error and the next one is taken. Besides, a head that was refused before is no longer pulled from peers at each exchange.

--- a/src/cowsliprill/settings/controller.py
+++ b/src/cowsliprill/settings/controller.py
@@ -64,6 +64,7 @@
     Args:
       store: Texts of the parts.
       fetcher: Completes the store.
+      resolver: Checks and resolves.
       log: This process's log.
       metrics: This process's metrics.
       audit: This VM's audit trail.
@@ -81,6 +82,7 @@
         self,
         store: store_lib.PartStore,
         fetcher: fetch.Fetcher,
+        resolver: resolve.Resolver,
         log: log_lib.Log,
         metrics: metrics_lib.Metrics,
         audit: audit_lib.AuditTrail,
@@ -96,7 +98,7 @@
         self._metrics = metrics
         self._audit = audit
         self._keeper = revision.Keeper()
-        self._resolver = resolve.Resolver()
+        self._resolver = resolver
         self._offers: asyncio.Queue[Offer] = asyncio.Queue(_MAX_OFFERS)
         self._reported_conflict = revision.Version()
         metrics.revision.set({}, 0)
@@ -106,6 +108,10 @@
         """The version in force."""
         return self._keeper.in_force
 
+    def wants(self, version: revision.Version) -> bool:
+        """Returns whether a version's head is worth reading."""
+        return self._keeper.judge(version) is revision.Verdict.NEWER
+
     def refused(self) -> dict[revision.Version, str]:
         """Returns the versions refused lately and why."""
         return self._keeper.refused()
@@ -169,6 +175,13 @@
             )
         except errors.SettingsError as error:
             return self._refuse(head, error)
+        except Exception as error:
+            # A fault in the checks themselves. Were this task to end of it,
+            # no later revision would come into force here, and the offer's
+            # sender would wait for ever.
+            return self._refuse(
+                head, errors.SettingsError(repr(error), code="internal_error")
+            )
         if not self._keeper.accept(version_of(head)):
             return Outcome.OLDER
         self.heard_at = offer.heard_at
--- a/src/cowsliprill/settings/exchange.py
+++ b/src/cowsliprill/settings/exchange.py
@@ -220,8 +220,8 @@
             )
 
     async def _pull_settings(self, message: Exchange) -> None:
-        ours = self._settings.version
-        if (message.revision, message.index) <= (ours.revision, ours.index):
+        offered = revision.Version(message.revision, message.index)
+        if not self._settings.wants(offered):
             return
         reply = await self._client.call(
             "GET", message.url + peers.SETTINGS_PATH, timeout_s=_CALL_TIMEOUT_S
--- a/src/cowsliprill/settings/measure.py
+++ b/src/cowsliprill/settings/measure.py
@@ -24,6 +24,7 @@
 from cowsliprill.settings import exchange
 from cowsliprill.settings import fetch
 from cowsliprill.settings import parts
+from cowsliprill.settings import resolve
 from cowsliprill.settings import store as store_lib
 
 _MODELS = 3
@@ -224,6 +225,7 @@
     return controller_lib.SettingsController(
         store,
         fetch.Fetcher(store, lambda *_: [source]),
+        resolve.Resolver(),
         log_lib.open_log("measure", io.StringIO()),
         metrics_lib.Metrics(),
         audit_lib.AuditTrail("measure", io.StringIO()),
--- a/src/cowsliprill/settings/service.py
+++ b/src/cowsliprill/settings/service.py
@@ -22,6 +22,7 @@
 from cowsliprill.settings import parts
 from cowsliprill.settings import platform_client
 from cowsliprill.settings import reader
+from cowsliprill.settings import resolve
 from cowsliprill.settings import store as store_lib
 
 # A bulk of parts is at most a megabyte, or one part, plus JSON's escapes.
@@ -85,6 +86,7 @@
         self.settings = controller_lib.SettingsController(
             self.store,
             fetch.Fetcher(self.store, self._sources),
+            resolve.Resolver(),
             log,
             metrics,
             audit,
@@ -258,6 +260,6 @@
         while True:
             try:
                 await job()
-            except Exception as error:  # noqa: BLE001
+            except Exception as error:
                 self._log.error("task_failed", task=name, reason=repr(error))
                 await asyncio.sleep(1)
