Don't turn away what doesn't fit while slots are free

The filter now applies only while more requests wait than there are free slots, and what fits in part fits.

--- a/src/cowsliprill/decisions/admission.py
+++ b/src/cowsliprill/decisions/admission.py
@@ -29,6 +29,10 @@
     prefills: int
     prefill_s: float
 
+    def is_scarce(self) -> bool:
+        """Returns whether more requests wait than there are free slots."""
+        return self.waiting > self.free_slots
+
     def wait_s(self) -> float:
         """Returns how long the last waiting request will wait."""
         if not self.slots or not self.prefills:
--- a/src/cowsliprill/decisions/demand.py
+++ b/src/cowsliprill/decisions/demand.py
@@ -135,11 +135,15 @@
 
 
 def _cutoff(items: list[Item], capacity_s: float) -> tuple[int, float]:
-    """Returns the rank of the last request that fits."""
-    last = (-(10**9), 0.0)
-    for item in sorted(items, key=Item.rank):
-        capacity_s -= item.cost_s
-        if capacity_s < 0:
+    """Returns the rank of the last request that fits, at least in part.
+
+    A share smaller than one request would otherwise let a user do nothing.
+    """
+    ranked = sorted(items, key=Item.rank)
+    last = ranked[0]
+    for item in ranked:
+        if capacity_s <= 0:
             break
-        last = item.rank()
-    return last
+        last = item
+        capacity_s -= item.cost_s
+    return last.rank()
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -187,8 +187,13 @@
         pool.demand.add(item)
         self._enqueue(request)
         starts = self._place_all(pool, now)
-        if request.stage is messages.Stage.QUEUED and not pool.demand.fits(
-            item, pool.slots() / self._entries, pool.shares_by_user
+        waits = request.stage is messages.Stage.QUEUED
+        scarce = pool.backlog(event.priority).is_scarce()
+        slots = pool.slots() / self._entries
+        if (
+            waits
+            and scarce
+            and not pool.demand.fits(item, slots, pool.shares_by_user)
         ):
             code = messages.RefusalCode.OVERLOADED
             starts.append(self._refuse(request, code, now))
