Test demand, health, the bound and the replay

The bound is checked against every subset of small cases, and no policy may beat it in a short run; the committed recipes must be the catalogue's; refusals at three times the load come within 10 ms of their cause. No behaviour changes.

--- /dev/null
+++ b/tests/test_demand.py
@@ -0,0 +1,134 @@
+"""Tests of `decisions.demand` and `decisions.admission`."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cowsliprill.decisions import admission
+from cowsliprill.decisions import demand
+
+_USERS = ("a", "b", "c")
+
+
+class TestFairShares:
+    """Max-min fair splitting."""
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, database=None, max_examples=100
+    )
+    @hypothesis.given(
+        strategies.floats(0, 100),
+        strategies.lists(strategies.floats(0, 100), min_size=3, max_size=3),
+        strategies.lists(strategies.floats(0.5, 4), min_size=3, max_size=3),
+    )
+    def test_no_user_is_below_its_share_while_it_asks(
+        self, total, wants, weights
+    ) -> None:
+        demand_by_user = dict(zip(_USERS, wants, strict=True))
+        weight_by_user = dict(zip(_USERS, weights, strict=True))
+        given = demand.fair_shares(total, demand_by_user, weight_by_user)
+        assert sum(given.values()) == pytest.approx(
+            min(total, sum(wants)), abs=1e-6
+        )
+        for user in _USERS:
+            part = total * weight_by_user[user] / sum(weights)
+            least = min(part, demand_by_user[user])
+            assert least - 1e-6 <= given[user] <= demand_by_user[user]
+
+
+def _item(at: float, **changes) -> demand.Item:
+    fields = {"at": at, "user": "a", "priority": 0, "cost_s": 1.0}
+    return demand.Item(**(fields | changes))
+
+
+class TestDemandWindow:
+    """What fits into an entry's part of the slots."""
+
+    def _window(self, items: list[demand.Item]) -> demand.DemandWindow:
+        window = demand.DemandWindow()
+        for item in items:
+            window.add(item)
+        return window
+
+    def test_everything_fits_while_there_is_room(self) -> None:
+        items = [_item(float(number)) for number in range(10)]
+        window = self._window(items)
+        assert window.fits(items[-1], 2.0, {})
+
+    def test_long_requests_give_way_to_many_short_ones(self) -> None:
+        items = [
+            _item(number * 0.5, cost_s=1.0 if number % 2 else 5.0)
+            for number in range(20)
+        ]
+        window = self._window(items)
+        assert window.fits(items[-1], 1.0, {})
+        assert not window.fits(items[-2], 1.0, {})
+
+    def test_priority_goes_before_size(self) -> None:
+        items = [
+            _item(number * 0.5, cost_s=1.0 if number % 2 else 5.0)
+            for number in range(20)
+        ]
+        urgent = _item(10.0, cost_s=8.0, priority=1)
+        window = self._window([*items, urgent])
+        assert window.fits(urgent, 1.0, {})
+
+    def test_one_users_flood_does_not_cost_another(self) -> None:
+        """One firm sends twenty times its share.
+
+        Without shares the other firm's long request would be refused though
+        that firm asks for little.
+        """
+        flood = [_item(number * 0.1, cost_s=1.0) for number in range(100)]
+        modest = _item(10.0, user="b", cost_s=4.0)
+        window = self._window([*flood, modest])
+        assert window.fits(modest, 1.0, {})
+
+
+class TestReturnTimes:
+    """When refused callers come back."""
+
+    def test_they_are_spread_and_bounded(self) -> None:
+        """Many callers are refused within a moment.
+
+        Told the same time, they would come together and be refused together.
+        """
+        returns = admission.ReturnTimes(random.Random(1))
+        times = sorted(
+            returns.retry_after_s(0.0, wait_s=1.0, step_s=0.1)
+            for _ in range(200)
+        )
+        assert times[0] >= admission.RETRY_AFTER_MIN_S
+        assert times[-1] <= admission.RETRY_AFTER_MAX_S * 1.2
+        busiest = max(
+            sum(at <= time < at + 0.5 for time in times) for at in range(12)
+        )
+        assert busiest < 40
+
+
+class TestBacklog:
+    """How long the last waiting request will wait."""
+
+    def test_the_slower_of_decode_and_prefill_counts(self) -> None:
+        backlog = admission.Backlog(
+            waiting=10,
+            free_slots=0,
+            slots=20,
+            hold_s=4.0,
+            prefills=1,
+            prefill_s=0.1,
+        )
+        assert backlog.wait_s() == pytest.approx(2.0)
+
+    def test_nothing_drains_without_engines(self) -> None:
+        backlog = admission.Backlog(
+            waiting=1,
+            free_slots=0,
+            slots=0,
+            hold_s=4.0,
+            prefills=0,
+            prefill_s=0.1,
+        )
+        assert backlog.wait_s() == float("inf")
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,161 @@
+"""Tests of the replay: its bound, its traces and its fakes."""
+
+import itertools
+import json
+import pathlib
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cowsliprill.replay import bound
+from cowsliprill.replay import catalogue
+from cowsliprill.replay import command
+from cowsliprill.replay import engines
+from cowsliprill.replay import generate
+from cowsliprill.replay import main
+from cowsliprill.replay import sites
+from cowsliprill.replay import timeline
+from cowsliprill.replay import trace as traces
+
+
+def _short(**changes) -> traces.Trace:
+    fields = {
+        "name": "short",
+        "note": "test",
+        "site": "umurongo",
+        "duration_s": 12.0,
+        "load": 1.0,
+    }
+    return traces.Trace(**(fields | changes))
+
+
+class TestBound:
+    """The most requests that fit."""
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, database=None, max_examples=80
+    )
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 9), strategies.integers(1, 6)
+            ),
+            max_size=7,
+        )
+    )
+    def test_equals_trying_every_subset(self, jobs) -> None:
+        def capacity_after(time: float) -> float:
+            return 10 - time
+
+        def fits(chosen) -> bool:
+            return all(
+                sum(cost for at, cost in chosen if at >= time)
+                <= capacity_after(time)
+                for time in range(10)
+            )
+
+        best = max(
+            size
+            for size in range(len(jobs) + 1)
+            if any(
+                fits(chosen) for chosen in itertools.combinations(jobs, size)
+            )
+        )
+        floats = [(float(at), float(cost)) for at, cost in jobs]
+        assert bound.most_on_time(floats, capacity_after) == best
+
+
+class TestTraces:
+    """Files of traces."""
+
+    def test_written_traces_read_back_the_same(self, tmp_path) -> None:
+        trace = generate.fill(_short(duration_s=1.0), 1)
+        path = tmp_path / "t.jsonl"
+        traces.write(trace, path)
+        assert traces.read(path) == trace
+
+    def test_the_committed_recipes_are_the_catalogues(self) -> None:
+        for site in sites.SITES_BY_NAME:
+            for recipe in catalogue.recipes(site):
+                path = command.TRACES_FOLDER / f"{recipe.name}.jsonl"
+                assert traces.read(path) == recipe
+
+    def test_a_broken_file_is_named(self, tmp_path) -> None:
+        path = tmp_path / "t.jsonl"
+        path.write_text("{", encoding="utf-8")
+        with pytest.raises(traces.TraceError, match="t.jsonl"):
+            traces.read(path)
+
+
+class TestFakes:
+    """Links and engines in virtual time."""
+
+    def test_two_transfers_share_a_link(self) -> None:
+        clock = timeline.Timeline()
+        links = engines.Links(clock)
+        endpoints = sites.SITES_BY_NAME["umurongo"].endpoints()
+        source, first, second = (
+            engines.Engine(endpoints[name], clock)
+            for name in ("prefill-0", "decode-0", "decode-1")
+        )
+        ended = []
+        for target in (first, second):
+            links.send(source, target, 4e9, lambda: ended.append(clock.now))
+        clock.run_until(10.0)
+        assert ended == pytest.approx([2.0, 2.0])
+
+
+class TestRuns:
+    """Whole runs of short traces."""
+
+    @pytest.mark.parametrize("policy", list(main.POLICIES_BY_NAME))
+    def test_no_policy_beats_the_bound(self, policy) -> None:
+        figures = main.play(_short(load=1.5), policy, 1)
+        assert 0 < figures.good <= figures.bound
+        assert figures.good <= figures.demands
+
+    def test_equal_seeds_give_equal_figures(self) -> None:
+        runs = [main.play(_short(), main.OURS, 7) for _ in range(2)]
+        assert runs[0] == runs[1]
+
+    def test_calm_traffic_is_served_without_waste(self) -> None:
+        figures = main.play(_short(load=0.4), main.OURS, 2)
+        assert figures.wasted == 0
+        assert figures.refusals == 0
+
+    def test_refusals_at_overload_come_at_once(self) -> None:
+        """Twice as much is asked for as there are slots.
+
+        A caller that is given up on but not told loses the time in which it
+        could do without, or come back.
+        """
+        figures = main.play(_short(load=3.0, duration_s=20.0), main.OURS, 3)
+        assert figures.refusals > 0
+        assert figures.late_refusal_s <= 0.01
+
+
+class TestCommand:
+    """The command line."""
+
+    def test_it_writes_figures(self, tmp_path, capsys) -> None:
+        trace = tmp_path / "t.jsonl"
+        traces.write(_short(duration_s=4.0), trace)
+        path = pathlib.Path(tmp_path / "out.json")
+        code = main.run(
+            command.ReplayCommand(
+                traces=[trace],
+                seeds=[1],
+                policies=[main.OURS],
+                json=path,
+                jobs=1,
+            )
+        )
+        assert code == 0
+        (found,) = json.loads(path.read_text(encoding="utf-8"))
+        assert found["policy"] == main.OURS
+        assert main.OURS in capsys.readouterr().out
+
+    def test_no_trace_is_a_usage_error(self, capsys) -> None:
+        assert main.run(command.ReplayCommand()) == 2
+        assert "trace_invalid" in capsys.readouterr().err
