--- a/tools/test_all.py
+++ b/tools/test_all.py
@@ -6,15 +6,36 @@
 import subprocess
 import sys
 import xml.etree.ElementTree as ElementTree
+from concurrent import futures
 
 _UNIT_REPORT = pathlib.Path("build/unit.xml")
 _FEATURE_REPORTS = pathlib.Path("build/features")
+_FEATURES = pathlib.Path("features")
+# Features mostly wait for processes, so a few at once cost little.
+_RUNS_AT_ONCE = 4
 _KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 _KNOWN_RED_MAX = 3
 
 
-def _run(command: list[str]) -> int:
-    return subprocess.run(command, check=False, env=os.environ).returncode
+def _run(command: list[str]) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        command,
+        check=False,
+        env=os.environ,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+
+
+def _commands() -> list[list[str]]:
+    """Returns the runs: the unit tests, then each feature by itself."""
+    python = [sys.executable, "-m"]
+    unit = [*python, "pytest", f"--junitxml={_UNIT_REPORT}"]
+    behave = [*python, "behave", "--format", "progress", "--no-summary"]
+    behave += ["--junit", "--junit-directory", str(_FEATURE_REPORTS)]
+    features = sorted(_FEATURES.glob("*.feature"))
+    return [unit, *([*behave, str(feature)] for feature in features)]
 
 
 def _outcomes(path: pathlib.Path) -> list[tuple[str, bool]]:
@@ -50,14 +71,11 @@
     for old in _FEATURE_REPORTS.glob("*.xml"):
         old.unlink()
     _UNIT_REPORT.unlink(missing_ok=True)
-    codes = [
-        _run([sys.executable, "-m", "pytest", f"--junitxml={_UNIT_REPORT}"]),
-        _run(
-            [sys.executable, "-m", "behave", "--format", "progress"]
-            + ["--junit", "--junit-directory", str(_FEATURE_REPORTS)]
-            + ["features"]
-        ),
-    ]
+    codes = []
+    with futures.ThreadPoolExecutor(_RUNS_AT_ONCE) as pool:
+        for run in pool.map(_run, _commands()):
+            print(run.stdout, flush=True)
+            codes.append(run.returncode)
     reports = [_UNIT_REPORT, *sorted(_FEATURE_REPORTS.glob("*.xml"))]
     outcomes = [
         outcome
