Show that failing endpoints don't turn load into more load

Attempts of one request are bounded at 3, so without the budget the lookups alone could have been 300.

--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -301,3 +301,37 @@
         if name.startswith("decode")
         for request in engine.memory.held_requests()
     )
+
+
+class TestRetryLoad:
+    """Engines and services fail while callers go on sending."""
+
+    @pytest.mark.parametrize(
+        ("service", "at_once"), [("lookup", 5), ("brief", 50)]
+    )
+    def test_failures_add_little_load(self, service, at_once):
+        """Every call fails, so every request would be retried.
+
+        Without a budget three times the load would reach endpoints that fail
+        already; with it, a tenth more and what was saved up.
+        """
+        requests = 100
+
+        async def scenario():
+            async with entry_site.running(may_wait_s=0.5) as site:
+                for each in [*site.engines.values(), *site.services.values()]:
+                    each.conduct.set({"cut_before_run": True})
+                call = {
+                    "brief": ("POST", _COMPLETIONS, _BODY),
+                    "lookup": ("GET", "/services/lookup/bags/1"),
+                }[service]
+                for _ in range(requests // at_once):
+                    calls = [site.call(*call) for _ in range(at_once)]
+                    await asyncio.gather(*calls)
+                log = site.logs[0].getvalue()
+                return log.count("event=attempt_lost") + log.count(
+                    "event=call_lost"
+                )
+
+        tried = asyncio.run(scenario())
+        assert 1 <= tried <= requests * 1.1 + 10
