--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -19,6 +19,7 @@
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import queue
 from cowsliprill.decisions import retry
+from cowsliprill.decisions import shares
 from cowsliprill.decisions import subset
 
 _IDLE_WAKEUP_S = 0.5
@@ -187,14 +188,14 @@
         pool.demand.add(item)
         self._enqueue(request)
         starts = self._place_all(pool, now)
-        fits = pool.demand.fits(
-            item, pool.slots() / self._entries, pool.shares_by_user
-        )
-        # A long answer on an idle pool costs more than this entry's part of
-        # the slots in the window, yet only waits for its lease to be granted.
-        # Refused for that, its caller would never be served.
-        full = pool.backlog(event.priority).free_slots <= 0
-        if request.stage is messages.Stage.QUEUED and full and not fits:
+        waits = request.stage is messages.Stage.QUEUED
+        scarce = pool.backlog(event.priority).is_scarce()
+        slots = pool.slots() / self._entries
+        if (
+            waits
+            and scarce
+            and not pool.demand.fits(item, slots, pool.shares_by_user)
+        ):
             code = messages.RefusalCode.OVERLOADED
             starts.append(self._refuse(request, code, now))
         return starts + self._advance(pool, now)
@@ -441,9 +442,7 @@
         )
         self._choose_engines(fleet)
         for pool in self._pools_by_name.values():
-            pool.shares_by_user = {
-                user.id: user.share for user in snapshot.users_by_id.values()
-            }
+            pool.shares_by_user = shares.Shares(snapshot.users_by_id)
         return self._advance_all(now)
 
     def _choose_engines(self, fleet: model.Fleet) -> None:
