Let no attempt act on a lease that once lapsed

Cause: the fall-back permission was made endless to agree with the scheduler, so an entry that woke after its leases had run out, with its homes away, decoded on a slot that its home may have given to another (red: 'An entry that was frozen doesn't act on its old leases'). Ruled out: an end for the fall-back alone (the scheduler's has none, so callers got endpoint_failed without a try), and the home's answer on waking (a new lease says nothing of the old slot). Conclusion: the check before each act knows when the decision was made.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -226,12 +226,15 @@
       attempt: Number of this attempt, from 0.
       prefill_id: The prefill engine.
       decode_id: The decode engine whose slot is promised.
+      decided_at: When; noted by the shell, which checks before each act that
+        the leases have held without a gap since.
     """
 
     request_id: int
     attempt: int
     prefill_id: str
     decode_id: str
+    decided_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -82,8 +82,8 @@
     ) -> engine_model.PrefillResult:
         stage = messages.Stage.PREFILL
         endpoint = self._endpoint(ctx.start.prefill_id, stage)
-        self._check_lease(ctx.start.decode_id, stage)
-        self._check_lease(endpoint.id, stage)
+        self._check_lease(ctx.start, ctx.start.decode_id, stage)
+        self._check_lease(ctx.start, endpoint.id, stage)
         ctx.progress.prefills += 1
         with self._call(ctx, endpoint, stage) as call:
             call.result = await self.client.prefill(
@@ -103,7 +103,7 @@
     ) -> token_stream.TokenStream:
         stage = messages.Stage.TRANSFER
         endpoint = self._endpoint(ctx.start.decode_id, stage)
-        self._check_lease(endpoint.id, stage)
+        self._check_lease(ctx.start, endpoint.id, stage)
         with self._call(ctx, endpoint, stage) as call:
             call.result = await self.client.decode(
                 endpoint,
@@ -172,8 +172,11 @@
             )
         return endpoint
 
-    def _check_lease(self, endpoint_id: str, stage: messages.Stage) -> None:
-        if not self.leases.allow(endpoint_id, clock.now()):
+    def _check_lease(
+        self, start: messages.Start, endpoint_id: str, stage: messages.Stage
+    ) -> None:
+        now = clock.now()
+        if not self.leases.allow(endpoint_id, start.decided_at, now):
             raise attempts.AttemptLost(
                 endpoint_id, stage, "its lease has run out", refused=True
             )
--- a/src/cowsliprill/entry/scheduling.py
+++ b/src/cowsliprill/entry/scheduling.py
@@ -86,7 +86,7 @@
                 self.asks.put_nowait(self._scheduler.asks(now))
                 continue
             for action in self._scheduler.handle(event, now):
-                self._perform(action)
+                self._perform(action, now)
 
     async def _next(self) -> messages.Event | _Renewal:
         if not self._events.empty():
@@ -102,10 +102,11 @@
         except TimeoutError:
             return messages.Tick()
 
-    def _perform(self, action: messages.Action) -> None:
+    def _perform(self, action: messages.Action, now: float) -> None:
         match action:
             case messages.Start(request_id=request_id):
-                self._start(request_id, action)
+                start = dataclasses.replace(action, decided_at=now)
+                self._start(request_id, start)
             case messages.Refuse(request_id=request_id):
                 decisions = self._decisions_by_request.get(request_id)
                 if decisions is not None:
--- a/src/cowsliprill/entry/slot_asker.py
+++ b/src/cowsliprill/entry/slot_asker.py
@@ -95,6 +95,7 @@
             renew_s = _RENEW_S if end is None else (end - now) / 2
             await asyncio.sleep(min(max(renew_s, _MIN_RENEW_S), _RENEW_S))
             self._forget_gone_homes()
+            self._leases.confirm_fallbacks(clock.now())
             self._scheduling.renew()
 
     def _forget_gone_homes(self) -> None:
@@ -203,7 +204,7 @@
             used=wire.used,
             sequence=wire.sequence,
         )
-        self._leases.grant(grant)
+        self._leases.grant(grant, clock.now())
         labels = {"endpoint": wire.endpoint_id, "state": "granted"}
         self._metrics.slots.set(labels, wire.slots)
         self._scheduling.post(grant)
@@ -230,7 +231,7 @@
         await asyncio.sleep(_BACK_OFF_S)
 
     def _give_up(self, endpoint_ids: tuple[str, ...]) -> None:
-        self._leases.fall_back(endpoint_ids)
+        self._leases.fall_back(endpoint_ids, clock.now())
         self._scheduling.post(messages.HomeUnreachable(endpoint_ids))
 
     def _by_home(
--- a/tests/test_entry_time.py
+++ b/tests/test_entry_time.py
@@ -38,17 +38,61 @@
     return asyncio.run(scenario())
 
 
+def _lease(expires_at):
+    return messages.SlotGrant(
+        endpoint_id="decode-0", slots=1, expires_at=expires_at
+    )
+
+
 class TestLeases:
     """Until when an endpoint may be used."""
 
     def test_ends(self):
         held = leases.Leases()
-        assert not held.allow("decode-0", 1.0)
-        held.grant(
-            messages.SlotGrant(endpoint_id="decode-0", slots=1, expires_at=3.0)
-        )
-        assert held.allow("decode-0", 2.9)
-        assert not held.allow("decode-0", 3.0)
+        assert not held.allow("decode-0", 1.0, 1.0)
+        held.grant(_lease(3.0), 1.0)
+        assert held.allow("decode-0", 1.0, 2.9)
+        assert not held.allow("decode-0", 1.0, 3.0)
+
+    def test_renewal_keeps_a_decision(self):
+        held = leases.Leases()
+        held.grant(_lease(3.0), 1.0)
+        held.grant(_lease(4.0), 2.0)
+        assert held.allow("decode-0", 1.5, 3.5)
+
+    def test_a_lease_after_a_gap_is_for_new_decisions_only(self):
+        """The process slept past its lease and got a new one on waking.
+
+        Meanwhile its slot was given to another entry. The decode of a prefill
+        from before would be one too many.
+        """
+        held = leases.Leases()
+        held.grant(_lease(3.0), 1.0)
+        held.grant(_lease(9.0), 7.0)
+        assert not held.allow("decode-0", 1.5, 7.5)
+        assert held.allow("decode-0", 7.0, 7.5)
+
+    def test_a_fall_back_after_a_gap_is_for_new_decisions_only(self):
+        """As above, but on waking the home can't be reached."""
+        held = leases.Leases()
+        held.grant(_lease(3.0), 1.0)
+        held.fall_back(("decode-0",), 7.0)
+        assert not held.allow("decode-0", 1.5, 7.5)
+        assert held.allow("decode-0", 7.0, 7.5)
+
+    def test_a_fall_back_lasts_while_it_is_confirmed(self):
+        """The home stays away, and some engine is asked for seldom.
+
+        Its share ended here but not in the scheduler, and callers got
+        `endpoint_failed` although the engine was idle.
+        """
+        held = leases.Leases()
+        held.fall_back(("decode-0",), 1.0)
+        for now in (2.0, 3.0, 4.0):
+            held.confirm_fallbacks(now)
+        assert held.allow("decode-0", 1.0, 5.0)
+        held.confirm_fallbacks(60.0)
+        assert not held.allow("decode-0", 1.0, 60.0)
 
 
 class TestOversleeping:
