Blame the right end of a slow link and probe with short prompts

With a link at a tenth of its rate the prefill engines were blamed first, as each had more slow transfers in a row than the decode engine behind the link. Now the end whose last good transfer is longer ago is blamed, engines that were left alone are tried again with short prompts only, and prefill engines' speeds are learnt. The fake links shared by count and so wasted what a slow partner left; they share max-min fairly now, for every policy.

--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -29,6 +29,7 @@
     avoid_until: float = 0.0
     probe_until: float = 0.0
     avoided: bool = False
+    moved_at: float = 0.0
 
 
 class Health:
@@ -49,10 +50,6 @@
         state = self._states_by_endpoint.get(endpoint_id)
         return state is not None and state.avoided
 
-    def avoided(self, endpoint_id: str) -> bool:
-        """Returns whether an endpoint is being left alone or probed."""
-        return self.is_probe(endpoint_id)
-
     def placed(self, endpoint_id: str, now: float) -> None:
         """Notes a request placed: only one probes at a time."""
         state = self._states_by_endpoint.get(endpoint_id)
@@ -71,15 +68,20 @@
           ratio: Measured over expected.
           now: Time, seconds.
         """
-        self._judge(endpoint_id, ratio > _SLOW_RATIO, now)
+        state = self._state(endpoint_id)
+        if ratio > _SLOW_RATIO:
+            self._strike(state, now)
+        else:
+            self._clear(state)
 
     def transfer(
         self, prefill_id: str, decode_id: str, ratio: float, now: float
     ) -> None:
         """Notes the time of a transfer between two engines.
 
-        A slow transfer doesn't tell whose link is slow. The engine that has
-        had more of them in a row is blamed; one good transfer clears both.
+        A slow transfer doesn't tell whose link is slow. The engine whose last
+        good transfer is longer ago is blamed: the other one has shown since
+        then, with another partner, that its link is well.
 
         Args:
           prefill_id: One end.
@@ -88,16 +90,14 @@
           now: Time, seconds.
         """
         slow = ratio > _SLOW_TRANSFER_RATIO
-        ends = [self._state(prefill_id), self._state(decode_id)]
+        ends = (self._state(decode_id), self._state(prefill_id))
         if not slow:
             for state in ends:
+                state.moved_at = now
                 self._clear(state)
             return
-        for state in ends:
-            state.strikes += 1
-        blamed = max(reversed(ends), key=lambda state: state.strikes)
-        if blamed.strikes >= _STRIKES_TO_AVOID or blamed.avoided:
-            self._avoid(blamed, now)
+        blamed = min(ends, key=lambda state: state.moved_at)
+        self._strike(blamed, now)
 
     def forget_except(self, endpoint_ids: set[str]) -> None:
         """Drops what is known of endpoints that are gone."""
@@ -107,11 +107,7 @@
     def _state(self, endpoint_id: str) -> _State:
         return self._states_by_endpoint.setdefault(endpoint_id, _State())
 
-    def _judge(self, endpoint_id: str, bad: bool, now: float) -> None:
-        state = self._state(endpoint_id)
-        if not bad:
-            self._clear(state)
-            return
+    def _strike(self, state: _State, now: float) -> None:
         state.strikes += 1
         if state.strikes >= _STRIKES_TO_AVOID or state.avoided:
             self._avoid(state, now)
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -14,6 +14,11 @@
 
 _LEARNING_RATE = 0.05
 _HOLD_START_S = 5.0
+
+# A prefill engine that lately took this many times the expected time is no
+# worse than one that is slower still; both come last.
+_SLOWNESS_MAX = 10.0
+_SLOWNESS_RATE = 0.15
 _PREFILL_START_S = 0.2
 
 # Slots kept at each endpoint beyond those in use while nobody waits, so that
@@ -65,6 +70,7 @@
         self.hold_s = _HOLD_START_S
         self.prefill_s = _PREFILL_START_S
         self.start_delay_s = 0.0
+        self.slowness_by_prefill: dict[str, float] = {}
         self.returns = admission.ReturnTimes(rng)
 
     def set_engines(
@@ -101,6 +107,33 @@
         """Takes in the expected time of a prefill that is started."""
         self.prefill_s += (seconds - self.prefill_s) * _LEARNING_RATE
 
+    def learn_prefill_speed(self, endpoint_id: str, ratio: float) -> None:
+        """Takes in how long a prefill took over what was expected."""
+        slowness = self.slowness_by_prefill.get(endpoint_id, 1.0)
+        slowness += (min(ratio, _SLOWNESS_MAX) - slowness) * _SLOWNESS_RATE
+        self.slowness_by_prefill[endpoint_id] = max(slowness, 1.0)
+
+    def prefill_wait_s(
+        self,
+        endpoint: model.Endpoint,
+        submit: messages.Submit,
+        *,
+        usual: bool = False,
+    ) -> float:
+        """Returns the expected time until a request's prefill is done.
+
+        Args:
+          endpoint: The prefill engine.
+          submit: The request.
+          usual: Whether to ignore how slow the engine was lately.
+        """
+        holding = self.holding(endpoint.id)
+        cached = holding.cached.cached_tokens(submit.prefix_hashes)
+        own_s = estimates.prefill_s(endpoint, submit, cached)
+        seconds = own_s + holding.used * self.prefill_s
+        slowness = self.slowness_by_prefill.get(endpoint.id, 1.0)
+        return seconds if usual else seconds * slowness
+
     def take(self, user: str) -> None:
         """Counts a request that starts, for fair sharing."""
         self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + 1
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -35,6 +35,9 @@
 # this costs is kept in hand.
 _DELAY_MARGIN = 2.0
 
+# Longest prompt with which an engine that was left alone is tried again.
+_PROBE_PROMPT_TOKENS = 2_000
+
 
 @dataclasses.dataclass(slots=True)
 class _Request:
@@ -51,6 +54,7 @@
       prefill: Prefill engine of the newest attempt.
       decode: Decode engine of the newest attempt.
       started_at: When the newest attempt began.
+      expected_s: Time that its prefill takes at the engine's usual speed.
       stage_at: When its present stage began.
     """
 
@@ -64,6 +68,7 @@
     prefill: model.Endpoint | None = None
     decode: model.Endpoint | None = None
     started_at: float = 0.0
+    expected_s: float = 1.0
     stage_at: float = 0.0
 
 
@@ -254,6 +259,10 @@
         if request is None or request.stage is not messages.Stage.PREFILL:
             return []
         self._release_prefill(request)
+        assert request.prefill is not None
+        request.pool.learn_prefill_speed(
+            request.prefill.id, (now - request.started_at) / request.expected_s
+        )
         request.stage = messages.Stage.TRANSFER
         request.stage_at = now
         return self._advance(request.pool, now)
@@ -536,7 +545,7 @@
             return None
         pair = placement.choose(
             prefills,
-            self._decode_candidates(pool, now),
+            self._decode_candidates(pool, submit, now),
             lambda prefill_id, decode_id: estimates.transfer_s(
                 self._snapshot.endpoints_by_id[prefill_id],
                 self._snapshot.endpoints_by_id[decode_id],
@@ -554,22 +563,20 @@
         found = []
         for endpoint in pool.prefills:
             holding = pool.holding(endpoint.id)
-            if not self._may_use(endpoint, holding, now):
+            if not self._may_use(endpoint, holding, submit, now):
                 continue
-            cached = holding.cached.cached_tokens(submit.prefix_hashes)
-            own_s = estimates.prefill_s(endpoint, submit, cached)
-            wait_s = holding.used * pool.prefill_s
-            cost_s = own_s + wait_s + self._hop_s(endpoint)
+            cost_s = pool.prefill_wait_s(endpoint, submit)
+            cost_s += self._hop_s(endpoint)
             found.append(placement.Candidate(endpoint.id, cost_s))
         return found
 
     def _decode_candidates(
-        self, pool: pools.Pool, now: float
+        self, pool: pools.Pool, submit: messages.Submit, now: float
     ) -> list[placement.Candidate]:
         found = []
         for endpoint in pool.decodes:
             holding = pool.holding(endpoint.id)
-            if not self._may_use(endpoint, holding, now):
+            if not self._may_use(endpoint, holding, submit, now):
                 continue
             load = holding.used / max(endpoint.slots, 1)
             cost_s = self._hop_s(endpoint) * (1 + load)
@@ -577,9 +584,18 @@
         return found
 
     def _may_use(
-        self, endpoint: model.Endpoint, holding: leases.Holding, now: float
+        self,
+        endpoint: model.Endpoint,
+        holding: leases.Holding,
+        submit: messages.Submit,
+        now: float,
     ) -> bool:
-        return holding.free(now) > 0 and self._health.usable(endpoint.id, now)
+        if holding.free(now) <= 0 or not self._health.usable(endpoint.id, now):
+            return False
+        # A probe may well come to nothing. With a short prompt it costs little
+        # and its transfer arrives in time even on a slow link.
+        is_short = submit.prompt_tokens <= _PROBE_PROMPT_TOKENS
+        return is_short or not self._health.is_probe(endpoint.id)
 
     def _hop_s(self, endpoint: model.Endpoint) -> float:
         if endpoint.availability_zone == self._availability_zone:
@@ -599,6 +615,9 @@
         request.stage = messages.Stage.PREFILL
         request.attempt += 1
         request.started_at = now
+        request.expected_s = pool.prefill_wait_s(
+            request.prefill, submit, usual=True
+        )
         request.stage_at = now
         cached = pool.holding(pair.prefill_id).cached
         pool.learn_prefill(
--- a/src/cowsliprill/replay/engines.py
+++ b/src/cowsliprill/replay/engines.py
@@ -164,6 +164,10 @@
     done: Callable[[], None]
     rate: float = 0.0
 
+    def ends(self) -> tuple[int, int]:
+        """Returns keys of its two engines."""
+        return id(self.source), id(self.target)
+
 
 class Links:
     """Transfers that share the links of their two engines equally."""
@@ -189,23 +193,38 @@
     def share(self) -> None:
         """Works out the rates anew; called when transfers or links change."""
         self._advance()
-        counts = collections.Counter(
-            id(engine)
-            for transfer in self._transfers
-            for engine in (transfer.source, transfer.target)
+        self._fill()
+        soonest = min(
+            (item.bytes_left / item.rate for item in self._transfers),
+            default=0.0,
         )
-        soonest = float("inf")
-        for transfer in self._transfers:
-            transfer.rate = min(
-                engine.link_rate / counts[id(engine)]
-                for engine in (transfer.source, transfer.target)
-            )
-            soonest = min(soonest, transfer.bytes_left / transfer.rate)
         self._generation += 1
         generation = self._generation
         if self._transfers:
             self._clock.after(soonest, lambda: self._complete(generation))
 
+    def _fill(self) -> None:
+        """Gives max-min fair rates: the tightest link fixes its own first."""
+        engines = {
+            id(engine): engine
+            for transfer in self._transfers
+            for engine in (transfer.source, transfer.target)
+        }
+        left = {key: engine.link_rate for key, engine in engines.items()}
+        open_transfers = list(self._transfers)
+        while open_transfers:
+            counts = collections.Counter(
+                key for transfer in open_transfers for key in transfer.ends()
+            )
+            tightest = min(counts, key=lambda key: left[key] / counts[key])
+            rate = left[tightest] / counts[tightest]
+            for transfer in list(open_transfers):
+                if tightest in transfer.ends():
+                    transfer.rate = rate
+                    open_transfers.remove(transfer)
+                    for key in transfer.ends():
+                        left[key] = max(left[key] - rate, 1.0)
+
     def _advance(self) -> None:
         passed = self._clock.now - self._updated_at
         self._updated_at = self._clock.now
