Start the features' processes side by side

Cause: the two dispatch features took 53 s. Before: each process was awaited before the next was started.

--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -22,8 +22,8 @@
     # Prefills of this one take longer than any step waits.
     site.add_engine("p1", "prefill", "--prefill-tokens-per-s=0.01")
     site.add_engine("d0", "decode", "--seconds-per-token=0.2")
+    site.add_vms("vm-a")
     site.publish()
-    site.add_vm("vm-a")
 
 
 def _call(context, engine: str, request_id: str, **fields) -> dict:
@@ -63,7 +63,7 @@
 def _add_entry(context, incarnation: str) -> None:
     vm_name, process, nonce = incarnation.split(".")
     if vm_name not in context.site.vms_by_name:
-        context.site.add_vm(vm_name)
+        context.site.add_vms(vm_name)
     context.site.add_entry(vm_name, process, nonce)
     context.site.list_vms()
     context.site.wait_ready()
@@ -131,6 +131,7 @@
     vm = context.site.vms_by_name[vm_name]
     vm.dispatch.end()
     vm.start_dispatch()
+    vm.wait_for_dispatch()
 
 
 @behave.when('the dispatch process of "{vm_name}" is told to stop')
@@ -217,9 +218,8 @@
     site.add_engine("trusts", "decode")
     aims = {name: _version(version) for name in _ENGINES}
     aims["checks"]["checks_fencing"] = True
+    site.add_vms("vm-a", "vm-b")
     site.publish(**aims)
-    site.add_vm("vm-a")
-    site.add_vm("vm-b")
     # While only this one is listed, it is the home of both engines.
     site.list_vms("vm-a")
     site.wait_ready()
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -44,9 +44,12 @@
             platform_url=platform,
             vm_list_url=f"{platform}/v1/vms",
         )
-        self.settings_port = _port(self.settings)
         self.dispatch_port = 0
-        self.start_dispatch()
+
+    @property
+    def settings_port(self) -> int:
+        """Port of the settings process."""
+        return _port(self.settings)
 
     @property
     def url(self) -> str:
@@ -60,6 +63,9 @@
             port=self.dispatch_port,
             settings_url=f"http://127.0.0.1:{self.settings_port}",
         )
+
+    def wait_for_dispatch(self) -> None:
+        """Waits for the dispatch process' port."""
         self.dispatch_port = _port(self.dispatch)
 
     def listed(self) -> dict[str, Any]:
@@ -107,15 +113,17 @@
         self.vms_by_name: dict[str, Vm] = {}
         self.engines_by_id: dict[str, child.Child] = {}
         self.entries_by_incarnation: dict[str, child.Child] = {}
-        self._ports_by_engine: dict[str, int] = {}
         self._nodes_by_engine: dict[str, dict[str, Any]] = {}
         self._revision = 0
 
-    def add_vm(self, name: str) -> Vm:
-        """Starts a VM's processes; it is listed by `list_vms`."""
-        vm = Vm(name, self._folder, self._platform_url)
-        self.vms_by_name[name] = vm
-        return vm
+    def add_vms(self, *names: str) -> None:
+        """Starts VMs' processes; they are listed by `list_vms`."""
+        vms = [Vm(name, self._folder, self._platform_url) for name in names]
+        self.vms_by_name.update(zip(names, vms, strict=True))
+        for vm in vms:
+            vm.start_dispatch()
+        for vm in vms:
+            vm.wait_for_dispatch()
 
     def add_entry(self, vm_name: str, process: str, nonce: str) -> str:
         """Starts a fake entry process on a VM and returns its incarnation."""
@@ -135,11 +143,9 @@
             ["engine", f"--id={name}", f"--role={role}", *arguments],
         )
         self.engines_by_id[name] = engine
-        self._ports_by_engine[name] = _port(engine)
         self._nodes_by_engine[name] = {
             "kind": role,
             "host": "127.0.0.1",
-            "port": self._ports_by_engine[name],
             "availability_zone": _ZONE,
             "slots": 20,
             "prefill_tokens_per_s": 20_000,
@@ -150,7 +156,7 @@
 
     def engine_url(self, name: str) -> str:
         """Returns an engine's URL."""
-        return f"http://127.0.0.1:{self._ports_by_engine[name]}"
+        return f"http://127.0.0.1:{_port(self.engines_by_id[name])}"
 
     def list_vms(self, *names: str) -> None:
         """Has the platform list these VMs, all if none are named."""
@@ -162,6 +168,8 @@
         """Publishes the engines with changed fields as the next revision."""
         for name, fields in fields_by_engine.items():
             self._nodes_by_engine[name].update(fields)
+        for name, engine in self.engines_by_id.items():
+            self._nodes_by_engine[name]["port"] = _port(engine)
         self._revision += 1
         document = {
             "revision": self._revision,
