--- a/src/cowsliprill/decisions/orphans.py
+++ b/src/cowsliprill/decisions/orphans.py
@@ -14,7 +14,7 @@
   answered in that time, and this home reaches most of its own zone, so that it
   isn't the one cut off.
 * The request is older at the engine than any request may become: a live owner
-  has given it up by itself.
+  has given it up by itself. (The shell knows how old that is.)
 
 What remains: a VM that is dropped from the list, alive, and cut off from this
 home but not from the engine for `ABSENT_S` loses its running streams there;
--- a/src/cowsliprill/dispatch/sweeper.py
+++ b/src/cowsliprill/dispatch/sweeper.py
@@ -25,6 +25,8 @@
 _ENGINE_BYTES = 300
 _REQUEST_BYTES = 100
 _LONGEST_S = 60.0
+# Requests are taken to end within this time under any earlier revision.
+_UNKNOWN_S = 600.0
 # A lost availability zone makes many owners suspect at once; asking all their
 # VMs each second would exceed the control budget just then.
 _PROBES_PER_TURN = 8
@@ -51,7 +53,9 @@
         self._sweep = orphans.OrphanSweep(clock.now())
         self._running_by_endpoint: dict[str, list[orphans.Running]] = {}
         self._read_at = float("-inf")
+        self._reading: asyncio.Task | None = None
         self._heard_by_entry: dict[identity.Incarnation, float] = {}
+        self._started_at = clock.now()
         self._longest_request_s = 0.0
 
     def hear(self, incarnation: identity.Incarnation) -> None:
@@ -70,24 +74,39 @@
 
     async def run(self) -> None:
         """Sweeps until cancelled."""
-        while True:
-            await self._turn()
-            await asyncio.sleep(_TURN_S)
-
-    async def _turn(self) -> None:
+        try:
+            while True:
+                await self.turn()
+                await asyncio.sleep(_TURN_S)
+        finally:
+            if self._reading is not None:
+                self._reading.cancel()
+
+    async def turn(self) -> None:
+        """Looks once at everything, in less than `orphans.MAX_GAP_S`."""
         fleet = self._world.follower.fleet
         self._sweep.see_list(fleet.vms_by_id.values(), clock.now())
-        age_s = clock.now() - self._read_at
-        if self._has_lapsed_entry() or age_s >= self._interval_s():
-            self._read_at = clock.now()
-            await self._read_all()
+        self._read_if_due()
         suspects = self._sweep.suspects(self._running(), clock.now())
-        probes = (self._probe(vm) for vm in suspects[:_PROBES_PER_TURN])
-        await asyncio.gather(*probes)
+        questions = [self._probe(vm) for vm in suspects[:_PROBES_PER_TURN]]
         if suspects:
-            await self._zone.ask_if_older()
+            questions.append(self._zone.ask_if_older())
+        await asyncio.gather(*questions)
         self._cancel_orphans()
 
+    def _read_if_due(self) -> None:
+        # Not awaited: an engine that hangs would stretch the turn, and the
+        # observations of VMs would no longer count as one unbroken time. No
+        # orphan of any engine would be found while it hangs.
+        if self._reading is not None:
+            if not self._reading.done():
+                return
+            self._reading.result()
+        age_s = clock.now() - self._read_at
+        if self._has_lapsed_entry() or age_s >= self._interval_s():
+            self._read_at = clock.now()
+            self._reading = asyncio.create_task(self._read_all())
+
     def _has_lapsed_entry(self) -> bool:
         """Forgets the entries that went quiet; tells whether there are any."""
         quiet_since = clock.now() - orphans.SUSPECT_S
@@ -110,6 +129,13 @@
             longest_s=_LONGEST_S,
         )
 
+    def _oldest_possible_s(self) -> float:
+        # A home that has just started hasn't seen the revisions before, under
+        # which requests may have been given more time than now.
+        if clock.now() - self._started_at < _UNKNOWN_S:
+            return max(self._longest_request_s, _UNKNOWN_S)
+        return self._longest_request_s
+
     def _running(self) -> list[orphans.Running]:
         return [
             request
@@ -119,13 +145,16 @@
 
     async def _read_all(self) -> None:
         endpoints = self._world.homed_endpoints()
-        self._running_by_endpoint = {}
+        homed_ids = {endpoint.id for endpoint in endpoints}
+        for endpoint_id in self._running_by_endpoint.keys() - homed_ids:
+            del self._running_by_endpoint[endpoint_id]
         await asyncio.gather(*(self._read(each) for each in endpoints))
 
     async def _read(self, endpoint: model.Endpoint) -> None:
         try:
             requests = await self._world.engines.running(endpoint)
         except engine_errors.CallError as error:
+            self._running_by_endpoint.pop(endpoint.id, None)
             await self._world.note_failure(endpoint, error)
             return
         self._running_by_endpoint[endpoint.id] = [
@@ -162,7 +191,7 @@
     def _cancel_orphans(self) -> None:
         found = self._sweep.orphans(
             self._running(),
-            longest_request_s=self._longest_request_s,
+            longest_request_s=self._oldest_possible_s(),
             reaches_zone=self._zone.hears_most(),
             now=clock.now(),
         )
@@ -183,7 +212,7 @@
         )
 
     def _forget(self, orphan: orphans.Orphan) -> None:
-        requests = self._running_by_endpoint[orphan.endpoint_id]
+        requests = self._running_by_endpoint.get(orphan.endpoint_id, [])
         self._running_by_endpoint[orphan.endpoint_id] = [
             request
             for request in requests
