Pause after a watch that didn't wait

A stale replica, or a platform that knows no watches, answers each watch at once with the revision in force. The reader took that for health and called again without a pause, up to its share of the platform's calls: found by reading. It now waits at least a second and says watch_ignored. The test failed before the change (no such event). Ruled out: relying on the call budget alone, which protects the other readers but burns this VM's processor.

--- a/src/cowsliprill/settings/reader.py
+++ b/src/cowsliprill/settings/reader.py
@@ -14,6 +14,7 @@
 # A watch waits so long. Were it longer, a platform that takes calls but never
 # answers would hide its recovery for as long.
 _WATCH_S = 5.0
+_UNWATCHED_S = 1.0
 _LIST_INTERVAL_S = 2.0
 _READ_ALL = -1
 
@@ -103,8 +104,14 @@
             case controller_lib.Outcome.ACCEPTED:
                 self._healthy()
                 return True
-            case controller_lib.Outcome.UNCHANGED:
+            case controller_lib.Outcome.UNCHANGED if above == _READ_ALL:
                 self._healthy()
+            case controller_lib.Outcome.UNCHANGED:
+                # A watch that doesn't wait would be called without end, and
+                # use up the calls that all readers share.
+                await self._pause(
+                    "watch_ignored", "a watch didn't wait", _UNWATCHED_S
+                )
             case _:
                 in_force = self._settings.version.revision
                 await self._pause(
@@ -117,9 +124,11 @@
         self._health.well()
         self._backoff.succeeded()
 
-    async def _pause(self, code: str, reason: str) -> None:
+    async def _pause(
+        self, code: str, reason: str, least_s: float = 0.0
+    ) -> None:
         self._health.trouble(code, reason)
-        await asyncio.sleep(self._backoff.failed())
+        await asyncio.sleep(max(least_s, self._backoff.failed()))
 
 
 class ListReader:
