Find the user of an API key in microseconds

An entry looks up the user of each request's key. The random moves of keys now compare values() with single lookups too.

--- a/src/cowsliprill/settings/customers.py
+++ b/src/cowsliprill/settings/customers.py
@@ -13,6 +13,8 @@
 import json
 from collections.abc import Iterator
 from collections.abc import Mapping
+from collections.abc import ValuesView
+from typing import Any
 
 from cowsliprill.decisions import model
 from cowsliprill.settings import errors
@@ -78,15 +80,49 @@
     return ChildrenPart(parent, text, len(tree), prefixes, overriding)
 
 
-def _user(user_id: str, parent: str, node: schema.ChildUserNode) -> model.User:
+class _Recent:
+    """The users asked for lately, by id or by key; the oldest ones go."""
+
+    def __init__(self) -> None:
+        self._kept: collections.OrderedDict[str, model.User] = (
+            collections.OrderedDict()
+        )
+
+    def get(self, key: str) -> model.User | None:
+        user = self._kept.get(key)
+        if user is not None:
+            self._kept.move_to_end(key)
+        return user
+
+    def put(self, key: str, user: model.User) -> None:
+        self._kept[key] = user
+        if len(self._kept) > _USERS_KEPT:
+            self._kept.popitem(last=False)
+
+
+def _top_user(name: str, node: schema.UserPart) -> model.User:
+    return model.User(
+        id=name, key_hashes=frozenset(node.key_hashes), share=node.share
+    )
+
+
+def _child_user(parent: str, name: str, node: dict[str, Any]) -> model.User:
+    # The node was checked when its part was read.
     return model.User(
-        id=user_id,
+        id=f"{parent}/{name}",
         parent=parent,
-        key_hashes=frozenset(node.key_hashes),
-        share=node.share,
+        key_hashes=frozenset(node.get("key_hashes", ())),
+        share=float(node.get("share", 1.0)),
     )
 
 
+class _Values(ValuesView[model.User]):
+    """All users, with each part opened once and not once a user."""
+
+    def __iter__(self) -> Iterator[model.User]:
+        return self._mapping.each()
+
+
 class UsersById(Mapping[str, model.User]):
     """All users by id; child users are built when asked for.
 
@@ -100,23 +136,18 @@
         top: Mapping[str, schema.UserPart],
         children: Mapping[str, ChildrenPart],
     ) -> None:
-        self._top = {name: _user(name, "", node) for name, node in top.items()}
+        self._top = {name: _top_user(name, node) for name, node in top.items()}
         self._buckets = {name: node.buckets for name, node in top.items()}
         self._children = children
-        self._kept: collections.OrderedDict[str, model.User] = (
-            collections.OrderedDict()
-        )
+        self._recent = _Recent()
 
     def __getitem__(self, user_id: str) -> model.User:
         if user_id in self._top:
             return self._top[user_id]
-        if user_id in self._kept:
-            self._kept.move_to_end(user_id)
-            return self._kept[user_id]
-        user = self._build(user_id)
-        self._kept[user_id] = user
-        if len(self._kept) > _USERS_KEPT:
-            self._kept.popitem(last=False)
+        user = self._recent.get(user_id)
+        if user is None:
+            user = self._build(user_id)
+            self._recent.put(user_id, user)
         return user
 
     def __iter__(self) -> Iterator[str]:
@@ -129,10 +160,32 @@
         count = sum(part.count for part in self._children.values())
         return len(self._top) + count
 
-    def in_part(self, part: str) -> list[model.User]:
-        """Returns the users of one part of child users."""
+    def values(self) -> ValuesView[model.User]:
+        """Returns all users."""
+        return _Values(self)
+
+    def each(self) -> Iterator[model.User]:
+        """Yields all users, the top ones first."""
+        yield from self._top.values()
+        for part in self._children.values():
+            for name, node in part.nodes().items():
+                yield _child_user(part.parent, name, node)
+
+    def with_key(self, part: str, key_hash: str) -> model.User | None:
+        """Finds the user of an API key in one part of child users.
+
+        Args:
+          part: Name of the part.
+          key_hash: Hash of the key.
+
+        Returns:
+          The user, None if it isn't there.
+        """
         found = self._children[part]
-        return [self[f"{found.parent}/{name}"] for name in found.nodes()]
+        for name, node in found.nodes().items():
+            if key_hash in node.get("key_hashes", ()):
+                return self[f"{found.parent}/{name}"]
+        return None
 
     def _build(self, user_id: str) -> model.User:
         parent, _, name = user_id.partition("/")
@@ -144,8 +197,7 @@
         nodes = part.nodes() if part else {}
         if name not in nodes:
             raise KeyError(user_id)
-        node = schema.ChildUserNode.model_validate(nodes[name])
-        return _user(user_id, parent, node)
+        return _child_user(parent, name, nodes[name])
 
 
 class UsersByKeyHash(Mapping[str, model.User]):
@@ -168,6 +220,7 @@
     ) -> None:
         self._users = users
         self._keys = keys
+        self._recent = _Recent()
         self._top: dict[str, model.User] = {}
         for name, node in top.items():
             for key in node.key_hashes:
@@ -176,10 +229,11 @@
     def __getitem__(self, key_hash: str) -> model.User:
         if key_hash in self._top:
             return self._top[key_hash]
-        for user in self._candidates(key_hash):
-            if key_hash in user.key_hashes:
-                return user
-        raise KeyError(key_hash)
+        user = self._recent.get(key_hash)
+        if user is None:
+            user = self._find(key_hash)
+            self._recent.put(key_hash, user)
+        return user
 
     def __iter__(self) -> Iterator[str]:
         for user in self._users.values():
@@ -197,9 +251,12 @@
             )
         self._top[key_hash] = user
 
-    def _candidates(self, key_hash: str) -> list[model.User]:
+    def _find(self, key_hash: str) -> model.User:
         try:
             part = self._keys.part_of(key_table.prefix_of(key_hash))
         except ValueError:
-            return []
-        return [] if part is None else self._users.in_part(part)
+            part = None
+        user = self._users.with_key(part, key_hash) if part else None
+        if user is None:
+            raise KeyError(key_hash)
+        return user
--- a/tests/test_settings_size.py
+++ b/tests/test_settings_size.py
@@ -62,6 +62,8 @@
                 assert found == expected
                 continue
             assert dict(found.users_by_id) == dict(expected.users_by_id)
+            users = {user.id: user for user in found.users_by_id.values()}
+            assert users == dict(found.users_by_id)
             for key in _KEYS:
                 user = expected.users_by_key_hash.get(key)
                 assert found.users_by_key_hash.get(key) == user
