--- a/src/cowsliprill/capacity/measure.py
+++ b/src/cowsliprill/capacity/measure.py
@@ -18,6 +18,7 @@
 from cowsliprill.decisions import scheduler
 from cowsliprill.decisions import slots
 from cowsliprill.settings import parts
+from cowsliprill.settings import publish
 from cowsliprill.settings import resolve
 from cowsliprill.settings import store as store_lib
 
@@ -92,7 +93,7 @@
 
 
 def _resolved(customers: int, services: int, engines: int) -> tuple:
-    texts = parts.split(synthetic.text(customers, services, engines))
+    texts = publish.split(synthetic.text(customers, services, engines))
     store = _stored(texts)
     resolver = resolve.Resolver()
     index, _ = parts.index_of(texts)
@@ -131,7 +132,7 @@
     sizes = [(2_000, 300), (10_000, 1_500), (42_000, 5_900)]
     moved, index, cpu = [], [], []
     for customers, engines in sizes:
-        change = _change_of(customers, engines)
+        change = change_of(customers, engines)
         moved.append((customers, change.moved_bytes))
         index.append((customers, change.index_bytes))
         cpu.append((customers, change.cpu_s * 1e6))
@@ -153,16 +154,16 @@
     points = []
     for engines in _ENDPOINTS:
         document = synthetic.document(1, 1, engines)
-        before = parts.publish(json.dumps(document))
+        before = publish.publish(json.dumps(document))
         pool = document["pools"][synthetic.POOL]
         pool["endpoints"]["engine-0000"]["slots"] = 10
         document["revision"] = 2
-        moved = _moved(before, parts.publish(json.dumps(document), before))
+        moved = _moved(before, publish.publish(json.dumps(document), before))
         points.append((engines, float(moved)))
     return points
 
 
-def _moved(before: parts.Publication, after: parts.Publication) -> int:
+def _moved(before: publish.Publication, after: publish.Publication) -> int:
     """Returns bytes of the new head and parts, the whole index left out."""
     new = {
         text_hash: text
@@ -174,25 +175,42 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Change:
+class Change:
+    """What a change of one customer costs.
+
+    Attributes:
+      moved_bytes: Head and changed part.
+      index_bytes: The whole index.
+      cpu_s: Processor time of resolving it in one process.
+    """
+
     moved_bytes: float
     index_bytes: float
     cpu_s: float
 
 
-def _change_of(customers: int, engines: int) -> _Change:
+def change_of(customers: int, engines: int) -> Change:
+    """Publishes a change of one customer and resolves it.
+
+    Args:
+      customers: Customers of the settings.
+      engines: Engines of the settings.
+
+    Returns:
+      The cost.
+    """
     document = synthetic.document(customers, 3, engines)
-    before = parts.publish(json.dumps(document))
-    texts = parts.split(json.dumps(document))
+    before = publish.publish(json.dumps(document))
+    texts = publish.split(json.dumps(document))
     users = document["users"][synthetic.PARENT]["users"]
     users["customer-00000"]["share"] = 2.0
     document["revision"] = 2
-    after = parts.publish(json.dumps(document), before)
-    changed = parts.split(json.dumps(document))
+    after = publish.publish(json.dumps(document), before)
+    changed = publish.split(json.dumps(document))
     index = after.texts_by_hash[after.head.index]
     moved = _moved(before, after)
     cpu = _resolve_cpu_s(texts, changed)
-    return _Change(float(moved), float(len(index)), cpu)
+    return Change(float(moved), float(len(index)), cpu)
 
 
 def _resolve_cpu_s(old: dict[str, str], new: dict[str, str]) -> float:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,6 +7,7 @@
 
 from cowsliprill.capacity import fit
 from cowsliprill.capacity import fleet
+from cowsliprill.capacity import measure
 from cowsliprill.capacity import report
 from cowsliprill.capacity import roles
 from cowsliprill.capacity import wire
@@ -61,3 +62,13 @@
     def test_an_exchange_has_more_bytes_than_both_bodies(self) -> None:
         body = 1_000
         assert wire.peer_exchange(body).bytes > 2 * body + 200
+
+
+class TestChangeOf:
+    """The settings are measured as they are published and resolved today."""
+
+    def test_a_change_moves_far_less_than_all_customers(self) -> None:
+        change = measure.change_of(300, 13)
+        customers_bytes = 300 * 64
+        assert 0 < change.moved_bytes < customers_bytes / 2
+        assert change.cpu_s > 0
