Give the evicted prefill's test the time for its third attempt

Ruled out: a wrong blame (the log shows refused=false twice). The service's targets are 20 s now, and the test asks for 200 where it took 200 or 503.

--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -226,7 +226,8 @@
         """
 
         async def scenario():
-            async with entry_site.running() as site:
+            patient = {"ttft_target_s": 20.0, "may_wait_s": 20.0}
+            async with entry_site.running(**patient) as site:
                 late = {"delay_s": 1.0, "times": 1}
                 for name, engine in site.engines.items():
                     if name.startswith("prefill"):
@@ -235,7 +236,7 @@
                 return answer, site.logs[0].getvalue()
 
         answer, log = asyncio.run(scenario())
-        assert answer.status in (200, 503)
+        assert answer.status == 200
         lost = [line for line in log.splitlines() if "attempt_lost" in line]
         assert any("kv_evicted" in line for line in lost)
         assert all("refused=false" in line for line in lost)
