--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,71 @@
+"""Tests that docs/OPERATIONS.md names what the code has."""
+
+import ast
+import pathlib
+import re
+
+import pytest
+
+from cowsliprill import environment
+from cowsliprill.entry import errors
+from cowsliprill.observability import metrics
+from cowsliprill.settings import schema
+
+_SOURCE = pathlib.Path("src/cowsliprill")
+_PAGE = pathlib.Path("docs/OPERATIONS.md").read_text(encoding="utf-8")
+_NAMED = set(re.findall(r"`([a-z_./-]+)`", _PAGE))
+_LOG_METHODS = {"event", "warning", "error"}
+
+
+def _logged_events() -> set[str]:
+    names = set()
+    for path in _SOURCE.rglob("*.py"):
+        if "standins" in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if not isinstance(node, ast.Call) or not node.args:
+                continue
+            method = node.func
+            first = node.args[0]
+            if (
+                isinstance(method, ast.Attribute)
+                and method.attr in _LOG_METHODS
+                and isinstance(first, ast.Constant)
+            ):
+                names.add(first.value)
+    return names
+
+
+class TestOperationsPage:
+    """An operator finds every name that the processes print."""
+
+    def test_log_events(self) -> None:
+        events = _logged_events()
+        assert "request_ended" in events
+        assert events - _NAMED == set()
+
+    def test_metrics(self) -> None:
+        registry = metrics.Metrics().registry
+        names = {collector.name for collector in registry.get_all()}
+        assert "cowsliprill_requests_total" in names
+        assert names - _NAMED == set()
+
+    def test_callers_error_codes(self) -> None:
+        assert {code.value for code in errors.Code} - _NAMED == set()
+
+    @pytest.mark.parametrize(
+        ("node", "prefix"),
+        [
+            (schema.ServiceNode, ""),
+            (schema.EndpointNode, ""),
+            (schema.RetryNode, "retries."),
+            (schema.TargetNode, "target."),
+            (environment.Environment, ""),
+        ],
+    )
+    def test_settings(self, node, prefix) -> None:
+        nested = {"retries", "target"}
+        names = {
+            prefix + name for name in node.model_fields if name not in nested
+        }
+        assert names - _NAMED == set()
