--- a/src/cowsliprill/standins/engine.py
+++ b/src/cowsliprill/standins/engine.py
@@ -312,6 +312,7 @@
             "chat.completion.chunk" if self._chat else "text_completion"
         )
         self._counted = count + int(conduct.wrong_count)
+        self._prompt_tokens = prefix.count_tokens(request.text)
         digest = xxhash.xxh3_64_hexdigest(request.text.encode())
         self._word = f" {digest[:8]}"
 
@@ -333,7 +334,11 @@
             "choices": [choice],
         }
         if last:
-            fields["usage"] = {"completion_tokens": self._counted}
+            fields["usage"] = {
+                "prompt_tokens": self._prompt_tokens,
+                "completion_tokens": self._counted,
+                "total_tokens": self._prompt_tokens + self._counted,
+            }
         data = json.dumps(fields)
         return f"id: {self._id}/{number}\ndata: {data}\n\n".encode()
 
