Say in the benchmark why attempts were lost

In one of three whole runs 2 of some 3,800 requests were refused (load average 11.7 of 12 cores): 'retry_budget_spent', run unknown. The run didn't tell why the attempts before were lost; 2,800 requests at the same load, and another whole run, had none. The benchmark now counts the reasons that the entry logs, so that the next one that meets this shows its cause.

--- a/tools/bench.py
+++ b/tools/bench.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import statistics
 import sys
@@ -321,6 +322,7 @@
             )
             port = int(relay.wait_for_event("started")["port"])
             figures = _measure(fleet, psutil.Process(relay.pid), port)
+            _print_lost_attempts(fleet)
         finally:
             if relay is not None:
                 relay.end()
@@ -329,6 +331,18 @@
     return int(any(figure.value > figure.bound for figure in figures))
 
 
+def _print_lost_attempts(fleet: local_fleet.LocalFleet) -> None:
+    lines = fleet.children_by_name["vm-0.e0"].lines
+    found = [child.parse_line(line) for line in lines]
+    reasons = collections.Counter(
+        pairs.get("reason", "")
+        for pairs in found
+        if pairs.get("event") == "attempt_lost"
+    )
+    for reason, count in reasons.most_common():
+        print(f"attempts lost: {count}, {reason}")
+
+
 def _measure(
     fleet: local_fleet.LocalFleet, relay: psutil.Process, relay_port: int
 ) -> list[Figure]:
