--- a/src/cowsliprill/standins/engine.py
+++ b/src/cowsliprill/standins/engine.py
@@ -2,15 +2,11 @@
 
 import asyncio
 import dataclasses
-import heapq
-import itertools
-import json
 import time
 from typing import Annotated
 from typing import Any
 
 import cappa
-import xxhash
 
 from cowsliprill.decisions import model
 from cowsliprill.engines import errors
@@ -20,8 +16,10 @@
 from cowsliprill.engines import protocol
 from cowsliprill.standins import engine_handlers
 from cowsliprill.standins import engine_memory
+from cowsliprill.standins import event_writer
 from cowsliprill.standins import misbehaviour as misbehaviour_lib
 from cowsliprill.standins import shell
+from cowsliprill.standins import turns
 
 _DEFAULT_MAX_TOKENS = 16
 _TRANSFER_TIMEOUT_S = 30.0
@@ -69,31 +67,6 @@
     model: Annotated[str, cappa.Arg(long=True)] = "standin"
 
 
-class _Turns:
-    """Lets prefills run one at a time, those of high priority first."""
-
-    def __init__(self) -> None:
-        self._busy = False
-        self._count = itertools.count()
-        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
-
-    async def acquire(self, priority: int) -> None:
-        if not self._busy:
-            self._busy = True
-            return
-        turn: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        heapq.heappush(self._waiting, (-priority, next(self._count), turn))
-        await turn
-
-    def release(self) -> None:
-        while self._waiting:
-            turn = heapq.heappop(self._waiting)[2]
-            if not turn.done():
-                turn.set_result(None)
-                return
-        self._busy = False
-
-
 class Engine:
     """The stand-in's state and work.
 
@@ -122,9 +95,9 @@
         )
         self.report = self._load()
         self._http = http_client.HttpClient()
-        self._turns = _Turns()
+        self._turns = turns.Turns()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._link = _Turns()
+        self._link = turns.Turns()
 
     def start(self) -> None:
         """Starts the task that refreshes the load report."""
@@ -281,7 +254,7 @@
     ) -> None:
         count = int(body.get("max_tokens", _DEFAULT_MAX_TOKENS))
         seconds = self.command.seconds_per_token * conduct.slow_factor
-        writer = _EventWriter(request, body, count, conduct)
+        writer = event_writer.EventWriter(request, body, count, conduct)
         due = time.monotonic()
         for number in range(1, count + 1):
             due += seconds
@@ -294,50 +267,6 @@
         await request.move(_Stage.FINISHED)
 
 
-class _EventWriter:
-    """Writes the events of one answer; its text tells whose it is."""
-
-    def __init__(
-        self,
-        request: engine_memory.Request,
-        body: dict[str, Any],
-        count: int,
-        conduct: misbehaviour_lib.Misbehaviour,
-    ) -> None:
-        self._id = request.request_id
-        self._model = str(body.get("model", ""))
-        self._count = count
-        self._chat = "messages" in body
-        self._object = (
-            "chat.completion.chunk" if self._chat else "text_completion"
-        )
-        self._counted = count + int(conduct.wrong_count)
-        digest = xxhash.xxh3_64_hexdigest(request.text.encode())
-        self._word = f" {digest[:8]}"
-
-    def event(self, number: int) -> bytes:
-        """Returns the event of one token."""
-        last = number == self._count
-        text = f"{self._word}-{number}"
-        choice: dict[str, Any] = {"index": 0}
-        if self._chat:
-            choice["delta"] = {"content": text}
-        else:
-            choice["text"] = text
-        choice["finish_reason"] = "length" if last else None
-        fields = {
-            "id": self._id,
-            "object": self._object,
-            "created": int(time.time()),
-            "model": self._model,
-            "choices": [choice],
-        }
-        if last:
-            fields["usage"] = {"completion_tokens": self._counted}
-        data = json.dumps(fields)
-        return f"id: {self._id}/{number}\ndata: {data}\n\n".encode()
-
-
 async def serve(command: EngineCommand) -> None:
     """Serves until SIGTERM.
 
