Count engines that are left alone neither as capacity nor as held slots

An entry that held idle slots at a lost engine asked for fewer at the others, and counted the lost engine's slots as free, so it admitted what could only wait. A first version gave the idle slots back and asked for a reserve in the same breath, an endless exchange; the reserve is now left out for such engines.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -7,6 +7,7 @@
 from cowsliprill.decisions import admission
 from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
+from cowsliprill.decisions import health
 from cowsliprill.decisions import leases
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -57,9 +58,13 @@
 
     Args:
       rng: Random numbers for the times to come back.
+      engine_health: What is known of the engines.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, engine_health: health.Health
+    ) -> None:
+        self._health = engine_health
         self.queue = queue.WaitingQueue()
         self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
@@ -157,8 +162,19 @@
         return max(used - fair * _OVER_SHARE - _OVER_SLOTS, 0.0)
 
     def slots(self) -> int:
-        """Returns the decode slots of the pool, those of others included."""
-        return sum(endpoint.slots for endpoint in self.decodes)
+        """Returns the decode slots of the pool, those of others included.
+
+        Engines that are left alone don't count: were they taken for free, more
+        would be admitted than the others can serve.
+        """
+        return sum(endpoint.slots for endpoint in self._well(self.decodes))
+
+    def _well(self, endpoints: list[model.Endpoint]) -> list[model.Endpoint]:
+        return [
+            endpoint
+            for endpoint in endpoints
+            if not self._health.is_probe(endpoint.id)
+        ]
 
     def backlog(self, priority: int) -> admission.Backlog:
         """Returns what stands before the last request of a priority.
@@ -168,7 +184,7 @@
             of the requests at other entries do isn't known; they are taken
             to have the same mix as those here.
         """
-        holdings = [self.holding(item.id) for item in self.decodes]
+        holdings = [self.holding(item.id) for item in self._well(self.decodes)]
         others = max((item.others_waiting for item in holdings), default=0)
         own = sum(item.submit.priority >= priority for item in self.queue)
         ahead = others * self.demand.share_at_least(priority)
@@ -179,7 +195,7 @@
             free_slots=max(slots - used, 0),
             slots=slots,
             hold_s=self.hold_s,
-            prefills=len(self.prefills),
+            prefills=len(self._well(self.prefills)),
             prefill_s=self.prefill_s,
         )
 
@@ -254,15 +270,24 @@
     ) -> Iterator[messages.SlotAsk]:
         """Yields asks and returns how many idle slots are held."""
         holdings = [self.holding(item.id) for item in endpoints]
-        idle = sum(holding.idle(now) for holding in holdings)
+        # Idle slots of an engine that is left alone serve no one.
+        idle = sum(
+            holding.idle(now)
+            for endpoint, holding in zip(endpoints, holdings, strict=True)
+            if self._health.usable(endpoint.id, now)
+        )
         unmet = max(needed - idle, 0)
         spare = max(idle - needed, 0)
         for endpoint, holding in zip(endpoints, holdings, strict=True):
             own_idle = holding.idle(now)
             scarce = holding.others_waiting > 0
-            given_up = min(own_idle, spare) if scarce else 0
-            spare -= given_up
-            need = own_idle - given_up + unmet if needed else 0
+            if self._health.usable(endpoint.id, now):
+                given_up = min(own_idle, spare) if scarce else 0
+                spare -= given_up
+                need = own_idle - given_up + unmet if needed else 0
+            else:
+                given_up = own_idle if scarce else 0
+                need = 0
             stale = need > holding.stated_need or (
                 need == 0 and holding.stated_need > 0
             )
@@ -281,7 +306,8 @@
         sequence: int,
     ) -> messages.SlotAsk:
         held = holding.held(now) - given_up
-        reserve = 0 if holding.others_waiting else _RESERVE
+        usable = self._health.usable(endpoint_id, now)
+        reserve = _RESERVE if usable and not holding.others_waiting else 0
         holding.stated_need = need
         holding.state(sequence, held)
         first = self.queue.first(self.over_share) if need else None
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -474,7 +474,7 @@
     ) -> None:
         pool = self._pools_by_name.get(name)
         if pool is None:
-            pool = pools.Pool(self._random)
+            pool = pools.Pool(self._random, self._health)
             self._pools_by_name[name] = pool
         prefills, decodes = (
             subset.choose(
