--- a/src/cowsliprill/decisions/demand.py
+++ b/src/cowsliprill/decisions/demand.py
@@ -79,14 +79,18 @@
 
     def __init__(self) -> None:
         self._items: collections.deque[Item] = collections.deque()
+        self._count_by_priority: collections.Counter[int] = (
+            collections.Counter()
+        )
         self._cutoffs_by_user: dict[str, tuple[int, float]] = {}
         self._refreshed_at = float("-inf")
 
     def add(self, item: Item) -> None:
         """Notes a request that arrived."""
         self._items.append(item)
+        self._count_by_priority[item.priority] += 1
         if len(self._items) > _ITEMS_MAX:
-            self._items.popleft()
+            self._drop_oldest()
 
     def fits(
         self, item: Item, slots: float, shares_by_user: Mapping[str, float]
@@ -107,15 +111,25 @@
         """Returns the share of the demand with a priority or a higher one."""
         if not self._items:
             return 1.0
-        count = sum(item.priority >= priority for item in self._items)
+        count = sum(
+            count
+            for other, count in self._count_by_priority.items()
+            if other >= priority
+        )
         return count / len(self._items)
 
+    def _drop_oldest(self) -> None:
+        priority = self._items.popleft().priority
+        self._count_by_priority[priority] -= 1
+        if not self._count_by_priority[priority]:
+            del self._count_by_priority[priority]
+
     def _refresh(
         self, now: float, slots: float, shares_by_user: Mapping[str, float]
     ) -> None:
         self._refreshed_at = now
         while self._items and now - self._items[0].at > _AGE_MAX_S:
-            self._items.popleft()
+            self._drop_oldest()
         self._cutoffs_by_user = {}
         if not self._items:
             return
--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self._states_by_endpoint: dict[str, _State] = {}
+        self._avoided = 0
 
     def usable(self, endpoint_id: str, now: float) -> bool:
         """Returns whether an endpoint may get a request now."""
@@ -50,6 +51,10 @@
         state = self._states_by_endpoint.get(endpoint_id)
         return state is not None and state.avoided
 
+    def any_avoided(self) -> bool:
+        """Returns whether any endpoint is left alone or probed."""
+        return self._avoided > 0
+
     def placed(self, endpoint_id: str, now: float) -> None:
         """Notes a request placed: only one probes at a time."""
         state = self._states_by_endpoint.get(endpoint_id)
@@ -102,7 +107,7 @@
     def forget_except(self, endpoint_ids: set[str]) -> None:
         """Drops what is known of endpoints that are gone."""
         for endpoint_id in self._states_by_endpoint.keys() - endpoint_ids:
-            del self._states_by_endpoint[endpoint_id]
+            self._avoided -= self._states_by_endpoint.pop(endpoint_id).avoided
 
     def _state(self, endpoint_id: str) -> _State:
         return self._states_by_endpoint.setdefault(endpoint_id, _State())
@@ -114,6 +119,7 @@
 
     def _clear(self, state: _State) -> None:
         state.strikes = 0
+        self._avoided -= state.avoided
         state.avoided = False
         # The time to leave it alone shrinks with each good answer, so that an
         # endpoint which keeps changing between good and bad is soon left
@@ -126,6 +132,7 @@
         if state.avoided and now < state.avoid_until:
             return
         state.avoid_s = min(max(state.avoid_s * 2, _AVOID_MIN_S), _AVOID_MAX_S)
+        self._avoided += not state.avoided
         state.avoided = True
         state.avoid_until = now + state.avoid_s
         state.probe_until = 0.0
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -16,6 +16,9 @@
 _LEARNING_RATE = 0.05
 _HOLD_START_S = 5.0
 
+# So many that the fixed part of a transfer's time doesn't matter.
+_MANY_TOKENS = 100_000
+
 # A prefill engine that lately took this many times the expected time is no
 # worse than one that is slower still; both come last.
 _SLOWNESS_MAX = 10.0
@@ -76,6 +79,9 @@
         self.prefill_s = _PREFILL_START_S
         self.start_delay_s = 0.0
         self.slowness_by_prefill: dict[str, float] = {}
+        self._token_s = 0.0
+        self._transfer_s_per_token = 0.0
+        self._export_ttl_s = 1.0
         self.returns = admission.ReturnTimes(rng)
 
     def set_engines(
@@ -84,6 +90,19 @@
         """Takes over the engines to use; running work keeps its holdings."""
         self.prefills = prefills
         self.decodes = decodes
+        self._token_s = estimates.seconds_per_token(decodes)
+        self._transfer_s_per_token = min(
+            (
+                estimates.transfer_s(prefill, decode, _MANY_TOKENS)
+                / _MANY_TOKENS
+                for prefill in prefills
+                for decode in decodes
+            ),
+            default=0.0,
+        )
+        self._export_ttl_s = min(
+            (item.export_ttl_s for item in prefills), default=1.0
+        )
         wanted = {endpoint.id for endpoint in prefills + decodes}
         for endpoint_id in wanted:
             self.holding(endpoint_id)
@@ -170,6 +189,8 @@
         return sum(endpoint.slots for endpoint in self._well(self.decodes))
 
     def _well(self, endpoints: list[model.Endpoint]) -> list[model.Endpoint]:
+        if not self._health.any_avoided():
+            return endpoints
         return [
             endpoint
             for endpoint in endpoints
@@ -218,21 +239,11 @@
             ),
             default=0.0,
         )
-        transfer_s = min(
-            (
-                estimates.transfer_s(prefill, decode, submit.prompt_tokens)
-                for prefill in self.prefills[:1]
-                for decode in self.decodes
-            ),
-            default=0.0,
-        )
         return BestTimes(
             prefill_s=prefill_s,
-            transfer_s=transfer_s,
-            token_s=estimates.seconds_per_token(self.decodes),
-            export_ttl_s=min(
-                (item.export_ttl_s for item in self.prefills), default=1.0
-            ),
+            transfer_s=self._transfer_s_per_token * submit.prompt_tokens,
+            token_s=self._token_s,
+            export_ttl_s=self._export_ttl_s,
         )
 
     def asks(
@@ -253,6 +264,8 @@
           One ask per endpoint.
         """
         waiting = len(self.queue)
+        if only_urgent and not waiting and not self._has_unsettled():
+            return
         held = yield from self._asks_of(
             self.decodes, waiting, now, sequence, only_urgent
         )
@@ -260,6 +273,13 @@
             self.prefills, min(waiting, held), now, sequence, only_urgent
         )
 
+    def _has_unsettled(self) -> bool:
+        """Returns whether any home waits for a word of this entry."""
+        return any(
+            holding.others_waiting or holding.stated_need
+            for holding in self.holdings_by_endpoint.values()
+        )
+
     def _asks_of(
         self,
         endpoints: list[model.Endpoint],
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -193,17 +193,19 @@
         self._enqueue(request)
         starts = self._place_all(pool, now)
         waits = request.stage is messages.Stage.QUEUED
-        scarce = pool.backlog(event.priority).is_scarce()
-        slots = pool.slots() / self._entries
-        if (
-            waits
-            and scarce
-            and not pool.demand.fits(item, slots, pool.shares_by_user)
-        ):
+        if waits and not self._fits(request, item):
             code = messages.RefusalCode.OVERLOADED
             starts.append(self._refuse(request, code, now))
         return starts + self._advance(pool, now)
 
+    def _fits(self, request: _Request, item: demand.Item) -> bool:
+        """Returns whether a request that has to wait is worth its wait."""
+        pool = request.pool
+        if not pool.backlog(item.priority).is_scarce():
+            return True
+        slots = pool.slots() / self._entries
+        return pool.demand.fits(item, slots, pool.shares_by_user)
+
     def _demand_item(self, request: _Request, now: float) -> demand.Item:
         service = request.submit.service
         weight = service.goodput_weight
--- /dev/null
+++ b/src/cowsliprill/replay/cost.py
@@ -0,0 +1,140 @@
+"""Measures the processor time of a decision: `python -m` prints a table."""
+
+import dataclasses
+import time
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import scheduler
+
+SIZES = (13, 130, 5_900)
+
+_DECISIONS = 2_000
+_LEASE_S = 1e9
+_PREFILL_SHARE = 0.3
+_SERVICE = model.Service(
+    id="u/s", user="u", name="s", kind=model.ServiceKind.MODEL, pool="g"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Cost:
+    """Processor time at one size of the fleet.
+
+    Attributes:
+      engines: Engines in the settings.
+      free_us: Per request that is placed at once, to its end, microseconds.
+      scarce_us: Per request that finds all slots taken, microseconds.
+      world_ms: Per change of the settings or the VM list, milliseconds.
+    """
+
+    engines: int
+    free_us: float
+    scarce_us: float
+    world_ms: float
+
+
+def _snapshot(count: int) -> model.Snapshot:
+    prefills = int(count * _PREFILL_SHARE)
+    endpoints = {}
+    for number in range(count):
+        is_prefill = number < prefills
+        kind = (
+            model.EndpointKind.PREFILL
+            if is_prefill
+            else model.EndpointKind.DECODE
+        )
+        endpoints[f"e{number}"] = model.Endpoint(
+            id=f"e{number}",
+            kind=kind,
+            host="127.0.0.1",
+            port=1,
+            availability_zone=f"z{number % 4}",
+            pool="g",
+            slots=20,
+            prefill_tokens_per_s=24_000.0,
+            seconds_per_token=0.025,
+            link_bytes_per_s=4e9,
+            kv_bytes_per_token=100_000,
+        )
+    return model.Snapshot(revision=1, endpoints_by_id=endpoints)
+
+
+def _grant_all(subject: scheduler.Scheduler, slots: int, waiting: int) -> None:
+    for ask in subject.asks(0.0):
+        subject.handle(
+            messages.SlotGrant(
+                endpoint_id=ask.endpoint_id,
+                slots=slots,
+                expires_at=_LEASE_S,
+                waiting=waiting,
+                used=20 if waiting else 0,
+                sequence=ask.sequence,
+            ),
+            0.0,
+        )
+
+
+def _submit(number: int, now: float) -> messages.Submit:
+    return messages.Submit(
+        request_id=number,
+        service=_SERVICE,
+        user=f"u/firm-{number % 4}",
+        prompt_tokens=3_000,
+        output_tokens=256,
+        prefix_hashes=tuple(range(number, number + 12)),
+        deadline=now + 2.0,
+    )
+
+
+def measure(engines: int) -> Cost:
+    """Measures one size.
+
+    Args:
+      engines: Engines in the settings.
+
+    Returns:
+      The cost.
+    """
+    subject = scheduler.Scheduler("z0", 1)
+    began = time.process_time()
+    subject.handle(
+        messages.WorldChanged(_snapshot(engines), model.Fleet()), 0.0
+    )
+    world_s = time.process_time() - began
+    _grant_all(subject, 4, 0)
+    began = time.process_time()
+    for number in range(_DECISIONS):
+        now = number / 10
+        subject.handle(_submit(number, now), now)
+        subject.handle(messages.PrefillFinished(number), now + 0.02)
+        subject.handle(messages.FirstToken(number), now + 0.03)
+        subject.handle(messages.Finished(number, 200), now + 0.09)
+    free_s = time.process_time() - began
+    _grant_all(subject, 0, 5)
+    began = time.process_time()
+    for number in range(_DECISIONS, 2 * _DECISIONS):
+        now = number / 10
+        subject.handle(_submit(number, now), now)
+    scarce_s = time.process_time() - began
+    return Cost(
+        engines=engines,
+        free_us=free_s / _DECISIONS * 1e6,
+        scarce_us=scarce_s / _DECISIONS * 1e6,
+        world_ms=world_s * 1e3,
+    )
+
+
+def main() -> None:
+    """Prints the cost at each size."""
+    print("engines  free us/request  scarce us/request  change ms")
+    for size in SIZES:
+        cost = measure(size)
+        print(
+            f"{cost.engines:7} {cost.free_us:16.0f} {cost.scarce_us:18.0f}"
+            f" {cost.world_ms:10.1f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
