--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -298,6 +298,7 @@
         )
         unmet = max(needed - idle, 0)
         spare = max(idle - needed, 0)
+        first: queue.Waiting | None = None
         for endpoint, holding in zip(endpoints, holdings, strict=True):
             own_idle = holding.idle(now)
             scarce = holding.others_waiting > 0
@@ -313,7 +314,11 @@
             )
             if only_urgent and not given_up and not stale:
                 continue
-            yield self._ask(endpoint.id, holding, need, given_up, now, sequence)
+            if first is None and need:
+                first = self.queue.first(self.over_share)
+            yield self._ask(
+                endpoint.id, holding, need, given_up, first, now, sequence
+            )
         return idle
 
     def _ask(
@@ -322,6 +327,7 @@
         holding: leases.Holding,
         need: int,
         given_up: int,
+        first: queue.Waiting | None,
         now: float,
         sequence: int,
     ) -> messages.SlotAsk:
@@ -330,7 +336,7 @@
         reserve = _RESERVE if usable and not holding.others_waiting else 0
         holding.stated_need = need
         holding.state(sequence, held)
-        first = self.queue.first(self.over_share) if need else None
+        first = first if need else None
         return messages.SlotAsk(
             endpoint_id=endpoint_id,
             in_use=holding.in_use,
