Split the scheduler: chooser, pools of an entry, requests

scheduler.py had grown to 640 lines with four jobs in it. The choice of engines, the set of pools with the subset of engines, and the record of a request are modules of their own now; the shares of users are built once for all pools.

--- /dev/null
+++ b/src/cowsliprill/decisions/chooser.py
@@ -0,0 +1,99 @@
+"""Which engines a request may use now, and what each would cost it."""
+
+from cowsliprill.decisions import estimates
+from cowsliprill.decisions import health
+from cowsliprill.decisions import leases
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import placement
+from cowsliprill.decisions import pool as pools
+
+# Longest prompt with which an engine that was left alone is tried again.
+_PROBE_PROMPT_TOKENS = 2_000
+
+
+class Chooser:
+    """Chooses engines for the requests of one entry.
+
+    Args:
+      availability_zone: Where the entry is.
+      engine_health: What it has learnt of the engines.
+    """
+
+    def __init__(
+        self, availability_zone: str, engine_health: health.Health
+    ) -> None:
+        self._availability_zone = availability_zone
+        self._health = engine_health
+
+    def choose(
+        self, pool: pools.Pool, submit: messages.Submit, now: float
+    ) -> placement.Pair | None:
+        """Finds the best engines with free leased slots.
+
+        Args:
+          pool: The request's pool.
+          submit: The request.
+          now: Time, seconds.
+
+        Returns:
+          The best pair, None if it has to wait.
+        """
+        prefills = self._prefills(pool, submit, now)
+        if not prefills:
+            return None
+        endpoints_by_id = pool.endpoints_by_id
+        return placement.choose(
+            prefills,
+            self._decodes(pool, submit, now),
+            lambda prefill_id, decode_id: estimates.transfer_s(
+                endpoints_by_id[prefill_id],
+                endpoints_by_id[decode_id],
+                submit.prompt_tokens,
+            ),
+        )
+
+    def _prefills(
+        self, pool: pools.Pool, submit: messages.Submit, now: float
+    ) -> list[placement.Candidate]:
+        found = []
+        for endpoint in pool.prefills:
+            holding = pool.holding(endpoint.id)
+            if not self._may_use(endpoint, holding, submit, now):
+                continue
+            cost_s = pool.prefill_wait_s(endpoint, submit)
+            cost_s += self._hop_s(endpoint)
+            found.append(placement.Candidate(endpoint.id, cost_s))
+        return found
+
+    def _decodes(
+        self, pool: pools.Pool, submit: messages.Submit, now: float
+    ) -> list[placement.Candidate]:
+        found = []
+        for endpoint in pool.decodes:
+            holding = pool.holding(endpoint.id)
+            if not self._may_use(endpoint, holding, submit, now):
+                continue
+            load = holding.used / max(endpoint.slots, 1)
+            cost_s = self._hop_s(endpoint) * (1 + load)
+            found.append(placement.Candidate(endpoint.id, cost_s))
+        return found
+
+    def _may_use(
+        self,
+        endpoint: model.Endpoint,
+        holding: leases.Holding,
+        submit: messages.Submit,
+        now: float,
+    ) -> bool:
+        if holding.free(now) <= 0 or not self._health.usable(endpoint.id, now):
+            return False
+        # A probe may well come to nothing. With a short prompt it costs little
+        # and its transfer arrives in time even on a slow link.
+        is_short = submit.prompt_tokens <= _PROBE_PROMPT_TOKENS
+        return is_short or not self._health.is_probe(endpoint.id)
+
+    def _hop_s(self, endpoint: model.Endpoint) -> float:
+        if endpoint.availability_zone == self._availability_zone:
+            return 0.0
+        return estimates.CROSS_ZONE_S
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -72,6 +72,7 @@
         self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
         self.decodes: list[model.Endpoint] = []
+        self.endpoints_by_id: dict[str, model.Endpoint] = {}
         self.holdings_by_endpoint: dict[str, leases.Holding] = {}
         self.in_use_by_user: dict[str, int] = {}
         self.shares_by_user: dict[str, float] = {}
@@ -90,6 +91,7 @@
         """Takes over the engines to use; running work keeps its holdings."""
         self.prefills = prefills
         self.decodes = decodes
+        self.endpoints_by_id = {item.id: item for item in prefills + decodes}
         self._token_s = estimates.seconds_per_token(decodes)
         self._transfer_s_per_token = min(
             (
--- /dev/null
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -0,0 +1,111 @@
+"""All pools of one entry, as the settings and the VM list have them."""
+
+import random
+
+from cowsliprill.decisions import health
+from cowsliprill.decisions import model
+from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import subset
+
+_LIMITS_BY_KIND = {
+    model.EndpointKind.PREFILL: subset.PREFILLS_MAX,
+    model.EndpointKind.DECODE: subset.DECODES_MAX,
+}
+
+_EndpointsByKind = dict[model.EndpointKind, list[model.Endpoint]]
+
+
+class PoolSet:
+    """The pools and the engines that this entry uses of each.
+
+    Args:
+      availability_zone: Where the entry is.
+      seed: Tells entries apart.
+      rng: Random numbers.
+      engine_health: What the entry has learnt of the engines.
+
+    Attributes:
+      by_name: The pools.
+      by_endpoint: The pool of each engine in use.
+      entries: Entry processes in the VM list, at least 1.
+    """
+
+    def __init__(
+        self,
+        availability_zone: str,
+        seed: int,
+        rng: random.Random,
+        engine_health: health.Health,
+    ) -> None:
+        self.by_name: dict[str, pools.Pool] = {}
+        self.by_endpoint: dict[str, pools.Pool] = {}
+        self.entries = 1
+        self._availability_zone = availability_zone
+        self._seed = seed
+        self._random = rng
+        self._health = engine_health
+
+    def update(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
+        """Takes over new settings or a new VM list.
+
+        Args:
+          snapshot: The settings in force.
+          fleet: The VM list with news.
+        """
+        processes = sum(
+            len(vm.entry_ports) or 1
+            for vm in fleet.vms_by_id.values()
+            if vm.role is model.VmRole.ENTRY
+        )
+        self.entries = max(processes, 1)
+        shares_by_user = {
+            user.id: user.share for user in snapshot.users_by_id.values()
+        }
+        kinds_by_pool: dict[str, _EndpointsByKind] = {}
+        for endpoint in snapshot.endpoints_by_id.values():
+            if endpoint.id not in fleet.leaving_endpoint_ids:
+                kinds = kinds_by_pool.setdefault(endpoint.pool, {})
+                kinds.setdefault(endpoint.kind, []).append(endpoint)
+        self.by_endpoint = {}
+        for name in kinds_by_pool.keys() | self.by_name.keys():
+            pool = self._pool(name)
+            pool.shares_by_user = shares_by_user
+            self._set_engines(pool, kinds_by_pool.get(name, {}))
+        self._health.forget_except(set(self.by_endpoint))
+
+    def use_fallback(self, endpoint_ids: tuple[str, ...]) -> None:
+        """Allows a small share of engines whose home can't be reached.
+
+        It is half of an equal share: entries that still reach the home may
+        hold the rest, and the engine refuses what is too much.
+
+        Args:
+          endpoint_ids: The engines.
+        """
+        for endpoint_id in endpoint_ids:
+            pool = self.by_endpoint.get(endpoint_id)
+            endpoint = pool and pool.endpoints_by_id.get(endpoint_id)
+            if pool and endpoint:
+                share = endpoint.slots // (2 * self.entries)
+                pool.holding(endpoint_id).fallback = max(share, 1)
+
+    def _pool(self, name: str) -> pools.Pool:
+        pool = self.by_name.get(name)
+        if pool is None:
+            pool = pools.Pool(self._random, self._health)
+            self.by_name[name] = pool
+        return pool
+
+    def _set_engines(self, pool: pools.Pool, kinds: _EndpointsByKind) -> None:
+        chosen = {
+            kind: subset.choose(
+                kinds.get(kind, []), limit, self._seed, self._availability_zone
+            )
+            for kind, limit in _LIMITS_BY_KIND.items()
+        }
+        pool.set_engines(
+            chosen[model.EndpointKind.PREFILL],
+            chosen[model.EndpointKind.DECODE],
+        )
+        for endpoint_id in pool.holdings_by_endpoint:
+            self.by_endpoint[endpoint_id] = pool
--- /dev/null
+++ b/src/cowsliprill/decisions/requests.py
@@ -0,0 +1,40 @@
+"""What a scheduler remembers of a request."""
+
+import dataclasses
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import pool as pools
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A request from its arrival to its end.
+
+    Attributes:
+      submit: The request.
+      latest_start: When starting it would be too late.
+      first_token_s: Least time to its first token.
+      cost_s: Decode slot time that it is expected to cost.
+      pool: Its pool.
+      stage: Where it is.
+      attempt: Number of the newest attempt.
+      prefill: Prefill engine of the newest attempt.
+      decode: Decode engine of the newest attempt.
+      started_at: When the newest attempt began.
+      expected_s: Time that its prefill takes at the engine's usual speed.
+      stage_at: When its present stage began.
+    """
+
+    submit: messages.Submit
+    latest_start: float
+    first_token_s: float
+    cost_s: float
+    pool: pools.Pool
+    stage: messages.Stage = messages.Stage.QUEUED
+    attempt: int = -1
+    prefill: model.Endpoint | None = None
+    decode: model.Endpoint | None = None
+    started_at: float = 0.0
+    expected_s: float = 1.0
+    stage_at: float = 0.0
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -6,20 +6,20 @@
 exactly one of: `Refuse`, or the shell's `Finished` or `Cancel`.
 """
 
-import dataclasses
 import random
 
+from cowsliprill.decisions import chooser
 from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
-from cowsliprill.decisions import leases
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import placement
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import pool_set
 from cowsliprill.decisions import queue
+from cowsliprill.decisions import requests
 from cowsliprill.decisions import retry
-from cowsliprill.decisions import subset
 
 _IDLE_WAKEUP_S = 0.5
 
@@ -35,42 +35,6 @@
 # this costs is kept in hand.
 _DELAY_MARGIN = 2.0
 
-# Longest prompt with which an engine that was left alone is tried again.
-_PROBE_PROMPT_TOKENS = 2_000
-
-
-@dataclasses.dataclass(slots=True)
-class _Request:
-    """A request from its arrival to its end.
-
-    Attributes:
-      submit: The request.
-      latest_start: When starting it would be too late.
-      first_token_s: Least time to its first token.
-      cost_s: Decode slot time that it is expected to cost.
-      pool: Its pool.
-      stage: Where it is.
-      attempt: Number of the newest attempt.
-      prefill: Prefill engine of the newest attempt.
-      decode: Decode engine of the newest attempt.
-      started_at: When the newest attempt began.
-      expected_s: Time that its prefill takes at the engine's usual speed.
-      stage_at: When its present stage began.
-    """
-
-    submit: messages.Submit
-    latest_start: float
-    first_token_s: float
-    cost_s: float
-    pool: pools.Pool
-    stage: messages.Stage = messages.Stage.QUEUED
-    attempt: int = -1
-    prefill: model.Endpoint | None = None
-    decode: model.Endpoint | None = None
-    started_at: float = 0.0
-    expected_s: float = 1.0
-    stage_at: float = 0.0
-
 
 class Scheduler:
     """Places the model requests of one entry process.
@@ -81,15 +45,13 @@
     """
 
     def __init__(self, availability_zone: str, seed: int) -> None:
-        self._availability_zone = availability_zone
-        self._seed = seed
-        self._random = random.Random(seed)
-        self._snapshot = model.Snapshot()
-        self._entries = 1
-        self._requests_by_id: dict[int, _Request] = {}
-        self._pools_by_name: dict[str, pools.Pool] = {}
-        self._pools_by_endpoint: dict[str, pools.Pool] = {}
+        rng = random.Random(seed)
+        self._requests_by_id: dict[int, requests.Request] = {}
         self._health = health.Health()
+        self._pools = pool_set.PoolSet(
+            availability_zone, seed, rng, self._health
+        )
+        self._chooser = chooser.Chooser(availability_zone, self._health)
         self._budgets = retry.RetryBudgets()
         self._lengths = estimates.AnswerLengths()
         self._sequence = 0
@@ -143,7 +105,7 @@
         self._sequence += 1
         return [
             ask
-            for pool in self._pools_by_name.values()
+            for pool in self._pools.by_name.values()
             for ask in pool.asks(now, self._sequence, only_urgent=False)
         ]
 
@@ -152,7 +114,7 @@
         soonest = min(
             (
                 pool.queue.soonest_latest_start()
-                for pool in self._pools_by_name.values()
+                for pool in self._pools.by_name.values()
             ),
             default=now + _IDLE_WAKEUP_S,
         )
@@ -163,7 +125,7 @@
     def _submit(
         self, event: messages.Submit, now: float
     ) -> list[messages.Action]:
-        pool = self._pools_by_name.get(event.service.pool)
+        pool = self._pools.by_name.get(event.service.pool)
         if pool is None or not pool.prefills or not pool.decodes:
             code = messages.RefusalCode.NO_ENDPOINT
             return [
@@ -181,7 +143,7 @@
             now + event.service.may_wait_s,
         )
         cost_s = self._cost_s(event, times)
-        request = _Request(
+        request = requests.Request(
             event, latest_start, times.first_token_s(), cost_s, pool
         )
         self._requests_by_id[event.request_id] = request
@@ -198,15 +160,17 @@
             starts.append(self._refuse(request, code, now))
         return starts + self._advance(pool, now)
 
-    def _fits(self, request: _Request, item: demand.Item) -> bool:
+    def _fits(self, request: requests.Request, item: demand.Item) -> bool:
         """Returns whether a request that has to wait is worth its wait."""
         pool = request.pool
         if not pool.backlog(item.priority).is_scarce():
             return True
-        slots = pool.slots() / self._entries
+        slots = pool.slots() / self._pools.entries
         return pool.demand.fits(item, slots, pool.shares_by_user)
 
-    def _demand_item(self, request: _Request, now: float) -> demand.Item:
+    def _demand_item(
+        self, request: requests.Request, now: float
+    ) -> demand.Item:
         service = request.submit.service
         weight = service.goodput_weight
         return demand.Item(
@@ -231,7 +195,7 @@
         weight = submit.service.wasted_prefill_weight
         return held_s * (1 + weight * risk)
 
-    def _enqueue(self, request: _Request) -> None:
+    def _enqueue(self, request: requests.Request) -> None:
         request.stage = messages.Stage.QUEUED
         request.pool.queue.add(
             queue.Waiting(
@@ -314,7 +278,7 @@
         return self._advance(request.pool, now)
 
     def _learn_pace(
-        self, request: _Request, output_tokens: int, now: float
+        self, request: requests.Request, output_tokens: int, now: float
     ) -> None:
         decode = request.decode
         assert decode is not None
@@ -349,7 +313,10 @@
         return [cancel, *self._advance(request.pool, now)]
 
     def _blame(
-        self, request: _Request, event: messages.AttemptFailed, now: float
+        self,
+        request: requests.Request,
+        event: messages.AttemptFailed,
+        now: float,
     ) -> None:
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
@@ -361,7 +328,10 @@
             self._health.failed(event.endpoint_id, now)
 
     def _why_not_again(
-        self, request: _Request, event: messages.AttemptFailed, now: float
+        self,
+        request: requests.Request,
+        event: messages.AttemptFailed,
+        now: float,
     ) -> messages.RefusalCode | None:
         service = request.submit.service
         repeatable = service.idempotency is model.Idempotency.REPEATABLE
@@ -375,7 +345,9 @@
             return messages.RefusalCode.RETRY_BUDGET_SPENT
         return None
 
-    def _cancel_attempt(self, request: _Request) -> messages.CancelAttempt:
+    def _cancel_attempt(
+        self, request: requests.Request
+    ) -> messages.CancelAttempt:
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
         return messages.CancelAttempt(
@@ -384,7 +356,7 @@
             endpoint_ids=(prefill.id, decode.id),
         )
 
-    def _release(self, request: _Request) -> None:
+    def _release(self, request: requests.Request) -> None:
         if request.stage is messages.Stage.PREFILL:
             self._release_prefill(request)
         assert request.decode is not None
@@ -392,19 +364,19 @@
         request.pool.holding(request.decode.id).release(user)
         request.pool.release(user)
 
-    def _release_prefill(self, request: _Request) -> None:
+    def _release_prefill(self, request: requests.Request) -> None:
         assert request.prefill is not None
         holding = request.pool.holding(request.prefill.id)
         holding.release(request.submit.user)
 
     def _refuse(
-        self, request: _Request, code: messages.RefusalCode, now: float
+        self, request: requests.Request, code: messages.RefusalCode, now: float
     ) -> messages.Refuse:
         pool = request.pool
         request_id = request.submit.request_id
         pool.queue.remove(request_id)
         del self._requests_by_id[request_id]
-        step_s = pool.hold_s / max(pool.slots(), 1) * self._entries
+        step_s = pool.hold_s / max(pool.slots(), 1) * self._pools.entries
         return messages.Refuse(
             request_id=request_id,
             code=code,
@@ -418,7 +390,7 @@
     def _granted(
         self, event: messages.SlotGrant, now: float
     ) -> list[messages.Action]:
-        pool = self._pools_by_endpoint.get(event.endpoint_id)
+        pool = self._pools.by_endpoint.get(event.endpoint_id)
         if pool is None:
             return []
         pool.holding(event.endpoint_id).grant(event)
@@ -427,76 +399,21 @@
     def _home_unreachable(
         self, endpoint_ids: tuple[str, ...], now: float
     ) -> list[messages.Action]:
-        for endpoint_id in endpoint_ids:
-            pool = self._pools_by_endpoint.get(endpoint_id)
-            endpoint = self._snapshot.endpoints_by_id.get(endpoint_id)
-            if pool is None or endpoint is None:
-                continue
-            # Half of an equal share: entries that still reach the home may
-            # hold the rest, and the engine refuses what is too much.
-            share = endpoint.slots // (2 * self._entries)
-            pool.holding(endpoint_id).fallback = max(share, 1)
+        self._pools.use_fallback(endpoint_ids)
         return self._advance_all(now)
 
     def _world_changed(
         self, snapshot: model.Snapshot, fleet: model.Fleet, now: float
     ) -> list[messages.Action]:
-        self._snapshot = snapshot
-        self._entries = max(
-            sum(
-                len(vm.entry_ports) or 1
-                for vm in fleet.vms_by_id.values()
-                if vm.role is model.VmRole.ENTRY
-            ),
-            1,
-        )
-        self._choose_engines(fleet)
-        for pool in self._pools_by_name.values():
-            pool.shares_by_user = {
-                user.id: user.share for user in snapshot.users_by_id.values()
-            }
+        self._pools.update(snapshot, fleet)
         return self._advance_all(now)
 
-    def _choose_engines(self, fleet: model.Fleet) -> None:
-        by_pool: dict[str, dict[model.EndpointKind, list[model.Endpoint]]] = {}
-        for endpoint in self._snapshot.endpoints_by_id.values():
-            if endpoint.id not in fleet.leaving_endpoint_ids:
-                kinds = by_pool.setdefault(endpoint.pool, {})
-                kinds.setdefault(endpoint.kind, []).append(endpoint)
-        self._pools_by_endpoint = {}
-        for name in by_pool.keys() | self._pools_by_name.keys():
-            kinds = by_pool.get(name, {})
-            self._set_engines(name, kinds)
-        self._health.forget_except(set(self._pools_by_endpoint))
-
-    def _set_engines(
-        self,
-        name: str,
-        kinds: dict[model.EndpointKind, list[model.Endpoint]],
-    ) -> None:
-        pool = self._pools_by_name.get(name)
-        if pool is None:
-            pool = pools.Pool(self._random, self._health)
-            self._pools_by_name[name] = pool
-        prefills, decodes = (
-            subset.choose(
-                kinds.get(kind, []), limit, self._seed, self._availability_zone
-            )
-            for kind, limit in (
-                (model.EndpointKind.PREFILL, subset.PREFILLS_MAX),
-                (model.EndpointKind.DECODE, subset.DECODES_MAX),
-            )
-        )
-        pool.set_engines(prefills, decodes)
-        for endpoint_id in pool.holdings_by_endpoint:
-            self._pools_by_endpoint[endpoint_id] = pool
-
     # Placement.
 
     def _advance_all(self, now: float) -> list[messages.Action]:
         return [
             action
-            for pool in self._pools_by_name.values()
+            for pool in self._pools.by_name.values()
             for action in self._advance(pool, now)
         ]
 
@@ -542,68 +459,12 @@
         waiting = pool.queue.first(pool.over_share)
         assert waiting is not None
         submit = waiting.submit
-        prefills = self._prefill_candidates(pool, submit, now)
-        if not prefills:
-            return None
-        pair = placement.choose(
-            prefills,
-            self._decode_candidates(pool, submit, now),
-            lambda prefill_id, decode_id: estimates.transfer_s(
-                self._snapshot.endpoints_by_id[prefill_id],
-                self._snapshot.endpoints_by_id[decode_id],
-                submit.prompt_tokens,
-            ),
-        )
+        pair = self._chooser.choose(pool, submit, now)
         if pair is None:
             return None
         pool.queue.remove(submit.request_id)
         return self._start(pool, submit, pair, now)
 
-    def _prefill_candidates(
-        self, pool: pools.Pool, submit: messages.Submit, now: float
-    ) -> list[placement.Candidate]:
-        found = []
-        for endpoint in pool.prefills:
-            holding = pool.holding(endpoint.id)
-            if not self._may_use(endpoint, holding, submit, now):
-                continue
-            cost_s = pool.prefill_wait_s(endpoint, submit)
-            cost_s += self._hop_s(endpoint)
-            found.append(placement.Candidate(endpoint.id, cost_s))
-        return found
-
-    def _decode_candidates(
-        self, pool: pools.Pool, submit: messages.Submit, now: float
-    ) -> list[placement.Candidate]:
-        found = []
-        for endpoint in pool.decodes:
-            holding = pool.holding(endpoint.id)
-            if not self._may_use(endpoint, holding, submit, now):
-                continue
-            load = holding.used / max(endpoint.slots, 1)
-            cost_s = self._hop_s(endpoint) * (1 + load)
-            found.append(placement.Candidate(endpoint.id, cost_s))
-        return found
-
-    def _may_use(
-        self,
-        endpoint: model.Endpoint,
-        holding: leases.Holding,
-        submit: messages.Submit,
-        now: float,
-    ) -> bool:
-        if holding.free(now) <= 0 or not self._health.usable(endpoint.id, now):
-            return False
-        # A probe may well come to nothing. With a short prompt it costs little
-        # and its transfer arrives in time even on a slow link.
-        is_short = submit.prompt_tokens <= _PROBE_PROMPT_TOKENS
-        return is_short or not self._health.is_probe(endpoint.id)
-
-    def _hop_s(self, endpoint: model.Endpoint) -> float:
-        if endpoint.availability_zone == self._availability_zone:
-            return 0.0
-        return estimates.CROSS_ZONE_S
-
     def _start(
         self,
         pool: pools.Pool,
@@ -612,8 +473,8 @@
         now: float,
     ) -> messages.Start:
         request = self._requests_by_id[submit.request_id]
-        request.prefill = self._snapshot.endpoints_by_id[pair.prefill_id]
-        request.decode = self._snapshot.endpoints_by_id[pair.decode_id]
+        request.prefill = pool.endpoints_by_id[pair.prefill_id]
+        request.decode = pool.endpoints_by_id[pair.decode_id]
         request.stage = messages.Stage.PREFILL
         request.attempt += 1
         request.started_at = now
