Take in evictions and epochs of cached blocks; move what is learnt of engines out

Homes now send evictions and an epoch that changes after a gap in the cache events; the entry ignored both and kept drawing requests to blocks that were gone. The test fails without the epoch's check.

--- /dev/null
+++ b/src/cowsliprill/decisions/learning.py
@@ -0,0 +1,71 @@
+"""What requests tell of the engines that served them."""
+
+from cowsliprill.decisions import estimates
+from cowsliprill.decisions import health
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import requests
+
+
+class Learning:
+    """Judges engines by their own answers.
+
+    Args:
+      engine_health: Where the judgements go.
+    """
+
+    def __init__(self, engine_health: health.Health) -> None:
+        self._health = engine_health
+
+    def first_token(self, request: requests.Request, now: float) -> None:
+        """Takes in how long a transfer took.
+
+        Args:
+          request: The request whose first token came.
+          now: Time, seconds.
+        """
+        prefill, decode = request.prefill, request.decode
+        assert prefill is not None and decode is not None
+        expected = decode.seconds_per_token + estimates.transfer_s(
+            prefill, decode, request.submit.prompt_tokens
+        )
+        ratio = (now - request.stage_at) / max(expected, 0.01)
+        self._health.transfer(prefill.id, decode.id, ratio, now)
+
+    def pace(
+        self, request: requests.Request, output_tokens: int, now: float
+    ) -> None:
+        """Takes in how fast a stream's tokens came.
+
+        Args:
+          request: The request.
+          output_tokens: Tokens since the first one, that included.
+          now: Time, seconds.
+        """
+        decode = request.decode
+        assert decode is not None
+        if output_tokens < 2 or decode.seconds_per_token <= 0:
+            return
+        pace = (now - request.stage_at) / (output_tokens - 1)
+        self._health.pace(decode.id, pace / decode.seconds_per_token, now)
+
+    def failed(
+        self,
+        request: requests.Request,
+        event: messages.AttemptFailed,
+        now: float,
+    ) -> None:
+        """Takes in a failed attempt.
+
+        Args:
+          request: The request.
+          event: How it failed.
+          now: Time, seconds.
+        """
+        prefill, decode = request.prefill, request.decode
+        assert prefill is not None and decode is not None
+        if event.refused:
+            request.pool.holding(event.endpoint_id).drop_free()
+        elif event.stage is messages.Stage.TRANSFER:
+            self._health.transfer(prefill.id, decode.id, float("inf"), now)
+        else:
+            self._health.failed(event.endpoint_id, now)
--- a/src/cowsliprill/decisions/leases.py
+++ b/src/cowsliprill/decisions/leases.py
@@ -20,6 +20,7 @@
       used: Slots in use by all entries.
       in_use_by_user: `in_use` by user.
       cached: Prompt blocks cached there.
+      prefix_epoch: Epoch of the home's news of cached blocks.
       stated_need: Waiting requests in the newest statement.
       answered: Sequence of the newest statement answered.
       unanswered: Sequence and held slots of statements not answered yet.
@@ -35,6 +36,7 @@
     cached: prefixes.CachedBlocks = dataclasses.field(
         default_factory=prefixes.CachedBlocks
     )
+    prefix_epoch: int = 0
     stated_need: int = 0
     answered: int = 0
     unanswered: list[tuple[int, int]] = dataclasses.field(default_factory=list)
@@ -95,6 +97,15 @@
         self.fallback = 0
         self.others_waiting = grant.waiting
         self.used = max(grant.used, self.in_use)
+        self._take_prefixes(grant)
+
+    def _take_prefixes(self, grant: messages.SlotGrant) -> None:
+        # Cache events come with gaps. After one, evictions may have gone
+        # unheard, and old news would draw requests to blocks that are gone.
+        if grant.prefix_epoch != self.prefix_epoch:
+            self.prefix_epoch = grant.prefix_epoch
+            self.cached = prefixes.CachedBlocks()
+        self.cached.remove(grant.prefix_hashes_gone)
         self.cached.add(grant.prefix_hashes)
 
     def drop_free(self) -> None:
--- a/src/cowsliprill/decisions/prefixes.py
+++ b/src/cowsliprill/decisions/prefixes.py
@@ -30,6 +30,11 @@
         while len(self._blocks) > _BLOCKS_MAX:
             del self._blocks[next(iter(self._blocks))]
 
+    def remove(self, blocks: Iterable[int]) -> None:
+        """Notes blocks as evicted."""
+        for block in blocks:
+            self._blocks.pop(block, None)
+
     def cached_tokens(self, prefix: tuple[int, ...]) -> int:
         """Returns how many leading tokens of a prompt are cached.
 
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -5,6 +5,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import retry
 
 
 @dataclasses.dataclass(slots=True)
@@ -38,3 +39,33 @@
     started_at: float = 0.0
     expected_s: float = 1.0
     stage_at: float = 0.0
+
+
+def why_not_again(
+    request: Request,
+    event: messages.AttemptFailed,
+    budgets: retry.RetryBudgets,
+    now: float,
+) -> messages.RefusalCode | None:
+    """Decides whether a failed request is tried again.
+
+    Args:
+      request: The request.
+      event: How its newest attempt failed.
+      budgets: Budgets of retries; one is spent if it is tried again.
+      now: Time, seconds.
+
+    Returns:
+      Why it is refused, None if it is tried again.
+    """
+    service = request.submit.service
+    repeatable = service.idempotency is model.Idempotency.REPEATABLE
+    if not repeatable and not event.refused:
+        return messages.RefusalCode.ENDPOINT_FAILED
+    if request.attempt + 1 >= service.retries.attempts:
+        return messages.RefusalCode.ENDPOINT_FAILED
+    if request.latest_start <= now:
+        return messages.RefusalCode.ENDPOINT_FAILED
+    if not budgets.of(service).spend(request.attempt + 1):
+        return messages.RefusalCode.RETRY_BUDGET_SPENT
+    return None
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -12,6 +12,7 @@
 from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
+from cowsliprill.decisions import learning
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import placement
@@ -51,6 +52,7 @@
         self._pools = pool_set.PoolSet(
             availability_zone, seed, rng, self._health
         )
+        self._learning = learning.Learning(self._health)
         self._chooser = chooser.Chooser(availability_zone, self._health)
         self._budgets = retry.RetryBudgets()
         self._lengths = estimates.AnswerLengths()
@@ -239,13 +241,7 @@
         request = self._requests_by_id.get(request_id)
         if request is None or request.stage is not messages.Stage.TRANSFER:
             return []
-        prefill, decode = request.prefill, request.decode
-        assert prefill is not None and decode is not None
-        expected = decode.seconds_per_token + estimates.transfer_s(
-            prefill, decode, request.submit.prompt_tokens
-        )
-        ratio = (now - request.stage_at) / max(expected, 0.01)
-        self._health.transfer(prefill.id, decode.id, ratio, now)
+        self._learning.first_token(request, now)
         request.stage = messages.Stage.DECODE
         request.stage_at = now
         request.pool.learn_start_delay(
@@ -258,7 +254,7 @@
     ) -> list[messages.Action]:
         request = self._requests_by_id.get(event.request_id)
         if request is not None and request.stage is messages.Stage.DECODE:
-            self._learn_pace(request, event.output_tokens, now)
+            self._learning.pace(request, event.output_tokens, now)
         return []
 
     def _finished(
@@ -271,29 +267,19 @@
             request.pool.queue.remove(event.request_id)
             return []
         if request.stage is messages.Stage.DECODE:
-            self._learn_pace(request, event.output_tokens, now)
+            self._learning.pace(request, event.output_tokens, now)
             self._lengths.learn(request.submit, event.output_tokens)
             request.pool.learn_hold(now - request.started_at)
         self._release(request)
         return self._advance(request.pool, now)
 
-    def _learn_pace(
-        self, request: requests.Request, output_tokens: int, now: float
-    ) -> None:
-        decode = request.decode
-        assert decode is not None
-        if output_tokens < 2 or decode.seconds_per_token <= 0:
-            return
-        pace = (now - request.stage_at) / (output_tokens - 1)
-        self._health.pace(decode.id, pace / decode.seconds_per_token, now)
-
     def _failed(
         self, event: messages.AttemptFailed, now: float
     ) -> list[messages.Action]:
         request = self._requests_by_id.get(event.request_id)
         if request is None or request.stage is messages.Stage.QUEUED:
             return []
-        self._blame(request, event, now)
+        self._learning.failed(request, event, now)
         cancel = self._cancel_attempt(request)
         streaming = request.stage is messages.Stage.DECODE
         self._release(request)
@@ -302,7 +288,7 @@
             # the shell's to decide, not ours to start anew.
             del self._requests_by_id[event.request_id]
             return [cancel, *self._advance(request.pool, now)]
-        code = self._why_not_again(request, event, now)
+        code = requests.why_not_again(request, event, self._budgets, now)
         if code is not None:
             return [
                 cancel,
@@ -312,39 +298,6 @@
         self._enqueue(request)
         return [cancel, *self._advance(request.pool, now)]
 
-    def _blame(
-        self,
-        request: requests.Request,
-        event: messages.AttemptFailed,
-        now: float,
-    ) -> None:
-        prefill, decode = request.prefill, request.decode
-        assert prefill is not None and decode is not None
-        if event.refused:
-            request.pool.holding(event.endpoint_id).drop_free()
-        elif event.stage is messages.Stage.TRANSFER:
-            self._health.transfer(prefill.id, decode.id, float("inf"), now)
-        else:
-            self._health.failed(event.endpoint_id, now)
-
-    def _why_not_again(
-        self,
-        request: requests.Request,
-        event: messages.AttemptFailed,
-        now: float,
-    ) -> messages.RefusalCode | None:
-        service = request.submit.service
-        repeatable = service.idempotency is model.Idempotency.REPEATABLE
-        if not repeatable and not event.refused:
-            return messages.RefusalCode.ENDPOINT_FAILED
-        if request.attempt + 1 >= service.retries.attempts:
-            return messages.RefusalCode.ENDPOINT_FAILED
-        if request.latest_start <= now:
-            return messages.RefusalCode.ENDPOINT_FAILED
-        if not self._budgets.of(service).spend(request.attempt + 1):
-            return messages.RefusalCode.RETRY_BUDGET_SPENT
-        return None
-
     def _cancel_attempt(
         self, request: requests.Request
     ) -> messages.CancelAttempt:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -232,3 +232,26 @@
         assert holding.free(1.9) == 2
         assert holding.free(2.0) < 1
         assert holding.held(2.0) == 1
+
+    def test_news_of_a_new_epoch_replaces_the_old(self) -> None:
+        """Cache events were lost, and with them the news of evictions.
+
+        Requests would go on being drawn to blocks that are long gone.
+        """
+        holding = leases.Holding()
+        grant = messages.SlotGrant(
+            endpoint_id="d",
+            slots=0,
+            expires_at=2.0,
+            prefix_hashes=(1, 2),
+            prefix_epoch=1,
+        )
+        holding.grant(grant)
+        assert holding.cached.cached_tokens((1, 2)) > 0
+        news = dataclasses.replace(grant, prefix_hashes=(3,))
+        holding.grant(dataclasses.replace(news, prefix_hashes_gone=(2,)))
+        both = holding.cached.cached_tokens((1, 3))
+        assert holding.cached.cached_tokens((1, 2)) < both
+        holding.grant(dataclasses.replace(news, prefix_epoch=2))
+        assert holding.cached.cached_tokens((1, 3)) == 0
+        assert holding.cached.cached_tokens((3,)) > 0
