--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -8,6 +8,7 @@
 from cowsliprill.decisions import admission
 from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
+from cowsliprill.decisions import health
 from cowsliprill.decisions import leases
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -16,6 +17,9 @@
 _LEARNING_RATE = 0.05
 _HOLD_START_S = 5.0
 
+# So many that the fixed part of a transfer's time doesn't matter.
+_MANY_TOKENS = 100_000
+
 # A prefill engine that lately took this many times the expected time is no
 # worse than one that is slower still; both come last.
 _SLOWNESS_MAX = 10.0
@@ -58,13 +62,18 @@
 
     Args:
       rng: Random numbers for the times to come back.
+      engine_health: What is known of the engines.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, engine_health: health.Health
+    ) -> None:
+        self._health = engine_health
         self.queue = queue.WaitingQueue()
         self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
         self.decodes: list[model.Endpoint] = []
+        self.endpoints_by_id: dict[str, model.Endpoint] = {}
         self.holdings_by_endpoint: dict[str, leases.Holding] = {}
         self.in_use_by_user: dict[str, int] = {}
         self.shares_by_user: Mapping[str, float] = {}
@@ -72,6 +81,9 @@
         self.prefill_s = _PREFILL_START_S
         self.start_delay_s = 0.0
         self.slowness_by_prefill: dict[str, float] = {}
+        self._token_s = 0.0
+        self._transfer_s_per_token = 0.0
+        self._export_ttl_s = 1.0
         self.returns = admission.ReturnTimes(rng)
 
     def set_engines(
@@ -80,6 +92,20 @@
         """Takes over the engines to use; running work keeps its holdings."""
         self.prefills = prefills
         self.decodes = decodes
+        self.endpoints_by_id = {item.id: item for item in prefills + decodes}
+        self._token_s = estimates.seconds_per_token(decodes)
+        self._transfer_s_per_token = min(
+            (
+                estimates.transfer_s(prefill, decode, _MANY_TOKENS)
+                / _MANY_TOKENS
+                for prefill in prefills
+                for decode in decodes
+            ),
+            default=0.0,
+        )
+        self._export_ttl_s = min(
+            (item.export_ttl_s for item in prefills), default=1.0
+        )
         wanted = {endpoint.id for endpoint in prefills + decodes}
         for endpoint_id in wanted:
             self.holding(endpoint_id)
@@ -158,8 +184,21 @@
         return max(used - fair * _OVER_SHARE - _OVER_SLOTS, 0.0)
 
     def slots(self) -> int:
-        """Returns the decode slots of the pool, those of others included."""
-        return sum(endpoint.slots for endpoint in self.decodes)
+        """Returns the decode slots of the pool, those of others included.
+
+        Engines that are left alone don't count: were they taken for free, more
+        would be admitted than the others can serve.
+        """
+        return sum(endpoint.slots for endpoint in self._well(self.decodes))
+
+    def _well(self, endpoints: list[model.Endpoint]) -> list[model.Endpoint]:
+        if not self._health.any_avoided():
+            return endpoints
+        return [
+            endpoint
+            for endpoint in endpoints
+            if not self._health.is_probe(endpoint.id)
+        ]
 
     def backlog(self, priority: int) -> admission.Backlog:
         """Returns what stands before the last request of a priority.
@@ -169,7 +208,7 @@
             of the requests at other entries do isn't known; they are taken
             to have the same mix as those here.
         """
-        holdings = [self.holding(item.id) for item in self.decodes]
+        holdings = [self.holding(item.id) for item in self._well(self.decodes)]
         others = max((item.others_waiting for item in holdings), default=0)
         own = sum(item.submit.priority >= priority for item in self.queue)
         ahead = others * self.demand.share_at_least(priority)
@@ -180,7 +219,7 @@
             free_slots=max(slots - used, 0),
             slots=slots,
             hold_s=self.hold_s,
-            prefills=len(self.prefills),
+            prefills=len(self._well(self.prefills)),
             prefill_s=self.prefill_s,
         )
 
@@ -203,21 +242,11 @@
             ),
             default=0.0,
         )
-        transfer_s = min(
-            (
-                estimates.transfer_s(prefill, decode, submit.prompt_tokens)
-                for prefill in self.prefills[:1]
-                for decode in self.decodes
-            ),
-            default=0.0,
-        )
         return BestTimes(
             prefill_s=prefill_s,
-            transfer_s=transfer_s,
-            token_s=estimates.seconds_per_token(self.decodes),
-            export_ttl_s=min(
-                (item.export_ttl_s for item in self.prefills), default=1.0
-            ),
+            transfer_s=self._transfer_s_per_token * submit.prompt_tokens,
+            token_s=self._token_s,
+            export_ttl_s=self._export_ttl_s,
         )
 
     def asks(
@@ -238,6 +267,8 @@
           One ask per endpoint.
         """
         waiting = len(self.queue)
+        if only_urgent and not waiting and not self._has_unsettled():
+            return
         held = yield from self._asks_of(
             self.decodes, waiting, now, sequence, only_urgent
         )
@@ -245,6 +276,13 @@
             self.prefills, min(waiting, held), now, sequence, only_urgent
         )
 
+    def _has_unsettled(self) -> bool:
+        """Returns whether any home waits for a word of this entry."""
+        return any(
+            holding.others_waiting or holding.stated_need
+            for holding in self.holdings_by_endpoint.values()
+        )
+
     def _asks_of(
         self,
         endpoints: list[model.Endpoint],
@@ -255,21 +293,35 @@
     ) -> Iterator[messages.SlotAsk]:
         """Yields asks and returns how many idle slots are held."""
         holdings = [self.holding(item.id) for item in endpoints]
-        idle = sum(holding.idle(now) for holding in holdings)
+        # Idle slots of an engine that is left alone serve no one.
+        idle = sum(
+            holding.idle(now)
+            for endpoint, holding in zip(endpoints, holdings, strict=True)
+            if self._health.usable(endpoint.id, now)
+        )
         unmet = max(needed - idle, 0)
         spare = max(idle - needed, 0)
+        first: queue.Waiting | None = None
         for endpoint, holding in zip(endpoints, holdings, strict=True):
             own_idle = holding.idle(now)
             scarce = holding.others_waiting > 0
-            given_up = min(own_idle, spare) if scarce else 0
-            spare -= given_up
-            need = own_idle - given_up + unmet if needed else 0
+            if self._health.usable(endpoint.id, now):
+                given_up = min(own_idle, spare) if scarce else 0
+                spare -= given_up
+                need = own_idle - given_up + unmet if needed else 0
+            else:
+                given_up = own_idle if scarce else 0
+                need = 0
             stale = need > holding.stated_need or (
                 need == 0 and holding.stated_need > 0
             )
             if only_urgent and not given_up and not stale:
                 continue
-            yield self._ask(endpoint.id, holding, need, given_up, now, sequence)
+            if first is None and need:
+                first = self.queue.first(self.over_share)
+            yield self._ask(
+                endpoint.id, holding, need, given_up, first, now, sequence
+            )
         return idle
 
     def _ask(
@@ -278,14 +330,16 @@
         holding: leases.Holding,
         need: int,
         given_up: int,
+        first: queue.Waiting | None,
         now: float,
         sequence: int,
     ) -> messages.SlotAsk:
         held = holding.held(now) - given_up
-        reserve = 0 if holding.others_waiting else _RESERVE
+        usable = self._health.usable(endpoint_id, now)
+        reserve = _RESERVE if usable and not holding.others_waiting else 0
         holding.stated_need = need
         holding.state(sequence, held)
-        first = self.queue.first(self.over_share) if need else None
+        first = first if need else None
         return messages.SlotAsk(
             endpoint_id=endpoint_id,
             in_use=holding.in_use,
