--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -5,6 +5,7 @@
 from cowsliprill.decisions import health
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import shares
 from cowsliprill.decisions import subset
 
 _LIMITS_BY_KIND = {
@@ -58,9 +59,7 @@
             if vm.role is model.VmRole.ENTRY
         )
         self.entries = max(processes, 1)
-        shares_by_user = {
-            user.id: user.share for user in snapshot.users_by_id.values()
-        }
+        shares_by_user = shares.Shares(snapshot.users_by_id)
         kinds_by_pool: dict[str, _EndpointsByKind] = {}
         for endpoint in snapshot.endpoints_by_id.values():
             if endpoint.id not in fleet.leaving_endpoint_ids:
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -12,6 +12,10 @@
 # Beyond this much unread data a response is no longer read from the socket,
 # so that TCP slows the sender down to the pace of a slow reader.
 _BUFFER_BYTES = 65_536
+# How long a released answer may take to end.
+_RELEASE_S = 1.0
+_FIRST_FINAL_STATUS = 200
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class Response:
@@ -57,23 +61,36 @@
           The body.
 
         Raises:
-          errors.AnswerTooLarge: The body is larger; the connection is closed.
+          errors.AnswerTooLarge: The body is larger.
           errors.CallError: As for `chunks`.
         """
         parts = []
         size = 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > limit:
-                self.close()
-                raise errors.AnswerTooLarge(f"answer has over {limit} bytes")
-            parts.append(chunk)
+        try:
+            async for chunk in self.chunks():
+                size += len(chunk)
+                if size > limit:
+                    raise errors.AnswerTooLarge(f"over {limit} bytes came")
+                parts.append(chunk)
+        finally:
+            # A reader that is cancelled leaves nobody to read the rest; the
+            # connection would stay open until the whole call's time is up.
+            self.close()
         return b"".join(parts)
 
     def buffered(self) -> int:
         """Counts the bytes that came in and weren't taken yet."""
         return self._exchange.buffered
 
+    def release(self) -> None:
+        """Keeps the connection for another call if the body ends soon.
+
+        For a reader that knows by the content that nothing more is to come,
+        while the framing's end is still on its way. Otherwise the connection
+        is dropped.
+        """
+        self._exchange.release()
+
     def close(self) -> None:
         """Drops the connection at once, unless the body is already whole."""
         self._exchange.fail(errors.CallError("closed by this side"))
@@ -117,8 +134,7 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Takes the status and headers; interim answers are passed over."""
-        first_final = 200
-        if start_line.code < first_final or self._head.done():
+        if start_line.code < _FIRST_FINAL_STATUS or self._head.done():
             return
         self.status = start_line.code
         self.headers = headers
@@ -190,6 +206,11 @@
             self._head.exception()
         self._end()
 
+    def release(self) -> None:
+        """Lets the answer end unread, within a short time."""
+        if not self.whole and self._error is None:
+            self.start_timers(_RELEASE_S, None)
+
     def start_timers(self, timeout_s: float, stall_s: float | None) -> None:
         """Bounds the whole exchange, and each wait for more of it.
 
@@ -197,6 +218,7 @@
           timeout_s: Time for the whole exchange.
           stall_s: Time without a byte after which it fails, None for any.
         """
+        self._cancel_timers()
         self._activity = self._loop.time()
         self._deadline = self._loop.call_later(
             timeout_s, self.fail, errors.CallTimeout("time is up")
@@ -218,22 +240,24 @@
         self._stall_check = self._loop.call_later(wait_s, self._watch, stall_s)
 
     def _is_framed(self) -> bool:
-        no_body = (204, 304)
         return (
             not self._has_body
             or "Content-Length" in self.headers
             or "Transfer-Encoding" in self.headers
-            or self.status in no_body
+            or self.status in _STATUSES_WITHOUT_BODY
         )
 
     def _end(self) -> None:
-        for timer in (self._deadline, self._stall_check):
-            if timer is not None:
-                timer.cancel()
+        self._cancel_timers()
         for future in (self._arrival, self._room):
             if future is not None:
                 _wake(future)
 
+    def _cancel_timers(self) -> None:
+        for timer in (self._deadline, self._stall_check):
+            if timer is not None:
+                timer.cancel()
+
 
 def _wake(future: asyncio.Future[None]) -> None:
     if not future.done():
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -77,14 +77,16 @@
             environment.process,
             secrets.token_hex(_NONCE_BYTES),
         )
+        self._auth = peer_auth.PeerAuth(
+            environment.peer_secret.get_secret_value()
+        )
         self._world = world_lib.World()
         self._leases = leases_lib.Leases()
         self._budgets = retry.RetryBudgets()
         self._http = http_client.HttpClient()
         self._engines = engine_client.EngineClient(self._http)
         self._gate = gate_lib.Gate(self._incarnation, self._world)
-        secret = environment.peer_secret.get_secret_value()
-        homes = home_client.HomeClient(self._http, peer_auth.PeerAuth(secret))
+        homes = home_client.HomeClient(self._http, self._auth)
         self._canceller = canceller.Canceller(
             self._engines,
             homes,
@@ -155,7 +157,7 @@
             secrets.token_bytes(_SECRET_BYTES),
         )
         parts = self._parts(book)
-        self.shell.listen(routes.peer_routes(self._gate, parts))
+        self.shell.listen(routes.peer_routes(self._gate, parts, self._auth))
         book.port = self.shell.port
         self._public_server = self.shell.listen_public(
             routes.public_application(self._gate, parts),
@@ -171,7 +173,14 @@
         return routes.Parts(
             report=report.Report(self._log, self._metrics),
             idempotency=idempotency.Idempotency(
-                book, forward.Forwarder(self._http, self._world)
+                book,
+                forward.Forwarder(
+                    self._http,
+                    self._world,
+                    self._auth,
+                    self._environment.vm,
+                    self._random,
+                ),
             ),
             admission=admission.Admission(),
             model_placement=model_placement.ModelPlacement(
@@ -214,9 +223,14 @@
         )
 
     def _report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
+        now = clock.now()
+        if self._world.is_leaving(endpoint_id, now):
+            return
         self._log.event("endpoint_leaving", endpoint=endpoint_id)
-        self._world.note_leaving(endpoint_id, clock.now() + ttl_s)
+        self._world.note_leaving(endpoint_id, now + ttl_s)
         self._announce_world()
+        # The scheduler has to hear too when the news expire.
+        asyncio.get_running_loop().call_later(ttl_s, self._announce_world)
         # The request that met the draining answer doesn't wait for the report.
         report = asyncio.create_task(
             self._source.report_leaving(endpoint_id, ttl_s)
@@ -234,6 +248,7 @@
             "incarnation": str(self._incarnation),
             "revision": self._world.snapshot.revision,
             "requests": len(self._gate.tasks),
+            "buffered_bytes": self._gate.buffered_bytes,
             "pending_cancels": self._canceller.pending,
             "draining": self._gate.draining,
         }
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -20,6 +20,7 @@
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     INVALID_API_KEY = "invalid_api_key"
+    NOT_A_PEER = "not_a_peer"
     SERVICE_NOT_FOUND = "service_not_found"
     PATH_NOT_FOUND = "path_not_found"
     METHOD_NOT_ALLOWED = "method_not_allowed"
@@ -41,8 +42,6 @@
     INTERNAL = "internal_error"
 
 
-METHOD_NOT_ALLOWED = http.HTTPStatus.METHOD_NOT_ALLOWED
-
 _STATUS_BY_CODE = {
     Code.INVALID_JSON: http.HTTPStatus.BAD_REQUEST,
     Code.INVALID_REQUEST: http.HTTPStatus.BAD_REQUEST,
@@ -52,6 +51,7 @@
     Code.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Code.HEADERS_TOO_LARGE: http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Code.INVALID_API_KEY: http.HTTPStatus.UNAUTHORIZED,
+    Code.NOT_A_PEER: http.HTTPStatus.FORBIDDEN,
     Code.SERVICE_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
     Code.PATH_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
     Code.METHOD_NOT_ALLOWED: http.HTTPStatus.METHOD_NOT_ALLOWED,
@@ -127,3 +127,25 @@
 
 
 _CODES = frozenset(code.value for code in Code)
+
+
+def of_status(status: int) -> EntryError:
+    """Returns the error for what tornado itself refuses or fails at.
+
+    Args:
+      status: HTTP status.
+
+    Returns:
+      The error; a failure of ours says nothing of whether the request ran.
+    """
+    match status:
+        case http.HTTPStatus.METHOD_NOT_ALLOWED:
+            return EntryError(Code.METHOD_NOT_ALLOWED, "No such method.")
+        case _ if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+            return EntryError(Code.INVALID_REQUEST, "The request isn't valid.")
+        case _:
+            return EntryError(
+                Code.INTERNAL,
+                "Something went wrong here.",
+                run=messages.Run.UNKNOWN,
+            )
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -6,6 +6,7 @@
 from tornado import httputil
 from tornado import web
 
+from cowsliprill import peer_auth
 from cowsliprill.decisions import identity
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
@@ -46,6 +47,7 @@
         self._handle = handle
         self._chunks: list[bytes] = []
         self._size = 0
+        self._held = 0
         self._fault: errors.EntryError | None = None
         self._ctx: context.Context | None = None
         self._task: asyncio.Task | None = None
@@ -85,6 +87,7 @@
             self._fault = self._gate.check_room(self._size)
         if self._fault is None:
             self._chunks.append(chunk)
+            self._held += len(chunk)
             self._gate.buffered_bytes += len(chunk)
 
     async def get(self, *_: str) -> None:
@@ -95,9 +98,12 @@
 
     def on_connection_close(self) -> None:
         """Ends the request of a caller that is gone."""
-        if self._task is None or self._ctx.survives_caller:
-            return
-        self._task.cancel()
+        if self._task is None:
+            # It left amid its upload. Bytes that stayed counted would add up
+            # until every call is refused as one too many.
+            self._release_body()
+        elif not self._ctx.survives_caller:
+            self._task.cancel()
 
     def call(self, body: bytes) -> context.Call:
         """Returns the caller's call."""
@@ -112,27 +118,27 @@
 
     async def _serve(self) -> None:
         body = b"".join(self._chunks)
-        held = len(body)
-        self._chunks.clear()
         reply = reply_lib.HttpReply(self)
         self._ctx = self._gate.open(self.call(body), reply)
+        reply.request_id = self._ctx.request_id
         self._task = self._gate.run(self._handle, self._ctx)
         try:
             await asyncio.wait([self._task])
         finally:
-            self._gate.buffered_bytes -= held
+            self._release_body()
+
+    def _release_body(self) -> None:
+        self._chunks.clear()
+        self._gate.buffered_bytes -= self._held
+        self._held = 0
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answers what tornado itself refuses in the same JSON shape."""
         del kwargs
         self.set_status(status_code)
-        error = errors.EntryError(
-            errors.Code.METHOD_NOT_ALLOWED
-            if status_code == errors.METHOD_NOT_ALLOWED
-            else errors.Code.INVALID_REQUEST,
-            "The request isn't valid.",
-        )
-        self.set_header("Content-Type", "application/json")
+        error = errors.of_status(status_code)
+        for name, value in error.headers().items():
+            self.set_header(name, value)
         self.finish(error.body())
 
 
@@ -147,14 +153,17 @@
         self,
         gate: gate_lib.Gate,
         handles_by_prefix: list[tuple[str, context.Handle]],
+        auth: peer_auth.PeerAuth,
     ) -> None:
         """Keeps what the handler needs.
 
         Args:
           gate: Where calls enter.
           handles_by_prefix: Filters by the beginning of the path.
+          auth: Tells peers from strangers.
         """
         super().initialize(gate, _not_found)
+        self._auth = auth
         self._handles_by_prefix = handles_by_prefix
 
     def call(self, body: bytes) -> context.Call:
@@ -163,6 +172,7 @@
         method = headers.pop(forward.METHOD_HEADER, "")
         target = headers.pop(forward.TARGET_HEADER, "")
         owner = headers.pop(forward.OWNER_HEADER, "")
+        signature = headers.pop(peer_auth.HEADER, None)
         path, _, query = target.partition("?")
         for prefix, handle in self._handles_by_prefix:
             if path.startswith(prefix):
@@ -174,10 +184,21 @@
             query=query,
             headers=headers,
             body=body,
-            fault=self._fault or self._check_owner(owner),
+            fault=self._fault
+            or self._check_peer(body, signature)
+            or self._check_owner(owner),
             forwarded=True,
         )
 
+    def _check_peer(
+        self, body: bytes, signature: str | None
+    ) -> errors.EntryError | None:
+        if self._auth.accepts(body, signature):
+            return None
+        return errors.EntryError(
+            errors.Code.NOT_A_PEER, "Only peers may pass requests on."
+        )
+
     def _check_owner(self, owner: str) -> errors.EntryError | None:
         if owner == str(self._gate.incarnation):
             return None
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -4,6 +4,7 @@
 
 from tornado import web
 
+from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import protocol
@@ -92,6 +93,11 @@
     )
 
 
+def _tickets(gate: gate_lib.Gate, parts: Parts) -> context.Handle:
+    issue = answers.IssueTicket(parts.book, gate, parts.idempotency.forwarder)
+    return _own(parts, "POST", issue)
+
+
 def public_application(gate: gate_lib.Gate, parts: Parts) -> web.Application:
     """Returns what callers reach."""
     generate = generation(parts)
@@ -100,7 +106,7 @@
         protocol.CHAT_PATH: generate,
         resolve.SERVICES_PATH + ".*": plain(parts),
         MODELS_PATH: _own(parts, "GET", answers.list_models),
-        TICKETS_PATH: _own(parts, "POST", answers.IssueTicket(parts.book)),
+        TICKETS_PATH: _tickets(gate, parts),
         "/.*": context.chain([parts.report], answers.refuse_path),
     }
     return web.Application(
@@ -112,16 +118,23 @@
     )
 
 
-def peer_routes(gate: gate_lib.Gate, parts: Parts) -> list[tuple]:
+def peer_routes(
+    gate: gate_lib.Gate, parts: Parts, auth: peer_auth.PeerAuth
+) -> list[tuple]:
     """Returns what peers reach."""
     generate = generation(parts)
     handles_by_prefix = [
         (protocol.COMPLETIONS_PATH, generate),
         (protocol.CHAT_PATH, generate),
         (resolve.SERVICES_PATH, plain(parts)),
+        (TICKETS_PATH, _tickets(gate, parts)),
     ]
     incarnation = {"incarnation": gate.incarnation}
-    forward = {"gate": gate, "handles_by_prefix": handles_by_prefix}
+    forward = {
+        "gate": gate,
+        "handles_by_prefix": handles_by_prefix,
+        "auth": auth,
+    }
     return [
         (peers.INCARNATION_PATH, handlers.IncarnationHandler, incarnation),
         (peers.FORWARD_PATH, handlers.ForwardHandler, forward),
--- a/src/cowsliprill/settings/follower.py
+++ b/src/cowsliprill/settings/follower.py
@@ -14,7 +14,6 @@
 from cowsliprill.decisions import revision
 from cowsliprill.observability import log as log_lib
 from cowsliprill.settings import changes as changes_lib
-from cowsliprill.settings import errors
 from cowsliprill.settings import fetch
 from cowsliprill.settings import parts
 from cowsliprill.settings import resolve
@@ -67,6 +66,7 @@
         self._callbacks: list[Callable[[], None]] = []
         self._changes = changes_lib.Changes()
         self._away: set[str] = set()
+        self._offered_older = revision.Version()
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Has a function called, without arguments, after each change."""
@@ -128,12 +128,10 @@
         while True:
             try:
                 await step()
-            except (
-                peer_client.PeerError,
-                codec.CodecError,
-                errors.SettingsError,
-            ) as error:
-                self._note_away(what, str(error))
+            except Exception as error:
+                # Whatever it is: a process that no longer follows would serve
+                # by its last settings for ever and look healthy.
+                self._note_away(what, repr(error))
                 await asyncio.sleep(_RETRY_S)
             else:
                 self._note_back(what)
@@ -150,6 +148,7 @@
         if self._keeper.judge(version) is not revision.Verdict.NEWER:
             # The settings process began anew and knows less than we do. It
             # will hear of ours from its peers or the platform.
+            self._note_older(version)
             await asyncio.sleep(_RETRY_S)
             return
         await self._put_in_force(head, version)
@@ -158,8 +157,9 @@
         self, head: parts.Head, version: revision.Version
     ) -> None:
         index = await self._fetcher.complete(head, self._url)
-        texts = {part: self._store.text(each) for part, each in index.items()}
-        snapshot = self._resolver.resolve(head.revision, texts)
+        snapshot = self._resolver.resolve(
+            head.revision, index, self._store.held
+        )
         if not self._keeper.accept(version):
             return
         self._store.put_in_force(head.index, index)
@@ -191,6 +191,15 @@
         for callback in self._callbacks:
             callback()
 
+    def _note_older(self, version: revision.Version) -> None:
+        if version != self._offered_older:
+            self._log.warning(
+                "settings_offered_older",
+                revision=version.revision,
+                in_force=self._keeper.in_force.revision,
+            )
+        self._offered_older = version
+
     def _note_away(self, what: str, reason: str) -> None:
         if what not in self._away:
             self._log.warning("settings_away", what=what, reason=reason)
--- a/src/cowsliprill/settings/parts.py
+++ b/src/cowsliprill/settings/parts.py
@@ -6,12 +6,13 @@
 replica, a peer) is therefore either exactly the one meant or refused.
 
 Parts are `root`, `user/NAME`, `children/NAME/BUCKET` (the child users of NAME
-whose names hash to BUCKET) and `pool/NAME`.
+whose names hash to BUCKET), `pool/NAME` and `endpoints/NAME/BUCKET`.
 """
 
 import dataclasses
 import hashlib
 import json
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 
@@ -19,6 +20,7 @@
 
 from cowsliprill import codec
 from cowsliprill.settings import errors
+from cowsliprill.settings import packed
 from cowsliprill.settings import schema
 
 HEAD_NAME = "settings.head"
@@ -26,12 +28,6 @@
 MAX_VALUE_BYTES = 1_000_000
 
 _HASH_DIGITS = 32
-# About 32 child users make a part of some 4 KB: at 25,000 changes a day one
-# part a change stays far below the 4 KB/s that a node may spend on control.
-_CHILDREN_PER_BUCKET = 32
-# Changes that the head repeats, so that a reader a few revisions behind needs
-# no whole index.
-_CHANGES_IN_HEAD = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,19 +64,6 @@
     changes: tuple[Change, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Publication:
-    """What an operator publishes: parts and index first, the head last.
-
-    Attributes:
-      head: The head.
-      texts_by_hash: Text of the index and of each part.
-    """
-
-    head: Head
-    texts_by_hash: dict[str, str]
-
-
 def hash_of(text: str) -> str:
     """Returns the hash under which a text is stored."""
     return hashlib.sha256(text.encode()).hexdigest()[:_HASH_DIGITS]
@@ -92,7 +75,7 @@
 
 
 def bucket_of(name: str, buckets: int) -> int:
-    """Returns the bucket that a child user's name hashes to."""
+    """Returns the bucket that a child user's or endpoint's name hashes to."""
     return xxhash.xxh3_64_intdigest(name.encode()) % buckets
 
 
@@ -123,101 +106,66 @@
     return head
 
 
-def split(document: str) -> dict[str, str]:
-    """Splits a whole document.
+def read_members(text: str, where: str) -> dict[str, Any]:
+    """Reads a part of child users or endpoints.
 
     Args:
-      document: JSON of `schema.Document`.
+      text: Its text.
+      where: Path in the tree, for the message.
 
     Returns:
-      Text by part name.
+      JSON values by name.
 
     Raises:
-      SettingsError: The document isn't valid.
+      SettingsError: It isn't a JSON object.
     """
-    schema.parse(schema.Document, document)
-    tree = json.loads(document)
-    root = {
-        key: tree[key]
-        for key in ("service_defaults", "endpoint_defaults")
-        if key in tree
-    }
-    values: dict[str, Any] = {"root": root}
-    for name, user in tree.get("users", {}).items():
-        values.update(_user_parts(name, user))
-    for name, pool in tree.get("pools", {}).items():
-        values[f"pool/{name}"] = pool
-    return {name: canonical(value) for name, value in values.items()}
-
-
-def _user_parts(name: str, user: dict[str, Any]) -> dict[str, Any]:
-    children = user.get("users", {})
-    buckets = 0
-    if children:
-        wanted = -(-len(children) // _CHILDREN_PER_BUCKET)
-        # A power of two, so that most growth leaves the buckets alone.
-        buckets = 1 << (wanted - 1).bit_length()
-    own = {key: value for key, value in user.items() if key != "users"}
-    values: dict[str, Any] = {f"user/{name}": {**own, "buckets": buckets}}
-    for child, node in children.items():
-        part = f"children/{name}/{bucket_of(child, buckets)}"
-        values.setdefault(part, {})[child] = node
-    return values
+    try:
+        members = json.loads(text)
+    except (ValueError, RecursionError) as error:
+        raise errors.SettingsError(
+            f"{where}: not JSON: {error}", code="settings_not_json"
+        ) from error
+    if not isinstance(members, dict):
+        raise errors.SettingsError(f"{where}: not an object")
+    return members
 
 
-def index_text(hashes_by_part: Mapping[str, str]) -> str:
-    """Writes an index."""
-    return canonical(dict(hashes_by_part))
-
+def check_bucket(name: str, buckets: int, bucket: int, where: str) -> None:
+    """Refuses what stands in a bucket that its name doesn't hash to.
 
-def publish(document: str, previous: Publication | None = None) -> Publication:
-    """Makes the values that an operator publishes for a document.
+    The bucket is found from the name. A user elsewhere would be listed but
+    never found, and its calls refused; and one name could stand twice.
 
     Args:
-      document: JSON of `schema.Document`.
-      previous: What was published before, if known.
-
-    Returns:
-      The publication.
+      name: Name of the child user or endpoint.
+      buckets: Number of buckets.
+      bucket: Where it stands.
+      where: Path in the tree, for the message.
 
     Raises:
-      SettingsError: The document isn't valid, or a part is too large.
+      SettingsError: It stands in the wrong bucket, or the name isn't one.
     """
-    texts = split(document)
-    hashes = {part: hash_of(text) for part, text in texts.items()}
-    index = index_text(hashes)
-    texts_by_hash = {hash_of(text): text for text in [*texts.values(), index]}
-    for text in texts_by_hash.values():
-        check_size(text.encode())
-    fields = json.loads(document)
-    changes: tuple[Change, ...] = ()
-    if previous is not None:
-        old = json.loads(previous.texts_by_hash[previous.head.index])
-        change = Change(
-            revision=fields["revision"],
-            previous=previous.head.index,
-            parts=_index_change(old, hashes),
-        )
-        changes = (*previous.head.changes, change)[-_CHANGES_IN_HEAD:]
-    head = Head(
-        revision=fields["revision"],
-        index=hash_of(index),
-        published_by=fields["published_by"],
-        published_at=fields.get("published_at", ""),
-        changes=changes,
-    )
-    return Publication(head, texts_by_hash)
-
-
-def _index_change(
-    old: dict[str, str], new: dict[str, str]
-) -> dict[str, str | None]:
-    names = old.keys() | new.keys()
-    return {
-        name: new.get(name)
-        for name in sorted(names)
-        if old.get(name) != new.get(name)
+    if not schema.is_name(name):
+        raise errors.SettingsError(f"{where}: {name!r} is not a name")
+    if bucket_of(name, buckets) != bucket:
+        raise errors.SettingsError(f"{where}.{name}: stands in the wrong part")
+
+
+def index_of(
+    texts_by_part: Mapping[str, str],
+) -> tuple[dict[str, str], Callable[[str], packed.PackedText]]:
+    """Returns the index of texts at hand, and what gives the text of a hash."""
+    index = {part: hash_of(text) for part, text in texts_by_part.items()}
+    texts = {
+        index[part]: packed.PackedText(text)
+        for part, text in texts_by_part.items()
     }
+    return index, texts.__getitem__
+
+
+def index_text(hashes_by_part: Mapping[str, str]) -> str:
+    """Writes an index."""
+    return canonical(dict(hashes_by_part))
 
 
 def derive_index(
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -218,6 +218,29 @@
         if conduct.get("refuse") == "engine_draining":
             assert left == ["decode-0"]
 
+    def test_evicted_prefill_counts_as_a_failure(self):
+        """The answer of a prefill comes after its KV cache was evicted.
+
+        Taken for a refusal it would say nothing of the engines, and one that
+        is tried again after a failure would stay out with all slots free.
+        """
+
+        async def scenario():
+            patient = {"ttft_target_s": 20.0, "may_wait_s": 20.0}
+            async with entry_site.running(**patient) as site:
+                late = {"delay_s": 1.0, "times": 1}
+                for name, engine in site.engines.items():
+                    if name.startswith("prefill"):
+                        engine.conduct.set(late)
+                answer = await site.call("POST", _COMPLETIONS, _BODY)
+                return answer, site.logs[0].getvalue()
+
+        answer, log = asyncio.run(scenario())
+        assert answer.status == 200
+        lost = [line for line in log.splitlines() if "attempt_lost" in line]
+        assert any("kv_evicted" in line for line in lost)
+        assert all("refused=false" in line for line in lost)
+
     def test_not_run_when_all_refuse(self):
         async def scenario():
             async with entry_site.running() as site:
@@ -279,3 +302,37 @@
         if name.startswith("decode")
         for request in engine.memory.held_requests()
     )
+
+
+class TestRetryLoad:
+    """Engines and services fail while callers go on sending."""
+
+    @pytest.mark.parametrize(
+        ("service", "at_once"), [("lookup", 5), ("brief", 50)]
+    )
+    def test_failures_add_little_load(self, service, at_once):
+        """Every call fails, so every request would be retried.
+
+        Without a budget three times the load would reach endpoints that fail
+        already; with it, a tenth more and what was saved up.
+        """
+        requests = 100
+
+        async def scenario():
+            async with entry_site.running(may_wait_s=0.5) as site:
+                for each in [*site.engines.values(), *site.services.values()]:
+                    each.conduct.set({"cut_before_run": True})
+                call = {
+                    "brief": ("POST", _COMPLETIONS, _BODY),
+                    "lookup": ("GET", "/services/lookup/bags/1"),
+                }[service]
+                for _ in range(requests // at_once):
+                    calls = [site.call(*call) for _ in range(at_once)]
+                    await asyncio.gather(*calls)
+                log = site.logs[0].getvalue()
+                return log.count("event=attempt_lost") + log.count(
+                    "event=call_lost"
+                )
+
+        tried = asyncio.run(scenario())
+        assert 1 <= tried <= requests * 1.1 + 10
--- a/tests/test_entry_tickets.py
+++ b/tests/test_entry_tickets.py
@@ -6,9 +6,12 @@
 import pytest
 from tests import entry_site
 
+from cowsliprill import peers
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import model
 from cowsliprill.decisions import tickets
+from cowsliprill.entry import forward
+from cowsliprill.entry import reply
 
 _BOOK = "/services/booking/slots"
 _SAFE = "/services/safe-booking/slots"
@@ -177,6 +180,23 @@
         statuses = sorted(answer.status for answer in answers)
         assert statuses == [200, 409, 409, 409]
 
+    def test_leaving_process_gives_no_tickets_of_its_own(self):
+        """A caller gets a ticket from a process that is shutting down.
+
+        Its own tickets would be worth nothing a moment later, and the booking
+        could not be made with it any more.
+        """
+
+        async def run():
+            async with entry_site.running(2, drain_notice_s=0.5) as site:
+                site.entries[0].shell.stop()
+                await entry_site.until(lambda: site.status()["draining"])
+                key = await _ticket(site)
+                await site.tasks[0]
+                return await site.call("POST", _BOOK, _BODY, key, entry=1)
+
+        assert asyncio.run(run()).status == 200
+
     @pytest.mark.parametrize("used", [True, False])
     def test_owner_gone(self, used):
         """The owner has ended; its port refuses connections.
@@ -250,6 +270,35 @@
         assert runs == 0
         assert _is_unknown(answer, "ticket_owner_gone")
 
+    def test_only_peers_may_pass_requests_on(self):
+        """A stranger reaches the peer port and sends a request for the owner.
+
+        It lacks the secret that the VMs share, so nothing of it is run.
+        """
+
+        async def steps(site):
+            port = site.entries[0].shell.port
+            response = await site.http.call(
+                entry_site.HOST,
+                port,
+                "POST",
+                peers.FORWARD_PATH,
+                {
+                    "Authorization": "Bearer key-amahoro",
+                    forward.METHOD_HEADER: "POST",
+                    forward.TARGET_HEADER: _BOOK,
+                    forward.OWNER_HEADER: site.status()["incarnation"],
+                },
+                _BODY,
+            )
+            body = await response.read(1_000)
+            return entry_site.Answer(response.status, response.headers, body)
+
+        answer, runs = _scenario(steps)
+        assert runs == 0
+        assert answer.status == 403
+        assert answer.json()["error"]["code"] == "not_a_peer"
+
 
 class TestFaults:
     """The service fails before, amid and after its run."""
@@ -342,6 +391,46 @@
         assert runs == 1
 
 
+class TestRecording:
+    """Answers are kept for their keys, within bounded memory."""
+
+    def test_without_room_nothing_of_an_answer_is_kept(self):
+        """Many long answers with keys come at once.
+
+        A part of one must not be given as the whole, nor may all be kept.
+        """
+
+        async def record():
+            room = reply.RecordingRoom(left=10)
+            first = reply.RecordingReply(_Nowhere(), room)
+            second = reply.RecordingReply(_Nowhere(), room)
+            for recording in (first, second):
+                await recording.start(200, [])
+                await recording.write(b"123456")
+                await recording.end()
+            answers = [first.answer(), second.answer()]
+            for recording in (first, second):
+                recording.forget()
+            return answers, room.left
+
+        (kept, dropped), left = asyncio.run(record())
+        assert kept.body == b"123456"
+        assert dropped is None
+        assert left == 10
+
+
+class _Nowhere:
+    started = False
+
+    async def start(self, status, headers) -> None: ...
+
+    async def write(self, chunk) -> None: ...
+
+    async def end(self) -> None: ...
+
+    def abort(self) -> None: ...
+
+
 class TestOwnKeys:
     """A caller's own key holds within one process, and no further."""
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -150,6 +150,7 @@
             ("PO ST", "/", {}),
             ("POST", "/a b", {}),
             ("POST", "/", {"A": "b\r\nC: d"}),
+            ("POST", "/", {"A\r\nB": "c"}),
         ],
     )
     def test_request_that_would_split(self, method, path, headers) -> None:
@@ -173,6 +174,28 @@
 
         asyncio.run(scenario())
 
+    def test_two_headers_of_length(self) -> None:
+        """A caller claims chunked coding for a body of known length.
+
+        An endpoint would take the rest of the body for a second request.
+        """
+
+        async def script(connection) -> None:
+            await connection.run()
+            await connection.send(raw_endpoint.answer(b""))
+
+        async def scenario() -> None:
+            headers = {"Transfer-Encoding": "chunked", "Content-Length": "9"}
+            async with raw_endpoint.RawEndpoint(script) as endpoint:
+                await http_client.HttpClient().call(
+                    "127.0.0.1", endpoint.port, "POST", "/", headers, b"abc"
+                )
+                head = endpoint.ran[0].lower()
+                assert b"transfer-encoding" not in head
+                assert head.count(b"content-length: 3") == 1
+
+        asyncio.run(scenario())
+
 
 class TestCancel:
     """The caller leaves while its call is somewhere on its way."""
@@ -204,39 +227,63 @@
 
         asyncio.run(scenario())
 
-    @pytest.mark.parametrize("sent", ["nothing", "head", "part"])
-    def test_endpoint_sees_it_at_once(self, sent) -> None:
-        """The caller leaves before the answer, or amid it.
+    def test_before_the_answer(self) -> None:
+        """The caller leaves while the endpoint is at work.
 
-        The endpoint would go on sending to nobody.
+        The endpoint must notice, or it would go on for nobody.
         """
-        whole = raw_endpoint.answer(b"0123456789")
-        length = {"nothing": 0, "head": len(whole) - 10, "part": len(whole) - 4}
 
         async def scenario() -> None:
-            ready = asyncio.Event()
+            ran = asyncio.Event()
 
             async def script(connection) -> None:
                 await connection.run()
-                await connection.send(whole[: length[sent]])
-                ready.set()
+                ran.set()
                 await connection.wait_for_hang_up()
 
             progress = call_lib.Progress()
+            client = http_client.HttpClient()
             async with raw_endpoint.RawEndpoint(script) as endpoint:
                 call = asyncio.create_task(
-                    _post(
-                        http_client.HttpClient(),
-                        endpoint.port,
-                        progress=progress,
-                    )
+                    _post(client, endpoint.port, progress=progress)
                 )
-                await ready.wait()
+                await ran.wait()
                 call.cancel()
                 with pytest.raises(asyncio.CancelledError):
                     await call
-                await endpoint.hung_up.wait()
+                await endpoint.wait_for_hang_up()
                 assert progress.run is messages.Run.UNKNOWN
+            client.close()
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize("part", [b"", b"0123"])
+    def test_amid_the_answer(self, part) -> None:
+        """The caller leaves while its answer comes in.
+
+        The connection would stay open until the whole call's time is up, and
+        sockets would pile up with each caller that leaves.
+        """
+
+        async def script(connection) -> None:
+            await connection.run()
+            await connection.send(raw_endpoint.answer(part, length=10))
+            await connection.wait_for_hang_up()
+
+        async def scenario() -> None:
+            client = http_client.HttpClient()
+            async with raw_endpoint.RawEndpoint(script) as endpoint:
+                response = await client.call(
+                    "127.0.0.1", endpoint.port, "POST", "/", {}
+                )
+                reading = asyncio.create_task(response.read(100))
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                reading.cancel()
+                with pytest.raises(asyncio.CancelledError):
+                    await reading
+                await endpoint.wait_for_hang_up()
+            client.close()
 
         asyncio.run(scenario())
 
@@ -261,7 +308,7 @@
                     http_client.HttpClient(), endpoint.port, **limits
                 )
                 assert isinstance(error, errors.CallTimeout)
-                await endpoint.hung_up.wait()
+                await endpoint.wait_for_hang_up()
 
         asyncio.run(scenario())
 
@@ -323,6 +370,44 @@
 
         asyncio.run(scenario())
 
+    @pytest.mark.parametrize("ends", [True, False])
+    def test_released_before_the_end_has_come(self, ends) -> None:
+        """A reader knows by the content that it has the whole answer.
+
+        Its connection serves another call once the answer has ended, and is
+        closed if that never comes: sockets of a faulty engine would pile up.
+        """
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+        async def scenario() -> None:
+            released = asyncio.Event()
+
+            async def script(connection) -> None:
+                await connection.run()
+                await connection.send(head + b"3\r\none\r\n")
+                await released.wait()
+                if ends:
+                    await connection.send(b"0\r\n\r\n")
+                await connection.wait_for_hang_up()
+
+            client = http_client.HttpClient()
+            async with raw_endpoint.RawEndpoint(script) as endpoint:
+                response = await client.call(
+                    "127.0.0.1", endpoint.port, "POST", "/", {}
+                )
+                async for chunk in response.chunks():
+                    assert chunk == b"one"
+                    break
+                response.release()
+                released.set()
+                if ends:
+                    await _turns_until(lambda: client.idle_count() == 1)
+                else:
+                    await endpoint.wait_for_hang_up()
+                    assert client.idle_count() == 0
+
+        asyncio.run(scenario())
+
     def test_answer_before_the_whole_request_was_read(self) -> None:
         """An endpoint refuses a large body without reading it.
 
