--- a/src/cowsliprill/replay/main.py
+++ b/src/cowsliprill/replay/main.py
@@ -14,6 +14,7 @@
 from cowsliprill.replay import command as commands
 from cowsliprill.replay import generate
 from cowsliprill.replay import naive
+from cowsliprill.replay import policy as policies
 from cowsliprill.replay import report
 from cowsliprill.replay import simulation
 from cowsliprill.replay import trace as traces
@@ -22,7 +23,7 @@
 
 OURS = "cowsliprill"
 
-POLICIES_BY_NAME: dict[str, simulation.PolicyFactory] = {
+POLICIES_BY_NAME: dict[str, policies.PolicyFactory] = {
     OURS: scheduler.Scheduler,
     "round-robin": baselines.RoundRobin,
     "least-outstanding": baselines.LeastOutstanding,
--- a/src/cowsliprill/replay/report.py
+++ b/src/cowsliprill/replay/report.py
@@ -5,7 +5,7 @@
 import statistics
 from collections.abc import Iterable
 
-from cowsliprill.replay import simulation
+from cowsliprill.replay import outcomes
 from cowsliprill.replay import sites
 from cowsliprill.replay import trace as traces
 
@@ -98,7 +98,7 @@
     return shares
 
 
-def _is_good(outcome: simulation.Outcome, site: sites.Site) -> bool:
+def _is_good(outcome: outcomes.Outcome, site: sites.Site) -> bool:
     return (
         outcome.finished_at > 0
         and outcome.ttft_s() <= site.ttft_target_s
@@ -118,7 +118,7 @@
 
 
 def _shares(
-    result: simulation.Result, site: sites.Site
+    result: outcomes.Result, site: sites.Site
 ) -> tuple[dict[str, float], float]:
     demand_by_user: dict[str, float] = {}
     for outcome in result.outcomes:
@@ -142,7 +142,7 @@
 
 
 def figures(
-    trace: traces.Trace, result: simulation.Result, bound: int
+    trace: traces.Trace, result: outcomes.Result, bound: int
 ) -> Figures:
     """Works out the figures of a run.
 
@@ -155,23 +155,23 @@
       The figures.
     """
     site = sites.SITES_BY_NAME[trace.site]
-    outcomes = result.outcomes
-    good = [_is_good(outcome, site) for outcome in outcomes]
+    seen = result.outcomes
+    good = [_is_good(outcome, site) for outcome in seen]
     started = [work for work in result.works if work.prefill_started]
     wasted = sum(
         not work.used and work.key not in result.unused_at_end
         for work in started
     )
     shares, fairness = _shares(result, site)
-    first = [item for item in outcomes if item.first_token_at]
-    finished = [item for item in outcomes if item.finished_at]
-    after = [time for item in outcomes for time in item.refused_after]
-    late = [time for item in outcomes for time in item.late_refusals]
+    first = [item for item in seen if item.first_token_at]
+    finished = [item for item in seen if item.finished_at]
+    after = [time for item in seen for time in item.refused_after]
+    late = [time for item in seen for time in item.late_refusals]
     return Figures(
-        demands=len(outcomes),
+        demands=len(seen),
         good=sum(good),
         finished=len(finished),
-        good_share=round(sum(good) / max(len(outcomes), 1), 4),
+        good_share=round(sum(good) / max(len(seen), 1), 4),
         bound=bound,
         prefills=len(started),
         wasted=wasted,
@@ -181,9 +181,9 @@
         late_refusal_s=round(max(late, default=0.0), 4),
         ttft_s=quantiles(item.ttft_s() for item in first),
         tpot_s=quantiles(item.tpot_s() for item in finished),
-        by_user=_rates([item.demand.user for item in outcomes], good),
-        by_service=_rates([item.demand.service for item in outcomes], good),
-        by_priority=_rates([str(item.priority) for item in outcomes], good),
+        by_user=_rates([item.demand.user for item in seen], good),
+        by_service=_rates([item.demand.service for item in seen], good),
+        by_priority=_rates([str(item.priority) for item in seen], good),
         share_by_user=shares,
         fairness=fairness,
         messages=result.messages_sent,
--- a/src/cowsliprill/replay/simulation.py
+++ b/src/cowsliprill/replay/simulation.py
@@ -1,407 +1,22 @@
 """Plays a trace through schedulers, homes and fake engines."""
 
-import dataclasses
 import random
-from collections.abc import Callable
-from typing import Protocol
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.replay import engines
 from cowsliprill.replay import homes
+from cowsliprill.replay import outcomes
+from cowsliprill.replay import policy as policies
+from cowsliprill.replay import shell
 from cowsliprill.replay import sites
 from cowsliprill.replay import timeline
 from cowsliprill.replay import trace as traces
 
 _LOCAL_DELAY_S = 0.0002
-_RENEW_S = 0.5
 _RETURNS_MAX = 2
 
 
-class Policy(Protocol):
-    """What a replay needs of `scheduler.Scheduler` or of a baseline."""
-
-    def handle(
-        self, event: messages.Event, now: float
-    ) -> list[messages.Action]:
-        """Takes an event and says what to do."""
-
-    def asks(self, now: float) -> list[messages.SlotAsk]:
-        """States this entry's standing with every endpoint."""
-
-    def next_wakeup(self, now: float) -> float:
-        """Says when to send `Tick`."""
-
-
-PolicyFactory = Callable[[str, int], Policy]
-
-
-@dataclasses.dataclass(slots=True)
-class Outcome:
-    """What became of one demand.
-
-    Attributes:
-      demand: The demand.
-      priority: Of its service.
-      submitted_at: Last time the caller came.
-      returns: How often the caller came back.
-      first_token_at: When its caller saw the first token, 0 if never.
-      finished_at: When its caller had it all, 0 if never.
-      refused_after: Time from coming to each refusal.
-      late_refusals: How long after the last possible start, or after the
-        failure that caused it, each refusal came.
-      failed: Whether its stream was cut after the first token.
-      gone: Whether the caller left before the end.
-      failed_at: Time of the newest failed attempt.
-    """
-
-    demand: traces.Demand
-    priority: int
-    submitted_at: float
-    returns: int = 0
-    first_token_at: float = 0.0
-    finished_at: float = 0.0
-    refused_after: list[float] = dataclasses.field(default_factory=list)
-    late_refusals: list[float] = dataclasses.field(default_factory=list)
-    failed: bool = False
-    gone: bool = False
-    failed_at: float = 0.0
-
-    def ttft_s(self) -> float:
-        """Returns the time to first token since the caller last came."""
-        return self.first_token_at - self.submitted_at
-
-    def tpot_s(self) -> float:
-        """Returns the mean time between tokens."""
-        tokens = max(self.demand.output_tokens - 1, 1)
-        return (self.finished_at - self.first_token_at) / tokens
-
-
-@dataclasses.dataclass(slots=True)
-class SlotUse:
-    """A decode slot used by an attempt.
-
-    Attributes:
-      user: Whose request it is.
-      work: The attempt.
-      endpoint_id: The decode engine.
-      began_at: When the slot was taken.
-      ended_at: When the answer was complete, 0 if it isn't.
-    """
-
-    user: str
-    work: engines.Work
-    endpoint_id: str
-    began_at: float
-    ended_at: float = 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Result:
-    """What a replay saw.
-
-    Attributes:
-      outcomes: One per demand that arrived.
-      works: Every attempt that reached a prefill engine.
-      runs: Use of decode slots that brought tokens.
-      messages_sent: Messages between entries and homes.
-      ended_at: Time of the end.
-      unused_at_end: Keys of attempts still on their way at the end.
-    """
-
-    outcomes: list[Outcome]
-    works: list[engines.Work] = dataclasses.field(default_factory=list)
-    runs: list[SlotUse] = dataclasses.field(default_factory=list)
-    messages_sent: int = 0
-    ended_at: float = 0.0
-    unused_at_end: set[tuple[int, int, int]] = dataclasses.field(
-        default_factory=set
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class _Attempt:
-    work: engines.Work
-    action: messages.Start
-    over: bool = False
-
-
-class _Entry:
-    """The shell round one policy: performs actions, reports events."""
-
-    def __init__(
-        self, number: int, zone: str, policy: Policy, world: "Simulation"
-    ) -> None:
-        self.name = f"vm{number}.e0.replay"
-        self.number = number
-        self.zone = zone
-        self.policy = policy
-        self.world = world
-        self._attempts_by_request: dict[int, _Attempt] = {}
-        self._outcomes_by_request: dict[int, Outcome] = {}
-        self._wakeup_at = float("inf")
-        self._renew()
-
-    def submit(self, request_id: int, outcome: Outcome) -> None:
-        self._outcomes_by_request[request_id] = outcome
-        demand = outcome.demand
-        service = self.world.services_by_id[demand.service]
-        self.deliver(
-            messages.Submit(
-                request_id=request_id,
-                service=service,
-                user=demand.user,
-                prompt_tokens=demand.prompt_tokens,
-                output_tokens=demand.output_limit,
-                prefix_hashes=demand.prefix,
-                priority=service.priority,
-                deadline=self.world.clock.now + service.ttft_target_s,
-            )
-        )
-
-    def cancel(self, request_id: int) -> None:
-        if request_id in self._outcomes_by_request:
-            self.deliver(messages.Cancel(request_id))
-            self._forget(request_id)
-
-    def deliver(self, event: messages.Event) -> None:
-        now = self.world.clock.now
-        asks = []
-        for action in self.policy.handle(event, now):
-            match action:
-                case messages.Start():
-                    self._start(action)
-                case messages.Refuse():
-                    self._refuse(action)
-                case messages.CancelAttempt():
-                    self._cancel_attempt(action)
-                case messages.SlotAsk():
-                    asks.append(action)
-        self._send_asks(asks)
-        self._schedule_tick()
-
-    def _schedule_tick(self) -> None:
-        clock = self.world.clock
-        due = self.policy.next_wakeup(clock.now)
-        if due >= self._wakeup_at:
-            return
-        self._wakeup_at = due
-        clock.at(due, lambda: self._tick(due))
-
-    def _tick(self, due: float) -> None:
-        if due == self._wakeup_at:
-            self._wakeup_at = float("inf")
-            self.deliver(messages.Tick())
-
-    def _renew(self) -> None:
-        self._send_asks(self.policy.asks(self.world.clock.now))
-        self.world.clock.after(_RENEW_S, self._renew)
-
-    def _send_asks(self, asks: list[messages.SlotAsk]) -> None:
-        sent_at = self.world.clock.now
-        for ask in asks:
-            self.world.result.messages_sent += 1
-            engine = self.world.engines_by_id[ask.endpoint_id]
-            delay = self.world.delay(self.zone, engine)
-            home = self.world.homes_by_id[ask.endpoint_id]
-
-            def send(grant: messages.SlotGrant, delay: float = delay) -> None:
-                self.world.result.messages_sent += 1
-                self.world.clock.after(delay, lambda: self.deliver(grant))
-
-            def receive(
-                ask: messages.SlotAsk = ask,
-                home: homes.Home = home,
-                send: Callable[[messages.SlotGrant], None] = send,
-            ) -> None:
-                home.receive(self.name, ask, sent_at, send)
-
-            self.world.clock.after(delay, receive)
-
-    def _forget(self, request_id: int) -> None:
-        self._outcomes_by_request.pop(request_id, None)
-        attempt = self._attempts_by_request.pop(request_id, None)
-        if attempt:
-            attempt.over = True
-
-    def _refuse(self, action: messages.Refuse) -> None:
-        outcome = self._outcomes_by_request[action.request_id]
-        self._forget(action.request_id)
-        self.world.refused(outcome, action)
-
-    def _cancel_attempt(self, action: messages.CancelAttempt) -> None:
-        attempt = self._attempts_by_request.get(action.request_id)
-        if attempt is None or attempt.action.attempt != action.attempt:
-            return
-        attempt.over = True
-        for endpoint_id in action.endpoint_ids:
-            engine = self.world.engines_by_id[endpoint_id]
-            delay = self.world.delay(self.zone, engine)
-            self.world.clock.after(
-                delay, lambda engine=engine: _drop(engine, attempt.work)
-            )
-
-    def _start(self, action: messages.Start) -> None:
-        outcome = self._outcomes_by_request[action.request_id]
-        work = engines.Work(
-            key=(self.number, action.request_id, action.attempt),
-            prompt_tokens=outcome.demand.prompt_tokens,
-            output_tokens=outcome.demand.output_tokens,
-            prefix=outcome.demand.prefix,
-        )
-        attempt = _Attempt(work, action)
-        self._attempts_by_request[action.request_id] = attempt
-        self.world.result.works.append(work)
-        engine = self.world.engines_by_id[action.prefill_id]
-        delay = self.world.delay(self.zone, engine)
-        self.world.clock.after(delay, lambda: self._prefill(attempt))
-
-    def _prefill(self, attempt: _Attempt) -> None:
-        engine = self.world.engines_by_id[attempt.action.prefill_id]
-        assert isinstance(engine, engines.PrefillEngine)
-        stage = messages.Stage.PREFILL
-        if attempt.work.cancelled:
-            return
-        if engine.lost:
-            self._failed(attempt, stage, engine, refused=False)
-        elif engine.accept(
-            attempt.work,
-            lambda: self._failed(attempt, stage, engine, refused=False),
-        ):
-            delay = self.world.delay(self.zone, engine)
-            engine.run(
-                attempt.work,
-                lambda: self.world.clock.after(
-                    delay, lambda: self._prefilled(attempt)
-                ),
-            )
-        else:
-            self._failed(attempt, stage, engine, refused=True)
-
-    def _prefilled(self, attempt: _Attempt) -> None:
-        if attempt.over:
-            return
-        self.deliver(messages.PrefillFinished(attempt.action.request_id))
-        if attempt.over:
-            return
-        engine = self.world.engines_by_id[attempt.action.decode_id]
-        delay = self.world.delay(self.zone, engine)
-        self.world.clock.after(delay, lambda: self._decode(attempt))
-
-    def _decode(self, attempt: _Attempt) -> None:
-        engine = self.world.engines_by_id[attempt.action.decode_id]
-        assert isinstance(engine, engines.DecodeEngine)
-        stage = messages.Stage.DECODE
-        if attempt.work.cancelled:
-            return
-
-        def failed() -> None:
-            self._failed(attempt, stage, engine, refused=False)
-
-        if engine.lost:
-            failed()
-        elif not engine.accept(attempt.work, failed):
-            self._failed(attempt, stage, engine, refused=True)
-        else:
-            self._generate(attempt, engine)
-
-    def _generate(
-        self, attempt: _Attempt, engine: engines.DecodeEngine
-    ) -> None:
-        source = self.world.engines_by_id[attempt.action.prefill_id]
-        delay = self.world.delay(self.zone, engine)
-        clock = self.world.clock
-        user = self._outcomes_by_request[attempt.action.request_id].demand.user
-
-        self.world.result.runs.append(
-            SlotUse(user, attempt.work, engine.endpoint.id, clock.now)
-        )
-        use = self.world.result.runs[-1]
-
-        def evicted() -> None:
-            self._failed(
-                attempt, messages.Stage.TRANSFER, source, refused=False
-            )
-
-        def finished() -> None:
-            use.ended_at = clock.now
-            clock.after(delay, lambda: self._finished(attempt))
-
-        engine.run(
-            attempt.work,
-            source,
-            self.world.links,
-            engines.DecodeEvents(
-                evicted,
-                lambda: clock.after(delay, lambda: self._first_token(attempt)),
-                lambda: clock.after(delay, lambda: self._progress(attempt)),
-                finished,
-            ),
-        )
-
-    def _first_token(self, attempt: _Attempt) -> None:
-        if not attempt.over:
-            request_id = attempt.action.request_id
-            outcome = self._outcomes_by_request[request_id]
-            outcome.first_token_at = self.world.clock.now
-            self.deliver(messages.FirstToken(request_id))
-
-    def _progress(self, attempt: _Attempt) -> None:
-        if not attempt.over:
-            request_id = attempt.action.request_id
-            tokens = engines.PROGRESS_TOKENS
-            self.deliver(messages.Progress(request_id, tokens))
-
-    def _finished(self, attempt: _Attempt) -> None:
-        if attempt.over:
-            return
-        request_id = attempt.action.request_id
-        outcome = self._outcomes_by_request[request_id]
-        outcome.finished_at = self.world.clock.now
-        self._forget(request_id)
-        self.deliver(
-            messages.Finished(request_id, outcome.demand.output_tokens)
-        )
-
-    def _failed(
-        self,
-        attempt: _Attempt,
-        stage: messages.Stage,
-        engine: engines.Engine,
-        *,
-        refused: bool,
-    ) -> None:
-        delay = self.world.delay(self.zone, engine)
-
-        def report() -> None:
-            if attempt.over:
-                return
-            attempt.over = True
-            request_id = attempt.action.request_id
-            outcome = self._outcomes_by_request[request_id]
-            outcome.failed_at = self.world.clock.now
-            event = messages.AttemptFailed(
-                request_id=request_id,
-                endpoint_id=engine.endpoint.id,
-                stage=stage,
-                refused=refused,
-            )
-            if outcome.first_token_at:
-                # The answer was cut: this replay doesn't resume streams.
-                outcome.failed = True
-                self.deliver(event)
-                self._forget(request_id)
-            else:
-                self.deliver(event)
-
-        self.world.clock.after(delay, report)
-
-
-def _drop(engine: engines.Engine, work: engines.Work) -> None:
-    work.cancelled = True
-    engine.release(work)
-
-
 class Simulation:
     """One trace, one policy, one seed.
 
@@ -412,13 +27,13 @@
     """
 
     def __init__(
-        self, trace: traces.Trace, factory: PolicyFactory, seed: int
+        self, trace: traces.Trace, factory: policies.PolicyFactory, seed: int
     ) -> None:
         self.trace = trace
         self.site = sites.SITES_BY_NAME[trace.site]
         self.clock = timeline.Timeline()
         self.links = engines.Links(self.clock)
-        self.result = Result([])
+        self.result = outcomes.Result([])
         snapshot = self.site.snapshot()
         self.services_by_id = snapshot.services_by_id
         self.engines_by_id = {
@@ -438,7 +53,7 @@
         }
         zones = self.site.zones
         self._entries = [
-            _Entry(
+            shell.Entry(
                 number,
                 zones[number % len(zones)],
                 factory(zones[number % len(zones)], seed * 1000 + number),
@@ -451,7 +66,7 @@
             self._subscribe(entry.policy)
         self._request_id = 0
 
-    def run(self) -> Result:
+    def run(self) -> outcomes.Result:
         """Plays the trace to its end.
 
         Returns:
@@ -479,7 +94,9 @@
             return _LOCAL_DELAY_S
         return self.site.zone_delay_s
 
-    def refused(self, outcome: Outcome, action: messages.Refuse) -> None:
+    def refused(
+        self, outcome: outcomes.Outcome, action: messages.Refuse
+    ) -> None:
         """Notes a refusal; the caller comes back a bounded number of times."""
         now = self.clock.now
         service = self.services_by_id[outcome.demand.service]
@@ -509,7 +126,7 @@
         ]
         return model.Fleet(version=1, vms_by_id={vm.id: vm for vm in vms})
 
-    def _subscribe(self, policy: Policy) -> None:
+    def _subscribe(self, policy: policies.Policy) -> None:
         report = getattr(policy, "report", None)
         if report is not None:
             for home in self.homes_by_id.values():
@@ -522,11 +139,11 @@
 
     def _arrive(self, demand: traces.Demand) -> None:
         service = self.services_by_id[demand.service]
-        outcome = Outcome(demand, service.priority, self.clock.now)
+        outcome = outcomes.Outcome(demand, service.priority, self.clock.now)
         self.result.outcomes.append(outcome)
         self._submit(outcome)
 
-    def _submit(self, outcome: Outcome) -> None:
+    def _submit(self, outcome: outcomes.Outcome) -> None:
         if outcome.gone:
             return
         outcome.submitted_at = self.clock.now
@@ -540,7 +157,9 @@
                 lambda: self._leave(entry, request_id, outcome),
             )
 
-    def _leave(self, entry: _Entry, request_id: int, outcome: Outcome) -> None:
+    def _leave(
+        self, entry: shell.Entry, request_id: int, outcome: outcomes.Outcome
+    ) -> None:
         if not outcome.finished_at and not outcome.gone:
             outcome.gone = True
             entry.cancel(request_id)
