--- a/tools/faults.py
+++ b/tools/faults.py
@@ -154,6 +154,9 @@
             fleet.signal(f"{vm_id}.{process}", signal.SIGCONT)
         case Restart(vm_id):
             for process in _PROCESSES:
+                # A process that crashed meanwhile has been started anew, and
+                # one that was frozen has to wake up to end.
+                fleet.signal(f"{vm_id}.{process}", signal.SIGTERM)
                 fleet.signal(f"{vm_id}.{process}", signal.SIGCONT)
                 fleet.children_by_name[f"{vm_id}.{process}"].wait()
                 fleet.restart_process(vm_id, process)
