--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -226,14 +226,9 @@
         """
 
         async def scenario():
-<<<<<<< HEAD
-            patient = {"ttft_target_s": 20.0, "may_wait_s": 20.0}
+            patient = {"ttft_target_s": 20.0, "may_wait_s": 30.0}
             async with entry_site.running(**patient) as site:
-                late = {"delay_s": 1.0, "times": 1}
-=======
-            async with entry_site.running(may_wait_s=30.0) as site:
                 late = {"delay_s": 0.2, "times": 1}
->>>>>>> entry
                 for name, engine in site.engines.items():
                     if name.startswith("prefill"):
                         engine.conduct.set(late)
