Spend no retry on an attempt that no engine has heard of

Cause: in a burst of 200 callers in the same instant the entry is busy for most of a second and a lease may run out between a decision and its act; the attempt is rightly not sent, but was counted as a retry, three times within milliseconds. Ruled out: the home (renewals were answered) and the engines (none was called). Conclusion: unsent attempts go back to the queue, eight at most.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -133,12 +133,15 @@
       stage: Where it failed.
       refused: Whether the endpoint refused because it is full or draining,
         rather than failed.
+      unsent: Whether no engine has heard of the attempt, since the entry's
+        own lease had run out before.
     """
 
     request_id: int
     endpoint_id: str
     stage: Stage
     refused: bool = False
+    unsent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -7,6 +7,10 @@
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import retry
 
+# Each of these waits for a new grant, so that this many are no matter of a
+# lapsed lease any more.
+_UNSENT_MAX = 8
+
 
 @dataclasses.dataclass(slots=True)
 class Request:
@@ -20,6 +24,7 @@
       pool: Its pool.
       stage: Where it is.
       attempt: Number of the newest attempt.
+      unsent: Attempts that no engine has heard of.
       prefill: Prefill engine of the newest attempt.
       decode: Decode engine of the newest attempt.
       started_at: When the newest attempt began.
@@ -34,6 +39,7 @@
     pool: pools.Pool
     stage: messages.Stage = messages.Stage.QUEUED
     attempt: int = -1
+    unsent: int = 0
     prefill: model.Endpoint | None = None
     decode: model.Endpoint | None = None
     started_at: float = 0.0
@@ -62,10 +68,18 @@
     repeatable = service.idempotency is model.Idempotency.REPEATABLE
     if not repeatable and not event.refused:
         return messages.RefusalCode.ENDPOINT_FAILED
-    if request.attempt + 1 >= service.retries.attempts:
+    # An attempt that no engine has heard of adds no load. Counted as a retry,
+    # a busy moment in which leases lapse would spend the budget and refuse
+    # callers whose engines are well.
+    if event.unsent and request.unsent < _UNSENT_MAX:
+        request.unsent += 1
+        late = request.latest_start <= now
+        return messages.RefusalCode.WAITED_TOO_LONG if late else None
+    made = request.attempt + 1 - request.unsent
+    if made >= service.retries.attempts:
         return messages.RefusalCode.ENDPOINT_FAILED
     if request.latest_start <= now:
         return messages.RefusalCode.ENDPOINT_FAILED
-    if not budgets.of(service).spend(request.attempt + 1):
+    if not budgets.of(service).spend(made):
         return messages.RefusalCode.RETRY_BUDGET_SPENT
     return None
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -10,6 +10,7 @@
       endpoint_id: The endpoint that failed or refused.
       stage: Where the attempt was.
       refused: Whether the endpoint refused, being full or draining.
+      unsent: Whether no engine has heard of the attempt.
       reason: One sentence for the log.
     """
 
@@ -20,11 +21,13 @@
         reason: str,
         *,
         refused: bool = False,
+        unsent: bool = False,
     ) -> None:
         super().__init__(reason)
         self.endpoint_id = endpoint_id
         self.stage = stage
         self.refused = refused
+        self.unsent = unsent
         self.reason = reason
 
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -127,6 +127,7 @@
                 endpoint_id=lost.endpoint_id,
                 stage=lost.stage,
                 refused=lost.refused,
+                unsent=lost.unsent,
             )
         )
 
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -178,7 +178,11 @@
         now = clock.now()
         if not self.leases.allow(endpoint_id, start.decided_at, now):
             raise attempts.AttemptLost(
-                endpoint_id, stage, "its lease has run out", refused=True
+                endpoint_id,
+                stage,
+                "its lease has run out",
+                refused=True,
+                unsent=stage is messages.Stage.PREFILL,
             )
 
     def _call(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,6 +1,7 @@
 """Tests of `decisions.scheduler`."""
 
 import collections
+import dataclasses
 
 import hypothesis
 from hypothesis import strategies
@@ -363,3 +364,52 @@
             asked.append({ask.endpoint_id for ask in subject.asks(0.0)})
         assert len(asked[0]) == len(asked[1]) == 32
         assert asked[0] != asked[1]
+
+
+class TestUnsentAttempts:
+    """The entry's own lease had run out before the engine was called."""
+
+    def test_they_cost_no_retry(self) -> None:
+        """A burst keeps the entry busy and its leases lapse.
+
+        Counted as retries, five of 200 callers got `retry_budget_spent` on
+        an idle pool.
+        """
+        found = _with_slots()
+        submit = _submit(1)
+        retries = model.RetryRules(ratio=0.0, burst=0, attempts=1)
+        service = dataclasses.replace(submit.service, retries=retries)
+        submit = dataclasses.replace(submit, service=service)
+        actions = found.handle(submit, 0.0)
+        for attempt in range(3):
+            (start,) = _of(actions, messages.Start)
+            assert start.attempt == attempt
+            lost = messages.AttemptFailed(
+                request_id=1,
+                endpoint_id=start.prefill_id,
+                stage=messages.Stage.PREFILL,
+                refused=True,
+                unsent=True,
+            )
+            actions = found.handle(lost, 0.0)
+            assert not _of(actions, messages.Refuse)
+            actions += found.handle(_grant(start.prefill_id, 2), 0.0)
+
+    def test_they_end(self) -> None:
+        """Leases that lapse for ever must not keep a caller for ever."""
+        found = _with_slots()
+        actions = found.handle(_submit(1), 0.0)
+        for _ in range(20):
+            starts = _of(actions, messages.Start)
+            if not starts:
+                break
+            lost = messages.AttemptFailed(
+                request_id=1,
+                endpoint_id=starts[0].prefill_id,
+                stage=messages.Stage.PREFILL,
+                refused=True,
+                unsent=True,
+            )
+            actions = found.handle(lost, 0.0)
+            actions += found.handle(_grant(starts[0].prefill_id, 2), 0.0)
+        assert _of(actions, messages.Refuse)
