--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -153,6 +153,12 @@
         for server in self._servers:
             server.stop()
         self.log.event("stopped")
+        # The loop gives the signals back to their default when it closes. One
+        # more SIGTERM just then would end a process that has drained well as
+        # if it had been cut down; its exit code would say so.
+        signal.pthread_sigmask(
+            signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT}
+        )
 
     async def _log_readiness(self) -> None:
         reason = None
