--- a/src/cowsliprill/standins/shell.py
+++ b/src/cowsliprill/standins/shell.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tornado import httpserver
+from tornado import iostream
 from tornado import netutil
 from tornado import web
 
@@ -45,6 +46,11 @@
         if request_id is not None:
             self.set_header(protocol.REQUEST_ID_HEADER, request_id)
 
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Logs a fault; a reader that is gone is none."""
+        if not isinstance(value, iostream.StreamClosedError):
+            super().log_exception(typ, value, tb)
+
     def fields(self) -> dict[str, Any]:
         """Returns the body's JSON object.
 
