Let no second signal end a stand-in that has already stopped

Cause: Ctrl-C in make up reaches the stand-ins twice, from the terminal and from the tool; the second one met the loop's end (5 of 26 exit codes -15). Ruled out: the product's processes, which ended with 0. Before: make up ended with 'exit codes other than 0'. After: make run ends 26 processes cleanly; make up wasn't run again. Conclusion: same rule as in process.py.

--- a/src/cowsliprill/standins/shell.py
+++ b/src/cowsliprill/standins/shell.py
@@ -174,3 +174,5 @@
     await stopping.wait()
     await server.stop()
     log.event("stopped")
+    # As in `process`: a second signal must not meet the loop's end.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT})
