Let filters and relays speak to engines through one interface

The pipeline called the engine protocol directly, so a second way of talking to callers and engines would have meant a second router. The relays now make typed calls (entry/calls.py); the product's own protocol is entry/native.py. A broken stream may go on at another engine where a dialect allows it, and a repeatable plain call may be tried again after the server's own failure.

Ruled out: a subclass of each relay, which would have copied the order of prefill, transfer and decode.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -135,6 +135,8 @@
         rather than failed.
       unsent: Whether no engine has heard of the attempt, since the entry's
         own lease had run out before.
+      resumable: Whether tokens have reached the caller and another engine may
+        go on after the last of them.
     """
 
     request_id: int
@@ -142,6 +144,7 @@
     stage: Stage
     refused: bool = False
     unsent: bool = False
+    resumable: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -82,6 +82,11 @@
       export_ttl_s: How long a finished prefill is kept for its transfer.
       checks_fencing: Whether it refuses orders with an old fencing number.
       checks_idempotency_keys: Whether it runs a key at most once by itself.
+      block_tokens: Tokens of one slot, where an engine's memory runs out
+        before its places do: `slots` then counts blocks of KV cache, and a
+        request takes as many as it is expected to fill. 0 where each request
+        takes one slot.
+      life: Tells apart lives of an engine that started again under its id.
       target: What it should be, None for plain services.
       vm: Id of the VM in the platform's list, empty if not listed.
     """
@@ -100,6 +105,8 @@
     export_ttl_s: float = 0.8
     checks_fencing: bool = False
     checks_idempotency_keys: bool = False
+    block_tokens: int = 0
+    life: str = ""
     target: EngineTarget | None = None
     vm: str = ""
 
@@ -112,11 +119,14 @@
       ratio: Retries earned by each request.
       burst: Retries that may be saved up.
       attempts: Attempts at most for one request, the first included.
+      failed_answers: Whether a plain service's own failure (a 5xx answer to a
+        repeatable request) is tried again elsewhere.
     """
 
     ratio: float = 0.1
     burst: int = 10
     attempts: int = 3
+    failed_answers: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -145,6 +155,8 @@
       wasted_prefill_weight: How much an unused prefill costs.
       methods: HTTP methods of a plain service.
       echoes_request_id: Whether a plain service returns `X-Request-Id`.
+      retry_group: Services that name the same group share one budget of
+        retries; empty for a budget of its own.
     """
 
     id: str
@@ -168,6 +180,41 @@
     wasted_prefill_weight: float = 1.0
     methods: tuple[str, ...] = ("POST",)
     echoes_request_id: bool = True
+    retry_group: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Which service answers the calls below one path of one host.
+
+    Attributes:
+      name: The operator's name for it.
+      host: Host that callers name.
+      path_prefix: Start of the paths; begins and ends with a slash.
+      services: Ids of services and their weights; a call goes to one of them.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    services: tuple[tuple[str, float], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallLimits:
+    """What a caller may send, and how long its connection may rest.
+
+    Attributes:
+      header_bytes: Bytes of all headers.
+      body_bytes: Bytes of a body.
+      header_timeout_s: Time for the headers of one call.
+      idle_timeout_s: Time that a connection may be kept between two calls.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 8_388_608
+    header_timeout_s: float = 75.0
+    idle_timeout_s: float = 75.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -222,6 +269,9 @@
       users_by_key_hash: The user of each API key.
       services_by_id: Every service.
       endpoints_by_id: Every endpoint.
+      routes_by_prefix_by_host: Routes of callers that name no service, by
+        host and then by path prefix.
+      limits: What callers may send.
     """
 
     revision: int = 0
@@ -233,6 +283,10 @@
     endpoints_by_id: dict[str, Endpoint] = dataclasses.field(
         default_factory=dict
     )
+    routes_by_prefix_by_host: Mapping[str, Mapping[str, Route]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    limits: CallLimits = CallLimits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -40,6 +40,10 @@
 # this costs is kept in hand.
 _DELAY_MARGIN = 2.0
 
+# A caller whose stream stands still gives it up after about this time, so a
+# stream that can't go on elsewhere by then is better ended.
+_RESUME_WITHIN_S = 2.0
+
 
 class Scheduler:
     """Places the model requests of one entry process.
@@ -296,11 +300,13 @@
         cancel = self._cancel_attempt(request)
         streaming = request.stage is messages.Stage.DECODE
         self._release(request)
-        if streaming:
+        if streaming and not event.resumable:
             # Tokens have reached the caller; what becomes of its stream is
             # the shell's to decide, not ours to start anew.
             del self._requests_by_id[event.request_id]
             return [cancel, *self._advance(request.pool, now)]
+        if event.resumable:
+            request.latest_start = now + _RESUME_WITHIN_S
         code = requests.why_not_again(request, event, self._budgets, now)
         if code is not None:
             return [
--- a/src/cowsliprill/engines/token_stream.py
+++ b/src/cowsliprill/engines/token_stream.py
@@ -24,6 +24,11 @@
         self.checker = stream_lib.Checker(request_id)
         self._response: exchange_lib.Response | None = None
 
+    @property
+    def tokens(self) -> int:
+        """Tokens that were delivered so far."""
+        return self.checker.last_token
+
     def attach(self, response: exchange_lib.Response) -> None:
         """Takes the connection that the next events come by.
 
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -1,6 +1,7 @@
 """How one attempt at a request ends without an answer."""
 
 from cowsliprill.decisions import messages
+from cowsliprill.engines import service_client
 
 
 class AttemptLost(Exception):  # noqa: N818
@@ -11,6 +12,8 @@
       stage: Where the attempt was.
       refused: Whether the endpoint refused, being full or draining.
       unsent: Whether no engine has heard of the attempt.
+      resumable: Whether the rest of a broken stream may come from another
+        engine.
       reason: One sentence for the log.
     """
 
@@ -22,12 +25,14 @@
         *,
         refused: bool = False,
         unsent: bool = False,
+        resumable: bool = False,
     ) -> None:
         super().__init__(reason)
         self.endpoint_id = endpoint_id
         self.stage = stage
         self.refused = refused
         self.unsent = unsent
+        self.resumable = resumable
         self.reason = reason
 
 
@@ -37,9 +42,16 @@
     Attributes:
       run: What is known of whether this call was run.
       reason: One sentence for the log.
+      answer: The server's own answer that it failed, None without one.
     """
 
-    def __init__(self, run: messages.Run, reason: str) -> None:
+    def __init__(
+        self,
+        run: messages.Run,
+        reason: str,
+        answer: service_client.ServiceAnswer | None = None,
+    ) -> None:
         super().__init__(reason)
         self.run = run
         self.reason = reason
+        self.answer = answer
--- a/src/cowsliprill/entry/canceller.py
+++ b/src/cowsliprill/entry/canceller.py
@@ -36,6 +36,22 @@
     task: asyncio.Task | None = None
 
 
+class NoOrders:
+    """Stands in where engines drop a request when its connection is closed.
+
+    Attributes:
+      pending: Orders that are not yet acknowledged, always none.
+    """
+
+    pending = 0
+
+    def order(self, endpoint_id: str, request_id: str) -> None:
+        """Does nothing."""
+
+    async def settle(self, timeout_s: float) -> None:
+        """Returns at once."""
+
+
 class Canceller:
     """Sends cancel orders.
 
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -26,6 +26,7 @@
       body: Body.
       fault: What is wrong with its size, None if nothing.
       forwarded: Whether a peer passed it on because of its ticket.
+      uri: Path and query exactly as sent, where they must stay unchanged.
     """
 
     method: str
@@ -35,6 +36,7 @@
     body: bytes
     fault: errors.EntryError | None = None
     forwarded: bool = False
+    uri: str = ""
 
     @property
     def target(self) -> str:
@@ -47,20 +49,23 @@
     """A model request, as checked.
 
     Attributes:
-      request: The checked body.
+      request: The checked body, None where bodies are passed on unread.
       fields: The body's fields as the caller sent them.
       path: The engines' path of this kind of request.
       prompt_tokens: Estimated tokens of the prompt.
       prefix_hashes: Hashes of its first blocks, salted by the user.
       output_tokens: Limit of the answer.
+      expected_tokens: The caller's own guess of the answer's length, 0 for
+        none.
     """
 
-    request: schema.GenerationRequest
-    fields: dict[str, Any]
-    path: str
+    request: schema.GenerationRequest | None = None
+    fields: dict[str, Any] = dataclasses.field(default_factory=dict)
+    path: str = ""
     prompt_tokens: int
-    prefix_hashes: tuple[int, ...]
+    prefix_hashes: tuple[int, ...] = ()
     output_tokens: int
+    expected_tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -78,6 +83,7 @@
       attempts: Attempts made.
       resumes: Tries to resume its stream since the last new token.
       resumed_at_token: The last token when it was last resumed.
+      last_event_id: Id of the last event that the caller was sent.
       outcome: The request's end, for logs and metrics.
     """
 
@@ -90,6 +96,7 @@
     attempts: int = 0
     resumes: int = 0
     resumed_at_token: int = -1
+    last_event_id: str = ""
     outcome: str = ""
 
 
@@ -110,6 +117,7 @@
       service_path: Rest of the path of a plain call; by `resolve`.
       priority: The service's priority with the caller's offset; by `urgency`.
       deadline: Latest useful time of the first token; by `urgency`.
+      ends_at: When the final answer is due; by `urgency`.
       idempotency_key: Key or ticket, empty for none; by `idempotency`.
       survives_caller: Whether the run goes on without its caller; by
         `idempotency`.
@@ -130,6 +138,7 @@
     service_path: str = ""
     priority: int = 0
     deadline: float = 0.0
+    ends_at: float = 0.0
     idempotency_key: str = ""
     survives_caller: bool = False
     start: messages.Start | None = None
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Callable
 from typing import Any
 
 from cowsliprill import clock
@@ -16,18 +17,18 @@
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import http_client
-from cowsliprill.engines import service_client
 from cowsliprill.entry import canceller
+from cowsliprill.entry import dialect as dialect_lib
 from cowsliprill.entry import forward
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import home_client
 from cowsliprill.entry import leases as leases_lib
 from cowsliprill.entry import model_relay
+from cowsliprill.entry import native
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import routes
 from cowsliprill.entry import scheduling as scheduling_lib
 from cowsliprill.entry import slot_asker
-from cowsliprill.entry import stream_resume
 from cowsliprill.entry import world as world_lib
 from cowsliprill.entry.filters import admission
 from cowsliprill.entry.filters import idempotency
@@ -54,9 +55,12 @@
       environment: What it was told about itself.
       log: Its log.
       source: Where settings and VM list come from.
+      make_dialect: Makes what callers and endpoints are spoken to with.
+      metrics: Its metrics, where other tasks of the process share them.
 
     Attributes:
       shell: Its servers, health and signals.
+      peer_routes: Further tornado routes of the peer port, set before `run`.
     """
 
     def __init__(
@@ -64,10 +68,14 @@
         environment: environment_lib.Environment,
         log: log_lib.Log,
         source: world_lib.Source,
+        make_dialect: Callable[[dialect_lib.Tools], dialect_lib.Dialect] = (
+            native.make
+        ),
+        metrics: metrics_lib.Metrics | None = None,
     ) -> None:
         self._environment = environment
         self._log = log
-        self._metrics = metrics_lib.Metrics()
+        self._metrics = metrics or metrics_lib.Metrics()
         seed = environment.seed
         self._random = random.Random(
             secrets.randbits(_SEED_BITS) if seed is None else seed
@@ -84,17 +92,18 @@
         self._leases = leases_lib.Leases()
         self._budgets = retry.RetryBudgets()
         self._http = http_client.HttpClient()
-        self._engines = engine_client.EngineClient(self._http)
+        self._dialect = make_dialect(
+            dialect_lib.Tools(
+                incarnation=self._incarnation,
+                http=self._http,
+                budgets=self._budgets,
+                metrics=self._metrics,
+                log=log,
+            )
+        )
         self._gate = gate_lib.Gate(self._incarnation, self._world)
         homes = home_client.HomeClient(self._http, self._auth)
-        self._canceller = canceller.Canceller(
-            self._engines,
-            homes,
-            self._world,
-            self._metrics,
-            log,
-            self._random,
-        )
+        self._canceller = self._make_canceller(homes)
         self._scheduling = scheduling_lib.Scheduling(
             scheduler_lib.Scheduler(
                 environment.availability_zone,
@@ -121,9 +130,24 @@
             status=self._status,
             drain=self._drain,
         )
+        self.peer_routes: list[tuple] = []
         self._public_server = None
         self._reports: set[asyncio.Task] = set()
 
+    def _make_canceller(
+        self, homes: home_client.HomeClient
+    ) -> canceller.Canceller | canceller.NoOrders:
+        if self._dialect.engines.closing_ends_work:
+            return canceller.NoOrders()
+        return canceller.Canceller(
+            engine_client.EngineClient(self._http),
+            homes,
+            self._world,
+            self._metrics,
+            self._log,
+            self._random,
+        )
+
     async def run(self) -> None:
         """Serves until a signal, then drains and returns."""
         self._listen()
@@ -157,21 +181,23 @@
             secrets.token_bytes(_SECRET_BYTES),
         )
         parts = self._parts(book)
-        self.shell.listen(routes.peer_routes(self._gate, parts, self._auth))
+        self.shell.listen(
+            [
+                *routes.peer_routes(self._gate, parts, self._auth),
+                *self.peer_routes,
+            ]
+        )
         book.port = self.shell.port
         self._public_server = self.shell.listen_public(
-            routes.public_application(self._gate, parts),
+            self._dialect.application(self._gate, parts),
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
             idle_connection_timeout=_IDLE_CONNECTION_S,
         )
 
     def _parts(self, book: tickets.TicketBook) -> routes.Parts:
-        resumer = stream_resume.Resumer(
-            self._engines, self._budgets, self._metrics, self._log
-        )
         return routes.Parts(
-            report=report.Report(self._log, self._metrics),
+            report=report.Report(self._log, self._metrics, self._dialect),
             idempotency=idempotency.Idempotency(
                 book,
                 forward.Forwarder(
@@ -194,17 +220,14 @@
                 self._random,
             ),
             model_relay=model_relay.ModelRelay(
-                self._incarnation,
-                self._engines,
+                self._dialect.engines,
                 self._scheduling,
                 self._leases,
                 self._world,
-                resumer,
+                self._dialect.resumer,
                 self._report_leaving,
             ),
-            plain_relay=plain_relay.PlainRelay(
-                self._incarnation, service_client.ServiceClient(self._http)
-            ),
+            plain_relay=plain_relay.PlainRelay(self._dialect.services),
             book=book,
         )
 
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -1,9 +1,11 @@
 """Errors of the entry process, as callers see them."""
 
+import dataclasses
 import enum
 import http
 import json
 import math
+from typing import Protocol
 
 from cowsliprill import errors
 from cowsliprill.decisions import messages
@@ -129,6 +131,47 @@
 _CODES = frozenset(code.value for code in Code)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ErrorAnswer:
+    """What a caller gets in place of an answer.
+
+    Attributes:
+      status: HTTP status.
+      headers: Headers besides `Content-Length`.
+      body: The body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class ErrorAnswers(Protocol):
+    """How one dialect tells callers of errors."""
+
+    def error_answer(self, error: EntryError) -> ErrorAnswer:
+        """Returns what a caller gets for an error."""
+
+    def error_event(self, error: EntryError) -> bytes:
+        """Returns what ends a stream that broke, empty for a bare cut."""
+
+
+class JsonAnswers:
+    """Errors as JSON, in the product's own interface."""
+
+    def error_answer(self, error: EntryError) -> ErrorAnswer:
+        """Returns the error's own status, headers and JSON."""
+        return ErrorAnswer(
+            status=error.status,
+            headers=tuple(error.headers().items()),
+            body=error.body(),
+        )
+
+    def error_event(self, error: EntryError) -> bytes:
+        """Returns the error as a server-sent event."""
+        return error.event()
+
+
 def of_status(status: int) -> EntryError:
     """Returns the error for what tornado itself refuses or fails at.
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 
+from cowsliprill import clock
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import retry
@@ -47,7 +48,8 @@
         decisions = self.scheduling.submit(_submit(ctx))
         answered = False
         try:
-            async with asyncio.timeout(ctx.service.timeout_s) as timeout:
+            left_s = ctx.ends_at - clock.now()
+            async with asyncio.timeout(left_s) as timeout:
                 await self._attempts(ctx, proceed, decisions)
             answered = True
         except TimeoutError as error:
@@ -55,7 +57,7 @@
                 raise
             raise errors.EntryError(
                 errors.Code.TIMEOUT,
-                f"There was no answer within {ctx.service.timeout_s} s.",
+                f"There was no answer within {left_s:.3f} s.",
                 run=ctx.progress.run,
             ) from error
         finally:
@@ -128,6 +130,7 @@
                 stage=lost.stage,
                 refused=lost.refused,
                 unsent=lost.unsent,
+                resumable=lost.resumable,
             )
         )
 
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -11,6 +11,7 @@
 from cowsliprill.entry import attempts
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
+from cowsliprill.entry import plain_relay
 from cowsliprill.entry import world as world_lib
 from cowsliprill.observability import log as log_lib
 
@@ -60,6 +61,9 @@
                 self._note_lost(ctx, lost)
                 repeatable = _may_repeat(ctx)
                 if not repeatable or not budget.spend(ctx.progress.attempts):
+                    if lost.answer is not None:
+                        await plain_relay.send_answer(ctx, lost.answer)
+                        return
                     raise _failure(ctx) from lost
             # An endpoint that checks keys knows its own calls only, so a call
             # which may have run there is repeated there and nowhere else.
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -23,10 +23,14 @@
     Attributes:
       log: The process's log.
       metrics: The process's metrics.
+      answers: How callers are told of errors.
     """
 
     log: log_lib.Log
     metrics: metrics_lib.Metrics
+    answers: errors.ErrorAnswers = dataclasses.field(
+        default_factory=errors.JsonAnswers
+    )
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handle
@@ -38,7 +42,7 @@
         except errors.EntryError as error:
             ctx.progress.outcome = error.code
             ctx.progress.run = error.run
-            await _answer_error(ctx, error)
+            await self._answer_error(ctx, error)
         except reply_lib.CallerGone:
             ctx.progress.outcome = CALLER_GONE
         except asyncio.CancelledError:
@@ -50,10 +54,27 @@
             self.log.error(
                 "internal_error", request=ctx.request_id, reason=repr(error)
             )
-            await _answer_error(ctx, _internal(ctx))
+            await self._answer_error(ctx, _internal(ctx))
         finally:
             self._record(ctx)
 
+    async def _answer_error(
+        self, ctx: context.Context, error: errors.EntryError
+    ) -> None:
+        try:
+            if not ctx.reply.started:
+                answer = self.answers.error_answer(error)
+                await reply_lib.send(
+                    ctx.reply, answer.status, answer.headers, answer.body
+                )
+                return
+            event = self.answers.error_event(error)
+            if event and _streams(ctx):
+                await ctx.reply.write(event)
+            ctx.reply.abort()
+        except reply_lib.CallerGone:
+            pass
+
     def _record(self, ctx: context.Context) -> None:
         progress = ctx.progress
         labels = {"service": ctx.service.id if ctx.service else ""}
@@ -82,6 +103,11 @@
         )
 
 
+def _streams(ctx: context.Context) -> bool:
+    request = ctx.generation and ctx.generation.request
+    return request is not None and request.stream
+
+
 def _tpot(progress: context.Progress) -> float:
     if progress.tokens < 2:
         return 0.0
@@ -100,20 +126,6 @@
     )
 
 
-async def _answer_error(ctx: context.Context, error: errors.EntryError) -> None:
-    try:
-        if not ctx.reply.started:
-            await reply_lib.send(
-                ctx.reply, error.status, error.headers().items(), error.body()
-            )
-            return
-        if ctx.generation is not None and ctx.generation.request.stream:
-            await ctx.reply.write(error.event())
-        ctx.reply.abort()
-    except reply_lib.CallerGone:
-        pass
-
-
 def _internal(ctx: context.Context) -> errors.EntryError:
     return errors.EntryError(
         errors.Code.INTERNAL,
--- a/src/cowsliprill/entry/filters/urgency.py
+++ b/src/cowsliprill/entry/filters/urgency.py
@@ -44,4 +44,5 @@
         deadline_ms = _integer(ctx, DEADLINE_HEADER, 1, _MAX_DEADLINE_MS)
         wait_s = deadline_ms / _MS_PER_S
     ctx.deadline = ctx.arrived_at + wait_s
+    ctx.ends_at = ctx.arrived_at + ctx.service.timeout_s
     await proceed(ctx)
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -114,6 +114,7 @@
             headers=self.request.headers,
             body=body,
             fault=self._fault,
+            uri=self.request.uri or "",
         )
 
     async def _serve(self) -> None:
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -5,22 +5,17 @@
 from typing import Any
 
 from cowsliprill import clock
-from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
-from cowsliprill.engines import engine_client
 from cowsliprill.engines import errors as engine_errors
-from cowsliprill.engines import model as engine_model
-from cowsliprill.engines import prefix
 from cowsliprill.engines import protocol
-from cowsliprill.engines import token_stream
 from cowsliprill.entry import attempts
+from cowsliprill.entry import calls as calls_lib
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import leases as leases_lib
 from cowsliprill.entry import scheduling as scheduling_lib
 from cowsliprill.entry import sinks
-from cowsliprill.entry import stream_resume
 from cowsliprill.entry import world as world_lib
 
 ReportLeaving = Callable[[str, float], None]
@@ -32,6 +27,7 @@
 # stalled; waiting on would keep the promised decode slot idle.
 _PREFILL_PATIENCE = 4.0
 _PREFILL_GRACE_S = 2.0
+_LEAST_TIME_S = 0.001
 _BUSY = frozenset({protocol.CODE_FULL, protocol.CODE_DRAINING})
 # No engine would take this request, so trying another wastes its time.
 _CODES_OF_CALLERS_FAULTS = frozenset({"bad_request", "invalid_request"})
@@ -42,21 +38,19 @@
     """Runs attempts at model requests.
 
     Attributes:
-      incarnation: This process, named in attempt ids.
-      client: Client of engines.
+      calls: Calls to engines.
       scheduling: The scheduler's task; told of each stage.
       leases: Asked right before work is placed on an engine.
       world: The settings in force.
-      resumer: Goes on with broken streams.
+      resumer: Goes on with broken streams at the same engine, if that can be.
       report_leaving: Told of an engine's draining answer.
     """
 
-    incarnation: identity.Incarnation
-    client: engine_client.EngineClient
+    calls: calls_lib.EngineCalls
     scheduling: scheduling_lib.Scheduling
     leases: leases_lib.Leases
     world: world_lib.World
-    resumer: stream_resume.Resumer
+    resumer: calls_lib.Resumer | None
     report_leaving: ReportLeaving
 
     async def __call__(self, ctx: context.Context) -> None:
@@ -66,67 +60,67 @@
           attempts.AttemptLost: Nothing reached the caller.
           errors.EntryError: The request has ended without a whole answer.
         """
-        start = ctx.start
-        number, attempt = start.request_id, start.attempt
-        request_id = str(identity.AttemptId(self.incarnation, number, attempt))
-        prefilled = await self._prefill(ctx, request_id)
-        self.scheduling.post(messages.PrefillFinished(number))
-        stream = await self._decode(ctx, request_id, prefilled)
+        prefilled = await self._prefill(ctx)
+        self.scheduling.post(messages.PrefillFinished(ctx.number))
+        stream = await self._decode(ctx, prefilled)
         try:
             await self._deliver(ctx, stream)
         finally:
             stream.close()
 
-    async def _prefill(
-        self, ctx: context.Context, request_id: str
-    ) -> engine_model.PrefillResult:
+    async def _prefill(self, ctx: context.Context) -> calls_lib.Prefilled:
         stage = messages.Stage.PREFILL
         endpoint = self._endpoint(ctx.start.prefill_id, stage)
         self._check_lease(ctx.start, ctx.start.decode_id, stage)
         self._check_lease(ctx.start, endpoint.id, stage)
         ctx.progress.prefills += 1
         with self._call(ctx, endpoint, stage) as call:
-            call.result = await self.client.prefill(
-                endpoint,
-                request_id,
-                _body(ctx),
-                path=ctx.generation.path,
-                timeout_s=_prefill_timeout(ctx, endpoint),
+            call.result = await self.calls.prefill(
+                ctx, endpoint, _prefill_timeout(ctx, endpoint)
             )
         return call.result
 
     async def _decode(
-        self,
-        ctx: context.Context,
-        request_id: str,
-        prefilled: engine_model.PrefillResult,
-    ) -> token_stream.TokenStream:
+        self, ctx: context.Context, prefilled: calls_lib.Prefilled
+    ) -> calls_lib.AnswerStream:
         stage = messages.Stage.TRANSFER
-        endpoint = self._endpoint(ctx.start.decode_id, stage)
-        self._check_lease(ctx.start, endpoint.id, stage)
-        with self._call(ctx, endpoint, stage) as call:
-            call.result = await self.client.decode(
-                endpoint,
-                request_id,
-                _body(ctx),
-                prefilled,
-                path=ctx.generation.path,
-                timeout_s=ctx.service.timeout_s,
-            )
+        try:
+            endpoint = self._endpoint(ctx.start.decode_id, stage)
+            self._check_lease(ctx.start, endpoint.id, stage)
+            with self._call(ctx, endpoint, stage) as call:
+                call.result = await self.calls.decode(
+                    ctx, endpoint, prefilled, _time_left(ctx)
+                )
+        except BaseException:
+            # Whoever is given up here, a caller that left among them, leaves
+            # a prefill that holds its engine's memory until it expires.
+            self.calls.discard(prefilled)
+            raise
         return call.result
 
     async def _deliver(
-        self, ctx: context.Context, stream: token_stream.TokenStream
+        self, ctx: context.Context, stream: calls_lib.AnswerStream
     ) -> None:
         endpoint = self._endpoint(ctx.start.decode_id, messages.Stage.DECODE)
-        sink = sinks.sink_for(ctx)
+        sink = self.calls.sink(ctx, stream)
+        first = True
         while True:
             try:
-                await self._relay(ctx, stream, sink)
+                await self._relay(ctx, stream, sink, first=first)
                 return
             except engine_errors.StreamBroken as broken:
-                if await self.resumer.resume(ctx, endpoint, stream, broken):
+                first = first and not stream.tokens
+                if self.resumer is not None and await self.resumer.resume(
+                    ctx, endpoint, stream, broken
+                ):
                     continue
+                if self._resumes_elsewhere(ctx, broken):
+                    raise attempts.AttemptLost(
+                        endpoint.id,
+                        messages.Stage.DECODE,
+                        str(broken),
+                        resumable=True,
+                    ) from broken
                 if ctx.progress.first_token_at:
                     # The scheduler starts nothing anew once a token was there.
                     raise errors.EntryError(
@@ -141,17 +135,20 @@
     async def _relay(
         self,
         ctx: context.Context,
-        stream: token_stream.TokenStream,
+        stream: calls_lib.AnswerStream,
         sink: sinks.Sink,
+        *,
+        first: bool,
     ) -> None:
         progress = ctx.progress
         reported_at = clock.now()
         async for events in stream:
             now = clock.now()
             progress.last_token_at = now
-            progress.tokens = stream.checker.last_token
-            if not progress.first_token_at:
-                progress.first_token_at = now
+            progress.tokens = stream.tokens
+            if first:
+                first = False
+                progress.first_token_at = progress.first_token_at or now
                 progress.prefills_used += 1
                 self.scheduling.post(messages.FirstToken(ctx.number))
             elif now - reported_at > _REPORT_S:
@@ -162,6 +159,15 @@
             await sink.take(events)
         await sink.end()
 
+    def _resumes_elsewhere(
+        self, ctx: context.Context, broken: engine_errors.StreamBroken
+    ) -> bool:
+        return (
+            self.calls.resumes_elsewhere
+            and ctx.service.resume
+            and broken.resumable
+        )
+
     def _endpoint(
         self, endpoint_id: str, stage: messages.Stage
     ) -> model.Endpoint:
@@ -191,7 +197,8 @@
         endpoint: model.Endpoint,
         stage: messages.Stage,
     ) -> "_EngineCall":
-        return _EngineCall(ctx, endpoint, stage, self.report_leaving)
+        runs = stage is not messages.Stage.PREFILL or self.calls.prefill_runs
+        return _EngineCall(ctx, endpoint, stage, self.report_leaving, runs)
 
 
 class _EngineCall:
@@ -207,7 +214,9 @@
         endpoint: model.Endpoint,
         stage: messages.Stage,
         report_leaving: ReportLeaving,
+        runs: bool,
     ) -> None:
+        self._runs = runs
         self._ctx = ctx
         self._endpoint = endpoint
         self._stage = stage
@@ -218,7 +227,8 @@
     def __enter__(self) -> "_EngineCall":
         # Said before the call: when the caller leaves amid it, nobody comes
         # back here to find out how far it got.
-        self._ctx.progress.run = messages.Run.UNKNOWN
+        if self._runs:
+            self._ctx.progress.run = messages.Run.UNKNOWN
         return self
 
     def __exit__(self, kind, error, traceback) -> None:
@@ -249,23 +259,15 @@
             self._ctx.progress.prefills -= 1
 
 
-def _body(ctx: context.Context) -> dict[str, Any]:
-    generation = ctx.generation
-    fields = dict(generation.fields)
-    fields.pop("max_completion_tokens", None)
-    fields["model"] = ctx.service.model or ctx.service.name
-    fields["priority"] = ctx.priority
-    fields["max_tokens"] = generation.output_tokens
-    # Engines key their prefix caches by this as well, so that rivals who send
-    # the same prompt don't share blocks. A caller's own salt is overridden.
-    fields[prefix.SALT_FIELD] = ctx.user.id
-    return fields
-
-
 def _prefill_timeout(ctx: context.Context, endpoint: model.Endpoint) -> float:
     if endpoint.prefill_tokens_per_s <= 0:
-        return ctx.service.timeout_s
+        return _time_left(ctx)
     tokens = ctx.generation.prompt_tokens
     expected_s = tokens / endpoint.prefill_tokens_per_s
     patience_s = _PREFILL_GRACE_S + _PREFILL_PATIENCE * expected_s
-    return min(patience_s, ctx.service.timeout_s)
+    return min(patience_s, _time_left(ctx))
+
+
+def _time_left(ctx: context.Context) -> float:
+    # A call with no time at all would be a timer that never fires.
+    return max(ctx.ends_at - clock.now(), _LEAST_TIME_S)
--- a/src/cowsliprill/entry/plain_relay.py
+++ b/src/cowsliprill/entry/plain_relay.py
@@ -1,14 +1,16 @@
 """One call to a plain service."""
 
 import dataclasses
+import http
 
 from cowsliprill import clock
 from cowsliprill.decisions import call as call_lib
-from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
 from cowsliprill.engines import errors as engine_errors
 from cowsliprill.engines import service_client
 from cowsliprill.entry import attempts
+from cowsliprill.entry import calls as calls_lib
 from cowsliprill.entry import context
 from cowsliprill.entry import reply as reply_lib
 
@@ -18,44 +20,29 @@
     """Makes calls to plain services.
 
     Attributes:
-      incarnation: This process, named in attempt ids.
-      client: Client of plain services.
+      calls: Calls to plain services.
     """
 
-    incarnation: identity.Incarnation
-    client: service_client.ServiceClient
+    calls: calls_lib.PlainCalls
 
     async def __call__(self, ctx: context.Context) -> None:
         """Calls `ctx.endpoint` once and passes on its whole answer.
 
         Raises:
-          attempts.PlainCallLost: There was no whole answer.
+          attempts.PlainCallLost: There was no whole answer, or the server
+            failed at a request that may be repeated.
         """
         answer = await self._call(ctx)
-        ctx.progress.first_token_at = clock.now()
-        ctx.progress.last_token_at = ctx.progress.first_token_at
-        await reply_lib.send(
-            ctx.reply, answer.status, answer.headers.get_all(), answer.body
-        )
+        if _is_worth_another(ctx, answer):
+            raise attempts.PlainCallLost(
+                messages.Run.UNKNOWN, f"status {answer.status}", answer
+            )
+        await send_answer(ctx, answer)
 
     async def _call(self, ctx: context.Context) -> service_client.ServiceAnswer:
         progress = call_lib.Progress()
-        # An attempt's number counts from 0.
-        attempt = ctx.progress.attempts - 1
-        request = service_client.ServiceRequest(
-            request_id=str(
-                identity.AttemptId(self.incarnation, ctx.number, attempt)
-            ),
-            method=ctx.call.method,
-            path=ctx.service_path,
-            headers=ctx.call.headers,
-            body=ctx.call.body,
-            idempotency_key=_scoped_key(ctx),
-        )
         try:
-            return await self.client.call(
-                ctx.endpoint, ctx.service, request, progress
-            )
+            return await self.calls.call(ctx, progress)
         except engine_errors.CallError as error:
             raise attempts.PlainCallLost(error.run, str(error)) from error
         finally:
@@ -64,9 +51,27 @@
                 ctx.progress.run = messages.Run.UNKNOWN
 
 
-def _scoped_key(ctx: context.Context) -> str:
-    # Two firms may choose the same key. Were it passed on as it is, a service
-    # that checks keys would give the second firm the answer of the first.
-    if not ctx.idempotency_key:
-        return ""
-    return f"{ctx.user.id}:{ctx.idempotency_key}"
+async def send_answer(
+    ctx: context.Context, answer: service_client.ServiceAnswer
+) -> None:
+    """Passes a plain service's whole answer on to the caller.
+
+    Args:
+      ctx: The request.
+      answer: The answer.
+    """
+    ctx.progress.first_token_at = clock.now()
+    ctx.progress.last_token_at = ctx.progress.first_token_at
+    await reply_lib.send(
+        ctx.reply, answer.status, answer.headers.get_all(), answer.body
+    )
+
+
+def _is_worth_another(
+    ctx: context.Context, answer: service_client.ServiceAnswer
+) -> bool:
+    return (
+        ctx.service.retries.failed_answers
+        and ctx.service.idempotency is model.Idempotency.REPEATABLE
+        and answer.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+    )
