Promise decode memory in blocks before a prefill starts

Slots of an engine that tells its memory are now blocks of 16 tokens; a request takes what its prompt and its expected answer fill. Idle blocks go back at once.

Ruled out: places set to memory over a mean request, since requests differ by a factor of eight.

--- a/src/cowsliprill/decisions/admission.py
+++ b/src/cowsliprill/decisions/admission.py
@@ -14,12 +14,13 @@
     """What stands between a pool and the next request.
 
     Attributes:
-      waiting: Requests that wait, at all entries.
+      waiting: Slots that waiting requests take, at all entries.
       free_slots: Decode slots that no entry uses.
       slots: Decode slots in all.
       hold_s: Mean time that a request holds a decode slot.
       prefills: Prefill engines.
       prefill_s: Mean time of a prefill.
+      slots_a_request: Slots that one request usually takes.
     """
 
     waiting: float
@@ -28,6 +29,7 @@
     hold_s: float
     prefills: int
     prefill_s: float
+    slots_a_request: float = 1.0
 
     def is_scarce(self) -> bool:
         """Returns whether more requests wait than there are free slots."""
@@ -39,7 +41,8 @@
             return float("inf")
         blocked = max(self.waiting - self.free_slots, 0)
         decode_wait = blocked * self.hold_s / self.slots
-        prefill_wait = self.waiting * self.prefill_s / self.prefills
+        requests = self.waiting / self.slots_a_request
+        prefill_wait = requests * self.prefill_s / self.prefills
         return max(decode_wait, prefill_wait)
 
 
--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -10,6 +10,11 @@
 # Longest prompt with which an engine that was left alone is tried again.
 _PROBE_PROMPT_TOKENS = 2_000
 
+# What a request loses at an engine whose memory is full over an empty one:
+# each request beside it makes every token of an answer come some hundredths
+# later, and answers that grow beyond what was expected push others out.
+_FULL_S = 0.1
+
 
 class Chooser:
     """Chooses engines for the requests of one entry.
@@ -58,7 +63,7 @@
         found = []
         left_alone = self._health.left_alone(pool.prefills)
         for endpoint in pool.prefills:
-            if pool.holding(endpoint.id).free(now) <= 0:
+            if not pool.holding(endpoint.id).fits(1, now):
                 continue
             probes = endpoint.id in left_alone
             if probes and not self._may_probe(endpoint, submit, now):
@@ -75,13 +80,15 @@
         left_alone = self._health.left_alone(pool.decodes)
         for endpoint in pool.decodes:
             holding = pool.holding(endpoint.id)
-            if holding.free(now) <= 0:
+            if not holding.fits(pool.slots_for(submit), now):
                 continue
             probes = endpoint.id in left_alone
             if probes and not self._may_probe(endpoint, submit, now):
                 continue
             load = holding.used / max(endpoint.slots, 1)
             cost_s = self._hop_s(endpoint) * (1 + load)
+            if endpoint.block_tokens:
+                cost_s += load * _FULL_S
             found.append(placement.Candidate(endpoint.id, cost_s))
         return found
 
--- a/src/cowsliprill/decisions/estimates.py
+++ b/src/cowsliprill/decisions/estimates.py
@@ -53,6 +53,9 @@
 
     def expected_tokens(self, submit: messages.Submit) -> float:
         """Returns the expected length of an answer, in tokens."""
+        if submit.expected_tokens:
+            guess = min(submit.expected_tokens, submit.output_tokens)
+            return max(float(guess), 1.0)
         share = self._share_by_service.get(
             submit.service.id, _ANSWER_SHARE_START
         )
--- a/src/cowsliprill/decisions/leases.py
+++ b/src/cowsliprill/decisions/leases.py
@@ -51,21 +51,36 @@
         leased = self.slots if self.expires_at > now else 0
         return max(leased, self.fallback) - self.in_use
 
+    def fits(self, slots: int, now: float) -> bool:
+        """Returns whether a request that takes some slots may be placed.
+
+        Without a lease one request at a time may, whatever it takes: a small
+        share of an engine may be less than one request needs, and all would
+        be refused while the engine has room.
+
+        Args:
+          slots: Slots that it takes.
+          now: Time, seconds.
+        """
+        if self.free(now) >= slots:
+            return True
+        return bool(self.fallback) and not self.in_use
+
     def idle(self, now: float) -> int:
         """Returns the leased slots without work."""
         return self.held(now) - self.in_use
 
-    def take(self, user: str) -> None:
-        """Takes a slot for work of a user."""
-        self.in_use += 1
-        self.used += 1
-        self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + 1
-
-    def release(self, user: str) -> None:
-        """Frees a slot of a user's work."""
-        self.in_use -= 1
-        self.used = max(self.used - 1, self.in_use)
-        left = self.in_use_by_user[user] - 1
+    def take(self, user: str, slots: int = 1) -> None:
+        """Takes slots for a request of a user."""
+        self.in_use += slots
+        self.used += slots
+        self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + slots
+
+    def release(self, user: str, slots: int = 1) -> None:
+        """Frees the slots of a user's request."""
+        self.in_use -= slots
+        self.used = max(self.used - slots, self.in_use)
+        left = self.in_use_by_user[user] - slots
         if left:
             self.in_use_by_user[user] = left
         else:
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -62,6 +62,8 @@
         first block first; empty if unknown.
       priority: The service's priority plus the caller's own offset.
       deadline: Latest useful time of the first token.
+      expected_tokens: The caller's own guess of the answer's length, 0 for
+        none.
     """
 
     request_id: int
@@ -72,6 +74,7 @@
     prefix_hashes: tuple[int, ...] = ()
     priority: int = 0
     deadline: float = 0.0
+    expected_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +138,7 @@
         rather than failed.
       unsent: Whether no engine has heard of the attempt, since the entry's
         own lease had run out before.
+      not_run: Whether the request is known not to have run.
       resumable: Whether tokens have reached the caller and another engine may
         go on after the last of them.
     """
@@ -144,6 +148,7 @@
     stage: Stage
     refused: bool = False
     unsent: bool = False
+    not_run: bool = False
     resumable: bool = False
 
 
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -1,6 +1,7 @@
 """One pool of engines as an entry sees it: leases, queue and backlog."""
 
 import dataclasses
+import math
 import random
 import statistics
 from collections.abc import Iterator
@@ -78,6 +79,9 @@
         self.holdings_by_endpoint: dict[str, leases.Holding] = {}
         self.in_use_by_user: dict[str, int] = {}
         self.shares_by_user: Mapping[str, float] = {}
+        self.block_tokens = 0
+        self.usual_slots = 1.0
+        self.lengths = estimates.AnswerLengths()
         self.hold_s = _HOLD_START_S
         self._holds_learnt = False
         self.prefill_s = _PREFILL_START_S
@@ -95,6 +99,9 @@
         self.prefills = prefills
         self.decodes = decodes
         self.endpoints_by_id = {item.id: item for item in prefills + decodes}
+        self.block_tokens = max(
+            (item.block_tokens for item in decodes), default=self.block_tokens
+        )
         self._token_s = estimates.seconds_per_token(decodes)
         self._transfer_s_per_token = min(
             (
@@ -123,6 +130,23 @@
             self.holdings_by_endpoint[endpoint_id] = holding
         return holding
 
+    def slots_for(self, submit: messages.Submit) -> int:
+        """Returns the slots of a decode engine that a request takes.
+
+        One, where slots are places. Where they are blocks of memory, what its
+        prompt and its answer are expected to fill.
+        """
+        if not self.block_tokens:
+            return 1
+        tokens = submit.prompt_tokens + self.lengths.expected_tokens(submit)
+        return math.ceil(tokens / self.block_tokens)
+
+    def learn_slots(self, slots: int) -> None:
+        """Takes in how many slots a request takes."""
+        if self.usual_slots == 1.0:
+            self.usual_slots = float(slots)
+        self.usual_slots += (slots - self.usual_slots) * _LEARNING_RATE
+
     def learn_hold(self, seconds: float) -> None:
         """Takes in how long a request held its decode slot."""
         self._holds_learnt = True
@@ -216,12 +240,13 @@
         used = sum(item.used for item in holdings)
         prefills = self._well(self.prefills)
         return admission.Backlog(
-            waiting=len(own) + ahead,
+            waiting=sum(item.slots for item in own) + ahead,
             free_slots=max(slots - used, 0),
             slots=slots,
             hold_s=self._usual_hold_s(own),
             prefills=len(prefills),
             prefill_s=self._usual_prefill_s(own, prefills),
+            slots_a_request=self.usual_slots,
         )
 
     def _usual_hold_s(self, waiting: list[queue.Waiting]) -> float:
@@ -290,19 +315,34 @@
           One ask per endpoint.
         """
         waiting = len(self.queue)
-        if only_urgent and not waiting and not self._has_unsettled():
+        if only_urgent and not waiting and not self._has_unsettled(now):
             return
+        wanted = self.queue.slots()
         held = yield from self._asks_of(
-            self.decodes, waiting, now, sequence, only_urgent
+            self.decodes, wanted, now, sequence, only_urgent
         )
+        if wanted:
+            held = math.ceil(held * waiting / wanted)
         yield from self._asks_of(
             self.prefills, min(waiting, held), now, sequence, only_urgent
         )
 
-    def _has_unsettled(self) -> bool:
+    @property
+    def keeps_none_idle(self) -> bool:
+        """Whether slots without work go back at once.
+
+        Where slots are blocks of memory, an engine holds some ten requests.
+        One kept in reserve by each entry would leave little for work; asking
+        for each request costs some milliseconds of its time to first token.
+        """
+        return self.block_tokens > 0
+
+    def _has_unsettled(self, now: float) -> bool:
         """Returns whether any home waits for a word of this entry."""
         return any(
-            holding.others_waiting or holding.stated_need
+            holding.others_waiting
+            or holding.stated_need
+            or (self.keeps_none_idle and holding.idle(now))
             for holding in self.holdings_by_endpoint.values()
         )
 
@@ -327,7 +367,7 @@
         first: queue.Waiting | None = None
         for endpoint, holding in zip(endpoints, holdings, strict=True):
             own_idle = holding.idle(now)
-            scarce = holding.others_waiting > 0
+            scarce = holding.others_waiting > 0 or self.keeps_none_idle
             if self._health.usable(endpoint.id, now):
                 given_up = min(own_idle, spare) if scarce else 0
                 spare -= given_up
@@ -360,6 +400,8 @@
         held = holding.held(now) - given_up
         usable = self._health.usable(endpoint_id, now)
         reserve = _RESERVE if usable and not holding.others_waiting else 0
+        if self.keeps_none_idle:
+            reserve = 0
         holding.stated_need = need
         holding.state(sequence, held)
         first = first if need else None
--- a/src/cowsliprill/decisions/queue.py
+++ b/src/cowsliprill/decisions/queue.py
@@ -7,6 +7,7 @@
 """
 
 import bisect
+import collections
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -26,12 +27,14 @@
       latest_start: When starting it would be too late for its target.
       cost_s: Decode slot time it is expected to take.
       size_worth: Seconds of waiting that a second of `cost_s` outweighs.
+      slots: Slots of a decode engine that it takes.
     """
 
     submit: messages.Submit
     latest_start: float
     cost_s: float
     size_worth: float = 0.0
+    slots: int = 1
 
     def key(self) -> tuple[float, int]:
         """Returns its place in the order, small first."""
@@ -49,6 +52,7 @@
     def __init__(self) -> None:
         self._waiting_by_id: dict[int, Waiting] = {}
         self._keys_by_user: dict[str, list[tuple[float, int]]] = {}
+        self._slots_by_user: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
         return len(self._waiting_by_id)
@@ -61,6 +65,7 @@
         self._waiting_by_id[waiting.submit.request_id] = waiting
         keys = self._keys_by_user.setdefault(waiting.submit.user, [])
         bisect.insort(keys, waiting.key())
+        self._slots_by_user[waiting.submit.user] += waiting.slots
 
     def remove(self, request_id: int) -> Waiting | None:
         """Removes a request, and returns it if it was waiting."""
@@ -70,15 +75,19 @@
         user = waiting.submit.user
         keys = self._keys_by_user[user]
         del keys[bisect.bisect_left(keys, waiting.key())]
+        self._slots_by_user[user] -= waiting.slots
         if not keys:
             del self._keys_by_user[user]
+            del self._slots_by_user[user]
         return waiting
 
     def wants(self) -> tuple[tuple[str, int], ...]:
-        """Returns the number of waiting requests of each user."""
-        return tuple(
-            (user, len(keys)) for user, keys in self._keys_by_user.items()
-        )
+        """Returns the slots that each user's waiting requests take."""
+        return tuple(self._slots_by_user.items())
+
+    def slots(self) -> int:
+        """Returns the slots that all waiting requests take."""
+        return self._slots_by_user.total()
 
     def users(self) -> list[str]:
         """Returns the users with waiting requests."""
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -22,6 +22,7 @@
       first_token_s: Least time to its first token.
       cost_s: Decode slot time that it is expected to cost.
       pool: Its pool.
+      slots: Slots of a decode engine that it takes.
       stage: Where it is.
       attempt: Number of the newest attempt.
       unsent: Attempts that no engine has heard of.
@@ -37,6 +38,7 @@
     first_token_s: float
     cost_s: float
     pool: pools.Pool
+    slots: int = 1
     stage: messages.Stage = messages.Stage.QUEUED
     attempt: int = -1
     unsent: int = 0
@@ -66,7 +68,7 @@
     """
     service = request.submit.service
     repeatable = service.idempotency is model.Idempotency.REPEATABLE
-    if not repeatable and not event.refused:
+    if not repeatable and not (event.refused or event.not_run):
         return messages.RefusalCode.ENDPOINT_FAILED
     # An attempt that no engine has heard of adds no load. Counted as a retry,
     # a busy moment in which leases lapse would spend the budget and refuse
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -63,7 +63,6 @@
         self._learning = learning.Learning(self._health)
         self._chooser = chooser.Chooser(availability_zone, self._health)
         self._budgets = retry.RetryBudgets()
-        self._lengths = estimates.AnswerLengths()
         self._sequence = 0
 
     def handle(
@@ -152,9 +151,11 @@
             unhindered_start - pool.start_delay_s * _DELAY_MARGIN,
             now + event.service.may_wait_s,
         )
-        cost_s = self._cost_s(event, times)
+        cost_s = _cost_s(pool, event, times)
+        slots = pool.slots_for(event)
+        pool.learn_slots(slots)
         request = requests.Request(
-            event, latest_start, times.first_token_s(), cost_s, pool
+            event, latest_start, times.first_token_s(), cost_s, pool, slots
         )
         self._requests_by_id[event.request_id] = request
         if unhindered_start < now:
@@ -196,24 +197,10 @@
             at=now,
             user=request.submit.user,
             priority=request.submit.priority,
-            cost_s=request.cost_s,
+            cost_s=request.cost_s * request.slots,
             worth=weight,
         )
 
-    def _cost_s(self, submit: messages.Submit, times: pools.BestTimes) -> float:
-        """Returns the decode slot time that a request is expected to cost.
-
-        Its slot is held from the start of the prefill on. A transfer that
-        takes much of the time for which its prefill is kept may come too
-        late, the more so the more links are shared; the service says how much
-        an unused prefill matters.
-        """
-        tokens = self._lengths.expected_tokens(submit)
-        held_s = times.first_token_s() + tokens * times.token_s
-        risk = times.transfer_s / times.export_ttl_s
-        weight = submit.service.wasted_prefill_weight
-        return held_s * (1 + weight * risk)
-
     def _enqueue(self, request: requests.Request) -> None:
         request.stage = messages.Stage.QUEUED
         request.pool.queue.add(
@@ -222,6 +209,7 @@
                 latest_start=request.latest_start,
                 cost_s=request.cost_s,
                 size_worth=_SIZE_WORTH,
+                slots=request.slots,
             )
         )
 
@@ -285,7 +273,7 @@
             return []
         if request.stage is messages.Stage.DECODE:
             self._learning.pace(request, event.output_tokens, now)
-            self._lengths.learn(request.submit, event.output_tokens)
+            request.pool.lengths.learn(request.submit, event.output_tokens)
             request.pool.learn_hold(now - request.started_at)
         self._release(request)
         return self._advance(request.pool, now)
@@ -333,7 +321,8 @@
             self._release_prefill(request)
         assert request.decode is not None
         user = request.submit.user
-        request.pool.holding(request.decode.id).release(user)
+        holding = request.pool.holding(request.decode.id)
+        holding.release(user, request.slots)
         request.pool.release(user)
 
     def _release_prefill(self, request: requests.Request) -> None:
@@ -348,7 +337,8 @@
         request_id = request.submit.request_id
         pool.queue.remove(request_id)
         del self._requests_by_id[request_id]
-        step_s = pool.hold_s / max(pool.slots(), 1) * self._pools.entries
+        slots = max(pool.slots(), 1) / pool.usual_slots
+        step_s = pool.hold_s / slots * self._pools.entries
         return messages.Refuse(
             request_id=request_id,
             code=code,
@@ -463,8 +453,9 @@
             )
         )
         cached.add(submit.prefix_hashes)
+        pool.holding(pair.prefill_id).take(submit.user)
+        pool.holding(pair.decode_id).take(submit.user, request.slots)
         for endpoint_id in (pair.prefill_id, pair.decode_id):
-            pool.holding(endpoint_id).take(submit.user)
             self._health.placed(endpoint_id, now)
         pool.take(submit.user)
         return messages.Start(
@@ -473,3 +464,20 @@
             prefill_id=pair.prefill_id,
             decode_id=pair.decode_id,
         )
+
+
+def _cost_s(
+    pool: pools.Pool, submit: messages.Submit, times: pools.BestTimes
+) -> float:
+    """Returns the decode slot time that a request is expected to cost.
+
+    Its slot is held from the start of the prefill on. A transfer that
+    takes much of the time for which its prefill is kept may come too
+    late, the more so the more links are shared; the service says how much
+    an unused prefill matters.
+    """
+    tokens = pool.lengths.expected_tokens(submit)
+    held_s = times.first_token_s() + tokens * times.token_s
+    risk = times.transfer_s / times.export_ttl_s
+    weight = submit.service.wasted_prefill_weight
+    return held_s * (1 + weight * risk)
--- a/src/cowsliprill/decisions/slots.py
+++ b/src/cowsliprill/decisions/slots.py
@@ -200,8 +200,10 @@
             needy = [lease for lease in live if lease.needed() > 0]
             if not needy:
                 break
-            min(needy, key=lambda lease: ranks[id(lease)]).slots += 1
-            free -= 1
+            first = min(needy, key=lambda lease: ranks[id(lease)])
+            granted = min(first.needed(), free)
+            first.slots += granted
+            free -= granted
         for lease in live:
             reserve = min(lease.ask.want - lease.slots, free - _UNLEASED_MIN)
             if reserve > 0:
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -130,6 +130,7 @@
                 stage=lost.stage,
                 refused=lost.refused,
                 unsent=lost.unsent,
+                not_run=not ran,
                 resumable=lost.resumable,
             )
         )
@@ -146,4 +147,5 @@
         prefix_hashes=generation.prefix_hashes,
         priority=ctx.priority,
         deadline=ctx.deadline,
+        expected_tokens=generation.expected_tokens,
     )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -47,8 +47,7 @@
         self, ctx: context.Context, proceed: context.Handle
     ) -> None:
         """Makes calls until one is answered or none may follow."""
-        budget = self.budgets.of(ctx.service)
-        budget.earn()
+        self.budgets.of(ctx.service).earn()
         ctx.endpoint = self._choose(ctx)
         while True:
             if clock.now() >= ctx.deadline:
@@ -59,8 +58,7 @@
                 return
             except attempts.PlainCallLost as lost:
                 self._note_lost(ctx, lost)
-                repeatable = _may_repeat(ctx)
-                if not repeatable or not budget.spend(ctx.progress.attempts):
+                if not self._may_go_on(ctx):
                     if lost.answer is not None:
                         await plain_relay.send_answer(ctx, lost.answer)
                         return
@@ -70,6 +68,12 @@
             if not _may_have_booked(ctx):
                 ctx.endpoint = self._choose(ctx)
 
+    def _may_go_on(self, ctx: context.Context) -> bool:
+        # The budget may be shared with other services, each with a limit of
+        # attempts of its own; asked for anew, it goes by this service's.
+        budget = self.budgets.of(ctx.service)
+        return _may_repeat(ctx) and budget.spend(ctx.progress.attempts)
+
     async def _run(self, ctx: context.Context, proceed: context.Handle) -> None:
         endpoint_id = ctx.endpoint.id
         self._running_by_endpoint[endpoint_id] += 1
