Log where each request is placed and why it is refused

One line for each decision, with the slots taken and in use, the requests that wait and the time it has waited.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -239,6 +239,9 @@
       decode_id: The decode engine whose slot is promised.
       decided_at: When; noted by the shell, which checks before each act that
         the leases have held without a gap since.
+      slots: Slots of the decode engine that it takes.
+      used: Slots in use there besides, as last heard.
+      waiting: Requests that wait here for the same pool.
     """
 
     request_id: int
@@ -246,6 +249,9 @@
     prefill_id: str
     decode_id: str
     decided_at: float = 0.0
+    slots: int = 1
+    used: int = 0
+    waiting: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -256,11 +262,15 @@
       request_id: The request.
       code: Why.
       retry_after_s: When the caller should come back.
+      wait_s: Expected wait of the last request in the queue.
+      waiting: Requests that wait here for the same pool.
     """
 
     request_id: int
     code: RefusalCode
     retry_after_s: float
+    wait_s: float = 0.0
+    waiting: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -339,12 +339,13 @@
         del self._requests_by_id[request_id]
         slots = max(pool.slots(), 1) / pool.usual_slots
         step_s = pool.hold_s / slots * self._pools.entries
+        wait_s = pool.backlog(request.submit.priority).wait_s()
         return messages.Refuse(
             request_id=request_id,
             code=code,
-            retry_after_s=pool.returns.retry_after_s(
-                now, pool.backlog(request.submit.priority).wait_s(), step_s
-            ),
+            retry_after_s=pool.returns.retry_after_s(now, wait_s, step_s),
+            wait_s=wait_s,
+            waiting=len(pool.queue),
         )
 
     # Events of the world.
@@ -463,6 +464,9 @@
             attempt=request.attempt,
             prefill_id=pair.prefill_id,
             decode_id=pair.decode_id,
+            slots=request.slots,
+            used=pool.holding(pair.decode_id).used - request.slots,
+            waiting=len(pool.queue),
         )
 
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -13,6 +13,10 @@
 from cowsliprill.entry import scheduling as scheduling_lib
 from cowsliprill.observability import log as log_lib
 
+_MS_PER_S = 1_000
+# Longer waits are written as this; a pool without engines has no end of it.
+_LONG_S = 1_000.0
+
 _TEXT_BY_REFUSAL = {
     messages.RefusalCode.OVERLOADED: "There is no room for it now.",
     messages.RefusalCode.TARGET_UNREACHABLE: "It can't be in time now.",
@@ -76,13 +80,8 @@
     ) -> None:
         while True:
             match await decisions.get():
-                case messages.Refuse(code=code, retry_after_s=retry_after_s):
-                    raise errors.EntryError(
-                        code,
-                        _TEXT_BY_REFUSAL[code],
-                        run=ctx.progress.run,
-                        retry_after_s=retry_after_s,
-                    )
+                case messages.Refuse() as refusal:
+                    raise self._refused(ctx, refusal)
                 case messages.Start() as start:
                     if await self._attempt(ctx, proceed, start):
                         return
@@ -95,6 +94,17 @@
     ) -> bool:
         ctx.start = start
         ctx.progress.attempts += 1
+        self.log.event(
+            "placed",
+            request=ctx.request_id,
+            attempt=start.attempt,
+            prefill=start.prefill_id,
+            decode=start.decode_id,
+            slots=start.slots,
+            used=start.used,
+            waiting=start.waiting,
+            waited_ms=round((clock.now() - ctx.arrived_at) * _MS_PER_S, 1),
+        )
         try:
             await proceed(ctx)
         except attempts.AttemptLost as lost:
@@ -103,6 +113,25 @@
         self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
         return True
 
+    def _refused(
+        self, ctx: context.Context, refusal: messages.Refuse
+    ) -> errors.EntryError:
+        self.log.event(
+            "refused",
+            request=ctx.request_id,
+            reason=refusal.code.value,
+            waiting=refusal.waiting,
+            wait_ms=round(min(refusal.wait_s, _LONG_S) * _MS_PER_S, 1),
+            retry_after_ms=round(refusal.retry_after_s * _MS_PER_S, 1),
+            time_left_ms=round((ctx.ends_at - clock.now()) * _MS_PER_S, 1),
+        )
+        return errors.EntryError(
+            refusal.code,
+            _TEXT_BY_REFUSAL[refusal.code],
+            run=ctx.progress.run,
+            retry_after_s=refusal.retry_after_s,
+        )
+
     def _report_lost(
         self, ctx: context.Context, lost: attempts.AttemptLost
     ) -> None:
