--- /dev/null
+++ b/src/cowsliprill/cells/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of requests at the homes of pools."""
--- /dev/null
+++ b/src/cowsliprill/cells/client.py
@@ -0,0 +1,366 @@
+"""The entry's side of cells: sends events to homes and takes decisions.
+
+It stands where `entry.scheduling.Scheduling` does for a scheduler of the
+entry's own.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from cowsliprill import clock
+from cowsliprill import errors
+from cowsliprill.cells import wire
+from cowsliprill.decisions import cell as cell_lib
+from cowsliprill.decisions import channel
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.decisions import ownership
+from cowsliprill.entry import world as world_lib
+from cowsliprill.observability import log as log_lib
+
+# A home hears of an entry that uses its pool at least this often.
+PING_S = 0.8
+
+# A call to a home takes some milliseconds; one that takes this long beyond
+# what it may be held back is lost. Callers wait meanwhile.
+_CALL_S = 0.35
+_HOLD_S = 0.4
+
+# Failed calls in a row after which the next VM is asked, and for how long.
+_FAILURES_MAX = 2
+_ASIDE_S = 2.0
+_PAUSE_S = 0.02
+_EPOCH_BITS = 48
+
+Post = Callable[[model.Vm, wire.CellRequest, float], Awaitable[wire.CellAnswer]]
+
+
+@dataclasses.dataclass(slots=True)
+class _Placed:
+    """What this entry knows of one of its requests.
+
+    Attributes:
+      submit: The request.
+      decisions: Where decisions about it go.
+      start: Where it runs, None while it waits.
+      stage: Where it is on its way.
+    """
+
+    submit: messages.Submit
+    decisions: asyncio.Queue[cell_lib.Decision]
+    start: messages.Start | None = None
+    stage: messages.Stage = messages.Stage.QUEUED
+
+
+class _Channel:
+    """The messages between this entry and the home of one pool.
+
+    Args:
+      pool: The pool.
+      entry: Id of this process.
+      post: Calls a home.
+      world: The VM list.
+      log: The process's log.
+      rng: Draws epochs.
+    """
+
+    def __init__(
+        self,
+        pool: str,
+        entry: str,
+        post: Post,
+        world: world_lib.World,
+        log: log_lib.Log,
+        rng: random.Random,
+    ) -> None:
+        self._pool = pool
+        self._entry = entry
+        self._post = post
+        self._world = world
+        self._log = log
+        self._random = rng
+        self.placed_by_number: dict[int, _Placed] = {}
+        self._home: model.Vm | None = None
+        self._aside_until_by_vm: dict[str, float] = {}
+        self._failures = 0
+        self._epoch = 0
+        self._outbox: channel.Outbox[wire.Event] = channel.Outbox()
+        self._inbox = channel.Inbox()
+        self._news = asyncio.Event()
+        self._tasks = [
+            asyncio.create_task(work) for work in (self._send(), self._poll())
+        ]
+
+    def submit(self, placed: _Placed) -> None:
+        """Takes a new request."""
+        self.placed_by_number[placed.submit.request_id] = placed
+        self._look_up_home()
+        request = wire.write_request(placed.submit, clock.now())
+        self._add(wire.Submit(request=request))
+
+    def add(self, event: messages.Event, number: int) -> None:
+        """Takes an event of a request that was submitted."""
+        placed = self.placed_by_number.get(number)
+        if placed is None:
+            return
+        match event:
+            case messages.PrefillFinished():
+                placed.stage = messages.Stage.TRANSFER
+            case messages.FirstToken():
+                placed.stage = messages.Stage.DECODE
+            case messages.AttemptFailed():
+                placed.start = None
+                placed.stage = messages.Stage.QUEUED
+            case messages.Finished() | messages.Cancel():
+                del self.placed_by_number[number]
+        self._add(wire.write_event(event))
+
+    def world_changed(self) -> None:
+        """Turns to another home if the VM list names one."""
+        self._look_up_home()
+
+    def close(self) -> None:
+        """Ends the tasks."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _add(self, event: wire.Event) -> None:
+        self._outbox.add(event)
+        self._news.set()
+
+    def _look_up_home(self) -> None:
+        now = clock.now()
+        ranked = ownership.homes_in_order(
+            self._pool, self._world.fleet.vms_by_id.values()
+        )
+        near = [
+            vm
+            for vm in ranked
+            if self._aside_until_by_vm.get(vm.id, 0.0) <= now
+        ]
+        home = next(iter(near or ranked), None)
+        if home == self._home:
+            return
+        self._home = home
+        self._log.event(
+            "home_chosen", pool=self._pool, vm=home.id if home else ""
+        )
+        self._begin_anew()
+
+    def _begin_anew(self) -> None:
+        """States all requests to a home that doesn't know of them."""
+        self._epoch = self._random.getrandbits(_EPOCH_BITS)
+        self._outbox = channel.Outbox()
+        self._inbox = channel.Inbox()
+        now = clock.now()
+        for placed in self.placed_by_number.values():
+            request = wire.write_request(placed.submit, now)
+            start = placed.start
+            if start is None:
+                self._add(wire.Submit(request=request))
+                continue
+            self._add(
+                wire.Adopt(
+                    request=request,
+                    stage=placed.stage,
+                    prefill_id=start.prefill_id,
+                    decode_id=start.decode_id,
+                    slots=start.slots,
+                    attempt=start.attempt,
+                )
+            )
+        self._news.set()
+
+    def _waits(self) -> bool:
+        return any(
+            placed.start is None for placed in self.placed_by_number.values()
+        )
+
+    async def _send(self) -> None:
+        """Sends what is new at once, else a sign of life."""
+        while True:
+            try:
+                async with asyncio.timeout(PING_S):
+                    await self._news.wait()
+            except TimeoutError:
+                self._look_up_home()
+            self._news.clear()
+            if not await self._call(0.0) or self._outbox.pending():
+                await asyncio.sleep(_PAUSE_S)
+                self._news.set()
+
+    async def _poll(self) -> None:
+        """Waits at the home for decisions while requests wait here."""
+        while True:
+            if (
+                not self._waits()
+                or self._home is None
+                or not await self._call(_HOLD_S)
+            ):
+                await asyncio.sleep(_PAUSE_S)
+
+    async def _call(self, wait_s: float) -> bool:
+        """Calls the home once; returns whether it answered."""
+        home, epoch = self._home, self._epoch
+        if home is None:
+            return False
+        # A held call carries no events: those go out by calls of their own,
+        # which nothing holds up.
+        events = () if wait_s else self._outbox.pending()
+        request = wire.CellRequest(
+            entry=self._entry,
+            pool=self._pool,
+            epoch=epoch,
+            first=self._outbox.first,
+            events=events,
+            acknowledged=self._inbox.last,
+            wait_s=wait_s,
+        )
+        try:
+            answer = await self._post(home, request, _CALL_S + wait_s)
+        except errors.CowsliprillError as error:
+            self._note_failure(home, error)
+            return False
+        self._failures = 0
+        if epoch != self._epoch:
+            return True
+        if not answer.known:
+            self._begin_anew()
+            return True
+        self._outbox.acknowledge(answer.acknowledged)
+        self._take(answer)
+        return True
+
+    def _take(self, answer: wire.CellAnswer) -> None:
+        decisions = [
+            decision
+            for _, decision in sorted(
+                (*answer.starts, *answer.refusals), key=lambda pair: pair[0]
+            )
+        ]
+        now = clock.now()
+        for decision in self._inbox.take(answer.first, decisions):
+            placed = self.placed_by_number.get(decision.request_id)
+            if placed is None:
+                continue
+            match decision:
+                case messages.Start():
+                    start = dataclasses.replace(decision, decided_at=now)
+                    placed.start = start
+                    placed.stage = messages.Stage.PREFILL
+                    placed.decisions.put_nowait(start)
+                case messages.Refuse():
+                    del self.placed_by_number[decision.request_id]
+                    placed.decisions.put_nowait(decision)
+
+    def _note_failure(self, home: model.Vm, error: Exception) -> None:
+        if home is not self._home:
+            return
+        self._failures += 1
+        self._log.warning(
+            "home_failed",
+            pool=self._pool,
+            vm=home.id,
+            failures=self._failures,
+            reason=str(error),
+        )
+        if self._failures >= _FAILURES_MAX:
+            self._failures = 0
+            self._aside_until_by_vm[home.id] = clock.now() + _ASIDE_S
+            self._look_up_home()
+
+
+class CellScheduling:
+    """Decisions about this entry's requests, made at the homes of pools.
+
+    Args:
+      entry: Id of this process.
+      post: Calls a home.
+      world: The settings and the VM list.
+      log: The process's log.
+      rng: Random numbers.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        post: Post,
+        world: world_lib.World,
+        log: log_lib.Log,
+        rng: random.Random,
+    ) -> None:
+        self._entry = entry
+        self._post = post
+        self._world = world
+        self._log = log
+        self._random = rng
+        self._channels_by_pool: dict[str, _Channel] = {}
+        self._pools_by_number: dict[int, str] = {}
+
+    def submit(
+        self, submit: messages.Submit
+    ) -> asyncio.Queue[cell_lib.Decision]:
+        """Sends a request to its home.
+
+        Args:
+          submit: The request.
+
+        Returns:
+          The queue by which decisions about it come, until `forget`.
+        """
+        pool = submit.service.pool
+        known = self._channel(pool)
+        decisions: asyncio.Queue[cell_lib.Decision] = asyncio.Queue()
+        self._pools_by_number[submit.request_id] = pool
+        known.submit(_Placed(submit, decisions))
+        return decisions
+
+    def post(self, event: messages.Event) -> None:
+        """Sends an event of a request to its home."""
+        if isinstance(event, messages.WorldChanged):
+            self._world_changed(event.snapshot)
+            return
+        number = event.request_id
+        pool = self._pools_by_number.get(number)
+        if pool is None:
+            return
+        if isinstance(event, messages.Finished | messages.Cancel):
+            del self._pools_by_number[number]
+        self._channels_by_pool[pool].add(event, number)
+
+    def _world_changed(self, snapshot: model.Snapshot) -> None:
+        # A home uses the part of its engines that is the part of the entries
+        # it has heard, so an entry without requests has to be heard as well.
+        for endpoint in snapshot.endpoints_by_id.values():
+            if endpoint.kind is not model.EndpointKind.PLAIN:
+                self._channel(endpoint.pool)
+        for known in self._channels_by_pool.values():
+            known.world_changed()
+
+    def _channel(self, pool: str) -> _Channel:
+        known = self._channels_by_pool.get(pool)
+        if known is None:
+            known = _Channel(
+                pool,
+                self._entry,
+                self._post,
+                self._world,
+                self._log,
+                self._random,
+            )
+            self._channels_by_pool[pool] = known
+        return known
+
+    def forget(self, request_id: int) -> None:
+        """Does nothing: a request's end is an event of its own."""
+
+    async def run(self) -> None:
+        """Keeps the channels until cancelled."""
+        try:
+            await asyncio.Event().wait()
+        finally:
+            for known in self._channels_by_pool.values():
+                known.close()
--- /dev/null
+++ b/src/cowsliprill/cells/homes.py
@@ -0,0 +1,207 @@
+"""The cells that this process is home to, and their answers to entries."""
+
+import asyncio
+import dataclasses
+import random
+
+from tornado import web
+
+from cowsliprill import clock
+from cowsliprill import codec
+from cowsliprill import peer_auth
+from cowsliprill.cells import wire
+from cowsliprill.decisions import cell as cell_lib
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+from cowsliprill.observability import log as log_lib
+
+# An answer is held back no longer, so that an entry whose connection was lost
+# without a sign asks anew while its requests can still be in time.
+MAX_WAIT_S = 0.4
+
+_MIN_SLEEP_S = 0.002
+_SEED_BITS = 32
+
+
+@dataclasses.dataclass(slots=True)
+class _Homed:
+    cell: cell_lib.Cell
+    news_by_entry: dict[str, asyncio.Event] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class Homes:
+    """Answers entries for the pools that they ask for here.
+
+    It serves whoever asks: an entry that can't reach a pool's home turns to
+    the next VM, which then uses no more than its part of the engines.
+
+    Args:
+      availability_zone: Where this process runs.
+      rng: Random numbers.
+      log: The process's log.
+    """
+
+    def __init__(
+        self, availability_zone: str, rng: random.Random, log: log_lib.Log
+    ) -> None:
+        self._availability_zone = availability_zone
+        self._random = rng
+        self._log = log
+        self._snapshot = model.Snapshot()
+        self._fleet = model.Fleet()
+        self._homed_by_pool: dict[str, _Homed] = {}
+        self._wake = asyncio.Event()
+
+    def update(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
+        """Takes new settings or a new VM list."""
+        self._snapshot = snapshot
+        self._fleet = fleet
+        now = clock.now()
+        for homed in self._homed_by_pool.values():
+            homed.cell.update(snapshot, fleet, now)
+            self._notify(homed)
+
+    async def answer(self, request: wire.CellRequest) -> wire.CellAnswer:
+        """Takes an entry's events and returns the decisions for it.
+
+        Args:
+          request: The entry's message.
+
+        Returns:
+          The decisions; without any, the answer waits for one.
+        """
+        homed = self._homed(request.pool)
+        now = clock.now()
+        new_channel = request.first == 1
+        if not new_channel and not homed.cell.knows(
+            request.entry, request.epoch
+        ):
+            return wire.CellAnswer(known=False)
+        events = tuple(wire.read_event(event, now) for event in request.events)
+        homed.cell.receive(
+            request.entry, request.epoch, request.first, events, now
+        )
+        homed.cell.acknowledge(request.entry, request.acknowledged)
+        self._wake.set()
+        self._notify(homed)
+        if request.wait_s:
+            await self._wait(homed, request)
+        return self._written(homed, request)
+
+    async def run(self) -> None:
+        """Lets time pass for the cells; ends by cancellation."""
+        while True:
+            self._wake.clear()
+            now = clock.now()
+            for homed in self._homed_by_pool.values():
+                homed.cell.tick(now)
+                self._notify(homed)
+            wakeups = [
+                homed.cell.next_wakeup(now)
+                for homed in self._homed_by_pool.values()
+            ]
+            if not wakeups:
+                await self._wake.wait()
+                continue
+            sleep_s = max(min(wakeups) - now, _MIN_SLEEP_S)
+            try:
+                async with asyncio.timeout(sleep_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+
+    def status(self) -> list[str]:
+        """Returns the pools that entries ask for here."""
+        return list(self._homed_by_pool)
+
+    def _homed(self, pool: str) -> _Homed:
+        homed = self._homed_by_pool.get(pool)
+        if homed is None:
+            seed = self._random.getrandbits(_SEED_BITS)
+            homed = _Homed(cell_lib.Cell(self._availability_zone, seed))
+            homed.cell.update(self._snapshot, self._fleet, clock.now())
+            self._homed_by_pool[pool] = homed
+            self._log.event("cell_begun", pool=pool)
+        return homed
+
+    async def _wait(self, homed: _Homed, request: wire.CellRequest) -> None:
+        older = homed.news_by_entry.pop(request.entry, None)
+        if older is not None:
+            older.set()
+        if homed.cell.has_news(request.entry):
+            return
+        news = asyncio.Event()
+        homed.news_by_entry[request.entry] = news
+        try:
+            async with asyncio.timeout(min(request.wait_s, MAX_WAIT_S)):
+                await news.wait()
+        except TimeoutError:
+            pass
+        finally:
+            if homed.news_by_entry.get(request.entry) is news:
+                del homed.news_by_entry[request.entry]
+
+    def _notify(self, homed: _Homed) -> None:
+        for entry, news in homed.news_by_entry.items():
+            if homed.cell.has_news(entry):
+                news.set()
+
+    def _written(
+        self, homed: _Homed, request: wire.CellRequest
+    ) -> wire.CellAnswer:
+        if not homed.cell.knows(request.entry, request.epoch):
+            return wire.CellAnswer(known=False)
+        first, decisions, taken = homed.cell.decisions(request.entry)
+        numbered = [*enumerate(decisions, first)]
+        return wire.CellAnswer(
+            first=first,
+            starts=tuple(
+                (number, decision)
+                for number, decision in numbered
+                if isinstance(decision, messages.Start)
+            ),
+            refusals=tuple(
+                (number, decision)
+                for number, decision in numbered
+                if isinstance(decision, messages.Refuse)
+            ),
+            acknowledged=taken,
+        )
+
+
+class CellsHandler(web.RequestHandler):
+    """`POST /v1/cells`."""
+
+    def initialize(self, auth: peer_auth.PeerAuth, homes: Homes) -> None:
+        """Keeps what the handler needs.
+
+        Args:
+          auth: Signs and checks bodies.
+          homes: Answers.
+        """
+        self._auth = auth
+        self._homes = homes
+
+    async def post(self) -> None:
+        """Answers an entry."""
+        body = self.request.body
+        signature = self.request.headers.get(peer_auth.HEADER)
+        if not self._auth.accepts(body, signature):
+            self._refuse(403, "not_a_peer", "the body isn't signed")
+            return
+        try:
+            request = codec.decode(wire.CellRequest, body)
+        except codec.CodecError as error:
+            self._refuse(400, error.code, error.message)
+            return
+        answer = codec.encode_short(await self._homes.answer(request))
+        self.set_header("Content-Type", "application/json")
+        for name, text in self._auth.headers(answer).items():
+            self.set_header(name, text)
+        self.write(answer)
+
+    def _refuse(self, status: int, code: str, message: str) -> None:
+        self.set_status(status)
+        self.write({"error": {"code": code, "message": message}})
--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -57,6 +57,32 @@
             ),
         )
 
+    def choose_decode(
+        self,
+        pool: pools.Pool,
+        submit: messages.Submit,
+        prefill: model.Endpoint,
+        now: float,
+    ) -> placement.Pair | None:
+        """Finds a decode engine for a prefill that is already done.
+
+        Args:
+          pool: The request's pool.
+          submit: The request.
+          prefill: The engine that keeps the prefill.
+          now: Time, seconds.
+
+        Returns:
+          The best pair, None if it has to wait.
+        """
+        return placement.choose(
+            [placement.Candidate(prefill.id, 0.0)],
+            self._decodes(pool, submit, now),
+            lambda _, decode_id: estimates.transfer_s(
+                prefill, pool.endpoints_by_id[decode_id], submit.prompt_tokens
+            ),
+        )
+
     def _prefills(
         self, pool: pools.Pool, submit: messages.Submit, now: float
     ) -> list[placement.Candidate]:
--- a/src/cowsliprill/decisions/learning.py
+++ b/src/cowsliprill/decisions/learning.py
@@ -64,7 +64,13 @@
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
         if event.refused:
-            request.pool.holding(event.endpoint_id).drop_free()
+            holding = request.pool.holding(event.endpoint_id)
+            holding.drop_free()
+            # An engine that refuses its only request isn't full with ours: it
+            # is leaving, or holds what nobody here knows of. Asked again at
+            # once it would refuse one request after the other.
+            if holding.in_use <= request.slots and not event.unsent:
+                self._health.failed(event.endpoint_id, now)
         elif event.stage is messages.Stage.TRANSFER:
             never = float("inf")
             self._health.transfer(prefill.id, decode.id, never, 0.0, now)
--- a/src/cowsliprill/decisions/leases.py
+++ b/src/cowsliprill/decisions/leases.py
@@ -1,6 +1,7 @@
 """The entry's side of slot leases: what it holds at each endpoint."""
 
 import dataclasses
+import math
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import prefixes
@@ -41,6 +42,17 @@
     answered: int = 0
     unanswered: list[tuple[int, int]] = dataclasses.field(default_factory=list)
 
+    def own(self, slots: int) -> None:
+        """Takes slots that need no lease.
+
+        Args:
+          slots: Slots of the endpoint that are all this scheduler's to use.
+        """
+        self.slots = slots
+        self.expires_at = math.inf
+        # A small part of an engine may be less than one request needs.
+        self.fallback = 1
+
     def held(self, now: float) -> int:
         """Returns the slots held, work that outlived its lease included."""
         leased = self.slots if self.expires_at > now else 0
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -64,6 +64,8 @@
       deadline: Latest useful time of the first token.
       expected_tokens: The caller's own guess of the answer's length, 0 for
         none.
+      useful_until: Latest time of the first token at which the answer is
+        still of some use, 0 if that is the deadline.
     """
 
     request_id: int
@@ -75,6 +77,22 @@
     priority: int = 0
     deadline: float = 0.0
     expected_tokens: int = 0
+    useful_until: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Adopt:
+    """A request that another scheduler has placed and that runs.
+
+    Attributes:
+      submit: The request.
+      start: Where it runs.
+      stage: Where it is on its way.
+    """
+
+    submit: Submit
+    start: "Start"
+    stage: Stage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +157,8 @@
       unsent: Whether no engine has heard of the attempt, since the entry's
         own lease had run out before.
       not_run: Whether the request is known not to have run.
+      kept_s: How long the finished prefill of the attempt is kept yet, for
+        another decode engine to fetch; 0 if it is gone.
       resumable: Whether tokens have reached the caller and another engine may
         go on after the last of them.
     """
@@ -149,6 +169,7 @@
     refused: bool = False
     unsent: bool = False
     not_run: bool = False
+    kept_s: float = 0.0
     resumable: bool = False
 
 
@@ -212,6 +233,7 @@
 
 Event = (
     Submit
+    | Adopt
     | Cancel
     | PrefillFinished
     | FirstToken
@@ -242,6 +264,7 @@
       slots: Slots of the decode engine that it takes.
       used: Slots in use there besides, as last heard.
       waiting: Requests that wait here for the same pool.
+      reuses_prefill: Whether the prefill of the attempt before is fetched.
     """
 
     request_id: int
@@ -252,6 +275,7 @@
     slots: int = 1
     used: int = 0
     waiting: int = 0
+    reuses_prefill: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -321,4 +345,5 @@
     sequence: int = 0
 
 
+Decision = Start | Refuse
 Action = Start | Refuse | CancelAttempt | SlotAsk
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -199,6 +199,8 @@
       methods: HTTP methods of a plain service.
       echoes_request_id: Whether a plain service returns `X-Request-Id`.
       tokens_per_event: Tokens in one event of a stream.
+      patience_s: How long callers wait for the first event of a stream before
+        they leave; 0 where none is known to.
       retry_group: Services that name the same group share one budget of
         retries; empty for a budget of its own.
     """
@@ -225,6 +227,7 @@
     methods: tuple[str, ...] = ("POST",)
     echoes_request_id: bool = True
     tokens_per_event: int = 1
+    patience_s: float = 0.0
     retry_group: str = ""
 
 
--- a/src/cowsliprill/decisions/ownership.py
+++ b/src/cowsliprill/decisions/ownership.py
@@ -11,6 +11,26 @@
     return xxhash.xxh3_64_intdigest(f"{vm_id}\0{endpoint_id}".encode())
 
 
+def homes_in_order(key: str, vms: Iterable[model.Vm]) -> list[model.Vm]:
+    """Ranks the VMs that may be home to something, the home first.
+
+    Args:
+      key: What needs a home.
+      vms: VMs of any role and state; only live entry VMs are taken.
+
+    Returns:
+      The VMs; without the first, the second would be the home.
+    """
+    candidates = [
+        vm
+        for vm in vms
+        if vm.role is model.VmRole.ENTRY and vm.state is model.VmState.LIVE
+    ]
+    return sorted(
+        candidates, key=lambda vm: (_score(vm.id, key), vm.id), reverse=True
+    )
+
+
 def home_of(endpoint_id: str, vms: Iterable[model.Vm]) -> model.Vm | None:
     """Finds the VM whose dispatch process is home to an endpoint.
 
--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -24,11 +24,13 @@
       seed: Tells entries apart.
       rng: Random numbers.
       engine_health: What the entry has learnt of the engines.
+      owns_slots: Whether all slots are its own to use.
 
     Attributes:
       by_name: The pools.
       by_endpoint: The pool of each engine in use.
       entries: Entry processes in the VM list, at least 1.
+      share: Part of each engine's slots that is its own to use.
     """
 
     def __init__(
@@ -37,7 +39,11 @@
         seed: int,
         rng: random.Random,
         engine_health: health.Health,
+        *,
+        owns_slots: bool = False,
     ) -> None:
+        self._owns_slots = owns_slots
+        self.share = 1.0
         self.by_name: dict[str, pools.Pool] = {}
         self.by_endpoint: dict[str, pools.Pool] = {}
         self.entries = 1
@@ -58,7 +64,7 @@
             for vm in fleet.vms_by_id.values()
             if vm.role is model.VmRole.ENTRY
         )
-        self.entries = max(processes, 1)
+        self.entries = 1 if self._owns_slots else max(processes, 1)
         shares_by_user = shares.Shares(snapshot.users_by_id)
         kinds_by_pool: dict[str, _EndpointsByKind] = {}
         for endpoint in snapshot.endpoints_by_id.values():
@@ -108,3 +114,16 @@
         )
         for endpoint_id in pool.holdings_by_endpoint:
             self.by_endpoint[endpoint_id] = pool
+        if self._owns_slots:
+            self._own(pool)
+
+    def _own(self, pool: pools.Pool) -> None:
+        for endpoint in pool.endpoints_by_id.values():
+            slots = int(endpoint.slots * self.share)
+            pool.holding(endpoint.id).own(slots)
+
+    def set_share(self, share: float) -> None:
+        """Sets the part of each engine's slots that is its own to use."""
+        self.share = share
+        for pool in self.by_name.values():
+            self._own(pool)
--- a/src/cowsliprill/decisions/queue.py
+++ b/src/cowsliprill/decisions/queue.py
@@ -18,6 +18,9 @@
 PRIORITY_WORTH_S = 30.0
 
 
+_Key = tuple[bool, float, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Waiting:
     """A request that waits.
@@ -28,6 +31,7 @@
       cost_s: Decode slot time it is expected to take.
       size_worth: Seconds of waiting that a second of `cost_s` outweighs.
       slots: Slots of a decode engine that it takes.
+      late: Whether its target is missed and its answer only of some use.
     """
 
     submit: messages.Submit
@@ -35,11 +39,17 @@
     cost_s: float
     size_worth: float = 0.0
     slots: int = 1
+    late: bool = False
 
-    def key(self) -> tuple[float, int]:
-        """Returns its place in the order, small first."""
+    def key(self) -> _Key:
+        """Returns its place in the order, small first.
+
+        Those that can still meet their targets go before those that can't,
+        whose answers are worth a part of it. Of the late ones the first that
+        came goes first.
+        """
         priority = self.submit.priority * PRIORITY_WORTH_S
-        return (self.urgency() - priority, self.submit.request_id)
+        return (self.late, self.urgency() - priority, self.submit.request_id)
 
     def urgency(self) -> float:
         """Returns the latest start, put off for long requests."""
@@ -51,7 +61,7 @@
 
     def __init__(self) -> None:
         self._waiting_by_id: dict[int, Waiting] = {}
-        self._keys_by_user: dict[str, list[tuple[float, int]]] = {}
+        self._keys_by_user: dict[str, list[_Key]] = {}
         self._slots_by_user: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
@@ -134,5 +144,5 @@
         ]
 
     def _at(self, user: str, index: int) -> Waiting:
-        _, request_id = self._keys_by_user[user][index]
+        _, _, request_id = self._keys_by_user[user][index]
         return self._waiting_by_id[request_id]
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -19,6 +19,7 @@
     Attributes:
       submit: The request.
       latest_start: When starting it would be too late.
+      last_start: When starting it would be too late for any use.
       first_token_s: Least time to its first token.
       cost_s: Decode slot time that it is expected to cost.
       pool: Its pool.
@@ -31,10 +32,12 @@
       started_at: When the newest attempt began.
       expected_s: Time that its prefill takes at the engine's usual speed.
       stage_at: When its present stage began.
+      kept_until: Until when a finished prefill of it waits at `prefill`.
     """
 
     submit: messages.Submit
     latest_start: float
+    last_start: float
     first_token_s: float
     cost_s: float
     pool: pools.Pool
@@ -47,6 +50,7 @@
     started_at: float = 0.0
     expected_s: float = 1.0
     stage_at: float = 0.0
+    kept_until: float = 0.0
 
 
 def why_not_again(
@@ -75,12 +79,12 @@
     # callers whose engines are well.
     if event.unsent and request.unsent < _UNSENT_MAX:
         request.unsent += 1
-        late = request.latest_start <= now
+        late = request.last_start <= now
         return messages.RefusalCode.WAITED_TOO_LONG if late else None
     made = request.attempt + 1 - request.unsent
     if made >= service.retries.attempts:
         return messages.RefusalCode.ENDPOINT_FAILED
-    if request.latest_start <= now:
+    if request.last_start <= now:
         return messages.RefusalCode.ENDPOINT_FAILED
     if not budgets.of(service).spend(made):
         return messages.RefusalCode.RETRY_BUDGET_SPENT
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -51,15 +51,20 @@
     Args:
       availability_zone: Where this process runs.
       seed: Seed of its random numbers.
+      owns_slots: Whether all slots of the engines are its own to use, so that
+        none are asked for.
     """
 
-    def __init__(self, availability_zone: str, seed: int) -> None:
+    def __init__(
+        self, availability_zone: str, seed: int, *, owns_slots: bool = False
+    ) -> None:
         rng = random.Random(seed)
         self._requests_by_id: dict[int, requests.Request] = {}
         self._health = health.Health()
         self._pools = pool_set.PoolSet(
-            availability_zone, seed, rng, self._health
+            availability_zone, seed, rng, self._health, owns_slots=owns_slots
         )
+        self._owns_slots = owns_slots
         self._learning = learning.Learning(self._health)
         self._chooser = chooser.Chooser(availability_zone, self._health)
         self._budgets = retry.RetryBudgets()
@@ -80,6 +85,8 @@
         match event:
             case messages.Submit():
                 return self._submit(event, now)
+            case messages.Adopt():
+                return self._adopt(event, now)
             case messages.Cancel(request_id):
                 return self._cancel(request_id, now)
             case messages.PrefillFinished(request_id):
@@ -151,26 +158,90 @@
             unhindered_start - pool.start_delay_s * _DELAY_MARGIN,
             now + event.service.may_wait_s,
         )
+        last_start = latest_start
+        if event.useful_until:
+            last_start = event.useful_until - times.first_token_s()
         cost_s = _cost_s(pool, event, times)
         slots = pool.slots_for(event)
         pool.learn_slots(slots)
         request = requests.Request(
-            event, latest_start, times.first_token_s(), cost_s, pool, slots
+            event,
+            latest_start,
+            last_start,
+            times.first_token_s(),
+            cost_s,
+            pool,
+            slots,
         )
         self._requests_by_id[event.request_id] = request
-        if unhindered_start < now:
+        if max(unhindered_start, last_start) < now:
             code = messages.RefusalCode.TARGET_UNREACHABLE
             return [self._refuse(request, code, now)]
         item = self._demand_item(request, now)
         pool.demand.add(item)
-        self._enqueue(request)
+        self._enqueue(request, now)
         starts = self._place_all(pool, now)
         waits = request.stage is messages.Stage.QUEUED
         if waits and not self._fits(request, item, now):
-            code = messages.RefusalCode.OVERLOADED
-            starts.append(self._refuse(request, code, now))
+            starts.extend(self._step_back(request, now))
         return starts + self._advance(pool, now)
 
+    def _step_back(
+        self, request: requests.Request, now: float
+    ) -> list[messages.Action]:
+        """Has a request wait behind those that can meet their targets.
+
+        Late, its answer is worth less to its caller, but more than none; where
+        it is of no use then, it is refused.
+        """
+        request.pool.queue.remove(request.submit.request_id)
+        if request.last_start <= max(now, request.latest_start):
+            code = messages.RefusalCode.OVERLOADED
+            return [self._refuse(request, code, now)]
+        request.latest_start = now
+        self._enqueue(request, now)
+        return []
+
+    def _adopt(
+        self, event: messages.Adopt, now: float
+    ) -> list[messages.Action]:
+        """Takes over a request that another scheduler has placed."""
+        submit, start = event.submit, event.start
+        pool = self._pools.by_name.get(submit.service.pool)
+        if pool is None:
+            return []
+        prefill = pool.endpoints_by_id.get(start.prefill_id)
+        decode = pool.endpoints_by_id.get(start.decode_id)
+        if prefill is None or decode is None:
+            return []
+        request = requests.Request(
+            submit,
+            now,
+            submit.useful_until or now,
+            pool.best_times(submit).first_token_s(),
+            0.0,
+            pool,
+            start.slots,
+            stage=event.stage,
+            attempt=start.attempt,
+            prefill=prefill,
+            decode=decode,
+            started_at=now,
+            stage_at=now,
+        )
+        self._requests_by_id[submit.request_id] = request
+        self._take(request)
+        return []
+
+    def _take(self, request: requests.Request) -> None:
+        """Takes the slots of a request that runs."""
+        pool, user = request.pool, request.submit.user
+        assert request.prefill is not None and request.decode is not None
+        if request.stage is messages.Stage.PREFILL:
+            pool.holding(request.prefill.id).take(user)
+        pool.holding(request.decode.id).take(user, request.slots)
+        pool.take(user)
+
     def _fits(
         self, request: requests.Request, item: demand.Item, now: float
     ) -> bool:
@@ -201,12 +272,16 @@
             worth=weight,
         )
 
-    def _enqueue(self, request: requests.Request) -> None:
+    def _enqueue(self, request: requests.Request, now: float) -> None:
         request.stage = messages.Stage.QUEUED
+        late = request.latest_start <= now < request.last_start
         request.pool.queue.add(
             queue.Waiting(
                 submit=request.submit,
-                latest_start=request.latest_start,
+                late=late,
+                latest_start=(
+                    request.last_start if late else request.latest_start
+                ),
                 cost_s=request.cost_s,
                 size_worth=_SIZE_WORTH,
                 slots=request.slots,
@@ -295,6 +370,7 @@
             return [cancel, *self._advance(request.pool, now)]
         if event.resumable:
             request.latest_start = now + _RESUME_WITHIN_S
+            request.last_start = request.latest_start
         code = requests.why_not_again(request, event, self._budgets, now)
         if code is not None:
             return [
@@ -302,7 +378,8 @@
                 self._refuse(request, code, now),
                 *self._advance(request.pool, now),
             ]
-        self._enqueue(request)
+        request.kept_until = now + event.kept_s if event.kept_s else 0.0
+        self._enqueue(request, now)
         return [cancel, *self._advance(request.pool, now)]
 
     def _cancel_attempt(
@@ -373,7 +450,15 @@
 
     # Placement.
 
+    def set_share(self, share: float, now: float) -> list[messages.Action]:
+        """Sets the part of each engine's slots that is its own to use."""
+        self._pools.set_share(share)
+        return self._advance_all(now)
+
     def _advance_all(self, now: float) -> list[messages.Action]:
+        if self._owns_slots:
+            # An engine that said it was full may have room again.
+            self._pools.set_share(self._pools.share)
         return [
             action
             for pool in self._pools.by_name.values()
@@ -384,8 +469,9 @@
         """Does all that is possible now for a pool's waiting requests."""
         actions = self._place_all(pool, now)
         actions.extend(self._give_up(pool, now))
-        self._sequence += 1
-        actions.extend(pool.asks(now, self._sequence, only_urgent=True))
+        if not self._owns_slots:
+            self._sequence += 1
+            actions.extend(pool.asks(now, self._sequence, only_urgent=True))
         return actions
 
     def _place_all(self, pool: pools.Pool, now: float) -> list[messages.Action]:
@@ -402,6 +488,10 @@
         refusals = []
         for waiting in pool.queue.too_late(now):
             request = self._requests_by_id[waiting.submit.request_id]
+            if not waiting.late and request.last_start > now:
+                pool.queue.remove(waiting.submit.request_id)
+                self._enqueue(request, now)
+                continue
             code = messages.RefusalCode.WAITED_TOO_LONG
             refusals.append(self._refuse(request, code, now))
         while len(pool.queue):
@@ -422,11 +512,18 @@
         waiting = pool.queue.first(pool.over_share)
         assert waiting is not None
         submit = waiting.submit
-        pair = self._chooser.choose(pool, submit, now)
+        request = self._requests_by_id[submit.request_id]
+        kept = request.kept_until > now and request.prefill is not None
+        if kept:
+            pair = self._chooser.choose_decode(
+                pool, submit, request.prefill, now
+            )
+        else:
+            pair = self._chooser.choose(pool, submit, now)
         if pair is None:
             return None
         pool.queue.remove(submit.request_id)
-        return self._start(pool, submit, pair, now)
+        return self._start(pool, submit, pair, now, kept=kept)
 
     def _start(
         self,
@@ -434,31 +531,24 @@
         submit: messages.Submit,
         pair: placement.Pair,
         now: float,
+        *,
+        kept: bool,
     ) -> messages.Start:
         request = self._requests_by_id[submit.request_id]
-        request.prefill = pool.endpoints_by_id[pair.prefill_id]
+        if not kept:
+            request.prefill = pool.endpoints_by_id[pair.prefill_id]
         request.decode = pool.endpoints_by_id[pair.decode_id]
-        request.stage = messages.Stage.PREFILL
+        request.stage = (
+            messages.Stage.TRANSFER if kept else messages.Stage.PREFILL
+        )
         request.attempt += 1
         request.started_at = now
-        request.expected_s = pool.prefill_wait_s(
-            request.prefill, submit, usual=True
-        )
         request.stage_at = now
-        cached = pool.holding(pair.prefill_id).cached
-        pool.learn_prefill(
-            estimates.prefill_s(
-                request.prefill,
-                submit,
-                cached.cached_tokens(submit.prefix_hashes),
-            )
-        )
-        cached.add(submit.prefix_hashes)
-        pool.holding(pair.prefill_id).take(submit.user)
-        pool.holding(pair.decode_id).take(submit.user, request.slots)
+        if not kept:
+            self._expect_prefill(request)
+        self._take(request)
         for endpoint_id in (pair.prefill_id, pair.decode_id):
             self._health.placed(endpoint_id, now)
-        pool.take(submit.user)
         return messages.Start(
             request_id=submit.request_id,
             attempt=request.attempt,
@@ -467,8 +557,25 @@
             slots=request.slots,
             used=pool.holding(pair.decode_id).used - request.slots,
             waiting=len(pool.queue),
+            reuses_prefill=kept,
         )
 
+    def _expect_prefill(self, request: requests.Request) -> None:
+        pool, submit = request.pool, request.submit
+        assert request.prefill is not None
+        request.expected_s = pool.prefill_wait_s(
+            request.prefill, submit, usual=True
+        )
+        cached = pool.holding(request.prefill.id).cached
+        pool.learn_prefill(
+            estimates.prefill_s(
+                request.prefill,
+                submit,
+                cached.cached_tokens(submit.prefix_hashes),
+            )
+        )
+        cached.add(submit.prefix_hashes)
+
 
 def _cost_s(
     pool: pools.Pool, submit: messages.Submit, times: pools.BestTimes
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -12,6 +12,7 @@
       stage: Where the attempt was.
       refused: Whether the endpoint refused, being full or draining.
       unsent: Whether no engine has heard of the attempt.
+      kept_s: How long the attempt's finished prefill is kept yet.
       resumable: Whether the rest of a broken stream may come from another
         engine.
       reason: One sentence for the log.
@@ -25,6 +26,7 @@
         *,
         refused: bool = False,
         unsent: bool = False,
+        kept_s: float = 0.0,
         resumable: bool = False,
     ) -> None:
         super().__init__(reason)
@@ -32,6 +34,7 @@
         self.stage = stage
         self.refused = refused
         self.unsent = unsent
+        self.kept_s = kept_s
         self.resumable = resumable
         self.reason = reason
 
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -83,6 +83,7 @@
       attempts: Attempts made.
       resumes: Tries to resume its stream since the last new token.
       resumed_at_token: The last token when it was last resumed.
+      prefilled_at: When the newest prefill was finished.
       last_event_id: Id of the last event that the caller was sent.
       outcome: The request's end, for logs and metrics.
     """
@@ -96,6 +97,7 @@
     attempts: int = 0
     resumes: int = 0
     resumed_at_token: int = -1
+    prefilled_at: float = 0.0
     last_event_id: str = ""
     outcome: str = ""
 
@@ -118,6 +120,13 @@
       priority: The service's priority with the caller's offset; by `urgency`.
       deadline: Latest useful time of the first token; by `urgency`.
       ends_at: When the final answer is due; by `urgency`.
+      useful_until: Latest time of the first token at which the answer is still
+        of some use, 0 if that is the deadline; by `urgency`.
+      time_given_s: How long the caller says that it will wait, 0 if it says
+        nothing.
+      stall_s: Silence after which the present call is given up, None to wait
+        until the end; by `placement`.
+      kept: A finished prefill that no decode engine has fetched yet.
       idempotency_key: Key or ticket, empty for none; by `idempotency`.
       survives_caller: Whether the run goes on without its caller; by
         `idempotency`.
@@ -139,6 +148,10 @@
     priority: int = 0
     deadline: float = 0.0
     ends_at: float = 0.0
+    useful_until: float = 0.0
+    time_given_s: float = 0.0
+    stall_s: float | None = None
+    kept: Any = None
     idempotency_key: str = ""
     survives_caller: bool = False
     start: messages.Start | None = None
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -13,7 +13,6 @@
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import retry
-from cowsliprill.decisions import scheduler as scheduler_lib
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import http_client
@@ -22,13 +21,11 @@
 from cowsliprill.entry import forward
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import home_client
-from cowsliprill.entry import leases as leases_lib
 from cowsliprill.entry import model_relay
 from cowsliprill.entry import native
+from cowsliprill.entry import placing as placing_lib
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import routes
-from cowsliprill.entry import scheduling as scheduling_lib
-from cowsliprill.entry import slot_asker
 from cowsliprill.entry import world as world_lib
 from cowsliprill.entry.filters import admission
 from cowsliprill.entry.filters import idempotency
@@ -57,6 +54,7 @@
       log: Its log.
       source: Where settings and VM list come from.
       make_dialect: Makes what callers and endpoints are spoken to with.
+      make_placing: Makes what decides where model requests run.
       metrics: Its metrics, where other tasks of the process share them.
 
     Attributes:
@@ -72,6 +70,7 @@
         make_dialect: Callable[[dialect_lib.Tools], dialect_lib.Dialect] = (
             native.make
         ),
+        make_placing: placing_lib.MakePlacing = placing_lib.ByLeases,
         metrics: metrics_lib.Metrics | None = None,
     ) -> None:
         self._environment = environment
@@ -90,7 +89,6 @@
             environment.peer_secret.get_secret_value()
         )
         self._world = world_lib.World()
-        self._leases = leases_lib.Leases()
         self._budgets = retry.RetryBudgets()
         self._http = http_client.HttpClient()
         self._dialect = make_dialect(
@@ -105,23 +103,19 @@
         self._gate = gate_lib.Gate(self._incarnation, self._world)
         homes = home_client.HomeClient(self._http, self._auth)
         self._canceller = self._make_canceller(homes)
-        self._scheduling = scheduling_lib.Scheduling(
-            scheduler_lib.Scheduler(
-                environment.availability_zone,
-                self._random.getrandbits(_SEED_BITS),
-            ),
-            self._incarnation,
-            self._canceller,
-        )
-        self._asker = slot_asker.SlotAsker(
-            self._incarnation,
-            homes,
-            self._scheduling,
-            self._leases,
-            self._world,
-            self._metrics,
-            log,
+        self._placing = make_placing(
+            placing_lib.Tools(
+                incarnation=self._incarnation,
+                availability_zone=environment.availability_zone,
+                homes=homes,
+                world=self._world,
+                canceller=self._canceller,
+                metrics=self._metrics,
+                log=log,
+                random_source=self._random,
+            )
         )
+        self._scheduling = self._placing.scheduling
         self._source = source
         self.shell = process.Process(
             environment=environment,
@@ -156,11 +150,7 @@
         self._take_world()
         tasks = [
             asyncio.create_task(work)
-            for work in (
-                self._source.run(),
-                self._scheduling.run(),
-                self._asker.run(),
-            )
+            for work in (self._source.run(), *self._placing.work())
         ]
         ended = asyncio.create_task(self.shell.run_until_stopped())
         await asyncio.wait([ended, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -224,7 +214,7 @@
             model_relay=model_relay.ModelRelay(
                 self._dialect.engines,
                 self._scheduling,
-                self._leases,
+                self._placing.permissions,
                 self._world,
                 self._dialect.resumer,
                 self._report_leaving,
@@ -236,7 +226,7 @@
     def _take_world(self) -> None:
         snapshot = self._source.snapshot
         self._world.update(snapshot, self._source.fleet)
-        self._leases.keep_only(set(snapshot.endpoints_by_id))
+        self._placing.world_changed(snapshot)
         self._budgets.keep_only(snapshot.services_by_id.values())
         self._metrics.revision.set({}, snapshot.revision)
         self._announce_world()
@@ -289,4 +279,4 @@
         self._public_server.stop()
         await self._gate.wait_until_empty()
         await self._canceller.settle(_CANCELS_SETTLE_S)
-        await self._asker.hand_back()
+        await self._placing.hand_back()
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -10,7 +10,7 @@
 from cowsliprill.entry import attempts
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
-from cowsliprill.entry import scheduling as scheduling_lib
+from cowsliprill.entry import placing
 from cowsliprill.observability import log as log_lib
 
 _MS_PER_S = 1_000
@@ -40,7 +40,7 @@
       log: The process's log.
     """
 
-    scheduling: scheduling_lib.Scheduling
+    scheduling: placing.Scheduling
     budgets: retry.RetryBudgets
     log: log_lib.Log
 
@@ -76,7 +76,7 @@
         self,
         ctx: context.Context,
         proceed: context.Handle,
-        decisions: asyncio.Queue[scheduling_lib.Decision],
+        decisions: asyncio.Queue[messages.Decision],
     ) -> None:
         while True:
             match await decisions.get():
@@ -160,6 +160,7 @@
                 refused=lost.refused,
                 unsent=lost.unsent,
                 not_run=not ran,
+                kept_s=lost.kept_s,
                 resumable=lost.resumable,
             )
         )
@@ -177,4 +178,5 @@
         priority=ctx.priority,
         deadline=ctx.deadline,
         expected_tokens=generation.expected_tokens,
+        useful_until=ctx.useful_until,
     )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -16,6 +16,10 @@
 from cowsliprill.observability import log as log_lib
 
 _AVOID_S = 1.0
+# A server that hasn't answered within this multiple of the target has most
+# likely lost the call; one that is merely busy answers before.
+_STALL_TARGETS = 1.5
+_STALL_MIN_S = 0.2
 _RETRY_AFTER_S = 1.0
 
 
@@ -53,6 +57,7 @@
             if clock.now() >= ctx.deadline:
                 raise _refusal(ctx, messages.RefusalCode.TARGET_UNREACHABLE)
             ctx.progress.attempts += 1
+            ctx.stall_s = _stall_s(ctx)
             try:
                 await self._run(ctx, proceed)
                 return
@@ -134,6 +139,15 @@
         )
 
 
+def _stall_s(ctx: context.Context) -> float | None:
+    """Returns the silence after which another server is asked."""
+    repeatable = ctx.service.idempotency is model.Idempotency.REPEATABLE
+    last = ctx.progress.attempts >= ctx.service.retries.attempts
+    if last or not repeatable:
+        return None
+    return max(ctx.service.ttft_target_s * _STALL_TARGETS, _STALL_MIN_S)
+
+
 def _may_have_booked(ctx: context.Context) -> bool:
     return (
         ctx.progress.run is messages.Run.UNKNOWN
--- a/src/cowsliprill/entry/home_client.py
+++ b/src/cowsliprill/entry/home_client.py
@@ -44,7 +44,7 @@
         Raises:
           errors.HomeError: There was no answer, or it is a refusal.
         """
-        body = codec.encode(message)
+        body = codec.encode_short(message)
         headers = {"Content-Type": "application/json"}
         try:
             response = await self.http.call(
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -13,8 +13,7 @@
 from cowsliprill.entry import calls as calls_lib
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
-from cowsliprill.entry import leases as leases_lib
-from cowsliprill.entry import scheduling as scheduling_lib
+from cowsliprill.entry import placing
 from cowsliprill.entry import sinks
 from cowsliprill.entry import world as world_lib
 
@@ -28,6 +27,12 @@
 _PREFILL_PATIENCE = 4.0
 _PREFILL_GRACE_S = 2.0
 _LEAST_TIME_S = 0.001
+# A stream that may go on elsewhere and is silent for so long has most likely
+# lost its engine. Engines that are full or slow pause for some tenths.
+_STALL_S = 1.0
+# What a decision and a fetch take at most, of the time for which a finished
+# prefill is kept.
+_FETCH_S = 0.06
 _BUSY = frozenset({protocol.CODE_FULL, protocol.CODE_DRAINING})
 # No engine would take this request, so trying another wastes its time.
 _CODES_OF_CALLERS_FAULTS = frozenset({"bad_request", "invalid_request"})
@@ -47,8 +52,8 @@
     """
 
     calls: calls_lib.EngineCalls
-    scheduling: scheduling_lib.Scheduling
-    leases: leases_lib.Leases
+    scheduling: placing.Scheduling
+    leases: placing.Permissions
     world: world_lib.World
     resumer: calls_lib.Resumer | None
     report_leaving: ReportLeaving
@@ -60,14 +65,25 @@
           attempts.AttemptLost: Nothing reached the caller.
           errors.EntryError: The request has ended without a whole answer.
         """
-        prefilled = await self._prefill(ctx)
-        self.scheduling.post(messages.PrefillFinished(ctx.number))
+        ctx.stall_s = _STALL_S if ctx.service.resume else None
+        prefilled = await self._prefilled(ctx)
         stream = await self._decode(ctx, prefilled)
         try:
             await self._deliver(ctx, stream)
         finally:
             stream.close()
 
+    async def _prefilled(self, ctx: context.Context) -> calls_lib.Prefilled:
+        kept, ctx.kept = ctx.kept, None
+        if kept is not None and ctx.start.reuses_prefill:
+            return kept
+        if kept is not None:
+            self.calls.discard(kept)
+        prefilled = await self._prefill(ctx)
+        ctx.progress.prefilled_at = clock.now()
+        self.scheduling.post(messages.PrefillFinished(ctx.number))
+        return prefilled
+
     async def _prefill(self, ctx: context.Context) -> calls_lib.Prefilled:
         stage = messages.Stage.PREFILL
         endpoint = self._endpoint(ctx.start.prefill_id, stage)
@@ -91,6 +107,13 @@
                 call.result = await self.calls.decode(
                     ctx, endpoint, prefilled, _time_left(ctx)
                 )
+        except attempts.AttemptLost as lost:
+            lost.kept_s = self._kept_s(ctx)
+            if lost.kept_s:
+                ctx.kept = prefilled
+            else:
+                self.calls.discard(prefilled)
+            raise
         except BaseException:
             # Whoever is given up here, a caller that left among them, leaves
             # a prefill that holds its engine's memory until it expires.
@@ -98,6 +121,22 @@
             raise
         return call.result
 
+    def _kept_s(self, ctx: context.Context) -> float:
+        """Returns how long the prefill of a lost attempt may yet be used.
+
+        A decode engine that couldn't be reached, or had no room, has left the
+        prefill where it was. Another engine may fetch it, which saves reading
+        the prompt again.
+        """
+        if ctx.progress.run is not messages.Run.NO:
+            return 0.0
+        prefill = ctx.snapshot.endpoints_by_id.get(ctx.start.prefill_id)
+        if prefill is None:
+            return 0.0
+        spent_s = clock.now() - ctx.progress.prefilled_at
+        left_s = prefill.export_ttl_s - spent_s - _FETCH_S
+        return max(left_s, 0.0)
+
     async def _deliver(
         self, ctx: context.Context, stream: calls_lib.AnswerStream
     ) -> None:
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -16,6 +16,7 @@
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry.filters import accept
 from cowsliprill.entry.filters import admission
+from cowsliprill.entry.filters import arrival
 from cowsliprill.entry.filters import idempotency
 from cowsliprill.entry.filters import identify
 from cowsliprill.entry.filters import model_placement
@@ -141,6 +142,7 @@
             accept.Accept(),
             parts.route,
             read_call,
+            arrival.Arrival(),
             parts.admission,
         ],
         by_kind,
--- a/src/cowsliprill/entry/scheduling.py
+++ b/src/cowsliprill/entry/scheduling.py
@@ -14,7 +14,7 @@
 from cowsliprill.decisions import scheduler as scheduler_lib
 from cowsliprill.entry import canceller as canceller_lib
 
-Decision = messages.Start | messages.Refuse
+Decision = messages.Decision
 
 _MAX_SLEEP_S = 1.0
 _MIN_SLEEP_S = 0.001
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -29,6 +29,8 @@
 Bodies of POST, and answers that peers act on, carry `X-Peer-Signature` where
 the VMs share a secret (`peer_auth`).
 Router process (one a VM, all of the above in one):
+  `POST /v1/cells` `cells.wire.CellRequest` -> `cells.wire.CellAnswer`: an
+  entry's events for the home of a pool, and the home's decisions.
   `GET /v1/registry?prefix=P&since=R` -> `registry.peers.WireNews`: what the
   asker lacks of the registry, for VMs that the store turns away.
 All processes: `GET /healthz`, `GET /readyz`, `GET /metrics`, `GET /v1/status`.
@@ -45,6 +47,7 @@
 CANCELS_PATH = "/v1/cancels"
 INCARNATION_PATH = "/v1/incarnation"
 FORWARD_PATH = "/v1/forward"
+CELLS_PATH = "/v1/cells"
 REGISTRY_PATH = "/v1/registry"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -27,14 +27,11 @@
     ctx.user = _ANONYMOUS
     ctx.service_path = ctx.call.uri
     ctx.priority = ctx.service.priority
-    ctx.ends_at = ctx.arrived_at + _time_s(ctx)
-    ctx.deadline = ctx.arrived_at + ctx.service.ttft_target_s
+    ctx.time_given_s = _time_given_s(ctx.call.headers)
     if ctx.service.kind is model.ServiceKind.MODEL:
         ctx.generation = _generation(ctx.call.headers)
         last_event = ctx.call.headers.get(headers_lib.LAST_EVENT, "")
         ctx.progress.last_event_id = last_event
-    else:
-        ctx.deadline = ctx.ends_at
     await proceed(ctx)
 
 
@@ -63,13 +60,9 @@
     )
 
 
-def _time_s(ctx: context.Context) -> float:
-    """Returns the time that client and operator both allow."""
-    text = ctx.call.headers.get(headers_lib.DEADLINE, "")
-    timeout_s = ctx.service.timeout_s
-    if not text:
-        return timeout_s
-    return min(_number(text, headers_lib.DEADLINE) / _MS_PER_S, timeout_s)
+def _time_given_s(headers: httputil.HTTPHeaders) -> float:
+    text = headers.get(headers_lib.DEADLINE, "")
+    return _number(text, headers_lib.DEADLINE) / _MS_PER_S if text else 0.0
 
 
 def _generation(headers: httputil.HTTPHeaders) -> context.Generation:
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -44,6 +44,11 @@
     "decode": model.EndpointKind.DECODE,
 }
 
+# Clients leave a stream that shows nothing for the longest of these.
+_PATIENCE_MIN_S = 2.0
+_PATIENCE_TARGETS = 4.0
+_PATIENCE_PAUSES = 8.0
+
 Number = Annotated[float, pydantic.Field(allow_inf_nan=False, ge=0)]
 
 
@@ -268,10 +273,20 @@
         timeout_s=route.timeoutMs / _MS_PER_S,
         resume=streams and route.resumable,
         tokens_per_event=stride,
+        patience_s=_patience_s(route) if streams else 0.0,
         retry_group=service.name,
     )
 
 
+def _patience_s(route: _Route) -> float:
+    """Returns how long clients wait for a stream's first event."""
+    return max(
+        _PATIENCE_MIN_S,
+        _PATIENCE_TARGETS * route.sloMs / _MS_PER_S,
+        _PATIENCE_PAUSES * route.itlTargetMs / _MS_PER_S,
+    )
+
+
 def _facts(engine: _Engine) -> model.EngineFacts:
     return model.EngineFacts(
         memory_tokens=engine.kvCapacity,
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -27,7 +27,7 @@
 _FREE_S = 1.0
 # A port answers within some milliseconds. A lost packet is sent again after a
 # second, by which time another engine would have answered.
-_CONNECT_S = 0.4
+_CONNECT_S = 0.15
 _HOST = "Host"
 # These promise to clients that a request has not run. An engine that says so
 # without the header for it may have run it.
@@ -210,6 +210,7 @@
         ctx.call.body,
         connect_timeout_s=_CONNECT_S,
         timeout_s=timeout_s,
+        stall_s=ctx.stall_s,
         # An engine may close a kept connection just as a request goes out on
         # it, and then nobody could say whether that was run.
         fresh=unrepeatable and not prefills,
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -4,16 +4,14 @@
 import random
 import time
 
-from cowsliprill import clock
 from cowsliprill import peer_auth
 from cowsliprill import peers
-from cowsliprill.decisions import identity
+from cowsliprill.cells import caller as homes_caller
+from cowsliprill.cells import homes as homes_lib
 from cowsliprill.decisions import membership
-from cowsliprill.dispatch import handlers
-from cowsliprill.dispatch import homes as homes_lib
-from cowsliprill.dispatch import slot_desk
 from cowsliprill.engines import http_client
 from cowsliprill.entry import core as entry_core
+from cowsliprill.entry import placing
 from cowsliprill.membership import agent as agent_lib
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
@@ -61,13 +59,13 @@
             rng,
         )
         self._agent = agent_lib.Agent(self._members, self._source.newest, log)
-        self._homes = homes_lib.Homes(node.vm)
-        self._desk = slot_desk.SlotDesk(self._homes, clock.now, _hear_nothing)
+        self._homes = homes_lib.Homes(node.availability_zone, rng, log)
         self._entry = entry_core.Entry(
             node.environment(_DRAIN_NOTICE_S),
             log,
             self._source,
             dialect.PlatformDialect,
+            self._place_by_cells,
             self._metrics,
         )
         self._entry.peer_routes = self._peer_routes()
@@ -79,7 +77,7 @@
         self._entry.shell.listen_ready(*self._node.ready)
         tasks = [
             asyncio.create_task(work)
-            for work in (self._agent.run(), self._desk.run())
+            for work in (self._agent.run(), self._homes.run())
         ]
         ended = asyncio.create_task(self._entry.run())
         await asyncio.wait([ended, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -91,18 +89,21 @@
 
     def _peer_routes(self) -> list[tuple]:
         auth = peer_auth.PeerAuth(self._node.peer_secret)
-        desk = {"auth": auth, "desk": self._desk}
+        cells = {"auth": auth, "homes": self._homes}
         views = {"views_by_prefix": self._source.views_by_prefix}
         return [
-            (peers.SLOTS_PATH, handlers.SlotsHandler, desk),
+            (peers.CELLS_PATH, homes_lib.CellsHandler, cells),
             (peers.REGISTRY_PATH, registry_peers.NewsHandler, views),
         ]
 
     def _take_world(self) -> None:
-        self._homes.update(
-            self._source.snapshot, self._source.fleet, clock.now()
+        self._homes.update(self._source.snapshot, self._source.fleet)
+
+    def _place_by_cells(self, tools: placing.Tools) -> placing.ByCells:
+        caller = homes_caller.HomesCaller(
+            self._node.vm, self._homes, tools.homes
         )
-        self._desk.regrant()
+        return placing.ByCells(tools, caller.post)
 
 
 async def serve(node: node_lib.Node) -> None:
@@ -113,9 +114,3 @@
     """
     log = log_lib.open_log(f"router.{node.vm}")
     await Router(node, log).run()
-
-
-def _hear_nothing(incarnation: identity.Incarnation) -> None:
-    # Engines drop what has lost its connection, so nothing is swept for
-    # incarnations that are gone.
-    del incarnation
