--- a/src/cowsliprill/cells/client.py
+++ b/src/cowsliprill/cells/client.py
@@ -99,7 +99,7 @@
         self.placed_by_number[placed.submit.request_id] = placed
         self._look_up_home()
         request = wire.write_request(placed.submit, clock.now())
-        self._add(wire.Submit(request=request))
+        self._add(wire.Submit(kind="submit", request=request))
 
     def add(self, event: messages.Event, number: int) -> None:
         """Takes an event of a request that was submitted."""
@@ -160,10 +160,11 @@
             request = wire.write_request(placed.submit, now)
             start = placed.start
             if start is None:
-                self._add(wire.Submit(request=request))
+                self._add(wire.Submit(kind="submit", request=request))
                 continue
             self._add(
                 wire.Adopt(
+                    kind="adopt",
                     request=request,
                     stage=placed.stage,
                     prefill_id=start.prefill_id,
--- a/src/cowsliprill/cells/wire.py
+++ b/src/cowsliprill/cells/wire.py
@@ -59,7 +59,7 @@
 class Submit:
     """A request that waits for a decision."""
 
-    kind: Literal["submit"] = "submit"
+    kind: Literal["submit"]
     request: Request
 
 
@@ -67,7 +67,7 @@
 class Adopt:
     """A request that runs where an earlier home placed it."""
 
-    kind: Literal["adopt"] = "adopt"
+    kind: Literal["adopt"]
     request: Request
     stage: messages.Stage
     prefill_id: str
@@ -97,7 +97,7 @@
 class Failed:
     """An attempt came to nothing; see `messages.AttemptFailed`."""
 
-    kind: Literal["failed"] = "failed"
+    kind: Literal["failed"]
     number: int
     endpoint_id: str
     stage: messages.Stage
@@ -301,6 +301,7 @@
             return Count(kind="finished", number=number, tokens=tokens)
         case messages.AttemptFailed():
             return Failed(
+                kind="failed",
                 number=event.request_id,
                 endpoint_id=event.endpoint_id,
                 stage=event.stage,
--- a/src/cowsliprill/decisions/cell.py
+++ b/src/cowsliprill/decisions/cell.py
@@ -144,8 +144,11 @@
 
     def _forget(self, entry: str, now: float) -> None:
         known = self._entries_by_id.pop(entry)
+        # All are disowned before the first is cancelled: the room that it
+        # leaves could else be given to the next one of the same entry.
         for request_id in known.ids_by_number.values():
             self._owners_by_id.pop(request_id, None)
+        for request_id in known.ids_by_number.values():
             self._handle(messages.Cancel(request_id), now)
 
     def _set_share(self, now: float) -> None:
