End a leaving process within its grace; refuse what can't be finished

After the balancer's notice a leaving process now refuses new calls, truthfully as not run, and it ends before the platform ends it. Peers hear at once that it leaves.

Requests that can't meet their target step back behind the others rather than be refused, as long as they are of use.

--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -182,7 +182,8 @@
         self._enqueue(request, now)
         starts = self._place_all(pool, now)
         waits = request.stage is messages.Stage.QUEUED
-        if waits and not self._fits(request, item, now):
+        in_time = request.latest_start > now
+        if waits and in_time and not self._fits(request, item, now):
             starts.extend(self._step_back(request, now))
         return starts + self._advance(pool, now)
 
@@ -195,7 +196,8 @@
         it is of no use then, it is refused.
         """
         request.pool.queue.remove(request.submit.request_id)
-        if request.last_start <= max(now, request.latest_start):
+        late = request.latest_start <= now
+        if late or request.last_start <= request.latest_start:
             code = messages.RefusalCode.OVERLOADED
             return [self._refuse(request, code, now)]
         request.latest_start = now
@@ -483,9 +485,9 @@
             starts.append(start)
         return starts
 
-    def _give_up(self, pool: pools.Pool, now: float) -> list[messages.Refuse]:
+    def _give_up(self, pool: pools.Pool, now: float) -> list[messages.Action]:
         """Refuses at once what is too late or will be."""
-        refusals = []
+        refusals: list[messages.Action] = []
         for waiting in pool.queue.too_late(now):
             request = self._requests_by_id[waiting.submit.request_id]
             if not waiting.late and request.last_start > now:
@@ -502,8 +504,7 @@
             if wait_s <= time_left * _ADMIT_FACTOR:
                 break
             request = self._requests_by_id[last.submit.request_id]
-            code = messages.RefusalCode.OVERLOADED
-            refusals.append(self._refuse(request, code, now))
+            refusals.extend(self._step_back(request, now))
         return refusals
 
     def _place_first(
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import secrets
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
 
@@ -60,6 +61,7 @@
     Attributes:
       shell: Its servers, health and signals.
       peer_routes: Further tornado routes of the peer port, set before `run`.
+      before_drain: Awaited when the process begins to leave.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
             drain=self._drain,
         )
         self.peer_routes: list[tuple] = []
+        self.before_drain: Callable[[], Awaitable[None]] = _do_nothing
         self._public_server = None
         self._reports: set[asyncio.Task] = set()
 
@@ -229,6 +232,10 @@
         self._placing.world_changed(snapshot)
         self._budgets.keep_only(snapshot.services_by_id.values())
         self._metrics.revision.set({}, snapshot.revision)
+        if self._public_server is not None:
+            # tornado asks for it before each call that a connection brings.
+            connections = self._public_server.conn_params
+            connections.header_timeout = snapshot.limits.idle_timeout_s
         self._announce_world()
 
     def _announce_world(self) -> None:
@@ -274,9 +281,20 @@
         The balancer goes on sending connections until it has seen that the
         process isn't ready; closing the port before would refuse them.
         """
+        notice_s = self._environment.drain_notice_s
         self._gate.draining = True
-        await asyncio.sleep(self._environment.drain_notice_s)
+        await self.before_drain()
+        await asyncio.sleep(notice_s)
+        self._gate.closed = True
         self._public_server.stop()
-        await self._gate.wait_until_empty()
+        cut = await self._gate.wait_until_empty(
+            self._environment.drain_limit_s - notice_s
+        )
+        if cut:
+            self._log.warning("requests_cut", requests=cut)
         await self._canceller.settle(_CANCELS_SETTLE_S)
         await self._placing.hand_back()
+
+
+async def _do_nothing() -> None:
+    pass
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -36,6 +36,7 @@
     TOO_MANY_KEYS = "too_many_keys"
     OVERLOADED = "overloaded"
     NOT_READY = "not_ready"
+    LEAVING = "leaving"
     NO_ENDPOINT = "no_endpoint"
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_REFUSED = "endpoint_refused"
--- a/src/cowsliprill/entry/gate.py
+++ b/src/cowsliprill/entry/gate.py
@@ -5,13 +5,12 @@
 
 from cowsliprill import clock
 from cowsliprill.decisions import identity
+from cowsliprill.decisions import model
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import reply as reply_lib
 from cowsliprill.entry import world as world_lib
 
-MAX_BODY_BYTES = 8_388_608
-MAX_HEADER_BYTES = 16_384
 _MAX_BUFFERED_BYTES = 16_777_216
 _RETRY_AFTER_S = 1.0
 
@@ -23,7 +22,8 @@
     Attributes:
       incarnation: This process.
       world: The settings in force.
-      draining: Whether the process is leaving.
+      draining: Whether the process is leaving; it still serves.
+      closed: Whether it takes no more calls.
       buffered_bytes: Bytes of bodies that are held in memory.
       tasks: Requests in progress.
     """
@@ -31,10 +31,16 @@
     incarnation: identity.Incarnation
     world: world_lib.World
     draining: bool = False
+    closed: bool = False
     buffered_bytes: int = 0
     tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
     _next_number: int = 0
 
+    @property
+    def limits(self) -> model.CallLimits:
+        """What the settings in force let callers send."""
+        return self.world.snapshot.limits
+
     def open(
         self, call: context.Call, reply: reply_lib.Reply
     ) -> context.Context:
@@ -67,17 +73,42 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    async def wait_until_empty(self) -> None:
-        """Waits until no request is in progress."""
-        while self.tasks:
-            await asyncio.wait(self.tasks)
+    async def wait_until_empty(self, limit_s: float) -> int:
+        """Waits until no request is in progress.
+
+        Args:
+          limit_s: How long to wait.
+
+        Returns:
+          Requests that are still in progress.
+        """
+        try:
+            async with asyncio.timeout(limit_s):
+                while self.tasks:
+                    await asyncio.wait(self.tasks)
+        except TimeoutError:
+            pass
+        return len(self.tasks)
+
+    def check_open(self) -> errors.EntryError | None:
+        """Returns why no call is taken now, None if it is.
+
+        Callers keep connections, and go on sending on them to a process that
+        the balancer has long left out. A call that is begun shortly before
+        the end would be cut; refused, it is sent again elsewhere.
+        """
+        if not self.closed:
+            return None
+        return errors.EntryError(
+            errors.Code.LEAVING, "This process is leaving.", retry_after_s=0.0
+        )
 
     def check_room(self, size: int) -> errors.EntryError | None:
         """Returns why a body of a size can't be taken, None if it can."""
-        if size > MAX_BODY_BYTES:
+        limit = self.limits.body_bytes
+        if size > limit:
             return errors.EntryError(
-                errors.Code.BODY_TOO_LARGE,
-                f"The body has over {MAX_BODY_BYTES} bytes.",
+                errors.Code.BODY_TOO_LARGE, f"The body has over {limit} bytes."
             )
         if self.buffered_bytes + size > _MAX_BUFFERED_BYTES:
             return errors.EntryError(
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -14,9 +14,9 @@
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import reply as reply_lib
 
-# A body beyond the limit is read and dropped up to here, so that its sender
-# gets to read the 413; beyond, the connection is closed.
-_MAX_DROPPED_BYTES = 4 * gate_lib.MAX_BODY_BYTES
+# A body beyond the limit is read and dropped up to so many times the limit, so
+# that its sender gets to read the 413; beyond, the connection is closed.
+_DROPPED_BODIES = 4
 
 
 @web.stream_request_body
@@ -64,26 +64,32 @@
 
     async def prepare(self) -> None:
         """Checks the sizes that are known before the body comes."""
+        self._fault = self._gate.check_open()
         headers = self.request.headers
         size = sum(len(name) + len(value) for name, value in headers.get_all())
-        if size + len(self.request.uri or "") > gate_lib.MAX_HEADER_BYTES:
-            self._fault = errors.EntryError(
+        limit = self._gate.limits.header_bytes
+        if size + len(self.request.uri or "") > limit:
+            self._fault = self._fault or errors.EntryError(
                 errors.Code.HEADERS_TOO_LARGE,
-                f"The headers have over {gate_lib.MAX_HEADER_BYTES} bytes.",
+                f"The headers have over {limit} bytes.",
             )
         length = headers.get("Content-Length", "0")
         if length.isdigit():
             self._fault = self._fault or self._gate.check_room(int(length))
-            if int(length) > _MAX_DROPPED_BYTES:
+            if int(length) > self._max_dropped_bytes:
                 await self._serve()
 
+    @property
+    def _max_dropped_bytes(self) -> int:
+        return self._gate.limits.body_bytes * _DROPPED_BODIES
+
     def data_received(self, chunk: bytes) -> None:
         """Takes a part of the body."""
         self._size += len(chunk)
-        if self._size > _MAX_DROPPED_BYTES:
+        if self._size > self._max_dropped_bytes:
             self.request.connection.stream.close()
         self._fault = self._fault or self._gate.check_room(len(chunk))
-        if self._size > gate_lib.MAX_BODY_BYTES:
+        if self._size > self._gate.limits.body_bytes:
             self._fault = self._gate.check_room(self._size)
         if self._fault is None:
             self._chunks.append(chunk)
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -37,6 +37,8 @@
       boot_peers: URLs of settings processes to ask before the list is known.
       drain_notice_s: How long the balancer may need to see that a process
         isn't ready; it serves on for this long before it takes no more.
+      drain_limit_s: How long after the order to stop the process may still be
+        there; what runs then is cut.
       peer_secret: Secret that our processes share, by which they tell each
         other from strangers; empty accepts all.
       seed: Seed of the process's random numbers; None draws one.
@@ -55,6 +57,7 @@
     vm_list_url: str = ""
     boot_peers: tuple[str, ...] = ()
     drain_notice_s: float = pydantic.Field(default=5.0, ge=0.0, le=600.0)
+    drain_limit_s: float = pydantic.Field(default=600.0, gt=0.0)
     peer_secret: pydantic.SecretStr = pydantic.SecretStr("")
     seed: int | None = None
 
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -69,6 +69,7 @@
             self._metrics,
         )
         self._entry.peer_routes = self._peer_routes()
+        self._entry.before_drain = self._agent.leave
 
     async def run(self) -> None:
         """Serves until a signal, then drains and returns."""
--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -7,6 +7,9 @@
 
 from cowsliprill import environment
 
+# Time between the end of the last request and that of the process.
+_LAST_STEPS_S = 0.7
+
 
 def _split(address: object) -> object:
     if not isinstance(address, str):
@@ -62,6 +65,7 @@
             public_port=self.public[1],
             port=self.peer_ports[0],
             drain_notice_s=drain_notice_s,
+            drain_limit_s=max(self.grace_s - _LAST_STEPS_S, drain_notice_s),
             peer_secret=self.peer_secret,
         )
 
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,44 @@
+"""Tests of `decisions.channel`: in order, each message once."""
+
+import hypothesis
+from hypothesis import strategies
+
+from cowsliprill.decisions import channel
+
+
+class TestChannel:
+    """Calls that carry messages are lost, repeated and overtaken."""
+
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 3), strategies.integers(0, 5)
+            ),
+            max_size=40,
+        )
+    )
+    def test_all_arrive_in_order_and_once(self, acts):
+        outbox: channel.Outbox[int] = channel.Outbox()
+        inbox = channel.Inbox()
+        calls: list[tuple[int, tuple[int, ...]]] = []
+        taken: list[int] = []
+        for act, pick in acts:
+            match act:
+                case 0:
+                    outbox.add(outbox.last + 1)
+                case 1:
+                    calls.append((outbox.first, outbox.pending()))
+                case 2 if calls:
+                    first, pending = calls[pick % len(calls)]
+                    taken.extend(inbox.take(first, pending))
+                case 3:
+                    outbox.acknowledge(inbox.last)
+        taken.extend(inbox.take(outbox.first, outbox.pending()))
+        assert taken == list(range(1, outbox.last + 1))
+
+    def test_nothing_is_taken_after_a_gap(self):
+        """A call overtook the one before it, which was lost."""
+        inbox = channel.Inbox()
+        assert inbox.take(3, ["c"]) == []
+        assert inbox.take(1, ["a", "b", "c"]) == ["a", "b", "c"]
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,57 @@
+"""Tests of `decisions.routing`."""
+
+import collections
+import random
+
+from cowsliprill.decisions import model
+from cowsliprill.decisions import routing
+
+
+def _route(prefix: str, host: str = "a.example", **changes) -> model.Route:
+    fields = {
+        "name": prefix,
+        "host": host,
+        "path_prefix": prefix,
+        "services": (("s", 1.0),),
+        **changes,
+    }
+    return model.Route(**fields)
+
+
+class TestFind:
+    """The longest prefix of the path among the routes of the host."""
+
+    def test_longest_prefix_wins(self):
+        routes = routing.index([_route("/"), _route("/x/"), _route("/x/y/")])
+        assert routing.find(routes, "a.example", "/x/y/z").path_prefix == (
+            "/x/y/"
+        )
+        assert routing.find(routes, "a.example", "/x/yz").path_prefix == "/x/"
+        assert routing.find(routes, "a.example", "/z").path_prefix == "/"
+
+    def test_prefix_itself_and_port_and_case(self):
+        routes = routing.index([_route("/x/")])
+        assert routing.find(routes, "A.example:8080", "/x/") is not None
+
+    def test_none_elsewhere(self):
+        routes = routing.index([_route("/x/")])
+        assert routing.find(routes, "a.example", "/x") is None
+        assert routing.find(routes, "b.example", "/x/") is None
+        assert routing.find(routes, "a.example", "") is None
+
+
+class TestPickService:
+    """Calls go to the services of a split route by its weights."""
+
+    def test_weights(self):
+        route = _route("/", services=(("a", 90.0), ("b", 10.0)))
+        rng = random.Random(1)
+        counts = collections.Counter(
+            routing.pick_service(route, rng) for _ in range(2_000)
+        )
+        assert 0.07 < counts["b"] / 2_000 < 0.13
+
+    def test_weight_of_nothing_gets_nothing(self):
+        route = _route("/", services=(("a", 1.0), ("b", 0.0)))
+        rng = random.Random(1)
+        assert {routing.pick_service(route, rng) for _ in range(500)} == {"a"}
