Reach the decode engine before a prompt is read

Cause: a crashed decode engine refused connections for two seconds and was placed on 54 times in that time, each with a prefill for nothing; the blame of a failed transfer fell on either end by turns. The connection for the decode is now opened before the prefill, an engine that can't be reached is left alone at once and tried again after half a second, at no prefill.

Ruled out: fewer retries, which would have refused callers while another engine had room.

--- a/src/cowsliprill/cells/wire.py
+++ b/src/cowsliprill/cells/wire.py
@@ -104,6 +104,7 @@
     refused: bool = False
     unsent: bool = False
     not_run: bool = False
+    unreachable: bool = False
     kept_s: float = 0.0
     resumable: bool = False
 
@@ -274,6 +275,7 @@
                 refused=event.refused,
                 unsent=event.unsent,
                 not_run=event.not_run,
+                unreachable=event.unreachable,
                 kept_s=event.kept_s,
                 resumable=event.resumable,
             )
@@ -308,6 +310,7 @@
                 refused=event.refused,
                 unsent=event.unsent,
                 not_run=event.not_run,
+                unreachable=event.unreachable,
                 kept_s=event.kept_s,
                 resumable=event.resumable,
             )
--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -124,7 +124,9 @@
         # A probe may well come to nothing. With a short prompt it costs little
         # and its transfer arrives in time even on a slow link.
         is_short = submit.prompt_tokens <= _PROBE_PROMPT_TOKENS
-        return is_short and self._health.usable(endpoint.id, now)
+        # One that couldn't be reached is found out before the prefill.
+        cheap = is_short or self._health.was_unreachable(endpoint.id)
+        return cheap and self._health.usable(endpoint.id, now)
 
     def _hop_s(self, endpoint: model.Endpoint) -> float:
         if endpoint.availability_zone == self._availability_zone:
--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -24,6 +24,10 @@
 _AVOID_MIN_S = 2.0
 _AVOID_MAX_S = 30.0
 
+# One that takes no connection costs its next request some milliseconds and no
+# prefill, so it may be tried again sooner.
+_AVOID_UNREACHABLE_S = 0.5
+
 # A probe whose outcome is never heard of must not keep an endpoint out.
 _PROBE_TIMEOUT_S = 30.0
 
@@ -36,6 +40,7 @@
     probe_until: float = 0.0
     avoided: bool = False
     failing: bool = False
+    unreachable: bool = False
     moved_at: float = 0.0
 
 
@@ -85,12 +90,26 @@
         if state is not None and state.avoided:
             state.probe_until = now + _PROBE_TIMEOUT_S
 
-    def failed(self, endpoint_id: str, now: float) -> None:
-        """Notes a failure: one is enough."""
+    def failed(
+        self, endpoint_id: str, now: float, *, unreachable: bool = False
+    ) -> None:
+        """Notes a failure: one is enough.
+
+        Args:
+          endpoint_id: Whose it is.
+          now: Time, seconds.
+          unreachable: Whether no connection came about.
+        """
         state = self._state(endpoint_id)
         state.failing = True
+        state.unreachable = unreachable
         self._avoid(state, now)
 
+    def was_unreachable(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint failed by taking no connection."""
+        state = self._states_by_endpoint.get(endpoint_id)
+        return state is not None and state.unreachable
+
     def pace(self, endpoint_id: str, ratio: float, now: float) -> None:
         """Notes a measured time over the expected one.
 
@@ -157,6 +176,7 @@
         self._avoided -= state.avoided
         state.avoided = False
         state.failing = False
+        state.unreachable = False
         # The time to leave it alone shrinks with each good answer, so that an
         # endpoint which keeps changing between good and bad is soon left
         # alone for long.
@@ -167,7 +187,8 @@
         # are the same piece of news and must not lengthen the time again.
         if state.avoided and now < state.avoid_until:
             return
-        state.avoid_s = min(max(state.avoid_s * 2, _AVOID_MIN_S), _AVOID_MAX_S)
+        least_s = _AVOID_UNREACHABLE_S if state.unreachable else _AVOID_MIN_S
+        state.avoid_s = min(max(state.avoid_s * 2, least_s), _AVOID_MAX_S)
         self._avoided += not state.avoided
         state.avoided = True
         state.avoid_until = now + state.avoid_s
--- a/src/cowsliprill/decisions/learning.py
+++ b/src/cowsliprill/decisions/learning.py
@@ -71,6 +71,8 @@
             # once it would refuse one request after the other.
             if holding.in_use <= request.slots and not event.unsent:
                 self._health.failed(event.endpoint_id, now)
+        elif event.unreachable:
+            self._health.failed(event.endpoint_id, now, unreachable=True)
         elif event.stage is messages.Stage.TRANSFER:
             never = float("inf")
             self._health.transfer(prefill.id, decode.id, never, 0.0, now)
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -157,6 +157,7 @@
       unsent: Whether no engine has heard of the attempt, since the entry's
         own lease had run out before.
       not_run: Whether the request is known not to have run.
+      unreachable: Whether no connection to the endpoint came about.
       kept_s: How long the finished prefill of the attempt is kept yet, for
         another decode engine to fetch; 0 if it is gone.
       resumable: Whether tokens have reached the caller and another engine may
@@ -169,6 +170,7 @@
     refused: bool = False
     unsent: bool = False
     not_run: bool = False
+    unreachable: bool = False
     kept_s: float = 0.0
     resumable: bool = False
 
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -60,6 +60,21 @@
     expiry: asyncio.TimerHandle
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Connection:
+    """A connection that no call has used yet.
+
+    Attributes:
+      stream: tornado's stream.
+    """
+
+    stream: iostream.IOStream
+
+    def close(self) -> None:
+        """Closes it, unless a call has ended it before."""
+        self.stream.close()
+
+
 class _NumericResolver(netutil.Resolver):
     """Takes IP numbers as they are.
 
@@ -109,6 +124,7 @@
         stall_s: float | None = None,
         fresh: bool = False,
         allow_unframed: bool = False,
+        connection: Connection | None = None,
         progress: call_lib.Progress | None = None,
     ) -> exchange_lib.Response:
         """Sends a request and waits for the answer's status and headers.
@@ -130,6 +146,8 @@
             whether that was run.
           allow_unframed: Whether an answer without a length ends with the
             connection; otherwise such an answer counts as cut.
+          connection: A connection that `connect` opened, to be used for this
+            call alone.
           progress: Told how far the call got, for use after a cancel.
 
         Returns:
@@ -144,17 +162,20 @@
             raise errors.CallError(
                 f"malformed request: {method} {path!r}", run=progress.run
             )
-        stream = None if fresh else self._take_idle((host, port))
+        if connection is not None:
+            stream = connection.stream
+        else:
+            stream = None if fresh else self._take_idle((host, port))
         if stream is None:
             stream = await self._connect(host, port, connect_timeout_s)
         exchange = exchange_lib.Exchange(stream, method)
         exchange.allow_unframed = allow_unframed
         try:
-            connection = _write(
+            writing = _write(
                 stream, (method, path, all_headers, body), progress
             )
             exchange.start_timers(timeout_s, stall_s)
-            self._read(connection, exchange, (host, port))
+            self._read(writing, exchange, (host, port))
             await exchange.wait_for_head()
         except BaseException:
             exchange.fail(errors.CallError("call given up"))
@@ -162,6 +183,24 @@
             raise
         return exchange_lib.Response(exchange)
 
+    async def connect(
+        self, host: str, port: int, timeout_s: float
+    ) -> Connection:
+        """Opens a connection for a later call.
+
+        Args:
+          host: IP number.
+          port: TCP port.
+          timeout_s: Time for it.
+
+        Returns:
+          The connection; whoever doesn't use it closes it.
+
+        Raises:
+          errors.ConnectFailed: No connection came about.
+        """
+        return Connection(await self._connect(host, port, timeout_s))
+
     def idle_count(self) -> int:
         """Counts the idle connections that are kept."""
         return sum(len(idle) for idle in self._idle_by_address.values())
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -12,6 +12,7 @@
       stage: Where the attempt was.
       refused: Whether the endpoint refused, being full or draining.
       unsent: Whether no engine has heard of the attempt.
+      unreachable: Whether no connection to the endpoint came about.
       kept_s: How long the attempt's finished prefill is kept yet.
       resumable: Whether the rest of a broken stream may come from another
         engine.
@@ -26,6 +27,7 @@
         *,
         refused: bool = False,
         unsent: bool = False,
+        unreachable: bool = False,
         kept_s: float = 0.0,
         resumable: bool = False,
     ) -> None:
@@ -34,6 +36,7 @@
         self.stage = stage
         self.refused = refused
         self.unsent = unsent
+        self.unreachable = unreachable
         self.kept_s = kept_s
         self.resumable = resumable
         self.reason = reason
--- a/src/cowsliprill/entry/calls.py
+++ b/src/cowsliprill/entry/calls.py
@@ -48,6 +48,14 @@
     def attempt_id(self, ctx: context.Context) -> str:
         """Returns the id by which engines know the present attempt."""
 
+    async def prepare(
+        self, ctx: context.Context, endpoint: model.Endpoint
+    ) -> None:
+        """Makes sure that a decode engine can be reached, before the prefill.
+
+        Raises `engines.errors.ConnectFailed`.
+        """
+
     async def prefill(
         self, ctx: context.Context, endpoint: model.Endpoint, timeout_s: float
     ) -> Prefilled:
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -9,6 +9,7 @@
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.engines import http_client
 from cowsliprill.entry import errors
 from cowsliprill.entry import reply as reply_lib
 from cowsliprill.entry import schema
@@ -126,6 +127,8 @@
         nothing.
       stall_s: Silence after which the present call is given up, None to wait
         until the end; by `placement`.
+      connection: An open connection to the decode engine of the present
+        attempt, not used yet.
       kept: A finished prefill that no decode engine has fetched yet.
       idempotency_key: Key or ticket, empty for none; by `idempotency`.
       survives_caller: Whether the run goes on without its caller; by
@@ -151,6 +154,7 @@
     useful_until: float = 0.0
     time_given_s: float = 0.0
     stall_s: float | None = None
+    connection: http_client.Connection | None = None
     kept: Any = None
     idempotency_key: str = ""
     survives_caller: bool = False
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -160,6 +160,7 @@
                 refused=lost.refused,
                 unsent=lost.unsent,
                 not_run=not ran,
+                unreachable=lost.unreachable,
                 kept_s=lost.kept_s,
                 resumable=lost.resumable,
             )
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -66,13 +66,36 @@
           errors.EntryError: The request has ended without a whole answer.
         """
         ctx.stall_s = _STALL_S if ctx.service.resume else None
-        prefilled = await self._prefilled(ctx)
-        stream = await self._decode(ctx, prefilled)
+        try:
+            await self._prepare(ctx)
+            prefilled = await self._prefilled(ctx)
+            stream = await self._decode(ctx, prefilled)
+        finally:
+            if ctx.connection is not None:
+                ctx.connection.close()
+                ctx.connection = None
         try:
             await self._deliver(ctx, stream)
         finally:
             stream.close()
 
+    async def _prepare(self, ctx: context.Context) -> None:
+        # An engine that has crashed, or whose machine is dark, is still listed
+        # for some seconds. Found out only after the prefill, each request
+        # placed there would have its prompt read for nothing.
+        endpoint = self._endpoint(ctx.start.decode_id, messages.Stage.TRANSFER)
+        try:
+            await self.calls.prepare(ctx, endpoint)
+        except engine_errors.ConnectFailed as error:
+            raise attempts.AttemptLost(
+                endpoint.id,
+                messages.Stage.TRANSFER,
+                str(error),
+                unsent=True,
+                unreachable=True,
+                kept_s=self._kept_s(ctx) if ctx.kept else 0.0,
+            ) from error
+
     async def _prefilled(self, ctx: context.Context) -> calls_lib.Prefilled:
         kept, ctx.kept = ctx.kept, None
         if kept is not None and ctx.start.reuses_prefill:
@@ -290,6 +313,7 @@
             self._stage,
             str(error),
             refused=refused and error.code in _BUSY,
+            unreachable=isinstance(error, engine_errors.ConnectFailed),
         ) from error
 
     def _take_back(self) -> None:
--- a/src/cowsliprill/entry/native.py
+++ b/src/cowsliprill/entry/native.py
@@ -42,6 +42,11 @@
         number, attempt = ctx.start.request_id, ctx.start.attempt
         return str(identity.AttemptId(self.incarnation, number, attempt))
 
+    async def prepare(
+        self, ctx: context.Context, endpoint: model.Endpoint
+    ) -> None:
+        """Does nothing: engines of this protocol cancel by an order."""
+
     async def prefill(
         self, ctx: context.Context, endpoint: model.Endpoint, timeout_s: float
     ) -> engine_model.PrefillResult:
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -77,6 +77,14 @@
         """Returns the client's id, which engines echo."""
         return ctx.call.headers.get(headers_lib.ATTEMPT, "")
 
+    async def prepare(
+        self, ctx: context.Context, endpoint: model.Endpoint
+    ) -> None:
+        """Opens the connection by which the decode will be asked for."""
+        ctx.connection = await self._http.connect(
+            endpoint.host, endpoint.port, _CONNECT_S
+        )
+
     async def prefill(
         self, ctx: context.Context, endpoint: model.Endpoint, timeout_s: float
     ) -> Prefilled:
@@ -108,8 +116,14 @@
             extra[headers_lib.KV_SOURCE] = f"{address}/{prefilled.handle}"
         if ctx.progress.last_event_id:
             extra[headers_lib.LAST_EVENT] = ctx.progress.last_event_id
+        connection, ctx.connection = ctx.connection, None
         response = await _send(
-            self._http, ctx, endpoint, extra, timeout_s=timeout_s
+            self._http,
+            ctx,
+            endpoint,
+            extra,
+            timeout_s=timeout_s,
+            connection=connection,
         )
         try:
             _check(ctx, response)
@@ -198,6 +212,7 @@
     *,
     timeout_s: float,
     progress: call_lib.Progress | None = None,
+    connection: http_client.Connection | None = None,
 ) -> exchange.Response:
     unrepeatable = ctx.service.idempotency is model.Idempotency.UNREPEATABLE
     prefills = headers_lib.STAGE in extra
@@ -215,6 +230,7 @@
         # it, and then nobody could say whether that was run.
         fresh=unrepeatable and not prefills,
         allow_unframed=True,
+        connection=connection,
         progress=progress,
     )
 
