Cut what is left at a process's end instead of ending it in good order

A begun answer is now only ever cut, and a process whose time is over breaks off what is left before it ends.

Ruled out: a longer drain; the platform ends the process. Both tests fail without the change.

--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -292,6 +292,7 @@
         )
         if cut:
             self._log.warning("requests_cut", requests=cut)
+            self._gate.cut()
         await self._canceller.settle(_CANCELS_SETTLE_S)
         await self._placing.hand_back()
 
--- a/src/cowsliprill/entry/gate.py
+++ b/src/cowsliprill/entry/gate.py
@@ -25,7 +25,7 @@
       draining: Whether the process is leaving; it still serves.
       closed: Whether it takes no more calls.
       buffered_bytes: Bytes of bodies that are held in memory.
-      tasks: Requests in progress.
+      tasks: Requests in progress, by the tasks that handle them.
     """
 
     incarnation: identity.Incarnation
@@ -33,7 +33,9 @@
     draining: bool = False
     closed: bool = False
     buffered_bytes: int = 0
-    tasks: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    tasks: dict[asyncio.Task, context.Context] = dataclasses.field(
+        default_factory=dict
+    )
     _next_number: int = 0
 
     @property
@@ -69,8 +71,8 @@
           The task; a graceful shutdown waits for it.
         """
         task = asyncio.create_task(handle(ctx))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.tasks[task] = ctx
+        task.add_done_callback(lambda done: self.tasks.pop(done, None))
         return task
 
     async def wait_until_empty(self, limit_s: float) -> int:
@@ -90,6 +92,12 @@
             pass
         return len(self.tasks)
 
+    def cut(self) -> None:
+        """Breaks off all requests in progress, so that callers notice."""
+        for task, ctx in list(self.tasks.items()):
+            ctx.reply.abort()
+            task.cancel()
+
     def check_open(self) -> errors.EntryError | None:
         """Returns why no call is taken now, None if it is.
 
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -139,6 +139,17 @@
         self._gate.buffered_bytes -= self._held
         self._held = 0
 
+    def send_error(self, status_code: int = 500, **kwargs: object) -> None:
+        """Cuts an answer that has begun; else answers with an error.
+
+        tornado would end a begun answer in good order, also when it is
+        cancelled as the process ends. Its caller would take it for whole.
+        """
+        if self._headers_written:
+            self.request.connection.stream.close()
+            return
+        super().send_error(status_code, **kwargs)
+
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Answers what tornado itself refuses in the same JSON shape."""
         del kwargs
--- /dev/null
+++ b/tests/test_handlers.py
@@ -0,0 +1,90 @@
+"""Tests of `entry.handlers` over real connections."""
+
+import asyncio
+import socket
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from cowsliprill.decisions import identity
+from cowsliprill.entry import context
+from cowsliprill.entry import gate as gate_lib
+from cowsliprill.entry import handlers
+from cowsliprill.entry import world as world_lib
+
+_REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+_LAST_CHUNK = b"0\r\n\r\n"
+
+
+def _read_all(port: int) -> bytes:
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.sendall(_REQUEST)
+        connection.settimeout(10)
+        parts = []
+        while part := connection.recv(65_536):
+            parts.append(part)
+    return b"".join(parts)
+
+
+class _Site:
+    """One server whose calls stream for ever."""
+
+    def __init__(self) -> None:
+        self.gate = gate_lib.Gate(
+            identity.Incarnation("vm", "e0", "0"), world_lib.World()
+        )
+        self.started = asyncio.Event()
+        own = {"gate": self.gate, "handle": self._handle}
+        application = web.Application([(".*", handlers.CallHandler, own)])
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        self.port = sockets[0].getsockname()[1]
+        self.server = httpserver.HTTPServer(application)
+        self.server.add_sockets(sockets)
+
+    async def _handle(self, ctx: context.Context) -> None:
+        await ctx.reply.start(200, [("Content-Type", "text/event-stream")])
+        await ctx.reply.write(b"id: 1\ndata: a\n\n")
+        self.started.set()
+        await asyncio.Event().wait()
+
+
+class TestEndOfTheProcess:
+    """A process ends amid a stream, its time to drain being over."""
+
+    def test_a_cut_stream_doesnt_look_whole(self):
+        """The event loop cancels all that runs as it closes.
+
+        tornado then ends the answer in good order: its caller takes half a
+        summary for the whole, and never asks for the rest.
+        """
+
+        async def scenario():
+            site = _Site()
+            reading = asyncio.create_task(
+                asyncio.to_thread(_read_all, site.port)
+            )
+            await site.started.wait()
+            own = {asyncio.current_task(), reading}
+            for task in asyncio.all_tasks() - own:
+                task.cancel()
+            return await asyncio.wait_for(reading, 10)
+
+        answer = asyncio.run(scenario())
+        assert b"data: a" in answer
+        assert not answer.endswith(_LAST_CHUNK)
+
+    def test_what_is_left_when_the_time_is_over_is_cut(self):
+        async def scenario():
+            site = _Site()
+            reading = asyncio.create_task(
+                asyncio.to_thread(_read_all, site.port)
+            )
+            await site.started.wait()
+            assert await site.gate.wait_until_empty(0.01) == 1
+            site.gate.cut()
+            return await asyncio.wait_for(reading, 10)
+
+        answer = asyncio.run(scenario())
+        assert b"data: a" in answer
+        assert not answer.endswith(_LAST_CHUNK)
