Let no VM be home to a pool before it knows the pool's engines

A VM may be a home once it knows settings and engines, and says so to all at once, since members that hear of a change one after the other hold different VMs for the home. Calls of an earlier channel that come late no longer undo what was stated since.

Ruled out: lapsed handles and lingering engines; the blocks that entries ran by their logs were 1,980 to 2,400 where the home counted 1,000.

--- a/src/cowsliprill/cells/client.py
+++ b/src/cowsliprill/cells/client.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import random
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -33,7 +32,6 @@
 _FAILURES_MAX = 2
 _ASIDE_S = 2.0
 _PAUSE_S = 0.02
-_EPOCH_BITS = 48
 
 Post = Callable[[model.Vm, wire.CellRequest, float], Awaitable[wire.CellAnswer]]
 
@@ -64,7 +62,6 @@
       post: Calls a home.
       world: The VM list.
       log: The process's log.
-      rng: Draws epochs.
     """
 
     def __init__(
@@ -74,14 +71,12 @@
         post: Post,
         world: world_lib.World,
         log: log_lib.Log,
-        rng: random.Random,
     ) -> None:
         self._pool = pool
         self._entry = entry
         self._post = post
         self._world = world
         self._log = log
-        self._random = rng
         self.placed_by_number: dict[int, _Placed] = {}
         self._home: model.Vm | None = None
         self._aside_until_by_vm: dict[str, float] = {}
@@ -152,7 +147,7 @@
 
     def _begin_anew(self) -> None:
         """States all requests to a home that doesn't know of them."""
-        self._epoch = self._random.getrandbits(_EPOCH_BITS)
+        self._epoch += 1
         self._outbox = channel.Outbox()
         self._inbox = channel.Inbox()
         now = clock.now()
@@ -282,7 +277,6 @@
       post: Calls a home.
       world: The settings and the VM list.
       log: The process's log.
-      rng: Random numbers.
     """
 
     def __init__(
@@ -291,13 +285,11 @@
         post: Post,
         world: world_lib.World,
         log: log_lib.Log,
-        rng: random.Random,
     ) -> None:
         self._entry = entry
         self._post = post
         self._world = world
         self._log = log
-        self._random = rng
         self._channels_by_pool: dict[str, _Channel] = {}
         self._pools_by_number: dict[int, str] = {}
 
@@ -350,7 +342,6 @@
                 self._post,
                 self._world,
                 self._log,
-                self._random,
             )
             self._channels_by_pool[pool] = known
         return known
--- a/src/cowsliprill/cells/homes.py
+++ b/src/cowsliprill/cells/homes.py
@@ -74,16 +74,24 @@
         """
         homed = self._homed(request.pool)
         now = clock.now()
-        new_channel = request.first == 1
-        if not new_channel and not homed.cell.knows(
-            request.entry, request.epoch
-        ):
+        knows = homed.cell.knows(request.entry, request.epoch)
+        begins = request.first == 1
+        old = homed.cell.is_old(request.entry, request.epoch)
+        if old or not (knows or begins):
             return wire.CellAnswer(known=False)
         events = tuple(wire.read_event(event, now) for event in request.events)
         homed.cell.receive(
             request.entry, request.epoch, request.first, events, now
         )
         homed.cell.acknowledge(request.entry, request.acknowledged)
+        if not knows:
+            self._log.event(
+                "cell_joined",
+                pool=request.pool,
+                entry=request.entry,
+                requests=homed.cell.running(request.entry),
+                engines=homed.cell.engines(request.pool),
+            )
         self._wake.set()
         self._notify(homed)
         if request.wait_s:
--- a/src/cowsliprill/decisions/cell.py
+++ b/src/cowsliprill/decisions/cell.py
@@ -66,6 +66,7 @@
             len(vm.entry_ports)
             for vm in fleet.vms_by_id.values()
             if vm.role is model.VmRole.ENTRY
+            and vm.state is not model.VmState.JOINING
         )
         self._handle(messages.WorldChanged(snapshot, fleet), now)
         self._set_share(now)
@@ -75,6 +76,15 @@
         known = self._entries_by_id.get(entry)
         return known is not None and known.epoch == epoch
 
+    def is_old(self, entry: str, epoch: int) -> bool:
+        """Returns whether a channel was followed by a newer one.
+
+        A call that was long on its way would otherwise throw away what the
+        entry has stated since.
+        """
+        known = self._entries_by_id.get(entry)
+        return known is not None and known.epoch > epoch
+
     def receive(
         self,
         entry: str,
@@ -87,7 +97,7 @@
 
         Args:
           entry: Id of the entry.
-          epoch: Tells its channels to this cell apart; a new one begins anew.
+          epoch: Rises with each channel of the entry; a new one begins anew.
           first: Number of the first message.
           events: The messages, by the entry's own numbers of requests.
           now: Time, seconds.
@@ -125,6 +135,14 @@
         known = self._entries_by_id.get(entry)
         return known is None or bool(known.outbox.pending())
 
+    def engines(self, pool: str) -> int:
+        """Returns how many engines of a pool are known."""
+        return self._scheduler.engines(pool)
+
+    def running(self, entry: str) -> int:
+        """Returns how many requests of an entry wait or run."""
+        return len(self._entries_by_id[entry].ids_by_number)
+
     def tick(self, now: float) -> None:
         """Lets time pass."""
         silent = [
--- a/src/cowsliprill/decisions/membership.py
+++ b/src/cowsliprill/decisions/membership.py
@@ -34,6 +34,7 @@
       availability_zone: Where it is.
       incarnation: Rises with each start of the process.
       heartbeat: Rises with each beat of one incarnation.
+      ready: Whether it knows settings and endpoints, and may be a home.
       leaving: Whether it takes no more work.
       newest: Revision of the newest registry change that it knows, for each
         prefix that is followed.
@@ -45,6 +46,7 @@
     availability_zone: str
     incarnation: int
     heartbeat: int = 0
+    ready: bool = False
     leaving: bool = False
     newest: tuple[int, ...] = ()
 
@@ -102,10 +104,26 @@
         self._bury(now)
         return self._message(), self._targets()
 
-    def leave(self) -> tuple[list[Record], list[tuple[str, int]]]:
-        """Says that this process takes no more work, to all at once."""
+    def announce(
+        self, *, ready: bool = False, leaving: bool = False
+    ) -> tuple[list[Record], list[tuple[str, int]]]:
+        """Tells all at once in which state this process is.
+
+        Members that hear of it one after the other, beat by beat, hold
+        different VMs for a home meanwhile.
+
+        Args:
+          ready: Whether it may be a home.
+          leaving: Whether it takes no more work.
+
+        Returns:
+          The record to send and the addresses to send it to.
+        """
         self.own = dataclasses.replace(
-            self.own, heartbeat=self.own.heartbeat + 1, leaving=True
+            self.own,
+            heartbeat=self.own.heartbeat + 1,
+            ready=ready,
+            leaving=leaving,
         )
         everyone = [(record.host, record.port) for record in self.alive()]
         return [self.own], everyone
@@ -150,6 +168,7 @@
         changed = (
             peer.dead
             or record.leaving != peer.record.leaving
+            or record.ready != peer.record.ready
             or record.incarnation != peer.record.incarnation
         )
         peer.record = record
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -35,6 +35,7 @@
 class VmState(enum.StrEnum):
     """State of a VM in the platform's list."""
 
+    JOINING = "joining"
     LIVE = "live"
     LEAVING = "leaving"
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -108,6 +108,11 @@
             case messages.Tick():
                 return self._advance_all(now)
 
+    def engines(self, pool: str) -> int:
+        """Returns how many engines of a pool are in use."""
+        known = self._pools.by_name.get(pool)
+        return len(known.endpoints_by_id) if known else 0
+
     def asks(self, now: float) -> list[messages.SlotAsk]:
         """States this entry's standing with every endpoint it uses.
 
--- a/src/cowsliprill/entry/placing.py
+++ b/src/cowsliprill/entry/placing.py
@@ -175,7 +175,6 @@
             post,
             tools.world,
             tools.log,
-            tools.random_source,
         )
 
     def world_changed(self, snapshot: model.Snapshot) -> None:
--- a/src/cowsliprill/membership/agent.py
+++ b/src/cowsliprill/membership/agent.py
@@ -9,9 +9,9 @@
 from cowsliprill.decisions import membership
 from cowsliprill.observability import log as log_lib
 
-# Messages that a leaving process repeats, since datagrams may be lost.
-_FAREWELLS = 3
-_FAREWELL_GAP_S = 0.05
+# A change of state is told so often, since datagrams may be lost.
+_ANNOUNCEMENTS = 3
+_ANNOUNCEMENT_GAP_S = 0.05
 
 _Records = list[membership.Record]
 
@@ -36,7 +36,7 @@
         self._log = log
         self._callbacks: list[Callable[[], None]] = []
         self._transport: asyncio.DatagramTransport | None = None
-        self._present: dict[str, tuple[int, bool]] = {}
+        self._present: dict[str, tuple[int, bool, bool]] = {}
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Has a function called after each message and each beat."""
@@ -57,12 +57,15 @@
             self._note_changes()
             await asyncio.sleep(membership.BEAT_S)
 
-    async def leave(self) -> None:
-        """Tells the others that this process takes no more work."""
-        records, targets = self._members.leave()
-        for _ in range(_FAREWELLS):
+    async def announce(
+        self, *, ready: bool = False, leaving: bool = False
+    ) -> None:
+        """Tells the others at once in which state this process is."""
+        records, targets = self._members.announce(ready=ready, leaving=leaving)
+        self._note_changes()
+        for _ in range(_ANNOUNCEMENTS):
             self._send(records, targets)
-            await asyncio.sleep(_FAREWELL_GAP_S)
+            await asyncio.sleep(_ANNOUNCEMENT_GAP_S)
 
     # Called by asyncio.
 
@@ -95,7 +98,7 @@
 
     def _note_changes(self) -> None:
         present = {
-            record.id: (record.incarnation, record.leaving)
+            record.id: (record.incarnation, record.ready, record.leaving)
             for record in self._members.alive()
         }
         if present != self._present:
@@ -104,8 +107,11 @@
                 alive=len(present) + 1,
                 joined=sorted(present.keys() - self._present.keys()),
                 lost=sorted(self._present.keys() - present.keys()),
+                joining=sorted(
+                    vm for vm, (_, ready, _) in present.items() if not ready
+                ),
                 leaving=sorted(
-                    vm for vm, (_, leaving) in present.items() if leaving
+                    vm for vm, (_, _, leaving) in present.items() if leaving
                 ),
             )
             self._present = present
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -400,13 +400,19 @@
         follower.took(changes)
 
 
+def _state(record: membership.Record) -> model.VmState:
+    if record.leaving:
+        return model.VmState.LEAVING
+    return model.VmState.LIVE if record.ready else model.VmState.JOINING
+
+
 def _vm(record: membership.Record) -> model.Vm:
     return model.Vm(
         id=record.id,
         host=record.host,
         availability_zone=record.availability_zone,
         role=model.VmRole.ENTRY,
-        state=model.VmState.LEAVING if record.leaving else model.VmState.LIVE,
+        state=_state(record),
         dispatch_port=record.port,
         entry_ports=(record.port,),
     )
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -69,7 +69,8 @@
             self._metrics,
         )
         self._entry.peer_routes = self._peer_routes()
-        self._entry.before_drain = self._agent.leave
+        self._entry.before_drain = self._leave
+        self._announced: asyncio.Task | None = None
 
     async def run(self) -> None:
         """Serves until a signal, then drains and returns."""
@@ -99,6 +100,15 @@
 
     def _take_world(self) -> None:
         self._homes.update(self._source.snapshot, self._source.fleet)
+        if self._announced is None and self._source.is_ready():
+            self._announced = asyncio.create_task(
+                self._agent.announce(ready=True)
+            )
+
+    async def _leave(self) -> None:
+        if self._announced is not None:
+            self._announced.cancel()
+        await self._agent.announce(leaving=True)
 
     def _place_by_cells(self, tools: placing.Tools) -> placing.ByCells:
         caller = homes_caller.HomesCaller(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -102,7 +102,7 @@
     def test_a_leaving_one_is_known_to_leave(self):
         net = _Net(3)
         net.beat(4)
-        net.deliver(net.members[1], *net.members[1].leave())
+        net.deliver(net.members[1], *net.members[1].announce(leaving=True))
         states = {
             record.id: record.leaving for record in net.members[0].alive()
         }
