--- a/src/cowsliprill/cli/__main__.py
+++ b/src/cowsliprill/cli/__main__.py
@@ -16,6 +16,7 @@
     commands.DiffCommand,
     commands.PackCommand,
     commands.HashCommand,
+    commands.ExplainCommand,
     commands.StatusCommand,
     commands.AuditCommand,
 )
--- a/src/cowsliprill/cli/commands.py
+++ b/src/cowsliprill/cli/commands.py
@@ -60,6 +60,23 @@
     """Read an API key from standard input and print its hash."""
 
 
+@cappa.command(name="explain")
+@dataclasses.dataclass
+class ExplainCommand:
+    """Tell the story of a request from the logs of one or more VMs.
+
+    For example: `cowsliprill explain 9c41d07be2a35f68 vm-*.log`.
+    """
+
+    request: Annotated[
+        str,
+        cappa.Arg(help="Our id of the request, or the caller's own id of it."),
+    ]
+    files: Annotated[
+        list[pathlib.Path], cappa.Arg(help="Logs; `-` is standard input.")
+    ]
+
+
 @cappa.command(name="status")
 @dataclasses.dataclass
 class StatusCommand:
--- a/src/cowsliprill/cli/core.py
+++ b/src/cowsliprill/cli/core.py
@@ -15,6 +15,7 @@
 from cowsliprill import peers
 from cowsliprill.cli import commands
 from cowsliprill.cli import errors
+from cowsliprill.cli import explain
 from cowsliprill.cli import show
 from cowsliprill.observability import log
 from cowsliprill.settings import difference
@@ -78,6 +79,8 @@
         case commands.HashCommand():
             key = terminal.stdin.readline().rstrip("\n")
             terminal.write(hashlib.sha256(key.encode()).hexdigest())
+        case commands.ExplainCommand(request, files):
+            _explain(request, files, terminal)
         case commands.StatusCommand(url):
             _status(_get(url + peers.STATUS_PATH), terminal)
         case commands.AuditCommand(url):
@@ -104,6 +107,24 @@
         ) from error
 
 
+def _explain(
+    request: str, files: list[pathlib.Path], terminal: Terminal
+) -> None:
+    lines: list[explain.Line] = []
+    for file in files:
+        text = terminal.stdin.read() if str(file) == "-" else _read(file)
+        lines.extend(explain.read(text.splitlines()))
+    story = explain.story(lines, request)
+    if not story:
+        raise errors.CliError(
+            f"No line of these logs is about {request}.",
+            code="unknown_request",
+        )
+    for line in story:
+        terminal.write(explain.tell(line))
+    terminal.write(explain.cause(story))
+
+
 def _check(document: str, terminal: Terminal) -> None:
     snapshot = resolve.resolve(document)
     publication = publish.publish(document)
--- a/src/cowsliprill/cli/errors.py
+++ b/src/cowsliprill/cli/errors.py
@@ -6,7 +6,7 @@
 class CliError(errors.CowsliprillError):
     """Raised for a command that can't be carried out.
 
-    Codes: `file_unreadable`, `unknown_service`, `no_answer`.
+    Codes: `file_unreadable`, `unknown_service`, `unknown_request`, `no_answer`.
     """
 
     code = "no_answer"
--- a/src/cowsliprill/decisions/membership.py
+++ b/src/cowsliprill/decisions/membership.py
@@ -23,6 +23,9 @@
 _MISSED_BEATS = 3.5
 
 
+Address = tuple[str, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Record:
     """What is said of one member.
@@ -77,7 +80,7 @@
     def __init__(
         self,
         own: Record,
-        seeds: Iterable[tuple[str, int]],
+        seeds: Iterable[Address],
         rng: random.Random,
     ) -> None:
         self.own = own
@@ -87,7 +90,7 @@
 
     def beat(
         self, newest: tuple[int, ...], now: float
-    ) -> tuple[list[Record], list[tuple[str, int]]]:
+    ) -> tuple[list[Record], list[Address]]:
         """Begins the next beat.
 
         Args:
@@ -106,7 +109,7 @@
 
     def announce(
         self, *, ready: bool = False, leaving: bool = False
-    ) -> tuple[list[Record], list[tuple[str, int]]]:
+    ) -> tuple[list[Record], list[Address]]:
         """Tells all at once in which state this process is.
 
         Members that hear of it one after the other, beat by beat, hold
@@ -210,7 +213,7 @@
             others = self._random.sample(others, PASSED_ON)
         return [self.own, *others]
 
-    def _targets(self) -> list[tuple[str, int]]:
+    def _targets(self) -> list[Address]:
         # The dead are greeted now and then as well: after a partition both
         # sides hold the other for dead, and nobody else would bring them
         # together again.
--- a/src/cowsliprill/decisions/ownership.py
+++ b/src/cowsliprill/decisions/ownership.py
@@ -6,7 +6,6 @@
 
 from cowsliprill.decisions import model
 
-
 _STATES = (model.VmState.LIVE, model.VmState.LEAVING, model.VmState.JOINING)
 
 
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -114,6 +114,7 @@
       reply: Where the answer goes.
       arrived_at: Time of arrival, seconds.
       snapshot: Settings in force at arrival; they hold for all of the request.
+      caller_id: The caller's own id of this attempt, for logs; empty for none.
       user: The calling user; by `identify`.
       service: The service called; by `resolve`.
       generation: The model request, None for plain calls; by `resolve`.
@@ -144,6 +145,7 @@
     reply: reply_lib.Reply
     arrived_at: float
     snapshot: model.Snapshot
+    caller_id: str = ""
     user: model.User | None = None
     service: model.Service | None = None
     generation: Generation | None = None
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -97,6 +97,7 @@
         self.log.event(
             "placed",
             request=ctx.request_id,
+            caller=ctx.caller_id,
             attempt=start.attempt,
             prefill=start.prefill_id,
             decode=start.decode_id,
@@ -119,6 +120,7 @@
         self.log.event(
             "refused",
             request=ctx.request_id,
+            caller=ctx.caller_id,
             reason=refusal.code.value,
             waiting=refusal.waiting,
             wait_ms=round(min(refusal.wait_s, _LONG_S) * _MS_PER_S, 1),
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -133,6 +133,7 @@
         self.log.warning(
             "call_lost",
             request=ctx.request_id,
+            caller=ctx.caller_id,
             endpoint=ctx.endpoint.id,
             run=lost.run.value,
             reason=lost.reason,
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -92,6 +92,7 @@
         self.log.event(
             "request_ended",
             request=ctx.request_id,
+            caller=ctx.caller_id,
             user=ctx.user.id if ctx.user else "",
             service=labels["service"],
             outcome=progress.outcome,
--- a/src/cowsliprill/observability/log.py
+++ b/src/cowsliprill/observability/log.py
@@ -3,10 +3,14 @@
 import json
 import logging
 import sys
+import time
 from typing import Any
+from typing import TextIO
 
 from pythonjsonlogger import core
 
+from cowsliprill.observability import writer
+
 _LOGGER_NAME = "cowsliprill"
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@"
@@ -83,6 +87,31 @@
         return log_data
 
 
+def open_output(process: str, target: TextIO) -> tuple[Log, writer.Writer]:
+    """Opens the log of a process whose reader may stop reading.
+
+    Args:
+      process: Name that stands in every line.
+      target: Where to write, for example standard output.
+
+    Returns:
+      The log, and what writes it.
+    """
+
+    def note_dropped(lines: int) -> str:
+        pairs = {
+            "time": time.strftime("%Y-%m-%d %H:%M:%S"),
+            "level": "WARNING",
+            "process": process,
+            "event": "log_lines_dropped",
+            "lines": lines,
+        }
+        return serialize(pairs) + "\n"
+
+    output = writer.Writer(target, note_dropped)
+    return open_log(process, output), output
+
+
 def open_log(process: str, stream: Any = None) -> Log:
     """Opens the log of this process on standard error.
 
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -25,6 +25,7 @@
       errors.EntryError: A header can't be read.
     """
     ctx.user = _ANONYMOUS
+    ctx.caller_id = ctx.call.headers.get(headers_lib.ATTEMPT, "")
     ctx.service_path = ctx.call.uri
     ctx.priority = ctx.service.priority
     ctx.time_given_s = _time_given_s(ctx.call.headers)
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import random
+import signal
+import sys
 import time
 from typing import Any
 
+from cowsliprill import errors
 from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.cells import caller as homes_caller
@@ -16,6 +19,7 @@
 from cowsliprill.membership import agent as agent_lib
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
+from cowsliprill.observability import writer
 from cowsliprill.platform import catalog
 from cowsliprill.platform import dialect
 from cowsliprill.platform import store as store_lib
@@ -25,6 +29,12 @@
 
 _MS_PER_S = 1_000
 
+# At its end a process waits so long for a reader of its log.
+_LAST_LINES_S = 0.2
+
+# How often the process's own file is looked at: it may change without a signal.
+_RELOAD_CHECK_S = 1.0
+
 
 class Router:
     """One router process.
@@ -32,11 +42,18 @@
     Args:
       node: What it was told about itself.
       log: Its log.
+      output: What writes the log, None in tests.
     """
 
-    def __init__(self, node: node_lib.Node, log: log_lib.Log) -> None:
+    def __init__(
+        self,
+        node: node_lib.Node,
+        log: log_lib.Log,
+        output: writer.Writer | None = None,
+    ) -> None:
         self._node = node
         self._log = log
+        self._output = output
         self._metrics = metrics_lib.Metrics()
         rng = random.Random()
         host, port = node.public[0], node.peer_ports[0]
@@ -47,8 +64,7 @@
             availability_zone=node.availability_zone,
             incarnation=time.time_ns() // 1_000_000,
         )
-        seeds = [(seed_host, port) for seed_host, _ in node.seeds]
-        self._members = membership.Membership(own, seeds, rng)
+        self._members = membership.Membership(own, self._seeds(node), rng)
         self._source = source_lib.Source(
             store_lib.MetadataStore(http_client.HttpClient(), *node.store),
             catalog.Catalog(node.retry_budget_ratio, node.retry_budget_slack),
@@ -77,7 +93,11 @@
         self._entry.shell.listen_ready(*self._node.ready)
         tasks = [
             asyncio.create_task(work)
-            for work in (self._agent.run(), self._homes.run())
+            for work in (
+                self._agent.run(),
+                self._homes.run(),
+                self._follow_file(),
+            )
         ]
         ended = asyncio.create_task(self._entry.run())
         await asyncio.wait([ended, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -87,6 +107,47 @@
                 task.result()
         await ended
 
+    async def _follow_file(self) -> None:
+        """Takes changes of the process's own file, with a signal or without."""
+        path = self._node.path
+        if path is None:
+            return await asyncio.Event().wait()
+        hangup = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGHUP, hangup.set)
+        text = path.read_bytes()
+        while True:
+            try:
+                async with asyncio.timeout(_RELOAD_CHECK_S):
+                    await hangup.wait()
+            except TimeoutError:
+                pass
+            hangup.clear()
+            try:
+                newest = path.read_bytes()
+            except OSError as error:
+                self._log.warning("file_unreadable", reason=str(error))
+                continue
+            if newest != text:
+                text = newest
+                self._reload()
+
+    def _reload(self) -> None:
+        # What the process listens on can't change while it runs; seeds can,
+        # and by them a VM that lost all others finds them again.
+        try:
+            node = node_lib.load(self._node.path)
+        except errors.CowsliprillError as error:
+            self._log.warning("file_unreadable", reason=error.message)
+            return
+        self._node = node
+        self._members.seeds = tuple(self._seeds(node))
+        self._log.event("file_reloaded", seeds=len(node.seeds))
+
+    @staticmethod
+    def _seeds(node: node_lib.Node) -> list[membership.Address]:
+        return [(host, node.peer_ports[0]) for host, _ in node.seeds]
+
     @property
     def public_port(self) -> int:
         """Port for callers, known once it runs."""
@@ -97,6 +158,7 @@
         return {
             "alive": len(self._members.alive()) + 1,
             "homed_pools": self._homes.status(),
+            "log_lines_dropped": self._output.dropped if self._output else 0,
             "registry_newest": self._source.newest(),
             **self._entry.shell.status(),
         }
@@ -139,5 +201,7 @@
     Args:
       node: What the process was told about itself.
     """
-    log = log_lib.open_log(f"router.{node.vm}")
-    await Router(node, log).run()
+    log, output = log_lib.open_output(f"router.{node.vm}", sys.stdout)
+    router = Router(node, log, output)
+    await router.run()
+    output.drain(_LAST_LINES_S)
--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -41,6 +41,7 @@
         isn't ready: it asks each second and turns away after two refusals.
       grace_s: Time between the order to stop and the end.
       peer_secret: Secret that our processes share; empty accepts all.
+      path: The file itself, None where there is none.
     """
 
     model_config = pydantic.ConfigDict(frozen=True)
@@ -57,6 +58,7 @@
     drain_notice_s: float = 2.6
     grace_s: float = 8.0
     peer_secret: str = ""
+    path: pathlib.Path | None = None
 
     def environment(self) -> environment.Environment:
         """Returns the same as the entry process's environment."""
@@ -88,6 +90,7 @@
       environment.EnvironmentFileError: It can't be read or has wrong fields.
     """
     try:
-        return Node.model_validate_json(path.read_bytes())
+        node = Node.model_validate_json(path.read_bytes())
+        return node.model_copy(update={"path": path})
     except (OSError, ValueError) as error:
         raise environment.EnvironmentFileError(f"{path}: {error}") from error
