Revert the strike for a stream that breaks

Tried: one broken stream counts as a strike, the engine is left alone after two. Cause looked for: a third of a small pool idle for two seconds after one garbled answer.

--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -105,10 +105,6 @@
         state.unreachable = unreachable
         self._avoid(state, now)
 
-    def broke(self, endpoint_id: str, now: float) -> None:
-        """Notes a stream that broke off: two without a good one between."""
-        self._strike(self._state(endpoint_id), now)
-
     def was_unreachable(self, endpoint_id: str) -> bool:
         """Returns whether an endpoint failed by taking no connection."""
         state = self._states_by_endpoint.get(endpoint_id)
--- a/src/cowsliprill/decisions/learning.py
+++ b/src/cowsliprill/decisions/learning.py
@@ -76,10 +76,5 @@
         elif event.stage is messages.Stage.TRANSFER:
             never = float("inf")
             self._health.transfer(prefill.id, decode.id, never, 0.0, now)
-        elif event.stage is messages.Stage.DECODE:
-            # Engines lose a connection now and then and are well. One that is
-            # dark loses all its streams, so a second soon follows. Left alone
-            # after a single one, a third of a small pool would lie idle.
-            self._health.broke(event.endpoint_id, now)
         else:
             self._health.failed(event.endpoint_id, now)
