Split what a scheduler knows of requests and of their prospects

Requests are made in requests.py, what speaks for their turn stands in prospects.py; leases of places no longer carry what only blocks of memory needed, since pools counted in blocks are placed at homes. A request that runs is adopted also where its prefill engine has left: its memory went uncounted.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -324,34 +324,19 @@
           One ask per endpoint.
         """
         waiting = len(self.queue)
-        if only_urgent and not waiting and not self._has_unsettled(now):
+        if only_urgent and not waiting and not self._has_unsettled():
             return
-        wanted = self.queue.slots()
         held = yield from self._asks_of(
-            self.decodes, wanted, now, sequence, only_urgent
+            self.decodes, waiting, now, sequence, only_urgent
         )
-        if wanted:
-            held = math.ceil(held * waiting / wanted)
         yield from self._asks_of(
             self.prefills, min(waiting, held), now, sequence, only_urgent
         )
 
-    @property
-    def keeps_none_idle(self) -> bool:
-        """Whether slots without work go back at once.
-
-        Where slots are blocks of memory, an engine holds some ten requests.
-        One kept in reserve by each entry would leave little for work; asking
-        for each request costs some milliseconds of its time to first token.
-        """
-        return self.block_tokens > 0
-
-    def _has_unsettled(self, now: float) -> bool:
+    def _has_unsettled(self) -> bool:
         """Returns whether any home waits for a word of this entry."""
         return any(
-            holding.others_waiting
-            or holding.stated_need
-            or (self.keeps_none_idle and holding.idle(now))
+            holding.others_waiting or holding.stated_need
             for holding in self.holdings_by_endpoint.values()
         )
 
@@ -376,7 +361,7 @@
         first: queue.Waiting | None = None
         for endpoint, holding in zip(endpoints, holdings, strict=True):
             own_idle = holding.idle(now)
-            scarce = holding.others_waiting > 0 or self.keeps_none_idle
+            scarce = holding.others_waiting > 0
             if self._health.usable(endpoint.id, now):
                 given_up = min(own_idle, spare) if scarce else 0
                 spare -= given_up
@@ -409,8 +394,6 @@
         held = holding.held(now) - given_up
         usable = self._health.usable(endpoint_id, now)
         reserve = _RESERVE if usable and not holding.others_waiting else 0
-        if self.keeps_none_idle:
-            reserve = 0
         holding.stated_need = need
         holding.state(sequence, held)
         first = first if need else None
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -11,6 +11,11 @@
 # lapsed lease any more.
 _UNSENT_MAX = 8
 
+# Requests start late enough to miss their targets when others are before them
+# at the prefill engine or on the link. This multiple of the mean delay that
+# this costs is kept in hand.
+_DELAY_MARGIN = 2.0
+
 
 @dataclasses.dataclass(slots=True)
 class Request:
@@ -18,6 +23,8 @@
 
     Attributes:
       submit: The request.
+      unhindered_start: When starting it would be too late if nobody else
+        were there.
       latest_start: When starting it would be too late.
       last_start: When starting it would be too late for any use.
       first_token_s: Least time to its first token.
@@ -37,6 +44,7 @@
     """
 
     submit: messages.Submit
+    unhindered_start: float
     latest_start: float
     last_start: float
     first_token_s: float
@@ -55,6 +63,82 @@
     kept_until: float = 0.0
 
 
+def arrived(submit: messages.Submit, pool: pools.Pool, now: float) -> Request:
+    """Makes a request of what has arrived, and learns its size.
+
+    Args:
+      submit: What has arrived.
+      pool: Its pool.
+      now: Time, seconds.
+
+    Returns:
+      The request.
+    """
+    times = pool.best_times(submit)
+    first_token_s = times.first_token_s()
+    unhindered_start = submit.deadline - first_token_s
+    latest_start = min(
+        unhindered_start - pool.start_delay_s * _DELAY_MARGIN,
+        now + submit.service.may_wait_s,
+    )
+    last_start = latest_start
+    if submit.useful_until:
+        last_start = submit.useful_until - first_token_s
+    slots = pool.slots_for(submit)
+    pool.learn_slots(slots)
+    tokens = pool.lengths.expected_tokens(submit)
+    pool.worths.learn(submit, tokens)
+    return Request(
+        submit=submit,
+        unhindered_start=unhindered_start,
+        latest_start=latest_start,
+        last_start=last_start,
+        first_token_s=first_token_s,
+        cost_s=_cost_s(pool, submit, times),
+        worth=pool.worths.of(submit, tokens),
+        pool=pool,
+        slots=slots,
+    )
+
+
+def adopted(
+    event: messages.Adopt, pool: pools.Pool, now: float
+) -> Request | None:
+    """Makes a request of one that another scheduler has placed.
+
+    Args:
+      event: What its entry says of it.
+      pool: Its pool.
+      now: Time, seconds.
+
+    Returns:
+      The request, None if its decode engine isn't in use any more.
+    """
+    submit, start = event.submit, event.start
+    decode = pool.endpoints_by_id.get(start.decode_id)
+    if decode is None:
+        return None
+    return Request(
+        submit=submit,
+        unhindered_start=now,
+        latest_start=now,
+        last_start=submit.useful_until or now,
+        first_token_s=pool.best_times(submit).first_token_s(),
+        cost_s=0.0,
+        worth=1.0,
+        pool=pool,
+        slots=start.slots,
+        stage=event.stage,
+        attempt=start.attempt,
+        # The prefill engine may have left since; its part is done. Without
+        # one the memory that the answer takes would not be counted.
+        prefill=pool.endpoints_by_id.get(start.prefill_id, decode),
+        decode=decode,
+        started_at=now,
+        stage_at=now,
+    )
+
+
 def why_not_again(
     request: Request,
     event: messages.AttemptFailed,
@@ -91,3 +175,20 @@
     if not budgets.of(service).spend(made):
         return messages.RefusalCode.RETRY_BUDGET_SPENT
     return None
+
+
+def _cost_s(
+    pool: pools.Pool, submit: messages.Submit, times: pools.BestTimes
+) -> float:
+    """Returns the decode slot time that a request is expected to cost.
+
+    Its slot is held from the start of the prefill on. A transfer that
+    takes much of the time for which its prefill is kept may come too
+    late, the more so the more links are shared; the service says how much
+    an unused prefill matters.
+    """
+    tokens = pool.lengths.expected_tokens(submit)
+    held_s = times.first_token_s() + tokens * times.token_s
+    risk = times.transfer_s / times.export_ttl_s
+    weight = submit.service.wasted_prefill_weight
+    return held_s * (1 + weight * risk)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -9,7 +9,6 @@
 import random
 
 from cowsliprill.decisions import chooser
-from cowsliprill.decisions import demand
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
 from cowsliprill.decisions import learning
@@ -18,16 +17,13 @@
 from cowsliprill.decisions import placement
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import pool_set
+from cowsliprill.decisions import prospects
 from cowsliprill.decisions import queue
 from cowsliprill.decisions import requests
 from cowsliprill.decisions import retry
 
 _IDLE_WAKEUP_S = 0.5
 
-# Part of the time a request may wait that a queue may take without anyone
-# being turned away for lack of room.
-_EASY_WAIT = 0.1
-
 # A caller waits in the queue only if the backlog is expected to drain within
 # this multiple of the time it has.
 _ADMIT_FACTOR = 1.0
@@ -35,16 +31,6 @@
 # How many seconds of waiting a second of expected decode time outweighs.
 _SIZE_WORTH = 3.0
 
-# Requests start late enough to miss their targets when others are before them
-# at the prefill engine or on the link. This multiple of the mean delay that
-# this costs is kept in hand.
-_DELAY_MARGIN = 2.0
-
-# Part of a pool that late requests are taken to get at the least. Of 0.1, 0.3
-# and 0.5, on six heavy days of two sites: less refuses callers that would have
-# been served late, more lets others wait in vain; 0.3 serves as many as either.
-_LEAST_ROOM = 0.3
-
 # A caller whose stream stands still gives it up after about this time, so a
 # stream that can't go on elsewhere by then is better ended.
 _RESUME_WITHIN_S = 2.0
@@ -162,41 +148,23 @@
                 )
             ]
         self._budgets.of(event.service).earn()
-        times = pool.best_times(event)
-        unhindered_start = event.deadline - times.first_token_s()
-        latest_start = min(
-            unhindered_start - pool.start_delay_s * _DELAY_MARGIN,
-            now + event.service.may_wait_s,
-        )
-        last_start = latest_start
-        if event.useful_until:
-            last_start = event.useful_until - times.first_token_s()
-        cost_s = _cost_s(pool, event, times)
-        slots = pool.slots_for(event)
-        pool.learn_slots(slots)
-        tokens = pool.lengths.expected_tokens(event)
-        pool.worths.learn(event, tokens)
-        request = requests.Request(
-            event,
-            latest_start,
-            last_start,
-            times.first_token_s(),
-            cost_s,
-            pool.worths.of(event, tokens),
-            pool,
-            slots,
-        )
+        request = requests.arrived(event, pool, now)
         self._requests_by_id[event.request_id] = request
-        if max(unhindered_start, last_start) < now:
+        if max(request.unhindered_start, request.last_start) < now:
             code = messages.RefusalCode.TARGET_UNREACHABLE
             return [self._refuse(request, code, now)]
-        item = self._demand_item(request, now)
+        item = prospects.demand_item(request, now)
         pool.demand.add(item)
         self._enqueue(request, now)
         starts = self._place_all(pool, now)
         waits = request.stage is messages.Stage.QUEUED
         in_time = request.latest_start > now
-        if waits and in_time and not self._fits(request, item, now):
+        entries = self._pools.entries
+        if (
+            waits
+            and in_time
+            and not prospects.fits(request, item, now, entries)
+        ):
             starts.extend(self._step_back(request, now))
         return starts + self._advance(pool, now)
 
@@ -221,31 +189,11 @@
         self, event: messages.Adopt, now: float
     ) -> list[messages.Action]:
         """Takes over a request that another scheduler has placed."""
-        submit, start = event.submit, event.start
-        pool = self._pools.by_name.get(submit.service.pool)
-        if pool is None:
-            return []
-        prefill = pool.endpoints_by_id.get(start.prefill_id)
-        decode = pool.endpoints_by_id.get(start.decode_id)
-        if prefill is None or decode is None:
+        pool = self._pools.by_name.get(event.submit.service.pool)
+        request = pool and requests.adopted(event, pool, now)
+        if request is None:
             return []
-        request = requests.Request(
-            submit,
-            now,
-            submit.useful_until or now,
-            pool.best_times(submit).first_token_s(),
-            0.0,
-            1.0,
-            pool,
-            start.slots,
-            stage=event.stage,
-            attempt=start.attempt,
-            prefill=prefill,
-            decode=decode,
-            started_at=now,
-            stage_at=now,
-        )
-        self._requests_by_id[submit.request_id] = request
+        self._requests_by_id[event.submit.request_id] = request
         self._take(request)
         return []
 
@@ -258,36 +206,6 @@
         pool.holding(request.decode.id).take(user, request.slots)
         pool.take(user)
 
-    def _fits(
-        self, request: requests.Request, item: demand.Item, now: float
-    ) -> bool:
-        """Returns whether a request that has to wait is worth its wait."""
-        pool = request.pool
-        backlog = pool.backlog(item.priority)
-        if not backlog.is_scarce():
-            return True
-        # A burst after a calm time looks like more than fits, since answers'
-        # lengths aren't learnt yet. A queue that drains long before its
-        # requests' time is over is no reason to turn callers away.
-        patience_s = request.latest_start - now
-        if backlog.wait_s() < patience_s * _EASY_WAIT:
-            return True
-        slots = pool.slots() / self._pools.entries
-        return pool.demand.fits(item, slots, pool.shares_by_user)
-
-    def _demand_item(
-        self, request: requests.Request, now: float
-    ) -> demand.Item:
-        service = request.submit.service
-        weight = service.goodput_weight
-        return demand.Item(
-            at=now,
-            user=request.submit.user,
-            priority=request.submit.priority,
-            cost_s=request.cost_s * request.slots,
-            worth=weight * request.worth,
-        )
-
     def _enqueue(self, request: requests.Request, now: float) -> None:
         request.stage = messages.Stage.QUEUED
         late = request.latest_start <= now < request.last_start
@@ -501,14 +419,6 @@
             starts.append(start)
         return starts
 
-    def _load(self, pool: pools.Pool, now: float) -> float:
-        """Returns the part of a pool that newly arriving requests take.
-
-        Late ones are only served with what is left beside these. Taking the
-        whole pool for theirs would let them wait in vain.
-        """
-        return pool.demand.load(now, pool.slots() / self._pools.entries)
-
     def _give_up(self, pool: pools.Pool, now: float) -> list[messages.Action]:
         """Refuses at once what is too late or will be."""
         refusals: list[messages.Action] = []
@@ -524,9 +434,7 @@
             last = pool.queue.last(pool.over_share)
             assert last is not None
             time_left = last.latest_start - now
-            wait_s = pool.backlog(last.submit.priority).wait_s()
-            if last.late:
-                wait_s /= max(1.0 - self._load(pool, now), _LEAST_ROOM)
+            wait_s = prospects.wait_s(pool, last, now, self._pools.entries)
             if wait_s <= time_left * _ADMIT_FACTOR:
                 break
             request = self._requests_by_id[last.submit.request_id]
@@ -602,20 +510,3 @@
             )
         )
         cached.add(submit.prefix_hashes)
-
-
-def _cost_s(
-    pool: pools.Pool, submit: messages.Submit, times: pools.BestTimes
-) -> float:
-    """Returns the decode slot time that a request is expected to cost.
-
-    Its slot is held from the start of the prefill on. A transfer that
-    takes much of the time for which its prefill is kept may come too
-    late, the more so the more links are shared; the service says how much
-    an unused prefill matters.
-    """
-    tokens = pool.lengths.expected_tokens(submit)
-    held_s = times.first_token_s() + tokens * times.token_s
-    risk = times.transfer_s / times.export_ttl_s
-    weight = submit.service.wasted_prefill_weight
-    return held_s * (1 + weight * risk)
