Don't ask the engine again that has just said that it is full

The mark is now set without them, and the room is believed in again at the next tick.

Ruled out: lapsed prefills; the second attempts came 10 to 30 ms later. The test fails without the change.

--- a/src/cowsliprill/decisions/learning.py
+++ b/src/cowsliprill/decisions/learning.py
@@ -65,7 +65,6 @@
         assert prefill is not None and decode is not None
         if event.refused:
             holding = request.pool.holding(event.endpoint_id)
-            holding.drop_free()
             # An engine that refuses its only request isn't full with ours: it
             # is leaving, or holds what nobody here knows of. Asked again at
             # once it would refuse one request after the other.
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -299,6 +299,10 @@
         cancel = self._cancel_attempt(request)
         streaming = request.stage is messages.Stage.DECODE
         self._release(request)
+        if event.refused:
+            # Only now, without the slots of this very request: left free, they
+            # would draw its next attempt to the engine that has no room.
+            request.pool.holding(event.endpoint_id).drop_free()
         if streaming and not event.resumable:
             # Tokens have reached the caller; what becomes of its stream is
             # the shell's to decide, not ours to start anew.
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -243,6 +243,39 @@
         assert second.decode_id != start.decode_id
 
 
+class TestFullEngine:
+    """An engine has less room than this home believes."""
+
+    def test_it_isnt_asked_again_at_once(self):
+        """It holds what nobody here knows of, and refuses one after another.
+
+        The prompt was read and is kept for half a second. Asked again, the
+        engine refuses again, and the prompt has been read for nothing.
+        """
+        site = _Site(decodes=1)
+        site.hear_all()
+        for number in range(3):
+            site.send("vm-0", _submit(number, site.now))
+        starts = _starts(site.decisions("vm-0"))
+        assert len(starts) == 3
+        site.send(
+            "vm-0",
+            messages.PrefillFinished(2),
+            messages.AttemptFailed(
+                request_id=2,
+                endpoint_id="d0",
+                stage=messages.Stage.TRANSFER,
+                refused=True,
+                not_run=True,
+                kept_s=0.3,
+            ),
+        )
+        assert site.decisions("vm-0") == []
+        site.send("vm-0", messages.Finished(0, 10))
+        (start,) = _starts(site.decisions("vm-0"))
+        assert start.request_id == 2
+
+
 class TestEntries:
     """Entries die, fall silent, or begin anew."""
 
