--- /dev/null
+++ b/tests/test_router_process.py
@@ -0,0 +1,154 @@
+"""Tests of `cowsliprill-router` as a process of its own."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+from tests import platform_site
+
+from cowsliprill.engines import http_client
+
+
+class _Process:
+    """A router in a process, and what it has written so far."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+        self.text = ""
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        while part := await self.process.stdout.read(65_536):
+            self.text += part.decode()
+
+    async def until(self, text: str) -> None:
+        await platform_site.until(lambda: text in self.text)
+
+    async def end(self, number: int) -> int:
+        self.process.send_signal(number)
+        code = await asyncio.wait_for(self.process.wait(), 20)
+        await self._reading
+        return code
+
+
+def _port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def _node(store: str) -> dict:
+    return {
+        "vm": "vm-0",
+        "availability_zone": "gasabo",
+        "public": f"127.0.0.1:{_port()}",
+        "ready": f"127.0.0.1:{_port()}",
+        "peer_ports": [_port(), 0],
+        "seeds": ["127.0.0.1:1"],
+        "store": store,
+        "drain_notice_s": 0.1,
+        "grace_s": 5.0,
+        "a_field_to_come": 1,
+    }
+
+
+@contextlib.asynccontextmanager
+async def _running(folder: pathlib.Path):
+    store = platform_site.Store()
+    desk = platform_site.Engine("s0", "desk", None)
+    await store.put("op/config", platform_site.config())
+    await store.put("servers/s0", desk.entry())
+    file = folder / "vm-0.json"
+    file.write_text(json.dumps(_node(store.address)))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "cowsliprill.router",
+        str(file),
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": "src"},
+    )
+    router = _Process(process)
+    try:
+        await router.until("event=endpoint_listed")
+        yield router, file
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        await desk.site.close()
+
+
+async def _get(address: str, path: str, **headers: str) -> int:
+    host, port = address.rsplit(":", 1)
+    client = http_client.HttpClient()
+    response = await client.call(host, int(port), "GET", path, headers)
+    await response.read(1 << 16)
+    client.close()
+    return response.status
+
+
+class TestRouterProcess:
+    """Start, readiness, a call, reload, end."""
+
+    def test_serves_and_ends_in_good_order(self, tmp_path: pathlib.Path):
+        async def scenario():
+            async with _running(tmp_path) as (router, file):
+                node = json.loads(file.read_text())
+                await router.until("event=ready")
+                ready = await _get(node["ready"], "/readyz")
+                served = await _get(
+                    node["public"],
+                    platform_site.SAFE_PATH,
+                    **{"Host": "desk.example", "Attempt-Id": "c1"},
+                )
+                code = await router.end(signal.SIGTERM)
+                return ready, served, code, router.text
+
+        ready, served, code, text = asyncio.run(scenario())
+        assert (ready, served, code) == (200, 200, 0)
+        assert "event=request_ended" in text
+        assert "caller=c1" in text
+        assert "event=stopped" in text
+
+    def test_takes_a_change_of_its_file(self, tmp_path: pathlib.Path):
+        """Its seeds were replaced; by the old ones it would find nobody."""
+
+        async def scenario():
+            async with _running(tmp_path) as (router, file):
+                await router.until("event=ready")
+                node = json.loads(file.read_text())
+                node["seeds"] = ["127.0.0.1:1", "127.0.0.2:1"]
+                file.write_text(json.dumps(node))
+                router.process.send_signal(signal.SIGHUP)
+                await router.until("event=file_reloaded")
+                file.write_text("{")
+                await router.until("event=file_unreadable")
+                return await router.end(signal.SIGTERM)
+
+        assert asyncio.run(scenario()) == 0
+
+    def test_a_wrong_file_is_told(self, tmp_path: pathlib.Path):
+        async def scenario():
+            file = tmp_path / "vm-0.json"
+            file.write_text('{"vm": "vm-0", "public": "nowhere"}')
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "cowsliprill.router",
+                str(file),
+                stderr=asyncio.subprocess.PIPE,
+                env={**os.environ, "PYTHONPATH": "src"},
+            )
+            _, told = await process.communicate()
+            return process.returncode, told.decode()
+
+        code, told = asyncio.run(scenario())
+        assert code == 2
+        assert "environment_invalid" in told
+        assert "nowhere" in told
