--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -57,6 +57,12 @@
     }
 
 
+def _unblock_stop_signals() -> None:
+    # Processes that end within this one, in other tests, block the signals to
+    # stop for good. A child inherits that and would never hear of its end.
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM, signal.SIGINT})
+
+
 @contextlib.asynccontextmanager
 async def _running(folder: pathlib.Path):
     store = platform_site.Store()
@@ -65,6 +71,7 @@
     await store.put("servers/s0", desk.entry())
     file = folder / "vm-0.json"
     file.write_text(json.dumps(_node(store.address)))
+    _unblock_stop_signals()
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
