Have the stand-in of the store end held watches when it goes down

It took the store down by its status alone; a watch that was already held was answered by neither the fall nor the test's limit of ten seconds, being held for twelve. Whether it was held depended on the start. The test now waits until both watches are held, and the stand-in ends them with its status, as a store that goes down does; what the test asserts is as it was. Traced to the test, not to load.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -37,12 +37,14 @@
       status: What all calls are answered with, 0 to serve them.
       calls: Paths that were called.
       lost_after: Revision up to which history is forgotten.
+      waiting: Watches that wait.
     """
 
     def __init__(self) -> None:
         self.status = 0
         self.calls: list[str] = []
         self.lost_after = 0
+        self.waiting = 0
         self._revision = 100
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -76,6 +78,12 @@
         gone = {"key": key, "revision": self._revision, "removed": True}
         await self._tell(gone)
 
+    async def fail(self, status: int) -> None:
+        """Answers all calls with a status, those that wait at once as well."""
+        self.status = status
+        async with self._changed:
+            self._changed.notify_all()
+
     def forget_history(self) -> None:
         self.lost_after = self._revision
 
@@ -103,12 +111,15 @@
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
 
+        self.waiting += 1
         async with self._changed:
             try:
                 async with asyncio.timeout(wait_s):
-                    await self._changed.wait_for(found)
+                    await self._changed.wait_for(lambda: found() or self.status)
             except TimeoutError:
                 pass
+            finally:
+                self.waiting -= 1
         return found()
 
     @property
@@ -145,6 +156,9 @@
             after,
             int(self.get_query_argument("waitMs")) / 1_000,
         )
+        if self.store.status:
+            self.set_status(self.store.status)
+            return
         self.write({"events": events, "asOf": self.store.revision})
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -393,12 +393,10 @@
         """An engine left while the store had no history to tell of it."""
 
         async def scenario(site):
-            site.store.status = 503
+            await platform_site.until(lambda: site.store.waiting == 2)
+            await site.store.fail(503)
             await platform_site.until(
-                lambda: (
-                    "event=registry_away" in site.logs[0].getvalue()
-                    or site.store.calls.count("/kv-watch") > 40
-                )
+                lambda: "event=registry_away" in site.logs[0].getvalue()
             )
             await site.store.remove("servers/s0")
             await site.store.put("op/config", platform_site.config(3))
