Take out what the queue of leases no longer needs

Cause: the queue counted slots by user for leases of memory blocks; pools counted in blocks are placed at homes since, and leases are of places again, one a request, so the count equals that of the requests. The count, an unused method, an unused constant and a sentence about the order of late requests that wasn't so are gone.

--- a/src/cowsliprill/decisions/queue.py
+++ b/src/cowsliprill/decisions/queue.py
@@ -7,7 +7,6 @@
 """
 
 import bisect
-import collections
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -45,8 +44,7 @@
         """Returns its place in the order, small first.
 
         Those that can still meet their targets go before those that can't,
-        whose answers are worth a part of it. Of the late ones the first that
-        came goes first.
+        whose answers are worth a part of it.
         """
         priority = self.submit.priority * PRIORITY_WORTH_S
         return (self.late, self.urgency() - priority, self.submit.request_id)
@@ -62,7 +60,6 @@
     def __init__(self) -> None:
         self._waiting_by_id: dict[int, Waiting] = {}
         self._keys_by_user: dict[str, list[_Key]] = {}
-        self._slots_by_user: collections.Counter[str] = collections.Counter()
 
     def __len__(self) -> int:
         return len(self._waiting_by_id)
@@ -75,7 +72,6 @@
         self._waiting_by_id[waiting.submit.request_id] = waiting
         keys = self._keys_by_user.setdefault(waiting.submit.user, [])
         bisect.insort(keys, waiting.key())
-        self._slots_by_user[waiting.submit.user] += waiting.slots
 
     def remove(self, request_id: int) -> Waiting | None:
         """Removes a request, and returns it if it was waiting."""
@@ -85,19 +81,15 @@
         user = waiting.submit.user
         keys = self._keys_by_user[user]
         del keys[bisect.bisect_left(keys, waiting.key())]
-        self._slots_by_user[user] -= waiting.slots
         if not keys:
             del self._keys_by_user[user]
-            del self._slots_by_user[user]
         return waiting
 
     def wants(self) -> tuple[tuple[str, int], ...]:
-        """Returns the slots that each user's waiting requests take."""
-        return tuple(self._slots_by_user.items())
-
-    def slots(self) -> int:
-        """Returns the slots that all waiting requests take."""
-        return self._slots_by_user.total()
+        """Returns the number of waiting requests of each user."""
+        return tuple(
+            (user, len(keys)) for user, keys in self._keys_by_user.items()
+        )
 
     def users(self) -> list[str]:
         """Returns the users with waiting requests."""
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -27,8 +27,6 @@
 from cowsliprill.registry import source as source_lib
 from cowsliprill.router import node as node_lib
 
-_MS_PER_S = 1_000
-
 # At its end a process waits so long for a reader of its log.
 _LAST_LINES_S = 0.2
 
