Order surplus prefill engines to decode, by one leader

Cause: on the second site four of nine engines read prompts and are idle nine tenths of the time, while requests wait for memory at the five that decode. Each loss or replacement of a decode engine makes it worse.

A leader is the first of all VMs ever met, so nobody takes over from one that is silent.

Ruled out: a lock in the store (it can only be read); fencing tokens out of the registry's revision (it stands still while engines only renew their entries, so two orders bore one number); a wait of 5.5 s (the walk over all starts and cuts of three VMs found two leaders 2 s apart: a cut VM counts as heard for its whole patience).

--- a/src/cowsliprill/decisions/membership.py
+++ b/src/cowsliprill/decisions/membership.py
@@ -10,6 +10,8 @@
 import random
 from collections.abc import Iterable
 
+from cowsliprill.decisions import leadership
+
 BEAT_S = 1.0
 
 # Peers that hear of one beat. Up to seven processes all hear each other.
@@ -158,6 +160,19 @@
         """
         return len(self._peers_by_id) + 1
 
+    def electorate(self) -> leadership.Electorate:
+        """Returns whom this process knows, for the choice of a leader."""
+        records = [peer.record for peer in self._peers_by_id.values()]
+        records.append(self.own)
+        met = {(record.host, record.port) for record in records}
+        return leadership.Electorate(
+            own=self.own.id,
+            known=frozenset(record.id for record in records),
+            heard=len(self.alive()) + 1,
+            unmet=len(set(self.seeds) - met),
+            patience_s=self.patience_s(),
+        )
+
     def _take(self, record: Record, now: float) -> bool:
         if record.id == self.own.id:
             self._defend(record)
--- a/src/cowsliprill/decisions/ownership.py
+++ b/src/cowsliprill/decisions/ownership.py
@@ -9,7 +9,8 @@
 _STATES = (model.VmState.LIVE, model.VmState.LEAVING, model.VmState.JOINING)
 
 
-def _score(vm_id: str, endpoint_id: str) -> int:
+def score(vm_id: str, endpoint_id: str) -> int:
+    """Ranks a VM for something that needs one; the highest has it."""
     return xxhash.xxh3_64_intdigest(f"{vm_id}\0{endpoint_id}".encode())
 
 
@@ -30,7 +31,7 @@
     candidates = [vm for vm in vms if vm.role is model.VmRole.ENTRY]
     return sorted(
         candidates,
-        key=lambda vm: (_STATES.index(vm.state), -_score(vm.id, key), vm.id),
+        key=lambda vm: (_STATES.index(vm.state), -score(vm.id, key), vm.id),
     )
 
 
@@ -55,6 +56,6 @@
     ]
     return max(
         candidates,
-        key=lambda vm: (_score(vm.id, endpoint_id), vm.id),
+        key=lambda vm: (score(vm.id, endpoint_id), vm.id),
         default=None,
     )
--- a/src/cowsliprill/registry/endpoints.py
+++ b/src/cowsliprill/registry/endpoints.py
@@ -102,7 +102,7 @@
             return
         before = self._listed_by_key.get(entry.key)
         self._listed_by_key[entry.key] = listed
-        if before is None or before.leaving != listed.leaving:
+        if before is None or _standing(before) != _standing(listed):
             self._log.event(
                 "endpoint_listed",
                 endpoint=listed.endpoint.id,
@@ -125,3 +125,7 @@
             self._doubtful_until_by_key[removal.key] = now + DOUBT_S
             return
         self._listed_by_key.pop(removal.key, None)
+
+
+def _standing(listed: Listed) -> tuple[model.EndpointKind, bool]:
+    return listed.endpoint.kind, listed.leaving
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -133,6 +133,23 @@
         """Returns whether settings and endpoints are known."""
         return self.snapshot.revision > 0 and bool(self._endpoints.listed())
 
+    def store_answers(self) -> bool:
+        """Returns whether the store answers this process itself."""
+        return not any(follower.away_since for follower in self._followers)
+
+    def engine_pools(self) -> list[str]:
+        """Returns the names of the pools of engines."""
+        return list(self._settings.engines_by_pool)
+
+    def staying_endpoints(self, pool: str) -> list[model.Endpoint]:
+        """Returns the endpoints of a pool without those that leave."""
+        leaving = self.fleet.leaving_endpoint_ids
+        return [
+            endpoint
+            for endpoint in self.snapshot.endpoints_by_id.values()
+            if endpoint.pool == pool and endpoint.id not in leaving
+        ]
+
     async def report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
         """Takes what an endpoint said of itself; the registry tells others."""
         self._leaving_until_by_endpoint[endpoint_id] = clock.now() + ttl_s
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -22,10 +22,12 @@
 from cowsliprill.observability import writer
 from cowsliprill.platform import catalog
 from cowsliprill.platform import dialect
+from cowsliprill.platform import orders
 from cowsliprill.platform import store as store_lib
 from cowsliprill.registry import peers as registry_peers
 from cowsliprill.registry import source as source_lib
 from cowsliprill.router import node as node_lib
+from cowsliprill.router import roles as roles_lib
 
 # At its end a process waits so long for a reader of its log.
 _LAST_LINES_S = 0.2
@@ -83,6 +85,12 @@
         self._entry.peer_routes = self._peer_routes()
         self._entry.before_drain = self._leave
         self._announced: asyncio.Task | None = None
+        self._roles = roles_lib.RoleController(
+            self._source,
+            self._members,
+            orders.Orders(http_client.HttpClient()),
+            log,
+        )
 
     async def run(self) -> None:
         """Serves until a signal, then drains and returns."""
@@ -94,6 +102,7 @@
             for work in (
                 self._agent.run(),
                 self._homes.run(),
+                self._roles.run(),
                 self._follow_file(),
             )
         ]
--- /dev/null
+++ b/src/cowsliprill/router/roles.py
@@ -0,0 +1,104 @@
+"""The task that has a pool's surplus prefill engines write answers."""
+
+import asyncio
+import time
+from typing import Protocol
+
+from cowsliprill import clock
+from cowsliprill.decisions import leadership
+from cowsliprill.decisions import membership
+from cowsliprill.decisions import model
+from cowsliprill.decisions import roles
+from cowsliprill.engines import errors
+from cowsliprill.observability import log as log_lib
+from cowsliprill.registry import source as source_lib
+
+# Several looks fit into the time after which a process counts as having stood
+# still.
+_LOOK_S = 0.25
+
+_NS_PER_MS = 1_000_000
+
+
+class Orders(Protocol):
+    """Orders to engines, as the platform takes them."""
+
+    async def change_role(
+        self,
+        endpoint: model.Endpoint,
+        kind: model.EndpointKind,
+        holder: str,
+        fencing_token: int,
+    ) -> str:
+        """Orders an engine; returns its word, raises `errors.CallError`."""
+
+
+class RoleController:
+    """Looks at the pools and orders engines, where this VM leads.
+
+    Args:
+      source: Settings and endpoints.
+      members: The VMs.
+      orders: Reaches the engines.
+      log: The process's log.
+    """
+
+    def __init__(
+        self,
+        source: source_lib.Source,
+        members: membership.Membership,
+        orders: Orders,
+        log: log_lib.Log,
+    ) -> None:
+        self._source = source
+        self._members = members
+        self._orders = orders
+        self._log = log
+        self._leadership = leadership.Leadership()
+        self._tokens = leadership.FencingTokens(members.own.id)
+        self._roles_by_pool: dict[str, roles.Roles] = {}
+
+    async def run(self) -> None:
+        """Looks until cancelled."""
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            self._leadership.look(self._members.electorate(), clock.now())
+            for pool in self._source.engine_pools():
+                await self._look_at(pool)
+
+    async def _look_at(self, pool: str) -> None:
+        now = clock.now()
+        if not self._may_order(pool, now):
+            return
+        plan = self._roles_by_pool.setdefault(pool, roles.Roles())
+        order = plan.next_order(self._source.staying_endpoints(pool), now)
+        if order is None:
+            return
+        plan.ordered(order, now)
+        await self._send(order)
+
+    def _may_order(self, pool: str, now: float) -> bool:
+        # What a peer passes on may be seconds old: an engine that has changed
+        # since would be ordered again.
+        store_answers = self._source.store_answers()
+        return store_answers and self._leadership.leads(pool, now)
+
+    async def _send(self, order: roles.Order) -> None:
+        holder = self._members.own.id
+        token = self._tokens.next(time.time_ns() // _NS_PER_MS)
+        try:
+            outcome = await self._orders.change_role(
+                order.endpoint, order.kind, holder, token
+            )
+        except errors.CallError as error:
+            # It may have arrived. The registry will tell, and another order is
+            # not sent before it has had the time to.
+            outcome = error.message
+        self._log.event(
+            "role_ordered",
+            endpoint=order.endpoint.id,
+            pool=order.endpoint.pool,
+            kind=order.kind.value,
+            fencing_token=token,
+            outcome=outcome,
+        )
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -212,6 +212,7 @@
       runs: Ids of the requests that it ran.
       handles: Prefills that it keeps.
       freed: Handles that were freed.
+      orders: Orders that reached it, each with the engine that it names.
       left: Connections that callers closed amid a request.
       cut: Set to cut the streams that pause.
     """
@@ -223,11 +224,13 @@
         self.runs: list[str] = []
         self.handles: set[str] = set()
         self.freed: list[str] = []
+        self.orders: list[tuple[str, dict[str, Any]]] = []
         self.left = 0
         self.cut = asyncio.Event()
         self.site = Served(
             [
                 ("/kv-handle/(.*)", _HandleHandler, {"engine": self}),
+                ("/order", _OrderHandler, {"engine": self}),
                 (".*", _EngineHandler, {"engine": self}),
             ]
         )
@@ -266,6 +269,17 @@
         self.engine.freed.append(handle)
 
 
+class _OrderHandler(web.RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def post(self) -> None:
+        expected = self.request.headers.get("Expected-Instance", "")
+        order = json.loads(self.request.body)
+        self.engine.orders.append((expected, order))
+        self.set_status(202)
+
+
 class _EngineHandler(web.RequestHandler):
     def initialize(self, engine: Engine) -> None:
         self.engine = engine
@@ -414,8 +428,8 @@
         self.http = http_client.HttpClient()
         self._peer_port = _free_port()
 
-    async def start(self, routers: int) -> None:
-        for name in ("p0", "p1"):
+    async def start(self, routers: int, prefills: int = 2) -> None:
+        for name in [f"p{number}" for number in range(prefills)]:
             self.engines[name] = Engine(name, "llm", "prefill")
         for name in ("d0", "d1"):
             self.engines[name] = Engine(name, "llm", "decode")
@@ -552,10 +566,12 @@
 
 
 @contextlib.asynccontextmanager
-async def running(routers: int = 1, drain_notice_s: float = 0.0):
+async def running(
+    routers: int = 1, drain_notice_s: float = 0.0, prefills: int = 2
+):
     """Runs a site for one test."""
     site = Site(drain_notice_s)
-    await site.start(routers)
+    await site.start(routers, prefills)
     try:
         yield site
     finally:
