Try engines again soon where all of a kind were left alone

One failure left an engine alone for 2 s, doubled each time; a probe that ended without a verdict (caller left, other engine blamed) kept it out for 30 s; while all were left alone the pool counted no places and refused everyone: nothing was placed for 14 s. And a leader that still counted a dead prefill engine ordered the new one to decode.

Change: a probe ends with its request; a prefill that succeeds brings its engine back; where all of a kind are left alone each is tried 0.5 s after its last failure, with any prompt, and callers wait. An engine that takes no connection is left alone for 2 s at most. Orders only once the store's word is complete again, and back to prompts where under 0.15 of a pool read them. The first watch of a store that was away is short, so that its return is seen at once.

--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -88,11 +88,12 @@
     ) -> list[placement.Candidate]:
         found = []
         left_alone = self._health.left_alone(pool.prefills)
+        no_other = len(left_alone) == len(pool.prefills)
         for endpoint in pool.prefills:
             if not pool.holding(endpoint.id).fits(1, now):
                 continue
             probes = endpoint.id in left_alone
-            if probes and not self._may_probe(endpoint, submit, now):
+            if probes and not self._may_probe(endpoint, submit, now, no_other):
                 continue
             cost_s = pool.prefill_wait_s(endpoint, submit)
             cost_s += self._hop_s(endpoint)
@@ -104,12 +105,13 @@
     ) -> list[placement.Candidate]:
         found = []
         left_alone = self._health.left_alone(pool.decodes)
+        no_other = len(left_alone) == len(pool.decodes)
         for endpoint in pool.decodes:
             holding = pool.holding(endpoint.id)
             if not holding.fits(pool.slots_for(submit), now):
                 continue
             probes = endpoint.id in left_alone
-            if probes and not self._may_probe(endpoint, submit, now):
+            if probes and not self._may_probe(endpoint, submit, now, no_other):
                 continue
             load = holding.used / max(endpoint.slots, 1)
             cost_s = self._hop_s(endpoint) * (1 + load)
@@ -119,14 +121,19 @@
         return found
 
     def _may_probe(
-        self, endpoint: model.Endpoint, submit: messages.Submit, now: float
+        self,
+        endpoint: model.Endpoint,
+        submit: messages.Submit,
+        now: float,
+        no_other: bool,
     ) -> bool:
         # A probe may well come to nothing. With a short prompt it costs little
         # and its transfer arrives in time even on a slow link.
         is_short = submit.prompt_tokens <= _PROBE_PROMPT_TOKENS
         # One that couldn't be reached is found out before the prefill.
         cheap = is_short or self._health.was_unreachable(endpoint.id)
-        return cheap and self._health.usable(endpoint.id, now)
+        usable = self._health.usable(endpoint.id, now, urgently=no_other)
+        return usable and (cheap or no_other)
 
     def _hop_s(self, endpoint: model.Endpoint) -> float:
         if endpoint.availability_zone == self._availability_zone:
--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -28,6 +28,15 @@
 # prefill, so it may be tried again sooner.
 _AVOID_UNREACHABLE_S = 0.5
 
+# Beyond this nothing is saved by leaving it alone, and one that was cut off
+# and is back would stand idle.
+_AVOID_UNREACHABLE_MAX_S = 2.0
+
+# Where all engines of a kind are left alone, one request tries each again so
+# soon after its last failure: the others are refused meanwhile. Two prefill
+# engines that lost answers for 4 s had a pool refuse its callers for 14 s.
+_AVOID_ALL_S = 0.5
+
 # A probe whose outcome is never heard of must not keep an endpoint out.
 _PROBE_TIMEOUT_S = 30.0
 
@@ -37,6 +46,7 @@
     strikes: int = 0
     avoid_s: float = 0.0
     avoid_until: float = 0.0
+    failed_at: float = 0.0
     probe_until: float = 0.0
     avoided: bool = False
     failing: bool = False
@@ -51,12 +61,23 @@
         self._states_by_endpoint: dict[str, _State] = {}
         self._avoided = 0
 
-    def usable(self, endpoint_id: str, now: float) -> bool:
-        """Returns whether an endpoint may get a request now."""
+    def usable(
+        self, endpoint_id: str, now: float, *, urgently: bool = False
+    ) -> bool:
+        """Returns whether an endpoint may get a request now.
+
+        Args:
+          endpoint_id: The endpoint.
+          now: Time, seconds.
+          urgently: Whether there is no other.
+        """
         state = self._states_by_endpoint.get(endpoint_id)
         if state is None or not state.avoided:
             return True
-        return now >= state.avoid_until and now >= state.probe_until
+        avoid_until = state.avoid_until
+        if urgently:
+            avoid_until = min(avoid_until, state.failed_at + _AVOID_ALL_S)
+        return now >= avoid_until and now >= state.probe_until
 
     def _is_avoided(self, endpoint_id: str) -> bool:
         state = self._states_by_endpoint.get(endpoint_id)
@@ -84,11 +105,33 @@
             name for name in avoided if self._states_by_endpoint[name].failing
         }
 
-    def placed(self, endpoint_id: str, now: float) -> None:
-        """Notes a request placed: only one probes at a time."""
+    def placed(self, endpoint_id: str, now: float) -> bool:
+        """Notes a request placed: only one probes at a time.
+
+        Args:
+          endpoint_id: Where.
+          now: Time, seconds.
+
+        Returns:
+          Whether the request probes.
+        """
+        state = self._states_by_endpoint.get(endpoint_id)
+        if state is None or not state.avoided:
+            return False
+        state.probe_until = now + _PROBE_TIMEOUT_S
+        return True
+
+    def probe_ended(self, endpoint_id: str) -> None:
+        """Notes that a probe is over, whatever came of it."""
         state = self._states_by_endpoint.get(endpoint_id)
-        if state is not None and state.avoided:
-            state.probe_until = now + _PROBE_TIMEOUT_S
+        if state is not None:
+            state.probe_until = 0.0
+
+    def answered(self, endpoint_id: str) -> None:
+        """Notes an answer of an endpoint that was left alone for failing."""
+        state = self._states_by_endpoint.get(endpoint_id)
+        if state is not None and state.failing:
+            self._clear(state)
 
     def failed(
         self, endpoint_id: str, now: float, *, unreachable: bool = False
@@ -191,10 +234,13 @@
     def _avoid(self, state: _State, now: float) -> None:
         # Requests placed before the first failure fail soon after it. They
         # are the same piece of news and must not lengthen the time again.
+        state.failed_at = now
         if state.avoided and now < state.avoid_until:
             return
-        least_s = _AVOID_UNREACHABLE_S if state.unreachable else _AVOID_MIN_S
-        state.avoid_s = min(max(state.avoid_s * 2, least_s), _AVOID_MAX_S)
+        least_s, most_s = _AVOID_MIN_S, _AVOID_MAX_S
+        if state.unreachable:
+            least_s, most_s = _AVOID_UNREACHABLE_S, _AVOID_UNREACHABLE_MAX_S
+        state.avoid_s = min(max(state.avoid_s * 2, least_s), most_s)
         self._avoided += not state.avoided
         state.avoided = True
         state.avoid_until = now + state.avoid_s
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -237,7 +237,10 @@
         left_alone = self._health.left_alone(endpoints)
         if not left_alone:
             return endpoints
-        return [item for item in endpoints if item.id not in left_alone]
+        well = [item for item in endpoints if item.id not in left_alone]
+        # All of them are soon tried again, and callers have the time to wait
+        # for that.
+        return well or endpoints
 
     def backlog(self, priority: int) -> admission.Backlog:
         """Returns what stands before the last request of a priority.
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -41,6 +41,7 @@
       expected_s: Time that its prefill takes at the engine's usual speed.
       stage_at: When its present stage began.
       kept_until: Until when a finished prefill of it waits at `prefill`.
+      probed: Endpoints that its newest attempt tries again.
     """
 
     submit: messages.Submit
@@ -61,6 +62,7 @@
     expected_s: float = 1.0
     stage_at: float = 0.0
     kept_until: float = 0.0
+    probed: tuple[str, ...] = ()
 
 
 def arrived(submit: messages.Submit, pool: pools.Pool, now: float) -> Request:
--- a/src/cowsliprill/decisions/roles.py
+++ b/src/cowsliprill/decisions/roles.py
@@ -19,6 +19,11 @@
 # Prefill engines that stay in any case, so that the loss of one isn't felt.
 LEAST_PREFILLS = 2
 
+# Below this part prompts queue while decode engines have room: nine engines
+# with one for prompts refused half of a burst's requests. The gap between the
+# two parts keeps engines from changing to and fro.
+TOO_FEW_PART = 0.15
+
 # After an order an engine ends its work and changes, which takes seconds, and
 # the registry tells of it later still. It is not ordered again meanwhile.
 ORDER_AGAIN_S = 20.0
@@ -41,7 +46,9 @@
     """Plans the changes of one pool and remembers which were ordered."""
 
     def __init__(self) -> None:
-        self._ordered_at_by_life: dict[tuple[str, str], float] = {}
+        self._ordered_by_life: dict[
+            tuple[str, str], tuple[float, model.EndpointKind]
+        ] = {}
 
     def next_order(
         self, endpoints: Iterable[model.Endpoint], now: float
@@ -53,34 +60,45 @@
           now: Time, seconds.
         """
         self._forget(now)
-        engines = [
-            item
-            for item in endpoints
-            if item.kind is not model.EndpointKind.PLAIN
-        ]
-        prefills = [
-            item
-            for item in engines
-            if item.kind is model.EndpointKind.PREFILL
-            and not self._is_ordered(item)
-        ]
-        if len(prefills) <= prefills_wanted(len(engines)):
-            return None
-        return Order(
-            endpoint=_most_needless(prefills), kind=model.EndpointKind.DECODE
-        )
+        kinds = model.EndpointKind
+        prefills: list[model.Endpoint] = []
+        decodes: list[model.Endpoint] = []
+        for endpoint in endpoints:
+            match self._kind_soon(endpoint):
+                case kinds.PREFILL:
+                    prefills.append(endpoint)
+                case kinds.DECODE:
+                    decodes.append(endpoint)
+        engines = len(prefills) + len(decodes)
+        if len(prefills) > prefills_wanted(engines):
+            surplus = self._settled(prefills)
+            return _order(surplus, prefills, kinds.DECODE)
+        if len(prefills) < engines * TOO_FEW_PART and len(decodes) > 1:
+            surplus = self._settled(decodes)
+            return _order(surplus, decodes, kinds.PREFILL)
+        return None
 
     def ordered(self, order: Order, now: float) -> None:
         """Notes that an order is on its way; it may or may not arrive."""
-        self._ordered_at_by_life[_life(order.endpoint)] = now
+        self._ordered_by_life[_life(order.endpoint)] = (now, order.kind)
+
+    def _kind_soon(self, endpoint: model.Endpoint) -> model.EndpointKind:
+        _, kind = self._ordered_by_life.get(
+            _life(endpoint), (0.0, endpoint.kind)
+        )
+        return kind
 
-    def _is_ordered(self, endpoint: model.Endpoint) -> bool:
-        return _life(endpoint) in self._ordered_at_by_life
+    def _settled(self, endpoints: list[model.Endpoint]) -> list[model.Endpoint]:
+        return [
+            item
+            for item in endpoints
+            if _life(item) not in self._ordered_by_life
+        ]
 
     def _forget(self, now: float) -> None:
-        self._ordered_at_by_life = {
-            life: at
-            for life, at in self._ordered_at_by_life.items()
+        self._ordered_by_life = {
+            life: (at, kind)
+            for life, (at, kind) in self._ordered_by_life.items()
             if now - at < ORDER_AGAIN_S
         }
 
@@ -94,16 +112,23 @@
     return max(round(engines * PREFILL_PART), LEAST_PREFILLS)
 
 
-def _most_needless(prefills: Sequence[model.Endpoint]) -> model.Endpoint:
+def _order(
+    surplus: Sequence[model.Endpoint],
+    same_kind: Sequence[model.Endpoint],
+    kind: model.EndpointKind,
+) -> Order | None:
     # One of the availability zone that has most of them: those that stay
     # should not all be lost with one zone.
     by_zone: dict[str, int] = {}
-    for item in prefills:
+    for item in same_kind:
         zone = item.availability_zone
         by_zone[zone] = by_zone.get(zone, 0) + 1
-    return max(
-        prefills, key=lambda item: (by_zone[item.availability_zone], item.id)
+    if not surplus:
+        return None
+    endpoint = max(
+        surplus, key=lambda item: (by_zone[item.availability_zone], item.id)
     )
+    return Order(endpoint=endpoint, kind=kind)
 
 
 def _life(endpoint: model.Endpoint) -> tuple[str, str]:
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -244,6 +244,7 @@
             return []
         self._release_prefill(request)
         assert request.prefill is not None
+        self._health.answered(request.prefill.id)
         request.pool.learn_prefill_speed(
             request.prefill.id, (now - request.started_at) / request.expected_s
         )
@@ -337,6 +338,9 @@
         if request.stage is messages.Stage.PREFILL:
             self._release_prefill(request)
         assert request.decode is not None
+        for endpoint_id in request.probed:
+            self._health.probe_ended(endpoint_id)
+        request.probed = ()
         user = request.submit.user
         holding = request.pool.holding(request.decode.id)
         holding.release(user, request.slots)
@@ -486,8 +490,11 @@
         if not kept:
             self._expect_prefill(request)
         self._take(request)
-        for endpoint_id in (pair.prefill_id, pair.decode_id):
-            self._health.placed(endpoint_id, now)
+        request.probed = tuple(
+            endpoint_id
+            for endpoint_id in (pair.prefill_id, pair.decode_id)
+            if self._health.placed(endpoint_id, now)
+        )
         return messages.Start(
             request_id=submit.request_id,
             attempt=request.attempt,
--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -22,6 +22,9 @@
 # this, and a peer that has read further ends the wait before.
 WATCH_S = 12.0
 
+# The first watch of a store that was away.
+_FIRST_WATCH_S = 0.1
+
 # What a held watch may take beyond its time.
 _WATCH_GRACE_S = 1.0
 
@@ -117,11 +120,14 @@
             await self._list()
             self._must_list = False
             return
+        # Only an answer shows that the store is back. A long watch has none
+        # while nothing changes, and peers would be asked all the while.
+        wait_s = _FIRST_WATCH_S if self.away_since else WATCH_S
         watched = await self._store.watch(
             self.view.prefix,
             self.view.position,
-            WATCH_S,
-            WATCH_S + _WATCH_GRACE_S,
+            wait_s,
+            wait_s + _WATCH_GRACE_S,
         )
         self.took(self.view.take_watched(watched.changes, watched.as_of))
 
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -133,9 +133,17 @@
         """Returns whether settings and endpoints are known."""
         return self.snapshot.revision > 0 and bool(self._endpoints.listed())
 
-    def store_answers(self) -> bool:
-        """Returns whether the store answers this process itself."""
-        return not any(follower.away_since for follower in self._followers)
+    def is_settled(self, now: float) -> bool:
+        """Returns whether what is known of endpoints is the store's own word.
+
+        While the store is away, and until doubtful entries are back or
+        dropped, engines may be listed that are gone.
+        """
+        settled_s = _RETURN_S + endpoints_lib.DOUBT_S
+        return not any(
+            follower.away_since or now - follower.back_at < settled_s
+            for follower in self._followers
+        )
 
     def engine_pools(self) -> list[str]:
         """Returns the names of the pools of engines."""
--- a/src/cowsliprill/router/roles.py
+++ b/src/cowsliprill/router/roles.py
@@ -78,10 +78,9 @@
         await self._send(order)
 
     def _may_order(self, pool: str, now: float) -> bool:
-        # What a peer passes on may be seconds old: an engine that has changed
-        # since would be ordered again.
-        store_answers = self._source.store_answers()
-        return store_answers and self._leadership.leads(pool, now)
+        # Engines that are gone would count, and one too many be ordered.
+        settled = self._source.is_settled(now)
+        return settled and self._leadership.leads(pool, now)
 
     async def _send(self, order: roles.Order) -> None:
         holder = self._members.own.id
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -102,6 +102,60 @@
         assert state.left_alone(_endpoints("d0", "d1")) == {"d0", "d1"}
 
 
+class TestProbes:
+    """Requests that try an endpoint which was left alone."""
+
+    def test_one_whose_request_came_to_no_verdict_is_tried_again(self) -> None:
+        """The caller of a probe leaves, or the other engine fails it.
+
+        The endpoint was left alone for half a minute then, though nothing was
+        known against it but the failure before.
+        """
+        state = health.Health()
+        state.failed("p0", 0.0)
+        assert state.placed("p0", 2.0)
+        assert not state.usable("p0", 2.1)
+        state.probe_ended("p0")
+        assert state.usable("p0", 2.1)
+
+    def test_a_request_to_a_sound_endpoint_is_no_probe(self) -> None:
+        assert not health.Health().placed("p0", 0.0)
+
+    def test_a_prefill_that_succeeds_ends_it(self) -> None:
+        state = health.Health()
+        state.failed("p0", 0.0)
+        state.placed("p0", 2.0)
+        state.answered("p0")
+        assert state.left_alone(_endpoints("p0", "p1")) == set()
+
+    def test_a_prefill_that_succeeds_says_nothing_of_a_slow_link(self) -> None:
+        state = health.Health()
+        for _ in range(3):
+            state.pace("p0", 2.0, 0.0)
+        state.answered("p0")
+        assert state.left_alone(_endpoints("p0", "p1")) == {"p0"}
+
+    def test_all_of_a_kind_are_tried_soon(self) -> None:
+        """Both prefill engines of a pool lose an answer now and then.
+
+        Each failure doubled the time for which one was left alone, and for
+        ten seconds every caller of the pool was refused.
+        """
+        state = health.Health()
+        for at in (0.0, 2.0, 6.0, 14.0):
+            state.failed("p0", at)
+        assert not state.usable("p0", 14.4)
+        assert not state.usable("p0", 14.6)
+        assert state.usable("p0", 14.6, urgently=True)
+        assert not state.usable("p0", 14.4, urgently=True)
+
+    def test_one_that_takes_no_connection_is_tried_within_seconds(self) -> None:
+        state = health.Health()
+        for at in range(20):
+            state.failed("d0", 10.0 * at, unreachable=True)
+        assert state.usable("d0", 192.0)
+
+
 class TestNewLife:
     """An engine starts again under the id that it had."""
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -413,3 +413,60 @@
             actions = found.handle(lost, 0.0)
             actions += found.handle(_grant(starts[0].prefill_id, 2), 0.0)
         assert _of(actions, messages.Refuse)
+
+
+def _lose_answers(subject: scheduler.Scheduler) -> int:
+    """Has each prefill engine fail one request; returns how many it took."""
+    failed: set[str] = set()
+    number = 0
+    once = _service(idempotency=model.Idempotency.UNREPEATABLE)
+    while len(failed) < len(_PREFILLS):
+        submit = _submit(number, service=once)
+        (start,) = _of(subject.handle(submit, 0.0), messages.Start)
+        subject.handle(
+            messages.AttemptFailed(
+                request_id=number,
+                stage=messages.Stage.PREFILL,
+                endpoint_id=start.prefill_id,
+            ),
+            0.0,
+        )
+        failed.add(start.prefill_id)
+        number += 1
+    return number
+
+
+class TestAllOfAKindFailed:
+    """Each prefill engine of a pool has failed a request lately."""
+
+    def _pool(self) -> scheduler.Scheduler:
+        subject = scheduler.Scheduler("gasabo", 1, owns_slots=True)
+        subject.handle(messages.WorldChanged(_SNAPSHOT, model.Fleet()), 0.0)
+        return subject
+
+    def test_a_request_is_tried_within_its_time(self) -> None:
+        """Answers are lost on the way for some seconds, at all engines.
+
+        Callers were refused for as long as the engines were left alone, which
+        was ten times as long as the trouble.
+        """
+        subject = self._pool()
+        number = _lose_answers(subject)
+        actions = subject.handle(
+            _submit(number, 0.1, prompt_tokens=100, deadline=2.0), 0.1
+        )
+        assert not _of(actions, messages.Refuse)
+        actions = subject.handle(messages.Tick(), 0.7)
+        (start,) = _of(actions, messages.Start)
+        assert start.request_id == number
+
+    def test_one_good_prefill_brings_the_engine_back(self) -> None:
+        subject = self._pool()
+        number = _lose_answers(subject)
+        subject.handle(_submit(number, 0.1, deadline=2.0), 0.1)
+        (probe,) = _of(subject.handle(messages.Tick(), 0.7), messages.Start)
+        subject.handle(messages.PrefillFinished(probe.request_id), 0.8)
+        for later in range(number + 1, number + 4):
+            actions = subject.handle(_submit(later, 0.8, deadline=2.0), 0.8)
+            (start,) = _of(actions, messages.Start)
+            assert start.prefill_id == probe.prefill_id
