Have decode engines read prompts when prefill engines are gone or short

Cause: with no prefill engine left, or all of them failing, a pool refused everyone though its decode engines had room; they can read prompts themselves at half the speed.

Change: a decode engine is its own prefill engine where no other is sound, or where none has had a place for 0.1 s while it has room. An attempt at an engine that isn't listed any more counts as unsent.

--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -1,5 +1,7 @@
 """Which engines a request may use now, and what each would cost it."""
 
+import math
+
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
@@ -10,6 +12,12 @@
 # Longest prompt with which an engine that was left alone is tried again.
 _PROBE_PROMPT_TOKENS = 2_000
 
+# While no prefill engine has a place but a decode engine has room, prompts are
+# the bottleneck. A place is free again after the time of one prompt, 0.1 s;
+# beyond that a decode engine reads the prompt itself, at half the speed and
+# between the tokens of its streams, which come late by as much.
+_PREFILLS_SHORT_S = 0.1
+
 # What a request loses at an engine whose memory is full over an empty one:
 # each request beside it makes every token of an answer come some hundredths
 # later, and answers that grow beyond what was expected push others out.
@@ -43,13 +51,15 @@
         Returns:
           The best pair, None if it has to wait.
         """
+        decodes = self._decodes(pool, submit, now)
         prefills = self._prefills(pool, submit, now)
         if not prefills:
-            return None
+            return self._without_prefill(pool, submit, decodes, now)
+        pool.prefills_short_since = math.inf
         endpoints_by_id = pool.endpoints_by_id
         return placement.choose(
             prefills,
-            self._decodes(pool, submit, now),
+            decodes,
             lambda prefill_id, decode_id: estimates.transfer_s(
                 endpoints_by_id[prefill_id],
                 endpoints_by_id[decode_id],
@@ -57,6 +67,28 @@
             ),
         )
 
+    def _without_prefill(
+        self,
+        pool: pools.Pool,
+        submit: messages.Submit,
+        decodes: list[placement.Candidate],
+        now: float,
+    ) -> placement.Pair | None:
+        readers = [
+            (candidate.cost_s, candidate.id)
+            for candidate in decodes
+            if pool.endpoints_by_id[candidate.id].own_prefill_tokens_per_s
+        ]
+        if not readers:
+            return None
+        pool.prefills_short_since = min(pool.prefills_short_since, now)
+        short_s = now - pool.prefills_short_since
+        if pool.has_sound_prefill() and short_s < _PREFILLS_SHORT_S:
+            return None
+        cost_s, engine = min(readers)
+        cost_s += estimates.own_prefill_s(pool.endpoints_by_id[engine], submit)
+        return placement.Pair(engine, engine, cost_s)
+
     def choose_decode(
         self,
         pool: pools.Pool,
--- a/src/cowsliprill/decisions/estimates.py
+++ b/src/cowsliprill/decisions/estimates.py
@@ -1,5 +1,7 @@
 """Expected times of prefills, transfers and answers."""
 
+import math
+
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 
@@ -30,6 +32,17 @@
     return _PREFILL_OVERHEAD_S + (tokens / speed if speed > 0 else 0.0)
 
 
+def own_prefill_s(decode: model.Endpoint, submit: messages.Submit) -> float:
+    """Returns how long a decode engine reads a prompt itself.
+
+    Args:
+      decode: The engine; infinite if it can't.
+      submit: The request.
+    """
+    speed = decode.own_prefill_tokens_per_s
+    return submit.prompt_tokens / speed if speed > 0 else math.inf
+
+
 def transfer_s(
     prefill: model.Endpoint, decode: model.Endpoint, prompt_tokens: int
 ) -> float:
--- a/src/cowsliprill/decisions/learning.py
+++ b/src/cowsliprill/decisions/learning.py
@@ -25,9 +25,12 @@
         """
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
-        expected = decode.seconds_per_token + estimates.transfer_s(
-            prefill, decode, request.submit.prompt_tokens
-        )
+        if prefill is decode:
+            expected = estimates.own_prefill_s(decode, request.submit)
+        else:
+            expected = decode.seconds_per_token + estimates.transfer_s(
+                prefill, decode, request.submit.prompt_tokens
+            )
         measured = now - request.stage_at
         self._health.transfer(prefill.id, decode.id, measured, expected, now)
 
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -256,6 +256,8 @@
 class Start:
     """Run the prefill, then the transfer and the decode, on these engines.
 
+    Where both are the same engine, it reads the prompt itself.
+
     Attributes:
       request_id: The request.
       attempt: Number of this attempt, from 0.
@@ -279,6 +281,10 @@
     waiting: int = 0
     reuses_prefill: bool = False
 
+    def has_prefill(self) -> bool:
+        """Returns whether another engine than the decode engine prefills."""
+        return self.prefill_id != self.decode_id
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refuse:
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -77,6 +77,8 @@
       pool: Name of the pool that services refer to.
       slots: Requests it holds at once.
       prefill_tokens_per_s: Speed of a prefill, prefill engines only.
+      own_prefill_tokens_per_s: Speed at which a decode engine reads a prompt
+        itself, between the tokens of its streams. 0 where it can't.
       seconds_per_token: Time between tokens of one stream, decode only.
       link_bytes_per_s: Rate of its link for KV cache.
       kv_bytes_per_token: Size of the KV cache of one prompt token.
@@ -100,6 +102,7 @@
     pool: str
     slots: int
     prefill_tokens_per_s: float = 0.0
+    own_prefill_tokens_per_s: float = 0.0
     seconds_per_token: float = 0.0
     link_bytes_per_s: float = 0.0
     kv_bytes_per_token: int = 0
@@ -121,6 +124,8 @@
       block_tokens: Tokens of one block of it.
       prefills_at_once: Prompts that a prefill engine is sent at once.
       prefill_tokens_per_s: Speed of a prefill.
+      own_prefill_tokens_per_s: Speed at which a decode engine reads a prompt
+        itself, 0 where it can't.
       seconds_per_token: Time between tokens of one stream.
       link_bytes_per_s: Rate of an engine's link for KV cache.
       kv_bytes_per_token: Size of the KV cache of one token.
@@ -131,6 +136,7 @@
     block_tokens: int
     prefills_at_once: int
     prefill_tokens_per_s: float
+    own_prefill_tokens_per_s: float
     seconds_per_token: float
     link_bytes_per_s: float
     kv_bytes_per_token: int
@@ -148,6 +154,9 @@
             slots=slots.get(endpoint.kind, endpoint.slots),
             block_tokens=self.block_tokens if blocks else 0,
             prefill_tokens_per_s=self.prefill_tokens_per_s,
+            own_prefill_tokens_per_s=(
+                self.own_prefill_tokens_per_s if blocks else 0.0
+            ),
             seconds_per_token=self.seconds_per_token,
             link_bytes_per_s=self.link_bytes_per_s,
             kv_bytes_per_token=self.kv_bytes_per_token,
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -94,6 +94,7 @@
         self._holds_learnt = False
         self.prefill_s = _PREFILL_START_S
         self.start_delay_s = 0.0
+        self.prefills_short_since = math.inf
         self.slowness_by_prefill: dict[str, float] = {}
         self._token_s = 0.0
         self._transfer_s_per_token = 0.0
@@ -233,6 +234,16 @@
         """
         return sum(endpoint.slots for endpoint in self._well(self.decodes))
 
+    def has_sound_prefill(self) -> bool:
+        """Returns whether a prefill engine isn't left alone."""
+        return len(self._health.left_alone(self.prefills)) < len(self.prefills)
+
+    def can_read_prompts(self) -> bool:
+        """Returns whether any engine reads prompts."""
+        return bool(self.prefills) or any(
+            endpoint.own_prefill_tokens_per_s for endpoint in self.decodes
+        )
+
     def _well(self, endpoints: list[model.Endpoint]) -> list[model.Endpoint]:
         left_alone = self._health.left_alone(endpoints)
         if not left_alone:
@@ -257,6 +268,9 @@
         slots = self.slots()
         used = sum(item.used for item in holdings)
         prefills = self._well(self.prefills)
+        if not self.has_sound_prefill() and self.can_read_prompts():
+            # Decode engines read prompts then, each as well as it can.
+            prefills = prefills or self._well(self.decodes)
         return admission.Backlog(
             waiting=sum(item.slots for item in own) + ahead,
             free_slots=max(slots - used, 0),
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -138,7 +138,7 @@
         self, event: messages.Submit, now: float
     ) -> list[messages.Action]:
         pool = self._pools.by_name.get(event.service.pool)
-        if pool is None or not pool.prefills or not pool.decodes:
+        if pool is None or not pool.decodes or not pool.can_read_prompts():
             code = messages.RefusalCode.NO_ENDPOINT
             return [
                 messages.Refuse(
@@ -481,13 +481,14 @@
         if not kept:
             request.prefill = pool.endpoints_by_id[pair.prefill_id]
         request.decode = pool.endpoints_by_id[pair.decode_id]
+        prefills = not kept and pair.prefill_id != pair.decode_id
         request.stage = (
-            messages.Stage.TRANSFER if kept else messages.Stage.PREFILL
+            messages.Stage.PREFILL if prefills else messages.Stage.TRANSFER
         )
         request.attempt += 1
         request.started_at = now
         request.stage_at = now
-        if not kept:
+        if prefills:
             self._expect_prefill(request)
         self._take(request)
         request.probed = tuple(
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -69,13 +69,13 @@
         try:
             await self._prepare(ctx)
             prefilled = await self._prefilled(ctx)
-            stream = await self._decode(ctx, prefilled)
+            endpoint, stream = await self._decode(ctx, prefilled)
         finally:
             if ctx.connection is not None:
                 ctx.connection.close()
                 ctx.connection = None
         try:
-            await self._deliver(ctx, stream)
+            await self._deliver(ctx, endpoint, stream)
         finally:
             stream.close()
 
@@ -96,12 +96,16 @@
                 kept_s=self._kept_s(ctx) if ctx.kept else 0.0,
             ) from error
 
-    async def _prefilled(self, ctx: context.Context) -> calls_lib.Prefilled:
+    async def _prefilled(
+        self, ctx: context.Context
+    ) -> calls_lib.Prefilled | None:
         kept, ctx.kept = ctx.kept, None
         if kept is not None and ctx.start.reuses_prefill:
             return kept
         if kept is not None:
             self.calls.discard(kept)
+        if not ctx.start.has_prefill():
+            return None
         prefilled = await self._prefill(ctx)
         ctx.progress.prefilled_at = clock.now()
         self.scheduling.post(messages.PrefillFinished(ctx.number))
@@ -120,8 +124,8 @@
         return call.result
 
     async def _decode(
-        self, ctx: context.Context, prefilled: calls_lib.Prefilled
-    ) -> calls_lib.AnswerStream:
+        self, ctx: context.Context, prefilled: calls_lib.Prefilled | None
+    ) -> tuple[model.Endpoint, calls_lib.AnswerStream]:
         stage = messages.Stage.TRANSFER
         try:
             endpoint = self._endpoint(ctx.start.decode_id, stage)
@@ -131,18 +135,23 @@
                     ctx, endpoint, prefilled, _time_left(ctx)
                 )
         except attempts.AttemptLost as lost:
-            lost.kept_s = self._kept_s(ctx)
+            if prefilled is not None:
+                lost.kept_s = self._kept_s(ctx)
             if lost.kept_s:
                 ctx.kept = prefilled
             else:
-                self.calls.discard(prefilled)
+                self._discard(prefilled)
             raise
         except BaseException:
             # Whoever is given up here, a caller that left among them, leaves
             # a prefill that holds its engine's memory until it expires.
-            self.calls.discard(prefilled)
+            self._discard(prefilled)
             raise
-        return call.result
+        return endpoint, call.result
+
+    def _discard(self, prefilled: calls_lib.Prefilled | None) -> None:
+        if prefilled is not None:
+            self.calls.discard(prefilled)
 
     def _kept_s(self, ctx: context.Context) -> float:
         """Returns how long the prefill of a lost attempt may yet be used.
@@ -161,9 +170,11 @@
         return max(left_s, 0.0)
 
     async def _deliver(
-        self, ctx: context.Context, stream: calls_lib.AnswerStream
+        self,
+        ctx: context.Context,
+        endpoint: model.Endpoint,
+        stream: calls_lib.AnswerStream,
     ) -> None:
-        endpoint = self._endpoint(ctx.start.decode_id, messages.Stage.DECODE)
         sink = self.calls.sink(ctx, stream)
         first = True
         while True:
@@ -236,7 +247,10 @@
         endpoint = self.world.snapshot.endpoints_by_id.get(endpoint_id)
         if endpoint is None:
             raise attempts.AttemptLost(
-                endpoint_id, stage, "the settings no longer name it"
+                endpoint_id,
+                stage,
+                "the settings no longer name it",
+                unsent=True,
             )
         return endpoint
 
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -29,6 +29,9 @@
 _PREFILL_TOKENS_PER_S = 33_333.0
 _SECONDS_PER_TOKEN = 0.008
 
+# Of the speed of a prefill engine, what a decode engine has, as the users say.
+_OWN_PREFILL_PART = 0.5
+
 # Prompts that a prefill engine is sent at once. It reads them in pieces by
 # turns, so more would make all late; fewer would leave it idle between two.
 _PREFILLS_AT_ONCE = 3
@@ -303,6 +306,7 @@
         block_tokens=_BLOCK_TOKENS,
         prefills_at_once=_PREFILLS_AT_ONCE,
         prefill_tokens_per_s=_PREFILL_TOKENS_PER_S,
+        own_prefill_tokens_per_s=_PREFILL_TOKENS_PER_S * _OWN_PREFILL_PART,
         seconds_per_token=_SECONDS_PER_TOKEN,
         link_bytes_per_s=engine.link_mbps * _MEGA / _BITS_PER_BYTE,
         kv_bytes_per_token=engine.kv_token_bytes,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -198,6 +198,32 @@
         assert len(set(runs)) == len(runs) == 9
 
 
+class TestPrefillEnginesGone:
+    """No prefill engine is left."""
+
+    def test_decode_engines_read_prompts_themselves(self):
+        async def scenario(site):
+            for name in ("p0", "p1"):
+                await site.store.remove(f"servers/{name}")
+            await platform_site.until(
+                lambda: site.logs[0].getvalue().count("endpoint_removed") == 2
+            )
+            status, _, body = await site.call(_MODEL)
+            requests = [
+                request
+                for name in ("d0", "d1")
+                for request in site.engines[name].requests
+            ]
+            return status, body, requests
+
+        status, body, requests = _on_site(scenario)
+        assert status == 200
+        assert body == platform_site.stream()
+        (request,) = requests
+        assert "Kv-Source" not in request.headers
+        assert "Stage" not in request.headers
+
+
 class TestAnswers:
     """Only whole answers of the engine to this very request are passed on."""
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -470,3 +470,80 @@
             actions = subject.handle(_submit(later, 0.8, deadline=2.0), 0.8)
             (start,) = _of(actions, messages.Start)
             assert start.prefill_id == probe.prefill_id
+
+
+def _reading_itself(endpoint: model.Endpoint) -> model.Endpoint:
+    if endpoint.kind is not model.EndpointKind.DECODE:
+        return endpoint
+    return dataclasses.replace(endpoint, own_prefill_tokens_per_s=500.0)
+
+
+class TestDecodeEnginesThatPrefill:
+    """A decode engine reads a prompt itself, slower than a prefill engine."""
+
+    def _pool(self, engines: list[model.Endpoint]) -> scheduler.Scheduler:
+        subject = scheduler.Scheduler("gasabo", 1, owns_slots=True)
+        self._list(subject, engines, 0.0)
+        return subject
+
+    @staticmethod
+    def _list(
+        subject: scheduler.Scheduler, engines: list[model.Endpoint], now: float
+    ) -> None:
+        by_id = {item.id: _reading_itself(item) for item in engines}
+        snapshot = model.Snapshot(revision=1, endpoints_by_id=by_id)
+        subject.handle(messages.WorldChanged(snapshot, model.Fleet()), now)
+
+    def test_not_while_prefill_engines_have_places(self) -> None:
+        subject = self._pool(_PREFILLS + _DECODES)
+        (start,) = _of(subject.handle(_submit(0), 0.0), messages.Start)
+        assert start.has_prefill()
+
+    def test_where_all_prefill_engines_are_gone(self) -> None:
+        """The only prefill engine crashes; its entry is removed.
+
+        Callers got `no_endpoint` until another had started, while decode
+        engines had room and could have read their prompts.
+        """
+        subject = self._pool(_DECODES)
+        (start,) = _of(subject.handle(_submit(0), 0.0), messages.Start)
+        assert not start.has_prefill()
+        subject.handle(messages.FirstToken(0), 0.3)
+        subject.handle(messages.Finished(0, 100), 1.3)
+        (start,) = _of(subject.handle(_submit(1, 1.4), 1.4), messages.Start)
+        assert not start.has_prefill()
+
+    def test_where_all_prefill_engines_fail(self) -> None:
+        subject = self._pool(_PREFILLS + _DECODES)
+        number = _lose_answers(subject)
+        (start,) = _of(
+            subject.handle(_submit(number, 0.1), 0.1), messages.Start
+        )
+        assert not start.has_prefill()
+
+    def test_where_prefill_engines_are_long_busy(self) -> None:
+        """Long prompts fill the prefill engines, short answers end at once.
+
+        Requests waited for a place there though decode engines stood idle.
+        """
+        subject = self._pool(_PREFILLS[:1] + _DECODES)
+        for number in range(4):
+            subject.handle(_submit(number, deadline=3.0), 0.0)
+        waits = _submit(4, deadline=3.0)
+        assert not _of(subject.handle(waits, 0.0), messages.Start)
+        assert not _of(subject.handle(messages.Tick(), 0.05), messages.Start)
+        (start,) = _of(subject.handle(messages.Tick(), 0.2), messages.Start)
+        assert start.request_id == 4
+        assert not start.has_prefill()
+
+    def test_one_that_fails_so_is_tried_with_a_prefill_engine(self) -> None:
+        subject = self._pool(_DECODES)
+        (start,) = _of(subject.handle(_submit(0), 0.0), messages.Start)
+        self._list(subject, _PREFILLS + _DECODES, 0.1)
+        failed = messages.AttemptFailed(
+            request_id=0,
+            stage=messages.Stage.TRANSFER,
+            endpoint_id=start.decode_id,
+        )
+        (start,) = _of(subject.handle(failed, 0.1), messages.Start)
+        assert start.has_prefill()
