Send nothing to an engine that this process knows to leave

Ruled out: the registry (the entries' entry was marked at 14.0 s, the requests reached the engine at 16.03 s); a second home (the entries had been asking the sleeping one).

Change: the relay looks at what its own process knows before the prefill and again before the decode; an engine that leaves counts as unsent to. Tests of the relay fail before and pass after.

--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -244,14 +244,13 @@
     def _endpoint(
         self, endpoint_id: str, stage: messages.Stage
     ) -> model.Endpoint:
+        # Whoever placed the request may know less than this process: it stood
+        # still, or hears late. The engine would end amid the answer.
         endpoint = self.world.snapshot.endpoints_by_id.get(endpoint_id)
-        if endpoint is None:
-            raise attempts.AttemptLost(
-                endpoint_id,
-                stage,
-                "the settings no longer name it",
-                unsent=True,
-            )
+        leaving = self.world.fleet_at(clock.now()).leaving_endpoint_ids
+        if endpoint is None or endpoint_id in leaving:
+            gone = "it leaves" if endpoint else "the settings don't name it"
+            raise attempts.AttemptLost(endpoint_id, stage, gone, unsent=True)
         return endpoint
 
     def _check_lease(
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -52,6 +52,12 @@
         default_factory=lambda: model.Snapshot(endpoints_by_id=_BY_ID)
     )
 
+    leaving: frozenset = frozenset()
+
+    def fleet_at(self, now):
+        del now
+        return model.Fleet(leaving_endpoint_ids=self.leaving)
+
     def unlist(self, name):
         left = {key: item for key, item in _BY_ID.items() if key != name}
         self.snapshot = model.Snapshot(endpoints_by_id=left)
@@ -153,6 +159,34 @@
         assert attempt.ctx.progress.run is messages.Run.NO
         assert attempt.calls.decoded_from == []
 
+    @pytest.mark.parametrize("name", ["p", "d"])
+    def test_none_that_leaves_is_asked(self, name):
+        """A pool's home stood still while an engine said that it leaves.
+
+        Woken, it places requests there by what it knew before. This process
+        has heard of the leaving: sent on, the request would reach an engine
+        that is about to end.
+        """
+        attempt = _Attempt()
+        attempt.world.leaving = frozenset({name})
+        with pytest.raises(attempts.AttemptLost) as lost:
+            attempt.run()
+        assert lost.value.unsent
+        assert lost.value.endpoint_id == name
+        assert attempt.calls.decoded_from == []
+
+    def test_none_that_has_begun_to_leave_amid_the_prefill(self):
+        attempt = _Attempt()
+
+        def leave():
+            attempt.world.leaving = frozenset({"d"})
+
+        attempt.calls.amid_prefill = leave
+        with pytest.raises(attempts.AttemptLost) as lost:
+            attempt.run()
+        assert lost.value.unsent
+        assert attempt.calls.decoded_from == []
+
     def test_a_stream_that_has_begun_goes_on(self):
         """It is removed as its answer begins; it serves on for a while."""
         attempt = _Attempt()
