--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -29,6 +29,9 @@
     }
 )
 
+# Lines that say what an engine or server did.
+_LOSSES = ("attempt_lost", "call_lost", "stream_broken")
+
 # News so much older than the request's first line don't belong to its story.
 _CONTEXT_LINES = 6
 
@@ -118,7 +121,7 @@
     reasons = [
         f"{line.fields.get('endpoint', '')}: {line.fields['reason']}"
         for line in lines
-        if line.event in ("attempt_lost", "call_lost")
+        if line.event in _LOSSES
     ]
     words = _WORDS_BY_OUTCOME.get(outcome, f"It ended as {outcome}.")
     unknown = last.fields.get("run") == "unknown"
@@ -148,6 +151,7 @@
     "refused": "refused",
     "attempt_lost": "an attempt came to nothing",
     "call_lost": "a call came to nothing",
+    "stream_broken": "its stream broke",
     "request_ended": "ended",
     "home_chosen": "asks another home",
     "home_failed": "a home gave no answer",
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -221,6 +221,7 @@
                 self._world,
                 self._dialect.resumer,
                 self._report_leaving,
+                self._log,
             ),
             plain_relay=plain_relay.PlainRelay(self._dialect.services),
             book=book,
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -16,6 +16,7 @@
 from cowsliprill.entry import placing
 from cowsliprill.entry import sinks
 from cowsliprill.entry import world as world_lib
+from cowsliprill.observability import log as log_lib
 
 ReportLeaving = Callable[[str, float], None]
 
@@ -49,6 +50,7 @@
       world: The settings in force.
       resumer: Goes on with broken streams at the same engine, if that can be.
       report_leaving: Told of an engine's draining answer.
+      log: The process's log.
     """
 
     calls: calls_lib.EngineCalls
@@ -57,6 +59,7 @@
     world: world_lib.World
     resumer: calls_lib.Resumer | None
     report_leaving: ReportLeaving
+    log: log_lib.Log
 
     async def __call__(self, ctx: context.Context) -> None:
         """Runs the attempt of `ctx.start` and answers the caller.
@@ -196,6 +199,14 @@
                     ) from broken
                 if ctx.progress.first_token_at:
                     # The scheduler starts nothing anew once a token was there.
+                    self.log.warning(
+                        "stream_broken",
+                        request=ctx.request_id,
+                        caller=ctx.caller_id,
+                        endpoint=endpoint.id,
+                        tokens=stream.tokens,
+                        reason=str(broken),
+                    )
                     raise errors.EntryError(
                         errors.Code.STREAM_BROKEN,
                         "The stream broke and couldn't be resumed.",
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cowsliprill import environment
+from cowsliprill.cli import __main__ as cli
 from cowsliprill.entry import errors
 from cowsliprill.observability import metrics
 from cowsliprill.settings import schema
@@ -36,6 +37,26 @@
     return names
 
 
+def _transcripts() -> list[tuple[str, str]]:
+    """Returns the commands of the page and what it shows for each."""
+    blocks = re.findall(r"```\n\$ cowsliprill (.*?)\n(.*?)```", _PAGE, re.S)
+    return [(command, shown) for command, shown in blocks]
+
+
+class TestTranscripts:
+    """An engineer follows the page from a complaint to its cause."""
+
+    def test_each_kind_of_failure_is_followed(self) -> None:
+        assert len(_transcripts()) == 3
+
+    @pytest.mark.parametrize(("command", "shown"), _transcripts())
+    def test_the_command_prints_what_the_page_shows(
+        self, capsys, command: str, shown: str
+    ) -> None:
+        assert cli.main(command.split()) == 0
+        assert capsys.readouterr().out == shown
+
+
 class TestOperationsPage:
     """An operator finds every name that the processes print."""
 
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -9,8 +9,11 @@
 from cowsliprill import clock
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import stream
+from cowsliprill.engines import errors as engine_errors
 from cowsliprill.entry import attempts
 from cowsliprill.entry import context
+from cowsliprill.entry import errors
 from cowsliprill.entry import model_relay
 
 
@@ -33,14 +36,19 @@
 
 
 class _Stream:
-    """Two events and a good end."""
+    """Two events and an end."""
 
     tokens = 0
 
+    def __init__(self, broken=None):
+        self._broken = broken
+
     async def __aiter__(self):
         for event in (b"one", b"two"):
             self.tokens += 1
             yield event
+        if self._broken is not None:
+            raise self._broken
 
     def close(self):
         pass
@@ -72,6 +80,7 @@
 
     def __init__(self):
         self.amid_prefill = self.amid_decode = lambda: None
+        self.broken = None
         self.decoded_from = []
         self.discarded = []
         self.events = []
@@ -88,7 +97,7 @@
         del ctx, endpoint, timeout_s
         self.decoded_from.append(prefilled)
         self.amid_decode()
-        return _Stream()
+        return _Stream(self.broken)
 
     def discard(self, prefilled):
         self.discarded.append(prefilled)
@@ -112,6 +121,7 @@
         self.world = _World()
         self.calls = _Calls()
         self.posted = []
+        self.warnings = []
         self.relay = model_relay.ModelRelay(
             calls=self.calls,
             scheduling=types.SimpleNamespace(post=self.posted.append),
@@ -119,12 +129,15 @@
             world=self.world,
             resumer=None,
             report_leaving=lambda *_: None,
+            log=types.SimpleNamespace(warning=self._warn),
         )
         start = messages.Start(
             request_id=1, attempt=0, prefill_id=prefill, decode_id="d"
         )
         self.ctx = types.SimpleNamespace(
             number=1,
+            request_id="r1",
+            caller_id="c1",
             start=start,
             service=types.SimpleNamespace(resume=True),
             generation=types.SimpleNamespace(prompt_tokens=100),
@@ -136,6 +149,9 @@
             stall_s=None,
         )
 
+    def _warn(self, event, **fields):
+        self.warnings.append((event, fields))
+
     def run(self):
         asyncio.run(self.relay(self.ctx))
 
@@ -195,6 +211,29 @@
         assert attempt.calls.events == [b"one", b"two", b"end"]
 
 
+class TestBrokenStreams:
+    """A stream that may not go on elsewhere is cut by its engine."""
+
+    def test_the_log_says_what_the_engine_did(self):
+        """A caller complains of half an answer.
+
+        The line of the request's end said that its stream broke, and nothing
+        said at which engine or why.
+        """
+        attempt = _Attempt()
+        attempt.ctx.service.resume = False
+        attempt.calls.broken = engine_errors.StreamBroken(
+            "cut after '2'", reason=stream.Reason.CUT, last_token=2
+        )
+        with pytest.raises(errors.EntryError):
+            attempt.run()
+        ((event, fields),) = attempt.warnings
+        assert event == "stream_broken"
+        assert fields["request"] == "r1"
+        assert fields["endpoint"] == "d"
+        assert "cut after '2'" in fields["reason"]
+
+
 class TestDecodeEnginesThatPrefill:
     """The decode engine reads the prompt itself."""
 
