--- a/src/cowsliprill/cells/homes.py
+++ b/src/cowsliprill/cells/homes.py
@@ -13,6 +13,7 @@
 from cowsliprill.decisions import cell as cell_lib
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import pool as pools
 from cowsliprill.observability import log as log_lib
 
 # An answer is held back no longer, so that an entry whose connection was lost
@@ -120,6 +121,15 @@
             except TimeoutError:
                 pass
 
+    def standings(self) -> dict[str, pools.Standing]:
+        """Returns how full the pools are that entries ask for here."""
+        found = {}
+        for pool, homed in self._homed_by_pool.items():
+            standing = homed.cell.standing(pool)
+            if standing is not None:
+                found[pool] = standing
+        return found
+
     def status(self) -> list[str]:
         """Returns the pools that entries ask for here."""
         return list(self._homed_by_pool)
--- a/src/cowsliprill/decisions/cell.py
+++ b/src/cowsliprill/decisions/cell.py
@@ -17,6 +17,7 @@
 from cowsliprill.decisions import channel
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import scheduler as scheduler_lib
 
 # An entry that isn't heard for so long is taken for gone, and the slots of its
@@ -139,6 +140,10 @@
         """Returns how many engines of a pool are known."""
         return self._scheduler.engines(pool)
 
+    def standing(self, pool: str) -> pools.Standing | None:
+        """Returns how full a pool is by what is known here."""
+        return self._scheduler.standings().get(pool)
+
     def running(self, entry: str) -> int:
         """Returns how many requests of an entry wait or run."""
         return len(self._entries_by_id[entry].ids_by_number)
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -66,6 +66,21 @@
         return self.prefill_s + self.transfer_s + self.token_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Standing:
+    """How full a pool is.
+
+    Attributes:
+      promised: Decode slots that running requests take.
+      slots: Decode slots in all.
+      waiting: Requests that wait.
+    """
+
+    promised: int
+    slots: int
+    waiting: int
+
+
 class Pool:
     """State of one pool.
 
@@ -226,6 +241,14 @@
         used = (self.in_use_by_user.get(user, 0) + 1) / share
         return max(used - fair * _OVER_SHARE - _OVER_SLOTS, 0.0)
 
+    def standing(self) -> Standing:
+        """Returns how full the pool is."""
+        return Standing(
+            promised=sum(self.holding(item.id).used for item in self.decodes),
+            slots=sum(item.slots for item in self.decodes),
+            waiting=len(self.queue),
+        )
+
     def slots(self) -> int:
         """Returns the decode slots of the pool, those of others included.
 
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -21,6 +21,15 @@
       revision: Revision of the settings in force.
       pending_cancels: Cancel orders that are not yet acknowledged.
       events: Other counted events by `event`.
+      members: VMs that are heard, this one included.
+      registry_position: Newest change known, by `prefix`.
+      registry_away_s: For how long the store has given no answer, by `prefix`.
+      registry_reads: Calls to the store by `prefix` and `result` (answered,
+        failed).
+      log_lines_dropped: Lines that the log's reader was too slow for.
+      pool_slots: Decode slots of the pools homed here by `pool` and `state`
+        (promised, all).
+      pool_waiting: Requests that wait for one, by `pool`.
     """
 
     def __init__(self) -> None:
@@ -74,6 +83,31 @@
             registry=self.registry,
         )
 
+        self.members = self._gauge("members", "VMs that are heard.")
+        self.registry_position = self._gauge(
+            "registry_position", "Newest change known of the registry."
+        )
+        self.registry_away_s = self._gauge(
+            "registry_away_seconds", "Time without an answer of the store."
+        )
+        self.registry_reads = self._gauge(
+            "registry_reads", "Calls to the store since the start."
+        )
+        self.log_lines_dropped = self._gauge(
+            "log_lines_dropped", "Log lines lost since the start."
+        )
+        self.pool_slots = self._gauge(
+            "pool_slots", "Decode slots of a pool that is homed here."
+        )
+        self.pool_waiting = self._gauge(
+            "pool_waiting", "Requests that wait for a pool homed here."
+        )
+
+    def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(
+            "cowsliprill_" + name, text, registry=self.registry
+        )
+
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Returns the Prometheus text and its HTTP headers."""
         content, headers = renderer.render(self.registry, [])
--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -51,6 +51,8 @@
       view: What is known.
       away_since: When the store stopped answering, 0 while it answers.
       back_at: When it last answered again after it had been away.
+      answered: Calls that the store has answered.
+      failed: Calls that it hasn't.
     """
 
     def __init__(
@@ -64,6 +66,8 @@
         self.view = view
         self.away_since = 0.0
         self.back_at = 0.0
+        self.answered = 0
+        self.failed = 0
         self._store = store
         self.took = took
         self._log = log
@@ -146,6 +150,7 @@
         self._pause_s = min(self._pause_s * 2, _PAUSE_MAX_S)
 
     def _note_away(self, error: store_lib.StoreError) -> None:
+        self.failed += 1
         # A watch that was cut may have missed its answer; the next one goes
         # on from the same revision, so nothing is skipped.
         if not self.away_since:
@@ -155,6 +160,7 @@
             )
 
     def _note_back(self) -> None:
+        self.answered += 1
         self._pause_s = _PAUSE_MIN_S
         if self.away_since:
             self.back_at = clock.now()
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -133,6 +133,10 @@
         """Returns whether settings and endpoints are known."""
         return self.snapshot.revision > 0 and bool(self._endpoints.listed())
 
+    def followers(self) -> list[follower_lib.Follower]:
+        """Returns what follows the store, for metrics."""
+        return self._followers
+
     def is_settled(self, now: float) -> bool:
         """Returns whether what is known of endpoints is the store's own word.
 
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -26,6 +26,7 @@
 from cowsliprill.platform import store as store_lib
 from cowsliprill.registry import peers as registry_peers
 from cowsliprill.registry import source as source_lib
+from cowsliprill.router import gauges
 from cowsliprill.router import node as node_lib
 from cowsliprill.router import roles as roles_lib
 
@@ -92,6 +93,10 @@
             log,
         )
 
+        self._gauges = gauges.Gauges(
+            self._metrics, self._members, self._source, self._homes, output
+        )
+
     async def run(self) -> None:
         """Serves until a signal, then drains and returns."""
         self._agent.subscribe(self._source.take_members)
@@ -103,6 +108,7 @@
                 self._agent.run(),
                 self._homes.run(),
                 self._roles.run(),
+                self._gauges.run(),
                 self._follow_file(),
             )
         ]
--- /dev/null
+++ b/src/cowsliprill/router/gauges.py
@@ -0,0 +1,74 @@
+"""The task that keeps a router's gauges up to date."""
+
+import asyncio
+
+from cowsliprill import clock
+from cowsliprill.cells import homes as homes_lib
+from cowsliprill.decisions import membership
+from cowsliprill.observability import metrics as metrics_lib
+from cowsliprill.observability import writer
+from cowsliprill.registry import source as source_lib
+
+# Metrics are read every few seconds at the most often.
+_SAMPLE_S = 1.0
+
+
+class Gauges:
+    """Reads the other tasks' standing and sets the gauges.
+
+    Args:
+      metrics: The process's metrics.
+      members: The VMs.
+      source: What follows the store.
+      homes: The pools that are homed here.
+      output: What writes the log, None in tests.
+    """
+
+    def __init__(
+        self,
+        metrics: metrics_lib.Metrics,
+        members: membership.Membership,
+        source: source_lib.Source,
+        homes: homes_lib.Homes,
+        output: writer.Writer | None,
+    ) -> None:
+        self._metrics = metrics
+        self._members = members
+        self._source = source
+        self._homes = homes
+        self._output = output
+
+    async def run(self) -> None:
+        """Samples until cancelled."""
+        while True:
+            self.sample()
+            await asyncio.sleep(_SAMPLE_S)
+
+    def sample(self) -> None:
+        """Sets all gauges."""
+        metrics = self._metrics
+        metrics.members.set({}, len(self._members.alive()) + 1)
+        dropped = self._output.dropped if self._output else 0
+        metrics.log_lines_dropped.set({}, dropped)
+        self._sample_registry()
+        for pool, standing in self._homes.standings().items():
+            for state, slots in (
+                ("promised", standing.promised),
+                ("all", standing.slots),
+            ):
+                metrics.pool_slots.set({"pool": pool, "state": state}, slots)
+            metrics.pool_waiting.set({"pool": pool}, standing.waiting)
+
+    def _sample_registry(self) -> None:
+        metrics = self._metrics
+        now = clock.now()
+        for follower in self._source.followers():
+            prefix = {"prefix": follower.view.prefix}
+            away_since = follower.away_since or now
+            metrics.registry_position.set(prefix, follower.view.position)
+            metrics.registry_away_s.set(prefix, now - away_since)
+            for result, calls in (
+                ("answered", follower.answered),
+                ("failed", follower.failed),
+            ):
+                metrics.registry_reads.set({**prefix, "result": result}, calls)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -198,6 +198,53 @@
         assert len(set(runs)) == len(runs) == 9
 
 
+class TestMetrics:
+    """What an engineer on call reads from a router."""
+
+    def test_store_members_and_memory(self):
+        """Callers are refused, and the question is which part is to blame.
+
+        The gauges tell a store that is away, VMs that aren't heard, and a
+        pool whose memory is promised to the last block from each other.
+        """
+
+        async def scenario(site):
+            site.engines["d0"].conduct.stop_after = 1
+            site.engines["d1"].conduct.stop_after = 1
+            response = await site.open(_MODEL)
+            await platform_site.read_until(response, b"t1\n\n")
+            await site.store.fail(503)
+            await platform_site.until(
+                lambda: "registry_away" in site.logs[0].getvalue()
+            )
+            site.routers[0]._gauges.sample()
+            text, _ = site.routers[0]._metrics.render()
+            response.close()
+            return text.decode()
+
+        text = _on_site(scenario)
+        values = dict(
+            line.rsplit(" ", 1)
+            for line in text.splitlines()
+            if not line.startswith("#")
+        )
+        assert float(values["cowsliprill_members"]) == 1
+        away = 'cowsliprill_registry_away_seconds{prefix="servers/"}'
+        assert float(values[away]) > 0
+        reads = "cowsliprill_registry_reads"
+        failed = reads + '{prefix="servers/",result="failed"}'
+        answered = reads + '{prefix="servers/",result="answered"}'
+        assert float(values[failed]) >= 1
+        assert float(values[answered]) >= 1
+        slots = "cowsliprill_pool_slots"
+        promised = slots + '{pool="llm",state="promised"}'
+        # 3,200 tokens of prompt and 0.7 of 300 expected, in blocks of 16.
+        assert float(values[promised]) == 214
+        whole = slots + '{pool="llm",state="all"}'
+        assert float(values[whole]) == 2 * 40_000 // 16
+        assert float(values['cowsliprill_pool_waiting{pool="llm"}']) == 0
+
+
 class TestPrefillEnginesGone:
     """No prefill engine is left."""
 
