Take no old news of a key that was gone before the first listing

Cause, found by a walk over all orders in which two processes may hear of three changes: a process that lists after an entry was removed has nothing to remember of it. A peer that was cut off before the removal still names it; the entry came back, and for good, since no watch tells of that removal any more. An engine that has left would be sent requests, by its old address.

Ruled out: the order of calls of one follower (it makes one at a time, so a late listing can't overtake a newer one; the walk has it all the same).

Change: news of an unknown key counts only if it is later than what was read; a listing that is newer than all of that is believed as it stands. The walk finds the fault with this guard or either of two others taken out.

--- a/src/cowsliprill/decisions/registry.py
+++ b/src/cowsliprill/decisions/registry.py
@@ -106,7 +106,10 @@
             for key, entry in self.entries_by_key.items()
             if key not in present and entry.revision <= as_of
         ]
-        changes = self._apply([*listed, *gone])
+        # The newest listing alone says what there is; an older one comes after
+        # what was read since.
+        settled = 0 if as_of >= self.position else self.position
+        changes = self._apply([*listed, *gone], settled)
         if as_of > self.position:
             self._unbroken_since = self._unbroken_since or as_of
             self.position = as_of
@@ -124,7 +127,7 @@
         Returns:
           What is new.
         """
-        new = self._apply(changes)
+        new = self._apply(changes, self.position)
         self.position = max(self.position, as_of)
         return new
 
@@ -147,7 +150,7 @@
                 for key, entry in self.entries_by_key.items()
                 if key not in named and entry.revision <= news.position
             ]
-        return self._apply(changes)
+        return self._apply(changes, self.position)
 
     def news_since(self, revision: int) -> News:
         """Returns what a peer that has read up to a revision lacks."""
@@ -166,13 +169,17 @@
         ]
         return News(changes=(*entries, *removals), position=self.position)
 
-    def _apply(self, changes: Iterable[Change]) -> list[Change]:
-        return [change for change in changes if self._take(change)]
+    def _apply(self, changes: Iterable[Change], settled: int) -> list[Change]:
+        return [change for change in changes if self._take(change, settled)]
 
-    def _take(self, change: Change) -> bool:
+    def _take(self, change: Change, settled: int) -> bool:
         if not change.key.startswith(self.prefix):
             return False
-        if change.revision <= self._known_revision(change.key):
+        # A key that was gone before this process read anything left no
+        # removal to remember. A peer that still names it would bring it back
+        # for good: no watch tells of its removal any more, and requests would
+        # go to an engine that has left. What was read says that it isn't there.
+        if change.revision <= self._known_revision(change.key, settled):
             return False
         self.newest = max(self.newest, change.revision)
         match change:
@@ -185,11 +192,11 @@
                 self._remember(change)
                 return known is not None
 
-    def _known_revision(self, key: str) -> int:
+    def _known_revision(self, key: str, settled: int = 0) -> int:
         entry = self.entries_by_key.get(key)
         if entry is not None:
             return entry.revision
-        return self._removals_by_key.get(key, 0)
+        return self._removals_by_key.get(key, settled)
 
     def _remember(self, removal: Removal) -> None:
         self._removals_by_key[removal.key] = removal.revision
--- /dev/null
+++ b/tests/test_registry_walk.py
@@ -0,0 +1,230 @@
+"""All orders in which two processes may hear of a few changes of a registry.
+
+The walk is exhaustive to a depth: each state that the actions below can lead
+to is visited, those that were seen before only once.
+"""
+
+import copy
+import dataclasses
+
+from cowsliprill.decisions import registry
+
+_DEPTH = 7
+_KEYS = ("k/a", "k/b")
+_MOST_CHANGES = 3
+
+
+@dataclasses.dataclass
+class _World:
+    """A store, two processes, and what is on its way to the first.
+
+    Attributes:
+      history: All changes, in order of their revisions.
+      views: What each process knows.
+      listing: A listing that was made for the first process, and its revision.
+      news: What the second process told the first.
+    """
+
+    views: list[registry.View]
+    history: tuple[registry.Change, ...] = ()
+    listing: tuple[tuple[registry.Entry, ...], int] | None = None
+    news: registry.News | None = None
+
+    def key(self):
+        """Tells states apart by what later actions can depend on."""
+        views = tuple(
+            (
+                tuple(sorted(view.entries_by_key.items())),
+                tuple(view._removals_by_key.items()),
+                view.position,
+                view._unbroken_since,
+            )
+            for view in self.views
+        )
+        return self.history, views, self.listing, self.news
+
+    def listed(self):
+        """Returns the present entries and revision, as a listing does."""
+        newest = {}
+        for change in self.history:
+            newest[change.key] = change
+        entries = [
+            change
+            for change in newest.values()
+            if isinstance(change, registry.Entry)
+        ]
+        return tuple(entries), len(self.history)
+
+
+def _write(world, key):
+    if len(world.history) == _MOST_CHANGES:
+        return False
+    revision = len(world.history) + 1
+    entry = registry.Entry(key=key, value=b"", revision=revision)
+    world.history += (entry,)
+    return True
+
+
+def _remove(world, key):
+    present = {entry.key for entry in world.listed()[0]}
+    if key not in present or len(world.history) == _MOST_CHANGES:
+        return False
+    revision = len(world.history) + 1
+    world.history += (registry.Removal(key=key, revision=revision),)
+    return True
+
+
+def _list_now(world, number):
+    world.views[number].take_listing(*world.listed())
+    return True
+
+
+def _send_listing(world):
+    world.listing = world.listed()
+    return True
+
+
+def _deliver_listing(world):
+    if world.listing is None:
+        return False
+    world.views[0].take_listing(*world.listing)
+    return True
+
+
+def _watch(world, number):
+    view = world.views[number]
+    # A process lists before it watches.
+    if not view.position or view.position == len(world.history):
+        return False
+    changes = world.history[view.position : view.position + 1]
+    view.take_watched(changes, changes[-1].revision)
+    return True
+
+
+def _tell(world):
+    world.news = world.views[1].news_since(world.views[0].newest)
+    return True
+
+
+def _deliver_news(world):
+    if world.news is None:
+        return False
+    world.views[0].take_news(world.news)
+    return True
+
+
+_ACTIONS = (
+    *((_write, key) for key in _KEYS),
+    *((_remove, key) for key in _KEYS),
+    *((_list_now, number) for number in (0, 1)),
+    *((_watch, number) for number in (0, 1)),
+    (_send_listing,),
+    (_deliver_listing,),
+    (_tell,),
+    (_deliver_news,),
+)
+
+
+def _faults(before, after):
+    """Says how a step broke what must hold of a process's knowledge."""
+    for old, new in zip(before.views, after.views, strict=True):
+        for key in _KEYS:
+            if new._known_revision(key) < old._known_revision(key):
+                yield f"{key} turned back"
+            entry = new.entries_by_key.get(key)
+            if entry is not None and after.history[entry.revision - 1] != entry:
+                yield f"{key} is not what was written"
+            newest = max(
+                (
+                    change.revision
+                    for change in after.history[: new.position]
+                    if change.key == key
+                ),
+                default=0,
+            )
+            if new._known_revision(key) < newest and entry is not None:
+                yield f"{key} is older than the position says"
+
+
+def _walk(view_class):
+    """Visits all states; returns how many, and the first fault with its way."""
+    first = _World([view_class("k/"), view_class("k/")])
+    seen = {first.key()}
+    frontier = [(first, ())]
+    for _ in range(_DEPTH):
+        found = []
+        for world, way in frontier:
+            for act, *arguments in _ACTIONS:
+                after = copy.deepcopy(world)
+                if not act(after, *arguments):
+                    continue
+                steps = (*way, (act.__name__, *arguments))
+                for fault in _faults(world, after):
+                    return len(seen), (fault, steps)
+                state = after.key()
+                if state not in seen:
+                    seen.add(state)
+                    found.append((after, steps))
+        frontier = found
+    return len(seen), None
+
+
+class _TakesWhatever(registry.View):
+    """Takes news without looking at its revision."""
+
+    def _take(self, change, settled):
+        del settled
+        if isinstance(change, registry.Entry):
+            self.entries_by_key[change.key] = change
+        else:
+            self.entries_by_key.pop(change.key, None)
+        return True
+
+
+class _ForgetsWhatItRead(registry.View):
+    """Takes news of a key that it doesn't know, however old."""
+
+    def _take(self, change, settled):
+        del settled
+        return super()._take(change, 0)
+
+
+class _TrustsListings(registry.View):
+    """Takes whatever a listing lacks for gone, also what is newer."""
+
+    def take_listing(self, entries, as_of):
+        listed = [*entries]
+        present = {entry.key for entry in listed}
+        for key in [key for key in self.entries_by_key if key not in present]:
+            del self.entries_by_key[key]
+        return super().take_listing(listed, as_of)
+
+
+class TestAllOrders:
+    """A process must never go back to an older state of an entry.
+
+    It would send requests to an engine that has left, or by a route that the
+    operator took away seconds ago.
+    """
+
+    def test_nothing_turns_back(self):
+        states, fault = _walk(registry.View)
+        assert fault is None
+        assert states > 5_000
+
+    def test_without_revisions_it_would(self):
+        _, fault = _walk(_TakesWhatever)
+        assert fault is not None
+
+    def test_without_what_was_read_it_would(self):
+        """A process starts and lists after an engine has left.
+
+        The store turns it away, and a peer that was cut off before still
+        names the engine. It came back for good.
+        """
+        _, fault = _walk(_ForgetsWhatItRead)
+        assert fault is not None
+
+    def test_with_listings_taken_for_the_present_it_would(self):
+        _, fault = _walk(_TrustsListings)
+        assert fault is not None
