Break the circle between the engine's stand-in and its handlers

Cause: `standins/engine.py` imported its handlers to serve them, and they imported it back for the types, behind TYPE_CHECKING.

Change: what the stand-in is told is `engine_command`, the process is `engine_server`; handlers import the engine as any module does. No behaviour.

Before, after: one circle of imports, none; engine.py 284 and 222 lines. Tests of entry, relay, engine client and slots pass; the router's own modules aren't touched.

--- a/src/cowsliprill/standins/__main__.py
+++ b/src/cowsliprill/standins/__main__.py
@@ -10,7 +10,7 @@
 # be imported doesn't stop the others.
 _STANDINS = {
     "platform": ("cowsliprill.standins.platform", "PlatformCommand"),
-    "engine": ("cowsliprill.standins.engine", "EngineCommand"),
+    "engine": ("cowsliprill.standins.engine_server", "Command"),
     "service": ("cowsliprill.standins.service", "ServiceCommand"),
 }
 
--- a/src/cowsliprill/standins/engine.py
+++ b/src/cowsliprill/standins/engine.py
@@ -1,24 +1,19 @@
 """Stand-in of one engine, for prefill or decode."""
 
 import asyncio
-import dataclasses
 import time
-from typing import Annotated
 from typing import Any
 
-import cappa
-
 from cowsliprill.decisions import model
 from cowsliprill.engines import errors
 from cowsliprill.engines import http_client
 from cowsliprill.engines import model as engine_model
 from cowsliprill.engines import prefix
 from cowsliprill.engines import protocol
-from cowsliprill.standins import engine_handlers
+from cowsliprill.standins import engine_command
 from cowsliprill.standins import engine_memory
 from cowsliprill.standins import event_writer
 from cowsliprill.standins import misbehaviour as misbehaviour_lib
-from cowsliprill.standins import shell
 from cowsliprill.standins import turns
 
 _DEFAULT_MAX_TOKENS = 16
@@ -27,46 +22,6 @@
 _Stage = engine_memory.RequestStage
 
 
-@cappa.command(name="engine", help="Stand-in of a prefill or decode engine.")
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class EngineCommand:
-    """An engine's stand-in.
-
-    Attributes:
-      id: Its id.
-      role: `prefill` or `decode`.
-      host: IP number to listen on.
-      port: TCP port, 0 for any.
-      slots: Places in the batch.
-      kv_blocks: KV blocks of 16 tokens.
-      cache_blocks: Blocks of the prefix cache.
-      prefill_tokens_per_s: Speed of a prefill.
-      seconds_per_token: Time between two tokens of one stream.
-      export_ttl_s: How long a finished prefill waits to be fetched.
-      link_bytes_per_s: Rate of the link by which KV cache leaves.
-      kv_bytes_per_token: Size of one prompt token's KV cache.
-      report_lag_s: How old a load report gets.
-      checks_fencing: Whether it refuses orders with an old fencing number.
-      model: Model that it has loaded.
-    """
-
-    id: Annotated[str, cappa.Arg(long=True)]
-    role: Annotated[str, cappa.Arg(long=True)]
-    host: Annotated[str, cappa.Arg(long=True)] = "127.0.0.1"
-    port: Annotated[int, cappa.Arg(long=True)] = 0
-    slots: Annotated[int, cappa.Arg(long=True)] = 20
-    kv_blocks: Annotated[int, cappa.Arg(long=True)] = 65_536
-    cache_blocks: Annotated[int, cappa.Arg(long=True)] = 8_192
-    prefill_tokens_per_s: Annotated[float, cappa.Arg(long=True)] = 20_000.0
-    seconds_per_token: Annotated[float, cappa.Arg(long=True)] = 0.02
-    export_ttl_s: Annotated[float, cappa.Arg(long=True)] = 0.8
-    link_bytes_per_s: Annotated[float, cappa.Arg(long=True)] = 100_000_000.0
-    kv_bytes_per_token: Annotated[int, cappa.Arg(long=True)] = 1_000
-    report_lag_s: Annotated[float, cappa.Arg(long=True)] = 0.5
-    checks_fencing: Annotated[bool, cappa.Arg(long=True)] = False
-    model: Annotated[str, cappa.Arg(long=True)] = "standin"
-
-
 class Engine:
     """The stand-in's state and work.
 
@@ -81,7 +36,7 @@
       report: Its lagging load report.
     """
 
-    def __init__(self, command: EngineCommand) -> None:
+    def __init__(self, command: engine_command.EngineCommand) -> None:
         self.command = command
         self.memory = engine_memory.Memory(
             command.slots, command.kv_blocks, command.cache_blocks
@@ -265,20 +220,3 @@
                 return
             await request.add(writer.event(number))
         await request.move(_Stage.FINISHED)
-
-
-async def serve(command: EngineCommand) -> None:
-    """Serves until SIGTERM.
-
-    Args:
-      command: Its configuration.
-    """
-    engine = Engine(command)
-    engine.start()
-    server = shell.Server(
-        engine_handlers.routes(engine), command.host, command.port
-    )
-    await shell.run_until_signal(
-        f"standin.{command.id}", server, role=command.role
-    )
-    await engine.stop()
--- a/src/cowsliprill/standins/engine_handlers.py
+++ b/src/cowsliprill/standins/engine_handlers.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import time
-from typing import TYPE_CHECKING
 
 from tornado import iostream
 
@@ -13,13 +12,11 @@
 from cowsliprill.engines import model as engine_model
 from cowsliprill.engines import prefix
 from cowsliprill.engines import protocol
+from cowsliprill.standins import engine as engine_lib
 from cowsliprill.standins import engine_memory
 from cowsliprill.standins import misbehaviour as misbehaviour_lib
 from cowsliprill.standins import shell
 
-if TYPE_CHECKING:
-    from cowsliprill.standins import engine as engine_lib
-
 # An export takes the time that its whole size takes on the link, but a real
 # engine's hundreds of megabytes aren't sent for it.
 _EXPORT_CHUNKS = 16
@@ -30,7 +27,7 @@
 _Stage = engine_memory.RequestStage
 
 
-def routes(engine: "engine_lib.Engine") -> list[tuple]:
+def routes(engine: engine_lib.Engine) -> list[tuple]:
     """Returns the tornado routes of an engine."""
     own = {"engine": engine}
     return [
@@ -54,7 +51,7 @@
 
 
 class _EngineHandler(shell.Handler):
-    def initialize(self, engine: "engine_lib.Engine") -> None:
+    def initialize(self, engine: engine_lib.Engine) -> None:
         self._engine = engine
         self._memory = engine.memory
 
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -26,6 +26,7 @@
 from cowsliprill.entry import core
 from cowsliprill.observability import log as log_lib
 from cowsliprill.standins import engine as engine_lib
+from cowsliprill.standins import engine_command
 from cowsliprill.standins import engine_handlers
 from cowsliprill.standins import service as service_lib
 from cowsliprill.standins import shell
@@ -166,7 +167,7 @@
 
     def add_engine(self, endpoint_id: str, kind: str, slots_: int) -> None:
         engine = engine_lib.Engine(
-            engine_lib.EngineCommand(
+            engine_command.EngineCommand(
                 id=endpoint_id,
                 role=kind,
                 slots=slots_,
--- a/tests/standin_fleet.py
+++ b/tests/standin_fleet.py
@@ -10,6 +10,7 @@
 from cowsliprill.engines import http_client
 from cowsliprill.engines import service_client
 from cowsliprill.standins import engine
+from cowsliprill.standins import engine_command
 from cowsliprill.standins import engine_handlers
 from cowsliprill.standins import service
 from cowsliprill.standins import shell
@@ -94,7 +95,9 @@
     """
     options = {"slots": 4, "seconds_per_token": 0.001, **options}
     engines = [
-        engine.Engine(engine.EngineCommand(id=role, role=role, **options))
+        engine.Engine(
+            engine_command.EngineCommand(id=role, role=role, **options)
+        )
         for role in ("prefill", "decode")
     ]
     plain = service.Service(
