Split the settings of a local fleet from its processes

Change: `tools/fleet_document` says what the document names and which arguments a stand-in gets; the fleet starts and ends processes. No behaviour.

--- a/features/support/entry_site.py
+++ b/features/support/entry_site.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from tools import child
+from tools import fleet_document
 from tools import http_calls
 from tools import local_fleet
 from tools import small_site
@@ -79,7 +80,7 @@
     ) -> http_calls.Answer:
         """Calls as a caller does and waits for the whole answer."""
         names = {name.replace("_", "-"): text for name, text in headers.items()}
-        key = local_fleet.key_of(USER)
+        key = fleet_document.key_of(USER)
         names["Authorization"] = f"Bearer {key}"
         return http_calls.call(
             "POST", self.fleet.url(vm_id) + path, body, names
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -17,6 +17,7 @@
 from cowsliprill.decisions import model
 from tools import bench_load
 from tools import child
+from tools import fleet_document
 from tools import local_fleet
 
 _STREAMS = 200
@@ -348,7 +349,7 @@
 ) -> list[Figure]:
     bare = bench_load.Target(
         port=relay_port,
-        key=local_fleet.key_of(_USER),
+        key=fleet_document.key_of(_USER),
         model=_SERVICE,
         prompt=_PROMPT,
     )
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,6 +14,7 @@
 
 from cowsliprill import errors
 from tools import child
+from tools import fleet_document
 from tools import http_calls
 from tools import local_fleet
 
@@ -35,7 +36,7 @@
     url: str
 
     def headers(self, user: str, **more: str) -> dict[str, str]:
-        key = local_fleet.key_of(user)
+        key = fleet_document.key_of(user)
         return {"Authorization": f"Bearer {key}", **more}
 
 
@@ -174,7 +175,7 @@
 
 
 def _wait_for_interrupt(site: _Site, fleet: local_fleet.LocalFleet) -> None:
-    key = local_fleet.key_of(_BRIEF_USER)
+    key = fleet_document.key_of(_BRIEF_USER)
     print("send a request, for example:")
     print(f"  curl -N {site.url}/v1/completions \\")
     print(f"    -H 'Authorization: Bearer {key}' \\")
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -6,7 +6,6 @@
 
 import copy
 import dataclasses
-import hashlib
 import json
 import pathlib
 import signal
@@ -15,25 +14,13 @@
 from typing import Any
 
 from tools import child
+from tools import fleet_document
 from tools import http_calls
 
 HOST = "127.0.0.1"
 _PEER_SECRET = "local-fleet"
-_ENGINE_FLAGS = (
-    "slots",
-    "prefill_tokens_per_s",
-    "seconds_per_token",
-    "export_ttl_s",
-    "link_bytes_per_s",
-    "kv_bytes_per_token",
-)
-_PLAIN = "plain"
 _RESTARTS = 5
 _RESTART_PAUSE_S = 0.2
-# Stand-ins move this part of the bytes at this part of the rate: a transfer
-# takes as long as at a real engine without a gigabyte through Python.
-_BYTES_SCALE = 1 / 1024
-_SCALED_FLAGS = frozenset({"link_bytes_per_s", "kv_bytes_per_token"})
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,19 +46,6 @@
     return f"cowsliprill.{'entry' if name.startswith('e') else name}"
 
 
-def key_of(user: str) -> str:
-    """Returns the API key that a local fleet gives a user."""
-    return f"key-{user.replace('/', '-')}"
-
-
-def _set_keys(users: dict[str, Any], parent: str = "") -> None:
-    for name, user in users.items():
-        path = f"{parent}/{name}" if parent else name
-        digest = hashlib.sha256(key_of(path).encode()).hexdigest()
-        user["key_hashes"] = [digest]
-        _set_keys(user.get("users", {}), path)
-
-
 class LocalFleet:
     """Starts, disturbs and ends processes of one local fleet.
 
@@ -148,35 +122,17 @@
         for pool in self.document["pools"].values():
             defaults = pool.get("endpoint_defaults", {})
             for endpoint_id, endpoint in pool["endpoints"].items():
-                fields = {**defaults, **endpoint}
-                self._start_endpoint(endpoint_id, fields)
+                arguments = fleet_document.standin_arguments(
+                    endpoint_id, {**defaults, **endpoint}, self._plain_call_s
+                )
+                self._start(endpoint_id, "cowsliprill.standins", arguments)
         for pool in self.document["pools"].values():
             for endpoint_id, endpoint in pool["endpoints"].items():
                 process = self.children_by_name[endpoint_id]
                 started = process.wait_for_event("started")
                 endpoint["host"] = HOST
                 endpoint["port"] = int(started["port"])
-        _set_keys(self.document["users"])
-
-    def _start_endpoint(self, endpoint_id: str, fields: dict[str, Any]) -> None:
-        arguments = ["--id", endpoint_id]
-        if fields["kind"] == _PLAIN:
-            if fields.get("checks_idempotency_keys"):
-                arguments.append("--checks-idempotency-keys")
-            kind = ["service"]
-            arguments += ["--seconds-per-call", str(self._plain_call_s)]
-        else:
-            kind = ["engine", "--role", fields["kind"]]
-            for flag in _ENGINE_FLAGS:
-                if flag in fields:
-                    name = "--" + flag.replace("_", "-")
-                    scale = _BYTES_SCALE if flag in _SCALED_FLAGS else 1
-                    value = fields[flag] * scale
-                    kind_of = type(fields[flag])
-                    arguments += [name, str(kind_of(value))]
-            if fields.get("checks_fencing"):
-                arguments.append("--checks-fencing")
-        self._start(endpoint_id, "cowsliprill.standins", kind + arguments)
+        fleet_document.set_keys(self.document["users"])
 
     def start_vm(self, vm_id: str, availability_zone: str) -> LocalVm:
         """Starts a VM's processes; the VM list is not told.
@@ -358,13 +314,7 @@
 
     def availability_zones(self) -> list[str]:
         """Lists the availability zones that the settings name."""
-        zones = []
-        for pool in self.document["pools"].values():
-            for endpoint in pool["endpoints"].values():
-                zone = endpoint["availability_zone"]
-                if zone not in zones:
-                    zones.append(zone)
-        return zones
+        return fleet_document.availability_zones(self.document)
 
     def endpoint_url(self, endpoint_id: str) -> str:
         """Returns the URL of an endpoint's stand-in."""
@@ -376,13 +326,7 @@
 
     def endpoint_ids(self, *kinds: str) -> list[str]:
         """Lists the endpoints of some kinds."""
-        found = []
-        for pool in self.document["pools"].values():
-            defaults = pool.get("endpoint_defaults", {})
-            for endpoint_id, endpoint in pool["endpoints"].items():
-                if {**defaults, **endpoint}["kind"] in kinds:
-                    found.append(endpoint_id)
-        return found
+        return fleet_document.endpoint_ids(self.document, *kinds)
 
     def url(self, vm_id: str = "vm-0") -> str:
         """Returns the URL that callers use on a VM."""
--- a/tools/traffic.py
+++ b/tools/traffic.py
@@ -8,6 +8,7 @@
 import threading
 from typing import Any
 
+from tools import fleet_document
 from tools import http_calls
 from tools import local_fleet
 
@@ -183,7 +184,7 @@
         return rng.choice(sorted(live))
 
     def _headers(self, user: str, key: str = "") -> dict[str, str]:
-        headers = {"Authorization": f"Bearer {local_fleet.key_of(user)}"}
+        headers = {"Authorization": f"Bearer {fleet_document.key_of(user)}"}
         if key:
             headers["Idempotency-Key"] = key
         return headers
