--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -83,12 +83,20 @@
       link_bytes_per_s: Rate of its link for KV cache.
       kv_bytes_per_token: Size of the KV cache of one prompt token.
       export_ttl_s: How long a finished prefill is kept for its transfer.
+      role_change_s: How long it takes to change between prompts and answers
+        once its work has ended.
       checks_fencing: Whether it refuses orders with an old fencing number.
       checks_idempotency_keys: Whether it runs a key at most once by itself.
       block_tokens: Tokens of one slot, where an engine's memory runs out
         before its places do: `slots` then counts blocks of KV cache, and a
         request takes as many as it is expected to fill. 0 where each request
         takes one slot.
+      connections_max: Connections that it takes from all VMs together; it
+        resets those beyond. 0 where no bound is known.
+      places: Requests that a decode engine runs at once, whatever memory they
+        take. 0 where its slots are places.
+      speeds_guessed: Whether the speeds are guesses, to be replaced by what
+        its work shows.
       life: Tells apart lives of an engine that started again under its id.
       target: What it should be, None for plain services.
       vm: Id of the VM in the platform's list, empty if not listed.
@@ -107,9 +115,13 @@
     link_bytes_per_s: float = 0.0
     kv_bytes_per_token: int = 0
     export_ttl_s: float = 0.8
+    role_change_s: float = 6.0
     checks_fencing: bool = False
     checks_idempotency_keys: bool = False
     block_tokens: int = 0
+    connections_max: int = 0
+    places: int = 0
+    speeds_guessed: bool = False
     life: str = ""
     target: EngineTarget | None = None
     vm: str = ""
@@ -119,7 +131,10 @@
 class EngineFacts:
     """What the settings say of all engines of one pool.
 
+    Speeds are guesses, to be replaced by what the engines' work shows.
+
     Attributes:
+      places: Requests that a decode engine runs at once.
       memory_tokens: Tokens of KV cache that a decode engine holds.
       block_tokens: Tokens of one block of it.
       prefills_at_once: Prompts that a prefill engine is sent at once.
@@ -130,8 +145,11 @@
       link_bytes_per_s: Rate of an engine's link for KV cache.
       kv_bytes_per_token: Size of the KV cache of one token.
       export_ttl_s: How long a finished prefill is kept for its transfer.
+      role_change_s: How long an engine takes to change between prompts and
+        answers once its work has ended.
     """
 
+    places: int
     memory_tokens: int
     block_tokens: int
     prefills_at_once: int
@@ -141,6 +159,7 @@
     link_bytes_per_s: float
     kv_bytes_per_token: int
     export_ttl_s: float
+    role_change_s: float
 
     def describe(self, endpoint: Endpoint) -> Endpoint:
         """Returns an engine with what the settings say of it."""
@@ -153,6 +172,8 @@
             endpoint,
             slots=slots.get(endpoint.kind, endpoint.slots),
             block_tokens=self.block_tokens if blocks else 0,
+            places=self.places if blocks else 0,
+            speeds_guessed=True,
             prefill_tokens_per_s=self.prefill_tokens_per_s,
             own_prefill_tokens_per_s=(
                 self.own_prefill_tokens_per_s if blocks else 0.0
@@ -161,6 +182,7 @@
             link_bytes_per_s=self.link_bytes_per_s,
             kv_bytes_per_token=self.kv_bytes_per_token,
             export_ttl_s=self.export_ttl_s,
+            role_change_s=self.role_change_s,
         )
 
 
--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -37,6 +37,12 @@
         super().__init__(message, run=messages.Run.NO)
 
 
+class ConnectionsSpent(ConnectFailed):
+    """This VM has as many connections there as it may."""
+
+    code = "connections_spent"
+
+
 class CallTimeout(CallError):  # noqa: N818
     """The answer was not whole in time, or stood still for too long."""
 
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -7,9 +7,11 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import re
 import socket
+import weakref
 from collections.abc import Mapping
 from typing import Any
 
@@ -20,6 +22,7 @@
 from tornado import tcpclient
 
 from cowsliprill.decisions import call as call_lib
+from cowsliprill.decisions import connections
 from cowsliprill.engines import errors
 from cowsliprill.engines import exchange as exchange_lib
 
@@ -31,6 +34,11 @@
 _MAX_BODY_BYTES = 2**40
 _MAX_IDLE_PER_ENDPOINT = 64
 _IDLE_S = 30.0
+
+# Part of the time for which an endpoint says it keeps an idle connection. A
+# request that goes out as the endpoint closes it is cut, and may have run.
+_STATED_IDLE_PART = 0.8
+_STATED_IDLE = re.compile(r"\btimeout=(\d{1,6})\b")
 # Probes of a connection that rests: the first after a second, then each second;
 # two without an answer end it. A healthy peer's kernel answers at once.
 _KEEP_ALIVE_OPTIONS = (
@@ -103,11 +111,23 @@
 
     There is no queue: a call starts at once or fails. How many may run is for
     the slot leases to say.
+
+    Attributes:
+      allowances_by_address: Connections at most, where an endpoint bounds them.
     """
 
     def __init__(self) -> None:
         self._tcp = tcpclient.TCPClient(_NumericResolver())
+        self.allowances_by_address: Mapping[
+            _Address, connections.Allowance
+        ] = {}
         self._idle_by_address: dict[_Address, list[_Idle]] = {}
+        self._connecting_by_address: collections.Counter[_Address] = (
+            collections.Counter()
+        )
+        self._open_by_address: dict[
+            _Address, weakref.WeakSet[iostream.IOStream]
+        ] = {}
         self._readers: set[asyncio.Task[None]] = set()
 
     async def call(
@@ -214,6 +234,52 @@
 
     async def _connect(
         self, host: str, port: int, timeout_s: float
+    ) -> iostream.IOStream:
+        address = (host, port)
+        self._make_room(address)
+        self._connecting_by_address[address] += 1
+        try:
+            stream = await self._connected(host, port, timeout_s)
+        finally:
+            self._connecting_by_address[address] -= 1
+            if not self._connecting_by_address[address]:
+                del self._connecting_by_address[address]
+        if address in self.allowances_by_address:
+            self._open_by_address.setdefault(address, weakref.WeakSet()).add(
+                stream
+            )
+        return stream
+
+    def _make_room(self, address: _Address) -> None:
+        """Sees to it that one more connection isn't one too many.
+
+        Raises:
+          errors.ConnectionsSpent: All that may be open are in use.
+        """
+        allowance = self.allowances_by_address.get(address)
+        if allowance is None:
+            return
+        idle = self._idle_by_address.get(address, [])
+        match allowance.opening(self._connections(address), len(idle)):
+            case connections.Opening.CLOSE_IDLE_FIRST:
+                oldest = idle.pop(0)
+                oldest.expiry.cancel()
+                oldest.stream.close()
+            case connections.Opening.REFUSE:
+                host, port = address
+                raise errors.ConnectionsSpent(
+                    f"{host}:{port}: all {allowance.connections} connections"
+                    " are in use"
+                )
+
+    def _connections(self, address: _Address) -> int:
+        """Counts the connections, those being opened included."""
+        streams = self._open_by_address.get(address, ())
+        opened = sum(not stream.closed() for stream in streams)
+        return opened + self._connecting_by_address[address]
+
+    async def _connected(
+        self, host: str, port: int, timeout_s: float
     ) -> iostream.IOStream:
         connecting = asyncio.ensure_future(
             self._tcp.connect(
@@ -248,17 +314,25 @@
             newest.stream.close()
         return None
 
-    def _keep_idle(self, stream: iostream.IOStream, address: _Address) -> None:
+    def _keep_idle(
+        self, stream: iostream.IOStream, address: _Address, idle_s: float
+    ) -> None:
         idle = self._idle_by_address.setdefault(address, [])
-        if len(idle) >= _MAX_IDLE_PER_ENDPOINT:
+        if not self._may_idle(address, len(idle)):
             stream.close()
             return
         loop = asyncio.get_running_loop()
-        idle.append(_Idle(stream, loop.call_later(_IDLE_S, stream.close)))
+        idle.append(_Idle(stream, loop.call_later(idle_s, stream.close)))
         # Listening for the close tells at once when the endpoint hangs up, so
         # that a dead connection is hardly ever taken for the next call.
         stream.set_close_callback(lambda: self._drop_idle(stream, address))
 
+    def _may_idle(self, address: _Address, idle: int) -> bool:
+        allowance = self.allowances_by_address.get(address)
+        if allowance is None:
+            return idle < _MAX_IDLE_PER_ENDPOINT
+        return allowance.keeps(self._connections(address), idle)
+
     def _drop_idle(self, stream: iostream.IOStream, address: _Address) -> None:
         idle = self._idle_by_address.get(address, [])
         for entry in idle:
@@ -296,7 +370,7 @@
             exchange.fail(errors.CallError(f"answer is malformed: {error}"))
         exchange.fail(errors.CallError("answer is malformed"))
         if exchange.whole and _may_keep(exchange, stream):
-            self._keep_idle(stream, address)
+            self._keep_idle(stream, address, _idle_s(exchange.headers))
         else:
             stream.close()
 
@@ -369,6 +443,14 @@
     return not asked_to_close and _is_quiet(stream)
 
 
+def _idle_s(headers: httputil.HTTPHeaders) -> float:
+    """Returns how long a connection is worth keeping after an answer."""
+    stated = _STATED_IDLE.search(headers.get("Keep-Alive", ""))
+    if stated is None:
+        return _IDLE_S
+    return min(int(stated[1]) * _STATED_IDLE_PART, _IDLE_S)
+
+
 def _is_quiet(stream: iostream.IOStream) -> bool:
     # Bytes that nobody asked for, such as the late half of a doubled answer,
     # would be read as the answer of the next call on this connection. tornado
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -11,6 +11,7 @@
 from cowsliprill import environment as environment_lib
 from cowsliprill import peer_auth
 from cowsliprill import process
+from cowsliprill.decisions import connections
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import retry
@@ -230,13 +231,16 @@
     def _take_world(self) -> None:
         snapshot = self._source.snapshot
         self._world.update(snapshot, self._source.fleet)
+        self._http.allowances_by_address = connections.allowances(
+            snapshot, self._source.fleet
+        )
         self._placing.world_changed(snapshot)
         self._budgets.keep_only(snapshot.services_by_id.values())
         self._metrics.revision.set({}, snapshot.revision)
         if self._public_server is not None:
             # tornado asks for it before each call that a connection brings.
-            connections = self._public_server.conn_params
-            connections.header_timeout = snapshot.limits.idle_timeout_s
+            parameters = self._public_server.conn_params
+            parameters.header_timeout = snapshot.limits.idle_timeout_s
         self._announce_world()
 
     def _announce_world(self) -> None:
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -90,12 +90,14 @@
         try:
             await self.calls.prepare(ctx, endpoint)
         except engine_errors.ConnectFailed as error:
+            spent = isinstance(error, engine_errors.ConnectionsSpent)
             raise attempts.AttemptLost(
                 endpoint.id,
                 messages.Stage.TRANSFER,
                 str(error),
+                refused=spent,
                 unsent=True,
-                unreachable=True,
+                unreachable=not spent,
                 kept_s=self._kept_s(ctx) if ctx.kept else 0.0,
             ) from error
 
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -24,8 +24,8 @@
 # and reading them all at once would hold up every stream for a second.
 _ROUTES_A_STEP = 200
 
-# Speeds of the users' engines, which their sheets state and no entry does:
-# 33.3 tokens of a prompt in a millisecond; a step of 5 to 8 ms when full.
+# First guesses at engines' speeds, which no entry states: 33.3 tokens of a prompt
+# in a millisecond; a step of 5 to 8 ms when full.
 _PREFILL_TOKENS_PER_S = 33_333.0
 _SECONDS_PER_TOKEN = 0.008
 
@@ -99,10 +99,14 @@
     link_mbps: Number = 0
     stride: int = 1
     kv_hold_s: Number = 0.5
+    switch_s: Number = 6.0
 
 
 class _Service(_Model):
+    """A service; `max_conns` counts connections from all callers."""
+
     name: str
+    max_conns: int = 0
     engine: _Engine | None = None
 
 
@@ -183,6 +187,9 @@
                 for item in config.services
                 if item.engine is not None
             },
+            connections_by_pool={
+                item.name: item.max_conns for item in config.services
+            },
             limits=_limits(config.limits),
         )
 
@@ -214,7 +221,9 @@
             life=str(server.born or ""),
         )
         return endpoints.Listed(
-            endpoint=endpoint, leaving=server.state == "draining"
+            endpoint=endpoint,
+            leaving=server.state == "draining",
+            started_at_ms=server.born or 0,
         )
 
     def _services(
@@ -302,6 +311,7 @@
 
 def _facts(engine: _Engine) -> model.EngineFacts:
     return model.EngineFacts(
+        places=engine.slots,
         memory_tokens=engine.kv_capacity,
         block_tokens=_BLOCK_TOKENS,
         prefills_at_once=_PREFILLS_AT_ONCE,
@@ -311,6 +321,7 @@
         link_bytes_per_s=engine.link_mbps * _MEGA / _BITS_PER_BYTE,
         kv_bytes_per_token=engine.kv_token_bytes,
         export_ttl_s=engine.kv_hold_s,
+        role_change_s=engine.switch_s,
     )
 
 
--- a/src/cowsliprill/registry/endpoints.py
+++ b/src/cowsliprill/registry/endpoints.py
@@ -21,10 +21,13 @@
     Attributes:
       endpoint: The endpoint.
       leaving: Whether it takes no more work.
+      started_at_ms: When this life of it began, Unix milliseconds, 0 if it
+        doesn't say.
     """
 
     endpoint: model.Endpoint
     leaving: bool
+    started_at_ms: int = 0
 
 
 class Endpoints:
@@ -44,8 +47,21 @@
         self._doubtful_until_by_key: dict[str, float] = {}
 
     def listed(self) -> Collection[Listed]:
-        """Returns the endpoints, those that leave included."""
-        return self._listed_by_key.values()
+        """Returns the endpoints, those that leave included.
+
+        Of several at one address only the last to start: an endpoint that has
+        crashed stays listed until its entry lapses, beside its next life under
+        another id. Counted as two, a pool's only prefill engine was told to
+        write answers as soon as it was back, and was missing for 13 s.
+        """
+        newest_by_address: dict[tuple[str, str, int], Listed] = {}
+        for item in self._listed_by_key.values():
+            endpoint = item.endpoint
+            address = (endpoint.pool, endpoint.host, endpoint.port)
+            known = newest_by_address.get(address)
+            if known is None or item.started_at_ms >= known.started_at_ms:
+                newest_by_address[address] = item
+        return newest_by_address.values()
 
     def take(
         self,
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -38,6 +38,7 @@
       services_by_id: The services.
       routes_by_prefix_by_host: The routes.
       engines_by_pool: What is common to the engines of each pool.
+      connections_by_pool: Connections that each endpoint of a pool takes.
       limits: What callers may send.
     """
 
@@ -51,6 +52,9 @@
     engines_by_pool: dict[str, model.EngineFacts] = dataclasses.field(
         default_factory=dict
     )
+    connections_by_pool: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
     limits: model.CallLimits = model.CallLimits()
 
 
@@ -292,10 +296,7 @@
             if until > now
         }
         for item in listed:
-            endpoint = item.endpoint
-            facts = self._settings.engines_by_pool.get(endpoint.pool)
-            if facts and endpoint.kind is not model.EndpointKind.PLAIN:
-                endpoint = facts.describe(endpoint)
+            endpoint = self._described(item.endpoint)
             endpoints_by_id[endpoint.id] = endpoint
             if item.leaving:
                 leaving.add(item.endpoint.id)
@@ -313,6 +314,16 @@
         )
         self._announce()
 
+    def _described(self, endpoint: model.Endpoint) -> model.Endpoint:
+        settings = self._settings
+        facts = settings.engines_by_pool.get(endpoint.pool)
+        if facts and endpoint.kind is not model.EndpointKind.PLAIN:
+            endpoint = facts.describe(endpoint)
+        return dataclasses.replace(
+            endpoint,
+            connections_max=settings.connections_by_pool.get(endpoint.pool, 0),
+        )
+
     def _announce(self) -> None:
         for callback in self._callbacks:
             callback()
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -21,7 +21,9 @@
         slots=6,
         life=value.decode(),
     )
-    return endpoints_lib.Listed(endpoint=endpoint, leaving=False)
+    return endpoints_lib.Listed(
+        endpoint=endpoint, leaving=False, started_at_ms=int(value)
+    )
 
 
 def _endpoints() -> endpoints_lib.Endpoints:
@@ -29,8 +31,10 @@
     return endpoints_lib.Endpoints(_read, log)
 
 
-def _entry(revision: int, value: bytes = b"1") -> registry.Entry:
-    return registry.Entry(key="a", value=value, revision=revision)
+def _entry(
+    revision: int, value: bytes = b"1", key: str = "a"
+) -> registry.Entry:
+    return registry.Entry(key=key, value=value, revision=revision)
 
 
 _GONE = registry.Removal(key="a", revision=9)
@@ -79,3 +83,34 @@
         known.take([_entry(2, b"2")], store_troubled=False, now=1.0)
         (listed,) = known.listed()
         assert listed.endpoint.life == "2"
+
+
+class TestOneAddress:
+    """Several entries that name one address."""
+
+    def test_only_the_last_life_counts(self):
+        """An engine crashes and starts again, under another id.
+
+        Its old entry stays for some seconds. Counted as two engines, requests
+        would go to one that isn't there, and a pool would seem to have more
+        prefill engines than it needs.
+        """
+        known = _endpoints()
+        for entries in ((1, b"5"), (2, b"7", "b")), ((2, b"7", "b"), (3, b"5")):
+            known.take(
+                [_entry(*entry) for entry in entries],
+                store_troubled=False,
+                now=0.0,
+            )
+            assert [item.endpoint.id for item in known.listed()] == ["b"]
+
+    def test_the_old_life_counts_again_when_the_new_entry_goes(self):
+        known = _endpoints()
+        known.take(
+            [_entry(1, b"5"), _entry(2, b"7", "b")],
+            store_troubled=False,
+            now=0.0,
+        )
+        gone = registry.Removal(key="b", revision=3)
+        known.take([gone], store_troubled=False, now=1.0)
+        assert [item.endpoint.id for item in known.listed()] == ["a"]
