Learn engines' speeds, count places, probe by a pool's own prompts

Speeds were guesses twelve times off. Lacks were watched only once a VM led, so that an order came 2 s later. Ruled out: memory (the third decode engine stood idle while others were full).

--- a/src/cowsliprill/cells/client.py
+++ b/src/cowsliprill/cells/client.py
@@ -78,6 +78,7 @@
         self._world = world
         self._log = log
         self.placed_by_number: dict[int, _Placed] = {}
+        self.prompt_part = 0.0
         self._home: model.Vm | None = None
         self._aside_until_by_vm: dict[str, float] = {}
         self._failures = 0
@@ -231,6 +232,9 @@
         if not answer.known:
             self._begin_anew()
             return True
+        # A home that has just begun doesn't know; what the one before it said
+        # holds until then, or engines would be told to change back and forth.
+        self.prompt_part = answer.prompt_part or self.prompt_part
         self._outbox.acknowledge(answer.acknowledged)
         self._take(answer)
         return True
@@ -329,6 +333,11 @@
             del self._pools_by_number[number]
         self._channels_by_pool[pool].add(event, number)
 
+    def prompt_part(self, pool: str) -> float | None:
+        """Returns the part of a pool's work that prompts are, if known."""
+        known = self._channels_by_pool.get(pool)
+        return (known.prompt_part or None) if known else None
+
     def _world_changed(self, snapshot: model.Snapshot) -> None:
         # A home uses the part of its engines that is the part of the entries
         # it has heard, so an entry without requests has to be heard as well.
--- a/src/cowsliprill/cells/homes.py
+++ b/src/cowsliprill/cells/homes.py
@@ -23,6 +23,9 @@
 _MIN_SLEEP_S = 0.002
 _SEED_BITS = 32
 
+# Engines are counted in whole numbers, so nothing needs the part to be finer.
+_PART_DIGITS = 3
+
 
 @dataclasses.dataclass(slots=True)
 class _Homed:
@@ -186,6 +189,9 @@
                 if isinstance(decision, messages.Refuse)
             ),
             acknowledged=taken,
+            prompt_part=round(
+                homed.cell.prompt_part(request.pool) or 0.0, _PART_DIGITS
+            ),
         )
 
 
--- a/src/cowsliprill/cells/wire.py
+++ b/src/cowsliprill/cells/wire.py
@@ -150,6 +150,8 @@
       starts: Decisions to start, with their numbers.
       refusals: Decisions to refuse, with their numbers.
       acknowledged: Number of the newest event that was taken.
+      prompt_part: Part of the pool's work that prompts are, from 0 to 1; 0
+        while the home doesn't know.
     """
 
     known: bool = True
@@ -157,6 +159,7 @@
     starts: tuple[tuple[int, messages.Start], ...] = ()
     refusals: tuple[tuple[int, messages.Refuse], ...] = ()
     acknowledged: int = 0
+    prompt_part: float = 0.0
 
 
 def write_request(submit: messages.Submit, now: float) -> Request:
--- a/src/cowsliprill/decisions/cell.py
+++ b/src/cowsliprill/decisions/cell.py
@@ -144,6 +144,10 @@
         """Returns how full a pool is by what is known here."""
         return self._scheduler.standing(pool)
 
+    def prompt_part(self, pool: str) -> float | None:
+        """Returns the part of a pool's work that prompts are, if known."""
+        return self._scheduler.prompt_part(pool)
+
     def running(self, entry: str) -> int:
         """Returns how many requests of an entry wait or run."""
         return len(self._entries_by_id[entry].ids_by_number)
--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -9,9 +9,6 @@
 from cowsliprill.decisions import placement
 from cowsliprill.decisions import pool as pools
 
-# Longest prompt with which an engine that was left alone is tried again.
-_PROBE_PROMPT_TOKENS = 2_000
-
 # While no prefill engine has a place but a decode engine has room, prompts are
 # the bottleneck. A place is free again after the time of one prompt, 0.1 s;
 # beyond that a decode engine reads the prompt itself, at half the speed and
@@ -125,7 +122,9 @@
             if not pool.holding(endpoint.id).fits(1, now):
                 continue
             probes = endpoint.id in left_alone
-            if probes and not self._may_probe(endpoint, submit, now, no_other):
+            if probes and not self._may_probe(
+                pool, endpoint, submit, now, no_other
+            ):
                 continue
             cost_s = pool.prefill_wait_s(endpoint, submit)
             cost_s += self._hop_s(endpoint)
@@ -142,8 +141,14 @@
             holding = pool.holding(endpoint.id)
             if not holding.fits(pool.slots_for(submit), now):
                 continue
+            # Short requests leave memory when all places are taken. One more
+            # would be turned away after its prompt was read.
+            if endpoint.places and holding.running >= endpoint.places:
+                continue
             probes = endpoint.id in left_alone
-            if probes and not self._may_probe(endpoint, submit, now, no_other):
+            if probes and not self._may_probe(
+                pool, endpoint, submit, now, no_other
+            ):
                 continue
             load = holding.used / max(endpoint.slots, 1)
             cost_s = self._hop_s(endpoint) * (1 + load)
@@ -154,14 +159,16 @@
 
     def _may_probe(
         self,
+        pool: pools.Pool,
         endpoint: model.Endpoint,
         submit: messages.Submit,
         now: float,
         no_other: bool,
     ) -> bool:
-        # A probe may well come to nothing. With a short prompt it costs little
-        # and its transfer arrives in time even on a slow link.
-        is_short = submit.prompt_tokens <= _PROBE_PROMPT_TOKENS
+        # A probe may well come to nothing. With a short prompt it costs less.
+        # What is short goes by the pool's own prompts: where all of them were
+        # longer than a fixed bound, no engine was ever tried again.
+        is_short = submit.prompt_tokens <= pool.usual_prompt_tokens
         # One that couldn't be reached is found out before the prefill.
         cheap = is_short or self._health.was_unreachable(endpoint.id)
         usable = self._health.usable(endpoint.id, now, urgently=no_other)
--- a/src/cowsliprill/decisions/connections.py
+++ b/src/cowsliprill/decisions/connections.py
@@ -91,13 +91,9 @@
       snapshot: The settings in force.
       fleet: The VM list.
     """
-    vms = sum(
-        vm.role is model.VmRole.ENTRY for vm in fleet.vms_by_id.values()
-    )
+    vms = sum(vm.role is model.VmRole.ENTRY for vm in fleet.vms_by_id.values())
     return {
-        (endpoint.host, endpoint.port): allowance(
-            endpoint.connections_max, vms
-        )
+        (endpoint.host, endpoint.port): allowance(endpoint.connections_max, vms)
         for endpoint in snapshot.endpoints_by_id.values()
         if endpoint.connections_max
     }
--- a/src/cowsliprill/decisions/learning.py
+++ b/src/cowsliprill/decisions/learning.py
@@ -46,9 +46,11 @@
         """
         decode = request.decode
         assert decode is not None
+        written_s = now - request.stage_at
+        request.pool.learn_writing(output_tokens - 1, written_s)
         if output_tokens < 2 or decode.seconds_per_token <= 0:
             return
-        pace = (now - request.stage_at) / (output_tokens - 1)
+        pace = written_s / (output_tokens - 1)
         self._health.pace(decode.id, pace / decode.seconds_per_token, now)
 
     def failed(
--- a/src/cowsliprill/decisions/leases.py
+++ b/src/cowsliprill/decisions/leases.py
@@ -19,6 +19,7 @@
         can't be reached.
       others_waiting: Requests of other entries that wait for a slot.
       used: Slots in use by all entries.
+      running: Requests with work in those slots.
       in_use_by_user: `in_use` by user.
       cached: Prompt blocks cached there.
       prefix_epoch: Epoch of the home's news of cached blocks.
@@ -33,6 +34,7 @@
     fallback: int = 0
     others_waiting: int = 0
     used: int = 0
+    running: int = 0
     in_use_by_user: dict[str, int] = dataclasses.field(default_factory=dict)
     cached: prefixes.CachedBlocks = dataclasses.field(
         default_factory=prefixes.CachedBlocks
@@ -84,12 +86,14 @@
 
     def take(self, user: str, slots: int = 1) -> None:
         """Takes slots for a request of a user."""
+        self.running += 1
         self.in_use += slots
         self.used += slots
         self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + slots
 
     def release(self, user: str, slots: int = 1) -> None:
         """Frees the slots of a user's request."""
+        self.running -= 1
         self.in_use -= slots
         self.used = max(self.used - slots, self.in_use)
         left = self.in_use_by_user[user] - slots
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -14,6 +14,8 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import queue
+from cowsliprill.decisions import speeds
+from cowsliprill.decisions import workload
 from cowsliprill.decisions import worth
 
 _LEARNING_RATE = 0.05
@@ -67,11 +69,15 @@
 
     Attributes:
       promised: Decode slots that running requests take.
+      running: Requests with work at decode engines.
+      prefilling: Requests with work at prefill engines.
       slots: Decode slots in all.
       waiting: Requests that wait.
     """
 
     promised: int
+    running: int
+    prefilling: int
     slots: int
     waiting: int
 
@@ -98,6 +104,9 @@
         self.shares_by_user: Mapping[str, float] = {}
         self.block_tokens = 0
         self.usual_slots = 1.0
+        self.usual_prompt_tokens = 0.0
+        self._speeds = speeds.Speeds()
+        self._work = workload.Workload()
         self.lengths = estimates.AnswerLengths()
         self.worths = worth.Worths()
         self.hold_s = _HOLD_START_S
@@ -115,13 +124,16 @@
         self, prefills: list[model.Endpoint], decodes: list[model.Endpoint]
     ) -> None:
         """Takes over the engines to use; running work keeps its holdings."""
-        self.prefills = prefills
-        self.decodes = decodes
+        self.prefills = [self._speeds.describe(item) for item in prefills]
+        self.decodes = [self._speeds.describe(item) for item in decodes]
+        prefills, decodes = self.prefills, self.decodes
         for endpoint in prefills + decodes:
             before = self.endpoints_by_id.get(endpoint.id)
-            if before is not None and before.life != endpoint.life:
-                # What was learnt of an engine's last life says nothing of the
-                # one that has begun under the same id.
+            if before is not None and _state(before) != _state(endpoint):
+                # What was learnt of an engine's last life, or of it as a prefill
+                # engine, says nothing of what has begun under the same id. One
+                # that turned a prompt away while it changed was left alone
+                # for as long as it lived.
                 self._health.forget(endpoint.id)
         self.endpoints_by_id = {item.id: item for item in prefills + decodes}
         self.block_tokens = max(
@@ -173,11 +185,47 @@
             self.usual_slots = float(slots)
         self.usual_slots += (slots - self.usual_slots) * _LEARNING_RATE
 
+    def learn_prompt(self, tokens: int) -> None:
+        """Takes in the length of a prompt that arrived."""
+        if not self.usual_prompt_tokens:
+            self.usual_prompt_tokens = float(tokens)
+        change = tokens - self.usual_prompt_tokens
+        self.usual_prompt_tokens += change * _LEARNING_RATE
+
     def learn_hold(self, seconds: float) -> None:
         """Takes in how long a request held its decode slot."""
         self._holds_learnt = True
         self.hold_s += (seconds - self.hold_s) * _LEARNING_RATE
 
+    def learn_reading(self, tokens: int, seconds: float) -> None:
+        """Takes in how long a prefill engine read a prompt alone."""
+        if self._speeds.read(tokens, seconds):
+            self.set_engines(self.prefills, self.decodes)
+
+    def learn_writing(self, tokens: int, seconds: float) -> None:
+        """Takes in how long tokens of an answer took, without the first."""
+        if self._speeds.wrote(tokens, seconds):
+            self.set_engines(self.prefills, self.decodes)
+
+    def learn_work(
+        self, submit: messages.Submit, slots: int, now: float
+    ) -> None:
+        """Takes in what a request that arrived asks of the engines."""
+        if not (self.prefills and self.decodes and self._speeds.are_known()):
+            return
+        prefill, decode = self.prefills[0], self.decodes[0]
+        filled = max(slots / decode.slots, 1 / (decode.places or decode.slots))
+        answer_tokens = self.lengths.expected_tokens(submit)
+        self._work.add(
+            prompt_s=submit.prompt_tokens / prefill.prefill_tokens_per_s,
+            answer_s=answer_tokens * self._token_s * filled,
+            now=now,
+        )
+
+    def prompt_part(self) -> float | None:
+        """Returns the part of the work that prompts are, None if unknown."""
+        return self._work.prompt_part()
+
     def learn_start_delay(self, seconds: float) -> None:
         """Takes in by how much a first token came later than unhindered."""
         change = max(seconds, 0.0) - self.start_delay_s
@@ -240,6 +288,10 @@
         """Returns how full the pool is."""
         return Standing(
             promised=sum(self.holding(item.id).used for item in self.decodes),
+            running=sum(self.holding(item.id).running for item in self.decodes),
+            prefilling=sum(
+                self.holding(item.id).running for item in self.prefills
+            ),
             slots=sum(item.slots for item in self.decodes),
             waiting=len(self.queue),
         )
@@ -350,3 +402,7 @@
             token_s=self._token_s,
             export_ttl_s=self._export_ttl_s,
         )
+
+
+def _state(endpoint: model.Endpoint) -> tuple[str, model.EndpointKind]:
+    return endpoint.life, endpoint.kind
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -39,6 +39,9 @@
       decode: Decode engine of the newest attempt.
       started_at: When the newest attempt began.
       expected_s: Time that its prefill takes at the engine's usual speed.
+      uncached: Tokens of its prompt that had to be read.
+      reads_alone: Whether no other prompt was at the prefill engine when its
+        own began.
       stage_at: When its present stage began.
       kept_until: Until when a finished prefill of it waits at `prefill`.
       probed: Endpoints that its newest attempt tries again.
@@ -60,6 +63,8 @@
     decode: model.Endpoint | None = None
     started_at: float = 0.0
     expected_s: float = 1.0
+    uncached: int = 0
+    reads_alone: bool = False
     stage_at: float = 0.0
     kept_until: float = 0.0
     probed: tuple[str, ...] = ()
@@ -88,6 +93,8 @@
         last_start = submit.useful_until - first_token_s
     slots = pool.slots_for(submit)
     pool.learn_slots(slots)
+    pool.learn_work(submit, slots, now)
+    pool.learn_prompt(submit.prompt_tokens)
     tokens = pool.lengths.expected_tokens(submit)
     pool.worths.learn(submit, tokens)
     return Request(
--- a/src/cowsliprill/decisions/roles.py
+++ b/src/cowsliprill/decisions/roles.py
@@ -66,16 +66,19 @@
         self,
         endpoints: Iterable[model.Endpoint],
         now: float,
-        prompt_part: float = USUAL_PROMPT_PART,
+        prompt_part: float | None = None,
     ) -> Order | None:
         """Returns the most useful change, if one is due.
 
         Args:
           endpoints: The pool's engines, without those that leave.
           now: Time, seconds.
-          prompt_part: Part of the pool's work that prompts are, from 0 to 1.
+          prompt_part: Part of the pool's work that prompts are, from 0 to 1;
+            None while it isn't known.
         """
         self._forget(now)
+        if prompt_part is None:
+            prompt_part = USUAL_PROMPT_PART
         engines = [item for item in endpoints if item.kind is not _Kind.PLAIN]
         prefills, decodes = self._divided(engines)
         kind = _missing_kind(
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -111,6 +111,11 @@
         known = self._pools.by_name.get(pool)
         return known.standing() if known else None
 
+    def prompt_part(self, pool: str) -> float | None:
+        """Returns the part of a pool's work that prompts are, if known."""
+        known = self._pools.by_name.get(pool)
+        return known.prompt_part() if known else None
+
     def asks(self, now: float) -> list[messages.SlotAsk]:
         """States this entry's standing with every endpoint it uses.
 
@@ -258,9 +263,12 @@
         self._release_prefill(request)
         assert request.prefill is not None
         self._health.answered(request.prefill.id)
+        read_s = now - request.started_at
         request.pool.learn_prefill_speed(
-            request.prefill.id, (now - request.started_at) / request.expected_s
+            request.prefill.id, read_s / request.expected_s
         )
+        if request.reads_alone:
+            request.pool.learn_reading(request.uncached, read_s)
         request.stage = messages.Stage.TRANSFER
         request.stage_at = now
         return self._advance(request.pool, now)
@@ -526,12 +534,10 @@
         request.expected_s = pool.prefill_wait_s(
             request.prefill, submit, usual=True
         )
-        cached = pool.holding(request.prefill.id).cached
-        pool.learn_prefill(
-            estimates.prefill_s(
-                request.prefill,
-                submit,
-                cached.cached_tokens(submit.prefix_hashes),
-            )
-        )
+        holding = pool.holding(request.prefill.id)
+        cached = holding.cached
+        known = cached.cached_tokens(submit.prefix_hashes)
+        request.reads_alone = not holding.running
+        request.uncached = submit.prompt_tokens - known
+        pool.learn_prefill(estimates.prefill_s(request.prefill, submit, known))
         cached.add(submit.prefix_hashes)
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -24,8 +24,8 @@
 # and reading them all at once would hold up every stream for a second.
 _ROUTES_A_STEP = 200
 
-# First guesses at engines' speeds, which no entry states: 33.3 tokens of a prompt
-# in a millisecond; a step of 5 to 8 ms when full.
+# First guesses at engines' speeds, which no entry states: 33.3 tokens of a
+# prompt in a millisecond; a step of 5 to 8 ms when full.
 _PREFILL_TOKENS_PER_S = 33_333.0
 _SECONDS_PER_TOKEN = 0.008
 
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -11,6 +11,7 @@
 from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill.cells import caller as homes_caller
+from cowsliprill.cells import client as cells_client
 from cowsliprill.cells import homes as homes_lib
 from cowsliprill.decisions import membership
 from cowsliprill.engines import http_client
@@ -74,6 +75,7 @@
             rng,
         )
         self._agent = agent_lib.Agent(self._members, self._source.newest, log)
+        self._scheduling: cells_client.CellScheduling
         self._homes = homes_lib.Homes(node.availability_zone, rng, log)
         self._entry = entry_core.Entry(
             node.environment(),
@@ -90,11 +92,17 @@
             self._source,
             self._members,
             orders.Orders(http_client.HttpClient()),
+            self._scheduling,
             log,
         )
 
         self._gauges = gauges.Gauges(
-            self._metrics, self._members, self._source, self._homes, output
+            self._metrics,
+            self._members,
+            self._source,
+            self._homes,
+            log,
+            output,
         )
 
     async def run(self) -> None:
@@ -205,7 +213,9 @@
         caller = homes_caller.HomesCaller(
             self._node.vm, self._homes, tools.homes
         )
-        return placing.ByCells(tools, caller.post)
+        by_cells = placing.ByCells(tools, caller.post)
+        self._scheduling = by_cells.scheduling
+        return by_cells
 
 
 async def serve(node: node_lib.Node) -> None:
--- a/src/cowsliprill/router/roles.py
+++ b/src/cowsliprill/router/roles.py
@@ -33,6 +33,13 @@
         """Orders an engine; returns its word, raises `errors.CallError`."""
 
 
+class Work(Protocol):
+    """What is known of the pools' work."""
+
+    def prompt_part(self, pool: str) -> float | None:
+        """Returns the part of it that prompts are, None if unknown."""
+
+
 class RoleController:
     """Looks at the pools and orders engines, where this VM leads.
 
@@ -40,6 +47,7 @@
       source: Settings and endpoints.
       members: The VMs.
       orders: Reaches the engines.
+      work: What is known of the pools' work.
       log: The process's log.
     """
 
@@ -48,11 +56,13 @@
         source: source_lib.Source,
         members: membership.Membership,
         orders: Orders,
+        work: Work,
         log: log_lib.Log,
     ) -> None:
         self._source = source
         self._members = members
         self._orders = orders
+        self._work = work
         self._log = log
         self._leadership = leadership.Leadership()
         self._tokens = leadership.FencingTokens(members.own.id)
@@ -68,11 +78,17 @@
 
     async def _look_at(self, pool: str) -> None:
         now = clock.now()
-        if not self._may_order(pool, now):
+        if not self._source.is_settled(now):
             return
         plan = self._roles_by_pool.setdefault(pool, roles.Roles())
-        order = plan.next_order(self._source.staying_endpoints(pool), now)
-        if order is None:
+        order = plan.next_order(
+            self._source.staying_endpoints(pool),
+            now,
+            self._work.prompt_part(pool),
+        )
+        # A VM that doesn't lead looks as well: whoever comes to lead knows then
+        # how long a lack has lasted.
+        if order is None or not self._may_order(pool, now):
             return
         plan.ordered(order, now)
         await self._send(order)
@@ -98,6 +114,7 @@
             endpoint=order.endpoint.id,
             pool=order.endpoint.pool,
             kind=order.kind.value,
+            prompt_part=self._work.prompt_part(order.endpoint.pool),
             fencing_token=token,
             outcome=outcome,
         )
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -93,10 +93,12 @@
     return await response.read(100)
 
 
-async def _until(condition) -> None:
-    async with asyncio.timeout(10):
-        while not condition():
-            await asyncio.sleep(0)
+async def _turns_until(condition) -> None:
+    for _ in range(100_000):
+        if condition():
+            return
+        await asyncio.sleep(0)
+    raise AssertionError("it never came about")
 
 
 class TestClient:
@@ -202,6 +204,6 @@
             async with raw_endpoint.RawEndpoint(script) as endpoint:
                 client = http_client.HttpClient()
                 await _call(client, endpoint.port)
-                await _until(lambda: client.idle_count() == 0)
+                await _turns_until(lambda: client.idle_count() == 0)
 
         asyncio.run(scenario())
