--- a/src/cowsliprill/cli/__main__.py
+++ b/src/cowsliprill/cli/__main__.py
@@ -17,6 +17,7 @@
     commands.PackCommand,
     commands.HashCommand,
     commands.ExplainCommand,
+    commands.AccountCommand,
     commands.StatusCommand,
     commands.AuditCommand,
 )
--- a/src/cowsliprill/cli/commands.py
+++ b/src/cowsliprill/cli/commands.py
@@ -77,6 +77,22 @@
     ]
 
 
+@cappa.command(name="account")
+@dataclasses.dataclass
+class AccountCommand:
+    """Add up what became of all requests in the logs of one or more VMs.
+
+    For example: `cowsliprill account --step 2 vm-*.log`.
+    """
+
+    files: Annotated[
+        list[pathlib.Path], cappa.Arg(help="Logs; `-` is standard input.")
+    ]
+    step: Annotated[
+        float, cappa.Arg(long=True, help="Seconds that a line of time covers.")
+    ] = 2.0
+
+
 @cappa.command(name="status")
 @dataclasses.dataclass
 class StatusCommand:
--- a/src/cowsliprill/cli/core.py
+++ b/src/cowsliprill/cli/core.py
@@ -13,6 +13,8 @@
 from cowsliprill import errors as errors_lib
 from cowsliprill import peer_client
 from cowsliprill import peers
+from cowsliprill.cli import account
+from cowsliprill.cli import account_tables
 from cowsliprill.cli import commands
 from cowsliprill.cli import errors
 from cowsliprill.cli import explain
@@ -81,6 +83,8 @@
             terminal.write(hashlib.sha256(key.encode()).hexdigest())
         case commands.ExplainCommand(request, files):
             _explain(request, files, terminal)
+        case commands.AccountCommand(files, step):
+            _account(files, step, terminal)
         case commands.StatusCommand(url):
             _status(_get(url + peers.STATUS_PATH), terminal)
         case commands.AuditCommand(url):
@@ -107,13 +111,36 @@
         ) from error
 
 
-def _explain(
-    request: str, files: list[pathlib.Path], terminal: Terminal
-) -> None:
+def _log_lines(
+    files: list[pathlib.Path], terminal: Terminal
+) -> list[explain.Line]:
     lines: list[explain.Line] = []
     for file in files:
         text = terminal.stdin.read() if str(file) == "-" else _read(file)
         lines.extend(explain.read(text.splitlines()))
+    return lines
+
+
+def _account(
+    files: list[pathlib.Path], step_s: float, terminal: Terminal
+) -> None:
+    if step_s <= 0:
+        raise errors.CliError(
+            f"--step must be above 0, not {step_s:g}.", code="bad_step"
+        )
+    day = account.read(_log_lines(files, terminal))
+    if not day.ended:
+        raise errors.CliError(
+            "No line of these logs tells of a request's end.",
+            code="no_requests",
+        )
+    account_tables.write(day, step_s, terminal.stdout)
+
+
+def _explain(
+    request: str, files: list[pathlib.Path], terminal: Terminal
+) -> None:
+    lines = _log_lines(files, terminal)
     story = explain.story(lines, request)
     if not story:
         raise errors.CliError(
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -87,7 +87,8 @@
         if progress.first_token_at:
             self.metrics.ttft_s.observe(labels, ttft_s)
             self.metrics.tpot_s.observe(labels, tpot_s)
-        if _is_good(ctx, ttft_s, tpot_s):
+        in_time = _is_good(ctx, ttft_s, tpot_s)
+        if in_time:
             self.metrics.goodput.inc(labels)
         self.log.event(
             "request_ended",
@@ -96,6 +97,9 @@
             user=ctx.user.id if ctx.user else "",
             service=labels["service"],
             outcome=progress.outcome,
+            in_time=in_time,
+            prompt_tokens=_prompt_tokens(ctx),
+            vain_prompts=progress.prefills - progress.prefills_used,
             run=progress.run.value,
             attempts=progress.attempts,
             tokens=progress.tokens,
@@ -109,6 +113,10 @@
     return request is not None and request.stream
 
 
+def _prompt_tokens(ctx: context.Context) -> int:
+    return ctx.generation.prompt_tokens if ctx.generation else 0
+
+
 def _tpot(progress: context.Progress) -> float:
     if progress.tokens < 2:
         return 0.0
--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -169,7 +169,12 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
-        self.log.event("started", port=self.port, public_port=self.public_port)
+        self.log.event(
+            "started",
+            port=self.port,
+            public_port=self.public_port,
+            availability_zone=self.environment.availability_zone,
+        )
         readiness = asyncio.create_task(self._log_readiness())
         await self._stopping.wait()
         self.log.event("draining")
--- a/src/cowsliprill/router/gauges.py
+++ b/src/cowsliprill/router/gauges.py
@@ -1,10 +1,12 @@
 """The task that keeps a router's gauges up to date."""
 
 import asyncio
+import dataclasses
 
 from cowsliprill import clock
 from cowsliprill.cells import homes as homes_lib
 from cowsliprill.decisions import membership
+from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 from cowsliprill.observability import writer
 from cowsliprill.registry import source as source_lib
@@ -21,6 +23,8 @@
       members: The VMs.
       source: What follows the store.
       homes: The pools that are homed here.
+      log: The process's log; tells each second how full a pool is that has
+        work.
       output: What writes the log, None in tests.
     """
 
@@ -30,12 +34,14 @@
         members: membership.Membership,
         source: source_lib.Source,
         homes: homes_lib.Homes,
+        log: log_lib.Log,
         output: writer.Writer | None,
     ) -> None:
         self._metrics = metrics
         self._members = members
         self._source = source
         self._homes = homes
+        self._log = log
         self._output = output
 
     async def run(self) -> None:
@@ -45,7 +51,7 @@
             await asyncio.sleep(_SAMPLE_S)
 
     def sample(self) -> None:
-        """Sets all gauges."""
+        """Sets all gauges, and tells how full the pools are."""
         metrics = self._metrics
         metrics.members.set({}, len(self._members.alive()) + 1)
         dropped = self._output.dropped if self._output else 0
@@ -58,6 +64,10 @@
             ):
                 metrics.pool_slots.set({"pool": pool, "state": state}, slots)
             metrics.pool_waiting.set({"pool": pool}, standing.waiting)
+            if standing.running or standing.waiting:
+                self._log.event(
+                    "pool_standing", pool=pool, **dataclasses.asdict(standing)
+                )
 
     def _sample_registry(self) -> None:
         metrics = self._metrics
--- a/tests/test_plain_walk.py
+++ b/tests/test_plain_walk.py
@@ -1,4 +1,4 @@
-"""All ways in which up to three calls of one plain request may end.
+"""All ways in which up to four calls of one plain request may end.
 
 Each way is played through the placement and the relay as they run in an entry,
 and compared with what its servers really did.
@@ -25,6 +25,10 @@
 
 _ATTEMPTS = 3
 
+# Calls without a connection that don't count, fewer than in earnest: each more
+# makes six times as many ways.
+_UNSENT = 1
+
 # How a call may end, and whether its server has run the request.
 _UNREACHED = "no connection"
 _REFUSED = "the server says that it ran nothing"
@@ -123,11 +127,12 @@
         return None
 
     with pytest.MonkeyPatch.context() as monkeypatch:
+        monkeypatch.setattr(plain_placement, "_UNSENT_MAX", _UNSENT)
         error = asyncio.run(run(monkeypatch))
     return servers.seen, told, error
 
 
-_WAYS = [*itertools.product(_ENDINGS, repeat=_ATTEMPTS)]
+_WAYS = [*itertools.product(_ENDINGS, repeat=_ATTEMPTS + _UNSENT)]
 
 
 class TestAllWays:
@@ -161,7 +166,9 @@
         for way in _WAYS:
             seen, told, error = _play(way, idempotency)
             assert len(told) + (error is not None) == 1, way
-            assert len(seen) <= _ATTEMPTS, way
+            sent = [ending for ending in seen if ending != _UNREACHED]
+            assert len(sent) <= _ATTEMPTS, way
+            assert len(seen) <= _ATTEMPTS + _UNSENT, way
             if seen[-1] == _SERVED:
                 assert told == [200], way
 
@@ -171,6 +178,18 @@
         assert told == [500]
         assert error is None
 
+    def test_a_server_that_takes_no_connection_costs_no_attempt(self):
+        """A server has crashed and is listed for some seconds yet.
+
+        A booking may be sent to one server only. None has heard of it, so
+        another may be asked; its caller would else be turned away.
+        """
+        way = (_UNREACHED, _SERVED, _SERVED, _SERVED)
+        seen, told, error = _play(way, model.Idempotency.UNREPEATABLE)
+        assert seen == [_UNREACHED, _SERVED]
+        assert told == [200]
+        assert error is None
+
     def test_without_the_guard_it_would_run_twice(self, monkeypatch):
         monkeypatch.setattr(plain_placement, "_may_repeat", lambda ctx: True)
         runs = [
