Compare plain servers with their peers; a call that no server heard costs no attempt

A VM that starts while the store is away waited a second before it asked a peer. Ruled out: more attempts for bookings (their route allows one).

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -130,10 +130,10 @@
         for endpoint in prefills + decodes:
             before = self.endpoints_by_id.get(endpoint.id)
             if before is not None and _state(before) != _state(endpoint):
-                # What was learnt of an engine's last life, or of it as a prefill
-                # engine, says nothing of what has begun under the same id. One
-                # that turned a prompt away while it changed was left alone
-                # for as long as it lived.
+                # What was learnt of an engine's last life, or of its work as a
+                # prefill engine, says nothing of what has begun under the same
+                # id. One that turned a prompt away while it changed was left
+                # alone for as long as it lived.
                 self._health.forget(endpoint.id)
         self.endpoints_by_id = {item.id: item for item in prefills + decodes}
         self.block_tokens = max(
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -49,6 +49,7 @@
       run: What is known of whether this call was run.
       reason: One sentence for the log.
       answer: The server's own answer that it failed, None without one.
+      unsent: Whether no byte of the call has left.
     """
 
     def __init__(
@@ -56,8 +57,11 @@
         run: messages.Run,
         reason: str,
         answer: service_client.ServiceAnswer | None = None,
+        *,
+        unsent: bool = False,
     ) -> None:
         super().__init__(reason)
+        self.unsent = unsent
         self.run = run
         self.reason = reason
         self.answer = answer
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -8,6 +8,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import retry
+from cowsliprill.decisions import server_health
 from cowsliprill.entry import attempts
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
@@ -15,13 +16,16 @@
 from cowsliprill.entry import world as world_lib
 from cowsliprill.observability import log as log_lib
 
-_AVOID_S = 1.0
 # A server that hasn't answered within this multiple of the target has most
 # likely lost the call; one that is merely busy answers before.
 _STALL_TARGETS = 1.5
 _STALL_MIN_S = 0.2
 _RETRY_AFTER_S = 1.0
 
+# Servers that take no connection which one call may find out, one after the
+# other; each costs the time for a connection.
+_UNSENT_MAX = 3
+
 
 @dataclasses.dataclass(slots=True)
 class PlainPlacement:
@@ -43,8 +47,8 @@
     _running_by_endpoint: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    _avoid_until_by_endpoint: dict[str, float] = dataclasses.field(
-        default_factory=dict
+    _health: server_health.ServerHealth = dataclasses.field(
+        default_factory=server_health.ServerHealth
     )
 
     async def __call__(
@@ -53,6 +57,7 @@
         """Makes calls until one is answered or none may follow."""
         self.budgets.of(ctx.service).earn()
         ctx.endpoint = self._choose(ctx)
+        unsent = 0
         while True:
             if clock.now() >= ctx.deadline:
                 raise _refusal(ctx, messages.RefusalCode.TARGET_UNREACHABLE)
@@ -60,10 +65,16 @@
             ctx.stall_s = _stall_s(ctx)
             try:
                 await self._run(ctx, proceed)
+                self._health.answered(ctx.endpoint.id)
                 return
             except attempts.PlainCallLost as lost:
                 self._note_lost(ctx, lost)
-                if not self._may_go_on(ctx):
+                if lost.unsent and unsent < _UNSENT_MAX:
+                    # No server has heard of it, so this is no repeat: it
+                    # takes nothing of the service's attempts.
+                    unsent += 1
+                    ctx.progress.attempts -= 1
+                elif not self._may_go_on(ctx):
                     if lost.answer is not None:
                         await plain_relay.send_answer(ctx, lost.answer)
                         return
@@ -98,6 +109,7 @@
             and endpoint.pool == ctx.service.pool
             and endpoint.id not in leaving
         ]
+        self._health.forget_except(self.world.snapshot.endpoints_by_id.keys())
         if not serving:
             raise _refusal(ctx, messages.RefusalCode.NO_ENDPOINT)
         free = [
@@ -112,9 +124,8 @@
     def _cost(
         self, endpoint: model.Endpoint
     ) -> tuple[bool, float, bool, float]:
-        avoid_until = self._avoid_until_by_endpoint.get(endpoint.id, 0.0)
         return (
-            avoid_until > clock.now(),
+            self._health.is_alone(endpoint.id, clock.now()),
             self._running_by_endpoint[endpoint.id],
             endpoint.availability_zone != self.availability_zone,
             self.random_source.random(),
@@ -123,13 +134,17 @@
     def _note_lost(
         self, ctx: context.Context, lost: attempts.PlainCallLost
     ) -> None:
+        endpoint = ctx.endpoint
+        peer_ids = [
+            other.id
+            for other in self.world.snapshot.endpoints_by_id.values()
+            if other.pool == endpoint.pool and other.id != endpoint.id
+        ]
         now = clock.now()
-        self._avoid_until_by_endpoint = {
-            endpoint_id: until
-            for endpoint_id, until in self._avoid_until_by_endpoint.items()
-            if until > now
-        }
-        self._avoid_until_by_endpoint[ctx.endpoint.id] = now + _AVOID_S
+        if lost.answer is None:
+            self._health.lost(endpoint.id, peer_ids, now)
+        else:
+            self._health.answered_with_failure(endpoint.id, peer_ids, now)
         self.log.warning(
             "call_lost",
             request=ctx.request_id,
--- a/src/cowsliprill/entry/plain_relay.py
+++ b/src/cowsliprill/entry/plain_relay.py
@@ -44,7 +44,11 @@
         try:
             return await self.calls.call(ctx, progress)
         except engine_errors.CallError as error:
-            raise attempts.PlainCallLost(error.run, str(error)) from error
+            raise attempts.PlainCallLost(
+                error.run,
+                str(error),
+                unsent=isinstance(error, engine_errors.ConnectFailed),
+            ) from error
         finally:
             # Also when the caller has left amid the call.
             if progress.run is messages.Run.UNKNOWN:
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -25,6 +25,11 @@
 _ASK_PEER_S = 0.4
 _AWAY_S = 0.5
 
+# One that knows nothing yet can't serve until it has asked. Where all VMs of a
+# zone start again while the store is away, callers are turned away for so much
+# longer than the start itself takes.
+_ASK_PEER_EMPTY_S = 0.1
+
 # A watch's answer may come a little after a peer's word of the same change.
 _BEHIND_S = 0.3
 
@@ -332,14 +337,20 @@
 
     async def _ask_peers(self) -> None:
         while True:
-            await asyncio.sleep(_ASK_PEER_S)
+            empty = not all(
+                follower.view.newest for follower in self._followers
+            )
+            await asyncio.sleep(_ASK_PEER_EMPTY_S if empty else _ASK_PEER_S)
             for index, follower in enumerate(self._followers):
                 if self._needs_peers(follower):
                     await self._ask_peer(index, follower)
 
     def _needs_peers(self, follower: follower_lib.Follower) -> bool:
         away_since = follower.away_since
-        return bool(away_since) and clock.now() - away_since > _AWAY_S
+        if not away_since:
+            return False
+        empty = not follower.view.newest
+        return empty or clock.now() - away_since > _AWAY_S
 
     async def _ask_peer(
         self, index: int, follower: follower_lib.Follower
