Keep a full engine's mark, tell return times by what is left, learn reading by differences

Causes, from the logs: a home asked an engine that had said it was full again at its next look, so that four prompts in a row were read in vain; callers refused in a burst were told the time of one answer and came back into it; each prompt takes a fixed time beside its reading (0.02 to 0.12 s), so that Bagroute's prompts seemed half of the work and two engines were ordered to read prompts.

--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -36,13 +36,14 @@
         self._health = engine_health
 
     def choose(
-        self, pool: pools.Pool, submit: messages.Submit, now: float
+        self, pool: pools.Pool, submit: messages.Submit, slots: int, now: float
     ) -> placement.Pair | None:
         """Finds the best engines with free leased slots.
 
         Args:
           pool: The request's pool.
           submit: The request.
+          slots: Slots of a decode engine that it takes.
           now: Time, seconds.
 
         Returns:
@@ -50,12 +51,12 @@
         """
         prefills = self._prefills(pool, submit, now)
         if not prefills:
-            return self._without_prefill(pool, submit, now)
+            return self._without_prefill(pool, submit, slots, now)
         pool.prefills_short_since = math.inf
         endpoints_by_id = pool.endpoints_by_id
         return placement.choose(
             prefills,
-            self._decodes(pool, submit, now),
+            self._decodes(pool, submit, slots, now),
             lambda prefill_id, decode_id: estimates.transfer_s(
                 endpoints_by_id[prefill_id],
                 endpoints_by_id[decode_id],
@@ -67,13 +68,14 @@
         self,
         pool: pools.Pool,
         submit: messages.Submit,
+        slots: int,
         now: float,
     ) -> placement.Pair | None:
         if not pool.decodes_read_prompts():
             return None
         readers = [
             (candidate.cost_s, candidate.id)
-            for candidate in self._decodes(pool, submit, now)
+            for candidate in self._decodes(pool, submit, slots, now)
             if pool.endpoints_by_id[candidate.id].own_prefill_tokens_per_s
         ]
         if not readers:
@@ -90,6 +92,7 @@
         self,
         pool: pools.Pool,
         submit: messages.Submit,
+        slots: int,
         prefill: model.Endpoint,
         now: float,
     ) -> placement.Pair | None:
@@ -98,6 +101,7 @@
         Args:
           pool: The request's pool.
           submit: The request.
+          slots: Slots of a decode engine that it takes.
           prefill: The engine that keeps the prefill.
           now: Time, seconds.
 
@@ -106,7 +110,7 @@
         """
         return placement.choose(
             [placement.Candidate(prefill.id, 0.0)],
-            self._decodes(pool, submit, now),
+            self._decodes(pool, submit, slots, now),
             lambda _, decode_id: estimates.transfer_s(
                 prefill, pool.endpoints_by_id[decode_id], submit.prompt_tokens
             ),
@@ -132,14 +136,14 @@
         return found
 
     def _decodes(
-        self, pool: pools.Pool, submit: messages.Submit, now: float
+        self, pool: pools.Pool, submit: messages.Submit, slots: int, now: float
     ) -> list[placement.Candidate]:
         found = []
         left_alone = self._health.left_alone(pool.decodes)
         no_other = len(left_alone) == len(pool.decodes)
         for endpoint in pool.decodes:
             holding = pool.holding(endpoint.id)
-            if not holding.fits(pool.slots_for(submit), now):
+            if not holding.fits(slots, now):
                 continue
             # Short requests leave memory when all places are taken. One more
             # would be turned away after its prompt was read.
--- a/src/cowsliprill/decisions/leases.py
+++ b/src/cowsliprill/decisions/leases.py
@@ -19,6 +19,8 @@
         can't be reached.
       others_waiting: Requests of other entries that wait for a slot.
       used: Slots in use by all entries.
+      full_until: Until when the endpoint is taken for full because it said so
+        itself, unless something ends there before.
       running: Requests with work in those slots.
       in_use_by_user: `in_use` by user.
       cached: Prompt blocks cached there.
@@ -34,6 +36,7 @@
     fallback: int = 0
     others_waiting: int = 0
     used: int = 0
+    full_until: float = 0.0
     running: int = 0
     in_use_by_user: dict[str, int] = dataclasses.field(default_factory=dict)
     cached: prefixes.CachedBlocks = dataclasses.field(
@@ -76,6 +79,8 @@
           slots: Slots that it takes.
           now: Time, seconds.
         """
+        if now < self.full_until:
+            return False
         if self.free(now) >= slots:
             return True
         return bool(self.fallback) and not self.in_use
@@ -94,6 +99,7 @@
     def release(self, user: str, slots: int = 1) -> None:
         """Frees the slots of a user's request."""
         self.running -= 1
+        self.full_until = 0.0
         self.in_use -= slots
         self.used = max(self.used - slots, self.in_use)
         left = self.in_use_by_user[user] - slots
@@ -139,8 +145,14 @@
         self.cached.remove(grant.prefix_hashes_gone)
         self.cached.add(grant.prefix_hashes)
 
-    def drop_free(self) -> None:
-        """Gives up free slots: the endpoint itself said that it is full."""
+    def drop_free(self, until: float = 0.0) -> None:
+        """Gives up free slots: the endpoint itself said that it is full.
+
+        Args:
+          until: Until when it isn't asked again, unless work of ours ends there
+            before.
+        """
+        self.full_until = until
         self.slots = min(self.slots, self.in_use)
         self.fallback = min(self.fallback, self.in_use)
 
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -73,6 +73,9 @@
       prefilling: Requests with work at prefill engines.
       slots: Decode slots in all.
       waiting: Requests that wait.
+      prompt_tokens_per_s: Speed of a prefill engine, as far as known.
+      seconds_per_token: Time between tokens of an answer, as far as known.
+      prompt_part: Part of the work that prompts are, 0 while unknown.
     """
 
     promised: int
@@ -80,6 +83,9 @@
     prefilling: int
     slots: int
     waiting: int
+    prompt_tokens_per_s: float
+    seconds_per_token: float
+    prompt_part: float
 
 
 class Pool:
@@ -294,6 +300,12 @@
             ),
             slots=sum(item.slots for item in self.decodes),
             waiting=len(self.queue),
+            prompt_tokens_per_s=max(
+                (item.prefill_tokens_per_s for item in self.prefills),
+                default=0.0,
+            ),
+            seconds_per_token=self._token_s,
+            prompt_part=self.prompt_part() or 0.0,
         )
 
     def slots(self) -> int:
--- a/src/cowsliprill/decisions/prospects.py
+++ b/src/cowsliprill/decisions/prospects.py
@@ -69,5 +69,16 @@
     drained_s = pool.backlog(last.submit.priority).wait_s()
     if not last.late:
         return drained_s
+    return drained_s / room_for_late(pool, now, entries)
+
+
+def room_for_late(pool: pools.Pool, now: float, entries: int) -> float:
+    """Returns the part of a pool that those in time leave to late ones.
+
+    Args:
+      pool: The pool.
+      now: Time, seconds.
+      entries: Entry processes that share the pool by its slots.
+    """
     load = pool.demand.load(now, pool.slots() / entries)
-    return drained_s / max(1.0 - load, _LEAST_ROOM)
+    return max(1.0 - load, _LEAST_ROOM)
--- a/src/cowsliprill/decisions/roles.py
+++ b/src/cowsliprill/decisions/roles.py
@@ -23,7 +23,7 @@
 # A change is worth an engine's absence for some seconds only if it raises what
 # the pool can serve by more than this factor. A smaller one would have engines
 # change to and fro with each turn of the traffic.
-WORTHWHILE = 1.1
+WORTHWHILE = 1.15
 
 # A surplus must last so long: the successor of a prefill engine that is about
 # to leave is listed some seconds before that one says that it leaves.
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -38,6 +38,14 @@
 _RESUME_WITHIN_S = 2.0
 
 
+# How long an engine that said it was full isn't asked again, unless one of its
+# requests ends before. Answers there have grown beyond what was expected; of
+# the ten that it writes one ends within this time. Asked with each that waited,
+# an engine turned four in a row away within 0.7 s, and their prompts had been
+# read in vain.
+_FULL_S = 0.5
+
+
 class Scheduler:
     """Places the model requests of one entry process.
 
@@ -324,7 +332,8 @@
         if event.refused:
             # Only now, without the slots of this very request: left free, they
             # would draw its next attempt to the engine that has no room.
-            request.pool.holding(event.endpoint_id).drop_free()
+            until = now + _FULL_S if self._owns_slots else 0.0
+            request.pool.holding(event.endpoint_id).drop_free(until)
         if streaming and not event.resumable:
             # Tokens have reached the caller; what becomes of its stream is
             # the shell's to decide, not ours to start anew.
@@ -379,9 +388,14 @@
         request_id = request.submit.request_id
         pool.queue.remove(request_id)
         del self._requests_by_id[request_id]
+        entries = self._pools.entries
+        # Whoever comes back is late by then and has what those in time leave.
+        # Told the time in which the whole pool drains, callers of a burst
+        # came back while it lasted and were refused for good.
+        room = prospects.room_for_late(pool, now, entries)
         slots = max(pool.slots(), 1) / pool.usual_slots
-        step_s = pool.hold_s / slots * self._pools.entries
-        wait_s = pool.backlog(request.submit.priority).wait_s()
+        step_s = pool.hold_s / slots * entries / room
+        wait_s = pool.backlog(request.submit.priority).wait_s() / room
         return messages.Refuse(
             request_id=request_id,
             code=code,
@@ -480,10 +494,10 @@
         kept = request.kept_until > now and request.prefill is not None
         if kept:
             pair = self._chooser.choose_decode(
-                pool, submit, request.prefill, now
+                pool, submit, request.slots, request.prefill, now
             )
         else:
-            pair = self._chooser.choose(pool, submit, now)
+            pair = self._chooser.choose(pool, submit, request.slots, now)
         if pair is None:
             return None
         pool.queue.remove(submit.request_id)
--- a/src/cowsliprill/decisions/server_health.py
+++ b/src/cowsliprill/decisions/server_health.py
@@ -88,3 +88,18 @@
         alone_s = _ALONE_S + _ALONE_MAX_S * excess
         server = self._servers_by_id[server_id]
         server.alone_until = now + min(alone_s, _ALONE_MAX_S)
+
+
+class Uncompared(ServerHealth):
+    """Leaves a server alone for the same short time after any failure."""
+
+    def _count(self, server_id: str, peer_ids: Collection[str]) -> float:
+        del peer_ids
+        self._servers_by_id.setdefault(server_id, _Server())
+        return 0.0
+
+    def answered_with_failure(
+        self, server_id: str, peer_ids: Collection[str], now: float
+    ) -> None:
+        """Takes in a server's own failure as if it said something of it."""
+        self.lost(server_id, peer_ids, now)
--- a/src/cowsliprill/decisions/speeds.py
+++ b/src/cowsliprill/decisions/speeds.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import itertools
 import statistics
 
 from cowsliprill.decisions import model
@@ -19,10 +20,14 @@
 # A smaller change than this isn't told to those who reckon with the speeds.
 _MATTERS = 0.1
 
-# Shorter prompts and answers say more of the fixed parts than of the speed.
-_LEAST_PROMPT_TOKENS = 500
+# Shorter answers say more of the fixed parts than of the speed.
 _LEAST_ANSWER_TOKENS = 20
 
+# Two prompts whose lengths differ by less say more of chance than of the speed,
+# and of fewer pairs than this the median is chance as well.
+_LEAST_DIFFERENCE = 500
+_LEAST_PAIRS = 30
+
 
 @dataclasses.dataclass(slots=True)
 class _Watched:
@@ -43,11 +48,46 @@
         return True
 
 
+class _Prompts:
+    """Times of prompts, told apart by their lengths.
+
+    A prompt takes some time however short it is, 0.02 to 0.12 s, in which its
+    engine reads others. Taken for reading, it had a pool seem to need half of
+    its engines for prompts. So the speed is how much longer a longer prompt
+    takes: the median over all pairs, which a few slow ones hardly move.
+    """
+
+    def __init__(self) -> None:
+        self._times: collections.deque[tuple[int, float]] = collections.deque(
+            maxlen=_WATCHED
+        )
+        self.told_s = 0.0
+
+    def add(self, tokens: int, seconds: float) -> bool:
+        """Takes in a time; returns whether what is told has changed."""
+        self._times.append((tokens, seconds))
+        slopes = [
+            (later_s - earlier_s) / (later - earlier)
+            for (earlier, earlier_s), (
+                later,
+                later_s,
+            ) in itertools.combinations(self._times, 2)
+            if abs(later - earlier) >= _LEAST_DIFFERENCE
+        ]
+        if len(slopes) < _LEAST_PAIRS:
+            return False
+        median = statistics.median(slopes)
+        if median <= 0 or abs(median - self.told_s) <= self.told_s * _MATTERS:
+            return False
+        self.told_s = median
+        return True
+
+
 class Speeds:
     """Speeds of one pool's engines."""
 
     def __init__(self) -> None:
-        self._prompt = _Watched()
+        self._prompt = _Prompts()
         self._answer = _Watched()
 
     def read(self, tokens: int, seconds: float) -> bool:
@@ -60,9 +100,7 @@
         Returns:
           Whether engines have to be described anew.
         """
-        if tokens < _LEAST_PROMPT_TOKENS or seconds <= 0:
-            return False
-        return self._prompt.add(seconds / tokens)
+        return self._prompt.add(tokens, seconds)
 
     def wrote(self, tokens: int, seconds: float) -> bool:
         """Takes in a part of an answer.
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -13,8 +13,10 @@
 from cowsliprill import process
 from cowsliprill.decisions import connections
 from cowsliprill.decisions import identity
+from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import retry
+from cowsliprill.decisions import server_health
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import http_client
@@ -214,6 +216,7 @@
                 self._budgets,
                 self._log,
                 self._random,
+                self._server_health(),
             ),
             model_relay=model_relay.ModelRelay(
                 self._dialect.engines,
@@ -228,6 +231,12 @@
             book=book,
         )
 
+    def _server_health(self) -> server_health.ServerHealth:
+        off = self._environment.mechanisms_off
+        if mechanisms.Mechanism.SERVER_COMPARISON in off:
+            return server_health.Uncompared()
+        return server_health.ServerHealth()
+
     def _take_world(self) -> None:
         snapshot = self._source.snapshot
         self._world.update(snapshot, self._source.fleet)
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -37,6 +37,7 @@
       budgets: Budgets of retries.
       log: The process's log.
       random_source: Breaks ties.
+      health: Which servers are better left alone.
     """
 
     availability_zone: str
@@ -44,12 +45,12 @@
     budgets: retry.RetryBudgets
     log: log_lib.Log
     random_source: random.Random
+    health: server_health.ServerHealth = dataclasses.field(
+        default_factory=server_health.ServerHealth
+    )
     _running_by_endpoint: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
-    _health: server_health.ServerHealth = dataclasses.field(
-        default_factory=server_health.ServerHealth
-    )
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handle
@@ -65,7 +66,7 @@
             ctx.stall_s = _stall_s(ctx)
             try:
                 await self._run(ctx, proceed)
-                self._health.answered(ctx.endpoint.id)
+                self.health.answered(ctx.endpoint.id)
                 return
             except attempts.PlainCallLost as lost:
                 self._note_lost(ctx, lost)
@@ -109,7 +110,7 @@
             and endpoint.pool == ctx.service.pool
             and endpoint.id not in leaving
         ]
-        self._health.forget_except(self.world.snapshot.endpoints_by_id.keys())
+        self.health.forget_except(self.world.snapshot.endpoints_by_id.keys())
         if not serving:
             raise _refusal(ctx, messages.RefusalCode.NO_ENDPOINT)
         free = [
@@ -125,7 +126,7 @@
         self, endpoint: model.Endpoint
     ) -> tuple[bool, float, bool, float]:
         return (
-            self._health.is_alone(endpoint.id, clock.now()),
+            self.health.is_alone(endpoint.id, clock.now()),
             self._running_by_endpoint[endpoint.id],
             endpoint.availability_zone != self.availability_zone,
             self.random_source.random(),
@@ -142,9 +143,9 @@
         ]
         now = clock.now()
         if lost.answer is None:
-            self._health.lost(endpoint.id, peer_ids, now)
+            self.health.lost(endpoint.id, peer_ids, now)
         else:
-            self._health.answered_with_failure(endpoint.id, peer_ids, now)
+            self.health.answered_with_failure(endpoint.id, peer_ids, now)
         self.log.warning(
             "call_lost",
             request=ctx.request_id,
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -11,6 +11,7 @@
 import pydantic
 
 from cowsliprill import errors
+from cowsliprill.decisions import mechanisms
 
 
 class EnvironmentFileError(errors.CowsliprillError):
@@ -42,6 +43,8 @@
       peer_secret: Secret that our processes share, by which they tell each
         other from strangers; empty accepts all.
       seed: Seed of the process's random numbers; None draws one.
+      mechanisms_off: Parts of the decisions that are switched off for an
+        experiment.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -60,6 +63,7 @@
     drain_limit_s: float = pydantic.Field(default=600.0, gt=0.0)
     peer_secret: pydantic.SecretStr = pydantic.SecretStr("")
     seed: int | None = None
+    mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
 
 
 def load(path: pathlib.Path) -> Environment:
--- a/src/cowsliprill/registry/endpoints.py
+++ b/src/cowsliprill/registry/endpoints.py
@@ -46,6 +46,10 @@
         self._listed_by_key: dict[str, Listed] = {}
         self._doubtful_until_by_key: dict[str, float] = {}
 
+    def all_lives(self) -> Collection[Listed]:
+        """Returns all that is listed, several at one address included."""
+        return self._listed_by_key.values()
+
     def listed(self) -> Collection[Listed]:
         """Returns the endpoints, those that leave included.
 
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -8,6 +8,7 @@
 
 from cowsliprill import clock
 from cowsliprill import peer_client
+from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import membership
 from cowsliprill.decisions import model
 from cowsliprill.decisions import registry
@@ -90,6 +91,7 @@
       members: The other processes.
       log: The process's log.
       rng: Spreads retries.
+      off: Mechanisms that are switched off for an experiment.
 
     Attributes:
       snapshot: The settings in force.
@@ -104,7 +106,9 @@
         members: membership.Membership,
         log: log_lib.Log,
         rng: random.Random,
+        off: mechanisms.Off = (),
     ) -> None:
+        self._off = off
         self.snapshot = model.Snapshot()
         self.fleet = model.Fleet()
         self._translator = translator
@@ -116,6 +120,7 @@
         self._settings = Settings()
         self._settings_entries: asyncio.Queue[registry.Entry] = asyncio.Queue()
         self._endpoints = endpoints_lib.Endpoints(translator.listed, log)
+        self._one_life = mechanisms.Mechanism.ONE_LIFE_AN_ADDRESS not in off
         self._leaving_until_by_endpoint: dict[str, float] = {}
         self._members_known = 0
         prefixes = (translator.settings_key, translator.endpoints_prefix)
@@ -292,7 +297,11 @@
     # What is told.
 
     def _rebuild(self) -> None:
-        listed = self._endpoints.listed()
+        listed = (
+            self._endpoints.listed()
+            if self._one_life
+            else self._endpoints.all_lives()
+        )
         now = clock.now()
         endpoints_by_id = {}
         leaving = {
@@ -307,7 +316,10 @@
                 leaving.add(item.endpoint.id)
         self.snapshot = model.Snapshot(
             revision=self._settings.version,
-            services_by_id=self._settings.services_by_id,
+            services_by_id={
+                name: mechanisms.service(service, self._off)
+                for name, service in self._settings.services_by_id.items()
+            },
             endpoints_by_id=endpoints_by_id,
             routes_by_prefix_by_host=self._settings.routes_by_prefix_by_host,
             limits=self._settings.limits,
@@ -324,10 +336,9 @@
         facts = settings.engines_by_pool.get(endpoint.pool)
         if facts and endpoint.kind is not model.EndpointKind.PLAIN:
             endpoint = facts.describe(endpoint)
-        return dataclasses.replace(
-            endpoint,
-            connections_max=settings.connections_by_pool.get(endpoint.pool, 0),
-        )
+        bound = settings.connections_by_pool.get(endpoint.pool, 0)
+        endpoint = dataclasses.replace(endpoint, connections_max=bound)
+        return mechanisms.endpoint(endpoint, self._off)
 
     def _announce(self) -> None:
         for callback in self._callbacks:
@@ -347,7 +358,7 @@
 
     def _needs_peers(self, follower: follower_lib.Follower) -> bool:
         away_since = follower.away_since
-        if not away_since:
+        if not away_since or mechanisms.Mechanism.PEER_NEWS in self._off:
             return False
         empty = not follower.view.newest
         return empty or clock.now() - away_since > _AWAY_S
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import time
+from collections.abc import Awaitable
 from typing import Any
 
 from cowsliprill import errors
@@ -13,6 +14,7 @@
 from cowsliprill.cells import caller as homes_caller
 from cowsliprill.cells import client as cells_client
 from cowsliprill.cells import homes as homes_lib
+from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import membership
 from cowsliprill.engines import http_client
 from cowsliprill.entry import core as entry_core
@@ -73,6 +75,7 @@
             self._members,
             log,
             rng,
+            node.mechanisms_off,
         )
         self._agent = agent_lib.Agent(self._members, self._source.newest, log)
         self._scheduling: cells_client.CellScheduling
@@ -110,16 +113,7 @@
         self._agent.subscribe(self._source.take_members)
         self._source.subscribe(self._take_world)
         self._entry.shell.listen_ready(*self._node.ready)
-        tasks = [
-            asyncio.create_task(work)
-            for work in (
-                self._agent.run(),
-                self._homes.run(),
-                self._roles.run(),
-                self._gauges.run(),
-                self._follow_file(),
-            )
-        ]
+        tasks = [asyncio.create_task(work) for work in self._work()]
         ended = asyncio.create_task(self._entry.run())
         await asyncio.wait([ended, *tasks], return_when=asyncio.FIRST_COMPLETED)
         # A task that ends by itself is a fault of ours; see `Entry.run`.
@@ -128,6 +122,18 @@
                 task.result()
         await ended
 
+    def _work(self) -> list[Awaitable[None]]:
+        work = [
+            self._agent.run(),
+            self._homes.run(),
+            self._gauges.run(),
+            self._follow_file(),
+        ]
+        off = self._node.mechanisms_off
+        if mechanisms.Mechanism.ROLE_ORDERS not in off:
+            work.append(self._roles.run())
+        return work
+
     async def _follow_file(self) -> None:
         """Takes changes of the process's own file, with a signal or without."""
         path = self._node.path
--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from cowsliprill import environment
+from cowsliprill.decisions import mechanisms
 
 # Time between the end of the last request and that of the process.
 _LAST_STEPS_S = 0.7
@@ -41,6 +42,8 @@
         isn't ready: it asks each second and turns away after two refusals.
       grace_s: Time between the order to stop and the end.
       peer_secret: Secret that our processes share; empty accepts all.
+      mechanisms_off: Parts of the decisions that are switched off for an
+        experiment.
       path: The file itself, None where there is none.
     """
 
@@ -58,6 +61,7 @@
     drain_notice_s: float = 2.6
     grace_s: float = 8.0
     peer_secret: str = ""
+    mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
     path: pathlib.Path | None = None
 
     def environment(self) -> environment.Environment:
@@ -74,6 +78,7 @@
                 self.grace_s - _LAST_STEPS_S, self.drain_notice_s
             ),
             peer_secret=self.peer_secret,
+            mechanisms_off=self.mechanisms_off,
         )
 
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -275,6 +275,40 @@
         (start,) = _starts(site.decisions("vm-0"))
         assert start.request_id == 2
 
+    def test_the_mark_outlasts_a_look(self):
+        """Several callers wait while an engine is fuller than expected.
+
+        A home looks at its queue many times a second. Were the engine asked
+        at each look, each of them would have its prompt read in vain, and be
+        turned away, one after the other.
+        """
+        site = _Site(decodes=1)
+        site.hear_all()
+        for number in range(3):
+            site.send("vm-0", _submit(number, site.now))
+        site.decisions("vm-0")
+        site.send(
+            "vm-0",
+            messages.PrefillFinished(2),
+            messages.AttemptFailed(
+                request_id=2,
+                endpoint_id="d0",
+                stage=messages.Stage.TRANSFER,
+                refused=True,
+                not_run=True,
+                kept_s=0.3,
+            ),
+        )
+        for _ in range(4):
+            site.now += 0.1
+            site.hear_all()
+            site.cell.tick(site.now)
+            assert site.decisions("vm-0") == []
+        site.now += 0.2
+        site.hear_all()
+        site.cell.tick(site.now)
+        assert len(_starts(site.decisions("vm-0"))) == 1
+
 
 class TestEntries:
     """Entries die, fall silent, or begin anew."""
--- /dev/null
+++ b/tests/test_cell_loads.py
@@ -0,0 +1,173 @@
+"""Loads and faults that a pool's home answers, played without a network."""
+
+import dataclasses
+
+import pytest
+from tests import test_cell
+
+from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
+
+_BLOCKS = 5_000
+_TOKEN_S = 0.0005
+
+# Bursts last up to so long.
+_BURST_S = 5.0
+
+
+def _engine(name, kind, **changes):
+    engine = test_cell._engine(name, kind, _BLOCKS)
+    facts = {"places": 12} if kind is model.EndpointKind.DECODE else {}
+    return dataclasses.replace(
+        engine, seconds_per_token=_TOKEN_S, **facts, **changes
+    )
+
+
+class _Site(test_cell._Site):
+    """One prefill engine, and decode engines with places as well as memory."""
+
+    def __init__(self, decodes: int = 1) -> None:
+        super().__init__(entries=1, decodes=decodes)
+        self.engines = {
+            name: _engine(name, engine.kind)
+            for name, engine in self.snapshot.endpoints_by_id.items()
+        }
+        self.settings()
+        self.hear_all()
+
+    def settings(self, **engines: model.Endpoint) -> None:
+        self.engines.update(engines)
+        self.snapshot = dataclasses.replace(
+            self.snapshot, endpoints_by_id=dict(self.engines)
+        )
+        self.cell.update(self.snapshot, self.fleet, self.now)
+
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+        self.hear_all()
+        self.cell.tick(self.now)
+
+    def ask(self, *numbers: int, tokens: int = 5_000, answer: int = 6_000):
+        for number in numbers:
+            submit = test_cell._submit(
+                number,
+                self.now,
+                tokens,
+                expected_tokens=answer,
+                output_tokens=2 * answer,
+                useful_until=self.now + 3.6,
+            )
+            self.send("vm-0", submit)
+
+    def starts(self):
+        return test_cell._starts(self.decisions("vm-0"))
+
+
+class TestPlaces:
+    """Short requests leave memory when all places are taken."""
+
+    def test_no_more_than_an_engine_runs_at_once(self):
+        """A dozen short questions run, and memory for a hundred is left.
+
+        An engine turns the thirteenth away after its prompt was read.
+        """
+        site = _Site()
+        site.ask(*range(20), tokens=100, answer=50)
+        assert len(site.starts()) == 12
+        site.send("vm-0", messages.Finished(0, 50))
+        assert len(site.starts()) == 1
+
+
+class TestBursts:
+    """Many callers come at once."""
+
+    def test_those_that_come_in_turn_share_what_is_free(self):
+        site = _Site()
+        at_once = 0
+        running: set[int] = set()
+        for number in range(60):
+            site.ask(number)
+            running |= {start.request_id for start in site.starts()}
+            at_once = max(at_once, len(running))
+            if len(running) > 7:
+                done = min(running)
+                running.remove(done)
+                site.send("vm-0", messages.Finished(done, 6_000))
+                running |= {start.request_id for start in site.starts()}
+            site.pass_time(0.35)
+        assert at_once == 8
+
+    def test_callers_are_told_to_come_back_after_it(self):
+        """Nearly twice as many ask as can be served, for some seconds.
+
+        Told the time in which one answer ends, callers come back while it
+        lasts and are refused for good.
+        """
+        site = _Site()
+        refused: list[messages.Refuse] = []
+        for number in range(40):
+            site.ask(number)
+            site.pass_time(0.2)
+            refused += [
+                item
+                for item in site.decisions("vm-0")
+                if isinstance(item, messages.Refuse)
+            ]
+        # Of the first ones; the times of those after them are further apart.
+        assert min(item.retry_after_s for item in refused[1:5]) > _BURST_S
+
+
+class TestLeftAlone:
+    """An engine that failed is tried again, whatever callers ask."""
+
+    def _failed_once(self):
+        site = _Site(decodes=2)
+        site.ask(0)
+        (start,) = site.starts()
+        site.send(
+            "vm-0",
+            messages.AttemptFailed(
+                request_id=0,
+                endpoint_id=start.decode_id,
+                stage=messages.Stage.DECODE,
+            ),
+        )
+        return site, start.decode_id
+
+    def _used(self, site, numbers):
+        used = set()
+        for number in numbers:
+            site.ask(number)
+            used |= {start.decode_id for start in site.starts()}
+            site.send("vm-0", messages.Finished(number, 6_000))
+            site.pass_time(0.3)
+        return used
+
+    def test_where_all_prompts_are_long(self):
+        """An engine lost one answer; all prompts here have 5,000 tokens.
+
+        Tried again with short prompts only, it would stand idle for the rest
+        of its life while the others are full and callers are refused.
+        """
+        site, failed = self._failed_once()
+        assert failed not in self._used(site, range(1, 4))
+        site.pass_time(2.0)
+        assert failed in self._used(site, range(4, 20))
+
+    @pytest.mark.parametrize("change", ["life", "kind"])
+    def test_not_for_what_it_was_before(self, change):
+        """A prefill engine turns a prompt away while it changes to answers.
+
+        What it did before its change says nothing of its work now.
+        """
+        site, failed = self._failed_once()
+        if change == "life":
+            site.settings(
+                **{failed: dataclasses.replace(site.engines[failed], life="2")}
+            )
+        else:
+            engine = site.engines[failed]
+            kind = model.EndpointKind.PREFILL
+            site.settings(**{failed: _engine(failed, kind)})
+            site.settings(**{failed: engine})
+        assert failed in self._used(site, range(1, 5))
--- /dev/null
+++ b/tests/test_mechanisms.py
@@ -0,0 +1,103 @@
+"""Parts of the decisions that can be switched off."""
+
+import json
+
+import pytest
+
+from cowsliprill import environment
+from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import model
+from cowsliprill.decisions import server_health
+from cowsliprill.router import node
+
+_Mechanism = mechanisms.Mechanism
+
+_ENDPOINT = model.Endpoint(
+    id="e",
+    kind=model.EndpointKind.DECODE,
+    host="10.0.0.1",
+    port=1,
+    availability_zone="a",
+    pool="writers",
+    slots=10,
+    connections_max=96,
+    places=12,
+    speeds_guessed=True,
+    own_prefill_tokens_per_s=100.0,
+)
+_SERVICE = model.Service(
+    id="s",
+    user="",
+    name="s",
+    kind=model.ServiceKind.MODEL,
+    pool="writers",
+    patience_s=3.6,
+    worth_by_size=0.7,
+)
+
+
+class TestDescriptions:
+    """Most mechanisms rest on what decisions are told."""
+
+    def test_all_are_on_by_default(self):
+        assert mechanisms.endpoint(_ENDPOINT, ()) is _ENDPOINT
+        assert mechanisms.service(_SERVICE, ()) is _SERVICE
+
+    @pytest.mark.parametrize(
+        ("mechanism", "field"),
+        [
+            (_Mechanism.CONNECTION_SHARES, "connections_max"),
+            (_Mechanism.DECODE_PLACES, "places"),
+            (_Mechanism.LEARNT_SPEEDS, "speeds_guessed"),
+            (_Mechanism.OWN_READING, "own_prefill_tokens_per_s"),
+        ],
+    )
+    def test_of_an_endpoint(self, mechanism, field):
+        found = mechanisms.endpoint(_ENDPOINT, {mechanism})
+        assert not getattr(found, field)
+
+    @pytest.mark.parametrize(
+        ("mechanism", "field"),
+        [
+            (_Mechanism.LATE_QUEUE, "patience_s"),
+            (_Mechanism.SIZE_WORTH, "worth_by_size"),
+        ],
+    )
+    def test_of_a_service(self, mechanism, field):
+        assert not getattr(mechanisms.service(_SERVICE, {mechanism}), field)
+
+    def test_servers_that_arent_compared(self):
+        health = server_health.Uncompared()
+        health.answered_with_failure("a", ["b"], 0.0)
+        assert health.is_alone("a", 0.9)
+        assert not health.is_alone("a", 1.1)
+
+
+class TestSetting:
+    """The process's own file names them."""
+
+    @staticmethod
+    def _load(tmp_path, names):
+        path = tmp_path / "node.json"
+        fields = {
+            "vm": "vm-1",
+            "availability_zone": "a",
+            "public": "127.0.0.1:1",
+            "ready": "127.0.0.1:2",
+            "peer_ports": [3, 4],
+            "store": "127.0.0.1:5",
+            "mechanisms_off": names,
+        }
+        path.write_text(json.dumps(fields))
+        return node.load(path)
+
+    def test_known_ones(self, tmp_path):
+        loaded = self._load(tmp_path, ["role_orders", "peer_news"])
+        off = {_Mechanism.ROLE_ORDERS, _Mechanism.PEER_NEWS}
+        assert loaded.mechanisms_off == off
+        assert loaded.environment().mechanisms_off == off
+
+    def test_an_unknown_one(self, tmp_path):
+        """A misspelt name would be an experiment with everything on."""
+        with pytest.raises(environment.EnvironmentFileError, match="rolls"):
+            self._load(tmp_path, ["rolls"])
--- /dev/null
+++ b/tests/test_source.py
@@ -0,0 +1,61 @@
+"""When a process asks its peers instead of the registry's store."""
+
+import io
+import random
+import types
+
+import pytest
+
+from cowsliprill import clock
+from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import membership
+from cowsliprill.observability import log as log_lib
+from cowsliprill.platform import catalog
+from cowsliprill.registry import source as source_lib
+
+
+def _source(off=()):
+    own = membership.Record(
+        id="vm-1",
+        host="10.0.0.1",
+        port=1,
+        availability_zone="a",
+        incarnation=1,
+    )
+    rng = random.Random(1)
+    return source_lib.Source(
+        None,
+        catalog.Catalog(0.2, 10),
+        membership.Membership(own, [], rng),
+        log_lib.open_log("test", io.StringIO()),
+        rng,
+        off,
+    )
+
+
+def _follower(newest, away_s):
+    return types.SimpleNamespace(
+        away_since=clock.now() - away_s if away_s else 0.0,
+        view=types.SimpleNamespace(newest=newest),
+    )
+
+
+class TestAskingPeers:
+    """The store doesn't answer this process."""
+
+    @pytest.mark.parametrize(
+        ("newest", "away_s", "asks"),
+        [(7, 0.0, False), (7, 0.01, False), (7, 60.0, True), (0, 0.01, True)],
+    )
+    def test_at_once_only_where_nothing_is_known(self, newest, away_s, asks):
+        """A zone's VMs lose power and start again while the store is away.
+
+        A single failed call is no reason to ask. But one that knows nothing
+        turns every caller away until it has asked.
+        """
+        found = _source()._needs_peers(_follower(newest, away_s))
+        assert found is asks
+
+    def test_never_where_that_is_switched_off(self):
+        source = _source({mechanisms.Mechanism.PEER_NEWS})
+        assert not source._needs_peers(_follower(0, 60.0))
--- /dev/null
+++ b/tools/ablate.py
@@ -0,0 +1,257 @@
+"""What each mechanism of the decisions is worth: days played without it.
+
+    python -m tools.ablate --bench PATH --site FILE [--site FILE ...]
+        [--days N,...] [--off M,...] [--seeds N,...] [--jobs N]
+
+Each variant is played in a copy of the committed sources that differs in one
+setting of the processes, `mechanisms_off`. Plays are added to a file of JSON
+lines; with `--table` that file is written as a table for `docs/ABLATION.md`.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+import re
+import shutil
+import statistics
+import subprocess
+import sys
+import tomllib
+from typing import Annotated
+
+import cappa
+
+from cowsliprill.decisions import mechanisms
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_COPIES = _ROOT / "target" / "ablation"
+_NONE = "none"
+_ROW = re.compile(
+    r"^(?P<day>\S+) +\S+/\S+ +\S+ +(?P<worth>-?[\d.]+) +(?P<served>[\d.]+) "
+)
+# The bench names broken rules in capitals.
+_BROKEN = re.compile(r"\b[A-Z]{3,}\b")
+
+
+@dataclasses.dataclass
+class Ablate:
+    """Play days with each mechanism switched off."""
+
+    bench: Annotated[
+        pathlib.Path | None, cappa.Arg(long=True, help="The bench's program.")
+    ] = None
+    site: Annotated[
+        list[pathlib.Path], cappa.Arg(long=True, help="A deployment's file.")
+    ] = dataclasses.field(default_factory=list)
+    days: Annotated[
+        str, cappa.Arg(long=True, help="Days by name; all if left out.")
+    ] = ""
+    off: Annotated[
+        str, cappa.Arg(long=True, help="Mechanisms by name; all if left out.")
+    ] = ""
+    seeds: Annotated[
+        str, cappa.Arg(long=True, help="Seeds; each day's own if left out.")
+    ] = ""
+    jobs: Annotated[
+        int, cappa.Arg(long=True, help="Plays at the same time.")
+    ] = 4
+    results: Annotated[
+        pathlib.Path, cappa.Arg(long=True, help="File of JSON lines.")
+    ] = _COPIES / "results.jsonl"
+    table: Annotated[
+        bool, cappa.Arg(long=True, help="Only write the table.")
+    ] = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Play:
+    """One day of one deployment, played once.
+
+    Attributes:
+      without: The mechanism that was off, `none` for none.
+      site: The deployment.
+      day: The day.
+      seed: The seed, empty for the day's own.
+      worth: What it earned.
+      served: Part of the requests' worth that was served.
+      broken: What the bench said of broken rules, empty if none was.
+    """
+
+    without: str
+    site: str
+    day: str
+    seed: str
+    worth: float
+    served: float
+    broken: str
+
+
+def main() -> int:
+    """Plays or writes the table; returns the exit code."""
+    arguments = cappa.parse(Ablate)
+    arguments.site = [site.resolve() for site in arguments.site]
+    if not arguments.table:
+        if arguments.bench is None or not arguments.site:
+            print("ablate: --bench and --site are needed", file=sys.stderr)
+            return 2
+        asyncio.run(_play_all(arguments))
+    for line in table(read(arguments.results)):
+        print(line)
+    return 0
+
+
+def read(path: pathlib.Path) -> list[Play]:
+    """Reads a file of plays."""
+    lines = path.read_text(encoding="utf-8").splitlines()
+    return [Play(**json.loads(line)) for line in lines]
+
+
+def parse(text: str, day: str) -> tuple[float, float, str]:
+    """Reads worth, served part and broken rules out of the bench's text.
+
+    Raises:
+      ValueError: The day isn't in it.
+    """
+    for line in text.splitlines():
+        row = _ROW.match(line)
+        if row and row["day"] == day:
+            broken = _BROKEN.search(line)
+            told = broken[0] if broken else ""
+            return float(row["worth"]), float(row["served"]), told
+    raise ValueError(f"no result of {day} in: {text[-500:]}")
+
+
+def table(plays: list[Play]) -> list[str]:
+    """Returns the lines of a table: what is lost without each mechanism."""
+    worths: dict[str, dict[tuple[str, str, str], float]] = (
+        collections.defaultdict(dict)
+    )
+    broken: collections.Counter[str] = collections.Counter()
+    for play in plays:
+        key = (play.site, play.day, play.seed)
+        worths[play.without][key] = play.worth
+        broken[play.without] += bool(play.broken)
+    base = worths.get(_NONE, {})
+    sites = sorted({site for site, _, _ in base})
+    lines = [
+        "| without | days | " + " | ".join(sites) + " | all | spread | rules |",
+        "|---|---|" + "---|" * (len(sites) + 3),
+    ]
+    for name, found in sorted(worths.items()):
+        shared = sorted(found.keys() & base.keys())
+        if not shared:
+            continue
+        gains = {key: found[key] - base[key] for key in shared}
+        cells = []
+        for site in sites:
+            own = [gain for key, gain in gains.items() if key[0] == site]
+            cells.append(f"{statistics.fmean(own):+.3f}" if own else "")
+        spread = statistics.pstdev(gains.values())
+        lines.append(
+            f"| {name} | {len(shared)} | {' | '.join(cells)} |"
+            f" {statistics.fmean(gains.values()):+.3f} | {spread:.3f} |"
+            f" {broken[name]} broken |"
+        )
+    return lines
+
+
+async def _play_all(arguments: Ablate) -> None:
+    names = [item.value for item in mechanisms.Mechanism]
+    variants = [_NONE, *(_listed(arguments.off) or names)]
+    arguments.results.parent.mkdir(parents=True, exist_ok=True)
+    slots = asyncio.Semaphore(arguments.jobs)
+    plays = []
+    for variant in variants:
+        copy = _copy(variant)
+        plays += [
+            _play(arguments, slots, variant, copy, site, day, seed)
+            for site in arguments.site
+            for day in _listed(arguments.days) or _days(site)
+            for seed in _listed(arguments.seeds) or [""]
+        ]
+    await asyncio.gather(*plays)
+
+
+async def _play(
+    arguments: Ablate,
+    slots: asyncio.Semaphore,
+    variant: str,
+    copy: pathlib.Path,
+    site: pathlib.Path,
+    day: str,
+    seed: str,
+) -> None:
+    command = [str(arguments.bench), "run", str(site), day]
+    command += ["--jobs", "1", "--why", f"ablation: without {variant}"]
+    command += ["--seed", seed] if seed else []
+    async with slots:
+        process = await asyncio.create_subprocess_exec(
+            *command,
+            cwd=copy,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+    try:
+        worth, served, broken = parse(output.decode(), day)
+    except ValueError as error:
+        print(f"ablate: {variant} {site.stem} {day}: {error}", file=sys.stderr)
+        return
+    play = Play(
+        without=variant,
+        site=site.stem,
+        day=day,
+        seed=seed,
+        worth=worth,
+        served=served,
+        broken=broken,
+    )
+    with arguments.results.open("a", encoding="utf-8") as results:
+        results.write(json.dumps(dataclasses.asdict(play)) + "\n")
+    _keep_journal(copy)
+
+
+def _copy(variant: str) -> pathlib.Path:
+    """Returns a copy of the committed sources without one mechanism."""
+    copy = _COPIES / variant
+    if copy.exists():
+        shutil.rmtree(copy)
+    clone = ["git", "clone", "--quiet", str(_ROOT), str(copy)]
+    subprocess.run(clone, check=True)
+    libraries = _ROOT / "target" / "deps"
+    if libraries.exists():
+        shutil.copytree(libraries, copy / "target" / "deps", symlinks=True)
+    if variant != _NONE:
+        _switch_off(copy / "deploy" / "settings.json", variant)
+    return copy
+
+
+def _switch_off(template: pathlib.Path, variant: str) -> None:
+    # The template isn't JSON before the platform has filled it in.
+    text = template.read_text(encoding="utf-8").rstrip()
+    setting = f',\n  "mechanisms_off": {json.dumps([variant])}\n}}\n'
+    template.write_text(text.removesuffix("}").rstrip() + setting)
+
+
+def _keep_journal(copy: pathlib.Path) -> None:
+    """Brings the copy's journal home: entries stay, those of trials too."""
+    for entry in (copy / "journal").rglob("*"):
+        target = _ROOT / "journal" / entry.relative_to(copy / "journal")
+        if entry.is_file() and not target.exists():
+            target.parent.mkdir(parents=True, exist_ok=True)
+            shutil.copy2(entry, target)
+
+
+def _days(site: pathlib.Path) -> list[str]:
+    document = tomllib.loads(site.read_text(encoding="utf-8"))
+    return [day["name"] for day in document["day"]]
+
+
+def _listed(text: str) -> list[str]:
+    return [item for item in text.split(",") if item]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
