--- a/src/cowsliprill/cli/account_tables.py
+++ b/src/cowsliprill/cli/account_tables.py
@@ -11,7 +11,7 @@
 from cowsliprill.cli import explain
 
 # Wide enough for all columns also where the output is a file.
-_WIDTH = 110
+_WIDTH = 120
 _MS_PER_S = 1_000
 
 
@@ -40,7 +40,7 @@
     table = rich.table.Table(
         title=title, title_justify="left", box=rich.box.SIMPLE
     )
-    table.add_column(columns[0])
+    table.add_column(columns[0], no_wrap=True)
     for column in columns[1:]:
         table.add_column(column, justify="right")
     return table
--- a/src/cowsliprill/decisions/membership.py
+++ b/src/cowsliprill/decisions/membership.py
@@ -43,6 +43,7 @@
       leaving: Whether it takes no more work.
       newest: Revision of the newest registry change that it knows, for each
         prefix that is followed.
+      changing: Engines that it has ordered to change, with what they will be.
     """
 
     id: str
@@ -54,6 +55,7 @@
     ready: bool = False
     leaving: bool = False
     newest: tuple[int, ...] = ()
+    changing: tuple[tuple[str, str], ...] = ()
 
     def age(self) -> tuple[int, int]:
         """Returns what makes one record newer than another."""
@@ -109,6 +111,15 @@
         self._bury(now)
         return self._message(), self._targets()
 
+    def tell_changing(self, changing: Iterable[tuple[str, str]]) -> None:
+        """Has the next beats tell which engines this process made change."""
+        self.own = dataclasses.replace(self.own, changing=tuple(changing))
+
+    def changing(self) -> frozenset[tuple[str, str]]:
+        """Returns the engines that live members have ordered to change."""
+        records = (self.own, *self.alive())
+        return frozenset(pair for record in records for pair in record.changing)
+
     def announce(
         self, *, ready: bool = False, leaving: bool = False
     ) -> tuple[list[Record], list[Address]]:
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -381,8 +381,11 @@
       vms_by_id: VMs of the list.
       leaving_endpoint_ids: Endpoints known to be leaving, from the list (by
         their VM) or from their own draining answers.
+      changing_endpoint_ids: Engines that were ordered to change between
+        prompts and answers, and aren't listed as changed yet.
     """
 
     version: int = 0
     vms_by_id: dict[str, Vm] = dataclasses.field(default_factory=dict)
     leaving_endpoint_ids: frozenset[str] = frozenset()
+    changing_endpoint_ids: frozenset[str] = frozenset()
--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -67,8 +67,11 @@
         self.entries = 1 if self._owns_slots else max(processes, 1)
         shares_by_user = shares.Shares(snapshot.users_by_id)
         kinds_by_pool: dict[str, _EndpointsByKind] = {}
+        # A changing engine turns away whatever comes. Prompts sent there before
+        # the registry told of it cost each of their callers its only attempt.
+        unusable = fleet.leaving_endpoint_ids | fleet.changing_endpoint_ids
         for endpoint in snapshot.endpoints_by_id.values():
-            if endpoint.id not in fleet.leaving_endpoint_ids:
+            if endpoint.id not in unusable:
                 kinds = kinds_by_pool.setdefault(endpoint.pool, {})
                 kinds.setdefault(endpoint.kind, []).append(endpoint)
         self.by_endpoint = {}
--- a/src/cowsliprill/decisions/roles.py
+++ b/src/cowsliprill/decisions/roles.py
@@ -53,6 +53,7 @@
 class _Ordered:
     at: float
     kind: model.EndpointKind
+    answered: bool = False
 
 
 class Roles:
@@ -99,6 +100,25 @@
         ordered = _Ordered(at=now, kind=order.kind)
         self._ordered_by_life[_life(order.endpoint)] = ordered
 
+    def answered(self, order: Order) -> None:
+        """Notes that the engine has taken an order."""
+        life = _life(order.endpoint)
+        ordered = self._ordered_by_life[life]
+        self._ordered_by_life[life] = dataclasses.replace(
+            ordered, answered=True
+        )
+
+    def changing(
+        self, endpoints: Iterable[model.Endpoint]
+    ) -> list[tuple[str, str]]:
+        """Returns the engines that change, with what they will be."""
+        found = []
+        for item in endpoints:
+            ordered = self._ordered_by_life.get(_life(item))
+            if ordered and ordered.answered and ordered.kind is not item.kind:
+                found.append((item.id, ordered.kind.value))
+        return found
+
     def _divided(
         self, engines: list[model.Endpoint]
     ) -> tuple[list[model.Endpoint], list[model.Endpoint]]:
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -123,6 +123,7 @@
         self._one_life = mechanisms.Mechanism.ONE_LIFE_AN_ADDRESS not in off
         self._leaving_until_by_endpoint: dict[str, float] = {}
         self._members_known = 0
+        self._changing: frozenset[tuple[str, str]] = frozenset()
         prefixes = (translator.settings_key, translator.endpoints_prefix)
         self.views_by_prefix = {
             prefix: registry.View(prefix) for prefix in prefixes
@@ -192,6 +193,7 @@
     def take_members(self) -> None:
         """Takes the membership over after a message or a beat."""
         self._drop_doubtful()
+        self._take_changing()
         self._take_fleet()
         newest_by_prefix = [
             max(known, default=0)
@@ -209,6 +211,12 @@
 
     # The membership.
 
+    def _take_changing(self) -> None:
+        changing = self._members.changing()
+        if changing != self._changing:
+            self._changing = changing
+            self._rebuild()
+
     def _take_fleet(self) -> None:
         vms_by_id = {
             record.id: _vm(record)
@@ -328,6 +336,12 @@
             self.fleet,
             version=self.fleet.version + 1,
             leaving_endpoint_ids=frozenset(leaving),
+            changing_endpoint_ids=frozenset(
+                name
+                for name, kind in self._changing
+                if name in endpoints_by_id
+                and endpoints_by_id[name].kind.value != kind
+            ),
         )
         self._announce()
 
--- a/src/cowsliprill/router/roles.py
+++ b/src/cowsliprill/router/roles.py
@@ -75,6 +75,16 @@
             self._leadership.look(self._members.electorate(), clock.now())
             for pool in self._source.engine_pools():
                 await self._look_at(pool)
+            self._tell()
+
+    def _tell(self) -> None:
+        """Tells the others which engines change, until the registry does."""
+        changing: list[tuple[str, str]] = []
+        for pool, plan in self._roles_by_pool.items():
+            changing += plan.changing(self._source.staying_endpoints(pool))
+        if tuple(changing) != self._members.own.changing:
+            self._members.tell_changing(changing)
+            self._source.take_members()
 
     async def _look_at(self, pool: str) -> None:
         now = clock.now()
@@ -91,14 +101,17 @@
         if order is None or not self._may_order(pool, now):
             return
         plan.ordered(order, now)
-        await self._send(order)
+        if await self._send(order):
+            plan.answered(order)
 
     def _may_order(self, pool: str, now: float) -> bool:
         # Engines that are gone would count, and one too many be ordered.
         settled = self._source.is_settled(now)
         return settled and self._leadership.leads(pool, now)
 
-    async def _send(self, order: roles.Order) -> None:
+    async def _send(self, order: roles.Order) -> bool:
+        """Sends an order; returns whether the engine has answered."""
+        answered = True
         holder = self._members.own.id
         token = self._tokens.next(time.time_ns() // _NS_PER_MS)
         try:
@@ -109,6 +122,7 @@
             # It may have arrived. The registry will tell, and another order is
             # not sent before it has had the time to.
             outcome = error.message
+            answered = False
         self._log.event(
             "role_ordered",
             endpoint=order.endpoint.id,
@@ -118,3 +132,4 @@
             fencing_token=token,
             outcome=outcome,
         )
+        return answered
--- a/tests/test_role_orders.py
+++ b/tests/test_role_orders.py
@@ -80,6 +80,41 @@
         assert status == 200
         assert headers["Instance-Signature"] == f"sig-{name}"
 
+    def test_a_changing_engine_gets_no_prompts(self):
+        """An engine was told to write answers and turns prompts away.
+
+        The registry lists it for prompts until its change is over. Callers
+        whose prompts were sent there would have had their only attempt.
+        """
+
+        async def scenario():
+            async with platform_site.running(2, prefills=3) as site:
+                (name,) = await _orders(site, 1)
+                await platform_site.until(
+                    lambda: all(
+                        name in router._source.fleet.changing_endpoint_ids
+                        for router in site.routers
+                    )
+                )
+                for number in range(8):
+                    await site.call(platform_site.MODEL_PATH, router=number % 2)
+                before = len(site.engines[name].requests)
+                site.engines[name].stage = "decode"
+                await site.store.put(
+                    f"servers/{name}", site.engines[name].entry()
+                )
+                await platform_site.until(
+                    lambda: (
+                        not any(
+                            name in router._source.fleet.changing_endpoint_ids
+                            for router in site.routers
+                        )
+                    )
+                )
+                return before
+
+        assert asyncio.run(scenario()) == 0
+
     def test_no_orders_while_the_store_is_away_or_has_just_returned(self):
         """The store turns a VM away, and an engine dies meanwhile.
 
