--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -246,18 +246,9 @@
 class TestFullEngine:
     """An engine has less room than this home believes."""
 
-    def test_it_isnt_asked_again_at_once(self):
-        """It holds what nobody here knows of, and refuses one after another.
-
-        The prompt was read and is kept for half a second. Asked again, the
-        engine refuses again, and the prompt has been read for nothing.
-        """
-        site = _Site(decodes=1)
-        site.hear_all()
-        for number in range(3):
-            site.send("vm-0", _submit(number, site.now))
-        starts = _starts(site.decisions("vm-0"))
-        assert len(starts) == 3
+    @staticmethod
+    def _turn_away(site: _Site) -> None:
+        """Has the engine say that it has no room for the third request."""
         site.send(
             "vm-0",
             messages.PrefillFinished(2),
@@ -270,6 +261,20 @@
                 kept_s=0.3,
             ),
         )
+
+    def test_it_isnt_asked_again_at_once(self):
+        """It holds what nobody here knows of, and refuses one after another.
+
+        The prompt was read and is kept for half a second. Asked again, the
+        engine refuses again, and the prompt has been read for nothing.
+        """
+        site = _Site(decodes=1)
+        site.hear_all()
+        for number in range(3):
+            site.send("vm-0", _submit(number, site.now))
+        starts = _starts(site.decisions("vm-0"))
+        assert len(starts) == 3
+        self._turn_away(site)
         assert site.decisions("vm-0") == []
         site.send("vm-0", messages.Finished(0, 10))
         (start,) = _starts(site.decisions("vm-0"))
@@ -287,18 +292,7 @@
         for number in range(3):
             site.send("vm-0", _submit(number, site.now))
         site.decisions("vm-0")
-        site.send(
-            "vm-0",
-            messages.PrefillFinished(2),
-            messages.AttemptFailed(
-                request_id=2,
-                endpoint_id="d0",
-                stage=messages.Stage.TRANSFER,
-                refused=True,
-                not_run=True,
-                kept_s=0.3,
-            ),
-        )
+        self._turn_away(site)
         for _ in range(4):
             site.now += 0.1
             site.hear_all()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,8 +1,10 @@
 """How connections to an endpoint that bounds them are shared."""
 
 import asyncio
+import json
 
 import pytest
+from tests import platform_site
 from tests import raw_endpoint
 
 from cowsliprill.decisions import connections
@@ -10,6 +12,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.engines import errors
 from cowsliprill.engines import http_client
+from cowsliprill.platform import catalog
 
 _OPENING = connections.Opening
 
@@ -79,6 +82,19 @@
         assert found == {("10.0.0.1", 1): connections.allowance(96, 6)}
 
 
+class TestSettings:
+    """The operator's configuration states the bounds."""
+
+    def test_bounds_by_pool(self):
+        services = [
+            {"name": "desk", "maxConns": 96},
+            {"name": "other"},
+        ]
+        config = json.dumps(platform_site.config(services=services)).encode()
+        known = asyncio.run(catalog.Catalog(0.2, 10).settings(config, 1))
+        assert known.connections_by_pool == {"desk": 96, "other": 0}
+
+
 def _limited(port, count, idle):
     client = http_client.HttpClient()
     part = connections.Allowance(connections=count, idle=idle)
@@ -93,6 +109,12 @@
     return await response.read(100)
 
 
+async def _answer_once(connection):
+    await connection.run()
+    await connection.send(raw_endpoint.answer(b"one"))
+    await connection.wait_for_hang_up()
+
+
 async def _turns_until(condition) -> None:
     for _ in range(100_000):
         if condition():
@@ -108,12 +130,7 @@
         """Each booking opens a connection, which stays open after it."""
 
         async def scenario():
-            async def script(connection):
-                await connection.run()
-                await connection.send(raw_endpoint.answer(b"one"))
-                await connection.wait_for_hang_up()
-
-            async with raw_endpoint.RawEndpoint(script) as endpoint:
+            async with raw_endpoint.RawEndpoint(_answer_once) as endpoint:
                 client = _limited(endpoint.port, 4, 2)
                 for _ in range(9):
                     await _call(client, endpoint.port, fresh=True)
@@ -155,12 +172,7 @@
 
     def test_an_idle_connection_makes_room(self):
         async def scenario():
-            async def script(connection):
-                await connection.run()
-                await connection.send(raw_endpoint.answer(b"one"))
-                await connection.wait_for_hang_up()
-
-            async with raw_endpoint.RawEndpoint(script) as endpoint:
+            async with raw_endpoint.RawEndpoint(_answer_once) as endpoint:
                 client = _limited(endpoint.port, 1, 1)
                 await _call(client, endpoint.port)
                 assert client.idle_count() == 1
--- a/tests/test_role_orders.py
+++ b/tests/test_role_orders.py
@@ -96,8 +96,12 @@
                         for router in site.routers
                     )
                 )
-                for number in range(8):
-                    await site.call(platform_site.MODEL_PATH, router=number % 2)
+                # As many at once as two prefill engines are sent.
+                calls = [
+                    site.call(platform_site.MODEL_PATH, router=number % 2)
+                    for number in range(6)
+                ]
+                await asyncio.gather(*calls)
                 before = len(site.engines[name].requests)
                 site.engines[name].stage = "decode"
                 await site.store.put(
