--- /dev/null
+++ b/tools/own_site.py
@@ -0,0 +1,90 @@
+"""Draws a deployment of our own: a users' site file with other figures.
+
+    python -m tools.own_site BASE deploy/sites/NAME.toml FOLDER
+
+BASE stays where it is, as it is the users'. What is ours is how the new one
+differs: its name, its engines, and the sizes of prompts and answers. The file,
+and the names on the wire that lie beside BASE, are written into FOLDER.
+"""
+
+import pathlib
+import shutil
+import sys
+import tomllib
+from typing import Any
+
+import tomli_w
+
+_WIRE_KEY = "wire"
+_USAGE = "usage: python -m tools.own_site BASE CHANGES FOLDER"
+
+
+def changed(site: dict[str, Any], changes: dict[str, Any]) -> dict[str, Any]:
+    """Returns a deployment with other engines and sizes.
+
+    Args:
+      site: The users' site file.
+      changes: `name`; `engine` with `count` (engines a zone), `slots` and
+        `llm`; `streams` with `prompt_tokens` and `pieces`, each a table of
+        fields.
+    """
+    services = [
+        _changed_service(service, changes["engine"])
+        for service in site["services"]
+    ]
+    classes = [
+        _changed_class(item, changes["streams"]) for item in site["classes"]
+    ]
+    return {
+        **site,
+        "name": changes["name"],
+        "services": services,
+        "classes": classes,
+    }
+
+
+def _changed_service(
+    service: dict[str, Any], engine: dict[str, Any]
+) -> dict[str, Any]:
+    if "llm" not in service:
+        return service
+    return {
+        **service,
+        "slots": engine["slots"],
+        "servers": [
+            {**item, "count": engine["count"]} for item in service["servers"]
+        ],
+        "llm": {**service["llm"], **engine["llm"]},
+    }
+
+
+def _changed_class(
+    item: dict[str, Any], sizes: dict[str, dict[str, Any]]
+) -> dict[str, Any]:
+    if "stream" not in item:
+        return item
+    stream = dict(item["stream"])
+    for name, fields in sizes.items():
+        stream[name] = {**stream[name], **fields}
+    return {**item, "stream": stream}
+
+
+def main(arguments: list[str]) -> int:
+    """Writes the site file; returns the exit code."""
+    if len(arguments) != 3:
+        print(_USAGE, file=sys.stderr)
+        return 2
+    base, changes, folder = map(pathlib.Path, arguments)
+    site = tomllib.loads(base.read_text(encoding="utf-8"))
+    own = changed(site, tomllib.loads(changes.read_text(encoding="utf-8")))
+    folder.mkdir(parents=True, exist_ok=True)
+    target = folder / changes.name
+    target.write_text(tomli_w.dumps(own), encoding="utf-8")
+    if _WIRE_KEY in site:
+        shutil.copy2(base.parent / site[_WIRE_KEY], folder)
+    print(target)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
