Mend what a last reading found: work done in the wrong place, logic that stood twice

Told speeds, steps of time in accounts and the fields that a mechanism rests on were each written twice. The one difference: a server that goes and comes back between two plain calls is now forgotten as well.

--- a/src/cowsliprill/cli/account.py
+++ b/src/cowsliprill/cli/account.py
@@ -32,7 +32,9 @@
 _TIME_FORMATS = ("%Y-%m-%d %H:%M:%S,%f", "%Y-%m-%d %H:%M:%S")
 _UNKNOWN = "?"
 _MS_PER_S = 1_000
-_PERCENT = 100
+
+# More of a reason tells nothing that is common to several losses.
+_REASON_CHARACTERS = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -173,7 +175,7 @@
     """Adds up by the time of arrival, in steps of some seconds."""
 
     def name(item: Ended) -> str:
-        return f"{item.arrived_s // step_s * step_s:g} s"
+        return _step(item.arrived_s, step_s)
 
     return _sums(day.ended, name, lambda group: group[0].arrived_s)
 
@@ -215,7 +217,7 @@
     """Returns the most memory promised and requests waiting, by time."""
     most_by_name: dict[str, tuple[float, int]] = {}
     for item in sorted(day.standings, key=lambda item: item.at_s):
-        name = f"{item.at_s // step_s * step_s:g} s"
+        name = _step(item.at_s, step_s)
         promised, waiting = most_by_name.get(name, (0.0, 0))
         most_by_name[name] = (
             max(promised, item.promised),
@@ -244,6 +246,11 @@
     return [_sum(title, group) for title, group in ranked]
 
 
+def _step(at_s: float, step_s: float) -> str:
+    """Returns the name of the step of time that a moment is in."""
+    return f"{at_s // step_s * step_s:g} s"
+
+
 def _size_of_group(group: list[Ended]) -> float:
     return -len(group)
 
@@ -306,7 +313,7 @@
         at_s=at_s,
         event=line.event,
         stage=line.fields.get("stage", ""),
-        reason=": ".join(told)[:_PERCENT],
+        reason=": ".join(told)[:_REASON_CHARACTERS],
     )
 
 
--- a/src/cowsliprill/decisions/mechanisms.py
+++ b/src/cowsliprill/decisions/mechanisms.py
@@ -8,6 +8,8 @@
 import dataclasses
 import enum
 from collections.abc import Collection
+from collections.abc import Mapping
+from typing import Any
 
 from cowsliprill.decisions import model
 
@@ -30,6 +32,19 @@
 Off = Collection[Mechanism]
 
 
+# What decisions are told of an endpoint, or of a service, without a mechanism.
+_ENDPOINT_CHANGES = {
+    Mechanism.CONNECTION_SHARES: {"connections_max": 0},
+    Mechanism.DECODE_PLACES: {"places": 0},
+    Mechanism.LEARNT_SPEEDS: {"speeds_guessed": False},
+    Mechanism.OWN_READING: {"own_prefill_tokens_per_s": 0.0},
+}
+_SERVICE_CHANGES = {
+    Mechanism.LATE_QUEUE: {"patience_s": 0.0},
+    Mechanism.SIZE_WORTH: {"worth_by_size": 0.0},
+}
+
+
 def endpoint(known: model.Endpoint, off: Off) -> model.Endpoint:
     """Returns an endpoint as it is told to decisions without some mechanisms.
 
@@ -37,28 +52,34 @@
       known: The endpoint.
       off: Mechanisms that are switched off.
     """
-    changes: dict[str, float] = {}
-    if Mechanism.CONNECTION_SHARES in off:
-        changes["connections_max"] = 0
-    if Mechanism.DECODE_PLACES in off:
-        changes["places"] = 0
-    if Mechanism.LEARNT_SPEEDS in off:
-        changes["speeds_guessed"] = False
-    if Mechanism.OWN_READING in off:
-        changes["own_prefill_tokens_per_s"] = 0.0
+    changes = _changes(_ENDPOINT_CHANGES, off)
     return dataclasses.replace(known, **changes) if changes else known
 
 
-def service(known: model.Service, off: Off) -> model.Service:
-    """Returns a service as it is told to decisions without some mechanisms.
+def services(
+    known_by_id: dict[str, model.Service], off: Off
+) -> dict[str, model.Service]:
+    """Returns services as they are told to decisions without some mechanisms.
 
     Args:
-      known: The service.
+      known_by_id: The services. There may be tens of thousands: they are the
+        very same where nothing is switched off.
       off: Mechanisms that are switched off.
     """
-    changes: dict[str, float] = {}
-    if Mechanism.LATE_QUEUE in off:
-        changes["patience_s"] = 0.0
-    if Mechanism.SIZE_WORTH in off:
-        changes["worth_by_size"] = 0.0
-    return dataclasses.replace(known, **changes) if changes else known
+    changes = _changes(_SERVICE_CHANGES, off)
+    if not changes:
+        return known_by_id
+    return {
+        name: dataclasses.replace(service, **changes)
+        for name, service in known_by_id.items()
+    }
+
+
+def _changes(
+    changes_by_mechanism: Mapping[Mechanism, Mapping[str, Any]], off: Off
+) -> dict[str, Any]:
+    return {
+        name: value
+        for mechanism in off
+        for name, value in changes_by_mechanism.get(mechanism, {}).items()
+    }
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -161,8 +161,13 @@
     export_ttl_s: float
     role_change_s: float
 
-    def describe(self, endpoint: Endpoint) -> Endpoint:
-        """Returns an engine with what the settings say of it."""
+    def describe(self, endpoint: Endpoint, connections_max: int) -> Endpoint:
+        """Returns an engine with what the settings say of it.
+
+        Args:
+          endpoint: The engine.
+          connections_max: Connections that it takes from all VMs, 0 if unknown.
+        """
         slots = {
             EndpointKind.PREFILL: self.prefills_at_once,
             EndpointKind.DECODE: self.memory_tokens // self.block_tokens,
@@ -170,6 +175,7 @@
         blocks = endpoint.kind is EndpointKind.DECODE
         return dataclasses.replace(
             endpoint,
+            connections_max=connections_max,
             slots=slots.get(endpoint.kind, endpoint.slots),
             block_tokens=self.block_tokens if blocks else 0,
             places=self.places if blocks else 0,
--- a/src/cowsliprill/decisions/server_health.py
+++ b/src/cowsliprill/decisions/server_health.py
@@ -69,7 +69,12 @@
 
     def forget_except(self, server_ids: Collection[str]) -> None:
         """Forgets servers that are gone."""
-        for server_id in self._servers_by_id.keys() - set(server_ids):
+        gone = [
+            server_id
+            for server_id in self._servers_by_id
+            if server_id not in server_ids
+        ]
+        for server_id in gone:
             del self._servers_by_id[server_id]
 
     def _count(self, server_id: str, peer_ids: Collection[str]) -> float:
--- a/src/cowsliprill/decisions/speeds.py
+++ b/src/cowsliprill/decisions/speeds.py
@@ -29,26 +29,36 @@
 _LEAST_PAIRS = 30
 
 
-@dataclasses.dataclass(slots=True)
-class _Watched:
-    """Measured times for one token, in seconds, and what is told of them."""
+class _Told:
+    """The time for one token, in seconds, as others reckon with it."""
 
-    seconds: collections.deque[float] = dataclasses.field(
-        default_factory=lambda: collections.deque(maxlen=_WATCHED)
-    )
-    told_s: float = 0.0
+    def __init__(self) -> None:
+        self.told_s = 0.0
 
-    def add(self, seconds: float) -> bool:
-        """Takes in a time; returns whether what is told has changed."""
-        self.seconds.append(seconds)
-        median = statistics.median(self.seconds)
-        if abs(median - self.told_s) <= self.told_s * _MATTERS:
+    def tell(self, seconds: float) -> bool:
+        """Takes the newest estimate; returns whether what is told changes."""
+        if abs(seconds - self.told_s) <= self.told_s * _MATTERS:
             return False
-        self.told_s = median
+        self.told_s = seconds
         return True
 
 
-class _Prompts:
+class _Answers(_Told):
+    """Times for one token of an answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._times: collections.deque[float] = collections.deque(
+            maxlen=_WATCHED
+        )
+
+    def add(self, seconds: float) -> bool:
+        """Takes in a time; returns whether what is told has changed."""
+        self._times.append(seconds)
+        return self.tell(statistics.median(self._times))
+
+
+class _Prompts(_Told):
     """Times of prompts, told apart by their lengths.
 
     A prompt takes some time however short it is, 0.02 to 0.12 s, in which its
@@ -58,10 +68,10 @@
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self._times: collections.deque[tuple[int, float]] = collections.deque(
             maxlen=_WATCHED
         )
-        self.told_s = 0.0
 
     def add(self, tokens: int, seconds: float) -> bool:
         """Takes in a time; returns whether what is told has changed."""
@@ -77,10 +87,7 @@
         if len(slopes) < _LEAST_PAIRS:
             return False
         median = statistics.median(slopes)
-        if median <= 0 or abs(median - self.told_s) <= self.told_s * _MATTERS:
-            return False
-        self.told_s = median
-        return True
+        return median > 0 and self.tell(median)
 
 
 class Speeds:
@@ -88,7 +95,7 @@
 
     def __init__(self) -> None:
         self._prompt = _Prompts()
-        self._answer = _Watched()
+        self._answer = _Answers()
 
     def read(self, tokens: int, seconds: float) -> bool:
         """Takes in a prompt that a prefill engine read alone.
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -95,6 +95,7 @@
         )
         self._world = world_lib.World()
         self._budgets = retry.RetryBudgets()
+        self._servers = self._make_server_health()
         self._http = http_client.HttpClient()
         self._dialect = make_dialect(
             dialect_lib.Tools(
@@ -216,7 +217,7 @@
                 self._budgets,
                 self._log,
                 self._random,
-                self._server_health(),
+                self._servers,
             ),
             model_relay=model_relay.ModelRelay(
                 self._dialect.engines,
@@ -231,7 +232,7 @@
             book=book,
         )
 
-    def _server_health(self) -> server_health.ServerHealth:
+    def _make_server_health(self) -> server_health.ServerHealth:
         off = self._environment.mechanisms_off
         if mechanisms.Mechanism.SERVER_COMPARISON in off:
             return server_health.Uncompared()
@@ -245,6 +246,7 @@
         )
         self._placing.world_changed(snapshot)
         self._budgets.keep_only(snapshot.services_by_id.values())
+        self._servers.forget_except(snapshot.endpoints_by_id.keys())
         self._metrics.revision.set({}, snapshot.revision)
         if self._public_server is not None:
             # tornado asks for it before each call that a connection brings.
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -110,7 +110,6 @@
             and endpoint.pool == ctx.service.pool
             and endpoint.id not in leaving
         ]
-        self.health.forget_except(self.world.snapshot.endpoints_by_id.keys())
         if not serving:
             raise _refusal(ctx, messages.RefusalCode.NO_ENDPOINT)
         free = [
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -281,7 +281,12 @@
                     ),
                     services=len(settings.services_by_id),
                 )
-            self._settings = settings
+            self._settings = dataclasses.replace(
+                settings,
+                services_by_id=mechanisms.services(
+                    settings.services_by_id, self._off
+                ),
+            )
             self._rebuild()
 
     def _take_endpoints(self, changes: list[registry.Change]) -> None:
@@ -324,10 +329,7 @@
                 leaving.add(item.endpoint.id)
         self.snapshot = model.Snapshot(
             revision=self._settings.version,
-            services_by_id={
-                name: mechanisms.service(service, self._off)
-                for name, service in self._settings.services_by_id.items()
-            },
+            services_by_id=self._settings.services_by_id,
             endpoints_by_id=endpoints_by_id,
             routes_by_prefix_by_host=self._settings.routes_by_prefix_by_host,
             limits=self._settings.limits,
@@ -348,10 +350,11 @@
     def _described(self, endpoint: model.Endpoint) -> model.Endpoint:
         settings = self._settings
         facts = settings.engines_by_pool.get(endpoint.pool)
-        if facts and endpoint.kind is not model.EndpointKind.PLAIN:
-            endpoint = facts.describe(endpoint)
         bound = settings.connections_by_pool.get(endpoint.pool, 0)
-        endpoint = dataclasses.replace(endpoint, connections_max=bound)
+        if facts and endpoint.kind is not model.EndpointKind.PLAIN:
+            endpoint = facts.describe(endpoint, bound)
+        elif bound:
+            endpoint = dataclasses.replace(endpoint, connections_max=bound)
         return mechanisms.endpoint(endpoint, self._off)
 
     def _announce(self) -> None:
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -41,7 +41,8 @@
 
     def test_all_are_on_by_default(self):
         assert mechanisms.endpoint(_ENDPOINT, ()) is _ENDPOINT
-        assert mechanisms.service(_SERVICE, ()) is _SERVICE
+        services = {"s": _SERVICE}
+        assert mechanisms.services(services, ()) is services
 
     @pytest.mark.parametrize(
         ("mechanism", "field"),
@@ -64,7 +65,8 @@
         ],
     )
     def test_of_a_service(self, mechanism, field):
-        assert not getattr(mechanisms.service(_SERVICE, {mechanism}), field)
+        found = mechanisms.services({"s": _SERVICE}, {mechanism})
+        assert not getattr(found["s"], field)
 
     def test_servers_that_arent_compared(self):
         health = server_health.Uncompared()
