Learn of members by rumours, questions and suspicions in place of heartbeats passed on

Cause: a message passed on 3 records of others to 6 peers a second, and a member's patience grew with the fleet (20 s at 195): 26 s after their start 195 VMs still knew 1 to 195 of each other, and one pool had 23 homes.

A library: none found on PyPI that keeps the messages bounded and the decisions free of sockets.

--- a/src/cowsliprill/membership/agent.py
+++ b/src/cowsliprill/membership/agent.py
@@ -3,21 +3,29 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from cowsliprill import clock
 from cowsliprill import codec
+from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
+from cowsliprill.membership import wire
 from cowsliprill.observability import log as log_lib
 
-# A change of state is told so often, since datagrams may be lost.
+# News are told this soon after they came, together with what comes meanwhile.
+_FLUSH_S = 0.1
+
+# A process that leaves tells so often, since datagrams may be lost and it may
+# end before the next heartbeat.
 _ANNOUNCEMENTS = 3
 _ANNOUNCEMENT_GAP_S = 0.05
 
-_Records = list[membership.Record]
+# VMs named in one line of the log; the rest is counted.
+_NAMED = 6
 
 
 class Agent(asyncio.DatagramProtocol):
-    """Sends and takes heartbeats.
+    """Sends and takes the membership's messages.
 
     Args:
       members: The membership.
@@ -37,34 +45,46 @@
         self._callbacks: list[Callable[[], None]] = []
         self._transport: asyncio.DatagramTransport | None = None
         self._present: dict[str, tuple[int, bool, bool]] = {}
+        self._flush_due: asyncio.TimerHandle | None = None
 
     def subscribe(self, callback: Callable[[], None]) -> None:
-        """Has a function called after each message and each beat."""
+        """Has a function called at each beat and soon after each change."""
         self._callbacks.append(callback)
 
     async def run(self) -> None:
-        """Beats until cancelled."""
+        """Lets time pass for the membership until cancelled."""
         own = self._members.own
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self,
-            local_addr=(own.host, own.port),
+            local_addr=own.address,
             family=socket.AF_INET,
         )
         while True:
-            records, targets = self._members.beat(self._newest(), clock.now())
-            self._send(records, targets)
-            self._note_changes()
-            await asyncio.sleep(membership.BEAT_S)
-
-    async def announce(
-        self, *, ready: bool = False, leaving: bool = False
-    ) -> None:
-        """Tells the others at once in which state this process is."""
-        records, targets = self._members.announce(ready=ready, leaving=leaving)
-        self._note_changes()
+            self._members.tell_newest(self._newest())
+            self._send(self._members.tick(clock.now()))
+            self._pass_on()
+            await asyncio.sleep(membership.TICK_S)
+
+    def tell(self, **changes: object) -> None:
+        """Tells the others something else of this process.
+
+        Args:
+          **changes: Fields of its record.
+        """
+        self._members.tell(**changes)
+        self._arrange_flush()
+
+    def tell_newest(self) -> None:
+        """Tells the others which registry changes are known here."""
+        self._members.tell_newest(self._newest())
+        self._arrange_flush()
+
+    async def leave(self) -> None:
+        """Tells the others that this process takes no more work."""
+        self._members.tell(leaving=True)
         for _ in range(_ANNOUNCEMENTS):
-            self._send(records, targets)
+            self._flush()
             await asyncio.sleep(_ANNOUNCEMENT_GAP_S)
 
     # Called by asyncio.
@@ -76,44 +96,70 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes a message of a peer."""
         try:
-            records = codec.decode(_Records, data)
+            message = wire.read(data)
         except codec.CodecError as error:
             self._log.warning(
                 "heartbeat_malformed", peer=addr[0], reason=str(error)
             )
             return
-        self._members.receive(records, clock.now())
-        self._note_changes()
+        self._send(self._members.receive(message, clock.now()))
+        self._arrange_flush()
 
     def error_received(self, exc: OSError) -> None:
         """Notes that a message met a closed port; its owner is restarting."""
         self._log.event("heartbeat_unsent", reason=str(exc))
 
-    def _send(self, records: _Records, targets: list[tuple[str, int]]) -> None:
+    def _arrange_flush(self) -> None:
+        if self._flush_due is None and self._members.is_urgent():
+            loop = asyncio.get_running_loop()
+            self._flush_due = loop.call_later(_FLUSH_S, self._flush)
+
+    def _flush(self) -> None:
+        if self._flush_due is not None:
+            self._flush_due.cancel()
+            self._flush_due = None
+        self._send(self._members.flush())
+        self._pass_on()
+        self._arrange_flush()
+
+    def _send(self, sends: Iterable[member_records.Outgoing]) -> None:
         if self._transport is None:
             return
-        text = codec.encode_short(records)
-        for target in targets:
-            self._transport.sendto(text, target)
+        for outgoing in sends:
+            data = wire.write(outgoing.message)
+            self._transport.sendto(data, outgoing.address)
+
+    def _pass_on(self) -> None:
+        self._log_changes()
+        for callback in self._callbacks:
+            callback()
 
-    def _note_changes(self) -> None:
+    def _log_changes(self) -> None:
         present = {
             record.id: (record.incarnation, record.ready, record.leaving)
             for record in self._members.alive()
         }
-        if present != self._present:
-            self._log.event(
-                "members_changed",
-                alive=len(present) + 1,
-                joined=sorted(present.keys() - self._present.keys()),
-                lost=sorted(self._present.keys() - present.keys()),
-                joining=sorted(
-                    vm for vm, (_, ready, _) in present.items() if not ready
-                ),
-                leaving=sorted(
-                    vm for vm, (_, _, leaving) in present.items() if leaving
-                ),
-            )
-            self._present = present
-        for callback in self._callbacks:
-            callback()
+        if present == self._present:
+            return
+        self._log.event(
+            "members_changed",
+            alive=len(present) + 1,
+            joined=_named(present.keys() - self._present.keys()),
+            lost=_named(self._present.keys() - present.keys()),
+            joining=_named(
+                vm for vm, (_, ready, _) in present.items() if not ready
+            ),
+            leaving=_named(
+                vm for vm, (_, _, leaving) in present.items() if leaving
+            ),
+        )
+        self._present = present
+
+
+def _named(vms: Iterable[str]) -> list[str]:
+    """Returns the first few names, and how many more there are."""
+    ordered = sorted(vms)
+    named = ordered[:_NAMED]
+    if len(ordered) > _NAMED:
+        named.append(f"and {len(ordered) - _NAMED} more")
+    return named
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -9,6 +9,7 @@
 from cowsliprill import clock
 from cowsliprill import peer_client
 from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
 from cowsliprill.decisions import model
 from cowsliprill.decisions import registry
@@ -31,6 +32,9 @@
 # longer than the start itself takes.
 _ASK_PEER_EMPTY_S = 0.1
 
+# Members that come within this time change the settings' parts once.
+_REREAD_S = 1.0
+
 # A watch's answer may come a little after a peer's word of the same change.
 _BEHIND_S = 0.3
 
@@ -123,6 +127,8 @@
         self._one_life = mechanisms.Mechanism.ONE_LIFE_AN_ADDRESS not in off
         self._leaving_until_by_endpoint: dict[str, float] = {}
         self._members_known = 0
+        self._members_revision = (0, False)
+        self._reread: asyncio.TimerHandle | None = None
         self._changing: frozenset[tuple[str, str]] = frozenset()
         prefixes = (translator.settings_key, translator.endpoints_prefix)
         self.views_by_prefix = {
@@ -191,20 +197,15 @@
             group.create_task(self._ask_peers())
 
     def take_members(self) -> None:
-        """Takes the membership over after a message or a beat."""
+        """Takes the membership over after a beat, or when it has changed."""
         self._drop_doubtful()
-        self._take_changing()
-        self._take_fleet()
-        newest_by_prefix = [
-            max(known, default=0)
-            for known in zip(
-                *(record.newest for record in self._members.alive()),
-                strict=False,
-            )
-        ]
+        if self._members.revision != self._members_revision:
+            self._members_revision = self._members.revision
+            self._take_changing()
+            self._take_fleet()
         loop = asyncio.get_running_loop()
         for follower, newest in zip(
-            self._followers, newest_by_prefix, strict=False
+            self._followers, self._members.newest_heard, strict=False
         ):
             if newest > follower.view.position:
                 loop.call_later(_BEHIND_S, follower.overtake, newest)
@@ -229,9 +230,16 @@
         )
         if self._members.known() != self._members_known:
             self._members_known = self._members.known()
-            self._reread_settings()
+            self._arrange_reread()
         self._announce()
 
+    def _arrange_reread(self) -> None:
+        # While a fleet starts members come by the hundred within a second, and
+        # reading settings of thousands of routes takes a good part of one.
+        if self._reread is None:
+            loop = asyncio.get_running_loop()
+            self._reread = loop.call_later(_REREAD_S, self._reread_settings)
+
     # Settings.
 
     def _take_settings(self, changes: list[registry.Change]) -> None:
@@ -243,6 +251,7 @@
 
     def _reread_settings(self) -> None:
         # Parts that are shared out by the count of processes depend on it.
+        self._reread = None
         view = self.views_by_prefix[self._translator.settings_key]
         entry = view.entries_by_key.get(self._translator.settings_key)
         if entry is not None:
@@ -384,11 +393,7 @@
         self, index: int, follower: follower_lib.Follower
     ) -> None:
         view = follower.view
-        ahead = [
-            record
-            for record in self._members.alive()
-            if record.newest[index : index + 1] > (view.newest,)
-        ]
+        ahead = self._members.ahead(index, view.newest)
         if not ahead:
             return
         peer = self._random.choice(ahead)
@@ -412,13 +417,13 @@
         follower.took(changes)
 
 
-def _state(record: membership.Record) -> model.VmState:
+def _state(record: member_records.Record) -> model.VmState:
     if record.leaving:
         return model.VmState.LEAVING
     return model.VmState.LIVE if record.ready else model.VmState.JOINING
 
 
-def _vm(record: membership.Record) -> model.Vm:
+def _vm(record: member_records.Record) -> model.Vm:
     return model.Vm(
         id=record.id,
         host=record.host,
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -15,6 +15,7 @@
 from cowsliprill.cells import client as cells_client
 from cowsliprill.cells import homes as homes_lib
 from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
 from cowsliprill.engines import http_client
 from cowsliprill.entry import core as entry_core
@@ -61,12 +62,13 @@
         self._metrics = metrics_lib.Metrics()
         rng = random.Random()
         host, port = node.public[0], node.peer_ports[0]
-        own = membership.Record(
+        own = member_records.Record(
             id=node.vm,
             host=host,
             port=port,
             availability_zone=node.availability_zone,
             incarnation=time.time_ns() // 1_000_000,
+            cores=node.cores(),
         )
         self._members = membership.Membership(own, self._seeds(node), rng)
         self._source = source_lib.Source(
@@ -89,11 +91,11 @@
             self._metrics,
         )
         self._entry.peer_routes = self._peer_routes()
-        self._entry.before_drain = self._leave
-        self._announced: asyncio.Task | None = None
+        self._entry.before_drain = self._agent.leave
         self._roles = roles_lib.RoleController(
             self._source,
             self._members,
+            self._agent.tell,
             orders.Orders(http_client.HttpClient()),
             self._scheduling,
             log,
@@ -172,7 +174,7 @@
         self._log.event("file_reloaded", seeds=len(node.seeds))
 
     @staticmethod
-    def _seeds(node: node_lib.Node) -> list[membership.Address]:
+    def _seeds(node: node_lib.Node) -> list[member_records.Address]:
         return [(host, node.peer_ports[0]) for host, _ in node.seeds]
 
     @property
@@ -205,15 +207,8 @@
 
     def _take_world(self) -> None:
         self._homes.update(self._source.snapshot, self._source.fleet)
-        if self._announced is None and self._source.is_ready():
-            self._announced = asyncio.create_task(
-                self._agent.announce(ready=True)
-            )
-
-    async def _leave(self) -> None:
-        if self._announced is not None:
-            self._announced.cancel()
-        await self._agent.announce(leaving=True)
+        if self._source.is_ready():
+            self._agent.tell(ready=True)
 
     def _place_by_cells(self, tools: placing.Tools) -> placing.ByCells:
         caller = homes_caller.HomesCaller(
--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -36,6 +36,9 @@
         is used, for heartbeats over UDP and calls over TCP.
       seeds: Addresses of a few VMs to greet at first; their hosts count.
       store: Address of the registry's store.
+      processor_share: Part of its processor that the process may use.
+      processor_speed: How many times as fast as the slowest class's that
+        processor is.
       retry_budget_ratio: Repeats allowed for each request.
       retry_budget_slack: Repeats allowed beyond, for all VMs together.
       drain_notice_s: How long the balancer may need to see that the process
@@ -56,6 +59,8 @@
     peer_ports: tuple[int, int]
     seeds: tuple[Address, ...] = ()
     store: Address
+    processor_share: float = 0.0
+    processor_speed: float = 1.0
     retry_budget_ratio: float = 0.1
     retry_budget_slack: float = 10.0
     drain_notice_s: float = 2.6
@@ -64,6 +69,10 @@
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
     path: pathlib.Path | None = None
 
+    def cores(self) -> float:
+        """Returns how much work it can do, in cores of the slowest class."""
+        return round(self.processor_share * self.processor_speed, 3)
+
     def environment(self) -> environment.Environment:
         """Returns the same as the entry process's environment."""
         return environment.Environment(
--- a/src/cowsliprill/router/roles.py
+++ b/src/cowsliprill/router/roles.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 from cowsliprill import clock
@@ -46,6 +47,7 @@
     Args:
       source: Settings and endpoints.
       members: The VMs.
+      tell: Tells the other VMs something else of this one.
       orders: Reaches the engines.
       work: What is known of the pools' work.
       log: The process's log.
@@ -55,12 +57,14 @@
         self,
         source: source_lib.Source,
         members: membership.Membership,
+        tell: Callable[..., None],
         orders: Orders,
         work: Work,
         log: log_lib.Log,
     ) -> None:
         self._source = source
         self._members = members
+        self._tell_others = tell
         self._orders = orders
         self._work = work
         self._log = log
@@ -83,7 +87,7 @@
         for pool, plan in self._roles_by_pool.items():
             changing += plan.changing(self._source.staying_endpoints(pool))
         if tuple(changing) != self._members.own.changing:
-            self._members.tell_changing(changing)
+            self._tell_others(changing=tuple(changing))
             self._source.take_members()
 
     async def _look_at(self, pool: str) -> None:
