A few VMs a zone read the store, the others get what is new from those

Two a zone read now, and whoever orders engines; the newest revision goes with the members' messages, and who lacks it asks the one that told it. A listing that follows a gap no longer passes for an unbroken history: its successors could have kept an entry that came and went meanwhile.

--- a/src/cowsliprill/decisions/mechanisms.py
+++ b/src/cowsliprill/decisions/mechanisms.py
@@ -19,6 +19,7 @@
 
     CONNECTION_SHARES = "connection_shares"
     DECODE_PLACES = "decode_places"
+    FEW_READERS = "few_readers"
     LATE_QUEUE = "late_queue"
     LEARNT_SPEEDS = "learnt_speeds"
     ONE_LIFE_AN_ADDRESS = "one_life_an_address"
--- /dev/null
+++ b/src/cowsliprill/decisions/readers.py
@@ -0,0 +1,51 @@
+"""Which VMs read the registry's store for the others.
+
+Pure. The store's price goes by calls, and a store that each VM of a large
+fleet watches wakes them all at each change. So a few VMs a zone watch it, and
+the others get what is new from whoever tells that it knows it. Any reader of
+any zone will do for that; a zone has its own so that the loss of others is no
+loss to it.
+"""
+
+from collections.abc import Iterable
+
+from cowsliprill.decisions import member_records
+from cowsliprill.decisions import ownership
+
+# One may be lost or cut off from the store, and the zone still has one.
+READERS_A_ZONE = 2
+
+# Readers that can't reach the store are stood in for by the next ones. A store
+# that is down is out of reach of all; so many try, and the rest needn't.
+_TRYING_MAX = 4 * READERS_A_ZONE
+
+_KEY = "registry"
+
+
+def reads(
+    own: member_records.Record, others: Iterable[member_records.Record]
+) -> bool:
+    """Returns whether a VM is to read the store.
+
+    Args:
+      own: Its record.
+      others: Those of the other live VMs.
+    """
+    zone = [
+        record
+        for record in (own, *others)
+        if record.availability_zone == own.availability_zone
+    ]
+    sighted = 0
+    for record in sorted(zone, key=_rank)[:_TRYING_MAX]:
+        if record.id == own.id:
+            return True
+        sighted += not record.blind
+        if sighted == READERS_A_ZONE:
+            return False
+    return False
+
+
+def _rank(record: member_records.Record) -> tuple[bool, int, str]:
+    score = ownership.score(record.id, _KEY)
+    return (record.leaving, -score, record.id)
--- a/src/cowsliprill/decisions/registry.py
+++ b/src/cowsliprill/decisions/registry.py
@@ -111,7 +111,8 @@
         settled = 0 if as_of >= self.position else self.position
         changes = self._apply([*listed, *gone], settled)
         if as_of > self.position:
-            self._unbroken_since = self._unbroken_since or as_of
+            # What came and went since the last reading isn't known.
+            self._unbroken_since = as_of
             self.position = as_of
         return changes
 
@@ -134,7 +135,8 @@
     def take_news(self, news: News) -> list[Change]:
         """Takes news of a peer.
 
-        The position stays: a peer's news may lack what it hasn't read.
+        They must have been asked for since `position`, or before: then all is
+        known up to where the peer has read.
 
         Args:
           news: What the peer knows.
@@ -150,7 +152,12 @@
                 for key, entry in self.entries_by_key.items()
                 if key not in named and entry.revision <= news.position
             ]
-        return self._apply(changes, self.position)
+        new = self._apply(changes, self.position)
+        if news.position > self.position:
+            self.position = news.position
+            if news.whole:
+                self._unbroken_since = news.position
+        return new
 
     def news_since(self, revision: int) -> News:
         """Returns what a peer that has read up to a revision lacks."""
--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -1,10 +1,12 @@
 """The task that follows one prefix of the registry.
 
 One waiting call at a time. It lists at first and whenever the store has lost
-its history; else it watches from where it stands.
+its history; else it watches from where it stands. A process that needn't read
+for itself lists once and then leaves the store alone.
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -22,7 +24,7 @@
 # this, and a peer that has read further ends the wait before.
 WATCH_S = 12.0
 
-# The first watch of a store that was away.
+# The first watch of a store that was away, or that others watched before.
 _FIRST_WATCH_S = 0.1
 
 # What a held watch may take beyond its time.
@@ -49,6 +51,9 @@
 
     Attributes:
       view: What is known.
+      reading: Whether this process watches the store itself.
+      began_at: When the store first answered since it does so, seconds;
+        infinity if it hasn't yet.
       away_since: When the store stopped answering, 0 while it answers.
       back_at: When it last answered again after it had been away.
       answered: Calls that the store has answered.
@@ -64,6 +69,8 @@
         rng: random.Random,
     ) -> None:
         self.view = view
+        self.reading = False
+        self.began_at = math.inf
         self.away_since = 0.0
         self.back_at = 0.0
         self.answered = 0
@@ -75,11 +82,14 @@
         self._pause_s = _PAUSE_MIN_S
         self._must_list = True
         self._call: asyncio.Task | None = None
-        self._overtaken = False
+        self._interrupted = False
+        self._may_call = asyncio.Event()
+        self._may_call.set()
 
     async def run(self) -> None:
         """Follows until cancelled."""
         while True:
+            await self._may_call.wait()
             self._call = asyncio.create_task(self._step())
             try:
                 await self._call
@@ -95,10 +105,10 @@
                 self._note_away(error)
                 await self._pause()
             except asyncio.CancelledError:
-                if not self._overtaken:
+                if not self._interrupted:
                     self._call.cancel()
                     raise
-                self._overtaken = False
+                self._interrupted = False
             else:
                 self._note_back()
 
@@ -114,19 +124,65 @@
         """
         if newest <= self.view.position or self._must_list:
             return
-        if self._call is not None and not self._call.done():
-            self._overtaken = True
+        if self._is_calling():
             self._must_list = True
-            self._call.cancel()
+            self._interrupt()
+
+    def set_reading(self, reading: bool) -> None:
+        """Has this process watch the store itself, or leave that to others.
+
+        Args:
+          reading: Whether it does.
+        """
+        if reading == self.reading:
+            return
+        self.reading = reading
+        self.began_at = math.inf
+        self._log.event(
+            "registry_reading", prefix=self.view.prefix, reading=reading
+        )
+        if reading:
+            self._may_call.set()
+            return
+        self.away_since = 0.0
+        self._pause_s = _PAUSE_MIN_S
+        if not self._must_list:
+            self.leave_to_peers()
+
+    def leave_to_peers(self) -> None:
+        """Ends a first listing that a peer's news have made needless."""
+        self._must_list = False
+        self._may_call.clear()
+        if self._is_calling():
+            self._interrupt()
+
+    def list_once(self) -> None:
+        """Has this process list the store, though it doesn't watch it.
+
+        It knows that there is news and no peer gives them.
+        """
+        if not self.reading:
+            self._must_list = True
+            self._may_call.set()
+
+    def _is_calling(self) -> bool:
+        return self._call is not None and not self._call.done()
+
+    def _interrupt(self) -> None:
+        self._interrupted = True
+        self._call.cancel()
 
     async def _step(self) -> None:
         if self._must_list:
             await self._list()
             self._must_list = False
+            if not self.reading:
+                self._may_call.clear()
             return
-        # Only an answer shows that the store is back. A long watch has none
+        # Only an answer shows that the store is there. A long watch has none
         # while nothing changes, and peers would be asked all the while.
-        wait_s = _FIRST_WATCH_S if self.away_since else WATCH_S
+        unsure = self.away_since or math.isinf(self.began_at)
+        wait_s = _FIRST_WATCH_S if unsure else WATCH_S
         watched = await self._store.watch(
             self.view.prefix,
             self.view.position,
@@ -161,6 +217,7 @@
 
     def _note_back(self) -> None:
         self.answered += 1
+        self.began_at = min(self.began_at, clock.now())
         self._pause_s = _PAUSE_MIN_S
         if self.away_since:
             self.back_at = clock.now()
--- a/src/cowsliprill/registry/peers.py
+++ b/src/cowsliprill/registry/peers.py
@@ -2,6 +2,7 @@
 
 import base64
 import dataclasses
+from collections.abc import Callable
 
 from tornado import web
 
@@ -11,8 +12,9 @@
 from cowsliprill import peers
 from cowsliprill.decisions import registry
 
-# A peer in another availability zone answers within some milliseconds.
-_TIMEOUT_S = 1.0
+# A peer in another availability zone answers within some milliseconds, and
+# there are others to ask.
+_TIMEOUT_S = 0.5
 _OK = 200
 
 
@@ -39,23 +41,31 @@
       changes: Entries and removals.
       position: Revision up to which the teller has read.
       whole: Whether keys that aren't named don't exist up to there.
+      store_troubled: Whether removals may be lapses; see `Source`.
     """
 
     changes: tuple[WireChange, ...] = ()
     position: int = 0
     whole: bool = False
+    store_troubled: bool = False
 
 
 class NewsHandler(web.RequestHandler):
     """`GET /v1/registry?prefix=P&since=R`."""
 
-    def initialize(self, views_by_prefix: dict[str, registry.View]) -> None:
+    def initialize(
+        self,
+        views_by_prefix: dict[str, registry.View],
+        store_troubled: Callable[[], bool],
+    ) -> None:
         """Keeps what the handler needs.
 
         Args:
           views_by_prefix: What this process knows.
+          store_troubled: Returns whether removals may be lapses.
         """
         self._views_by_prefix = views_by_prefix
+        self._store_troubled = store_troubled
 
     def get(self) -> None:
         """Answers with what the asker lacks."""
@@ -67,14 +77,15 @@
             self.write({"error": error})
             return
         self.set_header("Content-Type", "application/json")
-        self.write(codec.encode_short(_on_wire(view.news_since(int(since)))))
+        news = _on_wire(view.news_since(int(since)), self._store_troubled())
+        self.write(codec.encode_short(news))
 
 
 async def ask(
     client: peer_client.PeerClient,
     address: tuple[str, int],
     view: registry.View,
-) -> registry.News:
+) -> tuple[registry.News, bool]:
     """Asks a peer for what it knows beyond this process.
 
     Args:
@@ -83,7 +94,7 @@
       view: What this process knows.
 
     Returns:
-      The peer's news.
+      The peer's news, and whether the store was in trouble there.
 
     Raises:
       peer_client.PeerError: It gave no usable answer.
@@ -95,12 +106,13 @@
     if reply.status != _OK:
         raise peer_client.PeerError(f"{url}: status {reply.status}")
     try:
-        return _from_wire(codec.decode(WireNews, reply.body))
+        wire = codec.decode(WireNews, reply.body)
+        return _from_wire(wire), wire.store_troubled
     except (errors.CowsliprillError, ValueError) as error:
         raise peer_client.PeerError(f"{url}: {error}") from error
 
 
-def _on_wire(news: registry.News) -> WireNews:
+def _on_wire(news: registry.News, store_troubled: bool) -> WireNews:
     changes = []
     for change in news.changes:
         value = None
@@ -110,7 +122,10 @@
             WireChange(key=change.key, revision=change.revision, value=value)
         )
     return WireNews(
-        changes=tuple(changes), position=news.position, whole=news.whole
+        changes=tuple(changes),
+        position=news.position,
+        whole=news.whole,
+        store_troubled=store_troubled,
     )
 
 
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -12,6 +12,7 @@
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
 from cowsliprill.decisions import model
+from cowsliprill.decisions import readers
 from cowsliprill.decisions import registry
 from cowsliprill.observability import log as log_lib
 from cowsliprill.registry import endpoints as endpoints_lib
@@ -38,6 +39,14 @@
 # A watch's answer may come a little after a peer's word of the same change.
 _BEHIND_S = 0.3
 
+# A process lists the store at its start, and watches it from so much later on
+# if it is to.
+_FIRST_READING_S = 1.5
+
+# A process that leaves the store to others, and knows that there is news which
+# no peer gives it, lists the store itself after this time.
+_BEHIND_ALONE_S = 0.8
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
@@ -126,6 +135,12 @@
         self._endpoints = endpoints_lib.Endpoints(translator.listed, log)
         self._one_life = mechanisms.Mechanism.ONE_LIFE_AN_ADDRESS not in off
         self._leaving_until_by_endpoint: dict[str, float] = {}
+        self._must_read = False
+        self._is_reader = False
+        self._started_at = clock.now()
+        self._troubled_until = 0.0
+        self._behind_since_by_prefix: dict[str, float] = {}
+        self._behind = asyncio.Event()
         self._members_known = 0
         self._members_revision = (0, False)
         self._reread: asyncio.TimerHandle | None = None
@@ -166,10 +181,40 @@
         """
         settled_s = _RETURN_S + endpoints_lib.DOUBT_S
         return not any(
-            follower.away_since or now - follower.back_at < settled_s
+            follower.away_since
+            or now - max(follower.back_at, follower.began_at) < settled_s
             for follower in self._followers
         )
 
+    def require_reading(self, required: bool) -> None:
+        """Has this process read the store whatever the others do.
+
+        Args:
+          required: Whether it needs the store's own word.
+        """
+        self._must_read = required
+
+    def is_blind(self) -> bool:
+        """Returns whether the store doesn't answer this process."""
+        now = clock.now()
+        return any(
+            follower.away_since and now - follower.away_since > _AWAY_S
+            for follower in self._followers
+        )
+
+    def is_store_troubled(self) -> bool:
+        """Returns whether entries may lapse whose endpoints live.
+
+        While the store is away endpoints can't renew their entries.
+        """
+        follower = self._followers[1]
+        now = clock.now()
+        return bool(
+            follower.away_since
+            or now - follower.back_at < _RETURN_S
+            or now < self._troubled_until
+        )
+
     def engine_pools(self) -> list[str]:
         """Returns the names of the pools of engines."""
         return list(self._settings.engines_by_pool)
@@ -203,12 +248,43 @@
             self._members_revision = self._members.revision
             self._take_changing()
             self._take_fleet()
+            self._is_reader = readers.reads(
+                self._members.own, self._members.alive()
+            )
+        self._set_reading()
+        self._look_behind()
+
+    def _set_reading(self) -> None:
+        # Who has just started doesn't know yet who else there is. Who hears
+        # nobody gets no news from others either.
+        now = clock.now()
+        reads = (
+            self._must_read
+            or self._is_reader
+            or mechanisms.Mechanism.FEW_READERS in self._off
+            or not self._members.hears_somebody(now)
+        )
+        settled = now - self._started_at > _FIRST_READING_S
+        for follower in self._followers:
+            follower.set_reading(reads and settled)
+
+    def _look_behind(self) -> None:
+        """Sees to it that news which others tell of are had here as well."""
+        now = clock.now()
         loop = asyncio.get_running_loop()
         for follower, newest in zip(
             self._followers, self._members.newest_heard, strict=False
         ):
-            if newest > follower.view.position:
+            prefix = follower.view.prefix
+            if newest <= max(follower.view.newest, follower.view.position):
+                self._behind_since_by_prefix.pop(prefix, None)
+            elif follower.reading:
                 loop.call_later(_BEHIND_S, follower.overtake, newest)
+            else:
+                since = self._behind_since_by_prefix.setdefault(prefix, now)
+                if now - since > _BEHIND_ALONE_S:
+                    follower.list_once()
+                self._behind.set()
 
     # The membership.
 
@@ -299,11 +375,8 @@
             self._rebuild()
 
     def _take_endpoints(self, changes: list[registry.Change]) -> None:
-        follower = self._followers[1]
         now = clock.now()
-        store_troubled = bool(
-            follower.away_since or now - follower.back_at < _RETURN_S
-        )
+        store_troubled = self.is_store_troubled()
         self._endpoints.take(changes, store_troubled=store_troubled, now=now)
         if store_troubled and changes:
             asyncio.get_running_loop().call_later(
@@ -377,14 +450,24 @@
             empty = not all(
                 follower.view.newest for follower in self._followers
             )
-            await asyncio.sleep(_ASK_PEER_EMPTY_S if empty else _ASK_PEER_S)
+            pause_s = _ASK_PEER_EMPTY_S if empty else _ASK_PEER_S
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._behind.wait()
+            except TimeoutError:
+                pass
+            self._behind.clear()
             for index, follower in enumerate(self._followers):
                 if self._needs_peers(follower):
                     await self._ask_peer(index, follower)
 
     def _needs_peers(self, follower: follower_lib.Follower) -> bool:
+        if mechanisms.Mechanism.PEER_NEWS in self._off:
+            return False
+        if not follower.reading:
+            return follower.view.prefix in self._behind_since_by_prefix
         away_since = follower.away_since
-        if not away_since or mechanisms.Mechanism.PEER_NEWS in self._off:
+        if not away_since:
             return False
         empty = not follower.view.newest
         return empty or clock.now() - away_since > _AWAY_S
@@ -396,9 +479,11 @@
         ahead = self._members.ahead(index, view.newest)
         if not ahead:
             return
-        peer = self._random.choice(ahead)
+        zone = self._members.own.availability_zone
+        near = [peer for peer in ahead if peer.availability_zone == zone]
+        peer = self._random.choice(near or ahead)
         try:
-            news = await registry_peers.ask(
+            news, store_troubled = await registry_peers.ask(
                 self._client, (peer.host, peer.port), view
             )
         except peer_client.PeerError as error:
@@ -406,7 +491,10 @@
                 "registry_peer_failed", peer=peer.id, reason=error.message
             )
             return
+        if store_troubled:
+            self._troubled_until = clock.now() + _RETURN_S
         changes = view.take_news(news)
+        self._behind_since_by_prefix.pop(view.prefix, None)
         self._log.event(
             "registry_from_peer",
             peer=peer.id,
@@ -415,6 +503,8 @@
             position=news.position,
         )
         follower.took(changes)
+        if not follower.reading and view.newest:
+            follower.leave_to_peers()
 
 
 def _state(record: member_records.Record) -> model.VmState:
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -112,7 +112,7 @@
 
     async def run(self) -> None:
         """Serves until a signal, then drains and returns."""
-        self._agent.subscribe(self._source.take_members)
+        self._agent.subscribe(self._take_members)
         self._source.subscribe(self._take_world)
         self._entry.shell.listen_ready(*self._node.ready)
         tasks = [asyncio.create_task(work) for work in self._work()]
@@ -199,16 +199,24 @@
     def _peer_routes(self) -> list[tuple]:
         auth = peer_auth.PeerAuth(self._node.peer_secret)
         cells = {"auth": auth, "homes": self._homes}
-        views = {"views_by_prefix": self._source.views_by_prefix}
+        views = {
+            "views_by_prefix": self._source.views_by_prefix,
+            "store_troubled": self._source.is_store_troubled,
+        }
         return [
             (peers.CELLS_PATH, homes_lib.CellsHandler, cells),
             (peers.REGISTRY_PATH, registry_peers.NewsHandler, views),
         ]
 
+    def _take_members(self) -> None:
+        self._source.take_members()
+        self._agent.tell(blind=self._source.is_blind())
+
     def _take_world(self) -> None:
         self._homes.update(self._source.snapshot, self._source.fleet)
         if self._source.is_ready():
             self._agent.tell(ready=True)
+        self._agent.tell_newest()
 
     def _place_by_cells(self, tools: placing.Tools) -> placing.ByCells:
         caller = homes_caller.HomesCaller(
--- a/src/cowsliprill/router/roles.py
+++ b/src/cowsliprill/router/roles.py
@@ -76,8 +76,14 @@
         """Looks until cancelled."""
         while True:
             await asyncio.sleep(_LOOK_S)
-            self._leadership.look(self._members.electorate(), clock.now())
-            for pool in self._source.engine_pools():
+            electorate = self._members.electorate()
+            self._leadership.look(electorate, clock.now())
+            pools = self._source.engine_pools()
+            # Orders need the store's own word on the engines.
+            self._source.require_reading(
+                any(electorate.first(pool) == electorate.own for pool in pools)
+            )
+            for pool in pools:
                 await self._look_at(pool)
             self._tell()
 
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -36,6 +36,7 @@
 
 def _follower(newest, away_s):
     return types.SimpleNamespace(
+        reading=True,
         away_since=clock.now() - away_s if away_s else 0.0,
         view=types.SimpleNamespace(newest=newest),
     )
