One home a pool while views differ, and an idle entry costs it nothing

Cause: each entry held the first VM of its own list for a pool's home, and each home took its part of the engines by the entries it heard. At 195 VMs 23 to 73 homes shared one pool, and what they promised together wasn't there. To be heard, each entry called each home every 0.8 s: 244 calls a second at a VM of half a core.

A VM that is asked and holds another for the home names it; the entry turns there, unless it has found it out of reach. A home's part of the engines grows to the whole within the second in which entries with work state it; one that stands in for the home keeps the part of the entries it hears. Weak VMs come after the strong.

--- a/src/cowsliprill/cells/client.py
+++ b/src/cowsliprill/cells/client.py
@@ -20,7 +20,7 @@
 from cowsliprill.entry import world as world_lib
 from cowsliprill.observability import log as log_lib
 
-# A home hears of an entry that uses its pool at least this often.
+# A home hears of an entry that has requests at least this often.
 PING_S = 0.8
 
 # A call to a home takes some milliseconds; one that takes this long beyond
@@ -31,6 +31,10 @@
 # Failed calls in a row after which the next VM is asked, and for how long.
 _FAILURES_MAX = 2
 _ASIDE_S = 2.0
+
+# How long an entry takes another VM's word on who is the home, before its own
+# view of the VMs counts again.
+_NAMED_S = 1.0
 _PAUSE_S = 0.02
 
 Post = Callable[[model.Vm, wire.CellRequest, float], Awaitable[wire.CellAnswer]]
@@ -79,7 +83,10 @@
         self._log = log
         self.placed_by_number: dict[int, _Placed] = {}
         self.prompt_part = 0.0
+        self.attentive = False
         self._home: model.Vm | None = None
+        self._named: model.Vm | None = None
+        self._named_until = 0.0
         self._aside_until_by_vm: dict[str, float] = {}
         self._failures = 0
         self._epoch = 0
@@ -93,9 +100,11 @@
 
     def submit(self, placed: _Placed) -> None:
         """Takes a new request."""
+        # Looked up first: a change of home states all that is placed, and this
+        # request would be stated twice.
+        self._look_up_home()
         self.placed_by_number[placed.submit.request_id] = placed
         self._waiting.set()
-        self._look_up_home()
         request = wire.write_request(placed.submit, clock.now())
         self._add(wire.Submit(kind="submit", request=request))
 
@@ -121,6 +130,12 @@
         """Turns to another home if the VM list names one."""
         self._look_up_home()
 
+    def be_attentive(self, attentive: bool) -> None:
+        """Has the home asked now and then though there are no requests."""
+        if attentive and not self.attentive:
+            self._news.set()
+        self.attentive = attentive
+
     def close(self) -> None:
         """Ends the tasks."""
         for task in self._tasks:
@@ -132,16 +147,37 @@
 
     def _look_up_home(self) -> None:
         now = clock.now()
+        named = self._named if now < self._named_until else None
         ranked = ownership.homes_in_order(
             self._pool, self._world.fleet.vms_by_id.values()
         )
-        near = [
-            vm
-            for vm in ranked
-            if self._aside_until_by_vm.get(vm.id, 0.0) <= now
-        ]
-        home = next(iter(near or ranked), None)
-        if home == self._home:
+        avoided = self._avoided(now)
+        near = [vm for vm in ranked if vm.id not in avoided]
+        self._turn_to(named or next(iter(near or ranked), None))
+
+    def _avoided(self, now: float) -> tuple[str, ...]:
+        return tuple(
+            vm for vm, until in self._aside_until_by_vm.items() if until > now
+        )
+
+    def _follow(self, asked: model.Vm, named: model.Vm) -> None:
+        """Turns to the home that another VM names.
+
+        The one that was asked is put aside meanwhile, so that two which name
+        each other don't send the entry to and fro.
+        """
+        now = clock.now()
+        self._aside_until_by_vm[asked.id] = now + _NAMED_S
+        self._named = named
+        self._named_until = now + _NAMED_S
+        self._turn_to(named)
+
+    def _turn_to(self, home: model.Vm | None) -> None:
+        before = self._home
+        if before is not None and home is not None and home.id == before.id:
+            self._home = home
+            return
+        if home is before:
             return
         self._home = home
         self._log.event(
@@ -172,7 +208,6 @@
                     attempt=start.attempt,
                 )
             )
-        self._news.set()
 
     def _waits(self) -> bool:
         return any(
@@ -180,15 +215,17 @@
         )
 
     async def _send(self) -> None:
-        """Sends what is new at once, else a sign of life."""
+        """Sends what is new at once, else a sign of life if there is need."""
         while True:
+            needed = self.attentive or bool(self.placed_by_number)
             try:
-                async with asyncio.timeout(PING_S):
+                async with asyncio.timeout(PING_S if needed else None):
                     await self._news.wait()
             except TimeoutError:
                 self._look_up_home()
             self._news.clear()
-            if not await self._call(0.0) or self._outbox.pending():
+            answered = await self._call(0.0)
+            if self._outbox.pending() or (needed and not answered):
                 await asyncio.sleep(_PAUSE_S)
                 self._news.set()
 
@@ -220,6 +257,7 @@
             events=events,
             acknowledged=self._inbox.last,
             wait_s=wait_s,
+            avoids=self._avoided(clock.now()),
         )
         try:
             answer = await self._post(home, request, _CALL_S + wait_s)
@@ -229,6 +267,9 @@
         self._failures = 0
         if epoch != self._epoch:
             return True
+        if answer.home is not None:
+            self._follow(home, wire.read_home(answer.home))
+            return True
         if not answer.known:
             self._begin_anew()
             return True
@@ -262,7 +303,7 @@
                     placed.decisions.put_nowait(decision)
 
     def _note_failure(self, home: model.Vm, error: Exception) -> None:
-        if home is not self._home:
+        if self._home is None or home.id != self._home.id:
             return
         self._failures += 1
         self._log.warning(
@@ -275,6 +316,7 @@
         if self._failures >= _FAILURES_MAX:
             self._failures = 0
             self._aside_until_by_vm[home.id] = clock.now() + _ASIDE_S
+            self._named = None
             self._look_up_home()
 
 
@@ -323,7 +365,7 @@
     def post(self, event: messages.Event) -> None:
         """Sends an event of a request to its home."""
         if isinstance(event, messages.WorldChanged):
-            self._world_changed(event.snapshot)
+            self._world_changed()
             return
         number = event.request_id
         pool = self._pools_by_number.get(number)
@@ -338,12 +380,12 @@
         known = self._channels_by_pool.get(pool)
         return (known.prompt_part or None) if known else None
 
-    def _world_changed(self, snapshot: model.Snapshot) -> None:
-        # A home uses the part of its engines that is the part of the entries
-        # it has heard, so an entry without requests has to be heard as well.
-        for endpoint in snapshot.endpoints_by_id.values():
-            if endpoint.kind is not model.EndpointKind.PLAIN:
-                self._channel(endpoint.pool)
+    def follow(self, pool: str, wanted: bool) -> None:
+        """Has a pool's home asked for `prompt_part` now and then, or not."""
+        if wanted or pool in self._channels_by_pool:
+            self._channel(pool).be_attentive(wanted)
+
+    def _world_changed(self) -> None:
         for known in self._channels_by_pool.values():
             known.world_changed()
 
--- a/src/cowsliprill/cells/homes.py
+++ b/src/cowsliprill/cells/homes.py
@@ -13,6 +13,7 @@
 from cowsliprill.decisions import cell as cell_lib
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import ownership
 from cowsliprill.decisions import pool as pools
 from cowsliprill.observability import log as log_lib
 
@@ -38,33 +39,45 @@
 class Homes:
     """Answers entries for the pools that they ask for here.
 
-    It serves whoever asks: an entry that can't reach a pool's home turns to
-    the next VM, which then uses no more than its part of the engines.
+    An entry that asks the wrong VM is told the right one: while VMs differ in
+    whom they know, a pool would else have many homes, each with a sliver of its
+    engines. One that can't reach the home says so and is served here; this VM
+    then uses no more than a part of the engines.
 
     Args:
+      vm_id: Id of this VM.
       availability_zone: Where this process runs.
       rng: Random numbers.
       log: The process's log.
     """
 
     def __init__(
-        self, availability_zone: str, rng: random.Random, log: log_lib.Log
+        self,
+        vm_id: str,
+        availability_zone: str,
+        rng: random.Random,
+        log: log_lib.Log,
     ) -> None:
+        self._vm_id = vm_id
         self._availability_zone = availability_zone
         self._random = rng
         self._log = log
         self._snapshot = model.Snapshot()
         self._fleet = model.Fleet()
         self._homed_by_pool: dict[str, _Homed] = {}
+        self._ranked_by_pool: dict[str, list[model.Vm]] = {}
         self._wake = asyncio.Event()
 
     def update(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
         """Takes new settings or a new VM list."""
         self._snapshot = snapshot
+        if fleet.vms_by_id != self._fleet.vms_by_id:
+            self._ranked_by_pool = {}
         self._fleet = fleet
         now = clock.now()
-        for homed in self._homed_by_pool.values():
+        for pool, homed in self._homed_by_pool.items():
             homed.cell.update(snapshot, fleet, now)
+            homed.cell.set_home(self._is_home(pool), now)
             self._notify(homed)
 
     async def answer(self, request: wire.CellRequest) -> wire.CellAnswer:
@@ -76,6 +89,9 @@
         Returns:
           The decisions; without any, the answer waits for one.
         """
+        home = self._home_for(request)
+        if home is not None:
+            return wire.CellAnswer(known=False, home=wire.write_home(home))
         homed = self._homed(request.pool)
         now = clock.now()
         knows = homed.cell.knows(request.entry, request.epoch)
@@ -137,12 +153,35 @@
         """Returns the pools that entries ask for here."""
         return list(self._homed_by_pool)
 
+    def _home_for(self, request: wire.CellRequest) -> model.Vm | None:
+        """Returns the home that an entry should ask, None if it is here."""
+        for vm in self._ranked(request.pool):
+            if vm.id == self._vm_id:
+                return None
+            if vm.id not in request.avoids:
+                return vm
+        return None
+
+    def _is_home(self, pool: str) -> bool:
+        ranked = self._ranked(pool)
+        return bool(ranked) and ranked[0].id == self._vm_id
+
+    def _ranked(self, pool: str) -> list[model.Vm]:
+        ranked = self._ranked_by_pool.get(pool)
+        if ranked is None:
+            vms = self._fleet.vms_by_id.values()
+            ranked = ownership.homes_in_order(pool, vms)
+            self._ranked_by_pool[pool] = ranked
+        return ranked
+
     def _homed(self, pool: str) -> _Homed:
         homed = self._homed_by_pool.get(pool)
         if homed is None:
             seed = self._random.getrandbits(_SEED_BITS)
             homed = _Homed(cell_lib.Cell(self._availability_zone, seed))
-            homed.cell.update(self._snapshot, self._fleet, clock.now())
+            now = clock.now()
+            homed.cell.update(self._snapshot, self._fleet, now)
+            homed.cell.set_home(self._is_home(pool), now)
             self._homed_by_pool[pool] = homed
             self._log.event("cell_begun", pool=pool)
         return homed
--- a/src/cowsliprill/cells/wire.py
+++ b/src/cowsliprill/cells/wire.py
@@ -129,6 +129,8 @@
       events: Events that aren't acknowledged.
       acknowledged: Number of the newest decision that was taken.
       wait_s: How long the answer may be held back while there is no decision.
+      avoids: Ids of VMs that the entry can't reach just now; none of them is
+        named to it as the home.
     """
 
     entry: str
@@ -138,6 +140,24 @@
     events: tuple[Event, ...] = ()
     acknowledged: int = 0
     wait_s: float = 0.0
+    avoids: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Home:
+    """A VM that another holds for a pool's home.
+
+    Attributes:
+      id: Its id.
+      host: IP number.
+      port: Port for peers.
+      availability_zone: Where it is.
+    """
+
+    id: str
+    host: str
+    port: int
+    availability_zone: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -152,6 +172,8 @@
       acknowledged: Number of the newest event that was taken.
       prompt_part: Part of the pool's work that prompts are, from 0 to 1; 0
         while the home doesn't know.
+      home: Who is the home, where the one that was asked is not; it has then
+        taken no event.
     """
 
     known: bool = True
@@ -160,6 +182,29 @@
     refusals: tuple[tuple[int, messages.Refuse], ...] = ()
     acknowledged: int = 0
     prompt_part: float = 0.0
+    home: Home | None = None
+
+
+def write_home(vm: model.Vm) -> Home:
+    """Writes a VM that is a home."""
+    return Home(
+        id=vm.id,
+        host=vm.host,
+        port=vm.dispatch_port,
+        availability_zone=vm.availability_zone,
+    )
+
+
+def read_home(home: Home) -> model.Vm:
+    """Reads a VM that is a home."""
+    return model.Vm(
+        id=home.id,
+        host=home.host,
+        availability_zone=home.availability_zone,
+        role=model.VmRole.ENTRY,
+        dispatch_port=home.port,
+        entry_ports=(home.port,),
+    )
 
 
 def write_request(submit: messages.Submit, now: float) -> Request:
--- a/src/cowsliprill/decisions/cell.py
+++ b/src/cowsliprill/decisions/cell.py
@@ -6,10 +6,11 @@
 and get its decisions.
 
 An entry that a cell hasn't heard may have work at the engines that nobody here
-counts: the cell is new, or a partition hides the entry. So a cell uses the
-part of each engine that is the part of the live entries which it has heard.
-Two cells that hold themselves for the home of one pool then share its engines,
-and after a change of home the new one begins with what it knows.
+counts. Where the cell is at the home, entries that have work state it within a
+moment after they have turned to it, and the others have none: what it uses of
+each engine grows to the whole meanwhile. Where it is not, it stands in for a
+home that some entries can't reach, and others use. It uses the part of each
+engine that is the part of the live entries which it hears.
 """
 
 import dataclasses
@@ -25,6 +26,16 @@
 # longer than an entry that lives is ever silent, see `cells.client.PING_S`.
 SILENCE_S = 2.5
 
+# Entries that have work turn to a new home within this time.
+SETTLED_S = 1.0
+
+# How often what a new home uses of the engines grows.
+_GROWTH_S = 0.05
+
+# An entry without requests isn't forgotten for so long, though it says nothing:
+# its next request needn't begin a channel.
+_IDLE_S = 60.0
+
 # Part of the saved retries of all entries that one cell uses.
 _BUDGET_PART = 0.5
 
@@ -58,6 +69,21 @@
         self._owners_by_id: dict[int, tuple[str, int]] = {}
         self._next_id = 0
         self._live_entries = 1
+        self._home_since: float | None = None
+        self._share: float | None = None
+
+    def set_home(self, is_home: bool, now: float) -> None:
+        """Takes whether this cell is at the pool's home, as its VM sees it.
+
+        Args:
+          is_home: Whether it is; else it stands in for the home.
+          now: Time, seconds.
+        """
+        if not is_home:
+            self._home_since = None
+        elif self._home_since is None:
+            self._home_since = now
+        self._set_share(now)
 
     def update(
         self, snapshot: model.Snapshot, fleet: model.Fleet, now: float
@@ -157,17 +183,24 @@
         silent = [
             name
             for name, entry in self._entries_by_id.items()
-            if now - entry.heard_at > SILENCE_S
+            if now - entry.heard_at
+            > (SILENCE_S if entry.ids_by_number else _IDLE_S)
         ]
         for name in silent:
             self._forget(name, now)
-        if silent:
-            self._set_share(now)
+        self._set_share(now)
         self._handle(messages.Tick(), now)
 
     def next_wakeup(self, now: float) -> float:
         """Returns when `tick` is due."""
-        return self._scheduler.next_wakeup(now)
+        wakeup = self._scheduler.next_wakeup(now)
+        if self._is_settling(now):
+            return min(wakeup, now + _GROWTH_S)
+        return wakeup
+
+    def _is_settling(self, now: float) -> bool:
+        since = self._home_since
+        return since is not None and now - since <= SETTLED_S + _GROWTH_S
 
     def _forget(self, entry: str, now: float) -> None:
         known = self._entries_by_id.pop(entry)
@@ -179,9 +212,20 @@
             self._handle(messages.Cancel(request_id), now)
 
     def _set_share(self, now: float) -> None:
-        heard = len(self._entries_by_id)
-        share = min(heard / max(self._live_entries, 1), 1.0)
-        self._perform(self._scheduler.set_share(share, now))
+        share = self._heard_part(now)
+        if self._home_since is not None:
+            share = max(share, (now - self._home_since) / SETTLED_S)
+        share = min(share, 1.0)
+        if share != self._share:
+            self._share = share
+            self._perform(self._scheduler.set_share(share, now))
+
+    def _heard_part(self, now: float) -> float:
+        heard = sum(
+            now - entry.heard_at <= SILENCE_S
+            for entry in self._entries_by_id.values()
+        )
+        return heard / max(self._live_entries, 1)
 
     def _translate(
         self, entry: str, known: _Entry, event: messages.Event
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -336,6 +336,7 @@
       settings_port: Port of its settings process, entry VMs only.
       dispatch_port: Port of its dispatch process, entry VMs only.
       entry_ports: Peer ports of its entry processes, entry VMs only.
+      cores: Processor cores that it may use, 0 if it isn't known.
     """
 
     id: str
@@ -346,6 +347,7 @@
     settings_port: int = 0
     dispatch_port: int = 0
     entry_ports: tuple[int, ...] = ()
+    cores: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/ownership.py
+++ b/src/cowsliprill/decisions/ownership.py
@@ -6,6 +6,10 @@
 
 from cowsliprill.decisions import model
 
+# A VM with less than this part of the strongest one's processor carries a pool
+# only where there is no stronger one.
+_WEAK_PART = 0.5
+
 _STATES = (model.VmState.LIVE, model.VmState.LEAVING, model.VmState.JOINING)
 
 
@@ -19,7 +23,8 @@
 
     Those that leave, or don't know enough yet, come last, but are not left
     out: where all VMs are stopped at once their callers would else wait for a
-    home until the end.
+    home until the end. A home does work for all entries, so that the weak ones
+    come after the strong.
 
     Args:
       key: What needs a home.
@@ -29,10 +34,13 @@
       The VMs; without the first, the second would be the home.
     """
     candidates = [vm for vm in vms if vm.role is model.VmRole.ENTRY]
-    return sorted(
-        candidates,
-        key=lambda vm: (_STATES.index(vm.state), -score(vm.id, key), vm.id),
-    )
+    strongest = max((vm.cores for vm in candidates), default=0.0)
+
+    def rank(vm: model.Vm) -> tuple[int, bool, int, str]:
+        weak = vm.cores < strongest * _WEAK_PART
+        return (_STATES.index(vm.state), weak, -score(vm.id, key), vm.id)
+
+    return sorted(candidates, key=rank)
 
 
 def home_of(endpoint_id: str, vms: Iterable[model.Vm]) -> model.Vm | None:
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -522,4 +522,5 @@
         state=_state(record),
         dispatch_port=record.port,
         entry_ports=(record.port,),
+        cores=record.cores,
     )
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -81,7 +81,7 @@
         )
         self._agent = agent_lib.Agent(self._members, self._source.newest, log)
         self._scheduling: cells_client.CellScheduling
-        self._homes = homes_lib.Homes(node.availability_zone, rng, log)
+        self._homes = homes_lib.Homes(node.vm, node.availability_zone, rng, log)
         self._entry = entry_core.Entry(
             node.environment(),
             log,
--- a/src/cowsliprill/router/roles.py
+++ b/src/cowsliprill/router/roles.py
@@ -40,6 +40,9 @@
     def prompt_part(self, pool: str) -> float | None:
         """Returns the part of it that prompts are, None if unknown."""
 
+    def follow(self, pool: str, wanted: bool) -> None:
+        """Has `prompt_part` kept up to date, or not."""
+
 
 class RoleController:
     """Looks at the pools and orders engines, where this VM leads.
@@ -80,10 +83,14 @@
             self._leadership.look(electorate, clock.now())
             pools = self._source.engine_pools()
             # Orders need the store's own word on the engines.
-            self._source.require_reading(
-                any(electorate.first(pool) == electorate.own for pool in pools)
-            )
+            led = {
+                pool
+                for pool in pools
+                if electorate.first(pool) == electorate.own
+            }
+            self._source.require_reading(bool(led))
             for pool in pools:
+                self._work.follow(pool, pool in led)
                 await self._look_at(pool)
             self._tell()
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -322,6 +322,53 @@
         starts += _starts(site.decisions("vm-0"))
         assert sum(start.slots for start in starts) > _BLOCKS / 2
 
+    def test_a_new_home_has_the_whole_once_all_had_time_to_state(self):
+        """A home dies and the next takes over, for two hundred entries.
+
+        Few of them have requests. Did it wait until all were heard, it would
+        use a sliver of the engines, and callers be refused.
+        """
+        site = _Site(entries=200, decodes=1)
+        site.cell.set_home(True, site.now)
+        patient = site.now + 30.0
+        for number in range(6):
+            submit = _submit(number, site.now, useful_until=patient)
+            site.send("vm-0", submit)
+        begun = len(_starts(site.decisions("vm-0")))
+        assert begun < 4
+        while site.cell.next_wakeup(site.now) <= site.now + 0.1:
+            site.now += 0.1
+            site.cell.tick(site.now)
+            if site.now >= 10.0 + cell_lib.SETTLED_S:
+                break
+        begun += len(_starts(site.decisions("vm-0")))
+        assert begun == 4
+
+    def test_one_that_stands_in_never_has_the_whole(self):
+        """An entry can't reach the home, which serves all others.
+
+        One request an engine is placed all the same, or it would have none.
+        """
+        site = _Site(entries=200, decodes=1)
+        site.cell.set_home(False, site.now)
+        for number in range(6):
+            site.send("vm-0", _submit(number, site.now))
+        site.now += 2 * cell_lib.SETTLED_S
+        site.send("vm-0")
+        site.cell.tick(site.now)
+        assert len(_starts(site.decisions("vm-0"))) == 1
+
+    def test_an_entry_without_requests_is_remembered(self):
+        """Its next request comes after seconds of silence.
+
+        Forgotten, the entry would have to begin anew, at each of its requests.
+        """
+        site = _Site()
+        site.hear_all()
+        site.now += 10 * cell_lib.SILENCE_S
+        site.cell.tick(site.now)
+        assert site.cell.knows("vm-0", 1)
+
     def test_the_slots_of_a_silent_entry_come_free(self):
         """A VM lost its power; engines dropped its requests."""
         site = _Site(decodes=1)
