--- a/src/cowsliprill/decisions/chooser.py
+++ b/src/cowsliprill/decisions/chooser.py
@@ -170,8 +170,8 @@
         no_other: bool,
     ) -> bool:
         # A probe may well come to nothing. With a short prompt it costs less.
-        # What is short goes by the pool's own prompts: where all of them were
-        # longer than a fixed bound, no engine was ever tried again.
+        # What is short goes by the pool's own prompts: where all of them are
+        # longer than a fixed bound, no engine would ever be tried again.
         is_short = submit.prompt_tokens <= pool.usual_prompt_tokens
         # One that couldn't be reached is found out before the prefill.
         cheap = is_short or self._health.was_unreachable(endpoint.id)
--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -33,8 +33,8 @@
 _AVOID_UNREACHABLE_MAX_S = 2.0
 
 # Where all engines of a kind are left alone, one request tries each again so
-# soon after its last failure: the others are refused meanwhile. Two prefill
-# engines that lost answers for 4 s had a pool refuse its callers for 14 s.
+# soon after its last failure. Left alone for longer they would have the pool
+# refuse its callers long after they are well again.
 _AVOID_ALL_S = 0.5
 
 # A probe whose outcome is never heard of must not keep an endpoint out.
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -32,8 +32,8 @@
 
 # Part of an expected answer for which memory is promised. Answers grow while
 # others beside them end, so all of them are never at their full length at
-# once. At 0.5 engines put up to 21 requests of a heavy day back and read them
-# anew; at 0.7 up to 3, at 1 none; 0.7 serves 2 in 100 more than 1.
+# once. Promised less, engines put requests back and read them anew; promised
+# more, memory stays empty while callers are refused.
 _ANSWER_PROMISED = 0.7
 
 # An entry sees a part of each user's work, so small differences say nothing.
@@ -138,8 +138,8 @@
             if before is not None and _state(before) != _state(endpoint):
                 # What was learnt of an engine's last life, or of its work as a
                 # prefill engine, says nothing of what has begun under the same
-                # id. One that turned a prompt away while it changed was left
-                # alone for as long as it lived.
+                # id. One that turned a prompt away while it changed would be
+                # left alone for as long as it lives.
                 self._health.forget(endpoint.id)
         self.endpoints_by_id = {item.id: item for item in prefills + decodes}
         self.block_tokens = max(
--- a/src/cowsliprill/decisions/prospects.py
+++ b/src/cowsliprill/decisions/prospects.py
@@ -9,9 +9,8 @@
 # being turned away for lack of room.
 _EASY_WAIT = 0.1
 
-# Part of a pool that late requests are taken to get at the least. Of 0.1, 0.3
-# and 0.5, on six heavy days of two sites: less refuses callers that would have
-# been served late, more lets others wait in vain; 0.3 serves as many as either.
+# Part of a pool that late requests are taken to get at the least. Less refuses
+# callers that would be served late, more lets others wait in vain.
 _LEAST_ROOM = 0.3
 
 
--- a/src/cowsliprill/decisions/roles.py
+++ b/src/cowsliprill/decisions/roles.py
@@ -14,10 +14,9 @@
 
 from cowsliprill.decisions import model
 
-# Part of a pool's work that prompts are, before any was seen. A prompt of some
-# thousand tokens keeps a prefill engine busy for 0.1 s; its answer fills a
-# tenth of a decode engine's memory for 3.5 s. Half and double of this part give
-# the same division of 4 engines, and one engine more or less of 9.
+# Part of a pool's work that prompts are, before any was seen: a prompt of some
+# thousand tokens keeps a prefill engine busy for 0.1 s, and its answer fills a
+# tenth of a decode engine's memory for some seconds.
 USUAL_PROMPT_PART = 0.22
 
 # A change is worth an engine's absence for some seconds only if it raises what
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -39,10 +39,9 @@
 
 
 # How long an engine that said it was full isn't asked again, unless one of its
-# requests ends before. Answers there have grown beyond what was expected; of
-# the ten that it writes one ends within this time. Asked with each that waited,
-# an engine turned four in a row away within 0.7 s, and their prompts had been
-# read in vain.
+# requests ends before. Answers there have grown beyond what was expected. Asked
+# with each request that waits, it would turn one after the other away, and
+# their prompts would be read in vain.
 _FULL_S = 0.5
 
 
@@ -391,7 +390,7 @@
         entries = self._pools.entries
         # Whoever comes back is late by then and has what those in time leave.
         # Told the time in which the whole pool drains, callers of a burst
-        # came back while it lasted and were refused for good.
+        # would come back while it lasts and be refused for good.
         room = prospects.room_for_late(pool, now, entries)
         slots = max(pool.slots(), 1) / pool.usual_slots
         step_s = pool.hold_s / slots * entries / room
--- a/src/cowsliprill/registry/endpoints.py
+++ b/src/cowsliprill/registry/endpoints.py
@@ -60,8 +60,8 @@
 
         Of several at one address only the last to start: an endpoint that has
         crashed stays listed until its entry lapses, beside its next life under
-        another id. Counted as two, a pool's only prefill engine was told to
-        write answers as soon as it was back, and was missing for 13 s.
+        another id. Counted as two, a pool's only prefill engine would be told
+        to write answers as soon as it is back, and prompts would have none.
         """
         newest_by_address: dict[tuple[str, str, int], Listed] = {}
         for item in self._listed_by_key.values():
