--- a/src/cowsliprill/decisions/ownership.py
+++ b/src/cowsliprill/decisions/ownership.py
@@ -8,7 +8,7 @@
 
 # A VM with less than this part of the strongest one's processor carries a pool
 # only where there is no stronger one.
-_WEAK_PART = 0.5
+WEAK_PART = 0.5
 
 _STATES = (model.VmState.LIVE, model.VmState.LEAVING, model.VmState.JOINING)
 
@@ -37,7 +37,7 @@
     strongest = max((vm.cores for vm in candidates), default=0.0)
 
     def rank(vm: model.Vm) -> tuple[int, bool, int, str]:
-        weak = vm.cores < strongest * _WEAK_PART
+        weak = vm.cores < strongest * WEAK_PART
         return (_STATES.index(vm.state), weak, -score(vm.id, key), vm.id)
 
     return sorted(candidates, key=rank)
--- a/src/cowsliprill/decisions/readers.py
+++ b/src/cowsliprill/decisions/readers.py
@@ -36,16 +36,19 @@
         for record in (own, *others)
         if record.availability_zone == own.availability_zone
     ]
+    strongest = max(record.cores for record in zone)
+
+    def rank(record: member_records.Record) -> tuple[bool, bool, int, str]:
+        # A reader answers all others of its zone, so strong VMs come first.
+        weak = record.cores < strongest * ownership.WEAK_PART
+        score = ownership.score(record.id, _KEY)
+        return (record.leaving, weak, -score, record.id)
+
     sighted = 0
-    for record in sorted(zone, key=_rank)[:_TRYING_MAX]:
+    for record in sorted(zone, key=rank)[:_TRYING_MAX]:
         if record.id == own.id:
             return True
         sighted += not record.blind
         if sighted == READERS_A_ZONE:
             return False
     return False
-
-
-def _rank(record: member_records.Record) -> tuple[bool, int, str]:
-    score = ownership.score(record.id, _KEY)
-    return (record.leaving, -score, record.id)
--- a/src/cowsliprill/decisions/server_health.py
+++ b/src/cowsliprill/decisions/server_health.py
@@ -13,8 +13,8 @@
 # server that fails half of them from one that fails a seventh.
 _NEWEST = 0.05
 
-# A share so far above that of the peers is hardly chance, even where all of them
-# fail a good part of their calls.
+# A share so far above that of the peers is hardly chance, even where all of
+# them fail a good part of their calls.
 _WORSE = 0.2
 
 # A server that lost a call is left alone for so long, and the longer the more
--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -30,6 +30,10 @@
 # What a held watch may take beyond its time.
 _WATCH_GRACE_S = 1.0
 
+# Changes often come in groups: engines are replaced, settings follow others.
+# Each answer costs a call, so the next one waits for the rest of its group.
+_GROUP_S = 0.15
+
 # Pause after a failed call. It doubles, so that a store that is down isn't
 # pressed by the whole fleet, and ends soon enough after its return for a
 # change to be in force within two seconds.
@@ -190,6 +194,8 @@
             wait_s + _WATCH_GRACE_S,
         )
         self.took(self.view.take_watched(watched.changes, watched.as_of))
+        if watched.changes:
+            await asyncio.sleep(_GROUP_S)
 
     async def _list(self) -> None:
         first = await self._store.page(self.view.prefix, "", _CALL_S)
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -43,6 +43,10 @@
 # if it is to.
 _FIRST_READING_S = 1.5
 
+# A process asks peers of its own zone first; those of others only when these
+# have had the time to get the news themselves.
+_NEAR_FIRST_S = 0.2
+
 # A process that leaves the store to others, and knows that there is news which
 # no peer gives it, lists the store itself after this time.
 _BEHIND_ALONE_S = 0.8
@@ -472,6 +476,13 @@
         empty = not follower.view.newest
         return empty or clock.now() - away_since > _AWAY_S
 
+    def _may_wait_for_near(self, view: registry.View) -> bool:
+        # Whoever knows nothing yet turns callers away meanwhile.
+        since = self._behind_since_by_prefix.get(view.prefix)
+        if since is None or not view.newest:
+            return False
+        return clock.now() - since < _NEAR_FIRST_S
+
     async def _ask_peer(
         self, index: int, follower: follower_lib.Follower
     ) -> None:
@@ -481,6 +492,11 @@
             return
         zone = self._members.own.availability_zone
         near = [peer for peer in ahead if peer.availability_zone == zone]
+        if not near and self._may_wait_for_near(view):
+            asyncio.get_running_loop().call_later(
+                _NEAR_FIRST_S, self._behind.set
+            )
+            return
         peer = self._random.choice(near or ahead)
         try:
             news, store_troubled = await registry_peers.ask(
