News of engines reach all at once; a request waits for those its home knows first

News took 0.75 s in the median and 1.3 s at the most to reach 195 VMs: a VM looked at what it had heard only at its next beat. It looks at once now, tells registry news within 20 ms, and an entry waits up to 0.3 s for an engine that it never heard of.

Ruled out: the home's own delay before it uses a new engine (costs capacity just when engines are replaced).

Found by a test that failed once: the datagram socket of a router that ended was left open; ports of tests are now free for UDP.

--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -34,6 +34,8 @@
 # What a decision and a fetch take at most, of the time for which a finished
 # prefill is kept.
 _FETCH_S = 0.06
+# News of a new engine reach all VMs within this time.
+_NEWS_S = 0.3
 _BUSY = frozenset({protocol.CODE_FULL, protocol.CODE_DRAINING})
 # No engine would take this request, so trying another wastes its time.
 _CODES_OF_CALLERS_FAULTS = frozenset({"bad_request", "invalid_request"})
@@ -70,6 +72,7 @@
         """
         ctx.stall_s = _STALL_S if ctx.service.resume else None
         try:
+            await self._learn_of_engines(ctx.start)
             await self._prepare(ctx)
             prefilled = await self._prefilled(ctx)
             endpoint, stream = await self._decode(ctx, prefilled)
@@ -82,6 +85,12 @@
         finally:
             stream.close()
 
+    async def _learn_of_engines(self, start: messages.Start) -> None:
+        # Its home may have placed a request on engines that have just come.
+        # Given up here, the attempt would be lost, and the next ones as well.
+        for endpoint_id in (start.prefill_id, start.decode_id):
+            await self.world.learn_of(endpoint_id, _NEWS_S)
+
     async def _prepare(self, ctx: context.Context) -> None:
         # An engine that has crashed, or whose machine is dark, is still listed
         # for some seconds. Found out only after the prefill, each request
--- a/src/cowsliprill/entry/world.py
+++ b/src/cowsliprill/entry/world.py
@@ -1,5 +1,6 @@
 """The settings and the VM list in force, as this process knows them."""
 
+import asyncio
 import dataclasses
 from collections.abc import Callable
 from typing import Protocol
@@ -7,6 +8,9 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import ownership
 
+# Endpoints that are gone and remembered as such.
+_GONE_MAX = 1_000
+
 
 class Source(Protocol):
     """Where settings and VM list come from: `settings.follower.Follower`.
@@ -46,12 +50,45 @@
     _homes_by_endpoint: dict[str, model.Vm | None] = dataclasses.field(
         default_factory=dict
     )
+    _gone: dict[str, None] = dataclasses.field(default_factory=dict)
+    _updated: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     def update(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
         """Takes new settings or a new VM list."""
+        present = snapshot.endpoints_by_id.keys()
+        for endpoint_id in self.snapshot.endpoints_by_id.keys() - present:
+            self._gone[endpoint_id] = None
+        while len(self._gone) > _GONE_MAX:
+            del self._gone[next(iter(self._gone))]
         self.snapshot = snapshot
         self.fleet = fleet
         self._homes_by_endpoint = {}
+        self._updated.set()
+        self._updated = asyncio.Event()
+
+    async def learn_of(self, endpoint_id: str, wait_s: float) -> None:
+        """Waits for an endpoint that another VM knows and this one doesn't.
+
+        News of a new endpoint reach some VMs before others. One that was here
+        and is gone isn't waited for.
+
+        Args:
+          endpoint_id: The endpoint; empty for none.
+          wait_s: Longest time.
+        """
+        try:
+            async with asyncio.timeout(wait_s):
+                while self._is_unheard_of(endpoint_id):
+                    await self._updated.wait()
+        except TimeoutError:
+            pass
+
+    def _is_unheard_of(self, endpoint_id: str) -> bool:
+        return bool(
+            endpoint_id
+            and endpoint_id not in self.snapshot.endpoints_by_id
+            and endpoint_id not in self._gone
+        )
 
     def note_leaving(self, endpoint_id: str, until: float) -> None:
         """Notes an endpoint's own draining answer until its news expire.
--- a/src/cowsliprill/membership/agent.py
+++ b/src/cowsliprill/membership/agent.py
@@ -15,6 +15,9 @@
 # News are told this soon after they came, together with what comes meanwhile.
 _FLUSH_S = 0.1
 
+# So are news of the registry, which come seldom and which callers feel.
+_REGISTRY_FLUSH_S = 0.02
+
 # A process that leaves tells so often, since datagrams may be lost and it may
 # end before the next heartbeat.
 _ANNOUNCEMENTS = 3
@@ -45,6 +48,7 @@
         self._callbacks: list[Callable[[], None]] = []
         self._transport: asyncio.DatagramTransport | None = None
         self._present: dict[str, tuple[int, bool, bool]] = {}
+        self._logged_revision = (0, False)
         self._flush_due: asyncio.TimerHandle | None = None
 
     def subscribe(self, callback: Callable[[], None]) -> None:
@@ -60,11 +64,14 @@
             local_addr=own.address,
             family=socket.AF_INET,
         )
-        while True:
-            self._members.tell_newest(self._newest())
-            self._send(self._members.tick(clock.now()))
-            self._pass_on()
-            await asyncio.sleep(membership.TICK_S)
+        try:
+            while True:
+                self._members.tell_newest(self._newest())
+                self._send(self._members.tick(clock.now()))
+                self._pass_on()
+                await asyncio.sleep(membership.TICK_S)
+        finally:
+            self._close()
 
     def tell(self, **changes: object) -> None:
         """Tells the others something else of this process.
@@ -78,7 +85,7 @@
     def tell_newest(self) -> None:
         """Tells the others which registry changes are known here."""
         self._members.tell_newest(self._newest())
-        self._arrange_flush()
+        self._arrange_flush(_REGISTRY_FLUSH_S)
 
     async def leave(self) -> None:
         """Tells the others that this process takes no more work."""
@@ -102,17 +109,32 @@
                 "heartbeat_malformed", peer=addr[0], reason=str(error)
             )
             return
+        heard = self._members.newest_heard
         self._send(self._members.receive(message, clock.now()))
+        if self._members.newest_heard != heard:
+            self._pass_on()
         self._arrange_flush()
 
     def error_received(self, exc: OSError) -> None:
         """Notes that a message met a closed port; its owner is restarting."""
         self._log.event("heartbeat_unsent", reason=str(exc))
 
-    def _arrange_flush(self) -> None:
-        if self._flush_due is None and self._members.is_urgent():
-            loop = asyncio.get_running_loop()
-            self._flush_due = loop.call_later(_FLUSH_S, self._flush)
+    def _close(self) -> None:
+        if self._flush_due is not None:
+            self._flush_due.cancel()
+        self._transport.close()
+        self._transport = None
+
+    def _arrange_flush(self, within_s: float = _FLUSH_S) -> None:
+        if self._transport is None or not self._members.is_urgent():
+            return
+        loop = asyncio.get_running_loop()
+        due = self._flush_due
+        if due is not None and due.when() <= loop.time() + within_s:
+            return
+        if due is not None:
+            due.cancel()
+        self._flush_due = loop.call_later(within_s, self._flush)
 
     def _flush(self) -> None:
         if self._flush_due is not None:
@@ -135,6 +157,9 @@
             callback()
 
     def _log_changes(self) -> None:
+        if self._members.revision == self._logged_revision:
+            return
+        self._logged_revision = self._members.revision
         present = {
             record.id: (record.incarnation, record.ready, record.leaving)
             for record in self._members.alive()
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -28,6 +28,9 @@
 UNSAFE_PATH = "/pickup/"
 EVENTS = 6
 
+# Addresses that routers of one site have.
+_HOSTS = 8
+
 
 class Store:
     """The platform's store: ranges, watches, and its own troubles.
@@ -48,14 +51,8 @@
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._changed = asyncio.Condition()
-        own = {"store": self}
-        self._site = Served(
-            [
-                ("/kv-range", _RangeHandler, own),
-                ("/kv-watch", _WatchHandler, own),
-            ]
-        )
-        self.address = self._site.address
+        self.door = Door(self)
+        self.address = self.door.site.address
 
     async def put(self, key: str, value: bytes | dict) -> None:
         if isinstance(value, dict):
@@ -126,14 +123,37 @@
         return self._revision
 
 
+class Door:
+    """An address of a store, by which it may treat some VMs otherwise.
+
+    Attributes:
+      status: What all calls by it are answered with, 0 to serve them.
+      calls: Paths that were called by it.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.status = 0
+        self.calls: list[str] = []
+        own = {"store": store, "door": self}
+        self.site = Served(
+            [
+                ("/kv-range", _RangeHandler, own),
+                ("/kv-watch", _WatchHandler, own),
+            ]
+        )
+
+
 class _StoreHandler(web.RequestHandler):
-    def initialize(self, store: Store) -> None:
+    def initialize(self, store: Store, door: Door) -> None:
         self.store = store
+        self.door = door
 
     def prepare(self) -> None:
         self.store.calls.append(self.request.path)
-        if self.store.status:
-            self.set_status(self.store.status)
+        self.door.calls.append(self.request.path)
+        status = self.store.status or self.door.status
+        if status:
+            self.set_status(status)
             self.finish()
 
 
@@ -529,11 +549,26 @@
 
     Let go at once, a port was now and then given to a connection of the test
     itself, and a router then couldn't listen. Held so, they can still bind it.
+    The number is free for UDP as well: another test's router, or another
+    program, may have it there.
     """
-    held = socket.socket()
-    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    held.bind(("127.0.0.1", 0))
-    return held
+    while True:
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        if _is_free_for_udp(held.getsockname()[1]):
+            return held
+        held.close()
+
+
+def _is_free_for_udp(port: int) -> bool:
+    for number in range(_HOSTS):
+        with socket.socket(type=socket.SOCK_DGRAM) as tried:
+            try:
+                tried.bind((f"127.0.0.{number + 1}", port))
+            except OSError:
+                return False
+    return True
 
 
 async def until(condition: Any) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -89,7 +89,10 @@
         """
         net = _settled(40)
         net.split([7])
-        net.run(6.0)
+        assert net.members(7).hears_somebody(net.now)
+        net.run(2.0)
+        assert not net.members(7).hears_somebody(net.now)
+        net.run(4.0)
         assert net.view(7) == {"vm-7"}
         net.heal()
         net.run(0.4)
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -66,6 +66,9 @@
         del now
         return model.Fleet(leaving_endpoint_ids=self.leaving)
 
+    async def learn_of(self, endpoint_id, wait_s):
+        del endpoint_id, wait_s
+
     def unlist(self, name):
         left = {key: item for key, item in _BY_ID.items() if key != name}
         self.snapshot = model.Snapshot(endpoints_by_id=left)
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,67 @@
+"""Tests of `entry.world`."""
+
+import asyncio
+
+import pytest
+
+from cowsliprill.decisions import model
+from cowsliprill.entry import world as world_lib
+
+_LONG_S = 30.0
+
+
+def _snapshot(*names: str) -> model.Snapshot:
+    return model.Snapshot(
+        revision=1,
+        endpoints_by_id={
+            name: model.Endpoint(
+                id=name,
+                kind=model.EndpointKind.DECODE,
+                host="10.0.0.1",
+                port=80,
+                availability_zone="a",
+                pool="writers",
+                slots=1,
+            )
+            for name in names
+        },
+    )
+
+
+class TestNewEndpoints:
+    """A pool's home knows a new engine before this process does."""
+
+    def test_news_of_it_are_waited_for(self):
+        """A release replaces engines one after the other.
+
+        The home places requests on each new one at once. Given up because
+        this VM hasn't heard of it, they would be tried again and again while
+        their time runs out.
+        """
+
+        async def scenario():
+            world = world_lib.World(_snapshot("a"))
+            waiting = asyncio.create_task(world.learn_of("b", _LONG_S))
+            await asyncio.sleep(0)
+            assert not waiting.done()
+            world.update(_snapshot("a", "c"), model.Fleet())
+            await asyncio.sleep(0)
+            assert not waiting.done()
+            world.update(_snapshot("a", "b"), model.Fleet())
+            await waiting
+
+        asyncio.run(asyncio.wait_for(scenario(), _LONG_S / 2))
+
+    @pytest.mark.parametrize("name", ["a", "", "gone"])
+    def test_what_is_known_or_gone_is_not(self, name):
+        async def scenario():
+            world = world_lib.World(_snapshot("a", "gone"))
+            world.update(_snapshot("a"), model.Fleet())
+            await world.learn_of(name, _LONG_S)
+
+        asyncio.run(asyncio.wait_for(scenario(), _LONG_S / 2))
+
+    def test_the_wait_ends(self):
+        world = world_lib.World(_snapshot("a"))
+        asyncio.run(world.learn_of("b", 0.01))
+        assert "b" not in world.snapshot.endpoints_by_id
