--- a/src/cowsliprill/decisions/membership.py
+++ b/src/cowsliprill/decisions/membership.py
@@ -23,51 +23,21 @@
 from cowsliprill.decisions import member_records as records_lib
 from cowsliprill.decisions import member_table
 from cowsliprill.decisions import rumors as rumors_lib
+from cowsliprill.decisions import silence as silence_lib
+from cowsliprill.decisions import table_comparison
+from cowsliprill.decisions import watchers as watchers_lib
 
 BEAT_S = 1.0
 
 # Time between two calls of `tick`.
 TICK_S = 0.5
 
-# Peers that watch one process. Up to seven processes all watch each other.
-FANOUT = 6
-
-# Silence of a watched member after which it is asked, and after which it is
-# suspected: a heartbeat and the answers to one or two questions are lost then.
-_ASK_AFTER_S = 1.3
-_SUSPECT_AFTER_S = 2.1
-
-# How long a suspected member has to say that it lives.
-_SUSPICION_S = 1.4
-
-# A process that hears nobody for so long is cut off, or alone.
-_ALONE_AFTER_S = _SUSPECT_AFTER_S + _SUSPICION_S
-
-# A longer gap between two ticks means that this process stood still, and not
-# that the others were silent.
-_STOOD_STILL_S = 1.2
-
-# What is known may differ for so long before a peer is asked: most of it is
-# on its way. Questions are apart by at least the second.
-_DIFFERS_S = 0.2
-_COMPARE_S = 0.4
-
 # A process may be the only one to read the registry if it hears nobody for
 # so long: of the several messages a second that it gets, all are missing.
 _UNHEARD_S = 1.5
 
-# Members that fell silent lately from which on others are asked as well, how
-# many at each tick, and which of them: those not heard for some time. Where a
-# zone or half of a fleet is lost, all who watched a lost one may be lost too.
-_MANY_SILENT = 3
-_SILENT_LATELY_S = 4.0
-_QUESTIONS = 6
-_UNSURE_S = 2.0
-
 _Sends = list[records_lib.Outgoing]
 _ALIVE = records_lib.Standing.ALIVE
-_SUSPECTED = records_lib.Standing.SUSPECTED
-_DEAD = records_lib.Standing.DEAD
 
 
 class Membership:
@@ -92,20 +62,15 @@
     ) -> None:
         self.seeds = tuple(seeds)
         self._table = member_table.MemberTable(own)
-        self._rumors = rumors_lib.Rumors(FANOUT)
+        self._rumors = rumors_lib.Rumors(watchers_lib.WATCHERS)
         self._random = rng
         self._newest: tuple[int, ...] = ()
         self._newest_told: tuple[int, ...] = ()
         self.newest_heard: tuple[int, ...] = ()
-        self._watchers: list[str] = []
-        self._ticked_at = -math.inf
+        self._watchers = watchers_lib.Watchers(self._table, rng)
         self._beat_at = -math.inf
-        self._heard_at = -math.inf
-        self._differs_since = math.inf
-        self._differing = ""
-        self._differing_known = 0
-        self._alone = False
-        self._compared_at = -math.inf
+        self._silence = silence_lib.Silence(self._table, rng, TICK_S)
+        self._comparison = table_comparison.TableComparison()
 
     # What is known.
 
@@ -117,7 +82,7 @@
     @property
     def revision(self) -> tuple[int, bool]:
         """Differs from what it was after each change of the live members."""
-        return (self._table.revision, self._alone)
+        return (self._table.revision, self._silence.alone)
 
     @property
     def digest(self) -> int:
@@ -156,7 +121,7 @@
 
     def hears_somebody(self, now: float) -> bool:
         """Returns whether any member was heard just now."""
-        return now - self._heard_at < _UNHEARD_S
+        return self._silence.heard_within(_UNHEARD_S, now)
 
     def electorate(self) -> leadership.Electorate:
         """Returns whom this process knows, for the choice of a leader."""
@@ -174,12 +139,12 @@
     @staticmethod
     def patience_s() -> float:
         """Returns how long a silent member may be held for alive."""
-        return _ALONE_AFTER_S + 2 * TICK_S
+        return silence_lib.ALONE_AFTER_S + 2 * TICK_S
 
     def _alive(self) -> list[member_table.Member]:
         # Who hears nobody at all is cut off from all. The table stays as it
         # is: told to the others later, so many deaths would be believed.
-        return [] if self._alone else self._table.alive()
+        return [] if self._silence.alone else self._table.alive()
 
     # What this process says of itself.
 
@@ -211,13 +176,10 @@
         Returns:
           Messages to send.
         """
-        if now - self._ticked_at > _STOOD_STILL_S:
-            self._excuse(now)
-        self._ticked_at = now
-        self._bury(now)
-        self._doubt(now)
+        for name in self._silence.look(now):
+            self._rumors.add(name)
         sends = [*self._ask_silent(now), *self._compare(now)]
-        beat_s = BEAT_S if self._watchers else TICK_S
+        beat_s = BEAT_S if self._watchers.ids else TICK_S
         if now - self._beat_at >= beat_s - TICK_S / 2:
             self._beat_at = now
             sends += self._beat()
@@ -255,14 +217,11 @@
             # life.
             self._defend(records_lib.News(record=sender))
             return []
-        if self._alone:
-            self._alone = False
-            self._excuse(now)
-        self._heard_at = now
+        self._silence.hear(now)
         self._take(records_lib.News(record=sender), now)
         self._hear(message, now)
         defended = [self._take(news, now) for news in message.news]
-        self._note_difference(message, now)
+        self._comparison.note(message, self.digest, now)
         sends = [*self._answers(message)]
         wanted = message.ping or any(defended) or self._knows_more(message)
         if wanted or self._misjudged(sender):
@@ -323,93 +282,20 @@
         # would be the last to learn of the others.
         return message.known < self.known()
 
-    def _note_difference(
-        self, message: records_lib.Message, now: float
-    ) -> None:
-        if message.digest == self.digest:
-            self._differs_since = math.inf
-            self._differing_known = 0
-            return
-        # Who knows more members is asked: while a fleet starts, that brings
-        # all within a few questions.
-        if message.known >= self._differing_known:
-            self._differing = message.sender.id
-            self._differing_known = message.known
-        self._differs_since = min(self._differs_since, now)
-
     def _set_own(self, record: records_lib.Record) -> None:
         self._table.own = record
         self._rumors.add(record.id)
 
-    # Silence.
-
-    def _excuse(self, now: float) -> None:
-        self._heard_at = max(self._heard_at, now)
-        for member in self._table.members_by_id.values():
-            if member.watched:
-                member.heard_at = now
-            if member.standing is _SUSPECTED:
-                member.suspected_at = now
+    # What is sent.
 
     def _ask_silent(self, now: float) -> Iterator[records_lib.Outgoing]:
-        for member in self._table.alive():
-            silent_s = now - member.heard_at
-            if not member.watched or silent_s < _ASK_AFTER_S:
-                continue
-            may_suspect = member.standing is _ALIVE and not self._alone
-            if may_suspect and silent_s >= _SUSPECT_AFTER_S:
-                self._judge(member, _SUSPECTED, now)
+        for member, suspected in self._silence.to_ask(now):
+            if suspected:
+                self._rumors.add(member.record.id)
             yield self._outgoing(member.record, (member.news,), ping=True)
 
-    def _doubt(self, now: float) -> None:
-        silent = [
-            member
-            for member in self._table.members_by_id.values()
-            if member.standing is not _ALIVE
-            and now - member.suspected_at < _SILENT_LATELY_S
-        ]
-        if len(silent) < _MANY_SILENT:
-            return
-        unsure = [
-            member
-            for member in self._table.alive()
-            if not member.watched and now - member.heard_at > _UNSURE_S
-        ]
-        count = min(_QUESTIONS, len(unsure))
-        for member in self._random.sample(unsure, count):
-            # Asked at once and released by its answer, else suspected at the
-            # next tick.
-            member.watched = True
-            member.heard_at = now - _SUSPECT_AFTER_S + TICK_S / 2
-
-    def _bury(self, now: float) -> None:
-        self._alone = now - self._heard_at > _ALONE_AFTER_S
-        if self._alone:
-            return
-        for member in self._table.alive():
-            if member.standing is not _SUSPECTED:
-                continue
-            silent_since = max(member.suspected_at, member.heard_at)
-            # If nobody was heard since, the silence may be this process's own.
-            hears = self._heard_at > silent_since
-            if hears and now - silent_since > _SUSPICION_S:
-                self._judge(member, _DEAD, now)
-
-    def _judge(
-        self,
-        member: member_table.Member,
-        standing: records_lib.Standing,
-        now: float,
-    ) -> None:
-        record = member.record
-        news = records_lib.News(record=record, standing=standing)
-        if self._table.take(news, now):
-            self._rumors.add(record.id)
-
-    # What is sent.
-
     def _beat(self) -> Iterator[records_lib.Outgoing]:
-        released = self._turn_watchers()
+        released = self._watchers.turn()
         chosen = self._rumors.next_round(self.known())
         news = self._news_of(chosen)
         yield from self._pass_on(chosen)
@@ -417,25 +303,6 @@
             yield self._outgoing(member.record, news)
         yield from self._greetings(news)
 
-    def _turn_watchers(self) -> list[member_table.Member]:
-        """Draws the next watchers; returns one that is so no longer.
-
-        One changes at each beat. While a fleet starts all know the seeds
-        first, which would otherwise watch everyone for good.
-        """
-        alive_by_id = {
-            member.record.id: member for member in self._table.alive()
-        }
-        watchers = [name for name in self._watchers if name in alive_by_id]
-        released = []
-        others = [name for name in alive_by_id if name not in watchers]
-        if len(watchers) >= FANOUT and others:
-            released.append(alive_by_id[watchers.pop(0)])
-        missing = min(FANOUT - len(watchers), len(others))
-        watchers += self._random.sample(others, missing)
-        self._watchers = watchers
-        return released
-
     def _greetings(
         self, news: tuple[records_lib.News, ...]
     ) -> Iterator[records_lib.Outgoing]:
@@ -446,11 +313,11 @@
         if dead:
             member = self._random.choice(dead)
             yield self._outgoing(member.record, (member.news, *news))
-        if len(self._watchers) >= FANOUT:
+        if len(self._watchers.ids) >= watchers_lib.WATCHERS:
             return
         met = {
             self._table.members_by_id[name].record.address
-            for name in self._watchers
+            for name in self._watchers.ids
         }
         met.add(self.own.address)
         for address in self.seeds:
@@ -462,20 +329,15 @@
     def _asked(self) -> tuple[int, ...]:
         # Who knows nobody yet asks the seed for all; later only differences
         # are asked for, at their time.
-        return () if self._watchers else tuple(self._table.digests)
+        return () if self._watchers.ids else tuple(self._table.digests)
 
     def _compare(self, now: float) -> Iterator[records_lib.Outgoing]:
-        member = self._table.members_by_id.get(self._differing)
-        if member is None or now - self._differs_since < _DIFFERS_S:
-            return
-        if now - self._compared_at < _COMPARE_S:
-            return
-        self._compared_at = now
-        self._differs_since = math.inf
-        self._differing_known = 0
-        yield self._outgoing(
-            member.record, (), digests=tuple(self._table.digests)
-        )
+        peer = self._comparison.next_peer(now)
+        member = self._table.members_by_id.get(peer)
+        if member is not None:
+            yield self._outgoing(
+                member.record, (), digests=tuple(self._table.digests)
+            )
 
     def _answers(
         self, message: records_lib.Message
@@ -492,34 +354,21 @@
         return self._outgoing(sender, (member.news,))
 
     def _pass_on(self, chosen: list[str]) -> Iterator[records_lib.Outgoing]:
-        receivers = [*self._watchers]
+        receivers = [*self._watchers.ids]
         if self.own.id in chosen:
-            receivers += self._others()
+            receivers += self._watchers.draw_others()
         news = self._news_of(chosen)
         for name in receivers:
             record = self._table.members_by_id[name].record
             yield self._outgoing(record, news)
 
-    def _others(self) -> list[str]:
-        """Draws some that don't watch this process.
-
-        What it says of itself has nobody else to say it. If it can't reach
-        those who watch it, all would hold it for dead.
-        """
-        others = [
-            member.record.id
-            for member in self._table.alive()
-            if member.record.id not in self._watchers
-        ]
-        return self._random.sample(others, min(FANOUT, len(others)))
-
     def _outgoing(
         self,
         receiver: records_lib.Record,
         news: tuple[records_lib.News, ...],
         **fields: object,
     ) -> records_lib.Outgoing:
-        watched = receiver.id in self._watchers
+        watched = receiver.id in self._watchers.ids
         message = self._message(news, watched=watched, **fields)
         return records_lib.Outgoing(receiver.address, message)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,8 +3,8 @@
 import pytest
 from tests import member_net
 
-from cowsliprill.decisions import membership
 from cowsliprill.decisions import rumors
+from cowsliprill.decisions import watchers
 from cowsliprill.membership import wire
 
 # Within these times all views shall agree, by the number of members.
@@ -197,7 +197,7 @@
         net.run(10.0)
         after = sum(item.sent for item in net.by_address.values())
         each_a_second = (after - before) / count / 10.0
-        assert each_a_second <= membership.FANOUT + 2
+        assert each_a_second <= watchers.WATCHERS + 2
         message = net.members(0).flush()[0].message
         assert each_a_second * _size_of(message) <= _BYTES_A_SECOND
 
