Split what peers tell of the registry from the source

No change of behaviour meant; tests of the few readers, the source and the whole router on stand-ins pass.

--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -40,6 +40,12 @@
 _PAUSE_MIN_S = 0.2
 _PAUSE_MAX_S = 0.8
 
+# A removal that is heard this soon after the store's return may be a lapse.
+RETURN_S = 1.0
+
+# A single failed call doesn't make a store that is away.
+_AWAY_S = 0.5
+
 Took = Callable[[list[registry.Change]], None]
 
 
@@ -116,6 +122,10 @@
             else:
                 self._note_back()
 
+    def is_away(self, now: float) -> bool:
+        """Returns whether the store hasn't answered for some time."""
+        return bool(self.away_since) and now - self.away_since > _AWAY_S
+
     def overtake(self, newest: int) -> None:
         """Ends a wait when a peer has read further than this process.
 
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -7,7 +7,6 @@
 from typing import Protocol
 
 from cowsliprill import clock
-from cowsliprill import peer_client
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
@@ -17,40 +16,16 @@
 from cowsliprill.observability import log as log_lib
 from cowsliprill.registry import endpoints as endpoints_lib
 from cowsliprill.registry import follower as follower_lib
-from cowsliprill.registry import peers as registry_peers
+from cowsliprill.registry import peer_news
 from cowsliprill.registry import store as store_lib
 
-# A removal that is heard this soon after the store's return may be a lapse.
-_RETURN_S = 1.0
-
-# How often a process that the store doesn't answer asks a peer instead, and
-# how long it first waits: a single failed call is no reason to.
-_ASK_PEER_S = 0.4
-_AWAY_S = 0.5
-
-# One that knows nothing yet can't serve until it has asked. Where all VMs of a
-# zone start again while the store is away, callers are turned away for so much
-# longer than the start itself takes.
-_ASK_PEER_EMPTY_S = 0.1
-
 # Members that come within this time change the settings' parts once.
 _REREAD_S = 1.0
 
-# A watch's answer may come a little after a peer's word of the same change.
-_BEHIND_S = 0.3
-
 # A process lists the store at its start, and watches it from so much later on
 # if it is to.
 _FIRST_READING_S = 1.5
 
-# A process asks peers of its own zone first; those of others only when these
-# have had the time to get the news themselves.
-_NEAR_FIRST_S = 0.2
-
-# A process that leaves the store to others, and knows that there is news which
-# no peer gives it, lists the store itself after this time.
-_BEHIND_ALONE_S = 0.8
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
@@ -131,8 +106,6 @@
         self._translator = translator
         self._members = members
         self._log = log
-        self._random = rng
-        self._client = peer_client.PeerClient()
         self._callbacks: list[Callable[[], None]] = []
         self._settings = Settings()
         self._settings_entries: asyncio.Queue[registry.Entry] = asyncio.Queue()
@@ -142,9 +115,6 @@
         self._must_read = False
         self._is_reader = False
         self._started_at = clock.now()
-        self._troubled_until = 0.0
-        self._behind_since_by_prefix: dict[str, float] = {}
-        self._behind = asyncio.Event()
         self._members_known = 0
         self._members_revision = (0, False)
         self._reread: asyncio.TimerHandle | None = None
@@ -160,6 +130,9 @@
                 self.views_by_prefix.values(), takers, strict=True
             )
         ]
+        self._peer_news = peer_news.PeerNews(
+            self._followers, members, log, rng, off
+        )
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Has a function called after each change."""
@@ -183,7 +156,7 @@
         While the store is away, and until doubtful entries are back or
         dropped, engines may be listed that are gone.
         """
-        settled_s = _RETURN_S + endpoints_lib.DOUBT_S
+        settled_s = follower_lib.RETURN_S + endpoints_lib.DOUBT_S
         return not any(
             follower.away_since
             or now - max(follower.back_at, follower.began_at) < settled_s
@@ -201,10 +174,7 @@
     def is_blind(self) -> bool:
         """Returns whether the store doesn't answer this process."""
         now = clock.now()
-        return any(
-            follower.away_since and now - follower.away_since > _AWAY_S
-            for follower in self._followers
-        )
+        return any(follower.is_away(now) for follower in self._followers)
 
     def is_store_troubled(self) -> bool:
         """Returns whether entries may lapse whose endpoints live.
@@ -215,8 +185,8 @@
         now = clock.now()
         return bool(
             follower.away_since
-            or now - follower.back_at < _RETURN_S
-            or now < self._troubled_until
+            or now - follower.back_at < follower_lib.RETURN_S
+            or self._peer_news.tell_of_trouble(now)
         )
 
     def engine_pools(self) -> list[str]:
@@ -243,7 +213,7 @@
             for follower in self._followers:
                 group.create_task(follower.run())
             group.create_task(self._read_settings())
-            group.create_task(self._ask_peers())
+            group.create_task(self._peer_news.run())
 
     def take_members(self) -> None:
         """Takes the membership over after a beat, or when it has changed."""
@@ -256,7 +226,7 @@
                 self._members.own, self._members.alive()
             )
         self._set_reading()
-        self._look_behind()
+        self._peer_news.look(clock.now())
 
     def _set_reading(self) -> None:
         # Who has just started doesn't know yet who else there is. Who hears
@@ -272,24 +242,6 @@
         for follower in self._followers:
             follower.set_reading(reads and settled)
 
-    def _look_behind(self) -> None:
-        """Sees to it that news which others tell of are had here as well."""
-        now = clock.now()
-        loop = asyncio.get_running_loop()
-        for follower, newest in zip(
-            self._followers, self._members.newest_heard, strict=False
-        ):
-            prefix = follower.view.prefix
-            if newest <= max(follower.view.newest, follower.view.position):
-                self._behind_since_by_prefix.pop(prefix, None)
-            elif follower.reading:
-                loop.call_later(_BEHIND_S, follower.overtake, newest)
-            else:
-                since = self._behind_since_by_prefix.setdefault(prefix, now)
-                if now - since > _BEHIND_ALONE_S:
-                    follower.list_once()
-                self._behind.set()
-
     # The membership.
 
     def _take_changing(self) -> None:
@@ -447,81 +399,6 @@
         for callback in self._callbacks:
             callback()
 
-    # Peers.
-
-    async def _ask_peers(self) -> None:
-        while True:
-            empty = not all(
-                follower.view.newest for follower in self._followers
-            )
-            pause_s = _ASK_PEER_EMPTY_S if empty else _ASK_PEER_S
-            try:
-                async with asyncio.timeout(pause_s):
-                    await self._behind.wait()
-            except TimeoutError:
-                pass
-            self._behind.clear()
-            for index, follower in enumerate(self._followers):
-                if self._needs_peers(follower):
-                    await self._ask_peer(index, follower)
-
-    def _needs_peers(self, follower: follower_lib.Follower) -> bool:
-        if mechanisms.Mechanism.PEER_NEWS in self._off:
-            return False
-        if not follower.reading:
-            return follower.view.prefix in self._behind_since_by_prefix
-        away_since = follower.away_since
-        if not away_since:
-            return False
-        empty = not follower.view.newest
-        return empty or clock.now() - away_since > _AWAY_S
-
-    def _may_wait_for_near(self, view: registry.View) -> bool:
-        # Whoever knows nothing yet turns callers away meanwhile.
-        since = self._behind_since_by_prefix.get(view.prefix)
-        if since is None or not view.newest:
-            return False
-        return clock.now() - since < _NEAR_FIRST_S
-
-    async def _ask_peer(
-        self, index: int, follower: follower_lib.Follower
-    ) -> None:
-        view = follower.view
-        ahead = self._members.ahead(index, view.newest)
-        if not ahead:
-            return
-        zone = self._members.own.availability_zone
-        near = [peer for peer in ahead if peer.availability_zone == zone]
-        if not near and self._may_wait_for_near(view):
-            asyncio.get_running_loop().call_later(
-                _NEAR_FIRST_S, self._behind.set
-            )
-            return
-        peer = self._random.choice(near or ahead)
-        try:
-            news, store_troubled = await registry_peers.ask(
-                self._client, (peer.host, peer.port), view
-            )
-        except peer_client.PeerError as error:
-            self._log.warning(
-                "registry_peer_failed", peer=peer.id, reason=error.message
-            )
-            return
-        if store_troubled:
-            self._troubled_until = clock.now() + _RETURN_S
-        changes = view.take_news(news)
-        self._behind_since_by_prefix.pop(view.prefix, None)
-        self._log.event(
-            "registry_from_peer",
-            peer=peer.id,
-            prefix=view.prefix,
-            changes=len(changes),
-            position=news.position,
-        )
-        follower.took(changes)
-        if not follower.reading and view.newest:
-            follower.leave_to_peers()
-
 
 def _state(record: member_records.Record) -> model.VmState:
     if record.leaving:
--- a/tests/test_source.py
+++ b/tests/test_source.py
@@ -38,6 +38,7 @@
     return types.SimpleNamespace(
         reading=True,
         away_since=clock.now() - away_s if away_s else 0.0,
+        is_away=lambda now: bool(away_s) and away_s > 0.5,
         view=types.SimpleNamespace(newest=newest),
     )
 
@@ -55,9 +56,9 @@
         A single failed call is no reason to ask. But one that knows nothing
         turns every caller away until it has asked.
         """
-        found = _source()._needs_peers(_follower(newest, away_s))
+        found = _source()._peer_news.is_needed(_follower(newest, away_s))
         assert found is asks
 
     def test_never_where_that_is_switched_off(self):
         source = _source({mechanisms.Mechanism.PEER_NEWS})
-        assert not source._needs_peers(_follower(0, 60.0))
+        assert not source._peer_news.is_needed(_follower(0, 60.0))
