An entry that orders engines and has no requests asks for the pool's work

Cause: an entry without requests no longer looked its home up; the VM that orders a pool's engines then knew nothing of the work, and divided them by a guess until the VM list changed. Found by reading; the test failed before.

--- a/src/cowsliprill/cells/client.py
+++ b/src/cowsliprill/cells/client.py
@@ -243,6 +243,8 @@
 
     async def _call(self, wait_s: float) -> bool:
         """Calls the home once; returns whether it answered."""
+        if self._home is None:
+            self._look_up_home()
         home, epoch = self._home, self._epoch
         if home is None:
             return False
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -198,6 +198,27 @@
         assert site.asked == []
 
 
+class TestLeadersWithoutRequests:
+    """Who orders a pool's engines needs to know what the pool's work is."""
+
+    def test_one_asks_the_home_though_it_places_nothing(self):
+        """A VM that orders engines has no callers of the pool itself.
+
+        Knowing nothing of the work it would divide the engines by a guess.
+        """
+        vms = _ranked([_vm(number) for number in range(3)])
+        site = _Site(vms, {vm.id: vms for vm in vms}, vms)
+
+        async def scenario():
+            site.scheduling.follow(_POOL, wanted=True)
+            async with asyncio.timeout(_WAIT_S):
+                while not site.asked:  # noqa: ASYNC110 the site tells no events
+                    await asyncio.sleep(0.001)
+
+        asyncio.run(scenario())
+        assert site.asked[0] == vms[0].id
+
+
 class TestStrongVms:
     """VMs differ in what they can carry."""
 
