--- a/tests/member_net.py
+++ b/tests/member_net.py
@@ -41,8 +41,8 @@
       up: Whether it runs.
       frozen_until: When it goes on; what arrives meanwhile waits.
       flush_due: Whether it is to tell news soon.
-      bytes_sent: Estimate of what it sent.
-      largest: News and digests in its largest message.
+      sent: Messages that it sent.
+      largest: Most news in one message of it.
     """
 
     members: membership.Membership
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -79,7 +79,7 @@
 
         _run(scenario)
 
-    def test_one_that_is_to_read_watches_until_it_needn_t(self):
+    def test_one_that_reads_watches_until_others_do(self):
         async def scenario(store, follower):
             await store.next_call()
             follower.set_reading(True)
