Choose a pool's home in one place, and rank the VMs once a list

Cause: found by reading the change. Each submitted request hashed and sorted all VMs (195 at size) beside a cached twin in cells/homes; what makes a VM weak stood in ownership and in readers; five fields of the entry's channel were one thing, the choice of a home.

No change of behaviour; tests of homes, cells, orders and the whole router on stand-ins pass.

--- a/src/cowsliprill/cells/client.py
+++ b/src/cowsliprill/cells/client.py
@@ -14,9 +14,9 @@
 from cowsliprill.cells import wire
 from cowsliprill.decisions import cell as cell_lib
 from cowsliprill.decisions import channel
+from cowsliprill.decisions import home_choice
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
-from cowsliprill.decisions import ownership
 from cowsliprill.entry import world as world_lib
 from cowsliprill.observability import log as log_lib
 
@@ -28,13 +28,6 @@
 _CALL_S = 0.35
 _HOLD_S = 0.4
 
-# Failed calls in a row after which the next VM is asked, and for how long.
-_FAILURES_MAX = 2
-_ASIDE_S = 2.0
-
-# How long an entry takes another VM's word on who is the home, before its own
-# view of the VMs counts again.
-_NAMED_S = 1.0
 _PAUSE_S = 0.02
 
 Post = Callable[[model.Vm, wire.CellRequest, float], Awaitable[wire.CellAnswer]]
@@ -84,11 +77,7 @@
         self.placed_by_number: dict[int, _Placed] = {}
         self.prompt_part = 0.0
         self.attentive = False
-        self._home: model.Vm | None = None
-        self._named: model.Vm | None = None
-        self._named_until = 0.0
-        self._aside_until_by_vm: dict[str, float] = {}
-        self._failures = 0
+        self._choice = home_choice.HomeChoice(pool)
         self._epoch = 0
         self._outbox: channel.Outbox[wire.Event] = channel.Outbox()
         self._inbox = channel.Inbox()
@@ -146,40 +135,12 @@
         self._news.set()
 
     def _look_up_home(self) -> None:
-        now = clock.now()
-        named = self._named if now < self._named_until else None
-        ranked = ownership.homes_in_order(
-            self._pool, self._world.fleet.vms_by_id.values()
-        )
-        avoided = self._avoided(now)
-        near = [vm for vm in ranked if vm.id not in avoided]
-        self._turn_to(named or next(iter(near or ranked), None))
-
-    def _avoided(self, now: float) -> tuple[str, ...]:
-        return tuple(
-            vm for vm, until in self._aside_until_by_vm.items() if until > now
-        )
+        vms_by_id = self._world.fleet.vms_by_id
+        if self._choice.look_up(vms_by_id, clock.now()):
+            self._turned()
 
-    def _follow(self, asked: model.Vm, named: model.Vm) -> None:
-        """Turns to the home that another VM names.
-
-        The one that was asked is put aside meanwhile, so that two which name
-        each other don't send the entry to and fro.
-        """
-        now = clock.now()
-        self._aside_until_by_vm[asked.id] = now + _NAMED_S
-        self._named = named
-        self._named_until = now + _NAMED_S
-        self._turn_to(named)
-
-    def _turn_to(self, home: model.Vm | None) -> None:
-        before = self._home
-        if before is not None and home is not None and home.id == before.id:
-            self._home = home
-            return
-        if home is before:
-            return
-        self._home = home
+    def _turned(self) -> None:
+        home = self._choice.home
         self._log.event(
             "home_chosen", pool=self._pool, vm=home.id if home else ""
         )
@@ -243,9 +204,9 @@
 
     async def _call(self, wait_s: float) -> bool:
         """Calls the home once; returns whether it answered."""
-        if self._home is None:
+        if self._choice.home is None:
             self._look_up_home()
-        home, epoch = self._home, self._epoch
+        home, epoch = self._choice.home, self._epoch
         if home is None:
             return False
         # A held call carries no events: those go out by calls of their own,
@@ -259,18 +220,20 @@
             events=events,
             acknowledged=self._inbox.last,
             wait_s=wait_s,
-            avoids=self._avoided(clock.now()),
+            avoids=self._choice.avoided(clock.now()),
         )
         try:
             answer = await self._post(home, request, _CALL_S + wait_s)
         except errors.CowsliprillError as error:
             self._note_failure(home, error)
             return False
-        self._failures = 0
+        self._choice.answered()
         if epoch != self._epoch:
             return True
         if answer.home is not None:
-            self._follow(home, wire.read_home(answer.home))
+            named = wire.read_home(answer.home)
+            if self._choice.follow(home, named, clock.now()):
+                self._turned()
             return True
         if not answer.known:
             self._begin_anew()
@@ -305,20 +268,17 @@
                     placed.decisions.put_nowait(decision)
 
     def _note_failure(self, home: model.Vm, error: Exception) -> None:
-        if self._home is None or home.id != self._home.id:
+        failures = self._choice.failed(home, clock.now())
+        if not failures:
             return
-        self._failures += 1
         self._log.warning(
             "home_failed",
             pool=self._pool,
             vm=home.id,
-            failures=self._failures,
+            failures=failures,
             reason=str(error),
         )
-        if self._failures >= _FAILURES_MAX:
-            self._failures = 0
-            self._aside_until_by_vm[home.id] = clock.now() + _ASIDE_S
-            self._named = None
+        if failures >= home_choice.FAILURES_MAX:
             self._look_up_home()
 
 
--- a/src/cowsliprill/cells/homes.py
+++ b/src/cowsliprill/cells/homes.py
@@ -65,14 +65,12 @@
         self._snapshot = model.Snapshot()
         self._fleet = model.Fleet()
         self._homed_by_pool: dict[str, _Homed] = {}
-        self._ranked_by_pool: dict[str, list[model.Vm]] = {}
+        self._ranking = ownership.HomeRanking()
         self._wake = asyncio.Event()
 
     def update(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
         """Takes new settings or a new VM list."""
         self._snapshot = snapshot
-        if fleet.vms_by_id != self._fleet.vms_by_id:
-            self._ranked_by_pool = {}
         self._fleet = fleet
         now = clock.now()
         for pool, homed in self._homed_by_pool.items():
@@ -167,12 +165,7 @@
         return bool(ranked) and ranked[0].id == self._vm_id
 
     def _ranked(self, pool: str) -> list[model.Vm]:
-        ranked = self._ranked_by_pool.get(pool)
-        if ranked is None:
-            vms = self._fleet.vms_by_id.values()
-            ranked = ownership.homes_in_order(pool, vms)
-            self._ranked_by_pool[pool] = ranked
-        return ranked
+        return self._ranking.of(pool, self._fleet.vms_by_id)
 
     def _homed(self, pool: str) -> _Homed:
         homed = self._homed_by_pool.get(pool)
--- a/src/cowsliprill/decisions/readers.py
+++ b/src/cowsliprill/decisions/readers.py
@@ -40,7 +40,7 @@
 
     def rank(record: member_records.Record) -> tuple[bool, bool, int, str]:
         # A reader answers all others of its zone, so strong VMs come first.
-        weak = record.cores < strongest * ownership.WEAK_PART
+        weak = ownership.is_weak(record.cores, strongest)
         score = ownership.score(record.id, _KEY)
         return (record.leaving, weak, -score, record.id)
 
