Let silence pass its judgements on, and news say what they are worth

Cause: found by reading the change. The judgements on silent members were handed back, by two ways, only to be passed on at once; a peer's news and the state of its store came as a bare pair, beside a message type that holds both.

--- a/src/cowsliprill/decisions/membership.py
+++ b/src/cowsliprill/decisions/membership.py
@@ -69,7 +69,9 @@
         self.newest_heard: tuple[int, ...] = ()
         self._watchers = watchers_lib.Watchers(self._table, rng)
         self._beat_at = -math.inf
-        self._silence = silence_lib.Silence(self._table, rng, TICK_S)
+        self._silence = silence_lib.Silence(
+            self._table, self._rumors, rng, TICK_S
+        )
         self._comparison = table_comparison.TableComparison()
 
     # What is known.
@@ -176,8 +178,7 @@
         Returns:
           Messages to send.
         """
-        for name in self._silence.look(now):
-            self._rumors.add(name)
+        self._silence.look(now)
         sends = [*self._ask_silent(now), *self._compare(now)]
         beat_s = BEAT_S if self._watchers.ids else TICK_S
         if now - self._beat_at >= beat_s - TICK_S / 2:
@@ -289,9 +290,7 @@
     # What is sent.
 
     def _ask_silent(self, now: float) -> Iterator[records_lib.Outgoing]:
-        for member, suspected in self._silence.to_ask(now):
-            if suspected:
-                self._rumors.add(member.record.id)
+        for member in self._silence.to_ask(now):
             yield self._outgoing(member.record, (member.news,), ping=True)
 
     def _beat(self) -> Iterator[records_lib.Outgoing]:
--- a/src/cowsliprill/decisions/registry.py
+++ b/src/cowsliprill/decisions/registry.py
@@ -54,11 +54,14 @@
       changes: Entries and removals after the revision asked for.
       position: Revision up to which the teller has read.
       whole: Whether keys that aren't named don't exist up to `position`.
+      store_troubled: Whether removals may be lapses, the teller's store being
+        away or just back.
     """
 
     changes: tuple[Change, ...]
     position: int
     whole: bool = False
+    store_troubled: bool = False
 
 
 class View:
--- a/src/cowsliprill/decisions/silence.py
+++ b/src/cowsliprill/decisions/silence.py
@@ -10,6 +10,7 @@
 
 from cowsliprill.decisions import member_records as records_lib
 from cowsliprill.decisions import member_table
+from cowsliprill.decisions import rumors as rumors_lib
 
 # Silence of a watched member after which it is asked, and after which it is
 # suspected: a heartbeat and the answers to one or two questions are lost then.
@@ -44,6 +45,7 @@
 
     Args:
       table: The members.
+      rumors: Passes on what is held of them.
       rng: Random numbers.
       look_s: Time between two looks.
 
@@ -54,11 +56,13 @@
     def __init__(
         self,
         table: member_table.MemberTable,
+        rumors: rumors_lib.Rumors,
         rng: random.Random,
         look_s: float,
     ) -> None:
         self.alone = False
         self._table = table
+        self._rumors = rumors
         self._random = rng
         self._look_s = look_s
         self._looked_at = -math.inf
@@ -75,24 +79,20 @@
             self._excuse(now)
         self._heard_at = now
 
-    def look(self, now: float) -> list[str]:
+    def look(self, now: float) -> None:
         """Looks at the suspected ones, and for more of them.
 
         Args:
           now: Time, seconds.
-
-        Returns:
-          Ids of those that are held for dead from now on.
         """
         if now - self._looked_at > _STOOD_STILL_S:
             self._excuse(now)
         self._looked_at = now
-        dead = [*self._bury(now)]
+        self._bury(now)
         self._doubt(now)
-        return dead
 
-    def to_ask(self, now: float) -> Iterator[tuple[member_table.Member, bool]]:
-        """Yields whom to ask, and whether it is suspected from now on.
+    def to_ask(self, now: float) -> Iterator[member_table.Member]:
+        """Yields whom to ask; those silent for long are suspected from now on.
 
         Args:
           now: Time, seconds.
@@ -101,14 +101,10 @@
             silent_s = now - member.heard_at
             if not member.watched or silent_s < _ASK_AFTER_S:
                 continue
-            suspects = (
-                member.standing is _ALIVE
-                and not self.alone
-                and silent_s >= _SUSPECT_AFTER_S
-            )
-            if suspects:
+            may_suspect = member.standing is _ALIVE and not self.alone
+            if may_suspect and silent_s >= _SUSPECT_AFTER_S:
                 self._judge(member, _SUSPECTED, now)
-            yield member, suspects
+            yield member
 
     def _excuse(self, now: float) -> None:
         self._heard_at = max(self._heard_at, now)
@@ -118,7 +114,7 @@
             if member.standing is _SUSPECTED:
                 member.suspected_at = now
 
-    def _bury(self, now: float) -> Iterator[str]:
+    def _bury(self, now: float) -> None:
         self.alone = now - self._heard_at > ALONE_AFTER_S
         if self.alone:
             return
@@ -130,7 +126,6 @@
             hears = self._heard_at > silent_since
             if hears and now - silent_since > _SUSPICION_S:
                 self._judge(member, _DEAD, now)
-                yield member.record.id
 
     def _doubt(self, now: float) -> None:
         silent = [
@@ -161,3 +156,4 @@
     ) -> None:
         news = records_lib.News(record=member.record, standing=standing)
         self._table.take(news, now)
+        self._rumors.add(member.record.id)
--- a/src/cowsliprill/registry/peer_news.py
+++ b/src/cowsliprill/registry/peer_news.py
@@ -67,7 +67,7 @@
         self._behind_since_by_prefix: dict[str, float] = {}
         self._behind = asyncio.Event()
 
-    def tell_of_trouble(self, now: float) -> bool:
+    def has_heard_of_trouble(self, now: float) -> bool:
         """Returns whether a peer said that the store was in trouble."""
         return now < self._troubled_until
 
@@ -124,15 +124,13 @@
             return
         peer = self._random.choice(near or ahead)
         try:
-            news, store_troubled = await peers.ask(
-                self._client, peer.address, view
-            )
+            news = await peers.ask(self._client, peer.address, view)
         except peer_client.PeerError as error:
             self._log.warning(
                 "registry_peer_failed", peer=peer.id, reason=error.message
             )
             return
-        if store_troubled:
+        if news.store_troubled:
             self._troubled_until = clock.now() + follower_lib.RETURN_S
         changes = view.take_news(news)
         self._behind_since_by_prefix.pop(view.prefix, None)
--- a/src/cowsliprill/registry/peers.py
+++ b/src/cowsliprill/registry/peers.py
@@ -41,7 +41,7 @@
       changes: Entries and removals.
       position: Revision up to which the teller has read.
       whole: Whether keys that aren't named don't exist up to there.
-      store_troubled: Whether removals may be lapses; see `Source`.
+      store_troubled: Whether removals may be lapses.
     """
 
     changes: tuple[WireChange, ...] = ()
@@ -77,15 +77,17 @@
             self.write({"error": error})
             return
         self.set_header("Content-Type", "application/json")
-        news = _on_wire(view.news_since(int(since)), self._store_troubled())
-        self.write(codec.encode_short(news))
+        news = dataclasses.replace(
+            view.news_since(int(since)), store_troubled=self._store_troubled()
+        )
+        self.write(codec.encode_short(_on_wire(news)))
 
 
 async def ask(
     client: peer_client.PeerClient,
     address: tuple[str, int],
     view: registry.View,
-) -> tuple[registry.News, bool]:
+) -> registry.News:
     """Asks a peer for what it knows beyond this process.
 
     Args:
@@ -94,7 +96,7 @@
       view: What this process knows.
 
     Returns:
-      The peer's news, and whether the store was in trouble there.
+      The peer's news.
 
     Raises:
       peer_client.PeerError: It gave no usable answer.
@@ -106,13 +108,12 @@
     if reply.status != _OK:
         raise peer_client.PeerError(f"{url}: status {reply.status}")
     try:
-        wire = codec.decode(WireNews, reply.body)
-        return _from_wire(wire), wire.store_troubled
+        return _from_wire(codec.decode(WireNews, reply.body))
     except (errors.CowsliprillError, ValueError) as error:
         raise peer_client.PeerError(f"{url}: {error}") from error
 
 
-def _on_wire(news: registry.News, store_troubled: bool) -> WireNews:
+def _on_wire(news: registry.News) -> WireNews:
     changes = []
     for change in news.changes:
         value = None
@@ -125,7 +126,7 @@
         changes=tuple(changes),
         position=news.position,
         whole=news.whole,
-        store_troubled=store_troubled,
+        store_troubled=news.store_troubled,
     )
 
 
@@ -142,5 +143,8 @@
             registry.Entry(key=wire.key, value=value, revision=wire.revision)
         )
     return registry.News(
-        changes=tuple(changes), position=news.position, whole=news.whole
+        changes=tuple(changes),
+        position=news.position,
+        whole=news.whole,
+        store_troubled=news.store_troubled,
     )
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -186,7 +186,7 @@
         return bool(
             follower.away_since
             or now - follower.back_at < follower_lib.RETURN_S
-            or self._peer_news.tell_of_trouble(now)
+            or self._peer_news.has_heard_of_trouble(now)
         )
 
     def engine_pools(self) -> list[str]:
