Authenticate customers by API key on the platform; bound key revocation

Cause: nothing under platform/ read customers or keys.

Keys are compared by digest; a route needs one unless it is public. The customer's name replaces whatever the caller sent, the key goes no further. Shares under load go by quota, a customer's priority before its service's.

Revocation: where the operator sets a bound, a VM honours keys only while its settings were shown to be the store's newest within three quarters of it. A reader's watches show it (held for a fifth of the bound). Other VMs ask a reader of their zone, any VM, then the store itself. Age counts from when the question was sent, so an answer that waited while the process stood still proves nothing too recent. The key is checked again before each attempt.

Ruled out: evidence in gossip datagrams, which may wait in the socket of a process that stands still and then look recent.

--- a/src/cowsliprill/cells/wire.py
+++ b/src/cowsliprill/cells/wire.py
@@ -36,6 +36,7 @@
       may_wait_s: Longest time in a queue.
       ttft_target_s: Target for the time to first token.
       worth_by_size: Part of its worth that goes by its tokens.
+      customer: Id of the calling customer, empty for none.
     """
 
     number: int
@@ -55,6 +56,7 @@
     may_wait_s: float = 0.0
     ttft_target_s: float = 1.0
     worth_by_size: float = 0.0
+    customer: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -236,6 +238,7 @@
         may_wait_s=service.may_wait_s,
         ttft_target_s=service.ttft_target_s,
         worth_by_size=service.worth_by_size,
+        customer=submit.user,
     )
 
 
@@ -274,7 +277,7 @@
     return messages.Submit(
         request_id=request.number,
         service=service,
-        user="",
+        user=request.customer,
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
         expected_tokens=request.expected_tokens,
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -272,6 +272,25 @@
     retry_group: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Quota:
+    """What a customer may ask for, at all VMs together: a token bucket.
+
+    Attributes:
+      per_s: Cost units that are added each second.
+      burst: Cost units that the bucket holds beyond one second's.
+      by_tokens: Whether a request costs the tokens of its prompt and of its
+        longest answer; else each costs one unit.
+      plain_cost: Cost units of a request that states no tokens, where those
+        are counted.
+    """
+
+    per_s: float
+    burst: float
+    by_tokens: bool = False
+    plain_cost: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
     """Which service answers the calls below one path of one host.
@@ -281,12 +300,14 @@
       host: Host that callers name.
       path_prefix: Start of the paths; begins and ends with a slash.
       services: Ids of services and their weights; a call goes to one of them.
+      public: Whether its calls need no API key.
     """
 
     name: str
     host: str
     path_prefix: str
     services: tuple[tuple[str, float], ...]
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -315,12 +336,16 @@
       parent: Id of the parent user, empty at the top.
       key_hashes: Hex SHA-256 digests of its API keys.
       share: Weight in the fair sharing of slots.
+      priority: Goes before the priority of a service, None to keep that.
+      quota: What it may ask for, None for no limit.
     """
 
     id: str
     parent: str = ""
     key_hashes: frozenset[str] = frozenset()
     share: float = 1.0
+    priority: int | None = None
+    quota: Quota | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -363,6 +388,8 @@
       routes_by_prefix_by_host: Routes of callers that name no service, by
         host and then by path prefix.
       limits: What callers may send.
+      keys_required: Whether callers of routes need an API key, but for the
+        public ones.
     """
 
     revision: int = 0
@@ -378,6 +405,7 @@
         dataclasses.field(default_factory=dict)
     )
     limits: CallLimits = CallLimits()
+    keys_required: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/readers.py
+++ b/src/cowsliprill/decisions/readers.py
@@ -31,6 +31,18 @@
       own: Its record.
       others: Those of the other live VMs.
     """
+    return own in of_zone(own, others)
+
+
+def of_zone(
+    own: member_records.Record, others: Iterable[member_records.Record]
+) -> list[member_records.Record]:
+    """Returns the VMs of a VM's zone that are to read the store.
+
+    Args:
+      own: The VM's record.
+      others: Those of the other live VMs.
+    """
     zone = [
         record
         for record in (own, *others)
@@ -44,11 +56,11 @@
         score = ownership.score(record.id, _KEY)
         return (record.leaving, weak, -score, record.id)
 
+    found: list[member_records.Record] = []
     sighted = 0
     for record in sorted(zone, key=rank)[:_TRYING_MAX]:
-        if record.id == own.id:
-            return True
+        found.append(record)
         sighted += not record.blind
         if sighted == READERS_A_ZONE:
-            return False
-    return False
+            break
+    return found
--- a/src/cowsliprill/decisions/registry.py
+++ b/src/cowsliprill/decisions/registry.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Iterable
 
 # Removals that are remembered. Beyond that, peers that ask for news since an
@@ -56,12 +57,15 @@
       whole: Whether keys that aren't named don't exist up to `position`.
       store_troubled: Whether removals may be lapses, the teller's store being
         away or just back.
+      age_s: How long ago the teller's view was known to be whole; infinity if
+        it never was.
     """
 
     changes: tuple[Change, ...]
     position: int
     whole: bool = False
     store_troubled: bool = False
+    age_s: float = math.inf
 
 
 class View:
@@ -74,6 +78,8 @@
       entries_by_key: The entries.
       position: Revision up to which all is known; watches go on from here.
       newest: Revision of the newest change that is known.
+      confirmed_at: When the store was last known to hold nothing newer,
+        seconds.
     """
 
     def __init__(self, prefix: str) -> None:
@@ -81,6 +87,7 @@
         self.entries_by_key: dict[str, Entry] = {}
         self.position = 0
         self.newest = 0
+        self.confirmed_at = -math.inf
         self._unbroken_since = 0
         self._removals_by_key: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -162,6 +169,10 @@
                 self._unbroken_since = news.position
         return new
 
+    def confirm(self, as_of: float) -> None:
+        """Takes that nothing newer was in the store at a time, seconds."""
+        self.confirmed_at = max(self.confirmed_at, as_of)
+
     def news_since(self, revision: int) -> News:
         """Returns what a peer that has read up to a revision lacks."""
         if revision < self._unbroken_since:
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -116,7 +116,10 @@
       snapshot: Settings in force at arrival; they hold for all of the request.
       caller_id: The caller's own id of this attempt, for logs; empty for none.
       user: The calling user; by `identify`.
-      service: The service called; by `resolve`.
+      key_hash: Digest of the API key that must hold until it runs, empty for
+        none; by `identify`.
+      route: The route called, None where callers name a service; by `route`.
+      service: The service called; by `resolve` or `route`.
       generation: The model request, None for plain calls; by `resolve`.
       service_path: Rest of the path of a plain call; by `resolve`.
       priority: The service's priority with the caller's offset; by `urgency`.
@@ -147,6 +150,8 @@
     snapshot: model.Snapshot
     caller_id: str = ""
     user: model.User | None = None
+    key_hash: str = ""
+    route: model.Route | None = None
     service: model.Service | None = None
     generation: Generation | None = None
     service_path: str = ""
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -20,6 +20,7 @@
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import http_client
+from cowsliprill.entry import authorization
 from cowsliprill.entry import canceller
 from cowsliprill.entry import dialect as dialect_lib
 from cowsliprill.entry import forward
@@ -33,6 +34,7 @@
 from cowsliprill.entry import world as world_lib
 from cowsliprill.entry.filters import admission
 from cowsliprill.entry.filters import idempotency
+from cowsliprill.entry.filters import identify
 from cowsliprill.entry.filters import model_placement
 from cowsliprill.entry.filters import plain_placement
 from cowsliprill.entry.filters import report
@@ -123,6 +125,7 @@
         )
         self._scheduling = self._placing.scheduling
         self._source = source
+        self._authorization = authorization.Authorization(source, self._world)
         self.shell = process.Process(
             environment=environment,
             log=log,
@@ -196,6 +199,7 @@
     def _parts(self, book: tickets.TicketBook) -> routes.Parts:
         return routes.Parts(
             route=route.Route(self._random),
+            identify_by_route=identify.IdentifyByRoute(self._authorization),
             report=report.Report(self._log, self._metrics, self._dialect),
             idempotency=idempotency.Idempotency(
                 book,
@@ -209,7 +213,7 @@
             ),
             admission=admission.Admission(),
             model_placement=model_placement.ModelPlacement(
-                self._scheduling, self._budgets, self._log
+                self._scheduling, self._budgets, self._log, self._authorization
             ),
             plain_placement=plain_placement.PlainPlacement(
                 self._environment.availability_zone,
@@ -217,6 +221,7 @@
                 self._budgets,
                 self._log,
                 self._random,
+                self._authorization,
                 self._servers,
             ),
             model_relay=model_relay.ModelRelay(
@@ -279,7 +284,12 @@
     def _unready_reason(self) -> str:
         if self._gate.draining:
             return "draining"
-        return "" if self._world.snapshot.revision else "no settings yet"
+        if not self._world.snapshot.revision:
+            return "no settings yet"
+        keys_required = self._world.snapshot.keys_required
+        if keys_required and not self._source.honours_keys():
+            return "settings unconfirmed"
+        return ""
 
     def _status(self) -> dict[str, Any]:
         return {
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -22,6 +22,8 @@
     BODY_TOO_LARGE = "body_too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
     INVALID_API_KEY = "invalid_api_key"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    SETTINGS_UNCONFIRMED = "settings_unconfirmed"
     NOT_A_PEER = "not_a_peer"
     SERVICE_NOT_FOUND = "service_not_found"
     PATH_NOT_FOUND = "path_not_found"
@@ -54,6 +56,7 @@
     Code.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Code.HEADERS_TOO_LARGE: http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Code.INVALID_API_KEY: http.HTTPStatus.UNAUTHORIZED,
+    Code.QUOTA_EXCEEDED: http.HTTPStatus.TOO_MANY_REQUESTS,
     Code.NOT_A_PEER: http.HTTPStatus.FORBIDDEN,
     Code.SERVICE_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
     Code.PATH_NOT_FOUND: http.HTTPStatus.NOT_FOUND,
--- a/src/cowsliprill/entry/filters/identify.py
+++ b/src/cowsliprill/entry/filters/identify.py
@@ -1,16 +1,26 @@
-"""Who calls: the user of an API key."""
+"""Who calls: the customer of an API key."""
 
+import dataclasses
 import hashlib
 
 from tornado import httputil
 
 from cowsliprill.decisions import model
+from cowsliprill.entry import authorization
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 
 _SCHEME = "bearer "
 
 
+_ANONYMOUS = model.User(id="")
+
+
+def key_hash(key: str) -> str:
+    """Returns the digest by which settings name an API key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def user_of(
     headers: httputil.HTTPHeaders, snapshot: model.Snapshot
 ) -> model.User:
@@ -30,15 +40,13 @@
     Raises:
       errors.EntryError: There is no key, or no user has it.
     """
-    authorization = headers.get("Authorization", "")
-    if authorization[: len(_SCHEME)].lower() != _SCHEME:
+    key = _key(headers)
+    if not key:
         raise errors.EntryError(
             errors.Code.INVALID_API_KEY,
             "Send your API key as `Authorization: Bearer KEY`.",
         )
-    key = authorization[len(_SCHEME) :].strip()
-    digest = hashlib.sha256(key.encode()).hexdigest()
-    user = snapshot.users_by_key_hash.get(digest)
+    user = snapshot.users_by_key_hash.get(key_hash(key))
     if user is None:
         raise errors.EntryError(
             errors.Code.INVALID_API_KEY, "The API key isn't known."
@@ -50,3 +58,42 @@
     """Finds the calling user."""
     ctx.user = user_of(ctx.call.headers, ctx.snapshot)
     await proceed(ctx)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdentifyByRoute:
+    """Finds the calling customer where callers name a route.
+
+    A public route needs no key. One that is sent all the same names its
+    customer if it is known.
+
+    Attributes:
+      authorization: Checks that the key may be honoured.
+    """
+
+    authorization: authorization.Authorization
+
+    async def __call__(
+        self, ctx: context.Context, proceed: context.Handle
+    ) -> None:
+        """Finds the customer or refuses the request."""
+        ctx.user = _ANONYMOUS
+        if not ctx.snapshot.keys_required:
+            await proceed(ctx)
+            return
+        try:
+            ctx.user = user_of(ctx.call.headers, ctx.snapshot)
+        except errors.EntryError:
+            if not ctx.route.public:
+                raise
+        if not ctx.route.public:
+            ctx.key_hash = key_hash(_key(ctx.call.headers))
+            self.authorization.check(ctx)
+        await proceed(ctx)
+
+
+def _key(headers: httputil.HTTPHeaders) -> str:
+    authorization_header = headers.get("Authorization", "")
+    if authorization_header[: len(_SCHEME)].lower() != _SCHEME:
+        return ""
+    return authorization_header[len(_SCHEME) :].strip()
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -8,6 +8,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import retry
 from cowsliprill.entry import attempts
+from cowsliprill.entry import authorization
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import placing
@@ -38,11 +39,13 @@
       budgets: Budgets of resumed streams, earned here by each request. The
         scheduler keeps those of whole attempts.
       log: The process's log.
+      authorization: Checks again that the caller's key may be honoured.
     """
 
     scheduling: placing.Scheduling
     budgets: retry.RetryBudgets
     log: log_lib.Log
+    authorization: authorization.Authorization
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handle
@@ -92,6 +95,9 @@
         proceed: context.Handle,
         start: messages.Start,
     ) -> bool:
+        if not ctx.progress.tokens:
+            # A stream that goes on elsewhere was begun while its key held.
+            self.authorization.check(ctx)
         ctx.start = start
         ctx.progress.attempts += 1
         self.log.event(
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -10,6 +10,7 @@
 from cowsliprill.decisions import retry
 from cowsliprill.decisions import server_health
 from cowsliprill.entry import attempts
+from cowsliprill.entry import authorization
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import plain_relay
@@ -37,6 +38,7 @@
       budgets: Budgets of retries.
       log: The process's log.
       random_source: Breaks ties.
+      authorization: Checks again that the caller's key may be honoured.
       health: Which servers are better left alone.
     """
 
@@ -45,6 +47,7 @@
     budgets: retry.RetryBudgets
     log: log_lib.Log
     random_source: random.Random
+    authorization: authorization.Authorization
     health: server_health.ServerHealth = dataclasses.field(
         default_factory=server_health.ServerHealth
     )
@@ -62,6 +65,7 @@
         while True:
             if clock.now() >= ctx.deadline:
                 raise _refusal(ctx, messages.RefusalCode.TARGET_UNREACHABLE)
+            self.authorization.check(ctx)
             ctx.progress.attempts += 1
             ctx.stall_s = _stall_s(ctx)
             try:
--- a/src/cowsliprill/entry/filters/route.py
+++ b/src/cowsliprill/entry/filters/route.py
@@ -33,6 +33,7 @@
                 f"No route leads to {host}{ctx.call.path}.",
             )
         service_id = routing.pick_service(route, self.random_source)
+        ctx.route = route
         ctx.service = ctx.snapshot.services_by_id[service_id]
         await proceed(ctx)
 
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -37,6 +37,7 @@
     Attributes:
       report: Reports each request's end.
       route: Finds the services of calls that name none.
+      identify_by_route: Finds the customers of calls that name a route.
       idempotency: Lets each key run once.
       admission: Bounds the requests at once.
       model_placement: Places model requests.
@@ -48,6 +49,7 @@
 
     report: report.Report
     route: route.Route
+    identify_by_route: identify.IdentifyByRoute
     idempotency: idempotency.Idempotency
     admission: admission.Admission
     model_placement: model_placement.ModelPlacement
@@ -141,6 +143,7 @@
             parts.report,
             accept.Accept(),
             parts.route,
+            parts.identify_by_route,
             read_call,
             arrival.Arrival(),
             parts.admission,
--- a/src/cowsliprill/entry/world.py
+++ b/src/cowsliprill/entry/world.py
@@ -29,6 +29,9 @@
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Has a function called after each change."""
 
+    def honours_keys(self) -> bool:
+        """Returns whether API keys of the settings may be honoured now."""
+
     async def report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
         """Tells all VMs that an endpoint is leaving."""
 
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -11,7 +11,6 @@
 from cowsliprill.platform import headers as headers_lib
 
 _MS_PER_S = 1_000
-_ANONYMOUS = model.User(id="")
 
 
 async def read_call(ctx: context.Context, proceed: context.Handle) -> None:
@@ -24,10 +23,11 @@
     Raises:
       errors.EntryError: A header can't be read.
     """
-    ctx.user = _ANONYMOUS
     ctx.caller_id = ctx.call.headers.get(headers_lib.ATTEMPT, "")
     ctx.service_path = ctx.call.uri
     ctx.priority = ctx.service.priority
+    if ctx.user.priority is not None:
+        ctx.priority = ctx.user.priority
     ctx.time_given_s = _time_given_s(ctx.call.headers)
     if ctx.service.kind is model.ServiceKind.MODEL:
         ctx.generation = _generation(ctx.call.headers)
@@ -49,18 +49,25 @@
       The answer.
     """
     if error.status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
-        return errors.ErrorAnswer(status=error.status)
+        return errors.ErrorAnswer(
+            status=error.status, headers=_retry_after(error)
+        )
     if error.run is messages.Run.UNKNOWN:
         timeout = error.status == http.HTTPStatus.GATEWAY_TIMEOUT
         status = http.HTTPStatus.BAD_GATEWAY
         return errors.ErrorAnswer(status=error.status if timeout else status)
-    retry_after = f"{error.retry_after_s or 0.0:.3f}"
     return errors.ErrorAnswer(
         status=http.HTTPStatus.SERVICE_UNAVAILABLE,
-        headers=((headers_lib.RETRY_AFTER, retry_after),),
+        headers=_retry_after(error) or ((headers_lib.RETRY_AFTER, "0.000"),),
     )
 
 
+def _retry_after(error: errors.EntryError) -> tuple[tuple[str, str], ...]:
+    if error.retry_after_s is None:
+        return ()
+    return ((headers_lib.RETRY_AFTER, f"{error.retry_after_s:.3f}"),)
+
+
 def _time_given_s(headers: httputil.HTTPHeaders) -> float:
     text = headers.get(headers_lib.DEADLINE, "")
     return _number(text, headers_lib.DEADLINE) / _MS_PER_S if text else 0.0
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import statistics
+from collections.abc import Iterable
 from typing import Annotated
 from typing import Any
 from typing import Literal
@@ -11,6 +13,7 @@
 
 from cowsliprill.decisions import model
 from cowsliprill.decisions import routing
+from cowsliprill.entry.filters import identify
 from cowsliprill.registry import endpoints
 from cowsliprill.registry import source
 
@@ -49,6 +52,9 @@
     "decode": model.EndpointKind.DECODE,
 }
 
+# Unit of quotas that counts tokens; any other counts requests.
+_UNIT_TOKENS = "generation"
+
 # Of the worth of an answer that the users state, the part that goes by size.
 _WORTH_BY_SIZE = 0.7
 
@@ -88,6 +94,7 @@
     max_attempts: int = 1
     resumable: bool = False
     itl_target_ms: Number = 0
+    public: bool = False
 
 
 class _Engine(_Model):
@@ -117,11 +124,24 @@
     idle_timeout_ms: Number = 15_000
 
 
+class _Tenant(_Model):
+    """A customer; a rate of 0 is no limit, priority 0 the most urgent."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    unit: str = ""
+    uncached_tokens: Number = 1
+    rate_per_s: Number = 0
+    burst: Number = 0
+
+
 class _Config(_Model):
     version: int
     routes: list[Any]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] = ()
 
 
 class _Server(_Model):
@@ -178,8 +198,15 @@
             for service in self._services(route, services_by_name, members):
                 services_by_id[service.id] = service
             routes.append(_route(route))
+        customers = _customers(config.tenants)
         return source.Settings(
             version=config.version,
+            customers_by_id={customer.id: customer for customer in customers},
+            customers_by_key_hash={
+                key_hash: customer
+                for customer in customers
+                for key_hash in customer.key_hashes
+            },
             services_by_id=services_by_id,
             routes_by_prefix_by_host=routing.index(routes),
             engines_by_pool={
@@ -264,6 +291,35 @@
             (_service_id(route, name), weight)
             for name, weight in _choices(route)
         ),
+        public=route.public,
+    )
+
+
+def _customers(tenants: Iterable[_Tenant]) -> list[model.User]:
+    """Reads the customers; what they may ask for is their share under load."""
+    rates = [tenant.rate_per_s for tenant in tenants if tenant.rate_per_s]
+    mean_rate = statistics.fmean(rates) if rates else 1.0
+    return [
+        model.User(
+            id=tenant.name,
+            key_hashes=frozenset(map(identify.key_hash, tenant.api_keys)),
+            share=(tenant.rate_per_s or mean_rate) / mean_rate,
+            # Theirs counts from 0, the most urgent; ours is larger for those.
+            priority=None if tenant.priority is None else -tenant.priority,
+            quota=_quota(tenant),
+        )
+        for tenant in tenants
+    ]
+
+
+def _quota(tenant: _Tenant) -> model.Quota | None:
+    if not tenant.rate_per_s:
+        return None
+    return model.Quota(
+        per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+        by_tokens=tenant.unit == _UNIT_TOKENS,
+        plain_cost=tenant.uncached_tokens,
     )
 
 
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -243,8 +243,12 @@
     headers[_HOST] = ctx.call.headers.get(_HOST, "")
     headers[headers_lib.DEADLINE] = str(max(left_ms, 1))
     headers[headers_lib.EXPECTED_ENGINE] = endpoint.id
-    for name, value in extra.items():
-        headers[name] = value
+    if ctx.snapshot.keys_required:
+        # An engine that got the key could call in the customer's name.
+        headers.pop(headers_lib.AUTHORIZATION, None)
+    if ctx.user.id:
+        headers[headers_lib.CUSTOMER] = ctx.user.id
+    headers.update(extra)
     return headers
 
 
--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -23,6 +23,9 @@
 # From 0, the most urgent, to 9.
 PRIORITY = "Request-Priority"
 RETRY_AFTER = "Retry-After"
+# The customer that the system has found by the client's API key.
+CUSTOMER = "Tenant"
+AUTHORIZATION = "Authorization"
 CONTENT_ENCODING = "Content-Encoding"
 
 STAGE_PREFILL = "prefill"
@@ -40,5 +43,6 @@
         "expected-instance",
         "deadline-ms",
         "request-priority",
+        "tenant",
     }
 )
--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -58,6 +58,7 @@
       took: Called with what is new.
       log: The process's log.
       rng: Spreads the retries.
+      watch_s: How long a watch may be held, seconds.
 
     Attributes:
       view: What is known.
@@ -77,8 +78,10 @@
         took: Took,
         log: log_lib.Log,
         rng: random.Random,
+        watch_s: float = WATCH_S,
     ) -> None:
         self.view = view
+        self._watch_s = min(watch_s, WATCH_S)
         self.reading = False
         self.began_at = math.inf
         self.away_since = 0.0
@@ -196,18 +199,41 @@
         # Only an answer shows that the store is there. A long watch has none
         # while nothing changes, and peers would be asked all the while.
         unsure = self.away_since or math.isinf(self.began_at)
-        wait_s = _FIRST_WATCH_S if unsure else WATCH_S
+        if await self._watch(_FIRST_WATCH_S if unsure else self._watch_s):
+            await asyncio.sleep(_GROUP_S)
+
+    async def _watch(self, wait_s: float) -> bool:
+        """Watches once; returns whether there were changes."""
+        sent_at = clock.now()
         watched = await self._store.watch(
             self.view.prefix,
             self.view.position,
             wait_s,
             wait_s + _WATCH_GRACE_S,
         )
-        self.took(self.view.take_watched(watched.changes, watched.as_of))
-        if watched.changes:
-            await asyncio.sleep(_GROUP_S)
+        changes = self.view.take_watched(watched.changes, watched.as_of)
+        # The store answers no sooner than it is asked, and without changes not
+        # before the wait is over.
+        as_of = sent_at if watched.changes else sent_at + wait_s
+        self.view.confirm(min(as_of, clock.now()))
+        self.took(changes)
+        return bool(watched.changes)
+
+    async def confirm(self) -> None:
+        """Asks the store once whether anything has changed, without waiting.
+
+        For a process that leaves the store to others, whose word is too old.
+
+        Raises:
+          store.StoreError: The store gave no usable answer.
+        """
+        try:
+            await self._watch(0.0)
+        except store_lib.HistoryLost:
+            await self._list()
 
     async def _list(self) -> None:
+        sent_at = clock.now()
         first = await self._store.page(self.view.prefix, "", _CALL_S)
         entries = [*first.entries]
         page = first
@@ -215,7 +241,9 @@
             after = page.entries[-1].key
             page = await self._store.page(self.view.prefix, after, _CALL_S)
             entries.extend(page.entries)
-        self.took(self.view.take_listing(entries, first.as_of))
+        changes = self.view.take_listing(entries, first.as_of)
+        self.view.confirm(sent_at)
+        self.took(changes)
 
     async def _pause(self) -> None:
         await asyncio.sleep(self._pause_s * self._random.uniform(0.7, 1.0))
--- a/src/cowsliprill/registry/peer_news.py
+++ b/src/cowsliprill/registry/peer_news.py
@@ -123,6 +123,7 @@
         if not ahead or (not near and self._may_wait(follower)):
             return
         peer = self._random.choice(near or ahead)
+        asked_at = clock.now()
         try:
             news = await peers.ask(self._client, peer.address, view)
         except peer_client.PeerError as error:
@@ -133,6 +134,7 @@
         if news.store_troubled:
             self._troubled_until = clock.now() + follower_lib.RETURN_S
         changes = view.take_news(news)
+        view.confirm(asked_at - news.age_s)
         self._behind_since_by_prefix.pop(view.prefix, None)
         self._note(peer, follower, len(changes))
         follower.took(changes)
--- a/src/cowsliprill/registry/peers.py
+++ b/src/cowsliprill/registry/peers.py
@@ -2,10 +2,12 @@
 
 import base64
 import dataclasses
+import math
 from collections.abc import Callable
 
 from tornado import web
 
+from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill import errors
 from cowsliprill import peer_client
@@ -42,12 +44,15 @@
       position: Revision up to which the teller has read.
       whole: Whether keys that aren't named don't exist up to there.
       store_troubled: Whether removals may be lapses.
+      age_s: How long ago the teller's view was known to be whole, None if it
+        never was.
     """
 
     changes: tuple[WireChange, ...] = ()
     position: int = 0
     whole: bool = False
     store_troubled: bool = False
+    age_s: float | None = None
 
 
 class NewsHandler(web.RequestHandler):
@@ -78,7 +83,9 @@
             return
         self.set_header("Content-Type", "application/json")
         news = dataclasses.replace(
-            view.news_since(int(since)), store_troubled=self._store_troubled()
+            view.news_since(int(since)),
+            store_troubled=self._store_troubled(),
+            age_s=clock.now() - view.confirmed_at,
         )
         self.write(codec.encode_short(_on_wire(news)))
 
@@ -127,6 +134,7 @@
         position=news.position,
         whole=news.whole,
         store_troubled=news.store_troubled,
+        age_s=news.age_s if math.isfinite(news.age_s) else None,
     )
 
 
@@ -147,4 +155,5 @@
         position=news.position,
         whole=news.whole,
         store_troubled=news.store_troubled,
+        age_s=math.inf if news.age_s is None else news.age_s,
     )
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from cowsliprill import clock
+from cowsliprill.decisions import freshness as freshness_lib
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
@@ -14,6 +15,7 @@
 from cowsliprill.decisions import readers
 from cowsliprill.decisions import registry
 from cowsliprill.observability import log as log_lib
+from cowsliprill.registry import confirmation
 from cowsliprill.registry import endpoints as endpoints_lib
 from cowsliprill.registry import follower as follower_lib
 from cowsliprill.registry import peer_news
@@ -38,6 +40,8 @@
       engines_by_pool: What is common to the engines of each pool.
       connections_by_pool: Connections that each endpoint of a pool takes.
       limits: What callers may send.
+      customers_by_id: The customers; empty where callers need no API key.
+      customers_by_key_hash: The customer of each API key's digest.
     """
 
     version: int = 0
@@ -54,6 +58,12 @@
         default_factory=dict
     )
     limits: model.CallLimits = model.CallLimits()
+    customers_by_id: dict[str, model.User] = dataclasses.field(
+        default_factory=dict
+    )
+    customers_by_key_hash: dict[str, model.User] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class Translator(Protocol):
@@ -84,6 +94,7 @@
       log: The process's log.
       rng: Spreads retries.
       off: Mechanisms that are switched off for an experiment.
+      freshness: How recent settings have to be for keys to be honoured.
 
     Attributes:
       snapshot: The settings in force.
@@ -99,8 +110,11 @@
         log: log_lib.Log,
         rng: random.Random,
         off: mechanisms.Off = (),
+        freshness: freshness_lib.Freshness | None = None,
     ) -> None:
         self._off = off
+        self._freshness = freshness or freshness_lib.Freshness(None)
+        self._in_force_revision = 0
         self.snapshot = model.Snapshot()
         self.fleet = model.Fleet()
         self._translator = translator
@@ -124,12 +138,22 @@
             prefix: registry.View(prefix) for prefix in prefixes
         }
         takers = (self._take_settings, self._take_endpoints)
+        # Only the settings have to be confirmed in short intervals.
+        watches_s = (self._freshness.watch_s, follower_lib.WATCH_S)
         self._followers = [
-            follower_lib.Follower(store, view, took, log, rng)
-            for view, took in zip(
-                self.views_by_prefix.values(), takers, strict=True
+            follower_lib.Follower(store, view, took, log, rng, watch_s)
+            for view, took, watch_s in zip(
+                self.views_by_prefix.values(), takers, watches_s, strict=True
             )
         ]
+        self._confirmation = confirmation.Confirmation(
+            self._followers[0],
+            self._freshness,
+            self._note_confirmed,
+            members,
+            log,
+            rng,
+        )
         self._peer_news = peer_news.PeerNews(
             self._followers, members, log, rng, off
         )
@@ -171,6 +195,11 @@
         """
         self._must_read = required
 
+    def honours_keys(self) -> bool:
+        """Returns whether API keys of the settings may be honoured now."""
+        self._note_confirmed()
+        return self._freshness.honours_keys(clock.now())
+
     def is_blind(self) -> bool:
         """Returns whether the store doesn't answer this process."""
         now = clock.now()
@@ -214,6 +243,7 @@
                 group.create_task(follower.run())
             group.create_task(self._read_settings())
             group.create_task(self._peer_news.run())
+            group.create_task(self._confirmation.run())
 
     def take_members(self) -> None:
         """Takes the membership over after a beat, or when it has changed."""
@@ -289,6 +319,13 @@
         if entry is not None:
             self._settings_entries.put_nowait(entry)
 
+    def _note_confirmed(self) -> None:
+        # While a newer entry is being read, the settings in force aren't the
+        # newest, whatever the store confirms of the view.
+        view = self.views_by_prefix[self._translator.settings_key]
+        if view.newest == self._in_force_revision:
+            self._freshness.confirm(view.confirmed_at)
+
     async def _read_settings(self) -> None:
         while True:
             entry = await self._settings_entries.get()
@@ -328,6 +365,7 @@
                     settings.services_by_id, self._off
                 ),
             )
+            self._in_force_revision = entry.revision
             self._rebuild()
 
     def _take_endpoints(self, changes: list[registry.Change]) -> None:
@@ -367,6 +405,9 @@
                 leaving.add(item.endpoint.id)
         self.snapshot = model.Snapshot(
             revision=self._settings.version,
+            users_by_id=self._settings.customers_by_id,
+            users_by_key_hash=self._settings.customers_by_key_hash,
+            keys_required=bool(self._settings.customers_by_id),
             services_by_id=self._settings.services_by_id,
             endpoints_by_id=endpoints_by_id,
             routes_by_prefix_by_host=self._settings.routes_by_prefix_by_host,
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -14,6 +14,7 @@
 from cowsliprill.cells import caller as homes_caller
 from cowsliprill.cells import client as cells_client
 from cowsliprill.cells import homes as homes_lib
+from cowsliprill.decisions import freshness
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
@@ -78,6 +79,7 @@
             log,
             rng,
             node.mechanisms_off,
+            freshness.Freshness(node.key_revocation_s()),
         )
         self._agent = agent_lib.Agent(self._members, self._source.newest, log)
         self._scheduling: cells_client.CellScheduling
@@ -182,6 +184,10 @@
         """Port for callers, known once it runs."""
         return self._entry.shell.public_port
 
+    def honours_keys(self) -> bool:
+        """Returns whether API keys are honoured here now."""
+        return self._source.honours_keys()
+
     def status(self) -> dict[str, Any]:
         """Returns what `GET /v1/status` answers."""
         return {
--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -11,6 +11,8 @@
 # Time between the end of the last request and that of the process.
 _LAST_STEPS_S = 0.7
 
+_MS_PER_S = 1_000
+
 
 def _split(address: object) -> object:
     if not isinstance(address, str):
@@ -43,6 +45,8 @@
       retry_budget_slack: Repeats allowed beyond, for all VMs together.
       drain_notice_s: How long the balancer may need to see that the process
         isn't ready: it asks each second and turns away after two refusals.
+      key_revocation_ms: Time after which a key that the operator has taken
+        away must not be honoured, in touch or not; None for no such bound.
       grace_s: Time between the order to stop and the end.
       peer_secret: Secret that our processes share; empty accepts all.
       mechanisms_off: Parts of the decisions that are switched off for an
@@ -64,6 +68,7 @@
     retry_budget_ratio: float = 0.1
     retry_budget_slack: float = 10.0
     drain_notice_s: float = 2.6
+    key_revocation_ms: float | None = None
     grace_s: float = 8.0
     peer_secret: str = ""
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
@@ -73,6 +78,12 @@
         """Returns how much work it can do, in cores of the slowest class."""
         return round(self.processor_share * self.processor_speed, 3)
 
+    def key_revocation_s(self) -> float | None:
+        """Returns the bound for keys that are taken away, in seconds."""
+        if self.key_revocation_ms is None:
+            return None
+        return self.key_revocation_ms / _MS_PER_S
+
     def environment(self) -> environment.Environment:
         """Returns the same as the entry process's environment."""
         return environment.Environment(
--- a/src/cowsliprill/settings/follower.py
+++ b/src/cowsliprill/settings/follower.py
@@ -88,6 +88,10 @@
             self._follow("fleet", self._next_fleet),
         )
 
+    def honours_keys(self) -> bool:
+        """Returns True: this platform sets no bound for revoked keys."""
+        return True
+
     async def report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
         """Tells all VMs that an endpoint is leaving; a lost report is logged.
 
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -59,6 +59,9 @@
     async def run(self) -> None:
         await asyncio.Event().wait()
 
+    def honours_keys(self) -> bool:
+        return True
+
     async def report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
         self.left.append(endpoint_id)
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -437,8 +437,9 @@
       logs: What they wrote.
     """
 
-    def __init__(self, drain_notice_s: float) -> None:
+    def __init__(self, drain_notice_s: float, **node_fields: Any) -> None:
         self.drain_notice_s = drain_notice_s
+        self.node_fields = node_fields
         self.store = Store()
         self.engines: dict[str, Engine] = {}
         self.routers: list[core.Router] = []
@@ -476,6 +477,7 @@
             store=store or self.store.address,
             drain_notice_s=self.drain_notice_s,
             grace_s=4.0,
+            **self.node_fields,
         )
         stream = io.StringIO()
         log = log_lib.open_log(f"router.{number}.{id(self)}", stream)
@@ -598,10 +600,13 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    routers: int = 1, drain_notice_s: float = 0.0, prefills: int = 2
+    routers: int = 1,
+    drain_notice_s: float = 0.0,
+    prefills: int = 2,
+    **node_fields: Any,
 ):
     """Runs a site for one test."""
-    site = Site(drain_notice_s)
+    site = Site(drain_notice_s, **node_fields)
     await site.start(routers, prefills)
     try:
         yield site
--- a/tests/test_plain_walk.py
+++ b/tests/test_plain_walk.py
@@ -101,6 +101,7 @@
         budgets=retry.RetryBudgets(),
         log=types.SimpleNamespace(warning=lambda *_, **__: None),
         random_source=random.Random(1),
+        authorization=types.SimpleNamespace(check=lambda ctx: None),
     )
     told = []
     ctx = types.SimpleNamespace(
