Hold customers to their quotas across the whole fleet

Cause: quotas were read by nobody. A VM counts what each customer asks for and is admitted, as totals that only grow, and reports them to one owner a customer every 0.3 s, sooner where much was used since. Without an owner a VM admits its own part as the owner last saw it; an owner that hears half of the fleet or less gives out that part of the quota.

Ruled out: shares lent to VMs by need (a customer sends 0.14 requests a second to each of 71 VMs, so leases would lie idle or be asked for at each request); counting at the coordinator of a pool (plain services have none, and a customer may use several pools).

Tests in virtual time at 10, 71 and 690 VMs; interleavings by hypothesis.

--- a/src/cowsliprill/decisions/membership.py
+++ b/src/cowsliprill/decisions/membership.py
@@ -103,6 +103,10 @@
         """
         return len(self._table.members_by_id) + 1
 
+    def heard_part(self) -> float:
+        """Returns the part of the members ever met that are held for alive."""
+        return (len(self._alive()) + 1) / self.known()
+
     def changing(self) -> frozenset[tuple[str, str]]:
         """Returns the engines that live members have ordered to change."""
         records = (self.own, *self.alive())
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -129,6 +129,8 @@
         of some use, 0 if that is the deadline; by `urgency`.
       time_given_s: How long the caller says that it will wait, 0 if it says
         nothing.
+      stated_tokens: Tokens of prompt and longest answer as the caller states
+        them, 0 if it doesn't.
       stall_s: Silence after which the present call is given up, None to wait
         until the end; by `placement`.
       connection: An open connection to the decode engine of the present
@@ -160,6 +162,7 @@
     ends_at: float = 0.0
     useful_until: float = 0.0
     time_given_s: float = 0.0
+    stated_tokens: int = 0
     stall_s: float | None = None
     connection: http_client.Connection | None = None
     kept: Any = None
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -37,6 +37,7 @@
 from cowsliprill.entry.filters import identify
 from cowsliprill.entry.filters import model_placement
 from cowsliprill.entry.filters import plain_placement
+from cowsliprill.entry.filters import quota
 from cowsliprill.entry.filters import report
 from cowsliprill.entry.filters import route
 from cowsliprill.observability import log as log_lib
@@ -62,6 +63,7 @@
       make_dialect: Makes what callers and endpoints are spoken to with.
       make_placing: Makes what decides where model requests run.
       metrics: Its metrics, where other tasks of the process share them.
+      quotas: Keeps customers' quotas, None where none are kept.
 
     Attributes:
       shell: Its servers, health and signals.
@@ -79,6 +81,7 @@
         ),
         make_placing: placing_lib.MakePlacing = placing_lib.ByLeases,
         metrics: metrics_lib.Metrics | None = None,
+        quotas: quota.Admission | None = None,
     ) -> None:
         self._environment = environment
         self._log = log
@@ -125,6 +128,7 @@
         )
         self._scheduling = self._placing.scheduling
         self._source = source
+        self._quotas = quotas or quota.Unlimited()
         self._authorization = authorization.Authorization(source, self._world)
         self.shell = process.Process(
             environment=environment,
@@ -200,6 +204,7 @@
         return routes.Parts(
             route=route.Route(self._random),
             identify_by_route=identify.IdentifyByRoute(self._authorization),
+            quota=quota.Quota(self._quotas),
             report=report.Report(self._log, self._metrics, self._dialect),
             idempotency=idempotency.Idempotency(
                 book,
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -21,6 +21,7 @@
 from cowsliprill.entry.filters import identify
 from cowsliprill.entry.filters import model_placement
 from cowsliprill.entry.filters import plain_placement
+from cowsliprill.entry.filters import quota
 from cowsliprill.entry.filters import report
 from cowsliprill.entry.filters import resolve
 from cowsliprill.entry.filters import route
@@ -38,6 +39,7 @@
       report: Reports each request's end.
       route: Finds the services of calls that name none.
       identify_by_route: Finds the customers of calls that name a route.
+      quota: Refuses what goes beyond a customer's quota.
       idempotency: Lets each key run once.
       admission: Bounds the requests at once.
       model_placement: Places model requests.
@@ -50,6 +52,7 @@
     report: report.Report
     route: route.Route
     identify_by_route: identify.IdentifyByRoute
+    quota: quota.Quota
     idempotency: idempotency.Idempotency
     admission: admission.Admission
     model_placement: model_placement.ModelPlacement
@@ -146,6 +149,7 @@
             parts.identify_by_route,
             read_call,
             arrival.Arrival(),
+            parts.quota,
             parts.admission,
         ],
         by_kind,
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -33,6 +33,8 @@
   entry's events for the home of a pool, and the home's decisions.
   `GET /v1/registry?prefix=P&since=R` -> `registry.peers.WireNews`: what the
   asker lacks of the registry, for VMs that the store turns away.
+  `POST /v1/quotas` `quotas.wire.Report` -> `quotas.wire.Answer`: what customers
+  use at a VM, for the owner of their quotas, and what may be admitted.
 All processes: `GET /healthz`, `GET /readyz`, `GET /metrics`, `GET /v1/status`.
 """
 
@@ -48,6 +50,7 @@
 INCARNATION_PATH = "/v1/incarnation"
 FORWARD_PATH = "/v1/forward"
 CELLS_PATH = "/v1/cells"
+QUOTAS_PATH = "/v1/quotas"
 REGISTRY_PATH = "/v1/registry"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -29,6 +29,8 @@
     if ctx.user.priority is not None:
         ctx.priority = ctx.user.priority
     ctx.time_given_s = _time_given_s(ctx.call.headers)
+    prompt_tokens, output_tokens = _tokens(ctx.call.headers)
+    ctx.stated_tokens = prompt_tokens + output_tokens
     if ctx.service.kind is model.ServiceKind.MODEL:
         ctx.generation = _generation(ctx.call.headers)
         last_event = ctx.call.headers.get(headers_lib.LAST_EVENT, "")
@@ -73,13 +75,19 @@
     return _number(text, headers_lib.DEADLINE) / _MS_PER_S if text else 0.0
 
 
-def _generation(headers: httputil.HTTPHeaders) -> context.Generation:
+def _tokens(headers: httputil.HTTPHeaders) -> tuple[int, int]:
+    """Returns the tokens of the prompt and of the longest answer."""
     name = headers_lib.TOKENS
     prompt, _, output = headers.get(name, "0,0").partition(",")
+    return int(_number(prompt, name)), int(_number(output or "0", name))
+
+
+def _generation(headers: httputil.HTTPHeaders) -> context.Generation:
+    prompt_tokens, output_tokens = _tokens(headers)
     hint = headers.get(headers_lib.LENGTH_HINT, "0")
     return context.Generation(
-        prompt_tokens=int(_number(prompt, name)),
-        output_tokens=int(_number(output or "0", name)),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
         expected_tokens=int(_number(hint, headers_lib.LENGTH_HINT)),
     )
 
--- /dev/null
+++ b/src/cowsliprill/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of customers across all VMs: reports to owners, and their answers."""
--- /dev/null
+++ b/src/cowsliprill/quotas/reporter.py
@@ -0,0 +1,168 @@
+"""The task that reports what customers use to the owners of their quotas."""
+
+import asyncio
+import random
+
+from cowsliprill import clock
+from cowsliprill import codec
+from cowsliprill import errors
+from cowsliprill import peers
+from cowsliprill.decisions import home_choice
+from cowsliprill.decisions import model
+from cowsliprill.decisions import quota_gate
+from cowsliprill.decisions import quota_owner
+from cowsliprill.entry import home_client
+from cowsliprill.observability import log as log_lib
+from cowsliprill.quotas import owner as owner_lib
+from cowsliprill.quotas import wire
+
+# Owners hear this often of customers that ask for something, and no more often
+# than the other of those whose use has grown much since.
+_REPORT_S = 0.3
+_URGENT_S = 0.1
+
+_CALL_S = 0.35
+
+_Usages = list[quota_owner.Usage]
+
+
+class Reporter:
+    """Admits requests by quota and reports them.
+
+    Args:
+      vm_id: Id of this VM.
+      process_id: Id of this process; each start has another.
+      own: The quotas that this process owns.
+      client: Calls other VMs.
+      log: The process's log.
+      rng: Random numbers.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        process_id: str,
+        own: owner_lib.Owner,
+        client: home_client.HomeClient,
+        log: log_lib.Log,
+        rng: random.Random,
+    ) -> None:
+        self._vm_id = vm_id
+        self._process_id = process_id
+        self._own = own
+        self._client = client
+        self._log = log
+        self._gate = quota_gate.QuotaGate(rng)
+        self._vms_by_id: dict[str, model.Vm] = {}
+        self._choices_by_customer: dict[str, home_choice.HomeChoice] = {}
+        self._calls: set[asyncio.Task] = set()
+        self._asked = asyncio.Event()
+        self._urgent = asyncio.Event()
+
+    def update(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
+        """Takes new settings or a new VM list."""
+        self._vms_by_id = fleet.vms_by_id
+        self._gate.set_members(len(fleet.vms_by_id))
+        limited = {
+            customer.id
+            for customer in snapshot.users_by_id.values()
+            if customer.quota is not None
+        }
+        self._gate.keep_only(limited)
+        for customer_id in self._choices_by_customer.keys() - limited:
+            del self._choices_by_customer[customer_id]
+
+    async def admit(
+        self, customer_id: str, quota: model.Quota, cost: float
+    ) -> float | None:
+        """Decides on a request; see `quota_gate.QuotaGate.admit`."""
+        now = clock.now()
+        refused = self._gate.admit(customer_id, quota, cost, now)
+        self._asked.set()
+        if refused is not None and not self._gate.is_recent(customer_id, now):
+            await self._ask(customer_id)
+            refused = self._gate.decide(customer_id, quota, cost, clock.now())
+        if self._gate.is_urgent(customer_id, quota):
+            self._urgent.set()
+        return refused
+
+    def give_back(self, customer_id: str, cost: float) -> None:
+        """Takes back an admitted request that has not run."""
+        self._gate.give_back(customer_id, cost)
+
+    async def run(self) -> None:
+        """Reports until cancelled."""
+        while True:
+            await self._asked.wait()
+            await asyncio.sleep(_URGENT_S)
+            try:
+                async with asyncio.timeout(_REPORT_S - _URGENT_S):
+                    await self._urgent.wait()
+            except TimeoutError:
+                pass
+            self._asked.clear()
+            self._urgent.clear()
+            self._report()
+
+    async def _ask(self, customer_id: str) -> None:
+        """Reports one customer and waits for the answer."""
+        vm = self._owner_of(customer_id)
+        usages = [
+            usage
+            for usage in self._gate.usages()
+            if usage.customer == customer_id
+        ]
+        if vm is not None and usages:
+            await self._call(vm, usages)
+
+    def _report(self) -> None:
+        by_vm: dict[str, tuple[model.Vm, _Usages]] = {}
+        for usage in self._gate.usages():
+            vm = self._owner_of(usage.customer)
+            if vm is not None:
+                by_vm.setdefault(vm.id, (vm, []))[1].append(usage)
+        for vm, usages in by_vm.values():
+            task = asyncio.create_task(self._call(vm, usages))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+
+    def _owner_of(self, customer_id: str) -> model.Vm | None:
+        choice = self._choices_by_customer.get(customer_id)
+        if choice is None:
+            choice = home_choice.HomeChoice(f"quota/{customer_id}")
+            self._choices_by_customer[customer_id] = choice
+        choice.look_up(self._vms_by_id, clock.now())
+        return choice.home
+
+    async def _call(self, vm: model.Vm, usages: _Usages) -> None:
+        report = wire.Report(reporter=self._process_id, usages=tuple(usages))
+        try:
+            answer = await self._post(vm, report)
+        except errors.CowsliprillError as error:
+            self._log.warning(
+                "quota_owner_failed", vm=vm.id, reason=error.message
+            )
+            self._note_failure(vm, usages)
+            return
+        now = clock.now()
+        verdicts_by_customer = {
+            verdict.customer: verdict for verdict in answer.verdicts
+        }
+        for usage in usages:
+            verdict = verdicts_by_customer.get(usage.customer)
+            if verdict is not None:
+                self._gate.answered(usage, verdict, now)
+
+    def _note_failure(self, vm: model.Vm, usages: _Usages) -> None:
+        for usage in usages:
+            choice = self._choices_by_customer.get(usage.customer)
+            if choice is not None:
+                choice.failed(vm, clock.now())
+        # What wasn't taken is reported anew, though nobody asks meanwhile.
+        self._asked.set()
+
+    async def _post(self, vm: model.Vm, report: wire.Report) -> wire.Answer:
+        if vm.id == self._vm_id:
+            return self._own.answer(report)
+        text = await self._client.post(vm, peers.QUOTAS_PATH, report, _CALL_S)
+        return codec.decode(wire.Answer, text)
--- /dev/null
+++ b/src/cowsliprill/quotas/wire.py
@@ -0,0 +1,29 @@
+"""Messages between VMs and the owners of customers' quotas."""
+
+import dataclasses
+
+from cowsliprill.decisions import quota_owner
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """Body of `POST /v1/quotas`.
+
+    Attributes:
+      reporter: Id of the reporting process; each start has another.
+      usages: What it says of customers.
+    """
+
+    reporter: str
+    usages: tuple[quota_owner.Usage, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """Answer of `POST /v1/quotas`.
+
+    Attributes:
+      verdicts: What may be admitted of each customer that was named.
+    """
+
+    verdicts: tuple[quota_owner.Verdict, ...]
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -20,6 +20,7 @@
 from cowsliprill.decisions import membership
 from cowsliprill.engines import http_client
 from cowsliprill.entry import core as entry_core
+from cowsliprill.entry import home_client
 from cowsliprill.entry import placing
 from cowsliprill.membership import agent as agent_lib
 from cowsliprill.observability import log as log_lib
@@ -29,6 +30,8 @@
 from cowsliprill.platform import dialect
 from cowsliprill.platform import orders
 from cowsliprill.platform import store as store_lib
+from cowsliprill.quotas import owner as quota_owner
+from cowsliprill.quotas import reporter as quota_reporter
 from cowsliprill.registry import peers as registry_peers
 from cowsliprill.registry import source as source_lib
 from cowsliprill.router import gauges
@@ -38,6 +41,10 @@
 # At its end a process waits so long for a reader of its log.
 _LAST_LINES_S = 0.2
 
+# Part of the overage that the provider of a quota allows which customers get.
+# The rest is for what VMs admit before they hear of each other.
+_OVERAGE_USED = 0.5
+
 # How often the process's own file is looked at: it may change without a signal.
 _RELOAD_CHECK_S = 1.0
 
@@ -84,6 +91,19 @@
         self._agent = agent_lib.Agent(self._members, self._source.newest, log)
         self._scheduling: cells_client.CellScheduling
         self._homes = homes_lib.Homes(node.vm, node.availability_zone, rng, log)
+        self._quota_owner = quota_owner.Owner(
+            node.quota_overage * _OVERAGE_USED, self._members.heard_part
+        )
+        self._quotas = quota_reporter.Reporter(
+            node.vm,
+            f"{node.vm}.{own.incarnation}",
+            self._quota_owner,
+            home_client.HomeClient(
+                http_client.HttpClient(), peer_auth.PeerAuth(node.peer_secret)
+            ),
+            log,
+            rng,
+        )
         self._entry = entry_core.Entry(
             node.environment(),
             log,
@@ -91,6 +111,7 @@
             dialect.PlatformDialect,
             self._place_by_cells,
             self._metrics,
+            self._quotas,
         )
         self._entry.peer_routes = self._peer_routes()
         self._entry.before_drain = self._agent.leave
@@ -131,6 +152,7 @@
             self._agent.run(),
             self._homes.run(),
             self._gauges.run(),
+            self._quotas.run(),
             self._follow_file(),
         ]
         off = self._node.mechanisms_off
@@ -205,12 +227,14 @@
     def _peer_routes(self) -> list[tuple]:
         auth = peer_auth.PeerAuth(self._node.peer_secret)
         cells = {"auth": auth, "homes": self._homes}
+        quotas = {"auth": auth, "owner": self._quota_owner}
         views = {
             "views_by_prefix": self._source.views_by_prefix,
             "store_troubled": self._source.is_store_troubled,
         }
         return [
             (peers.CELLS_PATH, homes_lib.CellsHandler, cells),
+            (peers.QUOTAS_PATH, quota_owner.QuotasHandler, quotas),
             (peers.REGISTRY_PATH, registry_peers.NewsHandler, views),
         ]
 
@@ -220,6 +244,8 @@
 
     def _take_world(self) -> None:
         self._homes.update(self._source.snapshot, self._source.fleet)
+        self._quota_owner.update(self._source.snapshot)
+        self._quotas.update(self._source.snapshot, self._source.fleet)
         if self._source.is_ready():
             self._agent.tell(ready=True)
         self._agent.tell_newest()
--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -47,6 +47,7 @@
         isn't ready: it asks each second and turns away after two refusals.
       key_revocation_ms: Time after which a key that the operator has taken
         away must not be honoured, in touch or not; None for no such bound.
+      quota_overage: Part by which customers' quotas may be exceeded.
       grace_s: Time between the order to stop and the end.
       peer_secret: Secret that our processes share; empty accepts all.
       mechanisms_off: Parts of the decisions that are switched off for an
@@ -68,6 +69,7 @@
     retry_budget_ratio: float = 0.1
     retry_budget_slack: float = 10.0
     drain_notice_s: float = 2.6
+    quota_overage: float = 0.0
     key_revocation_ms: float | None = None
     grace_s: float = 8.0
     peer_secret: str = ""
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -185,6 +185,57 @@
         assert status == 200
 
 
+class TestQuotas:
+    """A customer above its quota is told when to come back."""
+
+    def test_what_is_over_is_refused_at_every_vm(self):
+        """Guards against a quota for each VM instead of for all."""
+
+        async def scenario(site):
+            refused = None
+            admitted = 0
+            while refused is None:
+                status, headers, _ = await site.call(
+                    _SAFE, headers=_key("k1"), router=admitted % 2
+                )
+                if status == 429:
+                    refused = headers
+                else:
+                    admitted += 1
+                    await asyncio.sleep(0.05)
+            return refused, admitted, len(site.runs())
+
+        refused, admitted, runs = _on_site(
+            scenario,
+            _tenant(
+                "firm",
+                "k1",
+                unit="generation",
+                uncachedTokens=4_000,
+                ratePerS=100,
+                burst=8_000,
+            ),
+            routers=2,
+        )
+        assert float(refused["Retry-After"]) > 0
+        assert runs == admitted
+        # Two VMs with a bucket each would admit at least four.
+        assert 2 <= admitted <= 20
+
+    def test_tokens_count_as_stated(self):
+        async def scenario(site):
+            statuses = []
+            while 429 not in statuses and len(statuses) < 50:
+                answer = await site.call(_MODEL, headers=_key("k1"))
+                statuses.append(answer[0])
+            return statuses
+
+        tenant = _tenant(
+            "firm", "k1", unit="generation", ratePerS=1, burst=8_000
+        )
+        assert 429 in _on_site(scenario, tenant)
+
+
 class TestConfiguration:
     """What the operator says of customers, in the project's own types."""
 
--- /dev/null
+++ b/tests/test_quotas.py
@@ -0,0 +1,260 @@
+"""Tests of customers' quotas across all VMs, in virtual time."""
+
+import dataclasses
+import heapq
+import math
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cowsliprill.decisions import model
+from cowsliprill.decisions import quota_gate
+from cowsliprill.decisions import quota_owner
+
+_QUOTA = model.Quota(per_s=1_000.0, burst=1_000.0)
+_QUOTAS = {"firm": _QUOTA}
+_WINDOW_S = 8.0
+_REPORT_S = 0.3
+
+
+@dataclasses.dataclass(slots=True)
+class _Outcome:
+    asked: float = 0.0
+    admitted: list[tuple[float, float]] = dataclasses.field(
+        default_factory=list
+    )
+    waits: list[float] = dataclasses.field(default_factory=list)
+
+    def total(self) -> float:
+        return sum(cost for _, cost in self.admitted)
+
+    def worst_window(self) -> float:
+        return max(
+            sum(
+                cost
+                for at, cost in self.admitted
+                if start <= at < start + _WINDOW_S
+            )
+            for start in {at for at, _ in self.admitted}
+        )
+
+
+class _Fleet:
+    """VMs that each get a part of one customer's requests.
+
+    Attributes:
+      cut: VMs whose reports are lost.
+      heard_part: What the owner hears of the fleet.
+    """
+
+    def __init__(self, vms: int, seed: int = 1) -> None:
+        self._random = random.Random(seed)
+        self.owner = quota_owner.QuotaOwner()
+        self.gates = [
+            quota_gate.QuotaGate(random.Random(number)) for number in range(vms)
+        ]
+        for gate in self.gates:
+            gate.set_members(vms)
+        self.cut: set[int] = set()
+        self.heard_part = 1.0
+        self.now = 0.0
+
+    def run(self, load: float, length_s: float, cost: float) -> _Outcome:
+        """Sends `load` times the quota, spread over all VMs."""
+        outcome = _Outcome()
+        end = self.now + length_s
+        per_s = load * _QUOTA.per_s / cost
+        moments = [(self.now + self._random.expovariate(per_s), "ask", 0)]
+        for number in range(len(self.gates)):
+            at = self.now + self._random.uniform(0, _REPORT_S)
+            heapq.heappush(moments, (at, "report", number))
+        while moments[0][0] < end:
+            self.now, kind, number = heapq.heappop(moments)
+            if kind == "report":
+                self._report(number)
+                heapq.heappush(
+                    moments, (self.now + _REPORT_S, "report", number)
+                )
+                continue
+            self._ask(outcome, cost)
+            gap_s = self._random.expovariate(per_s)
+            heapq.heappush(moments, (self.now + gap_s, "ask", 0))
+        return outcome
+
+    def _ask(self, outcome: _Outcome, cost: float) -> None:
+        number = self._random.randrange(len(self.gates))
+        gate = self.gates[number]
+        outcome.asked += cost
+        refused = gate.admit("firm", _QUOTA, cost, self.now)
+        if refused is not None and not gate.is_recent("firm", self.now):
+            self._report(number)
+            refused = gate.decide("firm", _QUOTA, cost, self.now)
+        if refused is None:
+            outcome.admitted.append((self.now, cost))
+        else:
+            outcome.waits.append(refused)
+
+    def _report(self, number: int) -> None:
+        gate = self.gates[number]
+        usages = gate.usages()
+        if not usages or number in self.cut:
+            return
+        verdicts = self.owner.report(
+            f"vm-{number}", usages, _QUOTAS, self.heard_part, self.now
+        )
+        for usage, verdict in zip(usages, verdicts, strict=True):
+            gate.answered(usage, verdict, self.now)
+
+
+@pytest.mark.parametrize("vms", [10, 71, 690])
+class TestFleet:
+    """The pattern: one customer's requests reach all VMs of a fleet."""
+
+    # A customer's quota grows with the fleet that serves it.
+    _COST_BY_VMS = {10: 5.0, 71: 5.0, 690: 1.0}
+
+    def test_below_its_quota_nobody_is_refused(self, vms):
+        fleet = _Fleet(vms)
+        outcome = fleet.run(0.8, 20.0, self._COST_BY_VMS[vms])
+        assert outcome.total() == outcome.asked
+
+    def test_a_hot_customer_is_held_to_its_quota(self, vms):
+        """Guards against each VM admitting a whole quota of its own."""
+        fleet = _Fleet(vms)
+        fleet.run(0.5, 10.0, self._COST_BY_VMS[vms])
+        outcome = fleet.run(4.0, 16.0, self._COST_BY_VMS[vms])
+        allowed = _QUOTA.per_s * _WINDOW_S + _QUOTA.burst
+        assert outcome.worst_window() <= 1.25 * allowed
+        assert outcome.total() >= 0.8 * _QUOTA.per_s * 16.0
+
+    def test_refusals_say_when_there_is_room(self, vms):
+        fleet = _Fleet(vms)
+        outcome = fleet.run(4.0, 10.0, self._COST_BY_VMS[vms])
+        assert outcome.waits
+        assert all(0 < wait_s < 5 for wait_s in outcome.waits)
+
+    def test_after_a_hot_spell_nobody_is_refused_for_long(self, vms):
+        """Guards against an old verdict that refuses a customer in need."""
+        fleet = _Fleet(vms)
+        fleet.run(4.0, 6.0, self._COST_BY_VMS[vms])
+        fleet.run(0.1, 4.0, self._COST_BY_VMS[vms])
+        outcome = fleet.run(0.6, 10.0, self._COST_BY_VMS[vms])
+        assert outcome.total() >= 0.99 * outcome.asked
+
+
+class TestTrouble:
+    """Owners and VMs that die, fall silent or can't hear each other."""
+
+    def test_vms_without_an_owner_share_the_quota(self):
+        """Guards against VMs out of touch that admit whatever comes."""
+        fleet = _Fleet(71)
+        fleet.cut = set(range(71))
+        outcome = fleet.run(4.0, 16.0, 5.0)
+        allowed = _QUOTA.per_s * _WINDOW_S + _QUOTA.burst
+        assert outcome.worst_window() <= 2.0 * allowed
+        late = [cost for at, cost in outcome.admitted if at > 8.0]
+        assert sum(late) <= 1.25 * _QUOTA.per_s * 8.0
+
+    def test_halves_that_cannot_hear_each_other(self):
+        """Guards against a split fleet that admits two quotas."""
+        halves = [_Fleet(36, seed=1), _Fleet(35, seed=2)]
+        for half in halves:
+            half.heard_part = 0.5
+            half.run(1.0, 4.0, 5.0)
+        outcomes = [half.run(2.0, 10.0, 5.0) for half in halves]
+        allowed = _QUOTA.per_s * _WINDOW_S + _QUOTA.burst
+        assert sum(item.worst_window() for item in outcomes) <= 1.25 * allowed
+
+    def test_a_new_owner_goes_on_where_the_old_one_was(self):
+        """Guards against an owner that charges all use since the start."""
+        fleet = _Fleet(10)
+        fleet.run(0.8, 10.0, 5.0)
+        fleet.owner = quota_owner.QuotaOwner()
+        outcome = fleet.run(0.8, 10.0, 5.0)
+        assert outcome.total() == outcome.asked
+
+    def test_a_report_that_was_lost_is_made_good(self):
+        gate = quota_gate.QuotaGate(random.Random(1))
+        owner = quota_owner.QuotaOwner()
+        gate.admit("firm", _QUOTA, 600.0, 0.0)
+        # Its answer is lost.
+        owner.report("vm", gate.usages(), _QUOTAS, 1.0, 0.1)
+        gate.admit("firm", _QUOTA, 300.0, 0.1)
+        (usage,) = gate.usages()
+        (verdict,) = owner.report("vm", [usage], _QUOTAS, 1.0, 0.1)
+        # Of the burst 100 are left, below the reserve.
+        assert verdict.admit_part < 1.0
+
+    def test_what_has_not_run_is_given_back(self):
+        gate = quota_gate.QuotaGate(random.Random(1))
+        owner = quota_owner.QuotaOwner()
+        for _ in range(20):
+            gate.admit("firm", _QUOTA, 500.0, 0.0)
+            gate.give_back("firm", 500.0)
+        (verdict,) = owner.report("vm", gate.usages(), _QUOTAS, 1.0, 0.0)
+        assert verdict.admit_part == 1.0
+
+    def test_a_lowered_quota_binds(self):
+        fleet = _Fleet(10)
+        fleet.run(0.8, 5.0, 5.0)
+        lowered = {"firm": model.Quota(per_s=100.0, burst=100.0)}
+        gate = fleet.gates[0]
+        gate.admit("firm", lowered["firm"], 500.0, fleet.now)
+        (verdict,) = fleet.owner.report(
+            "vm-0", gate.usages(), lowered, 1.0, fleet.now
+        )
+        assert verdict.admit_part < 1.0
+
+    def test_without_a_quota_all_is_admitted(self):
+        owner = quota_owner.QuotaOwner()
+        usage = quota_owner.Usage(customer="free", asked=1e9, admitted=1e9)
+        (verdict,) = owner.report("vm", [usage], {}, 1.0, 0.0)
+        assert verdict.admit_part == 1.0
+
+
+class TestInterleavings:
+    """Reports lost, repeated and out of order never lose or invent use."""
+
+    @hypothesis.settings(
+        max_examples=200, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(
+        steps=strategies.lists(
+            strategies.tuples(
+                strategies.integers(0, 3),
+                strategies.sampled_from(["ask", "give_back", "lost", "whole"]),
+            ),
+            max_size=60,
+        )
+    )
+    def test_the_account_is_what_was_admitted(self, steps):
+        quota = model.Quota(per_s=0.0, burst=1e6)
+        owner = quota_owner.QuotaOwner()
+        gates = [quota_gate.QuotaGate(random.Random(n)) for n in range(4)]
+        admitted = 0.0
+        for number, step in steps:
+            gate = gates[number]
+            match step:
+                case "ask":
+                    if gate.admit("firm", quota, 10.0, 0.0) is None:
+                        admitted += 10.0
+                case "give_back":
+                    gate.give_back("firm", 0.0)
+                case kind:
+                    usages = gate.usages()
+                    verdicts = owner.report(
+                        f"vm-{number}", usages, {"firm": quota}, 1.0, 0.0
+                    )
+                    if kind == "whole":
+                        for usage, verdict in zip(
+                            usages, verdicts, strict=True
+                        ):
+                            gate.answered(usage, verdict, 0.0)
+        for number, gate in enumerate(gates):
+            owner.report(
+                f"vm-{number}", gate.usages(), {"firm": quota}, 1.0, 0.0
+            )
+        level = owner.level("firm")
+        assert math.isclose(level, 1e6 - admitted if admitted else level)
