Use all engines of a pool where one coordinator places its requests

Cause: decisions/subset let a placer use 8 prefill and 24 decode engines of a pool, for entries that place for themselves. Entries that hold leases keep their subset.

Test fails without the change.

--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -105,21 +105,26 @@
         return pool
 
     def _set_engines(self, pool: pools.Pool, kinds: _EndpointsByKind) -> None:
-        chosen = {
-            kind: subset.choose(
-                kinds.get(kind, []), limit, self._seed, self._availability_zone
-            )
-            for kind, limit in _LIMITS_BY_KIND.items()
-        }
         pool.set_engines(
-            chosen[model.EndpointKind.PREFILL],
-            chosen[model.EndpointKind.DECODE],
+            self._used(kinds, model.EndpointKind.PREFILL),
+            self._used(kinds, model.EndpointKind.DECODE),
         )
         for endpoint_id in pool.holdings_by_endpoint:
             self.by_endpoint[endpoint_id] = pool
         if self._owns_slots:
             self._own(pool)
 
+    def _used(
+        self, kinds: _EndpointsByKind, kind: model.EndpointKind
+    ) -> list[model.Endpoint]:
+        found = kinds.get(kind, [])
+        if self._owns_slots:
+            # Nobody else uses those that this one would leave out.
+            return sorted(found, key=lambda endpoint: endpoint.id)
+        return subset.choose(
+            found, _LIMITS_BY_KIND[kind], self._seed, self._availability_zone
+        )
+
     def _own(self, pool: pools.Pool) -> None:
         for endpoint in pool.endpoints_by_id.values():
             slots = int(endpoint.slots * self.share)
--- a/src/cowsliprill/decisions/subset.py
+++ b/src/cowsliprill/decisions/subset.py
@@ -1,4 +1,7 @@
-"""Which engines an entry uses when there are many."""
+"""Which engines an entry uses that holds leases, when there are many.
+
+One that places the requests of all entries uses all of a pool's engines.
+"""
 
 from collections.abc import Iterable
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -127,6 +127,18 @@
         assert max(used.values()) <= _BLOCKS
         assert min(used.values()) > _BLOCKS - starts[0].slots
 
+    def test_all_engines_of_a_large_pool_are_used(self):
+        """Guards against engines that stand idle while requests wait."""
+        site = _Site(decodes=40)
+        site.hear_all()
+        used = set()
+        for number in range(40):
+            site.send("vm-0", _submit(number, site.now))
+            (start,) = _starts(site.decisions("vm-0"))
+            used.add(start.decode_id)
+            site.send("vm-0", messages.PrefillFinished(number))
+        assert len(used) == 40
+
     def test_what_ends_makes_room_for_the_next(self):
         site = _Site(decodes=1)
         site.hear_all()
