Let customers use half of the tolerance of their quotas

The bucket was as strict as the quota itself but for an eighth, while customers burst at 1.5 times their quota for 4 s.

The operator states a part and a slack by which quotas may be exceeded. Half of both goes to customers, half stays for what VMs admit before they hear.

--- a/src/cowsliprill/decisions/quota_owner.py
+++ b/src/cowsliprill/decisions/quota_owner.py
@@ -67,6 +67,28 @@
     own_part: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tolerance:
+    """By how much quotas may be exceeded.
+
+    Attributes:
+      part: Part of the quota.
+      tokens: Cost units beyond, once, for quotas that count tokens.
+    """
+
+    part: float = 0.0
+    tokens: float = 0.0
+
+    def widen(self, quota: model.Quota) -> model.Quota:
+        """Returns the quota that is enforced."""
+        extra = self.tokens if quota.by_tokens else 0.0
+        return dataclasses.replace(
+            quota,
+            per_s=quota.per_s * (1 + self.part),
+            burst=quota.burst * (1 + self.part) + extra,
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class _Demand:
     """What is asked for in a second, forgetting older requests."""
@@ -104,12 +126,13 @@
     """The accounts of the customers whose quotas are owned here.
 
     Args:
-      overage: Part by which a quota may be exceeded before customers are
-        refused; users of a quota and its provider count by different clocks.
+      tolerance: By how much a quota may be exceeded before its customer is
+        refused. A customer and its provider count at different moments, and
+        one that keeps to its quota must never be refused for it.
     """
 
-    def __init__(self, overage: float = 0.0) -> None:
-        self._factor = 1.0 + overage
+    def __init__(self, tolerance: Tolerance | None = None) -> None:
+        self._tolerance = tolerance or Tolerance()
         self._accounts_by_customer: dict[str, _Account] = {}
 
     def report(
@@ -138,7 +161,7 @@
                 reporter,
                 usage,
                 quotas_by_customer.get(usage.customer),
-                part * self._factor,
+                part,
                 now,
             )
             for usage in usages
@@ -160,18 +183,19 @@
         reporter_id: str,
         usage: Usage,
         quota: model.Quota | None,
-        factor: float,
+        part: float,
         now: float,
     ) -> Verdict:
         if quota is None:
             return Verdict(customer=usage.customer)
+        quota = self._tolerance.widen(quota)
+        per_s, burst = quota.per_s * part, quota.burst * part
         account = self._accounts_by_customer.get(usage.customer)
         if account is None:
-            account = _Account(level=quota.burst * factor, at=now)
+            account = _Account(level=burst, at=now)
             self._accounts_by_customer[usage.customer] = account
-        per_s = quota.per_s * factor
         refilled = account.level + per_s * (now - account.at)
-        account.level = min(refilled, quota.burst * factor)
+        account.level = min(refilled, burst)
         account.at = now
         reporter = self._reporter(account, reporter_id, usage, now)
         asked = max(usage.asked - reporter.asked, 0.0)
--- a/src/cowsliprill/quotas/owner.py
+++ b/src/cowsliprill/quotas/owner.py
@@ -16,12 +16,16 @@
     """Answers reports for the customers that VMs name here.
 
     Args:
-      overage: Part by which quotas may be exceeded.
+      tolerance: By how much quotas may be exceeded.
       heard_part: Returns the part of the known VMs that are heard here.
     """
 
-    def __init__(self, overage: float, heard_part: Callable[[], float]) -> None:
-        self._accounts = quota_owner.QuotaOwner(overage)
+    def __init__(
+        self,
+        tolerance: quota_owner.Tolerance,
+        heard_part: Callable[[], float],
+    ) -> None:
+        self._accounts = quota_owner.QuotaOwner(tolerance)
         self._heard_part = heard_part
         self._quotas_by_customer: dict[str, model.Quota] = {}
 
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -41,10 +41,6 @@
 # At its end a process waits so long for a reader of its log.
 _LAST_LINES_S = 0.2
 
-# Part of the overage that the provider of a quota allows which customers get.
-# The rest is for what VMs admit before they hear of each other.
-_OVERAGE_USED = 0.5
-
 # How often the process's own file is looked at: it may change without a signal.
 _RELOAD_CHECK_S = 1.0
 
@@ -92,7 +88,7 @@
         self._scheduling: cells_client.CellScheduling
         self._homes = homes_lib.Homes(node.vm, node.availability_zone, rng, log)
         self._quota_owner = quota_owner.Owner(
-            node.quota_overage * _OVERAGE_USED, self._members.heard_part
+            node.quota_tolerance(), self._members.heard_part
         )
         self._quotas = quota_reporter.Reporter(
             node.vm,
--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -7,12 +7,17 @@
 
 from cowsliprill import environment
 from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import quota_owner
 
 # Time between the end of the last request and that of the process.
 _LAST_STEPS_S = 0.7
 
 _MS_PER_S = 1_000
 
+# Part of what quotas may be exceeded by that customers get. The rest is for
+# what VMs admit before they hear of each other.
+_TOLERANCE_USED = 0.5
+
 
 def _split(address: object) -> object:
     if not isinstance(address, str):
@@ -48,6 +53,7 @@
       key_revocation_ms: Time after which a key that the operator has taken
         away must not be honoured, in touch or not; None for no such bound.
       quota_overage: Part by which customers' quotas may be exceeded.
+      quota_slack: Tokens by which they may be exceeded beyond.
       grace_s: Time between the order to stop and the end.
       peer_secret: Secret that our processes share; empty accepts all.
       mechanisms_off: Parts of the decisions that are switched off for an
@@ -70,6 +76,7 @@
     retry_budget_slack: float = 10.0
     drain_notice_s: float = 2.6
     quota_overage: float = 0.0
+    quota_slack: float = 0.0
     key_revocation_ms: float | None = None
     grace_s: float = 8.0
     peer_secret: str = ""
@@ -86,6 +93,13 @@
             return None
         return self.key_revocation_ms / _MS_PER_S
 
+    def quota_tolerance(self) -> quota_owner.Tolerance:
+        """Returns by how much customers may exceed their quotas."""
+        return quota_owner.Tolerance(
+            part=self.quota_overage * _TOLERANCE_USED,
+            tokens=self.quota_slack * _TOLERANCE_USED,
+        )
+
     def environment(self) -> environment.Environment:
         """Returns the same as the entry process's environment."""
         return environment.Environment(
