Repeat a failed plain call at a server that hasn't failed it yet

Cause: the choice of a server knew nothing of those that the same request had tried. Test fails without the change.

--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import random
+from collections.abc import Collection
 
 from cowsliprill import clock
 from cowsliprill.decisions import messages
@@ -60,7 +61,8 @@
     ) -> None:
         """Makes calls until one is answered or none may follow."""
         self.budgets.of(ctx.service).earn()
-        ctx.endpoint = self._choose(ctx)
+        tried: set[str] = set()
+        ctx.endpoint = self._choose(ctx, tried)
         unsent = 0
         while True:
             if clock.now() >= ctx.deadline:
@@ -74,6 +76,7 @@
                 return
             except attempts.PlainCallLost as lost:
                 self._note_lost(ctx, lost)
+                tried.add(ctx.endpoint.id)
                 if lost.unsent and unsent < _UNSENT_MAX:
                     # No server has heard of it, so this is no repeat: it
                     # takes nothing of the service's attempts.
@@ -87,7 +90,7 @@
             # An endpoint that checks keys knows its own calls only, so a call
             # which may have run there is repeated there and nowhere else.
             if not _may_have_booked(ctx):
-                ctx.endpoint = self._choose(ctx)
+                ctx.endpoint = self._choose(ctx, tried)
 
     def _may_go_on(self, ctx: context.Context) -> bool:
         # The budget may be shared with other services, each with a limit of
@@ -105,7 +108,9 @@
             if not self._running_by_endpoint[endpoint_id]:
                 del self._running_by_endpoint[endpoint_id]
 
-    def _choose(self, ctx: context.Context) -> model.Endpoint:
+    def _choose(
+        self, ctx: context.Context, tried: Collection[str]
+    ) -> model.Endpoint:
         leaving = self.world.fleet_at(clock.now()).leaving_endpoint_ids
         serving = [
             endpoint
@@ -123,12 +128,14 @@
         ]
         if not free:
             raise _refusal(ctx, messages.RefusalCode.OVERLOADED)
-        return min(free, key=self._cost)
+        return min(free, key=lambda item: self._cost(item, tried))
 
     def _cost(
-        self, endpoint: model.Endpoint
-    ) -> tuple[bool, float, bool, float]:
+        self, endpoint: model.Endpoint, tried: Collection[str]
+    ) -> tuple[bool, bool, float, bool, float]:
         return (
+            # A server that has just failed a call mostly fails it again.
+            endpoint.id in tried,
             self.health.is_alone(endpoint.id, clock.now()),
             self._running_by_endpoint[endpoint.id],
             endpoint.availability_zone != self.availability_zone,
--- a/tests/test_plain_walk.py
+++ b/tests/test_plain_walk.py
@@ -46,9 +46,10 @@
     def __init__(self, endings):
         self._endings = iter(endings)
         self.seen = []
+        self.asked = []
 
     async def call(self, ctx, progress):
-        del ctx
+        self.asked.append(ctx.endpoint.id)
         ending = next(self._endings)
         self.seen.append(ending)
         if ending == _UNREACHED:
@@ -67,6 +68,13 @@
 
 def _play(endings, idempotency):
     """Returns what the servers did, the status told and the error raised."""
+    servers = _Servers(endings)
+    told, error = _place(servers, idempotency)
+    return servers.seen, told, error
+
+
+def _place(servers, idempotency):
+    """Returns the status told and the error raised."""
     endpoints = {
         name: model.Endpoint(
             id=name,
@@ -94,7 +102,6 @@
         snapshot=model.Snapshot(endpoints_by_id=endpoints),
         fleet_at=lambda now: model.Fleet(),
     )
-    servers = _Servers(endings)
     placement = plain_placement.PlainPlacement(
         availability_zone="a",
         world=world,
@@ -130,7 +137,7 @@
     with pytest.MonkeyPatch.context() as monkeypatch:
         monkeypatch.setattr(plain_placement, "_UNSENT_MAX", _UNSENT)
         error = asyncio.run(run(monkeypatch))
-    return servers.seen, told, error
+    return told, error
 
 
 _WAYS = [*itertools.product(_ENDINGS, repeat=_ATTEMPTS + _UNSENT)]
@@ -191,6 +198,12 @@
         assert told == [200]
         assert error is None
 
+    def test_a_repeat_goes_to_another_server(self):
+        """Guards against a repeat that the same server fails again."""
+        servers = _Servers((_FAILED,) * _ATTEMPTS)
+        _place(servers, model.Idempotency.REPEATABLE)
+        assert len({*servers.asked}) == _ATTEMPTS
+
     def test_without_the_guard_it_would_run_twice(self, monkeypatch):
         monkeypatch.setattr(plain_placement, "_may_repeat", lambda ctx: True)
         runs = [
