--- a/src/cowsliprill/router/node.py
+++ b/src/cowsliprill/router/node.py
@@ -52,8 +52,9 @@
         isn't ready: it asks each second and turns away after two refusals.
       key_revocation_ms: Time after which a key that the operator has taken
         away must not be honoured, in touch or not; None for no such bound.
-      quota_overage: Part by which customers' quotas may be exceeded.
-      quota_slack: Tokens by which they may be exceeded beyond.
+      quota_overage: Part by which customers' quotas may be exceeded, None
+        where none is stated.
+      quota_slack: Tokens by which they may be exceeded beyond, None likewise.
       grace_s: Time between the order to stop and the end.
       peer_secret: Secret that our processes share; empty accepts all.
       mechanisms_off: Parts of the decisions that are switched off for an
@@ -75,8 +76,8 @@
     retry_budget_ratio: float = 0.1
     retry_budget_slack: float = 10.0
     drain_notice_s: float = 2.6
-    quota_overage: float = 0.0
-    quota_slack: float = 0.0
+    quota_overage: float | None = None
+    quota_slack: float | None = None
     key_revocation_ms: float | None = None
     grace_s: float = 8.0
     peer_secret: str = ""
@@ -96,8 +97,8 @@
     def quota_tolerance(self) -> quota_owner.Tolerance:
         """Returns by how much customers may exceed their quotas."""
         return quota_owner.Tolerance(
-            part=self.quota_overage * _TOLERANCE_USED,
-            tokens=self.quota_slack * _TOLERANCE_USED,
+            part=(self.quota_overage or 0.0) * _TOLERANCE_USED,
+            tokens=(self.quota_slack or 0.0) * _TOLERANCE_USED,
         )
 
     def environment(self) -> environment.Environment:
