--- a/src/cowsliprill/cells/wire.py
+++ b/src/cowsliprill/cells/wire.py
@@ -109,6 +109,7 @@
     unsent: bool = False
     not_run: bool = False
     unreachable: bool = False
+    answered: bool = False
     kept_s: float = 0.0
     resumable: bool = False
 
@@ -331,6 +332,7 @@
                 unsent=event.unsent,
                 not_run=event.not_run,
                 unreachable=event.unreachable,
+                answered=event.answered,
                 kept_s=event.kept_s,
                 resumable=event.resumable,
             )
@@ -366,6 +368,7 @@
                 unsent=event.unsent,
                 not_run=event.not_run,
                 unreachable=event.unreachable,
+                answered=event.answered,
                 kept_s=event.kept_s,
                 resumable=event.resumable,
             )
--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Collection
 
 from cowsliprill.decisions import model
@@ -127,11 +128,16 @@
         if state is not None:
             state.probe_until = 0.0
 
-    def answered(self, endpoint_id: str) -> None:
-        """Notes an answer of an endpoint that was left alone for failing."""
+    def answered(self, endpoint_id: str, begun_at: float = math.inf) -> None:
+        """Notes an answer of an endpoint that was left alone for failing.
+
+        Args:
+          endpoint_id: Whose it is.
+          begun_at: When its request was sent there, seconds.
+        """
         state = self._states_by_endpoint.get(endpoint_id)
         if state is not None and state.failing:
-            self._clear(state)
+            self._clear(state, begun_at)
 
     def failed(
         self, endpoint_id: str, now: float, *, unreachable: bool = False
@@ -153,19 +159,26 @@
         state = self._states_by_endpoint.get(endpoint_id)
         return state is not None and state.unreachable
 
-    def pace(self, endpoint_id: str, ratio: float, now: float) -> None:
+    def pace(
+        self,
+        endpoint_id: str,
+        ratio: float,
+        now: float,
+        begun_at: float = math.inf,
+    ) -> None:
         """Notes a measured time over the expected one.
 
         Args:
           endpoint_id: Whose it is.
           ratio: Measured over expected.
           now: Time, seconds.
+          begun_at: When its request was sent there, seconds.
         """
         state = self._state(endpoint_id)
         if ratio > _SLOW_RATIO:
             self._strike(state, now)
         else:
-            self._clear(state)
+            self._clear(state, begun_at)
 
     def transfer(
         self,
@@ -174,6 +187,7 @@
         measured_s: float,
         expected_s: float,
         now: float,
+        begun_at: float = math.inf,
     ) -> None:
         """Notes the time of a transfer between two engines.
 
@@ -187,6 +201,7 @@
           measured_s: Its time; infinite if it was evicted first.
           expected_s: The time by the settings.
           now: Time, seconds.
+          begun_at: When its request was sent to the engines, seconds.
         """
         slow = (
             measured_s > expected_s * _SLOW_TRANSFER_RATIO
@@ -196,7 +211,7 @@
         if not slow:
             for state in ends:
                 state.moved_at = now
-                self._clear(state)
+                self._clear(state, begun_at)
             return
         blamed = min(ends, key=lambda state: state.moved_at)
         self._strike(blamed, now)
@@ -220,7 +235,11 @@
         if state.strikes >= _STRIKES_TO_AVOID or state.avoided:
             self._avoid(state, now)
 
-    def _clear(self, state: _State) -> None:
+    def _clear(self, state: _State, begun_at: float) -> None:
+        # Streams that an engine took before it began to fail go on well. They
+        # say nothing of the requests that it would get now.
+        if state.failing and begun_at < state.failed_at:
+            return
         state.strikes = 0
         self._avoided -= state.avoided
         state.avoided = False
--- a/src/cowsliprill/decisions/learning.py
+++ b/src/cowsliprill/decisions/learning.py
@@ -32,7 +32,9 @@
                 prefill, decode, request.submit.prompt_tokens
             )
         measured = now - request.stage_at
-        self._health.transfer(prefill.id, decode.id, measured, expected, now)
+        self._health.transfer(
+            prefill.id, decode.id, measured, expected, now, request.started_at
+        )
 
     def pace(
         self, request: requests.Request, output_tokens: int, now: float
@@ -51,7 +53,8 @@
         if output_tokens < 2 or decode.seconds_per_token <= 0:
             return
         pace = written_s / (output_tokens - 1)
-        self._health.pace(decode.id, pace / decode.seconds_per_token, now)
+        ratio = pace / decode.seconds_per_token
+        self._health.pace(decode.id, ratio, now, request.started_at)
 
     def failed(
         self,
@@ -77,6 +80,8 @@
                 self._health.failed(event.endpoint_id, now)
         elif event.unreachable:
             self._health.failed(event.endpoint_id, now, unreachable=True)
+        elif event.answered:
+            self._health.failed(event.endpoint_id, now)
         elif event.stage is messages.Stage.TRANSFER:
             never = float("inf")
             self._health.transfer(prefill.id, decode.id, never, 0.0, now)
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -158,6 +158,7 @@
         own lease had run out before.
       not_run: Whether the request is known not to have run.
       unreachable: Whether no connection to the endpoint came about.
+      answered: Whether the endpoint itself answered that it failed.
       kept_s: How long the finished prefill of the attempt is kept yet, for
         another decode engine to fetch; 0 if it is gone.
       resumable: Whether tokens have reached the caller and another engine may
@@ -171,6 +172,7 @@
     unsent: bool = False
     not_run: bool = False
     unreachable: bool = False
+    answered: bool = False
     kept_s: float = 0.0
     resumable: bool = False
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -269,7 +269,7 @@
             return []
         self._release_prefill(request)
         assert request.prefill is not None
-        self._health.answered(request.prefill.id)
+        self._health.answered(request.prefill.id, request.started_at)
         read_s = now - request.started_at
         request.pool.learn_prefill_speed(
             request.prefill.id, read_s / request.expected_s
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -13,6 +13,7 @@
       refused: Whether the endpoint refused, being full or draining.
       unsent: Whether no engine has heard of the attempt.
       unreachable: Whether no connection to the endpoint came about.
+      answered: Whether the endpoint itself answered that it failed.
       kept_s: How long the attempt's finished prefill is kept yet.
       resumable: Whether the rest of a broken stream may come from another
         engine.
@@ -28,6 +29,7 @@
         refused: bool = False,
         unsent: bool = False,
         unreachable: bool = False,
+        answered: bool = False,
         kept_s: float = 0.0,
         resumable: bool = False,
     ) -> None:
@@ -37,6 +39,7 @@
         self.refused = refused
         self.unsent = unsent
         self.unreachable = unreachable
+        self.answered = answered
         self.kept_s = kept_s
         self.resumable = resumable
         self.reason = reason
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -169,6 +169,7 @@
                 unsent=lost.unsent,
                 not_run=not ran,
                 unreachable=lost.unreachable,
+                answered=lost.answered,
                 kept_s=lost.kept_s,
                 resumable=lost.resumable,
             )
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -349,6 +349,7 @@
             str(error),
             refused=refused and error.code in _BUSY,
             unreachable=isinstance(error, engine_errors.ConnectFailed),
+            answered=isinstance(error, engine_errors.EngineFailed),
         ) from error
 
     def _take_back(self) -> None:
--- a/tests/test_cell_loads.py
+++ b/tests/test_cell_loads.py
@@ -143,6 +143,50 @@
             site.pass_time(0.3)
         return used
 
+    def test_one_that_fails_all_new_work_gets_little_of_it(self):
+        """Guards against prompts read for an engine that answers with 500.
+
+        The pattern: its health is good, and streams from before go on well.
+        """
+        site = _Site(decodes=2)
+        site.ask(*range(8))
+        running = {start.request_id: start.decode_id for start in site.starts()}
+        bad = running[0]
+        for number in running:
+            site.send(
+                "vm-0",
+                messages.PrefillFinished(number),
+                messages.FirstToken(number),
+            )
+        failed = 0
+        for number in range(100, 140):
+            site.pass_time(0.05)
+            older = number % len(running)
+            # Its streams come at their usual pace.
+            tokens = int((number - 99) * 0.05 / _TOKEN_S)
+            site.send("vm-0", messages.Progress(older, tokens))
+            site.ask(number)
+            for start in site.starts():
+                site.send("vm-0", messages.PrefillFinished(start.request_id))
+                if start.decode_id != bad:
+                    site.send(
+                        "vm-0",
+                        messages.FirstToken(start.request_id),
+                        messages.Finished(start.request_id, 6_000),
+                    )
+                    continue
+                failed += 1
+                site.send(
+                    "vm-0",
+                    messages.AttemptFailed(
+                        request_id=start.request_id,
+                        endpoint_id=bad,
+                        stage=messages.Stage.TRANSFER,
+                        answered=True,
+                    ),
+                )
+        assert 1 <= failed <= 2
+
     def test_where_all_prompts_are_long(self):
         """An engine lost one answer; all prompts here have 5,000 tokens.
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -59,6 +59,17 @@
         state.pace("e", 1.0, 2.5)
         assert state.usable("e", 2.5)
 
+    def test_streams_from_before_a_failure_do_not_bring_it_back(self) -> None:
+        """Guards against prompts read for an engine that fails all new work."""
+        state = health.Health()
+        state.failed("e", 10.0)
+        state.pace("e", 1.0, 10.5, begun_at=8.0)
+        state.transfer("p", "e", 0.01, 0.01, 10.5, begun_at=9.9)
+        state.answered("e", begun_at=9.9)
+        assert not state.usable("e", 11.0)
+        state.pace("e", 1.0, 10.6, begun_at=10.1)
+        assert state.usable("e", 11.0)
+
     def test_failures_of_earlier_work_are_one_piece_of_news(self) -> None:
         """Twenty streams end when their engine dies."""
         state = health.Health()
