--- a/features/support/endpoint_processes.py
+++ b/features/support/endpoint_processes.py
@@ -32,7 +32,7 @@
 }
 _SERVICE = model.Service(
     id="umurongo/booking",
-    user="umurongo",
+    customer="umurongo",
     name="booking",
     kind=model.ServiceKind.PLAIN,
     pool="desk",
--- a/features/support/entry_site.py
+++ b/features/support/entry_site.py
@@ -19,7 +19,7 @@
 
 
 def document() -> dict[str, Any]:
-    """Returns the settings of one user with few endpoints."""
+    """Returns the settings of one customer with few endpoints."""
     settings = copy.deepcopy(small_site.document())
     del settings["users"]["zarqa-lane"]
     for name in list(settings["pools"]):
--- a/src/cowsliprill/capacity/fleet.py
+++ b/src/cowsliprill/capacity/fleet.py
@@ -10,7 +10,7 @@
     Attributes:
       nodes: Entry VMs.
       engines: Prefill and decode engines.
-      customers: Users.
+      customers: Customers.
       changes_per_s: Changes of the settings, average of a day.
       requests_per_s: Requests at the peak.
       tokens_per_s: Generated tokens at the peak.
--- a/src/cowsliprill/capacity/measure.py
+++ b/src/cowsliprill/capacity/measure.py
@@ -329,11 +329,11 @@
     return [
         fit.fit("request_cpu", "engines in the settings", "µs", decide),
         fit.fit("world_cpu", "engines in the settings", "µs", change),
-        fit.fit("world_users_cpu", "customers", "µs", _world_users_cpu()),
+        fit.fit("world_users_cpu", "customers", "µs", _world_customers_cpu()),
     ]
 
 
-def _world_users_cpu() -> list[tuple[float, float]]:
+def _world_customers_cpu() -> list[tuple[float, float]]:
     points = []
     for customers in (500, 2_000, 8_000):
         snapshot = resolve.resolve(synthetic.text(customers, 3, 13))
@@ -357,7 +357,7 @@
         submit = messages.Submit(
             request_id=number,
             service=service,
-            user=f"{synthetic.PARENT}/customer-{draw.randrange(500):05d}",
+            customer=f"{synthetic.PARENT}/customer-{draw.randrange(500):05d}",
             prompt_tokens=1_000,
             output_tokens=100,
             deadline=number + 2.0,
--- a/src/cowsliprill/capacity/roles.py
+++ b/src/cowsliprill/capacity/roles.py
@@ -96,14 +96,16 @@
 ) -> list[Row]:
     engines = subset.PREFILLS_MAX + subset.DECODES_MAX
     homes = fleet.nodes * (1 - (1 - 1 / fleet.nodes) ** engines)
-    users = slopes_by_name["slots_user_bytes"].each
+    customers = slopes_by_name["slots_user_bytes"].each
     running = running_per_node(fleet) / ENTRIES_PER_NODE
     size = slopes_by_name["slots_bytes"]
     spent = slopes_by_name["slots_cpu"]
     per_ask = engines / homes
-    today = size.at(per_ask) + users * (running / homes - ASK_RUNNING * per_ask)
+    today = size.at(per_ask) + customers * (
+        running / homes - ASK_RUNNING * per_ask
+    )
     asks = engines / NEW_HOMES
-    new = size.fixed + asks * (size.each - (ASK_RUNNING + 1) * users)
+    new = size.fixed + asks * (size.each - (ASK_RUNNING + 1) * customers)
     return [
         Row(
             role="entry+dispatch",
@@ -115,7 +117,7 @@
         Row(
             role="entry+dispatch",
             what=f"slot asks, proposed: {NEW_HOMES} homes, each"
-            f" {NEW_RENEWAL_S:.0f} s, users only when scarce",
+            f" {NEW_RENEWAL_S:.0f} s, customers only when scarce",
             rate_per_s=NEW_HOMES * ENTRIES_PER_NODE / NEW_RENEWAL_S,
             bytes_each=2 * new,
             cpu_us_each=spent.at(asks),
@@ -274,13 +276,13 @@
     """
     customers = slopes_by_name["settings_memory_customer"].each
     engines = slopes_by_name["settings_memory_engine"].each
-    users_of_engine = (
+    customers_of_engine = (
         ENTRIES_PER_NODE
         * fleet.nodes
         * (subset.PREFILLS_MAX + subset.DECODES_MAX)
         / fleet.engines
     )
-    ledger = slopes_by_name["ledger_memory"].at(users_of_engine)
+    ledger = slopes_by_name["ledger_memory"].at(customers_of_engine)
     return {
         "settings of customers": customers * fleet.customers,
         "settings of engines": engines * fleet.engines,
--- a/src/cowsliprill/capacity/synthetic.py
+++ b/src/cowsliprill/capacity/synthetic.py
@@ -16,14 +16,14 @@
     """Makes a settings document.
 
     Args:
-      customers: Child users, each with one API key.
+      customers: Child customers, each with one API key.
       services: Services of their parent.
       engines: Engines of one pool, one of six a prefill engine.
 
     Returns:
       The tree; `revision` is 1.
     """
-    users = {f"customer-{n:05d}": customer(n) for n in range(customers)}
+    customers = {f"customer-{n:05d}": customer(n) for n in range(customers)}
     service = {"kind": "model", "pool": POOL, "model": "standin"}
     return {
         "revision": 1,
@@ -31,7 +31,7 @@
         "users": {
             PARENT: {
                 "services": {f"service-{n}": service for n in range(services)},
-                "users": users,
+                "users": customers,
             }
         },
         "pools": {
@@ -99,8 +99,8 @@
         want=in_use + 1,
         priority=1,
         deadline_in_s=0.75,
-        user_wants=((customers[-1], 1),),
-        user_in_use=tuple((name, 1) for name in customers[:-1]),
+        customer_wants=((customers[-1], 1),),
+        customer_in_use=tuple((name, 1) for name in customers[:-1]),
         held=in_use,
         sequence=sequence,
     )
--- a/src/cowsliprill/cells/wire.py
+++ b/src/cowsliprill/cells/wire.py
@@ -239,7 +239,7 @@
         may_wait_s=service.may_wait_s,
         ttft_target_s=service.ttft_target_s,
         worth_by_size=service.worth_by_size,
-        customer=submit.user,
+        customer=submit.customer,
     )
 
 
@@ -260,7 +260,7 @@
     )
     service = model.Service(
         id=request.service,
-        user="",
+        customer="",
         name=request.service,
         kind=model.ServiceKind.MODEL,
         pool=request.pool,
@@ -278,7 +278,7 @@
     return messages.Submit(
         request_id=request.number,
         service=service,
-        user=request.customer,
+        customer=request.customer,
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
         expected_tokens=request.expected_tokens,
--- a/src/cowsliprill/cli/commands.py
+++ b/src/cowsliprill/cli/commands.py
@@ -33,7 +33,7 @@
 @cappa.command(name="diff")
 @dataclasses.dataclass
 class DiffCommand:
-    """Show which services, endpoints and users a change reaches, and how."""
+    """Show which services, endpoints and customers a change reaches."""
 
     old: _File
     new: _File
--- a/src/cowsliprill/cli/core.py
+++ b/src/cowsliprill/cli/core.py
@@ -158,7 +158,7 @@
     largest = max(map(len, publication.texts_by_hash.values()))
     terminal.write(
         f"Revision {snapshot.revision} is valid: "
-        f"{len(snapshot.users_by_id)} users, "
+        f"{len(snapshot.customers_by_id)} customers, "
         f"{len(snapshot.services_by_id)} services, "
         f"{len(snapshot.endpoints_by_id)} endpoints, "
         f"{len(publication.texts_by_hash)} values of at most {largest} bytes."
@@ -168,7 +168,7 @@
 def _diff(old: str, new: str, terminal: Terminal) -> None:
     before, after = resolve.resolve(old), resolve.resolve(new)
     found = [str(change) for change in difference.changes(before, after)]
-    found += difference.user_changes(before, after)
+    found += difference.customer_changes(before, after)
     terminal.write(f"Revision {before.revision} -> {after.revision}")
     for line in found or ["Nothing changes."]:
         terminal.write(line)
--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -101,7 +101,7 @@
 def tell(line: Line) -> str:
     """Writes a line of the story for a person."""
     words = _WORDS_BY_EVENT.get(line.event, line.event)
-    hidden = {"request", "caller", "user"}
+    hidden = {"request", "caller", "customer"}
     pairs = [
         f"{name}={value}"
         for name, value in line.fields.items()
--- a/src/cowsliprill/cli/show.py
+++ b/src/cowsliprill/cli/show.py
@@ -20,7 +20,7 @@
 
     Args:
       document: JSON of the settings.
-      name: Id of a service as a user sees it, or of an endpoint.
+      name: Id of a service as a customer sees it, or of an endpoint.
 
     Returns:
       One line for each value.
@@ -44,39 +44,41 @@
     service = find_service(snapshot, name)
     if service is None:
         raise errors.CliError(_unknown(snapshot, name), code="unknown_service")
-    user = service.user
-    found = layers.service_layers(tree.root, _nodes(tree, user), service.name)
-    shown = _lines(service, layers.merge(found), {"id", "user", "name"})
+    customer = service.customer
+    found = layers.service_layers(
+        tree.root, _nodes(tree, customer), service.name
+    )
+    shown = _lines(service, layers.merge(found), {"id", "customer", "name"})
     if service.id != name:
         shown.insert(0, f"{name} is {service.id}, inherited whole")
     return shown
 
 
 def find_service(snapshot: model.Snapshot, name: str) -> model.Service | None:
-    """Finds the service that a user sees under a name.
+    """Finds the service that a customer sees under a name.
 
     Args:
       snapshot: The settings.
       name: `USER/SERVICE` or `USER/CHILD/SERVICE`.
 
     Returns:
-      The user's own service, else its parent's, else None.
+      The customer's own service, else its parent's, else None.
     """
     if name in snapshot.services_by_id:
         return snapshot.services_by_id[name]
     path = name.split("/")
     if len(path) != _CHILD_DEPTH or "/".join(path[:2]) not in (
-        snapshot.users_by_id
+        snapshot.customers_by_id
     ):
         return None
     return snapshot.services_by_id.get(f"{path[0]}/{path[2]}")
 
 
 def _nodes(
-    tree: tree_lib.Tree, user_id: str
-) -> list[tuple[str, schema.ChildUserNode]]:
-    top, _, child = user_id.partition("/")
-    nodes: list[tuple[str, schema.ChildUserNode]] = [
+    tree: tree_lib.Tree, customer_id: str
+) -> list[tuple[str, schema.ChildCustomerNode]]:
+    top, _, child = customer_id.partition("/")
+    nodes: list[tuple[str, schema.ChildCustomerNode]] = [
         (f"users.{top}", tree.users[top])
     ]
     for part in tree.children.values():
--- a/src/cowsliprill/decisions/demand.py
+++ b/src/cowsliprill/decisions/demand.py
@@ -1,7 +1,7 @@
 """Recent demand at an entry, and which part of it fits the capacity.
 
 When more is asked for than can be served, something has to be refused. Each
-user has its fair share of the decode slots; within it, higher priority goes
+customer has its fair share of the decode slots; within it, higher priority goes
 first and then what brings the most goodput for the slot time it takes. The
 rest is refused at once instead of waiting for a slot that it won't get.
 """
@@ -29,51 +29,55 @@
 
     Attributes:
       at: When it arrived.
-      user: Its user.
+      customer: Its customer.
       priority: Its priority.
       cost_s: Decode slot time it is expected to take.
       worth: What it is worth if it meets its targets.
     """
 
     at: float
-    user: str
+    customer: str
     priority: int
     cost_s: float
     worth: float = 1.0
 
     def rank(self) -> tuple[int, float]:
-        """Returns its place among its user's requests, small first."""
+        """Returns its place among its customer's requests, small first."""
         return (-self.priority, self.cost_s / max(self.worth, 1e-6))
 
 
 def fair_shares(
     total: float,
-    demand_by_user: Mapping[str, float],
-    shares_by_user: Mapping[str, float],
+    demand_by_customer: Mapping[str, float],
+    shares_by_customer: Mapping[str, float],
 ) -> dict[str, float]:
     """Splits a total max-min fairly by weight.
 
     Args:
       total: What there is.
-      demand_by_user: What each user asks for.
-      shares_by_user: Weights, 1 for users not named.
+      demand_by_customer: What each customer asks for.
+      shares_by_customer: Weights, 1 for customers not named.
 
     Returns:
-      What each user gets; none gets more than it asks for, and what one
+      What each customer gets; none gets more than it asks for, and what one
       leaves goes to the others.
     """
-    weights = {user: shares_by_user.get(user, 1.0) for user in demand_by_user}
+    weights = {
+        customer: shares_by_customer.get(customer, 1.0)
+        for customer in demand_by_customer
+    }
     by_level = sorted(
-        demand_by_user, key=lambda user: demand_by_user[user] / weights[user]
+        demand_by_customer,
+        key=lambda customer: demand_by_customer[customer] / weights[customer],
     )
     left = total
     weight_left = sum(weights.values())
     given = {}
-    for user in by_level:
-        share = left * weights[user] / weight_left if weight_left else 0.0
-        given[user] = min(demand_by_user[user], share)
-        left -= given[user]
-        weight_left -= weights[user]
+    for customer in by_level:
+        share = left * weights[customer] / weight_left if weight_left else 0.0
+        given[customer] = min(demand_by_customer[customer], share)
+        left -= given[customer]
+        weight_left -= weights[customer]
     return given
 
 
@@ -85,7 +89,7 @@
         self._count_by_priority: collections.Counter[int] = (
             collections.Counter()
         )
-        self._cutoffs_by_user: dict[str, tuple[int, float]] = {}
+        self._cutoffs_by_customer: dict[str, tuple[int, float]] = {}
         self._refreshed_at = float("-inf")
 
     def add(self, item: Item) -> None:
@@ -96,18 +100,18 @@
             self._drop_oldest()
 
     def fits(
-        self, item: Item, slots: float, shares_by_user: Mapping[str, float]
+        self, item: Item, slots: float, shares_by_customer: Mapping[str, float]
     ) -> bool:
         """Returns whether a request belongs to the demand that can be served.
 
         Args:
           item: The request, added before.
           slots: Decode slots that are this entry's part of the pool.
-          shares_by_user: Weights of the users.
+          shares_by_customer: Weights of the customers.
         """
         if item.at - self._refreshed_at >= _REFRESH_S:
-            self._refresh(item.at, slots, shares_by_user)
-        cutoff = self._cutoffs_by_user.get(item.user)
+            self._refresh(item.at, slots, shares_by_customer)
+        cutoff = self._cutoffs_by_customer.get(item.customer)
         return cutoff is None or item.rank() <= cutoff
 
     def load(self, now: float, slots: float) -> float:
@@ -143,33 +147,35 @@
             del self._count_by_priority[priority]
 
     def _refresh(
-        self, now: float, slots: float, shares_by_user: Mapping[str, float]
+        self, now: float, slots: float, shares_by_customer: Mapping[str, float]
     ) -> None:
         self._refreshed_at = now
         while self._items and now - self._items[0].at > _AGE_MAX_S:
             self._drop_oldest()
-        self._cutoffs_by_user = {}
+        self._cutoffs_by_customer = {}
         if not self._items:
             return
         span = max(now - self._items[0].at, _SPAN_MIN_S)
-        items_by_user: dict[str, list[Item]] = {}
+        items_by_customer: dict[str, list[Item]] = {}
         for item in self._items:
-            items_by_user.setdefault(item.user, []).append(item)
-        demand_by_user = {
-            user: sum(item.cost_s for item in items)
-            for user, items in items_by_user.items()
+            items_by_customer.setdefault(item.customer, []).append(item)
+        demand_by_customer = {
+            customer: sum(item.cost_s for item in items)
+            for customer, items in items_by_customer.items()
         }
         total = slots * span * _HEADROOM
-        given = fair_shares(total, demand_by_user, shares_by_user)
-        for user, items in items_by_user.items():
-            if given[user] < demand_by_user[user]:
-                self._cutoffs_by_user[user] = _cutoff(items, given[user])
+        given = fair_shares(total, demand_by_customer, shares_by_customer)
+        for customer, items in items_by_customer.items():
+            if given[customer] < demand_by_customer[customer]:
+                self._cutoffs_by_customer[customer] = _cutoff(
+                    items, given[customer]
+                )
 
 
 def _cutoff(items: list[Item], capacity_s: float) -> tuple[int, float]:
     """Returns the rank of the last request that fits, at least in part.
 
-    A share smaller than one request would otherwise let a user do nothing.
+    A share smaller than one request would otherwise let a customer do nothing.
     """
     ranked = sorted(items, key=Item.rank)
     last = ranked[0]
--- a/src/cowsliprill/decisions/leases.py
+++ b/src/cowsliprill/decisions/leases.py
@@ -22,7 +22,7 @@
       full_until: Until when the endpoint is taken for full because it said so
         itself, unless something ends there before.
       running: Requests with work in those slots.
-      in_use_by_user: `in_use` by user.
+      in_use_by_customer: `in_use` by customer.
       cached: Prompt blocks cached there.
       prefix_epoch: Epoch of the home's news of cached blocks.
       stated_need: Waiting requests in the newest statement.
@@ -38,7 +38,7 @@
     used: int = 0
     full_until: float = 0.0
     running: int = 0
-    in_use_by_user: dict[str, int] = dataclasses.field(default_factory=dict)
+    in_use_by_customer: dict[str, int] = dataclasses.field(default_factory=dict)
     cached: prefixes.CachedBlocks = dataclasses.field(
         default_factory=prefixes.CachedBlocks
     )
@@ -89,24 +89,26 @@
         """Returns the leased slots without work."""
         return self.held(now) - self.in_use
 
-    def take(self, user: str, slots: int = 1) -> None:
-        """Takes slots for a request of a user."""
+    def take(self, customer: str, slots: int = 1) -> None:
+        """Takes slots for a request of a customer."""
         self.running += 1
         self.in_use += slots
         self.used += slots
-        self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + slots
+        self.in_use_by_customer[customer] = (
+            self.in_use_by_customer.get(customer, 0) + slots
+        )
 
-    def release(self, user: str, slots: int = 1) -> None:
-        """Frees the slots of a user's request."""
+    def release(self, customer: str, slots: int = 1) -> None:
+        """Frees the slots of a customer's request."""
         self.running -= 1
         self.full_until = 0.0
         self.in_use -= slots
         self.used = max(self.used - slots, self.in_use)
-        left = self.in_use_by_user[user] - slots
+        left = self.in_use_by_customer[customer] - slots
         if left:
-            self.in_use_by_user[user] = left
+            self.in_use_by_customer[customer] = left
         else:
-            del self.in_use_by_user[user]
+            del self.in_use_by_customer[customer]
 
     def grant(self, grant: messages.SlotGrant) -> None:
         """Takes in a home's answer.
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -55,10 +55,10 @@
     Attributes:
       request_id: Key of the request within this scheduler.
       service: The service as resolved when the request arrived.
-      user: Id of the calling user (the firm, for a consortium).
+      customer: Id of the calling customer (the firm, for a consortium).
       prompt_tokens: Estimated tokens of the prompt.
       output_tokens: Limit of tokens asked for.
-      prefix_hashes: Hashes of the prompt's successive blocks, user salted,
+      prefix_hashes: Hashes of the prompt's successive blocks, customer salted,
         first block first; empty if unknown.
       priority: The service's priority plus the caller's own offset.
       deadline: Latest useful time of the first token.
@@ -70,7 +70,7 @@
 
     request_id: int
     service: model.Service
-    user: str
+    customer: str
     prompt_tokens: int
     output_tokens: int
     prefix_hashes: tuple[int, ...] = ()
@@ -335,9 +335,9 @@
       want: Slots wanted in all, those in use included.
       priority: Highest priority among the waiting requests.
       deadline_in_s: Time left to the nearest deadline among these, seconds.
-      user_wants: Waiting requests by user, for fair sharing. Their sum is the
-        part of `want` that is needed now; the rest is a reserve.
-      user_in_use: Running requests by user, for fair sharing.
+      customer_wants: Waiting requests by customer, for fair sharing. Their
+        sum is the part of `want` that is needed now; the rest is a reserve.
+      customer_in_use: Running requests by customer, for fair sharing.
       held: Slots that the entry goes on holding, those in use included; it
         gives up any others with this message. -1 keeps all.
       sequence: Rises with each statement of an entry, so that a home can tell
@@ -349,8 +349,8 @@
     want: int
     priority: int = 0
     deadline_in_s: float = 0.0
-    user_wants: tuple[tuple[str, int], ...] = ()
-    user_in_use: tuple[tuple[str, int], ...] = ()
+    customer_wants: tuple[tuple[str, int], ...] = ()
+    customer_in_use: tuple[tuple[str, int], ...] = ()
     held: int = -1
     sequence: int = 0
 
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -215,8 +215,9 @@
     """A service after inheritance.
 
     Attributes:
-      id: `<user>/<name>`, the user being the one that declares it.
-      user: Id of the user that declares it; its child users may call it.
+      id: `<customer>/<name>`, the customer being the one that declares it.
+      customer: Id of the customer that declares it; its child customers may
+        call it.
       name: Name callers use as model name or path.
       kind: Whether it generates tokens.
       model: Model name at the engines.
@@ -246,7 +247,7 @@
     """
 
     id: str
-    user: str
+    customer: str
     name: str
     kind: ServiceKind
     pool: str
@@ -328,12 +329,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class User:
-    """A user or one of its child users (a firm of a consortium).
+class Customer:
+    """A customer or one of its child customers (a firm of a consortium).
 
     Attributes:
       id: Path from the root, for example `umurongo/firm-1`.
-      parent: Id of the parent user, empty at the top.
+      parent: Id of the parent customer, empty at the top.
       key_hashes: Hex SHA-256 digests of its API keys.
       share: Weight in the fair sharing of slots.
       priority: Goes before the priority of a service, None to keep that.
@@ -381,8 +382,8 @@
 
     Attributes:
       revision: Number that only rises; 0 means none accepted yet.
-      users_by_id: Every user.
-      users_by_key_hash: The user of each API key.
+      customers_by_id: Every customer.
+      customers_by_key_hash: The customer of each API key.
       services_by_id: Every service.
       endpoints_by_id: Every endpoint.
       routes_by_prefix_by_host: Routes of callers that name no service, by
@@ -393,8 +394,10 @@
     """
 
     revision: int = 0
-    users_by_id: Mapping[str, User] = dataclasses.field(default_factory=dict)
-    users_by_key_hash: Mapping[str, User] = dataclasses.field(
+    customers_by_id: Mapping[str, Customer] = dataclasses.field(
+        default_factory=dict
+    )
+    customers_by_key_hash: Mapping[str, Customer] = dataclasses.field(
         default_factory=dict
     )
     services_by_id: dict[str, Service] = dataclasses.field(default_factory=dict)
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -36,8 +36,8 @@
 # more, memory stays empty while callers are refused.
 _ANSWER_PROMISED = 0.7
 
-# An entry sees a part of each user's work, so small differences say nothing.
-# Only a user that is clearly above its share here has to stand back.
+# An entry sees a part of each customer's work, so small differences say
+# nothing. Only a customer clearly above its share here has to stand back.
 _OVER_SHARE = 1.5
 _OVER_SLOTS = 2
 
@@ -106,8 +106,8 @@
         self.decodes: list[model.Endpoint] = []
         self.endpoints_by_id: dict[str, model.Endpoint] = {}
         self.holdings_by_endpoint: dict[str, leases.Holding] = {}
-        self.in_use_by_user: dict[str, int] = {}
-        self.shares_by_user: Mapping[str, float] = {}
+        self.in_use_by_customer: dict[str, int] = {}
+        self.shares_by_customer: Mapping[str, float] = {}
         self.block_tokens = 0
         self.usual_slots = 1.0
         self.usual_prompt_tokens = 0.0
@@ -268,26 +268,28 @@
         slowness = self.slowness_by_prefill.get(endpoint.id, 1.0)
         return seconds if usual else seconds * slowness
 
-    def take(self, user: str) -> None:
+    def take(self, customer: str) -> None:
         """Counts a request that starts, for fair sharing."""
-        self.in_use_by_user[user] = self.in_use_by_user.get(user, 0) + 1
+        self.in_use_by_customer[customer] = (
+            self.in_use_by_customer.get(customer, 0) + 1
+        )
 
-    def release(self, user: str) -> None:
+    def release(self, customer: str) -> None:
         """Counts a request that ends."""
-        left = self.in_use_by_user[user] - 1
+        left = self.in_use_by_customer[customer] - 1
         if left:
-            self.in_use_by_user[user] = left
+            self.in_use_by_customer[customer] = left
         else:
-            del self.in_use_by_user[user]
+            del self.in_use_by_customer[customer]
 
-    def over_share(self, user: str) -> float:
-        """Returns how far a user's running work is above its fair share."""
-        active = self.in_use_by_user.keys() | set(self.queue.users())
-        weight = sum(self.shares_by_user.get(name, 1.0) for name in active)
-        total = sum(self.in_use_by_user.values())
+    def over_share(self, customer: str) -> float:
+        """Returns how far a customer's running work is above its fair share."""
+        active = self.in_use_by_customer.keys() | set(self.queue.customers())
+        weight = sum(self.shares_by_customer.get(name, 1.0) for name in active)
+        total = sum(self.in_use_by_customer.values())
         fair = (total + 1) / weight if weight else 0.0
-        share = self.shares_by_user.get(user, 1.0)
-        used = (self.in_use_by_user.get(user, 0) + 1) / share
+        share = self.shares_by_customer.get(customer, 1.0)
+        used = (self.in_use_by_customer.get(customer, 0) + 1) / share
         return max(used - fair * _OVER_SHARE - _OVER_SLOTS, 0.0)
 
     def standing(self) -> Standing:
--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -65,7 +65,7 @@
             if vm.role is model.VmRole.ENTRY
         )
         self.entries = 1 if self._owns_slots else max(processes, 1)
-        shares_by_user = shares.Shares(snapshot.users_by_id)
+        shares_by_customer = shares.Shares(snapshot.customers_by_id)
         kinds_by_pool: dict[str, _EndpointsByKind] = {}
         # A changing engine turns away whatever comes. Prompts sent there before
         # the registry told of it cost each of their callers its only attempt.
@@ -77,7 +77,7 @@
         self.by_endpoint = {}
         for name in kinds_by_pool.keys() | self.by_name.keys():
             pool = self._pool(name)
-            pool.shares_by_user = shares_by_user
+            pool.shares_by_customer = shares_by_customer
             self._set_engines(pool, kinds_by_pool.get(name, {}))
         self._health.forget_except(set(self.by_endpoint))
 
--- a/src/cowsliprill/decisions/prospects.py
+++ b/src/cowsliprill/decisions/prospects.py
@@ -19,7 +19,7 @@
     service = request.submit.service
     return demand.Item(
         at=now,
-        user=request.submit.user,
+        customer=request.submit.customer,
         priority=request.submit.priority,
         cost_s=request.cost_s * request.slots,
         worth=service.goodput_weight * request.worth,
@@ -48,7 +48,7 @@
     if backlog.wait_s() < patience_s * _EASY_WAIT:
         return True
     slots = pool.slots() / entries
-    return pool.demand.fits(item, slots, pool.shares_by_user)
+    return pool.demand.fits(item, slots, pool.shares_by_customer)
 
 
 def wait_s(
--- a/src/cowsliprill/decisions/queue.py
+++ b/src/cowsliprill/decisions/queue.py
@@ -1,9 +1,9 @@
 """The entry's queue of requests that wait for slots.
 
-Requests of one user are ordered by priority and by the time left to their
+Requests of one customer are ordered by priority and by the time left to their
 target: each level of priority is worth a fixed number of seconds, so that a
 low-priority request that waits long enough goes first, and none starves.
-Between users, those below their fair share of running work go first.
+Between customers, those below their fair share of running work go first.
 """
 
 import bisect
@@ -55,11 +55,11 @@
 
 
 class WaitingQueue:
-    """Waiting requests of one pool, by user."""
+    """Waiting requests of one pool, by customer."""
 
     def __init__(self) -> None:
         self._waiting_by_id: dict[int, Waiting] = {}
-        self._keys_by_user: dict[str, list[_Key]] = {}
+        self._keys_by_customer: dict[str, list[_Key]] = {}
 
     def __len__(self) -> int:
         return len(self._waiting_by_id)
@@ -70,7 +70,7 @@
     def add(self, waiting: Waiting) -> None:
         """Adds a request."""
         self._waiting_by_id[waiting.submit.request_id] = waiting
-        keys = self._keys_by_user.setdefault(waiting.submit.user, [])
+        keys = self._keys_by_customer.setdefault(waiting.submit.customer, [])
         bisect.insort(keys, waiting.key())
 
     def remove(self, request_id: int) -> Waiting | None:
@@ -78,47 +78,54 @@
         waiting = self._waiting_by_id.pop(request_id, None)
         if waiting is None:
             return None
-        user = waiting.submit.user
-        keys = self._keys_by_user[user]
+        customer = waiting.submit.customer
+        keys = self._keys_by_customer[customer]
         del keys[bisect.bisect_left(keys, waiting.key())]
         if not keys:
-            del self._keys_by_user[user]
+            del self._keys_by_customer[customer]
         return waiting
 
     def wants(self) -> tuple[tuple[str, int], ...]:
-        """Returns the number of waiting requests of each user."""
+        """Returns the number of waiting requests of each customer."""
         return tuple(
-            (user, len(keys)) for user, keys in self._keys_by_user.items()
+            (customer, len(keys))
+            for customer, keys in self._keys_by_customer.items()
         )
 
-    def users(self) -> list[str]:
-        """Returns the users with waiting requests."""
-        return list(self._keys_by_user)
+    def customers(self) -> list[str]:
+        """Returns the customers with waiting requests."""
+        return list(self._keys_by_customer)
 
     def first(self, over_share: Callable[[str], float]) -> Waiting | None:
         """Returns the request to place next.
 
         Args:
-          over_share: How far a user is above its fair share, 0 if it isn't.
+          over_share: How far a customer is above its fair share, 0 if it isn't.
 
         Returns:
-          The first request of the user that comes first, None if empty.
+          The first request of the customer that comes first, None if empty.
         """
-        user = min(
-            self._keys_by_user,
-            key=lambda name: (over_share(name), self._keys_by_user[name][0]),
+        customer = min(
+            self._keys_by_customer,
+            key=lambda name: (
+                over_share(name),
+                self._keys_by_customer[name][0],
+            ),
             default=None,
         )
-        return None if user is None else self._at(user, 0)
+        return None if customer is None else self._at(customer, 0)
 
     def last(self, over_share: Callable[[str], float]) -> Waiting | None:
         """Returns the request to give up first, the opposite of `first`."""
-        user = max(
-            self._keys_by_user,
-            key=lambda name: (over_share(name), self._keys_by_user[name][-1]),
+        customer = max(
+            self._keys_by_customer,
+            key=lambda name: (
+                over_share(name),
+                self._keys_by_customer[name][-1],
+            ),
             default=None,
         )
-        return None if user is None else self._at(user, -1)
+        return None if customer is None else self._at(customer, -1)
 
     def soonest_latest_start(self) -> float:
         """Returns when the next request becomes too late."""
@@ -135,6 +142,6 @@
             if item.latest_start <= now
         ]
 
-    def _at(self, user: str, index: int) -> Waiting:
-        _, _, request_id = self._keys_by_user[user][index]
+    def _at(self, customer: str, index: int) -> Waiting:
+        _, _, request_id = self._keys_by_customer[customer][index]
         return self._waiting_by_id[request_id]
--- a/src/cowsliprill/decisions/roles.py
+++ b/src/cowsliprill/decisions/roles.py
@@ -2,7 +2,7 @@
 
 Pure. Prompts take the time of an engine that reads, answers take the memory of
 one that writes. A pool serves as much as the shorter of the two allows, so the
-engines are divided as the work is. Users who buy one prefill engine for two
+engines are divided as the work is. Customers who buy one prefill engine for two
 decode engines see the former idle while requests wait for memory at the latter:
 of the worth of a calm day's requests four engines, two of them for prompts,
 served 0.74, and with one for prompts 0.97.
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -224,12 +224,12 @@
 
     def _take(self, request: requests.Request) -> None:
         """Takes the slots of a request that runs."""
-        pool, user = request.pool, request.submit.user
+        pool, customer = request.pool, request.submit.customer
         assert request.prefill is not None and request.decode is not None
         if request.stage is messages.Stage.PREFILL:
-            pool.holding(request.prefill.id).take(user)
-        pool.holding(request.decode.id).take(user, request.slots)
-        pool.take(user)
+            pool.holding(request.prefill.id).take(customer)
+        pool.holding(request.decode.id).take(customer, request.slots)
+        pool.take(customer)
 
     def _enqueue(self, request: requests.Request, now: float) -> None:
         request.stage = messages.Stage.QUEUED
@@ -370,15 +370,15 @@
         for endpoint_id in request.probed:
             self._health.probe_ended(endpoint_id)
         request.probed = ()
-        user = request.submit.user
+        customer = request.submit.customer
         holding = request.pool.holding(request.decode.id)
-        holding.release(user, request.slots)
-        request.pool.release(user)
+        holding.release(customer, request.slots)
+        request.pool.release(customer)
 
     def _release_prefill(self, request: requests.Request) -> None:
         assert request.prefill is not None
         holding = request.pool.holding(request.prefill.id)
-        holding.release(request.submit.user)
+        holding.release(request.submit.customer)
 
     def _refuse(
         self, request: requests.Request, code: messages.RefusalCode, now: float
--- a/src/cowsliprill/decisions/slot_asks.py
+++ b/src/cowsliprill/decisions/slot_asks.py
@@ -123,8 +123,8 @@
             want=max(holding.in_use + max(need, reserve), held),
             priority=first.submit.priority if first else 0,
             deadline_in_s=first.urgency() - now if first else 0.0,
-            user_wants=self._wants(need),
-            user_in_use=tuple(holding.in_use_by_user.items()),
+            customer_wants=self._wants(need),
+            customer_in_use=tuple(holding.in_use_by_customer.items()),
             held=held,
             sequence=sequence,
         )
@@ -132,9 +132,9 @@
     def _wants(self, need: int) -> tuple[tuple[str, int], ...]:
         wants = []
         left = need
-        for user, count in self._pool.queue.wants():
+        for customer, count in self._pool.queue.wants():
             taken = min(count, left)
             if taken:
-                wants.append((user, taken))
+                wants.append((customer, taken))
             left -= taken
         return tuple(wants)
--- a/src/cowsliprill/decisions/slots.py
+++ b/src/cowsliprill/decisions/slots.py
@@ -47,7 +47,7 @@
 
     def needed(self) -> int:
         """Returns how many slots its waiting requests still lack."""
-        waiting = sum(count for _, count in self.ask.user_wants)
+        waiting = sum(count for _, count in self.ask.customer_wants)
         idle = self.slots - self.ask.in_use
         short = self.ask.want - self.slots
         return max(min(waiting - idle, short), 0)
@@ -69,7 +69,7 @@
     ) -> None:
         self.endpoint_id = endpoint_id
         self.slots = slots
-        self.shares_by_user: dict[str, float] = {}
+        self.shares_by_customer: dict[str, float] = {}
         self._silent_until = silent_until
         self._leases_by_entry: dict[str, _Lease] = {}
 
@@ -213,16 +213,20 @@
     def _ranks(
         self, leases: list[_Lease]
     ) -> dict[int, tuple[bool, int, float]]:
-        """Orders entries: users below their fair share, priority, deadline."""
-        usage_by_user = self._usage_by_user()
+        """Orders entries: customers below their share, priority, deadline."""
+        usage_by_customer = self._usage_by_customer()
         weight = sum(
-            self.shares_by_user.get(user, 1.0) for user in usage_by_user
+            self.shares_by_customer.get(customer, 1.0)
+            for customer in usage_by_customer
         )
         fair = self.slots / weight if weight else float(self.slots)
         ranks = {}
         for lease in leases:
             usage = min(
-                (usage_by_user[user] for user, _ in lease.ask.user_wants),
+                (
+                    usage_by_customer[customer]
+                    for customer, _ in lease.ask.customer_wants
+                ),
                 default=0.0,
             )
             ranks[id(lease)] = (
@@ -232,16 +236,16 @@
             )
         return ranks
 
-    def _usage_by_user(self) -> dict[str, float]:
-        usage_by_user: dict[str, float] = {}
+    def _usage_by_customer(self) -> dict[str, float]:
+        usage_by_customer: dict[str, float] = {}
         for lease in self._leases_by_entry.values():
-            for user, _ in lease.ask.user_wants:
-                usage_by_user.setdefault(user, 0.0)
-            for user, count in lease.ask.user_in_use:
-                share = self.shares_by_user.get(user, 1.0)
-                used = usage_by_user.get(user, 0.0)
-                usage_by_user[user] = used + count / share
-        return usage_by_user
+            for customer, _ in lease.ask.customer_wants:
+                usage_by_customer.setdefault(customer, 0.0)
+            for customer, count in lease.ask.customer_in_use:
+                share = self.shares_by_customer.get(customer, 1.0)
+                used = usage_by_customer.get(customer, 0.0)
+                usage_by_customer[customer] = used + count / share
+        return usage_by_customer
 
     def _waiting_besides(self, lease: _Lease) -> int:
         return self.waiting() - lease.needed()
--- a/src/cowsliprill/decisions/tickets.py
+++ b/src/cowsliprill/decisions/tickets.py
@@ -7,7 +7,7 @@
 more, and nobody runs it again.
 
 A caller's own idempotency key names no owner. For such a key exactly this is
-kept: of the calls with one key, user and service that reach the same
+kept: of the calls with one key, customer and service that reach the same
 incarnation of one entry process within `KEEP_S` of the first, one runs at a
 time and none runs after one that ran or may have run; each later call gets
 the first's answer while that is stored. Calls that reach different processes
@@ -60,9 +60,9 @@
     def _signed(self) -> str:
         return f"{self.incarnation}.{self.port}.{self.number}.{self.issued_at}"
 
-    def sign(self, secret: bytes, user: str, service: str) -> str:
+    def sign(self, secret: bytes, customer: str, service: str) -> str:
         """Returns the code that the owner gives this ticket."""
-        text = f"{self._signed()}\0{user}\0{service}"
+        text = f"{self._signed()}\0{customer}\0{service}"
         digest = hmac.new(secret, text.encode(), hashlib.sha256).digest()
         return digest[:_MAC_BYTES].hex()
 
@@ -153,7 +153,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Invalid:
-    """The owner never gave this ticket to this user for this service."""
+    """The owner never gave this ticket to this customer for this service."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -233,7 +233,7 @@
         """Asks to run a request.
 
         Args:
-          key: Its key, unique over users and services.
+          key: Its key, unique over customers and services.
           fingerprint: Digest of the request.
           expires_at: When the record may be forgotten.
           now: Time, seconds.
@@ -344,11 +344,11 @@
         self._tickets = Records(max_records, half, evict=False)
         self._keys = Records(max_records, half, evict=True)
 
-    def issue(self, user: str, service: str, now: float) -> Ticket:
+    def issue(self, customer: str, service: str, now: float) -> Ticket:
         """Gives out a ticket; it costs no memory until it is used.
 
         Args:
-          user: Id of the user it is for.
+          customer: Id of the customer it is for.
           service: Id of the service it is for.
           now: Time, seconds.
 
@@ -363,13 +363,13 @@
             mac="",
         )
         self._next_number += 1
-        mac = bare.sign(self._secret, user, service)
+        mac = bare.sign(self._secret, customer, service)
         return dataclasses.replace(bare, mac=mac)
 
     def claim_ticket(
         self,
         ticket: Ticket,
-        user: str,
+        customer: str,
         service: str,
         fingerprint: bytes,
         now: float,
@@ -378,7 +378,7 @@
 
         Args:
           ticket: The ticket.
-          user: Id of the calling user.
+          customer: Id of the calling customer.
           service: Id of the service called.
           fingerprint: Digest of the request.
           now: Time, seconds.
@@ -388,7 +388,7 @@
         """
         if ticket.incarnation != self._incarnation:
             return Foreign(ticket)
-        expected = ticket.sign(self._secret, user, service)
+        expected = ticket.sign(self._secret, customer, service)
         if not hmac.compare_digest(expected, ticket.mac):
             return Invalid()
         expires_at = ticket.issued_at + KEEP_S
@@ -398,13 +398,18 @@
         return self._tickets.claim(key, fingerprint, expires_at, now)
 
     def claim_key(
-        self, key: str, user: str, service: str, fingerprint: bytes, now: float
+        self,
+        key: str,
+        customer: str,
+        service: str,
+        fingerprint: bytes,
+        now: float,
     ) -> Claim:
         """Asks to run a request with a caller's own key; see the module.
 
         Args:
           key: The key.
-          user: Id of the calling user.
+          customer: Id of the calling customer.
           service: Id of the service called.
           fingerprint: Digest of the request.
           now: Time, seconds.
@@ -412,7 +417,7 @@
         Returns:
           What has to be done.
         """
-        scoped = f"k{user}\0{service}\0{key}"
+        scoped = f"k{customer}\0{service}\0{key}"
         return self._keys.claim(scoped, fingerprint, now + KEEP_S, now)
 
     def finish(self, record: str, answer: Answer | None) -> None:
--- a/src/cowsliprill/decisions/worth.py
+++ b/src/cowsliprill/decisions/worth.py
@@ -4,7 +4,7 @@
 
 # A token of an answer counts as so many of a prompt: it takes an engine's
 # memory for a step of the whole batch, a prompt's tokens are read thousands
-# at a time. Users weigh their answers by the same figure.
+# at a time. Customers weigh their answers by the same figure.
 ANSWER_TOKEN_WORTH = 10.0
 
 # Beyond this multiple of the mean, size adds nothing.
--- a/src/cowsliprill/dispatch/homes.py
+++ b/src/cowsliprill/dispatch/homes.py
@@ -69,7 +69,7 @@
             for vm in fleet.vms_by_id.values()
             if vm.role is model.VmRole.ENTRY
         }
-        shares_by_user = shares.Shares(snapshot.users_by_id)
+        shares_by_customer = shares.Shares(snapshot.customers_by_id)
         kept = {}
         for endpoint in snapshot.endpoints_by_id.values():
             if endpoint.kind is model.EndpointKind.PLAIN:
@@ -77,7 +77,7 @@
             if not self.is_here(endpoint.id):
                 continue
             home = self._kept_or_new(endpoint, now)
-            home.ledger.shares_by_user = shares_by_user
+            home.ledger.shares_by_customer = shares_by_customer
             kept[endpoint.id] = home
         self.by_endpoint = kept
 
@@ -177,8 +177,8 @@
         if now >= settling.ends_at:
             home.settling = None
         elif settling.has_heard_all(self._entries_by_vm):
-            shares_by_user = home.ledger.shares_by_user
+            shares_by_customer = home.ledger.shares_by_customer
             endpoint = home.endpoint
             home.ledger = settling.ledger(endpoint.id, endpoint.slots, now)
-            home.ledger.shares_by_user = shares_by_user
+            home.ledger.shares_by_customer = shares_by_customer
             home.settling = None
--- a/src/cowsliprill/dispatch/settling.py
+++ b/src/cowsliprill/dispatch/settling.py
@@ -75,4 +75,4 @@
 
 def _holding_only(ask: messages.SlotAsk) -> messages.SlotAsk:
     held = max(ask.held, ask.in_use)
-    return dataclasses.replace(ask, want=held, user_wants=(), sequence=0)
+    return dataclasses.replace(ask, want=held, customer_wants=(), sequence=0)
--- a/src/cowsliprill/engines/prefix.py
+++ b/src/cowsliprill/engines/prefix.py
@@ -2,7 +2,7 @@
 
 Engines name a cached block by a hash of its tokens and all before it. The
 router has no tokenizer, so both sides take a fixed number of characters for
-a token. Blocks are salted by user: rivals share engines, and must not learn
+a token. Blocks are salted by customer: rivals share engines, and must not learn
 from the time to first token what another one has sent.
 """
 
@@ -48,7 +48,7 @@
 
     Args:
       text: The prompt.
-      salt: Id of the user, so that users share no blocks.
+      salt: Id of the customer, so that customers share no blocks.
 
     Returns:
       One hash a block; each depends on all before it.
--- a/src/cowsliprill/entry/answers.py
+++ b/src/cowsliprill/entry/answers.py
@@ -22,9 +22,9 @@
 
 async def list_models(ctx: context.Context) -> None:
     """Answers `GET /v1/models` with the model services of the caller."""
-    services = resolve.services_of(ctx.user, ctx.snapshot)
+    services = resolve.services_of(ctx.customer, ctx.snapshot)
     data = [
-        {"id": name, "object": "model", "owned_by": service.user}
+        {"id": name, "object": "model", "owned_by": service.customer}
         for name, service in sorted(services.items())
         if service.kind is model.ServiceKind.MODEL
     ]
@@ -56,11 +56,13 @@
         """Gives out a ticket for one request of a service."""
         fields = schema.parse_json(ctx.call.body)
         request = schema.validate(schema.TicketRequest, fields)
-        service = resolve.find_service(request.service, ctx.user, ctx.snapshot)
+        service = resolve.find_service(
+            request.service, ctx.customer, ctx.snapshot
+        )
         leaving = self.gate.draining and not ctx.call.forwarded
         if leaving and await self.forwarder.issue_elsewhere(ctx):
             return
-        ticket = self.book.issue(ctx.user.id, service.id, clock.now())
+        ticket = self.book.issue(ctx.customer.id, service.id, clock.now())
         await _send_json(
             ctx,
             _CREATED,
--- a/src/cowsliprill/entry/authorization.py
+++ b/src/cowsliprill/entry/authorization.py
@@ -43,7 +43,7 @@
                 run=ctx.progress.run,
                 retry_after_s=_RETRY_AFTER_S,
             )
-        if ctx.key_hash not in self.world.snapshot.users_by_key_hash:
+        if ctx.key_hash not in self.world.snapshot.customers_by_key_hash:
             raise errors.EntryError(
                 errors.Code.INVALID_API_KEY, "The API key isn't known."
             )
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -54,7 +54,7 @@
       fields: The body's fields as the caller sent them.
       path: The engines' path of this kind of request.
       prompt_tokens: Estimated tokens of the prompt.
-      prefix_hashes: Hashes of its first blocks, salted by the user.
+      prefix_hashes: Hashes of its first blocks, salted by the customer.
       output_tokens: Limit of the answer.
       expected_tokens: The caller's own guess of the answer's length, 0 for
         none.
@@ -115,7 +115,7 @@
       arrived_at: Time of arrival, seconds.
       snapshot: Settings in force at arrival; they hold for all of the request.
       caller_id: The caller's own id of this attempt, for logs; empty for none.
-      user: The calling user; by `identify`.
+      customer: The calling customer; by `identify`.
       key_hash: Digest of the API key that must hold until it runs, empty for
         none; by `identify`.
       route: The route called, None where callers name a service; by `route`.
@@ -151,7 +151,7 @@
     arrived_at: float
     snapshot: model.Snapshot
     caller_id: str = ""
-    user: model.User | None = None
+    customer: model.Customer | None = None
     key_hash: str = ""
     route: model.Route | None = None
     service: model.Service | None = None
--- a/src/cowsliprill/entry/filters/idempotency.py
+++ b/src/cowsliprill/entry/filters/idempotency.py
@@ -66,12 +66,14 @@
     def _claim(self, ctx: context.Context, key: str) -> tickets.Claim:
         fingerprint = _fingerprint(ctx.call)
         now = clock.now()
-        user, service = ctx.user.id, ctx.service.id
+        customer, service = ctx.customer.id, ctx.service.id
         try:
             ticket = tickets.Ticket.parse(key)
         except tickets.TicketError:
-            return self.book.claim_key(key, user, service, fingerprint, now)
-        return self.book.claim_ticket(ticket, user, service, fingerprint, now)
+            return self.book.claim_key(key, customer, service, fingerprint, now)
+        return self.book.claim_ticket(
+            ticket, customer, service, fingerprint, now
+        )
 
     async def _run(
         self, ctx: context.Context, proceed: context.Handle, record: str
--- a/src/cowsliprill/entry/filters/identify.py
+++ b/src/cowsliprill/entry/filters/identify.py
@@ -13,7 +13,7 @@
 _SCHEME = "bearer "
 
 
-_ANONYMOUS = model.User(id="")
+_ANONYMOUS = model.Customer(id="")
 
 
 def key_hash(key: str) -> str:
@@ -21,24 +21,24 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def user_of(
+def customer_of(
     headers: httputil.HTTPHeaders, snapshot: model.Snapshot
-) -> model.User:
-    """Finds the user of the API key in a request's headers.
+) -> model.Customer:
+    """Finds the customer of the API key in a request's headers.
 
     The settings hold only SHA-256 digests of keys, so who reads them can't
-    call in a user's name. Looking up a digest also gives no timing by which a
-    key could be guessed part by part.
+    call in a customer's name. Looking up a digest also gives no timing by which
+    a key could be guessed part by part.
 
     Args:
       headers: The request's headers.
       snapshot: The settings.
 
     Returns:
-      The user.
+      The customer.
 
     Raises:
-      errors.EntryError: There is no key, or no user has it.
+      errors.EntryError: There is no key, or no customer has it.
     """
     key = _key(headers)
     if not key:
@@ -46,17 +46,17 @@
             errors.Code.INVALID_API_KEY,
             "Send your API key as `Authorization: Bearer KEY`.",
         )
-    user = snapshot.users_by_key_hash.get(key_hash(key))
-    if user is None:
+    customer = snapshot.customers_by_key_hash.get(key_hash(key))
+    if customer is None:
         raise errors.EntryError(
             errors.Code.INVALID_API_KEY, "The API key isn't known."
         )
-    return user
+    return customer
 
 
 async def identify(ctx: context.Context, proceed: context.Handle) -> None:
-    """Finds the calling user."""
-    ctx.user = user_of(ctx.call.headers, ctx.snapshot)
+    """Finds the calling customer."""
+    ctx.customer = customer_of(ctx.call.headers, ctx.snapshot)
     await proceed(ctx)
 
 
@@ -77,12 +77,12 @@
         self, ctx: context.Context, proceed: context.Handle
     ) -> None:
         """Finds the customer or refuses the request."""
-        ctx.user = _ANONYMOUS
+        ctx.customer = _ANONYMOUS
         if not ctx.snapshot.keys_required:
             await proceed(ctx)
             return
         try:
-            ctx.user = user_of(ctx.call.headers, ctx.snapshot)
+            ctx.customer = customer_of(ctx.call.headers, ctx.snapshot)
         except errors.EntryError:
             if not ctx.route.public:
                 raise
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -181,7 +181,7 @@
     return messages.Submit(
         request_id=ctx.number,
         service=ctx.service,
-        user=ctx.user.id,
+        customer=ctx.customer.id,
         prompt_tokens=generation.prompt_tokens,
         output_tokens=generation.output_tokens,
         prefix_hashes=generation.prefix_hashes,
--- a/src/cowsliprill/entry/filters/quota.py
+++ b/src/cowsliprill/entry/filters/quota.py
@@ -48,12 +48,12 @@
         self, ctx: context.Context, proceed: context.Handle
     ) -> None:
         """Lets the request pass or refuses it."""
-        quota = ctx.user.quota
+        quota = ctx.customer.quota
         if quota is None:
             await proceed(ctx)
             return
         cost = _cost(ctx, quota)
-        retry_after_s = await self.admission.admit(ctx.user.id, quota, cost)
+        retry_after_s = await self.admission.admit(ctx.customer.id, quota, cost)
         if retry_after_s is not None:
             raise errors.EntryError(
                 errors.Code.QUOTA_EXCEEDED,
@@ -64,7 +64,7 @@
             await proceed(ctx)
         except errors.EntryError as error:
             if error.run is messages.Run.NO:
-                self.admission.give_back(ctx.user.id, cost)
+                self.admission.give_back(ctx.customer.id, cost)
             raise
 
 
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -96,7 +96,7 @@
             "request_ended",
             request=ctx.request_id,
             caller=ctx.caller_id,
-            user=ctx.user.id if ctx.user else "",
+            customer=ctx.customer.id if ctx.customer else "",
             service=labels["service"],
             outcome=progress.outcome,
             in_time=in_time,
--- a/src/cowsliprill/entry/filters/resolve.py
+++ b/src/cowsliprill/entry/filters/resolve.py
@@ -22,25 +22,25 @@
 
 
 def services_of(
-    user: model.User, snapshot: model.Snapshot
+    customer: model.Customer, snapshot: model.Snapshot
 ) -> dict[str, model.Service]:
-    """Lists the services that a user may call, its own before its parents'.
+    """Lists the services that a customer may call, its own before its parents'.
 
     Args:
-      user: The user.
+      customer: The customer.
       snapshot: The settings.
 
     Returns:
       Services by name.
     """
-    lineage = _lineage(user, snapshot)
+    lineage = _lineage(customer, snapshot)
     services_by_name: dict[str, model.Service] = {}
     for service in snapshot.services_by_id.values():
-        if service.user not in lineage:
+        if service.customer not in lineage:
             continue
         other = services_by_name.get(service.name)
         nearest = other is None or (
-            lineage.index(service.user) < lineage.index(other.user)
+            lineage.index(service.customer) < lineage.index(other.customer)
         )
         if nearest:
             services_by_name[service.name] = service
@@ -48,24 +48,24 @@
 
 
 def find_service(
-    name: str, user: model.User, snapshot: model.Snapshot
+    name: str, customer: model.Customer, snapshot: model.Snapshot
 ) -> model.Service:
-    """Finds a service by the name that a user calls it by.
+    """Finds a service by the name that a customer calls it by.
 
     Args:
       name: The name.
-      user: The calling user.
+      customer: The calling customer.
       snapshot: The settings.
 
     Returns:
       The service.
 
     Raises:
-      errors.EntryError: The user has no service of this name. Another user's
-        service gives the same 404 as none at all: a 403 would tell a rival
-        firm which services exist.
+      errors.EntryError: The customer has no service of this name. Another
+        customer's service gives the same 404 as none at all: a 403 would tell
+        a rival firm which services exist.
     """
-    for owner in _lineage(user, snapshot):
+    for owner in _lineage(customer, snapshot):
         service = snapshot.services_by_id.get(f"{owner}/{name}")
         if service is not None:
             return service
@@ -80,7 +80,7 @@
     """Checks a model request and finds its service."""
     fields = schema.parse_json(ctx.call.body)
     request = schema.validate(_KIND_BY_PATH[ctx.call.path], fields)
-    service = find_service(request.model, ctx.user, ctx.snapshot)
+    service = find_service(request.model, ctx.customer, ctx.snapshot)
     if service.kind is not model.ServiceKind.MODEL:
         raise errors.EntryError(
             errors.Code.SERVICE_NOT_FOUND,
@@ -95,7 +95,7 @@
 async def resolve_plain(ctx: context.Context, proceed: context.Handle) -> None:
     """Finds the service of a plain call."""
     name, slash, rest = ctx.call.path[len(SERVICES_PATH) :].partition("/")
-    service = find_service(name, ctx.user, ctx.snapshot)
+    service = find_service(name, ctx.customer, ctx.snapshot)
     if service.kind is not model.ServiceKind.PLAIN:
         raise errors.EntryError(
             errors.Code.SERVICE_NOT_FOUND,
@@ -113,12 +113,12 @@
     await proceed(ctx)
 
 
-def _lineage(user: model.User, snapshot: model.Snapshot) -> list[str]:
-    lineage = [user.id]
-    parent = user.parent
+def _lineage(customer: model.Customer, snapshot: model.Snapshot) -> list[str]:
+    lineage = [customer.id]
+    parent = customer.parent
     while parent and parent not in lineage:
         lineage.append(parent)
-        above = snapshot.users_by_id.get(parent)
+        above = snapshot.customers_by_id.get(parent)
         parent = above.parent if above else ""
     return lineage
 
@@ -145,7 +145,7 @@
             f"The prompt has about {prompt_tokens} tokens, over"
             f" {service.max_prompt_tokens}.",
         )
-    salt = ctx.user.id
+    salt = ctx.customer.id
     output_tokens = request.output_limit or service.max_output_tokens
     if output_tokens > service.max_output_tokens:
         raise errors.EntryError(
--- a/src/cowsliprill/entry/native.py
+++ b/src/cowsliprill/entry/native.py
@@ -179,7 +179,7 @@
     fields["max_tokens"] = generation.output_tokens
     # Engines key their prefix caches by this as well, so that rivals who send
     # the same prompt don't share blocks. A caller's own salt is overridden.
-    fields[prefix.SALT_FIELD] = ctx.user.id
+    fields[prefix.SALT_FIELD] = ctx.customer.id
     return fields
 
 
@@ -188,4 +188,4 @@
     # that checks keys would give the second firm the answer of the first.
     if not ctx.idempotency_key:
         return ""
-    return f"{ctx.user.id}:{ctx.idempotency_key}"
+    return f"{ctx.customer.id}:{ctx.idempotency_key}"
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -26,8 +26,8 @@
     ctx.caller_id = ctx.call.headers.get(headers_lib.ATTEMPT, "")
     ctx.service_path = ctx.call.uri
     ctx.priority = ctx.service.priority
-    if ctx.user.priority is not None:
-        ctx.priority = ctx.user.priority
+    if ctx.customer.priority is not None:
+        ctx.priority = ctx.customer.priority
     ctx.time_given_s = _time_given_s(ctx.call.headers)
     prompt_tokens, output_tokens = _tokens(ctx.call.headers)
     ctx.stated_tokens = prompt_tokens + output_tokens
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -32,18 +32,18 @@
 _PREFILL_TOKENS_PER_S = 33_333.0
 _SECONDS_PER_TOKEN = 0.008
 
-# Of the speed of a prefill engine, what a decode engine has, as the users say.
+# Of the speed of a prefill engine, what a decode engine has.
 _OWN_PREFILL_PART = 0.5
 
 # Prompts that a prefill engine is sent at once. It reads them in pieces by
 # turns, so more would make all late; fewer would leave it idle between two.
 _PREFILLS_AT_ONCE = 3
 
-# Part of the users' bounds on repeats that is used. Processes that are not
+# Part of the customers' bounds on repeats that is used. Processes that are not
 # known of use up the rest.
 _BUDGET_CAUTION = 0.8
 
-# Memory goes by blocks of so many tokens, the users' sheets say.
+# Memory goes by blocks of so many tokens.
 _BLOCK_TOKENS = 16
 
 _KIND_BY_STAGE = {
@@ -55,7 +55,7 @@
 # Unit of quotas that counts tokens; any other counts requests.
 _UNIT_TOKENS = "generation"
 
-# Of the worth of an answer that the users state, the part that goes by size.
+# Of the worth of an answer, the part that goes by its size.
 _WORTH_BY_SIZE = 0.7
 
 # Clients leave a stream that shows nothing for the longest of these.
@@ -163,7 +163,7 @@
     """`registry.source.Translator` of the platform.
 
     Args:
-      budget_ratio: Repeats that the users allow for each request.
+      budget_ratio: Repeats that the customers allow for each request.
       budget_slack: Repeats that they allow beyond, for all VMs together.
     """
 
@@ -295,12 +295,12 @@
     )
 
 
-def _customers(tenants: Iterable[_Tenant]) -> list[model.User]:
+def _customers(tenants: Iterable[_Tenant]) -> list[model.Customer]:
     """Reads the customers; what they may ask for is their share under load."""
     rates = [tenant.rate_per_s for tenant in tenants if tenant.rate_per_s]
     mean_rate = statistics.fmean(rates) if rates else 1.0
     return [
-        model.User(
+        model.Customer(
             id=tenant.name,
             key_hashes=frozenset(map(identify.key_hash, tenant.api_keys)),
             share=(tenant.rate_per_s or mean_rate) / mean_rate,
@@ -332,7 +332,7 @@
     target_s = route.slo_ms / _MS_PER_S
     return model.Service(
         id=_service_id(route, service.name),
-        user="",
+        customer="",
         name=service.name,
         kind=model.ServiceKind.MODEL if streams else model.ServiceKind.PLAIN,
         pool=service.name,
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -246,8 +246,8 @@
     if ctx.snapshot.keys_required:
         # An engine that got the key could call in the customer's name.
         headers.pop(headers_lib.AUTHORIZATION, None)
-    if ctx.user.id:
-        headers[headers_lib.CUSTOMER] = ctx.user.id
+    if ctx.customer.id:
+        headers[headers_lib.CUSTOMER] = ctx.customer.id
     headers.update(extra)
     return headers
 
--- a/src/cowsliprill/quotas/owner.py
+++ b/src/cowsliprill/quotas/owner.py
@@ -33,7 +33,7 @@
         """Takes new settings."""
         self._quotas_by_customer = {
             customer.id: customer.quota
-            for customer in snapshot.users_by_id.values()
+            for customer in snapshot.customers_by_id.values()
             if customer.quota is not None
         }
         self._accounts.keep_only(self._quotas_by_customer)
--- a/src/cowsliprill/quotas/reporter.py
+++ b/src/cowsliprill/quotas/reporter.py
@@ -65,7 +65,7 @@
         self._gate.set_members(len(fleet.vms_by_id))
         limited = {
             customer.id
-            for customer in snapshot.users_by_id.values()
+            for customer in snapshot.customers_by_id.values()
             if customer.quota is not None
         }
         self._gate.keep_only(limited)
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -58,10 +58,10 @@
         default_factory=dict
     )
     limits: model.CallLimits = model.CallLimits()
-    customers_by_id: dict[str, model.User] = dataclasses.field(
+    customers_by_id: dict[str, model.Customer] = dataclasses.field(
         default_factory=dict
     )
-    customers_by_key_hash: dict[str, model.User] = dataclasses.field(
+    customers_by_key_hash: dict[str, model.Customer] = dataclasses.field(
         default_factory=dict
     )
 
@@ -416,8 +416,8 @@
                 leaving.add(item.endpoint.id)
         self.snapshot = model.Snapshot(
             revision=self._settings.version,
-            users_by_id=self._settings.customers_by_id,
-            users_by_key_hash=self._settings.customers_by_key_hash,
+            customers_by_id=self._settings.customers_by_id,
+            customers_by_key_hash=self._settings.customers_by_key_hash,
             keys_required=bool(self._settings.customers_by_id),
             services_by_id=self._settings.services_by_id,
             endpoints_by_id=endpoints_by_id,
--- a/src/cowsliprill/replay/cost.py
+++ b/src/cowsliprill/replay/cost.py
@@ -13,7 +13,7 @@
 _LEASE_S = 1e9
 _PREFILL_SHARE = 0.3
 _SERVICE = model.Service(
-    id="u/s", user="u", name="s", kind=model.ServiceKind.MODEL, pool="g"
+    id="u/s", customer="u", name="s", kind=model.ServiceKind.MODEL, pool="g"
 )
 
 
@@ -79,7 +79,7 @@
     return messages.Submit(
         request_id=number,
         service=_SERVICE,
-        user=f"u/firm-{number % 4}",
+        customer=f"u/firm-{number % 4}",
         prompt_tokens=3_000,
         output_tokens=256,
         prefix_hashes=tuple(range(number, number + 12)),
--- a/src/cowsliprill/replay/naive.py
+++ b/src/cowsliprill/replay/naive.py
@@ -89,7 +89,7 @@
         """
         del now
         wants = collections.Counter(
-            request.submit.user
+            request.submit.customer
             for request in self._requests_by_id.values()
             if request.stage is messages.Stage.QUEUED
         )
@@ -99,7 +99,7 @@
                 endpoint_id=endpoint.id,
                 in_use=usage[endpoint.id],
                 want=usage[endpoint.id] + wants.total(),
-                user_wants=tuple(sorted(wants.items())),
+                customer_wants=tuple(sorted(wants.items())),
             )
             for endpoint in self._usable()
         ]
--- a/src/cowsliprill/replay/shell.py
+++ b/src/cowsliprill/replay/shell.py
@@ -82,7 +82,7 @@
             messages.Submit(
                 request_id=request_id,
                 service=service,
-                user=demand.user,
+                customer=demand.user,
                 prompt_tokens=demand.prompt_tokens,
                 output_tokens=demand.output_limit,
                 prefix_hashes=demand.prefix,
--- a/src/cowsliprill/replay/sites.py
+++ b/src/cowsliprill/replay/sites.py
@@ -78,13 +78,13 @@
     def snapshot(self) -> model.Snapshot:
         """Returns the settings that the schedulers get."""
         users = {
-            child: model.User(id=child, parent=self.user)
+            child: model.Customer(id=child, parent=self.user)
             for child in self.children
         }
-        users[self.user] = model.User(id=self.user)
+        users[self.user] = model.Customer(id=self.user)
         return model.Snapshot(
             revision=1,
-            users_by_id=users,
+            customers_by_id=users,
             services_by_id=self.service_models(),
             endpoints_by_id=self.endpoints(),
         )
@@ -112,7 +112,7 @@
     def _service(self, name: str, priority: int) -> model.Service:
         return model.Service(
             id=f"{self.user}/{name}",
-            user=self.user,
+            customer=self.user,
             name=name,
             kind=model.ServiceKind.MODEL,
             pool=POOL,
--- a/src/cowsliprill/settings/difference.py
+++ b/src/cowsliprill/settings/difference.py
@@ -48,17 +48,17 @@
     ]
 
 
-def user_changes(old: model.Snapshot, new: model.Snapshot) -> list[str]:
+def customer_changes(old: model.Snapshot, new: model.Snapshot) -> list[str]:
     """Lists users that were added, removed or changed; reads all users."""
-    before, after = dict(old.users_by_id), dict(new.users_by_id)
+    before, after = dict(old.customers_by_id), dict(new.customers_by_id)
     found = []
-    for user_id in sorted(before.keys() | after.keys()):
-        if user_id not in before:
-            found.append(f"user {user_id} added")
-        elif user_id not in after:
-            found.append(f"user {user_id} removed")
-        elif before[user_id] != after[user_id]:
-            found.append(f"user {user_id} changed")
+    for customer_id in sorted(before.keys() | after.keys()):
+        if customer_id not in before:
+            found.append(f"customer {customer_id} added")
+        elif customer_id not in after:
+            found.append(f"customer {customer_id} removed")
+        elif before[customer_id] != after[customer_id]:
+            found.append(f"customer {customer_id} changed")
     return found
 
 
--- a/src/cowsliprill/settings/key_table.py
+++ b/src/cowsliprill/settings/key_table.py
@@ -1,4 +1,4 @@
-"""In which part of the settings the user of an API key stands.
+"""In which part of the settings the customer of an API key stands.
 
 Sorted arrays of the first 64 bits of each key's hash, twelve bytes a key. A
 change copies the arrays and moves only its own keys, so an older snapshot
--- a/src/cowsliprill/settings/layers.py
+++ b/src/cowsliprill/settings/layers.py
@@ -79,14 +79,14 @@
 
 def service_layers(
     root: schema.RootPart,
-    users: Iterable[tuple[str, schema.ChildUserNode]],
+    users: Iterable[tuple[str, schema.ChildCustomerNode]],
     name: str,
 ) -> list[Layer]:
     """Collects the layers of a service.
 
     Args:
       root: The root's defaults.
-      users: Paths and nodes of the user and its parents, the top one first.
+      users: Paths and nodes of the customer and its parents, the top one first.
       name: Name of the service.
 
     Returns:
--- a/src/cowsliprill/settings/measure.py
+++ b/src/cowsliprill/settings/measure.py
@@ -34,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ChangeCost:
-    """What one change of one user costs at one size.
+    """What one change of one customer costs at one size.
 
     Attributes:
       users: Child users in the settings.
@@ -81,7 +81,7 @@
 
 
 def tree_of_size(users: int, endpoints: int) -> dict[str, Any]:
-    """Makes settings of a size: child users of one user, engines, services.
+    """Makes settings of a size: child users of one customer, engines, services.
 
     Args:
       users: Number of child users, each with one API key.
@@ -148,7 +148,7 @@
 def change_cost(
     users: int, endpoints: int, changes: int = 20, seed: int = 1
 ) -> ChangeCost:
-    """Measures what a change of one user costs.
+    """Measures what a change of one customer costs.
 
     Args:
       users: Number of child users.
--- a/src/cowsliprill/settings/parts.py
+++ b/src/cowsliprill/settings/parts.py
@@ -75,7 +75,7 @@
 
 
 def bucket_of(name: str, buckets: int) -> int:
-    """Returns the bucket that a child user's or endpoint's name hashes to."""
+    """Returns the bucket of a child customer's or endpoint's name."""
     return xxhash.xxh3_64_intdigest(name.encode()) % buckets
 
 
@@ -133,11 +133,11 @@
 def check_bucket(name: str, buckets: int, bucket: int, where: str) -> None:
     """Refuses what stands in a bucket that its name doesn't hash to.
 
-    The bucket is found from the name. A user elsewhere would be listed but
+    The bucket is found from the name. A customer elsewhere would be listed but
     never found, and its calls refused; and one name could stand twice.
 
     Args:
-      name: Name of the child user or endpoint.
+      name: Name of the child customer or endpoint.
       buckets: Number of buckets.
       bucket: Where it stands.
       where: Path in the tree, for the message.
--- a/src/cowsliprill/settings/publish.py
+++ b/src/cowsliprill/settings/publish.py
@@ -53,8 +53,8 @@
         if key in tree
     }
     values: dict[str, Any] = {"root": root}
-    for name, user in tree.get("users", {}).items():
-        values.update(_bucketed("user", "children", "users", name, user))
+    for name, customer in tree.get("users", {}).items():
+        values.update(_bucketed("user", "children", "users", name, customer))
     for name, pool in tree.get("pools", {}).items():
         values.update(_bucketed("pool", "endpoints", "endpoints", name, pool))
     return {name: parts.canonical(value) for name, value in values.items()}
--- a/src/cowsliprill/settings/resolve.py
+++ b/src/cowsliprill/settings/resolve.py
@@ -125,11 +125,11 @@
           SettingsError: The settings aren't valid.
         """
         tree = self._reader.read(index, text_of)
-        users = customers.UsersById(tree.users, tree.children)
+        users = customers.CustomersById(tree.users, tree.children)
         snapshot = model.Snapshot(
             revision=revision,
-            users_by_id=users,
-            users_by_key_hash=customers.UsersByKeyHash(
+            customers_by_id=users,
+            customers_by_key_hash=customers.CustomersByKeyHash(
                 tree.users, self._updated_keys(tree), users
             ),
             services_by_id=self._all_services(tree),
@@ -155,10 +155,10 @@
 
     def _all_services(self, tree: tree_lib.Tree) -> dict[str, model.Service]:
         found: dict[str, model.Service] = {}
-        for name, user in tree.users.items():
+        for name, customer in tree.users.items():
             found |= self._services.get(
                 f"user/{name}",
-                (tree.root, user),
+                (tree.root, customer),
                 lambda name=name: dict(_services(tree, name)),
             )
         for part, children in tree.children.items():
@@ -190,9 +190,9 @@
 def _services(
     tree: tree_lib.Tree, name: str
 ) -> Iterator[tuple[str, model.Service]]:
-    user = tree.users[name]
-    for service in user.services:
-        yield _service(tree, name, [(f"users.{name}", user)], service)
+    customer = tree.users[name]
+    for service in customer.services:
+        yield _service(tree, name, [(f"users.{name}", customer)], service)
 
 
 def _child_services(
@@ -204,7 +204,7 @@
     for child, node in children.overriding.items():
         names = set(node.services)
         if node.service_defaults.model_fields_set:
-            # What a child user states for all services holds for those that
+            # What a child customer states for all services holds for those that
             # it inherits too.
             names |= set(parent.services)
         nodes = [(path, parent), (f"{path}.users.{child}", node)]
@@ -214,8 +214,8 @@
 
 def _service(
     tree: tree_lib.Tree,
-    user_id: str,
-    nodes: list[tuple[str, schema.ChildUserNode]],
+    customer_id: str,
+    nodes: list[tuple[str, schema.ChildCustomerNode]],
     name: str,
 ) -> tuple[str, model.Service]:
     merged = layers.merge(layers.service_layers(tree.root, nodes, name))
@@ -225,7 +225,7 @@
     if "retries" in fields:
         fields["retries"] = model.RetryRules(**fields["retries"])
     service = model.Service(
-        id=f"{user_id}/{name}", user=user_id, name=name, **fields
+        id=f"{customer_id}/{name}", customer=customer_id, name=name, **fields
     )
     return service.id, service
 
--- a/src/cowsliprill/settings/schema.py
+++ b/src/cowsliprill/settings/schema.py
@@ -140,8 +140,8 @@
     vm: str | None = None
 
 
-class ChildUserNode(Node):
-    """A child user, for example a firm of a consortium."""
+class ChildCustomerNode(Node):
+    """A child customer, for example a firm of a consortium."""
 
     key_hashes: tuple[KeyHash, ...] = ()
     share: _Positive = 1.0
@@ -149,10 +149,10 @@
     services: dict[Name, ServiceNode] = {}
 
 
-class UserNode(ChildUserNode):
-    """A user at the top, with its child users."""
+class CustomerNode(ChildCustomerNode):
+    """A customer at the top, with its child users."""
 
-    users: dict[Name, ChildUserNode] = {}
+    users: dict[Name, ChildCustomerNode] = {}
 
 
 class PoolNode(Node):
@@ -172,8 +172,8 @@
 _Buckets = Annotated[int, pydantic.Field(ge=0, le=65_536)]
 
 
-class UserPart(ChildUserNode):
-    """Part `user/NAME`: a user without its child users.
+class CustomerPart(ChildCustomerNode):
+    """Part `customer/NAME`: a customer without its child users.
 
     Attributes:
       buckets: Number of `children/NAME/BUCKET` parts.
@@ -199,12 +199,12 @@
     revision: Annotated[int, pydantic.Field(ge=1, le=MAX_REVISION, strict=True)]
     published_by: Annotated[str, pydantic.Field(min_length=1, max_length=100)]
     published_at: Annotated[str, pydantic.Field(max_length=40)] = ""
-    users: dict[Name, UserNode] = {}
+    users: dict[Name, CustomerNode] = {}
     pools: dict[Name, PoolNode] = {}
 
 
 def is_name(text: str) -> bool:
-    """Returns whether a text may name a user, service, pool or endpoint."""
+    """Returns whether a text may name a customer, service, pool or endpoint."""
     return bool(_NAME.fullmatch(text))
 
 
--- a/src/cowsliprill/settings/tree.py
+++ b/src/cowsliprill/settings/tree.py
@@ -16,7 +16,7 @@
 from cowsliprill.settings import parts
 from cowsliprill.settings import schema
 
-# Users and pools are read first: what is below them needs the bucket count.
+# Customers and pools are read first: what is below them needs the bucket count.
 _READ_LAST = ("children", "endpoints")
 
 
@@ -61,14 +61,14 @@
 
     Attributes:
       root: Defaults of the whole tree.
-      users: Users at the top by name.
+      users: Customers at the top by name.
       children: Parts of child users by part name.
       pools: Pools by name.
       endpoints: Parts of endpoints by part name.
     """
 
     root: schema.RootPart
-    users: dict[str, schema.UserPart]
+    users: dict[str, schema.CustomerPart]
     children: dict[str, customers.ChildrenPart]
     pools: dict[str, schema.PoolPart]
     endpoints: dict[str, EndpointsPart]
@@ -126,7 +126,7 @@
                     part,
                     text_hash,
                     lambda: schema.parse(
-                        schema.UserPart,
+                        schema.CustomerPart,
                         str(text_of(text_hash)),
                         f"users.{name}",
                     ),
@@ -175,7 +175,7 @@
 
 
 def _buckets(
-    part: str, above: schema.UserPart | schema.PoolPart | None, bucket: int
+    part: str, above: schema.CustomerPart | schema.PoolPart | None, bucket: int
 ) -> int:
     if above is None or bucket >= above.buckets:
         raise errors.SettingsError(f"part {part!r} belongs to nothing")
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -223,39 +223,39 @@
         services = [
             model.Service(
                 id="umurongo/brief",
-                user="umurongo",
+                customer="umurongo",
                 name="brief",
                 model="standin",
                 **firm,
                 **changes,
             ),
             model.Service(
-                id="zarqa/summary", user="zarqa", name="summary", **firm
+                id="zarqa/summary", customer="zarqa", name="summary", **firm
             ),
             model.Service(
                 id="umurongo/booking",
-                user="umurongo",
+                customer="umurongo",
                 name="booking",
                 pool="desk",
                 **booking,
             ),
             model.Service(
                 id="umurongo/safe-booking",
-                user="umurongo",
+                customer="umurongo",
                 name="safe-booking",
                 pool="safe",
                 **booking,
             ),
             model.Service(
                 id="umurongo/lookup",
-                user="umurongo",
+                customer="umurongo",
                 name="lookup",
                 pool="desk",
                 **plain,
             ),
         ]
-        users = [
-            model.User(
+        customers = [
+            model.Customer(
                 id=name,
                 parent=name.partition("/")[0] if "/" in name else "",
                 key_hashes=frozenset(
@@ -264,12 +264,14 @@
             )
             for name, key in KEYS.items()
         ]
-        users.append(model.User(id="umurongo"))
+        customers.append(model.Customer(id="umurongo"))
         return model.Snapshot(
             revision=revision,
-            users_by_id={user.id: user for user in users},
-            users_by_key_hash={
-                digest: user for user in users for digest in user.key_hashes
+            customers_by_id={customer.id: customer for customer in customers},
+            customers_by_key_hash={
+                digest: customer
+                for customer in customers
+                for digest in customer.key_hashes
             },
             services_by_id={service.id: service for service in services},
             endpoints_by_id=self.endpoints,
@@ -346,13 +348,13 @@
         body: Any = b"",
         headers: dict[str, str] | None = None,
         *,
-        user: str = "umurongo/amahoro",
+        customer: str = "umurongo/amahoro",
         entry: int = 0,
     ) -> exchange.Response:
         """Sends a call and leaves its answer open."""
         if not isinstance(body, bytes):
             body = json.dumps(body).encode()
-        key = {"Authorization": f"Bearer {KEYS[user]}"} if user else {}
+        key = {"Authorization": f"Bearer {KEYS[customer]}"} if customer else {}
         return await self.http.call(
             HOST,
             self.url_port(entry),
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -1,4 +1,4 @@
-"""Routers among stand-ins that speak the users' platform, in one event loop."""
+"""Routers among stand-ins of the platform, in one event loop."""
 
 import asyncio
 import base64
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -39,7 +39,7 @@
 
 _SERVICE = model.Service(
     id="brief/r",
-    user="",
+    customer="",
     name="brief",
     kind=model.ServiceKind.MODEL,
     pool="brief",
@@ -55,7 +55,7 @@
     fields = {
         "request_id": number,
         "service": _SERVICE,
-        "user": "",
+        "customer": "",
         "prompt_tokens": tokens,
         "output_tokens": 1_000,
         "expected_tokens": 480,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -35,10 +35,10 @@
     def test_valid(self) -> None:
         code, out, _ = _run(commands.CheckCommand(_BOTH))
         assert code == errors.ExitCode.OK
-        assert "6 users, 6 services, 22 endpoints" in out
+        assert "6 customers, 6 services, 22 endpoints" in out
 
     def test_wrong_name(self, tmp_path: pathlib.Path) -> None:
-        path = _changed(tmp_path, lambda tree: tree.update(user={}))
+        path = _changed(tmp_path, lambda tree: tree.update(customer={}))
         code, _, err = _run(commands.CheckCommand(path))
         assert code == errors.ExitCode.SETTINGS_INVALID
         assert err.startswith("unknown_name: ")
@@ -78,7 +78,9 @@
         assert code == errors.ExitCode.OK
         assert line in [" ".join(each.split()) for each in out.splitlines()]
 
-    def test_a_child_user_that_overrides(self, tmp_path: pathlib.Path) -> None:
+    def test_a_child_customer_that_overrides(
+        self, tmp_path: pathlib.Path
+    ) -> None:
         def change(tree: dict) -> None:
             firm = tree["users"]["umurongo"]["users"]["firm-2"]
             firm["service_defaults"] = {"priority": 3}
@@ -110,7 +112,7 @@
         assert out.splitlines() == [
             "Revision 1 -> 2",
             "service umurongo/brief: timeout_s 60.0 -> 30.0",
-            "user umurongo/firm-2 removed",
+            "customer umurongo/firm-2 removed",
         ]
 
     def test_a_revision_that_does_not_rise(self) -> None:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -1,4 +1,4 @@
-"""Tests of customers' API keys on the users' platform."""
+"""Tests of customers' API keys on the platform."""
 
 import asyncio
 import json
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -23,23 +23,27 @@
         strategies.lists(strategies.floats(0, 100), min_size=3, max_size=3),
         strategies.lists(strategies.floats(0.5, 4), min_size=3, max_size=3),
     )
-    def test_no_user_is_below_its_share_while_it_asks(
+    def test_no_customer_is_below_its_share_while_it_asks(
         self, total, wants, weights
     ) -> None:
-        demand_by_user = dict(zip(_USERS, wants, strict=True))
-        weight_by_user = dict(zip(_USERS, weights, strict=True))
-        given = demand.fair_shares(total, demand_by_user, weight_by_user)
+        demand_by_customer = dict(zip(_USERS, wants, strict=True))
+        weight_by_customer = dict(zip(_USERS, weights, strict=True))
+        given = demand.fair_shares(
+            total, demand_by_customer, weight_by_customer
+        )
         assert sum(given.values()) == pytest.approx(
             min(total, sum(wants)), abs=1e-6
         )
-        for user in _USERS:
-            part = total * weight_by_user[user] / sum(weights)
-            least = min(part, demand_by_user[user])
-            assert least - 1e-6 <= given[user] <= demand_by_user[user]
+        for customer in _USERS:
+            part = total * weight_by_customer[customer] / sum(weights)
+            least = min(part, demand_by_customer[customer])
+            assert (
+                least - 1e-6 <= given[customer] <= demand_by_customer[customer]
+            )
 
 
 def _item(at: float, **changes) -> demand.Item:
-    fields = {"at": at, "user": "a", "priority": 0, "cost_s": 1.0}
+    fields = {"at": at, "customer": "a", "priority": 0, "cost_s": 1.0}
     return demand.Item(**(fields | changes))
 
 
@@ -75,14 +79,14 @@
         window = self._window([*items, urgent])
         assert window.fits(urgent, 1.0, {})
 
-    def test_one_users_flood_does_not_cost_another(self) -> None:
+    def test_one_customers_flood_does_not_cost_another(self) -> None:
         """One firm sends twenty times its share.
 
         Without shares the other firm's long request would be refused though
         that firm asks for little.
         """
         flood = [_item(number * 0.1, cost_s=1.0) for number in range(100)]
-        modest = _item(10.0, user="b", cost_s=4.0)
+        modest = _item(10.0, customer="b", cost_s=4.0)
         window = self._window([*flood, modest])
         assert window.fits(modest, 1.0, {})
 
--- a/tests/test_dispatch_slots.py
+++ b/tests/test_dispatch_slots.py
@@ -65,7 +65,7 @@
         in_use=in_use,
         want=want,
         held=in_use,
-        user_wants=waiting,
+        customer_wants=waiting,
     )
 
 
@@ -131,7 +131,7 @@
         without the other entry's word would promise its slots twice.
         """
         homes = _homes_of_two_vms(4)
-        other = dataclasses.replace(_ask("d0", 1, 3), held=3, user_wants=())
+        other = dataclasses.replace(_ask("d0", 1, 3), held=3, customer_wants=())
         alone = homes.ask(_ENTRY_B, other, 0.1)
         unsettled = homes.unsettled("d0", 0.1)
         together = homes.ask(_ENTRY_A, _ask("d0", 0, 4), 0.2)
@@ -144,7 +144,7 @@
 
     def test_an_early_want_takes_nothing_that_a_later_entry_holds(self) -> None:
         homes = _homes_of_two_vms(4)
-        other = dataclasses.replace(_ask("d0", 1, 3), held=3, user_wants=())
+        other = dataclasses.replace(_ask("d0", 1, 3), held=3, customer_wants=())
         homes.ask(_ENTRY_A, _ask("d0", 0, 4), 0.1)
         holder = homes.ask(_ENTRY_B, other, 0.2)
         wanter = homes.ask(_ENTRY_A, _ask("d0", 0, 4), 0.3)
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -66,7 +66,7 @@
         assert fleet.held() == (0, 0)
 
     @_with_fleet
-    async def test_same_prompt_of_two_users_shares_no_block(
+    async def test_same_prompt_of_two_customers_shares_no_block(
         self, fleet
     ) -> None:
         """Rival firms send the same case file.
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -52,7 +52,7 @@
         assert len(message["content"].split()) == 3
 
     def test_models_are_the_callers_own(self):
-        answer = _call("GET", "/v1/models", user="zarqa")
+        answer = _call("GET", "/v1/models", customer="zarqa")
         assert [model["id"] for model in answer.json()["data"]] == ["summary"]
 
 
@@ -93,10 +93,10 @@
         assert _refused(_call("POST", _COMPLETIONS, body), 400, code)
 
     def test_unknown_key(self):
-        answer = _call("POST", _COMPLETIONS, _PROMPT, user="")
+        answer = _call("POST", _COMPLETIONS, _PROMPT, customer="")
         assert _refused(answer, 401, "invalid_api_key")
         wrong = {"Authorization": "Bearer wrong"}
-        answer = _call("POST", _COMPLETIONS, _PROMPT, wrong, user="")
+        answer = _call("POST", _COMPLETIONS, _PROMPT, wrong, customer="")
         assert _refused(answer, 401, "invalid_api_key")
 
     def test_rivals_service_looks_like_none(self):
--- a/tests/test_entry_relay.py
+++ b/tests/test_entry_relay.py
@@ -173,12 +173,12 @@
 
         async def scenario():
             async with entry_site.running() as site:
-                for user in ("umurongo/amahoro", "umurongo/firm-1"):
+                for customer in ("umurongo/amahoro", "umurongo/firm-1"):
                     await site.call(
                         "POST",
                         _COMPLETIONS,
                         {**_BODY, "prompt": prompt},
-                        user=user,
+                        customer=customer,
                     )
                 return [
                     event
--- a/tests/test_entry_tickets.py
+++ b/tests/test_entry_tickets.py
@@ -96,7 +96,7 @@
         async def steps(site):
             key = await _ticket(site)
             return await site.call(
-                "POST", _BOOK, _BODY, key, user="umurongo/firm-1"
+                "POST", _BOOK, _BODY, key, customer="umurongo/firm-1"
             )
 
         answer, runs = _scenario(steps)
@@ -453,8 +453,10 @@
         async def steps(site):
             key = {"Idempotency-Key": "1"}
             return [
-                await site.call("POST", _SAFE, user.encode(), key, user=user)
-                for user in ("umurongo/amahoro", "umurongo/firm-1")
+                await site.call(
+                    "POST", _SAFE, customer.encode(), key, customer=customer
+                )
+                for customer in ("umurongo/amahoro", "umurongo/firm-1")
             ]
 
         answers, runs = _scenario(steps)
--- a/tests/test_entry_time.py
+++ b/tests/test_entry_time.py
@@ -138,9 +138,9 @@
             return submit(self, event)
 
         monkeypatch.setattr(scheduling.Scheduling, "submit", capture)
-        for user in ("umurongo/amahoro", "umurongo/firm-1"):
+        for customer in ("umurongo/amahoro", "umurongo/firm-1"):
             headers = {"X-Priority": "-3", "X-Deadline-Ms": "5000"}
-            _call("POST", "/v1/completions", _BODY, headers, user=user)
+            _call("POST", "/v1/completions", _BODY, headers, customer=customer)
         first, second = submitted
         assert len(first.prefix_hashes) == 480 // 64
         assert not set(first.prefix_hashes) & set(second.prefix_hashes)
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -21,7 +21,7 @@
 
 _SERVICE = model.Service(
     id="writers/r",
-    user="",
+    customer="",
     name="writers",
     kind=model.ServiceKind.MODEL,
     pool=_POOL,
@@ -98,7 +98,7 @@
         submit = messages.Submit(
             request_id=number,
             service=_SERVICE,
-            user="",
+            customer="",
             prompt_tokens=300,
             output_tokens=100,
             expected_tokens=50,
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -27,7 +27,7 @@
 )
 _SERVICE = model.Service(
     id="s",
-    user="",
+    customer="",
     name="s",
     kind=model.ServiceKind.MODEL,
     pool="writers",
--- a/tests/test_plain_walk.py
+++ b/tests/test_plain_walk.py
@@ -89,7 +89,7 @@
     }
     service = model.Service(
         id="desk/r",
-        user="",
+        customer="",
         name="desk",
         kind=model.ServiceKind.PLAIN,
         pool="desk",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,4 +1,4 @@
-"""Tests of the router on the users' platform, against stand-ins of it."""
+"""Tests of the router on the platform, against stand-ins of it."""
 
 import asyncio
 import json
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -8,21 +8,21 @@
 from cowsliprill.decisions import queue
 
 _SERVICE = model.Service(
-    id="u/s", user="u", name="s", kind=model.ServiceKind.MODEL, pool="g"
+    id="u/s", customer="u", name="s", kind=model.ServiceKind.MODEL, pool="g"
 )
 
 
 def _waiting(
     request_id: int,
     *,
-    user: str = "u",
+    customer: str = "u",
     priority: int = 0,
     latest_start: float = 1.0,
 ) -> queue.Waiting:
     submit = messages.Submit(
         request_id=request_id,
         service=_SERVICE,
-        user=user,
+        customer=customer,
         prompt_tokens=10,
         output_tokens=10,
         priority=priority,
@@ -54,12 +54,17 @@
     def test_equals_a_sorted_list(self, steps) -> None:
         waiting_queue = queue.WaitingQueue()
         plain: list[queue.Waiting] = []
-        for number, (user, priority, latest_start, removes) in enumerate(steps):
+        for number, (customer, priority, latest_start, removes) in enumerate(
+            steps
+        ):
             if removes and plain:
                 gone = plain.pop(number % len(plain))
                 assert waiting_queue.remove(gone.submit.request_id) == gone
             item = _waiting(
-                number, user=user, priority=priority, latest_start=latest_start
+                number,
+                customer=customer,
+                priority=priority,
+                latest_start=latest_start,
             )
             plain.append(item)
             waiting_queue.add(item)
@@ -86,12 +91,12 @@
         waiting_queue.add(old)
         assert waiting_queue.first(_equal) == old
 
-    def test_a_user_above_its_share_stands_back(self) -> None:
+    def test_a_customer_above_its_share_stands_back(self) -> None:
         waiting_queue = queue.WaitingQueue()
-        waiting_queue.add(_waiting(1, user="greedy", latest_start=1.0))
-        waiting_queue.add(_waiting(2, user="modest", latest_start=2.0))
+        waiting_queue.add(_waiting(1, customer="greedy", latest_start=1.0))
+        waiting_queue.add(_waiting(2, customer="modest", latest_start=2.0))
         over = {"greedy": 3.0, "modest": 0.0}
         first = waiting_queue.first(over.__getitem__)
         last = waiting_queue.last(over.__getitem__)
-        assert first is not None and first.submit.user == "modest"
-        assert last is not None and last.submit.user == "greedy"
+        assert first is not None and first.submit.customer == "modest"
+        assert last is not None and last.submit.customer == "greedy"
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -40,7 +40,7 @@
 def _service(**changes: object) -> model.Service:
     return model.Service(
         id="u/s",
-        user="u",
+        customer="u",
         name="s",
         kind=model.ServiceKind.MODEL,
         pool="g",
@@ -54,7 +54,7 @@
     fields: dict = {
         "request_id": request_id,
         "service": _service(),
-        "user": "u",
+        "customer": "u",
         "prompt_tokens": 100,
         "output_tokens": 100,
         "deadline": now + 1.0,
@@ -331,7 +331,7 @@
         actions = subject.handle(messages.Cancel(1), 0.1)
         asks = _of(actions, messages.SlotAsk)
         assert asks
-        assert all(not ask.user_wants for ask in asks)
+        assert all(not ask.customer_wants for ask in asks)
         assert not _of(
             subject.handle(_grant("decode-0", 4), 0.2), messages.Start
         )
--- a/tests/test_service_client.py
+++ b/tests/test_service_client.py
@@ -18,7 +18,7 @@
 
 _SERVICE = model.Service(
     id="zarqa/pickup",
-    user="zarqa",
+    customer="zarqa",
     name="pickup",
     kind=model.ServiceKind.PLAIN,
     pool="desk",
--- a/tests/test_settings_resolve.py
+++ b/tests/test_settings_resolve.py
@@ -51,9 +51,9 @@
         kinds = [each.kind for each in snapshot.endpoints_by_id.values()]
         assert kinds.count(model.EndpointKind.PLAIN) == plain
         assert len(kinds) - plain == engines
-        assert len(snapshot.users_by_id) == users
-        assert set(snapshot.users_by_id) == {
-            user.id for user in snapshot.users_by_id.values()
+        assert len(snapshot.customers_by_id) == users
+        assert set(snapshot.customers_by_id) == {
+            customer.id for customer in snapshot.customers_by_id.values()
         }
         zones = {
             each.availability_zone for each in snapshot.endpoints_by_id.values()
@@ -63,9 +63,9 @@
     def test_a_key_finds_its_firm(self) -> None:
         snapshot = _resolve(_both())
         digest = hashlib.sha256(b"example-key-firm-2").hexdigest()
-        assert snapshot.users_by_key_hash[digest].id == "umurongo/firm-2"
-        assert snapshot.users_by_key_hash.get("0" * 64) is None
-        assert snapshot.users_by_key_hash.get("no hash at all") is None
+        assert snapshot.customers_by_key_hash[digest].id == "umurongo/firm-2"
+        assert snapshot.customers_by_key_hash.get("0" * 64) is None
+        assert snapshot.customers_by_key_hash.get("no hash at all") is None
 
 
 def _put(tree: dict[str, Any], path: str, value: Any) -> None:
@@ -203,15 +203,15 @@
 def _naive(tree: dict[str, Any]) -> dict[str, dict[str, Any]]:
     """Resolves services by walking the whole tree, as plainly as possible."""
     found = {}
-    for top, user in tree["users"].items():
-        for name in user.get("services", {}):
-            found[f"{top}/{name}"] = _naive_service(tree, [user], name)
-        for child, node in user.get("users", {}).items():
+    for top, customer in tree["users"].items():
+        for name in customer.get("services", {}):
+            found[f"{top}/{name}"] = _naive_service(tree, [customer], name)
+        for child, node in customer.get("users", {}).items():
             names = set(node.get("services", {}))
             if node.get("service_defaults"):
-                names |= set(user.get("services", {}))
+                names |= set(customer.get("services", {}))
             for name in names:
-                fields = _naive_service(tree, [user, node], name)
+                fields = _naive_service(tree, [customer, node], name)
                 found[f"{top}/{child}/{name}"] = fields
     return found
 
@@ -296,15 +296,15 @@
 class TestParts:
     """The tree in parts."""
 
-    def test_all_of_many_users_are_found(self) -> None:
+    def test_all_of_many_customers_are_found(self) -> None:
         snapshot = _resolve(_many(1_000))
-        assert len(snapshot.users_by_id) == 1_002
+        assert len(snapshot.customers_by_id) == 1_002
         for number in range(0, 1_000, 37):
             digest = hashlib.sha256(f"key-{number}".encode()).hexdigest()
-            user = snapshot.users_by_key_hash[digest]
-            assert user.id == f"umurongo/firm-{number}"
-            assert snapshot.users_by_id[user.id] == user
-        assert "umurongo/firm-1000" not in snapshot.users_by_id
+            customer = snapshot.customers_by_key_hash[digest]
+            assert customer.id == f"umurongo/firm-{number}"
+            assert snapshot.customers_by_id[customer.id] == customer
+        assert "umurongo/firm-1000" not in snapshot.customers_by_id
 
     def test_a_change_moves_one_part(self) -> None:
         tree = _many(1_000)
@@ -354,7 +354,7 @@
             parts.checked_text(text[:5].encode(), parts.hash_of(text))
         assert caught.value.code == "part_mismatch"
 
-    def test_a_user_in_the_wrong_bucket_is_refused(self) -> None:
+    def test_a_customer_in_the_wrong_bucket_is_refused(self) -> None:
         """A publisher's tool of another version puts users elsewhere.
 
         They would be in the settings, but none of their keys would be found.
--- a/tests/test_settings_size.py
+++ b/tests/test_settings_size.py
@@ -45,10 +45,10 @@
     )
     @hypothesis.given(_moves)
     def test_keys_that_move_between_users(self, moves: list) -> None:
-        """Operators move API keys from one user to another.
+        """Operators move API keys from one customer to another.
 
-        A table that kept an old place would let a caller in as another user,
-        or refuse a valid revision.
+        A table that kept an old place would let a caller in as another
+        customer, or refuse a valid revision.
         """
         tree = measure.tree_of_size(80, 6)
         firms = tree["users"]["site"]["users"]
@@ -61,13 +61,16 @@
             if isinstance(expected, str):
                 assert found == expected
                 continue
-            assert dict(found.users_by_id) == dict(expected.users_by_id)
-            users = {user.id: user for user in found.users_by_id.values()}
-            assert users == dict(found.users_by_id)
+            assert dict(found.customers_by_id) == dict(expected.customers_by_id)
+            users = {
+                customer.id: customer
+                for customer in found.customers_by_id.values()
+            }
+            assert users == dict(found.customers_by_id)
             for key in _KEYS:
-                user = expected.users_by_key_hash.get(key)
-                assert found.users_by_key_hash.get(key) == user
-                assert user is None or key in user.key_hashes
+                customer = expected.customers_by_key_hash.get(key)
+                assert found.customers_by_key_hash.get(key) == customer
+                assert customer is None or key in customer.key_hashes
 
     def test_an_older_snapshot_keeps_its_keys(self) -> None:
         """A request was let in under revision 1 while 2 comes into force."""
@@ -79,8 +82,8 @@
         firm["key_hashes"] = []
         tree["revision"] = 2
         new = _resolved(resolver, tree)
-        assert old.users_by_key_hash[key].id == "site/firm-7"
-        assert key not in new.users_by_key_hash
+        assert old.customers_by_key_hash[key].id == "site/firm-7"
+        assert key not in new.customers_by_key_hash
 
 
 class TestCosts:
@@ -97,8 +100,8 @@
         assert large.moved_bytes < 1.5 * small.moved_bytes
         assert large.moved_bytes < 5_000
 
-    def test_a_user_takes_little_memory(self) -> None:
-        """A user as a data class in two dicts takes some 600 bytes.
+    def test_a_customer_takes_little_memory(self) -> None:
+        """A customer as a data class in two dicts takes some 600 bytes.
 
         With 42,000 of them an entry would outgrow its 64 MB and be killed.
         """
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -5,11 +5,11 @@
 
 
 class TestShares:
-    """The same as a dict of all shares, without reading all users."""
+    """The same as a dict of all shares, without reading all customers."""
 
-    def test_known_and_unknown_users(self) -> None:
-        users = {"umurongo": model.User(id="umurongo", share=2.5)}
-        found = shares.Shares(users)
+    def test_known_and_unknown_customers(self) -> None:
+        customers = {"umurongo": model.Customer(id="umurongo", share=2.5)}
+        found = shares.Shares(customers)
         assert found.get("umurongo", 1.0) == 2.5
         assert found.get("nobody", 1.0) == 1.0
         assert dict(found) == {"umurongo": 2.5}
--- a/tests/test_slot_asker.py
+++ b/tests/test_slot_asker.py
@@ -94,8 +94,8 @@
         """The entry once sent statements that it made up at sending time.
 
         Those that the scheduler had made were never sent, and it waited for
-        their answers and gave granted slots back meanwhile. A user noticed a
-        brief that was refused after a second on an idle site.
+        their answers and gave granted slots back meanwhile. A customer noticed
+        a brief that was refused after a second on an idle site.
         """
 
         async def scenario(homes, scheduling) -> None:
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -17,7 +17,7 @@
 
 
 def _ask(
-    sequence: int, in_use: int, want: int, held: int = 0, user: str = "u"
+    sequence: int, in_use: int, want: int, held: int = 0, customer: str = "u"
 ) -> messages.SlotAsk:
     return messages.SlotAsk(
         endpoint_id="d",
@@ -25,8 +25,8 @@
         want=want,
         held=max(held, in_use),
         sequence=sequence,
-        user_wants=((user, max(want - in_use, 0)),),
-        user_in_use=((user, in_use),) if in_use else (),
+        customer_wants=((customer, max(want - in_use, 0)),),
+        customer_in_use=((customer, in_use),) if in_use else (),
     )
 
 
@@ -169,7 +169,7 @@
     def test_idle_slots_are_recalled_when_others_wait(self) -> None:
         ledger = slots.SlotLedger("d", 3)
         reserve = dataclasses.replace(
-            _ask(1, 0, 1), user_wants=(), want=1, held=1
+            _ask(1, 0, 1), customer_wants=(), want=1, held=1
         )
         ledger.ask("a", reserve, 0.0)
         ledger.ask("b", _ask(1, 0, 4), 0.1)
@@ -185,17 +185,19 @@
         ledger.ask("a", _ask(2, 0, 0), 0.3)
         assert [name for name, _ in ledger.regrant(0.3)] == ["c"]
 
-    def test_no_user_can_crowd_out_another(self) -> None:
+    def test_no_customer_can_crowd_out_another(self) -> None:
         """One firm asks for far more than its share and with priority.
 
         Without shares the other firm's callers would see only refusals.
         """
         ledger = slots.SlotLedger("d", 4)
-        ledger.ask("a", _ask(1, 4, 4, user="greedy"), 0.0)
-        greedy = dataclasses.replace(_ask(1, 0, 4, user="greedy"), priority=9)
+        ledger.ask("a", _ask(1, 4, 4, customer="greedy"), 0.0)
+        greedy = dataclasses.replace(
+            _ask(1, 0, 4, customer="greedy"), priority=9
+        )
         ledger.ask("b", greedy, 0.1)
-        ledger.ask("c", _ask(1, 0, 2, user="modest"), 0.2)
-        ledger.ask("a", _ask(2, 2, 2, user="greedy"), 0.3)
+        ledger.ask("c", _ask(1, 0, 2, customer="modest"), 0.2)
+        ledger.ask("a", _ask(2, 2, 2, customer="greedy"), 0.3)
         slots_by_entry = {
             name: grant.slots for name, grant in ledger.regrant(0.3)
         }
--- a/tests/test_sweeper.py
+++ b/tests/test_sweeper.py
@@ -67,7 +67,7 @@
     engines = [_engine("hangs"), _engine("answers")]
     service = model.Service(
         id="u/s",
-        user="u",
+        customer="u",
         name="s",
         kind=model.ServiceKind.MODEL,
         pool="briefs",
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -20,8 +20,10 @@
     return tickets.TicketBook(incarnation, 8000, secret, **bounds)
 
 
-def _claim(book, ticket, now=1.0, user="u", service="s", fingerprint=_PRINT):
-    return book.claim_ticket(ticket, user, service, fingerprint, now)
+def _claim(
+    book, ticket, now=1.0, customer="u", service="s", fingerprint=_PRINT
+):
+    return book.claim_ticket(ticket, customer, service, fingerprint, now)
 
 
 class TestTicket:
@@ -75,9 +77,9 @@
         assert claim == tickets.Mismatch()
 
     @pytest.mark.parametrize(
-        "stolen", [{"user": "rival"}, {"service": "other"}]
+        "stolen", [{"customer": "rival"}, {"service": "other"}]
     )
-    def test_only_for_its_user_and_service(self, stolen):
+    def test_only_for_its_customer_and_service(self, stolen):
         book = _book()
         ticket = book.issue("u", "s", 0.0)
         assert _claim(book, ticket, **stolen) == tickets.Invalid()
@@ -118,11 +120,11 @@
 class TestKeys:
     """A caller's own key, within one process."""
 
-    def test_scoped_by_user(self):
+    def test_scoped_by_customer(self):
         """Two firms may choose the same key."""
         book = _book()
-        for user in ("a", "b"):
-            claim = book.claim_key("1", user, "s", _PRINT, 0.0)
+        for customer in ("a", "b"):
+            claim = book.claim_key("1", customer, "s", _PRINT, 0.0)
             assert isinstance(claim, tickets.Granted)
 
     def test_oldest_finished_makes_room(self):
--- a/tests/test_worth.py
+++ b/tests/test_worth.py
@@ -8,7 +8,7 @@
 def _submit(prompt_tokens: int, worth_by_size: float = 0.7) -> messages.Submit:
     service = model.Service(
         id="s",
-        user="",
+        customer="",
         name="s",
         kind=model.ServiceKind.MODEL,
         pool="p",
@@ -17,7 +17,7 @@
     return messages.Submit(
         request_id=1,
         service=service,
-        user="",
+        customer="",
         prompt_tokens=prompt_tokens,
         output_tokens=1_000,
     )
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -113,7 +113,7 @@
 
 def _cpu_s(process: psutil.Process) -> float:
     times = process.cpu_times()
-    return times.user + times.system
+    return times.customer + times.system
 
 
 def _microseconds(seconds: float) -> str:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -35,8 +35,8 @@
 class _Site:
     url: str
 
-    def headers(self, user: str, **more: str) -> dict[str, str]:
-        key = fleet_document.key_of(user)
+    def headers(self, customer: str, **more: str) -> dict[str, str]:
+        key = fleet_document.key_of(customer)
         return {"Authorization": f"Bearer {key}", **more}
 
 
@@ -140,7 +140,7 @@
     ("Umurongo, a booking and its retry", _booking_and_retry),
     ("Zarqa Lane, a lookup", _lookup),
     ("Zarqa Lane, a summary", _summary),
-    ("Zarqa Lane, another user's service", _foreign_key),
+    ("Zarqa Lane, another customer's service", _foreign_key),
 )
 
 
--- a/tools/fleet_document.py
+++ b/tools/fleet_document.py
@@ -18,23 +18,23 @@
 _SCALED_FLAGS = frozenset({"link_bytes_per_s", "kv_bytes_per_token"})
 
 
-def key_of(user: str) -> str:
-    """Returns the API key that a local fleet gives a user."""
-    return f"key-{user.replace('/', '-')}"
+def key_of(customer: str) -> str:
+    """Returns the API key that a local fleet gives a customer."""
+    return f"key-{customer.replace('/', '-')}"
 
 
 def set_keys(users: dict[str, Any], parent: str = "") -> None:
     """Gives all users the keys of `key_of`.
 
     Args:
-      users: Users by name, as in the settings; changed in place.
-      parent: Id of the user that has them as children.
+      users: Customers by name, as in the settings; changed in place.
+      parent: Id of the customer that has them as children.
     """
-    for name, user in users.items():
+    for name, customer in users.items():
         path = f"{parent}/{name}" if parent else name
         digest = hashlib.sha256(key_of(path).encode()).hexdigest()
-        user["key_hashes"] = [digest]
-        set_keys(user.get("users", {}), path)
+        customer["key_hashes"] = [digest]
+        set_keys(customer.get("users", {}), path)
 
 
 def availability_zones(document: dict[str, Any]) -> list[str]:
--- a/tools/traffic.py
+++ b/tools/traffic.py
@@ -183,8 +183,8 @@
         ]
         return rng.choice(sorted(live))
 
-    def _headers(self, user: str, key: str = "") -> dict[str, str]:
-        headers = {"Authorization": f"Bearer {fleet_document.key_of(user)}"}
+    def _headers(self, customer: str, key: str = "") -> dict[str, str]:
+        headers = {"Authorization": f"Bearer {fleet_document.key_of(customer)}"}
         if key:
             headers["Idempotency-Key"] = key
         return headers
@@ -192,7 +192,7 @@
     # --- Model services ---------------------------------------------------
 
     def _generate(
-        self, asked: Asked, service: str, user: str, rng: random.Random
+        self, asked: Asked, service: str, customer: str, rng: random.Random
     ) -> None:
         vm_id = self._vm(rng)
         drop_after = rng.randrange(_ANSWER_TOKENS)
@@ -207,7 +207,7 @@
             stream = http_calls.open_stream(
                 f"{self._fleet.url(vm_id)}/v1/completions",
                 body,
-                self._headers(user),
+                self._headers(customer),
             )
             if stream.status != _OK:
                 content = stream.read()
@@ -235,14 +235,14 @@
     # --- Plain services ---------------------------------------------------
 
     def _book(
-        self, asked: Asked, service: str, user: str, rng: random.Random
+        self, asked: Asked, service: str, customer: str, rng: random.Random
     ) -> None:
         """Gets a ticket and calls until there is an answer, at any VM.
 
         Some callers don't wait for the first call's end, and send a second
         one elsewhere at the same time.
         """
-        ticket = self._ticket(service, user, rng)
+        ticket = self._ticket(service, customer, rng)
         if ticket is None:
             return
         path = f"/services/{service}/new"
@@ -252,7 +252,7 @@
             calls = [
                 threading.Thread(
                     target=self._plain,
-                    args=(asked, "POST", path, vm_id, user, ticket),
+                    args=(asked, "POST", path, vm_id, customer, ticket),
                 )
                 for vm_id in vm_ids
             ]
@@ -264,14 +264,14 @@
                 return
 
     def _ticket(
-        self, service: str, user: str, rng: random.Random
+        self, service: str, customer: str, rng: random.Random
     ) -> str | None:
         try:
             answer = http_calls.call(
                 "POST",
                 f"{self._fleet.url(self._vm(rng))}/v1/tickets",
                 {"service": service},
-                self._headers(user),
+                self._headers(customer),
             )
         except (OSError, http.client.HTTPException):
             return None
@@ -285,7 +285,7 @@
         method: str,
         path: str,
         vm_id: str,
-        user: str,
+        customer: str,
         key: str,
     ) -> None:
         body = asked.body.encode() if method != "GET" else None
@@ -294,7 +294,7 @@
                 method,
                 f"{self._fleet.url(vm_id)}{path}",
                 body,
-                self._headers(user, key),
+                self._headers(customer, key),
             )
         except (OSError, http.client.HTTPException):
             outcome = Outcome(vm_id=vm_id, end=End.BROKEN)
