--- a/src/cowsliprill/cells/homes.py
+++ b/src/cowsliprill/cells/homes.py
@@ -4,11 +4,7 @@
 import dataclasses
 import random
 
-from tornado import web
-
 from cowsliprill import clock
-from cowsliprill import codec
-from cowsliprill import peer_auth
 from cowsliprill.cells import wire
 from cowsliprill.decisions import cell as cell_lib
 from cowsliprill.decisions import messages
@@ -225,39 +221,3 @@
                 homed.cell.prompt_part(request.pool) or 0.0, _PART_DIGITS
             ),
         )
-
-
-class CellsHandler(web.RequestHandler):
-    """`POST /v1/cells`."""
-
-    def initialize(self, auth: peer_auth.PeerAuth, homes: Homes) -> None:
-        """Keeps what the handler needs.
-
-        Args:
-          auth: Signs and checks bodies.
-          homes: Answers.
-        """
-        self._auth = auth
-        self._homes = homes
-
-    async def post(self) -> None:
-        """Answers an entry."""
-        body = self.request.body
-        signature = self.request.headers.get(peer_auth.HEADER)
-        if not self._auth.accepts(body, signature):
-            self._refuse(403, "not_a_peer", "the body isn't signed")
-            return
-        try:
-            request = codec.decode(wire.CellRequest, body)
-        except codec.CodecError as error:
-            self._refuse(400, error.code, error.message)
-            return
-        answer = codec.encode_short(await self._homes.answer(request))
-        self.set_header("Content-Type", "application/json")
-        for name, text in self._auth.headers(answer).items():
-            self.set_header(name, text)
-        self.write(answer)
-
-    def _refuse(self, status: int, code: str, message: str) -> None:
-        self.set_status(status)
-        self.write({"error": {"code": code, "message": message}})
--- a/src/cowsliprill/quotas/owner.py
+++ b/src/cowsliprill/quotas/owner.py
@@ -2,11 +2,7 @@
 
 from collections.abc import Callable
 
-from tornado import web
-
 from cowsliprill import clock
-from cowsliprill import codec
-from cowsliprill import peer_auth
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quota_owner
 from cowsliprill.quotas import wire
@@ -48,39 +44,3 @@
             clock.now(),
         )
         return wire.Answer(verdicts=tuple(verdicts))
-
-
-class QuotasHandler(web.RequestHandler):
-    """`POST /v1/quotas`."""
-
-    def initialize(self, auth: peer_auth.PeerAuth, owner: Owner) -> None:
-        """Keeps what the handler needs.
-
-        Args:
-          auth: Signs and checks bodies.
-          owner: Answers.
-        """
-        self._auth = auth
-        self._owner = owner
-
-    def post(self) -> None:
-        """Answers a VM."""
-        body = self.request.body
-        signature = self.request.headers.get(peer_auth.HEADER)
-        if not self._auth.accepts(body, signature):
-            self._refuse(403, "not_a_peer", "the body isn't signed")
-            return
-        try:
-            report = codec.decode(wire.Report, body)
-        except codec.CodecError as error:
-            self._refuse(400, error.code, error.message)
-            return
-        answer = codec.encode_short(self._owner.answer(report))
-        self.set_header("Content-Type", "application/json")
-        for name, text in self._auth.headers(answer).items():
-            self.set_header(name, text)
-        self.write(answer)
-
-    def _refuse(self, status: int, code: str, message: str) -> None:
-        self.set_status(status)
-        self.write({"error": {"code": code, "message": message}})
--- a/src/cowsliprill/registry/confirmation.py
+++ b/src/cowsliprill/registry/confirmation.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from cowsliprill import clock
-from cowsliprill import peer_client
 from cowsliprill.decisions import freshness as freshness_lib
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
@@ -54,7 +53,7 @@
         self._members = members
         self._log = log
         self._random = rng
-        self._client = peer_client.PeerClient()
+        self._asker = peers.Asker(log)
         self._pause_s = _PAUSE_MIN_S
         self._ask_store_at = 0.0
 
@@ -75,17 +74,10 @@
         peer = self._choose_peer(now)
         if peer is None:
             return
-        view = self._follower.view
-        try:
-            news = await peers.ask(self._client, peer.address, view)
-        except peer_client.PeerError as error:
-            self._log.warning(
-                "registry_peer_failed", peer=peer.id, reason=error.message
-            )
+        answer = await self._asker.ask(peer, self._follower.view)
+        if answer is None:
             return
-        changes = view.take_news(news)
-        view.confirm(now - news.age_s)
-        self._follower.took(changes)
+        self._follower.took([*answer.changes])
         self._note()
 
     def _choose_peer(self, now: float) -> member_records.Record | None:
--- a/src/cowsliprill/registry/peer_news.py
+++ b/src/cowsliprill/registry/peer_news.py
@@ -9,7 +9,6 @@
 from collections.abc import Sequence
 
 from cowsliprill import clock
-from cowsliprill import peer_client
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
@@ -62,7 +61,7 @@
         self._log = log
         self._random = rng
         self._is_off = mechanisms.Mechanism.PEER_NEWS in off
-        self._client = peer_client.PeerClient()
+        self._asker = peers.Asker(log)
         self._troubled_until = 0.0
         self._behind_since_by_prefix: dict[str, float] = {}
         self._behind = asyncio.Event()
@@ -123,21 +122,14 @@
         if not ahead or (not near and self._may_wait(follower)):
             return
         peer = self._random.choice(near or ahead)
-        asked_at = clock.now()
-        try:
-            news = await peers.ask(self._client, peer.address, view)
-        except peer_client.PeerError as error:
-            self._log.warning(
-                "registry_peer_failed", peer=peer.id, reason=error.message
-            )
+        answer = await self._asker.ask(peer, view)
+        if answer is None:
             return
-        if news.store_troubled:
+        if answer.store_troubled:
             self._troubled_until = clock.now() + follower_lib.RETURN_S
-        changes = view.take_news(news)
-        view.confirm(asked_at - news.age_s)
         self._behind_since_by_prefix.pop(view.prefix, None)
-        self._note(peer, follower, len(changes))
-        follower.took(changes)
+        self._note(peer, follower, len(answer.changes))
+        follower.took([*answer.changes])
         if not follower.reading and view.newest:
             follower.leave_to_peers()
 
--- a/src/cowsliprill/registry/peers.py
+++ b/src/cowsliprill/registry/peers.py
@@ -14,7 +14,9 @@
 from cowsliprill import errors
 from cowsliprill import peer_client
 from cowsliprill import peers
+from cowsliprill.decisions import member_records
 from cowsliprill.decisions import registry
+from cowsliprill.observability import log as log_lib
 
 # A peer in another availability zone answers within some milliseconds, and
 # there are others to ask.
@@ -64,6 +66,19 @@
     age_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What a peer's answer has brought.
+
+    Attributes:
+      changes: What is new here.
+      store_troubled: Whether removals among them may be lapses.
+    """
+
+    changes: tuple[registry.Change, ...]
+    store_troubled: bool
+
+
 class NewsHandler(web.RequestHandler):
     """`GET /v1/registry?prefix=P&since=R`."""
 
@@ -99,24 +114,47 @@
         self.write(codec.encode_short(_on_wire(news)))
 
 
-async def ask(
-    client: peer_client.PeerClient,
-    address: tuple[str, int],
-    view: registry.View,
-) -> registry.News:
-    """Asks a peer for what it knows beyond this process.
+class Asker:
+    """Asks peers for what they know beyond this process.
 
     Args:
-      client: Calls peers.
-      address: The peer.
-      view: What this process knows.
+      log: The process's log.
+    """
 
-    Returns:
-      The peer's news.
+    def __init__(self, log: log_lib.Log) -> None:
+        self._client = peer_client.PeerClient()
+        self._log = log
 
-    Raises:
-      peer_client.PeerError: It gave no usable answer.
-    """
+    async def ask(
+        self, peer: member_records.Record, view: registry.View
+    ) -> Answer | None:
+        """Asks a peer, and takes what is new into the view.
+
+        Args:
+          peer: The peer.
+          view: What this process knows.
+
+        Returns:
+          What is new, None if the peer gave no usable answer.
+        """
+        asked_at = clock.now()
+        try:
+            news = await _ask(self._client, peer.address, view)
+        except peer_client.PeerError as error:
+            self._log.warning(
+                "registry_peer_failed", peer=peer.id, reason=error.message
+            )
+            return None
+        changes = view.take_news(news)
+        view.confirm(asked_at - news.age_s)
+        return Answer(tuple(changes), store_troubled=news.store_troubled)
+
+
+async def _ask(
+    client: peer_client.PeerClient,
+    address: tuple[str, int],
+    view: registry.View,
+) -> registry.News:
     host, port = address
     url = f"http://{host}:{port}{peers.REGISTRY_PATH}"
     query = f"?prefix={view.prefix}&since={view.position}"
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -10,10 +10,12 @@
 
 from cowsliprill import errors
 from cowsliprill import peer_auth
+from cowsliprill import peer_handler
 from cowsliprill import peers
 from cowsliprill.cells import caller as homes_caller
 from cowsliprill.cells import client as cells_client
 from cowsliprill.cells import homes as homes_lib
+from cowsliprill.cells import wire as cells_wire
 from cowsliprill.decisions import freshness
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
@@ -32,6 +34,7 @@
 from cowsliprill.platform import store as store_lib
 from cowsliprill.quotas import owner as quota_owner
 from cowsliprill.quotas import reporter as quota_reporter
+from cowsliprill.quotas import wire as quotas_wire
 from cowsliprill.registry import peers as registry_peers
 from cowsliprill.registry import source as source_lib
 from cowsliprill.router import gauges
@@ -223,15 +226,23 @@
 
     def _peer_routes(self) -> list[tuple]:
         auth = peer_auth.PeerAuth(self._node.peer_secret)
-        cells = {"auth": auth, "homes": self._homes}
-        quotas = {"auth": auth, "owner": self._quota_owner}
+        cells = {
+            "auth": auth,
+            "kind": cells_wire.CellRequest,
+            "answer": self._homes.answer,
+        }
+        quotas = {
+            "auth": auth,
+            "kind": quotas_wire.Report,
+            "answer": self._quota_owner.answer,
+        }
         views = {
             "views_by_prefix": self._source.views_by_prefix,
             "store_troubled": self._source.is_store_troubled,
         }
         return [
-            (peers.CELLS_PATH, homes_lib.CellsHandler, cells),
-            (peers.QUOTAS_PATH, quota_owner.QuotasHandler, quotas),
+            (peers.CELLS_PATH, peer_handler.MessageHandler, cells),
+            (peers.QUOTAS_PATH, peer_handler.MessageHandler, quotas),
             (peers.REGISTRY_PATH, registry_peers.NewsHandler, views),
         ]
 
--- a/tests/test_few_readers.py
+++ b/tests/test_few_readers.py
@@ -141,7 +141,7 @@
             async with _running() as site:
                 reading = _reading(site)
                 others = [n for n in range(_ROUTERS) if n not in reading]
-                monkeypatch.setattr(registry_peers, "ask", no_answer)
+                monkeypatch.setattr(registry_peers, "_ask", no_answer)
                 await _all_learn_of(site, "s7", range(_ROUTERS))
                 return others
 
