--- a/src/cowsliprill/cli/account.py
+++ b/src/cowsliprill/cli/account.py
@@ -26,8 +26,20 @@
         "no_endpoint",
         "not_ready",
         "leaving",
+        "settings_unconfirmed",
     }
 )
+
+# Outcomes of requests that the settings don't allow: no failure of ours.
+_DENIALS = frozenset(
+    {
+        "path_not_found",
+        "service_not_found",
+        "invalid_api_key",
+        "quota_exceeded",
+    }
+)
+_NO_ROUTE = "(no route)"
 _LOSSES = ("attempt_lost", "call_lost", "stream_broken")
 _TIME_FORMATS = ("%Y-%m-%d %H:%M:%S,%f", "%Y-%m-%d %H:%M:%S")
 _UNKNOWN = "?"
@@ -44,6 +56,7 @@
     Attributes:
       arrived_s: When it came, seconds since the first line of all logs.
       service: Its service.
+      customer: Its customer, empty where none is known.
       zone: Availability zone of the VM that took it.
       outcome: How it ended.
       in_time: Whether it was answered within its target.
@@ -54,6 +67,7 @@
 
     arrived_s: float
     service: str
+    customer: str
     zone: str
     outcome: str
     in_time: bool
@@ -123,6 +137,8 @@
       in_time: Answered within their targets.
       late: Answered after.
       refused: Turned away before an engine or server was asked.
+      denied: Turned away since the settings don't allow them: no route, no
+        valid key, or beyond a quota.
       failed: Ended in any other way, but for callers that left.
       left: Callers that left.
       half_s: Time to the first token that half of the answered took.
@@ -135,6 +151,7 @@
     in_time: int
     late: int
     refused: int
+    denied: int
     failed: int
     left: int
     half_s: float
@@ -185,6 +202,12 @@
     return _sums(day.ended, lambda item: item.service, _size_of_group)
 
 
+def by_customer(day: Day) -> list[Sum]:
+    """Adds up by customer, where there are any."""
+    known = [item for item in day.ended if item.customer]
+    return _sums(known, lambda item: item.customer, _size_of_group)
+
+
 def by_zone(day: Day) -> list[Sum]:
     """Adds up by availability zone."""
     return _sums(day.ended, lambda item: item.zone, _size_of_group)
@@ -259,6 +282,7 @@
     answered = [item for item in group if item.outcome == COMPLETED]
     in_time = sum(item.in_time for item in answered)
     refused = sum(item.outcome in _REFUSALS for item in group)
+    denied = sum(item.outcome in _DENIALS for item in group)
     left = sum(item.outcome == CALLER_GONE for item in group)
     firsts = sorted(item.first_s for item in answered)
     read_tokens = sum(
@@ -271,8 +295,9 @@
         in_time=in_time,
         late=len(answered) - in_time,
         refused=refused,
+        denied=denied,
         left=left,
-        failed=len(group) - len(answered) - refused - left,
+        failed=len(group) - len(answered) - refused - denied - left,
         half_s=statistics.median(firsts) if firsts else 0.0,
         most_s=firsts[int(len(firsts) * 0.99)] if firsts else 0.0,
         vain_tokens=vain / max(read_tokens, 1),
@@ -282,11 +307,14 @@
 def _ended(line: explain.Line, at_s: float, zone: str) -> Ended:
     fields = line.fields
     took_s = _number(fields, "took_ms") / _MS_PER_S
+    outcome = fields.get("outcome", _UNKNOWN)
+    unnamed = _NO_ROUTE if outcome == "path_not_found" else _UNKNOWN
     return Ended(
         arrived_s=at_s - took_s,
-        service=fields.get("service") or _UNKNOWN,
+        service=fields.get("service") or unnamed,
+        customer=fields.get("customer", ""),
         zone=zone,
-        outcome=fields.get("outcome", _UNKNOWN),
+        outcome=outcome,
         in_time=fields.get("in_time") == "true",
         prompt_tokens=int(_number(fields, "prompt_tokens")),
         first_s=_number(fields, "ttft_ms") / _MS_PER_S,
--- a/src/cowsliprill/cli/account_tables.py
+++ b/src/cowsliprill/cli/account_tables.py
@@ -28,10 +28,12 @@
     for title, sums in (
         ("By time of arrival", account.by_time(day, step_s)),
         ("By service", account.by_service(day)),
+        ("By customer", account.by_customer(day)),
         ("By availability zone", account.by_zone(day)),
         ("Model requests by prompt tokens", account.by_size(day)),
     ):
-        console.print(_sums(title, sums, full))
+        if sums:
+            console.print(_sums(title, sums, full))
     console.print(_refusals(day))
     console.print(_losses(day))
 
@@ -58,6 +60,7 @@
         "in time",
         "late",
         "refused",
+        "denied",
         "failed",
         "left",
         "half ms",
@@ -74,6 +77,7 @@
             str(item.in_time),
             str(item.late),
             str(item.refused),
+            str(item.denied),
             str(item.failed),
             str(item.left),
             f"{item.half_s * _MS_PER_S:.0f}",
--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -71,6 +71,22 @@
         parts = (total.in_time, total.late, total.refused, total.failed)
         assert (*parts, total.left) == (1, 1, 1, 1, 1)
 
+    def test_what_the_settings_deny_is_no_failure(self):
+        """Guards against probes of unknown routes that look like faults."""
+        day = account.read(
+            [
+                _ended(0, service="", outcome="path_not_found"),
+                _ended(0, outcome="invalid_api_key"),
+                _ended(0, outcome="quota_exceeded", customer="firm"),
+            ]
+        )
+        sums = {item.name: item for item in account.by_service(day)}
+        assert {*sums} == {"(no route)", "desk"}
+        assert sum(item.denied for item in sums.values()) == 3
+        assert not any(item.failed for item in sums.values())
+        (firm,) = account.by_customer(day)
+        assert (firm.name, firm.denied) == ("firm", 1)
+
     def test_by_the_time_at_which_they_came(self):
         begun = _line(0, "started")
         lines = [begun, _ended(1), _ended(5, took_ms=4_500.0), _ended(9)]
