Learn a prefill engine's speed from prompts that it reads alone

Cause: a prompt counted as read alone if no other was there when it began. The memory that is kept for an answer while its prompt is read now counts as work, too.

Ruled out as the cause: the division itself, which goes by time and by memory.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -5,6 +5,7 @@
 import random
 import statistics
 from collections.abc import Mapping
+from typing import Protocol
 
 from cowsliprill.decisions import admission
 from cowsliprill.decisions import demand
@@ -88,6 +89,16 @@
     prompt_part: float
 
 
+class Reader(Protocol):
+    """A request whose prompt is being read.
+
+    Attributes:
+      reads_alone: Whether no other prompt was at its engine meanwhile.
+    """
+
+    reads_alone: bool
+
+
 class Pool:
     """State of one pool.
 
@@ -121,6 +132,7 @@
         self.start_delay_s = 0.0
         self.prefills_short_since = math.inf
         self.slowness_by_prefill: dict[str, float] = {}
+        self._newest_reader_by_prefill: dict[str, Reader] = {}
         self._token_s = 0.0
         self._transfer_s_per_token = 0.0
         self._export_ttl_s = 1.0
@@ -164,6 +176,7 @@
         for endpoint_id, holding in list(self.holdings_by_endpoint.items()):
             if endpoint_id not in wanted and not holding.in_use:
                 del self.holdings_by_endpoint[endpoint_id]
+                self._newest_reader_by_prefill.pop(endpoint_id, None)
 
     def holding(self, endpoint_id: str) -> leases.Holding:
         """Returns what this entry holds at an endpoint."""
@@ -214,9 +227,21 @@
             self.set_engines(self.prefills, self.decodes)
 
     def learn_work(
-        self, submit: messages.Submit, slots: int, now: float
+        self,
+        submit: messages.Submit,
+        slots: int,
+        first_token_s: float,
+        now: float,
     ) -> None:
-        """Takes in what a request that arrived asks of the engines."""
+        """Takes in what a request that arrived asks of the engines.
+
+        Args:
+          submit: The request.
+          slots: Slots of a decode engine that it takes.
+          first_token_s: Least time to its first token, in which its slots are
+            kept for it.
+          now: Time, seconds.
+        """
         if not (self.prefills and self.decodes and self._speeds.are_known()):
             return
         prefill, decode = self.prefills[0], self.decodes[0]
@@ -224,7 +249,7 @@
         answer_tokens = self.lengths.expected_tokens(submit)
         self._work.add(
             prompt_s=submit.prompt_tokens / prefill.prefill_tokens_per_s,
-            answer_s=answer_tokens * self._token_s * filled,
+            answer_s=(first_token_s + answer_tokens * self._token_s) * filled,
             now=now,
         )
 
@@ -237,6 +262,17 @@
         change = max(seconds, 0.0) - self.start_delay_s
         self.start_delay_s += change * _LEARNING_RATE
 
+    def note_reader(self, endpoint_id: str, reader: Reader) -> None:
+        """Notes a prompt that is sent to a prefill engine.
+
+        One that was there alone isn't any more: its time would be taken for
+        the engine's own and each busy engine for a slow one.
+        """
+        before = self._newest_reader_by_prefill.get(endpoint_id)
+        if before is not None:
+            before.reads_alone = False
+        self._newest_reader_by_prefill[endpoint_id] = reader
+
     def learn_prefill(self, seconds: float) -> None:
         """Takes in the expected time of a prefill that is started."""
         self.prefill_s += (seconds - self.prefill_s) * _LEARNING_RATE
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -93,7 +93,7 @@
         last_start = submit.useful_until - first_token_s
     slots = pool.slots_for(submit)
     pool.learn_slots(slots)
-    pool.learn_work(submit, slots, now)
+    pool.learn_work(submit, slots, first_token_s, now)
     pool.learn_prompt(submit.prompt_tokens)
     tokens = pool.lengths.expected_tokens(submit)
     pool.worths.learn(submit, tokens)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -551,6 +551,7 @@
         cached = holding.cached
         known = cached.cached_tokens(submit.prefix_hashes)
         request.reads_alone = not holding.running
+        pool.note_reader(request.prefill.id, request)
         request.uncached = submit.prompt_tokens - known
         pool.learn_prefill(estimates.prefill_s(request.prefill, submit, known))
         cached.add(submit.prefix_hashes)
--- a/tests/test_cell_loads.py
+++ b/tests/test_cell_loads.py
@@ -7,6 +7,7 @@
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import workload
 
 _BLOCKS = 5_000
 _TOKEN_S = 0.0005
@@ -215,3 +216,69 @@
             site.settings(**{failed: _engine(failed, kind)})
             site.settings(**{failed: engine})
         assert failed in self._used(site, range(1, 5))
+
+
+class TestSpeeds:
+    """What busy engines tell of their speed."""
+
+    def _read(self, site, number, tokens, seconds):
+        site.ask(number, tokens=tokens)
+        (start,) = site.starts()
+        site.pass_time(seconds)
+        site.send("vm-0", messages.PrefillFinished(number))
+        return start
+
+    def _end(self, site, *numbers):
+        for number in numbers:
+            site.send(
+                "vm-0",
+                messages.FirstToken(number),
+                messages.Finished(number, 6_000),
+            )
+
+    def test_prompts_that_share_an_engine_say_nothing_of_its_speed(self):
+        """Guards against more prefill engines the busier they are."""
+        site = _Site()
+        guessed = {
+            name: dataclasses.replace(engine, speeds_guessed=True)
+            for name, engine in site.engines.items()
+        }
+        site.settings(**guessed)
+        for number in range(0, 120, 3):
+            tokens = 3_000 + 60 * number
+            self._read(site, number, tokens, tokens / 50_000)
+            # Two at once take nearly twice as long, the first one as well.
+            site.ask(number + 1, tokens=tokens)
+            site.pass_time(0.01)
+            site.ask(number + 2, tokens=tokens)
+            site.starts()
+            site.pass_time(1.8 * tokens / 50_000)
+            for shared in (number + 1, number + 2):
+                site.send("vm-0", messages.PrefillFinished(shared))
+            self._end(site, number, number + 1, number + 2)
+        standing = site.cell.standing("brief")
+        assert 45_000 < standing.prompt_tokens_per_s < 55_000
+
+
+class TestWork:
+    """What answers take of the engines that write them."""
+
+    def test_memory_kept_while_a_prompt_is_read_counts(self):
+        """Guards against too few engines for answers to long prompts."""
+        site = _Site()
+        guessed = {
+            name: dataclasses.replace(engine, speeds_guessed=True)
+            for name, engine in site.engines.items()
+        }
+        site.settings(**guessed)
+        pool = site.cell._scheduler._pools.by_name["brief"]
+        parts = []
+        for first_token_s in (0.0, 0.5):
+            pool._work = workload.Workload()
+            pool._speeds._prompt.told_s = 1 / 50_000
+            pool._speeds._answer.told_s = 0.001
+            for number in range(40):
+                submit = test_cell._submit(number, site.now, 5_000)
+                pool.learn_work(submit, 500, first_token_s, site.now)
+            parts.append(pool.prompt_part())
+        assert parts[1] < parts[0]
