Serve no late requests while those in time fill a pool

Nearly all of the late ones had waited over their target and were served in the burst all the same (17 to 22 s: 371 in time, 103 late, 85 refused), in memory that others needed for 3 s. The load that is to prevent it was taken for half of what it was: it was added up over the last 160 requests, 1.5 s of a burst of 110 a second, and divided by 3 s. And 30% of the pool was left to late ones whatever the load.

Now the window spans at least 3 s at any rate, late requests are reckoned to get 5% of a full pool, and callers that are refused in an overload are told to stay away for its usual length.

--- a/src/cowsliprill/decisions/admission.py
+++ b/src/cowsliprill/decisions/admission.py
@@ -78,8 +78,7 @@
         at = max(earliest, self._next_at)
         if at >= latest:
             # The calendar is full: spread evenly over its second half.
-            at = now + self._random.uniform(0.5, 1.0) * RETRY_AFTER_MAX_S
-        else:
-            self._next_at = at + step_s
+            return self._random.uniform(0.5, 1.0) * RETRY_AFTER_MAX_S
+        self._next_at = at + step_s
         jitter = 1 + self._random.uniform(-_JITTER, _JITTER)
         return max((at - now) * jitter, RETRY_AFTER_MIN_S)
--- a/src/cowsliprill/decisions/demand.py
+++ b/src/cowsliprill/decisions/demand.py
@@ -96,7 +96,8 @@
         """Notes a request that arrived."""
         self._items.append(item)
         self._count_by_priority[item.priority] += 1
-        if len(self._items) > _ITEMS_MAX:
+        since = item.at - _SPAN_MIN_S
+        while len(self._items) > _ITEMS_MAX and self._items[0].at < since:
             self._drop_oldest()
 
     def fits(
--- a/src/cowsliprill/decisions/prospects.py
+++ b/src/cowsliprill/decisions/prospects.py
@@ -9,9 +9,16 @@
 # being turned away for lack of room.
 _EASY_WAIT = 0.1
 
-# Part of a pool that late requests are taken to get at the least. Less refuses
-# callers that would be served late, more lets others wait in vain.
-_LEAST_ROOM = 0.3
+# Part of a pool that late requests get at the least while those in time would
+# fill it. Each that is served late then has another one be late.
+_ROOM_NOW = 0.05
+
+# The same for callers that are told to come back: by then the load has changed.
+_ROOM_LATER = 0.3
+
+# Overload lasts some seconds. Whoever comes back before its end is refused
+# again; a short queue doesn't tell, since late requests are refused at once.
+_OVERLOAD_S = 6.0
 
 
 def demand_item(request: requests.Request, now: float) -> demand.Item:
@@ -68,16 +75,31 @@
     drained_s = pool.backlog(last.submit.priority).wait_s()
     if not last.late:
         return drained_s
-    return drained_s / room_for_late(pool, now, entries)
+    return drained_s / max(_room(pool, now, entries), _ROOM_NOW)
+
+
+def overload_s(pool: pools.Pool, now: float, entries: int) -> float:
+    """Returns how long callers should stay away for an overload, in seconds.
+
+    Args:
+      pool: The pool.
+      now: Time, seconds.
+      entries: Entry processes that share the pool by its slots.
+    """
+    return _OVERLOAD_S if _room(pool, now, entries) <= 0 else 0.0
 
 
-def room_for_late(pool: pools.Pool, now: float, entries: int) -> float:
-    """Returns the part of a pool that those in time leave to late ones.
+def room_for_returning(pool: pools.Pool, now: float, entries: int) -> float:
+    """Returns the part of a pool for callers that come back.
 
     Args:
       pool: The pool.
       now: Time, seconds.
       entries: Entry processes that share the pool by its slots.
     """
-    load = pool.demand.load(now, pool.slots() / entries)
-    return max(1.0 - load, _LEAST_ROOM)
+    return max(_room(pool, now, entries), _ROOM_LATER)
+
+
+def _room(pool: pools.Pool, now: float, entries: int) -> float:
+    """Returns the part of a pool that those in time leave, negative if none."""
+    return 1.0 - pool.demand.load(now, pool.slots() / entries)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -391,14 +391,15 @@
         # Whoever comes back is late by then and has what those in time leave.
         # Told the time in which the whole pool drains, callers of a burst
         # would come back while it lasts and be refused for good.
-        room = prospects.room_for_late(pool, now, entries)
+        room = prospects.room_for_returning(pool, now, entries)
         slots = max(pool.slots(), 1) / pool.usual_slots
         step_s = pool.hold_s / slots * entries / room
         wait_s = pool.backlog(request.submit.priority).wait_s() / room
+        away_s = max(wait_s, prospects.overload_s(pool, now, entries))
         return messages.Refuse(
             request_id=request_id,
             code=code,
-            retry_after_s=pool.returns.retry_after_s(now, wait_s, step_s),
+            retry_after_s=pool.returns.retry_after_s(now, away_s, step_s),
             wait_s=wait_s,
             waiting=len(pool.queue),
         )
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -70,6 +70,20 @@
         assert window.fits(items[-1], 1.0, {})
         assert not window.fits(items[-2], 1.0, {})
 
+    def test_a_burst_counts_whole(self) -> None:
+        """Guards against a burst that seems small because it is fast.
+
+        The pattern: hundreds of requests a second, twice what can be served.
+        """
+        items = [
+            _item(number * 0.01, cost_s=1.0 if number % 2 else 3.0)
+            for number in range(400)
+        ]
+        window = self._window(items)
+        assert window.load(4.0, 100.0) == pytest.approx(2.0, rel=0.05)
+        assert not window.fits(items[-2], 40.0, {})
+        assert window.fits(items[-1], 40.0, {})
+
     def test_priority_goes_before_size(self) -> None:
         items = [
             _item(number * 0.5, cost_s=1.0 if number % 2 else 5.0)
