--- a/src/cowsliprill/decisions/freshness.py
+++ b/src/cowsliprill/decisions/freshness.py
@@ -46,7 +46,7 @@
         return self._bound_s * _WATCH_PART
 
     def confirm(self, as_of: float) -> None:
-        """Takes that the settings in force were the newest at a time."""
+        """Notes that the settings in force were the newest at a time."""
         self._confirmed_at = max(self._confirmed_at, as_of)
 
     def age_s(self, now: float) -> float:
--- a/src/cowsliprill/decisions/prospects.py
+++ b/src/cowsliprill/decisions/prospects.py
@@ -16,8 +16,8 @@
 # The same for callers that are told to come back: by then the load has changed.
 _ROOM_LATER = 0.3
 
-# Overload lasts some seconds. Whoever comes back before its end is refused
-# again; a short queue doesn't tell, since late requests are refused at once.
+# Overload lasts some seconds, and callers that come back before its end are
+# refused again. The queue is short all the while: late requests don't wait.
 _OVERLOAD_S = 6.0
 
 
--- a/src/cowsliprill/decisions/quota_gate.py
+++ b/src/cowsliprill/decisions/quota_gate.py
@@ -1,7 +1,7 @@
 """Which requests one VM admits of customers with quotas.
 
-Pure. It goes by the last word of the quota's owner. Where no owner answers, it
-admits its own part of the quota, as the owner last saw it.
+Pure. It follows the latest verdict of the quota's owner. Where no owner
+answers, it admits its own part of the quota, as the owner last reported it.
 """
 
 import dataclasses
@@ -11,10 +11,10 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quota_owner
 
-# Without an answer for so long, what the owner said isn't gone by any more.
+# Without an answer for this long the latest verdict is ignored.
 _SILENCE_S = 1.2
 
-# An older word of the owner refuses nobody; the owner is asked again before.
+# An older verdict refuses nobody; the owner is asked again before.
 _RECENT_S = 0.4
 
 # Seconds of a quota that a VM admits before it reports at once.
@@ -49,7 +49,7 @@
         self._members = 1
 
     def set_members(self, members: int) -> None:
-        """Takes how many VMs there are."""
+        """Sets how many VMs there are."""
         self._members = max(members, 1)
 
     def admit(
@@ -94,7 +94,7 @@
             customer.admitted -= cost
 
     def is_recent(self, customer_id: str, now: float) -> bool:
-        """Returns whether the owner's last word may refuse a request."""
+        """Returns whether the latest verdict may refuse a request."""
         customer = self._customers_by_id[customer_id]
         return now - customer.verdict_at <= _RECENT_S
 
@@ -105,7 +105,7 @@
         return unreported > quota.per_s * _URGENT_S
 
     def usages(self) -> list[quota_owner.Usage]:
-        """Returns what owners haven't answered yet."""
+        """Returns the usage that no owner has acknowledged yet."""
         return [
             quota_owner.Usage(
                 customer=customer_id,
--- a/src/cowsliprill/decisions/quota_owner.py
+++ b/src/cowsliprill/decisions/quota_owner.py
@@ -33,7 +33,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Usage:
-    """What one VM says of one customer, in cost units since its start.
+    """One VM's report of one customer, in cost units since its start.
 
     Attributes:
       customer: The customer.
@@ -147,7 +147,7 @@
 
         Args:
           reporter: Id of its process.
-          usages: What it says.
+          usages: Its reports, one a customer.
           quotas_by_customer: The quotas in force.
           heard_part: Part of the known VMs that are heard here.
           now: Time, seconds.
--- a/src/cowsliprill/decisions/registry.py
+++ b/src/cowsliprill/decisions/registry.py
@@ -170,7 +170,7 @@
         return new
 
     def confirm(self, as_of: float) -> None:
-        """Takes that nothing newer was in the store at a time, seconds."""
+        """Notes that the store held nothing newer at a time, seconds."""
         self.confirmed_at = max(self.confirmed_at, as_of)
 
     def news_since(self, revision: int) -> News:
--- a/src/cowsliprill/entry/filters/identify.py
+++ b/src/cowsliprill/entry/filters/identify.py
@@ -11,8 +11,6 @@
 from cowsliprill.entry import errors
 
 _SCHEME = "bearer "
-
-
 _ANONYMOUS = model.Customer(id="")
 
 
--- a/src/cowsliprill/quotas/wire.py
+++ b/src/cowsliprill/quotas/wire.py
@@ -11,7 +11,7 @@
 
     Attributes:
       reporter: Id of the reporting process; each start has another.
-      usages: What it says of customers.
+      usages: Its reports, one a customer.
     """
 
     reporter: str
--- a/src/cowsliprill/registry/confirmation.py
+++ b/src/cowsliprill/registry/confirmation.py
@@ -1,7 +1,7 @@
-"""The task that has settings confirmed as the newest, again and again.
+"""The task that keeps the settings confirmed as the store's newest.
 
-A process that reads the store itself has it from its own watches. The others
-ask one that does, and the store where nobody shows anything recent enough.
+A process that watches the store is confirmed by its own watches. The others ask
+one that does, and the store itself when no peer's confirmation is recent.
 """
 
 import asyncio
@@ -18,7 +18,7 @@
 from cowsliprill.registry import peers
 from cowsliprill.registry import store as store_lib
 
-_LOOK_S = 0.2
+_CHECK_S = 0.2
 
 # Pause after a store that gave no answer. It doubles, so that a store that is
 # down isn't pressed by all VMs.
@@ -32,7 +32,7 @@
     Args:
       follower: What follows the settings.
       freshness: How recent they have to be.
-      note: Has what the view was shown to be taken into account.
+      note: Called after each confirmation of the view.
       members: The other processes.
       log: The process's log.
       rng: Chooses whom to ask.
@@ -58,9 +58,9 @@
         self._ask_store_at = 0.0
 
     async def run(self) -> None:
-        """Asks until cancelled; at once over where nothing needs it."""
+        """Asks until cancelled; returns at once if there is no bound."""
         while self._freshness.is_bounded:
-            await asyncio.sleep(_LOOK_S * self._random.uniform(0.5, 1.0))
+            await asyncio.sleep(_CHECK_S * self._random.uniform(0.5, 1.0))
             now = clock.now()
             self._note()
             if not self._follower.view.newest:
@@ -81,7 +81,7 @@
         self._note()
 
     def _choose_peer(self, now: float) -> member_records.Record | None:
-        """Draws a reader of the own zone, or any VM once those don't help."""
+        """Draws a reader of the own zone, or any VM if those didn't help."""
         alive = self._members.alive()
         own = self._members.own
         if not self._freshness.must_ask_store(now):
--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -222,7 +222,8 @@
     async def confirm(self) -> None:
         """Asks the store once whether anything has changed, without waiting.
 
-        For a process that leaves the store to others, whose word is too old.
+        For a process that doesn't watch the store itself, when its peers'
+        confirmations are too old.
 
         Raises:
           store.StoreError: The store gave no usable answer.
