--- a/src/cowsliprill/quotas/owner.py
+++ b/src/cowsliprill/quotas/owner.py
@@ -1,6 +1,7 @@
 """The quotas that this process owns, and their answers to the other VMs."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from cowsliprill import clock
 from cowsliprill.decisions import model
@@ -23,10 +24,15 @@
     ) -> None:
         self._accounts = quota_owner.QuotaOwner(tolerance)
         self._heard_part = heard_part
+        # Endpoints change far more often than the customers, who may be many.
+        self._customers_by_id: Mapping[str, model.Customer] = {}
         self._quotas_by_customer: dict[str, model.Quota] = {}
 
     def update(self, snapshot: model.Snapshot) -> None:
         """Takes new settings."""
+        if snapshot.customers_by_id is self._customers_by_id:
+            return
+        self._customers_by_id = snapshot.customers_by_id
         self._quotas_by_customer = {
             customer.id: customer.quota
             for customer in snapshot.customers_by_id.values()
--- a/src/cowsliprill/quotas/reporter.py
+++ b/src/cowsliprill/quotas/reporter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Mapping
 
 from cowsliprill import clock
 from cowsliprill import codec
@@ -54,6 +55,7 @@
         self._log = log
         self._gate = quota_gate.QuotaGate(rng)
         self._vms_by_id: dict[str, model.Vm] = {}
+        self._customers_by_id: Mapping[str, model.Customer] = {}
         self._choices_by_customer: dict[str, home_choice.HomeChoice] = {}
         self._calls: set[asyncio.Task] = set()
         self._asked = asyncio.Event()
@@ -63,6 +65,9 @@
         """Takes new settings or a new VM list."""
         self._vms_by_id = fleet.vms_by_id
         self._gate.set_members(len(fleet.vms_by_id))
+        if snapshot.customers_by_id is self._customers_by_id:
+            return
+        self._customers_by_id = snapshot.customers_by_id
         limited = {
             customer.id
             for customer in snapshot.customers_by_id.values()
