--- a/src/cowsliprill/decisions/demand.py
+++ b/src/cowsliprill/decisions/demand.py
@@ -10,7 +10,9 @@
 import dataclasses
 from collections.abc import Mapping
 
-_ITEMS_MAX = 160
+# Requests that are remembered at the least, and all of the last `_SPAN_MIN_S`:
+# a pool of many requests a second has more of them in that time.
+_ITEMS_LEAST = 160
 _AGE_MAX_S = 20.0
 _SPAN_MIN_S = 3.0
 _REFRESH_S = 0.25
@@ -97,7 +99,7 @@
         self._items.append(item)
         self._count_by_priority[item.priority] += 1
         since = item.at - _SPAN_MIN_S
-        while len(self._items) > _ITEMS_MAX and self._items[0].at < since:
+        while len(self._items) > _ITEMS_LEAST and self._items[0].at < since:
             self._drop_oldest()
 
     def fits(
