Digest API keys in one place and read each key once a request

The digest stood in the command line, in the settings' measurement and anew in the filter that finds the customer, from which the platform imported it. A request's key was read and hashed twice, its tokens were parsed twice.

--- a/src/cowsliprill/cli/core.py
+++ b/src/cowsliprill/cli/core.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import importlib
 import json
 import pathlib
@@ -10,6 +9,7 @@
 from typing import Any
 from typing import TextIO
 
+from cowsliprill import api_keys
 from cowsliprill import errors as errors_lib
 from cowsliprill import peer_client
 from cowsliprill import peers
@@ -80,7 +80,7 @@
             _pack(_read(file), folder, previous, terminal)
         case commands.HashCommand():
             key = terminal.stdin.readline().rstrip("\n")
-            terminal.write(hashlib.sha256(key.encode()).hexdigest())
+            terminal.write(api_keys.digest(key))
         case commands.ExplainCommand(request, files):
             _explain(request, files, terminal)
         case commands.AccountCommand(files, step):
--- a/src/cowsliprill/entry/filters/identify.py
+++ b/src/cowsliprill/entry/filters/identify.py
@@ -1,10 +1,10 @@
 """Who calls: the customer of an API key."""
 
 import dataclasses
-import hashlib
 
 from tornado import httputil
 
+from cowsliprill import api_keys
 from cowsliprill.decisions import model
 from cowsliprill.entry import authorization
 from cowsliprill.entry import context
@@ -14,22 +14,31 @@
 _ANONYMOUS = model.Customer(id="")
 
 
-def key_hash(key: str) -> str:
-    """Returns the digest by which settings name an API key."""
-    return hashlib.sha256(key.encode()).hexdigest()
+def key_hash_of(headers: httputil.HTTPHeaders) -> str:
+    """Returns the digest of the API key in a request's headers.
 
+    Args:
+      headers: The request's headers.
+
+    Returns:
+      The digest, empty without a key.
+    """
+    header = headers.get("Authorization", "")
+    if header[: len(_SCHEME)].lower() != _SCHEME:
+        return ""
+    key = header[len(_SCHEME) :].strip()
+    return api_keys.digest(key) if key else ""
 
-def customer_of(
-    headers: httputil.HTTPHeaders, snapshot: model.Snapshot
-) -> model.Customer:
-    """Finds the customer of the API key in a request's headers.
+
+def customer_of(key_hash: str, snapshot: model.Snapshot) -> model.Customer:
+    """Finds the customer of an API key.
 
     The settings hold only SHA-256 digests of keys, so who reads them can't
     call in a customer's name. Looking up a digest also gives no timing by which
     a key could be guessed part by part.
 
     Args:
-      headers: The request's headers.
+      key_hash: The key's digest, empty without a key.
       snapshot: The settings.
 
     Returns:
@@ -38,13 +47,12 @@
     Raises:
       errors.EntryError: There is no key, or no customer has it.
     """
-    key = _key(headers)
-    if not key:
+    if not key_hash:
         raise errors.EntryError(
             errors.Code.INVALID_API_KEY,
             "Send your API key as `Authorization: Bearer KEY`.",
         )
-    customer = snapshot.customers_by_key_hash.get(key_hash(key))
+    customer = snapshot.customers_by_key_hash.get(key_hash)
     if customer is None:
         raise errors.EntryError(
             errors.Code.INVALID_API_KEY, "The API key isn't known."
@@ -54,7 +62,8 @@
 
 async def identify(ctx: context.Context, proceed: context.Handle) -> None:
     """Finds the calling customer."""
-    ctx.customer = customer_of(ctx.call.headers, ctx.snapshot)
+    key_hash = key_hash_of(ctx.call.headers)
+    ctx.customer = customer_of(key_hash, ctx.snapshot)
     await proceed(ctx)
 
 
@@ -79,19 +88,13 @@
         if not ctx.snapshot.keys_required:
             await proceed(ctx)
             return
+        key_hash = key_hash_of(ctx.call.headers)
         try:
-            ctx.customer = customer_of(ctx.call.headers, ctx.snapshot)
+            ctx.customer = customer_of(key_hash, ctx.snapshot)
         except errors.EntryError:
             if not ctx.route.public:
                 raise
         if not ctx.route.public:
-            ctx.key_hash = key_hash(_key(ctx.call.headers))
+            ctx.key_hash = key_hash
             self.authorization.check(ctx)
         await proceed(ctx)
-
-
-def _key(headers: httputil.HTTPHeaders) -> str:
-    authorization_header = headers.get("Authorization", "")
-    if authorization_header[: len(_SCHEME)].lower() != _SCHEME:
-        return ""
-    return authorization_header[len(_SCHEME) :].strip()
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -32,7 +32,9 @@
     prompt_tokens, output_tokens = _tokens(ctx.call.headers)
     ctx.stated_tokens = prompt_tokens + output_tokens
     if ctx.service.kind is model.ServiceKind.MODEL:
-        ctx.generation = _generation(ctx.call.headers)
+        ctx.generation = _generation(
+            ctx.call.headers, prompt_tokens, output_tokens
+        )
         last_event = ctx.call.headers.get(headers_lib.LAST_EVENT, "")
         ctx.progress.last_event_id = last_event
     await proceed(ctx)
@@ -82,8 +84,9 @@
     return int(_number(prompt, name)), int(_number(output or "0", name))
 
 
-def _generation(headers: httputil.HTTPHeaders) -> context.Generation:
-    prompt_tokens, output_tokens = _tokens(headers)
+def _generation(
+    headers: httputil.HTTPHeaders, prompt_tokens: int, output_tokens: int
+) -> context.Generation:
     hint = headers.get(headers_lib.LENGTH_HINT, "0")
     return context.Generation(
         prompt_tokens=prompt_tokens,
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -11,9 +11,9 @@
 import pydantic
 from pydantic import alias_generators
 
+from cowsliprill import api_keys
 from cowsliprill.decisions import model
 from cowsliprill.decisions import routing
-from cowsliprill.entry.filters import identify
 from cowsliprill.registry import endpoints
 from cowsliprill.registry import source
 
@@ -302,7 +302,7 @@
     return [
         model.Customer(
             id=tenant.name,
-            key_hashes=frozenset(map(identify.key_hash, tenant.api_keys)),
+            key_hashes=frozenset(map(api_keys.digest, tenant.api_keys)),
             share=(tenant.rate_per_s or mean_rate) / mean_rate,
             # Theirs counts from 0, the most urgent; ours is larger for those.
             priority=None if tenant.priority is None else -tenant.priority,
--- a/src/cowsliprill/settings/measure.py
+++ b/src/cowsliprill/settings/measure.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import hashlib
 import io
 import json
 import pathlib
@@ -15,6 +14,7 @@
 import tracemalloc
 from typing import Any
 
+from cowsliprill import api_keys
 from cowsliprill import codec
 from cowsliprill.decisions import news
 from cowsliprill.observability import audit as audit_lib
@@ -117,7 +117,7 @@
 
 
 def _firm(number: int) -> dict[str, Any]:
-    digest = hashlib.sha256(f"key-{number}".encode()).hexdigest()
+    digest = api_keys.digest(f"key-{number}")
     return {"key_hashes": [digest], "share": 1.0}
 
 
