Let the dispatch process's handlers share the signed-message handler

The handler for signed messages had been written beside the dispatch process's own one, which does the same: check the signature, decode, refuse, sign the answer. That one is the base now. Each keeps the code by which it refuses an unsigned body; the error class that served for its code alone is gone.

--- a/src/cowsliprill/dispatch/errors.py
+++ b/src/cowsliprill/dispatch/errors.py
@@ -13,9 +13,3 @@
     """Raised for a message of a peer that can't be used."""
 
     code = "invalid_message"
-
-
-class PeerUnknownError(DispatchError):
-    """Raised for a message that no peer has signed."""
-
-    code = "peer_unknown"
--- a/src/cowsliprill/dispatch/handlers.py
+++ b/src/cowsliprill/dispatch/handlers.py
@@ -1,49 +1,17 @@
 """HTTP handlers of the dispatch process: peers' messages in and out."""
 
 import asyncio
-from typing import Any
-from typing import TypeVar
 
-from tornado import web
-
-from cowsliprill import codec
 from cowsliprill import errors as errors_lib
 from cowsliprill import peer_auth
+from cowsliprill import peer_handler
 from cowsliprill.dispatch import canceller as canceller_lib
-from cowsliprill.dispatch import errors
 from cowsliprill.dispatch import messages
 from cowsliprill.dispatch import slot_desk
 
-_T = TypeVar("_T")
-
-
-class _PeerHandler(web.RequestHandler):
-    def initialize(self, auth: peer_auth.PeerAuth) -> None:
-        self._auth = auth
-
-    def read(self, kind: type[_T]) -> _T | None:
-        signature = self.request.headers.get(peer_auth.HEADER)
-        if not self._auth.accepts(self.request.body, signature):
-            self.refuse(errors.PeerUnknownError("the body isn't signed"), 403)
-            return None
-        try:
-            return codec.decode(kind, self.request.body)
-        except codec.CodecError as error:
-            self.refuse(error)
-            return None
-
-    def refuse(
-        self, error: errors_lib.CowsliprillError, status: int = 400
-    ) -> None:
-        self.set_status(status)
-        self.write({"error": {"code": error.code, "message": error.message}})
 
-    def answer(self, value: Any) -> None:
-        body = codec.encode_short(value)
-        self.set_header("Content-Type", "application/json")
-        for name, text in self._auth.headers(body).items():
-            self.set_header(name, text)
-        self.write(body)
+class _PeerHandler(peer_handler.PeerHandler):
+    unsigned_code = "peer_unknown"
 
 
 class SlotsHandler(_PeerHandler):
@@ -72,7 +40,7 @@
         try:
             self.answer(await self._task)
         except errors_lib.CowsliprillError as error:
-            self.refuse(error)
+            self.refuse(400, error.code, error.message)
         except asyncio.CancelledError:
             if not self._gone:
                 raise
--- a/src/cowsliprill/peer_handler.py
+++ b/src/cowsliprill/peer_handler.py
@@ -4,54 +4,90 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Any
+from typing import TypeVar
 
 from tornado import web
 
 from cowsliprill import codec
 from cowsliprill import peer_auth
 
+_T = TypeVar("_T")
 
-class MessageHandler(web.RequestHandler):
+
+class PeerHandler(web.RequestHandler):
+    """Reads and writes signed messages.
+
+    Attributes:
+      unsigned_code: Code of the error for a message that no peer has signed.
+    """
+
+    unsigned_code = "not_a_peer"
+
+    def initialize(self, auth: peer_auth.PeerAuth) -> None:
+        """Keeps what the handler needs.
+
+        Args:
+          auth: Signs and checks bodies.
+        """
+        self._auth = auth
+
+    def read(self, kind: type[_T]) -> _T | None:
+        """Returns the message, None after an error was written.
+
+        Args:
+          kind: Data class of the message.
+        """
+        body = self.request.body
+        signature = self.request.headers.get(peer_auth.HEADER)
+        if not self._auth.accepts(body, signature):
+            self.refuse(403, self.unsigned_code, "the body isn't signed")
+            return None
+        try:
+            return codec.decode(kind, body)
+        except codec.CodecError as error:
+            self.refuse(400, error.code, error.message)
+            return None
+
+    def refuse(self, status: int, code: str, message: str) -> None:
+        """Writes an error."""
+        self.set_status(status)
+        self.write({"error": {"code": code, "message": message}})
+
+    def answer(self, value: Any) -> None:
+        """Writes a data class as a signed message."""
+        body = codec.encode_short(value)
+        self.set_header("Content-Type", "application/json")
+        for name, text in self._auth.headers(body).items():
+            self.set_header(name, text)
+        self.write(body)
+
+
+class MessageHandler(PeerHandler):
     """Takes one kind of message by POST and answers with another."""
 
     def initialize(
         self,
         auth: peer_auth.PeerAuth,
         kind: type,
-        answer: Callable[[Any], Any | Awaitable[Any]],
+        respond: Callable[[Any], Any | Awaitable[Any]],
     ) -> None:
         """Keeps what the handler needs.
 
         Args:
           auth: Signs and checks bodies.
           kind: Data class of the message.
-          answer: Returns the answer, a data class, at once or when awaited.
+          respond: Returns the answer, a data class, at once or when awaited.
         """
-        self._auth = auth
+        super().initialize(auth)
         self._kind = kind
-        self._answer = answer
+        self._respond = respond
 
     async def post(self) -> None:
         """Answers a peer."""
-        body = self.request.body
-        signature = self.request.headers.get(peer_auth.HEADER)
-        if not self._auth.accepts(body, signature):
-            self._refuse(403, "not_a_peer", "the body isn't signed")
-            return
-        try:
-            message = codec.decode(self._kind, body)
-        except codec.CodecError as error:
-            self._refuse(400, error.code, error.message)
+        message = self.read(self._kind)
+        if message is None:
             return
-        answer = self._answer(message)
+        answer = self._respond(message)
         if inspect.isawaitable(answer):
             answer = await answer
-        text = codec.encode_short(answer)
-        self.set_header("Content-Type", "application/json")
-        for name, value in self._auth.headers(text).items():
-            self.set_header(name, value)
-        self.write(text)
-
-    def _refuse(self, status: int, code: str, message: str) -> None:
-        self.set_status(status)
-        self.write({"error": {"code": code, "message": message}})
+        self.answer(answer)
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -229,12 +229,12 @@
         cells = {
             "auth": auth,
             "kind": cells_wire.CellRequest,
-            "answer": self._homes.answer,
+            "respond": self._homes.answer,
         }
         quotas = {
             "auth": auth,
             "kind": quotas_wire.Report,
-            "answer": self._quota_owner.answer,
+            "respond": self._quota_owner.answer,
         }
         views = {
             "views_by_prefix": self._source.views_by_prefix,
