Share one token bucket between the owner of a quota and a VM without one

Both refilled a level by hand. The customers with quotas were picked out twice at each change, by the owner and by the reporter of the same process; a refusal listed the usage of all customers to report one.

--- a/src/cowsliprill/decisions/quota_gate.py
+++ b/src/cowsliprill/decisions/quota_gate.py
@@ -7,9 +7,11 @@
 import dataclasses
 import math
 import random
+from collections.abc import Set
 
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quota_owner
+from cowsliprill.decisions import token_bucket
 
 # Without an answer for this long the latest verdict is ignored.
 _SILENCE_S = 1.2
@@ -32,8 +34,7 @@
     verdict: quota_owner.Verdict | None = None
     verdict_at: float = -math.inf
     waiting_since: float | None = None
-    level: float = 0.0
-    level_at: float | None = None
+    own_bucket: token_bucket.TokenBucket | None = None
 
 
 class QuotaGate:
@@ -81,7 +82,7 @@
         if waiting_since is not None and now - waiting_since > _SILENCE_S:
             retry_after_s = self._admit_own_part(customer, quota, cost, now)
         else:
-            customer.level_at = None
+            customer.own_bucket = None
             retry_after_s = self._admit_by_verdict(customer)
         if retry_after_s is None:
             customer.admitted += cost
@@ -107,18 +108,23 @@
     def usages(self) -> list[quota_owner.Usage]:
         """Returns the usage that no owner has acknowledged yet."""
         return [
-            quota_owner.Usage(
-                customer=customer_id,
-                asked=customer.asked,
-                admitted=customer.admitted,
-                asked_before=customer.asked_before,
-                admitted_before=customer.admitted_before,
-            )
+            self.usage(customer_id)
             for customer_id, customer in self._customers_by_id.items()
             if customer.asked != customer.asked_before
             or customer.admitted != customer.admitted_before
         ]
 
+    def usage(self, customer_id: str) -> quota_owner.Usage:
+        """Returns the usage of a customer that has asked for something."""
+        customer = self._customers_by_id[customer_id]
+        return quota_owner.Usage(
+            customer=customer_id,
+            asked=customer.asked,
+            admitted=customer.admitted,
+            asked_before=customer.asked_before,
+            admitted_before=customer.admitted_before,
+        )
+
     def answered(
         self,
         usage: quota_owner.Usage,
@@ -142,7 +148,7 @@
         unanswered = customer.asked != usage.asked
         customer.waiting_since = now if unanswered else None
 
-    def keep_only(self, customer_ids: set[str]) -> None:
+    def keep_only(self, customer_ids: Set[str]) -> None:
         """Forgets customers that are gone or have no quota any more."""
         for customer_id in self._customers_by_id.keys() - customer_ids:
             del self._customers_by_id[customer_id]
@@ -165,17 +171,14 @@
         part = 1 / self._members
         if customer.verdict is not None:
             part = max(customer.verdict.own_part, part)
-        if customer.level_at is None:
-            customer.level = quota.burst * part
-            customer.level_at = now
-        refilled = customer.level + quota.per_s * part * (
-            now - customer.level_at
-        )
-        customer.level = min(refilled, quota.burst * part)
-        customer.level_at = now
+        per_s, burst = quota.per_s * part, quota.burst * part
+        bucket = customer.own_bucket
+        if bucket is None:
+            bucket = token_bucket.TokenBucket(burst, now)
+            customer.own_bucket = bucket
+        bucket.refill(per_s, burst, now)
         # A part may be smaller than one request; it then counts as a debt.
-        if customer.level <= 0:
-            missing_s = -customer.level / (quota.per_s * part)
-            return max(missing_s, _RETRY_AFTER_S)
-        customer.level -= cost
+        if bucket.level <= 0:
+            return max(-bucket.level / per_s, _RETRY_AFTER_S)
+        bucket.level -= cost
         return None
--- a/src/cowsliprill/decisions/quota_owner.py
+++ b/src/cowsliprill/decisions/quota_owner.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 
 from cowsliprill.decisions import model
+from cowsliprill.decisions import token_bucket
 
 # How long what was asked for counts towards the demand, seconds.
 _DEMAND_S = 1.0
@@ -114,8 +115,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Account:
-    level: float
-    at: float
+    bucket: token_bucket.TokenBucket
     demand: _Demand = dataclasses.field(default_factory=_Demand)
     reporters_by_id: dict[str, _Reporter] = dataclasses.field(
         default_factory=dict
@@ -170,7 +170,7 @@
     def level(self, customer: str) -> float:
         """Returns what is left of a customer's quota, as last reported."""
         account = self._accounts_by_customer.get(customer)
-        return account.level if account else math.inf
+        return account.bucket.level if account else math.inf
 
     def keep_only(self, customers: Iterable[str]) -> None:
         """Forgets customers that are gone."""
@@ -192,14 +192,12 @@
         per_s, burst = quota.per_s * part, quota.burst * part
         account = self._accounts_by_customer.get(usage.customer)
         if account is None:
-            account = _Account(level=burst, at=now)
+            account = _Account(token_bucket.TokenBucket(burst, now))
             self._accounts_by_customer[usage.customer] = account
-        refilled = account.level + per_s * (now - account.at)
-        account.level = min(refilled, burst)
-        account.at = now
+        account.bucket.refill(per_s, burst, now)
         reporter = self._reporter(account, reporter_id, usage, now)
         asked = max(usage.asked - reporter.asked, 0.0)
-        account.level -= usage.admitted - reporter.admitted
+        account.bucket.level -= usage.admitted - reporter.admitted
         account.demand.add(asked, now)
         reporter.demand.add(asked, now)
         reporter.asked = usage.asked
@@ -235,12 +233,13 @@
     demand = account.demand.per_s(now)
     own_part = reporter.demand.per_s(now) / demand if demand > 0 else 0.0
     reserve = per_s * _RESERVE_S
-    if account.level >= reserve:
+    level = account.bucket.level
+    if level >= reserve:
         return Verdict(customer=customer, own_part=own_part)
     # Just what comes in is admitted when half of the reserve is left.
-    filled = max(account.level, 0.0) / (reserve / 2) if reserve else 0.0
+    filled = max(level, 0.0) / (reserve / 2) if reserve else 0.0
     admit_part = filled * per_s / demand if demand > 0 else 1.0
-    missing = reserve / 2 - account.level
+    missing = reserve / 2 - level
     wait_s = missing / per_s if per_s else _DEMAND_S
     return Verdict(
         customer=customer,
--- a/src/cowsliprill/quotas/owner.py
+++ b/src/cowsliprill/quotas/owner.py
@@ -24,20 +24,11 @@
     ) -> None:
         self._accounts = quota_owner.QuotaOwner(tolerance)
         self._heard_part = heard_part
-        # Endpoints change far more often than the customers, who may be many.
-        self._customers_by_id: Mapping[str, model.Customer] = {}
-        self._quotas_by_customer: dict[str, model.Quota] = {}
-
-    def update(self, snapshot: model.Snapshot) -> None:
-        """Takes new settings."""
-        if snapshot.customers_by_id is self._customers_by_id:
-            return
-        self._customers_by_id = snapshot.customers_by_id
-        self._quotas_by_customer = {
-            customer.id: customer.quota
-            for customer in snapshot.customers_by_id.values()
-            if customer.quota is not None
-        }
+        self._quotas_by_customer: Mapping[str, model.Quota] = {}
+
+    def set_quotas(self, quotas_by_customer: Mapping[str, model.Quota]) -> None:
+        """Sets the quotas in force."""
+        self._quotas_by_customer = quotas_by_customer
         self._accounts.keep_only(self._quotas_by_customer)
 
     def answer(self, report: wire.Report) -> wire.Answer:
--- a/src/cowsliprill/quotas/reporter.py
+++ b/src/cowsliprill/quotas/reporter.py
@@ -55,6 +55,7 @@
         self._log = log
         self._gate = quota_gate.QuotaGate(rng)
         self._vms_by_id: dict[str, model.Vm] = {}
+        # Endpoints change far more often than the customers, who may be many.
         self._customers_by_id: Mapping[str, model.Customer] = {}
         self._choices_by_customer: dict[str, home_choice.HomeChoice] = {}
         self._calls: set[asyncio.Task] = set()
@@ -68,13 +69,15 @@
         if snapshot.customers_by_id is self._customers_by_id:
             return
         self._customers_by_id = snapshot.customers_by_id
-        limited = {
-            customer.id
+        quotas_by_customer = {
+            customer.id: customer.quota
             for customer in snapshot.customers_by_id.values()
             if customer.quota is not None
         }
-        self._gate.keep_only(limited)
-        for customer_id in self._choices_by_customer.keys() - limited:
+        self._own.set_quotas(quotas_by_customer)
+        self._gate.keep_only(quotas_by_customer.keys())
+        gone = self._choices_by_customer.keys() - quotas_by_customer.keys()
+        for customer_id in gone:
             del self._choices_by_customer[customer_id]
 
     async def admit(
@@ -112,13 +115,8 @@
     async def _ask(self, customer_id: str) -> None:
         """Reports one customer and waits for the answer."""
         vm = self._owner_of(customer_id)
-        usages = [
-            usage
-            for usage in self._gate.usages()
-            if usage.customer == customer_id
-        ]
-        if vm is not None and usages:
-            await self._call(vm, usages)
+        if vm is not None:
+            await self._call(vm, [self._gate.usage(customer_id)])
 
     def _report(self) -> None:
         by_vm: dict[str, tuple[model.Vm, _Usages]] = {}
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -252,7 +252,6 @@
 
     def _take_world(self) -> None:
         self._homes.update(self._source.snapshot, self._source.fleet)
-        self._quota_owner.update(self._source.snapshot)
         self._quotas.update(self._source.snapshot, self._source.fleet)
         if self._source.is_ready():
             self._agent.tell(ready=True)
