Add up a pool's load once a refusal; number prompts instead of referring to them

Each refusal, most frequent under overload, went over the demand of the last seconds twice. Whether a prompt was read alone was kept by references from the pool to requests, which outlived these, behind a protocol of one field; the number of the prompt at its engine says the same.

No change of behaviour.

--- a/src/cowsliprill/decisions/leases.py
+++ b/src/cowsliprill/decisions/leases.py
@@ -22,6 +22,7 @@
       full_until: Until when the endpoint is taken for full because it said so
         itself, unless something ends there before.
       running: Requests with work in those slots.
+      prompts: Prompts that were sent there, those that are read included.
       in_use_by_customer: `in_use` by customer.
       cached: Prompt blocks cached there.
       prefix_epoch: Epoch of the home's news of cached blocks.
@@ -38,6 +39,7 @@
     used: int = 0
     full_until: float = 0.0
     running: int = 0
+    prompts: int = 0
     in_use_by_customer: dict[str, int] = dataclasses.field(default_factory=dict)
     cached: prefixes.CachedBlocks = dataclasses.field(
         default_factory=prefixes.CachedBlocks
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -5,7 +5,6 @@
 import random
 import statistics
 from collections.abc import Mapping
-from typing import Protocol
 
 from cowsliprill.decisions import admission
 from cowsliprill.decisions import demand
@@ -89,16 +88,6 @@
     prompt_part: float
 
 
-class Reader(Protocol):
-    """A request whose prompt is being read.
-
-    Attributes:
-      reads_alone: Whether no other prompt was at its engine meanwhile.
-    """
-
-    reads_alone: bool
-
-
 class Pool:
     """State of one pool.
 
@@ -132,7 +121,6 @@
         self.start_delay_s = 0.0
         self.prefills_short_since = math.inf
         self.slowness_by_prefill: dict[str, float] = {}
-        self._newest_reader_by_prefill: dict[str, Reader] = {}
         self._token_s = 0.0
         self._transfer_s_per_token = 0.0
         self._export_ttl_s = 1.0
@@ -176,7 +164,6 @@
         for endpoint_id, holding in list(self.holdings_by_endpoint.items()):
             if endpoint_id not in wanted and not holding.in_use:
                 del self.holdings_by_endpoint[endpoint_id]
-                self._newest_reader_by_prefill.pop(endpoint_id, None)
 
     def holding(self, endpoint_id: str) -> leases.Holding:
         """Returns what this entry holds at an endpoint."""
@@ -262,17 +249,6 @@
         change = max(seconds, 0.0) - self.start_delay_s
         self.start_delay_s += change * _LEARNING_RATE
 
-    def note_reader(self, endpoint_id: str, reader: Reader) -> None:
-        """Notes a prompt that is sent to a prefill engine.
-
-        One that was there alone isn't any more: its time would be taken for
-        the engine's own and each busy engine for a slow one.
-        """
-        before = self._newest_reader_by_prefill.get(endpoint_id)
-        if before is not None:
-            before.reads_alone = False
-        self._newest_reader_by_prefill[endpoint_id] = reader
-
     def learn_prefill(self, seconds: float) -> None:
         """Takes in the expected time of a prefill that is started."""
         self.prefill_s += (seconds - self.prefill_s) * _LEARNING_RATE
--- a/src/cowsliprill/decisions/prospects.py
+++ b/src/cowsliprill/decisions/prospects.py
@@ -1,5 +1,7 @@
 """Whether a request that waits will have its turn while it is of use."""
 
+import dataclasses
+
 from cowsliprill.decisions import demand
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import queue
@@ -21,6 +23,32 @@
 _OVERLOAD_S = 6.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """What the requests in time leave of a pool.
+
+    Attributes:
+      left: Part of the pool, negative where they ask for more than all of it.
+    """
+
+    left: float
+
+    @property
+    def for_waiting(self) -> float:
+        """Part of the pool for late requests that wait."""
+        return max(self.left, _ROOM_NOW)
+
+    @property
+    def for_returning(self) -> float:
+        """Part of the pool for callers that come back."""
+        return max(self.left, _ROOM_LATER)
+
+    @property
+    def overload_s(self) -> float:
+        """How long callers should stay away for an overload, in seconds."""
+        return _OVERLOAD_S if self.left <= 0 else 0.0
+
+
 def demand_item(request: requests.Request, now: float) -> demand.Item:
     """Returns what a request asks for of its pool."""
     service = request.submit.service
@@ -75,31 +103,15 @@
     drained_s = pool.backlog(last.submit.priority).wait_s()
     if not last.late:
         return drained_s
-    return drained_s / max(_room(pool, now, entries), _ROOM_NOW)
+    return drained_s / room(pool, now, entries).for_waiting
 
 
-def overload_s(pool: pools.Pool, now: float, entries: int) -> float:
-    """Returns how long callers should stay away for an overload, in seconds.
+def room(pool: pools.Pool, now: float, entries: int) -> Room:
+    """Returns what the requests in time leave of a pool.
 
     Args:
       pool: The pool.
       now: Time, seconds.
       entries: Entry processes that share the pool by its slots.
     """
-    return _OVERLOAD_S if _room(pool, now, entries) <= 0 else 0.0
-
-
-def room_for_returning(pool: pools.Pool, now: float, entries: int) -> float:
-    """Returns the part of a pool for callers that come back.
-
-    Args:
-      pool: The pool.
-      now: Time, seconds.
-      entries: Entry processes that share the pool by its slots.
-    """
-    return max(_room(pool, now, entries), _ROOM_LATER)
-
-
-def _room(pool: pools.Pool, now: float, entries: int) -> float:
-    """Returns the part of a pool that those in time leave, negative if none."""
-    return 1.0 - pool.demand.load(now, pool.slots() / entries)
+    return Room(1.0 - pool.demand.load(now, pool.slots() / entries))
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -40,8 +40,8 @@
       started_at: When the newest attempt began.
       expected_s: Time that its prefill takes at the engine's usual speed.
       uncached: Tokens of its prompt that had to be read.
-      reads_alone: Whether no other prompt was at the prefill engine when its
-        own began.
+      alone_number: Number of its prompt at the prefill engine, None if another
+        one was there when it began.
       stage_at: When its present stage began.
       kept_until: Until when a finished prefill of it waits at `prefill`.
       probed: Endpoints that its newest attempt tries again.
@@ -64,7 +64,7 @@
     started_at: float = 0.0
     expected_s: float = 1.0
     uncached: int = 0
-    reads_alone: bool = False
+    alone_number: int | None = None
     stage_at: float = 0.0
     kept_until: float = 0.0
     probed: tuple[str, ...] = ()
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -274,7 +274,10 @@
         request.pool.learn_prefill_speed(
             request.prefill.id, read_s / request.expected_s
         )
-        if request.reads_alone:
+        # Another prompt beside it makes it slower, the more so the busier the
+        # engine; its time would be taken for the engine's own.
+        prompts = request.pool.holding(request.prefill.id).prompts
+        if request.alone_number == prompts:
             request.pool.learn_reading(request.uncached, read_s)
         request.stage = messages.Stage.TRANSFER
         request.stage_at = now
@@ -391,11 +394,12 @@
         # Whoever comes back is late by then and has what those in time leave.
         # Told the time in which the whole pool drains, callers of a burst
         # would come back while it lasts and be refused for good.
-        room = prospects.room_for_returning(pool, now, entries)
+        room = prospects.room(pool, now, entries)
         slots = max(pool.slots(), 1) / pool.usual_slots
-        step_s = pool.hold_s / slots * entries / room
-        wait_s = pool.backlog(request.submit.priority).wait_s() / room
-        away_s = max(wait_s, prospects.overload_s(pool, now, entries))
+        part = room.for_returning
+        step_s = pool.hold_s / slots * entries / part
+        wait_s = pool.backlog(request.submit.priority).wait_s() / part
+        away_s = max(wait_s, room.overload_s)
         return messages.Refuse(
             request_id=request_id,
             code=code,
@@ -551,8 +555,8 @@
         holding = pool.holding(request.prefill.id)
         cached = holding.cached
         known = cached.cached_tokens(submit.prefix_hashes)
-        request.reads_alone = not holding.running
-        pool.note_reader(request.prefill.id, request)
+        holding.prompts += 1
+        request.alone_number = None if holding.running else holding.prompts
         request.uncached = submit.prompt_tokens - known
         pool.learn_prefill(estimates.prefill_s(request.prefill, submit, known))
         cached.add(submit.prefix_hashes)
--- a/tests/test_prospects.py
+++ b/tests/test_prospects.py
@@ -78,5 +78,5 @@
 
     def test_callers_stay_away_for_as_long_as_a_burst_lasts(self):
         """Guards against callers who are refused twice in one burst."""
-        assert prospects.overload_s(_pool(110.0, late=0), _NOW, 1) > 5.0
-        assert prospects.overload_s(_pool(20.0, late=0), _NOW, 1) == 0.0
+        assert prospects.room(_pool(110.0, late=0), _NOW, 1).overload_s > 5.0
+        assert prospects.room(_pool(20.0, late=0), _NOW, 1).overload_s == 0.0
