--- /dev/null
+++ b/src/cowsliprill/decisions/request_fingerprint.py
@@ -0,0 +1,57 @@
+"""Keyed digests by which a request is recognized when it is sent again.
+
+Callers and clients give each attempt an id of its own. What stays the same is
+who sends what: the caller, the method, the target and the body.
+"""
+
+import dataclasses
+import hashlib
+
+_DIGEST_BYTES = 8
+_PURPOSE = b"request-digest"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestContent:
+    """The parts of a request that are the same in each repetition.
+
+    Attributes:
+      caller: Id of the customer, or the caller's address where there are no
+        customers.
+      method: HTTP method.
+      host: Host that the request names.
+      target: Path and query.
+      body: Body without transfer coding.
+    """
+
+    caller: str
+    method: str
+    host: str
+    target: str
+    body: bytes
+
+
+class Fingerprinter:
+    """Computes fingerprints.
+
+    Args:
+      secret: Secret shared by the processes. Without it, someone who reads the
+        logs could confirm a guess of a short body.
+    """
+
+    def __init__(self, secret: str) -> None:
+        self._key = hashlib.sha256(secret.encode()).digest()
+
+    def fingerprint(self, content: RequestContent) -> str:
+        """Returns the fingerprint, the same at all VMs, in hexadecimal."""
+        digest = hashlib.blake2b(
+            digest_size=_DIGEST_BYTES, key=self._key, person=_PURPOSE
+        )
+        texts = (content.caller, content.method, content.host, content.target)
+        for text in texts:
+            part = text.encode()
+            # The length keeps ("ab", "c") apart from ("a", "bc").
+            digest.update(len(part).to_bytes(4, "big"))
+            digest.update(part)
+        digest.update(content.body)
+        return digest.hexdigest()
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -179,7 +179,10 @@
 
     def on_connection_close(self) -> None:
         """Fails the exchange: the connection closed during the response."""
-        self.fail(errors.CallError("connection lost during the response"))
+        cause = self._stream.error or "closed"
+        self.fail(
+            errors.CallError(f"connection lost during the response: {cause}")
+        )
 
     # Methods for the client.
 
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -306,7 +306,9 @@
             connect_task.add_done_callback(_close_abandoned)
             raise
         except (OSError, iostream.StreamClosedError) as error:
-            raise errors.ConnectFailed(f"{host}:{port}: {error}") from error
+            raise errors.ConnectFailed(
+                f"{host}:{port}: {_cause_of(error)}"
+            ) from error
         stream.set_nodelay(True)
         _enable_keep_alive(stream.socket)
         return stream
@@ -382,7 +384,9 @@
         try:
             await connection.read_response(exchange)
         except (OSError, iostream.StreamClosedError) as error:
-            exchange.fail(errors.CallError(f"connection lost: {error}"))
+            exchange.fail(
+                errors.CallError(f"connection lost: {_cause_of(error)}")
+            )
         except iostream.UnsatisfiableReadError as error:
             exchange.fail(errors.CallError(f"malformed response: {error}"))
         exchange.fail(errors.CallError("malformed response"))
@@ -401,6 +405,14 @@
         connection.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def _cause_of(error: Exception) -> BaseException:
+    # tornado reports a failed connection as closed; the operating system's
+    # error tells a refused connection from one that timed out.
+    if isinstance(error, iostream.StreamClosedError) and error.real_error:
+        return error.real_error
+    return error
+
+
 def _close_abandoned(connect_task: asyncio.Future[iostream.IOStream]) -> None:
     if not connect_task.cancelled() and connect_task.exception() is None:
         connect_task.result().close()
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -17,6 +17,9 @@
       kept_s: Seconds for which the KV cache of the attempt's finished prefill
         is still kept for another decode engine.
       resumable: Whether another engine may resume the broken stream.
+      sent: Whether the endpoint got the request and neither refused nor
+        answered it.
+      had_output: Whether the endpoint had sent output of this attempt.
       reason: One sentence for the log.
     """
 
@@ -32,8 +35,12 @@
         answered: bool = False,
         kept_s: float = 0.0,
         resumable: bool = False,
+        sent: bool = False,
+        had_output: bool = False,
     ) -> None:
         super().__init__(reason)
+        self.sent = sent
+        self.had_output = had_output
         self.endpoint_id = endpoint_id
         self.stage = stage
         self.refused = refused
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -29,6 +29,8 @@
         filters (size limits, shutdown, forwarding by a stranger), or None.
       forwarded: Whether a peer forwarded the request because of its ticket.
       uri: Path and query exactly as sent, for services that get them unchanged.
+      caller_address: IP address that the request came from, empty for one that
+        a peer has forwarded.
     """
 
     method: str
@@ -39,6 +41,7 @@
     rejection: errors.EntryError | None = None
     forwarded: bool = False
     uri: str = ""
+    caller_address: str = ""
 
     @property
     def target(self) -> str:
@@ -122,6 +125,8 @@
       customer: Calling customer; set by `identify`.
       key_hash: Digest of the API key, which must still be valid at each
         attempt; empty for none; set by `identify`.
+      fingerprint: Digest that is the same each time the caller sends this
+        request; set by `fingerprint`.
       route: Matched route, None where callers name a service; set by `route`.
       service: Requested service; set by `resolve` or `route`.
       generation: Model request, None for plain services; set by `resolve`.
@@ -162,6 +167,7 @@
     caller_id: str = ""
     customer: model.Customer | None = None
     key_hash: str = ""
+    fingerprint: str = ""
     route: model.Route | None = None
     service: model.Service | None = None
     generation: Generation | None = None
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -16,6 +16,7 @@
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import outlier_detection
+from cowsliprill.decisions import request_fingerprint
 from cowsliprill.decisions import retry_budget
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import engine_client
@@ -33,6 +34,7 @@
 from cowsliprill.entry import routes
 from cowsliprill.entry import ticket_forwarding
 from cowsliprill.entry.filters import admission
+from cowsliprill.entry.filters import fingerprint
 from cowsliprill.entry.filters import idempotency
 from cowsliprill.entry.filters import identify
 from cowsliprill.entry.filters import model_placement
@@ -218,6 +220,11 @@
         return routes.Components(
             route=route.Route(self._random),
             identify_by_route=identify.IdentifyByRoute(self._authorization),
+            fingerprint=fingerprint.Fingerprint(
+                request_fingerprint.Fingerprinter(
+                    self._environment.peer_secret.get_secret_value()
+                )
+            ),
             quota=quota.Quota(self._quotas),
             report=report.Report(self._log, self._metrics, self._dialect),
             idempotency=idempotency.Idempotency(
--- /dev/null
+++ b/src/cowsliprill/entry/filters/fingerprint.py
@@ -0,0 +1,33 @@
+"""Filter that computes the fingerprint of a request."""
+
+import dataclasses
+
+from cowsliprill.decisions import request_fingerprint
+from cowsliprill.entry import context
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fingerprint:
+    """Sets the fingerprint by which repetitions of a request are recognized.
+
+    Attributes:
+      fingerprinter: Computes fingerprints that are the same at all VMs.
+    """
+
+    fingerprinter: request_fingerprint.Fingerprinter
+
+    async def __call__(
+        self, ctx: context.Context, proceed: context.Handler
+    ) -> None:
+        """Sets `ctx.fingerprint` and passes the request on."""
+        call = ctx.call
+        ctx.fingerprint = self.fingerprinter.fingerprint(
+            request_fingerprint.RequestContent(
+                caller=ctx.customer.id or call.caller_address,
+                method=call.method,
+                host=call.headers.get("Host", ""),
+                target=call.target,
+                body=call.body,
+            )
+        )
+        await proceed(ctx)
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -153,9 +153,12 @@
         self.log.warning(
             "attempt_lost",
             request=ctx.request_id,
+            fingerprint=ctx.fingerprint,
             attempt=ctx.start.attempt,
             endpoint=lost.endpoint_id,
             stage=lost.stage.value,
+            sent=lost.sent,
+            had_output=lost.had_output,
             refused=lost.refused,
             reason=lost.reason,
         )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -170,6 +170,7 @@
             "call_lost",
             request=ctx.request_id,
             caller=ctx.caller_id,
+            fingerprint=ctx.fingerprint,
             endpoint=ctx.endpoint.id,
             run=lost.run.value,
             reason=lost.reason,
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -102,6 +102,7 @@
             caller=ctx.caller_id,
             customer=ctx.customer.id if ctx.customer else "",
             service=labels["service"],
+            fingerprint=ctx.fingerprint,
             outcome=progress.outcome,
             in_time=in_time,
             prompt_tokens=_prompt_tokens(ctx),
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -227,6 +227,8 @@
                         messages.Stage.DECODE,
                         str(broken),
                         resumable=True,
+                        sent=True,
+                        had_output=stream.tokens > 0,
                     ) from broken
                 if ctx.progress.first_token_at:
                     # The scheduler starts no new attempt after a first token.
@@ -234,6 +236,7 @@
                         "stream_broken",
                         request=ctx.request_id,
                         caller=ctx.caller_id,
+                        fingerprint=ctx.fingerprint,
                         endpoint=endpoint.id,
                         tokens=stream.tokens,
                         reason=str(broken),
@@ -244,7 +247,10 @@
                         run=messages.Executed.UNKNOWN,
                     ) from broken
                 raise attempts.AttemptError(
-                    endpoint.id, messages.Stage.DECODE, str(broken)
+                    endpoint.id,
+                    messages.Stage.DECODE,
+                    str(broken),
+                    sent=True,
                 ) from broken
 
     async def _relay_events(
@@ -383,6 +389,7 @@
             refused=refused and error.code in _BUSY_CODES,
             unreachable=isinstance(error, engine_errors.ConnectFailed),
             answered=isinstance(error, engine_errors.EngineFailed),
+            sent=_was_sent(error),
         ) from error
 
     def _revert_progress(self) -> None:
@@ -391,6 +398,11 @@
             self._ctx.progress.prefills -= 1
 
 
+def _was_sent(error: engine_errors.CallError) -> bool:
+    answered = isinstance(error, engine_errors.EngineFailed)
+    return error.run is messages.Executed.UNKNOWN and not answered
+
+
 def _prefill_timeout_s(ctx: context.Context, endpoint: model.Endpoint) -> float:
     if endpoint.prefill_tokens_per_s <= 0:
         return _remaining_time_s(ctx)
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -17,6 +17,7 @@
 from cowsliprill.entry.filters import admission
 from cowsliprill.entry.filters import call_validation
 from cowsliprill.entry.filters import caller_deadlines
+from cowsliprill.entry.filters import fingerprint
 from cowsliprill.entry.filters import idempotency
 from cowsliprill.entry.filters import identify
 from cowsliprill.entry.filters import model_placement
@@ -39,6 +40,7 @@
       report: Writes log line and metrics when a request ends; sends errors.
       route: Selects the service of a request by host and path.
       identify_by_route: Identifies the customer of a request with a route.
+      fingerprint: Computes the fingerprint of each request.
       quota: Enforces the customers' quotas.
       idempotency: Executes each idempotency key at most once.
       admission: Limits the number of concurrent requests.
@@ -52,6 +54,7 @@
     report: report.Report
     route: route.Route
     identify_by_route: identify.IdentifyByRoute
+    fingerprint: fingerprint.Fingerprint
     quota: quota.Quota
     idempotency: idempotency.Idempotency
     admission: admission.Admission
@@ -69,6 +72,7 @@
             components.report,
             call_validation.CallValidation(("POST",)),
             identify.identify,
+            components.fingerprint,
             resolve.resolve_generation,
             priority_and_deadline.set_priority_and_deadline,
             components.idempotency,
@@ -86,6 +90,7 @@
             components.report,
             call_validation.CallValidation(),
             identify.identify,
+            components.fingerprint,
             resolve.resolve_plain,
             priority_and_deadline.set_priority_and_deadline,
             components.idempotency,
@@ -168,6 +173,7 @@
             call_validation.CallValidation(),
             components.route,
             components.identify_by_route,
+            components.fingerprint,
             parse_call,
             caller_deadlines.CallerDeadlines(),
             components.quota,
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -145,6 +145,7 @@
             caller_id="c1",
             start=start,
             service=types.SimpleNamespace(resume=True),
+            fingerprint="f",
             generation=types.SimpleNamespace(prompt_tokens=100),
             snapshot=self.cluster_state.snapshot,
             progress=context.Progress(),
--- a/tests/test_plain_call_outcomes.py
+++ b/tests/test_plain_call_outcomes.py
@@ -122,6 +122,7 @@
     ctx = types.SimpleNamespace(
         request_id="r",
         caller_id="c",
+        fingerprint="f",
         service=service,
         progress=context.Progress(),
         deadline=clock.now() + 60,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 
 import pytest
 from tests import answers
@@ -11,6 +12,7 @@
 _RESUMABLE = platform_site.RESUMABLE_PATH
 _SAFE = platform_site.SAFE_PATH
 _UNSAFE = platform_site.UNSAFE_PATH
+_SHORT = {"Deadline-Ms": "300"}
 
 
 def _on_site(scenario, routers: int = 1, drain_notice_s: float = 0.0):
@@ -21,6 +23,14 @@
     return asyncio.run(run())
 
 
+def _lines(text, event):
+    return [
+        dict(re.findall(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)', line))
+        for line in text.splitlines()
+        if f"event={event} " in line
+    ]
+
+
 class TestCalls:
     """Requests are relayed unchanged, except for the router's own headers."""
 
@@ -576,3 +586,55 @@
         status, headers, body = _on_site(scenario, drain_notice_s=1.0)
         assert (status, body) == (200, platform_site.stream())
         assert headers["Connection"] == "close"
+
+
+class TestLostAttemptLog:
+    """Lines of lost attempts tell which request it was and what was lost."""
+
+    def test_repetitions_of_a_request_share_a_fingerprint(self):
+        """Guards against repeats that the logs can't tell from new requests."""
+
+        async def scenario(site):
+            for name in ("s0", "s1"):
+                site.engines[name].faults = platform_site.Faults(
+                    lose_response=True
+                )
+            for router, attempt, body in ((0, "a", b"1"), (1, "b", b"1")):
+                await site.call(
+                    _SAFE, attempt=attempt, body=body, router=router
+                )
+            await site.call(_SAFE, attempt="c", body=b"2")
+            return [log.getvalue() for log in site.logs]
+
+        logs = _on_site(scenario, routers=2)
+        fingerprints_by_caller = {
+            line["caller"]: line["fingerprint"]
+            for text in logs
+            for line in _lines(text, "call_lost")
+        }
+        assert fingerprints_by_caller["a"] == fingerprints_by_caller["b"]
+        assert fingerprints_by_caller["a"] != fingerprints_by_caller["c"]
+
+    def test_stage_reached_and_cause_are_logged(self):
+        """Guards against lines that don't tell a cut stream from a dead port.
+
+        An engine that gave output and one that never did both close the
+        connection; then nothing listens at its address.
+        """
+
+        async def scenario(site):
+            for name in ("d0", "d1"):
+                site.engines[name].faults = platform_site.Faults(
+                    lose_response=True
+                )
+            await site.call(_RESUMABLE, attempt="a")
+            for name in ("d0", "d1"):
+                await site.engines[name].site.close()
+            await site.call(_RESUMABLE, attempt="b", headers=_SHORT)
+            return _lines(site.logs[0].getvalue(), "attempt_lost")
+
+        lines = _on_site(scenario)
+        first, last = lines[0], lines[-1]
+        assert (first["sent"], first["had_output"]) == ("true", "false")
+        assert last["sent"] == "false"
+        assert "Connection refused" in last["reason"]
--- /dev/null
+++ b/tests/test_request_fingerprint.py
@@ -0,0 +1,47 @@
+"""Fingerprints of requests."""
+
+import dataclasses
+
+import pytest
+
+from cowsliprill.decisions import request_fingerprint
+
+_CONTENT = request_fingerprint.RequestContent(
+    caller="100.64.0.8",
+    method="POST",
+    host="desk.example",
+    target="/brief/7?page=1",
+    body=b"a prompt that nobody else may read",
+)
+
+
+def _of(content, secret="s"):
+    return request_fingerprint.Fingerprinter(secret).fingerprint(content)
+
+
+class TestFingerprint:
+    """One request has one fingerprint, at every VM."""
+
+    def test_same_request_has_same_fingerprint_in_each_process(self):
+        assert _of(_CONTENT) == _of(dataclasses.replace(_CONTENT))
+        assert len(_of(_CONTENT)) == 16
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"caller": "100.64.0.9"},
+            {"method": "PUT"},
+            {"host": "other.example"},
+            {"target": "/brief/7"},
+            {"body": b""},
+            # A byte moves from one part to the next.
+            {"host": "desk.exampl", "target": "e/brief/7?page=1"},
+        ],
+    )
+    def test_different_request_has_different_fingerprint(self, change):
+        changed = dataclasses.replace(_CONTENT, **change)
+        assert _of(changed) != _of(_CONTENT)
+
+    def test_secret_protects_short_bodies_from_guessing(self):
+        """Guards against guesses of a body that a reader of logs confirms."""
+        assert _of(_CONTENT, "s") != _of(_CONTENT, "t")
