--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -197,6 +197,12 @@
         self.server.stop()
         await self.server.close_all_connections()
 
+    def crash(self) -> None:
+        """Ends as a killed process does: port and connections close at once."""
+        self.server.stop()
+        for connection in list(self.server._connections):
+            connection.stream.close()
+
 
 @dataclasses.dataclass
 class Faults:
@@ -214,6 +220,8 @@
       lose_response: Whether the endpoint executes requests and closes the
         connection without a response.
       unsigned: Whether responses lack the signature.
+      crash_body: Body of the requests that end the engine as soon as it begins
+        to execute them, None for none.
       times: Number of requests affected, -1 for all.
     """
 
@@ -224,6 +232,7 @@
     foreign: bool = False
     lose_response: bool = False
     unsigned: bool = False
+    crash_body: bytes | None = None
     times: int = -1
 
 
@@ -260,6 +269,7 @@
       handles: Handles of the KV caches that are held.
       freed: Handles that were released.
       orders: Orders received, each with the id of the engine that is addressed.
+      crashed: Whether the engine has ended without notice.
       disconnects: Number of connections that clients closed during a request.
       cut: Set to cut the paused streams.
     """
@@ -273,6 +283,7 @@
         self.freed: list[str] = []
         self.orders: list[tuple[str, dict[str, Any]]] = []
         self.disconnects = 0
+        self.crashed = False
         self.cut = asyncio.Event()
         self.site = LocalServer(
             [
@@ -348,6 +359,10 @@
             self.finish({"kvHandle": handle, "tokens": 1, "version": 1})
             return
         engine.runs.append(attempt)
+        if request.body == faults.crash_body:
+            engine.crashed = True
+            engine.site.crash()
+            return
         if faults.lose_response:
             request.connection.stream.close()
             return
@@ -502,6 +517,21 @@
         self.tasks.append(asyncio.create_task(router.run()))
         return number
 
+    async def add_engine(
+        self, name: str, service: str, stage: str | None
+    ) -> Engine:
+        """Starts an engine and waits until all routers have listed it."""
+        engine = Engine(name, service, stage)
+        self.engines[name] = engine
+        await self.store.put(f"servers/{name}", engine.entry())
+        await until(
+            lambda: all(
+                f"event=endpoint_listed endpoint={name} " in log.getvalue()
+                for log in self.logs
+            )
+        )
+        return engine
+
     def ready(self, number: int = 0) -> bool:
         status = self.routers[number].status()
         engines = sum(
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,128 @@
+"""Requests that end every engine that begins to run them."""
+
+import asyncio
+
+from tests import platform_site
+
+_CRASH_BODY = b"ends the engine"
+_ROUTERS = 3
+# Limits of the customers: three ended engines, then three more sends at most,
+# counted from the time that machines in touch have to learn of the third.
+_CRASHES_MAX = 3
+_LATE_SENDS_MAX = 3
+_CONTACT_S = 3.0
+# An entry of an engine that has ended expires after three missed heartbeats.
+_EXPIRY_S = 1.0
+
+
+class _CrashSite:
+    """A site whose engines end when they begin to run one request.
+
+    Ended engines lose their entry after a while, and others take their place
+    under new ids.
+    """
+
+    def __init__(self, site: platform_site.Site, service: str) -> None:
+        self.site = site
+        self._service = service
+        self._stage = "decode" if service == "llm" else None
+        self._replaced: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._number = 0
+
+    async def start(self) -> None:
+        for engine in self._engines():
+            engine.faults.crash_body = _CRASH_BODY
+        for _ in range(4):
+            await self._add_engine()
+
+    def _engines(self) -> list[platform_site.Engine]:
+        return [
+            engine
+            for engine in self.site.engines.values()
+            if (engine.service, engine.stage) == (self._service, self._stage)
+        ]
+
+    async def _add_engine(self) -> None:
+        self._number += 1
+        name = f"n{self._number}"
+        engine = await self.site.add_engine(name, self._service, self._stage)
+        engine.faults.crash_body = _CRASH_BODY
+
+    async def _replace(self, engine: platform_site.Engine) -> None:
+        await asyncio.sleep(_EXPIRY_S)
+        await self.site.store.remove(f"servers/{engine.name}")
+        await self._add_engine()
+
+    def replace_ended(self) -> None:
+        """Starts to replace the engines that have ended since the last call."""
+        for engine in self._engines():
+            if engine.crashed and engine.name not in self._replaced:
+                self._replaced.add(engine.name)
+                self._tasks.add(asyncio.create_task(self._replace(engine)))
+
+    async def all_replaced(self) -> None:
+        await asyncio.gather(*self._tasks)
+
+    def crashes(self) -> int:
+        return sum(engine.crashed for engine in self._engines())
+
+    def sends(self) -> int:
+        """Returns how often the request has reached any engine."""
+        return sum(
+            request.body == _CRASH_BODY
+            for engine in self.site.engines.values()
+            for request in engine.requests
+        )
+
+    async def send(self, path: str, router: int, attempt: str) -> int:
+        status, _, _ = await self.site.call(
+            path, body=_CRASH_BODY, router=router, attempt=attempt
+        )
+        self.replace_ended()
+        return status
+
+
+async def _crash_three(crash_site: _CrashSite, path: str) -> None:
+    """Repeats the request at one VM after the other until three have ended."""
+    number = 0
+    while crash_site.crashes() < _CRASHES_MAX:
+        await crash_site.send(path, number % _ROUTERS, f"first-{number}")
+        number += 1
+
+
+async def _late_sends(path: str, service: str) -> tuple[int, int]:
+    """Returns the sends after the time to learn, and a proper request's status.
+
+    All routers get the request again and again.
+    """
+    async with platform_site.running(_ROUTERS) as site:
+        crash_site = _CrashSite(site, service)
+        await crash_site.start()
+        await _crash_three(crash_site, path)
+        await asyncio.sleep(_CONTACT_S)
+        before = crash_site.sends()
+        for number in range(4 * _ROUTERS):
+            await crash_site.send(path, number % _ROUTERS, f"late-{number}")
+        late_sends = crash_site.sends() - before
+        await crash_site.all_replaced()
+        proper, _, _ = await site.call(path, body=b"proper")
+        return late_sends, proper
+
+
+class TestRepeatedRequest:
+    """A request that has ended three engines is sent again and again."""
+
+    def test_is_sent_no_more_after_three_engines_ended(self):
+        """Guards against a request that ends engine after engine."""
+
+        async def scenario():
+            return await asyncio.gather(
+                _late_sends(platform_site.RESUMABLE_PATH, "llm"),
+                _late_sends(platform_site.SAFE_PATH, "desk"),
+            )
+
+        (stream, plain) = asyncio.run(scenario())
+        assert (stream[1], plain[1]) == (200, 200)
+        assert stream[0] <= _LATE_SENDS_MAX
+        assert plain[0] <= _LATE_SENDS_MAX
