--- a/src/cowsliprill/cli/account.py
+++ b/src/cowsliprill/cli/account.py
@@ -26,6 +26,7 @@
         "no_endpoint",
         "not_ready",
         "leaving",
+        "request_quarantined",
         "settings_unconfirmed",
     }
 )
--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -35,6 +35,17 @@
 # Events of failed attempts; their lines name the engine or server.
 _FAILURE_EVENTS = ("attempt_lost", "call_lost", "stream_broken")
 
+# Events about a request wherever it was sent; their lines name its fingerprint.
+_QUARANTINE_EVENTS = frozenset(
+    {
+        "engine_crash_suspected",
+        "request_acquitted",
+        "request_held",
+        "request_quarantined",
+        "request_released",
+    }
+)
+
 # Context events further back from the request's first line are unlikely to
 # affect the request.
 _MAX_EARLIER_CONTEXT_LINES = 6
@@ -75,7 +86,8 @@
 
     Args:
       lines: Lines of all logs.
-      wanted_id: The router's ID of the request or the ID that its caller sent.
+      wanted_id: The router's ID of the request, the ID that its caller sent, or
+        the fingerprint of a request that was sent several times.
 
     Returns:
       Lines of the request and context events of the processes that handled it:
@@ -85,9 +97,15 @@
     request_ids = {
         line.request_id()
         for line in lines
-        if wanted_id in (line.request_id(), line.fields.get("caller"))
+        if wanted_id
+        in (
+            line.request_id(),
+            line.fields.get("caller"),
+            line.fields.get("fingerprint"),
+        )
     } - {""}
     request_lines = [line for line in lines if line.request_id() in request_ids]
+    request_lines += _quarantine_lines(lines, request_lines)
     if not request_lines:
         return []
     request_lines.sort(key=lambda line: line.time)
@@ -114,6 +132,21 @@
     return sorted(selected, key=lambda line: line.time)
 
 
+def _quarantine_lines(
+    lines: list[LogLine], request_lines: list[LogLine]
+) -> list[LogLine]:
+    """Returns what processes decided about repetitions of the request."""
+    fingerprints = {
+        line.fields.get("fingerprint", "") for line in request_lines
+    } - {""}
+    return [
+        line
+        for line in lines
+        if line.event in _QUARANTINE_EVENTS
+        and line.fields.get("fingerprint") in fingerprints
+    ]
+
+
 def format_line(line: LogLine) -> str:
     """Formats a line of a trace; `*` marks the lines of the request itself."""
     summary = _DESCRIPTIONS_BY_EVENT.get(line.event, line.event)
@@ -174,6 +207,11 @@
 
 
 _DESCRIPTIONS_BY_EVENT = {
+    "engine_crash_suspected": "an engine seems to have ended with it",
+    "request_acquitted": "an engine completed it",
+    "request_held": "held back until ends of engines are confirmed",
+    "request_quarantined": "quarantined, as engines ended with it",
+    "request_released": "may be sent again",
     "placed": "placed on engines",
     "refused": "refused",
     "attempt_lost": "an attempt came to nothing",
@@ -204,6 +242,9 @@
     "endpoint_failed": "Its engines or servers failed.",
     "stream_broken": "Its stream broke and couldn't go on.",
     "timeout": "Its time was over.",
+    "request_quarantined": (
+        "It was refused: engines had ended when they began to run it."
+    ),
     "leaving": "It was refused: this process was about to end.",
     "not_ready": "It was refused: this process knew no settings yet.",
     "path_not_found": "No route leads to its path.",
--- /dev/null
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -0,0 +1,95 @@
+"""Decides which requests caused the ends of engines.
+
+Several requests may have been about to start when an engine ended. The request
+that accounts for most of the ends is blamed for all of them, and the others are
+cleared of these: a request in bad company shares some ends with the cause, but
+hardly ever all of them.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from cowsliprill.decisions import crash_records
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Blame:
+    """The ends of engines that a request is blamed for.
+
+    Attributes:
+      records: The ends.
+      ambiguous: Whether another request accounts equally well for each of them.
+    """
+
+    records: tuple[crash_records.CrashRecord, ...]
+    ambiguous: bool
+
+    @property
+    def confirmed(self) -> int:
+        """Number of confirmed ends."""
+        return sum(record.confirmed for record in self.records)
+
+    @property
+    def latest_at(self) -> float:
+        """Time of the latest end in seconds."""
+        return max(record.observed_at for record in self.records)
+
+
+def assign(records: Iterable[crash_records.CrashRecord]) -> dict[str, Blame]:
+    """Assigns each end to the request that accounts for most of them.
+
+    Args:
+      records: The ends that count.
+
+    Returns:
+      The blame of each request that is blamed for at least one end, by
+      fingerprint.
+    """
+    unexplained = {
+        record.key: record for record in records if record.remaining_suspects
+    }
+    blame_by_fingerprint: dict[str, Blame] = {}
+    while unexplained:
+        leaders = _leading_suspects(unexplained.values())
+        for fingerprint in leaders:
+            blame_by_fingerprint[fingerprint] = _blame(
+                fingerprint, leaders, unexplained.values()
+            )
+        unexplained = {
+            key: record
+            for key, record in unexplained.items()
+            if not record.remaining_suspects & leaders
+        }
+    return blame_by_fingerprint
+
+
+def _leading_suspects(
+    records: Iterable[crash_records.CrashRecord],
+) -> frozenset[str]:
+    counts = collections.Counter(
+        fingerprint
+        for record in records
+        for fingerprint in record.remaining_suspects
+    )
+    highest = max(counts.values())
+    return frozenset(
+        fingerprint for fingerprint, count in counts.items() if count == highest
+    )
+
+
+def _blame(
+    fingerprint: str,
+    leaders: frozenset[str],
+    records: Iterable[crash_records.CrashRecord],
+) -> Blame:
+    involved = [
+        record for record in records if fingerprint in record.remaining_suspects
+    ]
+    return Blame(
+        records=tuple(involved),
+        ambiguous=all(
+            (record.remaining_suspects & leaders) != {fingerprint}
+            for record in involved
+        ),
+    )
--- /dev/null
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -0,0 +1,236 @@
+"""Records of engines that ended, with the requests that may have caused it.
+
+Each VM keeps a table and passes records on. Merging is commutative, associative
+and idempotent, so that lost, repeated and reordered messages do no harm.
+"""
+
+import dataclasses
+import hashlib
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+# An unconfirmed record is dropped after this time. The registry removes the
+# entry of an engine that has ended after three missed heartbeats.
+CONFIRMATION_TIMEOUT_S = 8.0
+
+RECORD_TTL_S = 86_400.0
+
+# Connections to an engine that ended are lost within this time, and no engine
+# starts again sooner.
+_SAME_CRASH_S = 2.0
+
+# Bounds of memory. An engine starts few requests at the same time.
+_MAX_RECORDS = 1_024
+_MAX_SUSPECTS = 32
+_MAX_ACQUITTED = _MAX_SUSPECTS
+
+_DIGEST_BYTES = 8
+
+CrashKey = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashRecord:
+    """One end of an engine.
+
+    Attributes:
+      endpoint_id: Id of the engine.
+      number: Distinguishes ends of engines that start again under their id.
+      life: `model.Endpoint.life` of the engine that ended.
+      suspects: Fingerprints of the requests that the engine had received and
+        given no output for.
+      acquitted: Fingerprints among the suspects that have since been completed
+        by an engine.
+      confirmed: Whether the engine is known to have ended, rather than only
+        the connections to it.
+      observed_at: Time of the first report in seconds, on the local clock.
+    """
+
+    endpoint_id: str
+    number: int
+    life: str = ""
+    suspects: frozenset[str] = frozenset()
+    acquitted: frozenset[str] = frozenset()
+    confirmed: bool = False
+    observed_at: float = 0.0
+
+    @property
+    def key(self) -> CrashKey:
+        """Identifies the record in the tables of all VMs."""
+        return (self.endpoint_id, self.number)
+
+    @property
+    def remaining_suspects(self) -> frozenset[str]:
+        """Suspects that haven't been acquitted."""
+        return self.suspects - self.acquitted
+
+    def is_expired(self, now: float) -> bool:
+        """Returns whether the record no longer counts.
+
+        Args:
+          now: Current time in seconds.
+        """
+        ttl_s = RECORD_TTL_S if self.confirmed else CONFIRMATION_TIMEOUT_S
+        return now - self.observed_at >= ttl_s
+
+    def merge(self, other: "CrashRecord") -> "CrashRecord":
+        """Returns the union of two records of the same end."""
+        suspects = sorted(self.suspects | other.suspects)[:_MAX_SUSPECTS]
+        acquitted = sorted(self.acquitted | other.acquitted)[:_MAX_ACQUITTED]
+        return dataclasses.replace(
+            self,
+            life=max(self.life, other.life),
+            suspects=frozenset(suspects),
+            acquitted=frozenset(acquitted),
+            confirmed=self.confirmed or other.confirmed,
+            observed_at=min(self.observed_at, other.observed_at),
+        )
+
+    def content(self) -> tuple:
+        """Returns what all VMs agree on once they have exchanged records."""
+        return (
+            self.endpoint_id,
+            self.number,
+            sorted(self.suspects),
+            sorted(self.acquitted),
+            self.confirmed,
+        )
+
+
+class CrashTable:
+    """The crash records known to one VM."""
+
+    def __init__(self) -> None:
+        self._records_by_key: dict[CrashKey, CrashRecord] = {}
+
+    def __len__(self) -> int:
+        return len(self._records_by_key)
+
+    def __iter__(self) -> Iterator[CrashRecord]:
+        return iter(self._records_by_key.values())
+
+    def observe(
+        self, endpoint_id: str, life: str, fingerprint: str, now: float
+    ) -> CrashRecord | None:
+        """Records that an engine seems to have ended while it had a request.
+
+        Args:
+          endpoint_id: Id of the engine.
+          life: Life of the engine as listed.
+          fingerprint: Fingerprint of the request.
+          now: Current time in seconds.
+
+        Returns:
+          The new or changed record, None if nothing changed.
+        """
+        return self.merge(
+            CrashRecord(
+                endpoint_id=endpoint_id,
+                number=self._number(endpoint_id, life, now),
+                life=life,
+                suspects=frozenset({fingerprint}),
+                observed_at=now,
+            ),
+            now,
+        )
+
+    def confirm(self, key: CrashKey) -> CrashRecord | None:
+        """Marks an end as certain.
+
+        Args:
+          key: Key of the record.
+
+        Returns:
+          The changed record, None if nothing changed.
+        """
+        record = self._records_by_key.get(key)
+        if record is None or record.confirmed:
+            return None
+        return self._replace(record, confirmed=True)
+
+    def acquit(self, fingerprint: str) -> list[CrashRecord]:
+        """Clears a request that an engine has completed.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+
+        Returns:
+          The changed records.
+        """
+        return [
+            self._replace(record, acquitted=record.acquitted | {fingerprint})
+            for record in list(self)
+            if fingerprint in record.remaining_suspects
+        ]
+
+    def merge(self, record: CrashRecord, now: float) -> CrashRecord | None:
+        """Adds a record, of this VM or of another one.
+
+        Args:
+          record: The record.
+          now: Current time in seconds.
+
+        Returns:
+          The new or changed record, None if nothing changed.
+        """
+        if record.is_expired(now):
+            return None
+        known = self._records_by_key.get(record.key)
+        merged = record.merge(record if known is None else known)
+        if known is not None and merged.content() == known.content():
+            return None
+        self._records_by_key[record.key] = merged
+        self._limit_size()
+        return merged
+
+    def expire(self, now: float) -> list[CrashRecord]:
+        """Removes and returns the records that no longer count.
+
+        Args:
+          now: Current time in seconds.
+        """
+        expired = [record for record in self if record.is_expired(now)]
+        for record in expired:
+            del self._records_by_key[record.key]
+        return expired
+
+    def unconfirmed(self) -> list[CrashRecord]:
+        """Returns the records whose engines may still run."""
+        return [record for record in self if not record.confirmed]
+
+    def confirmed(self) -> list[CrashRecord]:
+        """Returns the records whose engines have ended for certain."""
+        return [record for record in self if record.confirmed]
+
+    def digest(self) -> str:
+        """Returns a digest that is equal where the confirmed records are."""
+        contents = sorted(record.content() for record in self.confirmed())
+        digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        digest.update(repr(contents).encode())
+        return digest.hexdigest()
+
+    def _number(self, endpoint_id: str, life: str, now: float) -> int:
+        earlier = [item for item in self if item.endpoint_id == endpoint_id]
+        if not earlier:
+            return 0
+        last = max(earlier, key=lambda record: record.number)
+        same_life = last.life == life
+        if same_life and now - last.observed_at < _SAME_CRASH_S:
+            return last.number
+        return last.number + 1
+
+    def _replace(self, record: CrashRecord, **changes: object) -> CrashRecord:
+        changed = dataclasses.replace(record, **changes)
+        self._records_by_key[record.key] = changed
+        return changed
+
+    def _limit_size(self) -> None:
+        if len(self) <= _MAX_RECORDS:
+            return
+        oldest = min(self, key=lambda item: (item.confirmed, item.observed_at))
+        del self._records_by_key[oldest.key]
+
+
+def endpoint_ids(records: Iterable[CrashRecord]) -> list[str]:
+    """Returns the ids of the engines that ended, sorted."""
+    return sorted({record.endpoint_id for record in records})
--- a/src/cowsliprill/decisions/mechanisms.py
+++ b/src/cowsliprill/decisions/mechanisms.py
@@ -30,6 +30,7 @@
         address, only the latest incarnation is used.
       LOCAL_PREFILL: Local prefill on decode engines.
       PEER_UPDATES: VMs get registry updates from each other.
+      QUARANTINE: Requests that end engines are refused.
       ROLE_ORDERS: Engines are switched between prefill and decode.
       OUTLIER_DETECTION: Servers of plain services are ejected by their failure
         rate compared with that of their peers.
@@ -44,6 +45,7 @@
     ONE_INCARNATION_PER_ADDRESS = "one_life_an_address"
     LOCAL_PREFILL = "own_reading"
     PEER_UPDATES = "peer_news"
+    QUARANTINE = "quarantine"
     ROLE_ORDERS = "role_orders"
     OUTLIER_DETECTION = "server_comparison"
     SIZE_VALUE = "size_worth"
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -367,5 +367,10 @@
     sequence: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Recheck:
+    """Check again whether the request may be sent; never leaves the process."""
+
+
 Decision = Start | Refuse
 Action = Start | Refuse | CancelAttempt | SlotDemand
--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -29,12 +29,17 @@
 
 
 class ConnectFailed(CallError):  # noqa: N818
-    """The connection could not be established, so nothing was sent."""
+    """The connection could not be established, so nothing was sent.
+
+    Attributes:
+      refused: Whether the host answered that nothing listens at the port.
+    """
 
     code = "connect_failed"
 
-    def __init__(self, message: str) -> None:
+    def __init__(self, message: str, *, refused: bool = False) -> None:
         super().__init__(message, run=messages.Executed.NO)
+        self.refused = refused
 
 
 class ConnectionLimitReached(ConnectFailed):
@@ -43,6 +48,25 @@
     code = "connections_spent"
 
 
+class ConnectionLost(CallError):  # noqa: N818
+    """The endpoint closed or reset the connection during the call."""
+
+    code = "connection_lost"
+
+
+def lost_connection(message: str, cause: BaseException | None) -> CallError:
+    """Returns the error for a connection that was lost during a call.
+
+    Args:
+      message: Error message.
+      cause: Error of the connection, None if the endpoint closed it.
+    """
+    if isinstance(cause, TimeoutError):
+        # The host stopped answering, so the endpoint has closed nothing.
+        return CallError(message)
+    return ConnectionLost(message)
+
+
 class CallTimeout(CallError):  # noqa: N818
     """The response exceeded the call timeout or the stall timeout."""
 
@@ -109,14 +133,21 @@
     Attributes:
       reason: Why the stream is not complete.
       last_token: Number of the last token delivered.
+      connection_lost: Whether the engine closed or reset the connection.
     """
 
     code = "stream_broken"
 
     def __init__(
-        self, message: str, *, reason: stream.StreamFault, last_token: int
+        self,
+        message: str,
+        *,
+        reason: stream.StreamFault,
+        last_token: int,
+        connection_lost: bool = False,
     ) -> None:
         super().__init__(message)
+        self.connection_lost = connection_lost
         self.reason = reason
         self.last_token = last_token
 
--- a/src/cowsliprill/engines/event_stream.py
+++ b/src/cowsliprill/engines/event_stream.py
@@ -110,6 +110,7 @@
             f"stream is {reason} after event {self.last_id!r}: {error}",
             reason=reason,
             last_token=self.tokens,
+            connection_lost=isinstance(error, errors.ConnectionLost),
         )
 
 
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -181,7 +181,10 @@
         """Fails the exchange: the connection closed during the response."""
         cause = self._stream.error or "closed"
         self.fail(
-            errors.CallError(f"connection lost during the response: {cause}")
+            errors.lost_connection(
+                f"connection lost during the response: {cause}",
+                self._stream.error,
+            )
         )
 
     # Methods for the client.
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -306,8 +306,10 @@
             connect_task.add_done_callback(_close_abandoned)
             raise
         except (OSError, iostream.StreamClosedError) as error:
+            cause = _cause_of(error)
             raise errors.ConnectFailed(
-                f"{host}:{port}: {_cause_of(error)}"
+                f"{host}:{port}: {cause}",
+                refused=isinstance(cause, ConnectionRefusedError),
             ) from error
         stream.set_nodelay(True)
         _enable_keep_alive(stream.socket)
@@ -384,8 +386,9 @@
         try:
             await connection.read_response(exchange)
         except (OSError, iostream.StreamClosedError) as error:
+            cause = _cause_of(error)
             exchange.fail(
-                errors.CallError(f"connection lost: {_cause_of(error)}")
+                errors.lost_connection(f"connection lost: {cause}", cause)
             )
         except iostream.UnsatisfiableReadError as error:
             exchange.fail(errors.CallError(f"malformed response: {error}"))
--- a/src/cowsliprill/engines/token_stream.py
+++ b/src/cowsliprill/engines/token_stream.py
@@ -44,6 +44,7 @@
           errors.StreamBroken: The stream is truncated, stalled or invalid.
         """
         reason = stream_lib.StreamFault.TRUNCATED
+        connection_lost = False
         try:
             async for chunk in self._response.chunks():
                 result = self.validator.feed(chunk)
@@ -53,8 +54,8 @@
                     break
         except errors.CallTimeout:
             reason = stream_lib.StreamFault.STALLED
-        except errors.CallError:
-            pass
+        except errors.CallError as error:
+            connection_lost = isinstance(error, errors.ConnectionLost)
         finally:
             self._release_connection()
         result = self.validator.end(reason)
@@ -63,6 +64,7 @@
                 f"stream is {result.reason} after token {result.last_token}",
                 reason=result.reason,
                 last_token=result.last_token,
+                connection_lost=connection_lost,
             )
 
     def _release_connection(self) -> None:
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -19,6 +19,7 @@
       resumable: Whether another engine may resume the broken stream.
       sent: Whether the endpoint got the request and neither refused nor
         answered it.
+      connection_lost: Whether the endpoint then closed the connection.
       had_output: Whether the endpoint had sent output of this attempt.
       reason: One sentence for the log.
     """
@@ -36,10 +37,12 @@
         kept_s: float = 0.0,
         resumable: bool = False,
         sent: bool = False,
+        connection_lost: bool = False,
         had_output: bool = False,
     ) -> None:
         super().__init__(reason)
         self.sent = sent
+        self.connection_lost = connection_lost
         self.had_output = had_output
         self.endpoint_id = endpoint_id
         self.stage = stage
@@ -60,6 +63,7 @@
       reason: One sentence for the log.
       answer: The server's error response, None if there was none.
       unsent: Whether no byte of the call was sent.
+      connection_lost: Whether the server closed the connection during the call.
     """
 
     def __init__(
@@ -69,9 +73,11 @@
         answer: service_client.ServiceResponse | None = None,
         *,
         unsent: bool = False,
+        connection_lost: bool = False,
     ) -> None:
         super().__init__(reason)
         self.unsent = unsent
+        self.connection_lost = connection_lost
         self.run = run
         self.reason = reason
         self.answer = answer
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -16,6 +16,7 @@
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import outlier_detection
+from cowsliprill.decisions import quarantine
 from cowsliprill.decisions import request_fingerprint
 from cowsliprill.decisions import retry_budget
 from cowsliprill.decisions import tickets
@@ -31,6 +32,7 @@
 from cowsliprill.entry import native
 from cowsliprill.entry import placement_backend as backend_lib
 from cowsliprill.entry import plain_relay
+from cowsliprill.entry import quarantine_components
 from cowsliprill.entry import routes
 from cowsliprill.entry import ticket_forwarding
 from cowsliprill.entry.filters import admission
@@ -131,6 +133,16 @@
             )
         )
         self._scheduling = self._placement_backend.scheduling
+        self._quarantine = quarantine_components.QuarantineComponents(
+            environment,
+            self._cluster_state,
+            self._http,
+            self._auth,
+            lambda: self.shell.port,
+            log,
+            self._metrics,
+            self._random,
+        )
         self._source = source
         self._quotas = quotas or quota.Unlimited()
         self._authorization = authorization.Authorization(
@@ -177,6 +189,7 @@
             for background_work in (
                 self._source.run(),
                 *self._placement_backend.background_work(),
+                *self._quarantine.background_work(),
             )
         ]
         ended = asyncio.create_task(self.shell.run_until_stopped())
@@ -203,6 +216,7 @@
         self.shell.listen(
             [
                 *routes.peer_routes(self._gate, components, self._auth),
+                *self._quarantine.peer_routes(),
                 *self.peer_routes,
             ]
         )
@@ -239,7 +253,11 @@
             ),
             admission=admission.Admission(),
             model_placement=model_placement.ModelPlacement(
-                self._scheduling, self._budgets, self._log, self._authorization
+                self._scheduling,
+                self._budgets,
+                self._log,
+                self._authorization,
+                self._quarantine.check,
             ),
             plain_placement=plain_placement.PlainPlacement(
                 self._environment.availability_zone,
@@ -248,6 +266,7 @@
                 self._log,
                 self._random,
                 self._authorization,
+                self._quarantine.check,
                 self._outlier_detector,
             ),
             model_relay=model_relay.ModelRelay(
@@ -258,6 +277,7 @@
                 self._dialect.resumer,
                 self._report_leaving,
                 self._log,
+                self._quarantine.check,
             ),
             plain_relay=plain_relay.PlainRelay(self._dialect.services),
             ticket_store=ticket_store,
@@ -272,6 +292,7 @@
     def _apply_cluster_state(self) -> None:
         snapshot = self._source.snapshot
         self._cluster_state.update(snapshot, self._source.fleet)
+        self._quarantine.cluster_state_changed()
         self._http.limits_by_address = connection_limits.limits_for_endpoints(
             snapshot, self._source.fleet
         )
@@ -308,6 +329,10 @@
         self._leaving_reports.add(report_task)
         report_task.add_done_callback(self._leaving_reports.discard)
 
+    def set_quarantine_limits(self, limits: quarantine.Limits) -> None:
+        """Applies new limits of the quarantine of requests."""
+        self._quarantine.set_limits(limits)
+
     def _unready_reason(self) -> str:
         if self._gate.draining:
             return "draining"
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -30,6 +30,7 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     IN_PROGRESS = "in_progress"
     KEY_REUSED = "idempotency_key_reused"
+    REQUEST_QUARANTINED = "request_quarantined"
     RESPONSE_NOT_STORED = "answer_not_stored"
     TICKET_INVALID = "ticket_invalid"
     TICKET_EXPIRED = "ticket_expired"
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -12,6 +12,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import placement_backend
+from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
 
 _MS_PER_S = 1_000
@@ -42,24 +43,28 @@
       log: The process's log.
       authorization: Checks before each attempt that the caller's API key may
         still be accepted.
+      quarantine: Refuses requests that end engines.
     """
 
     scheduling: placement_backend.Scheduling
     budgets: retry_budget.RetryBudgets
     log: log_lib.Log
     authorization: authorization.Authorization
+    quarantine: request_quarantine.RequestQuarantine
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handler
     ) -> None:
         """Runs attempts until one succeeds or the scheduler refuses."""
+        self.quarantine.check(ctx)
         self.budgets.of(ctx.service).deposit()
         decisions = self.scheduling.submit(_make_submit(ctx))
         completed = False
         try:
             left_s = ctx.response_due_at - clock.now()
             async with asyncio.timeout(left_s) as timeout:
-                await self._run_attempts(ctx, proceed, decisions)
+                with self.quarantine.notify(ctx, decisions):
+                    await self._run_attempts(ctx, proceed, decisions)
             completed = True
         except TimeoutError as error:
             if not timeout.expired():
@@ -81,10 +86,12 @@
         self,
         ctx: context.Context,
         proceed: context.Handler,
-        decisions: asyncio.Queue[messages.Decision],
+        decisions: asyncio.Queue[messages.Decision | messages.Recheck],
     ) -> None:
         while True:
             match await decisions.get():
+                case messages.Recheck():
+                    self.quarantine.check(ctx)
                 case messages.Refuse() as refusal:
                     raise self._refusal_error(ctx, refusal)
                 case messages.Start() as start:
@@ -118,8 +125,11 @@
         try:
             await proceed(ctx)
         except attempts.AttemptError as lost:
+            if lost.connection_lost and not lost.had_output:
+                await self.quarantine.report_lost(ctx, lost.endpoint_id)
             self._handle_lost_attempt(ctx, lost)
             return False
+        self.quarantine.report_completed(ctx)
         self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
         return True
 
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -16,6 +16,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import plain_relay
+from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
 
 # A server that hasn't responded within this multiple of the TTFT target has
@@ -41,6 +42,7 @@
       random_source: Breaks ties between equally loaded servers.
       authorization: Checks before each attempt that the caller's API key may
         still be accepted.
+      quarantine: Refuses requests that end servers.
       health: Outlier detector that ejects failing servers for a while.
     """
 
@@ -50,6 +52,7 @@
     log: log_lib.Log
     random_source: random.Random
     authorization: authorization.Authorization
+    quarantine: request_quarantine.RequestQuarantine
     health: outlier_detection.OutlierDetector = dataclasses.field(
         default_factory=outlier_detection.OutlierDetector
     )
@@ -61,6 +64,7 @@
         self, ctx: context.Context, proceed: context.Handler
     ) -> None:
         """Calls servers until one responds or no retry is allowed."""
+        self.quarantine.check(ctx)
         self.budgets.of(ctx.service).deposit()
         tried_ids: set[str] = set()
         ctx.endpoint = self._select_endpoint(ctx, tried_ids)
@@ -71,13 +75,16 @@
                     ctx, messages.RefusalCode.TARGET_UNREACHABLE
                 )
             self.authorization.check(ctx)
+            self.quarantine.check(ctx)
             ctx.progress.attempts += 1
             ctx.stall_timeout_s = _stall_timeout_s(ctx)
             try:
                 await self._run_call(ctx, proceed)
                 self.health.record_success(ctx.endpoint.id)
+                self.quarantine.report_completed(ctx)
                 return
             except attempts.PlainCallError as lost:
+                await self._report_to_quarantine(ctx, lost)
                 self._record_lost_call(ctx, lost)
                 tried_ids.add(ctx.endpoint.id)
                 if lost.unsent and unsent < _MAX_UNSENT_CALLS:
@@ -95,6 +102,15 @@
             if not _may_have_side_effects(ctx):
                 ctx.endpoint = self._select_endpoint(ctx, tried_ids)
 
+    async def _report_to_quarantine(
+        self, ctx: context.Context, lost: attempts.PlainCallError
+    ) -> None:
+        if lost.connection_lost:
+            await self.quarantine.report_lost(ctx, ctx.endpoint.id)
+        elif lost.answer is not None:
+            # A server that answers, even with an error, has not ended.
+            self.quarantine.report_completed(ctx)
+
     def _may_retry(self, ctx: context.Context) -> bool:
         # Services may share a budget but have their own limits of attempts;
         # fetching the budget again applies the limit of this service.
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -15,6 +15,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import placement_backend
+from cowsliprill.entry import request_quarantine
 from cowsliprill.entry import sinks
 from cowsliprill.observability import log as log_lib
 
@@ -56,6 +57,7 @@
       report_leaving: Called with endpoint ID and TTL in seconds when an engine
         responds that it is draining.
       log: Process log.
+      quarantine: Checked right before work is sent to an engine.
     """
 
     calls: calls_lib.EngineCalls
@@ -65,6 +67,7 @@
     resumer: calls_lib.StreamResumer | None
     report_leaving: ReportLeaving
     log: log_lib.Log
+    quarantine: request_quarantine.RequestQuarantine
 
     async def __call__(self, ctx: context.Context) -> None:
         """Runs the attempt in `ctx.start` and relays the output to the caller.
@@ -145,6 +148,7 @@
         endpoint = self._available_endpoint(ctx.start.prefill_id, stage)
         self._check_lease(ctx.start, ctx.start.decode_id, stage)
         self._check_lease(ctx.start, endpoint.id, stage)
+        self.quarantine.check(ctx)
         ctx.progress.prefills += 1
         with self._guard_call(ctx, endpoint, stage) as call:
             call.result = await self.calls.prefill(
@@ -159,6 +163,7 @@
         try:
             endpoint = self._available_endpoint(ctx.start.decode_id, stage)
             self._check_lease(ctx.start, endpoint.id, stage)
+            self.quarantine.check(ctx)
             with self._guard_call(ctx, endpoint, stage) as call:
                 call.result = await self.calls.decode(
                     ctx, endpoint, prefilled, _remaining_time_s(ctx)
@@ -228,6 +233,7 @@
                         str(broken),
                         resumable=True,
                         sent=True,
+                        connection_lost=broken.connection_lost,
                         had_output=stream.tokens > 0,
                     ) from broken
                 if ctx.progress.first_token_at:
@@ -251,6 +257,7 @@
                     messages.Stage.DECODE,
                     str(broken),
                     sent=True,
+                    connection_lost=broken.connection_lost,
                 ) from broken
 
     async def _relay_events(
@@ -390,6 +397,7 @@
             unreachable=isinstance(error, engine_errors.ConnectFailed),
             answered=isinstance(error, engine_errors.EngineFailed),
             sent=_was_sent(error),
+            connection_lost=isinstance(error, engine_errors.ConnectionLost),
         ) from error
 
     def _revert_progress(self) -> None:
--- a/src/cowsliprill/entry/plain_relay.py
+++ b/src/cowsliprill/entry/plain_relay.py
@@ -51,6 +51,7 @@
                 error.run,
                 str(error),
                 unsent=isinstance(error, engine_errors.ConnectFailed),
+                connection_lost=isinstance(error, engine_errors.ConnectionLost),
             ) from error
         finally:
             # Runs too when the caller disconnects during the call.
--- /dev/null
+++ b/src/cowsliprill/entry/quarantine_components.py
@@ -0,0 +1,99 @@
+"""Composition of the parts that quarantine requests in one process."""
+
+import random
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from cowsliprill import environment as environment_lib
+from cowsliprill import peer_auth
+from cowsliprill import peer_handler
+from cowsliprill import peers
+from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import quarantine
+from cowsliprill.engines import http_client
+from cowsliprill.entry import cluster_state as cluster_state_lib
+from cowsliprill.entry import coordinator_client
+from cowsliprill.entry import request_quarantine
+from cowsliprill.observability import log as log_lib
+from cowsliprill.observability import metrics as metrics_lib
+from cowsliprill.quarantine import crash_detector
+from cowsliprill.quarantine import ledger as ledger_lib
+from cowsliprill.quarantine import peer_exchange
+from cowsliprill.quarantine import wire
+
+
+class QuarantineComponents:
+    """Crash records, their detection and exchange, and the check of requests.
+
+    Args:
+      environment: Configuration of the process.
+      cluster_state: Current settings and VM list.
+      http: HTTP client for endpoints and peers.
+      auth: Signs messages to peers.
+      own_port: Returns the peer port of this process.
+      log: Log of the process.
+      metrics: Metrics of the process.
+      rng: Chooses peers.
+
+    Attributes:
+      check: Interface for the filters that send requests to engines.
+    """
+
+    def __init__(
+        self,
+        environment: environment_lib.Environment,
+        cluster_state: cluster_state_lib.ClusterState,
+        http: http_client.HttpClient,
+        auth: peer_auth.PeerAuth,
+        own_port: Callable[[], int],
+        log: log_lib.Log,
+        metrics: metrics_lib.Metrics,
+        rng: random.Random,
+    ) -> None:
+        limits = environment.quarantine_limits()
+        self._auth = auth
+        self._ledger = ledger_lib.CrashLedger(
+            quarantine.Quarantine(limits), log, metrics
+        )
+        self._detector = crash_detector.CrashDetector(
+            self._ledger, cluster_state, http, log
+        )
+        self._exchange = peer_exchange.PeerExchange(
+            environment.vm,
+            own_port,
+            self._ledger,
+            self._detector.can_be_ended,
+            cluster_state,
+            coordinator_client.CoordinatorClient(http, auth),
+            log,
+            rng,
+        )
+        self.check: request_quarantine.RequestQuarantine = (
+            request_quarantine.Disabled()
+        )
+        disabled = environment.mechanisms_off
+        if mechanisms.Mechanism.QUARANTINE not in disabled:
+            self.check = request_quarantine.LedgerQuarantine(
+                self._ledger, self._detector, log
+            )
+
+    def cluster_state_changed(self) -> None:
+        """Applies new settings and a new VM list."""
+        self._detector.cluster_state_changed()
+
+    def set_limits(self, limits: quarantine.Limits) -> None:
+        """Applies new limits."""
+        self._ledger.set_limits(limits)
+
+    def peer_routes(self) -> list[tuple]:
+        """Returns the tornado routes of the peer port."""
+        arguments = {
+            "auth": self._auth,
+            "kind": wire.CrashExchange,
+            "respond": self._exchange.handle,
+        }
+        return [(peers.CRASHES_PATH, peer_handler.MessageHandler, arguments)]
+
+    def background_work(self) -> list[Awaitable[None]]:
+        """Returns the awaitables to run as background tasks."""
+        return [self._detector.run(), self._exchange.run()]
--- /dev/null
+++ b/src/cowsliprill/entry/request_quarantine.py
@@ -0,0 +1,138 @@
+"""Refusal of requests that end the engines which begin to run them."""
+
+import asyncio
+import collections
+import contextlib
+from collections.abc import Iterator
+from typing import Protocol
+
+from cowsliprill.decisions import messages
+from cowsliprill.entry import context
+from cowsliprill.entry import errors
+from cowsliprill.observability import log as log_lib
+from cowsliprill.quarantine import crash_detector
+from cowsliprill.quarantine import ledger as ledger_lib
+
+_MS_PER_S = 1_000
+
+
+class RequestQuarantine(Protocol):
+    """Interface for the filters that send requests to engines."""
+
+    def check(self, ctx: context.Context) -> None:
+        """Checks right before a send that the request may be sent.
+
+        Args:
+          ctx: The request.
+
+        Raises:
+          errors.EntryError: The request has ended too many engines.
+        """
+
+    async def report_lost(self, ctx: context.Context, endpoint_id: str) -> None:
+        """Reports that an engine closed the connection without any output."""
+
+    def report_completed(self, ctx: context.Context) -> None:
+        """Reports that an engine has run the request to its end."""
+
+    def notify(
+        self, ctx: context.Context, decisions: asyncio.Queue
+    ) -> contextlib.AbstractContextManager[None]:
+        """Puts `messages.Recheck` into a queue when restrictions change."""
+
+
+class Disabled:
+    """Refuses no request."""
+
+    def check(self, ctx: context.Context) -> None:
+        """Does nothing."""
+
+    async def report_lost(self, ctx: context.Context, endpoint_id: str) -> None:
+        """Does nothing."""
+
+    def report_completed(self, ctx: context.Context) -> None:
+        """Does nothing."""
+
+    @contextlib.contextmanager
+    def notify(
+        self, ctx: context.Context, decisions: asyncio.Queue
+    ) -> Iterator[None]:
+        """Does nothing."""
+        del ctx, decisions
+        yield
+
+
+class LedgerQuarantine:
+    """Refuses requests by the crash records of all VMs.
+
+    Args:
+      ledger: Crash records.
+      detector: Finds out whether an engine has ended.
+      log: Log of the process.
+    """
+
+    def __init__(
+        self,
+        ledger: ledger_lib.CrashLedger,
+        detector: crash_detector.CrashDetector,
+        log: log_lib.Log,
+    ) -> None:
+        self._ledger = ledger
+        self._detector = detector
+        self._log = log
+        self._queues_by_fingerprint: dict[str, list[asyncio.Queue]] = (
+            collections.defaultdict(list)
+        )
+        ledger.subscribe(self._recheck_waiting)
+
+    def check(self, ctx: context.Context) -> None:
+        """Raises `errors.EntryError` if the request must not be sent."""
+        restriction = self._ledger.restriction(ctx.fingerprint)
+        if restriction is None or ctx.progress.tokens:
+            # An engine has given output for this request without ending.
+            return
+        self._log.event(
+            "refused",
+            request=ctx.request_id,
+            caller=ctx.caller_id,
+            fingerprint=ctx.fingerprint,
+            reason=errors.Code.REQUEST_QUARANTINED.value,
+            kind=restriction.kind.value,
+            crashes=len(restriction.records),
+            retry_after_ms=round(restriction.left_s * _MS_PER_S, 1),
+        )
+        raise errors.EntryError(
+            errors.Code.REQUEST_QUARANTINED,
+            "Engines ended when they began to run this request.",
+            run=ctx.progress.run,
+            retry_after_s=restriction.left_s,
+        )
+
+    async def report_lost(self, ctx: context.Context, endpoint_id: str) -> None:
+        """Finds out whether an engine has ended, and records the request."""
+        await self._detector.report_lost(endpoint_id, ctx.fingerprint)
+
+    def report_completed(self, ctx: context.Context) -> None:
+        """Clears the request of earlier suspicions."""
+        self._ledger.acquit(ctx.fingerprint)
+
+    @contextlib.contextmanager
+    def notify(
+        self, ctx: context.Context, decisions: asyncio.Queue
+    ) -> Iterator[None]:
+        """Has the request checked again while it waits."""
+        queues = self._queues_by_fingerprint[ctx.fingerprint]
+        queues.append(decisions)
+        try:
+            yield
+        finally:
+            queues.remove(decisions)
+            if not queues:
+                del self._queues_by_fingerprint[ctx.fingerprint]
+
+    def _recheck_waiting(self, changed: object) -> None:
+        del changed
+        for fingerprint, queues in self._queues_by_fingerprint.items():
+            if self._ledger.restriction(fingerprint) is not None:
+                for decisions in queues:
+                    decisions.put_nowait(messages.Recheck())
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -7,11 +7,15 @@
 
 import json
 import pathlib
+from typing import Annotated
 
 import pydantic
 
 from cowsliprill import errors
 from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import quarantine
+
+Fingerprint = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{16}$")]
 
 
 class EnvironmentFileError(errors.CowsliprillError):
@@ -46,6 +50,12 @@
         system to each other; if empty, every message is accepted.
       seed: Seed of the process's random numbers; None chooses one at random.
       mechanisms_off: Mechanisms that are disabled for an experiment.
+      quarantine_crashes: Number of engines that a request may end before it is
+        refused.
+      quarantine_s: Seconds for which it is then refused; doubles with each
+        further engine.
+      released_requests: Fingerprints of requests that are never refused for
+        this reason.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -65,6 +75,17 @@
     peer_secret: pydantic.SecretStr = pydantic.SecretStr("")
     seed: int | None = None
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
+    quarantine_crashes: int = pydantic.Field(default=3, ge=2, le=100)
+    quarantine_s: float = pydantic.Field(default=600.0, gt=0.0, le=86_400.0)
+    released_requests: frozenset[Fingerprint] = frozenset()
+
+    def quarantine_limits(self) -> quarantine.Limits:
+        """Returns the limits of the quarantine of requests."""
+        return quarantine.Limits(
+            crashes=self.quarantine_crashes,
+            quarantine_s=self.quarantine_s,
+            released=self.released_requests,
+        )
 
 
 def load(path: pathlib.Path) -> Environment:
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -30,6 +30,10 @@
       registry_reads: Calls to the store by `prefix` and `result` (answered,
         failed).
       log_lines_dropped: Log lines dropped because the reader was too slow.
+      engine_crashes: Ends of engines that lost a started request, by `state`
+        (suspected, confirmed), as seen by this process.
+      restricted_requests: Requests that are refused because they end engines,
+        by `kind` (held, quarantined).
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
@@ -87,6 +91,15 @@
             registry=self.registry,
         )
 
+        self.engine_crashes = aioprometheus.Counter(
+            prefix + "engine_crashes_total",
+            "Ends of engines that lost a started request.",
+            registry=self.registry,
+        )
+        self.restricted_requests = self._gauge(
+            "restricted_requests", "Requests refused because they end engines."
+        )
+
         self.members = self._gauge("members", "VMs that are heard.")
         self.registry_position = self._gauge(
             "registry_position", "Newest change known of the registry."
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -37,6 +37,9 @@
   `POST /v1/quotas` `quotas.wire.UsageReport` ->
   `quotas.wire.UsageResponse`: customers' usage at a VM, for the VM that manages
   their quotas, and the admissible usage.
+Entry and router processes:
+  `POST /v1/crashes` `quarantine.wire.CrashExchange` -> the same: ends of
+  engines and the requests that may have caused them.
 All processes: `GET /healthz`, `GET /readyz`, `GET /metrics`, `GET /v1/status`.
 """
 
@@ -54,6 +57,7 @@
 CELLS_PATH = "/v1/cells"
 QUOTAS_PATH = "/v1/quotas"
 REGISTRY_PATH = "/v1/registry"
+CRASHES_PATH = "/v1/crashes"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
--- /dev/null
+++ b/src/cowsliprill/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that end engines: detection, exchange, refusals."""
--- /dev/null
+++ b/src/cowsliprill/quarantine/wire.py
@@ -0,0 +1,93 @@
+"""Messages by which processes exchange crash records."""
+
+import dataclasses
+from typing import Annotated
+
+import pydantic
+
+from cowsliprill.decisions import crash_records
+
+# Bounds of what is accepted from a peer.
+_MAX_RECORDS = 1_024
+_MAX_FINGERPRINTS = 32
+
+_Fingerprint = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{16}$")]
+_Fingerprints = Annotated[
+    tuple[_Fingerprint, ...], pydantic.Field(max_length=_MAX_FINGERPRINTS)
+]
+_Age = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WireCrash:
+    """Wire format of `crash_records.CrashRecord`.
+
+    Attributes:
+      endpoint_id: Id of the engine that ended.
+      number: Distinguishes ends of engines that start again under their id.
+      life: Life of the engine.
+      suspects: Fingerprints of the suspects.
+      acquitted: Fingerprints of the suspects that were cleared.
+      confirmed: Whether the engine is known to have ended.
+      age_s: Time since the first report in seconds.
+    """
+
+    endpoint_id: str
+    number: Annotated[int, pydantic.Field(ge=0)]
+    life: str = ""
+    suspects: _Fingerprints = ()
+    acquitted: _Fingerprints = ()
+    confirmed: bool = False
+    age_s: _Age = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashExchange:
+    """Request and response of the exchange.
+
+    Attributes:
+      crashes: Records that the receiver may lack.
+      digest: Digest of the sender's confirmed records; in a request, asks for
+        the receiver's records if they differ. Empty for none.
+    """
+
+    crashes: Annotated[
+        tuple[WireCrash, ...], pydantic.Field(max_length=_MAX_RECORDS)
+    ] = ()
+    digest: str = ""
+
+
+def to_wire(record: crash_records.CrashRecord, now: float) -> WireCrash:
+    """Converts a record to its wire format.
+
+    Args:
+      record: The record.
+      now: Current time in seconds.
+    """
+    return WireCrash(
+        endpoint_id=record.endpoint_id,
+        number=record.number,
+        life=record.life,
+        suspects=tuple(sorted(record.suspects)),
+        acquitted=tuple(sorted(record.acquitted)),
+        confirmed=record.confirmed,
+        age_s=round(max(now - record.observed_at, 0.0), 3),
+    )
+
+
+def from_wire(crash: WireCrash, now: float) -> crash_records.CrashRecord:
+    """Converts a record from its wire format.
+
+    Args:
+      crash: The record as received.
+      now: Current time in seconds.
+    """
+    return crash_records.CrashRecord(
+        endpoint_id=crash.endpoint_id,
+        number=crash.number,
+        life=crash.life,
+        suspects=frozenset(crash.suspects),
+        acquitted=frozenset(crash.acquitted),
+        confirmed=crash.confirmed,
+        observed_at=now - crash.age_s,
+    )
--- a/src/cowsliprill/router/config.py
+++ b/src/cowsliprill/router/config.py
@@ -63,6 +63,12 @@
         authenticated.
       mechanisms_off: Mechanisms of the decision code that are disabled for an
         experiment.
+      quarantine_crashes: Number of engines that a request may end before it is
+        refused.
+      quarantine_s: Seconds for which it is then refused; doubles with each
+        further engine.
+      released_requests: Fingerprints of requests that are never refused for
+        this reason; applied when the file changes.
       path: Path of the file, None if the configuration was not read from one.
     """
 
@@ -86,6 +92,9 @@
     grace_s: float = 8.0
     peer_secret: str = ""
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
+    quarantine_crashes: int = pydantic.Field(default=3, ge=2, le=100)
+    quarantine_s: float = pydantic.Field(default=600.0, gt=0.0, le=86_400.0)
+    released_requests: frozenset[environment.Fingerprint] = frozenset()
     path: pathlib.Path | None = None
 
     def cores(self) -> float:
@@ -120,6 +129,9 @@
             ),
             peer_secret=self.peer_secret,
             mechanisms_off=self.mechanisms_off,
+            quarantine_crashes=self.quarantine_crashes,
+            quarantine_s=self.quarantine_s,
+            released_requests=self.released_requests,
         )
 
 
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -200,9 +200,9 @@
                 self._reload()
 
     def _reload(self) -> None:
-        # Only the seeds are applied: listening addresses can't change while the
-        # process runs, while seeds let a VM that lost contact with all others
-        # find them again.
+        # Listening addresses can't change while the process runs. Seeds let a
+        # VM that lost contact with all others find them again, and operators
+        # release quarantined requests.
         try:
             config = config_lib.load(self._config.path)
         except errors.CowsliprillError as error:
@@ -210,6 +210,9 @@
             return
         self._config = config
         self._members.seeds = tuple(self._seeds(config))
+        self._entry.set_quarantine_limits(
+            config.environment().quarantine_limits()
+        )
         self._log.event("file_reloaded", seeds=len(config.seeds))
 
     @staticmethod
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -15,6 +15,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import model_relay
+from cowsliprill.entry import request_quarantine
 
 
 def _engine(name, kind):
@@ -135,6 +136,7 @@
             resumer=None,
             report_leaving=lambda *_: None,
             log=types.SimpleNamespace(warning=self._warn),
+            quarantine=request_quarantine.Disabled(),
         )
         start = messages.Start(
             request_id=1, attempt=0, prefill_id=prefill, decode_id="d"
--- a/tests/test_plain_call_outcomes.py
+++ b/tests/test_plain_call_outcomes.py
@@ -22,6 +22,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import plain_relay
+from cowsliprill.entry import request_quarantine
 from cowsliprill.entry.filters import plain_placement
 
 _MAX_ATTEMPTS = 3
@@ -117,6 +118,7 @@
         log=types.SimpleNamespace(warning=lambda *_, **__: None),
         random_source=random.Random(1),
         authorization=types.SimpleNamespace(check=lambda ctx: None),
+        quarantine=request_quarantine.Disabled(),
     )
     statuses = []
     ctx = types.SimpleNamespace(
