--- a/src/cowsliprill/decisions/request_fingerprint.py
+++ b/src/cowsliprill/decisions/request_fingerprint.py
@@ -1,7 +1,7 @@
 """Keyed digests by which a request is recognized when it is sent again.
 
-Callers and clients give each attempt an id of its own. What stays the same is
-who sends what: the caller, the method, the target and the body.
+Callers give each attempt an id of its own, and their address may change between
+two attempts. What stays the same is what an engine receives.
 """
 
 import dataclasses
@@ -16,15 +16,14 @@
     """The parts of a request that are the same in each repetition.
 
     Attributes:
-      caller: Id of the customer, or the caller's address where there are no
-        customers.
+      customer: Id of the customer, empty where there are none.
       method: HTTP method.
       host: Host that the request names.
       target: Path and query.
       body: Body without transfer coding.
     """
 
-    caller: str
+    customer: str
     method: str
     host: str
     target: str
@@ -47,7 +46,7 @@
         digest = hashlib.blake2b(
             digest_size=_DIGEST_BYTES, key=self._key, person=_PURPOSE
         )
-        texts = (content.caller, content.method, content.host, content.target)
+        texts = (content.customer, content.method, content.host, content.target)
         for text in texts:
             part = text.encode()
             # The length keeps ("ab", "c") apart from ("a", "bc").
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -29,8 +29,6 @@
         filters (size limits, shutdown, forwarding by a stranger), or None.
       forwarded: Whether a peer forwarded the request because of its ticket.
       uri: Path and query exactly as sent, for services that get them unchanged.
-      caller_address: IP address that the request came from, empty for one that
-        a peer has forwarded.
     """
 
     method: str
@@ -41,7 +39,6 @@
     rejection: errors.EntryError | None = None
     forwarded: bool = False
     uri: str = ""
-    caller_address: str = ""
 
     @property
     def target(self) -> str:
--- a/src/cowsliprill/entry/filters/fingerprint.py
+++ b/src/cowsliprill/entry/filters/fingerprint.py
@@ -23,7 +23,7 @@
         call = ctx.call
         ctx.fingerprint = self.fingerprinter.fingerprint(
             request_fingerprint.RequestContent(
-                caller=ctx.customer.id or call.caller_address,
+                customer=ctx.customer.id,
                 method=call.method,
                 host=call.headers.get("Host", ""),
                 target=call.target,
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -125,7 +125,6 @@
             body=body,
             rejection=self._rejection,
             uri=self.request.uri or "",
-            caller_address=self.request.remote_ip or "",
         )
 
     async def _serve(self) -> None:
