--- a/src/cowsliprill/decisions/crash_blame.py
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -8,10 +8,15 @@
 
 import collections
 import dataclasses
+import itertools
 from collections.abc import Iterable
 
 from cowsliprill.decisions import crash_records
 
+# Engines that end within this time of each other may have ended together, for
+# instance with their rack. VMs learn of an end at slightly different times.
+_SIMULTANEOUS_S = 0.05
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Blame:
@@ -19,17 +24,31 @@
 
     Attributes:
       records: The ends.
-      ambiguous: Whether another request accounts equally well for each of them.
     """
 
     records: tuple[crash_records.CrashRecord, ...]
-    ambiguous: bool
 
     @property
     def confirmed(self) -> int:
         """Number of confirmed ends."""
         return sum(record.confirmed for record in self.records)
 
+    @property
+    def has_sole_suspect(self) -> bool:
+        """Whether the request was the only suspect of at least one end."""
+        return any(
+            len(record.remaining_suspects) == 1 for record in self.records
+        )
+
+    @property
+    def is_one_event(self) -> bool:
+        """Whether all ends may have one common cause at one moment."""
+        times = sorted(record.observed_at for record in self.records)
+        return all(
+            later - earlier < _SIMULTANEOUS_S
+            for earlier, later in itertools.pairwise(times)
+        )
+
     @property
     def latest_at(self) -> float:
         """Time of the latest end in seconds."""
@@ -53,9 +72,12 @@
     while unexplained:
         leaders = _leading_suspects(unexplained.values())
         for fingerprint in leaders:
-            blame_by_fingerprint[fingerprint] = _blame(
-                fingerprint, leaders, unexplained.values()
-            )
+            involved = [
+                record
+                for record in unexplained.values()
+                if fingerprint in record.remaining_suspects
+            ]
+            blame_by_fingerprint[fingerprint] = Blame(records=tuple(involved))
         unexplained = {
             key: record
             for key, record in unexplained.items()
@@ -76,20 +98,3 @@
     return frozenset(
         fingerprint for fingerprint, count in counts.items() if count == highest
     )
-
-
-def _blame(
-    fingerprint: str,
-    leaders: frozenset[str],
-    records: Iterable[crash_records.CrashRecord],
-) -> Blame:
-    involved = [
-        record for record in records if fingerprint in record.remaining_suspects
-    ]
-    return Blame(
-        records=tuple(involved),
-        ambiguous=all(
-            (record.remaining_suspects & leaders) != {fingerprint}
-            for record in involved
-        ),
-    )
--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from cowsliprill.decisions import model
+
 # An unconfirmed record is dropped after this time. The registry removes the
 # entry of an engine that has ended after three missed heartbeats.
 CONFIRMATION_TIMEOUT_S = 8.0
@@ -37,10 +39,11 @@
       endpoint_id: Id of the engine.
       number: Distinguishes ends of engines that start again under their id.
       life: `model.Endpoint.life` of the engine that ended.
+      pool: Pool of the engine.
       suspects: Fingerprints of the requests that the engine had received and
         given no output for.
-      acquitted: Fingerprints among the suspects that have since been completed
-        by an engine.
+      acquitted: Fingerprints among the suspects for which an engine of the pool
+        has given output.
       confirmed: Whether the engine is known to have ended, rather than only
         the connections to it.
       observed_at: Time of the first report in seconds, on the local clock.
@@ -49,6 +52,7 @@
     endpoint_id: str
     number: int
     life: str = ""
+    pool: str = ""
     suspects: frozenset[str] = frozenset()
     acquitted: frozenset[str] = frozenset()
     confirmed: bool = False
@@ -80,6 +84,7 @@
         return dataclasses.replace(
             self,
             life=max(self.life, other.life),
+            pool=max(self.pool, other.pool),
             suspects=frozenset(suspects),
             acquitted=frozenset(acquitted),
             confirmed=self.confirmed or other.confirmed,
@@ -110,13 +115,12 @@
         return iter(self._records_by_key.values())
 
     def observe(
-        self, endpoint_id: str, life: str, fingerprint: str, now: float
+        self, endpoint: model.Endpoint, fingerprint: str, now: float
     ) -> CrashRecord | None:
         """Records that an engine seems to have ended while it had a request.
 
         Args:
-          endpoint_id: Id of the engine.
-          life: Life of the engine as listed.
+          endpoint: The engine as listed.
           fingerprint: Fingerprint of the request.
           now: Current time in seconds.
 
@@ -125,9 +129,10 @@
         """
         return self.merge(
             CrashRecord(
-                endpoint_id=endpoint_id,
-                number=self._number(endpoint_id, life, now),
-                life=life,
+                endpoint_id=endpoint.id,
+                number=self._number(endpoint.id, endpoint.life, now),
+                life=endpoint.life,
+                pool=endpoint.pool,
                 suspects=frozenset({fingerprint}),
                 observed_at=now,
             ),
@@ -148,11 +153,13 @@
             return None
         return self._replace(record, confirmed=True)
 
-    def acquit(self, fingerprint: str) -> list[CrashRecord]:
-        """Clears a request that an engine has completed.
+    def acquit(self, fingerprint: str, pool: str) -> list[CrashRecord]:
+        """Clears a request that an engine has given output for.
 
         Args:
           fingerprint: Fingerprint of the request.
+          pool: Pool of the engine. Ends of engines of other pools still count,
+            as these may run other software.
 
         Returns:
           The changed records.
@@ -160,7 +167,7 @@
         return [
             self._replace(record, acquitted=record.acquitted | {fingerprint})
             for record in list(self)
-            if fingerprint in record.remaining_suspects
+            if fingerprint in record.remaining_suspects and record.pool == pool
         ]
 
     def merge(self, record: CrashRecord, now: float) -> CrashRecord | None:
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -13,9 +13,9 @@
 from cowsliprill.decisions import crash_blame
 from cowsliprill.decisions import crash_records
 
-# Further ends after which a request is quarantined although another one
-# accounts for them equally well. Each is a chance to tell them apart.
-_AMBIGUOUS_CRASHES = 2
+# Further ends needed for a request that was never the only suspect. Each is a
+# chance to tell it from the requests in its company.
+_FURTHER_CRASHES_IN_COMPANY = 2
 
 _QUARANTINE_MAX_S = 86_400.0
 
@@ -95,16 +95,6 @@
             default=math.inf,
         )
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Returns whether a completed run of a request clears it of anything.
-
-        Args:
-          fingerprint: Fingerprint of the request.
-        """
-        return any(
-            fingerprint in record.remaining_suspects for record in self.table
-        )
-
     def restricted(self, now: float) -> dict[str, Restriction]:
         """Returns all restrictions by fingerprint.
 
@@ -130,9 +120,9 @@
         if blame is None or fingerprint in self.limits.released:
             return None
         needed = self.limits.crashes
-        if blame.ambiguous:
-            needed += _AMBIGUOUS_CRASHES
-        if len(blame.records) < needed:
+        if not blame.has_sole_suspect:
+            needed += _FURTHER_CRASHES_IN_COMPANY
+        if len(blame.records) < needed or blame.is_one_event:
             return None
         if blame.confirmed < needed:
             return _held(blame, now)
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -129,7 +129,6 @@
                 await self.quarantine.report_lost(ctx, lost.endpoint_id)
             self._handle_lost_attempt(ctx, lost)
             return False
-        self.quarantine.report_completed(ctx)
         self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
         return True
 
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -81,7 +81,7 @@
             try:
                 await self._run_call(ctx, proceed)
                 self.health.record_success(ctx.endpoint.id)
-                self.quarantine.report_completed(ctx)
+                self.quarantine.report_survived(ctx)
                 return
             except attempts.PlainCallError as lost:
                 await self._report_to_quarantine(ctx, lost)
@@ -109,7 +109,7 @@
             await self.quarantine.report_lost(ctx, ctx.endpoint.id)
         elif lost.answer is not None:
             # A server that answers, even with an error, has not ended.
-            self.quarantine.report_completed(ctx)
+            self.quarantine.report_survived(ctx)
 
     def _may_retry(self, ctx: context.Context) -> bool:
         # Services may share a budget but have their own limits of attempts;
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -279,6 +279,7 @@
                 progress.first_token_at = progress.first_token_at or now
                 progress.prefills_used += 1
                 self.scheduling.post(messages.FirstToken(ctx.number))
+                self.quarantine.report_survived(ctx)
             elif now - reported_at > _PROGRESS_INTERVAL_S:
                 reported_at = now
                 self.scheduling.post(
--- a/src/cowsliprill/entry/request_quarantine.py
+++ b/src/cowsliprill/entry/request_quarantine.py
@@ -32,8 +32,8 @@
     async def report_lost(self, ctx: context.Context, endpoint_id: str) -> None:
         """Reports that an engine closed the connection without any output."""
 
-    def report_completed(self, ctx: context.Context) -> None:
-        """Reports that an engine has run the request to its end."""
+    def report_survived(self, ctx: context.Context) -> None:
+        """Reports that an engine has given output for the request."""
 
     def notify(
         self, ctx: context.Context, decisions: asyncio.Queue
@@ -50,7 +50,7 @@
     async def report_lost(self, ctx: context.Context, endpoint_id: str) -> None:
         """Does nothing."""
 
-    def report_completed(self, ctx: context.Context) -> None:
+    def report_survived(self, ctx: context.Context) -> None:
         """Does nothing."""
 
     @contextlib.contextmanager
@@ -112,9 +112,9 @@
         """Finds out whether an engine has ended, and records the request."""
         await self._detector.report_lost(endpoint_id, ctx.fingerprint)
 
-    def report_completed(self, ctx: context.Context) -> None:
+    def report_survived(self, ctx: context.Context) -> None:
         """Clears the request of earlier suspicions."""
-        self._ledger.acquit(ctx.fingerprint)
+        self._ledger.record_survived(ctx.fingerprint, ctx.service.pool)
 
     @contextlib.contextmanager
     def notify(
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -8,6 +8,7 @@
 from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quarantine as quarantine_lib
+from cowsliprill.decisions import survived_requests
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 
@@ -32,6 +33,7 @@
         self._quarantine = quarantine
         self._log = log
         self._metrics = metrics
+        self._survived = survived_requests.SurvivedRequests()
         self._callbacks: list[Callable[[_Records], None]] = []
         self._restrictions_by_fingerprint: dict[
             str, quarantine_lib.Restriction
@@ -61,9 +63,7 @@
 
     def observe(self, endpoint: model.Endpoint, fingerprint: str) -> None:
         """Records that an engine seems to have ended with a request."""
-        record = self.table.observe(
-            endpoint.id, endpoint.life, fingerprint, clock.now()
-        )
+        record = self.table.observe(endpoint, fingerprint, clock.now())
         if record is None:
             return
         self._metrics.engine_crashes.inc({"state": "suspected"})
@@ -75,6 +75,7 @@
             suspects=len(record.suspects),
         )
         self._apply([record])
+        self._clear_survived([record])
 
     def confirm(self, record: crash_records.CrashRecord) -> None:
         """Records that an engine has ended for certain."""
@@ -91,11 +92,14 @@
         )
         self._apply([confirmed])
 
-    def acquit(self, fingerprint: str) -> None:
-        """Clears a request that an engine has completed."""
-        if not len(self.table):
-            return
-        changed = self.table.acquit(fingerprint)
+    def record_survived(self, fingerprint: str, pool: str) -> None:
+        """Clears a request that an engine of a pool has given output for."""
+        self._survived.add(fingerprint, pool, clock.now())
+        if len(self.table):
+            self._acquit(fingerprint, pool)
+
+    def _acquit(self, fingerprint: str, pool: str) -> None:
+        changed = self.table.acquit(fingerprint, pool)
         if not changed:
             return
         self._log.event(
@@ -112,6 +116,15 @@
         changed = [record for record in merged if record is not None]
         if changed:
             self._apply(changed)
+            self._clear_survived(changed)
+
+    def _clear_survived(self, records: _Records) -> None:
+        """Clears suspects that engines of the same pool have survived."""
+        now = clock.now()
+        for record in records:
+            for fingerprint in record.remaining_suspects:
+                if self._survived.contains(fingerprint, record.pool, now):
+                    self._acquit(fingerprint, record.pool)
 
     def expire(self) -> None:
         """Drops records that no longer count and logs what that changes."""
--- a/src/cowsliprill/quarantine/wire.py
+++ b/src/cowsliprill/quarantine/wire.py
@@ -26,6 +26,7 @@
       endpoint_id: Id of the engine that ended.
       number: Distinguishes ends of engines that start again under their id.
       life: Life of the engine.
+      pool: Pool of the engine.
       suspects: Fingerprints of the suspects.
       acquitted: Fingerprints of the suspects that were cleared.
       confirmed: Whether the engine is known to have ended.
@@ -35,6 +36,7 @@
     endpoint_id: str
     number: Annotated[int, pydantic.Field(ge=0)]
     life: str = ""
+    pool: str = ""
     suspects: _Fingerprints = ()
     acquitted: _Fingerprints = ()
     confirmed: bool = False
@@ -68,6 +70,7 @@
         endpoint_id=record.endpoint_id,
         number=record.number,
         life=record.life,
+        pool=record.pool,
         suspects=tuple(sorted(record.suspects)),
         acquitted=tuple(sorted(record.acquitted)),
         confirmed=record.confirmed,
@@ -86,6 +89,7 @@
         endpoint_id=crash.endpoint_id,
         number=crash.number,
         life=crash.life,
+        pool=crash.pool,
         suspects=frozenset(crash.suspects),
         acquitted=frozenset(crash.acquitted),
         confirmed=crash.confirmed,
--- /dev/null
+++ b/tests/test_crash_records.py
@@ -0,0 +1,124 @@
+"""Records of engines that ended, as each VM keeps and merges them."""
+
+import dataclasses
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from cowsliprill.decisions import crash_records
+from cowsliprill.decisions import model
+
+_FINGERPRINTS = [f"{number:016x}" for number in range(40)]
+
+
+def engine(
+    name: str = "e1", life: str = "", pool: str = "writers"
+) -> model.Endpoint:
+    """Returns a decode engine."""
+    return model.Endpoint(
+        id=name,
+        kind=model.EndpointKind.DECODE,
+        host="10.0.0.1",
+        port=1,
+        availability_zone="a",
+        pool=pool,
+        slots=4,
+        life=life,
+    )
+
+
+_RECORDS = strategies.builds(
+    crash_records.CrashRecord,
+    endpoint_id=strategies.sampled_from(["e1", "e2"]),
+    number=strategies.integers(0, 1),
+    suspects=strategies.frozensets(
+        strategies.sampled_from(_FINGERPRINTS), max_size=20
+    ),
+    acquitted=strategies.frozensets(
+        strategies.sampled_from(_FINGERPRINTS[:5]), max_size=3
+    ),
+    confirmed=strategies.booleans(),
+    observed_at=strategies.floats(95.0, 100.0),
+)
+
+
+def _merged(records):
+    table = crash_records.CrashTable()
+    for record in records:
+        table.merge(record, 100.0)
+    return sorted(record.content() for record in table)
+
+
+class TestMerge:
+    """VMs that have received the same records agree."""
+
+    @hypothesis.settings(derandomize=True, max_examples=200)
+    @hypothesis.given(
+        strategies.lists(_RECORDS, max_size=6), strategies.integers(0, 99)
+    )
+    def test_order_and_repetition_do_not_matter(self, records, seed):
+        """Guards against views that differ for good after lost messages."""
+        shuffled = [*records, *records]
+        random.Random(seed).shuffle(shuffled)
+        assert _merged(shuffled) == _merged(records)
+
+    def test_confirmed_record_is_taken_after_the_unconfirmed_has_expired(self):
+        """Guards against a VM that ignores what the others have confirmed."""
+        table = crash_records.CrashTable()
+        record = table.observe(engine(), _FINGERPRINTS[0], 100.0)
+        later = 100.0 + crash_records.CONFIRMATION_TIMEOUT_S
+        assert table.expire(later) == [record]
+        assert table.merge(record, later) is None
+        confirmed = dataclasses.replace(record, confirmed=True)
+        assert table.merge(confirmed, later) == confirmed
+        assert not table.expire(later + 60.0)
+
+
+class TestObserve:
+    """Losses of one end make one record, a further end makes another."""
+
+    @pytest.mark.parametrize(
+        ("second", "after_s", "records"),
+        [
+            (engine(), 0.5, 1),
+            (engine(), 3.0, 2),
+            (engine(life="2"), 0.5, 2),
+            (engine("e2"), 0.5, 2),
+        ],
+        ids=["same", "same-id-later", "other-life", "other-engine"],
+    )
+    def test_ends_are_counted_rather_than_ids(self, second, after_s, records):
+        """Guards against an engine that ends often and counts once."""
+        table = crash_records.CrashTable()
+        table.observe(engine(), _FINGERPRINTS[0], 100.0)
+        table.observe(second, _FINGERPRINTS[0], 100.0 + after_s)
+        assert len(table) == records
+
+    def test_memory_is_bounded_under_a_flood(self):
+        """Guards against unbounded memory under many crashing requests."""
+        table = crash_records.CrashTable()
+        kept = table.observe(engine("kept"), _FINGERPRINTS[0], 100.0)
+        table.confirm(kept.key)
+        for number in range(3_000):
+            table.observe(engine(f"e{number}"), f"{number:016x}", 100.0)
+        for number in range(100):
+            table.observe(engine("one"), f"{number:016x}", 100.0)
+        assert len(table) == 1_024
+        assert max(len(record.suspects) for record in table) <= 32
+        assert [record.endpoint_id for record in table.confirmed()] == ["kept"]
+
+
+class TestAcquit:
+    """A completed run clears a request, at engines of the same pool."""
+
+    def test_other_pools_still_count(self):
+        """Guards against a canary that ends while the old engines serve on."""
+        table = crash_records.CrashTable()
+        table.observe(engine("old"), _FINGERPRINTS[0], 100.0)
+        table.observe(engine("new", pool="canary"), _FINGERPRINTS[0], 100.0)
+        table.acquit(_FINGERPRINTS[0], "writers")
+        assert [
+            record.pool for record in table if record.remaining_suspects
+        ] == ["canary"]
