--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -205,13 +205,9 @@
         """Returns the records whose engines may still run."""
         return [record for record in self if not record.confirmed]
 
-    def confirmed(self) -> list[CrashRecord]:
-        """Returns the records whose engines have ended for certain."""
-        return [record for record in self if record.confirmed]
-
     def digest(self) -> str:
-        """Returns a digest that is equal where the confirmed records are."""
-        contents = sorted(record.content() for record in self.confirmed())
+        """Returns a digest that is equal for tables with equal records."""
+        contents = sorted(record.content() for record in self)
         digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
         digest.update(repr(contents).encode())
         return digest.hexdigest()
--- a/src/cowsliprill/quarantine/peer_exchange.py
+++ b/src/cowsliprill/quarantine/peer_exchange.py
@@ -97,7 +97,7 @@
         digest = self._ledger.table.digest()
         if not message.digest or message.digest == digest:
             return wire.CrashExchange(digest=digest)
-        return self._message(self._ledger.table.confirmed(), digest)
+        return self._message(list(self._ledger.table), digest)
 
     def _is_comparison_due(self, now: float) -> bool:
         fresh = now < self._fresh_until
@@ -140,7 +140,7 @@
             return
         self._merge(response)
         if response.digest != table.digest():
-            await self._send(peer, self._message(table.confirmed()))
+            await self._send(peer, self._message(list(table)))
 
     async def _send(
         self, peer: model.Vm, message: wire.CrashExchange
--- a/src/cowsliprill/quarantine/wire.py
+++ b/src/cowsliprill/quarantine/wire.py
@@ -49,8 +49,8 @@
 
     Attributes:
       crashes: Records that the receiver may lack.
-      digest: Digest of the sender's confirmed records; in a request, asks for
-        the receiver's records if they differ. Empty for none.
+      digest: Digest of the sender's records; in a request, asks for the
+        receiver's records if they differ. Empty for none.
     """
 
     crashes: Annotated[
