--- a/src/cowsliprill/decisions/crash_blame.py
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -8,31 +8,23 @@
 
 import collections
 import dataclasses
-import itertools
 from collections.abc import Iterable
 
 from cowsliprill.decisions import crash_records
 
-# Engines that end within this time of each other may have ended together, for
-# instance with their rack. VMs learn of an end at slightly different times.
-_SIMULTANEOUS_S = 0.05
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Blame:
     """The ends of engines that a request is blamed for.
 
     Attributes:
+      fingerprint: The request.
       records: The ends.
     """
 
+    fingerprint: str
     records: tuple[crash_records.CrashRecord, ...]
 
-    @property
-    def confirmed(self) -> int:
-        """Number of confirmed ends."""
-        return sum(record.confirmed for record in self.records)
-
     @property
     def has_sole_suspect(self) -> bool:
         """Whether the request was the only suspect of at least one end."""
@@ -41,13 +33,29 @@
         )
 
     @property
-    def is_one_event(self) -> bool:
-        """Whether all ends may have one common cause at one moment."""
-        times = sorted(record.observed_at for record in self.records)
-        return all(
-            later - earlier < _SIMULTANEOUS_S
-            for earlier, later in itertools.pairwise(times)
-        )
+    def separate_ends(self) -> int:
+        """Number of ends that can't have had one common cause.
+
+        Engines may end together, for instance with their rack, while a request
+        that many callers send runs at several of them. An end is counted if the
+        request was sent only after the previous one that counts.
+        """
+        return len(self._separate(self.records))
+
+    @property
+    def confirmed(self) -> int:
+        """Number of separate ends among the confirmed ones."""
+        return len(self._separate(r for r in self.records if r.confirmed))
+
+    def _separate(
+        self, records: Iterable[crash_records.CrashRecord]
+    ) -> list[crash_records.CrashRecord]:
+        separate: list[crash_records.CrashRecord] = []
+        for record in sorted(records, key=lambda item: item.observed_at):
+            sent_at = record.sent_at(self.fingerprint)
+            if not separate or sent_at > separate[-1].observed_at:
+                separate.append(record)
+        return separate
 
     @property
     def latest_at(self) -> float:
@@ -77,7 +85,9 @@
                 for record in unexplained.values()
                 if fingerprint in record.remaining_suspects
             ]
-            blame_by_fingerprint[fingerprint] = Blame(records=tuple(involved))
+            blame_by_fingerprint[fingerprint] = Blame(
+                fingerprint=fingerprint, records=tuple(involved)
+            )
         unexplained = {
             key: record
             for key, record in unexplained.items()
--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -8,6 +8,7 @@
 import hashlib
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 from cowsliprill.decisions import model
 
@@ -17,8 +18,7 @@
 
 RECORD_TTL_S = 86_400.0
 
-# Connections to an engine that ended are lost within this time, and no engine
-# starts again sooner.
+# Connections to an engine that ended are lost within this time.
 _SAME_CRASH_S = 2.0
 
 # Bounds of memory. An engine starts few requests at the same time.
@@ -28,6 +28,9 @@
 
 _DIGEST_BYTES = 8
 
+# VMs compare digests, so times are passed on as they are recorded.
+_SENT_DIGITS = 6
+
 CrashKey = tuple[str, int]
 
 
@@ -40,8 +43,9 @@
       number: Distinguishes ends of engines that start again under their id.
       life: `model.Endpoint.life` of the engine that ended.
       pool: Pool of the engine.
-      suspects: Fingerprints of the requests that the engine had received and
-        given no output for.
+      sent_before_s: How long before the end the requests were sent that the
+        engine had given no output for, in seconds by fingerprint; the latest
+        send counts.
       acquitted: Fingerprints among the suspects for which an engine of the pool
         has given output.
       confirmed: Whether the engine is known to have ended, rather than only
@@ -53,7 +57,7 @@
     number: int
     life: str = ""
     pool: str = ""
-    suspects: frozenset[str] = frozenset()
+    sent_before_s: Mapping[str, float] = dataclasses.field(default_factory=dict)
     acquitted: frozenset[str] = frozenset()
     confirmed: bool = False
     observed_at: float = 0.0
@@ -63,11 +67,20 @@
         """Identifies the record in the tables of all VMs."""
         return (self.endpoint_id, self.number)
 
+    @property
+    def suspects(self) -> frozenset[str]:
+        """Fingerprints of the requests that may have caused the end."""
+        return frozenset(self.sent_before_s)
+
     @property
     def remaining_suspects(self) -> frozenset[str]:
         """Suspects that haven't been acquitted."""
         return self.suspects - self.acquitted
 
+    def sent_at(self, fingerprint: str) -> float:
+        """Returns when a suspect was sent, in seconds on the local clock."""
+        return self.observed_at - self.sent_before_s[fingerprint]
+
     def is_expired(self, now: float) -> bool:
         """Returns whether the record no longer counts.
 
@@ -79,13 +92,19 @@
 
     def merge(self, other: "CrashRecord") -> "CrashRecord":
         """Returns the union of two records of the same end."""
+        both = (self.sent_before_s, other.sent_before_s)
         suspects = sorted(self.suspects | other.suspects)[:_MAX_SUSPECTS]
         acquitted = sorted(self.acquitted | other.acquitted)[:_MAX_ACQUITTED]
         return dataclasses.replace(
             self,
             life=max(self.life, other.life),
             pool=max(self.pool, other.pool),
-            suspects=frozenset(suspects),
+            sent_before_s={
+                fingerprint: min(
+                    sent[fingerprint] for sent in both if fingerprint in sent
+                )
+                for fingerprint in suspects
+            },
             acquitted=frozenset(acquitted),
             confirmed=self.confirmed or other.confirmed,
             observed_at=min(self.observed_at, other.observed_at),
@@ -96,7 +115,7 @@
         return (
             self.endpoint_id,
             self.number,
-            sorted(self.suspects),
+            sorted(self.sent_before_s.items()),
             sorted(self.acquitted),
             self.confirmed,
         )
@@ -115,25 +134,31 @@
         return iter(self._records_by_key.values())
 
     def observe(
-        self, endpoint: model.Endpoint, fingerprint: str, now: float
+        self,
+        endpoint: model.Endpoint,
+        fingerprint: str,
+        sent_at: float,
+        now: float,
     ) -> CrashRecord | None:
         """Records that an engine seems to have ended while it had a request.
 
         Args:
           endpoint: The engine as listed.
           fingerprint: Fingerprint of the request.
+          sent_at: When the request was sent to the engine, in seconds.
           now: Current time in seconds.
 
         Returns:
           The new or changed record, None if nothing changed.
         """
+        sent_before_s = round(max(now - sent_at, 0.0), _SENT_DIGITS)
         return self.merge(
             CrashRecord(
                 endpoint_id=endpoint.id,
                 number=self._number(endpoint.id, endpoint.life, now),
                 life=endpoint.life,
                 pool=endpoint.pool,
-                suspects=frozenset({fingerprint}),
+                sent_before_s={fingerprint: sent_before_s},
                 observed_at=now,
             ),
             now,
@@ -217,8 +242,9 @@
         if not earlier:
             return 0
         last = max(earlier, key=lambda record: record.number)
-        same_life = last.life == life
-        if same_life and now - last.observed_at < _SAME_CRASH_S:
+        is_recent = now - last.observed_at < _SAME_CRASH_S
+        # Once confirmed, the engine has started again.
+        if last.life == life and is_recent and not last.confirmed:
             return last.number
         return last.number + 1
 
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -122,7 +122,7 @@
         needed = self.limits.crashes
         if not blame.has_sole_suspect:
             needed += _FURTHER_CRASHES_IN_COMPANY
-        if len(blame.records) < needed or blame.is_one_event:
+        if blame.separate_ends < needed:
             return None
         if blame.confirmed < needed:
             return _held(blame, now)
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -87,6 +87,8 @@
         token.
       resumed_at_token: Number of the last token at the latest resumption.
       prefilled_at: Time in seconds at which the latest prefill finished.
+      sent_at: Time in seconds at which the request was last sent to an
+        endpoint.
       last_event_id: Id of the last event sent to the caller.
       outcome: Outcome of the request, for logs and metrics.
     """
@@ -101,6 +103,7 @@
     resumes_since_token: int = 0
     resumed_at_token: int = -1
     prefilled_at: float = 0.0
+    sent_at: float = 0.0
     last_event_id: str = ""
     outcome: str = ""
 
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -371,6 +371,7 @@
     def __enter__(self) -> "_EngineCallGuard":
         # Set before the call: if the caller disconnects during the call, the
         # task is cancelled and can't record how far the call got.
+        self._ctx.progress.sent_at = clock.now()
         if self._counts_as_execution:
             self._ctx.progress.run = messages.Executed.UNKNOWN
         return self
--- a/src/cowsliprill/entry/plain_relay.py
+++ b/src/cowsliprill/entry/plain_relay.py
@@ -44,6 +44,7 @@
         self, ctx: context.Context
     ) -> service_client.ServiceResponse:
         progress = call_lib.CallProgress()
+        ctx.progress.sent_at = clock.now()
         try:
             return await self.calls.call(ctx, progress)
         except engine_errors.CallError as error:
--- a/src/cowsliprill/entry/request_quarantine.py
+++ b/src/cowsliprill/entry/request_quarantine.py
@@ -110,7 +110,9 @@
 
     async def report_lost(self, ctx: context.Context, endpoint_id: str) -> None:
         """Finds out whether an engine has ended, and records the request."""
-        await self._detector.report_lost(endpoint_id, ctx.fingerprint)
+        await self._detector.report_lost(
+            endpoint_id, ctx.fingerprint, ctx.progress.sent_at
+        )
 
     def report_survived(self, ctx: context.Context) -> None:
         """Clears the request of earlier suspicions."""
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -61,9 +61,18 @@
         self._quarantine.limits = limits
         self._apply([])
 
-    def observe(self, endpoint: model.Endpoint, fingerprint: str) -> None:
-        """Records that an engine seems to have ended with a request."""
-        record = self.table.observe(endpoint, fingerprint, clock.now())
+    def observe(
+        self, endpoint: model.Endpoint, fingerprint: str, sent_at: float
+    ) -> None:
+        """Records that an engine seems to have ended with a request.
+
+        Args:
+          endpoint: The engine.
+          fingerprint: Fingerprint of the request.
+          sent_at: When the request was sent to the engine, in seconds.
+        """
+        now = clock.now()
+        record = self.table.observe(endpoint, fingerprint, sent_at, now)
         if record is None:
             return
         self._metrics.engine_crashes.inc({"state": "suspected"})
--- a/src/cowsliprill/quarantine/wire.py
+++ b/src/cowsliprill/quarantine/wire.py
@@ -27,7 +27,8 @@
       number: Distinguishes ends of engines that start again under their id.
       life: Life of the engine.
       pool: Pool of the engine.
-      suspects: Fingerprints of the suspects.
+      suspects: Fingerprints of the suspects, and how long before the end each
+        was sent, in seconds.
       acquitted: Fingerprints of the suspects that were cleared.
       confirmed: Whether the engine is known to have ended.
       age_s: Time since the first report in seconds.
@@ -37,7 +38,10 @@
     number: Annotated[int, pydantic.Field(ge=0)]
     life: str = ""
     pool: str = ""
-    suspects: _Fingerprints = ()
+    suspects: Annotated[
+        tuple[tuple[_Fingerprint, _Age], ...],
+        pydantic.Field(max_length=_MAX_FINGERPRINTS),
+    ] = ()
     acquitted: _Fingerprints = ()
     confirmed: bool = False
     age_s: _Age = 0.0
@@ -71,10 +75,10 @@
         number=record.number,
         life=record.life,
         pool=record.pool,
-        suspects=tuple(sorted(record.suspects)),
+        suspects=tuple(sorted(record.sent_before_s.items())),
         acquitted=tuple(sorted(record.acquitted)),
         confirmed=record.confirmed,
-        age_s=round(max(now - record.observed_at, 0.0), 3),
+        age_s=round(max(now - record.observed_at, 0.0), 6),
     )
 
 
@@ -90,7 +94,7 @@
         number=crash.number,
         life=crash.life,
         pool=crash.pool,
-        suspects=frozenset(crash.suspects),
+        sent_before_s=dict(crash.suspects),
         acquitted=frozenset(crash.acquitted),
         confirmed=crash.confirmed,
         observed_at=now - crash.age_s,
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -86,8 +86,8 @@
     crashing: bool
     attempt: int
     caller_attempt: int
+    sent_at: float
     had_output: bool = False
-    counted_late: bool = False
 
 
 class Simulation:
@@ -176,7 +176,12 @@
             [item for item in listening if len(item.running) == least]
         )
         run = _Run(
-            next(self._numbers), fingerprint, crashing, attempt, caller_attempt
+            next(self._numbers),
+            fingerprint,
+            crashing,
+            attempt,
+            caller_attempt,
+            sent_at=now,
         )
         engine.running[run.number] = run
         if crashing:
@@ -235,14 +240,14 @@
         engine.running.clear()
         for run in lost:
             if not run.had_output:
-                self._observe(engine, run.fingerprint, now)
+                self._observe(engine, run, now)
         self._quarantine.refresh(now)
         self._at(now + _EXPIRY_S, self._expire, engine)
         self._at(now + _RESTART_S, self._start_engine)
         for run in lost:
             self._retry(now, run)
 
-    def _observe(self, engine: _Engine, fingerprint: str, now: float) -> None:
+    def _observe(self, engine: _Engine, run: _Run, now: float) -> None:
         endpoint = model.Endpoint(
             id=engine.name,
             kind=model.EndpointKind.DECODE,
@@ -252,9 +257,10 @@
             pool=_POOL,
             slots=1,
         )
-        self._quarantine.table.observe(endpoint, fingerprint, now)
-        if self._survived.contains(fingerprint, _POOL, now):
-            self._quarantine.table.acquit(fingerprint, _POOL)
+        table = self._quarantine.table
+        table.observe(endpoint, run.fingerprint, run.sent_at, now)
+        if self._survived.contains(run.fingerprint, _POOL, now):
+            table.acquit(run.fingerprint, _POOL)
 
     def _expire(self, now: float, engine: _Engine) -> None:
         self._engines.remove(engine)
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -1,5 +1,7 @@
 """Which requests are blamed for the ends of engines."""
 
+import pytest
+
 from cowsliprill.decisions import crash_blame
 from cowsliprill.decisions import crash_records
 
@@ -10,7 +12,7 @@
         crash_records.CrashRecord(
             endpoint_id=f"e{number}",
             number=0,
-            suspects=frozenset(suspects),
+            sent_before_s=dict.fromkeys(suspects, 0.1),
             observed_at=float(number),
         )
         for number, suspects in enumerate(suspects_of_ends)
@@ -40,7 +42,7 @@
         first = crash_records.CrashRecord(
             endpoint_id=first.endpoint_id,
             number=0,
-            suspects=first.suspects,
+            sent_before_s=first.sent_before_s,
             acquitted=frozenset("p"),
         )
         blame = crash_blame.assign([first, *others])
@@ -56,16 +58,23 @@
         blame = crash_blame.assign(_records("pa", "p", "pc"))
         assert blame["p"].has_sole_suspect
 
-    def test_ends_at_one_moment_are_one_event(self):
+    @pytest.mark.parametrize(
+        ("sent_before_s", "separate"), [(0.5, 1), (0.05, 5)]
+    )
+    def test_ends_are_separate_if_sent_after_the_previous_one(
+        self, sent_before_s, separate
+    ):
         """Guards against a rack whose engines count as several ends."""
         records = [
             crash_records.CrashRecord(
                 endpoint_id=f"e{number}",
                 number=0,
-                suspects=frozenset("a"),
-                observed_at=number * 0.01,
+                sent_before_s={"a": sent_before_s},
+                observed_at=number * 0.1,
+                confirmed=True,
             )
             for number in range(5)
         ]
-        assert crash_blame.assign(records)["a"].is_one_event
-        assert not crash_blame.assign(_records("a", "a"))["a"].is_one_event
+        blame = crash_blame.assign(records)["a"]
+        assert blame.separate_ends == separate
+        assert blame.confirmed == separate
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -34,7 +34,7 @@
 class _Vm:
     """Detector and ledger of one VM, with the engine `e1` listed."""
 
-    def __init__(self, port: int):
+    def __init__(self, port: int, *, lists_ends: bool = True):
         self.log = _FakeLog()
         self.ledger = ledger_lib.CrashLedger(
             quarantine.Quarantine(quarantine.Limits()),
@@ -43,7 +43,11 @@
         )
         self.cluster_state = cluster_state_lib.ClusterState()
         self.detector = crash_detector.CrashDetector(
-            self.ledger, self.cluster_state, http_client.HttpClient(), self.log
+            self.ledger,
+            self.cluster_state,
+            http_client.HttpClient(),
+            self.log,
+            lists_ends=lists_ends,
         )
         self.engine = model.Endpoint(
             id="e1",
@@ -86,7 +90,7 @@
         with port() as number:
             vm = _Vm(number)
             vm.list_engines(vm.engine, leaving=leaving)
-            await vm.detector.report_lost("e1", _REQUEST)
+            await vm.detector.report_lost("e1", _REQUEST, 0.0)
             if scenario is not None:
                 scenario(vm)
             return vm
@@ -128,7 +132,7 @@
             with _closed_port() as port:
                 vm = _Vm(port)
                 vm.list_engines()
-                await vm.detector.report_lost("e1", _REQUEST)
+                await vm.detector.report_lost("e1", _REQUEST, 0.0)
                 return vm.records()
 
         assert asyncio.run(run()) == []
@@ -139,7 +143,7 @@
                 vm = _Vm(port)
                 await asyncio.gather(
                     *(
-                        vm.detector.report_lost("e1", f"{number:016x}")
+                        vm.detector.report_lost("e1", f"{number:016x}", 0.0)
                         for number in range(5)
                     )
                 )
@@ -195,7 +199,7 @@
                         crash_records.CrashRecord(
                             endpoint_id="e1",
                             number=0,
-                            suspects=frozenset({_REQUEST}),
+                            sent_before_s={_REQUEST: 0.1},
                             observed_at=crash_detector.clock.now(),
                         )
                     ]
@@ -206,6 +210,28 @@
         assert record.confirmed
 
 
+class TestConfirmationWithoutRegistry:
+    """Settings that keep ended engines: a reopened port confirms an end."""
+
+    @pytest.mark.parametrize("starts_again", [True, False])
+    def test_reopened_port_confirms(self, starts_again):
+        """Guards against ends that are never certain on such a platform."""
+
+        async def run():
+            with _closed_port() as port:
+                vm = _Vm(port, lists_ends=False)
+                await vm.detector.report_lost("e1", _REQUEST, 0.0)
+                if not starts_again:
+                    await asyncio.sleep(1.2)
+                    return vm.records()
+                with socket.create_server(("127.0.0.1", port)):
+                    await platform_site.until(lambda: vm.records()[0].confirmed)
+                return vm.records()
+
+        (record,) = asyncio.run(run())
+        assert record.confirmed is starts_again
+
+
 class TestSurvived:
     """Output clears a request here, whoever reports the suspicion."""
 
@@ -224,7 +250,7 @@
                             endpoint_id="e2",
                             number=0,
                             pool="writers",
-                            suspects=frozenset({_REQUEST}),
+                            sent_before_s={_REQUEST: 0.1},
                             observed_at=crash_detector.clock.now(),
                         )
                     ]
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -133,7 +133,8 @@
 async def _report_ends(vms: list[_Vm]) -> None:
     """Has three VMs report an end each, one every 0.2 s."""
     for number, vm in enumerate(vms[:3]):
-        vm.ledger.observe(test_crash_records.engine(f"e{number}"), _REQUEST)
+        engine = test_crash_records.engine(f"e{number}")
+        vm.ledger.observe(engine, _REQUEST, clock.now() - 0.1)
         await asyncio.sleep(0.2)
 
 
@@ -262,11 +263,12 @@
     @pytest.mark.parametrize(
         "fields",
         [
-            '{"suspects": ["short"]}',
+            '{"suspects": [["short", 0.1]]}',
+            '{"suspects": ["0000000000000000"]}',
             '{"age_s": -1}',
             '{"age_s": NaN}',
             '{"number": -1}',
-            '{"suspects": [' + ",".join([f'"{0:016x}"'] * 33) + "]}",
+            '{"suspects": [' + ",".join([f'["{0:016x}", 0.1]'] * 33) + "]}",
         ],
     )
     def test_invalid_records_are_refused(self, fields):
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -33,8 +33,10 @@
     crash_records.CrashRecord,
     endpoint_id=strategies.sampled_from(["e1", "e2"]),
     number=strategies.integers(0, 1),
-    suspects=strategies.frozensets(
-        strategies.sampled_from(_FINGERPRINTS), max_size=20
+    sent_before_s=strategies.dictionaries(
+        strategies.sampled_from(_FINGERPRINTS),
+        strategies.sampled_from([0.0, 0.1, 0.2]),
+        max_size=20,
     ),
     acquitted=strategies.frozensets(
         strategies.sampled_from(_FINGERPRINTS[:5]), max_size=3
@@ -67,7 +69,7 @@
     def test_confirmed_record_is_taken_after_the_unconfirmed_has_expired(self):
         """Guards against a VM that ignores what the others have confirmed."""
         table = crash_records.CrashTable()
-        record = table.observe(engine(), _FINGERPRINTS[0], 100.0)
+        record = table.observe(engine(), _FINGERPRINTS[0], 99.9, 100.0)
         later = 100.0 + crash_records.CONFIRMATION_TIMEOUT_S
         assert table.expire(later) == [record]
         assert table.merge(record, later) is None
@@ -92,19 +94,27 @@
     def test_ends_are_counted_rather_than_ids(self, second, after_s, records):
         """Guards against an engine that ends often and counts once."""
         table = crash_records.CrashTable()
-        table.observe(engine(), _FINGERPRINTS[0], 100.0)
-        table.observe(second, _FINGERPRINTS[0], 100.0 + after_s)
+        table.observe(engine(), _FINGERPRINTS[0], 99.9, 100.0)
+        table.observe(second, _FINGERPRINTS[0], 99.9, 100.0 + after_s)
         assert len(table) == records
 
+    def test_end_after_a_confirmed_one_is_another(self):
+        """Guards against an engine that restarts fast and counts once."""
+        table = crash_records.CrashTable()
+        first = table.observe(engine(), _FINGERPRINTS[0], 99.9, 100.0)
+        table.confirm(first.key)
+        table.observe(engine(), _FINGERPRINTS[0], 100.5, 100.6)
+        assert len(table) == 2
+
     def test_memory_is_bounded_under_a_flood(self):
         """Guards against unbounded memory under many crashing requests."""
         table = crash_records.CrashTable()
-        kept = table.observe(engine("kept"), _FINGERPRINTS[0], 100.0)
+        kept = table.observe(engine("kept"), _FINGERPRINTS[0], 99.9, 100.0)
         table.confirm(kept.key)
         for number in range(3_000):
-            table.observe(engine(f"e{number}"), f"{number:016x}", 100.0)
+            table.observe(engine(f"e{number}"), f"{number:016x}", 99.9, 100.0)
         for number in range(100):
-            table.observe(engine("one"), f"{number:016x}", 100.0)
+            table.observe(engine("one"), f"{number:016x}", 99.9, 100.0)
         assert len(table) == 1_024
         assert max(len(record.suspects) for record in table) <= 32
         assert kept.key in {record.key for record in table}
@@ -116,8 +126,10 @@
     def test_other_pools_still_count(self):
         """Guards against a canary that ends while the old engines serve on."""
         table = crash_records.CrashTable()
-        table.observe(engine("old"), _FINGERPRINTS[0], 100.0)
-        table.observe(engine("new", pool="canary"), _FINGERPRINTS[0], 100.0)
+        table.observe(engine("old"), _FINGERPRINTS[0], 99.9, 100.0)
+        table.observe(
+            engine("new", pool="canary"), _FINGERPRINTS[0], 99.9, 100.0
+        )
         table.acquit(_FINGERPRINTS[0], "writers")
         assert [
             record.pool for record in table if record.remaining_suspects
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -20,9 +20,9 @@
     for number in range(ends):
         now = _START + number
         engine = test_crash_records.engine(f"e{number}")
-        record = state.table.observe(engine, _REQUEST, now)
+        record = state.table.observe(engine, _REQUEST, now - 0.1, now)
         if company:
-            state.table.observe(engine, company, now)
+            state.table.observe(engine, company, now - 0.1, now)
         if number < confirmed:
             state.table.confirm(record.key)
     state.refresh(_START + ends)
@@ -71,7 +71,10 @@
     def test_one_more_end_alone_tells_cause_and_company_apart(self):
         state = _quarantine(3, confirmed=3, company=_OTHER)
         record = state.table.observe(
-            test_crash_records.engine("last"), _REQUEST, _START + 4.0
+            test_crash_records.engine("last"),
+            _REQUEST,
+            _START + 3.9,
+            _START + 4.0,
         )
         state.table.confirm(record.key)
         state.refresh(_START + 4.0)
@@ -84,7 +87,10 @@
         assert _kind(state, now=_START + 61.0) is _KIND.QUARANTINED
         assert _kind(state, now=_START + 62.0) is None
         record = state.table.observe(
-            test_crash_records.engine("last"), _REQUEST, _START + 70.0
+            test_crash_records.engine("last"),
+            _REQUEST,
+            _START + 69.9,
+            _START + 70.0,
         )
         state.table.confirm(record.key)
         state.refresh(_START + 70.0)
