--- /dev/null
+++ b/features/steps/crashing_steps.py
@@ -0,0 +1,104 @@
+"""Behave steps for requests that end engines."""
+
+import behave
+from features.support import dispatch_site
+from tools import child
+from tools import fleet_document
+from tools import http_calls
+from tools import local_fleet
+from tools import small_site
+
+_ENDS_ON = "end-the-engine"
+_CUSTOMER = "umurongo/firm-1"
+_MAX_SENDS = 20
+_REFUSALS = 4
+
+
+def _send(context, vm_id: str, prompt: str) -> http_calls.HttpResponse:
+    key = fleet_document.api_key_of(_CUSTOMER)
+    return http_calls.call(
+        "POST",
+        f"{context.fleet.url(vm_id)}/v1/completions",
+        {"model": "brief", "prompt": prompt, "max_tokens": 4},
+        {"Authorization": f"Bearer {key}"},
+    )
+
+
+def _restart_ended(context) -> int:
+    """Starts the engines that have ended and returns how many there were."""
+    ended = [
+        endpoint_id
+        for endpoint_id in context.fleet.endpoint_ids("decode")
+        if not context.fleet.children_by_name[endpoint_id].running
+    ]
+    for endpoint_id in ended:
+        context.fleet.restart_endpoint(endpoint_id)
+    return len(ended)
+
+
+def _confirmed_ends(context) -> int:
+    """Returns how many ends any VM has confirmed."""
+    lines = [
+        child.parse_line(line)
+        for vm_id in context.fleet.vms_by_id
+        for line in context.fleet.children_by_name[f"{vm_id}.e0"].lines
+        if "event=engine_crash_confirmed" in line
+    ]
+    return len({(line["endpoint"], line["number"]) for line in lines})
+
+
+@behave.given(
+    "{vms:d} VMs and engines that end when they begin to run one request"
+)
+def step_start(context, vms) -> None:
+    context.fleet = local_fleet.LocalFleet(
+        small_site.document(), ends_on=_ENDS_ON
+    )
+    context.add_cleanup(context.fleet.__exit__)
+    context.fleet.start(vms=vms)
+    context.ended = 0
+
+
+@behave.when(
+    "that request is sent to the VMs in turn until {ends:d} engines have ended"
+)
+def step_send(context, ends) -> None:
+    vm_ids = sorted(context.fleet.vms_by_id)
+    for number in range(_MAX_SENDS):
+        _send(context, vm_ids[number % len(vm_ids)], _ENDS_ON)
+        context.ended += _restart_ended(context)
+        # An engine that ends again before its first end is confirmed counts
+        # once; engines take longer to start than stand-ins.
+        dispatch_site.wait_until(
+            lambda: _confirmed_ends(context) >= context.ended,
+            "all ends are confirmed",
+        )
+        if context.ended >= ends:
+            return
+    raise AssertionError(f"{context.ended} engines have ended")
+
+
+@behave.when("both VMs have quarantined it")
+def step_quarantined(context) -> None:
+    for vm_id in context.fleet.vms_by_id:
+        entry = context.fleet.children_by_name[f"{vm_id}.e0"]
+        entry.wait_for_event("request_quarantined")
+
+
+@behave.then("both VMs refuse it without another engine ending")
+def step_refused(context) -> None:
+    for vm_id in context.fleet.vms_by_id:
+        for _ in range(_REFUSALS):
+            response = _send(context, vm_id, _ENDS_ON)
+            error = response.json()["error"]
+            assert response.status == 503, response
+            assert error["code"] == "request_quarantined", error
+            assert error["run"] == "no", error
+            assert error["retry_after_s"] > 0, error
+    assert not _restart_ended(context)
+
+
+@behave.then("another request of the same customer is completed")
+def step_completed(context) -> None:
+    response = _send(context, "vm-0", "a proper request")
+    assert response.status == 200, response
--- a/src/cowsliprill/decisions/request_fingerprint.py
+++ b/src/cowsliprill/decisions/request_fingerprint.py
@@ -18,7 +18,7 @@
     Attributes:
       customer: Id of the customer, empty where there are none.
       method: HTTP method.
-      host: Host that the request names.
+      host: Host of the request's route, empty where routes have none.
       target: Path and query.
       body: Body without transfer coding.
     """
--- a/src/cowsliprill/entry/cluster_state.py
+++ b/src/cowsliprill/entry/cluster_state.py
@@ -18,10 +18,12 @@
     Attributes:
       snapshot: Current settings.
       fleet: VM list with the endpoints that are leaving.
+      lists_ends: Whether an endpoint that has ended disappears from `snapshot`.
     """
 
     snapshot: model.Snapshot
     fleet: model.Fleet
+    lists_ends: bool
 
     async def run(self) -> None:
         """Keeps `snapshot` and `fleet` up to date until cancelled."""
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -142,6 +142,7 @@
             log,
             self._metrics,
             self._random,
+            lists_ends=source.lists_ends,
         )
         self._source = source
         self._quotas = quotas or quota.Unlimited()
--- a/src/cowsliprill/entry/filters/fingerprint.py
+++ b/src/cowsliprill/entry/filters/fingerprint.py
@@ -25,7 +25,8 @@
             request_fingerprint.RequestContent(
                 customer=ctx.customer.id,
                 method=call.method,
-                host=call.headers.get("Host", ""),
+                # Elsewhere the host only names the VM that got the request.
+                host=ctx.route.host if ctx.route else "",
                 target=call.target,
                 body=call.body,
             )
--- a/src/cowsliprill/entry/quarantine_components.py
+++ b/src/cowsliprill/entry/quarantine_components.py
@@ -34,6 +34,7 @@
       log: Log of the process.
       metrics: Metrics of the process.
       rng: Chooses peers.
+      lists_ends: Whether endpoints that have ended disappear from the settings.
 
     Attributes:
       check: Interface for the filters that send requests to engines.
@@ -49,6 +50,8 @@
         log: log_lib.Log,
         metrics: metrics_lib.Metrics,
         rng: random.Random,
+        *,
+        lists_ends: bool,
     ) -> None:
         limits = environment.quarantine_limits()
         self._auth = auth
@@ -56,7 +59,7 @@
             quarantine.Quarantine(limits), log, metrics
         )
         self._detector = crash_detector.CrashDetector(
-            self._ledger, cluster_state, http, log
+            self._ledger, cluster_state, http, log, lists_ends=lists_ends
         )
         self._exchange = peer_exchange.PeerExchange(
             environment.vm,
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -132,8 +132,11 @@
       snapshot: Settings and endpoints in force.
       fleet: The VM list.
       views_by_prefix: Registry view of each key prefix.
+      lists_ends: True: the entry of an endpoint that has ended expires.
     """
 
+    lists_ends = True
+
     def __init__(
         self,
         store: store_lib.Store,
--- a/src/cowsliprill/settings/follower.py
+++ b/src/cowsliprill/settings/follower.py
@@ -43,8 +43,11 @@
     Attributes:
       snapshot: The active settings; revision 0 before the first.
       fleet: The VM list with the ids of leaving endpoints.
+      lists_ends: False: endpoints stay in the settings when they end.
     """
 
+    lists_ends = False
+
     def __init__(
         self,
         environment: environment_lib.Environment,
--- a/src/cowsliprill/standins/engine.py
+++ b/src/cowsliprill/standins/engine.py
@@ -1,6 +1,7 @@
 """A fake inference engine for prefill or decode, without its HTTP interface."""
 
 import asyncio
+import json
 import time
 from typing import Any
 
@@ -148,6 +149,9 @@
           body: The request's body.
           faults: Faults to inject.
         """
+        fault_injection.end_process_on(
+            self.command.ends_on, json.dumps(body).encode()
+        )
         self._start_task(self._generate(request, body, faults))
 
     async def throttle_link(self, size_bytes: float) -> None:
--- a/src/cowsliprill/standins/engine_command.py
+++ b/src/cowsliprill/standins/engine_command.py
@@ -28,6 +28,8 @@
       report_lag_s: Interval in seconds at which the load report is refreshed.
       checks_fencing: Whether orders with an old fencing token are refused.
       model: Name of the loaded model.
+      ends_on: The process ends when it begins to decode for a request whose
+        body contains this text; empty for none.
     """
 
     id: Annotated[str, cappa.Arg(long=True)]
@@ -45,3 +47,4 @@
     report_lag_s: Annotated[float, cappa.Arg(long=True)] = 0.5
     checks_fencing: Annotated[bool, cappa.Arg(long=True)] = False
     model: Annotated[str, cappa.Arg(long=True)] = "standin"
+    ends_on: Annotated[str, cappa.Arg(long=True)] = ""
--- a/src/cowsliprill/standins/fault_injection.py
+++ b/src/cowsliprill/standins/fault_injection.py
@@ -2,12 +2,15 @@
 
 import dataclasses
 import enum
+import os
 from typing import Any
 
 import pydantic
 
 from cowsliprill import errors
 
+_CRASH_EXIT_CODE = 70
+
 
 class FaultsError(errors.CowsliprillError):
     """Raised for fields that don't describe faults of a fake endpoint."""
@@ -15,6 +18,17 @@
     code = "unknown_misbehaviour"
 
 
+def end_process_on(text: str, body: bytes) -> None:
+    """Ends this process at once, as a crash does, if a body contains a text.
+
+    Args:
+      text: The text, empty for none.
+      body: Body of a request that is about to be executed.
+    """
+    if text and text.encode() in body:
+        os._exit(_CRASH_EXIT_CODE)
+
+
 class CancelFault(enum.StrEnum):
     """Fault in the handling of a cancellation."""
 
--- a/src/cowsliprill/standins/service.py
+++ b/src/cowsliprill/standins/service.py
@@ -26,6 +26,8 @@
       seconds_per_call: Execution time of a call.
       checks_idempotency_keys: Whether calls with the same idempotency key are
         executed only once.
+      ends_on: The process ends when it begins to execute a call whose body
+        contains this text; empty for none.
     """
 
     id: Annotated[str, cappa.Arg(long=True)]
@@ -33,6 +35,7 @@
     port: Annotated[int, cappa.Arg(long=True)] = 0
     seconds_per_call: Annotated[float, cappa.Arg(long=True)] = 0.01
     checks_idempotency_keys: Annotated[bool, cappa.Arg(long=True)] = False
+    ends_on: Annotated[str, cappa.Arg(long=True)] = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -125,6 +128,7 @@
         faults: fault_injection.Faults,
     ) -> bytes:
         self.executed_calls.append(call)
+        fault_injection.end_process_on(self.command.ends_on, body)
         call_number = len(self.executed_calls)
         await asyncio.sleep(self.command.seconds_per_call * faults.slow_factor)
         response = {
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -46,6 +46,8 @@
 class FakeClusterStateSource:
     """Source of settings and VM list whose content a test sets."""
 
+    lists_ends = False
+
     def __init__(self) -> None:
         self.snapshot = model.Snapshot()
         self.fleet = model.Fleet()
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -16,6 +16,7 @@
 
 from tools import child
 from tools import fleet_document
+from tools import held_ports
 from tools import http_calls
 
 HOST = "127.0.0.1"
@@ -58,6 +59,7 @@
       drain_notice_s: Seconds for which a draining entry process still accepts
         connections.
       plain_call_s: Duration of a call to a plain service in seconds.
+      ends_on: Text in a request on which endpoints end, empty for none.
 
     Attributes:
       document: Current settings, sent by `publish`.
@@ -73,6 +75,7 @@
         entries: int = 1,
         drain_notice_s: float = 0.0,
         plain_call_s: float = 0.01,
+        ends_on: str = "",
     ) -> None:
         self.document = copy.deepcopy(document)
         self.vms_by_id: dict[str, LocalVm] = {}
@@ -80,6 +83,9 @@
         self._entries = entries
         self._drain_notice_s = drain_notice_s
         self._plain_call_s = plain_call_s
+        self._ends_on = ends_on
+        self._held_ports = held_ports.HeldPorts(HOST)
+        self._arguments_by_endpoint: dict[str, list[str]] = {}
         self._config_folder = tempfile.TemporaryDirectory()
         self._platform_port = 0
 
@@ -89,6 +95,7 @@
     def __exit__(self, *unused: object) -> None:
         for process in self.children_by_name.values():
             process.end()
+        self._held_ports.close()
         self._config_folder.cleanup()
 
     # --- Starting ---------------------------------------------------------
@@ -127,6 +134,10 @@
                 arguments = fleet_document.standin_arguments(
                     endpoint_id, {**defaults, **endpoint}, self._plain_call_s
                 )
+                arguments += ["--port", str(self._held_ports.take())]
+                if self._ends_on:
+                    arguments += ["--ends-on", self._ends_on]
+                self._arguments_by_endpoint[endpoint_id] = arguments
                 self._start_child(
                     endpoint_id, "cowsliprill.standins", arguments
                 )
@@ -248,6 +259,15 @@
         if name.startswith("e"):
             vm.public_port = int(started["public_port"])
 
+    def restart_endpoint(self, endpoint_id: str) -> None:
+        """Starts an endpoint that has ended again, on its port."""
+        process = self._start_child(
+            endpoint_id,
+            "cowsliprill.standins",
+            self._arguments_by_endpoint[endpoint_id],
+        )
+        process.wait_for_event("started")
+
     def _start_child(
         self, name: str, module: str, arguments: list[str]
     ) -> child.Child:
