--- a/src/cowsliprill/quarantine/crash_detector.py
+++ b/src/cowsliprill/quarantine/crash_detector.py
@@ -9,6 +9,10 @@
 """
 
 import asyncio
+import dataclasses
+import enum
+from collections.abc import Coroutine
+from typing import Any
 
 from cowsliprill import clock
 from cowsliprill.decisions import crash_records
@@ -28,6 +32,24 @@
 
 _RESTART_PROBE_INTERVAL_S = 0.5
 
+_SECOND_PROBE_DELAY_S = 0.05
+
+
+class _PortState(enum.Enum):
+    """Result of an attempt to connect to an engine."""
+
+    CLOSED = enum.auto()
+    OPEN = enum.auto()
+    UNREACHABLE = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Loss:
+    endpoint: model.Endpoint
+    fingerprint: str
+    sent_at: float
+    lost_at: float
+
 
 class CrashDetector:
     """Probes engines that lost a request and confirms their ends.
@@ -56,9 +78,8 @@
         self._log = log
         self._ends = endpoint_ends.EndpointEnds()
         self._probes_by_endpoint: dict[str, asyncio.Task[bool]] = {}
-        self._restarts_by_key: dict[
-            crash_records.CrashKey, asyncio.Task[None]
-        ] = {}
+        self._watched_keys: set[crash_records.CrashKey] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         ledger.subscribe(self._confirm_records)
 
     async def run(self) -> None:
@@ -82,8 +103,8 @@
     ) -> None:
         """Reports that an engine closed the connection of a started request.
 
-        Returns once it is known whether the engine seems to have ended, so that
-        the next attempt can take it into account.
+        Returns once the engine's port has been probed, so that the next attempt
+        can take the result into account.
 
         Args:
           endpoint_id: Id of the engine.
@@ -91,15 +112,20 @@
             given any output.
           sent_at: When the request was sent to the engine, in seconds.
         """
+        lost_at = clock.now()
         endpoint = self._cluster_state.snapshot.endpoints_by_id.get(endpoint_id)
         if endpoint is None or self._cluster_state.is_leaving(
-            endpoint_id, clock.now()
+            endpoint_id, lost_at
         ):
             return
-        if await self._has_closed_port(endpoint):
-            self._ledger.observe(endpoint, fingerprint, sent_at)
-            if not self._lists_ends:
-                self._await_restarts(endpoint)
+        loss = _Loss(endpoint, fingerprint, sent_at, lost_at)
+        match await self._port_state(endpoint):
+            case _PortState.CLOSED:
+                self._record(loss)
+            case _PortState.OPEN:
+                self._start(self._probe_again(loss))
+            case _PortState.UNREACHABLE:
+                self._dismiss(loss, "its host doesn't answer")
 
     def can_be_ended(self, record: crash_records.CrashRecord) -> bool:
         """Returns whether the settings admit that an engine has ended."""
@@ -107,7 +133,31 @@
             return True
         return not self._ends.is_listed(record.endpoint_id, record.life)
 
-    async def _has_closed_port(self, endpoint: model.Endpoint) -> bool:
+    async def _probe_again(self, loss: _Loss) -> None:
+        # A process that is being killed may lose its connections before its
+        # port.
+        await asyncio.sleep(_SECOND_PROBE_DELAY_S)
+        if await self._port_state(loss.endpoint) is _PortState.CLOSED:
+            self._record(loss)
+        else:
+            self._dismiss(loss, "its port is open")
+
+    def _record(self, loss: _Loss) -> None:
+        self._ledger.observe(
+            loss.endpoint, loss.fingerprint, loss.sent_at, loss.lost_at
+        )
+        if not self._lists_ends:
+            self._await_restarts(loss.endpoint)
+
+    def _dismiss(self, loss: _Loss, reason: str) -> None:
+        self._log.event(
+            "engine_crash_dismissed",
+            endpoint=loss.endpoint.id,
+            fingerprint=loss.fingerprint,
+            reason=reason,
+        )
+
+    async def _port_state(self, endpoint: model.Endpoint) -> _PortState:
         # All requests that an engine loses at the same time share one probe.
         task = self._probes_by_endpoint.get(endpoint.id)
         if task is None:
@@ -118,57 +168,39 @@
             )
         return await asyncio.shield(task)
 
-    async def _probe(self, endpoint: model.Endpoint) -> bool:
+    async def _probe(self, endpoint: model.Endpoint) -> _PortState:
         try:
             connection = await self._http.connect(
                 endpoint.host, endpoint.port, _PROBE_TIMEOUT_S
             )
         except engine_errors.ConnectFailed as error:
             if error.refused:
-                return True
-            self._log.event(
-                "engine_crash_dismissed",
-                endpoint=endpoint.id,
-                reason=error.message,
-            )
-            return False
+                return _PortState.CLOSED
+            return _PortState.UNREACHABLE
         connection.close()
-        self._log.event(
-            "engine_crash_dismissed",
-            endpoint=endpoint.id,
-            reason="it accepts connections",
-        )
-        return False
+        return _PortState.OPEN
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def _await_restarts(self, endpoint: model.Endpoint) -> None:
         for record in self._ledger.table.unconfirmed():
-            is_watched = record.key in self._restarts_by_key
-            if record.endpoint_id != endpoint.id or is_watched:
-                continue
-            task = asyncio.create_task(self._await_restart(endpoint, record))
-            self._restarts_by_key[record.key] = task
-            task.add_done_callback(
-                lambda _, key=record.key: self._restarts_by_key.pop(key, None)
-            )
+            is_watched = record.key in self._watched_keys
+            if record.endpoint_id == endpoint.id and not is_watched:
+                self._watched_keys.add(record.key)
+                self._start(self._await_restart(endpoint, record))
 
     async def _await_restart(
         self, endpoint: model.Endpoint, record: crash_records.CrashRecord
     ) -> None:
         while not record.is_expired(clock.now()):
             await asyncio.sleep(_RESTART_PROBE_INTERVAL_S)
-            if await self._is_port_open(endpoint):
+            if await self._port_state(endpoint) is _PortState.OPEN:
                 self._ledger.confirm(record)
-                return
-
-    async def _is_port_open(self, endpoint: model.Endpoint) -> bool:
-        try:
-            connection = await self._http.connect(
-                endpoint.host, endpoint.port, _PROBE_TIMEOUT_S
-            )
-        except engine_errors.ConnectFailed:
-            return False
-        connection.close()
-        return True
+                break
+        self._watched_keys.discard(record.key)
 
     def _confirm_records(self, changed: object) -> None:
         del changed
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -62,7 +62,11 @@
         self._apply([])
 
     def observe(
-        self, endpoint: model.Endpoint, fingerprint: str, sent_at: float
+        self,
+        endpoint: model.Endpoint,
+        fingerprint: str,
+        sent_at: float,
+        lost_at: float,
     ) -> None:
         """Records that an engine seems to have ended with a request.
 
@@ -70,9 +74,9 @@
           endpoint: The engine.
           fingerprint: Fingerprint of the request.
           sent_at: When the request was sent to the engine, in seconds.
+          lost_at: When the engine closed its connection, in seconds.
         """
-        now = clock.now()
-        record = self.table.observe(endpoint, fingerprint, sent_at, now)
+        record = self.table.observe(endpoint, fingerprint, sent_at, lost_at)
         if record is None:
             return
         self._metrics.engine_crashes.inc({"state": "suspected"})
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -108,10 +108,32 @@
 
     def test_open_port_is_not(self):
         """Guards against blame for connections that a network resets."""
-        vm = _after_loss(port=_open_port)
+
+        async def run():
+            with _open_port() as port:
+                vm = _Vm(port)
+                await vm.detector.report_lost("e1", _REQUEST, 0.0)
+                await platform_site.until(lambda: vm.log.events)
+                return vm
+
+        vm = asyncio.run(run())
         assert vm.records() == []
         assert vm.log.events[-1][0] == "engine_crash_dismissed"
 
+    def test_port_that_closes_just_after_the_connections_is(self):
+        """Guards against ends that are missed while the kernel still closes."""
+
+        async def run():
+            with _open_port() as port:
+                vm = _Vm(port)
+                await vm.detector.report_lost("e1", _REQUEST, 0.0)
+                assert vm.records() == []
+            await platform_site.until(vm.records)
+            return vm.records()
+
+        (record,) = asyncio.run(run())
+        assert record.suspects == {_REQUEST}
+
     def test_unreachable_host_is_not(self, monkeypatch):
         """Guards against blame for engines that are cut off."""
 
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -134,7 +134,8 @@
     """Has three VMs report an end each, one every 0.2 s."""
     for number, vm in enumerate(vms[:3]):
         engine = test_crash_records.engine(f"e{number}")
-        vm.ledger.observe(engine, _REQUEST, clock.now() - 0.1)
+        now = clock.now()
+        vm.ledger.observe(engine, _REQUEST, now - 0.1, now)
         await asyncio.sleep(0.2)
 
 
