--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -311,6 +311,8 @@
                 f"{host}:{port}: {cause}",
                 refused=isinstance(cause, ConnectionRefusedError),
             ) from error
+        if stream.closed():
+            raise errors.ConnectFailed(f"{host}:{port}: closed once connected")
         stream.set_nodelay(True)
         _enable_keep_alive(stream.socket)
         return stream
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -5,6 +5,8 @@
 
 import pytest
 from tests import raw_endpoint
+from tornado import iostream
+from tornado import tcpclient
 
 from cowsliprill.decisions import call_state as call_lib
 from cowsliprill.decisions import messages
@@ -203,6 +205,27 @@
         asyncio.run(scenario())
 
 
+class TestClosedOnceConnected:
+    """An endpoint ends just as a connection to it is established."""
+
+    def test_connection_counts_as_failed(self, monkeypatch) -> None:
+        """Guards against an internal error where another endpoint would do."""
+
+        async def connect(self, host, port, **options):
+            stream = iostream.IOStream(socket.socket())
+            stream.close()
+            return stream
+
+        monkeypatch.setattr(tcpclient.TCPClient, "connect", connect)
+
+        async def scenario() -> None:
+            error = await _call_error(http_client.HttpClient(), 1)
+            assert isinstance(error, errors.ConnectFailed)
+            assert error.run is messages.Executed.NO
+
+        asyncio.run(scenario())
+
+
 class TestCancel:
     """The calling task is cancelled during a call."""
 
