--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -56,6 +56,42 @@
         assert [line.process for line in _trace(text, "c7")] == ["router.vm-1"]
 
 
+class TestRepeatedRequest:
+    """A fingerprint leads to all repetitions of a request."""
+
+    def test_by_fingerprint(self):
+        """Guards against a verdict whose grounds an operator can't find."""
+        fingerprint = {"fingerprint": "00ff"}
+        text = _log(
+            "router.vm-1",
+            ("attempt_lost", {"request": "a.1", **fingerprint, "reason": "x"}),
+            ("engine_crash_suspected", {"endpoint": "e1", **fingerprint}),
+            ("attempt_lost", {"request": "a.2", "fingerprint": "ee"}),
+        )
+        text += _log(
+            "router.vm-2",
+            ("request_quarantined", fingerprint),
+            ("refused", {"request": "b.1", **fingerprint}),
+            (
+                "request_ended",
+                {"request": "b.1", "run": "no", "outcome": "x", **fingerprint},
+            ),
+        )
+        lines = _trace(text, "00ff")
+        # Lines of one millisecond are in no order.
+        assert sorted(line.event for line in lines) == [
+            "attempt_lost",
+            "engine_crash_suspected",
+            "refused",
+            "request_ended",
+            "request_quarantined",
+        ]
+        assert {line.event for line in _trace(text, "b.1")} >= {
+            "engine_crash_suspected",
+            "request_quarantined",
+        }
+
+
 class TestDescribeOutcome:
     """The outcome is described on one line."""
 
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -79,7 +79,7 @@
     """The setting `mechanisms_off` of a process's configuration file."""
 
     @staticmethod
-    def _load(tmp_path, names):
+    def _load(tmp_path, names, **more):
         path = tmp_path / "node.json"
         fields = {
             "vm": "vm-1",
@@ -89,6 +89,7 @@
             "peer_ports": [3, 4],
             "store": "127.0.0.1:5",
             "mechanisms_off": names,
+            **more,
         }
         path.write_text(json.dumps(fields))
         return config.load(path)
@@ -99,6 +100,33 @@
         assert loaded.mechanisms_off == disabled
         assert loaded.environment().mechanisms_off == disabled
 
+    def test_limits_of_the_quarantine(self, tmp_path):
+        released = ["00112233445566ff"]
+        loaded = self._load(
+            tmp_path,
+            ["quarantine"],
+            quarantine_crashes=4,
+            quarantine_s=60,
+            released_requests=released,
+        )
+        limits = loaded.environment().quarantine_limits()
+        assert (limits.crashes, limits.quarantine_s) == (4, 60.0)
+        assert limits.released == set(released)
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"quarantine_crashes": 1},
+            {"quarantine_s": 0},
+            {"released_requests": ["no fingerprint"]},
+        ],
+    )
+    def test_invalid_limits_of_the_quarantine(self, tmp_path, fields):
+        """Guards against a limit that refuses everything or nothing."""
+        (name,) = fields
+        with pytest.raises(environment.EnvironmentFileError, match=name):
+            self._load(tmp_path, [], **fields)
+
     def test_unknown_name(self, tmp_path):
         """A misspelled name would silently disable nothing."""
         with pytest.raises(environment.EnvironmentFileError, match="rolls"):
