--- a/src/cowsliprill/decisions/crash_blame.py
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -6,7 +6,6 @@
 hardly ever all of them.
 """
 
-import collections
 import dataclasses
 from collections.abc import Iterable
 
@@ -63,48 +62,63 @@
         return max(record.observed_at for record in self.records)
 
 
-def assign(records: Iterable[crash_records.CrashRecord]) -> dict[str, Blame]:
+def assign(
+    records: Iterable[crash_records.CrashRecord], at_least: int = 1
+) -> dict[str, Blame]:
     """Assigns each end to the request that accounts for most of them.
 
     Args:
       records: The ends that count.
+      at_least: Requests that account for fewer ends are left out.
 
     Returns:
-      The blame of each request that is blamed for at least one end, by
-      fingerprint.
+      The blame of each request that is blamed for enough ends, by fingerprint.
     """
-    unexplained = {
-        record.key: record for record in records if record.remaining_suspects
-    }
+    records_by_fingerprint = _index_by_suspect(records)
     blame_by_fingerprint: dict[str, Blame] = {}
-    while unexplained:
-        leaders = _leading_suspects(unexplained.values())
+    while records_by_fingerprint:
+        highest = max(map(len, records_by_fingerprint.values()))
+        if highest < at_least:
+            break
+        leaders = [
+            fingerprint
+            for fingerprint, involved in records_by_fingerprint.items()
+            if len(involved) == highest
+        ]
         for fingerprint in leaders:
-            involved = [
-                record
-                for record in unexplained.values()
-                if fingerprint in record.remaining_suspects
-            ]
             blame_by_fingerprint[fingerprint] = Blame(
-                fingerprint=fingerprint, records=tuple(involved)
+                fingerprint=fingerprint,
+                records=tuple(records_by_fingerprint[fingerprint].values()),
             )
-        unexplained = {
+        explained = {
             key: record
-            for key, record in unexplained.items()
-            if not record.remaining_suspects & leaders
+            for fingerprint in leaders
+            for key, record in records_by_fingerprint[fingerprint].items()
         }
+        _remove(explained, records_by_fingerprint)
     return blame_by_fingerprint
 
 
-def _leading_suspects(
+_RecordsByKey = dict[crash_records.CrashKey, crash_records.CrashRecord]
+
+
+def _index_by_suspect(
     records: Iterable[crash_records.CrashRecord],
-) -> frozenset[str]:
-    counts = collections.Counter(
-        fingerprint
-        for record in records
-        for fingerprint in record.remaining_suspects
-    )
-    highest = max(counts.values())
-    return frozenset(
-        fingerprint for fingerprint, count in counts.items() if count == highest
-    )
+) -> dict[str, _RecordsByKey]:
+    records_by_fingerprint: dict[str, _RecordsByKey] = {}
+    for record in records:
+        for fingerprint in record.remaining_suspects:
+            involved = records_by_fingerprint.setdefault(fingerprint, {})
+            involved[record.key] = record
+    return records_by_fingerprint
+
+
+def _remove(
+    explained: _RecordsByKey, records_by_fingerprint: dict[str, _RecordsByKey]
+) -> None:
+    for key, record in explained.items():
+        for fingerprint in record.remaining_suspects:
+            involved = records_by_fingerprint.get(fingerprint, {})
+            involved.pop(key, None)
+            if not involved:
+                records_by_fingerprint.pop(fingerprint, None)
--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -22,7 +22,7 @@
 _SAME_CRASH_S = 2.0
 
 # Bounds of memory. An engine starts few requests at the same time.
-_MAX_RECORDS = 1_024
+_MAX_RECORDS = 512
 _MAX_SUSPECTS = 32
 _MAX_ACQUITTED = _MAX_SUSPECTS
 
@@ -77,6 +77,13 @@
         """Suspects that haven't been acquitted."""
         return self.suspects - self.acquitted
 
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Returns whether a request is among the remaining suspects."""
+        return (
+            fingerprint in self.sent_before_s
+            and fingerprint not in self.acquitted
+        )
+
     def sent_at(self, fingerprint: str) -> float:
         """Returns when a suspect was sent, in seconds on the local clock."""
         return self.observed_at - self.sent_before_s[fingerprint]
@@ -192,7 +199,7 @@
         return [
             self._replace(record, acquitted=record.acquitted | {fingerprint})
             for record in list(self)
-            if fingerprint in record.remaining_suspects and record.pool == pool
+            if record.is_suspect(fingerprint) and record.pool == pool
         ]
 
     def merge(self, record: CrashRecord, now: float) -> CrashRecord | None:
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -86,7 +86,9 @@
           now: Current time in seconds.
         """
         self.table.expire(now)
-        self._blame_by_fingerprint = crash_blame.assign(self.table)
+        self._blame_by_fingerprint = crash_blame.assign(
+            self.table, self.limits.crashes
+        )
         self._next_expiry = min(
             (
                 record.observed_at + crash_records.CONFIRMATION_TIMEOUT_S
--- a/src/cowsliprill/quarantine/crash_detector.py
+++ b/src/cowsliprill/quarantine/crash_detector.py
@@ -77,7 +77,7 @@
         self._http = http
         self._log = log
         self._ends = endpoint_ends.EndpointEnds()
-        self._probes_by_endpoint: dict[str, asyncio.Task[bool]] = {}
+        self._probes_by_endpoint: dict[str, asyncio.Task[_PortState]] = {}
         self._watched_keys: set[crash_records.CrashKey] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         ledger.subscribe(self._confirm_records)
@@ -115,6 +115,12 @@
         loss = _Loss(endpoint_id, fingerprint, sent_at, clock.now())
         return self._start(self._examine(loss))
 
+    def can_be_ended(self, record: crash_records.CrashRecord) -> bool:
+        """Returns whether the settings admit that an engine has ended."""
+        if not self._lists_ends:
+            return True
+        return not self._ends.is_listed(record.endpoint_id, record.life)
+
     async def _examine(self, loss: _Loss) -> None:
         endpoint = self._cluster_state.snapshot.endpoints_by_id.get(
             loss.endpoint_id
@@ -131,12 +137,6 @@
             case _PortState.UNREACHABLE:
                 self._dismiss(loss, "its host doesn't answer")
 
-    def can_be_ended(self, record: crash_records.CrashRecord) -> bool:
-        """Returns whether the settings admit that an engine has ended."""
-        if not self._lists_ends:
-            return True
-        return not self._ends.is_listed(record.endpoint_id, record.life)
-
     async def _probe_again(self, loss: _Loss, endpoint: model.Endpoint) -> None:
         # A process that is being killed may lose its connections before its
         # port.
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -58,9 +58,7 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether a request may have ended an engine."""
-        return any(
-            fingerprint in record.remaining_suspects for record in self.table
-        )
+        return any(record.is_suspect(fingerprint) for record in self.table)
 
     def set_limits(self, limits: quarantine_lib.Limits) -> None:
         """Applies new limits."""
@@ -117,17 +115,6 @@
         if len(self.table):
             self._acquit(fingerprint, pool)
 
-    def _acquit(self, fingerprint: str, pool: str) -> None:
-        changed = self.table.acquit(fingerprint, pool)
-        if not changed:
-            return
-        self._log.event(
-            "request_acquitted",
-            fingerprint=fingerprint,
-            endpoints=crash_records.endpoint_ids(changed),
-        )
-        self._apply(changed)
-
     def merge(self, records: Iterable[crash_records.CrashRecord]) -> None:
         """Adds records of other processes."""
         now = clock.now()
@@ -137,38 +124,54 @@
             self._apply(changed)
             self._clear_survived(changed)
 
-    def _clear_survived(self, records: _Records) -> None:
-        """Clears suspects that engines of the same pool have survived."""
-        now = clock.now()
-        for record in records:
-            for fingerprint in record.remaining_suspects:
-                if self._survived.contains(fingerprint, record.pool, now):
-                    self._acquit(fingerprint, record.pool)
-
     def expire(self) -> None:
         """Drops records that no longer count and logs what that changes."""
         if not len(self.table) and not self._restrictions_by_fingerprint:
             return
-        for record in self.table.expire(clock.now()):
+        expired = self.table.expire(clock.now())
+        for record in expired:
             self._log.event(
                 "engine_crash_dropped",
                 endpoint=record.endpoint_id,
                 number=record.number,
                 confirmed=record.confirmed,
             )
-        self._apply([])
+        if expired:
+            self._quarantine.refresh(clock.now())
+        self._report_restrictions()
 
-    def _apply(self, changed: _Records) -> None:
+    def _acquit(self, fingerprint: str, pool: str) -> None:
+        changed = self.table.acquit(fingerprint, pool)
+        if not changed:
+            return
+        self._log.event(
+            "request_acquitted",
+            fingerprint=fingerprint,
+            endpoints=crash_records.endpoint_ids(changed),
+        )
+        self._apply(changed)
+
+    def _clear_survived(self, records: _Records) -> None:
+        """Clears suspects that engines of the same pool have survived."""
         now = clock.now()
-        self._quarantine.refresh(now)
-        restrictions = self._quarantine.restricted(now)
+        for record in records:
+            for fingerprint in record.remaining_suspects:
+                if self._survived.contains(fingerprint, record.pool, now):
+                    self._acquit(fingerprint, record.pool)
+
+    def _apply(self, changed: _Records) -> None:
+        self._quarantine.refresh(clock.now())
+        self._report_restrictions()
+        for callback in self._callbacks:
+            callback(changed)
+
+    def _report_restrictions(self) -> None:
+        restrictions = self._quarantine.restricted(clock.now())
         self._log_changes(restrictions)
         self._restrictions_by_fingerprint = restrictions
         for kind in quarantine_lib.RestrictionKind:
             count = sum(item.kind is kind for item in restrictions.values())
             self._metrics.restricted_requests.set({"kind": kind.value}, count)
-        for callback in self._callbacks:
-            callback(changed)
 
     def _log_changes(
         self, restrictions: dict[str, quarantine_lib.Restriction]
