--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from tools import child
+from tools import held_ports
 from tools import http_calls
 
 _ZONE = "gasabo"
@@ -38,7 +39,13 @@
       entry_ports: Ports of the fake entry processes on the VM.
     """
 
-    def __init__(self, name: str, folder: pathlib.Path, platform: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: pathlib.Path,
+        platform: str,
+        dispatch_port: int,
+    ) -> None:
         self.name = name
         self._folder = folder
         self.entry_ports: list[int] = []
@@ -47,7 +54,7 @@
             platform_url=platform,
             vm_list_url=f"{platform}/v1/vms",
         )
-        self.dispatch_port = 0
+        self.dispatch_port = dispatch_port
 
     @property
     def settings_port(self) -> int:
@@ -68,8 +75,8 @@
         )
 
     def wait_for_dispatch(self) -> None:
-        """Waits until the dispatch process listens and records its port."""
-        self.dispatch_port = _port(self.dispatch)
+        """Waits until the dispatch process listens."""
+        self.dispatch.wait_for_event("started")
 
     def vm_list_entry(self) -> dict[str, Any]:
         """Returns the VM's entry in the platform's VM list."""
@@ -113,6 +120,7 @@
 
     def __init__(self) -> None:
         self._temporary = tempfile.TemporaryDirectory()
+        self._held_ports = held_ports.HeldPorts("127.0.0.1")
         self._folder = pathlib.Path(self._temporary.name)
         self._platform = child.Child(
             "platform", "cowsliprill.standins", ["platform"]
@@ -127,7 +135,15 @@
 
     def add_vms(self, *names: str) -> None:
         """Starts the processes of VMs without publishing the VM list."""
-        vms = [Vm(name, self._folder, self._platform_url) for name in names]
+        vms = [
+            Vm(
+                name,
+                self._folder,
+                self._platform_url,
+                self._held_ports.take(),
+            )
+            for name in names
+        ]
         self.vms_by_name.update(zip(names, vms, strict=True))
         for vm in vms:
             vm.start_dispatch()
@@ -231,6 +247,7 @@
             processes += [vm.dispatch, vm.settings]
         for process in [*processes, self._platform]:
             process.end()
+        self._held_ports.close()
         self._temporary.cleanup()
 
     def _put(self, path: str, value: Any) -> None:
--- a/tools/local_fleet.py
+++ b/tools/local_fleet.py
@@ -1,8 +1,8 @@
 """Local fleet: endpoint stand-ins and all router processes on one machine.
 
 The demonstration, the feature tests and the benchmark use the fleet. The kernel
-assigns the ports; the fleet reads them from the `started` event in each
-process's log.
+assigns the ports; the fleet holds them, so that a process finds its port free
+when it restarts.
 """
 
 import copy
@@ -11,7 +11,6 @@
 import pathlib
 import signal
 import tempfile
-import time
 from typing import Any
 
 from tools import child
@@ -21,8 +20,6 @@
 
 HOST = "127.0.0.1"
 _PEER_SECRET = "local-fleet"
-_MAX_START_ATTEMPTS = 5
-_START_RETRY_DELAY_S = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -87,7 +84,7 @@
         self._held_ports = held_ports.HeldPorts(HOST)
         self._arguments_by_endpoint: dict[str, list[str]] = {}
         self._config_folder = tempfile.TemporaryDirectory()
-        self._platform_port = 0
+        self._platform_port = self._held_ports.take()
 
     def __enter__(self) -> "LocalFleet":
         return self
@@ -123,8 +120,7 @@
             "cowsliprill.standins",
             ["platform", "--port", str(self._platform_port)],
         )
-        started = process.wait_for_event("started")
-        self._platform_port = int(started["port"])
+        process.wait_for_event("started")
 
     def start_endpoints(self) -> None:
         """Starts a stand-in per endpoint and sets its address in `document`."""
@@ -159,7 +155,9 @@
         Returns:
           The VM, with the ports of its processes.
         """
-        vm = LocalVm(vm_id, availability_zone)
+        vm = LocalVm(
+            vm_id, availability_zone, public_port=self._held_ports.take()
+        )
         peers = [
             f"http://{HOST}:{other.ports_by_process['settings']}"
             for other in self.vms_by_id.values()
@@ -199,34 +197,19 @@
         self._record_ports(vm, name)
 
     def restart_process(self, vm_id: str, name: str) -> None:
-        """Restarts a process on its previous ports, with retries.
+        """Restarts a process on its previous ports.
 
         Args:
           vm_id: ID of the VM.
           name: `settings`, `dispatch`, or `e<number>`.
 
         Raises:
-          ChildError: The process didn't start on any attempt.
+          ChildError: The process didn't start.
         """
         vm = self.vms_by_id[vm_id]
         path = self._config_path(vm, name)
-        fields = json.loads(path.read_text(encoding="utf-8"))
-        fields["port"] = vm.ports_by_process[name]
-        if name.startswith("e"):
-            fields["public_port"] = vm.public_port
-        path.write_text(json.dumps(fields), encoding="utf-8")
-        for attempt in range(_MAX_START_ATTEMPTS):
-            self._start_child(f"{vm.id}.{name}", _module_of(name), [str(path)])
-            try:
-                self._record_ports(vm, name)
-            except child.ChildError:
-                # While the process was down, the kernel may have assigned its
-                # port to an outgoing connection for a short time.
-                if attempt == _MAX_START_ATTEMPTS - 1:
-                    raise
-                time.sleep(_START_RETRY_DELAY_S)
-            else:
-                return
+        self._start_child(f"{vm.id}.{name}", _module_of(name), [str(path)])
+        self._record_ports(vm, name)
 
     def _launch_process(
         self, vm: LocalVm, name: str, **extra_fields: Any
@@ -236,6 +219,7 @@
             "availability_zone": vm.availability_zone,
             "process": name,
             "host": HOST,
+            "port": self._held_ports.take(),
             "peer_secret": _PEER_SECRET,
             "drain_notice_s": self._drain_notice_s,
             **extra_fields,
