--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -90,7 +90,8 @@
         the fingerprint of a request that was sent several times.
 
     Returns:
-      Lines of the request and context events of the processes that handled it:
+      Lines of the request, what any process decided about its repetitions, and
+      context events of the processes that handled it:
       the latest few before its first line, and all up to its last line. Empty
       if no line has this ID.
     """
@@ -105,7 +106,6 @@
         )
     } - {""}
     request_lines = [line for line in lines if line.request_id() in request_ids]
-    request_lines += _quarantine_lines(lines, request_lines)
     if not request_lines:
         return []
     request_lines.sort(key=lambda line: line.time)
@@ -128,6 +128,7 @@
         *earlier_context[-_MAX_EARLIER_CONTEXT_LINES:],
         *concurrent_context,
         *request_lines,
+        *_quarantine_lines(lines, request_lines),
     ]
     return sorted(selected, key=lambda line: line.time)
 
@@ -208,7 +209,7 @@
 
 _DESCRIPTIONS_BY_EVENT = {
     "engine_crash_suspected": "an engine seems to have ended with it",
-    "request_acquitted": "an engine completed it",
+    "request_acquitted": "an engine gave output for it",
     "request_held": "held back until ends of engines are confirmed",
     "request_quarantined": "quarantined, as engines ended with it",
     "request_released": "may be sent again",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -91,6 +91,23 @@
             "request_quarantined",
         }
 
+    def test_verdicts_of_other_vms_bring_no_context_of_theirs(self):
+        """Guards against a trace that all VMs' cluster changes flood."""
+        fingerprint = {"fingerprint": "00ff"}
+        text = _log(
+            "router.vm-2",
+            ("members_changed", {"alive": 3}),
+            ("request_held", fingerprint),
+        )
+        text += _log(
+            "router.vm-1", ("request_ended", _END_FIELDS | fingerprint)
+        )
+        lines = _trace(text, "c7")
+        assert sorted((line.process, line.event) for line in lines) == [
+            ("router.vm-1", "request_ended"),
+            ("router.vm-2", "request_held"),
+        ]
+
 
 class TestDescribeOutcome:
     """The outcome is described on one line."""
