--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -23,8 +23,7 @@
 
 # Bounds of memory. An engine starts few requests at the same time.
 _MAX_RECORDS = 512
-_MAX_SUSPECTS = 32
-_MAX_ACQUITTED = _MAX_SUSPECTS
+MAX_SUSPECTS = 32
 
 _DIGEST_BYTES = 8
 
@@ -100,8 +99,8 @@
     def merge(self, other: "CrashRecord") -> "CrashRecord":
         """Returns the union of two records of the same end."""
         both = (self.sent_before_s, other.sent_before_s)
-        suspects = sorted(self.suspects | other.suspects)[:_MAX_SUSPECTS]
-        acquitted = sorted(self.acquitted | other.acquitted)[:_MAX_ACQUITTED]
+        suspects = sorted(self.suspects | other.suspects)[:MAX_SUSPECTS]
+        acquitted = sorted(self.acquitted | other.acquitted)[:MAX_SUSPECTS]
         return dataclasses.replace(
             self,
             life=max(self.life, other.life),
@@ -145,7 +144,7 @@
         endpoint: model.Endpoint,
         fingerprint: str,
         sent_at: float,
-        now: float,
+        lost_at: float,
     ) -> CrashRecord | None:
         """Records that an engine seems to have ended while it had a request.
 
@@ -153,22 +152,22 @@
           endpoint: The engine as listed.
           fingerprint: Fingerprint of the request.
           sent_at: When the request was sent to the engine, in seconds.
-          now: Current time in seconds.
+          lost_at: When the engine closed its connection, in seconds.
 
         Returns:
           The new or changed record, None if nothing changed.
         """
-        sent_before_s = round(max(now - sent_at, 0.0), _SENT_DIGITS)
+        sent_before_s = round(max(lost_at - sent_at, 0.0), _SENT_DIGITS)
         return self.merge(
             CrashRecord(
                 endpoint_id=endpoint.id,
-                number=self._number(endpoint.id, endpoint.life, now),
+                number=self._number(endpoint.id, endpoint.life, lost_at),
                 life=endpoint.life,
                 pool=endpoint.pool,
                 sent_before_s={fingerprint: sent_before_s},
-                observed_at=now,
+                observed_at=lost_at,
             ),
-            now,
+            lost_at,
         )
 
     def confirm(self, key: CrashKey) -> CrashRecord | None:
--- a/src/cowsliprill/decisions/request_fingerprint.py
+++ b/src/cowsliprill/decisions/request_fingerprint.py
@@ -8,6 +8,9 @@
 import hashlib
 
 _DIGEST_BYTES = 8
+
+# Regular expression that matches a fingerprint.
+PATTERN = rf"^[0-9a-f]{{{2 * _DIGEST_BYTES}}}$"
 _PURPOSE = b"request-digest"
 
 
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -14,8 +14,13 @@
 from cowsliprill import errors
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import quarantine
+from cowsliprill.decisions import request_fingerprint
 
-Fingerprint = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{16}$")]
+CrashLimit = Annotated[int, pydantic.Field(ge=2, le=100)]
+QuarantineSeconds = Annotated[float, pydantic.Field(gt=0.0, le=86_400.0)]
+Fingerprint = Annotated[
+    str, pydantic.Field(pattern=request_fingerprint.PATTERN)
+]
 
 
 class EnvironmentFileError(errors.CowsliprillError):
@@ -75,8 +80,8 @@
     peer_secret: pydantic.SecretStr = pydantic.SecretStr("")
     seed: int | None = None
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
-    quarantine_crashes: int = pydantic.Field(default=3, ge=2, le=100)
-    quarantine_s: float = pydantic.Field(default=600.0, gt=0.0, le=86_400.0)
+    quarantine_crashes: CrashLimit = 3
+    quarantine_s: QuarantineSeconds = 600.0
     released_requests: frozenset[Fingerprint] = frozenset()
 
     def quarantine_limits(self) -> quarantine.Limits:
--- a/src/cowsliprill/quarantine/peer_exchange.py
+++ b/src/cowsliprill/quarantine/peer_exchange.py
@@ -11,7 +11,9 @@
 import math
 import random
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Sequence
+from typing import Any
 
 from cowsliprill import clock
 from cowsliprill import codec
@@ -78,7 +80,7 @@
             crash_records.CrashKey, crash_records.CrashRecord
         ] = {}
         self._push_timer: asyncio.TimerHandle | None = None
-        self._calls: set[asyncio.Task[None]] = set()
+        self._calls: set[asyncio.Task[object]] = set()
         self._fresh_until = math.inf
         self._compared_at = -math.inf
         ledger.subscribe(self._queue)
@@ -156,7 +158,7 @@
             )
             return None
 
-    def _start(self, call: object) -> None:
+    def _start(self, call: Coroutine[Any, Any, object]) -> None:
         task = asyncio.create_task(call)
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
--- a/src/cowsliprill/quarantine/wire.py
+++ b/src/cowsliprill/quarantine/wire.py
@@ -6,14 +6,17 @@
 import pydantic
 
 from cowsliprill.decisions import crash_records
+from cowsliprill.decisions import request_fingerprint
 
-# Bounds of what is accepted from a peer.
+# Bound of what is accepted from a peer.
 _MAX_RECORDS = 1_024
-_MAX_FINGERPRINTS = 32
 
-_Fingerprint = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{16}$")]
+_Fingerprint = Annotated[
+    str, pydantic.Field(pattern=request_fingerprint.PATTERN)
+]
 _Fingerprints = Annotated[
-    tuple[_Fingerprint, ...], pydantic.Field(max_length=_MAX_FINGERPRINTS)
+    tuple[_Fingerprint, ...],
+    pydantic.Field(max_length=crash_records.MAX_SUSPECTS),
 ]
 _Age = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
 
@@ -40,7 +43,7 @@
     pool: str = ""
     suspects: Annotated[
         tuple[tuple[_Fingerprint, _Age], ...],
-        pydantic.Field(max_length=_MAX_FINGERPRINTS),
+        pydantic.Field(max_length=crash_records.MAX_SUSPECTS),
     ] = ()
     acquitted: _Fingerprints = ()
     confirmed: bool = False
--- a/src/cowsliprill/router/config.py
+++ b/src/cowsliprill/router/config.py
@@ -92,8 +92,8 @@
     grace_s: float = 8.0
     peer_secret: str = ""
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
-    quarantine_crashes: int = pydantic.Field(default=3, ge=2, le=100)
-    quarantine_s: float = pydantic.Field(default=600.0, gt=0.0, le=86_400.0)
+    quarantine_crashes: environment.CrashLimit = 3
+    quarantine_s: environment.QuarantineSeconds = 600.0
     released_requests: frozenset[environment.Fingerprint] = frozenset()
     path: pathlib.Path | None = None
 
--- a/src/cowsliprill/standins/engine.py
+++ b/src/cowsliprill/standins/engine.py
@@ -149,9 +149,10 @@
           body: The request's body.
           faults: Faults to inject.
         """
-        fault_injection.end_process_on(
-            self.command.ends_on, json.dumps(body).encode()
-        )
+        if self.command.ends_on:
+            fault_injection.end_process_on(
+                self.command.ends_on, json.dumps(body).encode()
+            )
         self._start_task(self._generate(request, body, faults))
 
     async def throttle_link(self, size_bytes: float) -> None:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -9,6 +9,7 @@
 import socket
 from typing import Any
 
+from tools import held_ports
 from tornado import httpserver
 from tornado import iostream
 from tornado import netutil
@@ -594,15 +595,11 @@
 def hold_port() -> socket.socket:
     """Reserves a port for routers to listen on, until the socket is closed.
 
-    If the port were released at once, the kernel could assign it to a
-    connection of the test, and a router couldn't listen. `SO_REUSEADDR` lets
-    routers bind the reserved port. The port is also free for UDP, where a
-    router of another test or another program may use it.
+    The port is also free for UDP, where a router of another test or another
+    program may use it.
     """
     while True:
-        reserved = socket.socket()
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind(("127.0.0.1", 0))
+        reserved = held_ports.hold_port(HOST)
         if _is_free_for_udp(reserved.getsockname()[1]):
             return reserved
         reserved.close()
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -6,6 +6,7 @@
 import socket
 
 import pytest
+from tests import fake_log
 from tests import platform_site
 
 from cowsliprill.decisions import crash_records
@@ -21,21 +22,11 @@
 _REQUEST = f"{1:016x}"
 
 
-class _FakeLog:
-    def __init__(self):
-        self.events = []
-
-    def event(self, name, **fields):
-        self.events.append((name, fields))
-
-    warning = event
-
-
 class _Vm:
     """Detector and ledger of one VM, with the engine `e1` listed."""
 
     def __init__(self, port: int, *, lists_ends: bool = True):
-        self.log = _FakeLog()
+        self.log = fake_log.FakeLog()
         self.ledger = ledger_lib.CrashLedger(
             quarantine.Quarantine(quarantine.Limits()),
             self.log,
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -4,6 +4,7 @@
 import random
 
 import pytest
+from tests import fake_log
 from tests import test_crash_records
 from tests import virtual_time
 
@@ -24,13 +25,6 @@
 _CONTACT_S = 3.0
 
 
-class _FakeLog:
-    def event(self, name, **fields):
-        pass
-
-    warning = event
-
-
 class _Network:
     """Delivers messages between VMs, loses some and counts bytes."""
 
@@ -83,7 +77,7 @@
         self.id = f"vm-{number}"
         self.ledger = ledger_lib.CrashLedger(
             quarantine.Quarantine(quarantine.Limits()),
-            _FakeLog(),
+            fake_log.FakeLog(),
             metrics.Metrics(),
         )
         cluster_state = cluster_state_lib.ClusterState()
@@ -95,7 +89,7 @@
             lambda record: True,
             cluster_state,
             network.client_of(self.id),
-            _FakeLog(),
+            fake_log.FakeLog(),
             random.Random(number),
         )
         network.vms_by_id[self.id] = self
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -4,6 +4,7 @@
 import types
 
 import pytest
+from tests import fake_log
 from tests import test_crash_records
 
 from cowsliprill import clock
@@ -18,16 +19,6 @@
 _REQUEST = f"{1:016x}"
 
 
-class _FakeLog:
-    def __init__(self):
-        self.events = []
-
-    def event(self, name, **fields):
-        self.events.append((name, fields))
-
-    warning = event
-
-
 class _FakeDetector:
     """Detector whose examinations last until `done` is set."""
 
@@ -44,7 +35,7 @@
     """Ledger and check of one process."""
 
     def __init__(self):
-        self.log = _FakeLog()
+        self.log = fake_log.FakeLog()
         self.ledger = ledger_lib.CrashLedger(
             quarantine.Quarantine(quarantine.Limits()),
             self.log,
--- a/tools/held_ports.py
+++ b/tools/held_ports.py
@@ -3,11 +3,23 @@
 import socket
 
 
-class HeldPorts:
-    """Reserves ports of one host until `close`.
+def hold_port(host: str) -> socket.socket:
+    """Reserves a port that the kernel chooses, until the socket is closed.
+
+    The kernel gives a reserved port to no outgoing connection. `SO_REUSEADDR`
+    lets a process listen on it.
+
+    Args:
+      host: IP address.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((host, 0))
+    return reserved
 
-    A process that restarts finds its port free: the kernel gives a reserved
-    port to no outgoing connection. `SO_REUSEADDR` lets the process listen.
+
+class HeldPorts:
+    """Reserves ports of one host, so that processes can restart on them.
 
     Args:
       host: IP address.
@@ -19,9 +31,7 @@
 
     def take(self) -> int:
         """Reserves a port that the kernel chooses and returns it."""
-        reserved = socket.socket()
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        reserved.bind((self._host, 0))
+        reserved = hold_port(self._host)
         self._sockets.append(reserved)
         return reserved.getsockname()[1]
 
