Log the rate limits that endpoints name in their answers

Answers of endpoints are checked for the limit (Server-Limit on the platform, X-Rate-Limit on the own interface). Each change is logged with its source, a gauge has the limit by endpoint, malformed values get one bounded warning. request_ended names the server of a plain call. A table orders the changes by version; nothing is routed by it yet.

--- a/src/cowsliprill/engines/protocol.py
+++ b/src/cowsliprill/engines/protocol.py
@@ -46,7 +46,9 @@
 
 Plain service:
   Any method and path, with `X-Request-Id` and, if the caller sent one,
-  `Idempotency-Key`. The service echoes `X-Request-Id`.
+  `Idempotency-Key`. The service echoes `X-Request-Id`. In need it names in its
+  answers `X-Rate-Limit`, the requests a second (a decimal number) that it takes
+  from all callers together, for as long as it says so.
 """
 
 import dataclasses
@@ -68,6 +70,7 @@
 
 REQUEST_ID_HEADER = "X-Request-Id"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+RATE_LIMIT_HEADER = "X-Rate-Limit"
 FENCING_FIELD = "fencing"
 
 END_MARKER = b"data: [DONE]\n\n"
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -33,6 +33,7 @@
 from cowsliprill.entry import placement_backend as backend_lib
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import quarantine_components
+from cowsliprill.entry import rate_limit_components
 from cowsliprill.entry import routes
 from cowsliprill.entry import ticket_forwarding
 from cowsliprill.entry.filters import admission
@@ -108,6 +109,9 @@
         self._budgets = retry_budget.RetryBudgets()
         self._outlier_detector = self._make_outlier_detector()
         self._http = http_client.HttpClient()
+        self._rate_limits = rate_limit_components.RateLimitComponents(
+            self._cluster_state, log, self._metrics
+        )
         self._dialect = make_dialect(
             dialect_lib.Dependencies(
                 incarnation=self._incarnation,
@@ -115,6 +119,7 @@
                 budgets=self._budgets,
                 metrics=self._metrics,
                 log=log,
+                observe_answer=self._rate_limits.observe,
             )
         )
         self._gate = gate_lib.Gate(self._incarnation, self._cluster_state)
@@ -191,6 +196,7 @@
                 self._source.run(),
                 *self._placement_backend.background_work(),
                 *self._quarantine.background_work(),
+                *self._rate_limits.background_work(),
             )
         ]
         ended = asyncio.create_task(self.shell.run_until_stopped())
--- a/src/cowsliprill/entry/dialect.py
+++ b/src/cowsliprill/entry/dialect.py
@@ -7,11 +7,13 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 from typing import Protocol
 
 from tornado import web
 
 from cowsliprill.decisions import identity
+from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import retry_budget
 from cowsliprill.engines import http_client
 from cowsliprill.entry import calls
@@ -32,6 +34,8 @@
       budgets: Retry budgets of the services.
       metrics: Metrics of the process.
       log: Log of the process.
+      observe_answer: Receives what each answer of an endpoint says about its
+        rate limit.
     """
 
     incarnation: identity.Incarnation
@@ -39,6 +43,7 @@
     budgets: retry_budget.RetryBudgets
     metrics: metrics_lib.Metrics
     log: log_lib.Log
+    observe_answer: Callable[[rate_limits.Answer], None]
 
 
 class Dialect(errors.ErrorFormatter, Protocol):
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -103,6 +103,7 @@
             customer=ctx.customer.id if ctx.customer else "",
             service=labels["service"],
             fingerprint=ctx.fingerprint,
+            endpoint=ctx.endpoint.id if ctx.endpoint else "",
             outcome=progress.outcome,
             in_time=in_time,
             prompt_tokens=_prompt_tokens(ctx),
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -34,6 +34,8 @@
         (suspected, confirmed), as seen by this process.
       restricted_requests: Requests that are refused because they end engines,
         by `kind` (held, quarantined).
+      endpoint_rate_limit: Requests a second that an endpoint takes from all VMs
+        together, 0 without a limit, by `endpoint`.
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
@@ -100,6 +102,11 @@
             "restricted_requests", "Requests refused because they end engines."
         )
 
+        self.endpoint_rate_limit = self._gauge(
+            "endpoint_rate_limit_per_second",
+            "Requests a second that an endpoint takes from all VMs.",
+        )
+
         self.members = self._gauge("members", "VMs that are heard.")
         self.registry_position = self._gauge(
             "registry_position", "Newest change known of the registry."
--- a/src/cowsliprill/platform/dialect.py
+++ b/src/cowsliprill/platform/dialect.py
@@ -25,8 +25,12 @@
     resumer = None
 
     def __init__(self, dependencies: dialect.Dependencies) -> None:
-        self.engines = engines.EngineClient(dependencies.http, dependencies.log)
-        self.services = engines.ServiceClient(dependencies.http)
+        self.engines = engines.EngineClient(
+            dependencies.http, dependencies.log, dependencies.observe_answer
+        )
+        self.services = engines.ServiceClient(
+            dependencies.http, dependencies.observe_answer
+        )
 
     def application(
         self, gate: gate_lib.Gate, components: routes.Components
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -4,12 +4,14 @@
 import dataclasses
 import http
 import json
+from collections.abc import Callable
 
 from tornado import httputil
 
 from cowsliprill import clock
 from cowsliprill.decisions import call_state as call_lib
 from cowsliprill.decisions import model
+from cowsliprill.decisions import rate_limits
 from cowsliprill.engines import errors
 from cowsliprill.engines import event_stream
 from cowsliprill.engines import exchange
@@ -42,6 +44,9 @@
 )
 
 
+_ObserveAnswer = Callable[[rate_limits.Answer], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FinishedPrefill:
     """A finished prefill whose KV cache waits to be fetched.
@@ -61,6 +66,7 @@
     Args:
       client: HTTP client.
       log: Log of the process.
+      observe_answer: Receives the rate limits in answers.
     """
 
     prefill_counts_as_execution = False
@@ -68,10 +74,14 @@
     can_resume_elsewhere = True
 
     def __init__(
-        self, client: http_client.HttpClient, log: log_lib.Log
+        self,
+        client: http_client.HttpClient,
+        log: log_lib.Log,
+        observe_answer: _ObserveAnswer,
     ) -> None:
         self._http = client
         self._log = log
+        self._observe_answer = observe_answer
         self._release_tasks: set[asyncio.Task] = set()
 
     def attempt_id(self, ctx: context.Context) -> str:
@@ -97,6 +107,7 @@
         response = await _send(
             self._http, ctx, endpoint, extra_headers, timeout_s=timeout_s
         )
+        self._observe(ctx, endpoint, response, require_signature=False)
         body = await response.read(_MAX_RESPONSE_BYTES)
         _check_response(ctx, response, require_signature=False)
         try:
@@ -133,6 +144,7 @@
             timeout_s=timeout_s,
             connection=connection,
         )
+        self._observe(ctx, endpoint, response)
         try:
             _check_response(ctx, response)
         except errors.CallError:
@@ -156,6 +168,17 @@
         """Returns a sink that relays events and engine headers unchanged."""
         return sinks.PassthroughSink(ctx, stream)
 
+    def _observe(
+        self,
+        ctx: context.Context,
+        endpoint: model.Endpoint,
+        response: exchange.Response,
+        *,
+        require_signature: bool = True,
+    ) -> None:
+        if _is_answer_of(ctx, response, require_signature=require_signature):
+            self._observe_answer(_rate_limit_answer(ctx, endpoint, response))
+
     async def _release(self, prefilled: FinishedPrefill) -> None:
         endpoint = prefilled.endpoint
         try:
@@ -181,10 +204,14 @@
 
     Args:
       client: HTTP client.
+      observe_answer: Receives the rate limits in answers.
     """
 
-    def __init__(self, client: http_client.HttpClient) -> None:
+    def __init__(
+        self, client: http_client.HttpClient, observe_answer: _ObserveAnswer
+    ) -> None:
         self._http = client
+        self._observe_answer = observe_answer
 
     async def call(
         self, ctx: context.Context, progress: call_lib.CallProgress
@@ -199,6 +226,10 @@
             timeout_s=timeout_s,
             progress=progress,
         )
+        if _is_answer_of(ctx, response):
+            self._observe_answer(
+                _rate_limit_answer(ctx, ctx.endpoint, response)
+            )
         body = await response.read(_MAX_RESPONSE_BYTES)
         try:
             _check_response(ctx, response, accept_failures=True)
@@ -304,6 +335,49 @@
         raise errors.EngineFailed(f"status {status}")
 
 
+def _is_answer_of(
+    ctx: context.Context,
+    response: exchange.Response,
+    *,
+    require_signature: bool = True,
+) -> bool:
+    """Returns whether the addressed engine gave an answer to this request.
+
+    Args:
+      ctx: Context of the request.
+      response: Response with its headers read.
+      require_signature: Whether a success must have a signature header.
+    """
+    try:
+        _check_response(
+            ctx,
+            response,
+            accept_failures=True,
+            require_signature=require_signature,
+        )
+    except errors.EngineRefused as error:
+        return error.code != protocol.CODE_MISDIRECTED
+    except errors.EngineFailed:
+        # An engine's failure is its own answer, a malformed success isn't.
+        return response.status >= http.HTTPStatus.MULTIPLE_CHOICES
+    except errors.CallError:
+        return False
+    return True
+
+
+def _rate_limit_answer(
+    ctx: context.Context,
+    endpoint: model.Endpoint,
+    response: exchange.Response,
+) -> rate_limits.Answer:
+    return rate_limits.Answer(
+        endpoint=endpoint,
+        limit_text=response.headers.get(headers_lib.RATE_LIMIT),
+        sent_at=ctx.progress.sent_at,
+        conclusive=response.status < http.HTTPStatus.MULTIPLE_CHOICES,
+    )
+
+
 def _check_success(
     headers: httputil.HTTPHeaders, *, require_signature: bool
 ) -> None:
--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -16,6 +16,8 @@
 EXPECTED_INSTANCE = "Expected-Instance"
 # Set on a response when the engine has not executed the request.
 NOT_EXECUTED = "Not-Executed"
+# Requests a second that an engine takes from all VMs together.
+RATE_LIMIT = "Server-Limit"
 # Phase that an engine runs, prefill or decode.
 STAGE = "Stage"
 # Address and handle by which a decode engine fetches the KV cache.
--- /dev/null
+++ b/src/cowsliprill/rate_limiting/__init__.py
@@ -0,0 +1,1 @@
+"""Request rate limits that endpoints name, kept by all VMs together."""
