--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -279,6 +279,7 @@
       crashed: Whether the engine has ended without notice.
       disconnects: Number of connections that clients closed during a request.
       cut: Set to cut the paused streams.
+      rate_limit: Rate limit named in all answers, None for none.
     """
 
     def __init__(self, name: str, service: str, stage: str | None) -> None:
@@ -292,6 +293,7 @@
         self.disconnects = 0
         self.crashed = False
         self.cut = asyncio.Event()
+        self.rate_limit: str | None = None
         self.site = LocalServer(
             [
                 ("/kv-handle/(.*)", _HandleHandler, {"engine": self}),
@@ -348,6 +350,8 @@
         faults = engine.next_faults()
         attempt = request.headers["Attempt-Id"]
         self.set_header("Attempt-Id", "other" if faults.foreign else attempt)
+        if engine.rate_limit is not None:
+            self.set_header("Server-Limit", engine.rate_limit)
         if request.headers.get("Expected-Instance") != engine.name:
             self.set_status(421)
             self.finish()
