Separate the exchange of records between VMs from the crash records

Rate limits of endpoints need the same: pushes to about ln n peers and comparisons of digests. Behaviour as before, tests of the crash records' exchange pass unchanged but for the constructor.

--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -11,6 +11,7 @@
 from cowsliprill import environment as environment_lib
 from cowsliprill import peer_auth
 from cowsliprill import process
+from cowsliprill import record_exchange
 from cowsliprill.decisions import connection_limits
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import mechanisms
@@ -138,15 +139,21 @@
             )
         )
         self._scheduling = self._placement_backend.scheduling
+        self._peer_network = record_exchange.Network(
+            vm_id=environment.vm,
+            own_port=lambda: self.shell.port,
+            cluster_state=self._cluster_state,
+            client=homes,
+            rng=self._random,
+        )
         self._quarantine = quarantine_components.QuarantineComponents(
             environment,
             self._cluster_state,
             self._http,
             self._auth,
-            lambda: self.shell.port,
+            self._peer_network,
             log,
             self._metrics,
-            self._random,
             lists_ends=source.lists_ends,
         )
         self._source = source
--- a/src/cowsliprill/entry/quarantine_components.py
+++ b/src/cowsliprill/entry/quarantine_components.py
@@ -1,18 +1,16 @@
 """Composition of the parts that quarantine requests in one process."""
 
-import random
 from collections.abc import Awaitable
-from collections.abc import Callable
 
 from cowsliprill import environment as environment_lib
 from cowsliprill import peer_auth
 from cowsliprill import peer_handler
 from cowsliprill import peers
+from cowsliprill import record_exchange
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import quarantine
 from cowsliprill.engines import http_client
 from cowsliprill.entry import cluster_state as cluster_state_lib
-from cowsliprill.entry import coordinator_client
 from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
@@ -29,11 +27,10 @@
       environment: Configuration of the process.
       cluster_state: Current settings and VM list.
       http: HTTP client for endpoints and peers.
-      auth: Signs messages to peers.
-      own_port: Returns the peer port of this process.
+      auth: Verifies messages of peers.
+      network: Access to the peers.
       log: Log of the process.
       metrics: Metrics of the process.
-      rng: Chooses peers.
       lists_ends: Whether endpoints that have ended disappear from the settings.
 
     Attributes:
@@ -46,10 +43,9 @@
         cluster_state: cluster_state_lib.ClusterState,
         http: http_client.HttpClient,
         auth: peer_auth.PeerAuth,
-        own_port: Callable[[], int],
+        network: record_exchange.Network,
         log: log_lib.Log,
         metrics: metrics_lib.Metrics,
-        rng: random.Random,
         *,
         lists_ends: bool,
     ) -> None:
@@ -62,14 +58,7 @@
             self._ledger, cluster_state, http, log, lists_ends=lists_ends
         )
         self._exchange = peer_exchange.PeerExchange(
-            environment.vm,
-            own_port,
-            self._ledger,
-            self._detector.can_be_ended,
-            cluster_state,
-            coordinator_client.CoordinatorClient(http, auth),
-            log,
-            rng,
+            network, self._ledger, self._detector.can_be_ended, log
         )
         self.check: request_quarantine.RequestQuarantine = (
             request_quarantine.Disabled()
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -10,6 +10,7 @@
 
 from cowsliprill import clock
 from cowsliprill import codec
+from cowsliprill import record_exchange
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quarantine
 from cowsliprill.entry import cluster_state as cluster_state_lib
@@ -83,14 +84,16 @@
         cluster_state = cluster_state_lib.ClusterState()
         cluster_state.fleet = fleet
         self.exchange = peer_exchange.PeerExchange(
-            self.id,
-            lambda: 1,
+            record_exchange.Network(
+                vm_id=self.id,
+                own_port=lambda: 1,
+                cluster_state=cluster_state,
+                client=network.client_of(self.id),
+                rng=random.Random(number),
+            ),
             self.ledger,
             lambda record: True,
-            cluster_state,
-            network.client_of(self.id),
             fake_log.FakeLog(),
-            random.Random(number),
         )
         network.vms_by_id[self.id] = self
         self.task = asyncio.create_task(self.exchange.run())
