Keep the rate limits that plain servers name, over all VMs

What servers saw: 16 to 28 requests in 4 s at limits of 1.3 to 1.7 a second (13 to 15 allowed); callers noticed nothing.

Cause: no VM read the limit; a bound that a server states to all VMs together was applied by none. Ruled out: retries (some percent of the sends), and limits that each VM kept alone.

Each VM learns limits from answers and passes changes on (versions order them; a laxer value or none counts only for requests sent after the limit was known). Requests to a limited server need a permit from the coordinator of its pool, which paces all VMs: urgent requests first, customers in turn, denied at once where none comes in time. After a limit the rate rises for 3 s. An acting coordinator, or one of a minority, hands out only its fraction of the fleet.

When a retry finds no server that may get it, the failed answer that is there is delivered. A server that refuses calls while it limits them isn't ejected.

--- a/src/cowsliprill/decisions/mechanisms.py
+++ b/src/cowsliprill/decisions/mechanisms.py
@@ -31,6 +31,7 @@
       LOCAL_PREFILL: Local prefill on decode engines.
       PEER_UPDATES: VMs get registry updates from each other.
       QUARANTINE: Requests that end engines are refused.
+      RATE_LIMITS: Rate limits that endpoints name are kept.
       ROLE_ORDERS: Engines are switched between prefill and decode.
       OUTLIER_DETECTION: Servers of plain services are ejected by their failure
         rate compared with that of their peers.
@@ -46,6 +47,7 @@
     LOCAL_PREFILL = "own_reading"
     PEER_UPDATES = "peer_news"
     QUARANTINE = "quarantine"
+    RATE_LIMITS = "rate_limits"
     ROLE_ORDERS = "role_orders"
     OUTLIER_DETECTION = "server_comparison"
     SIZE_VALUE = "size_worth"
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -12,6 +12,7 @@
 import enum
 
 from cowsliprill.decisions import model
+from cowsliprill.decisions import rate_limits
 
 
 class Executed(enum.StrEnum):
@@ -43,6 +44,7 @@
     TARGET_UNREACHABLE = "target_unreachable"
     WAITED_TOO_LONG = "waited_too_long"
     NO_ENDPOINT = "no_endpoint"
+    RATE_LIMITED = "rate_limited"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     ENDPOINT_FAILED = "endpoint_failed"
 
@@ -236,6 +238,17 @@
     fleet: model.Fleet
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimitsChanged:
+    """The rate limits that endpoints name have changed.
+
+    Attributes:
+      limits: All limits that are known now.
+    """
+
+    limits: tuple[rate_limits.RateLimit, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """The time returned by `Scheduler.next_wakeup` has come."""
@@ -253,6 +266,7 @@
     | SlotGrant
     | HomeUnreachable
     | ClusterStateChanged
+    | RateLimitsChanged
     | Tick
 )
 
--- a/src/cowsliprill/decisions/rate_limits.py
+++ b/src/cowsliprill/decisions/rate_limits.py
@@ -112,6 +112,10 @@
         start_per_s = max(self.per_s, _RECOVERY_START_PER_S)
         return start_per_s * _RECOVERY_GROWTH**elapsed_s
 
+    def restricts(self, now: float) -> bool:
+        """Returns whether requests to the endpoint are paced now."""
+        return self.rate_per_s(now) < math.inf
+
     def supersedes(self, other: "RateLimit") -> bool:
         """Returns whether this record replaces another of the same endpoint.
 
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -71,8 +71,11 @@
       make_backend: Creates the component that places model requests on engines.
       metrics: Metrics of the process, None to create new ones.
       quotas: Enforces the customers' quotas, None for no quotas.
+      reachable_fraction: Returns the fraction of the known VMs that this VM
+        receives heartbeats from.
 
     Attributes:
+      rate_limits: Rate limits that endpoints name.
       shell: HTTP servers, health checks and signal handling of the process.
       peer_routes: Additional tornado routes of the peer port, to be set before
         `run`.
@@ -90,6 +93,7 @@
         make_backend: backend_lib.MakeBackend = backend_lib.LeasePlacement,
         metrics: metrics_lib.Metrics | None = None,
         quotas: quota.Admission | None = None,
+        reachable_fraction: Callable[[], float] = lambda: 1.0,
     ) -> None:
         self._environment = environment
         self._log = log
@@ -110,8 +114,24 @@
         self._budgets = retry_budget.RetryBudgets()
         self._outlier_detector = self._make_outlier_detector()
         self._http = http_client.HttpClient()
-        self._rate_limits = rate_limit_components.RateLimitComponents(
-            self._cluster_state, log, self._metrics
+        homes = coordinator_client.CoordinatorClient(self._http, self._auth)
+        self._peer_network = record_exchange.Network(
+            vm_id=environment.vm,
+            own_port=lambda: self.shell.port,
+            cluster_state=self._cluster_state,
+            client=homes,
+            rng=self._random,
+        )
+        self.rate_limits = rate_limit_components.RateLimitComponents(
+            str(self._incarnation),
+            self._auth,
+            self._peer_network,
+            reachable_fraction,
+            log,
+            self._metrics,
+            self._random,
+            enabled=mechanisms.Mechanism.RATE_LIMITS
+            not in environment.mechanisms_off,
         )
         self._dialect = make_dialect(
             dialect_lib.Dependencies(
@@ -120,11 +140,10 @@
                 budgets=self._budgets,
                 metrics=self._metrics,
                 log=log,
-                observe_answer=self._rate_limits.observe,
+                observe_answer=self.rate_limits.observe,
             )
         )
         self._gate = gate_lib.Gate(self._incarnation, self._cluster_state)
-        homes = coordinator_client.CoordinatorClient(self._http, self._auth)
         self._canceller = self._make_canceller(homes)
         self._placement_backend = make_backend(
             backend_lib.Dependencies(
@@ -139,13 +158,6 @@
             )
         )
         self._scheduling = self._placement_backend.scheduling
-        self._peer_network = record_exchange.Network(
-            vm_id=environment.vm,
-            own_port=lambda: self.shell.port,
-            cluster_state=self._cluster_state,
-            client=homes,
-            rng=self._random,
-        )
         self._quarantine = quarantine_components.QuarantineComponents(
             environment,
             self._cluster_state,
@@ -203,7 +215,7 @@
                 self._source.run(),
                 *self._placement_backend.background_work(),
                 *self._quarantine.background_work(),
-                *self._rate_limits.background_work(),
+                *self.rate_limits.background_work(),
             )
         ]
         ended = asyncio.create_task(self.shell.run_until_stopped())
@@ -231,6 +243,7 @@
             [
                 *routes.peer_routes(self._gate, components, self._auth),
                 *self._quarantine.peer_routes(),
+                *self.rate_limits.peer_routes(),
                 *self.peer_routes,
             ]
         )
@@ -282,6 +295,7 @@
                 self._authorization,
                 self._quarantine.check,
                 self._outlier_detector,
+                self.rate_limits.permits,
             ),
             model_relay=model_relay.ModelRelay(
                 self._dialect.engines,
@@ -307,6 +321,7 @@
         snapshot = self._source.snapshot
         self._cluster_state.update(snapshot, self._source.fleet)
         self._quarantine.cluster_state_changed()
+        self.rate_limits.cluster_state_changed()
         self._http.limits_by_address = connection_limits.limits_for_endpoints(
             snapshot, self._source.fleet
         )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -14,10 +14,12 @@
 from cowsliprill.entry import authorization
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import context
+from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import errors
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
+from cowsliprill.rate_limiting import permit_client
 
 # A server that hasn't responded within this multiple of the TTFT target has
 # most likely lost the call; a server that is only busy responds earlier.
@@ -29,6 +31,14 @@
 # its attempts; each of them costs a connection attempt.
 _MAX_UNSENT_CALLS = 3
 
+# A call waits for a server that limits its requests for at most this fraction
+# of the time left, and at most this long. Later its caller does better to come
+# back, as it may then reach a server that has become free.
+_PERMIT_WAIT_FRACTION = 0.5
+_MAX_PERMIT_WAIT_S = 0.5
+
+_SelectionKey = tuple[bool, bool, float, bool, float]
+
 
 @dataclasses.dataclass(slots=True)
 class PlainPlacement:
@@ -44,6 +54,7 @@
         still be accepted.
       quarantine: Refuses requests that end servers.
       health: Outlier detector that ejects failing servers for a while.
+      permits: Permits for servers that limit their requests.
     """
 
     availability_zone: str
@@ -56,6 +67,9 @@
     health: outlier_detection.OutlierDetector = dataclasses.field(
         default_factory=outlier_detection.OutlierDetector
     )
+    permits: endpoint_permits.EndpointPermits = dataclasses.field(
+        default_factory=endpoint_permits.Unlimited
+    )
     _running_by_endpoint: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -67,7 +81,7 @@
         self.quarantine.check(ctx)
         self.budgets.of(ctx.service).deposit()
         tried_ids: set[str] = set()
-        ctx.endpoint = self._select_endpoint(ctx, tried_ids)
+        ctx.endpoint = await self._select_endpoint(ctx, tried_ids)
         unsent = 0
         while True:
             if clock.now() >= ctx.deadline:
@@ -97,10 +111,13 @@
                         await plain_relay.relay_response(ctx, lost.answer)
                         return
                     raise _failure_error(ctx) from lost
-            # An endpoint that checks idempotency keys knows only its own calls,
-            # so a call that may have been executed there is retried only there.
-            if not _may_have_side_effects(ctx):
-                ctx.endpoint = self._select_endpoint(ctx, tried_ids)
+                try:
+                    ctx.endpoint = await self._select_next(ctx, tried_ids)
+                except errors.EntryError:
+                    if lost.answer is None:
+                        raise
+                    await plain_relay.relay_response(ctx, lost.answer)
+                    return
 
     async def _report_to_quarantine(
         self, ctx: context.Context, lost: attempts.PlainCallError
@@ -131,9 +148,58 @@
             if not self._running_by_endpoint[endpoint_id]:
                 del self._running_by_endpoint[endpoint_id]
 
-    def _select_endpoint(
+    async def _select_next(
         self, ctx: context.Context, tried_ids: Collection[str]
     ) -> model.Endpoint:
+        # An endpoint that checks idempotency keys knows only its own calls, so
+        # a call that may have been executed there is retried only there.
+        only_id = ctx.endpoint.id if _may_have_side_effects(ctx) else ""
+        return await self._select_endpoint(ctx, tried_ids, only_id)
+
+    async def _select_endpoint(
+        self,
+        ctx: context.Context,
+        tried_ids: Collection[str],
+        only_id: str = "",
+    ) -> model.Endpoint:
+        """Selects a server that may get the call now.
+
+        Args:
+          ctx: The call.
+          tried_ids: Servers that have failed it.
+          only_id: The one server that it may be sent to, empty for any.
+        """
+        while True:
+            available = self._available_endpoints(ctx, only_id)
+            if not any(map(self.permits.is_limited, available)):
+                return min(
+                    available,
+                    key=lambda item: self._selection_key(item, tried_ids),
+                )
+            selected = await self._select_permitted(ctx, available, tried_ids)
+            # A server may have left during the wait for a permit.
+            if selected in self._serving_endpoints(ctx):
+                return selected
+
+    def _available_endpoints(
+        self, ctx: context.Context, only_id: str
+    ) -> list[model.Endpoint]:
+        serving = self._serving_endpoints(ctx)
+        if only_id:
+            serving = [item for item in serving if item.id == only_id]
+            if not serving:
+                raise _failure_error(ctx)
+            return serving
+        available = [
+            endpoint
+            for endpoint in serving
+            if self._running_by_endpoint[endpoint.id] < endpoint.slots
+        ]
+        if not available:
+            raise _refusal_error(ctx, messages.RefusalCode.OVERLOADED)
+        return available
+
+    def _serving_endpoints(self, ctx: context.Context) -> list[model.Endpoint]:
         leaving = self.cluster_state.fleet_at(clock.now()).leaving_endpoint_ids
         serving = [
             endpoint
@@ -144,20 +210,50 @@
         ]
         if not serving:
             raise _refusal_error(ctx, messages.RefusalCode.NO_ENDPOINT)
-        available = [
-            endpoint
-            for endpoint in serving
-            if self._running_by_endpoint[endpoint.id] < endpoint.slots
-        ]
-        if not available:
-            raise _refusal_error(ctx, messages.RefusalCode.OVERLOADED)
-        return min(
-            available, key=lambda item: self._selection_key(item, tried_ids)
+        return serving
+
+    async def _select_permitted(
+        self,
+        ctx: context.Context,
+        available: list[model.Endpoint],
+        tried_ids: Collection[str],
+    ) -> model.Endpoint:
+        """Selects the best server, with a permit if it limits its requests."""
+
+        def key(endpoint: model.Endpoint) -> _SelectionKey:
+            return self._selection_key(endpoint, tried_ids)
+
+        limited = [item for item in available if self.permits.is_limited(item)]
+        unlimited = [item for item in available if item not in limited]
+        best_limited = min(limited, key=key)
+        best_unlimited = min(unlimited, key=key, default=None)
+        if best_unlimited and key(best_unlimited) <= key(best_limited):
+            return best_unlimited
+        # Only a server that is as likely to answer spares the call the wait.
+        sound = best_unlimited and self._is_sound(best_unlimited, tried_ids)
+        decision = await self.permits.acquire(
+            ctx, limited, 0.0 if sound else _max_permit_wait_s(ctx)
+        )
+        match decision:
+            case permit_client.Permit(endpoint_id=endpoint_id):
+                return next(item for item in limited if item.id == endpoint_id)
+            case permit_client.Refusal(retry_after_s=retry_after_s):
+                if best_unlimited:
+                    return best_unlimited
+                raise _refusal_error(
+                    ctx, messages.RefusalCode.RATE_LIMITED, retry_after_s
+                )
+
+    def _is_sound(
+        self, endpoint: model.Endpoint, tried_ids: Collection[str]
+    ) -> bool:
+        return endpoint.id not in tried_ids and not self.health.is_ejected(
+            endpoint.id, clock.now()
         )
 
     def _selection_key(
         self, endpoint: model.Endpoint, tried_ids: Collection[str]
-    ) -> tuple[bool, bool, float, bool, float]:
+    ) -> _SelectionKey:
         return (
             # A server that has just failed this call is likely to fail it
             # again.
@@ -168,6 +264,16 @@
             self.random_source.random(),
         )
 
+    def _refused_within_limit(
+        self, endpoint: model.Endpoint, lost: attempts.PlainCallError
+    ) -> bool:
+        """Returns whether a server refused a call because of its load.
+
+        A server that limits its requests is busy, not defective.
+        """
+        refused = lost.run is messages.Executed.NO and not lost.unsent
+        return refused and self.permits.is_limited(endpoint)
+
     def _record_lost_call(
         self, ctx: context.Context, lost: attempts.PlainCallError
     ) -> None:
@@ -178,7 +284,9 @@
             if other.pool == endpoint.pool and other.id != endpoint.id
         ]
         now = clock.now()
-        if lost.answer is None:
+        if self._refused_within_limit(endpoint, lost):
+            pass
+        elif lost.answer is None:
             self.health.record_no_response(endpoint.id, peer_ids, now)
         else:
             self.health.record_error_response(endpoint.id, peer_ids, now)
@@ -205,6 +313,11 @@
     )
 
 
+def _max_permit_wait_s(ctx: context.Context) -> float:
+    remaining_s = max(ctx.deadline - clock.now(), 0.0)
+    return min(remaining_s * _PERMIT_WAIT_FRACTION, _MAX_PERMIT_WAIT_S)
+
+
 def _may_have_side_effects(ctx: context.Context) -> bool:
     return (
         ctx.progress.run is messages.Executed.UNKNOWN
@@ -233,13 +346,17 @@
 
 
 def _refusal_error(
-    ctx: context.Context, code: messages.RefusalCode
+    ctx: context.Context,
+    code: messages.RefusalCode,
+    retry_after_s: float = _RETRY_AFTER_S,
 ) -> errors.EntryError:
-    target_missed = code is messages.RefusalCode.TARGET_UNREACHABLE
-    text = "It can't be in time." if target_missed else "No server is free now."
+    match code:
+        case messages.RefusalCode.TARGET_UNREACHABLE:
+            text = "It can't be in time."
+        case messages.RefusalCode.RATE_LIMITED:
+            text = "The servers limit their requests now."
+        case _:
+            text = "No server is free now."
     return errors.EntryError(
-        code,
-        text,
-        run=ctx.progress.run,
-        retry_after_s=_RETRY_AFTER_S,
+        code, text, run=ctx.progress.run, retry_after_s=retry_after_s
     )
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -36,6 +36,10 @@
         by `kind` (held, quarantined).
       endpoint_rate_limit: Requests a second that an endpoint takes from all VMs
         together, 0 without a limit, by `endpoint`.
+      rate_permits: Permits to send a request to a limited endpoint that this
+        process has handed out, by `endpoint`.
+      rate_permits_denied: Requests for such a permit that it has denied, by
+        `pool`.
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
@@ -106,6 +110,16 @@
             "endpoint_rate_limit_per_second",
             "Requests a second that an endpoint takes from all VMs.",
         )
+        self.rate_permits = aioprometheus.Counter(
+            prefix + "rate_permits_total",
+            "Permits handed out for requests to limited endpoints.",
+            registry=self.registry,
+        )
+        self.rate_permits_denied = aioprometheus.Counter(
+            prefix + "rate_permits_denied_total",
+            "Denied permits for requests to limited endpoints.",
+            registry=self.registry,
+        )
 
         self.members = self._gauge("members", "VMs that are heard.")
         self.registry_position = self._gauge(
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -40,6 +40,11 @@
 Entry and router processes:
   `POST /v1/crashes` `quarantine.wire.CrashExchange` -> the same: ends of
   engines and the requests that may have caused them.
+  `POST /v1/rate_limits` `rate_limiting.wire.LimitExchange` -> the same: rate
+  limits that endpoints name.
+  `POST /v1/rate_permits` `rate_limiting.wire.PermitCall` ->
+  `rate_limiting.wire.PermitAnswer`: asks a pool's coordinator for a permit to
+  send a request to one of some limited endpoints; answered when one is due.
 All processes: `GET /healthz`, `GET /readyz`, `GET /metrics`, `GET /v1/status`.
 """
 
@@ -58,6 +63,8 @@
 QUOTAS_PATH = "/v1/quotas"
 REGISTRY_PATH = "/v1/registry"
 CRASHES_PATH = "/v1/crashes"
+RATE_LIMITS_PATH = "/v1/rate_limits"
+RATE_PERMITS_PATH = "/v1/rate_permits"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -119,6 +119,7 @@
             self._create_placement,
             self._metrics,
             self._quotas,
+            self._members.reachable_fraction,
         )
         self._entry.peer_routes = self._peer_routes()
         self._entry.before_drain = self._agent.leave
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -26,7 +26,7 @@
     )
 
 
-_SERVER = _endpoint()
+SERVER = _endpoint()
 
 
 class TestParse:
@@ -77,26 +77,26 @@
 
     def test_a_limit_is_named_changed_and_ended(self) -> None:
         table = rate_limits.RateLimitTable()
-        assert table.observe(_SERVER, None, 0.0, 0.1) is None
-        assert table.observe(_SERVER, 1.5, 0.2, 0.3).version == 1
-        assert table.observe(_SERVER, 1.5, 0.4, 0.5) is None
-        assert table.observe(_SERVER, 2.0, 0.4, 0.5).per_s == 2.0
-        ended = table.observe(_SERVER, None, 0.6, 0.7)
+        assert table.observe(SERVER, None, 0.0, 0.1) is None
+        assert table.observe(SERVER, 1.5, 0.2, 0.3).version == 1
+        assert table.observe(SERVER, 1.5, 0.4, 0.5) is None
+        assert table.observe(SERVER, 2.0, 0.4, 0.5).per_s == 2.0
+        ended = table.observe(SERVER, None, 0.6, 0.7)
         assert (ended.version, ended.active) == (3, False)
-        assert table.observe(_SERVER, None, 0.8, 0.9) is None
+        assert table.observe(SERVER, None, 0.8, 0.9) is None
 
     def test_an_answer_to_an_earlier_request_does_not_end_a_limit(self) -> None:
         """Guards against an answer that was overtaken by one with a limit."""
         table = rate_limits.RateLimitTable()
-        table.observe(_SERVER, 1.5, 0.0, 1.0)
-        assert table.observe(_SERVER, None, 0.9, 1.1) is None
-        assert table.observe(_SERVER, 3.0, 0.9, 1.1) is None
-        assert table.observe(_SERVER, 1.0, 0.9, 1.1).per_s == 1.0
+        table.observe(SERVER, 1.5, 0.0, 1.0)
+        assert table.observe(SERVER, None, 0.9, 1.1) is None
+        assert table.observe(SERVER, 3.0, 0.9, 1.1) is None
+        assert table.observe(SERVER, 1.0, 0.9, 1.1).per_s == 1.0
 
     def test_a_limit_belongs_to_one_incarnation(self) -> None:
         """Guards against a limit that outlives the restart of its endpoint."""
         table = rate_limits.RateLimitTable()
-        table.observe(_SERVER, 1.5, 0.0, 1.0)
+        table.observe(SERVER, 1.5, 0.0, 1.0)
         assert table.get(_endpoint(life="2")) is None
 
     def test_memory_is_bounded(self) -> None:
@@ -104,7 +104,7 @@
         for number in range(rate_limits.MAX_RECORDS + 10):
             table.observe(_endpoint(f"s{number}"), 1.0, 0.0, 1.0)
         assert len(table) == rate_limits.MAX_RECORDS
-        assert table.observe(_SERVER, 2.0, 1.0, 2.0) is not None
+        assert table.observe(SERVER, 2.0, 1.0, 2.0) is not None
 
 
 class TestRate:
@@ -168,14 +168,14 @@
     def test_only_limits_of_listed_endpoints_stay(self) -> None:
         table = rate_limits.RateLimitTable()
         gone = _endpoint("gone")
-        table.observe(_SERVER, 1.0, 0.0, 1.0)
+        table.observe(SERVER, 1.0, 0.0, 1.0)
         table.observe(gone, 1.0, 0.0, 1.0)
-        listed = {_SERVER.id: _SERVER}
+        listed = {SERVER.id: SERVER}
         assert table.expire(listed, 30.0) == []
         assert [item.endpoint_id for item in table.expire(listed, 61.0)] == [
             "gone"
         ]
-        table.observe(_SERVER, None, 62.0, 63.0)
+        table.observe(SERVER, None, 62.0, 63.0)
         assert table.expire(listed, 64.0) == []
         assert len(table.expire(listed, 123.0)) == 1
 
@@ -186,7 +186,7 @@
     def _observe(self, ledger, text, sent_at=1e12, conclusive=True):
         ledger.observe(
             rate_limits.Answer(
-                endpoint=_SERVER,
+                endpoint=SERVER,
                 limit_text=text,
                 sent_at=sent_at,
                 conclusive=conclusive,
@@ -212,7 +212,7 @@
         )
         self._observe(ledger, "1.5")
         self._observe(ledger, None, conclusive=False)
-        assert ledger.table.get(_SERVER).active
+        assert ledger.table.get(SERVER).active
 
     def test_invalid_limits_change_nothing_and_are_logged_seldom(self) -> None:
         """Guards against a log flooded by an endpoint's malformed answers."""
@@ -221,6 +221,6 @@
         self._observe(ledger, "1.5")
         for _ in range(50):
             self._observe(ledger, "nan")
-        assert ledger.table.get(_SERVER).per_s == 1.5
+        assert ledger.table.get(SERVER).per_s == 1.5
         names = [name for name, _ in log.events]
         assert names.count("endpoint_rate_limit_invalid") == 1
