Keep the rate limits that engines name in the placement of their pool

The coordinator of a pool places all its requests, so it paces them itself: an engine whose next request isn't due is no candidate, prefills and decodes count alike, and estimates of the wait see only the slots that the rate can fill.

--- a/src/cowsliprill/decisions/admission.py
+++ b/src/cowsliprill/decisions/admission.py
@@ -18,7 +18,8 @@
       free_slots: Decode slots that no entry process uses.
       slots: Total number of decode slots.
       mean_hold_s: Mean time for which a request holds its decode slots.
-      prefills: Number of engines that run prefills.
+      prefills: Number of engines that run prefills; one that limits its
+        requests counts as the fraction of its time that these can fill.
       prefill_s: Mean duration of a prefill.
       slots_per_request: Mean number of decode slots of a request.
     """
@@ -27,7 +28,7 @@
     free_slots: int
     slots: int
     mean_hold_s: float
-    prefills: int
+    prefills: float
     prefill_s: float
     slots_per_request: float = 1.0
 
--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -131,6 +131,8 @@
         for endpoint in pool.prefills:
             if not pool.lease(endpoint.id).fits(1, now):
                 continue
+            if not pool.rates.is_open(endpoint.id, now):
+                continue
             is_probe = endpoint.id in ejected_engine_ids
             if is_probe and not self._may_probe(
                 pool, endpoint, submit, now, all_ejected
@@ -151,6 +153,8 @@
             lease = pool.lease(endpoint.id)
             if not lease.fits(slots, now):
                 continue
+            if not pool.rates.is_open(endpoint.id, now):
+                continue
             # Short requests leave KV cache memory free when the engine already
             # runs its maximum number of requests. It would reject one more only
             # after the prefill of the prompt.
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -9,6 +9,7 @@
 from cowsliprill.decisions import admission
 from cowsliprill.decisions import demand
 from cowsliprill.decisions import endpoint_lease
+from cowsliprill.decisions import endpoint_rates
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
@@ -109,6 +110,7 @@
         self.decodes: list[model.Endpoint] = []
         self.endpoints_by_id: dict[str, model.Endpoint] = {}
         self.leases_by_endpoint: dict[str, endpoint_lease.EndpointLease] = {}
+        self.rates = endpoint_rates.EndpointRates()
         self.in_use_by_customer: dict[str, int] = {}
         self.shares_by_customer: Mapping[str, float] = {}
         self.block_tokens = 0
@@ -375,7 +377,23 @@
         Ejected engines don't count. If their slots were taken for free, more
         requests would be admitted than the other engines can serve.
         """
-        return sum(endpoint.slots for endpoint in self._healthy(self.decodes))
+        return sum(
+            self._usable_slots(endpoint)
+            for endpoint in self._healthy(self.decodes)
+        )
+
+    def _usable_slots(self, endpoint: model.Endpoint) -> int:
+        """Returns the slots that requests within a rate limit can fill."""
+        per_s = self.rates.named_per_s(endpoint.id)
+        if per_s == math.inf:
+            return endpoint.slots
+        fillable = per_s * self.mean_hold_s * self.mean_slots_per_request
+        return min(endpoint.slots, math.ceil(fillable))
+
+    def _usable_fraction(self, endpoint: model.Endpoint) -> float:
+        """Returns the fraction of a prefill engine's time that can be used."""
+        per_s = self.rates.named_per_s(endpoint.id)
+        return min(per_s * self.prefill_s, 1.0)
 
     def has_healthy_prefill(self) -> bool:
         """Returns whether any prefill engine is not ejected."""
@@ -412,9 +430,8 @@
             requests that wait at other entry processes aren't known; they are
             assumed to be distributed as those of recent requests here.
         """
-        endpoint_leases = [
-            self.lease(item.id) for item in self._healthy(self.decodes)
-        ]
+        decodes = self._healthy(self.decodes)
+        endpoint_leases = [self.lease(item.id) for item in decodes]
         others = max(
             (item.others_waiting for item in endpoint_leases), default=0
         )
@@ -423,7 +440,10 @@
         ]
         ahead = others * self.demand.fraction_at_or_above(priority)
         slots = self.slots()
-        used = sum(item.used for item in endpoint_leases)
+        used = sum(
+            min(self.lease(item.id).used, self._usable_slots(item))
+            for item in decodes
+        )
         prefills = self._healthy(self.prefills)
         if not prefills and self.decodes_can_prefill():
             # Without prefill engines, decode engines run the prefills.
@@ -433,7 +453,7 @@
             free_slots=max(slots - used, 0),
             slots=slots,
             mean_hold_s=self._expected_hold_s(queued),
-            prefills=len(prefills),
+            prefills=sum(map(self._usable_fraction, prefills)),
             prefill_s=self._expected_prefill_s(queued, prefills),
             slots_per_request=self.mean_slots_per_request,
         )
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -20,6 +20,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import scheduler as scheduler_lib
 
 # Heartbeat timeout of an entry process with requests. Its slots are then free,
@@ -111,6 +112,17 @@
         self._handle(messages.ClusterStateChanged(snapshot, fleet), now)
         self._update_slot_fraction(now)
 
+    def set_rate_limits(
+        self, limits: tuple[rate_limits.RateLimit, ...], now: float
+    ) -> None:
+        """Sets the rate limits that engines name.
+
+        Args:
+          limits: All known limits.
+          now: Current time in seconds.
+        """
+        self._handle(messages.RateLimitsChanged(limits), now)
+
     def has_session(self, entry: str, epoch: int) -> bool:
         """Returns whether an entry process has an open session.
 
--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -7,6 +7,7 @@
 from cowsliprill.decisions import health
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import rate_limits
 
 _LIMITS_BY_KIND = {
     model.EndpointKind.PREFILL: engine_subset.MAX_PREFILL_ENGINES,
@@ -52,13 +53,17 @@
         self._seed = seed
         self._random = rng
         self._health = engine_health
+        self._rate_limits: tuple[rate_limits.RateLimit, ...] = ()
 
-    def update(self, snapshot: model.Snapshot, fleet: model.Fleet) -> None:
+    def update(
+        self, snapshot: model.Snapshot, fleet: model.Fleet, now: float
+    ) -> None:
         """Applies a new cluster state.
 
         Args:
           snapshot: Settings in force.
           fleet: VM list with the endpoints that are leaving or changing role.
+          now: Current time in seconds.
         """
         entry_processes = sum(
             len(vm.entry_ports) or 1
@@ -83,6 +88,20 @@
             pool.shares_by_customer = shares_by_customer
             self._set_engines(pool, kinds_by_pool.get(name, {}))
         self._health.retain(set(self.pools_by_endpoint))
+        self.set_rate_limits(self._rate_limits, now)
+
+    def set_rate_limits(
+        self, limits: tuple[rate_limits.RateLimit, ...], now: float
+    ) -> None:
+        """Sets the rate limits that endpoints name.
+
+        Args:
+          limits: All known limits.
+          now: Current time in seconds.
+        """
+        self._rate_limits = limits
+        for pool in self.pools_by_name.values():
+            pool.rates.set_limits(limits, pool.endpoints_by_id, now)
 
     def use_fallback(self, endpoint_ids: tuple[str, ...]) -> None:
         """Allows some slots without a lease if the coordinator is unreachable.
@@ -138,4 +157,5 @@
         """Sets the fraction of each engine's slots that may be used."""
         self.slot_fraction = slot_fraction
         for pool in self.pools_by_name.values():
+            pool.rates.fraction = slot_fraction
             self._assign_slots(pool)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -7,6 +7,7 @@
 event `Cancel`.
 """
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -109,6 +110,9 @@
                 return self._coordinator_unreachable(endpoint_ids, now)
             case messages.ClusterStateChanged(snapshot, fleet):
                 return self._cluster_state_changed(snapshot, fleet, now)
+            case messages.RateLimitsChanged(limits):
+                self._pools.set_rate_limits(limits, now)
+                return self._schedule_all(now)
             case messages.Tick():
                 return self._schedule_all(now)
 
@@ -165,7 +169,15 @@
             ),
             default=now + _MAX_WAKEUP_INTERVAL_S,
         )
-        return min(earliest, now + _MAX_WAKEUP_INTERVAL_S)
+        opening = min(
+            (
+                pool.rates.next_opening(now)
+                for pool in self._pools.pools_by_name.values()
+                if len(pool.queue)
+            ),
+            default=math.inf,
+        )
+        return min(earliest, opening, now + _MAX_WAKEUP_INTERVAL_S)
 
     # Events of one request.
 
@@ -455,7 +467,7 @@
     def _cluster_state_changed(
         self, snapshot: model.Snapshot, fleet: model.Fleet, now: float
     ) -> list[messages.Action]:
-        self._pools.update(snapshot, fleet)
+        self._pools.update(snapshot, fleet, now)
         return self._schedule_all(now)
 
     # Placement.
@@ -572,6 +584,8 @@
         request.stage_started_at = now
         if prefills:
             self._expect_prefill(request)
+            pool.rates.take(pair.prefill_id, now)
+        pool.rates.take(pair.decode_id, now)
         self._acquire_slots(request)
         request.probed_ids = tuple(
             endpoint_id
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -3,12 +3,14 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Iterable
 
 from cowsliprill import clock
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import pool_scheduler as pool_scheduler_lib
+from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import rendezvous
 from cowsliprill.observability import log as log_lib
 from cowsliprill.pool_scheduling import wire
@@ -64,6 +66,7 @@
         self._log = log
         self._snapshot = model.Snapshot()
         self._fleet = model.Fleet()
+        self._rate_limits: tuple[rate_limits.RateLimit, ...] = ()
         self._hosted_by_pool: dict[str, _HostedPool] = {}
         self._ranking = rendezvous.VmRankingCache()
         self._wake = asyncio.Event()
@@ -78,6 +81,15 @@
             hosted.scheduler.set_is_coordinator(self._is_coordinator(pool), now)
             self._wake_long_polls(hosted)
 
+    def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
+        """Sets the rate limits that engines name."""
+        self._rate_limits = tuple(limits)
+        now = clock.now()
+        for hosted in self._hosted_by_pool.values():
+            hosted.scheduler.set_rate_limits(self._rate_limits, now)
+            self._wake_long_polls(hosted)
+        self._wake.set()
+
     async def handle(
         self, request: wire.SchedulingRequest
     ) -> wire.SchedulingResponse:
@@ -189,6 +201,7 @@
             )
             now = clock.now()
             hosted.scheduler.update(self._snapshot, self._fleet, now)
+            hosted.scheduler.set_rate_limits(self._rate_limits, now)
             hosted.scheduler.set_is_coordinator(self._is_coordinator(pool), now)
             self._hosted_by_pool[pool] = hosted
             self._log.event("cell_begun", pool=pool)
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -122,6 +122,11 @@
             self._members.reachable_fraction,
         )
         self._entry.peer_routes = self._peer_routes()
+        if mechanisms.Mechanism.RATE_LIMITS not in config.mechanisms_off:
+            ledger = self._entry.rate_limits.ledger
+            ledger.subscribe(
+                lambda _: self._pool_schedulers.set_rate_limits(ledger.table)
+            )
         self._entry.before_drain = self._agent.leave
         self._roles = roles_lib.RoleController(
             self._source,
