Ask for the limits that a coordinator may lack before it grants a permit

A coordinator that has just started knows no limits and would have granted everything until its first comparison with a peer. Calls name the digest of the sender's limits; where it differs, the coordinator asks for the limits of the call's endpoints first.

--- a/src/cowsliprill/decisions/permit_queue.py
+++ b/src/cowsliprill/decisions/permit_queue.py
@@ -112,14 +112,14 @@
           The decisions; the requests are no longer in the queue.
         """
         decisions: list[Decision] = []
-        waiting_count = 0
+        planned_at_by_endpoint: dict[str, float] = {}
         for item in sorted(self._waiting_by_number.values(), key=_Waiting.key):
-            decision = self._decide_one(item.request, waiting_count, now)
-            if decision is None:
-                waiting_count += 1
-                continue
-            decisions.append(decision)
-            del self._waiting_by_number[item.request.number]
+            decision = self._decide_one(
+                item.request, planned_at_by_endpoint, now
+            )
+            if decision is not None:
+                decisions.append(decision)
+                del self._waiting_by_number[item.request.number]
         return decisions
 
     def next_wakeup(self, now: float) -> float:
@@ -129,23 +129,42 @@
         return min(self._rates.next_opening(now), now + _MAX_WAKEUP_INTERVAL_S)
 
     def _decide_one(
-        self, request: PermitRequest, ahead: int, now: float
+        self,
+        request: PermitRequest,
+        planned_at_by_endpoint: dict[str, float],
+        now: float,
     ) -> Decision | None:
-        next_at, endpoint_id = min(
-            (self._rates.next_at(endpoint_id, now), endpoint_id)
+        """Decides on the next request in the order of the queue.
+
+        Args:
+          request: The request.
+          planned_at_by_endpoint: When endpoints have their next permit after
+            those of the requests before; updated.
+          now: Current time in seconds.
+        """
+        permit_at, endpoint_id = min(
+            (
+                planned_at_by_endpoint.get(
+                    endpoint_id, self._rates.next_at(endpoint_id, now)
+                ),
+                endpoint_id,
+            )
             for endpoint_id in request.endpoint_ids
         )
-        if next_at <= now:
+        if permit_at <= now:
             self._rates.take(endpoint_id, now)
+            planned_at_by_endpoint.pop(endpoint_id, None)
             return Granted(number=request.number, endpoint_id=endpoint_id)
-        rate_per_s = sum(
-            self._rates.rate_per_s(endpoint_id, now)
-            for endpoint_id in request.endpoint_ids
-        )
-        wait_s = next_at - now
-        wait_s += ahead / rate_per_s if rate_per_s else 0.0
-        if now + wait_s <= request.expires_at:
+        if permit_at <= request.expires_at:
+            planned_at_by_endpoint[endpoint_id] = (
+                permit_at + 1 / self._rates.rate_per_s(endpoint_id, now)
+            )
             return None
         return Denied(
-            number=request.number, wait_s=wait_s, rate_per_s=rate_per_s
+            number=request.number,
+            wait_s=permit_at - now,
+            rate_per_s=sum(
+                self._rates.rate_per_s(endpoint_id, now)
+                for endpoint_id in request.endpoint_ids
+            ),
         )
--- a/src/cowsliprill/decisions/rate_limits.py
+++ b/src/cowsliprill/decisions/rate_limits.py
@@ -28,9 +28,9 @@
 RECOVERY_S = 3.0
 
 # An ended limit is kept for this time, so that a VM that was paused and then
-# sends its old records can't bring it back. A record of an endpoint that isn't
+# sends its old records can't bring it back. A limit of an endpoint that isn't
 # listed is kept as long: the sender may know the endpoint earlier.
-_ENDED_KEPT_S = 60.0
+_KEPT_S = 60.0
 
 MAX_RECORDS = 8_192
 
@@ -150,6 +150,7 @@
 
     def __init__(self) -> None:
         self._limits_by_key: dict[LimitKey, RateLimit] = {}
+        self._digest: str | None = None
 
     def __len__(self) -> int:
         return len(self._limits_by_key)
@@ -206,15 +207,24 @@
         )
         return changed if self._store(changed) else None
 
-    def merge(self, limit: RateLimit) -> RateLimit | None:
+    def merge(self, limit: RateLimit, now: float) -> RateLimit | None:
         """Adds a record of another VM.
 
+        Args:
+          limit: The record.
+          now: Current time in seconds.
+
         Returns:
-          The record, None if the table has it or a newer one already.
+          The record, None if the table has it or a newer one already, or if it
+          ended too long ago.
         """
         current = self._limits_by_key.get(limit.key)
         if current is not None and not limit.supersedes(current):
             return None
+        # VMs drop old records at slightly different times and would otherwise
+        # get them back from each other for good.
+        if not limit.active and _is_old(limit, now):
+            return None
         return limit if self._store(limit) else None
 
     def expire(
@@ -233,15 +243,20 @@
         for limit in self:
             endpoint = endpoints_by_id.get(limit.endpoint_id)
             listed = endpoint is not None and endpoint.life == limit.life
-            kept = listed and limit.active
-            if not kept and now - limit.received_at >= _ENDED_KEPT_S:
+            if not (listed and limit.active) and _is_old(limit, now):
                 expired.append(limit)
         for limit in expired:
             del self._limits_by_key[limit.key]
+            self._digest = None
         return expired
 
     def digest(self) -> str:
         """Returns a digest that is equal for equal tables."""
+        if self._digest is None:
+            self._digest = self._compute_digest()
+        return self._digest
+
+    def _compute_digest(self) -> str:
         digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
         for limit in sorted(self, key=lambda item: item.key):
             fields = (*limit.key, limit.version, limit.per_s, limit.active)
@@ -253,9 +268,14 @@
         if is_new and len(self._limits_by_key) >= MAX_RECORDS:
             return False
         self._limits_by_key[limit.key] = limit
+        self._digest = None
         return True
 
 
+def _is_old(limit: RateLimit, now: float) -> bool:
+    return now - limit.changed_at >= _KEPT_S
+
+
 def _says_the_same(current: RateLimit, per_s: float | None) -> bool:
     if per_s is None:
         return not current.active
--- a/src/cowsliprill/rate_limiting/ledger.py
+++ b/src/cowsliprill/rate_limiting/ledger.py
@@ -55,9 +55,10 @@
     def merge(self, limits: Iterable[rate_limits.RateLimit]) -> None:
         """Adds records of other processes."""
         changed = []
+        now = clock.now()
         for limit in limits:
             previous = self.table.get_by_key(limit.key)
-            if self.table.merge(limit) is not None:
+            if self.table.merge(limit, now) is not None:
                 self._report(limit, previous, source="peer")
                 changed.append(limit)
         self._notify(changed)
--- a/src/cowsliprill/rate_limiting/permit_client.py
+++ b/src/cowsliprill/rate_limiting/permit_client.py
@@ -24,10 +24,6 @@
 # Requests that could wait aren't kept longer than this many failed calls.
 _MAX_CALLS = 2
 
-# A call names the limits that are newer than this. The coordinator has learned
-# of the others from the exchange between VMs.
-_NEW_LIMIT_S = 2.0
-
 # Time for which a pool's coordinator isn't asked again after a failed call for
 # a request that has other endpoints.
 _FAILURE_BACKOFF_S = 0.3
@@ -208,6 +204,9 @@
         call = self._call(request, endpoints, max_wait_s)
         try:
             answer = await self._send(coordinator, call)
+            if answer.needs_limits:
+                call = self._with_limits(call, endpoints)
+                answer = await self._send(coordinator, call)
         except errors.CowsliprillError as error:
             state.choice.record_failure(coordinator, clock.now())
             self._log.warning(
@@ -226,8 +225,6 @@
         endpoints: Sequence[model.Endpoint],
         max_wait_s: float,
     ) -> wire.PermitCall:
-        now = clock.now()
-        limits = [self._ledger.table.get(endpoint) for endpoint in endpoints]
         return wire.PermitCall(
             requester=self._process_id,
             pool=request.pool,
@@ -235,10 +232,20 @@
             priority=request.priority,
             customer=request.customer,
             max_wait_s=max_wait_s,
+            digest=self._ledger.table.digest(),
+        )
+
+    def _with_limits(
+        self, call: wire.PermitCall, endpoints: Sequence[model.Endpoint]
+    ) -> wire.PermitCall:
+        now = clock.now()
+        limits = [self._ledger.table.get(endpoint) for endpoint in endpoints]
+        return dataclasses.replace(
+            call,
             limits=tuple(
                 wire.to_wire(limit, now)
                 for limit in limits
-                if limit is not None and now - limit.received_at < _NEW_LIMIT_S
+                if limit is not None
             ),
         )
 
--- a/src/cowsliprill/rate_limiting/permit_server.py
+++ b/src/cowsliprill/rate_limiting/permit_server.py
@@ -25,6 +25,10 @@
 _MIN_CALLS_PER_S = 30.0
 _CALLS_PER_PERMIT = 4.0
 
+# Rates may rise before an expected wait is over: a limit ends, or another VM
+# becomes the coordinator.
+_MAX_QUIET_S = 2.0
+
 # An owner that can reach no more than this fraction of the fleet hands out only
 # as large a fraction of each rate: in a network partition, the others may be
 # alive and use the rest.
@@ -102,6 +106,9 @@
           The permit, or when there may be one.
         """
         now = clock.now()
+        # A coordinator that has just started may not know a limit yet.
+        if not call.limits and call.digest != self._ledger.table.digest():
+            return wire.PermitAnswer(needs_limits=True)
         self._ledger.merge(wire.from_wire(limit, now) for limit in call.limits)
         desk = self._desk(call.pool, now)
         self._record_requester(call.pool, desk, call.requester, now)
@@ -126,6 +133,11 @@
             desk.queue.remove(number)
         return self._answer(desk, call, decision)
 
+    def waiting(self, pool: str) -> int:
+        """Returns the number of requests that wait for a permit of a pool."""
+        desk = self._desks_by_pool.get(pool)
+        return len(desk.queue) if desk else 0
+
     async def run(self) -> None:
         """Grants the permits that become due until cancelled."""
         while True:
@@ -216,9 +228,9 @@
                 )
                 # The queue is too long for this request until it has shrunk to
                 # what the request can wait for.
-                excess_s = max(wait_s - call.max_wait_s, 0.0)
+                excess_s = min(max(wait_s - call.max_wait_s, 0.0), _MAX_QUIET_S)
                 return wire.PermitAnswer(
-                    wait_s=wait_s,
+                    wait_s=min(wait_s, wire.MAX_WAIT_S),
                     interval_s=requesters / max(rate_per_s, 1e-3),
                     quiet_s=excess_s + requesters / calls_per_s,
                 )
--- a/src/cowsliprill/rate_limiting/wire.py
+++ b/src/cowsliprill/rate_limiting/wire.py
@@ -9,7 +9,7 @@
 
 # Bounds of what is accepted from a peer.
 _MAX_ENDPOINTS = 1_024
-_MAX_WAIT_S = 60.0
+MAX_WAIT_S = 60.0
 
 _Age = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
 _Rate = Annotated[float, pydantic.Field(ge=0.0, lt=1e9, allow_inf_nan=False)]
@@ -64,7 +64,8 @@
       priority: Priority of the request; higher is more urgent.
       customer: Id of its customer.
       max_wait_s: Time for which the request can wait, in seconds.
-      limits: Limits of the endpoints that the receiver may not know yet.
+      digest: Digest of the limits known to the sender.
+      limits: Limits of the endpoints, after the receiver has asked for them.
     """
 
     requester: str
@@ -75,8 +76,9 @@
     priority: int = 0
     customer: str = ""
     max_wait_s: Annotated[
-        float, pydantic.Field(ge=0.0, le=_MAX_WAIT_S, allow_inf_nan=False)
+        float, pydantic.Field(ge=0.0, le=MAX_WAIT_S, allow_inf_nan=False)
     ] = 0.0
+    digest: str = ""
     limits: Annotated[
         tuple[WireLimit, ...], pydantic.Field(max_length=_MAX_ENDPOINTS)
     ] = ()
@@ -88,6 +90,8 @@
 
     Attributes:
       endpoint_id: Endpoint to send the request to, empty if it is denied.
+      needs_limits: Whether the coordinator knows other limits than the sender
+        and decides only on a call that names the limits of its endpoints.
       wait_s: Expected wait for a permit in seconds.
       interval_s: Mean time between the permits that each process can get.
       quiet_s: Time in seconds for which the process shall not ask again for
@@ -95,6 +99,7 @@
     """
 
     endpoint_id: str = ""
+    needs_limits: bool = False
     wait_s: float = 0.0
     interval_s: float = 0.0
     quiet_s: float = 0.0
--- a/src/cowsliprill/record_exchange.py
+++ b/src/cowsliprill/record_exchange.py
@@ -35,6 +35,9 @@
 _PUSH_DELAY_S = 0.02
 
 _TICK_S = 0.5
+# Shorter until a peer has answered: a process that has just started doesn't
+# know yet what the others restrict.
+_FIRST_TICK_S = 0.1
 
 # Interval between two comparisons, shorter after the start and after a change.
 _COMPARE_INTERVAL_S = 5.0
@@ -105,6 +108,7 @@
         self._calls: set[asyncio.Task[object]] = set()
         self._fresh_until = math.inf
         self._compared_at = -math.inf
+        self._has_compared = False
 
     @abc.abstractmethod
     def _records(self) -> Sequence[_RecordT]:
@@ -132,7 +136,9 @@
         """Compares the records with those of peers until cancelled."""
         self._fresh_until = clock.now() + _FRESH_S
         while True:
-            await asyncio.sleep(_TICK_S)
+            await asyncio.sleep(
+                _TICK_S if self._has_compared else _FIRST_TICK_S
+            )
             if self._is_comparison_due(clock.now()):
                 self._compare_with_peer()
 
@@ -173,8 +179,10 @@
             self._start(self._send(addresses[peer], message))
 
     def _compare_with_peer(self) -> None:
-        self._compared_at = clock.now()
         addresses = self._network.peers()
+        if not addresses:
+            return
+        self._compared_at = clock.now()
         for peer in leaving_notices.sample_peers(
             addresses, 1, self._network.rng
         ):
@@ -184,6 +192,7 @@
         response = await self._send(peer, self._message([], self._digest()))
         if response is None:
             return
+        self._has_compared = True
         self._merge(response)
         if response.digest != self._digest():
             await self._send(peer, self._message(self._records()))
--- a/src/cowsliprill/standins/service.py
+++ b/src/cowsliprill/standins/service.py
@@ -175,6 +175,8 @@
     ) -> None:
         if faults.foreign_id:
             self.set_header(protocol.REQUEST_ID_HEADER, "another.e0.x.1.0")
+        if faults.rate_limit:
+            self.set_header(protocol.RATE_LIMIT_HEADER, faults.rate_limit)
         self.set_header("Content-Type", "application/json")
         self.set_header("Content-Length", str(len(response)))
         if faults.cut_at_byte is None:
--- a/tests/test_rate_limit_fleet.py
+++ b/tests/test_rate_limit_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+import statistics
 
 import pytest
 from tests import rate_limit_simulation as simulation
@@ -159,16 +160,23 @@
             fleet = simulation.Fleet(6, 4)
             _set_limit(fleet, 4, 3.0)
             await fleet.run_load(20, 3.0)
-            served = {}
-            for priority in (0, 1):
-                served[priority] = 0
             begin = clock.now()
-            await fleet.run_load(20, 10.0, (0, 1))
+            await fleet.run_load(20, 20.0, (0, 1))
             await fleet.stop()
-            for item in fleet.outcomes:
-                if item.began_at >= begin and not item.code:
-                    served[item.priority] += 1
-            assert served[1] > 2 * served[0]
+            outcomes = [
+                item for item in fleet.outcomes if item.began_at >= begin
+            ]
+            served = {
+                priority: statistics.fmean(
+                    not item.code
+                    for item in outcomes
+                    if item.priority == priority
+                )
+                for priority in (0, 1)
+            }
+            # The limits suffice for the urgent half of the requests.
+            assert served[1] >= 0.9
+            assert served[0] <= 0.5
 
         virtual_time.run(scenario(), monkeypatch)
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -147,7 +147,7 @@
         for order in itertools.permutations(self._records()):
             table = rate_limits.RateLimitTable()
             for record in (*order, *order):
-                table.merge(record)
+                table.merge(record, 1.0)
             digests.add(table.digest())
         assert len(digests) == 1
 
@@ -179,6 +179,28 @@
         assert table.expire(listed, 64.0) == []
         assert len(table.expire(listed, 123.0)) == 1
 
+    def test_a_dropped_record_does_not_come_back(self) -> None:
+        """Guards against ended limits that VMs send each other for good."""
+        first, second = (rate_limits.RateLimitTable() for _ in range(2))
+        first.observe(SERVER, 1.0, 0.0, 1.0)
+        (ended,) = [first.observe(SERVER, None, 2.0, 3.0)]
+        received = dataclasses.replace(ended, received_at=4.0)
+        assert second.merge(received, 4.0) is not None
+        assert len(first.expire({SERVER.id: SERVER}, 63.5)) == 1
+        (sent,) = second
+        assert first.merge(sent, 63.6) is None
+
+    def test_the_digest_follows_each_change(self) -> None:
+        table = rate_limits.RateLimitTable()
+        digests = [table.digest()]
+        table.observe(SERVER, 1.0, 0.0, 1.0)
+        digests.append(table.digest())
+        table.observe(SERVER, None, 2.0, 3.0)
+        digests.append(table.digest())
+        table.expire({}, 100.0)
+        assert len(set(digests)) == 3
+        assert table.digest() == digests[0]
+
 
 class TestLedger:
     """The operator sees each change of a limit."""
