--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -119,6 +119,22 @@
             "It was refused: there was no room in time. It was not run."
         )
 
+    def test_refused_for_a_rate_limit(self):
+        """Guards against a refusal whose cause an operator can't find."""
+        limit = {"endpoint": "s0", "per_s": 1.3, "source": "peer"}
+        text = _log(
+            "r",
+            ("endpoint_rate_limit_named", limit),
+            ("refused", {"request": "a.1", "caller": "c7"}),
+            ("request_ended", {**_END_FIELDS, "outcome": "rate_limited"}),
+        )
+        trace = _trace(text, "c7")
+        assert "endpoint_rate_limit_named" in {line.event for line in trace}
+        assert explain.describe_outcome(trace) == (
+            "It was refused: all servers limited their requests."
+            " It was not run."
+        )
+
     def test_lost_response(self):
         text = _log(
             "r",
