Keep rate limits of engines on the own interface too

Prefills and decodes to a limited engine need a permit of the pool's coordinator before the prefill; the local scheduler uses such an engine no faster than its limit.

rate_limited_endpoints.feature (two VMs, processes): both scenarios fail with the limits ignored, pass now. Cancel orders, lists of running requests and load polls aren't counted.

--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -1,4 +1,4 @@
-"""Behave steps for plain services that limit their requests."""
+"""Behave steps for endpoints that limit their requests."""
 
 import concurrent.futures
 import time
@@ -10,7 +10,14 @@
 from tools import http_calls
 from tools import local_fleet
 
-_PATH = "/services/booking/slots"
+_REQUESTS_BY_KIND = {
+    "plain": ("/services/booking/slots", {"name": "a booking"}),
+    "decode": (
+        "/v1/completions",
+        {"model": "brief", "prompt": "a case", "max_tokens": 2},
+    ),
+}
+_JOURNAL_FIELD_BY_KIND = {"plain": "ran", "decode": "requests"}
 _CALLERS_PER_VM = 4
 _PAUSE_S = 0.05
 _CALLS_SERVED_IN_A_ROW = 10
@@ -18,28 +25,30 @@
 
 def _call(context, vm_id: str) -> http_calls.HttpResponse:
     key = fleet_document.api_key_of(entry_site.USER)
+    path, body = _REQUESTS_BY_KIND[context.kind]
     return http_calls.call(
         "POST",
-        context.fleet.url(vm_id) + _PATH,
-        {"name": "a booking"},
+        context.fleet.url(vm_id) + path,
+        body,
         {"Authorization": f"Bearer {key}"},
     )
 
 
 def _set_limit(context, per_s: str) -> None:
-    for endpoint_id in context.fleet.endpoint_ids("plain"):
+    for endpoint_id in context.fleet.endpoint_ids(context.kind):
         context.fleet.standin(
             endpoint_id, "POST", "/standin/misbehave", {"rate_limit": per_s}
         )
 
 
 def _executed(context) -> dict[str, int]:
-    """Returns the number of calls that each server has executed."""
+    """Returns the number of calls that each endpoint has executed."""
+    field = _JOURNAL_FIELD_BY_KIND[context.kind]
     return {
         endpoint_id: len(
-            context.fleet.standin(endpoint_id, "GET", "/standin/journal")["ran"]
+            context.fleet.standin(endpoint_id, "GET", "/standin/journal")[field]
         )
-        for endpoint_id in context.fleet.endpoint_ids("plain")
+        for endpoint_id in context.fleet.endpoint_ids(context.kind)
     }
 
 
@@ -48,7 +57,7 @@
     lines = context.fleet.children_by_name[f"{vm_id}.e0"].lines
     return {
         endpoint_id
-        for endpoint_id in context.fleet.endpoint_ids("plain")
+        for endpoint_id in context.fleet.endpoint_ids(context.kind)
         for line in lines
         if "event=endpoint_rate_limit_named" in line
         and f"endpoint={endpoint_id}" in line
@@ -64,7 +73,7 @@
     return responses
 
 
-@behave.given("{vms:d} VMs before plain services")
+@behave.given("{vms:d} VMs before engines and plain services")
 def step_start(context, vms) -> None:
     context.fleet = local_fleet.LocalFleet(
         entry_site.document(), plain_call_s=0.01
@@ -77,13 +86,21 @@
     "all servers of a service name a limit of {per_s:d} requests a second"
 )
 def step_name(context, per_s) -> None:
+    context.kind = "plain"
+    context.per_s = per_s
+    _set_limit(context, str(per_s))
+
+
+@behave.when("all decode engines name a limit of {per_s:d} requests a second")
+def step_name_engines(context, per_s) -> None:
+    context.kind = "decode"
     context.per_s = per_s
     _set_limit(context, str(per_s))
 
 
 @behave.when("both VMs know the limits")
 def step_known(context) -> None:
-    names = set(context.fleet.endpoint_ids("plain"))
+    names = set(context.fleet.endpoint_ids(context.kind))
 
     def all_know() -> bool:
         for vm_id in context.fleet.vms_by_id:
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -86,8 +86,11 @@
             # An engine that rejects its only request from this process isn't
             # full because of it: it is draining, or its slots are taken by
             # requests unknown here. Without ejection it would be chosen again
-            # at once and reject one request after the other.
-            if lease.in_use <= request.slots and not event.unsent:
+            # at once and reject one request after the other. One that limits
+            # its requests is busy, and isn't chosen before its turn.
+            limited = request.pool.rates.is_limited(event.endpoint_id, now)
+            alone = lease.in_use <= request.slots
+            if alone and not event.unsent and not limited:
                 self._health.record_failure(event.endpoint_id, now)
         elif event.unreachable:
             self._health.record_failure(
--- a/src/cowsliprill/engines/engine_caller.py
+++ b/src/cowsliprill/engines/engine_caller.py
@@ -1,11 +1,14 @@
 """HTTP calls to engines, with the response checks common to all of them."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 
+from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill.decisions import call_state as call_lib
 from cowsliprill.decisions import model
+from cowsliprill.decisions import rate_limits
 from cowsliprill.engines import errors
 from cowsliprill.engines import exchange as exchange_lib
 from cowsliprill.engines import http_client
@@ -25,13 +28,19 @@
     Args:
       http: HTTP client for all calls.
       stall_timeout_s: Maximum time in seconds between bytes of a token stream.
+      observe_answer: Receives what the answers to requests say about an
+        engine's rate limit, None if nobody wants to know.
     """
 
     def __init__(
-        self, http: http_client.HttpClient, stall_timeout_s: float
+        self,
+        http: http_client.HttpClient,
+        stall_timeout_s: float,
+        observe_answer: Callable[[rate_limits.Answer], None] | None = None,
     ) -> None:
         self._http = http
         self._stall_timeout_s = stall_timeout_s
+        self._observe_answer = observe_answer
 
     async def open_stream(
         self,
@@ -52,6 +61,7 @@
           errors.CallError: The engine refused or returned no usable response.
         """
         path, fields = request
+        sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
             endpoint.port,
@@ -62,6 +72,7 @@
             timeout_s=timeout_s,
             stall_timeout_s=self._stall_timeout_s,
         )
+        self._observe(endpoint, response, stream.request_id, sent_at)
         if response.status != _OK:
             await _raise_error_response(response, stream.request_id)
         _check_request_id(response, stream.request_id)
@@ -119,6 +130,7 @@
         headers = dict(_JSON_HEADERS)
         if request_id:
             headers[protocol.REQUEST_ID_HEADER] = request_id
+        sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
             endpoint.port,
@@ -128,12 +140,33 @@
             b"" if fields is None else json.dumps(fields).encode(),
             timeout_s=timeout_s,
         )
+        if request_id:
+            self._observe(endpoint, response, request_id, sent_at)
         if response.status != _OK:
             await _raise_error_response(response, request_id)
         if request_id:
             _check_request_id(response, request_id)
         return await response.read(_MAX_RESPONSE_BYTES)
 
+    def _observe(
+        self,
+        endpoint: model.Endpoint,
+        response: exchange_lib.Response,
+        request_id: str,
+        sent_at: float,
+    ) -> None:
+        answers = response.headers.get(protocol.REQUEST_ID_HEADER) == request_id
+        if self._observe_answer is None or not answers:
+            return
+        self._observe_answer(
+            rate_limits.Answer(
+                endpoint=endpoint,
+                limit_text=response.headers.get(protocol.RATE_LIMIT_HEADER),
+                sent_at=sent_at,
+                conclusive=response.status == _OK,
+            )
+        )
+
 
 def _parse_json(body: bytes) -> Any:
     try:
--- a/src/cowsliprill/engines/engine_client.py
+++ b/src/cowsliprill/engines/engine_client.py
@@ -1,8 +1,10 @@
 """Client for inference engines, with a typed method per protocol call."""
 
+from collections.abc import Callable
 from typing import Any
 
 from cowsliprill.decisions import model
+from cowsliprill.decisions import rate_limits
 from cowsliprill.engines import engine_caller
 from cowsliprill.engines import errors
 from cowsliprill.engines import http_client
@@ -18,12 +20,20 @@
     Args:
       http: HTTP client for all calls.
       stall_timeout_s: Maximum time in seconds between bytes of a token stream.
+      observe_answer: Receives what answers say about an engine's rate limit,
+        None if nobody wants to know.
     """
 
     def __init__(
-        self, http: http_client.HttpClient, *, stall_timeout_s: float = 5.0
+        self,
+        http: http_client.HttpClient,
+        *,
+        stall_timeout_s: float = 5.0,
+        observe_answer: Callable[[rate_limits.Answer], None] | None = None,
     ) -> None:
-        self._caller = engine_caller.EngineCaller(http, stall_timeout_s)
+        self._caller = engine_caller.EngineCaller(
+            http, stall_timeout_s, observe_answer
+        )
 
     async def prefill(
         self,
--- a/src/cowsliprill/engines/protocol.py
+++ b/src/cowsliprill/engines/protocol.py
@@ -43,12 +43,14 @@
   each with JSON `{"error": {"code", "message", "run": "no"}}`. Only a
   response with `run: "no"` that echoes `X-Request-Id` proves that the request
   was not executed. Every response to a request with that header echoes it.
+  In need an engine names in its responses to prefills and decodes
+  `X-Rate-Limit`, the prefills and decodes a second (a decimal number) that it
+  takes from all callers together, for as long as it says so.
 
 Plain service:
   Any method and path, with `X-Request-Id` and, if the caller sent one,
-  `Idempotency-Key`. The service echoes `X-Request-Id`. In need it names in its
-  answers `X-Rate-Limit`, the requests a second (a decimal number) that it takes
-  from all callers together, for as long as it says so.
+  `Idempotency-Key`. The service echoes `X-Request-Id`. It may name
+  `X-Rate-Limit` as engines do.
 """
 
 import dataclasses
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -28,6 +28,7 @@
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import coordinator_client
 from cowsliprill.entry import dialect as dialect_lib
+from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import model_relay
 from cowsliprill.entry import native
@@ -158,6 +159,12 @@
             )
         )
         self._scheduling = self._placement_backend.scheduling
+        if self.rate_limits.enabled:
+            self.rate_limits.ledger.subscribe(
+                lambda _: self._placement_backend.set_rate_limits(
+                    self.rate_limits.ledger.table
+                )
+            )
         self._quarantine = quarantine_components.QuarantineComponents(
             environment,
             self._cluster_state,
@@ -306,11 +313,17 @@
                 self._report_leaving,
                 self._log,
                 self._quarantine.check,
+                self._engine_permits(),
             ),
             plain_relay=plain_relay.PlainRelay(self._dialect.services),
             ticket_store=ticket_store,
         )
 
+    def _engine_permits(self) -> endpoint_permits.EndpointPermits:
+        if self._placement_backend.keeps_rate_limits:
+            return endpoint_permits.Unlimited()
+        return self.rate_limits.permits
+
     def _make_outlier_detector(self) -> outlier_detection.OutlierDetector:
         disabled = self._environment.mechanisms_off
         if mechanisms.Mechanism.OUTLIER_DETECTION in disabled:
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -13,11 +13,13 @@
 from cowsliprill.entry import calls as calls_lib
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import context
+from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import errors
 from cowsliprill.entry import placement_backend
 from cowsliprill.entry import request_quarantine
 from cowsliprill.entry import sinks
 from cowsliprill.observability import log as log_lib
+from cowsliprill.rate_limiting import permit_client
 
 ReportLeaving = Callable[[str, float], None]
 
@@ -58,6 +60,7 @@
         responds that it is draining.
       log: Process log.
       quarantine: Checked right before work is sent to an engine.
+      permits: Permits for engines that limit their requests.
     """
 
     calls: calls_lib.EngineCalls
@@ -68,6 +71,9 @@
     report_leaving: ReportLeaving
     log: log_lib.Log
     quarantine: request_quarantine.RequestQuarantine
+    permits: endpoint_permits.EndpointPermits = dataclasses.field(
+        default_factory=endpoint_permits.Unlimited
+    )
 
     async def __call__(self, ctx: context.Context) -> None:
         """Runs the attempt in `ctx.start` and relays the output to the caller.
@@ -83,6 +89,7 @@
         )
         try:
             await self._wait_for_engines(ctx.start)
+            await self._acquire_permits(ctx)
             await self._connect_decode_engine(ctx)
             prefilled = await self._reuse_or_prefill(ctx)
             endpoint, stream = await self._decode(ctx, prefilled)
@@ -103,6 +110,35 @@
                 endpoint_id, _NEW_ENDPOINT_WAIT_S
             )
 
+    async def _acquire_permits(self, ctx: context.Context) -> None:
+        # Both are acquired before the prefill, which would be wasted without
+        # the decode.
+        start = ctx.start
+        if start.has_prefill() and not start.reuses_prefill:
+            await self._acquire_permit(
+                ctx, start.prefill_id, messages.Stage.PREFILL
+            )
+        await self._acquire_permit(
+            ctx, start.decode_id, messages.Stage.TRANSFER
+        )
+
+    async def _acquire_permit(
+        self, ctx: context.Context, endpoint_id: str, stage: messages.Stage
+    ) -> None:
+        endpoint = self.cluster_state.snapshot.endpoints_by_id.get(endpoint_id)
+        if endpoint is None or not self.permits.is_limited(endpoint):
+            return
+        decision = await self.permits.acquire(ctx, [endpoint], 0.0)
+        match decision:
+            case permit_client.Refusal():
+                raise attempts.AttemptError(
+                    endpoint_id,
+                    stage,
+                    "its rate limit is reached",
+                    refused=True,
+                    unsent=True,
+                )
+
     async def _connect_decode_engine(self, ctx: context.Context) -> None:
         # An engine that has crashed, or whose host is unreachable, stays listed
         # for some seconds. Connecting only after the prefill would waste the
--- a/src/cowsliprill/entry/native.py
+++ b/src/cowsliprill/entry/native.py
@@ -148,7 +148,9 @@
     Returns:
       The dialect.
     """
-    client = engine_client.EngineClient(dependencies.http)
+    client = engine_client.EngineClient(
+        dependencies.http, observe_answer=dependencies.observe_answer
+    )
     return NativeDialect(
         NativeEngineCalls(dependencies.incarnation, client),
         NativePlainCalls(
--- a/src/cowsliprill/entry/placement_backend.py
+++ b/src/cowsliprill/entry/placement_backend.py
@@ -10,11 +10,13 @@
 import random
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from typing import Protocol
 
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import scheduler as scheduler_lib
 from cowsliprill.entry import canceller as canceller_lib
 from cowsliprill.entry import cluster_state as cluster_state_lib
@@ -66,14 +68,20 @@
     Attributes:
       scheduling: Receives requests and events.
       permissions: Checked right before each call to an engine.
+      keeps_rate_limits: Whether the scheduler keeps the rate limits of engines
+        for all VMs, so that its decisions need no permits.
     """
 
     scheduling: Scheduling
     permissions: PermissionChecker
+    keeps_rate_limits: bool
 
     def cluster_state_changed(self, snapshot: model.Snapshot) -> None:
         """Drops state of endpoints that are no longer in the settings."""
 
+    def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
+        """Sets the rate limits that endpoints name."""
+
     def background_work(self) -> list[Awaitable[None]]:
         """Returns the awaitables to run as background tasks."""
 
@@ -120,6 +128,8 @@
       permissions: The slot leases.
     """
 
+    keeps_rate_limits = False
+
     def __init__(self, dependencies: Dependencies) -> None:
         self.permissions = leases_lib.LeaseTable()
         self.scheduling = scheduler_task_lib.Scheduling(
@@ -144,6 +154,13 @@
         """Drops the leases of endpoints that are no longer in the settings."""
         self.permissions.keep_only(set(snapshot.endpoints_by_id))
 
+    def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
+        """Has the scheduler use limited engines no faster than their limits.
+
+        Other entry processes use them too, so each call needs a permit as well.
+        """
+        self.scheduling.post(messages.RateLimitsChanged(tuple(limits)))
+
     def background_work(self) -> list[Awaitable[None]]:
         """Returns the awaitables to run as background tasks."""
         return [self.scheduling.run(), self._slot_lease_client.run()]
@@ -174,6 +191,8 @@
       permissions: Accepts decisions up to a maximum age.
     """
 
+    keeps_rate_limits = True
+
     def __init__(
         self,
         dependencies: Dependencies,
@@ -190,6 +209,9 @@
     def cluster_state_changed(self, snapshot: model.Snapshot) -> None:
         """Does nothing: slot state is kept by the coordinators."""
 
+    def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
+        """Does nothing: the coordinators keep the limits."""
+
     def background_work(self) -> list[Awaitable[None]]:
         """Returns the awaitables to run as background tasks."""
         return [self.scheduling.run()]
--- a/src/cowsliprill/entry/rate_limit_components.py
+++ b/src/cowsliprill/entry/rate_limit_components.py
@@ -38,6 +38,7 @@
       enabled: Whether the limits are kept, rather than only logged.
 
     Attributes:
+      enabled: Whether the limits are kept, rather than only logged.
       ledger: The rate limits known to this process.
       permits: Interface for the filters that send requests to endpoints.
     """
@@ -54,6 +55,7 @@
         *,
         enabled: bool,
     ) -> None:
+        self.enabled = enabled
         self._auth = auth
         self._cluster_state = network.cluster_state
         self.ledger = ledger_lib.RateLimitLedger(log, metrics)
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -122,7 +122,7 @@
             self._members.reachable_fraction,
         )
         self._entry.peer_routes = self._peer_routes()
-        if mechanisms.Mechanism.RATE_LIMITS not in config.mechanisms_off:
+        if self._entry.rate_limits.enabled:
             ledger = self._entry.rate_limits.ledger
             ledger.subscribe(
                 lambda _: self._pool_schedulers.set_rate_limits(ledger.table)
--- a/src/cowsliprill/standins/engine_handlers.py
+++ b/src/cowsliprill/standins/engine_handlers.py
@@ -144,6 +144,8 @@
         transfer = body.get("kv_transfer_params") or {}
         is_decode = bool(transfer.get("do_remote_prefill"))
         role = self._engine.order.target.role
+        if faults.rate_limit:
+            self.set_header(protocol.RATE_LIMIT_HEADER, faults.rate_limit)
         if faults.cut_before_run:
             self.abort_connection()
         elif not request_id:
--- a/src/cowsliprill/standins/fault_injection.py
+++ b/src/cowsliprill/standins/fault_injection.py
@@ -65,8 +65,8 @@
       drop_cache_events: One in so many cache events is lost, 0 for none.
       cache_lag_s: Delay before a cache event is published.
       ignore_fencing: Orders with an old fencing token are accepted.
-      rate_limit: Rate limit that a plain service names in its answers, in
-        requests a second; empty for none.
+      rate_limit: Rate limit that the endpoint names in its answers, in requests
+        a second; empty for none.
       cancel: Fault in the handling of cancellations.
       cancel_delay_s: Delay of a cancellation with `CancelFault.LATE`.
     """
