--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -17,9 +17,11 @@
 from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill import record_exchange
+from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import retry_budget
+from cowsliprill.entry import attempts
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
@@ -64,6 +66,7 @@
       endpoint: Its entry in the settings.
       limit: Rate limit that its answers name, None for none.
       arrivals: The requests that it got.
+      refuses: Whether it executes nothing.
     """
 
     def __init__(self, name: str, slots: int) -> None:
@@ -78,6 +81,7 @@
         )
         self.limit: float | None = None
         self.arrivals: list[Arrival] = []
+        self.refuses = False
         self._told_at_by_vm: dict[str, float] = {}
 
     async def call(self, vm_id: str) -> str | None:
@@ -161,6 +165,11 @@
     def restricts(self, server: Server) -> bool:
         return self.parts.permits.is_limited(server.endpoint)
 
+    def ejects(self, server: Server) -> bool:
+        return self._placement.health.is_ejected(
+            server.endpoint.id, clock.now()
+        )
+
     def handle(self, path: str, message: object):
         """Handles a message of a peer."""
         if path == peers.RATE_LIMITS_PATH:
@@ -204,6 +213,8 @@
         await asyncio.sleep(LATENCY_S / 2)
         limit_text = await server.call(self.id)
         await asyncio.sleep(LATENCY_S / 2)
+        if server.refuses:
+            raise attempts.PlainCallError(messages.Executed.NO, "refused")
         self.parts.observe(
             rate_limits.Answer(
                 endpoint=ctx.endpoint,
--- a/tests/test_pool_scheduler_rates.py
+++ b/tests/test_pool_scheduler_rates.py
@@ -151,3 +151,27 @@
         served = sum(len(site.sent_since(f"d{n}", begin)) for n in range(4))
         assert not [at for at, _ in site.refusals if at >= begin]
         assert served >= 118
+
+
+class TestRefusalByLimitedEngine:
+    """A limited engine refuses its only request of this pool."""
+
+    @pytest.mark.parametrize("limited", [False, True])
+    def test_ejects_only_engines_without_a_limit(self, limited) -> None:
+        """Guards against a limited engine that is taken for a failing one."""
+        site = _Site(decodes=1)
+        if limited:
+            site.set_limits(["d0"])
+            site.now += 1.0
+        site.send("vm-0", test_pool_scheduler._submit(1, site.now))
+        refused = messages.AttemptFailed(
+            request_id=1,
+            endpoint_id="d0",
+            stage=messages.Stage.TRANSFER,
+            refused=True,
+            not_run=True,
+        )
+        site.send("vm-0", messages.PrefillFinished(1), refused)
+        health = site.pool_scheduler._scheduler._health
+        engine = site.snapshot.endpoints_by_id["d0"]
+        assert bool(health.ejected_engine_ids([engine])) is not limited
--- a/tests/test_rate_limit_fleet.py
+++ b/tests/test_rate_limit_fleet.py
@@ -256,3 +256,26 @@
                 assert _use(server, taken_over, end) >= _MIN_USE
 
         virtual_time.run(scenario(), monkeypatch)
+
+
+class TestRefusingServer:
+    """A server refuses calls while it limits its requests."""
+
+    @pytest.mark.parametrize("limited", [False, True])
+    def test_is_ejected_only_without_a_limit(
+        self, limited, monkeypatch
+    ) -> None:
+        """Guards against a limited server that is taken for a failing one."""
+
+        async def scenario() -> bool:
+            fleet = simulation.Fleet(1, 4)
+            refusing = fleet.servers[0]
+            if limited:
+                _set_limit(fleet, 1)
+            await fleet.run_load(50, 2.0)
+            refusing.refuses = True
+            await fleet.run_load(50, 10.0)
+            await fleet.stop()
+            return fleet.vms[0].ejects(refusing)
+
+        assert virtual_time.run(scenario(), monkeypatch) is not limited
