--- a/src/cowsliprill/decisions/endpoint_rates.py
+++ b/src/cowsliprill/decisions/endpoint_rates.py
@@ -5,9 +5,7 @@
 
 import math
 from collections.abc import Iterable
-from collections.abc import Mapping
 
-from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
 
 # A request may come early by the time that passed unused before it, up to this
@@ -31,7 +29,6 @@
     def set_limits(
         self,
         limits: Iterable[rate_limits.RateLimit],
-        endpoints_by_id: Mapping[str, model.Endpoint],
         now: float,
     ) -> None:
         """Sets the limits of the endpoints.
@@ -40,17 +37,11 @@
         interval later, as it has had requests before.
 
         Args:
-          limits: All known limits.
-          endpoints_by_id: The endpoints to pace; limits of other endpoints and
-            of earlier incarnations are ignored.
+          limits: The limits, one an endpoint.
           now: Current time in seconds.
         """
         self._limits_by_endpoint = {
-            limit.endpoint_id: limit
-            for limit in limits
-            if limit.restricts(now)
-            and limit.endpoint_id in endpoints_by_id
-            and endpoints_by_id[limit.endpoint_id].life == limit.life
+            limit.endpoint_id: limit for limit in limits if limit.restricts(now)
         }
         self._last_at_by_endpoint = {
             endpoint_id: self._last_at_by_endpoint.get(endpoint_id, now)
--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -101,7 +101,14 @@
         """
         self._rate_limits = limits
         for pool in self.pools_by_name.values():
-            pool.rates.set_limits(limits, pool.endpoints_by_id, now)
+            pool.rates.set_limits(
+                [
+                    limit
+                    for limit in limits
+                    if limit.is_of(pool.endpoints_by_id)
+                ],
+                now,
+            )
 
     def use_fallback(self, endpoint_ids: tuple[str, ...]) -> None:
         """Allows some slots without a lease if the coordinator is unreachable.
--- a/src/cowsliprill/decisions/rate_limits.py
+++ b/src/cowsliprill/decisions/rate_limits.py
@@ -95,6 +95,11 @@
         """Identifies the record in the tables of all VMs."""
         return (self.endpoint_id, self.life)
 
+    def is_of(self, endpoints_by_id: Mapping[str, model.Endpoint]) -> bool:
+        """Returns whether this is a limit of one of some endpoints."""
+        endpoint = endpoints_by_id.get(self.endpoint_id)
+        return endpoint is not None and endpoint.life == self.life
+
     def rate_per_s(self, now: float) -> float:
         """Returns the rate at which the endpoint may get requests.
 
@@ -241,8 +246,7 @@
         """
         expired = []
         for limit in self:
-            endpoint = endpoints_by_id.get(limit.endpoint_id)
-            listed = endpoint is not None and endpoint.life == limit.life
+            listed = limit.is_of(endpoints_by_id)
             if not (listed and limit.active) and _is_old(limit, now):
                 expired.append(limit)
         for limit in expired:
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -178,7 +178,8 @@
                 )
             selected = await self._select_permitted(ctx, available, tried_ids)
             # A server may have left during the wait for a permit.
-            if selected in self._serving_endpoints(ctx):
+            serving = self._serving_endpoints(ctx)
+            if any(item.id == selected.id for item in serving):
                 return selected
 
     def _available_endpoints(
@@ -223,16 +224,25 @@
         def key(endpoint: model.Endpoint) -> _SelectionKey:
             return self._selection_key(endpoint, tried_ids)
 
-        limited = [item for item in available if self.permits.is_limited(item)]
-        unlimited = [item for item in available if item not in limited]
-        best_limited = min(limited, key=key)
+        limited, unlimited = [], []
+        for item in available:
+            is_limited = self.permits.is_limited(item)
+            (limited if is_limited else unlimited).append(item)
+        best_limited = min(limited, key=key, default=None)
         best_unlimited = min(unlimited, key=key, default=None)
-        if best_unlimited and key(best_unlimited) <= key(best_limited):
+        if best_limited is None or (
+            best_unlimited and key(best_unlimited) <= key(best_limited)
+        ):
             return best_unlimited
-        # Only a server that is as likely to answer spares the call the wait.
-        sound = best_unlimited and self._is_sound(best_unlimited, tried_ids)
+        sound = [item for item in limited if self._is_sound(item, tried_ids)]
+        # A call waits only if no server without a limit is likely to answer.
+        can_go_elsewhere = best_unlimited and self._is_sound(
+            best_unlimited, tried_ids
+        )
         decision = await self.permits.acquire(
-            ctx, limited, 0.0 if sound else _max_permit_wait_s(ctx)
+            ctx,
+            sound or limited,
+            0.0 if can_go_elsewhere else _max_permit_wait_s(ctx),
         )
         match decision:
             case permit_client.Permit(endpoint_id=endpoint_id):
@@ -247,6 +257,7 @@
     def _is_sound(
         self, endpoint: model.Endpoint, tried_ids: Collection[str]
     ) -> bool:
+        """Returns whether a server hasn't failed this call or others."""
         return endpoint.id not in tried_ids and not self.health.is_ejected(
             endpoint.id, clock.now()
         )
--- a/src/cowsliprill/rate_limiting/permit_client.py
+++ b/src/cowsliprill/rate_limiting/permit_client.py
@@ -21,7 +21,7 @@
 # Time for a call besides the wait that it allows.
 _CALL_TIMEOUT_S = 0.15
 
-# Requests that could wait aren't kept longer than this many failed calls.
+# Calls for a request that can wait, until one is answered.
 _MAX_CALLS = 2
 
 # Time for which a pool's coordinator isn't asked again after a failed call for
@@ -64,7 +64,8 @@
 
     Attributes:
       wait_s: Expected wait for a permit in seconds.
-      retry_after_s: When its caller may come back, in seconds from now.
+      retry_after_s: When its caller may come back, in seconds from now; 0 for
+        a request that other endpoints can serve.
     """
 
     wait_s: float
@@ -127,23 +128,13 @@
         state = self._state(request.pool)
         now = clock.now()
         if self._was_denied(state, request, now):
-            return self._refusal(state, now)
-        deadline = now + request.max_wait_s
-        for _ in range(_MAX_CALLS):
-            remaining_s = max(deadline - clock.now(), 0.0)
-            answer = await self._ask(state, request, endpoints, remaining_s)
-            if answer is not None and answer.endpoint_id:
-                return Permit(endpoint_id=answer.endpoint_id)
-            if answer is not None:
-                self._record_denial(state, request, answer)
-                return self._refusal(state, clock.now())
-            if not request.max_wait_s:
-                state.quiet_until = clock.now() + _FAILURE_BACKOFF_S
-                state.denied = wire.PermitAnswer(wait_s=_FAILURE_BACKOFF_S)
-                state.denied_priority = request.priority
-                state.denied_max_wait_s = 0.0
-                break
-        return self._refusal(state, clock.now())
+            return self._refusal(state, request, now)
+        answer = await self._ask_until_answered(state, request, endpoints)
+        if answer.endpoint_id:
+            return Permit(endpoint_id=answer.endpoint_id)
+        now = clock.now()
+        self._record_denial(state, request, answer, now)
+        return self._refusal(state, request, now)
 
     def retain(self, pools: set[str]) -> None:
         """Drops the state of pools that are gone."""
@@ -171,15 +162,22 @@
 
     @staticmethod
     def _record_denial(
-        state: _PoolState, request: Request, answer: wire.PermitAnswer
+        state: _PoolState,
+        request: Request,
+        answer: wire.PermitAnswer,
+        now: float,
     ) -> None:
         state.denied = answer
         state.denied_priority = request.priority
         state.denied_max_wait_s = request.max_wait_s
-        state.quiet_until = clock.now() + answer.quiet_s
+        state.quiet_until = now + answer.quiet_s
 
-    def _refusal(self, state: _PoolState, now: float) -> Refusal:
+    @staticmethod
+    def _refusal(state: _PoolState, request: Request, now: float) -> Refusal:
         wait_s = state.denied.wait_s
+        if not request.max_wait_s:
+            # It goes to another endpoint, so its caller doesn't come back.
+            return Refusal(wait_s=wait_s, retry_after_s=0.0)
         return Refusal(
             wait_s=wait_s,
             retry_after_s=state.retry_schedule.retry_after_s(
@@ -187,6 +185,27 @@
             ),
         )
 
+    async def _ask_until_answered(
+        self,
+        state: _PoolState,
+        request: Request,
+        endpoints: Sequence[model.Endpoint],
+    ) -> wire.PermitAnswer:
+        """Asks the coordinator, and again if the request can wait.
+
+        A coordinator that doesn't answer counts as a denial.
+        """
+        deadline = clock.now() + request.max_wait_s
+        for _ in range(_MAX_CALLS if request.max_wait_s else 1):
+            remaining_s = max(deadline - clock.now(), 0.0)
+            answer = await self._ask(state, request, endpoints, remaining_s)
+            if answer is not None:
+                return answer
+        return wire.PermitAnswer(
+            wait_s=_FAILURE_BACKOFF_S,
+            quiet_s=0.0 if request.max_wait_s else _FAILURE_BACKOFF_S,
+        )
+
     async def _ask(
         self,
         state: _PoolState,
--- a/src/cowsliprill/rate_limiting/permit_server.py
+++ b/src/cowsliprill/rate_limiting/permit_server.py
@@ -174,8 +174,15 @@
         return desk
 
     def _set_limits(self, desk: _Desk, now: float) -> None:
-        snapshot = self._network.cluster_state.snapshot
-        desk.rates.set_limits(self._ledger.table, snapshot.endpoints_by_id, now)
+        endpoints_by_id = self._network.cluster_state.snapshot.endpoints_by_id
+        # Other VMs may list an endpoint before this one does.
+        limits = [
+            limit
+            for limit in self._ledger.table
+            if limit.endpoint_id not in endpoints_by_id
+            or limit.is_of(endpoints_by_id)
+        ]
+        desk.rates.set_limits(limits, now)
 
     def _record_requester(
         self, pool: str, desk: _Desk, requester: str, now: float
--- a/tests/test_endpoint_rates.py
+++ b/tests/test_endpoint_rates.py
@@ -18,7 +18,7 @@
 
 def _rates(per_s: float, now: float = 0.0) -> endpoint_rates.EndpointRates:
     rates = endpoint_rates.EndpointRates()
-    rates.set_limits([_limit(per_s)], {_SERVER.id: _SERVER}, now)
+    rates.set_limits([_limit(per_s)], now)
     return rates
 
 
@@ -75,20 +75,13 @@
     def test_a_higher_limit_counts_from_the_last_request(self) -> None:
         rates = _rates(0.5)
         rates.take(_SERVER.id, 2.0)
-        rates.set_limits([_limit(4.0)], {_SERVER.id: _SERVER}, 2.1)
+        rates.set_limits([_limit(4.0)], 2.1)
         assert rates.next_at(_SERVER.id, 2.1) == pytest.approx(2.25)
 
-    def test_a_limit_of_an_earlier_incarnation_is_ignored(self) -> None:
-        """Guards against a restarted endpoint that stays limited."""
-        rates = endpoint_rates.EndpointRates()
-        limit = _limit(1.0, life="0")
-        rates.set_limits([limit], {_SERVER.id: _SERVER}, 0.0)
-        assert not rates.is_limited(_SERVER.id, 0.0)
-
     def test_the_rate_rises_after_the_end_of_a_limit(self) -> None:
         rates = endpoint_rates.EndpointRates()
         ended = _limit(1.0, active=False, changed_at=10.0)
-        rates.set_limits([ended], {_SERVER.id: _SERVER}, 10.0)
+        rates.set_limits([ended], 10.0)
         sent = _sends(rates, 10.0, 13.0, 0.002)
         seconds = [
             sum(begin <= at < begin + 1 for at in sent)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -99,6 +99,10 @@
         table.observe(SERVER, 1.5, 0.0, 1.0)
         assert table.get(_endpoint(life="2")) is None
 
+        (limit,) = table
+        assert limit.is_of({SERVER.id: SERVER})
+        assert not limit.is_of({SERVER.id: _endpoint(life="2")})
+
     def test_memory_is_bounded(self) -> None:
         table = rate_limits.RateLimitTable()
         for number in range(rate_limits.MAX_RECORDS + 10):
--- a/tests/test_rate_permits.py
+++ b/tests/test_rate_permits.py
@@ -1,6 +1,7 @@
 """Tests of the calls for permits between a process and the coordinator."""
 
 import asyncio
+import dataclasses
 import random
 import types
 
@@ -120,6 +121,19 @@
 
         asyncio.run(scenario())
 
+    def test_keeps_limits_of_endpoints_that_it_does_not_list(self) -> None:
+        """Guards against a coordinator whose settings are a little older."""
+
+        async def scenario() -> None:
+            ledger = _ledger(1.0)
+            network = _network()
+            network.cluster_state.update(model.Snapshot(), model.Fleet())
+            server = _server(ledger, network)
+            answer = await server.handle(_call(ledger.table.digest()))
+            assert not answer.endpoint_id
+
+        asyncio.run(scenario())
+
 
 def _request() -> permit_client.Request:
     """Returns a request of a pool that this VM is the last to coordinate."""
@@ -188,6 +202,23 @@
         assert len(calls) <= 4
         assert len(set(calls)) >= 2
 
+    def test_calls_that_can_go_elsewhere_delay_no_retries(self) -> None:
+        """Guards against callers who come back long after there is room."""
+
+        async def post(vm, path, message, timeout_s) -> bytes:
+            denied = wire.PermitAnswer(wait_s=1.0, interval_s=1.0, quiet_s=0.1)
+            return codec.encode(denied)
+
+        async def scenario():
+            client = self._client(post, _ledger(1.0))
+            request = _request()
+            elsewhere = dataclasses.replace(request, max_wait_s=0.0)
+            for _ in range(20):
+                await client.acquire(elsewhere, [_SERVER])
+            return await client.acquire(request, [_SERVER])
+
+        assert asyncio.run(scenario()).retry_after_s <= 2.0
+
 
 class TestHandler:
     """Processes ask by HTTP."""
