Keep the quarantine working when the table of ends is full

Cause: a full table dropped the newest record, since it was the only unconfirmed one.

The table now drops what tells least: records without suspects, unconfirmed ones beyond a quarter of the table, and the confirmed ones whose suspects account for the fewest ends. TestFullTable failed before in both variants (the third, that later ends don't release a request, passed).

--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -4,6 +4,7 @@
 and idempotent, so that lost, repeated and reordered messages do no harm.
 """
 
+import collections
 import dataclasses
 import hashlib
 from collections.abc import Iterable
@@ -22,8 +23,10 @@
 _SAME_CRASH_S = 2.0
 
 # Bounds of memory. An engine starts few requests at the same time.
-_MAX_RECORDS = 512
+MAX_RECORDS = 512
 MAX_SUSPECTS = 32
+# A flood of ends that are never confirmed takes no more of the table than this.
+_MAX_UNCONFIRMED = 128
 
 _DIGEST_BYTES = 8
 
@@ -260,10 +263,31 @@
         return changed
 
     def _limit_size(self) -> None:
-        if len(self) <= _MAX_RECORDS:
+        if len(self) <= MAX_RECORDS:
             return
-        oldest = min(self, key=lambda item: (item.confirmed, item.observed_at))
-        del self._records_by_key[oldest.key]
+        ends_by_suspect = collections.Counter(
+            fingerprint
+            for record in self
+            for fingerprint in record.remaining_suspects
+        )
+
+        def rank(record: CrashRecord) -> tuple[int, float]:
+            """Ranks by the ends that a suspect of the record accounts for."""
+            suspects = record.remaining_suspects
+            ends = max((ends_by_suspect[item] for item in suspects), default=0)
+            return (ends, record.observed_at)
+
+        del self._records_by_key[min(self._evictable(), key=rank).key]
+
+    def _evictable(self) -> list[CrashRecord]:
+        """Returns the records of which one makes room for another."""
+        cleared = [item for item in self if not item.remaining_suspects]
+        if cleared:
+            return cleared
+        unconfirmed = self.unconfirmed()
+        if len(unconfirmed) > _MAX_UNCONFIRMED:
+            return unconfirmed
+        return [record for record in self if record.confirmed]
 
 
 def endpoint_ids(records: Iterable[CrashRecord]) -> list[str]:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -109,3 +109,41 @@
             state.limits, released=frozenset({_REQUEST})
         )
         assert _kind(state) is None
+
+
+class TestFullTable:
+    """The table is full of ends of other engines."""
+
+    @pytest.mark.parametrize("acquitted", [False, True])
+    def test_a_request_that_ends_engines_is_restricted(self, acquitted):
+        """Guards against a quarantine that many ends of a day switch off."""
+        state = quarantine.Quarantine(quarantine.Limits())
+        table = state.table
+        for number in range(crash_records.MAX_RECORDS + 1):
+            engine = test_crash_records.engine(f"old-{number}")
+            request = f"{number + 2**32:016x}"
+            now = number * 0.01
+            record = table.observe(engine, request, now - 0.1, now)
+            table.confirm(record.key)
+            if acquitted:
+                table.acquit(request, engine.pool)
+        for number in range(3):
+            now = _START + 4.0 * number
+            engine = test_crash_records.engine(f"e{number}")
+            record = table.observe(engine, _REQUEST, now - 0.1, now)
+            state.refresh(now + 1.0)
+            table.confirm(record.key)
+        state.refresh(_START + 9.0)
+        assert _kind(state, now=_START + 9.0) is _KIND.QUARANTINED
+
+    def test_later_ends_of_other_engines_do_not_release_it(self):
+        """Guards against a request that is let through by unrelated ends."""
+        state = _quarantine(3, confirmed=3)
+        for number in range(crash_records.MAX_RECORDS + 1):
+            now = _START + 3.0 + number * 0.01
+            engine = test_crash_records.engine(f"new-{number}")
+            request = f"{number + 2**32:016x}"
+            record = state.table.observe(engine, request, now - 0.1, now)
+            state.table.confirm(record.key)
+        state.refresh(_START + 10.0)
+        assert _kind(state, now=_START + 10.0) is _KIND.QUARANTINED
