--- a/src/cowsliprill/rate_limiting/permit_server.py
+++ b/src/cowsliprill/rate_limiting/permit_server.py
@@ -38,7 +38,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Desk:
+class _PoolPermits:
     """Permits of one pool."""
 
     rates: endpoint_rates.EndpointRates
@@ -82,18 +82,18 @@
         self._metrics = metrics
         self._numbers = itertools.count()
         self._ranking = rendezvous.VmRankingCache()
-        self._desks_by_pool: dict[str, _Desk] = {}
+        self._permits_by_pool: dict[str, _PoolPermits] = {}
         self._wake = asyncio.Event()
         ledger.subscribe(lambda _: self.update())
 
     def update(self) -> None:
         """Applies new rate limits, settings or VMs."""
         now = clock.now()
-        for pool, desk in list(self._desks_by_pool.items()):
-            self._set_limits(desk, now)
-            desk.rates.fraction = self._fraction(pool, desk, now)
-            if not desk.rates.limits_any(now) and not len(desk.queue):
-                del self._desks_by_pool[pool]
+        for pool, permits in list(self._permits_by_pool.items()):
+            self._set_limits(permits, now)
+            permits.rates.fraction = self._fraction(pool, permits, now)
+            if not permits.rates.limits_any(now) and not len(permits.queue):
+                del self._permits_by_pool[pool]
         self._wake.set()
 
     async def handle(self, call: wire.PermitCall) -> wire.PermitAnswer:
@@ -110,12 +110,12 @@
         if not call.limits and call.digest != self._ledger.table.digest():
             return wire.PermitAnswer(needs_limits=True)
         self._ledger.merge(wire.from_wire(limit, now) for limit in call.limits)
-        desk = self._desk(call.pool, now)
-        self._record_requester(call.pool, desk, call.requester, now)
+        permits = self._permits_of(call.pool, now)
+        self._record_requester(call.pool, permits, call.requester, now)
         number = next(self._numbers)
         answer = asyncio.get_running_loop().create_future()
-        desk.answers_by_number[number] = answer
-        desk.queue.add(
+        permits.answers_by_number[number] = answer
+        permits.queue.add(
             permit_queue.PermitRequest(
                 number=number,
                 endpoint_ids=call.endpoint_ids,
@@ -124,31 +124,31 @@
                 expires_at=now + call.max_wait_s,
             )
         )
-        self._decide(desk, now)
+        self._decide(permits, now)
         self._wake.set()
         try:
             decision = await answer
         finally:
-            desk.answers_by_number.pop(number, None)
-            desk.queue.remove(number)
-        return self._answer(desk, call, decision)
+            permits.answers_by_number.pop(number, None)
+            permits.queue.remove(number)
+        return self._answer(permits, call, decision)
 
     def waiting(self, pool: str) -> int:
         """Returns the number of requests that wait for a permit of a pool."""
-        desk = self._desks_by_pool.get(pool)
-        return len(desk.queue) if desk else 0
+        permits = self._permits_by_pool.get(pool)
+        return len(permits.queue) if permits else 0
 
     async def run(self) -> None:
         """Grants the permits that become due until cancelled."""
         while True:
             self._wake.clear()
             now = clock.now()
-            for desk in self._desks_by_pool.values():
-                self._decide(desk, now)
+            for permits in self._permits_by_pool.values():
+                self._decide(permits, now)
             wakeup = min(
                 (
-                    desk.queue.next_wakeup(now)
-                    for desk in self._desks_by_pool.values()
+                    permits.queue.next_wakeup(now)
+                    for permits in self._permits_by_pool.values()
                 ),
                 default=now + _IDLE_SLEEP_S,
             )
@@ -159,21 +159,21 @@
             except TimeoutError:
                 pass
 
-    def _desk(self, pool: str, now: float) -> _Desk:
-        desk = self._desks_by_pool.get(pool)
-        if desk is None:
+    def _permits_of(self, pool: str, now: float) -> _PoolPermits:
+        permits = self._permits_by_pool.get(pool)
+        if permits is None:
             rates = endpoint_rates.EndpointRates()
-            desk = _Desk(rates, permit_queue.PermitQueue(rates))
-            self._set_limits(desk, now)
-            self._desks_by_pool[pool] = desk
+            permits = _PoolPermits(rates, permit_queue.PermitQueue(rates))
+            self._set_limits(permits, now)
+            self._permits_by_pool[pool] = permits
             self._log.event(
                 "rate_limits_coordinated",
                 pool=pool,
                 coordinator=self._is_coordinator(pool),
             )
-        return desk
+        return permits
 
-    def _set_limits(self, desk: _Desk, now: float) -> None:
+    def _set_limits(self, permits: _PoolPermits, now: float) -> None:
         endpoints_by_id = self._network.cluster_state.snapshot.endpoints_by_id
         # Other VMs may list an endpoint before this one does.
         limits = [
@@ -182,27 +182,27 @@
             if limit.endpoint_id not in endpoints_by_id
             or limit.is_of(endpoints_by_id)
         ]
-        desk.rates.set_limits(limits, now)
+        permits.rates.set_limits(limits, now)
 
     def _record_requester(
-        self, pool: str, desk: _Desk, requester: str, now: float
+        self, pool: str, permits: _PoolPermits, requester: str, now: float
     ) -> None:
-        desk.asked_at_by_requester[requester] = now
-        desk.rates.fraction = self._fraction(pool, desk, now)
+        permits.asked_at_by_requester[requester] = now
+        permits.rates.fraction = self._fraction(pool, permits, now)
 
-    def _requesters(self, desk: _Desk, now: float) -> int:
-        if len(desk.asked_at_by_requester) > 1:
-            desk.asked_at_by_requester = {
+    def _requesters(self, permits: _PoolPermits, now: float) -> int:
+        if len(permits.asked_at_by_requester) > 1:
+            permits.asked_at_by_requester = {
                 requester: asked_at
-                for requester, asked_at in desk.asked_at_by_requester.items()
+                for requester, asked_at in permits.asked_at_by_requester.items()
                 if now - asked_at < _REQUESTER_TTL_S
             }
-        return max(len(desk.asked_at_by_requester), 1)
+        return max(len(permits.asked_at_by_requester), 1)
 
-    def _fraction(self, pool: str, desk: _Desk, now: float) -> float:
+    def _fraction(self, pool: str, permits: _PoolPermits, now: float) -> float:
         if not self._is_coordinator(pool):
             processes = len(self._network.peers()) + 1
-            return min(self._requesters(desk, now) / processes, 1.0)
+            return min(self._requesters(permits, now) / processes, 1.0)
         reachable = self._reachable_fraction()
         return 1.0 if reachable > _QUORUM_FRACTION else reachable
 
@@ -211,15 +211,15 @@
         ranked = self._ranking.ranked_vms(pool, vms_by_id)
         return not ranked or ranked[0].id == self._network.vm_id
 
-    def _decide(self, desk: _Desk, now: float) -> None:
-        for decision in desk.queue.decide(now):
-            answer = desk.answers_by_number.get(decision.number)
+    def _decide(self, permits: _PoolPermits, now: float) -> None:
+        for decision in permits.queue.decide(now):
+            answer = permits.answers_by_number.get(decision.number)
             if answer is not None and not answer.done():
                 answer.set_result(decision)
 
     def _answer(
         self,
-        desk: _Desk,
+        permits: _PoolPermits,
         call: wire.PermitCall,
         decision: permit_queue.Decision,
     ) -> wire.PermitAnswer:
@@ -229,7 +229,7 @@
                 return wire.PermitAnswer(endpoint_id=endpoint_id)
             case permit_queue.Denied(wait_s=wait_s, rate_per_s=rate_per_s):
                 self._metrics.rate_permits_denied.inc({"pool": call.pool})
-                requesters = self._requesters(desk, clock.now())
+                requesters = self._requesters(permits, clock.now())
                 calls_per_s = max(
                     rate_per_s * _CALLS_PER_PERMIT, _MIN_CALLS_PER_S
                 )
