Hold a denial of a permit only for the endpoints that it was for

A call that may be sent to one server only (a retry, or an engine on the own interface) and was denied kept the calls to other limited servers of the pool from asking, for up to two seconds: limits that nobody used while callers were refused. Found by reading; the new test failed before.

--- a/src/cowsliprill/rate_limiting/permit_client.py
+++ b/src/cowsliprill/rate_limiting/permit_client.py
@@ -80,6 +80,7 @@
     denied: wire.PermitAnswer = dataclasses.field(
         default_factory=wire.PermitAnswer
     )
+    denied_endpoint_ids: frozenset[str] = frozenset()
     denied_priority: int = 0
     denied_max_wait_s: float = 0.0
 
@@ -127,13 +128,14 @@
         """
         state = self._state(request.pool)
         now = clock.now()
-        if self._was_denied(state, request, now):
+        endpoint_ids = frozenset(endpoint.id for endpoint in endpoints)
+        if self._was_denied(state, request, endpoint_ids, now):
             return self._refusal(state, request, now)
         answer = await self._ask_until_answered(state, request, endpoints)
         if answer.endpoint_id:
             return Permit(endpoint_id=answer.endpoint_id)
         now = clock.now()
-        self._record_denial(state, request, answer, now)
+        self._record_denial(state, request, endpoint_ids, answer, now)
         return self._refusal(state, request, now)
 
     def retain(self, pools: set[str]) -> None:
@@ -152,10 +154,16 @@
         return state
 
     @staticmethod
-    def _was_denied(state: _PoolState, request: Request, now: float) -> bool:
+    def _was_denied(
+        state: _PoolState,
+        request: Request,
+        endpoint_ids: frozenset[str],
+        now: float,
+    ) -> bool:
         """Returns whether the coordinator would deny the request as well."""
         return (
             now < state.quiet_until
+            and endpoint_ids <= state.denied_endpoint_ids
             and request.priority <= state.denied_priority
             and request.max_wait_s <= state.denied_max_wait_s
         )
@@ -164,10 +172,12 @@
     def _record_denial(
         state: _PoolState,
         request: Request,
+        endpoint_ids: frozenset[str],
         answer: wire.PermitAnswer,
         now: float,
     ) -> None:
         state.denied = answer
+        state.denied_endpoint_ids = endpoint_ids
         state.denied_priority = request.priority
         state.denied_max_wait_s = request.max_wait_s
         state.quiet_until = now + answer.quiet_s
--- a/tests/test_rate_permits.py
+++ b/tests/test_rate_permits.py
@@ -202,6 +202,26 @@
         assert len(calls) <= 4
         assert len(set(calls)) >= 2
 
+    def test_a_denial_for_one_endpoint_does_not_hold_for_others(self) -> None:
+        """Guards against a limited endpoint that is starved by another."""
+        other = dataclasses.replace(_SERVER, id="s1")
+
+        async def post(vm, path, message, timeout_s) -> bytes:
+            if _SERVER.id in message.endpoint_ids:
+                answer = wire.PermitAnswer(wait_s=1.0, quiet_s=1.0)
+            else:
+                answer = wire.PermitAnswer(endpoint_id="s1")
+            return codec.encode(answer)
+
+        async def scenario():
+            client = self._client(post, _ledger(1.0))
+            denied = await client.acquire(_request(), [_SERVER])
+            return denied, await client.acquire(_request(), [other])
+
+        denied, granted = asyncio.run(scenario())
+        assert isinstance(denied, permit_client.Refusal)
+        assert granted == permit_client.Permit(endpoint_id="s1")
+
     def test_calls_that_can_go_elsewhere_delay_no_retries(self) -> None:
         """Guards against callers who come back long after there is room."""
 
