Share the rule on what an owner hands out in a partition; skip work without limits

- The fraction of a shared rate that an owner may hand out while it reaches only a part of the fleet stood in quota_owner and again in permit_server: both call decisions/quorum now.
- A docstring called the rise of the rate after a limit stepwise; it is continuous.

--- a/src/cowsliprill/decisions/quota_owner.py
+++ b/src/cowsliprill/decisions/quota_owner.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 
 from cowsliprill.decisions import model
+from cowsliprill.decisions import quorum
 from cowsliprill.decisions import token_bucket
 
 # Time constant of the exponential decay of demand, in seconds.
@@ -25,11 +26,6 @@
 # A VM that hasn't reported for this long no longer counts towards demand.
 _REPORTER_TTL_S = 30.0
 
-# An owner that can reach no more than this fraction of the fleet hands out only
-# the fraction of each quota that matches the VMs it reaches: in a network
-# partition, the others may be alive and use the rest.
-_QUORUM_FRACTION = 0.5
-
 # Minimum retry delay for the callers of a customer above its quota.
 _RETRY_AFTER_MIN_S = 0.3
 
@@ -162,9 +158,7 @@
         Returns:
           The verdicts for the customers in the report.
         """
-        fraction = (
-            1.0 if reachable_fraction > _QUORUM_FRACTION else reachable_fraction
-        )
+        fraction = quorum.usable_fraction(reachable_fraction)
         return [
             self._apply_usage(
                 reporter,
--- a/src/cowsliprill/decisions/rate_limits.py
+++ b/src/cowsliprill/decisions/rate_limits.py
@@ -103,8 +103,8 @@
     def rate_per_s(self, now: float) -> float:
         """Returns the rate at which the endpoint may get requests.
 
-        After the end of a limit the rate rises in steps of time, and is
-        infinite after `RECOVERY_S`.
+        After the end of a limit the rate rises, and is infinite after
+        `RECOVERY_S`.
 
         Args:
           now: Current time in seconds.
--- a/src/cowsliprill/entry/rate_limit_components.py
+++ b/src/cowsliprill/entry/rate_limit_components.py
@@ -81,8 +81,9 @@
     def cluster_state_changed(self) -> None:
         """Applies new settings and a new VM list."""
         self._server.update()
-        endpoints = self._cluster_state.snapshot.endpoints_by_id.values()
-        self._client.retain({endpoint.pool for endpoint in endpoints})
+        self._client.retain(
+            self._cluster_state.snapshot.endpoints_by_id.values()
+        )
 
     def peer_routes(self) -> list[tuple]:
         """Returns the tornado routes of the peer port."""
--- a/src/cowsliprill/rate_limiting/permit_client.py
+++ b/src/cowsliprill/rate_limiting/permit_client.py
@@ -3,6 +3,7 @@
 import dataclasses
 import math
 import random
+from collections.abc import Iterable
 from collections.abc import Sequence
 
 from cowsliprill import clock
@@ -138,8 +139,11 @@
         self._record_denial(state, request, endpoint_ids, answer, now)
         return self._refusal(state, request, now)
 
-    def retain(self, pools: set[str]) -> None:
-        """Drops the state of pools that are gone."""
+    def retain(self, endpoints: Iterable[model.Endpoint]) -> None:
+        """Drops the state of pools that none of the endpoints belongs to."""
+        if not self._pools_by_name:
+            return
+        pools = {endpoint.pool for endpoint in endpoints}
         for pool in self._pools_by_name.keys() - pools:
             del self._pools_by_name[pool]
 
--- a/src/cowsliprill/rate_limiting/permit_server.py
+++ b/src/cowsliprill/rate_limiting/permit_server.py
@@ -9,6 +9,7 @@
 from cowsliprill import record_exchange
 from cowsliprill.decisions import endpoint_rates
 from cowsliprill.decisions import permit_queue
+from cowsliprill.decisions import quorum
 from cowsliprill.decisions import rendezvous
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
@@ -29,11 +30,6 @@
 # becomes the coordinator.
 _MAX_QUIET_S = 2.0
 
-# An owner that can reach no more than this fraction of the fleet hands out only
-# as large a fraction of each rate: in a network partition, the others may be
-# alive and use the rest.
-_QUORUM_FRACTION = 0.5
-
 _IDLE_SLEEP_S = 3_600.0
 
 
@@ -203,8 +199,7 @@
         if not self._is_coordinator(pool):
             processes = len(self._network.peers()) + 1
             return min(self._requesters(permits, now) / processes, 1.0)
-        reachable = self._reachable_fraction()
-        return 1.0 if reachable > _QUORUM_FRACTION else reachable
+        return quorum.usable_fraction(self._reachable_fraction())
 
     def _is_coordinator(self, pool: str) -> bool:
         vms_by_id = self._network.cluster_state.fleet.vms_by_id
