Log lost and restored paths to pools, and the engines that a coordinator ejects

The HTTP client reports the outcome of each connection attempt; three endpoints of a pool in a row that can't be reached (all, in a smaller pool) are a lost path, any connection restores it. No request is handled differently.

Cost: one dict update a connection attempt; a map of addresses at each change of the settings, as connection limits already build.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -80,6 +80,8 @@
       prompt_tokens_per_s: Speed of the fastest prefill engine, 0 if unknown.
       seconds_per_token: Mean time per output token of decode engines.
       prompt_part: Fraction of the engine time spent on prefills, 0 if unknown.
+      ejected: Ids of the engines that get no requests because others failed
+        there, separated by commas.
     """
 
     promised: int
@@ -90,6 +92,7 @@
     prompt_tokens_per_s: float
     seconds_per_token: float
     prompt_part: float
+    ejected: str = ""
 
 
 class Pool:
@@ -369,6 +372,12 @@
             ),
             seconds_per_token=self._token_interval_s,
             prompt_part=self.prompt_part() or 0.0,
+            ejected=",".join(
+                sorted(
+                    self._health.ejected_engine_ids(self.prefills)
+                    | self._health.ejected_engine_ids(self.decodes)
+                )
+            ),
         )
 
     def slots(self) -> int:
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -15,6 +15,7 @@
 import weakref
 from collections.abc import Mapping
 from typing import Any
+from typing import Protocol
 
 from tornado import http1connection
 from tornado import httputil
@@ -65,6 +66,18 @@
 _Address = tuple[str, int]
 
 
+class ConnectionObserver(Protocol):
+    """Called with the outcome of each attempt to open a connection."""
+
+    def __call__(self, address: _Address, *, connected: bool) -> None:
+        """Records an outcome.
+
+        Args:
+          address: IP address and port.
+          connected: Whether the connection was established.
+        """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _IdleConnection:
     stream: iostream.IOStream
@@ -117,6 +130,7 @@
 
     Attributes:
       limits_by_address: Connection limits of the endpoints that have one.
+      observe_connection: Receives the outcome of each connection attempt.
     """
 
     def __init__(self) -> None:
@@ -124,6 +138,7 @@
         self.limits_by_address: Mapping[
             _Address, connection_limits.ConnectionLimits
         ] = {}
+        self.observe_connection: ConnectionObserver = _ignore_outcome
         self._idle_by_address: dict[_Address, list[_IdleConnection]] = {}
         self._connecting_by_address: collections.Counter[_Address] = (
             collections.Counter()
@@ -307,12 +322,15 @@
             raise
         except (OSError, iostream.StreamClosedError) as error:
             cause = _cause_of(error)
+            self.observe_connection((host, port), connected=False)
             raise errors.ConnectFailed(
                 f"{host}:{port}: {cause}",
                 refused=isinstance(cause, ConnectionRefusedError),
             ) from error
         if stream.closed():
+            # A host that resets a connection can be reached; it is full.
             raise errors.ConnectFailed(f"{host}:{port}: closed once connected")
+        self.observe_connection((host, port), connected=True)
         stream.set_nodelay(True)
         _enable_keep_alive(stream.socket)
         return stream
@@ -401,6 +419,10 @@
             stream.close()
 
 
+def _ignore_outcome(address: _Address, *, connected: bool) -> None:
+    del address, connected
+
+
 def _enable_keep_alive(connection: socket.socket) -> None:
     # A peer that loses power, or a network device that drops its connection
     # state, sends no notice; a call on the connection would wait for its full
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -32,6 +32,7 @@
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import model_relay
 from cowsliprill.entry import native
+from cowsliprill.entry import path_monitor
 from cowsliprill.entry import placement_backend as backend_lib
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import quarantine_components
@@ -115,6 +116,8 @@
         self._budgets = retry_budget.RetryBudgets()
         self._outlier_detector = self._make_outlier_detector()
         self._http = http_client.HttpClient()
+        self._paths = path_monitor.PathMonitor(log, self._metrics)
+        self._http.observe_connection = self._paths.observe_connection
         homes = coordinator_client.CoordinatorClient(self._http, self._auth)
         self._peer_network = record_exchange.Network(
             vm_id=environment.vm,
@@ -338,6 +341,7 @@
         self._http.limits_by_address = connection_limits.limits_for_endpoints(
             snapshot, self._source.fleet
         )
+        self._paths.update(snapshot)
         self._placement_backend.cluster_state_changed(snapshot)
         self._budgets.keep_only(snapshot.services_by_id.values())
         self._outlier_detector.retain(snapshot.endpoints_by_id.keys())
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -40,6 +40,8 @@
         process has handed out, by `endpoint`.
       rate_permits_denied: Requests for such a permit that it has denied, by
         `pool`.
+      lost_paths: Whether this process can't open connections to a pool's
+        endpoints, by `pool` and `kind` of endpoint.
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
@@ -121,6 +123,10 @@
             registry=self.registry,
         )
 
+        self.lost_paths = self._gauge(
+            "lost_paths", "Pools that no connection can be opened to."
+        )
+
         self.members = self._gauge("members", "VMs that are heard.")
         self.registry_position = self._gauge(
             "registry_position", "Newest change known of the registry."
