Serve callers of a cut-off VM through its peers

What callers saw: at a VM that had lost its network path to all endpoints, 7 of 39 first tries were served, 106 of 107 at the other VMs, which reached the same endpoints; calls that can't be repeated were refused at once, model requests after up to 8 placements.

Now a VM examines a call without an answer: it probes the endpoint, and if that can't be reached, two others, first of other pools. If three endpoints in a row can't be reached it takes itself as cut off, blames no endpoint (no ejection, no quarantine), and has its peers serve its callers over the peer port, with the deadlines, attempts, settings revision and idempotency key that it knows, signed. A relayed request passes the peer's filters (key, fingerprint, quarantine, placement), but isn't charged to the quota twice, nor relayed again. Peers that can't serve decline and are left out for a second; if none can, the request is refused at once. Two endpoints are probed each 0.25 s; the first connection ends the detour. A request that may have run is relayed only if it may be repeated.

Ruled out on the way: one verdict a pool. It took an ended engine of a small pool for a lost path and hid it from the quarantine (crashing_requests.feature failed).

Cost without a cut: one probe after a call without an answer.

--- a/src/cowsliprill/decisions/endpoint_paths.py
+++ b/src/cowsliprill/decisions/endpoint_paths.py
@@ -1,154 +1,127 @@
-"""Tracks whether this VM can open connections to the endpoints of each pool.
+"""Tells whether this VM is cut off from the endpoints of all pools.
 
 A single endpoint that can't be reached has most likely ended. If this VM
-reaches none of several endpoints of a pool, its own network path to the pool
-is the more likely cause, and other VMs may still reach them.
+reaches none of several endpoints in a row, its own network path is the more
+likely cause, and other VMs may still reach them.
 """
 
 import dataclasses
 
 from cowsliprill.decisions import model
 
-# Endpoints of a pool that must be unreachable in a row before the path to the
-# pool counts as lost. Pools with fewer endpoints need all of them.
+# Endpoints that must be unreachable in a row before this VM counts as cut off.
+# If there are fewer, all of them must be.
 _MIN_UNREACHABLE = 3
 
+# A single endpoint can't tell its own end from a lost path.
+_MIN_ENDPOINTS = 2
+
 # Failed connections older than this say nothing about the path now.
 _FAILURE_TTL_S = 5.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PathGroup:
-    """Endpoints of one kind in one pool, which share a network path.
-
-    Attributes:
-      pool: Name of the pool.
-      kind: Kind of the endpoints.
-    """
-
-    pool: str
-    kind: model.EndpointKind
-
-
-@dataclasses.dataclass(slots=True)
-class _GroupState:
-    endpoint_ids: set[str] = dataclasses.field(default_factory=set)
-    failed_at_by_id: dict[str, float] = dataclasses.field(default_factory=dict)
-    lost: bool = False
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PathChange:
-    """A path that was lost or restored.
+    """The path to the endpoints was lost or restored.
 
     Attributes:
-      group: Endpoints at the other end of the path.
-      lost: Whether the path was lost, else restored.
+      lost: Whether it was lost, else restored.
       endpoint_ids: Endpoints that decided it: those that couldn't be reached,
         or the one that a connection was opened to.
     """
 
-    group: PathGroup
     lost: bool
     endpoint_ids: tuple[str, ...]
 
 
 class EndpointPaths:
-    """Outcomes of this VM's connection attempts, by pool."""
+    """Outcomes of this VM's attempts to connect to endpoints.
+
+    Attributes:
+      lost: Whether this VM is cut off from the endpoints.
+    """
 
     def __init__(self) -> None:
-        self._states_by_group: dict[PathGroup, _GroupState] = {}
+        self.lost = False
+        self._endpoint_ids: frozenset[str] = frozenset()
+        self._failed_at_by_id: dict[str, float] = {}
 
-    def update(self, endpoints: list[model.Endpoint]) -> None:
+    def update(self, endpoint_ids: frozenset[str]) -> None:
         """Replaces the known endpoints; state of removed ones is dropped.
 
         Args:
-          endpoints: All endpoints of the settings.
+          endpoint_ids: Ids of all endpoints in the settings.
         """
-        endpoint_ids_by_group: dict[PathGroup, set[str]] = {}
-        for endpoint in endpoints:
-            group = group_of(endpoint)
-            endpoint_ids_by_group.setdefault(group, set()).add(endpoint.id)
-        for group in self._states_by_group.keys() - endpoint_ids_by_group:
-            del self._states_by_group[group]
-        for group, endpoint_ids in endpoint_ids_by_group.items():
-            state = self._states_by_group.setdefault(group, _GroupState())
-            state.endpoint_ids = endpoint_ids
-            for endpoint_id in state.failed_at_by_id.keys() - endpoint_ids:
-                del state.failed_at_by_id[endpoint_id]
-
-    def record_connected(self, endpoint: model.Endpoint) -> PathChange | None:
+        self._endpoint_ids = endpoint_ids
+        for endpoint_id in self._failed_at_by_id.keys() - endpoint_ids:
+            del self._failed_at_by_id[endpoint_id]
+
+    def record_connected(self, endpoint_id: str) -> PathChange | None:
         """Records an established connection.
 
         Args:
-          endpoint: The endpoint.
+          endpoint_id: The endpoint.
 
         Returns:
           The change, if the path was lost before.
         """
-        group = group_of(endpoint)
-        state = self._states_by_group.get(group)
-        if state is None:
+        self._failed_at_by_id.clear()
+        if not self.lost:
             return None
-        state.failed_at_by_id.clear()
-        if not state.lost:
-            return None
-        state.lost = False
-        return PathChange(group=group, lost=False, endpoint_ids=(endpoint.id,))
+        self.lost = False
+        return PathChange(lost=False, endpoint_ids=(endpoint_id,))
 
-    def record_failed(
-        self, endpoint: model.Endpoint, now: float
-    ) -> PathChange | None:
+    def record_failed(self, endpoint_id: str, now: float) -> PathChange | None:
         """Records a connection that couldn't be established.
 
         Args:
-          endpoint: The endpoint.
+          endpoint_id: The endpoint.
           now: Current time in seconds.
 
         Returns:
           The change, if the path is lost from now on.
         """
-        group = group_of(endpoint)
-        state = self._states_by_group.get(group)
-        if state is None or endpoint.id not in state.endpoint_ids:
+        if endpoint_id not in self._endpoint_ids:
             return None
-        state.failed_at_by_id = {
-            endpoint_id: failed_at
-            for endpoint_id, failed_at in state.failed_at_by_id.items()
+        self._failed_at_by_id = {
+            failed_id: failed_at
+            for failed_id, failed_at in self._failed_at_by_id.items()
             if now - failed_at <= _FAILURE_TTL_S
         }
-        state.failed_at_by_id[endpoint.id] = now
-        required = min(len(state.endpoint_ids), _MIN_UNREACHABLE)
-        if state.lost or len(state.failed_at_by_id) < required:
+        self._failed_at_by_id[endpoint_id] = now
+        known = len(self._endpoint_ids)
+        unreachable = len(self._failed_at_by_id)
+        if (
+            self.lost
+            or known < _MIN_ENDPOINTS
+            or unreachable < min(known, _MIN_UNREACHABLE)
+        ):
             return None
-        state.lost = True
+        self.lost = True
         return PathChange(
-            group=group,
-            lost=True,
-            endpoint_ids=tuple(sorted(state.failed_at_by_id)),
+            lost=True, endpoint_ids=tuple(sorted(self._failed_at_by_id))
         )
 
-    def lost_groups(self) -> list[PathGroup]:
-        """Returns the groups that no endpoint can be reached of."""
-        return [
-            group
-            for group, state in self._states_by_group.items()
-            if state.lost
-        ]
-
-    def is_lost(self, pool: str) -> bool:
-        """Returns whether the path to a kind of endpoint of a pool is lost.
+    def has_failed(self, endpoint_id: str) -> bool:
+        """Returns whether the latest connection to an endpoint has failed.
 
-        Args:
-          pool: Name of the pool.
+        Failures before the latest connection to any endpoint don't count.
         """
-        return any(
-            state.lost
-            for group, state in self._states_by_group.items()
-            if group.pool == pool
-        )
+        return endpoint_id in self._failed_at_by_id
+
 
+def witnesses(
+    examined: model.Endpoint, endpoints: list[model.Endpoint], limit: int
+) -> list[model.Endpoint]:
+    """Selects endpoints that tell an ended endpoint from a lost path.
 
-def group_of(endpoint: model.Endpoint) -> PathGroup:
-    """Returns the group that an endpoint belongs to."""
-    return PathGroup(endpoint.pool, endpoint.kind)
+    Endpoints of other pools go first: those of one pool may end together.
+
+    Args:
+      examined: Endpoint that can't be reached.
+      endpoints: All endpoints, in random order.
+      limit: Maximum number of endpoints to select.
+    """
+    others = [item for item in endpoints if item.id != examined.id]
+    others.sort(key=lambda item: item.pool == examined.pool)
+    return others[:limit]
--- a/src/cowsliprill/decisions/mechanisms.py
+++ b/src/cowsliprill/decisions/mechanisms.py
@@ -29,6 +29,8 @@
       ONE_INCARNATION_PER_ADDRESS: Of several registry entries with one
         address, only the latest incarnation is used.
       LOCAL_PREFILL: Local prefill on decode engines.
+      PEER_RELAY: Other VMs serve the requests of one that can't reach
+        endpoints.
       PEER_UPDATES: VMs get registry updates from each other.
       QUARANTINE: Requests that end engines are refused.
       RATE_LIMITS: Rate limits that endpoints name are kept.
@@ -45,6 +47,7 @@
     ESTIMATED_SPEEDS = "learnt_speeds"
     ONE_INCARNATION_PER_ADDRESS = "one_life_an_address"
     LOCAL_PREFILL = "own_reading"
+    PEER_RELAY = "peer_relay"
     PEER_UPDATES = "peer_news"
     QUARANTINE = "quarantine"
     RATE_LIMITS = "rate_limits"
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -11,6 +11,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.engines import http_client
 from cowsliprill.entry import errors
+from cowsliprill.entry import relay_envelope
 from cowsliprill.entry import response_writer as response_writer_lib
 from cowsliprill.entry import schema
 
@@ -29,6 +30,8 @@
         filters (size limits, shutdown, forwarding by a stranger), or None.
       forwarded: Whether a peer forwarded the request because of its ticket.
       uri: Path and query exactly as sent, for services that get them unchanged.
+      envelope: What the sending VM knows of a relayed request, None for a
+        request that came from its caller.
     """
 
     method: str
@@ -39,6 +42,7 @@
     rejection: errors.EntryError | None = None
     forwarded: bool = False
     uri: str = ""
+    envelope: relay_envelope.Envelope | None = None
 
     @property
     def target(self) -> str:
@@ -155,6 +159,8 @@
         caller has disconnected; set by `idempotency`.
       start: Engines chosen for the current attempt; set by `model_placement`.
       endpoint: Endpoint of a plain service; set by `plain_placement`.
+      relayed_to: VM that serves the request for this one, empty for none; set
+        by `failover`.
       progress: Progress of the request.
     """
 
@@ -185,6 +191,7 @@
     continues_after_disconnect: bool = False
     start: messages.Start | None = None
     endpoint: model.Endpoint | None = None
+    relayed_to: str = ""
     progress: Progress = dataclasses.field(default_factory=Progress)
 
 
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -33,13 +33,16 @@
 from cowsliprill.entry import model_relay
 from cowsliprill.entry import native
 from cowsliprill.entry import path_monitor
+from cowsliprill.entry import peer_relay
 from cowsliprill.entry import placement_backend as backend_lib
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import quarantine_components
 from cowsliprill.entry import rate_limit_components
+from cowsliprill.entry import relayed_call
 from cowsliprill.entry import routes
 from cowsliprill.entry import ticket_forwarding
 from cowsliprill.entry.filters import admission
+from cowsliprill.entry.filters import failover
 from cowsliprill.entry.filters import fingerprint
 from cowsliprill.entry.filters import idempotency
 from cowsliprill.entry.filters import identify
@@ -116,8 +119,9 @@
         self._budgets = retry_budget.RetryBudgets()
         self._outlier_detector = self._make_outlier_detector()
         self._http = http_client.HttpClient()
-        self._paths = path_monitor.PathMonitor(log, self._metrics)
-        self._http.observe_connection = self._paths.observe_connection
+        self._paths = path_monitor.PathMonitor(
+            self._http, log, self._metrics, self._random
+        )
         homes = coordinator_client.CoordinatorClient(self._http, self._auth)
         self._peer_network = record_exchange.Network(
             vm_id=environment.vm,
@@ -226,6 +230,7 @@
                 *self._placement_backend.background_work(),
                 *self._quarantine.background_work(),
                 *self.rate_limits.background_work(),
+                self._paths.run(),
             )
         ]
         ended = asyncio.create_task(self.shell.run_until_stopped())
@@ -252,6 +257,11 @@
         self.shell.listen(
             [
                 *routes.peer_routes(self._gate, components, self._auth),
+                routes.relay_route(
+                    self._gate,
+                    self._dialect.relayed_chain(components),
+                    self._auth,
+                ),
                 *self._quarantine.peer_routes(),
                 *self.rate_limits.peer_routes(),
                 *self.peer_routes,
@@ -278,6 +288,9 @@
             ),
             quota=quota.Quota(self._quotas),
             report=report.Report(self._log, self._metrics, self._dialect),
+            relayed_report=report.Report(
+                self._log, self._metrics, relayed_call.ErrorFormatter()
+            ),
             idempotency=idempotency.Idempotency(
                 ticket_store,
                 ticket_forwarding.TicketForwarder(
@@ -289,12 +302,14 @@
                 ),
             ),
             admission=admission.Admission(),
+            failover=failover.Failover(self._paths, self._make_peer_relay()),
             model_placement=model_placement.ModelPlacement(
                 self._scheduling,
                 self._budgets,
                 self._log,
                 self._authorization,
                 self._quarantine.check,
+                self._paths,
             ),
             plain_placement=plain_placement.PlainPlacement(
                 self._environment.availability_zone,
@@ -304,6 +319,7 @@
                 self._random,
                 self._authorization,
                 self._quarantine.check,
+                self._paths,
                 self._outlier_detector,
                 self.rate_limits.permits,
             ),
@@ -327,6 +343,20 @@
             return endpoint_permits.Unlimited()
         return self.rate_limits.permits
 
+    def _make_peer_relay(self) -> peer_relay.PeerRelay | None:
+        if mechanisms.Mechanism.PEER_RELAY in self._environment.mechanisms_off:
+            return None
+        return peer_relay.PeerRelay(
+            self._environment.vm,
+            self._environment.availability_zone,
+            self._http,
+            self._auth,
+            self._cluster_state,
+            self._log,
+            self._metrics,
+            self._random,
+        )
+
     def _make_outlier_detector(self) -> outlier_detection.OutlierDetector:
         disabled = self._environment.mechanisms_off
         if mechanisms.Mechanism.OUTLIER_DETECTION in disabled:
--- a/src/cowsliprill/entry/dialect.py
+++ b/src/cowsliprill/entry/dialect.py
@@ -17,6 +17,7 @@
 from cowsliprill.decisions import retry_budget
 from cowsliprill.engines import http_client
 from cowsliprill.entry import calls
+from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import routes
@@ -64,3 +65,6 @@
         self, gate: gate_lib.Gate, components: routes.Components
     ) -> web.Application:
         """Returns the HTTP application of the public port."""
+
+    def relayed_chain(self, components: routes.Components) -> context.Handler:
+        """Returns the filter chain for requests that peers relay."""
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -41,6 +41,7 @@
     NOT_READY = "not_ready"
     LEAVING = "leaving"
     NO_ENDPOINT = "no_endpoint"
+    PATH_LOST = "path_lost"
     ENDPOINT_FAILED = "endpoint_failed"
     ENDPOINT_REFUSED = "endpoint_refused"
     STREAM_BROKEN = "stream_broken"
@@ -75,6 +76,10 @@
 }
 
 
+# A path is probed more often than this, and other VMs may serve a retry.
+_PATH_RETRY_AFTER_S = 0.5
+
+
 class CoordinatorError(errors.CowsliprillError):
     """Raised when the coordinator of an endpoint fails to serve a request."""
 
@@ -178,6 +183,20 @@
         return error.event()
 
 
+def path_lost(run: messages.Executed) -> EntryError:
+    """Returns the error for a request at a VM that can't reach the endpoints.
+
+    Args:
+      run: Whether the request was executed, as far as known.
+    """
+    return EntryError(
+        Code.PATH_LOST,
+        "Its endpoints can't be reached from here now.",
+        run=run,
+        retry_after_s=_PATH_RETRY_AFTER_S,
+    )
+
+
 def from_status(status: int) -> EntryError:
     """Returns the error for a status that tornado itself has set.
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -11,6 +11,7 @@
 from cowsliprill.entry import authorization
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
+from cowsliprill.entry import path_monitor
 from cowsliprill.entry import placement_backend
 from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
@@ -44,6 +45,7 @@
       authorization: Checks before each attempt that the caller's API key may
         still be accepted.
       quarantine: Refuses requests that end engines.
+      paths: Tells whether this VM is cut off from the endpoints.
     """
 
     scheduling: placement_backend.Scheduling
@@ -51,6 +53,7 @@
     log: log_lib.Log
     authorization: authorization.Authorization
     quarantine: request_quarantine.RequestQuarantine
+    paths: path_monitor.PathMonitor
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handler
@@ -125,6 +128,8 @@
         try:
             await proceed(ctx)
         except attempts.AttemptError as lost:
+            self._log_lost_attempt(ctx, lost)
+            await self._check_path(ctx, lost)
             if lost.connection_lost and not lost.had_output:
                 await self.quarantine.report_lost(ctx, lost.endpoint_id)
             self._handle_lost_attempt(ctx, lost)
@@ -156,7 +161,22 @@
             retry_after_s=refusal.retry_after_s,
         )
 
-    def _handle_lost_attempt(
+    async def _check_path(
+        self, ctx: context.Context, lost: attempts.AttemptError
+    ) -> None:
+        """Raises `errors.EntryError` if this VM is cut off from the engines.
+
+        The attempt then says nothing about its engine, which the scheduler
+        would eject for all VMs.
+        """
+        endpoint = ctx.snapshot.endpoints_by_id.get(lost.endpoint_id)
+        if endpoint is None or not (lost.unreachable or lost.sent):
+            return
+        await self.paths.examine(endpoint)
+        if self.paths.is_lost():
+            raise errors.path_lost(ctx.progress.run) from lost
+
+    def _log_lost_attempt(
         self, ctx: context.Context, lost: attempts.AttemptError
     ) -> None:
         self.log.warning(
@@ -171,6 +191,10 @@
             refused=lost.refused,
             reason=lost.reason,
         )
+
+    def _handle_lost_attempt(
+        self, ctx: context.Context, lost: attempts.AttemptError
+    ) -> None:
         may_have_executed = ctx.progress.run is messages.Executed.UNKNOWN
         non_idempotent = model.Idempotency.NON_IDEMPOTENT
         if may_have_executed and ctx.service.idempotency is non_idempotent:
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -16,6 +16,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import errors
+from cowsliprill.entry import path_monitor
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
@@ -53,6 +54,7 @@
       authorization: Checks before each attempt that the caller's API key may
         still be accepted.
       quarantine: Refuses requests that end servers.
+      paths: Tells whether this VM is cut off from the endpoints.
       health: Outlier detector that ejects failing servers for a while.
       permits: Permits for servers that limit their requests.
     """
@@ -64,6 +66,7 @@
     random_source: random.Random
     authorization: authorization.Authorization
     quarantine: request_quarantine.RequestQuarantine
+    paths: path_monitor.PathMonitor
     health: outlier_detection.OutlierDetector = dataclasses.field(
         default_factory=outlier_detection.OutlierDetector
     )
@@ -98,7 +101,10 @@
                 self.quarantine.report_survived(ctx)
                 return
             except attempts.PlainCallError as lost:
-                await self._report_to_quarantine(ctx, lost)
+                # A server that only this VM can't reach has not ended.
+                path_lost = await self._is_path_lost(ctx, lost)
+                if not path_lost:
+                    await self._report_to_quarantine(ctx, lost)
                 self._record_lost_call(ctx, lost)
                 tried_ids.add(ctx.endpoint.id)
                 if lost.unsent and unsent < _MAX_UNSENT_CALLS:
@@ -111,6 +117,8 @@
                         await plain_relay.relay_response(ctx, lost.answer)
                         return
                     raise _failure_error(ctx) from lost
+                if path_lost:
+                    raise errors.path_lost(ctx.progress.run) from lost
                 try:
                     ctx.endpoint = await self._select_next(ctx, tried_ids)
                 except errors.EntryError:
@@ -119,6 +127,15 @@
                     await plain_relay.relay_response(ctx, lost.answer)
                     return
 
+    async def _is_path_lost(
+        self, ctx: context.Context, lost: attempts.PlainCallError
+    ) -> bool:
+        refused = lost.run is messages.Executed.NO and not lost.unsent
+        if lost.answer is not None or refused:
+            return False
+        await self.paths.examine(ctx.endpoint)
+        return self.paths.is_lost()
+
     async def _report_to_quarantine(
         self, ctx: context.Context, lost: attempts.PlainCallError
     ) -> None:
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -81,7 +81,13 @@
     def _record_outcome(self, ctx: context.Context) -> None:
         progress = ctx.progress
         labels = {"service": ctx.service.id if ctx.service else ""}
-        self.metrics.requests.inc({**labels, "outcome": progress.outcome})
+        if ctx.call.envelope is None:
+            self.metrics.requests.inc({**labels, "outcome": progress.outcome})
+        else:
+            # The VM that the caller sent it to counts the request.
+            self.metrics.helped_requests.inc(
+                {**labels, "outcome": progress.outcome}
+            )
         # A local prefill by the decode engine counts as used but not as
         # started, so the difference can be negative.
         wasted_prompts = max(progress.prefills - progress.prefills_used, 0)
@@ -113,9 +119,17 @@
             tokens=progress.tokens,
             ttft_ms=round(ttft_s * _MS_PER_S, 1),
             took_ms=round((now - ctx.arrived_at) * _MS_PER_S, 1),
+            **_relay_fields(ctx),
         )
 
 
+def _relay_fields(ctx: context.Context) -> dict[str, str]:
+    if ctx.call.envelope is not None:
+        envelope = ctx.call.envelope
+        return {"relayed_by": envelope.vm, "relayed_as": envelope.request_id}
+    return {"relayed_to": ctx.relayed_to} if ctx.relayed_to else {}
+
+
 def _is_streaming(ctx: context.Context) -> bool:
     request = ctx.generation and ctx.generation.request
     return request is not None and request.stream
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -11,6 +11,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import gate as gate_lib
+from cowsliprill.entry import relayed_call
 from cowsliprill.entry import response_writer as response_writer_lib
 from cowsliprill.entry import ticket_forwarding
 
@@ -18,6 +19,9 @@
 # so that its sender gets to read the 413; above, the connection is closed.
 _MAX_DISCARDED_BODY_RATIO = 4
 
+# The signature, and headers that HTTP clients add.
+_MAX_RELAY_HEADER_BYTES = 1_024
+
 
 @web.stream_request_body
 class CallHandler(web.RequestHandler):
@@ -68,7 +72,7 @@
         headers = self.request.headers
         size = sum(len(name) + len(value) for name, value in headers.get_all())
         limit = self._gate.limits.header_bytes
-        if size + len(self.request.uri or "") > limit:
+        if size + len(self.request.uri or "") > limit + self._envelope_bytes:
             self._rejection = self._rejection or errors.EntryError(
                 errors.Code.HEADERS_TOO_LARGE,
                 f"The headers have over {limit} bytes.",
@@ -81,6 +85,11 @@
             if int(length) > self._max_discarded_bytes:
                 await self._serve()
 
+    @property
+    def _envelope_bytes(self) -> int:
+        """Bytes of headers that a peer may add to those of the caller."""
+        return 0
+
     @property
     def _max_discarded_bytes(self) -> int:
         return self._gate.limits.body_bytes * _MAX_DISCARDED_BODY_RATIO
@@ -229,6 +238,79 @@
         return ticket_forwarding.owner_ended_error()
 
 
+class RelayHandler(CallHandler):
+    """`POST /v1/relay`: a request of a VM that can't reach the endpoints.
+
+    The request carries its caller's API key and passes the same filters as a
+    request sent here directly, except those that the sending VM has applied
+    for all VMs.
+    """
+
+    def initialize(
+        self,
+        gate: gate_lib.Gate,
+        handle: context.Handler,
+        auth: peer_auth.PeerAuth,
+    ) -> None:
+        """Sets up the handler.
+
+        Args:
+          gate: Request gate of the process.
+          handle: Filter chain of relayed requests.
+          auth: Verifies the signatures of peers.
+        """
+        super().initialize(gate, handle)
+        self._auth = auth
+
+    def set_default_headers(self) -> None:
+        """Marks each response as one of this interface."""
+        super().set_default_headers()
+        self.set_header(relayed_call.VERSION_HEADER, relayed_call.VERSION)
+
+    @property
+    def _envelope_bytes(self) -> int:
+        envelope = self.request.headers.get(relayed_call.ENVELOPE_HEADER, "")
+        return len(envelope) + _MAX_RELAY_HEADER_BYTES
+
+    def call(self, body: bytes) -> context.Call:
+        """Returns the caller's request that the peer relays."""
+        try:
+            envelope, headers = relayed_call.decode(
+                self.request.headers, body, self._auth
+            )
+        except errors.EntryError as error:
+            return context.Call(
+                method="",
+                path="",
+                query="",
+                headers=httputil.HTTPHeaders(),
+                body=b"",
+                rejection=error,
+            )
+        path, _, query = envelope.uri.partition("?")
+        return context.Call(
+            method=envelope.method,
+            path=path,
+            query=query,
+            headers=headers,
+            body=body,
+            rejection=self._rejection,
+            uri=envelope.uri,
+            envelope=envelope,
+        )
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        """Sends errors of tornado itself in the form of relayed errors."""
+        del kwargs
+        self.set_status(status_code)
+        response = relayed_call.ErrorFormatter().error_response(
+            errors.from_status(status_code)
+        )
+        for name, value in response.headers:
+            self.set_header(name, value)
+        self.finish()
+
+
 async def _not_found(ctx: context.Context) -> None:
     raise errors.EntryError(
         errors.Code.PATH_NOT_FOUND, f"There is nothing at {ctx.call.path}."
--- a/src/cowsliprill/entry/native.py
+++ b/src/cowsliprill/entry/native.py
@@ -194,6 +194,10 @@
         """Returns the web application of the public API."""
         return routes.public_application(gate, components)
 
+    def relayed_chain(self, components: routes.Components) -> context.Handler:
+        """Returns the filter chain for requests that peers relay."""
+        return routes.relayed_public_chain(components)
+
 
 def _engine_body(ctx: context.Context) -> dict[str, Any]:
     generation = ctx.generation
--- a/src/cowsliprill/entry/path_monitor.py
+++ b/src/cowsliprill/entry/path_monitor.py
@@ -1,29 +1,56 @@
-"""Watches this VM's connections to endpoints and logs lost network paths."""
+"""Finds out whether this VM has lost its network path to the endpoints."""
 
+import asyncio
+import random
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from cowsliprill import clock
 from cowsliprill.decisions import endpoint_paths
 from cowsliprill.decisions import model
+from cowsliprill.engines import errors as engine_errors
+from cowsliprill.engines import http_client
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 
 Address = tuple[str, int]
 
+# Connecting takes a few ms; a lost SYN is sent again only after a second.
+_PROBE_TIMEOUT_S = 0.15
+
+# Interval at which a lost path is probed.
+_PROBE_INTERVAL_S = 0.25
+
+# Endpoints that are probed at a time. Any of them shows that a path exists.
+_PROBES = 2
+
 
 class PathMonitor:
-    """Keeps which pools this VM can't open connections to.
+    """Keeps whether this VM can open connections to endpoints.
 
     Args:
+      http: HTTP client for endpoints; the monitor observes its connections.
       log: Log of the process.
       metrics: Metrics of the process.
+      rng: Chooses the endpoints to probe.
     """
 
-    def __init__(self, log: log_lib.Log, metrics: metrics_lib.Metrics) -> None:
+    def __init__(
+        self,
+        http: http_client.HttpClient,
+        log: log_lib.Log,
+        metrics: metrics_lib.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._http = http
         self._log = log
         self._metrics = metrics
+        self._rng = rng
         self._paths = endpoint_paths.EndpointPaths()
+        self._endpoints: list[model.Endpoint] = []
         self._endpoints_by_address: dict[Address, model.Endpoint] = {}
+        self._examinations_by_id: dict[str, asyncio.Task[None]] = {}
+        http.observe_connection = self._observe_connection
 
     def update(self, snapshot: model.Snapshot) -> None:
         """Applies new settings.
@@ -31,40 +58,94 @@
         Args:
           snapshot: The settings.
         """
-        endpoints = list(snapshot.endpoints_by_id.values())
-        self._paths.update(endpoints)
+        self._endpoints = list(snapshot.endpoints_by_id.values())
+        self._paths.update(frozenset(snapshot.endpoints_by_id))
         self._endpoints_by_address = {
-            (endpoint.host, endpoint.port): endpoint for endpoint in endpoints
+            (item.host, item.port): item for item in self._endpoints
         }
 
-    def observe_connection(self, address: Address, *, connected: bool) -> None:
-        """Records the outcome of a connection attempt.
+    def is_lost(self) -> bool:
+        """Returns whether this VM is cut off from the endpoints."""
+        return self._paths.lost
+
+    def examine(self, endpoint: model.Endpoint) -> asyncio.Future[None]:
+        """Finds out whether a failed call is due to this VM's own path.
+
+        Probes the endpoint, and others if it can't be reached.
 
         Args:
-          address: Address that was connected to, of any kind of host.
-          connected: Whether the connection was established.
+          endpoint: Endpoint that gave no answer to a call.
+
+        Returns:
+          Ends when `is_lost` tells the result. May be cancelled.
         """
+        task = self._examinations_by_id.get(endpoint.id)
+        if task is None:
+            task = asyncio.create_task(self._examine(endpoint))
+            self._examinations_by_id[endpoint.id] = task
+            task.add_done_callback(
+                lambda _: self._examinations_by_id.pop(endpoint.id)
+            )
+        return asyncio.shield(task)
+
+    async def run(self) -> None:
+        """Probes a lost path until cancelled."""
+        while True:
+            await asyncio.sleep(_PROBE_INTERVAL_S)
+            if self.is_lost():
+                await self._probe_all(self._sample(_PROBES))
+
+    async def _examine(self, endpoint: model.Endpoint) -> None:
+        if self.is_lost():
+            return
+        if not self._paths.has_failed(endpoint.id):
+            await self._probe(endpoint)
+        if self.is_lost() or not self._paths.has_failed(endpoint.id):
+            return
+        shuffled = self._sample(len(self._endpoints))
+        await self._probe_all(
+            endpoint_paths.witnesses(endpoint, shuffled, _PROBES)
+        )
+
+    def _sample(self, count: int) -> list[model.Endpoint]:
+        return self._rng.sample(
+            self._endpoints, min(count, len(self._endpoints))
+        )
+
+    async def _probe_all(self, endpoints: Iterable[model.Endpoint]) -> None:
+        await asyncio.gather(*(self._probe(item) for item in endpoints))
+
+    async def _probe(self, endpoint: model.Endpoint) -> None:
+        try:
+            connection = await self._http.connect(
+                endpoint.host, endpoint.port, _PROBE_TIMEOUT_S
+            )
+        except engine_errors.CallError as error:
+            self._log.event(
+                "path_probe_failed",
+                endpoint=endpoint.id,
+                reason=error.message,
+            )
+        else:
+            connection.close()
+
+    def _observe_connection(self, address: Address, *, connected: bool) -> None:
         endpoint = self._endpoints_by_address.get(address)
         if endpoint is None:
             return
         if connected:
-            change = self._paths.record_connected(endpoint)
+            change = self._paths.record_connected(endpoint.id)
         else:
-            change = self._paths.record_failed(endpoint, clock.now())
+            change = self._paths.record_failed(endpoint.id, clock.now())
         if change is not None:
             self._report(change)
 
     def _report(self, change: endpoint_paths.PathChange) -> None:
-        group = change.group
         log: Callable[..., None] = (
             self._log.warning if change.lost else self._log.event
         )
         log(
             "path_lost" if change.lost else "path_restored",
-            pool=group.pool,
-            kind=group.kind.value,
             endpoints=",".join(change.endpoint_ids),
         )
-        self._metrics.lost_paths.set(
-            {"pool": group.pool, "kind": group.kind.value}, int(change.lost)
-        )
+        self._metrics.path_lost.set({}, int(change.lost))
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -17,6 +17,7 @@
 from cowsliprill.entry.filters import admission
 from cowsliprill.entry.filters import call_validation
 from cowsliprill.entry.filters import caller_deadlines
+from cowsliprill.entry.filters import failover
 from cowsliprill.entry.filters import fingerprint
 from cowsliprill.entry.filters import idempotency
 from cowsliprill.entry.filters import identify
@@ -24,6 +25,7 @@
 from cowsliprill.entry.filters import plain_placement
 from cowsliprill.entry.filters import priority_and_deadline
 from cowsliprill.entry.filters import quota
+from cowsliprill.entry.filters import relayed_limits
 from cowsliprill.entry.filters import report
 from cowsliprill.entry.filters import resolve
 from cowsliprill.entry.filters import route
@@ -38,12 +40,14 @@
 
     Attributes:
       report: Writes log line and metrics when a request ends; sends errors.
+      relayed_report: The same for requests that a peer relays.
       route: Selects the service of a request by host and path.
       identify_by_route: Identifies the customer of a request with a route.
       fingerprint: Computes the fingerprint of each request.
       quota: Enforces the customers' quotas.
       idempotency: Executes each idempotency key at most once.
       admission: Limits the number of concurrent requests.
+      failover: Has peers serve requests while endpoints can't be reached.
       model_placement: Chooses engines for model requests and retries them.
       plain_placement: Chooses endpoints of plain services and retries.
       model_relay: Runs one attempt of a model request at its engines.
@@ -52,12 +56,14 @@
     """
 
     report: report.Report
+    relayed_report: report.Report
     route: route.Route
     identify_by_route: identify.IdentifyByRoute
     fingerprint: fingerprint.Fingerprint
     quota: quota.Quota
     idempotency: idempotency.Idempotency
     admission: admission.Admission
+    failover: failover.Failover
     model_placement: model_placement.ModelPlacement
     plain_placement: plain_placement.PlainPlacement
     model_relay: model_relay.ModelRelay
@@ -77,6 +83,7 @@
             priority_and_deadline.set_priority_and_deadline,
             components.idempotency,
             components.admission,
+            components.failover,
             components.model_placement,
         ],
         components.model_relay,
@@ -95,6 +102,7 @@
             priority_and_deadline.set_priority_and_deadline,
             components.idempotency,
             components.admission,
+            components.failover,
             components.plain_placement,
         ],
         components.plain_relay,
@@ -159,14 +167,6 @@
       components: Filters that hold state, and the final handlers of the chains.
       parse_call: Filter that parses a request once its service is known.
     """
-    by_kind = route.ServiceKindDispatcher(
-        generate=context.chain(
-            [components.model_placement], components.model_relay
-        ),
-        plain=context.chain(
-            [components.plain_placement], components.plain_relay
-        ),
-    )
     handle = context.chain(
         [
             components.report,
@@ -179,7 +179,7 @@
             components.quota,
             components.admission,
         ],
-        by_kind,
+        _by_kind(components),
     )
     handler_arguments = {"gate": gate, "handle": handle}
     return web.Application(
@@ -188,6 +188,88 @@
     )
 
 
+def _by_kind(components: Components) -> context.Handler:
+    return route.ServiceKindDispatcher(
+        generate=context.chain(
+            [components.failover, components.model_placement],
+            components.model_relay,
+        ),
+        plain=context.chain(
+            [components.failover, components.plain_placement],
+            components.plain_relay,
+        ),
+    )
+
+
+def relayed_routed_chain(
+    components: Components, parse_call: context.Filter
+) -> context.Handler:
+    """Returns the chain for relayed requests to services by host and path.
+
+    Args:
+      components: Filters that hold state, and the final handlers of the chains.
+      parse_call: Filter that parses a request once its service is known.
+    """
+    return context.chain(
+        [
+            components.relayed_report,
+            call_validation.CallValidation(),
+            components.route,
+            components.identify_by_route,
+            components.fingerprint,
+            parse_call,
+            relayed_limits.RelayedLimits(),
+            components.admission,
+        ],
+        _by_kind(components),
+    )
+
+
+def relayed_public_chain(components: Components) -> context.Handler:
+    """Returns the chain for relayed requests of the public API."""
+
+    def relayed_chain(
+        resolve_service: context.Filter, handle: context.Handler
+    ) -> context.Handler:
+        return context.chain(
+            [
+                identify.identify,
+                components.fingerprint,
+                resolve_service,
+                priority_and_deadline.set_priority_and_deadline,
+                relayed_limits.RelayedLimits(),
+                components.admission,
+            ],
+            handle,
+        )
+
+    by_kind = _by_kind(components)
+    generate = relayed_chain(resolve.resolve_generation, by_kind)
+    plain = relayed_chain(resolve.resolve_plain, by_kind)
+
+    async def by_path(ctx: context.Context) -> None:
+        is_plain = ctx.call.path.startswith(resolve.SERVICES_PATH)
+        await (plain if is_plain else generate)(ctx)
+
+    return context.chain(
+        [components.relayed_report, call_validation.CallValidation()], by_path
+    )
+
+
+def relay_route(
+    gate: gate_lib.Gate, handle: context.Handler, auth: peer_auth.PeerAuth
+) -> tuple:
+    """Returns the tornado route for requests that peers relay.
+
+    Args:
+      gate: Request gate of the process.
+      handle: Filter chain of relayed requests.
+      auth: Verifies the signatures of peers.
+    """
+    arguments = {"gate": gate, "handle": handle, "auth": auth}
+    return (peers.RELAY_PATH, handlers.RelayHandler, arguments)
+
+
 def peer_routes(
     gate: gate_lib.Gate, components: Components, auth: peer_auth.PeerAuth
 ) -> list[tuple]:
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -40,8 +40,12 @@
         process has handed out, by `endpoint`.
       rate_permits_denied: Requests for such a permit that it has denied, by
         `pool`.
-      lost_paths: Whether this process can't open connections to a pool's
-        endpoints, by `pool` and `kind` of endpoint.
+      relayed_requests: Requests that this process has sent to other VMs because
+        it is cut off from the endpoints, by `service` and `outcome` (answered,
+        refused, declined).
+      helped_requests: Requests that this process has served for other VMs, by
+        `service` and `outcome`; `requests` doesn't include them.
+      path_lost: 1 while this process can't open connections to endpoints.
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
@@ -123,8 +127,18 @@
             registry=self.registry,
         )
 
-        self.lost_paths = self._gauge(
-            "lost_paths", "Pools that no connection can be opened to."
+        self.relayed_requests = aioprometheus.Counter(
+            prefix + "relayed_requests_total",
+            "Requests sent to other VMs for lack of a path to endpoints.",
+            registry=self.registry,
+        )
+        self.helped_requests = aioprometheus.Counter(
+            prefix + "helped_requests_total",
+            "Requests served for VMs without a path to endpoints.",
+            registry=self.registry,
+        )
+        self.path_lost = self._gauge(
+            "path_lost", "Whether no endpoint can be connected to."
         )
 
         self.members = self._gauge("members", "VMs that are heard.")
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -26,6 +26,8 @@
 Entry process (several per VM; on the port for peers):
   `GET /v1/incarnation` -> `{"incarnation"}`.
   `POST /v1/forward`: a caller's request whose ticket names this incarnation.
+  `POST /v1/relay`: a caller's request that the sender can't serve, since it
+  can't reach the endpoints;  `entry.relayed_call` describes its headers.
 Bodies of POST requests, and responses that peers act on, have the header
 `X-Peer-Signature` if the VMs share a secret (`peer_auth`).
 Router process (one per VM, serves all of the above in one process):
@@ -59,6 +61,7 @@
 CANCELS_PATH = "/v1/cancels"
 INCARNATION_PATH = "/v1/incarnation"
 FORWARD_PATH = "/v1/forward"
+RELAY_PATH = "/v1/relay"
 CELLS_PATH = "/v1/cells"
 QUOTAS_PATH = "/v1/quotas"
 REGISTRY_PATH = "/v1/registry"
--- a/src/cowsliprill/platform/dialect.py
+++ b/src/cowsliprill/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from tornado import web
 
+from cowsliprill.entry import context
 from cowsliprill.entry import dialect
 from cowsliprill.entry import errors
 from cowsliprill.entry import gate as gate_lib
@@ -38,6 +39,10 @@
         """Returns the web application that serves callers."""
         return routes.routed_application(gate, components, callers.parse_call)
 
+    def relayed_chain(self, components: routes.Components) -> context.Handler:
+        """Returns the filter chain for requests that peers relay."""
+        return routes.relayed_routed_chain(components, callers.parse_call)
+
     def error_response(self, error: errors.EntryError) -> errors.ErrorResponse:
         """Returns the response to a caller for an error."""
         return callers.error_response(error)
--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -21,6 +21,9 @@
 # always returns the current state.
 _READINESS_CHECK_S = 0.05
 
+# Requests that peers relay have their callers' headers and an envelope.
+_MAX_PEER_HEADER_BYTES = 262_144
+
 
 def block_stop_signals() -> None:
     """Blocks SIGTERM and SIGINT for the rest of the process's life.
@@ -121,7 +124,9 @@
         host = self.environment.host
         sockets = netutil.bind_sockets(self.environment.port, host)
         self.port = sockets[0].getsockname()[1]
-        server = httpserver.HTTPServer(application)
+        server = httpserver.HTTPServer(
+            application, max_header_size=_MAX_PEER_HEADER_BYTES
+        )
         server.add_sockets(sockets)
         self._servers.append(server)
 
--- /dev/null
+++ b/tests/fake_paths.py
@@ -0,0 +1,27 @@
+"""Paths to endpoints for tests of the filters that depend on them."""
+
+import asyncio
+
+from cowsliprill.decisions import model
+
+
+class FakePaths:
+    """Implements the methods of `path_monitor.PathMonitor` for filters.
+
+    Attributes:
+      lost: Whether no endpoint can be reached.
+      examined: Endpoints that were examined after a failure.
+    """
+
+    def __init__(self) -> None:
+        self.lost = False
+        self.examined: list[str] = []
+
+    def is_lost(self) -> bool:
+        return self.lost
+
+    def examine(self, endpoint: model.Endpoint) -> asyncio.Future[None]:
+        self.examined.append(endpoint.id)
+        future = asyncio.get_running_loop().create_future()
+        future.set_result(None)
+        return future
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -16,6 +16,7 @@
 from tornado import netutil
 from tornado import web
 
+from cowsliprill.decisions import model
 from cowsliprill.engines import exchange
 from cowsliprill.engines import http_client
 from cowsliprill.observability import log as log_lib
@@ -553,6 +554,19 @@
         alive = status["alive"]
         return engines >= len(self.engines) and alive == len(self.routers)
 
+    async def until_routers_are_live(self) -> None:
+        """Waits until each router takes each other for one that serves."""
+        await until(
+            lambda: all(
+                sum(
+                    vm.state is model.VmState.LIVE
+                    for vm in router._source.fleet.vms_by_id.values()
+                )
+                == len(self.routers)
+                for router in self.routers
+            )
+        )
+
     async def stop(self) -> None:
         for router in self.routers:
             router.stop()
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -12,6 +12,7 @@
 
 from tests import fake_log
 
+import fake_paths
 from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill import peer_auth
@@ -152,6 +153,7 @@
             random_source=self._random,
             authorization=types.SimpleNamespace(check=lambda ctx: None),
             quarantine=request_quarantine.Disabled(),
+            paths=fake_paths.FakePaths(),
             permits=self.parts.permits,
         )
         self._tasks = [
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -3,13 +3,26 @@
 import asyncio
 import collections
 
+import pytest
+
 import platform_site
+from cowsliprill.decisions import mechanisms
 
 _CALLS = 12
 # First tries at a cut-off router are served this often, compared with others.
 _MIN_SERVED_RATIO = 0.9
 
 
+async def _cut_off(
+    site: platform_site.Site, router: int = 0, *, silent: bool = False
+) -> platform_site.Partition:
+    """Partitions a router from all endpoints, once its peers can serve."""
+    await site.until_routers_are_live()
+    return platform_site.Partition(
+        site.routers[router], site.engines.values(), silent=silent
+    )
+
+
 async def _statuses(
     site: platform_site.Site,
     path: str,
@@ -47,9 +60,7 @@
 
     async def run() -> tuple[float, int]:
         async with platform_site.running(routers=3) as site:
-            partition = platform_site.Partition(
-                site.routers[0], site.engines.values(), silent=silent
-            )
+            partition = await _cut_off(site, silent=silent)
             partition.close_connections()
             await asyncio.gather(
                 *(
@@ -75,6 +86,170 @@
             assert served >= _MIN_SERVED_RATIO, path
             assert runs == 1, path
 
+    # Guards against calls that wait for connections which are never answered.
+    def test_plain_calls_are_served_while_connections_hang(self):
+        served, runs = _served_while_cut(platform_site.UNSAFE_PATH, silent=True)
+        assert served >= _MIN_SERVED_RATIO
+        assert runs == 1
+
+    # Guards against model requests that are placed again and again on engines
+    # which only their own VM can't reach.
+    @pytest.mark.parametrize("silent", [False, True])
+    def test_model_requests_are_served(self, silent: bool):
+        served, runs = _served_while_cut(
+            platform_site.MODEL_PATH, silent=silent
+        )
+        assert served >= _MIN_SERVED_RATIO
+        assert runs == 1
+
+    # Guards against a detour that changes the answer or the request.
+    def test_request_and_answer_arrive_unchanged(self):
+        async def run():
+            async with platform_site.running(routers=2) as site:
+                direct = await site.call(
+                    platform_site.UNSAFE_PATH + "a/b%20c?d=%2F&e",
+                    body=b"x" * 15_000,
+                    headers={"X-Own": "kept"},
+                )
+                partition = await _cut_off(site)
+                relayed = await site.call(
+                    platform_site.UNSAFE_PATH + "a/b%20c?d=%2F&e",
+                    body=b"x" * 15_000,
+                    headers={"X-Own": "kept"},
+                    attempt="a2",
+                )
+                partition.heal()
+                requests = [
+                    request
+                    for name in ("s0", "s1")
+                    for request in site.engines[name].requests
+                ]
+                return direct, relayed, requests
+
+        direct, relayed, (first, second) = asyncio.run(run())
+        assert relayed[0] == direct[0] == 200
+        assert relayed[2] == direct[2]
+        names = {"Instance-Signature", "Attempt-Id"}
+        assert names <= set(relayed[1])
+        assert relayed[1]["Attempt-Id"] == "a2"
+        assert not [name for name in relayed[1] if "Relay" in name]
+        assert first.uri == second.uri
+        assert first.body == second.body
+        for request in (first, second):
+            assert request.headers["Host"] == platform_site.CALLERS_HOST
+            assert request.headers["X-Own"] == "kept"
+            assert not [name for name in request.headers if "Relay" in name]
+        assert int(second.headers["Deadline-Ms"]) <= 8_000
+
+    # Guards against streams that arrive at their end only.
+    def test_events_of_a_stream_are_passed_on_at_once(self):
+        async def run() -> bytes:
+            async with platform_site.running(routers=2) as site:
+                for name in ("d0", "d1"):
+                    site.engines[name].faults.pause_after_events = 2
+                partition = await _cut_off(site)
+                response = await site.open(platform_site.MODEL_PATH)
+                first = await platform_site.read_until(response, b"t2\n\n")
+                response.close()
+                await platform_site.until(
+                    lambda: any(
+                        site.engines[name].disconnects for name in ("d0", "d1")
+                    )
+                )
+                partition.heal()
+                return first
+
+        assert asyncio.run(run()) == platform_site.stream(1, 2)
+
+
+class TestTruth:
+    """What callers are told when no VM can serve, or one may have."""
+
+    # Guards against a storm of requests between VMs none of which can serve.
+    def test_all_vms_cut_off_refuse_without_loops(self):
+        async def run():
+            async with platform_site.running(routers=3) as site:
+                partitions = [
+                    await _cut_off(site, router) for router in range(3)
+                ]
+                responses = [
+                    await site.call(
+                        platform_site.UNSAFE_PATH, attempt=f"a{number}"
+                    )
+                    for number in range(_CALLS)
+                ]
+                for partition in partitions:
+                    partition.heal()
+                hops = sum(
+                    log.getvalue().count("relayed_by=") for log in site.logs
+                )
+                return responses, hops, site.runs()
+
+        responses, hops, runs = asyncio.run(run())
+        assert [response[0] for response in responses] == [503] * _CALLS
+        assert all(float(item[1]["Retry-After"]) > 0 for item in responses)
+        # Each peer is asked once, and not again within the next second.
+        assert hops <= 4
+        assert not runs
+
+    # Guards against a second run of a call whose answer was lost on the way
+    # back from the helping VM or behind it.
+    def test_unrepeatable_call_with_a_lost_answer_is_not_repeated(self):
+        async def run():
+            async with platform_site.running(routers=3) as site:
+                for name in ("s0", "s1"):
+                    site.engines[name].faults.lose_response = True
+                partition = await _cut_off(site)
+                status = (await site.call(platform_site.UNSAFE_PATH))[0]
+                partition.heal()
+                return status, site.runs()
+
+        status, runs = asyncio.run(run())
+        assert status == 502
+        assert runs == ["a1"]
+
+    # Guards against requests that take the detour for good.
+    def test_direct_path_is_taken_again_once_it_is_back(self):
+        async def run():
+            async with platform_site.running(routers=2) as site:
+                partition = await _cut_off(site)
+                await _statuses(site, platform_site.UNSAFE_PATH, "cut-")
+                partition.heal()
+                log = site.logs[0]
+                await platform_site.until(
+                    lambda: "event=path_restored" in log.getvalue()
+                )
+                before = log.getvalue().count("relayed_to=")
+                statuses = await _statuses(
+                    site, platform_site.UNSAFE_PATH, "healed-"
+                )
+                return statuses, log.getvalue().count("relayed_to=") - before
+
+        statuses, relayed = asyncio.run(run())
+        assert statuses == [200] * _CALLS
+        assert relayed == 0
+
+    # Guards against a relay interface that serves anybody.
+    def test_request_without_a_valid_signature_is_refused(self):
+        async def run():
+            async with platform_site.running(
+                routers=1, peer_secret="secret"
+            ) as site:
+                response = await site.http.call(
+                    "127.0.0.1",
+                    site._peer_port,
+                    "POST",
+                    "/v1/relay",
+                    {"X-Relay-Envelope": "{}", "X-Peer-Signature": "00"},
+                    b"",
+                )
+                await response.read(1_000)
+                return response.status, site.runs()
+
+        status, runs = asyncio.run(run())
+        assert status == 403
+        assert not runs
+
 
 class TestOtherVms:
     """VMs that reach the endpoints, beside one that doesn't."""
@@ -84,9 +259,7 @@
     def test_coordinator_ejects_no_engine_for_a_cut_off_vm(self):
         async def run() -> set[str]:
             async with platform_site.running(routers=3) as site:
-                partition = platform_site.Partition(
-                    site.routers[0], site.engines.values(), silent=False
-                )
+                partition = await _cut_off(site)
                 ejected = set()
                 for number in range(2):
                     await _statuses(
@@ -97,3 +270,35 @@
                 return ejected
 
         assert asyncio.run(run()) == set()
+
+    # Guards against an engine that has ended and stays in use for want of
+    # reports.
+    def test_coordinator_ejects_an_engine_that_has_ended(self):
+        async def run() -> tuple[list[int], set[str]]:
+            async with platform_site.running(routers=2) as site:
+                site.engines["d0"].site.crash()
+                statuses = await _statuses(
+                    site, platform_site.MODEL_PATH, "a", calls=4
+                )
+                return statuses, _ejected(site)
+
+        statuses, ejected = asyncio.run(run())
+        assert statuses == [200] * 4
+        assert ejected == {"d0"}
+
+
+class TestSwitch:
+    """The mechanism can be turned off."""
+
+    def test_requests_are_refused_without_it(self):
+        async def run():
+            async with platform_site.running(
+                routers=2,
+                mechanisms_off=frozenset({mechanisms.Mechanism.PEER_RELAY}),
+            ) as site:
+                partition = await _cut_off(site)
+                status = (await site.call(platform_site.UNSAFE_PATH))[0]
+                partition.heal()
+                return status, site.runs()
+
+        assert asyncio.run(run()) == (503, [])
--- a/tests/test_plain_call_outcomes.py
+++ b/tests/test_plain_call_outcomes.py
@@ -13,6 +13,7 @@
 import pytest
 from tornado import httputil
 
+import fake_paths
 from cowsliprill import clock
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -119,6 +120,7 @@
         random_source=random.Random(1),
         authorization=types.SimpleNamespace(check=lambda ctx: None),
         quarantine=request_quarantine.Disabled(),
+        paths=fake_paths.FakePaths(),
     )
     statuses = []
     ctx = types.SimpleNamespace(
--- a/tests/test_plain_placement.py
+++ b/tests/test_plain_placement.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+import fake_paths
 from cowsliprill import clock
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -71,6 +72,7 @@
             random_source=random.Random(1),
             authorization=types.SimpleNamespace(check=lambda ctx: None),
             quarantine=request_quarantine.Disabled(),
+            paths=fake_paths.FakePaths(),
             permits=permits,
         )
 
