Probe less: only where neither a later connection nor a retry tells

Now the first server that a call can't reach isn't examined, since the call goes on to the next one, nor one that a connection was opened to since the call was sent; and witnesses are probed one after the other until one answers.

--- a/src/cowsliprill/decisions/endpoint_paths.py
+++ b/src/cowsliprill/decisions/endpoint_paths.py
@@ -45,6 +45,7 @@
         self.lost = False
         self._endpoint_ids: frozenset[str] = frozenset()
         self._failed_at_by_id: dict[str, float] = {}
+        self._connected_at_by_id: dict[str, float] = {}
 
     def update(self, endpoint_ids: frozenset[str]) -> None:
         """Replaces the known endpoints; state of removed ones is dropped.
@@ -55,16 +56,23 @@
         self._endpoint_ids = endpoint_ids
         for endpoint_id in self._failed_at_by_id.keys() - endpoint_ids:
             del self._failed_at_by_id[endpoint_id]
+        for endpoint_id in self._connected_at_by_id.keys() - endpoint_ids:
+            del self._connected_at_by_id[endpoint_id]
 
-    def record_connected(self, endpoint_id: str) -> PathChange | None:
+    def record_connected(
+        self, endpoint_id: str, now: float
+    ) -> PathChange | None:
         """Records an established connection.
 
         Args:
           endpoint_id: The endpoint.
+          now: Current time in seconds.
 
         Returns:
           The change, if the path was lost before.
         """
+        if endpoint_id in self._endpoint_ids:
+            self._connected_at_by_id[endpoint_id] = now
         self._failed_at_by_id.clear()
         if not self.lost:
             return None
@@ -102,6 +110,15 @@
             lost=True, endpoint_ids=tuple(sorted(self._failed_at_by_id))
         )
 
+    def connected_since(self, endpoint_id: str, time_s: float) -> bool:
+        """Returns whether a connection to an endpoint was opened after a time.
+
+        Args:
+          endpoint_id: The endpoint.
+          time_s: The time in seconds.
+        """
+        return self._connected_at_by_id.get(endpoint_id, 0.0) > time_s
+
     def has_failed(self, endpoint_id: str) -> bool:
         """Returns whether the latest connection to an endpoint has failed.
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -172,7 +172,7 @@
         endpoint = ctx.snapshot.endpoints_by_id.get(lost.endpoint_id)
         if endpoint is None or not (lost.unreachable or lost.sent):
             return
-        await self.paths.examine(endpoint)
+        await self.paths.examine(endpoint, ctx.progress.sent_at)
         if self.paths.is_lost():
             raise errors.path_lost(ctx.progress.run) from lost
 
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -102,7 +102,7 @@
                 return
             except attempts.PlainCallError as lost:
                 # A server that only this VM can't reach has not ended.
-                path_lost = await self._is_path_lost(ctx, lost)
+                path_lost = await self._is_path_lost(ctx, lost, unsent)
                 if not path_lost:
                     await self._report_to_quarantine(ctx, lost)
                 self._record_lost_call(ctx, lost)
@@ -128,12 +128,15 @@
                     return
 
     async def _is_path_lost(
-        self, ctx: context.Context, lost: attempts.PlainCallError
+        self, ctx: context.Context, lost: attempts.PlainCallError, unsent: int
     ) -> bool:
         refused = lost.run is messages.Executed.NO and not lost.unsent
         if lost.answer is not None or refused:
             return False
-        await self.paths.examine(ctx.endpoint)
+        # The next server tells as much as a probe does.
+        is_first_unsent = lost.unsent and not unsent
+        if not is_first_unsent:
+            await self.paths.examine(ctx.endpoint, ctx.progress.sent_at)
         return self.paths.is_lost()
 
     async def _report_to_quarantine(
--- a/src/cowsliprill/entry/path_monitor.py
+++ b/src/cowsliprill/entry/path_monitor.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from collections.abc import Iterable
 
 from cowsliprill import clock
 from cowsliprill.decisions import endpoint_paths
@@ -68,17 +67,20 @@
         """Returns whether this VM is cut off from the endpoints."""
         return self._paths.lost
 
-    def examine(self, endpoint: model.Endpoint) -> asyncio.Future[None]:
+    async def examine(self, endpoint: model.Endpoint, sent_at: float) -> None:
         """Finds out whether a failed call is due to this VM's own path.
 
-        Probes the endpoint, and others if it can't be reached.
+        Probes the endpoint, and others if it can't be reached. `is_lost` tells
+        the result.
 
         Args:
           endpoint: Endpoint that gave no answer to a call.
-
-        Returns:
-          Ends when `is_lost` tells the result. May be cancelled.
+          sent_at: When the call was sent, in seconds.
         """
+        if self._paths.lost or self._paths.connected_since(
+            endpoint.id, sent_at
+        ):
+            return
         task = self._examinations_by_id.get(endpoint.id)
         if task is None:
             task = asyncio.create_task(self._examine(endpoint))
@@ -86,35 +88,33 @@
             task.add_done_callback(
                 lambda _: self._examinations_by_id.pop(endpoint.id)
             )
-        return asyncio.shield(task)
+        await asyncio.shield(task)
 
     async def run(self) -> None:
         """Probes a lost path until cancelled."""
         while True:
             await asyncio.sleep(_PROBE_INTERVAL_S)
             if self.is_lost():
-                await self._probe_all(self._sample(_PROBES))
+                await asyncio.gather(
+                    *(self._probe(item) for item in self._sample(_PROBES))
+                )
 
     async def _examine(self, endpoint: model.Endpoint) -> None:
-        if self.is_lost():
-            return
         if not self._paths.has_failed(endpoint.id):
             await self._probe(endpoint)
-        if self.is_lost() or not self._paths.has_failed(endpoint.id):
-            return
-        shuffled = self._sample(len(self._endpoints))
-        await self._probe_all(
-            endpoint_paths.witnesses(endpoint, shuffled, _PROBES)
+        witnesses = endpoint_paths.witnesses(
+            endpoint, self._sample(len(self._endpoints)), _PROBES
         )
+        for witness in witnesses:
+            if self.is_lost() or not self._paths.has_failed(endpoint.id):
+                return
+            await self._probe(witness)
 
     def _sample(self, count: int) -> list[model.Endpoint]:
         return self._rng.sample(
             self._endpoints, min(count, len(self._endpoints))
         )
 
-    async def _probe_all(self, endpoints: Iterable[model.Endpoint]) -> None:
-        await asyncio.gather(*(self._probe(item) for item in endpoints))
-
     async def _probe(self, endpoint: model.Endpoint) -> None:
         try:
             connection = await self._http.connect(
@@ -134,7 +134,7 @@
         if endpoint is None:
             return
         if connected:
-            change = self._paths.record_connected(endpoint.id)
+            change = self._paths.record_connected(endpoint.id, clock.now())
         else:
             change = self._paths.record_failed(endpoint.id, clock.now())
         if change is not None:
--- a/tests/fake_paths.py
+++ b/tests/fake_paths.py
@@ -1,7 +1,5 @@
 """Paths to endpoints for tests of the filters that depend on them."""
 
-import asyncio
-
 from cowsliprill.decisions import model
 
 
@@ -20,8 +18,6 @@
     def is_lost(self) -> bool:
         return self.lost
 
-    def examine(self, endpoint: model.Endpoint) -> asyncio.Future[None]:
+    async def examine(self, endpoint: model.Endpoint, sent_at: float) -> None:
+        del sent_at
         self.examined.append(endpoint.id)
-        future = asyncio.get_running_loop().create_future()
-        future.set_result(None)
-        return future
--- a/tests/test_endpoint_paths.py
+++ b/tests/test_endpoint_paths.py
@@ -58,7 +58,7 @@
         paths.record_failed("e0", 1.0)
         paths.record_failed("e1", 1.0)
         assert paths.has_failed("e0")
-        paths.record_connected("e2")
+        paths.record_connected("e2", 1.0)
         assert not paths.has_failed("e0")
         assert paths.record_failed("e3", 1.1) is None
 
@@ -94,12 +94,29 @@
         paths = _paths(2)
         paths.record_failed("e0", 1.0)
         paths.record_failed("e1", 1.0)
-        change = paths.record_connected("e1")
+        change = paths.record_connected("e1", 1.0)
         assert change == endpoint_paths.PathChange(
             lost=False, endpoint_ids=("e1",)
         )
         assert not paths.lost
-        assert paths.record_connected("e1") is None
+        assert paths.record_connected("e1", 1.0) is None
+
+
+class TestConnections:
+    """Connections that make a probe unnecessary."""
+
+    def test_connection_after_a_call_was_sent(self):
+        paths = _paths(2)
+        paths.record_connected("e0", 2.0)
+        assert paths.connected_since("e0", 1.0)
+        assert not paths.connected_since("e0", 2.0)
+        assert not paths.connected_since("e1", 1.0)
+
+    def test_connections_of_removed_endpoints_are_forgotten(self):
+        paths = _paths(2)
+        paths.record_connected("e0", 2.0)
+        paths.update(frozenset({"e1"}))
+        assert not paths.connected_since("e0", 1.0)
 
 
 class TestWitnesses:
