--- a/src/cowsliprill/cli/account.py
+++ b/src/cowsliprill/cli/account.py
@@ -191,6 +191,9 @@
     )
     for timestamp_s, line in timed_lines:
         match line.event:
+            case "request_ended" if "relayed_as" in line.fields:
+                # Counted at the VM that the caller sent it to.
+                pass
             case "request_ended":
                 zone = zones_by_process.get(line.process, _UNKNOWN)
                 requests.append(
--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -22,6 +22,8 @@
         "home_chosen",
         "home_failed",
         "members_changed",
+        "path_lost",
+        "path_restored",
         "rate_permit_failed",
         "registry_away",
         "registry_back",
@@ -109,6 +111,7 @@
             line.fields.get("fingerprint"),
         )
     } - {""}
+    request_ids |= _relayed_ids(lines, request_ids)
     request_lines = [line for line in lines if line.request_id() in request_ids]
     if not request_lines:
         return []
@@ -137,6 +140,21 @@
     return sorted(selected, key=lambda line: line.time)
 
 
+def _relayed_ids(lines: list[LogLine], request_ids: set[str]) -> set[str]:
+    """Returns the ids that the requests have at other VMs that relay them."""
+    pairs = {
+        (line.request_id(), line.fields["relayed_as"])
+        for line in lines
+        if "relayed_as" in line.fields
+    }
+    return {
+        request_id
+        for pair in pairs
+        if not request_ids.isdisjoint(pair)
+        for request_id in pair
+    }
+
+
 def _quarantine_lines(
     lines: list[LogLine], request_lines: list[LogLine]
 ) -> list[LogLine]:
@@ -174,7 +192,12 @@
     Returns:
       The description, on one line.
     """
-    end_lines = [line for line in lines if line.event == "request_ended"]
+    # The VM that got the request from its caller tells how it ended.
+    end_lines = [
+        line
+        for line in lines
+        if line.event == "request_ended" and "relayed_as" not in line.fields
+    ]
     if not end_lines:
         return (
             "No line tells of its end: the process was killed, or still runs."
@@ -221,6 +244,10 @@
     "refused": "refused",
     "attempt_lost": "an attempt came to nothing",
     "call_lost": "a call came to nothing",
+    "path_lost": "can connect to no endpoint",
+    "path_restored": "can connect to endpoints again",
+    "relay_declined": "a peer couldn't serve it either",
+    "relay_failed": "the peer that served it gave no whole answer",
     "stream_broken": "its stream broke",
     "request_ended": "ended",
     "home_chosen": "asks another home",
@@ -248,6 +275,7 @@
     "target_unreachable": "It was refused: it came too late to be of use.",
     "rate_limited": "It was refused: all servers limited their requests.",
     "no_endpoint": "It was refused: no engine serves this.",
+    "path_lost": "Its VM could reach no endpoint, and no peer could serve it.",
     "retry_budget_spent": "It failed, and too many retries ran already.",
     "endpoint_failed": "Its engines or servers failed.",
     "stream_broken": "Its stream broke and couldn't go on.",
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -193,7 +193,9 @@
         Code.PATH_LOST,
         "Its endpoints can't be reached from here now.",
         run=run,
-        retry_after_s=_PATH_RETRY_AFTER_S,
+        retry_after_s=(
+            _PATH_RETRY_AFTER_S if run is messages.Executed.NO else None
+        ),
     )
 
 
--- a/src/cowsliprill/entry/peer_relay.py
+++ b/src/cowsliprill/entry/peer_relay.py
@@ -33,7 +33,12 @@
 # A VM that refuses with one of these may be out of service for the request
 # where others are not.
 _DECLINED_CODES = frozenset(
-    {errors.Code.PATH_LOST, errors.Code.LEAVING, errors.Code.NOT_READY}
+    {
+        errors.Code.PATH_LOST,
+        errors.Code.LEAVING,
+        errors.Code.NOT_READY,
+        errors.Code.SETTINGS_UNCONFIRMED,
+    }
 )
 
 
@@ -120,6 +125,20 @@
             reason=reason,
         )
 
+    def _record_failed(
+        self, ctx: context.Context, vm: model.Vm, error: engine_errors.CallError
+    ) -> None:
+        self._metrics.relayed_requests.inc(
+            {"service": ctx.service.id, "outcome": "failed"}
+        )
+        self._log.warning(
+            "relay_failed",
+            request=ctx.request_id,
+            caller=ctx.caller_id,
+            vm=vm.id,
+            reason=error.message,
+        )
+
     async def _relay_to(self, ctx: context.Context, vm: model.Vm) -> None:
         envelope = relayed_call.envelope_of(ctx, self._vm_id)
         executed_before = ctx.progress.run
@@ -139,6 +158,7 @@
             ctx.relayed_to = ""
             raise
         except engine_errors.CallError as error:
+            self._record_failed(ctx, vm, error)
             raise _failure(ctx, error) from error
         finally:
             self._choice.end(vm.id)
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -42,7 +42,7 @@
         `pool`.
       relayed_requests: Requests that this process has sent to other VMs because
         it is cut off from the endpoints, by `service` and `outcome` (answered,
-        refused, declined).
+        refused, declined, failed).
       helped_requests: Requests that this process has served for other VMs, by
         `service` and `outcome`; `requests` doesn't include them.
       path_lost: 1 while this process can't open connections to endpoints.
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -7,7 +7,6 @@
 import io
 import json
 import socket
-from collections.abc import Iterable
 from typing import Any
 
 from tools import held_ports
@@ -673,47 +672,3 @@
         yield site
     finally:
         await site.stop()
-
-
-class Partition:
-    """Cuts a router off from endpoints; peers and store stay reachable.
-
-    Args:
-      router: The router.
-      engines: Endpoints that it can't connect to any more.
-      silent: Whether connection attempts get no answer, else they are refused.
-
-    Attributes:
-      attempts: Addresses that it has tried to connect to meanwhile.
-    """
-
-    def __init__(
-        self, router: core.Router, engines: Iterable[Engine], *, silent: bool
-    ) -> None:
-        self.attempts: list[tuple[str, int]] = []
-        self._silent = silent
-        self._addresses = {(HOST, engine.site.port) for engine in engines}
-        self._http = router._entry._http
-        self._connect = self._http._tcp.connect
-        self._http._tcp.connect = self._connect_unless_cut
-
-    def close_connections(self) -> None:
-        """Closes the kept connections to the endpoints."""
-        for address in self._addresses:
-            for idle in list(self._http._idle_by_address.get(address, ())):
-                idle.stream.close()
-
-    def heal(self) -> None:
-        """Ends the partition."""
-        self._http._tcp.connect = self._connect
-
-    async def _connect_unless_cut(
-        self, host: str, port: int, **named: Any
-    ) -> iostream.IOStream:
-        if (host, port) not in self._addresses:
-            return await self._connect(host, port, **named)
-        self.attempts.append((host, port))
-        if self._silent:
-            await asyncio.sleep(named["timeout"])
-            raise TimeoutError
-        raise ConnectionRefusedError
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -56,6 +56,40 @@
         assert [line.process for line in _trace(text, "c7")] == ["router.vm-1"]
 
 
+class TestRelayedRequest:
+    """A request that another VM served has lines of both VMs."""
+
+    _TEXT = _log(
+        "router.vm-1",
+        (
+            "request_ended",
+            {**_END_FIELDS, "outcome": "completed", "relayed_to": "vm-2"},
+        ),
+    ) + _log(
+        "router.vm-2",
+        (
+            "request_ended",
+            {
+                "request": "vm-2.router.b.4",
+                "caller": "c7",
+                "outcome": "path_lost",
+                "relayed_by": "vm-1",
+                "relayed_as": "vm-1.router.a.7",
+            },
+        ),
+    )
+
+    def test_by_the_id_at_either_vm(self):
+        processes = {"router.vm-1", "router.vm-2"}
+        for wanted_id in ("vm-1.router.a.7", "vm-2.router.b.4", "c7"):
+            lines = _trace(self._TEXT, wanted_id)
+            assert {line.process for line in lines} == processes
+
+    def test_outcome_is_that_of_the_callers_vm(self):
+        description = explain.describe_outcome(_trace(self._TEXT, "c7"))
+        assert description == "It got its whole answer."
+
+
 class TestRepeatedRequest:
     """A fingerprint leads to all repetitions of a request."""
 
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+import partition as partition_lib
 import platform_site
 from cowsliprill.decisions import mechanisms
 
@@ -15,11 +16,15 @@
 
 async def _cut_off(
     site: platform_site.Site, router: int = 0, *, silent: bool = False
-) -> platform_site.Partition:
+) -> partition_lib.Partition:
     """Partitions a router from all endpoints, once its peers can serve."""
     await site.until_routers_are_live()
-    return platform_site.Partition(
-        site.routers[router], site.engines.values(), silent=silent
+    addresses = [
+        (platform_site.HOST, engine.site.port)
+        for engine in site.engines.values()
+    ]
+    return partition_lib.Partition(
+        site.routers[router]._entry._http, addresses, silent=silent
     )
 
 
--- /dev/null
+++ b/tests/test_relay_choice.py
@@ -0,0 +1,102 @@
+"""Tests for `decisions.relay_choice`."""
+
+import collections
+import random
+
+import pytest
+
+from cowsliprill.decisions import model
+from cowsliprill.decisions import relay_choice
+
+_ZONES = ("gasabo", "remera", "kicukiro")
+
+
+def _vm(number: int, **changes) -> model.Vm:
+    fields = {
+        "id": f"vm-{number}",
+        "host": "10.0.0.1",
+        "availability_zone": _ZONES[number % len(_ZONES)],
+        "role": model.VmRole.ENTRY,
+        "entry_ports": (1,),
+        **changes,
+    }
+    return model.Vm(**fields)
+
+
+def _choice(vm_id: str = "vm-0") -> relay_choice.RelayChoice:
+    return relay_choice.RelayChoice(vm_id, _ZONES[0], random.Random(1))
+
+
+class TestCandidates:
+    """Which VMs may be asked to serve a request."""
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"id": "vm-0"},
+            {"state": model.VmState.LEAVING},
+            {"state": model.VmState.JOINING},
+            {"role": model.VmRole.ENDPOINT},
+            {"entry_ports": ()},
+        ],
+    )
+    def test_unsuitable_vms_are_left_out(self, changes: dict):
+        assert _choice().choose([_vm(1, **changes)], (), 1.0) is None
+
+    def test_vm_of_the_same_zone_goes_first(self):
+        vms = [_vm(number) for number in range(7)]
+        chosen = _choice().choose(vms, (), 1.0)
+        assert chosen.availability_zone == _ZONES[0]
+        assert chosen.id != "vm-0"
+
+    def test_vm_that_declined_is_asked_again_after_a_second(self):
+        choice = _choice()
+        choice.record_declined("vm-1", 1.0)
+        assert choice.choose([_vm(1)], (), 1.9) is None
+        assert choice.choose([_vm(1)], (), 2.1) == _vm(1)
+
+    def test_vm_that_declined_this_request_is_left_out(self):
+        assert _choice().choose([_vm(1)], {"vm-1"}, 1.0) is None
+
+
+class TestSpread:
+    """How the requests of a cut-off VM are spread over its peers."""
+
+    # Guards against one peer that gets all requests of a cut-off VM.
+    @pytest.mark.parametrize("vms", [6, 71, 195])
+    def test_running_requests_are_spread_evenly(self, vms: int):
+        fleet = [_vm(number) for number in range(vms)]
+        choice = _choice()
+        running = collections.Counter()
+        for _ in range(2 * (vms - 1)):
+            chosen = choice.choose(fleet, (), 1.0)
+            choice.begin(chosen.id)
+            running[chosen.id] += 1
+        assert set(running.values()) == {2}
+
+    def test_ended_requests_do_not_count(self):
+        choice = _choice()
+        fleet = [_vm(3), _vm(1)]
+        for _ in range(5):
+            choice.begin("vm-3")
+            choice.end("vm-3")
+        assert choice.choose(fleet, (), 1.0) == _vm(3)
+
+
+class TestOutage:
+    """No VM reaches the endpoints."""
+
+    # Guards against a storm between VMs while none of them can serve.
+    @pytest.mark.parametrize("vms", [6, 71, 195])
+    def test_number_of_peers_asked_is_bounded(self, vms: int):
+        fleet = [_vm(number) for number in range(vms)]
+        choice = _choice()
+        asked = 0
+        for step in range(1_000):
+            now = 1.0 + step / 1_000
+            tried = set()
+            while (chosen := choice.choose(fleet, tried, now)) is not None:
+                asked += 1
+                tried.add(chosen.id)
+                choice.record_declined(chosen.id, now)
+        assert asked <= 6
