Keep a path for each pool; serve callers of a VM that lost one pool only

Now each pool has its path: three of its endpoints in a row (all, of fewer) that can't be reached, and no connection to it since. Blame is still withheld only if endpoints of two pools can't be reached: those of one pool may have ended, which the quarantine has to learn. If no peer reaches the pool either, a model request goes to the pool's queue as before and waits for engines; a plain call is refused.

--- a/src/cowsliprill/decisions/relay_choice.py
+++ b/src/cowsliprill/decisions/relay_choice.py
@@ -1,4 +1,4 @@
-"""Chooses the VM that serves a request for one that is cut off."""
+"""Chooses the VM that serves a request for one without a path to its pool."""
 
 import collections
 import random
@@ -7,11 +7,11 @@
 
 from cowsliprill.decisions import model
 
-# A VM that has declined a request is asked again after this time.
+# A VM that has declined a request for a pool is asked again after this time.
 _DECLINED_TTL_S = 1.0
 
-# If this many VMs have declined, most likely no VM reaches any endpoint.
-# Asking all VMs of a large fleet would multiply the load of an outage.
+# If this many VMs have declined, most likely no VM reaches the pool. Asking all
+# VMs of a large fleet would multiply the load of an outage.
 _MAX_DECLINED = 6
 
 
@@ -30,12 +30,13 @@
         self._vm_id = vm_id
         self._availability_zone = availability_zone
         self._rng = rng
-        self._declined_until_by_vm: dict[str, float] = {}
+        self._declined_until: dict[tuple[str, str], float] = {}
         self._running_by_vm: collections.Counter[str] = collections.Counter()
 
     def choose(
         self,
         vms: Iterable[model.Vm],
+        pool: str,
         tried_ids: Collection[str],
         now: float,
     ) -> model.Vm | None:
@@ -43,11 +44,15 @@
 
         Args:
           vms: All known VMs.
+          pool: Pool of the request.
           tried_ids: VMs that have declined this request.
           now: Current time in seconds.
         """
         self._expire(now)
-        if len(self._declined_until_by_vm) >= _MAX_DECLINED:
+        declined_ids = {
+            vm_id for vm_id, name in self._declined_until if name == pool
+        }
+        if len(declined_ids) >= _MAX_DECLINED:
             return None
         candidates = [
             vm
@@ -56,7 +61,7 @@
             and vm.state is model.VmState.LIVE
             and vm.entry_ports
             and vm.id != self._vm_id
-            and vm.id not in self._declined_until_by_vm
+            and vm.id not in declined_ids
             and vm.id not in tried_ids
         ]
         return min(candidates, key=self._selection_key, default=None)
@@ -68,9 +73,9 @@
             self._rng.random(),
         )
 
-    def record_declined(self, vm_id: str, now: float) -> None:
-        """Records that a VM can't serve requests for this one."""
-        self._declined_until_by_vm[vm_id] = now + _DECLINED_TTL_S
+    def record_declined(self, vm_id: str, pool: str, now: float) -> None:
+        """Records that a VM can't serve requests for a pool either."""
+        self._declined_until[vm_id, pool] = now + _DECLINED_TTL_S
 
     def begin(self, vm_id: str) -> None:
         """Records that a VM serves one more request for this VM."""
@@ -83,8 +88,8 @@
             del self._running_by_vm[vm_id]
 
     def _expire(self, now: float) -> None:
-        self._declined_until_by_vm = {
-            vm_id: until
-            for vm_id, until in self._declined_until_by_vm.items()
+        self._declined_until = {
+            key: until
+            for key, until in self._declined_until.items()
             if until > now
         }
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -161,6 +161,8 @@
       endpoint: Endpoint of a plain service; set by `plain_placement`.
       relayed_to: VM that serves the request for this one, empty for none; set
         by `failover`.
+      no_peer_serves: Whether the path to the pool is lost and no peer can
+        serve the request either; set by `failover`.
       progress: Progress of the request.
     """
 
@@ -192,6 +194,7 @@
     start: messages.Start | None = None
     endpoint: model.Endpoint | None = None
     relayed_to: str = ""
+    no_peer_serves: bool = False
     progress: Progress = dataclasses.field(default_factory=Progress)
 
 
--- a/src/cowsliprill/entry/filters/failover.py
+++ b/src/cowsliprill/entry/filters/failover.py
@@ -1,4 +1,4 @@
-"""Filter that has peers serve requests while endpoints can't be reached."""
+"""Filter that has peers serve requests for pools that can't be reached."""
 
 import dataclasses
 
@@ -12,13 +12,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failover:
-    """Relays requests through a peer while this VM's path is lost.
+    """Relays requests through a peer while the path to their pool is lost.
 
-    A relayed request isn't relayed again: a VM that can't reach the endpoints
-    either refuses it, and the sending VM chooses another.
+    A relayed request isn't relayed again: a VM that can't reach the pool either
+    refuses it, and the sending VM chooses another.
 
     Attributes:
-      paths: Tells whether this VM is cut off from the endpoints.
+      paths: Tells which pools this VM can't reach.
       relay: Sends requests to peers, None if it is disabled.
     """
 
@@ -32,21 +32,22 @@
         if self.relay is None:
             await proceed(ctx)
             return
-        if self.paths.is_lost():
-            await self._relay(ctx, errors.path_lost(ctx.progress.run))
-            return
+        if self.paths.is_lost(ctx.service.pool):
+            if await self._relay(ctx):
+                return
+            if _is_refused_without_peers(ctx):
+                raise errors.path_lost(ctx.progress.run)
+            ctx.no_peer_serves = True
         try:
             await proceed(ctx)
         except errors.EntryError as error:
             if error.code != errors.Code.PATH_LOST:
                 raise
-            await self._relay(ctx, error)
+            if not await self._relay(ctx):
+                raise
 
-    async def _relay(
-        self, ctx: context.Context, error: errors.EntryError
-    ) -> None:
-        if not _may_relay(ctx) or not await self.relay.relay(ctx):
-            raise error
+    async def _relay(self, ctx: context.Context) -> bool:
+        return _may_relay(ctx) and await self.relay.relay(ctx)
 
 
 def _may_relay(ctx: context.Context) -> bool:
@@ -56,3 +57,10 @@
         ctx.progress.run is messages.Executed.NO
         or ctx.service.idempotency is model.Idempotency.IDEMPOTENT
     )
+
+
+def _is_refused_without_peers(ctx: context.Context) -> bool:
+    # If no VM reaches the engines, they have most likely ended together. Model
+    # requests may then wait in the queue until engines are back.
+    relayed = ctx.call.envelope is not None
+    return relayed or ctx.service.kind is model.ServiceKind.PLAIN
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -45,7 +45,7 @@
       authorization: Checks before each attempt that the caller's API key may
         still be accepted.
       quarantine: Refuses requests that end engines.
-      paths: Tells whether this VM is cut off from the endpoints.
+      paths: Tells whether this VM can't reach a pool.
     """
 
     scheduling: placement_backend.Scheduling
@@ -129,9 +129,14 @@
             await proceed(ctx)
         except attempts.AttemptError as lost:
             self._log_lost_attempt(ctx, lost)
-            await self._check_path(ctx, lost)
-            if lost.connection_lost and not lost.had_output:
+            await self._examine_path(ctx, lost)
+            if (
+                lost.connection_lost
+                and not lost.had_output
+                and not self.paths.is_cut_off()
+            ):
                 await self.quarantine.report_lost(ctx, lost.endpoint_id)
+            self._check_path(ctx)
             self._handle_lost_attempt(ctx, lost)
             return False
         self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
@@ -161,20 +166,22 @@
             retry_after_s=refusal.retry_after_s,
         )
 
-    async def _check_path(
+    async def _examine_path(
         self, ctx: context.Context, lost: attempts.AttemptError
     ) -> None:
-        """Raises `errors.EntryError` if this VM is cut off from the engines.
+        endpoint = ctx.snapshot.endpoints_by_id.get(lost.endpoint_id)
+        if endpoint is not None and (lost.unreachable or lost.sent):
+            await self.paths.examine(endpoint, ctx.progress.sent_at)
+
+    def _check_path(self, ctx: context.Context) -> None:
+        """Raises `errors.EntryError` if peers may serve the request instead.
 
         The attempt then says nothing about its engine, which the scheduler
         would eject for all VMs.
         """
-        endpoint = ctx.snapshot.endpoints_by_id.get(lost.endpoint_id)
-        if endpoint is None or not (lost.unreachable or lost.sent):
-            return
-        await self.paths.examine(endpoint, ctx.progress.sent_at)
-        if self.paths.is_lost():
-            raise errors.path_lost(ctx.progress.run) from lost
+        lost = self.paths.is_lost(ctx.service.pool)
+        if lost and not ctx.no_peer_serves:
+            raise errors.path_lost(ctx.progress.run)
 
     def _log_lost_attempt(
         self, ctx: context.Context, lost: attempts.AttemptError
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -54,7 +54,7 @@
       authorization: Checks before each attempt that the caller's API key may
         still be accepted.
       quarantine: Refuses requests that end servers.
-      paths: Tells whether this VM is cut off from the endpoints.
+      paths: Tells whether this VM can't reach a pool.
       health: Outlier detector that ejects failing servers for a while.
       permits: Permits for servers that limit their requests.
     """
@@ -101,9 +101,9 @@
                 self.quarantine.report_survived(ctx)
                 return
             except attempts.PlainCallError as lost:
-                # A server that only this VM can't reach has not ended.
                 path_lost = await self._is_path_lost(ctx, lost, unsent)
-                if not path_lost:
+                # A server that only this VM can't reach has not ended.
+                if not self.paths.is_cut_off():
                     await self._report_to_quarantine(ctx, lost)
                 self._record_lost_call(ctx, lost)
                 tried_ids.add(ctx.endpoint.id)
@@ -137,7 +137,7 @@
         is_first_unsent = lost.unsent and not unsent
         if not is_first_unsent:
             await self.paths.examine(ctx.endpoint, ctx.progress.sent_at)
-        return self.paths.is_lost()
+        return self.paths.is_lost(ctx.service.pool)
 
     async def _report_to_quarantine(
         self, ctx: context.Context, lost: attempts.PlainCallError
--- a/src/cowsliprill/entry/path_monitor.py
+++ b/src/cowsliprill/entry/path_monitor.py
@@ -1,4 +1,4 @@
-"""Finds out whether this VM has lost its network path to the endpoints."""
+"""Finds out whether this VM has lost its network path to a pool."""
 
 import asyncio
 import random
@@ -17,15 +17,16 @@
 # Connecting takes a few ms; a lost SYN is sent again only after a second.
 _PROBE_TIMEOUT_S = 0.15
 
-# Interval at which a lost path is probed.
+# Interval at which lost paths are probed.
 _PROBE_INTERVAL_S = 0.25
 
-# Endpoints that are probed at a time. Any of them shows that a path exists.
+# Endpoints of a pool that are probed at a time. Any of them shows that a path
+# exists.
 _PROBES = 2
 
 
 class PathMonitor:
-    """Keeps whether this VM can open connections to endpoints.
+    """Keeps which pools this VM can't open connections to.
 
     Args:
       http: HTTP client for endpoints; the monitor observes its connections.
@@ -58,28 +59,34 @@
           snapshot: The settings.
         """
         self._endpoints = list(snapshot.endpoints_by_id.values())
-        self._paths.update(frozenset(snapshot.endpoints_by_id))
+        self._paths.update(self._endpoints)
         self._endpoints_by_address = {
             (item.host, item.port): item for item in self._endpoints
         }
 
-    def is_lost(self) -> bool:
-        """Returns whether this VM is cut off from the endpoints."""
-        return self._paths.lost
+    def is_lost(self, pool: str) -> bool:
+        """Returns whether this VM can't reach the endpoints of a pool."""
+        return self._paths.is_lost(pool)
+
+    def is_cut_off(self) -> bool:
+        """Returns whether this VM can't reach the endpoints of any pool.
+
+        Only then failures say nothing about the endpoints themselves: those of
+        one pool may have ended together.
+        """
+        return self._paths.is_lost(endpoint_paths.ALL_POOLS)
 
     async def examine(self, endpoint: model.Endpoint, sent_at: float) -> None:
         """Finds out whether a failed call is due to this VM's own path.
 
-        Probes the endpoint, and others if it can't be reached. `is_lost` tells
-        the result.
+        Probes the endpoint, and others if it can't be reached. `is_lost` and
+        `is_cut_off` tell the result.
 
         Args:
           endpoint: Endpoint that gave no answer to a call.
           sent_at: When the call was sent, in seconds.
         """
-        if self._paths.lost or self._paths.connected_since(
-            endpoint.id, sent_at
-        ):
+        if self._paths.connected_since(endpoint.id, sent_at):
             return
         task = self._examinations_by_id.get(endpoint.id)
         if task is None:
@@ -91,29 +98,50 @@
         await asyncio.shield(task)
 
     async def run(self) -> None:
-        """Probes a lost path until cancelled."""
+        """Probes lost paths until cancelled."""
         while True:
             await asyncio.sleep(_PROBE_INTERVAL_S)
-            if self.is_lost():
-                await asyncio.gather(
-                    *(self._probe(item) for item in self._sample(_PROBES))
-                )
+            probed = [
+                endpoint
+                for pool in self._paths.lost_pools()
+                for endpoint in self._sample(pool)
+            ]
+            await asyncio.gather(*map(self._probe, probed))
 
     async def _examine(self, endpoint: model.Endpoint) -> None:
-        if not self._paths.has_failed(endpoint.id):
+        if not self._paths.has_failed(endpoint):
             await self._probe(endpoint)
-        witnesses = endpoint_paths.witnesses(
-            endpoint, self._sample(len(self._endpoints)), _PROBES
-        )
-        for witness in witnesses:
-            if self.is_lost() or not self._paths.has_failed(endpoint.id):
-                return
+        if not self._paths.has_failed(endpoint):
+            return
+        for witness in self._sample(endpoint.pool, only_untried=True):
+            if self.is_lost(endpoint.pool):
+                break
             await self._probe(witness)
+            if not self._paths.has_failed(endpoint):
+                return
+        if not self.is_cut_off():
+            elsewhere = [
+                item for item in self._endpoints if item.pool != endpoint.pool
+            ]
+            if elsewhere:
+                await self._probe(self._rng.choice(elsewhere))
+
+    def _sample(
+        self, pool: str, *, only_untried: bool = False
+    ) -> list[model.Endpoint]:
+        """Returns some endpoints of a pool.
 
-    def _sample(self, count: int) -> list[model.Endpoint]:
-        return self._rng.sample(
-            self._endpoints, min(count, len(self._endpoints))
-        )
+        Args:
+          pool: Name of the pool.
+          only_untried: Whether to leave out those that have just failed.
+        """
+        endpoints = [
+            item
+            for item in self._endpoints
+            if item.pool == pool
+            and not (only_untried and self._paths.has_failed(item))
+        ]
+        return self._rng.sample(endpoints, min(len(endpoints), _PROBES))
 
     async def _probe(self, endpoint: model.Endpoint) -> None:
         try:
@@ -134,10 +162,10 @@
         if endpoint is None:
             return
         if connected:
-            change = self._paths.record_connected(endpoint.id, clock.now())
+            changes = self._paths.record_connected(endpoint, clock.now())
         else:
-            change = self._paths.record_failed(endpoint.id, clock.now())
-        if change is not None:
+            changes = self._paths.record_failed(endpoint, clock.now())
+        for change in changes:
             self._report(change)
 
     def _report(self, change: endpoint_paths.PathChange) -> None:
@@ -146,6 +174,9 @@
         )
         log(
             "path_lost" if change.lost else "path_restored",
+            pool=change.pool or "all",
             endpoints=",".join(change.endpoint_ids),
         )
-        self._metrics.path_lost.set({}, int(change.lost))
+        self._metrics.path_lost.set(
+            {"pool": change.pool or "all"}, int(change.lost)
+        )
--- a/src/cowsliprill/entry/peer_relay.py
+++ b/src/cowsliprill/entry/peer_relay.py
@@ -1,4 +1,4 @@
-"""Has other VMs serve requests while this VM can't reach the endpoints."""
+"""Has other VMs serve requests for pools that this VM can't reach."""
 
 import http
 import random
@@ -97,6 +97,7 @@
         while len(tried_ids) < _MAX_VMS_TRIED:
             vm = self._choice.choose(
                 self._cluster_state.fleet.vms_by_id.values(),
+                ctx.service.pool,
                 tried_ids,
                 clock.now(),
             )
@@ -113,7 +114,7 @@
     def _record_declined(
         self, ctx: context.Context, vm: model.Vm, reason: str
     ) -> None:
-        self._choice.record_declined(vm.id, clock.now())
+        self._choice.record_declined(vm.id, ctx.service.pool, clock.now())
         self._metrics.relayed_requests.inc(
             {"service": ctx.service.id, "outcome": "declined"}
         )
@@ -121,6 +122,7 @@
             "relay_declined",
             request=ctx.request_id,
             caller=ctx.caller_id,
+            pool=ctx.service.pool,
             vm=vm.id,
             reason=reason,
         )
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -45,7 +45,8 @@
         refused, declined, failed).
       helped_requests: Requests that this process has served for other VMs, by
         `service` and `outcome`; `requests` doesn't include them.
-      path_lost: 1 while this process can't open connections to endpoints.
+      path_lost: 1 while this process can't open connections to endpoints, by
+        `pool` (all: of any pool).
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
@@ -138,7 +139,7 @@
             registry=self.registry,
         )
         self.path_lost = self._gauge(
-            "path_lost", "Whether no endpoint can be connected to."
+            "path_lost", "Whether no endpoint of a pool can be reached."
         )
 
         self.members = self._gauge("members", "VMs that are heard.")
--- a/tests/fake_paths.py
+++ b/tests/fake_paths.py
@@ -15,7 +15,11 @@
         self.lost = False
         self.examined: list[str] = []
 
-    def is_lost(self) -> bool:
+    def is_lost(self, pool: str) -> bool:
+        del pool
+        return self.lost
+
+    def is_cut_off(self) -> bool:
         return self.lost
 
     async def examine(self, endpoint: model.Endpoint, sent_at: float) -> None:
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -15,13 +15,18 @@
 
 
 async def _cut_off(
-    site: platform_site.Site, router: int = 0, *, silent: bool = False
+    site: platform_site.Site,
+    router: int = 0,
+    *,
+    silent: bool = False,
+    services: tuple[str, ...] = ("llm", "desk"),
 ) -> partition_lib.Partition:
     """Partitions a router from all endpoints, once its peers can serve."""
     await site.until_routers_are_live()
     addresses = [
         (platform_site.HOST, engine.site.port)
         for engine in site.engines.values()
+        if engine.service in services
     ]
     return partition_lib.Partition(
         site.routers[router]._entry._http, addresses, silent=silent
@@ -107,6 +112,28 @@
         assert served >= _MIN_SERVED_RATIO
         assert runs == 1
 
+    # Guards against a detour for pools that can be reached, and against none
+    # while only one pool can't.
+    def test_only_the_pool_that_is_out_of_reach_takes_the_detour(self):
+        async def run():
+            async with platform_site.running(routers=2) as site:
+                partition = await _cut_off(site, services=("desk",))
+                plain = await _statuses(
+                    site, platform_site.UNSAFE_PATH, "plain-"
+                )
+                relayed = site.logs[0].getvalue().count("relayed_to=")
+                models = await _statuses(
+                    site, platform_site.MODEL_PATH, "model-", calls=3
+                )
+                partition.heal()
+                later = site.logs[0].getvalue().count("relayed_to=")
+                return plain, models, relayed, later
+
+        plain, models, relayed, later = asyncio.run(run())
+        assert plain == [200] * _CALLS
+        assert models == [200] * 3
+        assert relayed == later == _CALLS
+
     # Guards against a detour that changes the answer or the request.
     def test_request_and_answer_arrive_unchanged(self):
         async def run():
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -41,22 +41,27 @@
         ],
     )
     def test_unsuitable_vms_are_left_out(self, changes: dict):
-        assert _choice().choose([_vm(1, **changes)], (), 1.0) is None
+        assert _choice().choose([_vm(1, **changes)], "desk", (), 1.0) is None
 
     def test_vm_of_the_same_zone_goes_first(self):
         vms = [_vm(number) for number in range(7)]
-        chosen = _choice().choose(vms, (), 1.0)
+        chosen = _choice().choose(vms, "desk", (), 1.0)
         assert chosen.availability_zone == _ZONES[0]
         assert chosen.id != "vm-0"
 
     def test_vm_that_declined_is_asked_again_after_a_second(self):
         choice = _choice()
-        choice.record_declined("vm-1", 1.0)
-        assert choice.choose([_vm(1)], (), 1.9) is None
-        assert choice.choose([_vm(1)], (), 2.1) == _vm(1)
+        choice.record_declined("vm-1", "desk", 1.0)
+        assert choice.choose([_vm(1)], "desk", (), 1.9) is None
+        assert choice.choose([_vm(1)], "desk", (), 2.1) == _vm(1)
+
+    def test_vm_that_declined_for_another_pool_is_asked(self):
+        choice = _choice()
+        choice.record_declined("vm-1", "other", 1.0)
+        assert choice.choose([_vm(1)], "desk", (), 1.1) == _vm(1)
 
     def test_vm_that_declined_this_request_is_left_out(self):
-        assert _choice().choose([_vm(1)], {"vm-1"}, 1.0) is None
+        assert _choice().choose([_vm(1)], "desk", {"vm-1"}, 1.0) is None
 
 
 class TestSpread:
@@ -69,7 +74,7 @@
         choice = _choice()
         running = collections.Counter()
         for _ in range(2 * (vms - 1)):
-            chosen = choice.choose(fleet, (), 1.0)
+            chosen = choice.choose(fleet, "desk", (), 1.0)
             choice.begin(chosen.id)
             running[chosen.id] += 1
         assert set(running.values()) == {2}
@@ -80,7 +85,7 @@
         for _ in range(5):
             choice.begin("vm-3")
             choice.end("vm-3")
-        assert choice.choose(fleet, (), 1.0) == _vm(3)
+        assert choice.choose(fleet, "desk", (), 1.0) == _vm(3)
 
 
 class TestOutage:
@@ -95,8 +100,10 @@
         for step in range(1_000):
             now = 1.0 + step / 1_000
             tried = set()
-            while (chosen := choice.choose(fleet, tried, now)) is not None:
+            while (
+                chosen := choice.choose(fleet, "desk", tried, now)
+            ) is not None:
                 asked += 1
                 tried.add(chosen.id)
-                choice.record_declined(chosen.id, now)
+                choice.record_declined(chosen.id, "desk", now)
         assert asked <= 6
