Resume streams of a cut-off VM through its peers

A VM that loses its path breaks off the streams that it relays, although an engine that its peers reach could go on with those that may be resumed. Red before this change: test_resumable_stream_goes_on_through_a_peer (the connection ended after the second of six events). Now such a stream is relayed like a new request, with the id of the last event that its caller has; it takes a retry from the budget and has the two seconds that a resumption within the VM has. Streams that can't be resumed end as before and run once (tested).

--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -94,6 +94,8 @@
       sent_at: Time in seconds at which the request was last sent to an
         endpoint.
       last_event_id: Id of the last event sent to the caller.
+      resumable: Whether an engine that other VMs reach may continue the broken
+        stream after that event.
       outcome: Outcome of the request, for logs and metrics.
     """
 
@@ -109,6 +111,7 @@
     prefilled_at: float = 0.0
     sent_at: float = 0.0
     last_event_id: str = ""
+    resumable: bool = False
     outcome: str = ""
 
 
--- a/src/cowsliprill/entry/filters/failover.py
+++ b/src/cowsliprill/entry/filters/failover.py
@@ -51,9 +51,11 @@
 
 
 def _may_relay(ctx: context.Context) -> bool:
-    if ctx.call.envelope is not None or ctx.response_writer.started:
+    if ctx.call.envelope is not None:
         return False
-    return (
+    if ctx.progress.resumable:
+        return True
+    return not ctx.response_writer.started and (
         ctx.progress.run is messages.Executed.NO
         or ctx.service.idempotency is model.Idempotency.IDEMPOTENT
     )
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -21,6 +21,9 @@
 # infinite.
 _MAX_LOGGED_WAIT_S = 1_000.0
 
+# Callers leave a stream that pauses for longer.
+_RESUME_TIMEOUT_S = 2.0
+
 _MESSAGE_BY_REFUSAL_CODE = {
     messages.RefusalCode.OVERLOADED: "There is no room for it now.",
     messages.RefusalCode.TARGET_UNREACHABLE: ("It can't be in time now."),
@@ -136,7 +139,7 @@
                 and not self.paths.is_cut_off()
             ):
                 await self.quarantine.report_lost(ctx, lost.endpoint_id)
-            self._check_path(ctx)
+            self._check_path(ctx, lost)
             self._handle_lost_attempt(ctx, lost)
             return False
         self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
@@ -173,15 +176,22 @@
         if endpoint is not None and (lost.unreachable or lost.sent):
             await self.paths.examine(endpoint, ctx.progress.sent_at)
 
-    def _check_path(self, ctx: context.Context) -> None:
+    def _check_path(
+        self, ctx: context.Context, lost: attempts.AttemptError
+    ) -> None:
         """Raises `errors.EntryError` if peers may serve the request instead.
 
         The attempt then says nothing about its engine, which the scheduler
         would eject for all VMs.
         """
-        lost = self.paths.is_lost(ctx.service.pool)
-        if lost and not ctx.no_peer_serves:
-            raise errors.path_lost(ctx.progress.run)
+        if ctx.no_peer_serves or not self.paths.is_lost(ctx.service.pool):
+            return
+        budget = self.budgets.of(ctx.service)
+        if lost.resumable and budget.try_withdraw(ctx.progress.attempts):
+            ctx.progress.resumable = True
+            ctx.deadline = clock.now() + _RESUME_TIMEOUT_S
+            ctx.useful_until = 0.0
+        raise errors.path_lost(ctx.progress.run) from lost
 
     def _log_lost_attempt(
         self, ctx: context.Context, lost: attempts.AttemptError
--- a/src/cowsliprill/entry/filters/relayed_limits.py
+++ b/src/cowsliprill/entry/filters/relayed_limits.py
@@ -35,5 +35,6 @@
             ctx.useful_until = ctx.arrived_at + envelope.useful_s
         ctx.progress.attempts = envelope.attempts
         ctx.progress.run = envelope.run
+        ctx.progress.last_event_id = envelope.last_event_id
         ctx.idempotency_key = envelope.idempotency_key
         await proceed(ctx)
--- a/src/cowsliprill/entry/peer_relay.py
+++ b/src/cowsliprill/entry/peer_relay.py
@@ -84,7 +84,8 @@
         """Has another VM serve a request.
 
         Args:
-          ctx: The request; nothing of its response has been sent.
+          ctx: The request; of its response nothing has been sent, or events of
+            a stream that may be resumed.
 
         Returns:
           Whether a VM has served it; else no VM has executed it.
@@ -235,6 +236,8 @@
         if "Content-Length" in response.headers:
             headers["Content-Length"] = response.headers["Content-Length"]
         writer = ctx.response_writer
+        if writer.started and response.status != http.HTTPStatus.OK:
+            raise engine_errors.CallError(f"status {response.status}")
         async for chunk in response.chunks():
             if not writer.started:
                 ctx.progress.first_token_at = clock.now()
--- a/src/cowsliprill/entry/relay_envelope.py
+++ b/src/cowsliprill/entry/relay_envelope.py
@@ -25,6 +25,8 @@
       attempts: Attempts that were sent to endpoints.
       run: Whether the request was executed, as far as known.
       idempotency_key: Idempotency key that the sending VM has claimed.
+      last_event_id: Id of the last event that the caller has received of a
+        stream, empty for none.
     """
 
     vm: str
@@ -39,3 +41,4 @@
     attempts: int = 0
     run: messages.Executed = messages.Executed.NO
     idempotency_key: str = ""
+    last_event_id: str = ""
--- a/src/cowsliprill/entry/relayed_call.py
+++ b/src/cowsliprill/entry/relayed_call.py
@@ -79,6 +79,7 @@
         attempts=ctx.progress.attempts,
         run=ctx.progress.run,
         idempotency_key=ctx.idempotency_key,
+        last_event_id=ctx.progress.last_event_id,
     )
 
 
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -8,6 +8,7 @@
 import partition as partition_lib
 import platform_site
 from cowsliprill.decisions import mechanisms
+from cowsliprill.engines import errors as engine_errors
 
 _CALLS = 12
 # First tries at a cut-off router are served this often, compared with others.
@@ -194,6 +195,52 @@
         assert asyncio.run(run()) == platform_site.stream(1, 2)
 
 
+class TestStreamsUnderWay:
+    """Streams that a VM relays when it loses its path to their engines."""
+
+    # Guards against a stream that breaks although an engine that peers reach
+    # could go on with it.
+    def test_resumable_stream_goes_on_through_a_peer(self):
+        async def run():
+            async with platform_site.running(routers=3) as site:
+                engines = [site.engines[name] for name in ("d0", "d1")]
+                for engine in engines:
+                    engine.faults.pause_after_events = 2
+                response = await site.open(platform_site.RESUMABLE_PATH)
+                got = await platform_site.read_until(response, b"t2\n\n")
+                partition = await _cut_off(site)
+                for engine in engines:
+                    engine.faults = platform_site.Faults()
+                    engine.cut.set()
+                async for chunk in response.chunks():
+                    got += chunk
+                partition.heal()
+                return got, site.runs()
+
+        got, runs = asyncio.run(run())
+        assert got == platform_site.stream()
+        assert runs == ["a1", "a1"]
+
+    # Guards against a second run of a stream that can't be resumed.
+    def test_other_stream_ends_and_is_not_repeated(self):
+        async def run():
+            async with platform_site.running(routers=3) as site:
+                engines = [site.engines[name] for name in ("d0", "d1")]
+                for engine in engines:
+                    engine.faults.pause_after_events = 2
+                response = await site.open(platform_site.MODEL_PATH)
+                await platform_site.read_until(response, b"t2\n\n")
+                partition = await _cut_off(site)
+                for engine in engines:
+                    engine.cut.set()
+                with pytest.raises(engine_errors.CallError):
+                    await response.read(1_000)
+                partition.heal()
+                return site.runs()
+
+        assert asyncio.run(run()) == ["a1"]
+
+
 class TestTruth:
     """What callers are told when no VM can serve, or one may have."""
 
