Take the own path if no peer reaches a pool either

Now a request that no peer can serve goes on as it did before the relays: plain calls try the servers, model requests wait in the pool's queue.

--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -275,7 +275,7 @@
     "target_unreachable": "It was refused: it came too late to be of use.",
     "rate_limited": "It was refused: all servers limited their requests.",
     "no_endpoint": "It was refused: no engine serves this.",
-    "path_lost": "Its VM could reach no endpoint, and no peer could serve it.",
+    "path_lost": "Its VM lost its path to the endpoints.",
     "retry_budget_spent": "It failed, and too many retries ran already.",
     "endpoint_failed": "Its engines or servers failed.",
     "stream_broken": "Its stream broke and couldn't go on.",
--- a/src/cowsliprill/entry/filters/failover.py
+++ b/src/cowsliprill/entry/filters/failover.py
@@ -32,37 +32,34 @@
         if self.relay is None:
             await proceed(ctx)
             return
-        if self.paths.is_lost(ctx.service.pool):
-            if await self._relay(ctx):
+        lost = errors.path_lost(ctx.progress.run)
+        if not self.paths.is_lost(ctx.service.pool):
+            try:
+                await proceed(ctx)
                 return
-            if _is_refused_without_peers(ctx):
-                raise errors.path_lost(ctx.progress.run)
-            ctx.no_peer_serves = True
-        try:
-            await proceed(ctx)
-        except errors.EntryError as error:
-            if error.code != errors.Code.PATH_LOST:
-                raise
-            if not await self._relay(ctx):
-                raise
-
-    async def _relay(self, ctx: context.Context) -> bool:
-        return _may_relay(ctx) and await self.relay.relay(ctx)
+            except errors.EntryError as error:
+                if error.code != errors.Code.PATH_LOST:
+                    raise
+                lost = error
+        if _may_relay(ctx) and await self.relay.relay(ctx):
+            return
+        if not _may_begin_again(ctx):
+            raise lost
+        # If no VM reaches the pool, its endpoints have most likely ended, and
+        # those that are left, or are back, are found by trying them.
+        ctx.no_peer_serves = True
+        await proceed(ctx)
 
 
 def _may_relay(ctx: context.Context) -> bool:
-    if ctx.call.envelope is not None:
+    resumable = ctx.progress.resumable and ctx.call.envelope is None
+    return resumable or _may_begin_again(ctx)
+
+
+def _may_begin_again(ctx: context.Context) -> bool:
+    if ctx.call.envelope is not None or ctx.response_writer.started:
         return False
-    if ctx.progress.resumable:
-        return True
-    return not ctx.response_writer.started and (
+    return (
         ctx.progress.run is messages.Executed.NO
         or ctx.service.idempotency is model.Idempotency.IDEMPOTENT
     )
-
-
-def _is_refused_without_peers(ctx: context.Context) -> bool:
-    # If no VM reaches the engines, they have most likely ended together. Model
-    # requests may then wait in the queue until engines are back.
-    relayed = ctx.call.envelope is not None
-    return relayed or ctx.service.kind is model.ServiceKind.PLAIN
--- a/tests/test_plain_call_outcomes.py
+++ b/tests/test_plain_call_outcomes.py
@@ -133,6 +133,7 @@
         idempotency_key="",
         endpoint=None,
         stall_timeout_s=None,
+        no_peer_serves=False,
         response_writer=None,
     )
 
