Examine lost calls by recent evidence; resume after an unsent attempt

Found by reading: a call on a connection of its own counted as evidence for the path, since that connection was opened after the call was 'sent', so a call that was cut off right after connecting was never examined. Evidence is now a connection of the last tenth of a second. With that, a resumable stream that broke within this time was placed once more, found no engine and ended, since the unsent attempt isn't resumable itself (test_resumable_stream_goes_on_through_a_peer red): a request keeps that it may be resumed.

The relay of a peer's response is one function for tickets and relays, and a helping VM no longer counts times to first token and goodput a second time.

--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -174,7 +174,7 @@
     ) -> None:
         endpoint = ctx.snapshot.endpoints_by_id.get(lost.endpoint_id)
         if endpoint is not None and (lost.unreachable or lost.sent):
-            await self.paths.examine(endpoint, ctx.progress.sent_at)
+            await self.paths.examine(endpoint)
 
     def _check_path(
         self, ctx: context.Context, lost: attempts.AttemptError
@@ -184,14 +184,18 @@
         The attempt then says nothing about its engine, which the scheduler
         would eject for all VMs.
         """
+        progress = ctx.progress
         if ctx.no_peer_serves or not self.paths.is_lost(ctx.service.pool):
+            # The scheduler takes the retry from its own budget.
+            progress.resumable = progress.resumable or lost.resumable
             return
-        budget = self.budgets.of(ctx.service)
-        if lost.resumable and budget.try_withdraw(ctx.progress.attempts):
-            ctx.progress.resumable = True
+        if lost.resumable:
+            budget = self.budgets.of(ctx.service)
+            progress.resumable = budget.try_withdraw(progress.attempts)
+        if progress.resumable:
             ctx.deadline = clock.now() + _RESUME_TIMEOUT_S
             ctx.useful_until = 0.0
-        raise errors.path_lost(ctx.progress.run) from lost
+        raise errors.path_lost(progress.run) from lost
 
     def _log_lost_attempt(
         self, ctx: context.Context, lost: attempts.AttemptError
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -136,7 +136,7 @@
         # The next server tells as much as a probe does.
         is_first_unsent = lost.unsent and not unsent
         if not is_first_unsent and not ctx.no_peer_serves:
-            await self.paths.examine(ctx.endpoint, ctx.progress.sent_at)
+            await self.paths.examine(ctx.endpoint)
         return not ctx.no_peer_serves and self.paths.is_lost(ctx.service.pool)
 
     async def _report_to_quarantine(
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -81,13 +81,6 @@
     def _record_outcome(self, ctx: context.Context) -> None:
         progress = ctx.progress
         labels = {"service": ctx.service.id if ctx.service else ""}
-        if ctx.call.envelope is None:
-            self.metrics.requests.inc({**labels, "outcome": progress.outcome})
-        else:
-            # The VM that the caller sent it to counts the request.
-            self.metrics.helped_requests.inc(
-                {**labels, "outcome": progress.outcome}
-            )
         # A local prefill by the decode engine counts as used but not as
         # started, so the difference can be negative.
         wasted_prompts = max(progress.prefills - progress.prefills_used, 0)
@@ -96,12 +89,14 @@
         now = clock.now()
         ttft_s = (progress.first_token_at or now) - ctx.arrived_at
         tpot_s = _mean_tpot_s(progress)
-        if progress.first_token_at:
-            self.metrics.ttft_s.observe(labels, ttft_s)
-            self.metrics.tpot_s.observe(labels, tpot_s)
         in_time = _met_targets(ctx, ttft_s, tpot_s)
-        if in_time:
-            self.metrics.goodput.inc(labels)
+        if ctx.call.envelope is None:
+            self._count(ctx, labels, ttft_s, tpot_s, in_time=in_time)
+        else:
+            # The VM that the caller sent it to counts the request.
+            self.metrics.helped_requests.inc(
+                {**labels, "outcome": progress.outcome}
+            )
         self.log.event(
             "request_ended",
             request=ctx.request_id,
@@ -122,6 +117,22 @@
             **_relay_fields(ctx),
         )
 
+    def _count(
+        self,
+        ctx: context.Context,
+        labels: dict[str, str],
+        ttft_s: float,
+        tpot_s: float,
+        *,
+        in_time: bool,
+    ) -> None:
+        self.metrics.requests.inc({**labels, "outcome": ctx.progress.outcome})
+        if ctx.progress.first_token_at:
+            self.metrics.ttft_s.observe(labels, ttft_s)
+            self.metrics.tpot_s.observe(labels, tpot_s)
+        if in_time:
+            self.metrics.goodput.inc(labels)
+
 
 def _relay_fields(ctx: context.Context) -> dict[str, str]:
     if ctx.call.envelope is not None:
--- a/src/cowsliprill/entry/path_monitor.py
+++ b/src/cowsliprill/entry/path_monitor.py
@@ -17,6 +17,9 @@
 # Connecting takes a few ms; a lost SYN is sent again only after a second.
 _PROBE_TIMEOUT_S = 0.15
 
+# An endpoint that a connection was opened to within this time isn't probed.
+_RECENT_S = 0.1
+
 # Interval at which lost paths are probed.
 _PROBE_INTERVAL_S = 0.25
 
@@ -76,7 +79,7 @@
         """
         return self._paths.is_lost(endpoint_paths.ALL_POOLS)
 
-    async def examine(self, endpoint: model.Endpoint, sent_at: float) -> None:
+    async def examine(self, endpoint: model.Endpoint) -> None:
         """Finds out whether a failed call is due to this VM's own path.
 
         Probes the endpoint, and others if it can't be reached. `is_lost` and
@@ -84,9 +87,9 @@
 
         Args:
           endpoint: Endpoint that gave no answer to a call.
-          sent_at: When the call was sent, in seconds.
         """
-        if self._paths.connected_since(endpoint.id, sent_at):
+        recently = clock.now() - _RECENT_S
+        if self._paths.connected_since(endpoint.id, recently):
             return
         task = self._examinations_by_id.get(endpoint.id)
         if task is None:
--- a/src/cowsliprill/entry/peer_relay.py
+++ b/src/cowsliprill/entry/peer_relay.py
@@ -12,11 +12,11 @@
 from cowsliprill.decisions import relay_choice
 from cowsliprill.engines import errors as engine_errors
 from cowsliprill.engines import exchange
-from cowsliprill.engines import hop_headers
 from cowsliprill.engines import http_client
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
+from cowsliprill.entry import peer_response
 from cowsliprill.entry import relay_envelope
 from cowsliprill.entry import relayed_call
 from cowsliprill.observability import log as log_lib
@@ -30,6 +30,8 @@
 
 _MAX_VMS_TRIED = 3
 
+_RELAY_HEADERS = frozenset({relayed_call.VERSION_HEADER.lower()})
+
 # A VM that refuses with one of these may be out of service for the request
 # where others are not.
 _DECLINED_CODES = frozenset(
@@ -231,22 +233,14 @@
     async def _relay_response(
         self, ctx: context.Context, response: exchange.Response
     ) -> None:
-        headers = hop_headers.end_to_end(response.headers)
-        headers.pop(relayed_call.VERSION_HEADER, None)
-        if "Content-Length" in response.headers:
-            headers["Content-Length"] = response.headers["Content-Length"]
-        writer = ctx.response_writer
-        if writer.started and response.status != http.HTTPStatus.OK:
+        if (
+            ctx.response_writer.started
+            and response.status != http.HTTPStatus.OK
+        ):
             raise engine_errors.CallError(f"status {response.status}")
-        async for chunk in response.chunks():
-            if not writer.started:
-                ctx.progress.first_token_at = clock.now()
-                await writer.start(response.status, headers.get_all())
-            await writer.write(chunk)
-        if not writer.started:
-            await writer.start(response.status, headers.get_all())
+        ctx.progress.first_token_at = ctx.progress.first_token_at or clock.now()
+        await peer_response.relay(ctx.response_writer, response, _RELAY_HEADERS)
         ctx.progress.last_token_at = clock.now()
-        await writer.end()
 
 
 def _failure(
--- a/src/cowsliprill/entry/ticket_forwarding.py
+++ b/src/cowsliprill/entry/ticket_forwarding.py
@@ -23,6 +23,7 @@
 from cowsliprill.entry import cluster_state
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
+from cowsliprill.entry import peer_response
 
 METHOD_HEADER = "X-Forwarded-Method"
 TARGET_HEADER = "X-Forwarded-Target"
@@ -178,13 +179,7 @@
 async def _relay_response(
     ctx: context.Context, response: exchange.Response
 ) -> None:
-    headers = hop_headers.end_to_end(response.headers)
-    if "Content-Length" in response.headers:
-        headers["Content-Length"] = response.headers["Content-Length"]
-    await ctx.response_writer.start(response.status, headers.get_all())
-    async for chunk in response.chunks():
-        await ctx.response_writer.write(chunk)
-    await ctx.response_writer.end()
+    await peer_response.relay(ctx.response_writer, response)
     succeeded = response.status < http.HTTPStatus.BAD_REQUEST
     ctx.progress.outcome = "forwarded" if succeeded else "forwarded_error"
 
--- a/tests/fake_paths.py
+++ b/tests/fake_paths.py
@@ -22,6 +22,5 @@
     def is_cut_off(self) -> bool:
         return self.lost
 
-    async def examine(self, endpoint: model.Endpoint, sent_at: float) -> None:
-        del sent_at
+    async def examine(self, endpoint: model.Endpoint) -> None:
         self.examined.append(endpoint.id)
--- a/tests/test_endpoint_paths.py
+++ b/tests/test_endpoint_paths.py
@@ -149,7 +149,7 @@
 class TestConnections:
     """Connections that make a probe unnecessary."""
 
-    def test_connection_after_a_call_was_sent(self):
+    def test_connection_after_a_time(self):
         paths = _paths(2)
         paths.record_connected(_server(0), 2.0)
         assert paths.connected_since("desk-0", 1.0)
