--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -27,7 +27,7 @@
   `GET /v1/incarnation` -> `{"incarnation"}`.
   `POST /v1/forward`: a caller's request whose ticket names this incarnation.
   `POST /v1/relay`: a caller's request that the sender can't serve, since it
-  can't reach the endpoints;  `entry.relayed_call` describes its headers.
+  can't reach the endpoints; `entry.relayed_call` describes its headers.
 Bodies of POST requests, and responses that peers act on, have the header
 `X-Peer-Signature` if the VMs share a secret (`peer_auth`).
 Router process (one per VM, serves all of the above in one process):
