--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -7,6 +7,7 @@
 
 import partition as partition_lib
 import platform_site
+from cowsliprill import peers
 from cowsliprill.decisions import mechanisms
 from cowsliprill.engines import errors as engine_errors
 
@@ -381,3 +382,20 @@
                 return status, site.runs()
 
         assert asyncio.run(run()) == (503, [])
+
+
+class TestRollout:
+    """VMs of a version without relays in the same fleet."""
+
+    # Guards against a call that is taken as possibly run since a peer doesn't
+    # know the relay interface.
+    def test_older_peer_declines(self, monkeypatch):
+        async def run():
+            async with platform_site.running(routers=2) as site:
+                partition = await _cut_off(site)
+                monkeypatch.setattr(peers, "RELAY_PATH", "/v1/unknown")
+                status = (await site.call(platform_site.UNSAFE_PATH))[0]
+                partition.heal()
+                return status, "relay_declined" in site.logs[0].getvalue()
+
+        assert asyncio.run(run()) == (503, True)
