Log the software version of engines and what a stream resumes

An entry's version may be of any JSON type: an engine without a readable one stays in use. No decision reads the version yet.

--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -100,6 +100,7 @@
       speeds_guessed: Whether the speeds are configured defaults, to be replaced
         by measured ones.
       life: Distinguishes incarnations of an engine that restarts under its id.
+      software_version: Version of its software, empty if it names none.
       target: Its desired state, None for plain services.
       vm: Id of the VM in the platform's VM list, empty if not listed.
     """
@@ -125,6 +126,7 @@
     places: int = 0
     speeds_guessed: bool = False
     life: str = ""
+    software_version: str = ""
     target: EngineTarget | None = None
     vm: str = ""
 
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -129,6 +129,8 @@
       arrived_at: Time of arrival in seconds.
       snapshot: Settings at arrival; used for the whole request.
       caller_id: Caller's own id of this attempt, for logs; empty for none.
+      resumes: Caller's id of its attempt that began the stream which this
+        request resumes, empty for none.
       customer: Calling customer; set by `identify`.
       key_hash: Digest of the API key, which must still be valid at each
         attempt; empty for none; set by `identify`.
@@ -176,6 +178,7 @@
     arrived_at: float
     snapshot: model.Snapshot
     caller_id: str = ""
+    resumes: str = ""
     customer: model.Customer | None = None
     key_hash: str = ""
     fingerprint: str = ""
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -127,6 +127,9 @@
             used=start.used,
             waiting=start.waiting,
             waited_ms=round((clock.now() - ctx.arrived_at) * _MS_PER_S, 1),
+            version=_decode_version(ctx),
+            resumes=ctx.resumes,
+            after_event=ctx.progress.last_event_id,
         )
         try:
             await proceed(ctx)
@@ -240,6 +243,11 @@
         )
 
 
+def _decode_version(ctx: context.Context) -> str:
+    endpoint = ctx.snapshot.endpoints_by_id.get(ctx.start.decode_id)
+    return endpoint.software_version if endpoint else ""
+
+
 def _make_submit(ctx: context.Context) -> messages.Submit:
     generation = ctx.generation
     return messages.Submit(
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -47,6 +47,8 @@
         `service` and `outcome`; `requests` doesn't include them.
       path_lost: 1 while this process can't open connections to endpoints, by
         `pool` (all: of any pool).
+      engines: Listed engines by `pool`, `version` of their software and `state`
+        (ready, leaving).
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
@@ -159,6 +161,9 @@
         self.log_lines_dropped = self._gauge(
             "log_lines_dropped", "Log lines lost since the start."
         )
+        self.engines = self._gauge(
+            "engines", "Listed engines by software version."
+        )
         self.pool_slots = self._gauge(
             "pool_slots", "Decode slots of a pool that is homed here."
         )
--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -151,7 +151,10 @@
 
 
 class _Server(_Model):
-    """An endpoint's entry; `born` is its start time in Unix milliseconds."""
+    """An endpoint's entry; `born` is its start time in Unix milliseconds.
+
+    `version` is that of its software.
+    """
 
     service: str
     address: str
@@ -160,6 +163,7 @@
     state: Literal["ready", "draining"]
     stage: Literal["prefill", "decode"] | None = None
     born: int | None = None
+    version: Any = None
 
 
 _ROUTE = pydantic.TypeAdapter(_Route)
@@ -254,6 +258,7 @@
             pool=server.service,
             slots=server.slots,
             life=str(server.born or ""),
+            software_version=_software_version(server.version),
         )
         return endpoints.ListedEndpoint(
             endpoint=endpoint,
@@ -280,6 +285,17 @@
         ]
 
 
+def _software_version(value: Any) -> str:
+    """Returns an entry's version as text, empty if it is of another type."""
+    match value:
+        case bool():
+            return ""
+        case str() | int() | float():
+            return str(value)
+        case _:
+            return ""
+
+
 def _weighted_services(route: _Route) -> tuple[tuple[str, float], ...]:
     if route.service:
         return ((route.service, 1.0),)
--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -10,6 +10,8 @@
 LENGTH_HINT = "Length-Hint"
 # Id of the last event received; a stream resumes after it.
 LAST_EVENT_ID = "Last-Event-Id"
+# Id of the client's attempt that brought the first event of a resumed stream.
+RESUMES = "Resumes"
 # Engine's signature of its response.
 SIGNATURE = "Instance-Signature"
 # Id of the engine that a request is addressed to.
--- a/src/cowsliprill/registry/endpoints.py
+++ b/src/cowsliprill/registry/endpoints.py
@@ -177,6 +177,7 @@
                 endpoint=listed.endpoint.id,
                 kind=listed.endpoint.kind.value,
                 pool=listed.endpoint.pool,
+                version=listed.endpoint.software_version,
                 leaving=listed.leaving,
                 revision=entry.revision,
             )
@@ -197,5 +198,8 @@
         self._listed_by_key.pop(removal.key, None)
 
 
-def _logged_state(listed: ListedEndpoint) -> tuple[model.EndpointKind, bool]:
-    return listed.endpoint.kind, listed.leaving
+def _logged_state(
+    listed: ListedEndpoint,
+) -> tuple[model.EndpointKind, bool, str]:
+    endpoint = listed.endpoint
+    return endpoint.kind, listed.leaving, endpoint.software_version
--- a/src/cowsliprill/router/gauges.py
+++ b/src/cowsliprill/router/gauges.py
@@ -1,11 +1,13 @@
 """Background task that updates the gauges of a router process."""
 
 import asyncio
+import collections
 import dataclasses
 import math
 
 from cowsliprill import clock
 from cowsliprill.decisions import membership
+from cowsliprill.decisions import model
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 from cowsliprill.observability import writer
@@ -46,6 +48,7 @@
         self._pool_schedulers = pool_schedulers
         self._log = log
         self._output = output
+        self._engine_labels: set[tuple[str, str, str]] = set()
 
     async def run(self) -> None:
         """Samples until cancelled."""
@@ -60,6 +63,7 @@
         dropped = self._output.dropped if self._output else 0
         metrics.log_lines_dropped.set({}, dropped)
         self._sample_registry()
+        self._sample_engines()
         for pool, load in self._pool_schedulers.loads().items():
             for state, slots in (
                 ("promised", load.promised),
@@ -72,6 +76,25 @@
                     "pool_standing", pool=pool, **dataclasses.asdict(load)
                 )
 
+    def _sample_engines(self) -> None:
+        leaving_ids = self._source.fleet.leaving_endpoint_ids
+        counts = collections.Counter(
+            (
+                endpoint.pool,
+                endpoint.software_version,
+                "leaving" if endpoint.id in leaving_ids else "ready",
+            )
+            for endpoint in self._source.snapshot.endpoints_by_id.values()
+            if endpoint.kind is not model.EndpointKind.PLAIN
+        )
+        # A version without engines keeps its series, with the value 0.
+        self._engine_labels |= counts.keys()
+        for pool, version, state in self._engine_labels:
+            self._metrics.engines.set(
+                {"pool": pool, "version": version, "state": state},
+                counts[pool, version, state],
+            )
+
     def _sample_registry(self) -> None:
         metrics = self._metrics
         now = clock.now()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,8 @@
 from tests import answers
 from tests import platform_site
 
+from cowsliprill.platform import catalog
+
 _MODEL = platform_site.MODEL_PATH + "x?y=1"
 _RESUMABLE = platform_site.RESUMABLE_PATH
 _SAFE = platform_site.SAFE_PATH
@@ -588,6 +590,57 @@
         assert headers["Connection"] == "close"
 
 
+class TestVersionLog:
+    """Log and metrics tell the software versions of engines and streams."""
+
+    def test_placement_names_version_and_resumed_attempt(self):
+        """Guards against resumed streams that look like new ones in the log."""
+
+        async def scenario(site):
+            headers = {"Last-Event-Id": "4", "Resumes": "a0"}
+            await site.call(_RESUMABLE, headers=headers)
+            await site.call(_RESUMABLE, attempt="a2")
+            site.routers[0]._gauges.sample()
+            text, _ = site.routers[0]._metrics.render()
+            return site.logs[0].getvalue(), text.decode()
+
+        log, metrics = _on_site(scenario)
+        resumed, new = _lines(log, "placed")
+        assert (resumed["version"], new["version"]) == ("v1", "v1")
+        assert (resumed["resumes"], resumed["after_event"]) == ("a0", "4")
+        assert (new["resumes"], new["after_event"]) == ('""', '""')
+        assert _lines(log, "request_ended")[0]["resumes"] == "a0"
+        assert {line["version"] for line in _lines(log, "endpoint_listed")} == {
+            "v1"
+        }
+        assert (
+            'cowsliprill_engines{pool="llm",state="ready",version="v1"} 4\n'
+            in metrics
+        )
+
+
+class TestSoftwareVersions:
+    """Versions in the entries of engines, which other programs write."""
+
+    @pytest.mark.parametrize(
+        ("fields", "version"),
+        [
+            ({"version": "v1.2"}, "v1.2"),
+            ({"version": 7}, "7"),
+            ({"version": None}, ""),
+            ({"version": True}, ""),
+            ({"version": ["v1"]}, ""),
+        ],
+    )
+    def test_entry_with_any_version_stays_in_use(self, fields, version):
+        """Guards against the loss of engines whose version isn't a string."""
+        entry = {**platform_site.entry("llm", "h:1", "decode"), **fields}
+        listed = catalog.Catalog(0.2, 10).parse_endpoint(
+            "servers/d0", json.dumps(entry).encode()
+        )
+        assert listed.endpoint.software_version == version
+
+
 class TestLostAttemptLog:
     """Lines of lost attempts tell which request it was and what was lost."""
 
