--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -281,10 +281,14 @@
       disconnects: Number of connections that clients closed during a request.
       cut: Set to cut the paused streams.
       rate_limit: Rate limit named in all answers, None for none.
+      version: Version of its software.
     """
 
-    def __init__(self, name: str, service: str, stage: str | None) -> None:
+    def __init__(
+        self, name: str, service: str, stage: str | None, version: str = "v1"
+    ) -> None:
         self.name, self.service, self.stage = name, service, stage
+        self.version = version
         self.faults = Faults()
         self.requests: list[Any] = []
         self.runs: list[str] = []
@@ -305,7 +309,7 @@
 
     def entry(self, **changes: Any) -> dict[str, Any]:
         fields = entry(self.service, self.site.address, self.stage)
-        return {**fields, **changes}
+        return {**fields, "version": self.version, **changes}
 
     def next_faults(self) -> Faults:
         faults = self.faults
@@ -530,10 +534,10 @@
         return number
 
     async def add_engine(
-        self, name: str, service: str, stage: str | None
+        self, name: str, service: str, stage: str | None, version: str = "v1"
     ) -> Engine:
         """Starts an engine and waits until all routers have listed it."""
-        engine = Engine(name, service, stage)
+        engine = Engine(name, service, stage, version)
         self.engines[name] = engine
         await self.store.put(f"servers/{name}", engine.entry())
         await until(
