Resume broken streams only at the software version that began them

What callers saw: one answer whose first events came from one software version and the rest from another, which don't fit together and are joined without an error.

Cause: placement took all decode engines of a pool for interchangeable, also for a stream that one of them had begun. The request now keeps the version of the engine that sent its first event, at the entry process and at the coordinator, in AttemptFailed, Adopt and the envelope of relayed requests. Decode engines of other versions are no candidates for it; the entry process checks the engine's version again before it sends. Such requests wait in a queue of their own: in the common one they would block requests that other engines can serve. If no decode engine has the version, or the last one leaves meanwhile, the request is refused at once (version_unavailable). If all engines of the version are ejected, they are tried as all engines of a pool are.

Rollout: a stream that has begun is relayed by a path that older releases don't have, so they decline it; an older entry process gets endpoint_failed in place of a code that it can't decode.

Next attempts of clients are still placed anywhere.

--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -8,6 +8,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pair_selection
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import requests
 
 # While all prefill slots are taken and a decode engine has free slots, prefill
 # is the bottleneck. A prefill slot is free again after the time of one prompt,
@@ -37,27 +38,26 @@
         self._health = engine_health
 
     def select_pair(
-        self, pool: pools.Pool, submit: messages.Submit, slots: int, now: float
+        self, request: requests.Request, now: float
     ) -> pair_selection.EnginePair | None:
         """Selects the best pair of engines with free leased slots.
 
         Args:
-          pool: The request's pool.
-          submit: The request.
-          slots: Number of decode slots that the request takes.
+          request: The request.
           now: Current time in seconds.
 
         Returns:
           The best pair, None if the request has to wait.
         """
+        pool, submit = request.pool, request.submit
         prefills = self._prefill_candidates(pool, submit, now)
         if not prefills:
-            return self._choose_without_prefill(pool, submit, slots, now)
+            return self._choose_without_prefill(request, now)
         pool.prefill_shortage_since = math.inf
         endpoints_by_id = pool.endpoints_by_id
         return pair_selection.select_pair(
             prefills,
-            self._decode_candidates(pool, submit, slots, now),
+            self._decode_candidates(request, now),
             lambda prefill_id, decode_id: estimates.transfer_s(
                 endpoints_by_id[prefill_id],
                 endpoints_by_id[decode_id],
@@ -66,17 +66,14 @@
         )
 
     def _choose_without_prefill(
-        self,
-        pool: pools.Pool,
-        submit: messages.Submit,
-        slots: int,
-        now: float,
+        self, request: requests.Request, now: float
     ) -> pair_selection.EnginePair | None:
+        pool, submit = request.pool, request.submit
         if not pool.decodes_can_prefill():
             return None
         local_prefill_engines = [
             (candidate.cost_s, candidate.id)
-            for candidate in self._decode_candidates(pool, submit, slots, now)
+            for candidate in self._decode_candidates(request, now)
             if pool.endpoints_by_id[candidate.id].own_prefill_tokens_per_s
         ]
         if not local_prefill_engines:
@@ -95,28 +92,22 @@
         return pair_selection.EnginePair(engine_id, engine_id, cost_s)
 
     def select_decode(
-        self,
-        pool: pools.Pool,
-        submit: messages.Submit,
-        slots: int,
-        prefill: model.Endpoint,
-        now: float,
+        self, request: requests.Request, prefill: model.Endpoint, now: float
     ) -> pair_selection.EnginePair | None:
         """Selects a decode engine for a completed prefill.
 
         Args:
-          pool: The request's pool.
-          submit: The request.
-          slots: Number of decode slots that the request takes.
+          request: The request.
           prefill: The engine that holds the KV cache of the prompt.
           now: Current time in seconds.
 
         Returns:
           The best pair, None if the request has to wait.
         """
+        pool, submit = request.pool, request.submit
         return pair_selection.select_pair(
             [pair_selection.Candidate(prefill.id, 0.0)],
-            self._decode_candidates(pool, submit, slots, now),
+            self._decode_candidates(request, now),
             lambda _, decode_id: estimates.transfer_s(
                 prefill, pool.endpoints_by_id[decode_id], submit.prompt_tokens
             ),
@@ -144,14 +135,20 @@
         return candidates
 
     def _decode_candidates(
-        self, pool: pools.Pool, submit: messages.Submit, slots: int, now: float
+        self, request: requests.Request, now: float
     ) -> list[pair_selection.Candidate]:
+        pool, submit = request.pool, request.submit
         candidates = []
-        ejected_engine_ids = self._health.ejected_engine_ids(pool.decodes)
-        all_ejected = len(ejected_engine_ids) == len(pool.decodes)
-        for endpoint in pool.decodes:
+        decodes = [
+            endpoint
+            for endpoint in pool.decodes
+            if request.version in (None, endpoint.software_version)
+        ]
+        ejected_engine_ids = self._health.ejected_engine_ids(decodes)
+        all_ejected = len(ejected_engine_ids) == len(decodes)
+        for endpoint in decodes:
             lease = pool.lease(endpoint.id)
-            if not lease.fits(slots, now):
+            if not lease.fits(request.slots, now):
                 continue
             if not pool.rates.is_open(endpoint.id, now):
                 continue
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -47,6 +47,7 @@
     RATE_LIMITED = "rate_limited"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     ENDPOINT_FAILED = "endpoint_failed"
+    VERSION_UNAVAILABLE = "version_unavailable"
 
 
 # --- Events: input of the scheduler ------------------------------------------
@@ -71,6 +72,9 @@
         states none.
       useful_until: Time of the first token after which the caller is expected
         to have disconnected, 0 if that is the deadline.
+      resumes: Whether the caller has events of the stream, so that only engines
+        of the software version that began it may go on.
+      version: That version, None if the sender doesn't know it.
     """
 
     request_id: int
@@ -83,6 +87,8 @@
     deadline: float = 0.0
     expected_tokens: int = 0
     useful_until: float = 0.0
+    resumes: bool = False
+    version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,6 +174,8 @@
         so that another decode engine can fetch it; 0 if it isn't kept.
       resumable: Whether tokens have reached the caller and another engine may
         continue after the last of them.
+      version: Software version that began the stream, None if it has not begun
+        or the sender doesn't know.
     """
 
     request_id: int
@@ -180,6 +188,7 @@
     answered: bool = False
     kept_s: float = 0.0
     resumable: bool = False
+    version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -294,6 +303,8 @@
       waiting: Requests queued here for the same pool.
       reuses_prefill: Whether the KV cache of the previous attempt's prefill is
         fetched instead of running the prefill again.
+      version: Software version that began the stream which the request resumes,
+        None if it begins a stream.
     """
 
     request_id: int
@@ -305,6 +316,7 @@
     used: int = 0
     waiting: int = 0
     reuses_prefill: bool = False
+    version: str | None = None
 
     def has_prefill(self) -> bool:
         """Returns whether the prefill runs on an engine of its own."""
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -108,6 +108,9 @@
     ) -> None:
         self._health = engine_health
         self.queue = request_queue.RequestQueue()
+        # Streams that only engines of one software version may continue. In the
+        # other queue they would block the requests that any engine can serve.
+        self.resumed = request_queue.RequestQueue()
         self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
         self.decodes: list[model.Endpoint] = []
@@ -365,7 +368,7 @@
                 self.lease(item.id).running for item in self.prefills
             ),
             slots=sum(item.slots for item in self.decodes),
-            waiting=len(self.queue),
+            waiting=len(self.queue) + len(self.resumed),
             prompt_tokens_per_s=max(
                 (item.prefill_tokens_per_s for item in self.prefills),
                 default=0.0,
@@ -416,6 +419,12 @@
             endpoint.own_prefill_tokens_per_s for endpoint in self.decodes
         )
 
+    def serves_version(self, version: str) -> bool:
+        """Returns whether a decode engine has this software version."""
+        return any(
+            endpoint.software_version == version for endpoint in self.decodes
+        )
+
     def can_prefill(self) -> bool:
         """Returns whether any engine can run prefills."""
         return bool(self.prefills) or self.decodes_can_prefill()
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -5,6 +5,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions import request_queue
 from cowsliprill.decisions import retry_budget
 
 # Attempts that were never sent and don't count as retries. Each waits for a new
@@ -52,6 +53,10 @@
       export_expires_at: Until when `prefill` keeps the exported KV cache of a
         finished prefill, 0 if there is none.
       probed_ids: Ids of ejected endpoints that the newest attempt probes.
+      version: Software version that began its stream, None before the first
+        token. Only engines of this version may go on.
+      knows_versions: Whether its entry process runs a release that knows of
+        software versions and their error code.
     """
 
     submit: messages.Submit
@@ -75,6 +80,20 @@
     stage_started_at: float = 0.0
     export_expires_at: float = 0.0
     probed_ids: tuple[str, ...] = ()
+    version: str | None = None
+    knows_versions: bool = False
+
+    @property
+    def queue(self) -> request_queue.RequestQueue:
+        """The queue of its pool in which it waits."""
+        return self.pool.queue if self.version is None else self.pool.resumed
+
+    @property
+    def no_version_code(self) -> messages.RefusalCode:
+        """Error code for a stream whose version no engine has."""
+        if self.knows_versions:
+            return messages.RefusalCode.VERSION_UNAVAILABLE
+        return messages.RefusalCode.ENDPOINT_FAILED
 
 
 def from_submit(
@@ -117,6 +136,8 @@
         value=pool.request_values.of(submit, tokens),
         pool=pool,
         slots=slots,
+        version=submit.version,
+        knows_versions=submit.resumes,
     )
 
 
@@ -156,6 +177,11 @@
         decode=decode,
         started_at=now,
         stage_started_at=now,
+        version=(
+            decode.software_version
+            if event.stage is messages.Stage.DECODE
+            else submit.version
+        ),
     )
 
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -164,8 +164,9 @@
         """Returns the time at which the I/O layer must send `Tick`."""
         earliest = min(
             (
-                pool.queue.earliest_start_deadline()
+                queue.earliest_start_deadline()
                 for pool in self._pools.pools_by_name.values()
+                for queue in (pool.queue, pool.resumed)
             ),
             default=now + _MAX_WAKEUP_INTERVAL_S,
         )
@@ -173,7 +174,7 @@
             (
                 pool.rates.next_opening(now)
                 for pool in self._pools.pools_by_name.values()
-                if len(pool.queue)
+                if len(pool.queue) or len(pool.resumed)
             ),
             default=math.inf,
         )
@@ -205,6 +206,11 @@
             return [self._refuse(request, code, now)]
         item = wait_estimates.request_demand(request, now)
         pool.demand.add(item)
+        if request.version is not None:
+            return [
+                *self._enqueue_resumed(request, now),
+                *self._schedule(pool, now),
+            ]
         self._enqueue(request, now)
         starts = self._place_all(pool, now)
         is_queued = request.stage is messages.Stage.QUEUED
@@ -218,6 +224,21 @@
             starts.extend(self._demote(request, now))
         return starts + self._schedule(pool, now)
 
+    def _enqueue_resumed(
+        self, request: requests.Request, now: float
+    ) -> list[messages.Action]:
+        """Queues a request for engines of the version that began its stream.
+
+        Returns:
+          The refusal if no engine has that version, which the caller had better
+          know at once.
+        """
+        assert request.version is not None
+        if request.pool.serves_version(request.version):
+            self._enqueue(request, now)
+            return []
+        return [self._refuse(request, request.no_version_code, now)]
+
     def _demote(
         self, request: requests.Request, now: float
     ) -> list[messages.Action]:
@@ -263,7 +284,7 @@
     def _enqueue(self, request: requests.Request, now: float) -> None:
         request.stage = messages.Stage.QUEUED
         late = request.start_deadline <= now < request.useful_start_deadline
-        request.pool.queue.add(
+        request.queue.add(
             request_queue.QueuedRequest(
                 submit=request.submit,
                 late=late,
@@ -286,7 +307,7 @@
             return []
         actions: list[messages.Action] = []
         if request.stage is messages.Stage.QUEUED:
-            request.pool.queue.remove(request_id)
+            request.queue.remove(request_id)
         else:
             actions.append(self._cancel_attempt(request))
             self._release(request)
@@ -322,7 +343,9 @@
         request = self._requests_by_id.get(request_id)
         if request is None or request.stage is not messages.Stage.TRANSFER:
             return []
+        assert request.decode is not None
         self._outcomes.record_first_token(request, now)
+        request.version = request.decode.software_version
         request.stage = messages.Stage.DECODE
         request.stage_started_at = now
         request.pool.record_first_token_delay(
@@ -345,7 +368,7 @@
         if request is None:
             return []
         if request.stage is messages.Stage.QUEUED:
-            request.pool.queue.remove(event.request_id)
+            request.queue.remove(event.request_id)
             return []
         if request.stage is messages.Stage.DECODE:
             self._outcomes.record_pace(request, event.output_tokens, now)
@@ -379,6 +402,9 @@
         if event.resumable:
             request.start_deadline = now + _RESUME_TIMEOUT_S
             request.useful_start_deadline = request.start_deadline
+            if event.version is not None:
+                request.version = event.version
+                request.knows_versions = True
         code = requests.check_retry(request, event, self._retry_budgets, now)
         if code is not None:
             return [
@@ -387,8 +413,12 @@
                 *self._schedule(request.pool, now),
             ]
         request.export_expires_at = now + event.kept_s if event.kept_s else 0.0
-        self._enqueue(request, now)
-        return [cancel, *self._schedule(request.pool, now)]
+        actions: list[messages.Action] = [cancel]
+        if request.version is None:
+            self._enqueue(request, now)
+        else:
+            actions += self._enqueue_resumed(request, now)
+        return [*actions, *self._schedule(request.pool, now)]
 
     def _cancel_attempt(
         self, request: requests.Request
@@ -423,7 +453,7 @@
     ) -> messages.Refuse:
         pool = request.pool
         request_id = request.submit.request_id
-        pool.queue.remove(request_id)
+        request.queue.remove(request_id)
         del self._requests_by_id[request_id]
         entry_count = self._pools.entry_count
         # A retried request is late and gets only the capacity that requests in
@@ -499,31 +529,71 @@
 
     def _schedule(self, pool: pools.Pool, now: float) -> list[messages.Action]:
         """Starts or sheds a pool's queued requests and reports slot demand."""
-        actions = self._place_all(pool, now)
+        actions = self._refuse_unservable(pool, now)
+        actions.extend(self._place_all(pool, now))
         actions.extend(self._shed_requests(pool, now))
         if not self._owns_slots:
             self._sequence += 1
             actions.extend(self._asks_of(pool, now, only_urgent=True))
         return actions
 
+    def _refuse_unservable(
+        self, pool: pools.Pool, now: float
+    ) -> list[messages.Action]:
+        """Refuses resumed streams whose version no engine has any more."""
+        unservable = [
+            request
+            for request in map(self._queued, pool.resumed)
+            if not pool.serves_version(request.version)
+        ]
+        return [
+            self._refuse(request, request.no_version_code, now)
+            for request in unservable
+        ]
+
+    def _queued(self, waiting: request_queue.QueuedRequest) -> requests.Request:
+        return self._requests_by_id[waiting.submit.request_id]
+
     def _place_all(self, pool: pools.Pool, now: float) -> list[messages.Action]:
-        starts: list[messages.Action] = []
+        starts = self._place_resumed(pool, now)
         while len(pool.queue):
-            start = self._place_first(pool, now)
+            waiting = pool.queue.first(pool.over_share)
+            assert waiting is not None
+            start = self._place(self._queued(waiting), now)
             if start is None:
                 break
             starts.append(start)
         return starts
 
+    def _place_resumed(
+        self, pool: pools.Pool, now: float
+    ) -> list[messages.Action]:
+        """Starts resumed streams, each as soon as its version has room.
+
+        They come before new requests, since their callers have a part of the
+        output and can't be served by all engines.
+        """
+        starts = (
+            self._place(self._queued(waiting), now)
+            for waiting in sorted(
+                pool.resumed, key=request_queue.QueuedRequest.key
+            )
+        )
+        return [start for start in starts if start is not None]
+
     def _shed_requests(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
         """Demotes or refuses requests that miss or will miss their deadline."""
         refusals: list[messages.Action] = []
-        for waiting in pool.queue.past_deadline(now):
-            request = self._requests_by_id[waiting.submit.request_id]
+        past_deadline = [
+            *pool.queue.past_deadline(now),
+            *pool.resumed.past_deadline(now),
+        ]
+        for waiting in past_deadline:
+            request = self._queued(waiting)
             if not waiting.late and request.useful_start_deadline > now:
-                pool.queue.remove(waiting.submit.request_id)
+                request.queue.remove(waiting.submit.request_id)
                 self._enqueue(request, now)
                 continue
             code = messages.RefusalCode.WAITED_TOO_LONG
@@ -541,26 +611,23 @@
             refusals.extend(self._demote(request, now))
         return refusals
 
-    def _place_first(
-        self, pool: pools.Pool, now: float
+    def _place(
+        self, request: requests.Request, now: float
     ) -> messages.Start | None:
-        waiting = pool.queue.first(pool.over_share)
-        assert waiting is not None
-        submit = waiting.submit
-        request = self._requests_by_id[submit.request_id]
         reuse_prefill = (
             request.export_expires_at > now and request.prefill is not None
         )
         if reuse_prefill:
-            pair = self._selector.select_decode(
-                pool, submit, request.slots, request.prefill, now
-            )
+            pair = self._selector.select_decode(request, request.prefill, now)
         else:
-            pair = self._selector.select_pair(pool, submit, request.slots, now)
+            pair = self._selector.select_pair(request, now)
         if pair is None:
             return None
-        pool.queue.remove(submit.request_id)
-        return self._start(pool, submit, pair, now, reuse_prefill=reuse_prefill)
+        submit = request.submit
+        request.queue.remove(submit.request_id)
+        return self._start(
+            request.pool, submit, pair, now, reuse_prefill=reuse_prefill
+        )
 
     def _start(
         self,
@@ -601,6 +668,7 @@
             used=pool.lease(pair.decode_id).used - request.slots,
             waiting=len(pool.queue),
             reuses_prefill=reuse_prefill,
+            version=request.version,
         )
 
     def _expect_prefill(self, request: requests.Request) -> None:
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -94,6 +94,8 @@
       sent_at: Time in seconds at which the request was last sent to an
         endpoint.
       last_event_id: Id of the last event sent to the caller.
+      software_version: Software version that began the stream, None before its
+        first event or while it is unknown.
       resumable: Whether an engine that other VMs reach may continue the broken
         stream after that event.
       outcome: Outcome of the request, for logs and metrics.
@@ -111,6 +113,7 @@
     prefilled_at: float = 0.0
     sent_at: float = 0.0
     last_event_id: str = ""
+    software_version: str | None = None
     resumable: bool = False
     outcome: str = ""
 
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -257,7 +257,7 @@
         self.shell.listen(
             [
                 *routes.peer_routes(self._gate, components, self._auth),
-                routes.relay_route(
+                *routes.relay_routes(
                     self._gate,
                     self._dialect.relayed_chain(components),
                     self._auth,
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -33,6 +33,10 @@
         "Engines failed, and too many retries run already."
     ),
     messages.RefusalCode.ENDPOINT_FAILED: "The engines failed.",
+    messages.RefusalCode.VERSION_UNAVAILABLE: (
+        "No engine of the software version that began the stream serves it; "
+        "begin it anew."
+    ),
 }
 
 
@@ -239,6 +243,7 @@
                 answered=lost.answered,
                 kept_s=lost.kept_s,
                 resumable=lost.resumable,
+                version=ctx.progress.software_version,
             )
         )
 
@@ -261,4 +266,6 @@
         deadline=ctx.deadline,
         expected_tokens=generation.expected_tokens,
         useful_until=ctx.useful_until,
+        resumes=ctx.progress.software_version is not None,
+        version=ctx.progress.software_version,
     )
--- a/src/cowsliprill/entry/filters/relayed_limits.py
+++ b/src/cowsliprill/entry/filters/relayed_limits.py
@@ -36,5 +36,6 @@
         ctx.progress.attempts = envelope.attempts
         ctx.progress.run = envelope.run
         ctx.progress.last_event_id = envelope.last_event_id
+        ctx.progress.software_version = envelope.software_version
         ctx.idempotency_key = envelope.idempotency_key
         await proceed(ctx)
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -143,9 +143,7 @@
         # An engine that has crashed, or whose host is unreachable, stays listed
         # for some seconds. Connecting only after the prefill would waste the
         # prefill of each request placed there.
-        endpoint = self._available_endpoint(
-            ctx.start.decode_id, messages.Stage.TRANSFER
-        )
+        endpoint = self._decode_endpoint(ctx)
         try:
             await self.calls.prepare(ctx, endpoint)
         except engine_errors.ConnectFailed as error:
@@ -197,7 +195,7 @@
     ) -> tuple[model.Endpoint, calls_lib.OutputStream]:
         stage = messages.Stage.TRANSFER
         try:
-            endpoint = self._available_endpoint(ctx.start.decode_id, stage)
+            endpoint = self._decode_endpoint(ctx)
             self._check_lease(ctx.start, endpoint.id, stage)
             self.quarantine.check(ctx)
             with self._guard_call(ctx, endpoint, stage) as call:
@@ -253,7 +251,11 @@
         while True:
             try:
                 await self._relay_events(
-                    ctx, stream, sink, before_first_token=before_first_token
+                    ctx,
+                    endpoint,
+                    stream,
+                    sink,
+                    before_first_token=before_first_token,
                 )
                 return
             except engine_errors.StreamBroken as broken:
@@ -299,6 +301,7 @@
     async def _relay_events(
         self,
         ctx: context.Context,
+        endpoint: model.Endpoint,
         stream: calls_lib.OutputStream,
         sink: sinks.Sink,
         *,
@@ -313,6 +316,7 @@
             if before_first_token:
                 before_first_token = False
                 progress.first_token_at = progress.first_token_at or now
+                progress.software_version = endpoint.software_version
                 progress.prefills_used += 1
                 self.scheduling.post(messages.FirstToken(ctx.number))
                 self.quarantine.report_survived(ctx)
@@ -350,6 +354,24 @@
             raise attempts.AttemptError(endpoint_id, stage, reason, unsent=True)
         return endpoint
 
+    def _decode_endpoint(self, ctx: context.Context) -> model.Endpoint:
+        stage = messages.Stage.TRANSFER
+        endpoint = self._available_endpoint(ctx.start.decode_id, stage)
+        # The coordinator may run an older release that doesn't know of software
+        # versions, or have another version of the engine's entry.
+        if ctx.progress.software_version not in (
+            None,
+            endpoint.software_version,
+        ):
+            raise attempts.AttemptError(
+                endpoint.id,
+                stage,
+                f"its software version is {endpoint.software_version!r}, the "
+                f"stream's is {ctx.progress.software_version!r}",
+                unsent=True,
+            )
+        return endpoint
+
     def _check_lease(
         self, start: messages.Start, endpoint_id: str, stage: messages.Stage
     ) -> None:
--- a/src/cowsliprill/entry/peer_relay.py
+++ b/src/cowsliprill/entry/peer_relay.py
@@ -183,7 +183,7 @@
                 vm.host,
                 self._rng.choice(vm.entry_ports),
                 "POST",
-                peers.RELAY_PATH,
+                _path(envelope),
                 relayed_call.encode(envelope, ctx.call, self._auth),
                 ctx.call.body,
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
@@ -243,6 +243,12 @@
         ctx.progress.last_token_at = clock.now()
 
 
+def _path(envelope: relay_envelope.Envelope) -> str:
+    if envelope.last_event_id:
+        return peers.RELAY_STREAM_PATH
+    return peers.RELAY_PATH
+
+
 def _failure(
     ctx: context.Context, error: engine_errors.CallError
 ) -> errors.EntryError:
--- a/src/cowsliprill/entry/relay_envelope.py
+++ b/src/cowsliprill/entry/relay_envelope.py
@@ -27,6 +27,8 @@
       idempotency_key: Idempotency key that the sending VM has claimed.
       last_event_id: Id of the last event that the caller has received of a
         stream, empty for none.
+      software_version: Software version that began the stream, None if the
+        sending VM doesn't know it.
     """
 
     vm: str
@@ -42,3 +44,4 @@
     run: messages.Executed = messages.Executed.NO
     idempotency_key: str = ""
     last_event_id: str = ""
+    software_version: str | None = None
--- a/src/cowsliprill/entry/relayed_call.py
+++ b/src/cowsliprill/entry/relayed_call.py
@@ -80,6 +80,7 @@
         run=ctx.progress.run,
         idempotency_key=ctx.idempotency_key,
         last_event_id=ctx.progress.last_event_id,
+        software_version=ctx.progress.software_version,
     )
 
 
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -256,10 +256,10 @@
     )
 
 
-def relay_route(
+def relay_routes(
     gate: gate_lib.Gate, handle: context.Handler, auth: peer_auth.PeerAuth
-) -> tuple:
-    """Returns the tornado route for requests that peers relay.
+) -> list[tuple]:
+    """Returns the tornado routes for requests that peers relay.
 
     Args:
       gate: Request gate of the process.
@@ -267,7 +267,10 @@
       auth: Verifies the signatures of peers.
     """
     arguments = {"gate": gate, "handle": handle, "auth": auth}
-    return (peers.RELAY_PATH, handlers.RelayHandler, arguments)
+    return [
+        (path, handlers.RelayHandler, arguments)
+        for path in (peers.RELAY_PATH, peers.RELAY_STREAM_PATH)
+    ]
 
 
 def peer_routes(
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -28,6 +28,9 @@
   `POST /v1/forward`: a caller's request whose ticket names this incarnation.
   `POST /v1/relay`: a caller's request that the sender can't serve, since it
   can't reach the endpoints; `entry.relayed_call` describes its headers.
+  `POST /v1/relay_stream`: the same for a stream that has begun, which only
+  engines of the same software version may continue. VMs of a release that
+  doesn't know this have no such path.
 Bodies of POST requests, and responses that peers act on, have the header
 `X-Peer-Signature` if the VMs share a secret (`peer_auth`).
 Router process (one per VM, serves all of the above in one process):
@@ -62,6 +65,7 @@
 INCARNATION_PATH = "/v1/incarnation"
 FORWARD_PATH = "/v1/forward"
 RELAY_PATH = "/v1/relay"
+RELAY_STREAM_PATH = "/v1/relay_stream"
 CELLS_PATH = "/v1/cells"
 QUOTAS_PATH = "/v1/quotas"
 REGISTRY_PATH = "/v1/registry"
--- a/src/cowsliprill/pool_scheduling/client.py
+++ b/src/cowsliprill/pool_scheduling/client.py
@@ -118,6 +118,11 @@
             case messages.FirstToken():
                 tracked.stage = messages.Stage.DECODE
             case messages.AttemptFailed():
+                if event.version is not None:
+                    # Another coordinator may get the request from here on.
+                    tracked.submit = dataclasses.replace(
+                        tracked.submit, resumes=True, version=event.version
+                    )
                 tracked.start = None
                 tracked.stage = messages.Stage.QUEUED
                 self._has_queued.set()
--- a/src/cowsliprill/pool_scheduling/wire.py
+++ b/src/cowsliprill/pool_scheduling/wire.py
@@ -41,6 +41,8 @@
       worth_by_size: Fraction of the request's value that is proportional to its
         tokens.
       customer: Id of the calling customer, empty for none.
+      resumes: Whether the caller has events of the stream.
+      version: Software version that began the stream, None if unknown.
     """
 
     number: int
@@ -61,6 +63,8 @@
     ttft_target_s: float = 1.0
     worth_by_size: float = 0.0
     customer: str = ""
+    resumes: bool = False
+    version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -116,6 +120,7 @@
     answered: bool = False
     kept_s: float = 0.0
     resumable: bool = False
+    version: str | None = None
 
 
 Event = Annotated[
@@ -247,6 +252,8 @@
         ttft_target_s=service.ttft_target_s,
         worth_by_size=service.worth_by_size,
         customer=submit.customer,
+        resumes=submit.resumes,
+        version=submit.version,
     )
 
 
@@ -292,6 +299,8 @@
         priority=request.priority,
         deadline=now + request.deadline_in_s,
         useful_until=now + request.useful_in_s if request.useful_in_s else 0.0,
+        resumes=request.resumes,
+        version=request.version,
     )
 
 
@@ -342,6 +351,7 @@
                 answered=event.answered,
                 kept_s=event.kept_s,
                 resumable=event.resumable,
+                version=event.version,
             )
 
 
@@ -381,6 +391,7 @@
                 answered=event.answered,
                 kept_s=event.kept_s,
                 resumable=event.resumable,
+                version=event.version,
             )
         case _:
             raise TypeError(f"event has no message to a coordinator: {event}")
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -222,6 +222,66 @@
         assert got == platform_site.stream()
         assert runs == ["a1", "a1"]
 
+    # Guards against events of two software versions behind a peer.
+    def test_peer_goes_on_at_the_version_that_began_the_stream(self):
+        async def run():
+            async with platform_site.running(routers=3) as site:
+                await site.until_routers_are_live()
+                for name in ("d2", "d3"):
+                    await site.add_engine(name, "llm", "decode", version="v2")
+                engines = [site.engines[f"d{number}"] for number in range(4)]
+                for engine in engines:
+                    engine.faults.pause_after_events = 2
+                responses = [
+                    await site.open(
+                        platform_site.RESUMABLE_PATH, attempt=f"a{number}"
+                    )
+                    for number in range(2)
+                ]
+                for response in responses:
+                    await platform_site.read_until(response, b"t2\n\n")
+                partition = await _cut_off(site)
+                for engine in engines:
+                    engine.faults = platform_site.Faults()
+                    engine.cut.set()
+                bodies = [await item.read(1 << 20) for item in responses]
+                partition.heal()
+                versions_by_attempt = collections.defaultdict(list)
+                for engine in engines:
+                    for attempt in engine.runs:
+                        versions_by_attempt[attempt].append(engine.version)
+                return bodies, dict(versions_by_attempt)
+
+        bodies, versions_by_attempt = asyncio.run(run())
+        assert bodies == [platform_site.stream(3)] * 2
+        for versions in versions_by_attempt.values():
+            assert len(versions) == 2
+            assert len(set(versions)) == 1
+
+    # Guards against a peer of an older release, which would go on at any
+    # software version.
+    def test_stream_is_not_relayed_to_an_older_release(self, monkeypatch):
+        async def run():
+            async with platform_site.running(routers=2) as site:
+                engines = [site.engines[name] for name in ("d0", "d1")]
+                for engine in engines:
+                    engine.faults.pause_after_events = 2
+                response = await site.open(platform_site.RESUMABLE_PATH)
+                await platform_site.read_until(response, b"t2\n\n")
+                partition = await _cut_off(site)
+                monkeypatch.setattr(peers, "RELAY_STREAM_PATH", "/v1/unknown")
+                for engine in engines:
+                    engine.faults = platform_site.Faults()
+                    engine.cut.set()
+                with pytest.raises(engine_errors.CallError):
+                    await response.read(1_000)
+                partition.heal()
+                return site.runs(), site.logs[0].getvalue()
+
+        runs, log = asyncio.run(run())
+        assert runs == ["a1"]
+        assert "relay_declined" in log
+
     # Guards against a second run of a stream that can't be resumed.
     def test_other_stream_ends_and_is_not_repeated(self):
         async def run():
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -1,5 +1,6 @@
 """Tests of the central scheduler of a pool."""
 
+import dataclasses
 import random
 
 from cowsliprill.decisions import messages
@@ -92,6 +93,12 @@
         self.sent[name] += len(events)
         self.pool_scheduler.receive(name, epoch, first, events, self.now)
 
+    def set_engines(self, endpoints_by_id: dict[str, model.Endpoint]) -> None:
+        self.snapshot = dataclasses.replace(
+            self.snapshot, endpoints_by_id=endpoints_by_id
+        )
+        self.pool_scheduler.update(self.snapshot, self.fleet, self.now)
+
     def send_heartbeats(self) -> None:
         for name in self.names:
             self.send(name)
@@ -442,6 +449,142 @@
         assert len(site.decisions("vm-1")) == 3
 
 
+class TestSoftwareVersions:
+    """Streams that have begun go on at engines of the same software version."""
+
+    @staticmethod
+    def _site(*versions: str) -> _Site:
+        """Returns a site with one decode engine of each version."""
+        site = _Site(entries=1, decodes=len(versions))
+        engines = {
+            f"d{number}": dataclasses.replace(
+                site.snapshot.endpoints_by_id[f"d{number}"],
+                software_version=version,
+            )
+            for number, version in enumerate(versions)
+        }
+        site.set_engines({**site.snapshot.endpoints_by_id, **engines})
+        return site
+
+    @staticmethod
+    def _begin(site: _Site, number: int, tokens: int = 3_200) -> str:
+        """Starts a stream; returns its decode engine."""
+        site.send("vm-0", _submit(number, site.now, tokens))
+        (start,) = _starts(site.decisions("vm-0"))
+        site.send("vm-0", messages.PrefillFinished(number))
+        site.send("vm-0", messages.FirstToken(number))
+        return start.decode_id
+
+    @staticmethod
+    def _break(site: _Site, number: int, engine: str, version: str) -> None:
+        failed = messages.AttemptFailed(
+            request_id=number,
+            endpoint_id=engine,
+            stage=messages.Stage.DECODE,
+            resumable=True,
+            version=version,
+        )
+        site.send("vm-0", failed)
+
+    def test_broken_stream_goes_on_at_its_version(self):
+        """Guards against one answer with events of two versions."""
+        site = self._site("v1", "v1", "v2")
+        engines = [self._begin(site, number) for number in range(6)]
+        versions = [
+            site.snapshot.endpoints_by_id[engine].software_version
+            for engine in engines
+        ]
+        assert set(versions) == {"v1", "v2"}
+        # One stream of each version breaks, so that the retry budget suffices.
+        for version in ("v1", "v2"):
+            number = versions.index(version)
+            self._break(site, number, engines[number], version)
+            # The only engine of a version is tried again after a short time.
+            site.now += 1.0
+            site.pool_scheduler.tick(site.now)
+            (start,) = _starts(site.decisions("vm-0"))
+            assert start.version == versions[number]
+            decode = site.snapshot.endpoints_by_id[start.decode_id]
+            assert decode.software_version == versions[number]
+
+    def test_stream_of_a_version_that_is_gone_is_refused_at_once(self):
+        """Guards against callers that wait for an engine that won't come."""
+        site = self._site("v1", "v2")
+        self._begin(site, 1)
+        self._break(site, 1, "d0", "v0")
+        (refusal,) = site.decisions("vm-0")
+        assert refusal.code is messages.RefusalCode.VERSION_UNAVAILABLE
+
+    def test_waiting_stream_is_refused_when_its_last_engine_leaves(self):
+        """Guards against waits until the deadline after the last engine left.
+
+        The stream waits as the only engine of its version is full.
+        """
+        site = self._site("v1", "v2")
+        full = _BLOCKS * _BLOCK_TOKENS - 400
+        while self._begin(site, 1, full) != "d0":
+            site.send("vm-0", messages.Finished(1, 10))
+        resumed = _submit(2, site.now, resumes=True, version="v1")
+        site.send("vm-0", resumed)
+        assert site.decisions("vm-0") == []
+        left = dict(site.snapshot.endpoints_by_id)
+        del left["d0"]
+        site.set_engines(left)
+        (refusal,) = site.decisions("vm-0")
+        assert refusal.code is messages.RefusalCode.VERSION_UNAVAILABLE
+
+    def test_waiting_stream_does_not_block_new_requests(self):
+        """Guards against idle engines behind a stream of another version."""
+        site = self._site("v1", "v2")
+        full = _BLOCKS * _BLOCK_TOKENS - 400
+        while self._begin(site, 1, full) != "d0":
+            site.send("vm-0", messages.Finished(1, 10))
+        resumed = _submit(2, site.now, resumes=True, version="v1")
+        site.send("vm-0", resumed, _submit(3, site.now))
+        (start,) = site.decisions("vm-0")
+        assert (start.request_id, start.decode_id) == (3, "d1")
+        site.send("vm-0", messages.Finished(1, 10))
+        (start,) = site.decisions("vm-0")
+        assert (start.request_id, start.decode_id) == (2, "d0")
+
+    def test_older_entry_process_gets_a_code_that_it_knows(self):
+        """Guards against a channel that breaks at an unknown error code."""
+        site = self._site("v1")
+        engine = self._begin(site, 1)
+        upgraded = dataclasses.replace(
+            site.snapshot.endpoints_by_id[engine],
+            id="d9",
+            software_version="v2",
+        )
+        left = dict(site.snapshot.endpoints_by_id)
+        del left[engine]
+        site.set_engines({**left, "d9": upgraded})
+        failed = messages.AttemptFailed(
+            request_id=1,
+            endpoint_id=engine,
+            stage=messages.Stage.DECODE,
+            resumable=True,
+        )
+        site.send("vm-0", failed)
+        (refusal,) = site.decisions("vm-0")
+        assert refusal.code is messages.RefusalCode.ENDPOINT_FAILED
+
+    def test_adopted_stream_keeps_its_version(self):
+        """Guards against another version after a change of coordinator."""
+        site = self._site("v1", "v2", "v1")
+        adopt = messages.Adopt(
+            submit=_submit(1, site.now),
+            start=messages.Start(
+                request_id=1, attempt=0, prefill_id="p", decode_id="d0"
+            ),
+            stage=messages.Stage.DECODE,
+        )
+        site.send("vm-0", adopt)
+        self._break(site, 1, "d0", "v1")
+        (start,) = _starts(site.decisions("vm-0"))
+        assert start.decode_id in ("d0", "d2")
+
+
 class TestRandomEvents:
     """No KV cache block is reserved twice under random events."""
 
--- a/tests/test_pool_scheduling_wire.py
+++ b/tests/test_pool_scheduling_wire.py
@@ -12,7 +12,7 @@
 
 def _with_all_fields_set(kind: type) -> object:
     """Returns an event whose fields all differ from their defaults."""
-    values = {bool: True, int: 7, float: 0.25, str: "e-1"}
+    values = {bool: True, int: 7, float: 0.25, str: "e-1", str | None: "v1"}
     hints = typing.get_type_hints(kind)
     fields = {}
     for field in dataclasses.fields(kind):
