--- a/src/cowsliprill/decisions/mechanisms.py
+++ b/src/cowsliprill/decisions/mechanisms.py
@@ -37,6 +37,8 @@
       ROLE_ORDERS: Engines are switched between prefill and decode.
       OUTLIER_DETECTION: Servers of plain services are ejected by their failure
         rate compared with that of their peers.
+      STREAM_VERSIONS: Streams go on only at the software version that began
+        them.
       SIZE_VALUE: Larger requests of a service count as more valuable.
     """
 
@@ -54,6 +56,7 @@
     ROLE_ORDERS = "role_orders"
     OUTLIER_DETECTION = "server_comparison"
     SIZE_VALUE = "size_worth"
+    STREAM_VERSIONS = "stream_versions"
 
 
 DisabledMechanisms = Collection[Mechanism]
@@ -65,6 +68,7 @@
     Mechanism.DECODE_CONCURRENCY_LIMIT: {"places": 0},
     Mechanism.ESTIMATED_SPEEDS: {"speeds_guessed": False},
     Mechanism.LOCAL_PREFILL: {"own_prefill_tokens_per_s": 0.0},
+    Mechanism.STREAM_VERSIONS: {"software_version": ""},
 }
 _SERVICE_OVERRIDES = {
     Mechanism.QUEUE_PAST_TARGET: {"patience_s": 0.0},
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -13,6 +13,7 @@
 
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
+from cowsliprill.decisions import stream_origins
 
 
 class Executed(enum.StrEnum):
@@ -48,6 +49,7 @@
     RETRY_BUDGET_SPENT = "retry_budget_spent"
     ENDPOINT_FAILED = "endpoint_failed"
     VERSION_UNAVAILABLE = "version_unavailable"
+    ORIGIN_UNKNOWN = "stream_origin_unknown"
 
 
 # --- Events: input of the scheduler ------------------------------------------
@@ -75,6 +77,9 @@
       resumes: Whether the caller has events of the stream, so that only engines
         of the software version that began it may go on.
       version: That version, None if the sender doesn't know it.
+      origin: Key of the caller's attempt that begins the stream, or has begun
+        it; empty if it named none.
+      stream_age_max_s: Time in seconds for which the stream can be resumed.
     """
 
     request_id: int
@@ -89,6 +94,8 @@
     useful_until: float = 0.0
     resumes: bool = False
     version: str | None = None
+    origin: str = ""
+    stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -15,6 +15,7 @@
 """
 
 import dataclasses
+import math
 
 from cowsliprill.decisions import message_channel
 from cowsliprill.decisions import messages
@@ -22,6 +23,7 @@
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import scheduler as scheduler_lib
+from cowsliprill.decisions import stream_origins
 
 # Heartbeat timeout of an entry process with requests. Its slots are then free,
 # as engines drop requests whose connection is lost. It is longer than the
@@ -32,6 +34,10 @@
 # Entry processes with requests connect to a new coordinator within this time.
 TAKEOVER_S = 1.0
 
+# Entry processes and other VMs tell a new coordinator within this time which
+# versions have begun streams. Callers leave a stream that pauses for 2 s.
+_ORIGINS_WAIT_S = 0.6
+
 # Interval at which a new coordinator raises the fraction of slots it uses.
 _RAMP_STEP_S = 0.05
 
@@ -66,12 +72,21 @@
     Args:
       availability_zone: Availability zone of this VM.
       seed: Seed of the random number generator.
+      origins: Tells and records which software version began a stream.
+      begun_at: Time in seconds at which this process began to host the pool.
     """
 
-    def __init__(self, availability_zone: str, seed: int) -> None:
+    def __init__(
+        self,
+        availability_zone: str,
+        seed: int,
+        origins: stream_origins.Origins | None = None,
+        begun_at: float = -math.inf,
+    ) -> None:
         self._scheduler = scheduler_lib.Scheduler(
-            availability_zone, seed, owns_slots=True
+            availability_zone, seed, owns_slots=True, origins=origins
         )
+        self._scheduler.origins_complete_at = begun_at + _ORIGINS_WAIT_S
         self._sessions_by_entry: dict[str, _EntrySession] = {}
         self._origins_by_request_id: dict[int, tuple[str, int]] = {}
         self._next_id = 0
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -24,6 +24,8 @@
 from cowsliprill.decisions import requests
 from cowsliprill.decisions import retry_budget
 from cowsliprill.decisions import slot_demands
+from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import version_history
 from cowsliprill.decisions import wait_estimates
 
 _MAX_WAKEUP_INTERVAL_S = 0.5
@@ -56,11 +58,26 @@
       seed: Seed of the random number generator.
       owns_slots: Whether this scheduler alone uses the engines, so that it
         needs no slot leases.
+      origins: Tells and records which software version began a stream.
+
+    Attributes:
+      origins_complete_at: Time in seconds from which a stream that `origins`
+        doesn't know is refused. Until then it waits.
     """
 
     def __init__(
-        self, availability_zone: str, seed: int, *, owns_slots: bool = False
+        self,
+        availability_zone: str,
+        seed: int,
+        *,
+        owns_slots: bool = False,
+        origins: stream_origins.Origins | None = None,
     ) -> None:
+        self.origins_complete_at = -math.inf
+        self._origins = origins or stream_origins.StreamOrigins(
+            version_history.VersionHistory()
+        )
+        self._unknown_origin_ids: set[int] = set()
         rng = random.Random(seed)
         self._requests_by_id: dict[int, requests.Request] = {}
         self._health = health.EngineHealth()
@@ -206,9 +223,9 @@
             return [self._refuse(request, code, now)]
         item = wait_estimates.request_demand(request, now)
         pool.demand.add(item)
-        if request.version is not None:
+        if event.resumes:
             return [
-                *self._enqueue_resumed(request, now),
+                *self._submit_resumed(request, now),
                 *self._schedule(pool, now),
             ]
         self._enqueue(request, now)
@@ -224,6 +241,38 @@
             starts.extend(self._demote(request, now))
         return starts + self._schedule(pool, now)
 
+    def _submit_resumed(
+        self, request: requests.Request, now: float
+    ) -> list[messages.Action]:
+        """Queues a stream that a caller resumes, if its version is known.
+
+        Returns:
+          The refusal, if any.
+        """
+        submit = request.submit
+        if request.version is None:
+            request.version = self._origins.version_of(
+                submit.origin,
+                submit.service.pool,
+                submit.stream_age_max_s,
+                now,
+            )
+        if request.version is not None:
+            return self._enqueue_resumed(request, now)
+        if now < self.origins_complete_at:
+            self._unknown_origin_ids.add(submit.request_id)
+            return []
+        return [self._refuse(request, messages.RefusalCode.ORIGIN_UNKNOWN, now)]
+
+    def _retry_unknown_origins(self, now: float) -> list[messages.Action]:
+        waiting, self._unknown_origin_ids = self._unknown_origin_ids, set()
+        return [
+            action
+            for request_id in sorted(waiting)
+            if (request := self._requests_by_id.get(request_id)) is not None
+            for action in self._submit_resumed(request, now)
+        ]
+
     def _enqueue_resumed(
         self, request: requests.Request, now: float
     ) -> list[messages.Action]:
@@ -270,8 +319,14 @@
             return []
         self._requests_by_id[event.submit.request_id] = request
         self._acquire_slots(request)
+        self._record_origin(request, now)
         return []
 
+    def _record_origin(self, request: requests.Request, now: float) -> None:
+        self._origins.record(
+            _origin(request), request.submit.stream_age_max_s, now
+        )
+
     def _acquire_slots(self, request: requests.Request) -> None:
         """Marks the slots of a running request as in use."""
         pool, customer = request.pool, request.submit.customer
@@ -371,6 +426,8 @@
             request.queue.remove(event.request_id)
             return []
         if request.stage is messages.Stage.DECODE:
+            submit = request.submit
+            self._origins.complete(submit.origin, submit.service.pool, now)
             self._outcomes.record_pace(request, event.output_tokens, now)
             request.pool.output_lengths.record(
                 request.submit, event.output_tokens
@@ -529,7 +586,8 @@
 
     def _schedule(self, pool: pools.Pool, now: float) -> list[messages.Action]:
         """Starts or sheds a pool's queued requests and reports slot demand."""
-        actions = self._refuse_unservable(pool, now)
+        actions = self._retry_unknown_origins(now)
+        actions.extend(self._refuse_unservable(pool, now))
         actions.extend(self._place_all(pool, now))
         actions.extend(self._shed_requests(pool, now))
         if not self._owns_slots:
@@ -654,6 +712,7 @@
             pool.rates.take(pair.prefill_id, now)
         pool.rates.take(pair.decode_id, now)
         self._acquire_slots(request)
+        self._record_origin(request, now)
         request.probed_ids = tuple(
             endpoint_id
             for endpoint_id in (pair.prefill_id, pair.decode_id)
@@ -687,3 +746,14 @@
             estimates.prefill_s(request.prefill, submit, pool_state)
         )
         cached.add(submit.prefix_hashes)
+
+
+def _origin(request: requests.Request) -> stream_origins.Origin:
+    assert request.decode is not None
+    return stream_origins.Origin(
+        key=request.submit.origin,
+        pool=request.submit.service.pool,
+        version=request.decode.software_version,
+        begun=request.version is not None,
+        attempt=request.attempt,
+    )
--- /dev/null
+++ b/src/cowsliprill/decisions/stream_origins.py
@@ -0,0 +1,227 @@
+"""Which software version of the engines began each stream.
+
+What two versions write doesn't fit together, so a stream may be continued only
+by the version that sent its first event. A caller names the attempt that
+brought this event. The version of that attempt's engine is recorded; where only
+one version has been listed for longer than a stream can last, it is known
+without a record.
+"""
+
+import collections
+import dataclasses
+import hashlib
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Protocol
+
+from cowsliprill.decisions import version_history
+
+# Least time for which a stream can be resumed after it began.
+STREAM_AGE_MIN_S = 60.0
+
+# The last events of a complete stream may be lost on the way to the caller.
+_COMPLETED_RETENTION_S = 5.0
+
+# About 12 MB. The oldest records are dropped first; streams without a record
+# are refused while several versions serve.
+_MAX_RECORDS = 50_000
+
+_KEY_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Origin:
+    """The software version that began a stream.
+
+    Attributes:
+      key: Key of the caller's attempt; see `key_of`.
+      pool: Name of the engines' pool.
+      version: The version.
+      begun: Whether the stream has begun at this version. Until then, a further
+        attempt may go to another one.
+      attempt: Number of the router's own attempt at an engine, from 0.
+    """
+
+    key: str
+    pool: str
+    version: str
+    begun: bool = False
+    attempt: int = 0
+
+    def is_newer_than(self, other: "Origin") -> bool:
+        """Returns whether this record of a stream replaces another one."""
+        return (self.begun, self.attempt) > (other.begun, other.attempt)
+
+
+class Origins(Protocol):
+    """What a scheduler needs to know and to tell about streams."""
+
+    def record(self, origin: Origin, age_max_s: float, now: float) -> None:
+        """Records the version of the engine that a stream begins at."""
+
+    def complete(self, key: str, pool: str, now: float) -> None:
+        """Records that a stream is complete."""
+
+    def version_of(
+        self, key: str, pool: str, age_max_s: float, now: float
+    ) -> str | None:
+        """Returns the version that began a stream, None if unknown."""
+
+
+def key_of(customer: str, attempt: str) -> str:
+    """Returns the key of a caller's attempt, empty if it has no id.
+
+    Args:
+      customer: Id of the customer, whose attempts no other one can name.
+      attempt: The caller's id of the attempt.
+    """
+    if not attempt:
+        return ""
+    digest = hashlib.blake2b(digest_size=_KEY_BYTES)
+    part = customer.encode()
+    # The length keeps ("ab", "c") apart from ("a", "bc").
+    digest.update(len(part).to_bytes(4, "big"))
+    digest.update(part)
+    digest.update(attempt.encode())
+    return digest.hexdigest()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    origin: Origin
+    expires_at: float
+
+
+class StreamOrigins:
+    """The origins known to this process, whichever process observed them.
+
+    Args:
+      history: Software versions listed so far.
+      is_current: Returns whether the list of endpoints is up to date. A VM
+        without contact may lack a version that others use.
+    """
+
+    def __init__(
+        self,
+        history: version_history.VersionHistory,
+        is_current: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.history = history
+        self._is_current = is_current
+        # Each is sorted by the time of the record.
+        self._open_by_key: collections.OrderedDict[str, _Record] = (
+            collections.OrderedDict()
+        )
+        self._completed_by_key: collections.OrderedDict[str, _Record] = (
+            collections.OrderedDict()
+        )
+
+    def record(self, origin: Origin, age_max_s: float, now: float) -> None:
+        """Records the version of the engine that a stream begins at.
+
+        Args:
+          origin: The version.
+          age_max_s: Time in seconds for which the stream can be resumed.
+          now: Current time in seconds.
+        """
+        if not origin.key:
+            return
+        self._completed_by_key.pop(origin.key, None)
+        self._open_by_key[origin.key] = _Record(origin, now + age_max_s)
+        self._open_by_key.move_to_end(origin.key)
+        self._drop(now)
+
+    def complete(self, key: str, pool: str, now: float) -> None:
+        """Records that a stream is complete.
+
+        Args:
+          key: Its key.
+          pool: Name of its pool.
+          now: Current time in seconds.
+        """
+        record = self._open_by_key.get(key)
+        if record is None or record.origin.pool != pool:
+            return
+        del self._open_by_key[key]
+        expires_at = now + _COMPLETED_RETENTION_S
+        self._completed_by_key[key] = _Record(record.origin, expires_at)
+        self._drop(now)
+
+    def merge(self, origins: Iterable[Origin], now: float) -> None:
+        """Adds records of other VMs, unless those of this one are newer.
+
+        Args:
+          origins: The records.
+          now: Current time in seconds.
+        """
+        for origin in origins:
+            known = self._find(origin.key, now)
+            if known is None or origin.is_newer_than(known):
+                self.record(origin, STREAM_AGE_MIN_S, now)
+
+    def version_of(
+        self, key: str, pool: str, age_max_s: float, now: float
+    ) -> str | None:
+        """Returns the software version that began a stream.
+
+        Args:
+          key: Key of the attempt that brought its first event, empty if the
+            caller named none.
+          pool: Name of the pool that the request is for.
+          age_max_s: Time in seconds for which the stream can be resumed.
+          now: Current time in seconds.
+
+        Returns:
+          The version, None if it is unknown or of another pool.
+        """
+        origin = self._find(key, now)
+        if origin is not None:
+            return origin.version if origin.pool == pool else None
+        if not self._is_current():
+            return None
+        return self.history.only_version(pool, age_max_s, now)
+
+    def only_version_age_s(
+        self, pool: str, now: float
+    ) -> tuple[str | None, float]:
+        """Returns the only version known to be listed, and for how long.
+
+        Args:
+          pool: Name of the pool.
+          now: Current time in seconds.
+
+        Returns:
+          The version and the seconds, possibly infinite; None and 0 if there
+          are several or this isn't known.
+        """
+        if not self._is_current():
+            return None, 0.0
+        return self.history.only_version_age_s(pool, now) or (None, 0.0)
+
+    def of_pool(self, pool: str, now: float) -> list[Origin]:
+        """Returns the known origins of one pool, the newest last.
+
+        Args:
+          pool: Name of the pool.
+          now: Current time in seconds.
+        """
+        return [
+            record.origin
+            for record in self._open_by_key.values()
+            if record.origin.pool == pool and record.expires_at > now
+        ]
+
+    def _find(self, key: str, now: float) -> Origin | None:
+        record = self._open_by_key.get(key) or self._completed_by_key.get(key)
+        if record is None or record.expires_at <= now:
+            return None
+        return record.origin
+
+    def _drop(self, now: float) -> None:
+        for records_by_key in (self._open_by_key, self._completed_by_key):
+            while records_by_key:
+                oldest = next(iter(records_by_key.values()))
+                is_full = len(records_by_key) > _MAX_RECORDS
+                if oldest.expires_at > now and not is_full:
+                    break
+                records_by_key.popitem(last=False)
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -134,6 +134,8 @@
       caller_id: Caller's own id of this attempt, for logs; empty for none.
       resumes: Caller's id of its attempt that began the stream which this
         request resumes, empty for none.
+      stream_attempt: Caller's id of the attempt that begins the stream, or has
+        begun it; empty if it named none.
       customer: Calling customer; set by `identify`.
       key_hash: Digest of the API key, which must still be valid at each
         attempt; empty for none; set by `identify`.
@@ -182,6 +184,7 @@
     snapshot: model.Snapshot
     caller_id: str = ""
     resumes: str = ""
+    stream_attempt: str = ""
     customer: model.Customer | None = None
     key_hash: str = ""
     fingerprint: str = ""
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -7,6 +7,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import retry_budget
+from cowsliprill.decisions import stream_origins
 from cowsliprill.entry import attempts
 from cowsliprill.entry import authorization
 from cowsliprill.entry import context
@@ -24,6 +25,17 @@
 # Callers leave a stream that pauses for longer.
 _RESUME_TIMEOUT_S = 2.0
 
+# A stream can be resumed for this multiple of its service's timeout: callers
+# resume it within their own timeout, which isn't longer than the service's.
+_STREAM_AGE_FACTOR = 2.0
+
+_BEGIN_ANEW_CODES = frozenset(
+    {
+        messages.RefusalCode.VERSION_UNAVAILABLE,
+        messages.RefusalCode.ORIGIN_UNKNOWN,
+    }
+)
+
 _MESSAGE_BY_REFUSAL_CODE = {
     messages.RefusalCode.OVERLOADED: "There is no room for it now.",
     messages.RefusalCode.TARGET_UNREACHABLE: ("It can't be in time now."),
@@ -37,6 +49,9 @@
         "No engine of the software version that began the stream serves it; "
         "begin it anew."
     ),
+    messages.RefusalCode.ORIGIN_UNKNOWN: (
+        "The software version that began the stream isn't known; begin it anew."
+    ),
 }
 
 
@@ -119,6 +134,7 @@
             # API key was valid, so the key isn't checked after the first token.
             self.authorization.check(ctx)
         ctx.start = start
+        self._check_version(ctx)
         ctx.progress.attempts += 1
         self.log.event(
             "placed",
@@ -152,6 +168,23 @@
         self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
         return True
 
+    def _check_version(self, ctx: context.Context) -> None:
+        """Takes over the version of a resumed stream from the coordinator.
+
+        Raises:
+          errors.EntryError: The coordinator runs an older release, which
+            places the request anywhere.
+        """
+        progress = ctx.progress
+        if not progress.last_event_id or progress.software_version is not None:
+            return
+        progress.software_version = ctx.start.version
+        if progress.software_version is None:
+            code = messages.RefusalCode.ORIGIN_UNKNOWN
+            raise errors.EntryError(
+                code, _MESSAGE_BY_REFUSAL_CODE[code], run=progress.run
+            )
+
     def _refusal_error(
         self, ctx: context.Context, refusal: messages.Refuse
     ) -> errors.EntryError:
@@ -173,7 +206,12 @@
             refusal.code,
             _MESSAGE_BY_REFUSAL_CODE[refusal.code],
             run=ctx.progress.run,
-            retry_after_s=refusal.retry_after_s,
+            # A stream that is begun anew needn't wait.
+            retry_after_s=(
+                0.0
+                if refusal.code in _BEGIN_ANEW_CODES
+                else refusal.retry_after_s
+            ),
         )
 
     async def _examine_path(
@@ -266,6 +304,11 @@
         deadline=ctx.deadline,
         expected_tokens=generation.expected_tokens,
         useful_until=ctx.useful_until,
-        resumes=ctx.progress.software_version is not None,
+        resumes=bool(ctx.progress.last_event_id),
         version=ctx.progress.software_version,
+        origin=stream_origins.key_of(ctx.customer.id, ctx.stream_attempt),
+        stream_age_max_s=max(
+            ctx.service.timeout_s * _STREAM_AGE_FACTOR,
+            stream_origins.STREAM_AGE_MIN_S,
+        ),
     )
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -127,7 +127,10 @@
         *,
         in_time: bool,
     ) -> None:
-        self.metrics.requests.inc({**labels, "outcome": ctx.progress.outcome})
+        by_outcome = {**labels, "outcome": ctx.progress.outcome}
+        self.metrics.requests.inc(by_outcome)
+        if ctx.resumes:
+            self.metrics.resumed_streams.inc(by_outcome)
         if ctx.progress.first_token_at:
             self.metrics.ttft_s.observe(labels, ttft_s)
             self.metrics.tpot_s.observe(labels, tpot_s)
--- a/src/cowsliprill/entry/placement_backend.py
+++ b/src/cowsliprill/entry/placement_backend.py
@@ -18,6 +18,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import scheduler as scheduler_lib
+from cowsliprill.decisions import stream_origins
 from cowsliprill.entry import canceller as canceller_lib
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import coordinator_client
@@ -185,6 +186,7 @@
     Args:
       dependencies: Dependencies.
       post: Sends a request to a coordinator.
+      origins: Software versions that have begun streams.
 
     Attributes:
       scheduling: Sends requests and events to coordinators.
@@ -197,6 +199,7 @@
         self,
         dependencies: Dependencies,
         post: scheduling_client.SendToCoordinator,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self.permissions = DecisionAgeCheck()
         self.scheduling = scheduling_client.PoolSchedulingClient(
@@ -204,6 +207,7 @@
             post,
             dependencies.cluster_state,
             dependencies.log,
+            origins,
         )
 
     def cluster_state_changed(self, snapshot: model.Snapshot) -> None:
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -47,6 +47,8 @@
         `service` and `outcome`; `requests` doesn't include them.
       path_lost: 1 while this process can't open connections to endpoints, by
         `pool` (all: of any pool).
+      resumed_streams: Requests of callers that resume a stream, by `service`
+        and `outcome`; `requests` includes them.
       engines: Listed engines by `pool`, `version` of their software and `state`
         (ready, leaving).
       pool_slots: Decode slots of the pools that this VM coordinates, by `pool`
@@ -161,6 +163,11 @@
         self.log_lines_dropped = self._gauge(
             "log_lines_dropped", "Log lines lost since the start."
         )
+        self.resumed_streams = aioprometheus.Counter(
+            prefix + "resumed_streams_total",
+            "Requests that resume a stream.",
+            registry=self.registry,
+        )
         self.engines = self._gauge(
             "engines", "Listed engines by software version."
         )
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -42,6 +42,9 @@
   `POST /v1/quotas` `quotas.wire.UsageReport` ->
   `quotas.wire.UsageResponse`: customers' usage at a VM, for the VM that manages
   their quotas, and the admissible usage.
+  `POST /v1/stream_origins` `pool_scheduling.origin_wire.OriginMessage` ->
+  `pool_scheduling.origin_wire.OriginAnswer`: software versions that have begun
+  streams, for the VMs that may be a pool's coordinator next.
 Entry and router processes:
   `POST /v1/crashes` `quarantine.wire.CrashExchange` -> the same: ends of
   engines and the requests that may have caused them.
@@ -67,6 +70,7 @@
 RELAY_PATH = "/v1/relay"
 RELAY_STREAM_PATH = "/v1/relay_stream"
 CELLS_PATH = "/v1/cells"
+STREAM_ORIGINS_PATH = "/v1/stream_origins"
 QUOTAS_PATH = "/v1/quotas"
 REGISTRY_PATH = "/v1/registry"
 CRASHES_PATH = "/v1/crashes"
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -38,6 +38,7 @@
         last_event = ctx.call.headers.get(headers_lib.LAST_EVENT_ID, "")
         ctx.progress.last_event_id = last_event
         ctx.resumes = ctx.call.headers.get(headers_lib.RESUMES, "")
+        ctx.stream_attempt = ctx.resumes if last_event else ctx.caller_id
     await proceed(ctx)
 
 
--- a/src/cowsliprill/pool_scheduling/client.py
+++ b/src/cowsliprill/pool_scheduling/client.py
@@ -18,6 +18,8 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool_scheduler as pool_scheduler_lib
+from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import version_history
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.observability import log as log_lib
 from cowsliprill.pool_scheduling import wire
@@ -33,6 +35,9 @@
 
 _CALL_DELAY_S = 0.02
 
+# Limits the first message to a new coordinator to about 200 KB.
+_MAX_ORIGINS = 5_000
+
 SendToCoordinator = Callable[
     [model.Vm, wire.SchedulingRequest, float],
     Awaitable[wire.SchedulingResponse],
@@ -65,6 +70,7 @@
       post: Sends a message to a coordinator.
       cluster_state: Supplies the VM list.
       log: The process's log.
+      origins: Software versions that have begun streams.
     """
 
     def __init__(
@@ -74,7 +80,10 @@
         post: SendToCoordinator,
         cluster_state: cluster_state_lib.ClusterState,
         log: log_lib.Log,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
+        self._origins = origins
+        self._unsent_origins: tuple[stream_origins.Origin, ...] = ()
         self._pool = pool
         self._entry = entry
         self._post = post
@@ -117,6 +126,7 @@
                 tracked.stage = messages.Stage.TRANSFER
             case messages.FirstToken():
                 tracked.stage = messages.Stage.DECODE
+                self._record_origin(tracked)
             case messages.AttemptFailed():
                 if event.version is not None:
                     # Another coordinator may get the request from here on.
@@ -126,10 +136,32 @@
                 tracked.start = None
                 tracked.stage = messages.Stage.QUEUED
                 self._has_queued.set()
-            case messages.Finished() | messages.Cancel():
+            case messages.Finished():
+                del self.tracked_by_id[request_id]
+                self._origins.complete(
+                    tracked.submit.origin, self._pool, clock.now()
+                )
+            case messages.Cancel():
                 del self.tracked_by_id[request_id]
         self._add(wire.event_to_wire(event))
 
+    def _record_origin(self, tracked: _TrackedRequest) -> None:
+        if tracked.start is None:
+            return
+        endpoints_by_id = self._cluster_state.snapshot.endpoints_by_id
+        decode = endpoints_by_id.get(tracked.start.decode_id)
+        if decode is None:
+            return
+        origin = stream_origins.Origin(
+            key=tracked.submit.origin,
+            pool=self._pool,
+            version=decode.software_version,
+            begun=True,
+            attempt=tracked.start.attempt,
+        )
+        age_max_s = tracked.submit.stream_age_max_s
+        self._origins.record(origin, age_max_s, clock.now())
+
     def cluster_state_changed(self) -> None:
         """Switches to another coordinator if the VM list requires it."""
         self._update_coordinator()
@@ -174,6 +206,7 @@
         self._outbox = message_channel.Outbox()
         self._inbox = message_channel.Inbox()
         now = clock.now()
+        self._unsent_origins = self._known_origins(now)
         for tracked in self.tracked_by_id.values():
             request = wire.request_to_wire(tracked.submit, now)
             start = tracked.start
@@ -192,6 +225,14 @@
                 )
             )
 
+    def _known_origins(self, now: float) -> tuple[stream_origins.Origin, ...]:
+        """Returns origins of streams that a new coordinator may not know."""
+        span_s = stream_origins.STREAM_AGE_MIN_S
+        history = self._origins.history
+        if history.only_version(self._pool, span_s, now) is not None:
+            return ()
+        return tuple(self._origins.of_pool(self._pool, now)[-_MAX_ORIGINS:])
+
     def _any_queued(self) -> bool:
         return any(
             tracked.start is None for tracked in self.tracked_by_id.values()
@@ -254,6 +295,7 @@
             acknowledged=self._inbox.last,
             wait_s=wait_s,
             avoids=self._choice.suspended_ids(clock.now()),
+            origins=self._unsent_origins,
         )
         try:
             response = await self._post(
@@ -265,6 +307,7 @@
         self._choice.answered()
         if epoch != self._epoch:
             return True
+        self._unsent_origins = ()
         if response.home is not None:
             redirect = wire.coordinator_from_wire(response.home)
             if self._choice.follow(coordinator, redirect, clock.now()):
@@ -296,6 +339,10 @@
             match decision:
                 case messages.Start():
                     start = dataclasses.replace(decision, decided_at=now)
+                    if tracked.submit.version is None:
+                        tracked.submit = dataclasses.replace(
+                            tracked.submit, version=start.version
+                        )
                     tracked.start = start
                     tracked.stage = messages.Stage.PREFILL
                     tracked.decisions.put_nowait(start)
@@ -326,6 +373,7 @@
       post: Sends a message to a coordinator.
       cluster_state: Supplies the settings snapshot and the VM list.
       log: The process's log.
+      origins: Software versions that have begun streams.
     """
 
     def __init__(
@@ -334,7 +382,11 @@
         post: SendToCoordinator,
         cluster_state: cluster_state_lib.ClusterState,
         log: log_lib.Log,
+        origins: stream_origins.StreamOrigins | None = None,
     ) -> None:
+        self._origins = origins or stream_origins.StreamOrigins(
+            version_history.VersionHistory()
+        )
         self._entry = entry
         self._post = post
         self._cluster_state = cluster_state
@@ -355,11 +407,23 @@
         """
         pool = submit.service.pool
         pool_channel = self._channel(pool)
+        if submit.resumes and submit.version is None:
+            submit = self._with_version(submit)
         decisions: asyncio.Queue[pool_scheduler_lib.Decision] = asyncio.Queue()
         self._pools_by_id[submit.request_id] = pool
         pool_channel.submit(_TrackedRequest(submit, decisions))
         return decisions
 
+    def _with_version(self, submit: messages.Submit) -> messages.Submit:
+        """Sets the version that began a stream, if this process knows it."""
+        version = self._origins.version_of(
+            submit.origin,
+            submit.service.pool,
+            submit.stream_age_max_s,
+            clock.now(),
+        )
+        return dataclasses.replace(submit, version=version)
+
     def post(self, event: messages.Event) -> None:
         """Sends an event of a request to the coordinator of its pool.
 
@@ -416,6 +480,7 @@
                 self._post,
                 self._cluster_state,
                 self._log,
+                self._origins,
             )
             self._channels_by_pool[pool] = pool_channel
         return pool_channel
--- /dev/null
+++ b/src/cowsliprill/pool_scheduling/origin_exchange.py
@@ -0,0 +1,253 @@
+"""Copies the origins of streams to the VMs that may be coordinator next.
+
+A coordinator places all streams of its pool, so it knows the software version
+of each before its first event. Without copies, this knowledge would be lost
+with the coordinator, possibly together with the VMs that relay the streams.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from cowsliprill import clock
+from cowsliprill import codec
+from cowsliprill import errors
+from cowsliprill import peers
+from cowsliprill.decisions import model
+from cowsliprill.decisions import stream_origins
+from cowsliprill.entry import coordinator_client
+from cowsliprill.observability import log as log_lib
+from cowsliprill.pool_scheduling import origin_wire
+
+# VMs that get copies: those ranked next for the pool.
+_STANDBYS = 4
+
+# Streams that begin within this time are copied together. It is shorter than
+# the time from the placement of a stream to its first event.
+_PUSH_DELAY_S = 0.05
+
+_CALL_TIMEOUT_S = 0.5
+
+# Limits a message to about 200 KB; the newest streams are sent.
+_MAX_SENT = 5_000
+
+# A process that has just started asks its peers as soon as it knows them.
+_ASK_INTERVAL_S = 0.1
+_ASK_FOR_S = 5.0
+
+
+class OriginExchange:
+    """Implements `stream_origins.Origins` for the pools hosted by a process.
+
+    While a pool's engines have one software version only, and had before,
+    nothing is sent.
+
+    Args:
+      vm_id: Id of this VM.
+      origins: The origins known to this process.
+      client: Sends messages to other VMs.
+      log: Log of the process.
+    """
+
+    def __init__(
+        self,
+        vm_id: str,
+        origins: stream_origins.StreamOrigins,
+        client: coordinator_client.CoordinatorClient,
+        log: log_lib.Log,
+    ) -> None:
+        self._vm_id = vm_id
+        self._origins = origins
+        self._client = client
+        self._log = log
+        self.ranked_vms: Callable[[str], list[model.Vm]] = lambda _: []
+        self.pools: Callable[[], list[str]] = lambda: []
+        self._begun_by_pool: dict[str, dict[str, stream_origins.Origin]] = {}
+        self._completed_by_pool: dict[str, set[str]] = {}
+        self._standby_ids_by_pool: dict[str, tuple[str, ...]] = {}
+        self._answered: set[tuple[str, str]] = set()
+        self._push_timer: asyncio.TimerHandle | None = None
+        self._calls: set[asyncio.Task[object]] = set()
+
+    # Interface for schedulers.
+
+    def record(
+        self, origin: stream_origins.Origin, age_max_s: float, now: float
+    ) -> None:
+        """Records the version of the engine that a stream begins at."""
+        if not origin.key:
+            return
+        self._origins.record(origin, age_max_s, now)
+        if not self._needs_copies(origin.pool, now):
+            return
+        begun = self._begun_by_pool.setdefault(origin.pool, {})
+        begun[origin.key] = origin
+        self._schedule_push()
+
+    def complete(self, key: str, pool: str, now: float) -> None:
+        """Records that a stream is complete."""
+        self._origins.complete(key, pool, now)
+        if key and pool in self._standby_ids_by_pool:
+            self._completed_by_pool.setdefault(pool, set()).add(key)
+            self._schedule_push()
+
+    def merge(
+        self, pool: str, begun: tuple[stream_origins.Origin, ...]
+    ) -> None:
+        """Adds origins that an entry process knows.
+
+        Args:
+          pool: Name of the pool.
+          begun: The origins.
+        """
+        self._origins.merge(begun, clock.now())
+        # All standbys get the whole table with the next stream that begins.
+        self._standby_ids_by_pool.pop(pool, None)
+
+    def version_of(
+        self, key: str, pool: str, age_max_s: float, now: float
+    ) -> str | None:
+        """Returns the version that began a stream, None if unknown."""
+        return self._origins.version_of(key, pool, age_max_s, now)
+
+    # Exchange with peers.
+
+    async def run(self) -> None:
+        """Asks the peers of a process that has just started."""
+        until = clock.now() + _ASK_FOR_S
+        while clock.now() < until:
+            for pool in self.pools():
+                self.ask(pool)
+            await asyncio.sleep(_ASK_INTERVAL_S)
+        await asyncio.Event().wait()
+
+    def ask(self, pool: str, *, again: bool = False) -> None:
+        """Asks the VMs ranked first for a pool for what they know of it.
+
+        Args:
+          pool: Name of the pool.
+          again: Whether to ask VMs that have answered before.
+        """
+        for vm in self._others(pool)[: _STANDBYS + 1]:
+            if again or (pool, vm.id) not in self._answered:
+                self._answered.add((pool, vm.id))
+                self._start(self._ask(vm, pool))
+
+    def handle(
+        self, message: origin_wire.OriginMessage
+    ) -> origin_wire.OriginAnswer:
+        """Merges the origins of a peer and returns those that it asks for."""
+        now = clock.now()
+        pool = message.pool
+        self._origins.merge(message.begun, now)
+        for key in message.completed:
+            self._origins.complete(key, pool, now)
+        if not message.asks:
+            return origin_wire.OriginAnswer()
+        version, age_s = self._origins.only_version_age_s(pool, now)
+        return origin_wire.OriginAnswer(
+            begun=self._known(pool, now),
+            only_version=version,
+            only_version_s=age_s if math.isfinite(age_s) else 0.0,
+            always=math.isinf(age_s),
+        )
+
+    def _others(self, pool: str) -> list[model.Vm]:
+        return [vm for vm in self.ranked_vms(pool) if vm.id != self._vm_id]
+
+    def _needs_copies(self, pool: str, now: float) -> bool:
+        span_s = stream_origins.STREAM_AGE_MIN_S
+        if self._origins.history.only_version(pool, span_s, now) is None:
+            return True
+        self._standby_ids_by_pool.pop(pool, None)
+        return False
+
+    def _known(
+        self, pool: str, now: float
+    ) -> tuple[stream_origins.Origin, ...]:
+        return tuple(self._origins.of_pool(pool, now)[-_MAX_SENT:])
+
+    def _schedule_push(self) -> None:
+        if self._push_timer is None:
+            loop = asyncio.get_running_loop()
+            self._push_timer = loop.call_later(_PUSH_DELAY_S, self._push)
+
+    def _push(self) -> None:
+        self._push_timer = None
+        begun_by_pool, self._begun_by_pool = self._begun_by_pool, {}
+        completed_by_pool, self._completed_by_pool = (
+            self._completed_by_pool,
+            {},
+        )
+        for pool in begun_by_pool.keys() | completed_by_pool.keys():
+            self._push_pool(
+                pool,
+                tuple(begun_by_pool.get(pool, {}).values()),
+                tuple(completed_by_pool.get(pool, ())),
+            )
+
+    def _push_pool(
+        self,
+        pool: str,
+        begun: tuple[stream_origins.Origin, ...],
+        completed: tuple[str, ...],
+    ) -> None:
+        standbys = self._others(pool)[:_STANDBYS]
+        known_ids = self._standby_ids_by_pool.get(pool, ())
+        self._standby_ids_by_pool[pool] = tuple(vm.id for vm in standbys)
+        for vm in standbys:
+            message = origin_wire.OriginMessage(
+                pool=pool,
+                begun=(
+                    begun
+                    if vm.id in known_ids
+                    else self._known(pool, clock.now())
+                ),
+                completed=completed,
+            )
+            self._start(self._send(vm, message))
+
+    async def _ask(self, vm: model.Vm, pool: str) -> None:
+        message = origin_wire.OriginMessage(pool=pool, asks=True)
+        answer = await self._send(vm, message)
+        if answer is None:
+            self._answered.discard((pool, vm.id))
+            return
+        now = clock.now()
+        self._origins.merge(answer.begun, now)
+        if answer.only_version is not None:
+            self._origins.history.extend(
+                pool,
+                answer.only_version,
+                math.inf if answer.always else answer.only_version_s,
+                now,
+            )
+
+    async def _send(
+        self, vm: model.Vm, message: origin_wire.OriginMessage
+    ) -> origin_wire.OriginAnswer | None:
+        try:
+            text = await self._client.post(
+                vm, peers.STREAM_ORIGINS_PATH, message, _CALL_TIMEOUT_S
+            )
+            return codec.decode(origin_wire.OriginAnswer, text)
+        except errors.CowsliprillError as error:
+            self._log.event(
+                "origin_exchange_failed",
+                pool=message.pool,
+                vm=vm.id,
+                reason=error.message,
+            )
+            # It may have missed streams: it gets all of them next time.
+            known_ids = self._standby_ids_by_pool.get(message.pool, ())
+            self._standby_ids_by_pool[message.pool] = tuple(
+                vm_id for vm_id in known_ids if vm_id != vm.id
+            )
+            return None
+
+    def _start(self, call: Coroutine[Any, Any, object]) -> None:
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -13,6 +13,7 @@
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import rendezvous
 from cowsliprill.observability import log as log_lib
+from cowsliprill.pool_scheduling import origin_exchange
 from cowsliprill.pool_scheduling import wire
 
 # Upper limit of a long poll. An entry process whose connection was lost without
@@ -51,6 +52,8 @@
       availability_zone: Availability zone of this process.
       rng: Source of random numbers.
       log: The process's log.
+      origins: Shares with other VMs which software version began a stream;
+        None where engines have no versions.
     """
 
     def __init__(
@@ -59,7 +62,12 @@
         availability_zone: str,
         rng: random.Random,
         log: log_lib.Log,
+        origins: origin_exchange.OriginExchange | None = None,
     ) -> None:
+        self._origins = origins
+        if origins is not None:
+            origins.ranked_vms = self._ranked
+            origins.pools = self._engine_pools
         self._vm_id = vm_id
         self._availability_zone = availability_zone
         self._random = rng
@@ -111,6 +119,8 @@
             )
         hosted = self._hosted(request.pool)
         now = clock.now()
+        if self._origins is not None and request.origins:
+            self._origins.merge(request.pool, request.origins)
         is_current = hosted.scheduler.has_session(request.entry, request.epoch)
         starts_channel = request.first == 1
         superseded = hosted.scheduler.is_superseded(
@@ -189,6 +199,15 @@
         ranked = self._ranked(pool)
         return bool(ranked) and ranked[0].id == self._vm_id
 
+    def _engine_pools(self) -> list[str]:
+        return sorted(
+            {
+                endpoint.pool
+                for endpoint in self._snapshot.endpoints_by_id.values()
+                if endpoint.kind is not model.EndpointKind.PLAIN
+            }
+        )
+
     def _ranked(self, pool: str) -> list[model.Vm]:
         return self._ranking.ranked_vms(pool, self._fleet.vms_by_id)
 
@@ -196,10 +215,14 @@
         hosted = self._hosted_by_pool.get(pool)
         if hosted is None:
             seed = self._random.getrandbits(_SEED_BITS)
+            now = clock.now()
             hosted = _HostedPool(
-                pool_scheduler_lib.PoolScheduler(self._availability_zone, seed)
+                pool_scheduler_lib.PoolScheduler(
+                    self._availability_zone, seed, self._origins, now
+                )
             )
-            now = clock.now()
+            if self._origins is not None:
+                self._origins.ask(pool, again=True)
             hosted.scheduler.update(self._snapshot, self._fleet, now)
             hosted.scheduler.set_rate_limits(self._rate_limits, now)
             hosted.scheduler.set_is_coordinator(self._is_coordinator(pool), now)
--- a/src/cowsliprill/pool_scheduling/wire.py
+++ b/src/cowsliprill/pool_scheduling/wire.py
@@ -8,6 +8,7 @@
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import stream_origins
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +44,8 @@
       customer: Id of the calling customer, empty for none.
       resumes: Whether the caller has events of the stream.
       version: Software version that began the stream, None if unknown.
+      origin: Key of the caller's attempt that begins or has begun the stream.
+      stream_age_max_s: Time in seconds for which the stream can be resumed.
     """
 
     number: int
@@ -65,6 +68,8 @@
     customer: str = ""
     resumes: bool = False
     version: str | None = None
+    origin: str = ""
+    stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -145,6 +150,8 @@
         decision (long poll).
       avoids: Ids of VMs that the entry process currently can't reach; it is not
         redirected to any of them.
+      origins: Streams of the pool that the entry process knows of; sent to a
+        new coordinator.
     """
 
     entry: str
@@ -155,6 +162,7 @@
     acknowledged: int = 0
     wait_s: float = 0.0
     avoids: tuple[str, ...] = ()
+    origins: tuple[stream_origins.Origin, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -254,6 +262,8 @@
         customer=submit.customer,
         resumes=submit.resumes,
         version=submit.version,
+        origin=submit.origin,
+        stream_age_max_s=submit.stream_age_max_s,
     )
 
 
@@ -301,6 +311,8 @@
         useful_until=now + request.useful_in_s if request.useful_in_s else 0.0,
         resumes=request.resumes,
         version=request.version,
+        origin=request.origin,
+        stream_age_max_s=request.stream_age_max_s,
     )
 
 
--- a/src/cowsliprill/router/config.py
+++ b/src/cowsliprill/router/config.py
@@ -59,6 +59,8 @@
       quota_slack: Tokens by which quotas may be exceeded in addition, None if
         not configured.
       grace_s: Seconds between the stop signal and the end of the process.
+      first_start: Whether the whole system starts for the first time, so that
+        no stream is older than this process.
       peer_secret: Secret shared by the processes; if empty, messages are not
         authenticated.
       mechanisms_off: Mechanisms of the decision code that are disabled for an
@@ -90,6 +92,7 @@
     quota_slack: float | None = None
     key_revocation_ms: float | None = None
     grace_s: float = 8.0
+    first_start: bool = False
     peer_secret: str = ""
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
     quarantine_crashes: environment.CrashLimit = 3
@@ -114,6 +117,11 @@
             tokens=(self.quota_slack or 0.0) * _TOLERANCE_FRACTION,
         )
 
+    def knows_all_streams(self) -> bool:
+        """Returns whether no stream can have begun unknown to this process."""
+        versions_off = mechanisms.Mechanism.STREAM_VERSIONS
+        return self.first_start or versions_off in self.mechanisms_off
+
     def environment(self) -> environment.Environment:
         """Returns the equivalent environment of an entry process."""
         return environment.Environment(
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from typing import Any
 
+from cowsliprill import clock
 from cowsliprill import errors
 from cowsliprill import peer_auth
 from cowsliprill import peer_handler
@@ -16,6 +17,8 @@
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
+from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import version_history
 from cowsliprill.engines import http_client
 from cowsliprill.entry import coordinator_client
 from cowsliprill.entry import core as entry_core
@@ -30,6 +33,8 @@
 from cowsliprill.platform import store as store_lib
 from cowsliprill.pool_scheduling import caller as coordinator_caller
 from cowsliprill.pool_scheduling import client as scheduling_client
+from cowsliprill.pool_scheduling import origin_exchange
+from cowsliprill.pool_scheduling import origin_wire
 from cowsliprill.pool_scheduling import server as server_lib
 from cowsliprill.pool_scheduling import wire as scheduling_wire
 from cowsliprill.quotas import usage_handler as usage_handler_lib
@@ -95,8 +100,24 @@
             self._members, self._source.newest, log
         )
         self._scheduling: scheduling_client.PoolSchedulingClient
+        self._origins = stream_origins.StreamOrigins(
+            version_history.VersionHistory(complete=config.knows_all_streams()),
+            self._is_endpoint_list_current,
+        )
+        self._origin_exchange = origin_exchange.OriginExchange(
+            config.vm,
+            self._origins,
+            coordinator_client.CoordinatorClient(
+                http_client.HttpClient(), peer_auth.PeerAuth(config.peer_secret)
+            ),
+            log,
+        )
         self._pool_schedulers = server_lib.PoolSchedulerServer(
-            config.vm, config.availability_zone, rng, log
+            config.vm,
+            config.availability_zone,
+            rng,
+            log,
+            self._origin_exchange,
         )
         self._usage_handler = usage_handler_lib.UsageReportHandler(
             config.quota_tolerance(), self._members.reachable_fraction
@@ -171,6 +192,7 @@
         coroutines = [
             self._agent.run(),
             self._pool_schedulers.run(),
+            self._origin_exchange.run(),
             self._gauges.run(),
             self._quotas.run(),
             self._watch_config_file(),
@@ -264,7 +286,17 @@
             "views_by_prefix": self._source.views_by_prefix,
             "trouble_left_s": self._source.removal_grace_left_s,
         }
+        origin_args = {
+            "auth": auth,
+            "kind": origin_wire.OriginMessage,
+            "respond": self._origin_exchange.handle,
+        }
         return [
+            (
+                peers.STREAM_ORIGINS_PATH,
+                peer_handler.MessageHandler,
+                origin_args,
+            ),
             (peers.CELLS_PATH, peer_handler.MessageHandler, scheduling_args),
             (peers.QUOTAS_PATH, peer_handler.MessageHandler, quota_args),
             (
@@ -280,7 +312,15 @@
             store_unreachable=self._source.is_store_unreachable()
         )
 
+    def _is_endpoint_list_current(self) -> bool:
+        """Returns whether another VM can't know of engines unknown here."""
+        in_contact = self._members.has_recent_contact(clock.now())
+        return in_contact or not self._source.is_store_unreachable()
+
     def _on_cluster_state_changed(self) -> None:
+        self._origins.history.update(
+            self._source.snapshot.endpoints_by_id.values(), clock.now()
+        )
         self._pool_schedulers.update(self._source.snapshot, self._source.fleet)
         self._quotas.update(self._source.snapshot, self._source.fleet)
         if self._source.is_ready():
@@ -294,7 +334,7 @@
             self._config.vm, self._pool_schedulers, dependencies.homes
         )
         placement = placement_backend.CoordinatorPlacement(
-            dependencies, caller.post
+            dependencies, caller.post, self._origins
         )
         self._scheduling = placement.scheduling
         return placement
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -510,7 +510,7 @@
             self.add_router()
         await until(lambda: all(self.ready(n) for n in range(routers)))
 
-    def add_router(self, store: str = "") -> int:
+    def add_router(self, store: str = "", **node_fields: Any) -> int:
         number = len(self.routers)
         host = f"127.0.0.{number + 1}"
         node = config_lib.RouterConfig(
@@ -523,7 +523,7 @@
             store=store or self.store.address,
             drain_notice_s=self.drain_notice_s,
             grace_s=4.0,
-            **self.node_fields,
+            **{"first_start": True, **self.node_fields, **node_fields},
         )
         stream = io.StringIO()
         log = log_lib.open_log(f"router.{number}.{id(self)}", stream)
@@ -557,6 +557,11 @@
         alive = status["alive"]
         return engines >= len(self.engines) and alive == len(self.routers)
 
+    def is_serving(self, number: int) -> bool:
+        """Returns whether a router has settings, endpoints and peers."""
+        router = self.routers[number]
+        return router._source.is_ready() and router.status()["alive"] > 1
+
     async def until_routers_are_live(self) -> None:
         """Waits until each router takes each other for one that serves."""
         await until(
--- /dev/null
+++ b/tests/test_stream_origins.py
@@ -0,0 +1,137 @@
+"""Tests of the records of which software version began a stream."""
+
+import dataclasses
+
+from cowsliprill.decisions import model
+from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import version_history
+
+_AGE_S = 60.0
+_KEY = stream_origins.key_of("firm-1", "a1")
+
+
+def _origins(
+    *versions: str, is_current: bool = True
+) -> stream_origins.StreamOrigins:
+    history = version_history.VersionHistory(complete=True)
+    engines = [
+        model.Endpoint(
+            id=f"d{number}",
+            kind=model.EndpointKind.DECODE,
+            host="h",
+            port=1,
+            availability_zone="a",
+            pool="llm",
+            slots=1,
+            software_version=version,
+        )
+        for number, version in enumerate(versions)
+    ]
+    history.update(engines, 0.0)
+    return stream_origins.StreamOrigins(history, lambda: is_current)
+
+
+def _origin(key: str = _KEY, pool: str = "llm") -> stream_origins.Origin:
+    return stream_origins.Origin(key=key, pool=pool, version="v1")
+
+
+class TestKey:
+    """Keys of callers' attempts."""
+
+    def test_differs_by_customer(self):
+        """Guards against a customer that resumes another one's stream."""
+        assert stream_origins.key_of("firm-2", "a1") != _KEY
+        assert stream_origins.key_of("a", "bc") != stream_origins.key_of(
+            "ab", "c"
+        )
+
+    def test_empty_without_an_attempt(self):
+        assert stream_origins.key_of("firm-1", "") == ""
+
+
+class TestVersionOf:
+    """The version that may continue a stream."""
+
+    def test_recorded(self):
+        origins = _origins("v1", "v2")
+        origins.record(_origin(), _AGE_S, 0.0)
+        assert origins.version_of(_KEY, "llm", _AGE_S, 1.0) == "v1"
+
+    def test_unknown_while_several_versions_serve(self):
+        """Guards against a guess where nothing is recorded."""
+        origins = _origins("v1", "v2")
+        for key in ("", _KEY):
+            assert origins.version_of(key, "llm", _AGE_S, 1.0) is None
+
+    def test_only_version_without_a_record(self):
+        """Guards against refusals where only one version has served."""
+        origins = _origins("v1")
+        for key in ("", _KEY):
+            assert origins.version_of(key, "llm", _AGE_S, 1.0) == "v1"
+
+    def test_list_that_may_be_outdated_proves_nothing(self):
+        """Guards against a VM without contact that knows one version only."""
+        origins = _origins("v1", is_current=False)
+        assert origins.version_of(_KEY, "llm", _AGE_S, 1.0) is None
+        assert origins.only_version_age_s("llm", 1.0) == (None, 0.0)
+
+    def test_stream_of_another_pool(self):
+        """Guards against a route that leads to another pool meanwhile."""
+        origins = _origins("v1")
+        origins.record(_origin(pool="other"), _AGE_S, 0.0)
+        assert origins.version_of(_KEY, "llm", _AGE_S, 1.0) is None
+
+    def test_record_expires(self):
+        origins = _origins("v1", "v2")
+        origins.record(_origin(), _AGE_S, 0.0)
+        assert origins.version_of(_KEY, "llm", _AGE_S, _AGE_S) is None
+
+    def test_complete_stream_can_be_resumed_for_a_while(self):
+        """Guards against refusals when the last events were lost on the way."""
+        origins = _origins("v1", "v2")
+        origins.record(_origin(), _AGE_S, 0.0)
+        origins.complete(_KEY, "llm", 1.0)
+        assert origins.version_of(_KEY, "llm", _AGE_S, 3.0) == "v1"
+        assert origins.version_of(_KEY, "llm", _AGE_S, 10.0) is None
+
+    def test_full_table_forgets_the_oldest(self):
+        """Guards against memory that grows, and against a guess afterwards."""
+        origins = _origins("v1", "v2")
+        origins.record(_origin(), _AGE_S, 0.0)
+        for number in range(stream_origins._MAX_RECORDS):
+            origins.record(_origin(f"k{number}"), _AGE_S, 1.0)
+        assert len(origins.of_pool("llm", 2.0)) == stream_origins._MAX_RECORDS
+        assert origins.version_of(_KEY, "llm", _AGE_S, 2.0) is None
+
+
+class TestMerge:
+    """Records of other VMs."""
+
+    def test_own_record_is_kept(self):
+        origins = _origins("v1", "v2")
+        origins.record(_origin(), _AGE_S, 0.0)
+        other = stream_origins.Origin(key=_KEY, pool="llm", version="v2")
+        origins.merge([other], 1.0)
+        assert origins.version_of(_KEY, "llm", _AGE_S, 2.0) == "v1"
+
+    def test_later_attempt_replaces_an_earlier_one(self):
+        """Guards against the version of an attempt that brought no event."""
+        origins = _origins("v1", "v2")
+        origins.record(_origin(), _AGE_S, 0.0)
+        later = stream_origins.Origin(
+            key=_KEY, pool="llm", version="v2", attempt=1
+        )
+        origins.merge([later], 1.0)
+        origins.merge([_origin()], 2.0)
+        assert origins.version_of(_KEY, "llm", _AGE_S, 3.0) == "v2"
+
+    def test_version_that_began_the_stream_replaces_any_attempt(self):
+        """Guards against an outdated copy after a caller has resumed."""
+        origins = _origins("v1", "v2")
+        attempt = stream_origins.Origin(
+            key=_KEY, pool="llm", version="v2", attempt=1
+        )
+        begun = dataclasses.replace(_origin(), begun=True)
+        origins.merge([attempt, begun], 0.0)
+        origins.merge([attempt], 1.0)
+        assert origins.version_of(_KEY, "llm", _AGE_S, 2.0) == "v1"
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -1,18 +1,23 @@
 """Tests of streams while engines of several software versions serve."""
 
 import asyncio
+import dataclasses
 
+import pytest
 from tests import platform_site
 
+from cowsliprill.decisions import mechanisms
+from cowsliprill.pool_scheduling import wire
+
 _RESUMABLE = platform_site.RESUMABLE_PATH
 _PAUSED_AFTER = 3
 _OLD = ("d0", "d1")
 _NEW = ("d2", "d3")
 
 
-def _on_site(scenario, routers: int = 1):
+def _on_site(scenario, routers: int = 1, **fields):
     async def run():
-        async with platform_site.running(routers) as site:
+        async with platform_site.running(routers, **fields) as site:
             return await scenario(site)
 
     return asyncio.run(run())
@@ -51,6 +56,16 @@
     ]
 
 
+def _versions(site, *attempts):
+    """Returns the software version that ran each attempt."""
+    versions_by_attempt = {
+        attempt: engine.version
+        for engine in site.engines.values()
+        for attempt in engine.runs
+    }
+    return [versions_by_attempt.get(attempt) for attempt in attempts]
+
+
 class TestWithinOneAnswer:
     """An engine ends while it streams, and another one goes on."""
 
@@ -102,3 +117,150 @@
         status, body, versions = _on_site(scenario, routers=2)
         assert (status, versions) == (200, ["v1"])
         assert body == platform_site.stream(_PAUSED_AFTER + 1)
+
+    def test_restarted_vm_resumes_at_the_version_that_began_the_stream(self):
+        """Guards against a VM that forgets the versions when it restarts.
+
+        The first VM coordinates the pool or not; it stops after the stream
+        began, and one that has just started gets the next attempt.
+        """
+
+        async def scenario(site):
+            await site.until_routers_are_live()
+            await _add_new_version(site)
+            for name in (*_OLD, *_NEW):
+                site.engines[name].faults.pause_after_events = _PAUSED_AFTER
+            statuses, versions = [], []
+            for number in range(3):
+                response = await site.open(_RESUMABLE, attempt=f"a{number}")
+                await platform_site.read_until(
+                    response, platform_site.stream(_PAUSED_AFTER, _PAUSED_AFTER)
+                )
+                response.close()
+            site.routers[0].stop()
+            await asyncio.wait_for(site.tasks[0], 10)
+            started = site.add_router(first_start=False)
+            await platform_site.until(lambda: site.is_serving(started))
+            for number in range(3):
+                status, _, _ = await site.call(
+                    _RESUMABLE,
+                    attempt=f"b{number}",
+                    headers={
+                        "Last-Event-Id": str(_PAUSED_AFTER),
+                        "Resumes": f"a{number}",
+                    },
+                    router=started,
+                )
+                statuses.append(status)
+                versions.append(_versions(site, f"a{number}", f"b{number}"))
+            return statuses, versions
+
+        statuses, versions = _on_site(scenario, routers=3)
+        assert statuses == [200] * 3
+        for began, resumed in versions:
+            assert began == resumed
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {},
+            {"Resumes": "unknown"},
+            {"Resumes": "a5"},
+            {"Resumes": "a1, a2"},
+            {"Resumes": "\t" * 200},
+        ],
+    )
+    def test_stream_of_unknown_origin_is_refused_at_once(self, headers):
+        """Guards against a guess while several versions serve."""
+
+        async def scenario(site):
+            responses = await _open_paused(site, ["a1", "a2"])
+            await _add_new_version(site)
+            answer = await site.call(
+                _RESUMABLE,
+                attempt="a5",
+                headers={"Last-Event-Id": "3", **headers},
+            )
+            for response in responses:
+                response.close()
+            return answer, _resumed_at(site, "a5"), site.logs[0].getvalue()
+
+        (status, headers, _), versions, log = _on_site(scenario)
+        assert (status, versions) == (503, [])
+        assert float(headers["Retry-After"]) == 0
+        assert "reason=stream_origin_unknown" in log
+
+    def test_stream_whose_version_is_gone_is_refused_at_once(self):
+        """Guards against callers that wait for a version that has left."""
+
+        async def scenario(site):
+            responses = await _open_paused(site, ["a1"])
+            await _add_new_version(site)
+            for name in _OLD:
+                await site.store.remove(f"servers/{name}")
+            await platform_site.until(
+                lambda: (
+                    "event=endpoint_removed key=servers/d1"
+                    in site.logs[0].getvalue()
+                )
+            )
+            for response in responses:
+                response.close()
+            status, _, _ = await site.call(
+                _RESUMABLE,
+                attempt="a5",
+                headers={"Last-Event-Id": "3", "Resumes": "a1"},
+            )
+            new, _, _ = await site.call(_RESUMABLE, attempt="a6")
+            return status, new, site.logs[0].getvalue()
+
+        status, new, log = _on_site(scenario)
+        assert (status, new) == (503, 200)
+        assert "reason=version_unavailable" in log
+
+    def test_only_version_continues_without_a_record(self):
+        """Guards against refusals where a stream can have one version only."""
+
+        async def scenario(site):
+            return await site.call(
+                _RESUMABLE,
+                attempt="a5",
+                headers={"Last-Event-Id": "3", "Resumes": "unknown"},
+            )
+
+        status, _, body = _on_site(scenario)
+        assert (status, body) == (200, platform_site.stream(4))
+
+    def test_mechanism_can_be_disabled(self):
+        """Guards against an emergency switch that doesn't switch off."""
+
+        async def scenario(site):
+            await _add_new_version(site)
+            headers = {"Last-Event-Id": "3", "Resumes": "unknown"}
+            return await site.call(_RESUMABLE, headers=headers)
+
+        off = frozenset({mechanisms.Mechanism.STREAM_VERSIONS})
+        assert _on_site(scenario, mechanisms_off=off)[0] == 200
+
+
+class TestOlderCoordinator:
+    """A coordinator of a release that doesn't know of software versions."""
+
+    def test_stream_of_unknown_origin_is_not_sent(self, monkeypatch):
+        """Guards against a coordinator that places resumed streams anywhere."""
+
+        async def scenario(site):
+            await _add_new_version(site)
+
+            def place_anywhere(submit, now):
+                submit = dataclasses.replace(submit, resumes=False)
+                return wire_request(submit, now)
+
+            wire_request = wire.request_to_wire
+            monkeypatch.setattr(wire, "request_to_wire", place_anywhere)
+            status, _, _ = await site.call(
+                _RESUMABLE, attempt="a5", headers={"Last-Event-Id": "3"}
+            )
+            return status, site.runs()
+
+        assert _on_site(scenario) == (503, [])
