Bound the age of a resumed stream by what its caller has left

A VM that has started, or has seen the end of a release, less than a minute ago refused streams without a record, since a stream may be as old as that. A caller resumes within the timeout of its first attempt, so timeout less remaining time bounds the age, mostly to some seconds. The timeout is the longest that this VM has seen or the settings name, as operators may shorten it meanwhile.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -79,7 +79,8 @@
       version: That version, None if the sender doesn't know it.
       origin: Key of the caller's attempt that begins the stream, or has begun
         it; empty if it named none.
-      stream_age_max_s: Time in seconds for which the stream can be resumed.
+      stream_age_max_s: Time in seconds for which the stream can be resumed; if
+        it is resumed now, how long ago it began at most.
     """
 
     request_id: int
--- a/src/cowsliprill/decisions/stream_origins.py
+++ b/src/cowsliprill/decisions/stream_origins.py
@@ -127,7 +127,8 @@
         if not origin.key:
             return
         self._completed_by_key.pop(origin.key, None)
-        self._open_by_key[origin.key] = _Record(origin, now + age_max_s)
+        retention_s = max(age_max_s, STREAM_AGE_MIN_S)
+        self._open_by_key[origin.key] = _Record(origin, now + retention_s)
         self._open_by_key.move_to_end(origin.key)
         self._drop(now)
 
@@ -168,7 +169,7 @@
           key: Key of the attempt that brought its first event, empty if the
             caller named none.
           pool: Name of the pool that the request is for.
-          age_max_s: Time in seconds for which the stream can be resumed.
+          age_max_s: How long ago it began at most, in seconds.
           now: Current time in seconds.
 
         Returns:
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -7,6 +7,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import retry_budget
+from cowsliprill.decisions import stream_ages
 from cowsliprill.decisions import stream_origins
 from cowsliprill.entry import attempts
 from cowsliprill.entry import authorization
@@ -25,10 +26,6 @@
 # Callers leave a stream that pauses for longer.
 _RESUME_TIMEOUT_S = 2.0
 
-# A stream can be resumed for this multiple of its service's timeout: callers
-# resume it within their own timeout, which isn't longer than the service's.
-_STREAM_AGE_FACTOR = 2.0
-
 _BEGIN_ANEW_CODES = frozenset(
     {
         messages.RefusalCode.VERSION_UNAVAILABLE,
@@ -68,6 +65,7 @@
         still be accepted.
       quarantine: Refuses requests that end engines.
       paths: Tells whether this VM can't reach a pool.
+      ages: Bounds the age of streams that callers resume.
     """
 
     scheduling: placement_backend.Scheduling
@@ -76,6 +74,9 @@
     authorization: authorization.Authorization
     quarantine: request_quarantine.RequestQuarantine
     paths: path_monitor.PathMonitor
+    ages: stream_ages.StreamAges = dataclasses.field(
+        default_factory=stream_ages.StreamAges
+    )
 
     async def __call__(
         self, ctx: context.Context, proceed: context.Handler
@@ -83,7 +84,7 @@
         """Runs attempts until one succeeds or the scheduler refuses."""
         self.quarantine.check(ctx)
         self.budgets.of(ctx.service).deposit()
-        decisions = self.scheduling.submit(_make_submit(ctx))
+        decisions = self.scheduling.submit(self._make_submit(ctx))
         completed = False
         try:
             left_s = ctx.response_due_at - clock.now()
@@ -107,6 +108,29 @@
             if not completed:
                 self.scheduling.post(messages.Cancel(ctx.number))
 
+    def _make_submit(self, ctx: context.Context) -> messages.Submit:
+        generation = ctx.generation
+        resumes = bool(ctx.progress.last_event_id)
+        age_max_s = self.ages.age_max_s(ctx.service, ctx.caller_timeout_s)
+        return messages.Submit(
+            request_id=ctx.number,
+            service=ctx.service,
+            customer=ctx.customer.id,
+            prompt_tokens=generation.prompt_tokens,
+            output_tokens=generation.output_tokens,
+            prefix_hashes=generation.prefix_hashes,
+            priority=ctx.priority,
+            deadline=ctx.deadline,
+            expected_tokens=generation.expected_tokens,
+            useful_until=ctx.useful_until,
+            resumes=resumes,
+            version=ctx.progress.software_version,
+            origin=stream_origins.key_of(ctx.customer.id, ctx.stream_attempt),
+            stream_age_max_s=(
+                age_max_s if resumes else self.ages.retention_s(ctx.service)
+            ),
+        )
+
     async def _run_attempts(
         self,
         ctx: context.Context,
@@ -289,26 +313,3 @@
 def _decode_version(ctx: context.Context) -> str:
     endpoint = ctx.snapshot.endpoints_by_id.get(ctx.start.decode_id)
     return endpoint.software_version if endpoint else ""
-
-
-def _make_submit(ctx: context.Context) -> messages.Submit:
-    generation = ctx.generation
-    return messages.Submit(
-        request_id=ctx.number,
-        service=ctx.service,
-        customer=ctx.customer.id,
-        prompt_tokens=generation.prompt_tokens,
-        output_tokens=generation.output_tokens,
-        prefix_hashes=generation.prefix_hashes,
-        priority=ctx.priority,
-        deadline=ctx.deadline,
-        expected_tokens=generation.expected_tokens,
-        useful_until=ctx.useful_until,
-        resumes=bool(ctx.progress.last_event_id),
-        version=ctx.progress.software_version,
-        origin=stream_origins.key_of(ctx.customer.id, ctx.stream_attempt),
-        stream_age_max_s=max(
-            ctx.service.timeout_s * _STREAM_AGE_FACTOR,
-            stream_origins.STREAM_AGE_MIN_S,
-        ),
-    )
--- a/src/cowsliprill/pool_scheduling/wire.py
+++ b/src/cowsliprill/pool_scheduling/wire.py
@@ -45,7 +45,7 @@
       resumes: Whether the caller has events of the stream.
       version: Software version that began the stream, None if unknown.
       origin: Key of the caller's attempt that begins or has begun the stream.
-      stream_age_max_s: Time in seconds for which the stream can be resumed.
+      stream_age_max_s: See `messages.Submit`.
     """
 
     number: int
