Keep a decode engine of each software version when roles change

It could leave a version with prefill engines only, and then no engine can resume the version's streams though some of it serve. Among the engines that may change, those whose version keeps a decode engine, or lacks one, now come first. In a pool with one version the choice is as before. Both tests failed before.

--- a/src/cowsliprill/decisions/role_planner.py
+++ b/src/cowsliprill/decisions/role_planner.py
@@ -8,8 +8,10 @@
 97% when split into one prefill and three decode engines.
 """
 
+import collections
 import dataclasses
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from cowsliprill.decisions import model
@@ -93,7 +95,12 @@
         if self._has_opposite_change(kind, engines):
             return None
         donors = prefills if kind is _Kind.DECODE else decodes
-        return _select(self._without_pending(donors), donors, kind)
+        decodes_by_version = collections.Counter(
+            engine.software_version for engine in decodes
+        )
+        return _select(
+            self._without_pending(donors), donors, kind, decodes_by_version
+        )
 
     def order_sent(self, order: RoleOrder, now: float) -> None:
         """Records that an order is being sent.
@@ -270,8 +277,11 @@
     candidates: Sequence[model.Endpoint],
     same_kind: Sequence[model.Endpoint],
     kind: model.EndpointKind,
+    decodes_by_version: Mapping[str, int],
 ) -> RoleOrder | None:
-    # Takes an engine from the availability zone with most engines of the role,
+    # Streams can be resumed only at decode engines of the software version that
+    # began them, so each version keeps one, or gets one, where possible. Then
+    # takes an engine from the availability zone with most engines of the role,
     # so that the remaining ones stay spread over zones.
     count_by_zone: dict[str, int] = {}
     for item in same_kind:
@@ -279,9 +289,18 @@
         count_by_zone[zone] = count_by_zone.get(zone, 0) + 1
     if not candidates:
         return None
+
+    def serves_versions(item: model.Endpoint) -> bool:
+        decodes = decodes_by_version.get(item.software_version, 0)
+        return decodes == 0 if kind is _Kind.DECODE else decodes > 1
+
     endpoint = max(
         candidates,
-        key=lambda item: (count_by_zone[item.availability_zone], item.id),
+        key=lambda item: (
+            serves_versions(item),
+            count_by_zone[item.availability_zone],
+            item.id,
+        ),
     )
     return RoleOrder(endpoint=endpoint, kind=kind)
 
--- a/tests/test_role_planner.py
+++ b/tests/test_role_planner.py
@@ -48,6 +48,31 @@
     return orders
 
 
+class TestSoftwareVersions:
+    """Roles while engines of several software versions serve."""
+
+    @staticmethod
+    def _versions(engines, *versions):
+        return [
+            dataclasses.replace(engine, software_version=version)
+            for engine, version in zip(engines, versions, strict=True)
+        ]
+
+    def test_last_decode_engine_of_a_version_is_kept(self):
+        """Guards against streams that no engine of their version resumes."""
+        pool = self._versions(_pool(1, 5), "v2", *(["v2"] * 4), "v1")
+        (order, *_) = _orders(pool, prefill_fraction=0.4)
+        assert order.kind is model.EndpointKind.PREFILL
+        assert order.endpoint.software_version == "v2"
+
+    def test_version_without_decode_engines_gets_one(self):
+        """Guards against a version with prefill engines only."""
+        pool = self._versions(_pool(4, 3), "v1", "v2", "v2", "v2", *["v2"] * 3)
+        (order, *_) = _orders(pool)
+        assert order.kind is model.EndpointKind.DECODE
+        assert order.endpoint.software_version == "v1"
+
+
 class TestRolePlanner:
     """Role changes planned for one pool."""
 
