Trace all attempts of a caller at a stream together

A caller's attempts have ids of their own, so explain showed the attempt that resumed a stream without the one that began it. They are joined by the attempt that the resuming one names. The test failed before.

--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -93,7 +93,8 @@
     Args:
       lines: Lines of all logs.
       wanted_id: The router's ID of the request, the ID that its caller sent, or
-        the fingerprint of a request that was sent several times.
+        the fingerprint of a request that was sent several times. All attempts
+        of a caller at one stream are selected together.
 
     Returns:
       Lines of the request, what any process decided about its repetitions, and
@@ -112,6 +113,7 @@
         )
     } - {""}
     request_ids |= _relayed_ids(lines, request_ids)
+    request_ids |= _resumed_ids(lines, request_ids)
     request_lines = [line for line in lines if line.request_id() in request_ids]
     if not request_lines:
         return []
@@ -155,6 +157,22 @@
     }
 
 
+def _resumed_ids(lines: list[LogLine], request_ids: set[str]) -> set[str]:
+    """Returns the ids of the other attempts of a caller at a stream."""
+    attempts = {
+        attempt
+        for line in lines
+        if line.request_id() in request_ids
+        for attempt in (line.fields.get("caller"), line.fields.get("resumes"))
+    } - {None, ""}
+    return {
+        line.request_id()
+        for line in lines
+        if line.fields.get("caller") in attempts
+        or line.fields.get("resumes") in attempts
+    } - {""}
+
+
 def _quarantine_lines(
     lines: list[LogLine], request_lines: list[LogLine]
 ) -> list[LogLine]:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -56,6 +56,25 @@
         assert [line.process for line in _trace(text, "c7")] == ["router.vm-1"]
 
 
+class TestResumedStream:
+    """A stream that its caller resumed at another VM."""
+
+    def test_all_attempts_are_traced_by_any_id(self):
+        """Guards against a trace that lacks what began the stream."""
+        text = _log(
+            "router.vm-1",
+            ("placed", {"request": "r1", "caller": "c1", "resumes": ""}),
+        )
+        text += _log(
+            "router.vm-2",
+            ("placed", {"request": "r2", "caller": "c2", "resumes": "c1"}),
+            ("placed", {"request": "r3", "caller": "c3", "resumes": ""}),
+        )
+        for wanted_id in ("c1", "c2", "r1", "r2"):
+            trace = _trace(text, wanted_id)
+            assert [line.request_id() for line in trace] == ["r1", "r2"]
+
+
 class TestRelayedRequest:
     """A request that another VM served has lines of both VMs."""
 
