Resume streams after the end of all VMs while one version is listed

No VM had a record or had observed the pool for long enough, and one version was listed all the time.

A VM now tells a version that has replaced another one in its sight from one before which nothing is known. Only in the second case, and a second after its start, when peers had the time to tell what they know, it takes the only listed version. That is wrong only for a stream whose version's last engine left in the seconds before all VMs ended. Where several versions are listed, such streams are still refused.

--- a/src/cowsliprill/decisions/stream_origins.py
+++ b/src/cowsliprill/decisions/stream_origins.py
@@ -180,24 +180,16 @@
             return origin.version if origin.pool == pool else None
         if not self._is_current():
             return None
-        return self.history.only_version(pool, age_max_s, now)
+        version = self.history.only_version(pool, age_max_s, now)
+        return version or self.history.likely_version(pool, now)
 
-    def only_version_age_s(
-        self, pool: str, now: float
-    ) -> tuple[str | None, float]:
-        """Returns the only version known to be listed, and for how long.
+    def only_version(self, pool: str) -> version_history.OnlyVersion | None:
+        """Returns the only listed version, None if this isn't known for sure.
 
         Args:
           pool: Name of the pool.
-          now: Current time in seconds.
-
-        Returns:
-          The version and the seconds, possibly infinite; None and 0 if there
-          are several or this isn't known.
         """
-        if not self._is_current():
-            return None, 0.0
-        return self.history.only_version_age_s(pool, now) or (None, 0.0)
+        return self.history.only(pool) if self._is_current() else None
 
     def of_pool(self, pool: str, now: float) -> list[Origin]:
         """Returns the known origins of one pool, the newest last.
--- a/src/cowsliprill/decisions/version_history.py
+++ b/src/cowsliprill/decisions/version_history.py
@@ -6,6 +6,10 @@
 
 from cowsliprill.decisions import model
 
+# Peers tell a process that has just started what they have observed within this
+# time.
+_SETTLING_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OnlyVersion:
@@ -13,12 +17,15 @@
 
     Attributes:
       version: The version.
-      since: Time in seconds from which no other version is known to have been
-        listed; minus infinity if there was none before.
+      since: Time in seconds since which only this version has been listed;
+        minus infinity if there was none before.
+      replaced_other: Whether another version is known to have been listed
+        before that time. If not, nothing is known of the time before.
     """
 
     version: str
     since: float
+    replaced_other: bool = False
 
 
 class VersionHistory:
@@ -65,36 +72,42 @@
             return None
         return only.version
 
-    def only_version_age_s(
-        self, pool: str, now: float
-    ) -> tuple[str, float] | None:
-        """Returns the only listed version and for how long it has been that.
+    def likely_version(self, pool: str, now: float) -> str | None:
+        """Returns the only listed version if no VM knows of any other one.
+
+        That is so after all VMs have ended at the same moment. It is wrong for
+        a stream only if the last engine of its version left in the seconds
+        before that.
 
         Args:
           pool: Name of the pool.
           now: Current time in seconds.
-
-        Returns:
-          The version and the seconds, possibly infinite; None if several
-          versions are listed.
         """
         only = self._only_by_pool.get(pool)
-        return None if only is None else (only.version, now - only.since)
+        if only is None or only.replaced_other:
+            return None
+        return only.version if now - only.since >= _SETTLING_S else None
+
+    def only(self, pool: str) -> OnlyVersion | None:
+        """Returns the only listed version, None if there are several.
 
-    def extend(self, pool: str, version: str, age_s: float, now: float) -> None:
+        Args:
+          pool: Name of the pool.
+        """
+        return self._only_by_pool.get(pool)
+
+    def extend(self, pool: str, observed: OnlyVersion) -> None:
         """Adds what another VM has observed before this one had started.
 
         Args:
           pool: Name of the pool.
-          version: Only version listed there.
-          age_s: For how long it has been the only one, in seconds.
-          now: Current time in seconds.
+          observed: The only version listed there.
         """
         only = self._only_by_pool.get(pool)
-        if only is None or only.version != version:
+        if only is None or only.version != observed.version:
             return
-        since = min(only.since, now - age_s)
-        self._only_by_pool[pool] = OnlyVersion(version=version, since=since)
+        if observed.since < only.since or observed.replaced_other:
+            self._only_by_pool[pool] = observed
 
     def _observe(
         self, pool: str, versions: set[str], now: float
@@ -105,7 +118,7 @@
         only = self._only_by_pool.get(pool)
         if only is not None and only.version == version:
             return only
-        is_first = self._complete and pool not in self._only_by_pool
-        return OnlyVersion(
-            version=version, since=-math.inf if is_first else now
-        )
+        if pool in self._only_by_pool:
+            return OnlyVersion(version=version, since=now, replaced_other=True)
+        since = -math.inf if self._complete else now
+        return OnlyVersion(version=version, since=since)
--- a/src/cowsliprill/pool_scheduling/origin_exchange.py
+++ b/src/cowsliprill/pool_scheduling/origin_exchange.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-import math
+import dataclasses
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
@@ -146,12 +146,10 @@
             self._origins.complete(key, pool, now)
         if not message.asks:
             return origin_wire.OriginAnswer()
-        version, age_s = self._origins.only_version_age_s(pool, now)
-        return origin_wire.OriginAnswer(
+        only = self._origins.only_version(pool)
+        return dataclasses.replace(
+            origin_wire.only_version_to_wire(only, now),
             begun=self._known(pool, now),
-            only_version=version,
-            only_version_s=age_s if math.isfinite(age_s) else 0.0,
-            always=math.isinf(age_s),
         )
 
     def _others(self, pool: str) -> list[model.Vm]:
@@ -217,13 +215,9 @@
             return
         now = clock.now()
         self._origins.merge(answer.begun, now)
-        if answer.only_version is not None:
-            self._origins.history.extend(
-                pool,
-                answer.only_version,
-                math.inf if answer.always else answer.only_version_s,
-                now,
-            )
+        only = origin_wire.only_version_from_wire(answer, now)
+        if only is not None:
+            self._origins.history.extend(pool, only)
 
     async def _send(
         self, vm: model.Vm, message: origin_wire.OriginMessage
--- a/src/cowsliprill/pool_scheduling/origin_wire.py
+++ b/src/cowsliprill/pool_scheduling/origin_wire.py
@@ -1,8 +1,10 @@
 """Messages by which VMs exchange the origins of streams."""
 
 import dataclasses
+import math
 
 from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import version_history
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,9 +34,51 @@
         several or the receiver wasn't asked.
       only_version_s: For how long it has been the only one, in seconds.
       always: Whether it has always been the only one.
+      replaced_other: Whether another one is known to have been listed before.
     """
 
     begun: tuple[stream_origins.Origin, ...] = ()
     only_version: str | None = None
     only_version_s: float = 0.0
     always: bool = False
+    replaced_other: bool = False
+
+
+def only_version_to_wire(
+    only: version_history.OnlyVersion | None, now: float
+) -> OriginAnswer:
+    """Returns an answer with what is known of a pool's only version.
+
+    Times are relative, because the clocks of two VMs have different origins.
+
+    Args:
+      only: The only version, None if there are several.
+      now: Current time in seconds.
+    """
+    if only is None:
+        return OriginAnswer()
+    always = math.isinf(only.since)
+    return OriginAnswer(
+        only_version=only.version,
+        only_version_s=0.0 if always else now - only.since,
+        always=always,
+        replaced_other=only.replaced_other,
+    )
+
+
+def only_version_from_wire(
+    answer: OriginAnswer, now: float
+) -> version_history.OnlyVersion | None:
+    """Returns the only version that an answer names, None if it names none.
+
+    Args:
+      answer: The answer.
+      now: Current time in seconds.
+    """
+    if answer.only_version is None:
+        return None
+    return version_history.OnlyVersion(
+        version=answer.only_version,
+        since=-math.inf if answer.always else now - answer.only_version_s,
+        replaced_other=answer.replaced_other,
+    )
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -73,7 +73,7 @@
         """Guards against a VM without contact that knows one version only."""
         origins = _origins("v1", is_current=False)
         assert origins.version_of(_KEY, "llm", _AGE_S, 1.0) is None
-        assert origins.only_version_age_s("llm", 1.0) == (None, 0.0)
+        assert origins.only_version("llm") is None
 
     def test_stream_of_another_pool(self):
         """Guards against a route that leads to another pool meanwhile."""
--- a/tests/test_stream_versions_soak.py
+++ b/tests/test_stream_versions_soak.py
@@ -19,7 +19,7 @@
     "release": version_simulation.Plan(),
     "kills": version_simulation.Plan(killed_fraction=0.6),
     "all_killed": version_simulation.Plan(
-        killed_fraction=1.0, vm_kills_per_s=0.05
+        killed_fraction=1.0, vm_kills_per_s=0.05, pauses_s=(1.3, 4.0)
     ),
     "cuts": version_simulation.Plan(cuts_per_s=0.1),
     "slow_callers": version_simulation.Plan(pauses_s=(1.0, 10.0)),
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -72,31 +72,62 @@
         assert _only(history, 0.0) is None
 
 
+def _observed(
+    version: str, since: float, *, replaced_other: bool = False
+) -> version_history.OnlyVersion:
+    return version_history.OnlyVersion(
+        version=version, since=since, replaced_other=replaced_other
+    )
+
+
+class TestLikelyVersion:
+    """What a fleet goes by after all its VMs have ended together."""
+
+    def test_only_listed_version_after_peers_had_time_to_answer(self):
+        """Guards against refusals of all streams where one version serves."""
+        history = version_history.VersionHistory()
+        history.update(_engines("v1"), 100.0)
+        assert history.likely_version("llm", 100.9) is None
+        assert history.likely_version("llm", 101.0) == "v1"
+
+    def test_not_if_another_version_was_listed(self):
+        """Guards against a guess where streams of another version may live."""
+        history = version_history.VersionHistory()
+        history.update(_engines("v1", "v2"), 100.0)
+        history.update(_engines("v2"), 101.0)
+        assert history.likely_version("llm", 110.0) is None
+
+    def test_not_if_a_peer_knows_of_another_version(self):
+        history = version_history.VersionHistory()
+        history.update(_engines("v2"), 100.0)
+        history.extend("llm", _observed("v2", 95.0, replaced_other=True))
+        assert history.likely_version("llm", 110.0) is None
+
+
 class TestExtend:
     """What another VM has observed before this one had started."""
 
     def test_same_version_is_known_for_longer(self):
         history = version_history.VersionHistory()
         history.update(_engines("v1"), 100.0)
-        history.extend("llm", "v1", 59.0, 101.0)
+        history.extend("llm", _observed("v1", 42.0))
         assert _only(history, 102.0) == "v1"
-        assert history.only_version_age_s("llm", 102.0) == ("v1", 60.0)
 
     def test_always_the_only_one(self):
         history = version_history.VersionHistory()
         history.update(_engines("v1"), 100.0)
-        history.extend("llm", "v1", math.inf, 101.0)
+        history.extend("llm", _observed("v1", -math.inf))
         assert _only(history, 101.0) == "v1"
 
     def test_other_version_is_ignored(self):
         """Guards against a peer's outdated list."""
         history = version_history.VersionHistory()
         history.update(_engines("v2"), 100.0)
-        history.extend("llm", "v1", 500.0, 101.0)
+        history.extend("llm", _observed("v1", -400.0))
         assert _only(history, 102.0) is None
 
     def test_ignored_while_several_versions_are_listed(self):
         history = version_history.VersionHistory()
         history.update(_engines("v1", "v2"), 100.0)
-        history.extend("llm", "v1", 500.0, 101.0)
+        history.extend("llm", _observed("v1", -400.0))
         assert _only(history, 102.0) is None
