Settle what a VM and its peers say of a pool's only version

Found by reading the change: a peer that had missed a version could replace what this VM had seen itself; engines that name no version were taken for an unknown one after a release; peers that give no answer were asked ten times a second at a start; and a failed question made a pool without a release send copies.

--- a/src/cowsliprill/decisions/stream_origins.py
+++ b/src/cowsliprill/decisions/stream_origins.py
@@ -181,7 +181,9 @@
         if not self._is_current():
             return None
         version = self.history.only_version(pool, age_max_s, now)
-        return version or self.history.likely_version(pool, now)
+        if version is not None:
+            return version
+        return self.history.likely_version(pool, now)
 
     def only_version(self, pool: str) -> version_history.OnlyVersion | None:
         """Returns the only listed version, None if this isn't known for sure.
--- a/src/cowsliprill/decisions/version_history.py
+++ b/src/cowsliprill/decisions/version_history.py
@@ -106,7 +106,11 @@
         only = self._only_by_pool.get(pool)
         if only is None or only.version != observed.version:
             return
-        if observed.since < only.since or observed.replaced_other:
+        replaced_later = observed.replaced_other and observed.since > only.since
+        observed_before = (
+            not only.replaced_other and observed.since < only.since
+        )
+        if replaced_later or observed_before:
             self._only_by_pool[pool] = observed
 
     def _observe(
--- a/src/cowsliprill/pool_scheduling/client.py
+++ b/src/cowsliprill/pool_scheduling/client.py
@@ -36,7 +36,7 @@
 _CALL_DELAY_S = 0.02
 
 # Limits the first message to a new coordinator to about 200 KB.
-_MAX_ORIGINS = 5_000
+_MAX_ORIGINS = 2_000
 
 SendToCoordinator = Callable[
     [model.Vm, wire.SchedulingRequest, float],
--- a/src/cowsliprill/pool_scheduling/origin_exchange.py
+++ b/src/cowsliprill/pool_scheduling/origin_exchange.py
@@ -30,12 +30,13 @@
 
 _CALL_TIMEOUT_S = 0.5
 
-# Limits a message to about 200 KB; the newest streams are sent.
+# Limits a message to about 500 KB; the newest streams are sent.
 _MAX_SENT = 5_000
 
 # A process that has just started asks its peers as soon as it knows them.
 _ASK_INTERVAL_S = 0.1
 _ASK_FOR_S = 5.0
+_ASK_AGAIN_S = 0.5
 
 
 class OriginExchange:
@@ -211,6 +212,7 @@
         message = origin_wire.OriginMessage(pool=pool, asks=True)
         answer = await self._send(vm, message)
         if answer is None:
+            await asyncio.sleep(_ASK_AGAIN_S)
             self._answered.discard((pool, vm.id))
             return
         now = clock.now()
@@ -234,13 +236,17 @@
                 vm=vm.id,
                 reason=error.message,
             )
-            # It may have missed streams: it gets all of them next time.
-            known_ids = self._standby_ids_by_pool.get(message.pool, ())
-            self._standby_ids_by_pool[message.pool] = tuple(
-                vm_id for vm_id in known_ids if vm_id != vm.id
-            )
+            self._forget_standby(message.pool, vm.id)
             return None
 
+    def _forget_standby(self, pool: str, vm_id: str) -> None:
+        """Has a VM that may have missed streams get all of them next time."""
+        known_ids = self._standby_ids_by_pool.get(pool)
+        if known_ids is not None:
+            self._standby_ids_by_pool[pool] = tuple(
+                known_id for known_id in known_ids if known_id != vm_id
+            )
+
     def _start(self, call: Coroutine[Any, Any, object]) -> None:
         task = asyncio.create_task(call)
         self._calls.add(task)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -135,3 +135,12 @@
         origins.merge([attempt, begun], 0.0)
         origins.merge([attempt], 1.0)
         assert origins.version_of(_KEY, "llm", _AGE_S, 2.0) == "v1"
+
+
+class TestUnnamedVersion:
+    """Engines whose entries name no version."""
+
+    def test_only_version_may_be_unnamed(self):
+        """Guards against refusals where engines don't tell their version."""
+        origins = _origins("")
+        assert origins.version_of(_KEY, "llm", _AGE_S, 1.0) == ""
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -131,3 +131,12 @@
         history.update(_engines("v1", "v2"), 100.0)
         history.extend("llm", _observed("v1", -400.0))
         assert _only(history, 102.0) is None
+
+    def test_own_sight_of_another_version_stands(self):
+        """Guards against a peer that has missed the other version."""
+        history = version_history.VersionHistory()
+        history.update(_engines("v1", "v2"), 100.0)
+        history.update(_engines("v2"), 150.0)
+        history.extend("llm", _observed("v2", 120.0))
+        assert _only(history, 190.0) is None
+        assert history.likely_version("llm", 190.0) is None
