Adopt streams at engines that a new coordinator doesn't use

Found by reading: a coordinator that is chosen while an engine drains, or after its entry expired, doesn't use that engine and dropped the streams there. When the engine exited, the coordinator ignored the failed attempt, and the caller waited until it left by its own patience, with engines of its version idle. Streams are now adopted at any engine; the entry process names the version with them, since the coordinator may not know the engine. A version that isn't known for sure isn't recorded. The test failed before (no decision at all).

--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -141,9 +141,7 @@
     )
 
 
-def from_adopt(
-    event: messages.Adopt, pool: pools.Pool, now: float
-) -> Request | None:
+def from_adopt(event: messages.Adopt, pool: pools.Pool, now: float) -> Request:
     """Creates the state of a running request that another scheduler placed.
 
     Args:
@@ -152,12 +150,15 @@
       now: Current time in seconds.
 
     Returns:
-      The request, or None if its decode engine is no longer in use.
+      The request. Its decode engine may not be in use any more, as it drains.
     """
     submit, start = event.submit, event.start
     decode = pool.endpoints_by_id.get(start.decode_id)
+    version = submit.version
     if decode is None:
-        return None
+        decode = _unlisted_engine(start.decode_id, submit)
+    elif version is None and event.stage is messages.Stage.DECODE:
+        version = decode.software_version
     return Request(
         submit=submit,
         unloaded_start_deadline=now,
@@ -177,11 +178,19 @@
         decode=decode,
         started_at=now,
         stage_started_at=now,
-        version=(
-            decode.software_version
-            if event.stage is messages.Stage.DECODE
-            else submit.version
-        ),
+        version=version,
+    )
+
+
+def _unlisted_engine(engine_id: str, submit: messages.Submit) -> model.Endpoint:
+    return model.Endpoint(
+        id=engine_id,
+        kind=model.EndpointKind.DECODE,
+        host="",
+        port=0,
+        availability_zone="",
+        pool=submit.service.pool,
+        slots=0,
     )
 
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -314,18 +314,33 @@
     ) -> list[messages.Action]:
         """Takes over a running request that another scheduler has placed."""
         pool = self._pools.pools_by_name.get(event.submit.service.pool)
-        request = pool and requests.from_adopt(event, pool, now)
-        if request is None:
+        if pool is None:
             return []
+        request = requests.from_adopt(event, pool, now)
         self._requests_by_id[event.submit.request_id] = request
         self._acquire_slots(request)
         self._record_origin(request, now)
         return []
 
     def _record_origin(self, request: requests.Request, now: float) -> None:
-        self._origins.record(
-            _origin(request), request.submit.stream_age_max_s, now
+        assert request.decode is not None
+        version = request.version
+        if (
+            version is None
+            and request.decode.id in request.pool.endpoints_by_id
+        ):
+            version = request.decode.software_version
+        if version is None:
+            return
+        submit = request.submit
+        origin = stream_origins.Origin(
+            key=submit.origin,
+            pool=submit.service.pool,
+            version=version,
+            begun=request.version is not None,
+            attempt=request.attempt,
         )
+        self._origins.record(origin, submit.stream_age_max_s, now)
 
     def _acquire_slots(self, request: requests.Request) -> None:
         """Marks the slots of a running request as in use."""
@@ -746,14 +761,3 @@
             estimates.prefill_s(request.prefill, submit, pool_state)
         )
         cached.add(submit.prefix_hashes)
-
-
-def _origin(request: requests.Request) -> stream_origins.Origin:
-    assert request.decode is not None
-    return stream_origins.Origin(
-        key=request.submit.origin,
-        pool=request.submit.service.pool,
-        version=request.decode.software_version,
-        begun=request.version is not None,
-        attempt=request.attempt,
-    )
--- a/src/cowsliprill/pool_scheduling/client.py
+++ b/src/cowsliprill/pool_scheduling/client.py
@@ -126,7 +126,7 @@
                 tracked.stage = messages.Stage.TRANSFER
             case messages.FirstToken():
                 tracked.stage = messages.Stage.DECODE
-                self._record_origin(tracked)
+                self._record_version(tracked)
             case messages.AttemptFailed():
                 if event.version is not None:
                     # Another coordinator may get the request from here on.
@@ -145,13 +145,16 @@
                 del self.tracked_by_id[request_id]
         self._add(wire.event_to_wire(event))
 
-    def _record_origin(self, tracked: _TrackedRequest) -> None:
+    def _record_version(self, tracked: _TrackedRequest) -> None:
         if tracked.start is None:
             return
         endpoints_by_id = self._cluster_state.snapshot.endpoints_by_id
         decode = endpoints_by_id.get(tracked.start.decode_id)
         if decode is None:
             return
+        tracked.submit = dataclasses.replace(
+            tracked.submit, version=decode.software_version
+        )
         origin = stream_origins.Origin(
             key=tracked.submit.origin,
             pool=self._pool,
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -584,6 +584,27 @@
         (start,) = _starts(site.decisions("vm-0"))
         assert start.decode_id in ("d0", "d2")
 
+    def test_stream_at_a_draining_engine_is_adopted(self):
+        """Guards against a stream that waits for good once its engine exits.
+
+        The coordinator was chosen while the engine drained, so it doesn't use
+        that engine.
+        """
+        site = self._site("v1", "v2")
+        adopt = messages.Adopt(
+            submit=_submit(1, site.now, version="v1"),
+            start=messages.Start(
+                request_id=1, attempt=0, prefill_id="p", decode_id="left"
+            ),
+            stage=messages.Stage.DECODE,
+        )
+        site.send("vm-0", adopt, messages.Progress(1, 100))
+        self._break(site, 1, "left", "v1")
+        (start,) = _starts(site.decisions("vm-0"))
+        assert (start.decode_id, start.attempt) == ("d0", 1)
+        site.send("vm-0", messages.FirstToken(1), messages.Finished(1, 200))
+        assert site.pool_scheduler.pool_load("brief").promised == 0
+
 
 class TestRandomEvents:
     """No KV cache block is reserved twice under random events."""
