--- a/src/cowsliprill/pool_scheduling/origin_exchange.py
+++ b/src/cowsliprill/pool_scheduling/origin_exchange.py
@@ -94,6 +94,20 @@
             self._completed_by_pool.setdefault(pool, set()).add(key)
             self._schedule_push()
 
+    def update(self, pool: str) -> None:
+        """Copies what VMs lack that have just become a hosted pool's standbys.
+
+        All of them have when a release begins.
+
+        Args:
+          pool: Name of the pool, whose engines or VMs have changed.
+        """
+        standby_ids = tuple(vm.id for vm in self._standbys(pool))
+        is_complete = self._standby_ids_by_pool.get(pool) == standby_ids
+        if not is_complete and self._needs_copies(pool, clock.now()):
+            self._begun_by_pool.setdefault(pool, {})
+            self._schedule_push()
+
     def merge(
         self, pool: str, begun: tuple[stream_origins.Origin, ...]
     ) -> None:
@@ -156,6 +170,9 @@
     def _others(self, pool: str) -> list[model.Vm]:
         return [vm for vm in self.ranked_vms(pool) if vm.id != self._vm_id]
 
+    def _standbys(self, pool: str) -> list[model.Vm]:
+        return self._others(pool)[:_STANDBYS]
+
     def _needs_copies(self, pool: str, now: float) -> bool:
         span_s = stream_origins.STREAM_AGE_MIN_S
         if self._origins.history.only_version(pool, span_s, now) is None:
@@ -193,7 +210,7 @@
         begun: tuple[stream_origins.Origin, ...],
         completed: tuple[str, ...],
     ) -> None:
-        standbys = self._others(pool)[:_STANDBYS]
+        standbys = self._standbys(pool)
         known_ids = self._standby_ids_by_pool.get(pool, ())
         self._standby_ids_by_pool[pool] = tuple(vm.id for vm in standbys)
         for vm in standbys:
@@ -206,7 +223,8 @@
                 ),
                 completed=completed,
             )
-            self._start(self._send(vm, message))
+            if message.begun or message.completed:
+                self._start(self._send(vm, message))
 
     async def _ask(self, vm: model.Vm, pool: str) -> None:
         message = origin_wire.OriginMessage(pool=pool, asks=True)
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -87,6 +87,8 @@
         for pool, hosted in self._hosted_by_pool.items():
             hosted.scheduler.update(snapshot, fleet, now)
             hosted.scheduler.set_is_coordinator(self._is_coordinator(pool), now)
+            if self._origins is not None:
+                self._origins.update(pool)
             self._wake_long_polls(hosted)
 
     def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -131,6 +131,26 @@
 
         assert len(virtual_time.run(scenario(), monkeypatch)) == 5
 
+    def test_streams_are_copied_as_soon_as_a_release_begins(self, monkeypatch):
+        """Guards against streams that are lost before the next one begins."""
+
+        async def scenario():
+            network = _Network("v1")
+            network.begin("vm-0", "k1")
+            for origins in network.origins_by_id.values():
+                engines = [_engine("v1"), _engine("v2")]
+                origins.history.update(engines, clock.now())
+            network.exchanges_by_id["vm-0"].update("llm")
+            await asyncio.sleep(0.1)
+            sent = len(network.messages)
+            network.exchanges_by_id["vm-0"].update("llm")
+            await asyncio.sleep(0.1)
+            return network.knowing("k1"), sent, len(network.messages)
+
+        knowing, sent, sent_later = virtual_time.run(scenario(), monkeypatch)
+        assert len(knowing) == 5
+        assert sent == sent_later == 4
+
     def test_standby_that_was_down_gets_what_it_missed(self, monkeypatch):
         async def scenario():
             network = _Network("v1", "v2")
