List a stream that goes on at another version after two ends of all VMs

All VMs are killed at 1,076.75 s, the last engine of v3 leaves at 1,077.0 s, all VMs are killed again at 1,077.42 s; at 1,081.24 s a caller resumes a stream of v3, and v2 is the only version that any VM has seen. It is the one case in which a VM guesses; the rule allows two streams, our promise none.

--- a/tests/test_stream_versions_soak.py
+++ b/tests/test_stream_versions_soak.py
@@ -40,8 +40,14 @@
     return result
 
 
-@pytest.mark.parametrize("seed", [1, 2])
-@pytest.mark.parametrize("name", _PLANS_BY_NAME)
+# With this seed, all VMs end as the last engine of a version leaves.
+_RUNS = [
+    *((name, seed) for name in _PLANS_BY_NAME for seed in (1, 2)),
+    ("all_killed", 48),
+]
+
+
+@pytest.mark.parametrize(("name", "seed"), _RUNS)
 class TestReleases:
     """Engines of several versions serve side by side while others fail."""
 
