--- a/tests/test_origin_exchange.py
+++ b/tests/test_origin_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import io
 
+from tests import versioned_engines
 from tests import virtual_time
 
 from cowsliprill import clock
@@ -26,19 +27,6 @@
 ]
 
 
-def _engine(version: str) -> model.Endpoint:
-    return model.Endpoint(
-        id=f"d-{version}",
-        kind=model.EndpointKind.DECODE,
-        host="h",
-        port=1,
-        availability_zone="a",
-        pool="llm",
-        slots=1,
-        software_version=version,
-    )
-
-
 class _Network:
     """Exchanges of some VMs, each a client of the others."""
 
@@ -52,7 +40,7 @@
 
     def start(self, vm: model.Vm, *versions: str, first: bool = True) -> None:
         history = version_history.VersionHistory(complete=first)
-        engines = [_engine(version) for version in versions]
+        engines = versioned_engines.decode_engines(*versions)
         history.update(engines, clock.now())
         origins = stream_origins.StreamOrigins(history)
         log = log_lib.open_log(f"{vm.id}.{id(self)}", io.StringIO())
@@ -123,7 +111,7 @@
             network = _Network("v1")
             network.begin("vm-0", "k1")
             for origins in network.origins_by_id.values():
-                engines = [_engine("v1"), _engine("v2")]
+                engines = versioned_engines.decode_engines("v1", "v2")
                 origins.history.update(engines, clock.now())
             network.begin("vm-0", "k2")
             await asyncio.sleep(0.1)
@@ -138,7 +126,7 @@
             network = _Network("v1")
             network.begin("vm-0", "k1")
             for origins in network.origins_by_id.values():
-                engines = [_engine("v1"), _engine("v2")]
+                engines = versioned_engines.decode_engines("v1", "v2")
                 origins.history.update(engines, clock.now())
             network.exchanges_by_id["vm-0"].update("llm")
             await asyncio.sleep(0.1)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from cowsliprill.decisions import model
+from tests import versioned_engines
+
 from cowsliprill.decisions import stream_origins
 from cowsliprill.decisions import version_history
 
@@ -14,19 +15,7 @@
     *versions: str, is_current: bool = True
 ) -> stream_origins.StreamOrigins:
     history = version_history.VersionHistory(complete=True)
-    engines = [
-        model.Endpoint(
-            id=f"d{number}",
-            kind=model.EndpointKind.DECODE,
-            host="h",
-            port=1,
-            availability_zone="a",
-            pool="llm",
-            slots=1,
-            software_version=version,
-        )
-        for number, version in enumerate(versions)
-    ]
+    engines = versioned_engines.decode_engines(*versions)
     history.update(engines, 0.0)
     return stream_origins.StreamOrigins(history, lambda: is_current)
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -2,28 +2,13 @@
 
 import math
 
-from cowsliprill.decisions import model
+from tests import versioned_engines
+
 from cowsliprill.decisions import version_history
 
 _SPAN_S = 60.0
 
 
-def _engines(*versions: str) -> list[model.Endpoint]:
-    return [
-        model.Endpoint(
-            id=f"d{number}",
-            kind=model.EndpointKind.DECODE,
-            host="h",
-            port=1,
-            availability_zone="a",
-            pool="llm",
-            slots=1,
-            software_version=version,
-        )
-        for number, version in enumerate(versions)
-    ]
-
-
 def _only(history: version_history.VersionHistory, now: float) -> str | None:
     return history.only_version("llm", _SPAN_S, now)
 
@@ -34,37 +19,37 @@
     def test_known_only_after_the_whole_span_was_observed(self):
         """Guards against a guess by a process that has just started."""
         history = version_history.VersionHistory()
-        history.update(_engines("v1"), 100.0)
+        history.update(versioned_engines.decode_engines("v1"), 100.0)
         assert _only(history, 100.0 + _SPAN_S - 0.1) is None
         assert _only(history, 100.0 + _SPAN_S) == "v1"
 
     def test_known_at_once_when_the_system_starts_for_the_first_time(self):
         history = version_history.VersionHistory(complete=True)
-        history.update(_engines("v1"), 100.0)
+        history.update(versioned_engines.decode_engines("v1"), 100.0)
         assert _only(history, 100.0) == "v1"
 
     def test_unknown_until_streams_of_another_version_have_ended(self):
         """Guards against streams of a version that has just been removed."""
         history = version_history.VersionHistory(complete=True)
-        history.update(_engines("v1"), 0.0)
-        history.update(_engines("v1", "v2"), 10.0)
+        history.update(versioned_engines.decode_engines("v1"), 0.0)
+        history.update(versioned_engines.decode_engines("v1", "v2"), 10.0)
         assert _only(history, 200.0) is None
-        history.update(_engines("v2"), 200.0)
+        history.update(versioned_engines.decode_engines("v2"), 200.0)
         assert _only(history, 200.0 + _SPAN_S - 0.1) is None
         assert _only(history, 200.0 + _SPAN_S) == "v2"
 
     def test_unknown_after_all_engines_were_replaced_at_once(self):
         history = version_history.VersionHistory(complete=True)
-        history.update(_engines("v1"), 0.0)
-        history.update(_engines("v2"), 10.0)
+        history.update(versioned_engines.decode_engines("v1"), 0.0)
+        history.update(versioned_engines.decode_engines("v2"), 10.0)
         assert _only(history, 10.0) is None
 
     def test_pool_without_engines_keeps_its_last_version(self):
         """Guards against a lost history when all entries expire for a while."""
         history = version_history.VersionHistory(complete=True)
-        history.update(_engines("v1"), 0.0)
+        history.update(versioned_engines.decode_engines("v1"), 0.0)
         history.update([], 10.0)
-        history.update(_engines("v1"), 20.0)
+        history.update(versioned_engines.decode_engines("v1"), 20.0)
         assert _only(history, 20.0) == "v1"
 
     def test_unknown_for_a_pool_that_was_never_listed(self):
@@ -86,20 +71,20 @@
     def test_only_listed_version_after_peers_had_time_to_answer(self):
         """Guards against refusals of all streams where one version serves."""
         history = version_history.VersionHistory()
-        history.update(_engines("v1"), 100.0)
+        history.update(versioned_engines.decode_engines("v1"), 100.0)
         assert history.likely_version("llm", 100.9) is None
         assert history.likely_version("llm", 101.0) == "v1"
 
     def test_not_if_another_version_was_listed(self):
         """Guards against a guess where streams of another version may live."""
         history = version_history.VersionHistory()
-        history.update(_engines("v1", "v2"), 100.0)
-        history.update(_engines("v2"), 101.0)
+        history.update(versioned_engines.decode_engines("v1", "v2"), 100.0)
+        history.update(versioned_engines.decode_engines("v2"), 101.0)
         assert history.likely_version("llm", 110.0) is None
 
     def test_not_if_a_peer_knows_of_another_version(self):
         history = version_history.VersionHistory()
-        history.update(_engines("v2"), 100.0)
+        history.update(versioned_engines.decode_engines("v2"), 100.0)
         history.extend("llm", _observed("v2", 95.0, replaced_other=True))
         assert history.likely_version("llm", 110.0) is None
 
@@ -109,34 +94,34 @@
 
     def test_same_version_is_known_for_longer(self):
         history = version_history.VersionHistory()
-        history.update(_engines("v1"), 100.0)
+        history.update(versioned_engines.decode_engines("v1"), 100.0)
         history.extend("llm", _observed("v1", 42.0))
         assert _only(history, 102.0) == "v1"
 
     def test_always_the_only_one(self):
         history = version_history.VersionHistory()
-        history.update(_engines("v1"), 100.0)
+        history.update(versioned_engines.decode_engines("v1"), 100.0)
         history.extend("llm", _observed("v1", -math.inf))
         assert _only(history, 101.0) == "v1"
 
     def test_other_version_is_ignored(self):
         """Guards against a peer's outdated list."""
         history = version_history.VersionHistory()
-        history.update(_engines("v2"), 100.0)
+        history.update(versioned_engines.decode_engines("v2"), 100.0)
         history.extend("llm", _observed("v1", -400.0))
         assert _only(history, 102.0) is None
 
     def test_ignored_while_several_versions_are_listed(self):
         history = version_history.VersionHistory()
-        history.update(_engines("v1", "v2"), 100.0)
+        history.update(versioned_engines.decode_engines("v1", "v2"), 100.0)
         history.extend("llm", _observed("v1", -400.0))
         assert _only(history, 102.0) is None
 
     def test_own_sight_of_another_version_stands(self):
         """Guards against a peer that has missed the other version."""
         history = version_history.VersionHistory()
-        history.update(_engines("v1", "v2"), 100.0)
-        history.update(_engines("v2"), 150.0)
+        history.update(versioned_engines.decode_engines("v1", "v2"), 100.0)
+        history.update(versioned_engines.decode_engines("v2"), 150.0)
         history.extend("llm", _observed("v2", 120.0))
         assert _only(history, 190.0) is None
         assert history.likely_version("llm", 190.0) is None
