Log the parts that prompts share, as keyed digests

The logs named whole requests only, so they couldn't tell different requests with something in common (H1) from many bad requests (H2) or engines that end by themselves (H3).

request_ended and attempt_lost now have prompt_parts: digests of the parts of a prompt that other requests may share, the same at all VMs. On the users' platform these are the entries of Prefix-Hash but the last; on the own interface the messages of a chat but the last, salted by customer. The digests are keyed as fingerprints are, so that a reader of logs can't confirm a guess. At most 32 parts a request are named.

Cost: one keyed digest a part, and 17 bytes a part in request_ended.

--- a/src/cowsliprill/decisions/request_fingerprint.py
+++ b/src/cowsliprill/decisions/request_fingerprint.py
@@ -1,17 +1,23 @@
-"""Keyed digests by which a request is recognized when it is sent again.
+"""Keyed digests by which requests and parts of prompts are recognized.
 
 Callers give each attempt an id of its own, and their address may change between
-two attempts. What stays the same is what an engine receives.
+two attempts. What stays the same is what an engine receives. Different requests
+may share parts of their prompts.
 """
 
 import dataclasses
 import hashlib
+from collections.abc import Iterable
 
 _DIGEST_BYTES = 8
 
 # Regular expression that matches a fingerprint.
 PATTERN = rf"^[0-9a-f]{{{2 * _DIGEST_BYTES}}}$"
 _PURPOSE = b"request-digest"
+_PART_PURPOSE = b"part-digest"
+
+# Bounds what a request can add to records and messages.
+_MAX_PARTS = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,7 +40,7 @@
 
 
 class Fingerprinter:
-    """Computes fingerprints.
+    """Computes fingerprints and digests of parts of prompts.
 
     Args:
       secret: Secret shared by the processes. Without it, someone who reads the
@@ -57,3 +63,24 @@
             digest.update(part)
         digest.update(content.body)
         return digest.hexdigest()
+
+    def part_digests(self, part_ids: Iterable[str]) -> tuple[str, ...]:
+        """Returns the digests of parts of a prompt, the same at all VMs.
+
+        Args:
+          part_ids: Identify the parts, in their order in the prompt.
+
+        Returns:
+          One digest in hexadecimal for each different part, in order; those of
+          a very long list's end are left out.
+        """
+        different_ids = list(dict.fromkeys(part_ids))
+        return tuple(map(self._part_digest, different_ids[:_MAX_PARTS]))
+
+    def _part_digest(self, part_id: str) -> str:
+        return hashlib.blake2b(
+            part_id.encode(),
+            digest_size=_DIGEST_BYTES,
+            key=self._key,
+            person=_PART_PURPOSE,
+        ).hexdigest()
--- a/src/cowsliprill/engines/prompt_blocks.py
+++ b/src/cowsliprill/engines/prompt_blocks.py
@@ -1,4 +1,4 @@
-"""Token estimates and prefix-cache block hashes for prompts.
+"""Token estimates, shared parts and prefix-cache block hashes of prompts.
 
 Engines identify a cached block by a hash of its tokens and all preceding ones.
 The router has no tokenizer, so the router and the engines count a fixed number
@@ -39,6 +39,23 @@
     return "\n".join(lines)
 
 
+def shared_part_ids(body: dict[str, Any], salt: str) -> tuple[str, ...]:
+    """Identifies the parts of a prompt that other requests may share.
+
+    Args:
+      body: Validated JSON fields of the caller's request.
+      salt: Customer id, so that customers share no parts.
+
+    Returns:
+      One id for each message of a chat but the last, none for a completion.
+    """
+    messages = body.get("messages", [])[:-1]
+    return tuple(
+        f"{salt}\n{message.get('role', '')}: {message.get('content', '')}"
+        for message in messages
+    )
+
+
 def count_tokens(text: str) -> int:
     """Estimates the number of tokens in a prompt, at least one."""
     return max(1, -(-len(text) // CHARACTERS_PER_TOKEN))
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -61,6 +61,8 @@
       prompt_tokens: Estimated number of prompt tokens.
       prefix_hashes: Hashes of the first blocks of the prompt, salted by the
         customer so that no customer can observe another's cached prefixes.
+      part_ids: Identify the parts of the prompt that other requests may share,
+        in their order; the last part belongs to the request alone.
       output_tokens: Limit of output tokens.
       expected_tokens: Caller's own estimate of the output tokens, 0 for none.
     """
@@ -70,6 +72,7 @@
     path: str = ""
     prompt_tokens: int
     prefix_hashes: tuple[int, ...] = ()
+    part_ids: tuple[str, ...] = ()
     output_tokens: int
     expected_tokens: int = 0
 
@@ -141,6 +144,8 @@
         attempt; empty for none; set by `identify`.
       fingerprint: Digest that is the same each time the caller sends this
         request; set by `fingerprint`.
+      prompt_parts: Digests of the parts of the prompt that other requests may
+        share; set by `prompt_parts`.
       route: Matched route, None where callers name a service; set by `route`.
       service: Requested service; set by `resolve` or `route`.
       generation: Model request, None for plain services; set by `resolve`.
@@ -188,6 +193,7 @@
     customer: model.Customer | None = None
     key_hash: str = ""
     fingerprint: str = ""
+    prompt_parts: tuple[str, ...] = ()
     route: model.Route | None = None
     service: model.Service | None = None
     generation: Generation | None = None
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -48,6 +48,7 @@
 from cowsliprill.entry.filters import identify
 from cowsliprill.entry.filters import model_placement
 from cowsliprill.entry.filters import plain_placement
+from cowsliprill.entry.filters import prompt_parts
 from cowsliprill.entry.filters import quota
 from cowsliprill.entry.filters import report
 from cowsliprill.entry.filters import route
@@ -278,14 +279,14 @@
     def _make_components(
         self, ticket_store: tickets.TicketStore
     ) -> routes.Components:
+        fingerprinter = request_fingerprint.Fingerprinter(
+            self._environment.peer_secret.get_secret_value()
+        )
         return routes.Components(
             route=route.Route(self._random),
             identify_by_route=identify.IdentifyByRoute(self._authorization),
-            fingerprint=fingerprint.Fingerprint(
-                request_fingerprint.Fingerprinter(
-                    self._environment.peer_secret.get_secret_value()
-                )
-            ),
+            fingerprint=fingerprint.Fingerprint(fingerprinter),
+            prompt_parts=prompt_parts.PromptParts(fingerprinter),
             quota=quota.Quota(self._quotas),
             report=report.Report(self._log, self._metrics, self._dialect),
             relayed_report=report.Report(
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -273,6 +273,7 @@
             "attempt_lost",
             request=ctx.request_id,
             fingerprint=ctx.fingerprint,
+            prompt_parts=",".join(ctx.prompt_parts),
             attempt=ctx.start.attempt,
             endpoint=lost.endpoint_id,
             stage=lost.stage.value,
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -114,6 +114,7 @@
             tokens=progress.tokens,
             ttft_ms=round(ttft_s * _MS_PER_S, 1),
             took_ms=round((now - ctx.arrived_at) * _MS_PER_S, 1),
+            **_part_fields(ctx),
             **_resume_fields(ctx),
             **_relay_fields(ctx),
         )
@@ -149,6 +150,11 @@
     return {"resumes": ctx.resumes} if ctx.resumes else {}
 
 
+def _part_fields(ctx: context.Context) -> dict[str, str]:
+    parts = ",".join(ctx.prompt_parts)
+    return {"prompt_parts": parts} if parts else {}
+
+
 def _is_streaming(ctx: context.Context) -> bool:
     request = ctx.generation and ctx.generation.request
     return request is not None and request.stream
--- a/src/cowsliprill/entry/filters/resolve.py
+++ b/src/cowsliprill/entry/filters/resolve.py
@@ -168,5 +168,6 @@
         prefix_hashes=prompt_blocks.block_hashes(
             text[:_MAX_HASHED_CHARACTERS], salt
         ),
+        part_ids=prompt_blocks.shared_part_ids(fields, salt),
         output_tokens=output_tokens,
     )
--- a/src/cowsliprill/entry/routes.py
+++ b/src/cowsliprill/entry/routes.py
@@ -24,6 +24,7 @@
 from cowsliprill.entry.filters import model_placement
 from cowsliprill.entry.filters import plain_placement
 from cowsliprill.entry.filters import priority_and_deadline
+from cowsliprill.entry.filters import prompt_parts
 from cowsliprill.entry.filters import quota
 from cowsliprill.entry.filters import relayed_limits
 from cowsliprill.entry.filters import report
@@ -44,6 +45,7 @@
       route: Selects the service of a request by host and path.
       identify_by_route: Identifies the customer of a request with a route.
       fingerprint: Computes the fingerprint of each request.
+      prompt_parts: Computes digests of the parts of each prompt.
       quota: Enforces the customers' quotas.
       idempotency: Executes each idempotency key at most once.
       admission: Limits the number of concurrent requests.
@@ -60,6 +62,7 @@
     route: route.Route
     identify_by_route: identify.IdentifyByRoute
     fingerprint: fingerprint.Fingerprint
+    prompt_parts: prompt_parts.PromptParts
     quota: quota.Quota
     idempotency: idempotency.Idempotency
     admission: admission.Admission
@@ -80,6 +83,7 @@
             identify.identify,
             components.fingerprint,
             resolve.resolve_generation,
+            components.prompt_parts,
             priority_and_deadline.set_priority_and_deadline,
             components.idempotency,
             components.admission,
@@ -175,6 +179,7 @@
             components.identify_by_route,
             components.fingerprint,
             parse_call,
+            components.prompt_parts,
             caller_deadlines.CallerDeadlines(),
             components.quota,
             components.admission,
@@ -218,6 +223,7 @@
             components.identify_by_route,
             components.fingerprint,
             parse_call,
+            components.prompt_parts,
             relayed_limits.RelayedLimits(),
             components.admission,
         ],
@@ -236,6 +242,7 @@
                 identify.identify,
                 components.fingerprint,
                 resolve_service,
+                components.prompt_parts,
                 priority_and_deadline.set_priority_and_deadline,
                 relayed_limits.RelayedLimits(),
                 components.admission,
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -99,11 +99,19 @@
     hint = headers.get(headers_lib.LENGTH_HINT, "0")
     return context.Generation(
         prompt_tokens=prompt_tokens,
+        part_ids=_shared_part_ids(headers.get(headers_lib.PREFIX_HASH, "")),
         output_tokens=output_tokens,
         expected_tokens=int(_parse_number(hint, headers_lib.LENGTH_HINT)),
     )
 
 
+def _shared_part_ids(text: str) -> tuple[str, ...]:
+    # Engines get the header unchanged, so a malformed entry is theirs to judge.
+    entries = text.split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(part_id for part_id in ids if part_id)
+
+
 def _parse_number(text: str, name: str) -> float:
     try:
         value = float(text)
--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -6,6 +6,9 @@
 DEADLINE_MS = "Deadline-Ms"
 # Prompt tokens and maximum output tokens, separated by a comma.
 TOKEN_USAGE = "Token-Usage"
+# Parts of the prompt in order, as ID:TOKENS entries separated by commas. The
+# last one belongs to the request or its session.
+PREFIX_HASH = "Prefix-Hash"
 # Output length that the client expects, in tokens.
 LENGTH_HINT = "Length-Hint"
 # Id of the last event received; a stream resumes after it.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -691,3 +691,24 @@
         assert (first["sent"], first["had_output"]) == ("true", "false")
         assert last["sent"] == "false"
         assert "Connection refused" in last["reason"]
+
+    def test_requests_with_a_part_of_the_prompt_in_common_are_shown(self):
+        """Guards against lines that don't show what lost requests share."""
+
+        async def scenario(site):
+            for attempt, parts in (
+                ("a", "AB:1,c:2,d:3"),
+                ("b", "ab:1,e:0,d:3"),
+            ):
+                headers = {"Prefix-Hash": parts}
+                await site.call(_RESUMABLE, attempt=attempt, headers=headers)
+            await site.call(_RESUMABLE, attempt="c")
+            return _lines(site.logs[0].getvalue(), "request_ended")
+
+        first, second, without = _on_site(scenario)
+        parts, others = (
+            line["prompt_parts"].split(",") for line in (first, second)
+        )
+        assert len(set(parts)) == len(set(others)) == 2
+        assert set(parts) & set(others) == {parts[0]}
+        assert "prompt_parts" not in without
--- a/tests/test_prompt_blocks.py
+++ b/tests/test_prompt_blocks.py
@@ -66,3 +66,21 @@
             prompt_blocks.count_tokens("x" * size) for size in (0, 1, 4, 5)
         ]
         assert counts == [1, 1, 1, 2]
+
+
+class TestSharedPartIds:
+    """Parts of prompts that other requests may share."""
+
+    def test_messages_but_the_last_are_shared_parts(self) -> None:
+        first = {"role": "system", "content": "You sum up."}
+        second = {"role": "user", "content": "My case"}
+        body = {"messages": [first, second]}
+        assert len(prompt_blocks.shared_part_ids(body, "firm")) == 1
+        assert prompt_blocks.shared_part_ids({"prompt": "ask"}, "firm") == ()
+
+    def test_customers_share_no_part(self) -> None:
+        messages = [{"role": "system", "content": "a"}] * 2
+        body = {"messages": messages}
+        assert prompt_blocks.shared_part_ids(
+            body, "firm"
+        ) != prompt_blocks.shared_part_ids(body, "other")
--- a/tests/test_request_fingerprint.py
+++ b/tests/test_request_fingerprint.py
@@ -45,3 +45,26 @@
     def test_secret_protects_short_bodies_from_guessing(self):
         """Guards against guesses of a body that a reader of logs confirms."""
         assert _of(_CONTENT, "s") != _of(_CONTENT, "t")
+
+
+def _parts_of(part_ids, secret="s"):
+    fingerprinter = request_fingerprint.Fingerprinter(secret)
+    return fingerprinter.part_digests(part_ids)
+
+
+class TestPartDigests:
+    """One part of a prompt has one digest, in whichever request it stands."""
+
+    def test_part_has_the_same_digest_beside_others(self):
+        assert _parts_of(["a", "b"])[1] == _parts_of(["c", "b"])[1]
+
+    def test_repeated_part_counts_once(self):
+        assert _parts_of(["a", "b", "a"]) == _parts_of(["a", "b"])
+
+    def test_secret_protects_parts_from_guessing(self):
+        """Guards against guesses of a part that a reader of logs confirms."""
+        assert _parts_of(["a"]) != _parts_of(["a"], "t")
+
+    def test_number_of_parts_is_bounded(self):
+        """Guards against prompts whose parts fill messages and tables."""
+        assert len(_parts_of(map(str, range(1_000)))) == 32
