Test that few requests with a part that ends engines are sent on (red)

Different requests, which share a part of their prompts, end each engine that begins to write an answer on it. They come at three routers, apart from each other; sound ones share caller, first part and another part.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -230,6 +230,8 @@
       unsigned: Whether responses lack the signature.
       crash_body: Body of the requests that end the engine as soon as it begins
         to execute them, None for none.
+      crash_part: Part of a prompt, other than the last, that ends the engine as
+        soon as it begins to write an answer on it, None for none.
       times: Number of requests affected, -1 for all.
     """
 
@@ -241,6 +243,7 @@
     lose_response: bool = False
     unsigned: bool = False
     crash_body: bytes | None = None
+    crash_part: str | None = None
     times: int = -1
 
 
@@ -319,6 +322,12 @@
         return faults
 
 
+def shared_parts(request: Any) -> list[str]:
+    """Returns the parts of a request's prompt but the last."""
+    entries = request.headers.get("Prefix-Hash", "").split(",")[:-1]
+    return [entry.partition(":")[0] for entry in entries]
+
+
 class _HandleHandler(web.RequestHandler):
     def initialize(self, engine: Engine) -> None:
         self.engine = engine
@@ -375,7 +384,9 @@
             self.finish({"kvHandle": handle, "tokens": 1, "version": 1})
             return
         engine.runs.append(attempt)
-        if request.body == faults.crash_body:
+        if request.body == faults.crash_body or (
+            faults.crash_part in shared_parts(request)
+        ):
             engine.crashed = True
             engine.site.crash()
             return
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,11 +1,14 @@
 """Requests that end every engine that begins to run them."""
 
 import asyncio
+import itertools
 
 from tests import platform_site
 from tornado import httpclient
 
 _CRASH_BODY = b"ends the engine"
+_CRASH_PART = "badbad"
+_FIRST_PART = "f1a5"
 _ROUTERS = 3
 # Limits of the customers: three ended engines, then three more sends at most,
 # counted from the time that machines in touch have to learn of the third.
@@ -35,7 +38,7 @@
 
     async def start(self) -> None:
         for engine in self._engines():
-            engine.faults.crash_body = _CRASH_BODY
+            self._make_crashable(engine)
         for _ in range(4):
             await self._add_engine()
 
@@ -50,7 +53,11 @@
         self._number += 1
         name = f"n{self._number}"
         engine = await self.site.add_engine(name, self._service, self._stage)
+        self._make_crashable(engine)
+
+    def _make_crashable(self, engine: platform_site.Engine) -> None:
         engine.faults.crash_body = _CRASH_BODY
+        engine.faults.crash_part = _CRASH_PART
 
     async def _replace(self, engine: platform_site.Engine) -> None:
         await asyncio.sleep(_EXPIRY_S)
@@ -64,24 +71,37 @@
                 self._replaced.add(engine.name)
                 self._tasks.add(asyncio.create_task(self._replace(engine)))
 
-    async def stop(self) -> None:
-        """Waits until all engines are replaced."""
+    async def until_replaced(self) -> None:
+        """Waits until all engines that have ended are replaced."""
+        self.replace_ended()
         await asyncio.gather(*self._tasks)
+
+    async def stop(self) -> None:
+        """Waits until all engines are replaced and closes the client."""
+        await self.until_replaced()
         self._client.close()
 
     def crashes(self) -> int:
         return sum(engine.crashed for engine in self._engines())
 
     def sends(self) -> int:
-        """Returns how often the request has reached any engine."""
+        """Returns how often crashing requests have reached any engine."""
         return sum(
             request.body == _CRASH_BODY
+            or _CRASH_PART in platform_site.shared_parts(request)
             for engine in self.site.engines.values()
             for request in engine.requests
         )
 
-    async def send(self, path: str, router: int, attempt: str) -> int:
-        """Sends the request once, from another address each time.
+    async def send(
+        self,
+        path: str,
+        router: int,
+        attempt: str,
+        body: bytes = _CRASH_BODY,
+        parts: tuple[str, ...] = (),
+    ) -> int:
+        """Sends a request once, from another address each time.
 
         Load balancers and address translation change the address between two
         attempts of one caller.
@@ -91,8 +111,12 @@
             f"http://127.0.0.{router + 1}"
             f":{self.site.routers[router].public_port}{path}",
             method="POST",
-            body=_CRASH_BODY,
-            headers={**platform_site.CALLER_HEADERS, "Attempt-Id": attempt},
+            body=body,
+            headers={
+                **platform_site.CALLER_HEADERS,
+                "Attempt-Id": attempt,
+                "Prefix-Hash": ",".join(f"{part}:100" for part in parts),
+            },
             network_interface=f"127.0.1.{self._sends}",
             raise_error=False,
         )
@@ -143,3 +167,54 @@
         assert (stream[1], plain[1]) == (200, 200)
         assert stream[0] <= _LATE_SENDS_MAX
         assert plain[0] <= _LATE_SENDS_MAX
+
+
+class _PartSender:
+    """Sends different requests, some with the part that ends engines.
+
+    Sound requests have the same first part and the same caller.
+    """
+
+    def __init__(self, crash_site: _CrashSite) -> None:
+        self._crash_site = crash_site
+        self._numbers = itertools.count()
+
+    async def send(self, *parts: str) -> int:
+        """Sends a new request with these parts after the first one."""
+        number = next(self._numbers)
+        return await self._crash_site.send(
+            platform_site.RESUMABLE_PATH,
+            number % _ROUTERS,
+            f"part-{number}",
+            f"ask {number}".encode(),
+            (_FIRST_PART, *parts, f"e{number:03x}"),
+        )
+
+
+class TestSharedPart:
+    """Different requests whose prompts share a part that ends engines."""
+
+    def test_few_are_sent_after_five_engines_ended(self):
+        """Guards against a part of prompts that ends engine after engine."""
+
+        async def scenario():
+            async with platform_site.running(_ROUTERS) as site:
+                crash_site = _CrashSite(site, "llm")
+                await crash_site.start()
+                sender = _PartSender(crash_site)
+                sound = [await sender.send("c0") for _ in range(_ROUTERS)]
+                for _ in range(8):
+                    await sender.send("c0", _CRASH_PART)
+                await asyncio.sleep(_CONTACT_S)
+                before = crash_site.sends()
+                for _ in range(4 * _ROUTERS):
+                    await sender.send("c0", _CRASH_PART)
+                late_sends = crash_site.sends() - before
+                await crash_site.until_replaced()
+                sound += [await sender.send("c0") for _ in range(2 * _ROUTERS)]
+                await crash_site.stop()
+                return late_sends, sound
+
+        late_sends, sound = asyncio.run(scenario())
+        assert late_sends <= _LATE_SENDS_MAX
+        assert sound == [200] * len(sound)
