--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -45,6 +45,9 @@
 _QUARANTINE_EVENTS = frozenset(
     {
         "engine_crash_suspected",
+        "prompt_part_held",
+        "prompt_part_quarantined",
+        "prompt_part_released",
         "request_acquitted",
         "request_held",
         "request_quarantined",
@@ -93,8 +96,9 @@
     Args:
       lines: Lines of all logs.
       wanted_id: The router's ID of the request, the ID that its caller sent, or
-        the fingerprint of a request that was sent several times. All attempts
-        of a caller at one stream are selected together.
+        the fingerprint of a request that was sent several times, or the digest
+        of a part of the prompt. All attempts of a caller at one stream are
+        selected together.
 
     Returns:
       Lines of the request, what any process decided about its repetitions, and
@@ -110,6 +114,7 @@
             line.request_id(),
             line.fields.get("caller"),
             line.fields.get("fingerprint"),
+            *_parts(line),
         )
     } - {""}
     request_ids |= _relayed_ids(lines, request_ids)
@@ -177,17 +182,28 @@
     lines: list[LogLine], request_lines: list[LogLine]
 ) -> list[LogLine]:
     """Returns what processes decided about repetitions of the request."""
-    fingerprints = {
-        line.fields.get("fingerprint", "") for line in request_lines
+    features = {
+        feature
+        for line in request_lines
+        for feature in (line.fields.get("fingerprint", ""), *_parts(line))
     } - {""}
     return [
         line
         for line in lines
         if line.event in _QUARANTINE_EVENTS
-        and line.fields.get("fingerprint") in fingerprints
+        and not features.isdisjoint(
+            (line.fields.get("fingerprint"), line.fields.get("prompt_part"))
+        )
     ]
 
 
+def _parts(line: LogLine) -> list[str]:
+    """Returns the parts of the prompt that a line of a request names."""
+    if not line.request_id():
+        return []
+    return line.fields.get("prompt_parts", "").split(",")
+
+
 def format_line(line: LogLine) -> str:
     """Formats a line of a trace; `*` marks the lines of the request itself."""
     summary = _DESCRIPTIONS_BY_EVENT.get(line.event, line.event)
@@ -255,6 +271,9 @@
 _DESCRIPTIONS_BY_EVENT = {
     "engine_crash_suspected": "an engine seems to have ended with it",
     "request_acquitted": "an engine gave output for it",
+    "prompt_part_held": "part of prompts held back until ends are confirmed",
+    "prompt_part_quarantined": "part of prompts quarantined",
+    "prompt_part_released": "part of prompts may be sent again",
     "request_held": "held back until ends of engines are confirmed",
     "request_quarantined": "quarantined, as engines ended with it",
     "request_released": "may be sent again",
--- a/src/cowsliprill/decisions/crash_blame.py
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -1,12 +1,14 @@
-"""Decides which requests caused the ends of engines.
+"""Decides which requests, or parts of prompts, caused the ends of engines.
 
-Several requests may have been about to start when an engine ended. The request
-that accounts for most of the ends is blamed for all of them, and the others are
-cleared of these: a request in bad company shares some ends with the cause, but
+Several requests may have been about to start when an engine ended, and each may
+share parts of its prompt with others. The feature (a request or a part) that
+accounts for most of the ends is blamed for all of them, and the others are
+cleared of these: a feature in bad company shares some ends with the cause, but
 hardly ever all of them.
 """
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from cowsliprill.decisions import crash_records
@@ -14,111 +16,156 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Blame:
-    """The ends of engines that a request is blamed for.
+    """The ends of engines that a feature is blamed for.
 
     Attributes:
-      fingerprint: The request.
+      feature: Fingerprint of the request, or digest of the part.
       records: The ends.
     """
 
-    fingerprint: str
+    feature: str
     records: tuple[crash_records.CrashRecord, ...]
 
     @property
-    def has_sole_suspect(self) -> bool:
-        """Whether the request was the only suspect of at least one end."""
-        return any(
-            len(record.remaining_suspects) == 1 for record in self.records
+    def fingerprints(self) -> frozenset[str]:
+        """Fingerprints of the requests by which the feature is suspected."""
+        return frozenset(
+            fingerprint
+            for record in self.records
+            for fingerprint in record.holders(self.feature)
         )
 
     @property
-    def separate_ends(self) -> int:
-        """Number of ends that can't have had one common cause.
+    def is_part(self) -> bool:
+        """Whether the feature is a part of prompts."""
+        return self.feature not in self.fingerprints
 
-        Engines may end together, for instance with their rack, while a request
-        that many callers send runs at several of them. An end is counted if the
-        request was sent only after the previous one that counts.
+    @property
+    def companions(self) -> frozenset[str]:
+        """Parts that each suspected request has beside the feature.
+
+        Any of them may be the cause instead.
         """
-        return len(self._separate(self.records))
+        common = [
+            record.remaining_parts(fingerprint)
+            for record in self.records
+            for fingerprint in record.holders(self.feature)
+        ]
+        return frozenset.intersection(*common) - {self.feature}
+
+    @property
+    def has_sole_suspect(self) -> bool:
+        """Whether only requests with the feature can explain some end."""
+        return any(map(self._is_sole_suspect, self.records))
+
+    @property
+    def is_only_sole_suspect(self) -> bool:
+        """Whether only requests with the feature can explain each end."""
+        return all(map(self._is_sole_suspect, self.records))
+
+    @property
+    def separate_ends(self) -> int:
+        """Number of ends that can't have had one common cause."""
+        return self.count_separate(self.records)
+
+    @property
+    def confirmed_records(self) -> tuple[crash_records.CrashRecord, ...]:
+        """The ends that are certain."""
+        return tuple(record for record in self.records if record.confirmed)
 
     @property
     def confirmed(self) -> int:
         """Number of separate ends among the confirmed ones."""
-        return len(self._separate(r for r in self.records if r.confirmed))
-
-    def _separate(
-        self, records: Iterable[crash_records.CrashRecord]
-    ) -> list[crash_records.CrashRecord]:
-        separate: list[crash_records.CrashRecord] = []
-        for record in sorted(records, key=lambda item: item.observed_at):
-            sent_at = record.sent_at(self.fingerprint)
-            if not separate or sent_at > separate[-1].observed_at:
-                separate.append(record)
-        return separate
+        return self.count_separate(self.confirmed_records)
 
     @property
     def latest_at(self) -> float:
         """Time of the latest end in seconds."""
         return max(record.observed_at for record in self.records)
 
+    def count_separate(
+        self, records: Iterable[crash_records.CrashRecord]
+    ) -> int:
+        """Returns how many ends can't have had one common cause.
+
+        Engines may end together, for instance with their rack, while a request
+        that many callers send runs at several of them. An end is counted if a
+        request with the feature was sent only after the previous one that
+        counts.
+
+        Args:
+          records: Some of the ends that the feature is blamed for.
+        """
+        count = 0
+        previous_at = -math.inf
+        for record in sorted(records, key=lambda item: item.observed_at):
+            sent_at = max(map(record.sent_at, record.holders(self.feature)))
+            if sent_at > previous_at:
+                count += 1
+                previous_at = record.observed_at
+        return count
+
+    def _is_sole_suspect(self, record: crash_records.CrashRecord) -> bool:
+        return record.holders(self.feature) == record.remaining_suspects
+
 
 def assign(
     records: Iterable[crash_records.CrashRecord], at_least: int = 1
 ) -> dict[str, Blame]:
-    """Assigns each end to the request that accounts for most of them.
+    """Assigns each end to the feature that accounts for most of them.
 
     Args:
       records: The ends that count.
-      at_least: Requests that account for fewer ends are left out.
+      at_least: Features that account for fewer ends are left out.
 
     Returns:
-      The blame of each request that is blamed for enough ends, by fingerprint.
+      The blame of each feature that is blamed for enough ends, by feature.
     """
-    records_by_fingerprint = _index_by_suspect(records)
-    blame_by_fingerprint: dict[str, Blame] = {}
-    while records_by_fingerprint:
-        highest = max(map(len, records_by_fingerprint.values()))
+    records_by_feature = _index_by_feature(records)
+    blame_by_feature: dict[str, Blame] = {}
+    while records_by_feature:
+        highest = max(map(len, records_by_feature.values()))
         if highest < at_least:
             break
         leaders = [
-            fingerprint
-            for fingerprint, involved in records_by_fingerprint.items()
+            feature
+            for feature, involved in records_by_feature.items()
             if len(involved) == highest
         ]
-        for fingerprint in leaders:
-            blame_by_fingerprint[fingerprint] = Blame(
-                fingerprint=fingerprint,
-                records=tuple(records_by_fingerprint[fingerprint].values()),
+        for feature in leaders:
+            blame_by_feature[feature] = Blame(
+                feature=feature,
+                records=tuple(records_by_feature[feature].values()),
             )
         explained = {
             key: record
-            for fingerprint in leaders
-            for key, record in records_by_fingerprint[fingerprint].items()
+            for feature in leaders
+            for key, record in records_by_feature[feature].items()
         }
-        _remove(explained, records_by_fingerprint)
-    return blame_by_fingerprint
+        _remove(explained, records_by_feature)
+    return blame_by_feature
 
 
 _RecordsByKey = dict[crash_records.CrashKey, crash_records.CrashRecord]
 
 
-def _index_by_suspect(
+def _index_by_feature(
     records: Iterable[crash_records.CrashRecord],
 ) -> dict[str, _RecordsByKey]:
-    records_by_fingerprint: dict[str, _RecordsByKey] = {}
+    records_by_feature: dict[str, _RecordsByKey] = {}
     for record in records:
-        for fingerprint in record.remaining_suspects:
-            involved = records_by_fingerprint.setdefault(fingerprint, {})
+        for feature in record.remaining_features:
+            involved = records_by_feature.setdefault(feature, {})
             involved[record.key] = record
-    return records_by_fingerprint
+    return records_by_feature
 
 
 def _remove(
-    explained: _RecordsByKey, records_by_fingerprint: dict[str, _RecordsByKey]
+    explained: _RecordsByKey, records_by_feature: dict[str, _RecordsByKey]
 ) -> None:
     for key, record in explained.items():
-        for fingerprint in record.remaining_suspects:
-            involved = records_by_fingerprint.get(fingerprint, {})
+        for feature in record.remaining_features:
+            involved = records_by_feature.get(feature, {})
             involved.pop(key, None)
             if not involved:
-                records_by_fingerprint.pop(fingerprint, None)
+                records_by_feature.pop(feature, None)
--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -1,5 +1,8 @@
 """Records of engines that ended, with the requests that may have caused it.
 
+A request is suspected as a whole, and by each part of its prompt that other
+requests may share. Both are features, which have digests of one form.
+
 Each VM keeps a table and passes records on. Merging is commutative, associative
 and idempotent, so that lost, repeated and reordered messages do no harm.
 """
@@ -25,6 +28,8 @@
 # Bounds of memory. An engine starts few requests at the same time.
 MAX_RECORDS = 512
 MAX_SUSPECTS = 32
+MAX_PARTS = 32
+MAX_ACQUITTED_PARTS = MAX_SUSPECTS * MAX_PARTS
 # A flood of ends that are never confirmed takes no more of the table than this.
 _MAX_UNCONFIRMED = 128
 
@@ -50,6 +55,10 @@
         send counts.
       acquitted: Fingerprints among the suspects for which an engine of the pool
         has given output.
+      parts_by_fingerprint: Digests of the parts of the suspects' prompts that
+        the reporting VM doesn't know engines to survive.
+      acquitted_parts: Digests of parts on which an engine of the pool has given
+        output.
       confirmed: Whether the engine is known to have ended, rather than only
         the connections to it.
       observed_at: Time of the first report in seconds, on the local clock.
@@ -61,6 +70,10 @@
     pool: str = ""
     sent_before_s: Mapping[str, float] = dataclasses.field(default_factory=dict)
     acquitted: frozenset[str] = frozenset()
+    parts_by_fingerprint: Mapping[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    acquitted_parts: frozenset[str] = frozenset()
     confirmed: bool = False
     observed_at: float = 0.0
 
@@ -79,6 +92,36 @@
         """Suspects that haven't been acquitted."""
         return self.suspects - self.acquitted
 
+    @property
+    def parts(self) -> frozenset[str]:
+        """Parts of the suspects' prompts."""
+        return frozenset().union(*self.parts_by_fingerprint.values())
+
+    @property
+    def remaining_features(self) -> frozenset[str]:
+        """Remaining suspects and the parts of theirs that remain suspected."""
+        suspects = self.remaining_suspects
+        return suspects.union(*map(self.remaining_parts, suspects))
+
+    def remaining_parts(self, fingerprint: str) -> frozenset[str]:
+        """Returns the parts of a suspect that haven't been acquitted."""
+        parts = self.parts_by_fingerprint.get(fingerprint, frozenset())
+        return parts - self.acquitted_parts
+
+    def holders(self, feature: str) -> frozenset[str]:
+        """Returns the remaining suspects that have a feature.
+
+        Args:
+          feature: Fingerprint of a request or digest of a part.
+        """
+        if feature in self.sent_before_s:
+            return self.remaining_suspects & {feature}
+        return frozenset(
+            fingerprint
+            for fingerprint in self.remaining_suspects
+            if feature in self.remaining_parts(fingerprint)
+        )
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether a request is among the remaining suspects."""
         return (
@@ -104,6 +147,7 @@
         both = (self.sent_before_s, other.sent_before_s)
         suspects = sorted(self.suspects | other.suspects)[:MAX_SUSPECTS]
         acquitted = sorted(self.acquitted | other.acquitted)[:MAX_SUSPECTS]
+        acquitted_parts = self.acquitted_parts | other.acquitted_parts
         return dataclasses.replace(
             self,
             life=max(self.life, other.life),
@@ -115,10 +159,28 @@
                 for fingerprint in suspects
             },
             acquitted=frozenset(acquitted),
+            parts_by_fingerprint=self._merge_parts(other, suspects),
+            acquitted_parts=frozenset(
+                sorted(acquitted_parts)[:MAX_ACQUITTED_PARTS]
+            ),
             confirmed=self.confirmed or other.confirmed,
             observed_at=min(self.observed_at, other.observed_at),
         )
 
+    def _merge_parts(
+        self, other: "CrashRecord", fingerprints: Iterable[str]
+    ) -> dict[str, frozenset[str]]:
+        merged = {
+            fingerprint: self.parts_by_fingerprint.get(fingerprint, frozenset())
+            | other.parts_by_fingerprint.get(fingerprint, frozenset())
+            for fingerprint in fingerprints
+        }
+        return {
+            fingerprint: frozenset(sorted(parts)[:MAX_PARTS])
+            for fingerprint, parts in merged.items()
+            if parts
+        }
+
     def content(self) -> tuple:
         """Returns what all VMs agree on once they have exchanged records."""
         return (
@@ -126,6 +188,11 @@
             self.number,
             sorted(self.sent_before_s.items()),
             sorted(self.acquitted),
+            sorted(
+                (fingerprint, sorted(parts))
+                for fingerprint, parts in self.parts_by_fingerprint.items()
+            ),
+            sorted(self.acquitted_parts),
             self.confirmed,
         )
 
@@ -148,6 +215,7 @@
         fingerprint: str,
         sent_at: float,
         lost_at: float,
+        parts: Iterable[str] = (),
     ) -> CrashRecord | None:
         """Records that an engine seems to have ended while it had a request.
 
@@ -156,6 +224,7 @@
           fingerprint: Fingerprint of the request.
           sent_at: When the request was sent to the engine, in seconds.
           lost_at: When the engine closed its connection, in seconds.
+          parts: Digests of the parts of its prompt that may be the cause.
 
         Returns:
           The new or changed record, None if nothing changed.
@@ -168,6 +237,7 @@
                 life=endpoint.life,
                 pool=endpoint.pool,
                 sent_before_s={fingerprint: sent_before_s},
+                parts_by_fingerprint={fingerprint: frozenset(parts)},
                 observed_at=lost_at,
             ),
             lost_at,
@@ -187,21 +257,31 @@
             return None
         return self._replace(record, confirmed=True)
 
-    def acquit(self, fingerprint: str, pool: str) -> list[CrashRecord]:
-        """Clears a request that an engine has given output for.
+    def acquit(
+        self, fingerprint: str, pool: str, parts: Iterable[str] = ()
+    ) -> list[CrashRecord]:
+        """Clears a request that an engine has given output for, and its parts.
 
         Args:
           fingerprint: Fingerprint of the request.
           pool: Pool of the engine. Ends of engines of other pools still count,
             as these may run other software.
+          parts: Digests of the parts of its prompt.
 
         Returns:
           The changed records.
         """
+        survived = {fingerprint, *parts}
         return [
-            self._replace(record, acquitted=record.acquitted | {fingerprint})
+            self._replace(
+                record,
+                acquitted=record.acquitted | (survived & record.suspects),
+                acquitted_parts=record.acquitted_parts
+                | (survived & record.parts),
+            )
             for record in list(self)
-            if record.is_suspect(fingerprint) and record.pool == pool
+            if record.pool == pool
+            and not survived.isdisjoint(record.remaining_features)
         ]
 
     def merge(self, record: CrashRecord, now: float) -> CrashRecord | None:
@@ -265,16 +345,14 @@
     def _limit_size(self) -> None:
         if len(self) <= MAX_RECORDS:
             return
-        ends_by_suspect = collections.Counter(
-            fingerprint
-            for record in self
-            for fingerprint in record.remaining_suspects
+        ends_by_feature = collections.Counter(
+            feature for record in self for feature in record.remaining_features
         )
 
         def rank(record: CrashRecord) -> tuple[int, float]:
-            """Ranks by the ends that a suspect of the record accounts for."""
-            suspects = record.remaining_suspects
-            ends = max((ends_by_suspect[item] for item in suspects), default=0)
+            """Ranks by the ends that a feature of the record accounts for."""
+            features = record.remaining_features
+            ends = max((ends_by_feature[item] for item in features), default=0)
             return (ends, record.observed_at)
 
         del self._records_by_key[min(self._evictable(), key=rank).key]
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -1,14 +1,16 @@
 """Quarantine of requests that end the engines which begin to run them.
 
-Does no I/O. A circuit breaker for each request: it opens after some ends of
-engines that the request is blamed for, and lets the request through again after
-an interval that doubles with each further end. While ends aren't confirmed, the
-request is only held back for as long as the confirmation may take.
+Does no I/O. A circuit breaker for each feature of requests, which is a request
+itself or a part that prompts share: it opens after some ends of engines that
+the feature is blamed for, and lets requests through again after an interval
+that doubles with each further end. While ends aren't confirmed, requests are
+only held back for as long as the confirmation may take.
 """
 
 import dataclasses
 import enum
 import math
+from collections.abc import Collection
 
 from cowsliprill.decisions import crash_blame
 from cowsliprill.decisions import crash_records
@@ -17,6 +19,15 @@
 # chance to tell it from the requests in its company.
 _FURTHER_CRASHES_IN_COMPANY = 2
 
+# A part is blamed once this many different requests with it have ended engines;
+# repeats of one request don't tell the part from the request.
+_REQUESTS_TO_BLAME_PART = 2
+
+# So many separate ends, and so many in all, are also enough for a part: its
+# requests came together and ended several engines at the same time.
+_SEPARATE_CRASHES_OF_MANY = 2
+_MANY_CRASHES = 5
+
 _QUARANTINE_MAX_S = 86_400.0
 
 
@@ -39,7 +50,7 @@
     Attributes:
       crashes: Number of ends after which a request is quarantined.
       quarantine_s: Duration of the first quarantine in seconds.
-      released: Fingerprints that are never restricted.
+      released: Fingerprints and digests of parts that never restrict requests.
     """
 
     crashes: int = 3
@@ -54,11 +65,16 @@
     Attributes:
       kind: Whether the ends are confirmed.
       left_s: Time after which the request may be sent again, in seconds.
-      records: The ends that the request is blamed for.
+      feature: Fingerprint of the request, or digest of the part of its prompt,
+        that is blamed.
+      is_part: Whether it is a part.
+      records: The ends that the feature is blamed for.
     """
 
     kind: RestrictionKind
     left_s: float
+    feature: str
+    is_part: bool
     records: tuple[crash_records.CrashRecord, ...]
 
 
@@ -76,7 +92,7 @@
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.table = crash_records.CrashTable()
-        self._blame_by_fingerprint: dict[str, crash_blame.Blame] = {}
+        self._blame_by_feature: dict[str, crash_blame.Blame] = {}
         self._next_expiry = math.inf
 
     def refresh(self, now: float) -> None:
@@ -86,8 +102,8 @@
           now: Current time in seconds.
         """
         self.table.expire(now)
-        self._blame_by_fingerprint = crash_blame.assign(
-            self.table, self.limits.crashes
+        self._blame_by_feature = crash_blame.assign(
+            self.table, _fewest_crashes(self.limits)
         )
         self._next_expiry = min(
             (
@@ -98,58 +114,133 @@
         )
 
     def restricted(self, now: float) -> dict[str, Restriction]:
-        """Returns all restrictions by fingerprint.
+        """Returns all restrictions by the feature that is blamed.
 
         Args:
           now: Current time in seconds.
         """
         found = {
-            fingerprint: self.restriction(fingerprint, now)
-            for fingerprint in list(self._blame_by_fingerprint)
+            feature: self._restriction_by(feature, now)
+            for feature in list(self._blame_by_feature)
         }
         return {key: item for key, item in found.items() if item is not None}
 
-    def restriction(self, fingerprint: str, now: float) -> Restriction | None:
+    def restriction(
+        self, fingerprint: str, now: float, parts: Collection[str] = ()
+    ) -> Restriction | None:
         """Returns why a request must not be sent, None if it may be sent.
 
         Args:
           fingerprint: Fingerprint of the request.
           now: Current time in seconds.
+          parts: Digests of the parts of its prompt.
         """
         if now >= self._next_expiry:
             self.refresh(now)
-        blame = self._blame_by_fingerprint.get(fingerprint)
-        if blame is None or fingerprint in self.limits.released:
+        found = [
+            self._restriction_by(feature, now)
+            for feature in (fingerprint, *parts)
+            if self._applies(feature, parts)
+        ]
+        restrictions = [item for item in found if item is not None]
+        return max(restrictions, key=lambda item: item.left_s, default=None)
+
+    def _applies(self, feature: str, parts: Collection[str]) -> bool:
+        """Returns whether the blame of a feature concerns such a prompt.
+
+        Parts that always came together are told apart by requests that have
+        only some of them.
+        """
+        blame = self._blame_by_feature.get(feature)
+        if blame is None:
+            return False
+        return not blame.is_part or blame.companions <= set(parts)
+
+    def _restriction_by(self, feature: str, now: float) -> Restriction | None:
+        blame = self._blame_by_feature.get(feature)
+        if blame is None or feature in self.limits.released:
+            return None
+        if blame.is_part and len(blame.fingerprints) < _REQUESTS_TO_BLAME_PART:
             return None
         needed = self.limits.crashes
         if not blame.has_sole_suspect:
             needed += _FURTHER_CRASHES_IN_COMPANY
-        if blame.separate_ends < needed:
+        if not _is_enough(blame, blame.records, needed):
+            if _is_ambiguous(blame, _fewest_crashes(self.limits)):
+                return _paused(blame, now)
             return None
-        if blame.confirmed < needed:
+        if not _is_enough(blame, blame.confirmed_records, needed):
             return _held(blame, now)
-        return self._quarantined(blame, blame.confirmed - needed, now)
+        further = max(blame.confirmed - needed, 0)
+        return self._quarantined(blame, further, now)
 
     def _quarantined(
         self, blame: crash_blame.Blame, further: int, now: float
     ) -> Restriction | None:
         duration_s = self.limits.quarantine_s * 2.0 ** min(further, 32)
         left_s = blame.latest_at + min(duration_s, _QUARANTINE_MAX_S) - now
-        if left_s <= 0:
-            return None
-        return Restriction(
-            kind=RestrictionKind.QUARANTINED,
-            left_s=left_s,
-            records=blame.records,
+        return _restriction(blame, RestrictionKind.QUARANTINED, left_s)
+
+
+def _fewest_crashes(limits: Limits) -> int:
+    """Returns the number of ends below which nothing is restricted."""
+    return max(limits.crashes - 1, 2)
+
+
+def _is_enough(
+    blame: crash_blame.Blame,
+    records: tuple[crash_records.CrashRecord, ...],
+    needed: int,
+) -> bool:
+    separate = blame.count_separate(records)
+    if separate >= needed:
+        return True
+    return (
+        blame.is_part
+        and separate >= _SEPARATE_CRASHES_OF_MANY
+        and len(records) >= max(_MANY_CRASHES, needed)
+    )
+
+
+def _is_ambiguous(blame: crash_blame.Blame, crashes: int) -> bool:
+    """Returns whether a repeat would end an engine and tell nothing new.
+
+    A request alone has ended engines, but a part of its prompt may be the cause
+    as well. Only another request with that part can tell them apart.
+    """
+    return (
+        not blame.is_part
+        and any(
+            record.remaining_parts(blame.feature) for record in blame.records
         )
+        and blame.is_only_sole_suspect
+        and blame.separate_ends >= crashes
+    )
 
 
-def _held(blame: crash_blame.Blame, now: float) -> Restriction:
+def _paused(blame: crash_blame.Blame, now: float) -> Restriction | None:
+    left_s = blame.latest_at + crash_records.CONFIRMATION_TIMEOUT_S - now
+    return _restriction(blame, RestrictionKind.HELD, left_s)
+
+
+def _held(blame: crash_blame.Blame, now: float) -> Restriction | None:
     waits_s = [
         record.observed_at + crash_records.CONFIRMATION_TIMEOUT_S - now
         for record in blame.records
         if not record.confirmed
     ]
+    return _restriction(blame, RestrictionKind.HELD, max(waits_s))
+
+
+def _restriction(
+    blame: crash_blame.Blame, kind: RestrictionKind, left_s: float
+) -> Restriction | None:
+    if left_s <= 0:
+        return None
     return Restriction(
-        kind=RestrictionKind.HELD, left_s=max(waits_s), records=blame.records
+        kind=kind,
+        left_s=left_s,
+        feature=blame.feature,
+        is_part=blame.is_part,
+        records=blame.records,
     )
--- a/src/cowsliprill/entry/request_quarantine.py
+++ b/src/cowsliprill/entry/request_quarantine.py
@@ -15,6 +15,9 @@
 
 _MS_PER_S = 1_000
 
+# Fingerprint of a request and digests of the parts of its prompt.
+_Features = tuple[str, tuple[str, ...]]
+
 
 class RequestQuarantine(Protocol):
     """Interface for the filters that send requests to engines."""
@@ -35,6 +38,13 @@
     def report_survived(self, ctx: context.Context) -> None:
         """Reports that an engine has given output for the request."""
 
+    def unproven_parts(self, ctx: context.Context) -> tuple[str, ...]:
+        """Returns the parts of the prompt that may end engines, as digests.
+
+        These are the parts that no engine of the pool lately gave output on, as
+        far as this process knows.
+        """
+
     def notify(
         self, ctx: context.Context, decisions: asyncio.Queue
     ) -> contextlib.AbstractContextManager[None]:
@@ -53,6 +63,11 @@
     def report_survived(self, ctx: context.Context) -> None:
         """Does nothing."""
 
+    def unproven_parts(self, ctx: context.Context) -> tuple[str, ...]:
+        """Returns no parts."""
+        del ctx
+        return ()
+
     @contextlib.contextmanager
     def notify(
         self, ctx: context.Context, decisions: asyncio.Queue
@@ -80,14 +95,14 @@
         self._ledger = ledger
         self._detector = detector
         self._log = log
-        self._queues_by_fingerprint: dict[str, list[asyncio.Queue]] = (
+        self._queues_by_features: dict[_Features, list[asyncio.Queue]] = (
             collections.defaultdict(list)
         )
         ledger.subscribe(self._recheck_waiting)
 
     def check(self, ctx: context.Context) -> None:
         """Raises `errors.EntryError` if the request must not be sent."""
-        restriction = self._ledger.restriction(ctx.fingerprint)
+        restriction = self._ledger.restriction(*_features(ctx))
         if restriction is None or ctx.progress.tokens:
             # An engine has given output for this request without ending.
             return
@@ -98,6 +113,7 @@
             fingerprint=ctx.fingerprint,
             reason=errors.Code.REQUEST_QUARANTINED.value,
             kind=restriction.kind.value,
+            prompt_part=restriction.feature if restriction.is_part else "",
             crashes=len(restriction.records),
             retry_after_ms=round(restriction.left_s * _MS_PER_S, 1),
         )
@@ -115,32 +131,46 @@
         that it must not be sent again.
         """
         examined = self._detector.report_lost(
-            endpoint_id, ctx.fingerprint, ctx.progress.sent_at
+            endpoint_id,
+            ctx.fingerprint,
+            ctx.progress.sent_at,
+            ctx.prompt_parts,
         )
-        if self._ledger.is_suspect(ctx.fingerprint):
+        if self._ledger.is_suspect(*_features(ctx)):
             await asyncio.shield(examined)
 
     def report_survived(self, ctx: context.Context) -> None:
-        """Clears the request of earlier suspicions."""
-        self._ledger.record_survived(ctx.fingerprint, ctx.service.pool)
+        """Clears the request and its parts of earlier suspicions."""
+        self._ledger.record_survived(
+            ctx.fingerprint, ctx.service.pool, ctx.prompt_parts
+        )
+
+    def unproven_parts(self, ctx: context.Context) -> tuple[str, ...]:
+        """Returns the parts that no engine is known to survive."""
+        return self._ledger.unproven_parts(ctx.prompt_parts, ctx.service.pool)
 
     @contextlib.contextmanager
     def notify(
         self, ctx: context.Context, decisions: asyncio.Queue
     ) -> Iterator[None]:
         """Has the request checked again while it waits."""
-        queues = self._queues_by_fingerprint[ctx.fingerprint]
+        features = _features(ctx)
+        queues = self._queues_by_features[features]
         queues.append(decisions)
         try:
             yield
         finally:
             queues.remove(decisions)
             if not queues:
-                del self._queues_by_fingerprint[ctx.fingerprint]
+                del self._queues_by_features[features]
 
     def _recheck_waiting(self, changed: object) -> None:
         del changed
-        for fingerprint, queues in self._queues_by_fingerprint.items():
-            if self._ledger.restriction(fingerprint) is not None:
+        for features, queues in self._queues_by_features.items():
+            if self._ledger.restriction(*features) is not None:
                 for decisions in queues:
                     decisions.put_nowait(messages.Recheck())
+
+
+def _features(ctx: context.Context) -> _Features:
+    return ctx.fingerprint, ctx.prompt_parts
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -34,6 +34,8 @@
         (suspected, confirmed), as seen by this process.
       restricted_requests: Requests that are refused because they end engines,
         by `kind` (held, quarantined).
+      restricted_prompt_parts: Parts of prompts for which requests are refused,
+        by `kind` (held, quarantined).
       endpoint_rate_limit: Requests a second that an endpoint takes from all VMs
         together, 0 without a limit, by `endpoint`.
       rate_permits: Permits to send a request to a limited endpoint that this
@@ -116,6 +118,10 @@
         self.restricted_requests = self._gauge(
             "restricted_requests", "Requests refused because they end engines."
         )
+        self.restricted_prompt_parts = self._gauge(
+            "restricted_prompt_parts",
+            "Parts of prompts whose requests are refused for the same reason.",
+        )
 
         self.endpoint_rate_limit = self._gauge(
             "endpoint_rate_limit_per_second",
--- a/src/cowsliprill/quarantine/crash_detector.py
+++ b/src/cowsliprill/quarantine/crash_detector.py
@@ -47,6 +47,7 @@
 class _Loss:
     endpoint_id: str
     fingerprint: str
+    parts: tuple[str, ...]
     sent_at: float
     lost_at: float
 
@@ -99,7 +100,11 @@
         self._confirm_records([])
 
     def report_lost(
-        self, endpoint_id: str, fingerprint: str, sent_at: float
+        self,
+        endpoint_id: str,
+        fingerprint: str,
+        sent_at: float,
+        parts: tuple[str, ...] = (),
     ) -> asyncio.Task[None]:
         """Reports that an engine closed the connection of a started request.
 
@@ -108,11 +113,12 @@
           fingerprint: Fingerprint of the request, for which the engine had not
             given any output.
           sent_at: When the request was sent to the engine, in seconds.
+          parts: Digests of the parts of its prompt.
 
         Returns:
           Ends once the engine's port has been probed.
         """
-        loss = _Loss(endpoint_id, fingerprint, sent_at, clock.now())
+        loss = _Loss(endpoint_id, fingerprint, parts, sent_at, clock.now())
         return self._start(self._examine(loss))
 
     def can_be_ended(self, record: crash_records.CrashRecord) -> bool:
@@ -148,7 +154,7 @@
 
     def _record(self, loss: _Loss, endpoint: model.Endpoint) -> None:
         self._ledger.observe(
-            endpoint, loss.fingerprint, loss.sent_at, loss.lost_at
+            endpoint, loss.fingerprint, loss.sent_at, loss.lost_at, loss.parts
         )
         if not self._lists_ends:
             self._await_restarts(endpoint)
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -1,6 +1,7 @@
 """The crash records of this process, with log, metrics and subscribers."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 
@@ -33,9 +34,11 @@
         self._quarantine = quarantine
         self._log = log
         self._metrics = metrics
+        # A flood of different requests must not push out the parts they share.
         self._survived = survived_requests.SurvivedRequests()
+        self._survived_parts = survived_requests.SurvivedRequests()
         self._callbacks: list[Callable[[_Records], None]] = []
-        self._restrictions_by_fingerprint: dict[
+        self._restrictions_by_feature: dict[
             str, quarantine_lib.Restriction
         ] = {}
 
@@ -49,16 +52,46 @@
         return self._quarantine.table
 
     def restriction(
-        self, fingerprint: str
+        self, fingerprint: str, parts: Collection[str] = ()
     ) -> quarantine_lib.Restriction | None:
-        """Returns why a request must not be sent now, None if it may be."""
+        """Returns why a request must not be sent now, None if it may be.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          parts: Digests of the parts of its prompt.
+        """
         if not len(self.table):
             return None
-        return self._quarantine.restriction(fingerprint, clock.now())
+        return self._quarantine.restriction(fingerprint, clock.now(), parts)
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Returns whether a request may have ended an engine."""
-        return any(record.is_suspect(fingerprint) for record in self.table)
+    def is_suspect(self, fingerprint: str, parts: Collection[str] = ()) -> bool:
+        """Returns whether a request or a part of it may have ended an engine.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          parts: Digests of the parts of its prompt.
+        """
+        features = {fingerprint, *parts}
+        return any(
+            not features.isdisjoint(record.remaining_features)
+            for record in self.table
+        )
+
+    def unproven_parts(
+        self, parts: Iterable[str], pool: str
+    ) -> tuple[str, ...]:
+        """Returns the parts that no engine of a pool lately gave output on.
+
+        Args:
+          parts: Digests of parts of a prompt.
+          pool: The pool.
+        """
+        now = clock.now()
+        return tuple(
+            part
+            for part in parts
+            if not self._survived_parts.contains(part, pool, now)
+        )
 
     def set_limits(self, limits: quarantine_lib.Limits) -> None:
         """Applies new limits."""
@@ -71,6 +104,7 @@
         fingerprint: str,
         sent_at: float,
         lost_at: float,
+        parts: Iterable[str] = (),
     ) -> None:
         """Records that an engine seems to have ended with a request.
 
@@ -79,8 +113,12 @@
           fingerprint: Fingerprint of the request.
           sent_at: When the request was sent to the engine, in seconds.
           lost_at: When the engine closed its connection, in seconds.
+          parts: Digests of the parts of its prompt.
         """
-        record = self.table.observe(endpoint, fingerprint, sent_at, lost_at)
+        unproven = self.unproven_parts(parts, endpoint.pool)
+        record = self.table.observe(
+            endpoint, fingerprint, sent_at, lost_at, unproven
+        )
         if record is None:
             return
         self._metrics.engine_crashes.inc({"state": "suspected"})
@@ -89,6 +127,7 @@
             endpoint=endpoint.id,
             number=record.number,
             fingerprint=fingerprint,
+            prompt_parts=",".join(unproven),
             suspects=len(record.suspects),
         )
         self._apply([record])
@@ -109,11 +148,22 @@
         )
         self._apply([confirmed])
 
-    def record_survived(self, fingerprint: str, pool: str) -> None:
-        """Clears a request that an engine of a pool has given output for."""
-        self._survived.add(fingerprint, pool, clock.now())
+    def record_survived(
+        self, fingerprint: str, pool: str, parts: Collection[str] = ()
+    ) -> None:
+        """Clears a request that an engine has given output for, and its parts.
+
+        Args:
+          fingerprint: Fingerprint of the request.
+          pool: Pool of the engine.
+          parts: Digests of the parts of its prompt.
+        """
+        now = clock.now()
+        self._survived.add(fingerprint, pool, now)
+        for part in parts:
+            self._survived_parts.add(part, pool, now)
         if len(self.table):
-            self._acquit(fingerprint, pool)
+            self._acquit(fingerprint, pool, parts)
 
     def merge(self, records: Iterable[crash_records.CrashRecord]) -> None:
         """Adds records of other processes."""
@@ -126,7 +176,7 @@
 
     def expire(self) -> None:
         """Drops records that no longer count and logs what that changes."""
-        if not len(self.table) and not self._restrictions_by_fingerprint:
+        if not len(self.table) and not self._restrictions_by_feature:
             return
         expired = self.table.expire(clock.now())
         for record in expired:
@@ -140,13 +190,16 @@
             self._quarantine.refresh(clock.now())
         self._report_restrictions()
 
-    def _acquit(self, fingerprint: str, pool: str) -> None:
-        changed = self.table.acquit(fingerprint, pool)
+    def _acquit(
+        self, fingerprint: str, pool: str, parts: Collection[str] = ()
+    ) -> None:
+        changed = self.table.acquit(fingerprint, pool, parts)
         if not changed:
             return
         self._log.event(
             "request_acquitted",
             fingerprint=fingerprint,
+            prompt_parts=",".join(parts),
             endpoints=crash_records.endpoint_ids(changed),
         )
         self._apply(changed)
@@ -158,6 +211,13 @@
             for fingerprint in record.remaining_suspects:
                 if self._survived.contains(fingerprint, record.pool, now):
                     self._acquit(fingerprint, record.pool)
+            self._clear_survived_parts(record)
+
+    def _clear_survived_parts(self, record: crash_records.CrashRecord) -> None:
+        parts = record.parts - record.acquitted_parts
+        survived = parts.difference(self.unproven_parts(parts, record.pool))
+        if survived:
+            self._acquit("", record.pool, sorted(survived))
 
     def _apply(self, changed: _Records) -> None:
         self._quarantine.refresh(clock.now())
@@ -168,24 +228,57 @@
     def _report_restrictions(self) -> None:
         restrictions = self._quarantine.restricted(clock.now())
         self._log_changes(restrictions)
-        self._restrictions_by_fingerprint = restrictions
+        self._restrictions_by_feature = restrictions
         for kind in quarantine_lib.RestrictionKind:
-            count = sum(item.kind is kind for item in restrictions.values())
-            self._metrics.restricted_requests.set({"kind": kind.value}, count)
+            of_kind = [
+                item for item in restrictions.values() if item.kind is kind
+            ]
+            parts = sum(item.is_part for item in of_kind)
+            labels = {"kind": kind.value}
+            self._metrics.restricted_requests.set(labels, len(of_kind) - parts)
+            self._metrics.restricted_prompt_parts.set(labels, parts)
 
     def _log_changes(
         self, restrictions: dict[str, quarantine_lib.Restriction]
     ) -> None:
-        previous = self._restrictions_by_fingerprint
-        for fingerprint, restriction in restrictions.items():
-            known = previous.get(fingerprint)
+        previous = self._restrictions_by_feature
+        for feature, restriction in restrictions.items():
+            known = previous.get(feature)
             if known is None or known.kind is not restriction.kind:
-                self._log.warning(
-                    f"request_{restriction.kind.value}",
-                    fingerprint=fingerprint,
-                    crashes=len(restriction.records),
-                    endpoints=crash_records.endpoint_ids(restriction.records),
-                    left_s=round(restriction.left_s, 3),
-                )
-        for fingerprint in previous.keys() - restrictions.keys():
-            self._log.event("request_released", fingerprint=fingerprint)
+                self._log_restriction(restriction)
+        for feature in previous.keys() - restrictions.keys():
+            if previous[feature].is_part:
+                self._log.event("prompt_part_released", prompt_part=feature)
+            else:
+                self._log.event("request_released", fingerprint=feature)
+
+    def _log_restriction(self, restriction: quarantine_lib.Restriction) -> None:
+        records = restriction.records
+        common = {
+            "crashes": len(records),
+            "endpoints": crash_records.endpoint_ids(records),
+            "left_s": round(restriction.left_s, 3),
+        }
+        if not restriction.is_part:
+            self._log.warning(
+                f"request_{restriction.kind.value}",
+                fingerprint=restriction.feature,
+                **common,
+            )
+            return
+        self._log.warning(
+            f"prompt_part_{restriction.kind.value}",
+            prompt_part=restriction.feature,
+            fingerprints=_fingerprints(restriction),
+            **common,
+        )
+
+
+def _fingerprints(restriction: quarantine_lib.Restriction) -> str:
+    """Returns the requests by which a part is blamed."""
+    fingerprints = {
+        fingerprint
+        for record in restriction.records
+        for fingerprint in record.holders(restriction.feature)
+    }
+    return ",".join(sorted(fingerprints))
--- a/src/cowsliprill/quarantine/wire.py
+++ b/src/cowsliprill/quarantine/wire.py
@@ -18,6 +18,10 @@
     tuple[_Fingerprint, ...],
     pydantic.Field(max_length=crash_records.MAX_SUSPECTS),
 ]
+_Parts = Annotated[
+    tuple[_Fingerprint, ...],
+    pydantic.Field(max_length=crash_records.MAX_PARTS),
+]
 _Age = Annotated[float, pydantic.Field(ge=0.0, allow_inf_nan=False)]
 
 
@@ -33,6 +37,9 @@
       suspects: Fingerprints of the suspects, and how long before the end each
         was sent, in seconds.
       acquitted: Fingerprints of the suspects that were cleared.
+      parts: Digests of the parts of a suspect's prompt that may be the cause,
+        by its fingerprint.
+      acquitted_parts: Digests of parts that were cleared.
       confirmed: Whether the engine is known to have ended.
       age_s: Time since the first report in seconds.
     """
@@ -46,6 +53,14 @@
         pydantic.Field(max_length=crash_records.MAX_SUSPECTS),
     ] = ()
     acquitted: _Fingerprints = ()
+    parts: Annotated[
+        dict[_Fingerprint, _Parts],
+        pydantic.Field(max_length=crash_records.MAX_SUSPECTS),
+    ] = dataclasses.field(default_factory=dict)
+    acquitted_parts: Annotated[
+        tuple[_Fingerprint, ...],
+        pydantic.Field(max_length=crash_records.MAX_ACQUITTED_PARTS),
+    ] = ()
     confirmed: bool = False
     age_s: _Age = 0.0
 
@@ -80,6 +95,13 @@
         pool=record.pool,
         suspects=tuple(sorted(record.sent_before_s.items())),
         acquitted=tuple(sorted(record.acquitted)),
+        parts={
+            fingerprint: tuple(sorted(parts))
+            for fingerprint, parts in sorted(
+                record.parts_by_fingerprint.items()
+            )
+        },
+        acquitted_parts=tuple(sorted(record.acquitted_parts)),
         confirmed=record.confirmed,
         age_s=round(max(now - record.observed_at, 0.0), 6),
     )
@@ -99,6 +121,11 @@
         pool=crash.pool,
         sent_before_s=dict(crash.suspects),
         acquitted=frozenset(crash.acquitted),
+        parts_by_fingerprint={
+            fingerprint: frozenset(parts)
+            for fingerprint, parts in crash.parts.items()
+        },
+        acquitted_parts=frozenset(crash.acquitted_parts),
         confirmed=crash.confirmed,
         observed_at=now - crash.age_s,
     )
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -78,3 +78,69 @@
         blame = crash_blame.assign(records)["a"]
         assert blame.separate_ends == separate
         assert blame.confirmed == separate
+
+
+def _part_records(*ends: dict[str, str]) -> list[crash_records.CrashRecord]:
+    """Returns one record an end, from the parts of each request's prompt."""
+    return [
+        crash_records.CrashRecord(
+            endpoint_id=f"e{number}",
+            number=0,
+            sent_before_s=dict.fromkeys(parts_by_request, 0.1),
+            parts_by_fingerprint={
+                request: frozenset(parts)
+                for request, parts in parts_by_request.items()
+            },
+            observed_at=float(number),
+        )
+        for number, parts_by_request in enumerate(ends)
+    ]
+
+
+class TestParts:
+    """A part that different requests share is blamed for all of their ends."""
+
+    def test_part_explains_ends_of_different_requests(self):
+        """Guards against a part that each request with it is blamed for."""
+        records = _part_records({"P": "xa"}, {"Q": "xb"}, {"R": "xc"})
+        blame = crash_blame.assign(records)
+        assert set(blame) == {"x"}
+        assert blame["x"].is_part
+        assert blame["x"].fingerprints == {"P", "Q", "R"}
+        assert blame["x"].has_sole_suspect
+        assert blame["x"].companions == frozenset()
+
+    def test_repeats_of_one_request_blame_it_and_its_parts_alike(self):
+        blame = crash_blame.assign(_part_records({"P": "x"}, {"P": "x"}))
+        assert {key: len(item.records) for key, item in blame.items()} == {
+            "P": 2,
+            "x": 2,
+        }
+        assert not blame["P"].is_part
+        assert blame["x"].fingerprints == {"P"}
+
+    def test_parts_that_always_came_together_are_companions(self):
+        """Guards against blame for a part that only came with the cause."""
+        blame = crash_blame.assign(_part_records({"P": "xy"}, {"Q": "xyz"}))
+        assert blame["x"].companions == {"y"}
+        assert blame["y"].companions == {"x"}
+
+    def test_request_in_company_of_the_part_is_cleared(self):
+        """Guards against blame for requests that started beside the cause."""
+        records = _part_records({"P": "x", "S": "s"}, {"Q": "x"}, {"R": "x"})
+        assert set(crash_blame.assign(records)) == {"x"}
+
+    def test_two_parts_that_end_engines_are_told_apart(self):
+        records = _part_records({"P": "x"}, {"Q": "y"}, {"R": "x"}, {"S": "y"})
+        counts = {
+            key: len(item.records)
+            for key, item in crash_blame.assign(records).items()
+        }
+        assert counts == {"x": 2, "y": 2}
+
+    def test_part_that_engines_survive_is_left_out(self):
+        table = crash_records.CrashTable()
+        for record in _part_records({"P": "xa"}, {"Q": "xa"}):
+            table.merge(record, 1.0)
+        table.acquit("S", "", ["a"])
+        assert set(crash_blame.assign(table)) == {"x"}
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -21,6 +21,7 @@
 from cowsliprill.quarantine import wire
 
 _REQUEST = f"{1:016x}"
+_PART = f"{2:016x}"
 _LATENCY_S = 0.02
 # Customers expect that all VMs in touch know within this time.
 _CONTACT_S = 3.0
@@ -162,6 +163,52 @@
 
         assert virtual_time.run(scenario(), monkeypatch) <= _CONTACT_S
 
+    @pytest.mark.parametrize("size", [6, 71, 195])
+    @pytest.mark.parametrize("loss", [0.0, 0.2])
+    def test_all_vms_refuse_a_part_within_contact_time(
+        self, monkeypatch, size, loss
+    ):
+        """Guards against VMs that send requests with the part on."""
+
+        async def scenario():
+            vms = _start(_Network(loss), size)
+            await asyncio.sleep(10.0)
+            for number, vm in enumerate(vms[:3]):
+                engine = test_crash_records.engine(f"e{number}")
+                now = clock.now()
+                request = f"{number:016x}"
+                vm.ledger.observe(engine, request, now - 0.1, now, [_PART])
+                await asyncio.sleep(0.2)
+            began_at = clock.now()
+            async with asyncio.timeout(30.0):
+                while not all(  # noqa: ASYNC110
+                    vm.ledger.restriction(_REQUEST, [_PART]) for vm in vms
+                ):
+                    await asyncio.sleep(0.01)
+            await _stop(vms)
+            return clock.now() - began_at
+
+        assert virtual_time.run(scenario(), monkeypatch) <= _CONTACT_S
+
+    def test_part_that_one_vm_saw_survive_is_cleared_at_all(self, monkeypatch):
+        """Guards against refusing a part for what only some VMs know."""
+
+        async def scenario():
+            vms = _start(_Network(), 20)
+            await asyncio.sleep(10.0)
+            vms[9].ledger.record_survived(f"{99:016x}", "writers", [_PART])
+            for number, vm in enumerate(vms[:3]):
+                engine = test_crash_records.engine(f"e{number}")
+                now = clock.now()
+                request = f"{number:016x}"
+                vm.ledger.observe(engine, request, now - 0.1, now, [_PART])
+                await asyncio.sleep(0.2)
+            await asyncio.sleep(_CONTACT_S)
+            await _stop(vms)
+            return [vm.ledger.restriction(_REQUEST, [_PART]) for vm in vms]
+
+        assert virtual_time.run(scenario(), monkeypatch) == [None] * 20
+
     def test_quiet_fleet_exchanges_nothing(self, monkeypatch):
         """Guards against traffic that grows with the fleet, not the trouble."""
 
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -46,6 +46,21 @@
 )
 
 
+_PARTS = strategies.frozensets(
+    strategies.sampled_from(_FINGERPRINTS), max_size=8
+)
+_RECORDS_WITH_PARTS = strategies.builds(
+    lambda record, parts, acquitted: dataclasses.replace(
+        record,
+        parts_by_fingerprint=dict.fromkeys(record.suspects, parts),
+        acquitted_parts=parts & acquitted,
+    ),
+    _RECORDS,
+    _PARTS.filter(bool),
+    _PARTS,
+)
+
+
 def _merged(records):
     table = crash_records.CrashTable()
     for record in records:
@@ -66,6 +81,17 @@
         random.Random(seed).shuffle(shuffled)
         assert _merged(shuffled) == _merged(records)
 
+    @hypothesis.settings(derandomize=True, max_examples=200)
+    @hypothesis.given(
+        strategies.lists(_RECORDS_WITH_PARTS, max_size=6),
+        strategies.integers(0, 99),
+    )
+    def test_order_does_not_matter_for_parts(self, records, seed):
+        """Guards against VMs that differ for good on a part of prompts."""
+        shuffled = [*records, *records]
+        random.Random(seed).shuffle(shuffled)
+        assert _merged(shuffled) == _merged(records)
+
     def test_confirmed_record_is_taken_after_the_unconfirmed_has_expired(self):
         """Guards against a VM that ignores what the others have confirmed."""
         table = crash_records.CrashTable()
@@ -134,3 +160,12 @@
         assert [
             record.pool for record in table if record.remaining_suspects
         ] == ["canary"]
+
+    def test_output_clears_all_parts_of_the_prompt(self):
+        """Guards against popular parts that stay suspected."""
+        table = crash_records.CrashTable()
+        table.observe(engine(), _FINGERPRINTS[0], 99.9, 100.0, ["x", "y"])
+        table.acquit(_FINGERPRINTS[1], "writers", ["x", "z"])
+        (record,) = table
+        assert record.remaining_features == {_FINGERPRINTS[0], "y"}
+        assert record.acquitted_parts == {"x"}
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -111,6 +111,123 @@
         assert _kind(state) is None
 
 
+_PART = f"{3:016x}"
+_COMPANION = f"{4:016x}"
+
+
+def _request(number):
+    return f"{number + 2**16:016x}"
+
+
+def _part_quarantine(*requests, parts=(_PART,), apart_s=1.0, confirmed=True):
+    """Returns a quarantine after ends by requests that share parts."""
+    state = quarantine.Quarantine(quarantine.Limits())
+    for number, request in enumerate(requests):
+        now = _START + number * apart_s
+        engine = test_crash_records.engine(f"e{number}")
+        record = state.table.observe(
+            engine, _request(request), now - 0.1, now, parts
+        )
+        if confirmed:
+            state.table.confirm(record.key)
+    state.refresh(_START + len(requests) * apart_s)
+    return state
+
+
+def _part_kind(state, *parts, request=99, now=_START + 5.0):
+    restriction = state.restriction(_request(request), now, parts)
+    return restriction.kind if restriction else None
+
+
+class TestPart:
+    """Requests with a part that ends engines must not be sent."""
+
+    @pytest.mark.parametrize(
+        ("requests", "kind"),
+        [
+            ((1, 2), None),
+            ((1, 2, 3), _KIND.QUARANTINED),
+            ((1, 1, 2), _KIND.QUARANTINED),
+            # Repeats of one request don't tell it from its parts.
+            ((1, 1, 1, 1), None),
+        ],
+    )
+    def test_three_ends_by_two_requests_restrict_all_with_the_part(
+        self, requests, kind
+    ):
+        """Guards against new requests that begin with a clean record."""
+        state = _part_quarantine(*requests)
+        assert _part_kind(state, _PART, _COMPANION) is kind
+        assert _part_kind(state, _COMPANION) is None
+
+    def test_part_is_held_until_the_ends_are_confirmed(self):
+        state = _part_quarantine(1, 2, 3, confirmed=False)
+        assert _part_kind(state, _PART) is _KIND.HELD
+
+    def test_ends_at_one_moment_say_no_more_than_one(self):
+        """Guards against blame for a part when engines end with their rack."""
+        state = _part_quarantine(1, 2, 3, 4, 5, 6, apart_s=0.01)
+        assert _part_kind(state, _PART) is None
+
+    def test_one_later_end_tells_a_burst_from_a_rack(self):
+        state = _part_quarantine(1, 2, 3, 4, apart_s=0.01)
+        now = _START + 3.0
+        engine = test_crash_records.engine("last")
+        record = state.table.observe(
+            engine, _request(5), now - 0.1, now, [_PART]
+        )
+        state.table.confirm(record.key)
+        state.refresh(now)
+        assert _part_kind(state, _PART) is _KIND.QUARANTINED
+
+    def test_parts_that_always_came_together_are_refused_together_only(self):
+        """Guards against refusing a part for what its companion does."""
+        state = _part_quarantine(1, 2, 3, parts=(_PART, _COMPANION))
+        assert _part_kind(state, _PART, _COMPANION) is _KIND.QUARANTINED
+        assert _part_kind(state, _COMPANION) is None
+        assert _part_kind(state, _PART) is None
+
+    def test_output_on_the_companion_leaves_the_cause(self):
+        state = _part_quarantine(1, 2, 3, parts=(_PART, _COMPANION))
+        state.table.acquit(_request(98), "writers", [_COMPANION])
+        state.refresh(_START + 5.0)
+        assert _part_kind(state, _COMPANION) is None
+        assert _part_kind(state, _PART) is _KIND.QUARANTINED
+
+    def test_request_whose_part_may_be_the_cause_is_paused_after_two_ends(self):
+        """Guards against repeats that end engines and tell nothing new."""
+        state = _part_quarantine(1, 1)
+        assert _part_kind(state, _PART, request=1) is _KIND.HELD
+        assert _part_kind(state, _PART, request=2) is None
+        expiry = _START + 1.0 + crash_records.CONFIRMATION_TIMEOUT_S
+        assert _part_kind(state, _PART, request=1, now=expiry) is None
+
+    def test_request_with_proven_parts_is_not_paused(self):
+        state = _part_quarantine(1, 1)
+        state.table.acquit(_request(98), "writers", [_PART])
+        state.refresh(_START + 5.0)
+        assert _part_kind(state, _PART, request=1) is None
+
+    def test_operator_can_release_a_part(self):
+        state = _part_quarantine(1, 2, 3)
+        state.limits = dataclasses.replace(
+            state.limits, released=frozenset({_PART})
+        )
+        assert _part_kind(state, _PART) is None
+
+    def test_a_part_outlasts_a_full_table(self):
+        """Guards against unrelated ends that push out those of a part."""
+        state = _part_quarantine(1, 2, 3)
+        for number in range(crash_records.MAX_RECORDS + 1):
+            now = _START + 3.0 + number * 0.001
+            engine = test_crash_records.engine(f"new-{number}")
+            request = f"{number + 2**32:016x}"
+            record = state.table.observe(engine, request, now - 0.1, now)
+            state.table.confirm(record.key)
+        state.refresh(_START + 5.0)
+        assert _part_kind(state, _PART) is _KIND.QUARANTINED
+
+
 class TestFullTable:
     """The table is full of ends of other engines."""
 
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -26,7 +26,7 @@
         self.done = asyncio.Event()
         self.sent_at = []
 
-    def report_lost(self, endpoint_id, fingerprint, sent_at):
+    def report_lost(self, endpoint_id, fingerprint, sent_at, parts):
         self.sent_at.append(sent_at)
         return asyncio.create_task(self.done.wait())
 
@@ -59,6 +59,7 @@
         request_id="r1",
         caller_id="c1",
         fingerprint=_REQUEST,
+        prompt_parts=(),
         service=types.SimpleNamespace(pool="writers"),
         progress=context.Progress(**progress),
     )
