Start requests with a suspected part one after the other

Until a part is blamed, requests with it keep coming at all VMs, and each engine that one reaches is at risk. The others wait in the queue of their own that resumed streams have, so they delay nobody, within their deadlines.

A request names to its scheduler only the parts that its VM doesn't know engines to survive: most name none. AttemptFailed and Cancel say whether the engine closed the connection before any output; older builds ignore the fields.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -81,6 +81,8 @@
         it; empty if it named none.
       stream_age_max_s: Time in seconds for which the stream can be resumed; if
         it is resumed now, how long ago it began at most.
+      prompt_parts: Digests of the parts of its prompt that other requests may
+        share and that its entry process doesn't know engines to survive.
     """
 
     request_id: int
@@ -97,6 +99,7 @@
     version: str | None = None
     origin: str = ""
     stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -116,9 +119,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cancel:
-    """The caller disconnected, or the request timed out."""
+    """The caller disconnected, the request timed out or was given up.
+
+    Attributes:
+      request_id: The request.
+      connection_lost: Whether its engine had closed the connection before any
+        output.
+    """
 
     request_id: int
+    connection_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,6 +194,8 @@
         continue after the last of them.
       version: Software version that began the stream, None if it has not begun
         or the sender doesn't know.
+      connection_lost: Whether the endpoint closed the connection before any
+        output.
     """
 
     request_id: int
@@ -197,6 +209,7 @@
     kept_s: float = 0.0
     resumable: bool = False
     version: str | None = None
+    connection_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -108,9 +108,10 @@
     ) -> None:
         self._health = engine_health
         self.queue = request_queue.RequestQueue()
-        # Streams that only engines of one software version may continue. In the
-        # other queue they would block the requests that any engine can serve.
-        self.resumed = request_queue.RequestQueue()
+        # Streams that only engines of one software version may continue, and
+        # requests that start one after the other. In the other queue they would
+        # block the requests that any engine can serve now.
+        self.constrained = request_queue.RequestQueue()
         self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
         self.decodes: list[model.Endpoint] = []
@@ -368,7 +369,7 @@
                 self.lease(item.id).running for item in self.prefills
             ),
             slots=sum(item.slots for item in self.decodes),
-            waiting=len(self.queue) + len(self.resumed),
+            waiting=len(self.queue) + len(self.constrained),
             prompt_tokens_per_s=max(
                 (item.prefill_tokens_per_s for item in self.prefills),
                 default=0.0,
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -55,6 +55,8 @@
       probed_ids: Ids of ejected endpoints that the newest attempt probes.
       version: Software version that began its stream, None before the first
         token. Only engines of this version may go on.
+      starts_apart: Whether it waits for the start of another request with a
+        suspected part of the prompt.
       knows_versions: Whether its entry process runs a release that knows of
         software versions and their error code.
     """
@@ -81,12 +83,15 @@
     export_expires_at: float = 0.0
     probed_ids: tuple[str, ...] = ()
     version: str | None = None
+    starts_apart: bool = False
     knows_versions: bool = False
 
     @property
     def queue(self) -> request_queue.RequestQueue:
         """The queue of its pool in which it waits."""
-        return self.pool.queue if self.version is None else self.pool.resumed
+        if self.version is None and not self.starts_apart:
+            return self.pool.queue
+        return self.pool.constrained
 
     @property
     def no_version_code(self) -> messages.RefusalCode:
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -25,6 +25,7 @@
 from cowsliprill.decisions import retry_budget
 from cowsliprill.decisions import slot_demands
 from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import suspected_parts
 from cowsliprill.decisions import version_history
 from cowsliprill.decisions import wait_estimates
 
@@ -90,6 +91,7 @@
             availability_zone, self._health
         )
         self._retry_budgets = retry_budget.RetryBudgets()
+        self._suspected_parts = suspected_parts.SuspectedParts()
         self._sequence = 0
 
     def handle(
@@ -109,7 +111,9 @@
                 return self._submit(event, now)
             case messages.Adopt():
                 return self._adopt(event, now)
-            case messages.Cancel(request_id):
+            case messages.Cancel(request_id, connection_lost):
+                if connection_lost:
+                    self._suspected_parts.lose(request_id, now)
                 return self._cancel(request_id, now)
             case messages.PrefillFinished(request_id):
                 return self._prefill_finished(request_id, now)
@@ -183,7 +187,7 @@
             (
                 queue.earliest_start_deadline()
                 for pool in self._pools.pools_by_name.values()
-                for queue in (pool.queue, pool.resumed)
+                for queue in (pool.queue, pool.constrained)
             ),
             default=now + _MAX_WAKEUP_INTERVAL_S,
         )
@@ -191,7 +195,7 @@
             (
                 pool.rates.next_opening(now)
                 for pool in self._pools.pools_by_name.values()
-                if len(pool.queue) or len(pool.resumed)
+                if len(pool.queue) or len(pool.constrained)
             ),
             default=math.inf,
         )
@@ -300,7 +304,7 @@
         Returns:
           The refusal, if any.
         """
-        request.pool.queue.remove(request.submit.request_id)
+        request.queue.remove(request.submit.request_id)
         late = request.start_deadline <= now
         if late or request.useful_start_deadline <= request.start_deadline:
             code = messages.RefusalCode.OVERLOADED
@@ -319,9 +323,17 @@
         request = requests.from_adopt(event, pool, now)
         self._requests_by_id[event.submit.request_id] = request
         self._acquire_slots(request)
+        if request.stage is not messages.Stage.DECODE:
+            self._record_start(request)
         self._record_origin(request, now)
         return []
 
+    def _record_start(self, request: requests.Request) -> None:
+        submit = request.submit
+        self._suspected_parts.start(
+            submit.request_id, submit.service.pool, submit.prompt_parts
+        )
+
     def _record_origin(self, request: requests.Request, now: float) -> None:
         assert request.decode is not None
         version = request.version
@@ -415,12 +427,15 @@
             return []
         assert request.decode is not None
         self._outcomes.record_first_token(request, now)
+        self._suspected_parts.survive(request_id, now)
         request.version = request.decode.software_version
         request.stage = messages.Stage.DECODE
         request.stage_started_at = now
         request.pool.record_first_token_delay(
             now - request.started_at - request.min_ttft_s
         )
+        if len(request.pool.constrained):
+            return self._schedule(request.pool, now)
         return []
 
     def _progress(
@@ -458,6 +473,8 @@
         if request is None or request.stage is messages.Stage.QUEUED:
             return []
         self._outcomes.record_failure(request, event, now)
+        if event.connection_lost:
+            self._suspected_parts.lose(event.request_id, now)
         cancel = self._cancel_attempt(request)
         streaming = request.stage is messages.Stage.DECODE
         self._release(request)
@@ -504,6 +521,7 @@
         )
 
     def _release(self, request: requests.Request) -> None:
+        self._suspected_parts.end(request.submit.request_id)
         if request.stage is messages.Stage.PREFILL:
             self._release_prefill(request)
         assert request.decode is not None
@@ -616,8 +634,9 @@
         """Refuses resumed streams whose version no engine has any more."""
         unservable = [
             request
-            for request in map(self._queued, pool.resumed)
-            if not pool.serves_version(request.version)
+            for request in map(self._queued, pool.constrained)
+            if request.version is not None
+            and not pool.serves_version(request.version)
         ]
         return [
             self._refuse(request, request.no_version_code, now)
@@ -628,16 +647,29 @@
         return self._requests_by_id[waiting.submit.request_id]
 
     def _place_all(self, pool: pools.Pool, now: float) -> list[messages.Action]:
+        self._return_to_queue(pool, now)
         starts = self._place_resumed(pool, now)
         while len(pool.queue):
             waiting = pool.queue.first(pool.over_share)
             assert waiting is not None
-            start = self._place(self._queued(waiting), now)
+            request = self._queued(waiting)
+            if self._must_wait(request, now):
+                self._set_apart(request, now)
+                continue
+            start = self._place(request, now)
             if start is None:
                 break
             starts.append(start)
         return starts
 
+    def _return_to_queue(self, pool: pools.Pool, now: float) -> None:
+        """Queues requests again that were set apart and needn't wait now."""
+        for request in list(map(self._queued, pool.constrained)):
+            if request.starts_apart and not self._must_wait(request, now):
+                request.queue.remove(request.submit.request_id)
+                request.starts_apart = False
+                self._enqueue(request, now)
+
     def _place_resumed(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
@@ -646,14 +678,27 @@
         They come before new requests, since their callers have a part of the
         output and can't be served by all engines.
         """
-        starts = (
-            self._place(self._queued(waiting), now)
-            for waiting in sorted(
-                pool.resumed, key=request_queue.QueuedRequest.key
-            )
-        )
+        waiting = sorted(pool.constrained, key=request_queue.QueuedRequest.key)
+        starts = [
+            self._place(request, now)
+            for request in map(self._queued, waiting)
+            if not request.starts_apart
+        ]
         return [start for start in starts if start is not None]
 
+    def _must_wait(self, request: requests.Request, now: float) -> bool:
+        submit = request.submit
+        # Engines have given output for a stream that has begun.
+        return request.version is None and self._suspected_parts.must_wait(
+            submit.service.pool, submit.prompt_parts, now
+        )
+
+    def _set_apart(self, request: requests.Request, now: float) -> None:
+        """Keeps a request that must wait from delaying those behind it."""
+        request.queue.remove(request.submit.request_id)
+        request.starts_apart = True
+        self._enqueue(request, now)
+
     def _shed_requests(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
@@ -661,7 +706,7 @@
         refusals: list[messages.Action] = []
         past_deadline = [
             *pool.queue.past_deadline(now),
-            *pool.resumed.past_deadline(now),
+            *pool.constrained.past_deadline(now),
         ]
         for waiting in past_deadline:
             request = self._queued(waiting)
@@ -727,6 +772,7 @@
             pool.rates.take(pair.prefill_id, now)
         pool.rates.take(pair.decode_id, now)
         self._acquire_slots(request)
+        self._record_start(request)
         self._record_origin(request, now)
         request.probed_ids = tuple(
             endpoint_id
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -101,6 +101,8 @@
         first event or while it is unknown.
       resumable: Whether an engine that other VMs reach may continue the broken
         stream after that event.
+      connection_lost: Whether the engine of the newest attempt closed the
+        connection before any output.
       outcome: Outcome of the request, for logs and metrics.
     """
 
@@ -118,6 +120,7 @@
     last_event_id: str = ""
     software_version: str | None = None
     resumable: bool = False
+    connection_lost: bool = False
     outcome: str = ""
 
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -106,7 +106,8 @@
             # stream), engines may still hold memory for it. The scheduler
             # knows which engines and cancels the request there.
             if not completed:
-                self.scheduling.post(messages.Cancel(ctx.number))
+                lost = ctx.progress.connection_lost
+                self.scheduling.post(messages.Cancel(ctx.number, lost))
 
     def _make_submit(self, ctx: context.Context) -> messages.Submit:
         generation = ctx.generation
@@ -129,6 +130,7 @@
             stream_age_max_s=(
                 age_max_s if resumes else self.ages.retention_s(ctx.service)
             ),
+            prompt_parts=self.quarantine.unproven_parts(ctx),
         )
 
     async def _run_attempts(
@@ -158,6 +160,7 @@
             # API key was valid, so the key isn't checked after the first token.
             self.authorization.check(ctx)
         ctx.start = start
+        ctx.progress.connection_lost = False
         self._check_version(ctx)
         ctx.progress.attempts += 1
         self.log.event(
@@ -180,11 +183,12 @@
         except attempts.AttemptError as lost:
             self._log_lost_attempt(ctx, lost)
             await self._examine_path(ctx, lost)
-            if (
+            ctx.progress.connection_lost = (
                 lost.connection_lost
                 and not lost.had_output
                 and not self.paths.is_cut_off()
-            ):
+            )
+            if ctx.progress.connection_lost:
                 await self.quarantine.report_lost(ctx, lost.endpoint_id)
             self._check_path(ctx, lost)
             self._handle_lost_attempt(ctx, lost)
@@ -307,6 +311,7 @@
                 kept_s=lost.kept_s,
                 resumable=lost.resumable,
                 version=ctx.progress.software_version,
+                connection_lost=ctx.progress.connection_lost,
             )
         )
 
--- a/src/cowsliprill/pool_scheduling/wire.py
+++ b/src/cowsliprill/pool_scheduling/wire.py
@@ -6,6 +6,7 @@
 
 import pydantic
 
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import stream_origins
@@ -46,6 +47,7 @@
       version: Software version that began the stream, None if unknown.
       origin: Key of the caller's attempt that begins or has begun the stream.
       stream_age_max_s: See `messages.Submit`.
+      prompt_parts: See `messages.Submit`.
     """
 
     number: int
@@ -70,6 +72,9 @@
     version: str | None = None
     origin: str = ""
     stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
+    prompt_parts: Annotated[
+        tuple[str, ...], pydantic.Field(max_length=crash_records.MAX_PARTS)
+    ] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -99,6 +104,7 @@
 
     kind: Literal["prefill_finished", "first_token", "cancel"]
     number: int
+    connection_lost: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -126,6 +132,7 @@
     kept_s: float = 0.0
     resumable: bool = False
     version: str | None = None
+    connection_lost: bool = False
 
 
 Event = Annotated[
@@ -264,6 +271,7 @@
         version=submit.version,
         origin=submit.origin,
         stream_age_max_s=submit.stream_age_max_s,
+        prompt_parts=submit.prompt_parts,
     )
 
 
@@ -313,6 +321,7 @@
         version=request.version,
         origin=request.origin,
         stream_age_max_s=request.stream_age_max_s,
+        prompt_parts=request.prompt_parts,
     )
 
 
@@ -346,7 +355,7 @@
         case Step(kind="first_token", number=number):
             return messages.FirstToken(number)
         case Step(number=number):
-            return messages.Cancel(number)
+            return messages.Cancel(number, event.connection_lost)
         case TokenCount(kind="progress", number=number, tokens=tokens):
             return messages.Progress(number, tokens)
         case TokenCount(number=number, tokens=tokens):
@@ -364,6 +373,7 @@
                 kept_s=event.kept_s,
                 resumable=event.resumable,
                 version=event.version,
+                connection_lost=event.connection_lost,
             )
 
 
@@ -384,8 +394,10 @@
             return Step(kind="prefill_finished", number=number)
         case messages.FirstToken(number):
             return Step(kind="first_token", number=number)
-        case messages.Cancel(number):
-            return Step(kind="cancel", number=number)
+        case messages.Cancel(number, connection_lost):
+            return Step(
+                kind="cancel", number=number, connection_lost=connection_lost
+            )
         case messages.Progress(number, tokens):
             return TokenCount(kind="progress", number=number, tokens=tokens)
         case messages.Finished(number, tokens):
@@ -404,6 +416,7 @@
                 kept_s=event.kept_s,
                 resumable=event.resumable,
                 version=event.version,
+                connection_lost=event.connection_lost,
             )
         case _:
             raise TypeError(f"event has no message to a coordinator: {event}")
--- a/tests/test_pool_scheduling_wire.py
+++ b/tests/test_pool_scheduling_wire.py
@@ -7,6 +7,7 @@
 
 from cowsliprill import codec
 from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
 from cowsliprill.pool_scheduling import wire
 
 
@@ -72,3 +73,27 @@
     def test_event_without_a_message_is_rejected(self):
         with pytest.raises(TypeError):
             wire.event_to_wire(messages.Tick())
+
+    def test_parts_of_the_prompt_reach_the_coordinator(self):
+        """Guards against suspected parts that start at many engines."""
+        submit = messages.Submit(
+            request_id=1,
+            service=model.Service(
+                id="u/s",
+                customer="",
+                name="u/s",
+                kind=model.ServiceKind.MODEL,
+                pool="g",
+            ),
+            customer="u",
+            prompt_tokens=1,
+            output_tokens=1,
+            prompt_parts=("x", "y"),
+        )
+        request = wire.request_to_wire(submit, now=0.0)
+        text = codec.encode_without_defaults(request)
+        received = codec.decode(wire.Request, text)
+        assert wire.request_from_wire(received, now=0.0).prompt_parts == (
+            "x",
+            "y",
+        )
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -566,3 +566,56 @@
         )
         (start,) = _actions_of(subject.handle(failed, 0.1), messages.Start)
         assert start.has_prefill()
+
+
+class TestSuspectedPart:
+    """Requests with a part that may end engines start one after the other."""
+
+    def _lost(self) -> scheduler.Scheduler:
+        """Returns a scheduler after an engine was lost with part x."""
+        subject = _scheduler_with_slots(4)
+        subject.handle(_submit(1, prompt_parts=("x",)), 0.0)
+        subject.handle(messages.PrefillFinished(1), 0.1)
+        subject.handle(messages.Cancel(1, connection_lost=True), 0.1)
+        return subject
+
+    def test_second_request_waits_and_others_pass_it(self):
+        """Guards against engines that one part ends at the same time."""
+        subject = self._lost()
+        starts = [
+            start.request_id
+            for number, parts in ((2, ("x",)), (3, ("x", "y")), (4, ("y",)))
+            for start in _actions_of(
+                subject.handle(_submit(number, prompt_parts=parts), 0.1),
+                messages.Start,
+            )
+        ]
+        assert starts == [2, 4]
+
+    def test_waiting_requests_start_once_there_is_output(self):
+        """Guards against sound requests that wait longer than needed."""
+        subject = self._lost()
+        for number in (2, 3, 4):
+            subject.handle(_submit(number, prompt_parts=("x",)), 0.1)
+        subject.handle(messages.PrefillFinished(2), 0.2)
+        actions = subject.handle(messages.FirstToken(2), 0.2)
+        starts = _actions_of(actions, messages.Start)
+        assert {start.request_id for start in starts} == {3, 4}
+
+    def test_next_request_starts_after_another_loss(self):
+        subject = self._lost()
+        for number in (2, 3):
+            subject.handle(_submit(number, prompt_parts=("x",)), 0.1)
+        actions = subject.handle(messages.Cancel(2, connection_lost=True), 0.2)
+        starts = _actions_of(actions, messages.Start)
+        assert [start.request_id for start in starts] == [3]
+
+    def test_waiting_request_is_refused_in_time(self):
+        """Guards against requests that wait for a start that never ends."""
+        subject = self._lost()
+        for number in (2, 3):
+            subject.handle(_submit(number, prompt_parts=("x",)), 0.1)
+        refusals = _actions_of(
+            subject.handle(messages.Tick(), 1.1), messages.Refuse
+        )
+        assert [refusal.request_id for refusal in refusals] == [3]
--- /dev/null
+++ b/tests/test_suspected_parts.py
@@ -0,0 +1,62 @@
+"""Requests with a suspected part of the prompt start one after the other."""
+
+from cowsliprill.decisions import crash_records
+from cowsliprill.decisions import suspected_parts
+
+_POOL = "writers"
+
+
+def _suspected(*parts, now=10.0):
+    """Returns the state after an engine was lost with these parts."""
+    state = suspected_parts.SuspectedParts()
+    state.start(1, _POOL, parts)
+    state.lose(1, now)
+    state.end(1)
+    return state
+
+
+class TestMustWait:
+    """Which requests have to wait for the start of others."""
+
+    def test_unsuspected_requests_start_together(self):
+        state = suspected_parts.SuspectedParts()
+        state.start(1, _POOL, ("x",))
+        assert not state.must_wait(_POOL, ("x",), 10.0)
+
+    def test_suspected_part_is_at_one_engine_at_a_time(self):
+        """Guards against several engines that one part ends together."""
+        state = _suspected("x")
+        assert not state.must_wait(_POOL, ("x",), 10.1)
+        state.start(2, _POOL, ("x", "y"))
+        assert state.must_wait(_POOL, ("x",), 10.2)
+        assert not state.must_wait(_POOL, ("y",), 10.2)
+        assert not state.must_wait("other", ("x",), 10.2)
+        state.end(2)
+        assert not state.must_wait(_POOL, ("x",), 10.3)
+
+    def test_output_frees_all_parts_of_the_prompt(self):
+        """Guards against a popular part that waits after engines ended."""
+        state = _suspected("x", "y")
+        state.start(2, _POOL, ("x",))
+        state.survive(2, 10.2)
+        state.start(3, _POOL, ("x",))
+        assert not state.must_wait(_POOL, ("x",), 10.3)
+        state.start(4, _POOL, ("y",))
+        assert state.must_wait(_POOL, ("y",), 10.3)
+
+    def test_part_that_engines_survived_lately_is_not_suspected(self):
+        state = suspected_parts.SuspectedParts()
+        state.start(1, _POOL, ("x",))
+        state.survive(1, 9.0)
+        state.start(2, _POOL, ("x",))
+        state.lose(2, 10.0)
+        state.end(2)
+        state.start(3, _POOL, ("x",))
+        assert not state.must_wait(_POOL, ("x",), 10.1)
+
+    def test_suspicion_lapses(self):
+        state = _suspected("x")
+        state.start(2, _POOL, ("x",))
+        lapsed_at = 10.0 + crash_records.CONFIRMATION_TIMEOUT_S
+        assert state.must_wait(_POOL, ("x",), lapsed_at - 0.1)
+        assert not state.must_wait(_POOL, ("x",), lapsed_at)
