Tell a part from what ended beside it; delay further trials of a suspected part

Now an end counts as evidence against its only suspect if no other engine of the pool ended within 0.1 s without it. A part needs two requests that each were the only suspect, or five ends. A suspicion lasts until an engine gives output on the part; after two losses in a row it is tried again after 0.5 s, doubled with each further loss. Parts have a digest for each pool, as engines of another pool may run other software.

--- a/src/cowsliprill/decisions/crash_blame.py
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -7,12 +7,21 @@
 hardly ever all of them.
 """
 
+import collections
 import dataclasses
 import math
 from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
 
 from cowsliprill.decisions import crash_records
 
+# Engines whose ends are less than this apart may have had one external cause,
+# such as the loss of their rack.
+_TOGETHER_S = 0.1
+
+_RecordsByKey = dict[crash_records.CrashKey, crash_records.CrashRecord]
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Blame:
@@ -21,10 +30,15 @@
     Attributes:
       feature: Fingerprint of the request, or digest of the part.
       records: The ends.
+      together_by_key: Ends of other engines of the pool at about the time of
+        each end.
     """
 
     feature: str
     records: tuple[crash_records.CrashRecord, ...]
+    together_by_key: Mapping[
+        crash_records.CrashKey, Sequence[crash_records.CrashRecord]
+    ]
 
     @property
     def fingerprints(self) -> frozenset[str]:
@@ -54,9 +68,14 @@
         return frozenset.intersection(*common) - {self.feature}
 
     @property
-    def has_sole_suspect(self) -> bool:
-        """Whether only requests with the feature can explain some end."""
-        return any(map(self._is_sole_suspect, self.records))
+    def sole_suspects(self) -> frozenset[str]:
+        """Fingerprints of the requests that alone can explain some end."""
+        return frozenset(
+            fingerprint
+            for record in self.records
+            if self._is_sole_suspect(record)
+            for fingerprint in record.holders(self.feature)
+        )
 
     @property
     def is_only_sole_suspect(self) -> bool:
@@ -106,7 +125,12 @@
         return count
 
     def _is_sole_suspect(self, record: crash_records.CrashRecord) -> bool:
-        return record.holders(self.feature) == record.remaining_suspects
+        return record.holders(
+            self.feature
+        ) == record.remaining_suspects and all(
+            other.holders(self.feature)
+            for other in self.together_by_key[record.key]
+        )
 
 
 def assign(
@@ -121,6 +145,8 @@
     Returns:
       The blame of each feature that is blamed for enough ends, by feature.
     """
+    records = list(records)
+    together_by_key = _index_together(records)
     records_by_feature = _index_by_feature(records)
     blame_by_feature: dict[str, Blame] = {}
     while records_by_feature:
@@ -136,6 +162,7 @@
             blame_by_feature[feature] = Blame(
                 feature=feature,
                 records=tuple(records_by_feature[feature].values()),
+                together_by_key=together_by_key,
             )
         explained = {
             key: record
@@ -146,7 +173,24 @@
     return blame_by_feature
 
 
-_RecordsByKey = dict[crash_records.CrashKey, crash_records.CrashRecord]
+def _index_together(
+    records: Iterable[crash_records.CrashRecord],
+) -> dict[crash_records.CrashKey, list[crash_records.CrashRecord]]:
+    """Returns the ends at about the time of each end, by its key."""
+    together_by_key: dict[
+        crash_records.CrashKey, list[crash_records.CrashRecord]
+    ] = {}
+    recent: collections.deque[crash_records.CrashRecord] = collections.deque()
+    for record in sorted(records, key=lambda item: item.observed_at):
+        since = record.observed_at - _TOGETHER_S
+        while recent and recent[0].observed_at < since:
+            recent.popleft()
+        others = [item for item in recent if item.pool == record.pool]
+        together_by_key[record.key] = others
+        for other in others:
+            together_by_key[other.key].append(record)
+        recent.append(record)
+    return together_by_key
 
 
 def _index_by_feature(
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -15,8 +15,9 @@
 from cowsliprill.decisions import crash_blame
 from cowsliprill.decisions import crash_records
 
-# Further ends needed for a request that was never the only suspect. Each is a
-# chance to tell it from the requests in its company.
+# Further ends needed for a request that was never the only suspect, and for a
+# part by which fewer than two requests were. Each is a chance to tell it from
+# what was in its company.
 _FURTHER_CRASHES_IN_COMPANY = 2
 
 # A part is blamed once this many different requests with it have ended engines;
@@ -163,7 +164,9 @@
         if blame.is_part and len(blame.fingerprints) < _REQUESTS_TO_BLAME_PART:
             return None
         needed = self.limits.crashes
-        if not blame.has_sole_suspect:
+        if len(blame.sole_suspects) < (
+            _REQUESTS_TO_BLAME_PART if blame.is_part else 1
+        ):
             needed += _FURTHER_CRASHES_IN_COMPANY
         if not _is_enough(blame, blame.records, needed):
             if _is_ambiguous(blame, _fewest_crashes(self.limits)):
--- a/src/cowsliprill/decisions/request_fingerprint.py
+++ b/src/cowsliprill/decisions/request_fingerprint.py
@@ -57,30 +57,40 @@
         )
         texts = (content.customer, content.method, content.host, content.target)
         for text in texts:
-            part = text.encode()
-            # The length keeps ("ab", "c") apart from ("a", "bc").
-            digest.update(len(part).to_bytes(4, "big"))
-            digest.update(part)
+            _update(digest, text)
         digest.update(content.body)
         return digest.hexdigest()
 
-    def part_digests(self, part_ids: Iterable[str]) -> tuple[str, ...]:
+    def part_digests(
+        self, part_ids: Iterable[str], pool: str
+    ) -> tuple[str, ...]:
         """Returns the digests of parts of a prompt, the same at all VMs.
 
         Args:
           part_ids: Identify the parts, in their order in the prompt.
+          pool: Pool of the request. Engines of another pool may run other
+            software, for which the same part has another digest.
 
         Returns:
           One digest in hexadecimal for each different part, in order; those of
           a very long list's end are left out.
         """
-        different_ids = list(dict.fromkeys(part_ids))
-        return tuple(map(self._part_digest, different_ids[:_MAX_PARTS]))
-
-    def _part_digest(self, part_id: str) -> str:
-        return hashlib.blake2b(
-            part_id.encode(),
-            digest_size=_DIGEST_BYTES,
-            key=self._key,
-            person=_PART_PURPOSE,
-        ).hexdigest()
+        different_ids = list(dict.fromkeys(part_ids))[:_MAX_PARTS]
+        return tuple(
+            self._part_digest(part_id, pool) for part_id in different_ids
+        )
+
+    def _part_digest(self, part_id: str, pool: str) -> str:
+        digest = hashlib.blake2b(
+            digest_size=_DIGEST_BYTES, key=self._key, person=_PART_PURPOSE
+        )
+        for text in (pool, part_id):
+            _update(digest, text)
+        return digest.hexdigest()
+
+
+def _update(digest: hashlib.blake2b, text: str) -> None:
+    part = text.encode()
+    # The length keeps ("ab", "c") apart from ("a", "bc").
+    digest.update(len(part).to_bytes(4, "big"))
+    digest.update(part)
--- a/src/cowsliprill/decisions/suspected_parts.py
+++ b/src/cowsliprill/decisions/suspected_parts.py
@@ -6,12 +6,37 @@
 engine at a time is at risk.
 """
 
+import dataclasses
 from collections.abc import Collection
-from collections.abc import Iterable
 
-from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import survived_requests
 
+# A part on which engines were lost twice in a row is tried again after this
+# time, doubled with each further loss. By then VMs know of the losses, and
+# refuse its requests if they blame the part.
+_RETRY_DELAY_S = 0.5
+_RETRY_DELAY_MAX_S = 8.0
+_LOSSES_BEFORE_DELAY = 2
+
+_MAX_SUSPECTED = 8_192
+
+_PartKey = tuple[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Suspicion:
+    """Engines lost on a part since engines last gave output on it."""
+
+    losses: int
+    lost_at: float
+
+    def retry_at(self) -> float:
+        further = self.losses - _LOSSES_BEFORE_DELAY
+        if further < 0:
+            return self.lost_at
+        delay_s = min(_RETRY_DELAY_S * 2.0**further, _RETRY_DELAY_MAX_S)
+        return self.lost_at + delay_s
+
 
 class SuspectedParts:
     """Tells which requests of a scheduler have to wait for the start of others.
@@ -22,7 +47,7 @@
 
     def __init__(self) -> None:
         self._survived = survived_requests.SurvivedRequests()
-        self._suspected_until_by_key: dict[tuple[str, str], float] = {}
+        self._suspicions_by_part: dict[_PartKey, _Suspicion] = {}
         self._starting_by_id: dict[int, tuple[str, Collection[str]]] = {}
 
     def start(self, request_id: int, pool: str, parts: Collection[str]) -> None:
@@ -48,10 +73,9 @@
           now: Current time in seconds.
         """
         pool, parts = self._starting_by_id.get(request_id, ("", ()))
-        until = now + crash_records.CONFIRMATION_TIMEOUT_S
         for part in parts:
             if not self._survived.contains(part, pool, now):
-                self._suspected_until_by_key[part, pool] = until
+                self._suspect((part, pool), now)
 
     def survive(self, request_id: int, now: float) -> None:
         """Records that an engine gave output for a request.
@@ -63,31 +87,37 @@
         pool, parts = self._starting_by_id.pop(request_id, ("", ()))
         for part in parts:
             self._survived.add(part, pool, now)
-            self._suspected_until_by_key.pop((part, pool), None)
+            self._suspicions_by_part.pop((part, pool), None)
 
-    def must_wait(self, pool: str, parts: Iterable[str], now: float) -> bool:
-        """Returns whether another request with a suspected part is starting.
+    def must_wait(self, pool: str, parts: Collection[str], now: float) -> bool:
+        """Returns whether a request must not start yet.
+
+        Another request with a suspected part of its prompt is starting, or has
+        ended an engine lately.
 
         Args:
           pool: Pool of the request.
           parts: Digests of the parts of its prompt.
           now: Current time in seconds.
         """
-        if not self._suspected_until_by_key:
-            return False
-        suspected = {
-            part for part in parts if self._is_suspected(part, pool, now)
+        suspicions_by_part = {
+            part: self._suspicions_by_part[part, pool]
+            for part in parts
+            if (part, pool) in self._suspicions_by_part
         }
+        if not suspicions_by_part:
+            return False
+        if any(now < item.retry_at() for item in suspicions_by_part.values()):
+            return True
         return any(
-            pool == other_pool and not suspected.isdisjoint(other_parts)
+            pool == other_pool
+            and not suspicions_by_part.keys().isdisjoint(other_parts)
             for other_pool, other_parts in self._starting_by_id.values()
         )
 
-    def _is_suspected(self, part: str, pool: str, now: float) -> bool:
-        until = self._suspected_until_by_key.get((part, pool))
-        if until is None:
-            return False
-        if now < until:
-            return True
-        del self._suspected_until_by_key[part, pool]
-        return False
+    def _suspect(self, key: _PartKey, now: float) -> None:
+        # The dictionary is kept in order of time, oldest first.
+        known = self._suspicions_by_part.pop(key, _Suspicion(0, now))
+        self._suspicions_by_part[key] = _Suspicion(known.losses + 1, now)
+        if len(self._suspicions_by_part) > _MAX_SUSPECTED:
+            del self._suspicions_by_part[next(iter(self._suspicions_by_part))]
--- a/src/cowsliprill/entry/filters/prompt_parts.py
+++ b/src/cowsliprill/entry/filters/prompt_parts.py
@@ -22,6 +22,6 @@
         """Sets `ctx.prompt_parts` and passes the request on."""
         if ctx.generation is not None:
             ctx.prompt_parts = self.fingerprinter.part_digests(
-                ctx.generation.part_ids
+                ctx.generation.part_ids, ctx.service.pool
             )
         await proceed(ctx)
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -39,6 +39,27 @@
         run_s=0.0,
     ),
 }
+_PART_PLANS = {
+    "apart": _Plan(crashing=0, part_crashing_per_s=1.0),
+    "apart-late-news": _Plan(
+        crashing=0, part_crashing_per_s=1.0, news_delay_s=0.3
+    ),
+    "rare": _Plan(crashing=0, part_crashing_per_s=0.2),
+    "large-pool": _Plan(
+        crashing=0,
+        engines=30,
+        requests_per_s=60.0,
+        part_crashing_per_s=3.0,
+        news_delay_s=0.3,
+    ),
+    "bursts": _Plan(crashing=0, part_bursts=(10.0, 20.0, 30.0)),
+    "request-and-part": _Plan(crashing=1, part_crashing_per_s=1.0),
+    "racks-too": _Plan(
+        crashing=0,
+        part_crashing_per_s=0.5,
+        mass_crashes=tuple(range(5, 60, 10)),
+    ),
+}
 _SINGLE_CRASHES = _Plan(crashing=0, single_crashes_per_s=0.3)
 
 
@@ -62,6 +83,25 @@
             assert result.refused_proper == []
 
 
+class TestCrashingPart:
+    """Different requests with a part that ends each engine are contained."""
+
+    @pytest.mark.parametrize("name", _PART_PLANS)
+    def test_few_are_sent_late_and_company_is_served(self, name):
+        """Guards against a part of prompts that ends engine after engine.
+
+        Sound requests share the first part and one more with them.
+        """
+        for result in _results(_PART_PLANS[name]):
+            assert result.late_part_sends <= _LATE_ATTEMPTS_MAX
+            assert result.refused_proper == []
+
+    def test_bursts_end_no_more_engines_than_come_at_once(self):
+        """Guards against a second burst that ends all engines again."""
+        for result in _results(_PART_PLANS["bursts"]):
+            assert len(result.part_ends) <= 5
+
+
 class TestEnginesThatEndByThemselves:
     """Requests that are lost with their engines aren't refused."""
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -607,6 +607,7 @@
         for number in (2, 3):
             subject.handle(_submit(number, prompt_parts=("x",)), 0.1)
         actions = subject.handle(messages.Cancel(2, connection_lost=True), 0.2)
+        actions += subject.handle(messages.Tick(), 0.8)
         starts = _actions_of(actions, messages.Start)
         assert [start.request_id for start in starts] == [3]
 
