Take an unframed stream that ends before or within an event for lost

What callers saw: a stream whose engine ended, or broke it off, before the first event and without a length or chunks, was given to them as a complete empty answer. And an engine that ends when it begins to write such an answer was not counted as lost: the end of its connection looks like the end of the answer, so the part of the prompt that ended it was never blamed.

Before: test_stream_that_ends_with_its_connection[0] got (200, no bytes), test_few_are_sent_after_five_engines_ended[unframed] 24 late sends where 3 are allowed. After: both pass; cuts within an event (5, 25 and 40 bytes) went on elsewhere before and after.

An unframed stream that ends after a whole event can't be told from a complete one, and counts as complete; a plain answer that ends cleanly does too.

Also: ends are assigned with the features of each record computed once.

--- a/src/cowsliprill/decisions/crash_blame.py
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -21,6 +21,7 @@
 _TOGETHER_S = 0.1
 
 _RecordsByKey = dict[crash_records.CrashKey, crash_records.CrashRecord]
+_FeaturesByKey = Mapping[crash_records.CrashKey, frozenset[str]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -147,7 +148,10 @@
     """
     records = list(records)
     together_by_key = _index_together(records)
-    records_by_feature = _index_by_feature(records)
+    features_by_key = {
+        record.key: record.remaining_features for record in records
+    }
+    records_by_feature = _index_by_feature(records, features_by_key)
     blame_by_feature: dict[str, Blame] = {}
     while records_by_feature:
         highest = max(map(len, records_by_feature.values()))
@@ -165,11 +169,9 @@
                 together_by_key=together_by_key,
             )
         explained = {
-            key: record
-            for feature in leaders
-            for key, record in records_by_feature[feature].items()
+            key for feature in leaders for key in records_by_feature[feature]
         }
-        _remove(explained, records_by_feature)
+        _remove(explained, records_by_feature, features_by_key)
     return blame_by_feature
 
 
@@ -195,20 +197,23 @@
 
 def _index_by_feature(
     records: Iterable[crash_records.CrashRecord],
+    features_by_key: _FeaturesByKey,
 ) -> dict[str, _RecordsByKey]:
     records_by_feature: dict[str, _RecordsByKey] = {}
     for record in records:
-        for feature in record.remaining_features:
+        for feature in features_by_key[record.key]:
             involved = records_by_feature.setdefault(feature, {})
             involved[record.key] = record
     return records_by_feature
 
 
 def _remove(
-    explained: _RecordsByKey, records_by_feature: dict[str, _RecordsByKey]
+    explained: Iterable[crash_records.CrashKey],
+    records_by_feature: dict[str, _RecordsByKey],
+    features_by_key: _FeaturesByKey,
 ) -> None:
-    for key, record in explained.items():
-        for feature in record.remaining_features:
+    for key in explained:
+        for feature in features_by_key[key]:
             involved = records_by_feature.get(feature, {})
             involved.pop(key, None)
             if not involved:
--- a/src/cowsliprill/engines/event_stream.py
+++ b/src/cowsliprill/engines/event_stream.py
@@ -78,13 +78,17 @@
             ) from error
         finally:
             self.close()
-        if self._pending:
+        if self._pending or self._ended_before_first_event():
             raise self._stream_error(stream_lib.StreamFault.TRUNCATED)
 
     def close(self) -> None:
         """Stops reading; an engine drops a stream that isn't read fully."""
         self._response.close()
 
+    def _ended_before_first_event(self) -> bool:
+        # An engine that ends closes its connections as one that has sent all.
+        return self._response.is_close_delimited and not self.tokens
+
     def _extract_complete_events(self, chunk: bytes) -> bytes:
         data = self._pending + chunk
         end = data.rfind(_EVENT_END) + len(_EVENT_END)
@@ -103,6 +107,15 @@
             self.last_id = text
             self.tokens += self._tokens_per_event
 
+    def _is_lost_at_clean_close(
+        self, reason: stream_lib.StreamFault, error: Exception | None
+    ) -> bool:
+        return (
+            reason is stream_lib.StreamFault.TRUNCATED
+            and error is None
+            and self._response.is_close_delimited
+        )
+
     def _stream_error(
         self, reason: stream_lib.StreamFault, error: Exception | None = None
     ) -> errors.StreamBroken:
@@ -110,7 +123,8 @@
             f"stream is {reason} after event {self.last_id!r}: {error}",
             reason=reason,
             last_token=self.tokens,
-            connection_lost=isinstance(error, errors.ConnectionLost),
+            connection_lost=isinstance(error, errors.ConnectionLost)
+            or self._is_lost_at_clean_close(reason, error),
         )
 
 
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -31,6 +31,11 @@
         self.status = exchange.status
         self.headers = exchange.headers
 
+    @property
+    def is_close_delimited(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        return not self._exchange.is_framed()
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body as it is received.
 
@@ -163,7 +168,7 @@
 
     def finish(self) -> None:
         """Marks the body as complete, unless its end is ambiguous."""
-        if not self._is_framed() and not self._closed_cleanly():
+        if not self.is_framed() and not self._closed_cleanly():
             self.fail(
                 errors.CallError(
                     "response has neither a length nor chunked encoding"
@@ -229,6 +234,15 @@
             self._headers_future.exception()
         self._stop_waiting()
 
+    def is_framed(self) -> bool:
+        """Returns whether the body has a length, chunks or no bytes at all."""
+        return (
+            not self._has_body
+            or "Content-Length" in self.headers
+            or "Transfer-Encoding" in self.headers
+            or self.status in _STATUSES_WITHOUT_BODY
+        )
+
     def release(self) -> None:
         """Discards the response if it does not end within a second."""
         if not self.complete and self._error is None:
@@ -269,14 +283,6 @@
             wait_s, self._check_stall, stall_timeout_s
         )
 
-    def _is_framed(self) -> bool:
-        return (
-            not self._has_body
-            or "Content-Length" in self.headers
-            or "Transfer-Encoding" in self.headers
-            or self.status in _STATUSES_WITHOUT_BODY
-        )
-
     def _closed_cleanly(self) -> bool:
         """Returns whether a close-delimited body counts as complete.
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -232,6 +232,10 @@
         to execute them, None for none.
       crash_part: Part of a prompt, other than the last, that ends the engine as
         soon as it begins to write an answer on it, None for none.
+      unframed: Whether streams have neither a length nor chunks and end with
+        their connection.
+      end_after_bytes: Number of bytes after which an unframed stream ends, -1
+        for none.
       times: Number of requests affected, -1 for all.
     """
 
@@ -244,6 +248,8 @@
     unsigned: bool = False
     crash_body: bytes | None = None
     crash_part: str | None = None
+    unframed: bool = False
+    end_after_bytes: int = -1
     times: int = -1
 
 
@@ -388,6 +394,8 @@
             faults.crash_part in shared_parts(request)
         ):
             engine.crashed = True
+            if faults.unframed:
+                await self._write_unframed(b"")
             engine.site.crash()
             return
         if faults.lose_response:
@@ -403,10 +411,29 @@
         if engine.stage is None:
             self.finish(request.body or b"answer")
             return
+        if faults.unframed:
+            begin = int(request.headers.get("Last-Event-Id", "0"))
+            events = stream(begin + 1)
+            if faults.end_after_bytes >= 0:
+                events = events[: faults.end_after_bytes]
+            await self._write_unframed(events)
+            self.request.connection.stream.close()
+            return
         await self._stream(faults)
 
     post = put = get
 
+    async def _write_unframed(self, body: bytes) -> None:
+        """Writes an answer with neither a length nor chunks."""
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"Attempt-Id: {self.request.headers['Attempt-Id']}",
+            f"Instance-Signature: sig-{self.engine.name}",
+            "Content-Type: text/event-stream",
+        ]
+        head = "".join(f"{line}\r\n" for line in lines) + "\r\n"
+        await self.request.connection.stream.write(head.encode() + body)
+
     async def _pause(self) -> None:
         ends = [
             asyncio.ensure_future(event.wait())
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+import pytest
 from tests import platform_site
 from tornado import httpclient
 
@@ -26,8 +27,15 @@
     under new ids.
     """
 
-    def __init__(self, site: platform_site.Site, service: str) -> None:
+    def __init__(
+        self,
+        site: platform_site.Site,
+        service: str,
+        *,
+        unframed: bool = False,
+    ) -> None:
         self.site = site
+        self._unframed = unframed
         self._service = service
         self._stage = "decode" if service == "llm" else None
         self._replaced: set[str] = set()
@@ -58,6 +66,7 @@
     def _make_crashable(self, engine: platform_site.Engine) -> None:
         engine.faults.crash_body = _CRASH_BODY
         engine.faults.crash_part = _CRASH_PART
+        engine.faults.unframed = self._unframed
 
     async def _replace(self, engine: platform_site.Engine) -> None:
         await asyncio.sleep(_EXPIRY_S)
@@ -194,12 +203,17 @@
 class TestSharedPart:
     """Different requests whose prompts share a part that ends engines."""
 
-    def test_few_are_sent_after_five_engines_ended(self):
-        """Guards against a part of prompts that ends engine after engine."""
+    @pytest.mark.parametrize("unframed", [False, True])
+    def test_few_are_sent_after_five_engines_ended(self, unframed):
+        """Guards against a part of prompts that ends engine after engine.
+
+        The engines have sent the head of an answer, with or without a length or
+        chunks; without, its end is that of the connection.
+        """
 
         async def scenario():
             async with platform_site.running(_ROUTERS) as site:
-                crash_site = _CrashSite(site, "llm")
+                crash_site = _CrashSite(site, "llm", unframed=unframed)
                 await crash_site.start()
                 sender = _PartSender(crash_site)
                 sound = [await sender.send("c0") for _ in range(_ROUTERS)]
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -20,9 +20,14 @@
     headers = httputil.HTTPHeaders()
 
     def __init__(
-        self, chunks: list[bytes], error: errors.CallError | None = None
+        self,
+        chunks: list[bytes],
+        error: errors.CallError | None = None,
+        *,
+        is_close_delimited: bool = False,
     ) -> None:
         self._chunks, self._error = chunks, error
+        self.is_close_delimited = is_close_delimited
         self.closed = False
 
     async def chunks(self) -> AsyncIterator[bytes]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -372,6 +372,21 @@
 
         assert _on_site(scenario)[2] == platform_site.stream(5)
 
+    @pytest.mark.parametrize("end_after_bytes", [-1, 0, 5, 25, 40])
+    def test_stream_that_ends_with_its_connection(self, end_after_bytes):
+        """Guards against a broken unframed stream that looks complete."""
+
+        async def scenario(site):
+            once = platform_site.Faults(
+                unframed=True, end_after_bytes=end_after_bytes, times=1
+            )
+            for name in ("d0", "d1"):
+                site.engines[name].faults = once
+            return await site.call(_RESUMABLE)
+
+        status, _, body = _on_site(scenario)
+        assert (status, body) == (200, platform_site.stream())
+
     def test_prefill_is_reused_when_a_decode_engine_refuses(self):
         """One decode engine is full; the other fetches the same KV cache."""
 
