Bound the delay of trials of a suspected part; name a part's log key part

Found by reading the change again: the delay doubled without a bound on the exponent, which overflows after 1,026 losses in a row (the test with 2,000 losses failed with OverflowError before). The log key prompt_part was taken: it is the prefill fraction of a pool in role_ordered.

--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -192,7 +192,7 @@
         for line in lines
         if line.event in _QUARANTINE_EVENTS
         and not features.isdisjoint(
-            (line.fields.get("fingerprint"), line.fields.get("prompt_part"))
+            (line.fields.get("fingerprint"), line.fields.get("part"))
         )
     ]
 
--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -122,13 +122,6 @@
             if feature in self.remaining_parts(fingerprint)
         )
 
-    def is_suspect(self, fingerprint: str) -> bool:
-        """Returns whether a request is among the remaining suspects."""
-        return (
-            fingerprint in self.sent_before_s
-            and fingerprint not in self.acquitted
-        )
-
     def sent_at(self, fingerprint: str) -> float:
         """Returns when a suspect was sent, in seconds on the local clock."""
         return self.observed_at - self.sent_before_s[fingerprint]
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -163,11 +163,7 @@
             return None
         if blame.is_part and len(blame.fingerprints) < _REQUESTS_TO_BLAME_PART:
             return None
-        needed = self.limits.crashes
-        if len(blame.sole_suspects) < (
-            _REQUESTS_TO_BLAME_PART if blame.is_part else 1
-        ):
-            needed += _FURTHER_CRASHES_IN_COMPANY
+        needed = self._crashes_needed(blame)
         if not _is_enough(blame, blame.records, needed):
             if _is_ambiguous(blame, _fewest_crashes(self.limits)):
                 return _paused(blame, now)
@@ -177,6 +173,12 @@
         further = max(blame.confirmed - needed, 0)
         return self._quarantined(blame, further, now)
 
+    def _crashes_needed(self, blame: crash_blame.Blame) -> int:
+        sole_suspects = _REQUESTS_TO_BLAME_PART if blame.is_part else 1
+        if len(blame.sole_suspects) >= sole_suspects:
+            return self.limits.crashes
+        return self.limits.crashes + _FURTHER_CRASHES_IN_COMPANY
+
     def _quarantined(
         self, blame: crash_blame.Blame, further: int, now: float
     ) -> Restriction | None:
--- a/src/cowsliprill/decisions/suspected_parts.py
+++ b/src/cowsliprill/decisions/suspected_parts.py
@@ -15,7 +15,7 @@
 # time, doubled with each further loss. By then VMs know of the losses, and
 # refuse its requests if they blame the part.
 _RETRY_DELAY_S = 0.5
-_RETRY_DELAY_MAX_S = 8.0
+_MAX_DOUBLINGS = 4
 _LOSSES_BEFORE_DELAY = 2
 
 _MAX_SUSPECTED = 8_192
@@ -34,7 +34,7 @@
         further = self.losses - _LOSSES_BEFORE_DELAY
         if further < 0:
             return self.lost_at
-        delay_s = min(_RETRY_DELAY_S * 2.0**further, _RETRY_DELAY_MAX_S)
+        delay_s = _RETRY_DELAY_S * 2.0 ** min(further, _MAX_DOUBLINGS)
         return self.lost_at + delay_s
 
 
--- a/src/cowsliprill/entry/request_quarantine.py
+++ b/src/cowsliprill/entry/request_quarantine.py
@@ -113,7 +113,7 @@
             fingerprint=ctx.fingerprint,
             reason=errors.Code.REQUEST_QUARANTINED.value,
             kind=restriction.kind.value,
-            prompt_part=restriction.feature if restriction.is_part else "",
+            part=restriction.feature if restriction.is_part else "",
             crashes=len(restriction.records),
             retry_after_ms=round(restriction.left_s * _MS_PER_S, 1),
         )
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -248,7 +248,7 @@
                 self._log_restriction(restriction)
         for feature in previous.keys() - restrictions.keys():
             if previous[feature].is_part:
-                self._log.event("prompt_part_released", prompt_part=feature)
+                self._log.event("prompt_part_released", part=feature)
             else:
                 self._log.event("request_released", fingerprint=feature)
 
@@ -268,7 +268,7 @@
             return
         self._log.warning(
             f"prompt_part_{restriction.kind.value}",
-            prompt_part=restriction.feature,
+            part=restriction.feature,
             fingerprints=_fingerprints(restriction),
             **common,
         )
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -50,6 +50,22 @@
         assert _trace(text, "vm-1.router.a.7") == _trace(text, "c7")
         assert _trace(text, "c9") == []
 
+    def test_by_a_part_of_the_prompt(self):
+        """Guards against a story without the requests that share a part."""
+        text = _log(
+            "router.vm-1",
+            ("request_ended", {**_END_FIELDS, "prompt_parts": "aa,bb"}),
+            ("prompt_part_held", {"part": "bb", "crashes": 3}),
+            ("prompt_part_held", {"part": "cc", "crashes": 3}),
+            ("request_ended", {"request": "r8", "prompt_parts": "aa,cc"}),
+        )
+        events = [(line.event, line.fields) for line in _trace(text, "bb")]
+        assert [event for event, _ in events] == [
+            "request_ended",
+            "prompt_part_held",
+        ]
+        assert events[1][1]["part"] == "bb"
+
     def test_context_events_of_other_vms_are_excluded(self):
         text = _log("router.vm-2", ("home_chosen", {"pool": "p"}))
         text += _log("router.vm-1", ("request_ended", _END_FIELDS))
--- a/tests/test_suspected_parts.py
+++ b/tests/test_suspected_parts.py
@@ -56,7 +56,7 @@
         assert not state.must_wait(_POOL, ("x",), 10.1)
 
     @pytest.mark.parametrize(
-        ("losses", "delay_s"), [(1, 0.0), (2, 0.5), (4, 2.0)]
+        ("losses", "delay_s"), [(1, 0.0), (2, 0.5), (4, 2.0), (2_000, 8.0)]
     )
     def test_part_is_tried_again_after_a_growing_delay(self, losses, delay_s):
         """Guards against engines that end before the VMs know the part."""
