--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -10,3 +10,10 @@
     And both VMs have quarantined it
     Then both VMs refuse it without another engine ending
     And another request of the same customer is completed
+
+  Scenario: Different chats share a message that ends engines
+    Given 2 VMs and engines that end when they begin to run one request
+    When different chats with one message are sent in turn until 3 engines have ended
+    And both VMs have quarantined the message
+    Then both VMs refuse other chats with it without another engine ending
+    And a chat of the same customer without it is completed
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -57,15 +57,29 @@
     context.add_cleanup(context.fleet.__exit__)
     context.fleet.start(vms=vms)
     context.ended = 0
+    context.chats = 0
 
 
-@behave.when(
-    "that request is sent to the VMs in turn until {ends:d} engines have ended"
-)
-def step_send(context, ends) -> None:
+def _chat(context, vm_id: str, message: str) -> http_calls.HttpResponse:
+    """Sends a new chat with a message before the last one."""
+    key = fleet_document.api_key_of(_CUSTOMER)
+    context.chats += 1
+    messages = [
+        {"role": "system", "content": message},
+        {"role": "user", "content": f"question {context.chats}"},
+    ]
+    return http_calls.call(
+        "POST",
+        f"{context.fleet.url(vm_id)}/v1/chat/completions",
+        {"model": "brief", "messages": messages, "max_tokens": 4},
+        {"Authorization": f"Bearer {key}"},
+    )
+
+
+def _send_until_ended(context, ends: int, send) -> None:
     vm_ids = sorted(context.fleet.vms_by_id)
     for number in range(_MAX_SENDS):
-        _send(context, vm_ids[number % len(vm_ids)], _ENDS_ON)
+        send(context, vm_ids[number % len(vm_ids)], _ENDS_ON)
         context.ended += _restart_ended(context)
         # An engine that ends again before its first end is confirmed counts
         # once; engines take longer to start than stand-ins.
@@ -78,6 +92,21 @@
     raise AssertionError(f"{context.ended} engines have ended")
 
 
+@behave.when(
+    "that request is sent to the VMs in turn until {ends:d} engines have ended"
+)
+def step_send(context, ends) -> None:
+    _send_until_ended(context, ends, _send)
+
+
+@behave.when(
+    "different chats with one message are sent in turn until {ends:d} engines"
+    " have ended"
+)
+def step_send_chats(context, ends) -> None:
+    _send_until_ended(context, ends, _chat)
+
+
 @behave.when("both VMs have quarantined it")
 def step_quarantined(context) -> None:
     for vm_id in context.fleet.vms_by_id:
@@ -85,11 +114,17 @@
         entry.wait_for_event("request_quarantined")
 
 
-@behave.then("both VMs refuse it without another engine ending")
-def step_refused(context) -> None:
+@behave.when("both VMs have quarantined the message")
+def step_part_quarantined(context) -> None:
+    for vm_id in context.fleet.vms_by_id:
+        entry = context.fleet.children_by_name[f"{vm_id}.e0"]
+        entry.wait_for_event("prompt_part_quarantined")
+
+
+def _check_refusals(context, send) -> None:
     for vm_id in context.fleet.vms_by_id:
         for _ in range(_REFUSALS):
-            response = _send(context, vm_id, _ENDS_ON)
+            response = send(context, vm_id, _ENDS_ON)
             error = response.json()["error"]
             assert response.status == 503, response
             assert error["code"] == "request_quarantined", error
@@ -98,6 +133,24 @@
     assert not _restart_ended(context)
 
 
+@behave.then("both VMs refuse it without another engine ending")
+def step_refused(context) -> None:
+    _check_refusals(context, _send)
+
+
+@behave.then(
+    "both VMs refuse other chats with it without another engine ending"
+)
+def step_chats_refused(context) -> None:
+    _check_refusals(context, _chat)
+
+
+@behave.then("a chat of the same customer without it is completed")
+def step_chat_completed(context) -> None:
+    response = _chat(context, "vm-0", "a proper message")
+    assert response.status == 200, response
+
+
 @behave.then("another request of the same customer is completed")
 def step_completed(context) -> None:
     response = _send(context, "vm-0", "a proper request")
