Share what tests of crash records repeat

Found by reading the whole change again. Two tests of the exchange reported the ends of engines by a part with the same loop, beside a third loop for whole requests, and waited with a copy of _time_until_all_restrict; three tests of the quarantine recorded unrelated ends with the same lines. No assertion, bound or number of ends changes.

--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Sequence
 
 import pytest
 from tests import fake_log
@@ -99,8 +100,8 @@
         network.vms_by_id[self.id] = self
         self.task = asyncio.create_task(self.exchange.run())
 
-    def restricts(self) -> bool:
-        return self.ledger.restriction(_REQUEST) is not None
+    def restricts(self, parts: Sequence[str] = ()) -> bool:
+        return self.ledger.restriction(_REQUEST, parts) is not None
 
 
 def _fleet(size: int) -> model.Fleet:
@@ -128,19 +129,30 @@
         vm.task.cancel()
 
 
-async def _report_ends(vms: list[_Vm]) -> None:
-    """Has three VMs report an end each, one every 0.2 s."""
-    for number, vm in enumerate(vms[:3]):
+async def _report_ends(
+    vms: list[_Vm],
+    requests: Sequence[str] = (_REQUEST,) * 3,
+    parts: Sequence[str] = (),
+) -> None:
+    """Has one VM a request report an end, one every 0.2 s."""
+    for number, request in enumerate(requests):
         engine = test_crash_records.engine(f"e{number}")
         now = clock.now()
-        vm.ledger.observe(engine, _REQUEST, now - 0.1, now)
+        vms[number].ledger.observe(engine, request, now - 0.1, now, parts)
         await asyncio.sleep(0.2)
 
 
-async def _time_until_all_restrict(vms: list[_Vm]) -> float:
+async def _report_part_ends(vms: list[_Vm]) -> None:
+    """Has three VMs report an end each, by different requests with a part."""
+    await _report_ends(vms, [f"{number:016x}" for number in range(3)], [_PART])
+
+
+async def _time_until_all_restrict(
+    vms: list[_Vm], parts: Sequence[str] = ()
+) -> float:
     began_at = clock.now()
     async with asyncio.timeout(30.0):
-        while not all(vm.restricts() for vm in vms):  # noqa: ASYNC110
+        while not all(vm.restricts(parts) for vm in vms):  # noqa: ASYNC110
             await asyncio.sleep(0.01)
     return clock.now() - began_at
 
@@ -170,20 +182,10 @@
         async def scenario():
             vms = _start(_Network(loss=0.2), size)
             await asyncio.sleep(10.0)
-            for number, vm in enumerate(vms[:3]):
-                engine = test_crash_records.engine(f"e{number}")
-                now = clock.now()
-                request = f"{number:016x}"
-                vm.ledger.observe(engine, request, now - 0.1, now, [_PART])
-                await asyncio.sleep(0.2)
-            began_at = clock.now()
-            async with asyncio.timeout(30.0):
-                while not all(  # noqa: ASYNC110
-                    vm.ledger.restriction(_REQUEST, [_PART]) for vm in vms
-                ):
-                    await asyncio.sleep(0.01)
+            await _report_part_ends(vms)
+            took_s = await _time_until_all_restrict(vms, [_PART])
             await _stop(vms)
-            return clock.now() - began_at
+            return took_s
 
         assert virtual_time.run(scenario(), monkeypatch) <= _CONTACT_S
 
@@ -194,12 +196,7 @@
             vms = _start(_Network(), 20)
             await asyncio.sleep(10.0)
             vms[9].ledger.record_survived(f"{99:016x}", "writers", [_PART])
-            for number, vm in enumerate(vms[:3]):
-                engine = test_crash_records.engine(f"e{number}")
-                now = clock.now()
-                request = f"{number:016x}"
-                vm.ledger.observe(engine, request, now - 0.1, now, [_PART])
-                await asyncio.sleep(0.2)
+            await _report_part_ends(vms)
             await asyncio.sleep(_CONTACT_S)
             await _stop(vms)
             return [vm.ledger.restriction(_REQUEST, [_PART]) for vm in vms]
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -139,6 +139,19 @@
     return restriction.kind if restriction else None
 
 
+def _record_other_end(table, number, now):
+    """Records a certain end of another engine by another request.
+
+    Returns:
+      The fingerprint of that request.
+    """
+    request = f"{number + 2**32:016x}"
+    engine = test_crash_records.engine(f"other-{number}")
+    record = table.observe(engine, request, now - 0.1, now)
+    table.confirm(record.key)
+    return request
+
+
 class TestPart:
     """Requests with a part that ends engines must not be sent."""
 
@@ -219,11 +232,9 @@
         """Guards against unrelated ends that push out those of a part."""
         state = _part_quarantine(1, 2, 3)
         for number in range(crash_records.MAX_RECORDS + 1):
-            now = _START + 3.0 + number * 0.001
-            engine = test_crash_records.engine(f"new-{number}")
-            request = f"{number + 2**32:016x}"
-            record = state.table.observe(engine, request, now - 0.1, now)
-            state.table.confirm(record.key)
+            _record_other_end(
+                state.table, number, _START + 3.0 + number * 0.001
+            )
         state.refresh(_START + 5.0)
         assert _part_kind(state, _PART) is _KIND.QUARANTINED
 
@@ -237,13 +248,9 @@
         state = quarantine.Quarantine(quarantine.Limits())
         table = state.table
         for number in range(crash_records.MAX_RECORDS + 1):
-            engine = test_crash_records.engine(f"old-{number}")
-            request = f"{number + 2**32:016x}"
-            now = number * 0.01
-            record = table.observe(engine, request, now - 0.1, now)
-            table.confirm(record.key)
+            request = _record_other_end(table, number, number * 0.01)
             if acquitted:
-                table.acquit(request, engine.pool)
+                table.acquit(request, "writers")
         for number in range(3):
             now = _START + 4.0 * number
             engine = test_crash_records.engine(f"e{number}")
@@ -257,10 +264,6 @@
         """Guards against a request that is let through by unrelated ends."""
         state = _quarantine(3, confirmed=3)
         for number in range(crash_records.MAX_RECORDS + 1):
-            now = _START + 3.0 + number * 0.01
-            engine = test_crash_records.engine(f"new-{number}")
-            request = f"{number + 2**32:016x}"
-            record = state.table.observe(engine, request, now - 0.1, now)
-            state.table.confirm(record.key)
+            _record_other_end(state.table, number, _START + 3.0 + number * 0.01)
         state.refresh(_START + 10.0)
         assert _kind(state, now=_START + 10.0) is _KIND.QUARANTINED
