Test that a new part isn't blamed for engines that end by themselves (red)

Cause: a part on which nobody gave output accounts for each end, as all requests have it, and the check for ends beside it finds no end without it. Nothing shows that engines serve requests that lack the part. Class: blame without a control group.

--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -39,6 +39,13 @@
         startup_s=0.3,
         run_s=0.0,
     ),
+    # All requests share parts that no engine has lived to give output on.
+    "racks-new-part": _Plan(
+        crashing=0,
+        mass_crashes=tuple(0.09 + 3.42 * number for number in range(6)),
+        session_requests=2_000,
+        startup_s=0.4,
+    ),
 }
 _PART_PLANS = {
     "apart": _Plan(crashing=0, part_crashing_per_s=1.0),
