Log and count what endpoints say of leaving and of pauses in their answers

All answers of endpoints now pass one place (requests, prefills, releases of handles, orders, calls of the own interface), which hands one typed observation to those who keep it; rate limits were read in three places before, and not at all from refusals of plain services on the own interface.

No decision changes: endpoint_leaving, endpoint_paused, endpoint_pause_ended and two metrics only.

--- /dev/null
+++ b/src/cowsliprill/availability/ledger.py
@@ -0,0 +1,183 @@
+"""Which endpoints want no requests, with log, metrics and subscribers."""
+
+import collections
+import enum
+from collections.abc import Callable
+
+from cowsliprill import clock
+from cowsliprill.decisions import endpoint_answers
+from cowsliprill.decisions import endpoint_pauses
+from cowsliprill.decisions import leaving_endpoints
+from cowsliprill.decisions import model
+from cowsliprill.observability import log as log_lib
+from cowsliprill.observability import metrics as metrics_lib
+
+# Minimum time between two log lines about invalid values of any endpoints.
+_INVALID_LOG_INTERVAL_S = 10.0
+
+
+class Reason(enum.StrEnum):
+    """Why an endpoint wants no requests."""
+
+    LEAVING = "leaving"
+    PAUSED = "paused"
+
+
+class AvailabilityLedger:
+    """Keeps which endpoints leave or are paused, and reports each change.
+
+    Args:
+      log: Log of the process.
+      metrics: Metrics of the process.
+
+    Attributes:
+      leaving: Endpoints that are leaving, to read.
+      pauses: Pauses that endpoints have asked this VM for, to read.
+    """
+
+    def __init__(self, log: log_lib.Log, metrics: metrics_lib.Metrics) -> None:
+        self.leaving = leaving_endpoints.LeavingEndpoints()
+        self.pauses = endpoint_pauses.EndpointPauses()
+        self._log = log
+        self._metrics = metrics
+        self._callbacks: list[Callable[[], None]] = []
+        self._sends_in_pause: collections.Counter[endpoint_pauses.Key] = (
+            collections.Counter()
+        )
+        self._invalid_logged_at = -_INVALID_LOG_INTERVAL_S
+        self._invalid_unlogged = 0
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Registers a callback that runs after each change."""
+        self._callbacks.append(callback)
+
+    def observe(self, answer: endpoint_answers.Answer) -> None:
+        """Applies what an answer says about its endpoint."""
+        changed = answer.leaving and self._observe_leaving(answer.endpoint)
+        if answer.retry_after is not None:
+            changed = self._observe_pause(answer) or changed
+        elif answer.accepted:
+            changed = self._observe_accepted(answer) or changed
+        if changed:
+            self._notify()
+
+    def record_sent(self, endpoint: model.Endpoint) -> None:
+        """Counts a request to an endpoint that wants none."""
+        reason = self.reason(endpoint)
+        if reason is None:
+            return
+        if reason is Reason.PAUSED:
+            self._sends_in_pause[_key(endpoint)] += 1
+        self._metrics.unwanted_sends.inc(
+            {"endpoint": endpoint.id, "reason": reason.value}
+        )
+
+    def reason(self, endpoint: model.Endpoint) -> Reason | None:
+        """Returns why an endpoint wants no requests, None if it takes any."""
+        if endpoint in self.leaving:
+            return Reason.LEAVING
+        if self.pauses.is_paused(_key(endpoint), clock.now()):
+            return Reason.PAUSED
+        return None
+
+    def expire(self, snapshot: model.Snapshot) -> None:
+        """Drops what no longer tells anything.
+
+        Args:
+          snapshot: Settings in force.
+        """
+        now = clock.now()
+        expired = self.leaving.expire(snapshot.endpoints_by_id, now)
+        for record in expired:
+            self._set_gauge(record.endpoint_id, Reason.LEAVING, 0)
+        for endpoint_id, life in self.pauses.expire(now):
+            self._report_pause_ended(endpoint_id, life, accepted=False)
+        if expired:
+            self._notify()
+
+    def _observe_leaving(self, endpoint: model.Endpoint) -> bool:
+        record = self.leaving.observe(endpoint, clock.now())
+        if record is None:
+            return False
+        self._report_leaving(record, source="answer")
+        return True
+
+    def _report_leaving(
+        self, record: leaving_endpoints.LeavingEndpoint, source: str
+    ) -> None:
+        self._log.event(
+            "endpoint_leaving",
+            endpoint=record.endpoint_id,
+            source=source,
+            age_s=round(clock.now() - record.said_at, 3),
+        )
+        self._set_gauge(record.endpoint_id, Reason.LEAVING, 1)
+
+    def _observe_pause(self, answer: endpoint_answers.Answer) -> bool:
+        try:
+            pause_s = endpoint_answers.parse_retry_after(
+                answer.retry_after or "", answer.date
+            )
+        except endpoint_answers.InvalidRetryAfterError as error:
+            self._report_invalid(answer.endpoint, error)
+            return False
+        key = _key(answer.endpoint)
+        if not self.pauses.ask(key, pause_s, clock.now()):
+            return False
+        self._log.event(
+            "endpoint_paused",
+            endpoint=answer.endpoint.id,
+            pool=answer.endpoint.pool,
+            pause_s=pause_s,
+        )
+        self._set_gauge(answer.endpoint.id, Reason.PAUSED, 1)
+        return True
+
+    def _observe_accepted(self, answer: endpoint_answers.Answer) -> bool:
+        key = _key(answer.endpoint)
+        if not self.pauses.record_accepted(key, answer.sent_at):
+            return False
+        self._report_pause_ended(*key, accepted=True)
+        return True
+
+    def _report_pause_ended(
+        self, endpoint_id: str, life: str, *, accepted: bool
+    ) -> None:
+        self._log.event(
+            "endpoint_pause_ended",
+            endpoint=endpoint_id,
+            accepted=accepted,
+            sends=self._sends_in_pause.pop((endpoint_id, life), 0),
+        )
+        self._set_gauge(endpoint_id, Reason.PAUSED, 0)
+
+    def _report_invalid(
+        self,
+        endpoint: model.Endpoint,
+        error: endpoint_answers.InvalidRetryAfterError,
+    ) -> None:
+        self._invalid_unlogged += 1
+        now = clock.now()
+        if now - self._invalid_logged_at < _INVALID_LOG_INTERVAL_S:
+            return
+        self._log.warning(
+            "endpoint_pause_invalid",
+            endpoint=endpoint.id,
+            reason=error.message,
+            answers=self._invalid_unlogged,
+        )
+        self._invalid_logged_at = now
+        self._invalid_unlogged = 0
+
+    def _set_gauge(self, endpoint_id: str, reason: Reason, value: int) -> None:
+        self._metrics.unavailable_endpoints.set(
+            {"endpoint": endpoint_id, "reason": reason.value}, value
+        )
+
+    def _notify(self) -> None:
+        for callback in self._callbacks:
+            callback()
+
+
+def _key(endpoint: model.Endpoint) -> endpoint_pauses.Key:
+    return (endpoint.id, endpoint.life)
--- a/src/cowsliprill/decisions/rate_limits.py
+++ b/src/cowsliprill/decisions/rate_limits.py
@@ -49,23 +49,6 @@
     code = "invalid_rate_limit"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answer:
-    """What an endpoint's answer says about its rate limit.
-
-    Attributes:
-      endpoint: The endpoint.
-      limit_text: Rate limit as the endpoint wrote it, None if it named none.
-      sent_at: When the request was sent to the endpoint, in seconds.
-      conclusive: Whether an answer without a limit proves that there is none.
-    """
-
-    endpoint: model.Endpoint
-    limit_text: str | None
-    sent_at: float
-    conclusive: bool = True
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RateLimit:
     """The rate limit of one incarnation of an endpoint.
--- a/src/cowsliprill/engines/engine_caller.py
+++ b/src/cowsliprill/engines/engine_caller.py
@@ -1,14 +1,14 @@
 """HTTP calls to engines, with the response checks common to all of them."""
 
 import json
-from collections.abc import Callable
 from typing import Any
 
 from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill.decisions import call_state as call_lib
+from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
-from cowsliprill.decisions import rate_limits
+from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import errors
 from cowsliprill.engines import exchange as exchange_lib
 from cowsliprill.engines import http_client
@@ -28,19 +28,18 @@
     Args:
       http: HTTP client for all calls.
       stall_timeout_s: Maximum time in seconds between bytes of a token stream.
-      observe_answer: Receives what the answers to requests say about an
-        engine's rate limit, None if nobody wants to know.
+      feedback: Receives what the answers to requests say about an engine.
     """
 
     def __init__(
         self,
         http: http_client.HttpClient,
         stall_timeout_s: float,
-        observe_answer: Callable[[rate_limits.Answer], None] | None = None,
+        feedback: endpoint_feedback.EndpointFeedback,
     ) -> None:
         self._http = http
         self._stall_timeout_s = stall_timeout_s
-        self._observe_answer = observe_answer
+        self._feedback = feedback
 
     async def open_stream(
         self,
@@ -71,6 +70,7 @@
             json.dumps(fields).encode(),
             timeout_s=timeout_s,
             stall_timeout_s=self._stall_timeout_s,
+            before_send=lambda: self._feedback.record_sent(endpoint),
         )
         self._observe(endpoint, response, stream.request_id, sent_at)
         if response.status != _OK:
@@ -139,6 +139,7 @@
             headers,
             b"" if fields is None else json.dumps(fields).encode(),
             timeout_s=timeout_s,
+            before_send=lambda: self._feedback.record_sent(endpoint),
         )
         if request_id:
             self._observe(endpoint, response, request_id, sent_at)
@@ -155,15 +156,18 @@
         request_id: str,
         sent_at: float,
     ) -> None:
-        answers = response.headers.get(protocol.REQUEST_ID_HEADER) == request_id
-        if self._observe_answer is None or not answers:
+        if response.headers.get(protocol.REQUEST_ID_HEADER) != request_id:
             return
-        self._observe_answer(
-            rate_limits.Answer(
+        self._feedback.observe(
+            endpoint_answers.Answer(
                 endpoint=endpoint,
                 limit_text=response.headers.get(protocol.RATE_LIMIT_HEADER),
                 sent_at=sent_at,
                 conclusive=response.status == _OK,
+                retry_after=protocol.retry_after(
+                    response.status, response.headers
+                ),
+                accepted=response.status == _OK,
             )
         )
 
--- a/src/cowsliprill/engines/engine_client.py
+++ b/src/cowsliprill/engines/engine_client.py
@@ -1,10 +1,9 @@
 """Client for inference engines, with a typed method per protocol call."""
 
-from collections.abc import Callable
 from typing import Any
 
 from cowsliprill.decisions import model
-from cowsliprill.decisions import rate_limits
+from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import engine_caller
 from cowsliprill.engines import errors
 from cowsliprill.engines import http_client
@@ -20,8 +19,8 @@
     Args:
       http: HTTP client for all calls.
       stall_timeout_s: Maximum time in seconds between bytes of a token stream.
-      observe_answer: Receives what answers say about an engine's rate limit,
-        None if nobody wants to know.
+      feedback: Receives what answers say about an engine, None if nobody wants
+        to know.
     """
 
     def __init__(
@@ -29,10 +28,10 @@
         http: http_client.HttpClient,
         *,
         stall_timeout_s: float = 5.0,
-        observe_answer: Callable[[rate_limits.Answer], None] | None = None,
+        feedback: endpoint_feedback.EndpointFeedback | None = None,
     ) -> None:
         self._caller = engine_caller.EngineCaller(
-            http, stall_timeout_s, observe_answer
+            http, stall_timeout_s, feedback or endpoint_feedback.NoFeedback()
         )
 
     async def prefill(
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -13,6 +13,7 @@
 import re
 import socket
 import weakref
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 from typing import Protocol
@@ -164,6 +165,7 @@
         allow_close_delimited: bool = False,
         connection: Connection | None = None,
         progress: call_lib.CallProgress | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> exchange_lib.Response:
         """Sends a request and waits for the status and headers of the response.
 
@@ -191,6 +193,9 @@
           connection: Unused connection from `connect` to send the request on.
           progress: Records how far the call got, to be read after a
             cancellation.
+          before_send: Called once there is a connection, right before the
+            request is written. A `errors.CallError` that it raises ends the
+            call.
 
         Returns:
           The response.
@@ -214,6 +219,8 @@
         exchange = exchange_lib.Exchange(stream, method)
         exchange.allow_close_delimited = allow_close_delimited
         try:
+            if before_send is not None:
+                before_send()
             http_connection = _send_request(
                 stream, (method, path, all_headers, body), progress
             )
--- a/src/cowsliprill/engines/protocol.py
+++ b/src/cowsliprill/engines/protocol.py
@@ -45,16 +45,19 @@
   was not executed. Every response to a request with that header echoes it.
   In need an engine names in its responses to prefills and decodes
   `X-Rate-Limit`, the prefills and decodes a second (a decimal number) that it
-  takes from all callers together, for as long as it says so.
+  takes from all callers together, for as long as it says so. With 503 it may
+  say in `Retry-After` (RFC 9110) for how long it wants none from this caller.
 
 Plain service:
   Any method and path, with `X-Request-Id` and, if the caller sent one,
   `Idempotency-Key`. The service echoes `X-Request-Id`. It may name
-  `X-Rate-Limit` as engines do.
+  `X-Rate-Limit` and, with 503, `Retry-After` as engines do.
 """
 
 import dataclasses
+import http
 import json
+from collections.abc import Mapping
 from typing import Any
 
 from cowsliprill.decisions import model
@@ -73,6 +76,7 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
 RATE_LIMIT_HEADER = "X-Rate-Limit"
+RETRY_AFTER_HEADER = "Retry-After"
 FENCING_FIELD = "fencing"
 
 END_MARKER = b"data: [DONE]\n\n"
@@ -129,6 +133,18 @@
         return ErrorDetails(message="response has no error code")
 
 
+def retry_after(status: int, headers: Mapping[str, str]) -> str | None:
+    """Returns the text of a response that asks for a pause, None without one.
+
+    Args:
+      status: HTTP status.
+      headers: HTTP headers of the response.
+    """
+    if status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    return headers.get(RETRY_AFTER_HEADER)
+
+
 def prefill_body(body: dict[str, Any]) -> dict[str, Any]:
     """Builds the JSON fields of a prefill request.
 
--- a/src/cowsliprill/engines/service_client.py
+++ b/src/cowsliprill/engines/service_client.py
@@ -1,12 +1,16 @@
 """Client for plain services that forwards a call as one HTTP request."""
 
 import dataclasses
+import http
 from collections.abc import Mapping
 
 from tornado import httputil
 
+from cowsliprill import clock
 from cowsliprill.decisions import call_state as call_lib
+from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
+from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import errors
 from cowsliprill.engines import exchange as exchange_lib
 from cowsliprill.engines import hop_headers
@@ -58,10 +62,17 @@
 
     Args:
       http: HTTP client for all calls.
+      feedback: Receives what answers say about their servers, None if nobody
+        wants to know.
     """
 
-    def __init__(self, http: http_client.HttpClient) -> None:
+    def __init__(
+        self,
+        http: http_client.HttpClient,
+        feedback: endpoint_feedback.EndpointFeedback | None = None,
+    ) -> None:
         self._http = http
+        self._feedback = feedback or endpoint_feedback.NoFeedback()
 
     async def call(
         self,
@@ -92,6 +103,7 @@
             `run` tells whether it was executed, as far as known.
         """
         progress = progress or call_lib.CallProgress()
+        sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
             endpoint.port,
@@ -103,13 +115,17 @@
             new_connection=service.idempotency
             is model.Idempotency.NON_IDEMPOTENT,
             progress=progress,
+            before_send=lambda: self._feedback.record_sent(endpoint),
         )
         body = await response.read(_MAX_RESPONSE_BYTES)
         response_id = response.headers.get(protocol.REQUEST_ID_HEADER)
         error = protocol.parse_error(body)
-        if call_lib.is_refusal(
+        refused = call_lib.is_refusal(
             response.status, error.run, response_id, request.request_id
-        ):
+        )
+        if response_id == request.request_id or not service.echoes_request_id:
+            self._observe(endpoint, response, sent_at, accepted=not refused)
+        if refused:
             progress.mark_refused()
             raise errors.ServiceRefused(error.message, code=error.code)
         if service.echoes_request_id and response_id != request.request_id:
@@ -118,6 +134,27 @@
             )
         return _build_response(response, body)
 
+    def _observe(
+        self,
+        endpoint: model.Endpoint,
+        response: exchange_lib.Response,
+        sent_at: float,
+        *,
+        accepted: bool,
+    ) -> None:
+        status, headers = response.status, response.headers
+        self._feedback.observe(
+            endpoint_answers.Answer(
+                endpoint=endpoint,
+                sent_at=sent_at,
+                limit_text=headers.get(protocol.RATE_LIMIT_HEADER),
+                conclusive=status < http.HTTPStatus.MULTIPLE_CHOICES,
+                retry_after=protocol.retry_after(status, headers),
+                date=headers.get("Date"),
+                accepted=accepted,
+            )
+        )
+
 
 def request_headers(request: ServiceRequest) -> httputil.HTTPHeaders:
     """Builds the headers to send to the service.
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -12,6 +12,7 @@
 from cowsliprill import peer_auth
 from cowsliprill import process
 from cowsliprill import record_exchange
+from cowsliprill.availability import feedback as feedback_lib
 from cowsliprill.decisions import connection_limits
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import mechanisms
@@ -24,6 +25,7 @@
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import http_client
 from cowsliprill.entry import authorization
+from cowsliprill.entry import availability_components
 from cowsliprill.entry import canceller
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import coordinator_client
@@ -82,6 +84,7 @@
 
     Attributes:
       rate_limits: Rate limits that endpoints name.
+      feedback: Receives what endpoints say about themselves.
       shell: HTTP servers, health checks and signal handling of the process.
       peer_routes: Additional tornado routes of the peer port, to be set before
         `run`.
@@ -142,6 +145,12 @@
             enabled=mechanisms.Mechanism.RATE_LIMITS
             not in environment.mechanisms_off,
         )
+        self._availability = availability_components.AvailabilityComponents(
+            self._cluster_state, log, self._metrics
+        )
+        self.feedback = feedback_lib.Feedback(
+            self.rate_limits.ledger, self._availability.ledger
+        )
         self._dialect = make_dialect(
             dialect_lib.Dependencies(
                 incarnation=self._incarnation,
@@ -149,7 +158,7 @@
                 budgets=self._budgets,
                 metrics=self._metrics,
                 log=log,
-                observe_answer=self.rate_limits.observe,
+                feedback=self.feedback,
             )
         )
         self._gate = gate_lib.Gate(self._incarnation, self._cluster_state)
@@ -231,6 +240,7 @@
                 *self._placement_backend.background_work(),
                 *self._quarantine.background_work(),
                 *self.rate_limits.background_work(),
+                *self._availability.background_work(),
                 self._paths.run(),
             )
         ]
--- a/src/cowsliprill/entry/dialect.py
+++ b/src/cowsliprill/entry/dialect.py
@@ -7,14 +7,13 @@
 """
 
 import dataclasses
-from collections.abc import Callable
 from typing import Protocol
 
 from tornado import web
 
 from cowsliprill.decisions import identity
-from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import retry_budget
+from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import http_client
 from cowsliprill.entry import calls
 from cowsliprill.entry import context
@@ -35,8 +34,7 @@
       budgets: Retry budgets of the services.
       metrics: Metrics of the process.
       log: Log of the process.
-      observe_answer: Receives what each answer of an endpoint says about its
-        rate limit.
+      feedback: Receives what each answer of an endpoint says about it.
     """
 
     incarnation: identity.Incarnation
@@ -44,7 +42,7 @@
     budgets: retry_budget.RetryBudgets
     metrics: metrics_lib.Metrics
     log: log_lib.Log
-    observe_answer: Callable[[rate_limits.Answer], None]
+    feedback: endpoint_feedback.EndpointFeedback
 
 
 class Dialect(errors.ErrorFormatter, Protocol):
--- a/src/cowsliprill/entry/native.py
+++ b/src/cowsliprill/entry/native.py
@@ -1,8 +1,6 @@
 """Native dialect: OpenAI-compatible API for callers, JSON engine protocol."""
 
 import dataclasses
-import http
-from collections.abc import Callable
 from typing import Any
 
 from tornado import web
@@ -10,11 +8,9 @@
 from cowsliprill.decisions import call_state as call_lib
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import model
-from cowsliprill.decisions import rate_limits
 from cowsliprill.engines import engine_client
 from cowsliprill.engines import model as engine_model
 from cowsliprill.engines import prompt_blocks
-from cowsliprill.engines import protocol
 from cowsliprill.engines import service_client
 from cowsliprill.engines import token_stream
 from cowsliprill.entry import context
@@ -102,12 +98,10 @@
     Attributes:
       incarnation: Incarnation of this process, part of each attempt ID.
       client: Plain service client.
-      observe_answer: Receives the rate limits in answers.
     """
 
     incarnation: identity.Incarnation
     client: service_client.ServiceClient
-    observe_answer: Callable[[rate_limits.Answer], None]
 
     async def call(
         self, ctx: context.Context, progress: call_lib.CallProgress
@@ -125,18 +119,9 @@
             body=ctx.call.body,
             idempotency_key=_customer_scoped_key(ctx),
         )
-        response = await self.client.call(
+        return await self.client.call(
             ctx.endpoint, ctx.service, request, progress
         )
-        self.observe_answer(
-            rate_limits.Answer(
-                endpoint=ctx.endpoint,
-                limit_text=response.headers.get(protocol.RATE_LIMIT_HEADER),
-                sent_at=ctx.progress.sent_at,
-                conclusive=response.status < http.HTTPStatus.MULTIPLE_CHOICES,
-            )
-        )
-        return response
 
 
 def make(dependencies: dialect.Dependencies) -> "NativeDialect":
@@ -149,14 +134,15 @@
       The dialect.
     """
     client = engine_client.EngineClient(
-        dependencies.http, observe_answer=dependencies.observe_answer
+        dependencies.http, feedback=dependencies.feedback
     )
     return NativeDialect(
         NativeEngineCalls(dependencies.incarnation, client),
         NativePlainCalls(
             dependencies.incarnation,
-            service_client.ServiceClient(dependencies.http),
-            dependencies.observe_answer,
+            service_client.ServiceClient(
+                dependencies.http, dependencies.feedback
+            ),
         ),
         stream_resume.StreamResumer(
             client, dependencies.budgets, dependencies.metrics, dependencies.log
--- a/src/cowsliprill/entry/rate_limit_components.py
+++ b/src/cowsliprill/entry/rate_limit_components.py
@@ -9,7 +9,6 @@
 from cowsliprill import peer_handler
 from cowsliprill import peers
 from cowsliprill import record_exchange
-from cowsliprill.decisions import rate_limits
 from cowsliprill.entry import endpoint_permits
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
@@ -74,10 +73,6 @@
                 self.ledger, self._client, log
             )
 
-    def observe(self, answer: rate_limits.Answer) -> None:
-        """Applies what an answer says about its endpoint's rate limit."""
-        self.ledger.observe(answer)
-
     def cluster_state_changed(self) -> None:
         """Applies new settings and a new VM list."""
         self._server.update()
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -42,6 +42,10 @@
         process has handed out, by `endpoint`.
       rate_permits_denied: Requests for such a permit that it has denied, by
         `pool`.
+      unavailable_endpoints: 1 while an endpoint says that it leaves, or wants
+        no requests from this VM, by `endpoint` and `reason` (leaving, paused).
+      unwanted_sends: Requests sent to such an endpoint, by `endpoint` and
+        `reason`.
       relayed_requests: Requests that this process has sent to other VMs because
         it is cut off from the endpoints, by `service` and `outcome` (answered,
         refused, declined, failed).
@@ -138,6 +142,15 @@
             registry=self.registry,
         )
 
+        self.unavailable_endpoints = self._gauge(
+            "unavailable_endpoints", "Endpoints that want no requests."
+        )
+        self.unwanted_sends = aioprometheus.Counter(
+            prefix + "unwanted_sends_total",
+            "Requests sent to endpoints that want none.",
+            registry=self.registry,
+        )
+
         self.relayed_requests = aioprometheus.Counter(
             prefix + "relayed_requests_total",
             "Requests sent to other VMs for lack of a path to endpoints.",
--- a/src/cowsliprill/platform/dialect.py
+++ b/src/cowsliprill/platform/dialect.py
@@ -27,10 +27,10 @@
 
     def __init__(self, dependencies: dialect.Dependencies) -> None:
         self.engines = engines.EngineClient(
-            dependencies.http, dependencies.log, dependencies.observe_answer
+            dependencies.http, dependencies.log, dependencies.feedback
         )
         self.services = engines.ServiceClient(
-            dependencies.http, dependencies.observe_answer
+            dependencies.http, dependencies.feedback
         )
 
     def application(
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -4,14 +4,13 @@
 import dataclasses
 import http
 import json
-from collections.abc import Callable
 
 from tornado import httputil
 
 from cowsliprill import clock
 from cowsliprill.decisions import call_state as call_lib
 from cowsliprill.decisions import model
-from cowsliprill.decisions import rate_limits
+from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import errors
 from cowsliprill.engines import event_stream
 from cowsliprill.engines import exchange
@@ -22,6 +21,7 @@
 from cowsliprill.entry import context
 from cowsliprill.entry import sinks
 from cowsliprill.observability import log as log_lib
+from cowsliprill.platform import answers
 from cowsliprill.platform import headers as headers_lib
 
 _MAX_RESPONSE_BYTES = 16_777_216
@@ -44,9 +44,6 @@
 )
 
 
-_ObserveAnswer = Callable[[rate_limits.Answer], None]
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FinishedPrefill:
     """A finished prefill whose KV cache waits to be fetched.
@@ -66,7 +63,7 @@
     Args:
       client: HTTP client.
       log: Log of the process.
-      observe_answer: Receives the rate limits in answers.
+      feedback: Receives what answers say about their engines.
     """
 
     prefill_counts_as_execution = False
@@ -77,11 +74,11 @@
         self,
         client: http_client.HttpClient,
         log: log_lib.Log,
-        observe_answer: _ObserveAnswer,
+        feedback: endpoint_feedback.EndpointFeedback,
     ) -> None:
         self._http = client
         self._log = log
-        self._observe_answer = observe_answer
+        self._feedback = feedback
         self._release_tasks: set[asyncio.Task] = set()
 
     def attempt_id(self, ctx: context.Context) -> str:
@@ -105,9 +102,13 @@
         """
         extra_headers = {headers_lib.STAGE: headers_lib.STAGE_PREFILL}
         response = await _send(
-            self._http, ctx, endpoint, extra_headers, timeout_s=timeout_s
+            self._http,
+            self._feedback,
+            ctx,
+            endpoint,
+            extra_headers,
+            timeout_s=timeout_s,
         )
-        self._observe(ctx, endpoint, response, require_signature=False)
         body = await response.read(_MAX_RESPONSE_BYTES)
         _check_response(ctx, response, require_signature=False)
         try:
@@ -138,13 +139,13 @@
         connection, ctx.connection = ctx.connection, None
         response = await _send(
             self._http,
+            self._feedback,
             ctx,
             endpoint,
             extra_headers,
             timeout_s=timeout_s,
             connection=connection,
         )
-        self._observe(ctx, endpoint, response)
         try:
             _check_response(ctx, response)
         except errors.CallError:
@@ -168,19 +169,9 @@
         """Returns a sink that relays events and engine headers unchanged."""
         return sinks.PassthroughSink(ctx, stream)
 
-    def _observe(
-        self,
-        ctx: context.Context,
-        endpoint: model.Endpoint,
-        response: exchange.Response,
-        *,
-        require_signature: bool = True,
-    ) -> None:
-        if _is_answer_of(ctx, response, require_signature=require_signature):
-            self._observe_answer(_rate_limit_answer(ctx, endpoint, response))
-
     async def _release(self, prefilled: FinishedPrefill) -> None:
         endpoint = prefilled.endpoint
+        sent_at = clock.now()
         try:
             response = await self._http.call(
                 endpoint.host,
@@ -190,7 +181,9 @@
                 {headers_lib.EXPECTED_INSTANCE: endpoint.id},
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
                 timeout_s=_RELEASE_TIMEOUT_S,
+                before_send=lambda: self._feedback.record_sent(endpoint),
             )
+            answers.observe_control(self._feedback, endpoint, response, sent_at)
             await response.read(_MAX_RESPONSE_BYTES)
         except errors.CallError as error:
             # The engine drops the KV cache when the TTL of its handle ends.
@@ -204,14 +197,16 @@
 
     Args:
       client: HTTP client.
-      observe_answer: Receives the rate limits in answers.
+      feedback: Receives what answers say about their servers.
     """
 
     def __init__(
-        self, client: http_client.HttpClient, observe_answer: _ObserveAnswer
+        self,
+        client: http_client.HttpClient,
+        feedback: endpoint_feedback.EndpointFeedback,
     ) -> None:
         self._http = client
-        self._observe_answer = observe_answer
+        self._feedback = feedback
 
     async def call(
         self, ctx: context.Context, progress: call_lib.CallProgress
@@ -220,16 +215,13 @@
         timeout_s = max(ctx.response_due_at - clock.now(), 1 / _MS_PER_S)
         response = await _send(
             self._http,
+            self._feedback,
             ctx,
             ctx.endpoint,
             {},
             timeout_s=timeout_s,
             progress=progress,
         )
-        if _is_answer_of(ctx, response):
-            self._observe_answer(
-                _rate_limit_answer(ctx, ctx.endpoint, response)
-            )
         body = await response.read(_MAX_RESPONSE_BYTES)
         try:
             _check_response(ctx, response, accept_failures=True)
@@ -245,6 +237,7 @@
 
 async def _send(
     client: http_client.HttpClient,
+    feedback: endpoint_feedback.EndpointFeedback,
     ctx: context.Context,
     endpoint: model.Endpoint,
     extra_headers: dict[str, str],
@@ -255,7 +248,8 @@
 ) -> exchange.Response:
     non_idempotent = ctx.service.idempotency is model.Idempotency.NON_IDEMPOTENT
     is_prefill = headers_lib.STAGE in extra_headers
-    return await client.call(
+    sent_at = clock.now()
+    response = await client.call(
         endpoint.host,
         endpoint.port,
         ctx.call.method,
@@ -271,7 +265,11 @@
         allow_close_delimited=True,
         connection=connection,
         progress=progress,
+        before_send=lambda: feedback.record_sent(endpoint),
     )
+    if _is_answer_of(ctx, response, require_signature=not is_prefill):
+        feedback.observe(answers.of_request(endpoint, response, sent_at))
+    return response
 
 
 def _headers(
@@ -365,19 +363,6 @@
     return True
 
 
-def _rate_limit_answer(
-    ctx: context.Context,
-    endpoint: model.Endpoint,
-    response: exchange.Response,
-) -> rate_limits.Answer:
-    return rate_limits.Answer(
-        endpoint=endpoint,
-        limit_text=response.headers.get(headers_lib.RATE_LIMIT),
-        sent_at=ctx.progress.sent_at,
-        conclusive=response.status < http.HTTPStatus.MULTIPLE_CHOICES,
-    )
-
-
 def _check_success(
     headers: httputil.HTTPHeaders, *, require_signature: bool
 ) -> None:
--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -23,6 +23,9 @@
 NOT_EXECUTED = "Not-Executed"
 # Requests a second that an engine takes from all VMs together.
 RATE_LIMIT = "Server-Limit"
+# Set to 1 in all answers of an engine that is leaving.
+LEAVING = "Server-Leaving"
+DATE = "Date"
 # Phase that an engine runs, prefill or decode.
 STAGE = "Stage"
 # Address and handle by which a decode engine fetches the KV cache.
--- a/src/cowsliprill/platform/orders.py
+++ b/src/cowsliprill/platform/orders.py
@@ -3,8 +3,11 @@
 import http
 import json
 
+from cowsliprill import clock
 from cowsliprill.decisions import model
+from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import http_client
+from cowsliprill.platform import answers
 from cowsliprill.platform import headers as headers_lib
 
 _CONNECT_TIMEOUT_S = 0.15
@@ -24,10 +27,16 @@
 
     Args:
       client: HTTP client.
+      feedback: Receives what answers say about their engines.
     """
 
-    def __init__(self, client: http_client.HttpClient) -> None:
+    def __init__(
+        self,
+        client: http_client.HttpClient,
+        feedback: endpoint_feedback.EndpointFeedback,
+    ) -> None:
         self._http = client
+        self._feedback = feedback
 
     async def change_role(
         self,
@@ -57,6 +66,7 @@
             "holder": holder,
             "fence": fencing_token,
         }
+        sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
             endpoint.port,
@@ -70,6 +80,8 @@
             connect_timeout_s=_CONNECT_TIMEOUT_S,
             timeout_s=_RESPONSE_TIMEOUT_S,
             new_connection=True,
+            before_send=lambda: self._feedback.record_sent(endpoint),
         )
+        answers.observe_control(self._feedback, endpoint, response, sent_at)
         await response.read(_MAX_RESPONSE_BYTES)
         return _OUTCOME_BY_STATUS.get(response.status, str(response.status))
--- a/src/cowsliprill/rate_limiting/ledger.py
+++ b/src/cowsliprill/rate_limiting/ledger.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 from cowsliprill import clock
+from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
 from cowsliprill.observability import log as log_lib
@@ -39,7 +40,7 @@
         """Registers a callback that gets the records of each change."""
         self._callbacks.append(callback)
 
-    def observe(self, answer: rate_limits.Answer) -> None:
+    def observe(self, answer: endpoint_answers.Answer) -> None:
         """Applies what an answer says about its endpoint's rate limit."""
         if answer.limit_text is None:
             if answer.conclusive:
@@ -78,7 +79,9 @@
         if expired:
             self._notify([])
 
-    def _apply(self, answer: rate_limits.Answer, per_s: float | None) -> None:
+    def _apply(
+        self, answer: endpoint_answers.Answer, per_s: float | None
+    ) -> None:
         previous = self.table.get(answer.endpoint)
         changed = self.table.observe(
             answer.endpoint, per_s, answer.sent_at, clock.now()
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -153,7 +153,7 @@
             self._source,
             self._members,
             self._agent.publish,
-            orders.Orders(http_client.HttpClient()),
+            orders.Orders(http_client.HttpClient(), self._entry.feedback),
             self._scheduling,
             log,
         )
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -18,9 +18,9 @@
 from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill import record_exchange
+from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
-from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import retry_budget
 from cowsliprill.entry import attempts
 from cowsliprill.entry import cluster_state as cluster_state_lib
@@ -217,8 +217,8 @@
         await asyncio.sleep(LATENCY_S / 2)
         if server.refuses:
             raise attempts.PlainCallError(messages.Executed.NO, "refused")
-        self.parts.observe(
-            rate_limits.Answer(
+        self.parts.ledger.observe(
+            endpoint_answers.Answer(
                 endpoint=ctx.endpoint,
                 limit_text=limit_text,
                 sent_at=ctx.progress.sent_at,
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -7,6 +7,7 @@
 import pytest
 from tests import fake_log
 
+from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
 from cowsliprill.observability import metrics as metrics_lib
@@ -211,7 +212,7 @@
 
     def _observe(self, ledger, text, sent_at=1e12, conclusive=True):
         ledger.observe(
-            rate_limits.Answer(
+            endpoint_answers.Answer(
                 endpoint=SERVER,
                 limit_text=text,
                 sent_at=sent_at,
--- a/tests/test_rate_permits.py
+++ b/tests/test_rate_permits.py
@@ -17,8 +17,8 @@
 from cowsliprill import peer_auth
 from cowsliprill import peers
 from cowsliprill import record_exchange
+from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
-from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import rendezvous
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import errors
@@ -55,7 +55,7 @@
 def _ledger(per_s: float | None) -> ledger_lib.RateLimitLedger:
     ledger = ledger_lib.RateLimitLedger(fake_log.FakeLog(), metrics.Metrics())
     if per_s is not None:
-        answer = rate_limits.Answer(
+        answer = endpoint_answers.Answer(
             endpoint=_SERVER, limit_text=str(per_s), sent_at=clock.now()
         )
         ledger.observe(answer)
