--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -219,6 +219,7 @@
     Attributes:
       refuse: Status of responses that mark the request as not executed, 0 for
         none.
+      retry_after: `Retry-After` of refused requests, None for none.
       fail: Status of failures after execution, 0 for none.
       hang: Whether the endpoint accepts requests and never responds.
       pause_after_events: Number of events after which a stream pauses in the
@@ -240,6 +241,7 @@
     """
 
     refuse: int = 0
+    retry_after: str | None = None
     fail: int = 0
     hang: bool = False
     pause_after_events: int = 0
@@ -290,6 +292,7 @@
       disconnects: Number of connections that clients closed during a request.
       cut: Set to cut the paused streams.
       rate_limit: Rate limit named in all answers, None for none.
+      leaving: `Server-Leaving` in all answers, None for none.
       version: Version of its software.
     """
 
@@ -308,6 +311,7 @@
         self.crashed = False
         self.cut = asyncio.Event()
         self.rate_limit: str | None = None
+        self.leaving: str | None = None
         self.site = LocalServer(
             [
                 ("/kv-handle/(.*)", _HandleHandler, {"engine": self}),
@@ -372,12 +376,16 @@
         self.set_header("Attempt-Id", "other" if faults.foreign else attempt)
         if engine.rate_limit is not None:
             self.set_header("Server-Limit", engine.rate_limit)
+        if engine.leaving is not None:
+            self.set_header("Server-Leaving", engine.leaving)
         if request.headers.get("Expected-Instance") != engine.name:
             self.set_status(421)
             self.finish()
             return
         if faults.refuse:
             self.set_header("Not-Executed", "1")
+            if faults.retry_after is not None:
+                self.set_header("Retry-After", faults.retry_after)
             self.set_status(faults.refuse)
             self.finish()
             return
