Send nothing to endpoints whose answers say that they leave

Cause: what an answer says of its endpoint was read for rate limits only. Class: a state is taken from one source that may be away, though the thing itself has said it.

Now each VM keeps the endpoints that have said so in any answer, for as long as the incarnation is listed, and tells the others (record exchange, /v1/leaving_endpoints). They count as leaving in the endpoint list, so placement, coordinators and the role planner leave them out; every call is checked before it connects and again right before it is written. A call that is withheld isn't sent, costs no attempt and says nothing about the endpoint's health; the same goes for other attempts that were never sent, which the scheduler had taken for failed transfers.

--- a/src/cowsliprill/availability/feedback.py
+++ b/src/cowsliprill/availability/feedback.py
@@ -1,10 +1,15 @@
-"""Passes on what endpoints say about themselves in their answers."""
+"""Passes on what endpoints say about themselves, and acts on it."""
 
 from cowsliprill.availability import ledger as ledger_lib
 from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
+from cowsliprill.engines import errors
 from cowsliprill.rate_limiting import ledger as rate_limit_ledger
 
+_TEXT_BY_REASON = {
+    ledger_lib.Reason.LEAVING: "the endpoint is leaving",
+}
+
 
 class Feedback:
     """Implements `engines.endpoint_feedback.EndpointFeedback`.
@@ -12,18 +17,32 @@
     Args:
       rate_limits: Rate limits that endpoints name.
       availability: Endpoints that leave or want a pause.
+      enabled: Whether such endpoints get no requests, rather than only being
+        logged.
     """
 
     def __init__(
         self,
         rate_limits: rate_limit_ledger.RateLimitLedger,
         availability: ledger_lib.AvailabilityLedger,
+        *,
+        enabled: bool,
     ) -> None:
         self._rate_limits = rate_limits
         self._availability = availability
+        self._enabled = enabled
+
+    def check(self, endpoint: model.Endpoint) -> None:
+        """Checks that an endpoint takes requests."""
+        reason = self._availability.reason(endpoint)
+        if not self._enabled or reason not in _TEXT_BY_REASON:
+            return
+        self._availability.record_withheld(endpoint, reason)
+        raise errors.EndpointUnavailable(_TEXT_BY_REASON[reason])
 
-    def record_sent(self, endpoint: model.Endpoint) -> None:
-        """Records that a request is sent to an endpoint now."""
+    def before_send(self, endpoint: model.Endpoint) -> None:
+        """Checks an endpoint once more, and records that it gets a request."""
+        self.check(endpoint)
         self._availability.record_sent(endpoint)
 
     def observe(self, answer: endpoint_answers.Answer) -> None:
--- a/src/cowsliprill/availability/ledger.py
+++ b/src/cowsliprill/availability/ledger.py
@@ -3,6 +3,8 @@
 import collections
 import enum
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
 
 from cowsliprill import clock
 from cowsliprill.decisions import endpoint_answers
@@ -15,6 +17,8 @@
 # Minimum time between two log lines about invalid values of any endpoints.
 _INVALID_LOG_INTERVAL_S = 10.0
 
+_LeavingRecords = Sequence[leaving_endpoints.LeavingEndpoint]
+
 
 class Reason(enum.StrEnum):
     """Why an endpoint wants no requests."""
@@ -41,9 +45,11 @@
         self._log = log
         self._metrics = metrics
         self._callbacks: list[Callable[[], None]] = []
+        self._leaving_callbacks: list[Callable[[_LeavingRecords], None]] = []
         self._sends_in_pause: collections.Counter[endpoint_pauses.Key] = (
             collections.Counter()
         )
+        self._gauge_labels: set[tuple[str, Reason]] = set()
         self._invalid_logged_at = -_INVALID_LOG_INTERVAL_S
         self._invalid_unlogged = 0
 
@@ -51,6 +57,12 @@
         """Registers a callback that runs after each change."""
         self._callbacks.append(callback)
 
+    def subscribe_leaving(
+        self, callback: Callable[[_LeavingRecords], None]
+    ) -> None:
+        """Registers a callback that gets new records of leaving endpoints."""
+        self._leaving_callbacks.append(callback)
+
     def observe(self, answer: endpoint_answers.Answer) -> None:
         """Applies what an answer says about its endpoint."""
         changed = answer.leaving and self._observe_leaving(answer.endpoint)
@@ -61,16 +73,34 @@
         if changed:
             self._notify()
 
+    def merge_leaving(
+        self,
+        records: Iterable[leaving_endpoints.LeavingEndpoint],
+        snapshot: model.Snapshot,
+    ) -> None:
+        """Adds leaving endpoints that other processes know.
+
+        Args:
+          records: Their records.
+          snapshot: Settings in force.
+        """
+        now = clock.now()
+        added = [
+            record
+            for record in records
+            if self.leaving.merge(record, snapshot.endpoints_by_id, now)
+        ]
+        if added:
+            self._report_leaving(added, source="peer")
+            self._notify()
+
     def record_sent(self, endpoint: model.Endpoint) -> None:
-        """Counts a request to an endpoint that wants none."""
+        """Records that a request is sent to an endpoint now."""
         reason = self.reason(endpoint)
-        if reason is None:
-            return
+        if reason is not None:
+            self._metrics.unwanted_sends.inc(_labels(endpoint, reason))
         if reason is Reason.PAUSED:
             self._sends_in_pause[_key(endpoint)] += 1
-        self._metrics.unwanted_sends.inc(
-            {"endpoint": endpoint.id, "reason": reason.value}
-        )
 
     def reason(self, endpoint: model.Endpoint) -> Reason | None:
         """Returns why an endpoint wants no requests, None if it takes any."""
@@ -80,38 +110,41 @@
             return Reason.PAUSED
         return None
 
+    def record_withheld(self, endpoint: model.Endpoint, reason: Reason) -> None:
+        """Counts a request that isn't sent to an endpoint that wants none."""
+        self._metrics.withheld_sends.inc(_labels(endpoint, reason))
+
     def expire(self, snapshot: model.Snapshot) -> None:
-        """Drops what no longer tells anything.
+        """Drops what no longer tells anything, and sets the gauges.
 
         Args:
           snapshot: Settings in force.
         """
         now = clock.now()
         expired = self.leaving.expire(snapshot.endpoints_by_id, now)
-        for record in expired:
-            self._set_gauge(record.endpoint_id, Reason.LEAVING, 0)
         for endpoint_id, life in self.pauses.expire(now):
             self._report_pause_ended(endpoint_id, life, accepted=False)
         if expired:
             self._notify()
+        self._set_gauges(snapshot)
 
     def _observe_leaving(self, endpoint: model.Endpoint) -> bool:
         record = self.leaving.observe(endpoint, clock.now())
         if record is None:
             return False
-        self._report_leaving(record, source="answer")
+        self._report_leaving([record], source="answer")
         return True
 
-    def _report_leaving(
-        self, record: leaving_endpoints.LeavingEndpoint, source: str
-    ) -> None:
-        self._log.event(
-            "endpoint_leaving",
-            endpoint=record.endpoint_id,
-            source=source,
-            age_s=round(clock.now() - record.said_at, 3),
-        )
-        self._set_gauge(record.endpoint_id, Reason.LEAVING, 1)
+    def _report_leaving(self, records: _LeavingRecords, source: str) -> None:
+        for record in records:
+            self._log.event(
+                "endpoint_leaving",
+                endpoint=record.endpoint_id,
+                source=source,
+                age_s=round(clock.now() - record.said_at, 3),
+            )
+        for callback in self._leaving_callbacks:
+            callback(records)
 
     def _observe_pause(self, answer: endpoint_answers.Answer) -> bool:
         try:
@@ -130,7 +163,6 @@
             pool=answer.endpoint.pool,
             pause_s=pause_s,
         )
-        self._set_gauge(answer.endpoint.id, Reason.PAUSED, 1)
         return True
 
     def _observe_accepted(self, answer: endpoint_answers.Answer) -> bool:
@@ -149,7 +181,6 @@
             accepted=accepted,
             sends=self._sends_in_pause.pop((endpoint_id, life), 0),
         )
-        self._set_gauge(endpoint_id, Reason.PAUSED, 0)
 
     def _report_invalid(
         self,
@@ -169,10 +200,19 @@
         self._invalid_logged_at = now
         self._invalid_unlogged = 0
 
-    def _set_gauge(self, endpoint_id: str, reason: Reason, value: int) -> None:
-        self._metrics.unavailable_endpoints.set(
-            {"endpoint": endpoint_id, "reason": reason.value}, value
-        )
+    def _set_gauges(self, snapshot: model.Snapshot) -> None:
+        counts: collections.Counter[tuple[str, Reason]] = collections.Counter()
+        if len(self.leaving) or len(self.pauses):
+            for endpoint in snapshot.endpoints_by_id.values():
+                reason = self.reason(endpoint)
+                if reason is not None:
+                    counts[endpoint.pool, reason] += 1
+        # A pool without such endpoints keeps its series, with the value 0.
+        self._gauge_labels |= counts.keys()
+        for pool, reason in self._gauge_labels:
+            self._metrics.unavailable_endpoints.set(
+                {"pool": pool, "reason": reason.value}, counts[pool, reason]
+            )
 
     def _notify(self) -> None:
         for callback in self._callbacks:
@@ -181,3 +221,7 @@
 
 def _key(endpoint: model.Endpoint) -> endpoint_pauses.Key:
     return (endpoint.id, endpoint.life)
+
+
+def _labels(endpoint: model.Endpoint, reason: Reason) -> dict[str, str]:
+    return {"pool": endpoint.pool, "reason": reason.value}
--- a/src/cowsliprill/decisions/mechanisms.py
+++ b/src/cowsliprill/decisions/mechanisms.py
@@ -18,6 +18,8 @@
     """A part of the routing decisions that can be disabled.
 
     Attributes:
+      AVAILABILITY: Endpoints that say that they leave, or want a pause, get no
+        requests.
       CONNECTION_SHARES: Limit on each VM's connections to an endpoint.
       DECODE_CONCURRENCY_LIMIT: Limit on an engine's concurrent decodes
         besides the one on its KV cache memory.
@@ -42,6 +44,7 @@
       SIZE_VALUE: Larger requests of a service count as more valuable.
     """
 
+    AVAILABILITY = "availability"
     CONNECTION_SHARES = "connection_shares"
     DECODE_CONCURRENCY_LIMIT = "decode_places"
     DESIGNATED_READERS = "few_readers"
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -81,6 +81,9 @@
         """
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
+        if event.unsent and not event.unreachable:
+            # The engine didn't get the request, which says nothing about it.
+            return
         if event.refused:
             lease = request.pool.lease(event.endpoint_id)
             # An engine that rejects its only request from this process isn't
@@ -90,7 +93,7 @@
             # its requests is busy, and isn't chosen before its turn.
             limited = request.pool.rates.is_limited(event.endpoint_id, now)
             alone = lease.in_use <= request.slots
-            if alone and not event.unsent and not limited:
+            if alone and not limited:
                 self._health.record_failure(event.endpoint_id, now)
         elif event.unreachable:
             self._health.record_failure(
--- a/src/cowsliprill/engines/endpoint_feedback.py
+++ b/src/cowsliprill/engines/endpoint_feedback.py
@@ -9,8 +9,21 @@
 class EndpointFeedback(Protocol):
     """Receives what endpoints say about themselves in their answers."""
 
-    def record_sent(self, endpoint: model.Endpoint) -> None:
-        """Records that a request is sent to an endpoint now."""
+    def check(self, endpoint: model.Endpoint) -> None:
+        """Checks that an endpoint takes requests.
+
+        Raises:
+          errors.EndpointUnavailable: The endpoint wants none.
+        """
+
+    def before_send(self, endpoint: model.Endpoint) -> None:
+        """Checks an endpoint once more, and records that it gets a request.
+
+        Called right before a request is written, without a wait in between.
+
+        Raises:
+          errors.EndpointUnavailable: The endpoint wants none.
+        """
 
     def observe(self, answer: endpoint_answers.Answer) -> None:
         """Applies what an endpoint's answer says about the endpoint."""
@@ -19,7 +32,11 @@
 class NoFeedback:
     """Ignores what endpoints say about themselves."""
 
-    def record_sent(self, endpoint: model.Endpoint) -> None:
+    def check(self, endpoint: model.Endpoint) -> None:
+        """Does nothing."""
+        del endpoint
+
+    def before_send(self, endpoint: model.Endpoint) -> None:
         """Does nothing."""
         del endpoint
 
--- a/src/cowsliprill/engines/engine_caller.py
+++ b/src/cowsliprill/engines/engine_caller.py
@@ -60,6 +60,7 @@
           errors.CallError: The engine refused or returned no usable response.
         """
         path, fields = request
+        self._feedback.check(endpoint)
         sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
@@ -70,7 +71,7 @@
             json.dumps(fields).encode(),
             timeout_s=timeout_s,
             stall_timeout_s=self._stall_timeout_s,
-            before_send=lambda: self._feedback.record_sent(endpoint),
+            before_send=lambda: self._feedback.before_send(endpoint),
         )
         self._observe(endpoint, response, stream.request_id, sent_at)
         if response.status != _OK:
@@ -130,6 +131,7 @@
         headers = dict(_JSON_HEADERS)
         if request_id:
             headers[protocol.REQUEST_ID_HEADER] = request_id
+        self._feedback.check(endpoint)
         sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
@@ -139,7 +141,7 @@
             headers,
             b"" if fields is None else json.dumps(fields).encode(),
             timeout_s=timeout_s,
-            before_send=lambda: self._feedback.record_sent(endpoint),
+            before_send=lambda: self._feedback.before_send(endpoint),
         )
         if request_id:
             self._observe(endpoint, response, request_id, sent_at)
--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -48,6 +48,15 @@
     code = "connections_spent"
 
 
+class EndpointUnavailable(CallError):  # noqa: N818
+    """The endpoint has said that it wants no requests, so nothing was sent."""
+
+    code = "endpoint_unavailable"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, run=messages.Executed.NO)
+
+
 class ConnectionLost(CallError):  # noqa: N818
     """The endpoint closed or reset the connection during the call."""
 
--- a/src/cowsliprill/engines/service_client.py
+++ b/src/cowsliprill/engines/service_client.py
@@ -103,6 +103,7 @@
             `run` tells whether it was executed, as far as known.
         """
         progress = progress or call_lib.CallProgress()
+        self._feedback.check(endpoint)
         sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
@@ -115,7 +116,7 @@
             new_connection=service.idempotency
             is model.Idempotency.NON_IDEMPOTENT,
             progress=progress,
-            before_send=lambda: self._feedback.record_sent(endpoint),
+            before_send=lambda: self._feedback.before_send(endpoint),
         )
         body = await response.read(_MAX_RESPONSE_BYTES)
         response_id = response.headers.get(protocol.REQUEST_ID_HEADER)
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -63,6 +63,7 @@
       reason: One sentence for the log.
       answer: The server's error response, None if there was none.
       unsent: Whether no byte of the call was sent.
+      withheld: Whether that was because the server wants no requests.
       connection_lost: Whether the server closed the connection during the call.
     """
 
@@ -73,10 +74,12 @@
         answer: service_client.ServiceResponse | None = None,
         *,
         unsent: bool = False,
+        withheld: bool = False,
         connection_lost: bool = False,
     ) -> None:
         super().__init__(reason)
         self.unsent = unsent
+        self.withheld = withheld
         self.connection_lost = connection_lost
         self.run = run
         self.reason = reason
--- a/src/cowsliprill/entry/availability_components.py
+++ b/src/cowsliprill/entry/availability_components.py
@@ -3,10 +3,17 @@
 import asyncio
 from collections.abc import Awaitable
 
+from cowsliprill import peer_auth
+from cowsliprill import peer_handler
+from cowsliprill import peers
+from cowsliprill import record_exchange
+from cowsliprill.availability import feedback as feedback_lib
 from cowsliprill.availability import ledger as ledger_lib
-from cowsliprill.entry import cluster_state as cluster_state_lib
+from cowsliprill.availability import peer_exchange
+from cowsliprill.availability import wire
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
+from cowsliprill.rate_limiting import ledger as rate_limit_ledger
 
 _EXPIRY_INTERVAL_S = 1.0
 
@@ -15,26 +22,57 @@
     """Endpoints that leave or want a pause.
 
     Args:
-      cluster_state: Current settings and VM list.
+      rate_limits: Rate limits that endpoints name in the same answers.
+      auth: Verifies messages of peers.
+      network: Access to the peers.
       log: Log of the process.
       metrics: Metrics of the process.
+      enabled: Whether such endpoints get no requests, rather than only being
+        logged.
 
     Attributes:
+      enabled: Whether such endpoints get no requests.
       ledger: The endpoints known to this process.
+      feedback: Receives what endpoints say about themselves.
     """
 
     def __init__(
         self,
-        cluster_state: cluster_state_lib.ClusterState,
+        rate_limits: rate_limit_ledger.RateLimitLedger,
+        auth: peer_auth.PeerAuth,
+        network: record_exchange.Network,
         log: log_lib.Log,
         metrics: metrics_lib.Metrics,
+        *,
+        enabled: bool,
     ) -> None:
-        self._cluster_state = cluster_state
+        self.enabled = enabled
+        self._auth = auth
+        self._cluster_state = network.cluster_state
         self.ledger = ledger_lib.AvailabilityLedger(log, metrics)
+        self.feedback = feedback_lib.Feedback(
+            rate_limits, self.ledger, enabled=enabled
+        )
+        self._exchange = peer_exchange.PeerExchange(network, self.ledger, log)
+
+    def peer_routes(self) -> list[tuple]:
+        """Returns the tornado routes of the peer port."""
+        arguments = {
+            "auth": self._auth,
+            "kind": wire.LeavingExchange,
+            "respond": self._exchange.handle,
+        }
+        return [
+            (
+                peers.LEAVING_ENDPOINTS_PATH,
+                peer_handler.MessageHandler,
+                arguments,
+            )
+        ]
 
     def background_work(self) -> list[Awaitable[None]]:
         """Returns the awaitables to run as background tasks."""
-        return [self._expire_records()]
+        return [self._exchange.run(), self._expire_records()]
 
     async def _expire_records(self) -> None:
         while True:
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -12,7 +12,6 @@
 from cowsliprill import peer_auth
 from cowsliprill import process
 from cowsliprill import record_exchange
-from cowsliprill.availability import feedback as feedback_lib
 from cowsliprill.decisions import connection_limits
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import mechanisms
@@ -84,7 +83,7 @@
 
     Attributes:
       rate_limits: Rate limits that endpoints name.
-      feedback: Receives what endpoints say about themselves.
+      availability: Endpoints that say that they leave or want a pause.
       shell: HTTP servers, health checks and signal handling of the process.
       peer_routes: Additional tornado routes of the peer port, to be set before
         `run`.
@@ -145,11 +144,14 @@
             enabled=mechanisms.Mechanism.RATE_LIMITS
             not in environment.mechanisms_off,
         )
-        self._availability = availability_components.AvailabilityComponents(
-            self._cluster_state, log, self._metrics
-        )
-        self.feedback = feedback_lib.Feedback(
-            self.rate_limits.ledger, self._availability.ledger
+        self.availability = availability_components.AvailabilityComponents(
+            self.rate_limits.ledger,
+            self._auth,
+            self._peer_network,
+            log,
+            self._metrics,
+            enabled=mechanisms.Mechanism.AVAILABILITY
+            not in environment.mechanisms_off,
         )
         self._dialect = make_dialect(
             dialect_lib.Dependencies(
@@ -158,7 +160,7 @@
                 budgets=self._budgets,
                 metrics=self._metrics,
                 log=log,
-                feedback=self.feedback,
+                feedback=self.availability.feedback,
             )
         )
         self._gate = gate_lib.Gate(self._incarnation, self._cluster_state)
@@ -240,7 +242,7 @@
                 *self._placement_backend.background_work(),
                 *self._quarantine.background_work(),
                 *self.rate_limits.background_work(),
-                *self._availability.background_work(),
+                *self.availability.background_work(),
                 self._paths.run(),
             )
         ]
@@ -275,6 +277,7 @@
                 ),
                 *self._quarantine.peer_routes(),
                 *self.rate_limits.peer_routes(),
+                *self.availability.peer_routes(),
                 *self.peer_routes,
             ]
         )
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -131,7 +131,7 @@
         self, ctx: context.Context, lost: attempts.PlainCallError, unsent: int
     ) -> bool:
         refused = lost.run is messages.Executed.NO and not lost.unsent
-        if lost.answer is not None or refused:
+        if lost.answer is not None or refused or lost.withheld:
             return False
         # The next server tells as much as a probe does.
         is_first_unsent = lost.unsent and not unsent
@@ -315,7 +315,7 @@
             if other.pool == endpoint.pool and other.id != endpoint.id
         ]
         now = clock.now()
-        if self._refused_within_limit(endpoint, lost):
+        if lost.withheld or self._refused_within_limit(endpoint, lost):
             pass
         elif lost.answer is None:
             self.health.record_no_response(endpoint.id, peer_ids, now)
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -146,6 +146,16 @@
         endpoint = self._decode_endpoint(ctx)
         try:
             await self.calls.prepare(ctx, endpoint)
+        except engine_errors.EndpointUnavailable as error:
+            raise attempts.AttemptError(
+                endpoint.id,
+                messages.Stage.TRANSFER,
+                str(error),
+                unsent=True,
+                kept_s=self._export_left_s(ctx)
+                if ctx.exported_prefill
+                else 0.0,
+            ) from error
         except engine_errors.ConnectFailed as error:
             connections_exhausted = isinstance(
                 error, engine_errors.ConnectionLimitReached
@@ -454,6 +464,7 @@
             self._stage,
             str(error),
             refused=refused and error.code in _BUSY_CODES,
+            unsent=isinstance(error, engine_errors.EndpointUnavailable),
             unreachable=isinstance(error, engine_errors.ConnectFailed),
             answered=isinstance(error, engine_errors.EngineFailed),
             sent=_was_sent(error),
--- a/src/cowsliprill/entry/plain_relay.py
+++ b/src/cowsliprill/entry/plain_relay.py
@@ -47,6 +47,10 @@
         ctx.progress.sent_at = clock.now()
         try:
             return await self.calls.call(ctx, progress)
+        except engine_errors.EndpointUnavailable as error:
+            raise attempts.PlainCallError(
+                error.run, str(error), unsent=True, withheld=True
+            ) from error
         except engine_errors.CallError as error:
             raise attempts.PlainCallError(
                 error.run,
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -42,10 +42,10 @@
         process has handed out, by `endpoint`.
       rate_permits_denied: Requests for such a permit that it has denied, by
         `pool`.
-      unavailable_endpoints: 1 while an endpoint says that it leaves, or wants
-        no requests from this VM, by `endpoint` and `reason` (leaving, paused).
-      unwanted_sends: Requests sent to such an endpoint, by `endpoint` and
-        `reason`.
+      unavailable_endpoints: Endpoints that say that they leave, or want no
+        requests from this VM, by `pool` and `reason` (leaving, paused).
+      unwanted_sends: Requests sent to such endpoints, by `pool` and `reason`.
+      withheld_sends: Requests not sent to them, by `pool` and `reason`.
       relayed_requests: Requests that this process has sent to other VMs because
         it is cut off from the endpoints, by `service` and `outcome` (answered,
         refused, declined, failed).
@@ -150,6 +150,11 @@
             "Requests sent to endpoints that want none.",
             registry=self.registry,
         )
+        self.withheld_sends = aioprometheus.Counter(
+            prefix + "withheld_sends_total",
+            "Requests not sent to endpoints that want none.",
+            registry=self.registry,
+        )
 
         self.relayed_requests = aioprometheus.Counter(
             prefix + "relayed_requests_total",
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -50,6 +50,8 @@
   engines and the requests that may have caused them.
   `POST /v1/rate_limits` `rate_limiting.wire.LimitExchange` -> the same: rate
   limits that endpoints name.
+  `POST /v1/leaving_endpoints` `availability.wire.LeavingExchange` -> the same:
+  endpoints that have said that they leave.
   `POST /v1/rate_permits` `rate_limiting.wire.PermitCall` ->
   `rate_limiting.wire.PermitAnswer`: asks a pool's coordinator for a permit to
   send a request to one of some limited endpoints; answered when one is due.
@@ -75,6 +77,7 @@
 REGISTRY_PATH = "/v1/registry"
 CRASHES_PATH = "/v1/crashes"
 RATE_LIMITS_PATH = "/v1/rate_limits"
+LEAVING_ENDPOINTS_PATH = "/v1/leaving_endpoints"
 RATE_PERMITS_PATH = "/v1/rate_permits"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -89,6 +89,7 @@
         self, ctx: context.Context, endpoint: model.Endpoint
     ) -> None:
         """Opens the connection for the later decode request."""
+        self._feedback.check(endpoint)
         ctx.connection = await self._http.connect(
             endpoint.host, endpoint.port, _CONNECT_TIMEOUT_S
         )
@@ -181,7 +182,6 @@
                 {headers_lib.EXPECTED_INSTANCE: endpoint.id},
                 connect_timeout_s=_CONNECT_TIMEOUT_S,
                 timeout_s=_RELEASE_TIMEOUT_S,
-                before_send=lambda: self._feedback.record_sent(endpoint),
             )
             answers.observe_control(self._feedback, endpoint, response, sent_at)
             await response.read(_MAX_RESPONSE_BYTES)
@@ -248,6 +248,7 @@
 ) -> exchange.Response:
     non_idempotent = ctx.service.idempotency is model.Idempotency.NON_IDEMPOTENT
     is_prefill = headers_lib.STAGE in extra_headers
+    feedback.check(endpoint)
     sent_at = clock.now()
     response = await client.call(
         endpoint.host,
@@ -265,7 +266,7 @@
         allow_close_delimited=True,
         connection=connection,
         progress=progress,
-        before_send=lambda: feedback.record_sent(endpoint),
+        before_send=lambda: feedback.before_send(endpoint),
     )
     if _is_answer_of(ctx, response, require_signature=not is_prefill):
         feedback.observe(answers.of_request(endpoint, response, sent_at))
--- a/src/cowsliprill/platform/orders.py
+++ b/src/cowsliprill/platform/orders.py
@@ -66,6 +66,7 @@
             "holder": holder,
             "fence": fencing_token,
         }
+        self._feedback.check(endpoint)
         sent_at = clock.now()
         response = await self._http.call(
             endpoint.host,
@@ -80,7 +81,7 @@
             connect_timeout_s=_CONNECT_TIMEOUT_S,
             timeout_s=_RESPONSE_TIMEOUT_S,
             new_connection=True,
-            before_send=lambda: self._feedback.record_sent(endpoint),
+            before_send=lambda: self._feedback.before_send(endpoint),
         )
         answers.observe_control(self._feedback, endpoint, response, sent_at)
         await response.read(_MAX_RESPONSE_BYTES)
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -9,6 +9,7 @@
 from cowsliprill import clock
 from cowsliprill.decisions import designated_readers
 from cowsliprill.decisions import freshness as freshness_lib
+from cowsliprill.decisions import leaving_endpoints
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
@@ -168,6 +169,7 @@
             mechanisms.Mechanism.ONE_INCARNATION_PER_ADDRESS not in disabled
         )
         self._leaving_until_by_endpoint: dict[str, float] = {}
+        self._leaving_keys: frozenset[leaving_endpoints.Key] = frozenset()
         self._reads_required = False
         self._is_reader = False
         self._started_at = clock.now()
@@ -293,9 +295,7 @@
         ]
 
     async def report_leaving(self, endpoint_id: str, ttl_s: float) -> None:
-        """Records an endpoint's own announcement that it is leaving.
-
-        Other VMs get this state from the registry.
+        """Records that an endpoint has refused a request as it is draining.
 
         Args:
           endpoint_id: The leaving endpoint.
@@ -304,6 +304,18 @@
         self._leaving_until_by_endpoint[endpoint_id] = clock.now() + ttl_s
         self._rebuild()
 
+    def apply_leaving(self, keys: frozenset[leaving_endpoints.Key]) -> None:
+        """Applies which endpoints have said in answers that they leave.
+
+        Their entries may say so much later, or not at all.
+
+        Args:
+          keys: Id and life of each.
+        """
+        if keys != self._leaving_keys:
+            self._leaving_keys = keys
+            self._rebuild()
+
     async def run(self) -> None:
         """Follows the registry until cancelled."""
         async with asyncio.TaskGroup() as group:
@@ -481,8 +493,9 @@
         for item in instances:
             endpoint = self._with_pool_settings(item.endpoint)
             endpoints_by_id[endpoint.id] = endpoint
-            if item.leaving:
-                leaving.add(item.endpoint.id)
+            says_so = (endpoint.id, endpoint.life) in self._leaving_keys
+            if item.leaving or says_so:
+                leaving.add(endpoint.id)
         self.snapshot = model.Snapshot(
             revision=self._settings.version,
             customers_by_id=self._settings.customers_by_id,
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -148,12 +148,16 @@
             ledger.subscribe(
                 lambda _: self._pool_schedulers.set_rate_limits(ledger.table)
             )
+        if self._entry.availability.enabled:
+            self._entry.availability.ledger.subscribe(self._apply_leaving)
         self._entry.before_drain = self._agent.leave
         self._roles = roles_lib.RoleController(
             self._source,
             self._members,
             self._agent.publish,
-            orders.Orders(http_client.HttpClient(), self._entry.feedback),
+            orders.Orders(
+                http_client.HttpClient(), self._entry.availability.feedback
+            ),
             self._scheduling,
             log,
         )
@@ -306,6 +310,10 @@
             ),
         ]
 
+    def _apply_leaving(self) -> None:
+        leaving = self._entry.availability.ledger.leaving
+        self._source.apply_leaving(frozenset(record.key for record in leaving))
+
     def _on_members_changed(self) -> None:
         self._source.apply_members()
         self._agent.publish(
