Keep the pauses that endpoints ask for

Callers saw requests turned away that another server would have taken, and 502 in place of a server's answer.

Cause: Retry-After of an endpoint's 503 was read by nothing. A server was used again after our own intervals (ejection for 1.0 to 1.4 s, 0.5 s for a full engine), and the coordinator, which places the requests of all VMs, couldn't know what an engine had asked one of them for. Same class as the leaving: what an endpoint says of itself wasn't taken as state.

Now the VM that was asked keeps the pause: placement of plain calls leaves the server out, each call is checked before it connects and right before it is written, releases of handles wait. Entry processes tell the coordinator with each call which engines they can't use; it places their requests elsewhere and lets those that could only run there wait apart, so that requests of other VMs pass. An engine still serves the VMs that it hasn't asked. After a pause one request is sent as a trial. If all endpoints are paused, a call waits if one is back soon, else it is refused at once with that time. An endpoint that asks for a pause isn't ejected.

--- a/src/cowsliprill/availability/feedback.py
+++ b/src/cowsliprill/availability/feedback.py
@@ -8,6 +8,7 @@
 
 _TEXT_BY_REASON = {
     ledger_lib.Reason.LEAVING: "the endpoint is leaving",
+    ledger_lib.Reason.PAUSED: "the endpoint wants no requests for a while",
 }
 
 
@@ -35,7 +36,7 @@
     def check(self, endpoint: model.Endpoint) -> None:
         """Checks that an endpoint takes requests."""
         reason = self._availability.reason(endpoint)
-        if not self._enabled or reason not in _TEXT_BY_REASON:
+        if not self._enabled or reason is None:
             return
         self._availability.record_withheld(endpoint, reason)
         raise errors.EndpointUnavailable(_TEXT_BY_REASON[reason])
@@ -45,6 +46,12 @@
         self.check(endpoint)
         self._availability.record_sent(endpoint)
 
+    def pause_left_s(self, endpoint: model.Endpoint) -> float:
+        """Returns for how long an endpoint wants nothing, in seconds."""
+        if not self._enabled:
+            return 0.0
+        return self._availability.pause_left_s(endpoint)
+
     def observe(self, answer: endpoint_answers.Answer) -> None:
         """Applies what an endpoint's answer says about the endpoint."""
         self._rate_limits.observe(answer)
--- a/src/cowsliprill/availability/ledger.py
+++ b/src/cowsliprill/availability/ledger.py
@@ -1,7 +1,9 @@
 """Which endpoints want no requests, with log, metrics and subscribers."""
 
+import asyncio
 import collections
 import enum
+import math
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -44,6 +46,7 @@
         self.pauses = endpoint_pauses.EndpointPauses()
         self._log = log
         self._metrics = metrics
+        self._changed = asyncio.Event()
         self._callbacks: list[Callable[[], None]] = []
         self._leaving_callbacks: list[Callable[[_LeavingRecords], None]] = []
         self._sends_in_pause: collections.Counter[endpoint_pauses.Key] = (
@@ -96,20 +99,56 @@
 
     def record_sent(self, endpoint: model.Endpoint) -> None:
         """Records that a request is sent to an endpoint now."""
+        key, now = _key(endpoint), clock.now()
         reason = self.reason(endpoint)
         if reason is not None:
             self._metrics.unwanted_sends.inc(_labels(endpoint, reason))
         if reason is Reason.PAUSED:
-            self._sends_in_pause[_key(endpoint)] += 1
+            self._sends_in_pause[key] += 1
+        elif self.pauses.record_sent(key, now):
+            self._notify()
 
     def reason(self, endpoint: model.Endpoint) -> Reason | None:
         """Returns why an endpoint wants no requests, None if it takes any."""
         if endpoint in self.leaving:
             return Reason.LEAVING
-        if self.pauses.is_paused(_key(endpoint), clock.now()):
+        if self.paused_until(endpoint):
             return Reason.PAUSED
         return None
 
+    def paused_until(self, endpoint: model.Endpoint) -> float:
+        """Returns when an endpoint may get a request, 0 if it may now."""
+        return self.pauses.until(_key(endpoint), clock.now())
+
+    def pause_left_s(self, endpoint: model.Endpoint) -> float:
+        """Returns for how long an endpoint's pause lasts, in seconds."""
+        now = clock.now()
+        return max(self.pauses.asked_until(_key(endpoint)) - now, 0.0)
+
+    def unavailable_until(self) -> dict[str, float]:
+        """Returns until when endpoints want no requests, in seconds, by id."""
+        now = clock.now()
+        until_by_endpoint = {
+            endpoint_id: until
+            for endpoint_id, life in self.pauses
+            if (until := self.pauses.until((endpoint_id, life), now))
+        }
+        for record in self.leaving:
+            until_by_endpoint[record.endpoint_id] = math.inf
+        return until_by_endpoint
+
+    async def wait_for_change(self, timeout_s: float) -> None:
+        """Waits until an endpoint's state changes, for a time at most.
+
+        Args:
+          timeout_s: Longest wait in seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            pass
+
     def record_withheld(self, endpoint: model.Endpoint, reason: Reason) -> None:
         """Counts a request that isn't sent to an endpoint that wants none."""
         self._metrics.withheld_sends.inc(_labels(endpoint, reason))
@@ -215,6 +254,8 @@
             )
 
     def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
         for callback in self._callbacks:
             callback()
 
--- a/src/cowsliprill/decisions/endpoint_pauses.py
+++ b/src/cowsliprill/decisions/endpoint_pauses.py
@@ -80,10 +80,10 @@
             return 0.0
         return pause.ends_at()
 
-    def is_paused(self, key: Key, now: float) -> bool:
-        """Returns whether an endpoint's pause lasts, trials not counted."""
+    def asked_until(self, key: Key) -> float:
+        """Returns the end of an endpoint's pause in seconds, 0 without one."""
         pause = self._pauses_by_key.get(key)
-        return pause is not None and now < pause.until
+        return pause.until if pause is not None else 0.0
 
     def record_sent(self, key: Key, now: float) -> bool:
         """Records that a request is sent to an endpoint now.
--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -9,6 +9,7 @@
 from cowsliprill.decisions import pair_selection
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import requests
+from cowsliprill.decisions import unavailable_engines
 
 # While all prefill slots are taken and a decode engine has free slots, prefill
 # is the bottleneck. A prefill slot is free again after the time of one prompt,
@@ -29,35 +30,42 @@
     Args:
       availability_zone: Availability zone of the entry process.
       engine_health: Ejection state of the engines.
+      unavailable: Engines that single entry processes can't use.
     """
 
     def __init__(
-        self, availability_zone: str, engine_health: health.EngineHealth
+        self,
+        availability_zone: str,
+        engine_health: health.EngineHealth,
+        unavailable: unavailable_engines.UnavailableEngines,
     ) -> None:
         self._availability_zone = availability_zone
         self._health = engine_health
+        self._unavailable = unavailable
 
     def select_pair(
-        self, request: requests.Request, now: float
+        self, request: requests.Request, now: float, entry: str | None
     ) -> pair_selection.EnginePair | None:
         """Selects the best pair of engines with free leased slots.
 
         Args:
           request: The request.
           now: Current time in seconds.
+          entry: Entry process that must be able to use the engines, None for
+            any.
 
         Returns:
           The best pair, None if the request has to wait.
         """
         pool, submit = request.pool, request.submit
-        prefills = self._prefill_candidates(pool, submit, now)
+        prefills = self._prefill_candidates(pool, submit, now, entry)
         if not prefills:
-            return self._choose_without_prefill(request, now)
+            return self._choose_without_prefill(request, now, entry)
         pool.prefill_shortage_since = math.inf
         endpoints_by_id = pool.endpoints_by_id
         return pair_selection.select_pair(
             prefills,
-            self._decode_candidates(request, now),
+            self._decode_candidates(request, now, entry),
             lambda prefill_id, decode_id: estimates.transfer_s(
                 endpoints_by_id[prefill_id],
                 endpoints_by_id[decode_id],
@@ -66,24 +74,20 @@
         )
 
     def _choose_without_prefill(
-        self, request: requests.Request, now: float
+        self, request: requests.Request, now: float, entry: str | None
     ) -> pair_selection.EnginePair | None:
         pool, submit = request.pool, request.submit
         if not pool.decodes_can_prefill():
             return None
         local_prefill_engines = [
             (candidate.cost_s, candidate.id)
-            for candidate in self._decode_candidates(request, now)
+            for candidate in self._decode_candidates(request, now, entry)
             if pool.endpoints_by_id[candidate.id].own_prefill_tokens_per_s
         ]
         if not local_prefill_engines:
             return None
-        pool.prefill_shortage_since = min(pool.prefill_shortage_since, now)
-        prefills_busy_s = now - pool.prefill_shortage_since
-        if (
-            pool.has_healthy_prefill()
-            and prefills_busy_s < _PREFILL_BUSY_GRACE_S
-        ):
+        prefill_ready_at = self._unavailable.ready_at(entry, pool.prefills)
+        if prefill_ready_at <= now and self._may_get_prefill(pool, now):
             return None
         cost_s, engine_id = min(local_prefill_engines)
         cost_s += estimates.local_prefill_s(
@@ -91,8 +95,21 @@
         )
         return pair_selection.EnginePair(engine_id, engine_id, cost_s)
 
+    def _may_get_prefill(self, pool: pools.Pool, now: float) -> bool:
+        """Returns whether a prefill engine is likely to be free soon."""
+        pool.prefill_shortage_since = min(pool.prefill_shortage_since, now)
+        prefills_busy_s = now - pool.prefill_shortage_since
+        return (
+            pool.has_healthy_prefill()
+            and prefills_busy_s < _PREFILL_BUSY_GRACE_S
+        )
+
     def select_decode(
-        self, request: requests.Request, prefill: model.Endpoint, now: float
+        self,
+        request: requests.Request,
+        prefill: model.Endpoint,
+        now: float,
+        entry: str | None,
     ) -> pair_selection.EnginePair | None:
         """Selects a decode engine for a completed prefill.
 
@@ -100,6 +117,7 @@
           request: The request.
           prefill: The engine that holds the KV cache of the prompt.
           now: Current time in seconds.
+          entry: As for `select_pair`.
 
         Returns:
           The best pair, None if the request has to wait.
@@ -107,14 +125,18 @@
         pool, submit = request.pool, request.submit
         return pair_selection.select_pair(
             [pair_selection.Candidate(prefill.id, 0.0)],
-            self._decode_candidates(request, now),
+            self._decode_candidates(request, now, entry),
             lambda _, decode_id: estimates.transfer_s(
                 prefill, pool.endpoints_by_id[decode_id], submit.prompt_tokens
             ),
         )
 
     def _prefill_candidates(
-        self, pool: pools.Pool, submit: messages.Submit, now: float
+        self,
+        pool: pools.Pool,
+        submit: messages.Submit,
+        now: float,
+        entry: str | None,
     ) -> list[pair_selection.Candidate]:
         candidates = []
         ejected_engine_ids = self._health.ejected_engine_ids(pool.prefills)
@@ -122,6 +144,8 @@
         for endpoint in pool.prefills:
             if not pool.lease(endpoint.id).fits(1, now):
                 continue
+            if self._unavailable.has(entry, endpoint.id, now):
+                continue
             if not pool.rates.is_open(endpoint.id, now):
                 continue
             is_probe = endpoint.id in ejected_engine_ids
@@ -135,7 +159,7 @@
         return candidates
 
     def _decode_candidates(
-        self, request: requests.Request, now: float
+        self, request: requests.Request, now: float, entry: str | None
     ) -> list[pair_selection.Candidate]:
         pool, submit = request.pool, request.submit
         candidates = []
@@ -150,6 +174,8 @@
             lease = pool.lease(endpoint.id)
             if not lease.fits(request.slots, now):
                 continue
+            if self._unavailable.has(entry, endpoint.id, now):
+                continue
             if not pool.rates.is_open(endpoint.id, now):
                 continue
             # Short requests leave KV cache memory free when the engine already
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -10,6 +10,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Mapping
 
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
@@ -83,6 +84,7 @@
         it is resumed now, how long ago it began at most.
       prompt_parts: Digests of the parts of its prompt that other requests may
         share and that its entry process doesn't know engines to survive.
+      entry: Id of its entry process at a scheduler that serves several.
     """
 
     request_id: int
@@ -100,6 +102,7 @@
     origin: str = ""
     stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
     prompt_parts: tuple[str, ...] = ()
+    entry: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -279,6 +282,20 @@
     limits: tuple[rate_limits.RateLimit, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EnginesUnavailable:
+    """Which engines an entry process can't use now.
+
+    Attributes:
+      entry: Id of the entry process; see `Submit.entry`.
+      until_by_engine: Until when, in seconds, by engine; replaces all that were
+        named before.
+    """
+
+    entry: str = ""
+    until_by_engine: Mapping[str, float]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tick:
     """The time returned by `Scheduler.next_wakeup` has come."""
@@ -297,6 +314,7 @@
     | HomeUnreachable
     | ClusterStateChanged
     | RateLimitsChanged
+    | EnginesUnavailable
     | Tick
 )
 
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -71,6 +71,8 @@
         request: requests.Request,
         event: messages.AttemptFailed,
         now: float,
+        *,
+        paused: bool,
     ) -> None:
         """Records a failed attempt.
 
@@ -78,6 +80,7 @@
           request: The request.
           event: The failure.
           now: Current time in seconds.
+          paused: Whether the engine has said for how long it wants no requests.
         """
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
@@ -90,10 +93,11 @@
             # full because of it: it is draining, or its slots are taken by
             # requests unknown here. Without ejection it would be chosen again
             # at once and reject one request after the other. One that limits
-            # its requests is busy, and isn't chosen before its turn.
+            # its requests or wants a pause is busy, and isn't chosen before
+            # its turn.
             limited = request.pool.rates.is_limited(event.endpoint_id, now)
             alone = lease.in_use <= request.slots
-            if alone and not limited:
+            if alone and not limited and not paused:
                 self._health.record_failure(event.endpoint_id, now)
         elif event.unreachable:
             self._health.record_failure(
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -16,6 +16,7 @@
 
 import dataclasses
 import math
+from collections.abc import Mapping
 
 from cowsliprill.decisions import message_channel
 from cowsliprill.decisions import messages
@@ -55,6 +56,7 @@
 class _EntrySession:
     epoch: int
     last_received_at: float
+    lacks_engines: bool = False
     inbox: message_channel.Inbox = dataclasses.field(
         default_factory=message_channel.Inbox
     )
@@ -168,6 +170,7 @@
         first: int,
         events: tuple[messages.Event, ...],
         now: float,
+        unavailable_until: Mapping[str, float] | None = None,
     ) -> None:
         """Handles messages of an entry process; repeated ones are ignored.
 
@@ -178,6 +181,8 @@
           first: Sequence number of the first message.
           events: Messages, with the entry process's own request numbers.
           now: Current time in seconds.
+          unavailable_until: Until when the entry process can't use some of the
+            engines, in seconds, by engine.
         """
         session = self._sessions_by_entry.get(entry)
         if session is None or session.epoch != epoch:
@@ -187,11 +192,28 @@
             self._sessions_by_entry[entry] = session
             self._update_slot_fraction(now)
         session.last_received_at = now
+        self._set_unavailable(entry, session, unavailable_until or {}, now)
         for event in session.inbox.receive(first, events):
             translated = self._translate(entry, session, event)
             if translated is not None:
                 self._handle(translated, now)
 
+    def _set_unavailable(
+        self,
+        entry: str,
+        session: _EntrySession,
+        until_by_engine: Mapping[str, float],
+        now: float,
+    ) -> None:
+        if until_by_engine or session.lacks_engines:
+            session.lacks_engines = bool(until_by_engine)
+            self._handle(
+                messages.EnginesUnavailable(
+                    entry=entry, until_by_engine=until_by_engine
+                ),
+                now,
+            )
+
     def acknowledge(self, entry: str, number: int) -> None:
         """Drops the decisions that an entry process has received.
 
@@ -271,6 +293,7 @@
 
     def _drop_session(self, entry: str, now: float) -> None:
         session = self._sessions_by_entry.pop(entry)
+        self._set_unavailable(entry, session, {}, now)
         # All requests lose their origin before the first is cancelled.
         # Otherwise the slots that it frees could go to another request of the
         # same entry process.
@@ -306,13 +329,16 @@
                 return dataclasses.replace(
                     event,
                     request_id=request_id,
+                    entry=entry,
                     service=self._with_pooled_retry_budget(event.service),
                 )
             case messages.Adopt(submit=submit, start=start):
                 request_id = self._new_id(entry, session, submit.request_id)
                 return dataclasses.replace(
                     event,
-                    submit=dataclasses.replace(submit, request_id=request_id),
+                    submit=dataclasses.replace(
+                        submit, request_id=request_id, entry=entry
+                    ),
                     start=dataclasses.replace(start, request_id=request_id),
                 )
             case messages.Cancel(number) | messages.Finished(number):
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -57,6 +57,8 @@
         token. Only engines of this version may go on.
       starts_apart: Whether it waits for the start of another request with a
         suspected part of the prompt.
+      avoids_engines: Whether it waits for one of the engines that its entry
+        process can use, while others may be free.
       knows_versions: Whether its entry process runs a release that knows of
         software versions and their error code.
     """
@@ -84,15 +86,21 @@
     probed_ids: tuple[str, ...] = ()
     version: str | None = None
     starts_apart: bool = False
+    avoids_engines: bool = False
     knows_versions: bool = False
 
     @property
     def queue(self) -> request_queue.RequestQueue:
         """The queue of its pool in which it waits."""
-        if self.version is None and not self.starts_apart:
+        waits_apart = self.starts_apart or self.avoids_engines
+        if self.version is None and not waits_apart:
             return self.pool.queue
         return self.pool.constrained
 
+    def can_reuse_prefill(self, now: float) -> bool:
+        """Returns whether the KV cache of its last prefill can be fetched."""
+        return self.export_expires_at > now and self.prefill is not None
+
     @property
     def no_version_code(self) -> messages.RefusalCode:
         """Error code for a stream whose version no engine has."""
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -26,6 +26,7 @@
 from cowsliprill.decisions import slot_demands
 from cowsliprill.decisions import stream_origins
 from cowsliprill.decisions import suspected_parts
+from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import version_history
 from cowsliprill.decisions import wait_estimates
 
@@ -87,8 +88,9 @@
         )
         self._owns_slots = owns_slots
         self._outcomes = outcome_recorder.OutcomeRecorder(self._health)
+        self._unavailable = unavailable_engines.UnavailableEngines()
         self._selector = engine_selection.EngineSelector(
-            availability_zone, self._health
+            availability_zone, self._health, self._unavailable
         )
         self._retry_budgets = retry_budget.RetryBudgets()
         self._suspected_parts = suspected_parts.SuspectedParts()
@@ -134,6 +136,9 @@
             case messages.RateLimitsChanged(limits):
                 self._pools.set_rate_limits(limits, now)
                 return self._schedule_all(now)
+            case messages.EnginesUnavailable():
+                self._unavailable.set(event.entry, event.until_by_engine)
+                return self._schedule_all(now)
             case messages.Tick():
                 return self._schedule_all(now)
 
@@ -199,7 +204,12 @@
             ),
             default=math.inf,
         )
-        return min(earliest, opening, now + _MAX_WAKEUP_INTERVAL_S)
+        return min(
+            earliest,
+            opening,
+            self._unavailable.next_change(now),
+            now + _MAX_WAKEUP_INTERVAL_S,
+        )
 
     # Events of one request.
 
@@ -472,7 +482,10 @@
         request = self._requests_by_id.get(event.request_id)
         if request is None or request.stage is messages.Stage.QUEUED:
             return []
-        self._outcomes.record_failure(request, event, now)
+        paused = self._unavailable.has(
+            request.submit.entry, event.endpoint_id, now
+        )
+        self._outcomes.record_failure(request, event, now, paused=paused)
         if event.connection_lost:
             self._suspected_parts.lose(event.request_id, now)
         cancel = self._cancel_attempt(request)
@@ -539,8 +552,20 @@
         lease.release(request.submit.customer)
 
     def _refuse(
-        self, request: requests.Request, code: messages.RefusalCode, now: float
+        self,
+        request: requests.Request,
+        code: messages.RefusalCode,
+        now: float,
+        ready_at: float = 0.0,
     ) -> messages.Refuse:
+        """Refuses a request.
+
+        Args:
+          request: The request.
+          code: The reason.
+          now: Current time in seconds.
+          ready_at: Time in seconds before which it can't be served.
+        """
         pool = request.pool
         request_id = request.submit.request_id
         request.queue.remove(request_id)
@@ -556,12 +581,15 @@
         wait_s = (
             pool.backlog(request.submit.priority).wait_s() / capacity_fraction
         )
-        backoff_s = max(wait_s, spare_capacity.overload_backoff_s)
+        backoff_s = max(
+            wait_s, spare_capacity.overload_backoff_s, ready_at - now
+        )
         return messages.Refuse(
             request_id=request_id,
             code=code,
-            retry_after_s=pool.retry_schedule.retry_after_s(
-                now, backoff_s, interval_s
+            retry_after_s=max(
+                pool.retry_schedule.retry_after_s(now, backoff_s, interval_s),
+                ready_at - now,
             ),
             wait_s=wait_s,
             waiting=len(pool.queue),
@@ -631,7 +659,11 @@
     def _refuse_unservable(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
-        """Refuses resumed streams whose version no engine has any more."""
+        """Refuses requests that no engine can serve in time.
+
+        They resume a stream whose version no engine has any more, or their
+        entry process can't use any engine before it is too late.
+        """
         unservable = [
             request
             for request in map(self._queued, pool.constrained)
@@ -639,10 +671,51 @@
             and not pool.serves_version(request.version)
         ]
         return [
-            self._refuse(request, request.no_version_code, now)
-            for request in unservable
+            *(
+                self._refuse(request, request.no_version_code, now)
+                for request in unservable
+            ),
+            *self._refuse_unavailable(pool, now),
         ]
 
+    def _refuse_unavailable(
+        self, pool: pools.Pool, now: float
+    ) -> list[messages.Action]:
+        refusals: list[messages.Action] = []
+        for waiting in (*pool.queue, *pool.constrained):
+            request = self._queued(waiting)
+            if not self._is_restricted(request, now):
+                continue
+            ready_at = self._ready_at(request, now)
+            too_late = max(
+                request.start_deadline, request.useful_start_deadline
+            )
+            if too_late < ready_at < math.inf:
+                code = messages.RefusalCode.OVERLOADED
+                refusals.append(self._refuse(request, code, now, ready_at))
+        return refusals
+
+    def _is_restricted(self, request: requests.Request, now: float) -> bool:
+        """Returns whether its entry process can't use some of the engines."""
+        return self._unavailable.restricts(
+            request.submit.entry, request.pool.endpoints_by_id.values(), now
+        )
+
+    def _ready_at(self, request: requests.Request, now: float) -> float:
+        """Returns from when on its entry process can use engines for it."""
+        pool, entry = request.pool, request.submit.entry
+        decodes = [
+            endpoint
+            for endpoint in pool.decodes
+            if request.version in (None, endpoint.software_version)
+        ]
+        decode_ready_at = self._unavailable.ready_at(entry, decodes)
+        if request.can_reuse_prefill(now) or pool.decodes_can_prefill():
+            return decode_ready_at
+        return max(
+            decode_ready_at, self._unavailable.ready_at(entry, pool.prefills)
+        )
+
     def _queued(self, waiting: request_queue.QueuedRequest) -> requests.Request:
         return self._requests_by_id[waiting.submit.request_id]
 
@@ -657,32 +730,43 @@
                 self._set_apart(request, now)
                 continue
             start = self._place(request, now)
-            if start is None:
+            if start is not None:
+                starts.append(start)
+            elif self._could_start_elsewhere(request, now):
+                self._avoid_engines(request, now)
+            else:
                 break
-            starts.append(start)
         return starts
 
     def _return_to_queue(self, pool: pools.Pool, now: float) -> None:
         """Queues requests again that were set apart and needn't wait now."""
         for request in list(map(self._queued, pool.constrained)):
-            if request.starts_apart and not self._must_wait(request, now):
+            waits = request.starts_apart and self._must_wait(request, now)
+            avoids = request.avoids_engines and self._could_start_elsewhere(
+                request, now
+            )
+            if (request.starts_apart, request.avoids_engines) != (
+                waits,
+                avoids,
+            ):
                 request.queue.remove(request.submit.request_id)
-                request.starts_apart = False
+                request.starts_apart = waits
+                request.avoids_engines = avoids
                 self._enqueue(request, now)
 
     def _place_resumed(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
-        """Starts resumed streams, each as soon as its version has room.
+        """Starts requests that not all engines can serve, as soon as one can.
 
-        They come before new requests, since their callers have a part of the
-        output and can't be served by all engines.
+        They come before the others: streams that are resumed, whose callers
+        have a part of the output, and requests that were first in the queue.
         """
         waiting = sorted(pool.constrained, key=request_queue.QueuedRequest.key)
         starts = [
             self._place(request, now)
             for request in map(self._queued, waiting)
-            if not request.starts_apart
+            if not request.starts_apart and not self._must_wait(request, now)
         ]
         return [start for start in starts if start is not None]
 
@@ -699,6 +783,21 @@
         request.starts_apart = True
         self._enqueue(request, now)
 
+    def _could_start_elsewhere(
+        self, request: requests.Request, now: float
+    ) -> bool:
+        """Returns whether it only waits as its entry process lacks engines."""
+        return (
+            self._is_restricted(request, now)
+            and self._select(request, now, entry=None) is not None
+        )
+
+    def _avoid_engines(self, request: requests.Request, now: float) -> None:
+        """Keeps a request from delaying those that can use more engines."""
+        request.queue.remove(request.submit.request_id)
+        request.avoids_engines = True
+        self._enqueue(request, now)
+
     def _shed_requests(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
@@ -732,21 +831,28 @@
     def _place(
         self, request: requests.Request, now: float
     ) -> messages.Start | None:
-        reuse_prefill = (
-            request.export_expires_at > now and request.prefill is not None
-        )
-        if reuse_prefill:
-            pair = self._selector.select_decode(request, request.prefill, now)
-        else:
-            pair = self._selector.select_pair(request, now)
+        submit = request.submit
+        pair = self._select(request, now, submit.entry)
         if pair is None:
             return None
-        submit = request.submit
         request.queue.remove(submit.request_id)
         return self._start(
-            request.pool, submit, pair, now, reuse_prefill=reuse_prefill
+            request.pool,
+            submit,
+            pair,
+            now,
+            reuse_prefill=request.can_reuse_prefill(now),
         )
 
+    def _select(
+        self, request: requests.Request, now: float, entry: str | None
+    ) -> pair_selection.EnginePair | None:
+        if request.can_reuse_prefill(now):
+            return self._selector.select_decode(
+                request, request.prefill, now, entry
+            )
+        return self._selector.select_pair(request, now, entry)
+
     def _start(
         self,
         pool: pools.Pool,
--- a/src/cowsliprill/engines/endpoint_feedback.py
+++ b/src/cowsliprill/engines/endpoint_feedback.py
@@ -25,6 +25,9 @@
           errors.EndpointUnavailable: The endpoint wants none.
         """
 
+    def pause_left_s(self, endpoint: model.Endpoint) -> float:
+        """Returns for how long an endpoint wants nothing, in seconds."""
+
     def observe(self, answer: endpoint_answers.Answer) -> None:
         """Applies what an endpoint's answer says about the endpoint."""
 
@@ -43,3 +46,8 @@
     def observe(self, answer: endpoint_answers.Answer) -> None:
         """Does nothing."""
         del answer
+
+    def pause_left_s(self, endpoint: model.Endpoint) -> float:
+        """Returns 0."""
+        del endpoint
+        return 0.0
--- a/src/cowsliprill/entry/availability_components.py
+++ b/src/cowsliprill/entry/availability_components.py
@@ -11,6 +11,7 @@
 from cowsliprill.availability import ledger as ledger_lib
 from cowsliprill.availability import peer_exchange
 from cowsliprill.availability import wire
+from cowsliprill.entry import endpoint_availability
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 from cowsliprill.rate_limiting import ledger as rate_limit_ledger
@@ -34,6 +35,7 @@
       enabled: Whether such endpoints get no requests.
       ledger: The endpoints known to this process.
       feedback: Receives what endpoints say about themselves.
+      availability: Interface for the filters that choose among endpoints.
     """
 
     def __init__(
@@ -53,6 +55,11 @@
         self.feedback = feedback_lib.Feedback(
             rate_limits, self.ledger, enabled=enabled
         )
+        self.availability: endpoint_availability.EndpointAvailability = (
+            endpoint_availability.AlwaysAvailable()
+        )
+        if enabled:
+            self.availability = self.ledger
         self._exchange = peer_exchange.PeerExchange(network, self.ledger, log)
 
     def peer_routes(self) -> list[tuple]:
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -184,6 +184,8 @@
                     self.rate_limits.ledger.table
                 )
             )
+        if self.availability.enabled:
+            self.availability.ledger.subscribe(self._apply_availability)
         self._quarantine = quarantine_components.QuarantineComponents(
             environment,
             self._cluster_state,
@@ -336,6 +338,7 @@
                 self._paths,
                 self._outlier_detector,
                 self.rate_limits.permits,
+                self.availability.availability,
             ),
             model_relay=model_relay.ModelRelay(
                 self._dialect.engines,
@@ -396,6 +399,11 @@
             parameters.header_timeout = snapshot.limits.idle_timeout_s
         self._notify_scheduler()
 
+    def _apply_availability(self) -> None:
+        self._placement_backend.set_unavailable(
+            self.availability.ledger.unavailable_until()
+        )
+
     def _notify_scheduler(self) -> None:
         fleet = self._cluster_state.fleet_at(clock.now())
         self._scheduling.post(
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -14,6 +14,7 @@
 from cowsliprill.entry import authorization
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import context
+from cowsliprill.entry import endpoint_availability
 from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import errors
 from cowsliprill.entry import path_monitor
@@ -27,16 +28,21 @@
 _STALL_TIMEOUT_PER_TTFT_TARGET = 1.5
 _MIN_STALL_TIMEOUT_S = 0.2
 _RETRY_AFTER_S = 1.0
+_MS_PER_S = 1_000
+
+# Callers that are refused as all servers are paused come back spread over this
+# time.
+_RETRY_SPREAD_S = 0.5
 
 # Maximum number of servers that one call may find unreachable without using up
 # its attempts; each of them costs a connection attempt.
 _MAX_UNSENT_CALLS = 3
 
-# A call waits for a server that limits its requests for at most this fraction
-# of the time left, and at most this long. Later its caller does better to come
-# back, as it may then reach a server that has become free.
-_PERMIT_WAIT_FRACTION = 0.5
-_MAX_PERMIT_WAIT_S = 0.5
+# A call waits for a server that limits its requests or is paused for at most
+# this fraction of the time left, and at most this long. Later its caller does
+# better to come back, as it may then reach a server that has become free.
+_WAIT_FRACTION = 0.5
+_MAX_WAIT_S = 0.5
 
 _SelectionKey = tuple[bool, bool, float, bool, float]
 
@@ -57,6 +63,7 @@
       paths: Tells whether this VM can't reach a pool.
       health: Outlier detector that ejects failing servers for a while.
       permits: Permits for servers that limit their requests.
+      availability: Tells which servers want no requests for a while.
     """
 
     availability_zone: str
@@ -73,6 +80,10 @@
     permits: endpoint_permits.EndpointPermits = dataclasses.field(
         default_factory=endpoint_permits.Unlimited
     )
+    availability: endpoint_availability.EndpointAvailability = (
+        dataclasses.field(default_factory=endpoint_availability.AlwaysAvailable)
+    )
+    _waiting: int = 0
     _running_by_endpoint: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -189,8 +200,13 @@
           tried_ids: Servers that have failed it.
           only_id: The one server that it may be sent to, empty for any.
         """
+        wait_until = clock.now() + _max_wait_s(ctx)
         while True:
-            available = self._available_endpoints(ctx, only_id)
+            serving = self._serving_endpoints(ctx, only_id)
+            if all(map(self.availability.paused_until, serving)):
+                await self._wait_for_pause(ctx, serving, wait_until)
+                continue
+            available = self._available_endpoints(ctx, serving, only_id)
             if not any(map(self.permits.is_limited, available)):
                 return min(
                     available,
@@ -198,29 +214,77 @@
                 )
             selected = await self._select_permitted(ctx, available, tried_ids)
             # A server may have left during the wait for a permit.
-            serving = self._serving_endpoints(ctx)
+            serving = self._serving_endpoints(ctx, only_id)
             if any(item.id == selected.id for item in serving):
                 return selected
 
+    async def _wait_for_pause(
+        self,
+        ctx: context.Context,
+        serving: list[model.Endpoint],
+        wait_until: float,
+    ) -> None:
+        """Waits until the first of some paused servers may take requests.
+
+        Raises:
+          errors.EntryError: That takes too long, or as many calls wait as the
+            servers can take.
+        """
+        now = clock.now()
+        ready_at = min(map(self.availability.paused_until, serving))
+        slots = sum(endpoint.slots for endpoint in serving)
+        if ready_at > wait_until or self._waiting >= slots:
+            spread_s = self.random_source.uniform(0.0, _RETRY_SPREAD_S)
+            raise self._paused_error(ctx, ready_at - now + spread_s)
+        self._waiting += 1
+        try:
+            await self.availability.wait_for_change(ready_at - now)
+        finally:
+            self._waiting -= 1
+
+    def _paused_error(
+        self, ctx: context.Context, retry_after_s: float
+    ) -> errors.EntryError:
+        if ctx.progress.run is messages.Executed.UNKNOWN:
+            return _failure_error(ctx)
+        self.log.event(
+            "refused",
+            request=ctx.request_id,
+            caller=ctx.caller_id,
+            reason=messages.RefusalCode.OVERLOADED.value,
+            retry_after_ms=round(retry_after_s * _MS_PER_S, 1),
+        )
+        return _refusal_error(
+            ctx, messages.RefusalCode.OVERLOADED, retry_after_s
+        )
+
     def _available_endpoints(
-        self, ctx: context.Context, only_id: str
+        self,
+        ctx: context.Context,
+        serving: list[model.Endpoint],
+        only_id: str,
     ) -> list[model.Endpoint]:
-        serving = self._serving_endpoints(ctx)
+        """Returns the servers that may get a call now, at least one."""
+        unpaused = [
+            endpoint
+            for endpoint in serving
+            if not self.availability.paused_until(endpoint)
+        ]
         if only_id:
-            serving = [item for item in serving if item.id == only_id]
-            if not serving:
-                raise _failure_error(ctx)
-            return serving
+            return unpaused
         available = [
             endpoint
-            for endpoint in serving
+            for endpoint in unpaused
             if self._running_by_endpoint[endpoint.id] < endpoint.slots
         ]
         if not available:
             raise _refusal_error(ctx, messages.RefusalCode.OVERLOADED)
         return available
 
-    def _serving_endpoints(self, ctx: context.Context) -> list[model.Endpoint]:
+    def _serving_endpoints(
+        self, ctx: context.Context, only_id: str
+    ) -> list[model.Endpoint]:
+        """Returns the servers that may get the call, now or later."""
         leaving = self.cluster_state.fleet_at(clock.now()).leaving_endpoint_ids
         serving = [
             endpoint
@@ -231,6 +295,10 @@
         ]
         if not serving:
             raise _refusal_error(ctx, messages.RefusalCode.NO_ENDPOINT)
+        if only_id:
+            serving = [item for item in serving if item.id == only_id]
+            if not serving:
+                raise _failure_error(ctx)
         return serving
 
     async def _select_permitted(
@@ -262,7 +330,7 @@
         decision = await self.permits.acquire(
             ctx,
             sound or limited,
-            0.0 if can_go_elsewhere else _max_permit_wait_s(ctx),
+            0.0 if can_go_elsewhere else _max_wait_s(ctx),
         )
         match decision:
             case permit_client.Permit(endpoint_id=endpoint_id):
@@ -295,15 +363,19 @@
             self.random_source.random(),
         )
 
-    def _refused_within_limit(
+    def _refused_for_load(
         self, endpoint: model.Endpoint, lost: attempts.PlainCallError
     ) -> bool:
         """Returns whether a server refused a call because of its load.
 
-        A server that limits its requests is busy, not defective.
+        A server that limits its requests or wants a pause is busy, not
+        defective.
         """
         refused = lost.run is messages.Executed.NO and not lost.unsent
-        return refused and self.permits.is_limited(endpoint)
+        return refused and (
+            self.permits.is_limited(endpoint)
+            or bool(self.availability.paused_until(endpoint))
+        )
 
     def _record_lost_call(
         self, ctx: context.Context, lost: attempts.PlainCallError
@@ -315,7 +387,7 @@
             if other.pool == endpoint.pool and other.id != endpoint.id
         ]
         now = clock.now()
-        if lost.withheld or self._refused_within_limit(endpoint, lost):
+        if lost.withheld or self._refused_for_load(endpoint, lost):
             pass
         elif lost.answer is None:
             self.health.record_no_response(endpoint.id, peer_ids, now)
@@ -344,9 +416,9 @@
     )
 
 
-def _max_permit_wait_s(ctx: context.Context) -> float:
+def _max_wait_s(ctx: context.Context) -> float:
     remaining_s = max(ctx.deadline - clock.now(), 0.0)
-    return min(remaining_s * _PERMIT_WAIT_FRACTION, _MAX_PERMIT_WAIT_S)
+    return min(remaining_s * _WAIT_FRACTION, _MAX_WAIT_S)
 
 
 def _may_have_side_effects(ctx: context.Context) -> bool:
--- a/src/cowsliprill/entry/placement_backend.py
+++ b/src/cowsliprill/entry/placement_backend.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from typing import Protocol
 
 from cowsliprill.decisions import identity
@@ -83,6 +84,9 @@
     def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
         """Sets the rate limits that endpoints name."""
 
+    def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
+        """Sets until when this process can't use some engines, in seconds."""
+
     def background_work(self) -> list[Awaitable[None]]:
         """Returns the awaitables to run as background tasks."""
 
@@ -162,6 +166,12 @@
         """
         self.scheduling.post(messages.RateLimitsChanged(tuple(limits)))
 
+    def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
+        """Has the scheduler leave out the engines meanwhile."""
+        self.scheduling.post(
+            messages.EnginesUnavailable(until_by_engine=until_by_engine)
+        )
+
     def background_work(self) -> list[Awaitable[None]]:
         """Returns the awaitables to run as background tasks."""
         return [self.scheduling.run(), self._slot_lease_client.run()]
@@ -216,6 +226,10 @@
     def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
         """Does nothing: the coordinators keep the limits."""
 
+    def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
+        """Has the coordinators leave out the engines for this process."""
+        self.scheduling.set_unavailable(until_by_engine)
+
     def background_work(self) -> list[Awaitable[None]]:
         """Returns the awaitables to run as background tasks."""
         return [self.scheduling.run()]
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -172,6 +172,12 @@
 
     async def _release(self, prefilled: FinishedPrefill) -> None:
         endpoint = prefilled.endpoint
+        pause_s = self._feedback.pause_left_s(endpoint)
+        if pause_s:
+            if pause_s >= endpoint.export_ttl_s:
+                self._log_unreleased(endpoint, "the engine wants a pause")
+                return
+            await asyncio.sleep(pause_s)
         sent_at = clock.now()
         try:
             response = await self._http.call(
@@ -186,10 +192,11 @@
             answers.observe_control(self._feedback, endpoint, response, sent_at)
             await response.read(_MAX_RESPONSE_BYTES)
         except errors.CallError as error:
-            # The engine drops the KV cache when the TTL of its handle ends.
-            self._log.event(
-                "prefill_unfreed", endpoint=endpoint.id, reason=error.message
-            )
+            self._log_unreleased(endpoint, error.message)
+
+    def _log_unreleased(self, endpoint: model.Endpoint, reason: str) -> None:
+        # The engine drops the KV cache when the TTL of its handle ends.
+        self._log.event("prefill_unfreed", endpoint=endpoint.id, reason=reason)
 
 
 class ServiceClient:
--- a/src/cowsliprill/pool_scheduling/client.py
+++ b/src/cowsliprill/pool_scheduling/client.py
@@ -10,15 +10,18 @@
 import dataclasses
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from cowsliprill import clock
 from cowsliprill import errors
 from cowsliprill.decisions import coordinator_choice
+from cowsliprill.decisions import endpoint_pauses
 from cowsliprill.decisions import message_channel
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool_scheduler as pool_scheduler_lib
 from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import version_history
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.observability import log as log_lib
@@ -93,6 +96,7 @@
         self.prefill_fraction = 0.0
         self.heartbeats_enabled = False
         self._choice = coordinator_choice.CoordinatorChoice(pool)
+        self._unavailable_until: Mapping[str, float] = {}
         self._epoch = 0
         self._outbox: message_channel.Outbox[wire.Event] = (
             message_channel.Outbox()
@@ -169,6 +173,26 @@
         """Switches to another coordinator if the VM list requires it."""
         self._update_coordinator()
 
+    def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
+        """Sets the engines that this process can't use, of any pool."""
+        self._unavailable_until = until_by_engine
+        if self._any_queued():
+            self._send_due.set()
+
+    def _unavailable(self, now: float) -> tuple[wire.UnavailableEngine, ...]:
+        endpoints_by_id = self._cluster_state.snapshot.endpoints_by_id
+        unavailable = [
+            wire.UnavailableEngine(
+                engine_id=engine_id,
+                left_s=min(until - now, endpoint_pauses.MAX_PAUSE_S),
+            )
+            for engine_id, until in self._unavailable_until.items()
+            if until > now
+            and engine_id in endpoints_by_id
+            and endpoints_by_id[engine_id].pool == self._pool
+        ]
+        return tuple(unavailable[: unavailable_engines.MAX_ENGINES])
+
     def set_heartbeats(self, enabled: bool) -> None:
         """Enables or disables heartbeats while there are no requests."""
         if enabled and not self.heartbeats_enabled:
@@ -299,6 +323,7 @@
             wait_s=wait_s,
             avoids=self._choice.suspended_ids(clock.now()),
             origins=self._unsent_origins,
+            unavailable=self._unavailable(clock.now()),
         )
         try:
             response = await self._post(
@@ -395,6 +420,7 @@
         self._cluster_state = cluster_state
         self._log = log
         self._channels_by_pool: dict[str, _Channel] = {}
+        self._unavailable_until: Mapping[str, float] = {}
         self._pools_by_id: dict[int, str] = {}
 
     def submit(
@@ -445,6 +471,16 @@
             del self._pools_by_id[request_id]
         self._channels_by_pool[pool].add(event, request_id)
 
+    def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
+        """Sets the engines that this process can't use.
+
+        Args:
+          until_by_engine: Until when, in seconds, by engine.
+        """
+        self._unavailable_until = until_by_engine
+        for pool_channel in self._channels_by_pool.values():
+            pool_channel.set_unavailable(until_by_engine)
+
     def prefill_fraction(self, pool: str) -> float | None:
         """Returns the fraction of a pool's work that is prefill.
 
@@ -485,6 +521,7 @@
                 self._log,
                 self._origins,
             )
+            pool_channel.set_unavailable(self._unavailable_until)
             self._channels_by_pool[pool] = pool_channel
         return pool_channel
 
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -134,7 +134,12 @@
             wire.event_from_wire(event, now) for event in request.events
         )
         hosted.scheduler.receive(
-            request.entry, request.epoch, request.first, events, now
+            request.entry,
+            request.epoch,
+            request.first,
+            events,
+            now,
+            {item.engine_id: now + item.left_s for item in request.unavailable},
         )
         hosted.scheduler.acknowledge(request.entry, request.acknowledged)
         if not is_current:
--- a/src/cowsliprill/pool_scheduling/wire.py
+++ b/src/cowsliprill/pool_scheduling/wire.py
@@ -7,9 +7,11 @@
 import pydantic
 
 from cowsliprill.decisions import crash_records
+from cowsliprill.decisions import endpoint_pauses
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import unavailable_engines
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -141,6 +143,22 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UnavailableEngine:
+    """An engine that the sender can't use for a while.
+
+    Attributes:
+      engine_id: Id of the engine.
+      left_s: For how long from now, in seconds.
+    """
+
+    engine_id: str
+    left_s: Annotated[
+        float,
+        pydantic.Field(ge=0.0, le=endpoint_pauses.MAX_PAUSE_S),
+    ]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SchedulingRequest:
     """Body of `POST /v1/cells`.
@@ -159,6 +177,7 @@
         redirected to any of them.
       origins: Streams of the pool that the entry process knows of; sent to a
         new coordinator.
+      unavailable: Engines that the entry process can't use now.
     """
 
     entry: str
@@ -170,6 +189,10 @@
     wait_s: float = 0.0
     avoids: tuple[str, ...] = ()
     origins: tuple[stream_origins.Origin, ...] = ()
+    unavailable: Annotated[
+        tuple[UnavailableEngine, ...],
+        pydantic.Field(max_length=unavailable_engines.MAX_ENGINES),
+    ] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
