Blame a part of prompts only beside a control group

Cause: a part was blamed for the ends of its requests, though nothing told it from the engines: these had survived no request without it. Crash records now carry when engines of the pool gave output for other requests (control: none, before, since the end), merged by the greatest. A part isn't blamed, nor a request held for one, without any; with output before the ends only, the first quarantine lasts 10 s, so that a pool whose requests all have the part is tried again soon.

Tried first and dropped: output since the first end only.

--- a/src/cowsliprill/decisions/crash_blame.py
+++ b/src/cowsliprill/decisions/crash_blame.py
@@ -55,6 +55,15 @@
         """Whether the feature is a part of prompts."""
         return self.feature not in self.fingerprints
 
+    @property
+    def control(self) -> crash_records.Control:
+        """When engines have survived requests without the feature.
+
+        If they haven't, nothing tells the feature from a common cause, such as
+        faulty engines that end whatever they run.
+        """
+        return max(record.control for record in self.records)
+
     @property
     def companions(self) -> frozenset[str]:
         """Parts that each suspected request has beside the feature.
--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -9,6 +9,7 @@
 
 import collections
 import dataclasses
+import enum
 import hashlib
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -38,9 +39,26 @@
 # VMs compare digests, so times are passed on as they are recorded.
 _SENT_DIGITS = 6
 
+# Output this long before an end still shows that engines survived others.
+_CONTROL_S = 60.0
+
 CrashKey = tuple[str, int]
 
 
+class Control(enum.IntEnum):
+    """When engines of the pool gave output for requests beside the suspects.
+
+    Attributes:
+      NONE: Not within a minute before the end, nor since.
+      BEFORE: Within a minute before the end, but not since.
+      SINCE: Since the end.
+    """
+
+    NONE = 0
+    BEFORE = 1
+    SINCE = 2
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CrashRecord:
     """One end of an engine.
@@ -61,6 +79,8 @@
         output.
       confirmed: Whether the engine is known to have ended, rather than only
         the connections to it.
+      control: When engines of the pool gave output for requests without the
+        features that remain suspected.
       observed_at: Time of the first report in seconds, on the local clock.
     """
 
@@ -75,6 +95,7 @@
     )
     acquitted_parts: frozenset[str] = frozenset()
     confirmed: bool = False
+    control: Control = Control.NONE
     observed_at: float = 0.0
 
     @property
@@ -157,6 +178,7 @@
                 sorted(acquitted_parts)[:MAX_ACQUITTED_PARTS]
             ),
             confirmed=self.confirmed or other.confirmed,
+            control=max(self.control, other.control),
             observed_at=min(self.observed_at, other.observed_at),
         )
 
@@ -187,6 +209,7 @@
             ),
             sorted(self.acquitted_parts),
             self.confirmed,
+            int(self.control),
         )
 
 
@@ -277,6 +300,26 @@
             and not survived.isdisjoint(record.remaining_features)
         ]
 
+    def record_output(self, pool: str, output_at: float) -> list[CrashRecord]:
+        """Records that an engine of a pool has given output for a request.
+
+        Call `acquit` for that request first: what then remains suspected is
+        what it doesn't have.
+
+        Args:
+          pool: Pool of the engine.
+          output_at: Time of the output in seconds.
+
+        Returns:
+          The changed records.
+        """
+        return [
+            self._replace(record, control=control)
+            for record in list(self)
+            if record.pool == pool
+            and (control := _control(record, output_at)) > record.control
+        ]
+
     def merge(self, record: CrashRecord, now: float) -> CrashRecord | None:
         """Adds a record, of this VM or of another one.
 
@@ -361,6 +404,14 @@
         return [record for record in self if record.confirmed]
 
 
+def _control(record: CrashRecord, output_at: float) -> Control:
+    if output_at > record.observed_at:
+        return Control.SINCE
+    if output_at > record.observed_at - _CONTROL_S:
+        return Control.BEFORE
+    return Control.NONE
+
+
 def endpoint_ids(records: Iterable[CrashRecord]) -> list[str]:
     """Returns the ids of the engines that ended, sorted."""
     return sorted({record.endpoint_id for record in records})
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -31,6 +31,11 @@
 
 _QUARANTINE_MAX_S = 86_400.0
 
+# First quarantine of a part while engines have given output for nothing else
+# since its ends. All requests may have the part, and the engines that ended may
+# have been faulty.
+_QUARANTINE_WITHOUT_CONTROL_S = 10.0
+
 
 class RestrictionKind(enum.StrEnum):
     """Why a request isn't sent to engines.
@@ -161,7 +166,7 @@
         blame = self._blame_by_feature.get(feature)
         if blame is None or feature in self.limits.released:
             return None
-        if blame.is_part and len(blame.fingerprints) < _REQUESTS_TO_BLAME_PART:
+        if blame.is_part and not _can_blame_part(blame):
             return None
         needed = self._crashes_needed(blame)
         if not _is_enough(blame, blame.records, needed):
@@ -182,11 +187,24 @@
     def _quarantined(
         self, blame: crash_blame.Blame, further: int, now: float
     ) -> Restriction | None:
-        duration_s = self.limits.quarantine_s * 2.0 ** min(further, 32)
+        first_s = self.limits.quarantine_s
+        if blame.is_part and blame.control is not crash_records.Control.SINCE:
+            first_s = min(first_s, _QUARANTINE_WITHOUT_CONTROL_S)
+        duration_s = first_s * 2.0 ** min(further, 32)
         left_s = blame.latest_at + min(duration_s, _QUARANTINE_MAX_S) - now
         return _restriction(blame, RestrictionKind.QUARANTINED, left_s)
 
 
+def _can_blame_part(blame: crash_blame.Blame) -> bool:
+    """Returns whether the part can be told from its requests and the engines.
+
+    While engines give output for nothing else, the requests with it start one
+    after the other, but aren't refused: that would refuse the whole pool.
+    """
+    has_requests = len(blame.fingerprints) >= _REQUESTS_TO_BLAME_PART
+    return has_requests and blame.control is not crash_records.Control.NONE
+
+
 def _fewest_crashes(limits: Limits) -> int:
     """Returns the number of ends below which nothing is restricted."""
     return max(limits.crashes - 1, 2)
@@ -215,6 +233,7 @@
     """
     return (
         not blame.is_part
+        and blame.control is not crash_records.Control.NONE
         and any(
             record.remaining_parts(blame.feature) for record in blame.records
         )
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -37,6 +37,7 @@
         # A flood of different requests must not push out the parts they share.
         self._survived = survived_requests.SurvivedRequests()
         self._survived_parts = survived_requests.SurvivedRequests()
+        self._output_at_by_pool: dict[str, float] = {}
         self._callbacks: list[Callable[[_Records], None]] = []
         self._restrictions_by_feature: dict[
             str, quarantine_lib.Restriction
@@ -162,8 +163,10 @@
         self._survived.add(fingerprint, pool, now)
         for part in parts:
             self._survived_parts.add(part, pool, now)
+        self._output_at_by_pool[pool] = now
         if len(self.table):
             self._acquit(fingerprint, pool, parts)
+            self._record_output(pool, now)
 
     def merge(self, records: Iterable[crash_records.CrashRecord]) -> None:
         """Adds records of other processes."""
@@ -212,6 +215,14 @@
                 if self._survived.contains(fingerprint, record.pool, now):
                     self._acquit(fingerprint, record.pool)
             self._clear_survived_parts(record)
+        for pool in {record.pool for record in records}:
+            if pool in self._output_at_by_pool:
+                self._record_output(pool, self._output_at_by_pool[pool])
+
+    def _record_output(self, pool: str, output_at: float) -> None:
+        changed = self.table.record_output(pool, output_at)
+        if changed:
+            self._apply(changed)
 
     def _clear_survived_parts(self, record: crash_records.CrashRecord) -> None:
         parts = record.parts - record.acquitted_parts
--- a/src/cowsliprill/quarantine/wire.py
+++ b/src/cowsliprill/quarantine/wire.py
@@ -41,6 +41,7 @@
         by its fingerprint.
       acquitted_parts: Digests of parts that were cleared.
       confirmed: Whether the engine is known to have ended.
+      control: See `crash_records.CrashRecord`.
       age_s: Time since the first report in seconds.
     """
 
@@ -62,6 +63,7 @@
         pydantic.Field(max_length=crash_records.MAX_ACQUITTED_PARTS),
     ] = ()
     confirmed: bool = False
+    control: crash_records.Control = crash_records.Control.NONE
     age_s: _Age = 0.0
 
 
@@ -103,6 +105,7 @@
         },
         acquitted_parts=tuple(sorted(record.acquitted_parts)),
         confirmed=record.confirmed,
+        control=record.control,
         age_s=round(max(now - record.observed_at, 0.0), 6),
     )
 
@@ -127,5 +130,6 @@
         },
         acquitted_parts=frozenset(crash.acquitted_parts),
         confirmed=crash.confirmed,
+        control=crash.control,
         observed_at=now - crash.age_s,
     )
