Deliver a server's answer though a later server turns the call away

Only the last lost call's answer was kept. Now the latest answer of any server is.

Test: test_plain_pauses TestRefusals, failed before with "The service gave no answer; it was not run" (which was wrong, too).

--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -10,6 +10,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import outlier_detection
 from cowsliprill.decisions import retry_budget
+from cowsliprill.engines import service_client
 from cowsliprill.entry import attempts
 from cowsliprill.entry import authorization
 from cowsliprill.entry import cluster_state as cluster_state_lib
@@ -97,6 +98,7 @@
         tried_ids: set[str] = set()
         ctx.endpoint = await self._select_endpoint(ctx, tried_ids)
         unsent = 0
+        answer: service_client.ServiceResponse | None = None
         while True:
             if clock.now() >= ctx.deadline:
                 raise _refusal_error(
@@ -117,6 +119,7 @@
                 if not self.paths.is_cut_off():
                     await self._report_to_quarantine(ctx, lost)
                 self._record_lost_call(ctx, lost)
+                answer = lost.answer or answer
                 tried_ids.add(ctx.endpoint.id)
                 if lost.unsent and unsent < _MAX_UNSENT_CALLS:
                     # The call was sent to no server, so the next attempt is
@@ -124,8 +127,8 @@
                     unsent += 1
                     ctx.progress.attempts -= 1
                 elif not self._may_retry(ctx):
-                    if lost.answer is not None:
-                        await plain_relay.relay_response(ctx, lost.answer)
+                    if answer is not None:
+                        await plain_relay.relay_response(ctx, answer)
                         return
                     raise _failure_error(ctx) from lost
                 if path_lost:
@@ -133,9 +136,9 @@
                 try:
                     ctx.endpoint = await self._select_next(ctx, tried_ids)
                 except errors.EntryError:
-                    if lost.answer is None:
+                    if answer is None:
                         raise
-                    await plain_relay.relay_response(ctx, lost.answer)
+                    await plain_relay.relay_response(ctx, answer)
                     return
 
     async def _is_path_lost(
--- a/tests/test_plain_pauses.py
+++ b/tests/test_plain_pauses.py
@@ -75,6 +75,18 @@
     )
 
 
+def _record_relayed(monkeypatch) -> list[int]:
+    """Returns a list that gets the status of each relayed answer."""
+    statuses: list[int] = []
+
+    async def relay_response(ctx, response) -> None:
+        del ctx
+        statuses.append(response.status)
+
+    monkeypatch.setattr(plain_relay, "relay_response", relay_response)
+    return statuses
+
+
 class TestPausedServers:
     """Some servers of a service want no requests for a while."""
 
@@ -122,13 +134,7 @@
 
     def test_leave_the_answer_of_an_earlier_server(self, monkeypatch) -> None:
         """Guards against a server's answer that a refusal replaces."""
-        delivered = []
-
-        async def relay_response(ctx, response) -> None:
-            del ctx
-            delivered.append(response.status)
-
-        monkeypatch.setattr(plain_relay, "relay_response", relay_response)
+        delivered = _record_relayed(monkeypatch)
         availability = _FakeAvailability()
         harness = _PauseHarness("s0", availability)
         harness.outcomes = [_failed()]
@@ -140,6 +146,14 @@
 class TestRefusals:
     """A server turns calls away."""
 
+    def test_leave_the_answer_of_an_earlier_server(self, monkeypatch) -> None:
+        """Guards against a server's answer that a later refusal replaces."""
+        delivered = _record_relayed(monkeypatch)
+        harness = _PauseHarness("s0 s1 s2", _FakeAvailability())
+        harness.outcomes = [_failed(), _refused(), _refused()]
+        harness.run()
+        assert delivered == [500]
+
     def test_with_a_pause_does_not_eject_it(self) -> None:
         """Guards against a server that idles after the pause it asked for."""
         availability = _FakeAvailability()
