Tests of what the platform's engines say; name leaving engines to coordinators briefly

Found by reading the change again: an entry process named engines that leave to the coordinator with each call for as long as they were listed, and each such call had all queues scheduled anew. Now it names them for 2 s, within which all VMs know themselves, and the coordinator ignores lists that are the same but for the time that messages take.

The refusal that test_unavailable_endpoints had shown twice is traced: its three routers had a retry budget of 10, spent by three requests that were turned away at one moment (reason=retry_budget_spent); it now has the customers' 52.

--- a/src/cowsliprill/availability/ledger.py
+++ b/src/cowsliprill/availability/ledger.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import enum
-import math
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
@@ -19,6 +18,9 @@
 # Minimum time between two log lines about invalid values of any endpoints.
 _INVALID_LOG_INTERVAL_S = 10.0
 
+# All VMs in touch know within this time that an endpoint leaves.
+_LEAVING_SPREAD_S = 2.0
+
 _LeavingRecords = Sequence[leaving_endpoints.LeavingEndpoint]
 
 
@@ -126,7 +128,10 @@
         return max(self.pauses.asked_until(_key(endpoint)) - now, 0.0)
 
     def unavailable_until(self) -> dict[str, float]:
-        """Returns until when endpoints want no requests, in seconds, by id."""
+        """Returns until when endpoints want no requests, in seconds, by id.
+
+        Endpoints that leave are named until all VMs know of it themselves.
+        """
         now = clock.now()
         until_by_endpoint = {
             endpoint_id: until
@@ -134,7 +139,9 @@
             if (until := self.pauses.until((endpoint_id, life), now))
         }
         for record in self.leaving:
-            until_by_endpoint[record.endpoint_id] = math.inf
+            known_at = record.said_at + _LEAVING_SPREAD_S
+            if known_at > now:
+                until_by_endpoint[record.endpoint_id] = known_at
         return until_by_endpoint
 
     async def wait_for_change(self, timeout_s: float) -> None:
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -49,6 +49,10 @@
 # Fraction of the retry bursts of all entry processes that may be used here.
 _RETRY_BUDGET_FRACTION = 0.5
 
+# An entry process repeats with each message until when it can't use engines.
+# Smaller differences are due to the time that messages take.
+_UNAVAILABLE_TOLERANCE_S = 0.1
+
 Decision = messages.Decision
 
 
@@ -56,7 +60,9 @@
 class _EntrySession:
     epoch: int
     last_received_at: float
-    lacks_engines: bool = False
+    unavailable_until: Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     inbox: message_channel.Inbox = dataclasses.field(
         default_factory=message_channel.Inbox
     )
@@ -205,14 +211,13 @@
         until_by_engine: Mapping[str, float],
         now: float,
     ) -> None:
-        if until_by_engine or session.lacks_engines:
-            session.lacks_engines = bool(until_by_engine)
-            self._handle(
-                messages.EnginesUnavailable(
-                    entry=entry, until_by_engine=until_by_engine
-                ),
-                now,
-            )
+        if _are_close(until_by_engine, session.unavailable_until):
+            return
+        session.unavailable_until = until_by_engine
+        event = messages.EnginesUnavailable(
+            entry=entry, until_by_engine=until_by_engine
+        )
+        self._handle(event, now)
 
     def acknowledge(self, entry: str, number: int) -> None:
         """Drops the decisions that an entry process has received.
@@ -394,3 +399,11 @@
         if isinstance(decision, messages.Refuse):
             del self._origins_by_request_id[decision.request_id]
             session.request_ids_by_number.pop(number, None)
+
+
+def _are_close(first: Mapping[str, float], second: Mapping[str, float]) -> bool:
+    """Returns whether two maps have the same keys and about the same times."""
+    return first.keys() == second.keys() and all(
+        abs(first[key] - second[key]) < _UNAVAILABLE_TOLERANCE_S
+        for key in first
+    )
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -682,6 +682,8 @@
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
         refusals: list[messages.Action] = []
+        if not self._unavailable:
+            return refusals
         for waiting in (*pool.queue, *pool.constrained):
             request = self._queued(waiting)
             if not self._is_restricted(request, now):
--- a/src/cowsliprill/decisions/unavailable_engines.py
+++ b/src/cowsliprill/decisions/unavailable_engines.py
@@ -21,6 +21,10 @@
     def __init__(self) -> None:
         self._until_by_engine_by_entry: dict[str | None, dict[str, float]] = {}
 
+    def __len__(self) -> int:
+        """Returns the number of entry processes with unavailable engines."""
+        return len(self._until_by_engine_by_entry)
+
     def set(self, entry: str, until_by_engine: Mapping[str, float]) -> None:
         """Replaces the unavailable engines of an entry process.
 
--- a/tests/test_unavailable_endpoints.py
+++ b/tests/test_unavailable_endpoints.py
@@ -4,6 +4,8 @@
 import dataclasses
 import itertools
 import time
+from collections.abc import Coroutine
+from typing import Any
 
 from tests import platform_site
 
@@ -16,6 +18,10 @@
 _PAUSE_REACTION_S = 0.5
 _PAUSE_SENDS_MAX = 2
 _PAUSE_S = 3.0
+# Retries that the customers allow beside a fraction of the requests.
+_RETRY_SLACK = 52.0
+# Far more than a scenario takes on a busy machine.
+_LIMIT_S = 120.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,7 +155,9 @@
 
     The endpoint turns one request of each router away and serves the others.
     """
-    async with platform_site.running(_ROUTERS) as site:
+    async with platform_site.running(
+        _ROUTERS, retry_budget_slack=_RETRY_SLACK
+    ) as site:
         clients = _Clients(site, path)
         endpoint = site.engines[name]
         await _begin_stream_at(site, endpoint)
@@ -172,6 +180,12 @@
         )
 
 
+async def _within_limit(scenario: Coroutine[Any, Any, list[int]]) -> list[int]:
+    """Runs a scenario, which fails rather than hangs."""
+    async with asyncio.timeout(_LIMIT_S):
+        return await scenario
+
+
 class TestLeaving:
     """An endpoint says in its answers that it leaves; the store is away."""
 
@@ -187,7 +201,7 @@
                 ),
             )
 
-        assert asyncio.run(scenario()) == [0, 0, 0]
+        assert asyncio.run(_within_limit(scenario())) == [0, 0, 0]
 
 
 class TestPause:
@@ -203,4 +217,5 @@
                 _sends_in_pause(platform_site.RESUMABLE_PATH, "d0", 0.1),
             )
 
-        assert max(asyncio.run(scenario())) <= _PAUSE_SENDS_MAX
+        sends = asyncio.run(_within_limit(scenario()))
+        assert max(sends) <= _PAUSE_SENDS_MAX
