Forget a VM's unavailable engines only after its session's requests

Found by reading: when an entry process began a new session while engines were unavailable to it, the old list was dropped first; its queued requests could then be placed for the session that had just ended, which raised KeyError in the coordinator's handler.

Test: test_is_forgotten_with_a_session_that_has_requests, KeyError before.

--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -298,7 +298,6 @@
 
     def _drop_session(self, entry: str, now: float) -> None:
         session = self._sessions_by_entry.pop(entry)
-        self._set_unavailable(entry, session, {}, now)
         # All requests lose their origin before the first is cancelled.
         # Otherwise the slots that it frees could go to another request of the
         # same entry process.
@@ -306,6 +305,7 @@
             self._origins_by_request_id.pop(request_id, None)
         for request_id in session.request_ids_by_number.values():
             self._handle(messages.Cancel(request_id), now)
+        self._set_unavailable(entry, session, {}, now)
 
     def _update_slot_fraction(self, now: float) -> None:
         slot_fraction = self._reachable_fraction(now)
--- a/src/cowsliprill/entry/availability_components.py
+++ b/src/cowsliprill/entry/availability_components.py
@@ -35,7 +35,7 @@
       enabled: Whether such endpoints get no requests.
       ledger: The endpoints known to this process.
       feedback: Receives what endpoints say about themselves.
-      availability: Interface for the filters that choose among endpoints.
+      endpoints: Interface for the filters that choose among endpoints.
     """
 
     def __init__(
@@ -55,11 +55,11 @@
         self.feedback = feedback_lib.Feedback(
             rate_limits, self.ledger, enabled=enabled
         )
-        self.availability: endpoint_availability.EndpointAvailability = (
+        self.endpoints: endpoint_availability.EndpointAvailability = (
             endpoint_availability.AlwaysAvailable()
         )
         if enabled:
-            self.availability = self.ledger
+            self.endpoints = self.ledger
         self._exchange = peer_exchange.PeerExchange(network, self.ledger, log)
 
     def peer_routes(self) -> list[tuple]:
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -338,7 +338,7 @@
                 self._paths,
                 self._outlier_detector,
                 self.rate_limits.permits,
-                self.availability.availability,
+                self.availability.endpoints,
             ),
             model_relay=model_relay.ModelRelay(
                 self._dialect.engines,
--- a/tests/test_pool_scheduler_pauses.py
+++ b/tests/test_pool_scheduler_pauses.py
@@ -110,6 +110,19 @@
         site.send("vm-0", _submit(1, site.now), epoch=2)
         assert len(_starts(site.decisions("vm-0"))) == 1
 
+    def test_is_forgotten_with_a_session_that_has_requests(self) -> None:
+        """Guards against placements for a session that has ended."""
+        site = _PauseSite(decodes=1)
+        site.send_heartbeats()
+        site.unavailable["vm-0"] = {"d0": site.now + 0.4}
+        site.send("vm-0", _submit(1, site.now))
+        site.unavailable = {}
+        site.sent["vm-0"] = 0
+        site.send("vm-0", epoch=2)
+        assert not site.decisions("vm-0")
+        site.send("vm-0", _submit(1, site.now), epoch=2)
+        assert len(_starts(site.decisions("vm-0"))) == 1
+
     def test_is_not_ejected_for_turning_requests_away(self) -> None:
         """Guards against an engine that idles after the pause it asked for."""
         site = _PauseSite(decodes=1)
