Share the warnings that endpoints' answers may cause again and again

The ledgers of rate limits and of availability bounded the same lines in the same way. test_docs finds the names of such warnings, too. No other change.

--- a/src/cowsliprill/availability/ledger.py
+++ b/src/cowsliprill/availability/ledger.py
@@ -14,9 +14,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
-
-# Minimum time between two log lines about invalid values of any endpoints.
-_INVALID_LOG_INTERVAL_S = 10.0
+from cowsliprill.observability import repeated_warning
 
 # All VMs in touch know within this time that an endpoint leaves.
 _LEAVING_SPREAD_S = 2.0
@@ -55,8 +53,9 @@
             collections.Counter()
         )
         self._gauge_labels: set[tuple[str, Reason]] = set()
-        self._invalid_logged_at = -_INVALID_LOG_INTERVAL_S
-        self._invalid_unlogged = 0
+        self._invalid = repeated_warning.RepeatedWarning(
+            log, "endpoint_pause_invalid"
+        )
 
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Registers a callback that runs after each change."""
@@ -198,7 +197,7 @@
                 answer.retry_after or "", answer.date
             )
         except endpoint_answers.InvalidRetryAfterError as error:
-            self._report_invalid(answer.endpoint, error)
+            self._invalid.report(answer.endpoint.id, error.message)
             return False
         key = _key(answer.endpoint)
         if not self.pauses.ask(key, pause_s, clock.now()):
@@ -228,24 +227,6 @@
             sends=self._sends_in_pause.pop((endpoint_id, life), 0),
         )
 
-    def _report_invalid(
-        self,
-        endpoint: model.Endpoint,
-        error: endpoint_answers.InvalidRetryAfterError,
-    ) -> None:
-        self._invalid_unlogged += 1
-        now = clock.now()
-        if now - self._invalid_logged_at < _INVALID_LOG_INTERVAL_S:
-            return
-        self._log.warning(
-            "endpoint_pause_invalid",
-            endpoint=endpoint.id,
-            reason=error.message,
-            answers=self._invalid_unlogged,
-        )
-        self._invalid_logged_at = now
-        self._invalid_unlogged = 0
-
     def _set_gauges(self, snapshot: model.Snapshot) -> None:
         counts: collections.Counter[tuple[str, Reason]] = collections.Counter()
         if len(self.leaving) or len(self.pauses):
--- a/src/cowsliprill/rate_limiting/ledger.py
+++ b/src/cowsliprill/rate_limiting/ledger.py
@@ -10,9 +10,7 @@
 from cowsliprill.decisions import rate_limits
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
-
-# Minimum time between two log lines about invalid limits of any endpoints.
-_INVALID_LOG_INTERVAL_S = 10.0
+from cowsliprill.observability import repeated_warning
 
 _Limits = Sequence[rate_limits.RateLimit]
 
@@ -33,8 +31,9 @@
         self._log = log
         self._metrics = metrics
         self._callbacks: list[Callable[[_Limits], None]] = []
-        self._invalid_logged_at = -_INVALID_LOG_INTERVAL_S
-        self._invalid_unlogged = 0
+        self._invalid = repeated_warning.RepeatedWarning(
+            log, "endpoint_rate_limit_invalid"
+        )
 
     def subscribe(self, callback: Callable[[_Limits], None]) -> None:
         """Registers a callback that gets the records of each change."""
@@ -49,7 +48,7 @@
         try:
             per_s = rate_limits.parse(answer.limit_text)
         except rate_limits.InvalidRateLimitError as error:
-            self._report_invalid(answer.endpoint, error)
+            self._invalid.report(answer.endpoint.id, error.message)
             return
         self._apply(answer, per_s)
 
@@ -119,24 +118,6 @@
     def _set_gauge(self, endpoint_id: str, per_s: float) -> None:
         self._metrics.endpoint_rate_limit.set({"endpoint": endpoint_id}, per_s)
 
-    def _report_invalid(
-        self,
-        endpoint: model.Endpoint,
-        error: rate_limits.InvalidRateLimitError,
-    ) -> None:
-        self._invalid_unlogged += 1
-        now = clock.now()
-        if now - self._invalid_logged_at < _INVALID_LOG_INTERVAL_S:
-            return
-        self._log.warning(
-            "endpoint_rate_limit_invalid",
-            endpoint=endpoint.id,
-            reason=error.message,
-            answers=self._invalid_unlogged,
-        )
-        self._invalid_logged_at = now
-        self._invalid_unlogged = 0
-
     def _notify(self, changed: _Limits) -> None:
         for callback in self._callbacks:
             callback(changed)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -34,6 +34,10 @@
                 and isinstance(first, ast.Constant)
             ):
                 names.add(first.value)
+            elif isinstance(method, ast.Attribute) and (
+                method.attr == "RepeatedWarning"
+            ):
+                names.add(node.args[1].value)
     return names
 
 
