Wait for the trial after a pause rather than refuse; count waiting calls per pool

If all servers of a pool were paused or on trial, calls were refused though one was about to be ready (a trial takes as long as a call). Calls that wait were also counted over all pools together.

Tests: test_on_trial_are_waited_for, refused before; test_on_trial_are_not_waited_for_too_long.

--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -84,7 +84,9 @@
     availability: endpoint_availability.EndpointAvailability = (
         dataclasses.field(default_factory=endpoint_availability.AlwaysAvailable)
     )
-    _waiting: int = 0
+    _waiting_by_pool: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     _running_by_endpoint: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -233,17 +235,20 @@
           errors.EntryError: That takes too long, or as many calls wait as the
             servers can take.
         """
-        now = clock.now()
-        ready_at = min(map(self.availability.paused_until, serving))
+        pool = ctx.service.pool
+        max_wait_s = wait_until - clock.now()
+        pause_left_s = min(map(self.availability.pause_left_s, serving))
         slots = sum(endpoint.slots for endpoint in serving)
-        if ready_at > wait_until or self._waiting >= slots:
+        is_full = self._waiting_by_pool[pool] >= slots
+        if max_wait_s <= 0 or pause_left_s > max_wait_s or is_full:
             spread_s = self.random_source.uniform(0.0, _RETRY_SPREAD_S)
-            raise self._paused_error(ctx, ready_at - now + spread_s)
-        self._waiting += 1
+            raise self._paused_error(ctx, pause_left_s + spread_s)
+        self._waiting_by_pool[pool] += 1
         try:
-            await self.availability.wait_for_change(ready_at - now)
+            # Without a pause left, a trial is about to be answered.
+            await self.availability.wait_for_change(pause_left_s or max_wait_s)
         finally:
-            self._waiting -= 1
+            self._waiting_by_pool[pool] -= 1
 
     def _paused_error(
         self, ctx: context.Context, retry_after_s: float
--- a/tests/test_plain_pauses.py
+++ b/tests/test_plain_pauses.py
@@ -28,6 +28,7 @@
             for name, left_s in left_s_by_name.items()
         }
         self.waits: list[float] = []
+        self.on_trial: set[str] = set()
 
     def pause(self, name: str, seconds: float) -> None:
         self._until_by_name[name] = clock.now() + seconds
@@ -36,6 +37,12 @@
         until = self._until_by_name.get(endpoint.id, 0.0)
         return until if until > clock.now() else 0.0
 
+    def pause_left_s(self, endpoint: model.Endpoint) -> float:
+        if endpoint.id in self.on_trial:
+            return 0.0
+        until = self._until_by_name.get(endpoint.id, 0.0)
+        return max(until - clock.now(), 0.0)
+
     async def wait_for_change(self, timeout_s: float) -> None:
         self.waits.append(timeout_s)
         await asyncio.sleep(timeout_s)
@@ -123,11 +130,37 @@
         assert harness.called == ["s0"]
         assert availability.waits
 
+    def test_on_trial_are_waited_for(self) -> None:
+        """Guards against refusals while a trial is about to be answered."""
+        availability = _FakeAvailability(s0=_LONG_S)
+        availability.on_trial.add("s0")
+        harness = _PauseHarness("s0", availability)
+
+        async def answer_trial(timeout_s: float) -> None:
+            availability.waits.append(timeout_s)
+            availability.pause("s0", 0.0)
+
+        availability.wait_for_change = answer_trial
+        harness.run()
+        assert harness.called == ["s0"]
+        assert len(availability.waits) == 1
+
+    def test_on_trial_are_not_waited_for_too_long(self) -> None:
+        """Guards against calls that wait for a trial that isn't answered."""
+        availability = _FakeAvailability(s0=_LONG_S)
+        availability.on_trial.add("s0")
+        harness = _PauseHarness("s0", availability)
+        with pytest.raises(errors.EntryError):
+            harness.run()
+        assert harness.called == []
+        assert sum(availability.waits) < 1.0
+
     def test_are_waited_for_by_as_many_calls_as_they_can_take(self) -> None:
         """Guards against a herd at the end of a pause."""
         availability = _FakeAvailability(s0=_SHORT_S)
         harness = _PauseHarness("s0", availability)
-        harness.placement._waiting = test_plain_placement._endpoint("s0").slots
+        slots = test_plain_placement._endpoint("s0").slots
+        harness.placement._waiting_by_pool["desk"] = slots
         with pytest.raises(errors.EntryError):
             harness.run()
         assert harness.called == []
