--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -13,6 +13,7 @@
 
   Scenario: Different chats share a message that ends engines
     Given 2 VMs and engines that end when they begin to run one request
+    And a chat of the same customer without it has been completed
     When different chats with one message are sent in turn until 3 engines have ended
     And both VMs have quarantined the message
     Then both VMs refuse other chats with it without another engine ending
--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -145,6 +145,7 @@
     _check_refusals(context, _chat)
 
 
+@behave.given("a chat of the same customer without it has been completed")
 @behave.then("a chat of the same customer without it is completed")
 def step_chat_completed(context) -> None:
     response = _chat(context, "vm-0", "a proper message")
