Place a request elsewhere that its VM couldn't send

Found by reading the change again as the VM that refuses a placement.

Now the coordinator takes the engine for unavailable to that entry process for 0.1 s, by the mechanism that pauses use; other VMs go on using it.

--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -51,6 +51,11 @@
 # their prefills wasted.
 _FULL_ENGINE_BACKOFF_S = 0.5
 
+# Time for which an engine gets no requests of an entry process that didn't send
+# one there, as it knows the engine to leave or not to be listed. The scheduler
+# may learn of that later, and would place them there again at once.
+_UNSENT_BACKOFF_S = 0.1
+
 
 class Scheduler:
     """Places model requests on the engines of all pools.
@@ -486,6 +491,9 @@
             request.submit.entry, event.endpoint_id, now
         )
         self._outcomes.record_failure(request, event, now, paused=paused)
+        if event.unsent and not event.refused:
+            entry, until = request.submit.entry, now + _UNSENT_BACKOFF_S
+            self._unavailable.add(entry, event.endpoint_id, until, now)
         if event.connection_lost:
             self._suspected_parts.lose(event.request_id, now)
         cancel = self._cancel_attempt(request)
--- a/src/cowsliprill/decisions/unavailable_engines.py
+++ b/src/cowsliprill/decisions/unavailable_engines.py
@@ -19,7 +19,7 @@
     """The unavailable engines of each entry process."""
 
     def __init__(self) -> None:
-        self._until_by_engine_by_entry: dict[str | None, dict[str, float]] = {}
+        self._until_by_engine_by_entry: dict[str, dict[str, float]] = {}
 
     def __len__(self) -> int:
         """Returns the number of entry processes with unavailable engines."""
@@ -37,6 +37,20 @@
         else:
             self._until_by_engine_by_entry.pop(entry, None)
 
+    def add(self, entry: str, engine_id: str, until: float, now: float) -> None:
+        """Adds an engine that an entry process couldn't use.
+
+        Args:
+          entry: Id of the entry process.
+          engine_id: The engine.
+          until: Until when it isn't available at least, in seconds.
+          now: Current time in seconds.
+        """
+        self._drop_expired(now)
+        until_by_engine = self._until_by_engine_by_entry.setdefault(entry, {})
+        known_until = until_by_engine.get(engine_id, until)
+        until_by_engine[engine_id] = max(known_until, until)
+
     def has(self, entry: str | None, engine_id: str, now: float) -> bool:
         """Returns whether an engine isn't available to an entry process.
 
@@ -45,9 +59,7 @@
           engine_id: The engine.
           now: Current time in seconds.
         """
-        until_by_engine = self._until_by_engine_by_entry.get(entry)
-        if until_by_engine is None:
-            return False
+        until_by_engine = self._of(entry)
         return now < until_by_engine.get(engine_id, -math.inf)
 
     def restricts(
@@ -71,7 +83,7 @@
           The time in seconds, -infinity if one always is, infinity if there are
           no engines.
         """
-        until_by_engine = self._until_by_engine_by_entry.get(entry, {})
+        until_by_engine = self._of(entry)
         return min(
             (until_by_engine.get(engine.id, -math.inf) for engine in engines),
             default=math.inf,
@@ -88,3 +100,19 @@
             ),
             default=math.inf,
         )
+
+    def _of(self, entry: str | None) -> Mapping[str, float]:
+        if entry is None:
+            return {}
+        return self._until_by_engine_by_entry.get(entry, {})
+
+    def _drop_expired(self, now: float) -> None:
+        for entry, until_by_engine in list(
+            self._until_by_engine_by_entry.items()
+        ):
+            left = {
+                engine_id: until
+                for engine_id, until in until_by_engine.items()
+                if until > now
+            }
+            self.set(entry, left)
--- a/tests/test_pool_scheduler_pauses.py
+++ b/tests/test_pool_scheduler_pauses.py
@@ -194,3 +194,43 @@
         load = site.pool_scheduler.pool_load("brief")
         assert load is not None
         assert load.ejected == ""
+
+    def test_is_not_placed_there_again_at_once(self) -> None:
+        """Guards against placements that a VM withholds again and again."""
+        site = _PauseSite()
+        site.send_heartbeats()
+        site.send("vm-0", _submit(1, site.now))
+        [start] = _starts(site.decisions("vm-0"))
+        site.send(
+            "vm-0",
+            messages.AttemptFailed(
+                request_id=1,
+                endpoint_id=start.decode_id,
+                stage=messages.Stage.TRANSFER,
+                unsent=True,
+                not_run=True,
+            ),
+        )
+        [other] = _starts(site.decisions("vm-0"))
+        assert other.decode_id != start.decode_id
+
+    def test_leaves_the_engine_to_other_vms(self) -> None:
+        site = _PauseSite(decodes=1)
+        site.send_heartbeats()
+        site.send("vm-0", _submit(1, site.now))
+        site.decisions("vm-0")
+        site.send(
+            "vm-0",
+            messages.AttemptFailed(
+                request_id=1,
+                endpoint_id="d0",
+                stage=messages.Stage.TRANSFER,
+                unsent=True,
+                not_run=True,
+            ),
+        )
+        assert not site.decisions("vm-0")
+        site.send("vm-1", _submit(1, site.now))
+        assert len(_starts(site.decisions("vm-1"))) == 1
+        site.pass_time(0.2)
+        assert len(_starts(site.decisions("vm-0"))) == 1
