Name paused engines to coordinators by incarnation

The pause is kept by id and incarnation, but was named to the coordinator by id alone: the new incarnation got no request of that VM until the old one's pause was over, an hour at most. Now only the pauses of listed incarnations are named, and anew when the list changes.

Test: test_ends_with_the_incarnation, red before (no request after the return), passes now.

--- a/src/cowsliprill/availability/ledger.py
+++ b/src/cowsliprill/availability/ledger.py
@@ -5,6 +5,7 @@
 import enum
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from cowsliprill import clock
@@ -16,9 +17,6 @@
 from cowsliprill.observability import metrics as metrics_lib
 from cowsliprill.observability import repeated_warning
 
-# All VMs in touch know within this time that an endpoint leaves.
-_LEAVING_SPREAD_S = 2.0
-
 _LeavingRecords = Sequence[leaving_endpoints.LeavingEndpoint]
 
 
@@ -126,22 +124,25 @@
         now = clock.now()
         return max(self.pauses.asked_until(_key(endpoint)) - now, 0.0)
 
-    def unavailable_until(self) -> dict[str, float]:
-        """Returns until when endpoints want no requests, in seconds, by id.
+    def paused_until_by_id(
+        self, endpoints_by_id: Mapping[str, model.Endpoint]
+    ) -> dict[str, float]:
+        """Returns until when listed endpoints are paused, in seconds.
 
-        Endpoints that leave are named until all VMs know of it themselves.
+        Args:
+          endpoints_by_id: The listed endpoints.
         """
-        now = clock.now()
-        until_by_endpoint = {
-            endpoint_id: until
+        listed = [
+            endpoints_by_id[endpoint_id]
             for endpoint_id, life in self.pauses
-            if (until := self.pauses.until((endpoint_id, life), now))
+            if endpoint_id in endpoints_by_id
+            and endpoints_by_id[endpoint_id].life == life
+        ]
+        return {
+            endpoint.id: until
+            for endpoint in listed
+            if (until := self.paused_until(endpoint))
         }
-        for record in self.leaving:
-            known_at = record.said_at + _LEAVING_SPREAD_S
-            if known_at > now:
-                until_by_endpoint[record.endpoint_id] = known_at
-        return until_by_endpoint
 
     async def wait_for_change(self, timeout_s: float) -> None:
         """Waits until an endpoint's state changes, for a time at most.
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -385,6 +385,8 @@
         self._cluster_state.update(snapshot, self._source.fleet)
         self._quarantine.cluster_state_changed()
         self.rate_limits.cluster_state_changed()
+        if self.availability.enabled and len(self.availability.ledger.pauses):
+            self._apply_availability()
         self._http.limits_by_address = connection_limits.limits_for_endpoints(
             snapshot, self._source.fleet
         )
@@ -400,8 +402,10 @@
         self._notify_scheduler()
 
     def _apply_availability(self) -> None:
+        # An engine that is back under its id hasn't asked for a pause.
+        endpoints_by_id = self._cluster_state.snapshot.endpoints_by_id
         self._placement_backend.set_unavailable(
-            self.availability.ledger.unavailable_until()
+            self.availability.ledger.paused_until_by_id(endpoints_by_id)
         )
 
     def _notify_scheduler(self) -> None:
--- a/tests/test_platform_availability.py
+++ b/tests/test_platform_availability.py
@@ -184,6 +184,31 @@
         assert 25 < float(headers["Retry-After"]) <= 31
         assert sent == 0
 
+    def test_ends_with_the_incarnation(self) -> None:
+        """Guards against an engine that idles after it came back."""
+
+        async def scenario() -> tuple[int, int]:
+            async with platform_site.running() as site:
+                engine = site.engines["d0"]
+                engine.faults = platform_site.Faults(
+                    refuse=503, retry_after="600", times=1
+                )
+                path = platform_site.RESUMABLE_PATH
+                await _call_often(site, path)
+                paused = len(_events(site, "endpoint_paused"))
+                known = len(engine.requests)
+                await site.store.put("servers/d0", engine.entry(born=7))
+                source = site.routers[0]._source
+                await platform_site.until(
+                    lambda: source.snapshot.endpoints_by_id["d0"].life == "7"
+                )
+                await _call_often(site, path)
+                return paused, len(engine.requests) - known
+
+        paused, requests = asyncio.run(scenario())
+        assert paused == 1
+        assert requests > 0
+
 
 class _FakeFeedback(endpoint_feedback.NoFeedback):
     """Names a pause of all engines."""
