Ask the store's history before a version is inferred

Cause: after the end of all VMs no process knows which software versions served. With one version listed, a VM took that one for streams of unknown origin. It is wrong if the last engine of another version left shortly before.

Change: a VM that no peer tells what served before reads once the history that the store still has. A version shown there that isn't listed any more, or the removal of an entry that the history doesn't show, forbids the inference; so does a history that couldn't be read.

What callers saw: one stream with events of two versions. Now: 503 stream_origin_unknown, begin anew.

Ruled out: telling versions from the listed entries (born, created): none says what was removed.

--- a/src/cowsliprill/decisions/version_history.py
+++ b/src/cowsliprill/decisions/version_history.py
@@ -2,13 +2,15 @@
 
 import dataclasses
 import math
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from cowsliprill.decisions import model
 
 # Peers tell a process that has just started what they have observed within this
 # time.
-_SETTLING_S = 1.0
+SETTLING_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -19,8 +21,8 @@
       version: The version.
       since: Time in seconds since which only this version has been listed;
         minus infinity if there was none before.
-      replaced_other: Whether another version is known to have been listed
-        before that time. If not, nothing is known of the time before.
+      replaced_other: Whether another version was listed before that time, or
+        may have been. If not, nothing is known of the time before.
     """
 
     version: str
@@ -28,16 +30,34 @@
     replaced_other: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RecentVersions:
+    """Software versions listed shortly before a process started.
+
+    Attributes:
+      versions_by_pool: The versions known to have been listed, by pool.
+      complete: Whether there can't have been any others.
+    """
+
+    versions_by_pool: Mapping[str, Collection[str]]
+    complete: bool
+
+
 class VersionHistory:
     """Observes the software versions of each pool's engines.
 
     Args:
       complete: Whether no engine can have served before the first
         observation: the whole system starts for the first time.
+      past_readable: Whether what was listed before the first observation can
+        be read elsewhere; see `add_recent`.
     """
 
-    def __init__(self, *, complete: bool = False) -> None:
+    def __init__(
+        self, *, complete: bool = False, past_readable: bool = False
+    ) -> None:
         self._complete = complete
+        self._awaits_past = past_readable and not complete
         self._only_by_pool: dict[str, OnlyVersion | None] = {}
 
     def update(self, endpoints: Iterable[model.Endpoint], now: float) -> None:
@@ -76,17 +96,53 @@
         """Returns the only listed version if no VM knows of any other one.
 
         That is so after all VMs have ended at the same moment. It is wrong for
-        a stream only if the last engine of its version left in the seconds
-        before that.
+        a stream only if the last engine of its version left before that, and
+        nothing tells so any more.
 
         Args:
           pool: Name of the pool.
           now: Current time in seconds.
         """
         only = self._only_by_pool.get(pool)
-        if only is None or only.replaced_other:
+        if self._awaits_past or only is None or only.replaced_other:
             return None
-        return only.version if now - only.since >= _SETTLING_S else None
+        return only.version if now - only.since >= SETTLING_S else None
+
+    def is_observed(self) -> bool:
+        """Returns whether engines of any pool have been listed."""
+        return bool(self._only_by_pool)
+
+    def lacks_past(self, span_s: float, now: float) -> bool:
+        """Returns whether `add_recent` would help to know a pool's version.
+
+        Args:
+          span_s: Length of the time span in seconds that is of interest.
+          now: Current time in seconds.
+        """
+        return self._awaits_past and any(
+            only is not None
+            and not only.replaced_other
+            and only.since > now - span_s
+            for only in self._only_by_pool.values()
+        )
+
+    def add_recent(self, recent: RecentVersions) -> None:
+        """Adds what was listed before the first observation.
+
+        Args:
+          recent: The versions.
+        """
+        self._awaits_past = False
+        for pool in recent.versions_by_pool.keys() - self._only_by_pool.keys():
+            self._only_by_pool[pool] = None
+        for pool, only in self._only_by_pool.items():
+            if only is None:
+                continue
+            others = {*recent.versions_by_pool.get(pool, ())} - {only.version}
+            if others or not recent.complete:
+                self._only_by_pool[pool] = dataclasses.replace(
+                    only, replaced_other=True
+                )
 
     def only(self, pool: str) -> OnlyVersion | None:
         """Returns the only listed version, None if there are several.
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -19,6 +19,7 @@
 from cowsliprill.registry import endpoints as endpoints_lib
 from cowsliprill.registry import follower as follower_lib
 from cowsliprill.registry import peer_sync
+from cowsliprill.registry import recent_versions
 from cowsliprill.registry import revalidation
 from cowsliprill.registry import store as store_lib
 
@@ -133,6 +134,7 @@
       snapshot: Settings and endpoints in force.
       fleet: The VM list.
       views_by_prefix: Registry view of each key prefix.
+      recent_versions: Reader of the software versions listed shortly before.
       lists_ends: True: the entry of an endpoint that has ended expires.
     """
 
@@ -181,6 +183,12 @@
         self.views_by_prefix = {
             prefix: registry_view.View(prefix) for prefix in prefixes
         }
+        self.recent_versions = recent_versions.RecentVersionsReader(
+            store,
+            self.views_by_prefix[entry_parser.endpoints_prefix],
+            entry_parser.parse_endpoint,
+            log,
+        )
         handlers = (self._apply_settings_changes, self._apply_endpoint_changes)
         # Only the settings must be revalidated at short intervals.
         watches_s = (self._freshness.watch_timeout_s, follower_lib.WATCH_MAX_S)
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -36,6 +36,7 @@
 from cowsliprill.pool_scheduling import origin_exchange
 from cowsliprill.pool_scheduling import origin_wire
 from cowsliprill.pool_scheduling import server as server_lib
+from cowsliprill.pool_scheduling import version_recovery
 from cowsliprill.pool_scheduling import wire as scheduling_wire
 from cowsliprill.quotas import usage_handler as usage_handler_lib
 from cowsliprill.quotas import usage_reporter as usage_reporter_lib
@@ -101,9 +102,14 @@
         )
         self._scheduling: scheduling_client.PoolSchedulingClient
         self._origins = stream_origins.StreamOrigins(
-            version_history.VersionHistory(complete=config.knows_all_streams()),
+            version_history.VersionHistory(
+                complete=config.knows_all_streams(), past_readable=True
+            ),
             self._is_endpoint_list_current,
         )
+        self._version_recovery = version_recovery.VersionRecovery(
+            self._origins.history, self._source.recent_versions.read, log
+        )
         self._origin_exchange = origin_exchange.OriginExchange(
             config.vm,
             self._origins,
@@ -197,6 +203,7 @@
             self._agent.run(),
             self._pool_schedulers.run(),
             self._origin_exchange.run(),
+            self._version_recovery.run(),
             self._gauges.run(),
             self._quotas.run(),
             self._watch_config_file(),
--- a/tests/outage_store.py
+++ b/tests/outage_store.py
@@ -59,6 +59,10 @@
         """Removes an entry."""
         self._add(registry_view.Removal(key=key, revision=self.revision + 1))
 
+    def compact(self, revision: int) -> None:
+        """Discards the history up to a revision."""
+        self._compacted_revision = revision
+
     def cut_watches(self) -> None:
         """Closes the connections of all held watches."""
         for cut in self._cut_futures:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -7,6 +7,7 @@
 from tests import platform_site
 
 from cowsliprill.decisions import mechanisms
+from cowsliprill.decisions import version_history
 from cowsliprill.pool_scheduling import wire
 
 _RESUMABLE = platform_site.RESUMABLE_PATH
@@ -231,6 +232,40 @@
         status, _, body = _on_site(scenario)
         assert (status, body) == (200, platform_site.stream(4))
 
+    @pytest.mark.parametrize(
+        ("has_left", "expected"), [(False, 200), (True, 503)]
+    )
+    def test_after_the_end_of_all_vms(self, has_left, expected):
+        """Guards against a guess where another version has just left."""
+
+        async def scenario(site):
+            if has_left:
+                await site.add_engine("d9", "llm", "decode", version="v2")
+                await site.store.remove("servers/d9")
+            site.routers[0].stop()
+            await asyncio.wait_for(site.tasks[0], 10)
+            started = site.add_router(first_start=False)
+            await platform_site.until(lambda: site.is_serving(started))
+            await platform_site.until(
+                lambda: (
+                    "event=recent_versions_read"
+                    in site.logs[started].getvalue()
+                )
+            )
+            await asyncio.sleep(version_history.SETTLING_S)
+            # What is left of its time tells that the stream is 5 s old.
+            headers = {
+                "Last-Event-Id": "3",
+                "Resumes": "a1",
+                "Deadline-Ms": "3000",
+            }
+            status, _, _ = await site.call(
+                _RESUMABLE, attempt="a5", headers=headers, router=started
+            )
+            return status
+
+        assert _on_site(scenario) == expected
+
     def test_mechanism_can_be_disabled(self):
         """Guards against an emergency switch that doesn't switch off."""
 
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -1,5 +1,6 @@
 """Tests of the history of software versions."""
 
+import dataclasses
 import math
 
 from tests import versioned_engines
@@ -125,3 +126,80 @@
         history.extend("llm", _observed("v2", 120.0))
         assert _only(history, 190.0) is None
         assert history.likely_version("llm", 190.0) is None
+
+
+def _recent(
+    *versions: str, pool: str = "llm", complete: bool = True
+) -> version_history.RecentVersions:
+    return version_history.RecentVersions(
+        versions_by_pool={pool: set(versions)}, complete=complete
+    )
+
+
+class TestAddRecent:
+    """What was listed before any VM lived, from the registry's history."""
+
+    @staticmethod
+    def _started(*versions: str) -> version_history.VersionHistory:
+        history = version_history.VersionHistory(past_readable=True)
+        history.update(versioned_engines.decode_engines(*versions), 100.0)
+        return history
+
+    def test_nothing_is_likely_before_it_was_read(self):
+        """Guards against a guess while another version may just have left."""
+        history = self._started("v2")
+        assert history.lacks_past(_SPAN_S, 101.0)
+        assert history.likely_version("llm", 110.0) is None
+
+    def test_known_after_the_span_even_if_it_was_never_read(self):
+        """Guards against refusals for good when the registry is unavailable."""
+        history = self._started("v2")
+        assert _only(history, 100.0 + _SPAN_S) == "v2"
+        assert not history.lacks_past(_SPAN_S, 100.0 + _SPAN_S)
+
+    def test_only_version_is_likely_if_no_other_was_listed(self):
+        """Guards against refusals of all streams where one version serves."""
+        history = self._started("v2")
+        history.add_recent(_recent("v2"))
+        assert history.likely_version("llm", 101.0) == "v2"
+        assert not history.lacks_past(_SPAN_S, 101.0)
+
+    def test_not_if_another_version_has_just_left(self):
+        """Guards against streams joined from two software versions."""
+        history = self._started("v2")
+        history.add_recent(_recent("v2", "v3"))
+        assert history.likely_version("llm", 110.0) is None
+        assert _only(history, 100.0 + _SPAN_S) == "v2"
+
+    def test_not_if_another_version_may_have_left(self):
+        """Guards against a guess after an engine ended without a word."""
+        history = self._started("v2")
+        history.add_recent(_recent("v2", complete=False))
+        assert history.likely_version("llm", 110.0) is None
+
+    def test_versions_of_other_pools_do_not_matter(self):
+        history = self._started("v2")
+        history.add_recent(_recent("v3", pool="other"))
+        assert history.likely_version("llm", 101.0) == "v2"
+
+    def test_pool_whose_engines_are_listed_later(self):
+        """Guards against a guess where no engine was left at first."""
+        history = self._started("v2")
+        history.add_recent(_recent("v3", pool="other"))
+        engines = versioned_engines.decode_engines("v2")
+        moved = [dataclasses.replace(item, pool="other") for item in engines]
+        history.update(moved, 102.0)
+        assert history.likely_version("other", 110.0) is None
+
+    def test_what_a_peer_has_seen_makes_it_unnecessary(self):
+        """Guards against calls by each VM that restarts alone."""
+        history = self._started("v2")
+        history.extend("llm", _observed("v2", 0.0))
+        assert not history.lacks_past(_SPAN_S, 101.0)
+
+    def test_first_start_needs_no_past(self):
+        history = version_history.VersionHistory(
+            complete=True, past_readable=True
+        )
+        history.update(versioned_engines.decode_engines("v2"), 100.0)
+        assert not history.lacks_past(_SPAN_S, 100.0)
--- a/tests/version_simulation.py
+++ b/tests/version_simulation.py
@@ -23,6 +23,7 @@
 from cowsliprill.pool_scheduling import client as client_lib
 from cowsliprill.pool_scheduling import origin_exchange
 from cowsliprill.pool_scheduling import server as server_lib
+from cowsliprill.pool_scheduling import version_recovery
 from cowsliprill.pool_scheduling import wire
 
 _POOL = "writers"
@@ -43,6 +44,9 @@
 _FIRST_EVENT_S = 0.12
 _PATIENCE_S = 2.5
 
+# The registry keeps its history for this time.
+_HISTORY_S = 20.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
@@ -146,7 +150,7 @@
         self._simulation = simulation
         log = log_lib.open_log(f"{name}.{id(self)}", io.StringIO())
         history = version_history.VersionHistory(
-            complete=simulation.is_first_start
+            complete=simulation.is_first_start, past_readable=True
         )
         self.origins = stream_origins.StreamOrigins(
             history, lambda: not simulation.is_isolated(self)
@@ -154,6 +158,9 @@
         self.exchange = origin_exchange.OriginExchange(
             vm.id, self.origins, self, log
         )
+        self.recovery = version_recovery.VersionRecovery(
+            history, self._recent_versions, log
+        )
         self.server = server_lib.PoolSchedulerServer(
             vm.id, "a", random.Random(1), log, self.exchange
         )
@@ -168,6 +175,7 @@
             for coroutine in (
                 self.server.run(),
                 self.exchange.run(),
+                self.recovery.run(),
                 self.client.run(),
             )
         ]
@@ -186,6 +194,12 @@
         for task in self._tasks:
             task.cancel()
 
+    async def _recent_versions(self):
+        await asyncio.sleep(_HOP_S)
+        if self._simulation.is_isolated(self):
+            raise _Lost("no answer")
+        return self._simulation.recent_versions()
+
     async def _post(self, vm, request, timeout_s):
         peer = await self._simulation.reach(self, vm.id, timeout_s)
         message = codec.decode(
@@ -221,6 +235,9 @@
         self._versions_by_engine: dict[str, str] = {}
         self._crashed_by_engine: dict[str, asyncio.Event] = {}
         self._leaving: set[str] = set()
+        # Changes of the registry: the time, the engine, and its version unless
+        # its entry was removed.
+        self._changes: list[tuple[float, str, str | None]] = []
         self._newest_version = ""
         self.is_first_start = True
         self._has_ended = False
@@ -361,8 +378,21 @@
             ),
         ]
 
+    def recent_versions(self) -> version_history.RecentVersions:
+        """Returns what the registry's history shows."""
+        since = clock.now() - _HISTORY_S
+        recent = [change for change in self._changes if change[0] > since]
+        written = {engine for _, engine, version in recent if version}
+        return version_history.RecentVersions(
+            versions_by_pool={
+                _POOL: {version for _, _, version in recent if version}
+            },
+            complete=written.issuperset(engine for _, engine, _ in recent),
+        )
+
     def _start_engine(self, version: str) -> None:
         engine = f"e-{next(self._numbers)}"
+        self._changes.append((clock.now(), engine, version))
         self._versions_by_engine[engine] = version
         self._newest_version = version
         self._crashed_by_engine[engine] = asyncio.Event()
@@ -373,6 +403,7 @@
             return
         self._crashed_by_engine.pop(engine).set()
         del self._versions_by_engine[engine]
+        self._changes.append((clock.now() + _DETECTION_S, engine, None))
         self._leaving.discard(engine)
         self._publish(_DETECTION_S)
 
@@ -399,6 +430,8 @@
                     engine = self._random.choice(old)
                     self._start_engine(version)
                     self._leaving.add(engine)
+                    left = self._versions_by_engine[engine]
+                    self._changes.append((clock.now(), engine, left))
                     self._publish(0.01)
                     loop.call_later(8.0, self._end_engine, engine)
                 await asyncio.sleep(self._plan.release_step_s)
