Admit resumed streams as new requests are

Hypotheses: (1) a resumed stream is kept at a silent engine; (2) ejection differs by version; (3) resumed streams pass admission. After all connections are reset, all engines are ejected for half a second. Resumed streams waited in the queue for one version, which has no admission, so ten of them began in the same millisecond at the first two engines to come back, with 1,200 to 1,500 slots in use and their prompts prefilled there: no data for 1.0 s, and the next attempt.

Cause: since 44 every resumed stream goes to that queue, also where all engines have its version; neither should_queue nor the demotion of waiting requests looked at it.

Change: where all decode engines have the version, a resumed stream waits in the common queue, as before 44. Where they don't, its own queue is held to the backlog of the engines of that version. A change of the engines moves waiting streams between the queues.

Tests: test_resumed_admission, red before: of 60 requests 59 new ones were refused at once, of 60 resumed streams none.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -441,24 +441,36 @@
         # requests have the time to wait for that.
         return healthy or endpoints
 
-    def backlog(self, priority: int) -> admission.Backlog:
+    def backlog(
+        self, priority: int, version: str | None = None
+    ) -> admission.Backlog:
         """Returns the backlog ahead of a new request of some priority.
 
         Args:
           priority: Least priority of the requests that count. The priorities of
             requests that wait at other entry processes aren't known; they are
             assumed to be distributed as those of recent requests here.
+          version: Software version of the engines that the request needs, None
+            for any.
         """
-        decodes = self._healthy(self.decodes)
+        usable = [
+            item
+            for item in self.decodes
+            if version in (None, item.software_version)
+        ]
+        decodes = self._healthy(usable)
         endpoint_leases = [self.lease(item.id) for item in decodes]
         others = max(
             (item.others_waiting for item in endpoint_leases), default=0
         )
+        queue = self.queue if version is None else self.constrained
         queued = [
-            item for item in self.queue if item.submit.priority >= priority
+            item
+            for item in queue
+            if item.submit.priority >= priority and item.version == version
         ]
         ahead = others * self.demand.fraction_at_or_above(priority)
-        slots = self.slots()
+        slots = sum(map(self._usable_slots, decodes))
         used = sum(
             min(self.lease(item.id).used, self._usable_slots(item))
             for item in decodes
--- a/src/cowsliprill/decisions/request_queue.py
+++ b/src/cowsliprill/decisions/request_queue.py
@@ -34,6 +34,7 @@
         back in the queue.
       slots: Decode slots that it takes.
       late: Whether it misses its TTFT target but its response is of use.
+      version: Software version of the engines that it needs, None for any.
     """
 
     submit: messages.Submit
@@ -42,6 +43,7 @@
     cost_weight: float = 0.0
     slots: int = 1
     late: bool = False
+    version: str | None = None
 
     def key(self) -> _Key:
         """Returns the sort key, smallest first.
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -59,6 +59,8 @@
         suspected part of the prompt.
       avoids_engines: Whether it waits for one of the engines that its entry
         process can use, while others may be free.
+      needs_version: Whether it waits for an engine of its version, while the
+        pool has engines of another one.
       knows_versions: Whether its entry process runs a release that knows of
         software versions and their error code.
     """
@@ -87,15 +89,20 @@
     version: str | None = None
     starts_apart: bool = False
     avoids_engines: bool = False
+    needs_version: bool = False
     knows_versions: bool = False
 
     @property
     def queue(self) -> request_queue.RequestQueue:
         """The queue of its pool in which it waits."""
-        waits_apart = self.starts_apart or self.avoids_engines
-        if self.version is None and not waits_apart:
-            return self.pool.queue
-        return self.pool.constrained
+        if self.starts_apart or self.avoids_engines or self.needs_version:
+            return self.pool.constrained
+        return self.pool.queue
+
+    def lacks_engines(self) -> bool:
+        """Returns whether not all engines of its pool can go on with it."""
+        versions = {item.software_version for item in self.pool.decodes}
+        return self.version is not None and versions != {self.version}
 
     def can_reuse_prefill(self, now: float) -> bool:
         """Returns whether the KV cache of its last prefill can be fetched."""
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -240,34 +240,34 @@
         ):
             code = messages.RefusalCode.TARGET_UNREACHABLE
             return [self._refuse(request, code, now)]
-        item = wait_estimates.request_demand(request, now)
-        pool.demand.add(item)
+        pool.demand.add(wait_estimates.request_demand(request, now))
         if event.resumes:
-            return [
-                *self._submit_resumed(request, now),
-                *self._schedule(pool, now),
-            ]
+            actions = self._submit_resumed(request, now)
+        else:
+            actions = self._admit(request, now)
+        return actions + self._schedule(pool, now)
+
+    def _admit(
+        self, request: requests.Request, now: float
+    ) -> list[messages.Action]:
+        """Starts a request, or queues it if it is expected to start in time."""
         self._enqueue(request, now)
-        starts = self._place_all(pool, now)
+        starts = self._place_all(request.pool, now)
         is_queued = request.stage is messages.Stage.QUEUED
         can_meet_target = request.start_deadline > now
         entry_count = self._pools.entry_count
         if (
             is_queued
             and can_meet_target
-            and not wait_estimates.should_queue(request, item, now, entry_count)
+            and not wait_estimates.should_queue(request, now, entry_count)
         ):
             starts.extend(self._demote(request, now))
-        return starts + self._schedule(pool, now)
+        return starts
 
     def _submit_resumed(
         self, request: requests.Request, now: float
     ) -> list[messages.Action]:
-        """Queues a stream that a caller resumes, if its version is known.
-
-        Returns:
-          The refusal, if any.
-        """
+        """Admits a stream that a caller resumes, if its version is known."""
         submit = request.submit
         if request.version is None:
             request.version = self._origins.version_of(
@@ -277,7 +277,9 @@
                 now,
             )
         if request.version is not None:
-            return self._enqueue_resumed(request, now)
+            if request.pool.serves_version(request.version):
+                return self._admit(request, now)
+            return [self._refuse(request, request.no_version_code, now)]
         if now < self.origins_complete_at:
             self._unknown_origin_ids.add(submit.request_id)
             return []
@@ -380,6 +382,7 @@
 
     def _enqueue(self, request: requests.Request, now: float) -> None:
         request.stage = messages.Stage.QUEUED
+        request.needs_version = request.lacks_engines()
         late = request.start_deadline <= now < request.useful_start_deadline
         request.queue.add(
             request_queue.QueuedRequest(
@@ -395,6 +398,7 @@
                 / request.value,
                 cost_weight=_COST_WEIGHT,
                 slots=request.slots,
+                version=request.version if request.needs_version else None,
             )
         )
 
@@ -624,8 +628,18 @@
         self, snapshot: model.Snapshot, fleet: model.Fleet, now: float
     ) -> list[messages.Action]:
         self._pools.update(snapshot, fleet, now)
+        for pool in self._pools.pools_by_name.values():
+            self._requeue_versions(pool, now)
         return self._schedule_all(now)
 
+    def _requeue_versions(self, pool: pools.Pool, now: float) -> None:
+        """Moves streams between the queues after a change of the engines."""
+        waiting = [*pool.queue, *pool.constrained]
+        for request in map(self._queued, waiting):
+            if request.needs_version != request.lacks_engines():
+                request.queue.remove(request.submit.request_id)
+                self._enqueue(request, now)
+
     # Placement.
 
     def set_slot_fraction(
@@ -825,19 +839,38 @@
                 continue
             code = messages.RefusalCode.WAITED_TOO_LONG
             refusals.append(self._refuse(request, code, now))
+        return refusals + self._demote_without_chance(pool, now)
+
+    def _demote_without_chance(
+        self, pool: pools.Pool, now: float
+    ) -> list[messages.Action]:
+        """Demotes or refuses requests that wait behind too many others."""
+        refusals: list[messages.Action] = []
         while len(pool.queue):
             last = pool.queue.last(pool.over_share)
             assert last is not None
-            time_left = last.start_deadline - now
-            wait_s = wait_estimates.wait_s(
-                pool, last, now, self._pools.entry_count
-            )
-            if wait_s <= time_left * _ADMISSION_WAIT_FACTOR:
+            if self._has_chance(pool, last, now):
                 break
-            request = self._requests_by_id[last.submit.request_id]
-            refusals.extend(self._demote(request, now))
+            refusals.extend(self._demote(self._queued(last), now))
+        versions = {item.version for item in pool.constrained} - {None}
+        for version in sorted(versions):
+            while waiting := [
+                item for item in pool.constrained if item.version == version
+            ]:
+                last = max(waiting, key=request_queue.QueuedRequest.key)
+                if self._has_chance(pool, last, now):
+                    break
+                refusals.extend(self._demote(self._queued(last), now))
         return refusals
 
+    def _has_chance(
+        self, pool: pools.Pool, last: request_queue.QueuedRequest, now: float
+    ) -> bool:
+        """Returns whether the last request of a queue may start in time."""
+        time_left = last.start_deadline - now
+        wait_s = wait_estimates.wait_s(pool, last, now, self._pools.entry_count)
+        return wait_s <= time_left * _ADMISSION_WAIT_FACTOR
+
     def _place(
         self, request: requests.Request, now: float
     ) -> messages.Start | None:
--- a/src/cowsliprill/decisions/wait_estimates.py
+++ b/src/cowsliprill/decisions/wait_estimates.py
@@ -68,21 +68,18 @@
 
 
 def should_queue(
-    request: requests.Request,
-    item: demand.RequestDemand,
-    now: float,
-    entry_count: int,
+    request: requests.Request, now: float, entry_count: int
 ) -> bool:
     """Returns whether a request that can't start now should be queued.
 
     Args:
       request: The request.
-      item: Its demand.
       now: Current time in seconds.
       entry_count: Number of entry processes that share the pool's slots.
     """
-    pool = request.pool
-    backlog = pool.backlog(item.priority)
+    pool, item = request.pool, request_demand(request, now)
+    version = request.version if request.needs_version else None
+    backlog = pool.backlog(item.priority, version)
     if not backlog.is_scarce():
         return True
     # A burst after little traffic may seem to exceed the capacity, as output
@@ -91,6 +88,9 @@
     time_left_s = request.start_deadline - now
     if backlog.wait_s() < time_left_s * _SHORT_WAIT_FRACTION:
         return True
+    if version is not None:
+        # The demand isn't recorded by version.
+        return backlog.wait_s() <= time_left_s
     slots = pool.slots() / entry_count
     return pool.demand.fits(item, slots, pool.shares_by_customer)
 
@@ -112,7 +112,7 @@
       now: Current time in seconds.
       entry_count: Number of entry processes that share the pool's slots.
     """
-    drain_s = pool.backlog(last.submit.priority).wait_s()
+    drain_s = pool.backlog(last.submit.priority, last.version).wait_s()
     if not last.late:
         return drain_s
     return drain_s / spare_capacity(pool, now, entry_count).for_late_requests
