Tell coordinators the ends of engines that all VMs know

Cause: which parts of prompts are suspected was known to the coordinator only that had placed the lost requests. A VM that took over began with nothing and started all requests with the part at the same moment; it learnt from the losses.

Change: crash records, which all VMs exchange, are given to the schedulers, all of them when a pool is begun and each new or changed one since. A part counts the ends that the scheduler was told of or the records, whichever are more, so that an end known in both ways delays nobody. The scheduler of an entry process on the own interface gets them as well.

What callers saw: engines that ended together after a coordinator had gone, with all streams on them.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -12,6 +12,7 @@
 import enum
 from collections.abc import Mapping
 
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import stream_origins
@@ -282,6 +283,17 @@
     limits: tuple[rate_limits.RateLimit, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashRecordsChanged:
+    """Ends of engines, as all VMs know them, are new or have changed.
+
+    Attributes:
+      records: Their records.
+    """
+
+    records: tuple[crash_records.CrashRecord, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EnginesUnavailable:
     """Which engines an entry process can't use now.
@@ -314,6 +326,7 @@
     | HomeUnreachable
     | ClusterStateChanged
     | RateLimitsChanged
+    | CrashRecordsChanged
     | EnginesUnavailable
     | Tick
 )
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -18,6 +18,7 @@
 import math
 from collections.abc import Mapping
 
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import message_channel
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -146,6 +147,17 @@
         """
         self._handle(messages.RateLimitsChanged(limits), now)
 
+    def add_crash_records(
+        self, records: tuple[crash_records.CrashRecord, ...], now: float
+    ) -> None:
+        """Adds ends of engines that other coordinators may have seen.
+
+        Args:
+          records: New or changed records.
+          now: Current time in seconds.
+        """
+        self._handle(messages.CrashRecordsChanged(records), now)
+
     def has_session(self, entry: str, epoch: int) -> bool:
         """Returns whether an entry process has an open session.
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -141,6 +141,9 @@
             case messages.RateLimitsChanged(limits):
                 self._pools.set_rate_limits(limits, now)
                 return self._schedule_all(now)
+            case messages.CrashRecordsChanged(records):
+                self._suspected_parts.learn(records, now)
+                return []
             case messages.EnginesUnavailable():
                 self._unavailable.set(event.entry, event.until_by_engine)
                 return self._schedule_all(now)
--- a/src/cowsliprill/decisions/suspected_parts.py
+++ b/src/cowsliprill/decisions/suspected_parts.py
@@ -8,7 +8,9 @@
 
 import dataclasses
 from collections.abc import Collection
+from collections.abc import Iterable
 
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import survived_requests
 
 # A part on which engines were lost twice in a row is tried again after this
@@ -25,13 +27,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Suspicion:
-    """Engines lost on a part since engines last gave output on it."""
+    """Engines lost on a part since engines last gave output on it.
+
+    Attributes:
+      lost_at: Time of the latest loss in seconds.
+      losses: Losses that the entry processes have told this scheduler.
+      crashes: Keys of the crash records. Losses and crashes are the same ends,
+        but for what one of the two doesn't know.
+    """
 
-    losses: int
     lost_at: float
+    losses: int = 0
+    crashes: frozenset[crash_records.CrashKey] = frozenset()
 
     def retry_at(self) -> float:
-        further = self.losses - _LOSSES_BEFORE_DELAY
+        losses = max(self.losses, len(self.crashes))
+        further = losses - _LOSSES_BEFORE_DELAY
         if further < 0:
             return self.lost_at
         delay_s = _RETRY_DELAY_S * 2.0 ** min(further, _MAX_DOUBLINGS)
@@ -75,7 +86,24 @@
         pool, parts = self._starting_by_id.get(request_id, ("", ()))
         for part in parts:
             if not self._survived.contains(part, pool, now):
-                self._suspect((part, pool), now)
+                self._suspect((part, pool), now, losses=1)
+
+    def learn(
+        self, records: Iterable[crash_records.CrashRecord], now: float
+    ) -> None:
+        """Adds ends of engines that other schedulers had placed requests on.
+
+        A new coordinator hasn't seen the losses before it began.
+
+        Args:
+          records: New or changed crash records.
+          now: Current time in seconds.
+        """
+        for record in records:
+            for part in record.remaining_features & record.parts:
+                if not self._survived.contains(part, record.pool, now):
+                    key = (part, record.pool)
+                    self._suspect(key, record.observed_at, crash=record.key)
 
     def survive(self, request_id: int, now: float) -> None:
         """Records that an engine gave output for a request.
@@ -115,9 +143,20 @@
             for other_pool, other_parts in self._starting_by_id.values()
         )
 
-    def _suspect(self, key: _PartKey, now: float) -> None:
-        # The dictionary is kept in order of time, oldest first.
-        known = self._suspicions_by_part.pop(key, _Suspicion(0, now))
-        self._suspicions_by_part[key] = _Suspicion(known.losses + 1, now)
+    def _suspect(
+        self,
+        key: _PartKey,
+        lost_at: float,
+        losses: int = 0,
+        crash: crash_records.CrashKey | None = None,
+    ) -> None:
+        # The dictionary is kept in order of change, oldest first.
+        known = self._suspicions_by_part.pop(key, _Suspicion(lost_at))
+        crashes = known.crashes if crash is None else known.crashes | {crash}
+        self._suspicions_by_part[key] = _Suspicion(
+            lost_at=max(known.lost_at, lost_at),
+            losses=known.losses + losses,
+            crashes=crashes,
+        )
         if len(self._suspicions_by_part) > _MAX_SUSPECTED:
             del self._suspicions_by_part[next(iter(self._suspicions_by_part))]
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -84,6 +84,7 @@
     Attributes:
       rate_limits: Rate limits that endpoints name.
       availability: Endpoints that say that they leave or want a pause.
+      crash_ledger: Ends of engines, with the requests that may be the cause.
       shell: HTTP servers, health checks and signal handling of the process.
       peer_routes: Additional tornado routes of the peer port, to be set before
         `run`.
@@ -196,6 +197,8 @@
             self._metrics,
             lists_ends=source.lists_ends,
         )
+        self.crash_ledger = self._quarantine.ledger
+        self.crash_ledger.subscribe(self._placement_backend.add_crash_records)
         self._source = source
         self._quotas = quotas or quota.Unlimited()
         self._authorization = authorization.Authorization(
--- a/src/cowsliprill/entry/placement_backend.py
+++ b/src/cowsliprill/entry/placement_backend.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -84,6 +85,11 @@
     def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
         """Sets the rate limits that endpoints name."""
 
+    def add_crash_records(
+        self, records: Iterable[crash_records.CrashRecord]
+    ) -> None:
+        """Adds new or changed ends of engines."""
+
     def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
         """Sets until when this process can't use some engines, in seconds."""
 
@@ -166,6 +172,12 @@
         """
         self.scheduling.post(messages.RateLimitsChanged(tuple(limits)))
 
+    def add_crash_records(
+        self, records: Iterable[crash_records.CrashRecord]
+    ) -> None:
+        """Tells the scheduler of ends that other entry processes have seen."""
+        self.scheduling.post(messages.CrashRecordsChanged(tuple(records)))
+
     def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
         """Has the scheduler leave out the engines meanwhile."""
         self.scheduling.post(
@@ -226,6 +238,11 @@
     def set_rate_limits(self, limits: Iterable[rate_limits.RateLimit]) -> None:
         """Does nothing: the coordinators keep the limits."""
 
+    def add_crash_records(
+        self, records: Iterable[crash_records.CrashRecord]
+    ) -> None:
+        """Does nothing: the coordinators have records of their own."""
+
     def set_unavailable(self, until_by_engine: Mapping[str, float]) -> None:
         """Has the coordinators leave out the engines for this process."""
         self.scheduling.set_unavailable(until_by_engine)
--- a/src/cowsliprill/entry/quarantine_components.py
+++ b/src/cowsliprill/entry/quarantine_components.py
@@ -34,6 +34,7 @@
       lists_ends: Whether endpoints that have ended disappear from the settings.
 
     Attributes:
+      ledger: The crash records of this process.
       check: Interface for the filters that send requests to engines.
     """
 
@@ -51,14 +52,14 @@
     ) -> None:
         limits = environment.quarantine_limits()
         self._auth = auth
-        self._ledger = ledger_lib.CrashLedger(
+        self.ledger = ledger_lib.CrashLedger(
             quarantine.Quarantine(limits), log, metrics
         )
         self._detector = crash_detector.CrashDetector(
-            self._ledger, cluster_state, http, log, lists_ends=lists_ends
+            self.ledger, cluster_state, http, log, lists_ends=lists_ends
         )
         self._exchange = peer_exchange.PeerExchange(
-            network, self._ledger, self._detector.can_be_ended, log
+            network, self.ledger, self._detector.can_be_ended, log
         )
         self.check: request_quarantine.RequestQuarantine = (
             request_quarantine.Disabled()
@@ -66,7 +67,7 @@
         disabled = environment.mechanisms_off
         if mechanisms.Mechanism.QUARANTINE not in disabled:
             self.check = request_quarantine.LedgerQuarantine(
-                self._ledger, self._detector, log
+                self.ledger, self._detector, log
             )
 
     def cluster_state_changed(self) -> None:
@@ -75,7 +76,7 @@
 
     def set_limits(self, limits: quarantine.Limits) -> None:
         """Applies new limits."""
-        self._ledger.set_limits(limits)
+        self.ledger.set_limits(limits)
 
     def peer_routes(self) -> list[tuple]:
         """Returns the tornado routes of the peer port."""
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -3,9 +3,11 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from cowsliprill import clock
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
@@ -54,6 +56,9 @@
       log: The process's log.
       origins: Shares with other VMs which software version began a stream;
         None where engines have no versions.
+
+    Attributes:
+      crash_records: Returns the ends of engines that this process knows of.
     """
 
     def __init__(
@@ -64,6 +69,9 @@
         log: log_lib.Log,
         origins: origin_exchange.OriginExchange | None = None,
     ) -> None:
+        self.crash_records: Callable[
+            [], Iterable[crash_records.CrashRecord]
+        ] = tuple
         self._origins = origins
         if origins is not None:
             origins.ranked_vms = self._ranked
@@ -100,6 +108,14 @@
             self._wake_long_polls(hosted)
         self._wake.set()
 
+    def add_crash_records(
+        self, records: Iterable[crash_records.CrashRecord]
+    ) -> None:
+        """Adds new or changed ends of engines."""
+        now = clock.now()
+        for hosted in self._hosted_by_pool.values():
+            hosted.scheduler.add_crash_records(tuple(records), now)
+
     async def handle(
         self, request: wire.SchedulingRequest
     ) -> wire.SchedulingResponse:
@@ -232,6 +248,7 @@
                 self._origins.ask(pool, again=True)
             hosted.scheduler.update(self._snapshot, self._fleet, now)
             hosted.scheduler.set_rate_limits(self._rate_limits, now)
+            hosted.scheduler.add_crash_records(tuple(self.crash_records()), now)
             hosted.scheduler.set_is_coordinator(self._is_coordinator(pool), now)
             self._hosted_by_pool[pool] = hosted
             self._log.event("cell_begun", pool=pool)
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -154,6 +154,12 @@
             ledger.subscribe(
                 lambda _: self._pool_schedulers.set_rate_limits(ledger.table)
             )
+        self._pool_schedulers.crash_records = lambda: (
+            self._entry.crash_ledger.table
+        )
+        self._entry.crash_ledger.subscribe(
+            self._pool_schedulers.add_crash_records
+        )
         if self._entry.availability.enabled:
             self._entry.availability.ledger.subscribe(self._apply_leaving)
         self._entry.before_drain = self._agent.leave
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -16,6 +16,9 @@
 _CRASHES_MAX = 3
 _LATE_SENDS_MAX = 3
 _CONTACT_S = 3.0
+# One request after the other: the first end after the change, and one that was
+# let start before all VMs knew of it.
+_ENDS_OF_NEW_COORDINATOR_MAX = 2
 # An entry of an engine that has ended expires after three missed heartbeats.
 _EXPIRY_S = 1.0
 
@@ -24,7 +27,7 @@
     """A site whose engines end when they begin to run one request.
 
     Ended engines lose their entry after a while, and others take their place
-    under new ids.
+    under new ids, unless `replaces` is false.
     """
 
     def __init__(
@@ -33,8 +36,10 @@
         service: str,
         *,
         unframed: bool = False,
+        replaces: bool = True,
     ) -> None:
         self.site = site
+        self._replaces = replaces
         self._unframed = unframed
         self._service = service
         self._stage = "decode" if service == "llm" else None
@@ -75,7 +80,7 @@
 
     def replace_ended(self) -> None:
         """Starts to replace the engines that have ended since the last call."""
-        for engine in self._engines():
+        for engine in self._engines() if self._replaces else ():
             if engine.crashed and engine.name not in self._replaced:
                 self._replaced.add(engine.name)
                 self._tasks.add(asyncio.create_task(self._replace(engine)))
@@ -188,12 +193,12 @@
         self._crash_site = crash_site
         self._numbers = itertools.count()
 
-    async def send(self, *parts: str) -> int:
+    async def send(self, *parts: str, router: int | None = None) -> int:
         """Sends a new request with these parts after the first one."""
         number = next(self._numbers)
         return await self._crash_site.send(
             platform_site.RESUMABLE_PATH,
-            number % _ROUTERS,
+            number % _ROUTERS if router is None else router,
             f"part-{number}",
             f"ask {number}".encode(),
             (_FIRST_PART, *parts, f"e{number:03x}"),
@@ -232,3 +237,40 @@
         late_sends, sound = asyncio.run(scenario())
         assert late_sends <= _LATE_SENDS_MAX
         assert sound == [200] * len(sound)
+
+    def test_few_end_together_after_a_change_of_coordinator(self):
+        """Guards against a new coordinator that doesn't know what is suspected.
+
+        It would start all requests with the part at the same moment.
+        """
+
+        async def scenario():
+            async with platform_site.running(_ROUTERS) as site:
+                crash_site = _CrashSite(site, "llm", replaces=False)
+                await crash_site.start()
+                sender = _PartSender(crash_site)
+                for _ in range(_ROUTERS):
+                    await sender.send("c0")
+                (coordinator,) = [
+                    number
+                    for number, log in enumerate(site.logs)
+                    if "event=cell_begun pool=llm" in log.getvalue()
+                ]
+                others = {*range(_ROUTERS)} - {coordinator}
+                await sender.send("c0", _CRASH_PART, router=min(others))
+                before = crash_site.crashes()
+                site.routers[coordinator].stop()
+                await asyncio.wait_for(site.tasks[coordinator], 10)
+                await asyncio.gather(
+                    *(
+                        sender.send("c0", _CRASH_PART, router=router)
+                        for router in [*others] * 4
+                    )
+                )
+                ended = crash_site.crashes() - before
+                await crash_site.stop()
+                return before, ended
+
+        before, ended = asyncio.run(scenario())
+        assert before
+        assert ended <= _ENDS_OF_NEW_COORDINATOR_MAX
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool_scheduler as pool_scheduler_lib
@@ -645,3 +646,24 @@
         for start in running.values():
             used[start.decode_id] = used.get(start.decode_id, 0) + start.slots
         assert all(blocks <= _BLOCKS for blocks in used.values()), used
+
+
+class TestNewCoordinator:
+    """A VM that begins to place a pool's requests while engines end."""
+
+    def test_starts_requests_with_a_suspected_part_one_by_one(self):
+        """Guards against several engines that one part ends together."""
+        site = _Site(entries=1)
+        record = crash_records.CrashRecord(
+            endpoint_id="d9",
+            number=0,
+            pool="brief",
+            sent_before_s={"r": 0.1},
+            parts_by_fingerprint={"r": frozenset({"x"})},
+            observed_at=site.now,
+        )
+        site.pool_scheduler.add_crash_records((record,), site.now)
+        for number in range(4):
+            submit = _submit(number, site.now, prompt_parts=("x",))
+            site.send("vm-0", submit)
+        assert len(_starts(site.decisions("vm-0"))) == 1
--- a/tests/test_suspected_parts.py
+++ b/tests/test_suspected_parts.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import suspected_parts
 
 _POOL = "writers"
@@ -76,3 +77,54 @@
             state.start(number, _POOL, (f"{number:016x}",))
             state.lose(number, 10.0)
         assert len(state._suspicions_by_part) == 8_192
+
+
+def _record(endpoint: str, *parts: str, **changes) -> crash_records.CrashRecord:
+    return crash_records.CrashRecord(
+        endpoint_id=endpoint,
+        number=0,
+        pool=_POOL,
+        sent_before_s={"r": 0.1},
+        parts_by_fingerprint={"r": frozenset(parts)},
+        observed_at=10.0,
+        **changes,
+    )
+
+
+class TestLearn:
+    """Ends of engines that another coordinator has seen."""
+
+    def test_part_of_a_record_is_suspected(self):
+        """Guards against a new coordinator that starts all requests at once."""
+        state = suspected_parts.SuspectedParts()
+        state.learn([_record("d0", "x")], 10.1)
+        assert not state.must_wait(_POOL, ("x",), 10.1)
+        state.start(1, _POOL, ("x",))
+        assert state.must_wait(_POOL, ("x",), 10.2)
+        assert not state.must_wait("other", ("x",), 10.2)
+
+    def test_part_with_output_since_is_not(self):
+        """Guards against sound requests that wait for each other."""
+        acquitted = _record("d0", "x", acquitted_parts=frozenset({"x"}))
+        state = suspected_parts.SuspectedParts()
+        state.learn([acquitted], 10.1)
+        state.start(1, _POOL, ("x",))
+        assert not state.must_wait(_POOL, ("x",), 10.2)
+
+    def test_part_that_engines_survived_here_is_not(self):
+        """Guards against a record that comes later than the output."""
+        state = suspected_parts.SuspectedParts()
+        state.start(1, _POOL, ("x",))
+        state.survive(1, 10.1)
+        state.learn([_record("d0", "x")], 10.2)
+        state.start(2, _POOL, ("x",))
+        assert not state.must_wait(_POOL, ("x",), 10.3)
+
+    def test_end_known_in_both_ways_counts_once(self):
+        """Guards against a delay after the first loss already."""
+        state = _suspected("x")
+        for _ in range(3):
+            state.learn([_record("d0", "x")], 10.1)
+        assert not state.must_wait(_POOL, ("x",), 10.1)
+        state.learn([_record("d1", "x")], 10.1)
+        assert state.must_wait(_POOL, ("x",), 10.1)
