End tasks that are cancelled as they are woken

Cause: a follower of the registry took every cancellation for its own interrupt of a call if one was under way, so a process that ended in that moment left the task running; nothing cancels it again but the end of the event loop. asyncio.wait_for of this Python has the same property: a wait that is over when its task is cancelled returns as if nothing had happened. Three places used it in tasks that run for good or per request.

Change: the follower looks at whether its task is to end; the waits use asyncio.timeout.

What callers saw: nothing known; a process might stay until its SIGKILL.

--- a/src/cowsliprill/dispatch/canceller.py
+++ b/src/cowsliprill/dispatch/canceller.py
@@ -104,9 +104,8 @@
         next_at = self._queue.next_at()
         wait_s = _MAX_SLEEP_S if next_at is None else next_at - clock.now()
         try:
-            await asyncio.wait_for(
-                self._wakeup.wait(), min(max(wait_s, 0.01), _MAX_SLEEP_S)
-            )
+            async with asyncio.timeout(min(max(wait_s, 0.01), _MAX_SLEEP_S)):
+                await self._wakeup.wait()
         except TimeoutError:
             pass
 
--- a/src/cowsliprill/dispatch/slot_lease_server.py
+++ b/src/cowsliprill/dispatch/slot_lease_server.py
@@ -138,7 +138,8 @@
         long_poll = _LongPoll(grants_by_endpoint)
         self._long_poll_by_entry[entry] = long_poll
         try:
-            await asyncio.wait_for(long_poll.ready.wait(), wait_s)
+            async with asyncio.timeout(wait_s):
+                await long_poll.ready.wait()
         except TimeoutError:
             pass
         finally:
--- a/src/cowsliprill/registry/follower.py
+++ b/src/cowsliprill/registry/follower.py
@@ -131,7 +131,8 @@
                 self._record_failure(error)
                 await self._back_off()
             except asyncio.CancelledError:
-                if not self._interrupted:
+                # The call may be interrupted as the process ends.
+                if not self._interrupted or _is_cancelled():
                     self._call.cancel()
                     raise
                 self._interrupted = False
@@ -305,3 +306,9 @@
             )
         self.last_response_at = now
         self.unavailable_since = 0.0
+
+
+def _is_cancelled() -> bool:
+    """Returns whether the current task must end."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
--- a/src/cowsliprill/settings/change_notifier.py
+++ b/src/cowsliprill/settings/change_notifier.py
@@ -34,7 +34,8 @@
 
 async def _wait(event: asyncio.Event, timeout_s: float) -> bool:
     try:
-        await asyncio.wait_for(event.wait(), timeout_s)
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
     except TimeoutError:
         return False
     return True
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -4,6 +4,7 @@
 import io
 import random
 
+import pytest
 from tests import outage_store
 from tests import virtual_time
 
@@ -159,3 +160,34 @@
         )
         assert float(fields["waited_s"]) > 0.0
         assert float(fields["view_age_s"]) >= float(fields["waited_s"])
+
+
+class TestEnd:
+    """A process ends while its calls to the store are stopped."""
+
+    @pytest.mark.parametrize(
+        "stop_call",
+        [
+            lambda follower: follower.catch_up(9),
+            lambda follower: follower.stop_calls(),
+        ],
+        ids=["catch_up", "stop_calls"],
+    )
+    def test_ends_when_a_call_is_interrupted_at_the_same_moment(
+        self, stop_call
+    ):
+        """Guards against a process that sleeps for good instead of ending."""
+
+        async def main():
+            store = _FakeStore()
+            follower = _follower(store)
+            follower.set_reading(True)
+            task = asyncio.create_task(follower.run())
+            while "watch" not in store.calls:
+                await store.next_call()
+            stop_call(follower)
+            task.cancel()
+            await asyncio.wait([task], timeout=1.0)
+            return task.cancelled()
+
+        assert asyncio.run(main())
