Let a release try what ended the engines before it

Cause: a verdict on a request or a part of prompts holds for a pool, whatever software its engines run. After a release that survives it callers were refused for 10 minutes and more, or until an operator stepped in.

Change: crash records name the engine's software version. Once a pool has no engine of a version that ended, nothing is refused for these ends; the first engine of another version that ends with the request makes all ends count again, so that a release costs one engine and not three. Records without a version, as older releases send them, count for all.

What callers saw: request_quarantined with up to 10 minutes left, though every engine could serve them.

Tests: test_quarantine TestOtherVersion; three routers, a part that ended engines of v1, then v2 (test_crashing_requests): 503 at all routers before (seen while prefill engines of v1 were left, for which the verdict stands), 200 at all routers after.

--- a/src/cowsliprill/decisions/crash_records.py
+++ b/src/cowsliprill/decisions/crash_records.py
@@ -68,6 +68,7 @@
       number: Distinguishes ends of engines that start again under their id.
       life: `model.Endpoint.life` of the engine that ended.
       pool: Pool of the engine.
+      version: Its software version, empty if unknown.
       sent_before_s: How long before the end the requests were sent that the
         engine had given no output for, in seconds by fingerprint; the latest
         send counts.
@@ -88,6 +89,7 @@
     number: int
     life: str = ""
     pool: str = ""
+    version: str = ""
     sent_before_s: Mapping[str, float] = dataclasses.field(default_factory=dict)
     acquitted: frozenset[str] = frozenset()
     parts_by_fingerprint: Mapping[str, frozenset[str]] = dataclasses.field(
@@ -166,6 +168,7 @@
             self,
             life=max(self.life, other.life),
             pool=max(self.pool, other.pool),
+            version=max(self.version, other.version),
             sent_before_s={
                 fingerprint: min(
                     sent[fingerprint] for sent in both if fingerprint in sent
@@ -210,6 +213,7 @@
             sorted(self.acquitted_parts),
             self.confirmed,
             int(self.control),
+            self.version,
         )
 
 
@@ -252,6 +256,7 @@
                 number=self._number(endpoint.id, endpoint.life, lost_at),
                 life=endpoint.life,
                 pool=endpoint.pool,
+                version=endpoint.software_version,
                 sent_before_s={fingerprint: sent_before_s},
                 parts_by_fingerprint={fingerprint: frozenset(parts)},
                 observed_at=lost_at,
--- a/src/cowsliprill/decisions/quarantine.py
+++ b/src/cowsliprill/decisions/quarantine.py
@@ -11,6 +11,7 @@
 import enum
 import math
 from collections.abc import Collection
+from collections.abc import Mapping
 
 from cowsliprill.decisions import crash_blame
 from cowsliprill.decisions import crash_records
@@ -93,11 +94,13 @@
     Attributes:
       limits: Configured limits.
       table: Crash records; call `refresh` after each change.
+      versions_by_pool: Software versions that the engines of each pool have.
     """
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.table = crash_records.CrashTable()
+        self.versions_by_pool: Mapping[str, Collection[str]] = {}
         self._blame_by_feature: dict[str, crash_blame.Blame] = {}
         self._next_expiry = math.inf
 
@@ -166,6 +169,8 @@
         blame = self._blame_by_feature.get(feature)
         if blame is None or feature in self.limits.released:
             return None
+        if not any(map(self._concerns_engines, blame.records)):
+            return None
         if blame.is_part and not _can_blame_part(blame):
             return None
         needed = self._crashes_needed(blame)
@@ -178,6 +183,15 @@
         further = max(blame.confirmed - needed, 0)
         return self._quarantined(blame, further, now)
 
+    def _concerns_engines(self, record: crash_records.CrashRecord) -> bool:
+        """Returns whether engines of the version that ended are left.
+
+        Engines of another version may survive the request. The first one that
+        ends makes all ends count again.
+        """
+        versions = self.versions_by_pool.get(record.pool)
+        return not versions or record.version in ("", *versions)
+
     def _crashes_needed(self, blame: crash_blame.Blame) -> int:
         sole_suspects = _REQUESTS_TO_BLAME_PART if blame.is_part else 1
         if len(blame.sole_suspects) >= sole_suspects:
--- a/src/cowsliprill/quarantine/crash_detector.py
+++ b/src/cowsliprill/quarantine/crash_detector.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from typing import Any
 
 from cowsliprill import clock
@@ -92,12 +93,17 @@
     def cluster_state_changed(self) -> None:
         """Confirms ends that the new settings show."""
         now = clock.now()
-        self._ends.update(
-            self._cluster_state.snapshot.endpoints_by_id,
-            self._cluster_state.fleet_at(now).leaving_endpoint_ids,
-            now,
-        )
+        endpoints_by_id = self._cluster_state.snapshot.endpoints_by_id
+        leaving_ids = self._cluster_state.fleet_at(now).leaving_endpoint_ids
+        self._ends.update(endpoints_by_id, leaving_ids, now)
         self._confirm_records([])
+        self._ledger.set_versions(
+            _versions_by_pool(
+                endpoint
+                for endpoint in endpoints_by_id.values()
+                if endpoint.id not in leaving_ids
+            )
+        )
 
     def report_lost(
         self,
@@ -218,3 +224,15 @@
         for record in self._ledger.table.unconfirmed():
             if self._ends.has_ended(record.endpoint_id, record.life):
                 self._ledger.confirm(record)
+
+
+def _versions_by_pool(
+    endpoints: Iterable[model.Endpoint],
+) -> dict[str, frozenset[str]]:
+    versions_by_pool: dict[str, set[str]] = {}
+    for endpoint in endpoints:
+        versions = versions_by_pool.setdefault(endpoint.pool, set())
+        versions.add(endpoint.software_version)
+    return {
+        pool: frozenset(versions) for pool, versions in versions_by_pool.items()
+    }
--- a/src/cowsliprill/quarantine/ledger.py
+++ b/src/cowsliprill/quarantine/ledger.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 
 from cowsliprill import clock
@@ -99,6 +100,19 @@
         self._quarantine.limits = limits
         self._apply([])
 
+    def set_versions(
+        self, versions_by_pool: Mapping[str, frozenset[str]]
+    ) -> None:
+        """Applies which software versions the engines of each pool have.
+
+        Args:
+          versions_by_pool: The versions by pool.
+        """
+        if versions_by_pool != self._quarantine.versions_by_pool:
+            self._quarantine.versions_by_pool = versions_by_pool
+            if len(self.table):
+                self._report_restrictions()
+
     def observe(
         self,
         endpoint: model.Endpoint,
--- a/src/cowsliprill/quarantine/wire.py
+++ b/src/cowsliprill/quarantine/wire.py
@@ -34,6 +34,7 @@
       number: Distinguishes ends of engines that start again under their id.
       life: Life of the engine.
       pool: Pool of the engine.
+      version: Its software version, empty if unknown.
       suspects: Fingerprints of the suspects, and how long before the end each
         was sent, in seconds.
       acquitted: Fingerprints of the suspects that were cleared.
@@ -49,6 +50,7 @@
     number: Annotated[int, pydantic.Field(ge=0)]
     life: str = ""
     pool: str = ""
+    version: str = ""
     suspects: Annotated[
         tuple[tuple[_Fingerprint, _Age], ...],
         pydantic.Field(max_length=crash_records.MAX_SUSPECTS),
@@ -95,6 +97,7 @@
         number=record.number,
         life=record.life,
         pool=record.pool,
+        version=record.version,
         suspects=tuple(sorted(record.sent_before_s.items())),
         acquitted=tuple(sorted(record.acquitted)),
         parts={
@@ -122,6 +125,7 @@
         number=crash.number,
         life=crash.life,
         pool=crash.pool,
+        version=crash.version,
         sent_before_s=dict(crash.suspects),
         acquitted=frozenset(crash.acquitted),
         parts_by_fingerprint={
--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -12,6 +12,7 @@
 from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill import record_exchange
+from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quarantine
 from cowsliprill.entry import cluster_state as cluster_state_lib
@@ -324,3 +325,13 @@
         text = '{"crashes": [{"endpoint_id": "e1", "number": 0, "more": 1}]}'
         (crash,) = codec.decode(wire.CrashExchange, text).crashes
         assert crash.endpoint_id == "e1"
+
+    def test_record_keeps_the_software_version(self):
+        """Guards against a release that other VMs don't let try a request."""
+        record = crash_records.CrashRecord(
+            endpoint_id="e1", number=0, version="v1", observed_at=100.0
+        )
+        sent = wire.CrashExchange(crashes=(wire.to_wire(record, 100.0),))
+        text = codec.encode_without_defaults(sent)
+        (received,) = codec.decode(wire.CrashExchange, text).crashes
+        assert wire.from_wire(received, 100.0) == record
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -42,6 +42,7 @@
         strategies.sampled_from(_FINGERPRINTS[:5]), max_size=3
     ),
     confirmed=strategies.booleans(),
+    version=strategies.sampled_from(["", "v1", "v2"]),
     observed_at=strategies.floats(95.0, 100.0),
 )
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -90,6 +90,28 @@
         self.replace_ended()
         await asyncio.gather(*self._tasks)
 
+    async def release(self, version: str) -> None:
+        """Replaces all engines by others that survive any request."""
+        old = [
+            engine.name
+            for engine in self.site.engines.values()
+            if engine.service == self._service
+            and engine.name not in self._replaced
+        ]
+        for name, stage in (("r0", "prefill"), ("r1", "decode")):
+            await self.site.add_engine(
+                name, self._service, stage, version=version
+            )
+        for name in old:
+            await self.site.store.remove(f"servers/{name}")
+        await platform_site.until(
+            lambda: all(
+                f"event=endpoint_removed key=servers/{name}" in log.getvalue()
+                for log in self.site.logs
+                for name in old
+            )
+        )
+
     async def stop(self) -> None:
         """Waits until all engines are replaced and closes the client."""
         await self.until_replaced()
@@ -274,3 +296,31 @@
         before, ended = asyncio.run(scenario())
         assert before
         assert ended <= _ENDS_OF_NEW_COORDINATOR_MAX
+
+    def test_is_served_by_a_release_that_survives_it(self):
+        """Guards against a verdict that outlives the release that mends it."""
+
+        async def scenario():
+            async with platform_site.running(_ROUTERS) as site:
+                crash_site = _CrashSite(site, "llm")
+                await crash_site.start()
+                sender = _PartSender(crash_site)
+                await sender.send("c0")
+                for _ in range(8):
+                    await sender.send("c0", _CRASH_PART)
+                await crash_site.until_replaced()
+                refused = [
+                    await sender.send("c0", _CRASH_PART, router=router)
+                    for router in range(_ROUTERS)
+                ]
+                await crash_site.release("v2")
+                served = [
+                    await sender.send("c0", _CRASH_PART, router=router)
+                    for router in range(_ROUTERS)
+                ]
+                await crash_site.stop()
+                return refused, served
+
+        refused, served = asyncio.run(scenario())
+        assert 200 not in refused
+        assert served == [200] * _ROUTERS
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -280,6 +280,59 @@
         assert _part_kind(state, _PART) is _KIND.QUARANTINED
 
 
+class TestOtherVersion:
+    """Engines of another software version replace those that ended."""
+
+    @staticmethod
+    def _ended(ends: int, *, version: str = "v1", state=None, first: int = 0):
+        """Returns a quarantine after engines of a version have ended."""
+        state = state or quarantine.Quarantine(quarantine.Limits())
+        for number in range(first, first + ends):
+            now = _START + number
+            engine = dataclasses.replace(
+                test_crash_records.engine(f"e{number}"),
+                software_version=version,
+            )
+            record = state.table.observe(engine, _REQUEST, now - 0.1, now)
+            state.table.confirm(record.key)
+        state.refresh(_START + first + ends)
+        return state
+
+    @pytest.mark.parametrize(
+        ("listed", "kind"),
+        [
+            ((), _KIND.QUARANTINED),
+            (("v1",), _KIND.QUARANTINED),
+            (("v1", "v2"), _KIND.QUARANTINED),
+            (("v2",), None),
+            (("",), None),
+        ],
+    )
+    def test_may_survive_the_request(self, listed, kind):
+        """Guards against a verdict that outlives the release that mends it."""
+        state = self._ended(3)
+        if listed:
+            pool = test_crash_records.engine("e0").pool
+            state.versions_by_pool = {pool: frozenset(listed)}
+        assert _kind(state) is kind
+
+    def test_that_ends_as_well_restricts_the_request_at_once(self):
+        """Guards against three more engines that end with each release."""
+        state = self._ended(3)
+        pool = test_crash_records.engine("e0").pool
+        state.versions_by_pool = {pool: frozenset({"v2"})}
+        assert _kind(state) is None
+        self._ended(1, version="v2", state=state, first=3)
+        assert _kind(state) is _KIND.QUARANTINED
+
+    def test_unknown_version_counts_for_all(self):
+        """Guards against engines of a release that doesn't tell versions."""
+        state = self._ended(3, version="")
+        pool = test_crash_records.engine("e0").pool
+        state.versions_by_pool = {pool: frozenset({"v2"})}
+        assert _kind(state) is _KIND.QUARANTINED
+
+
 class TestFullTable:
     """The table is full of ends of other engines."""
 
