Tests of unframed answers, directly and over a peer

Cases: whole; cut within an event, by a clean close or a reset, of a stream that may be repeated (goes on at another engine) and of one that may not (the client sees it break); a plain answer that is reset. What can't be told stays so: a clean close after a whole event, or within a plain answer.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -7,6 +7,7 @@
 import io
 import json
 import socket
+import struct
 from typing import Any
 
 from tools import held_ports
@@ -233,10 +234,11 @@
         to execute them, None for none.
       crash_part: Part of a prompt, other than the last, that ends the engine as
         soon as it begins to write an answer on it, None for none.
-      unframed: Whether streams have neither a length nor chunks and end with
+      unframed: Whether answers have neither a length nor chunks and end with
         their connection.
-      end_after_bytes: Number of bytes after which an unframed stream ends, -1
+      end_after_bytes: Number of bytes after which an unframed answer ends, -1
         for none.
+      reset: Whether the connection is reset at the end of an unframed answer.
       times: Number of requests affected, -1 for all.
     """
 
@@ -252,6 +254,7 @@
     crash_part: str | None = None
     unframed: bool = False
     end_after_bytes: int = -1
+    reset: bool = False
     times: int = -1
 
 
@@ -416,18 +419,15 @@
             self.set_status(faults.fail)
             self.finish(b"failed")
             return
-        if engine.stage is None:
-            self.finish(request.body or b"answer")
-            return
+        begin = int(request.headers.get("Last-Event-Id", "0"))
+        is_plain = engine.stage is None
+        whole = (request.body or b"answer") if is_plain else stream(begin + 1)
         if faults.unframed:
-            begin = int(request.headers.get("Last-Event-Id", "0"))
-            events = stream(begin + 1)
-            if faults.end_after_bytes >= 0:
-                events = events[: faults.end_after_bytes]
-            await self._write_unframed(events)
-            self.request.connection.stream.close()
-            return
-        await self._stream(faults)
+            await self._end_unframed(whole, faults)
+        elif is_plain:
+            self.finish(whole)
+        else:
+            await self._stream(faults)
 
     post = put = get
 
@@ -442,6 +442,19 @@
         head = "".join(f"{line}\r\n" for line in lines) + "\r\n"
         await self.request.connection.stream.write(head.encode() + body)
 
+    async def _end_unframed(self, body: bytes, faults: Faults) -> None:
+        """Writes an unframed answer, or a part of it, and ends it."""
+        if faults.end_after_bytes >= 0:
+            body = body[: faults.end_after_bytes]
+        await self._write_unframed(body)
+        connection = self.request.connection.stream
+        if faults.reset:
+            # Without a time to linger, the kernel resets the connection.
+            connection.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        connection.close()
+
     async def _pause(self) -> None:
         ends = [
             asyncio.ensure_future(event.wait())
