Keep the headers between VMs from endpoints and callers

Cause: a VM that serves a request for another one passed on all end-to-end headers of the endpoint's answer, also X-Relay-Error, by which VMs tell each other that a request was refused. With run=no in it the sending VM had the request served by the next VM.

What callers saw: 503 though the call had run, and a call that may run once run up to three times. Only an endpoint that sends this header could cause it.

Change: the three headers count as those of one hop; neither answers nor requests carry them any further.

Test, red before (503 for 200): test_lost_paths, test_answer_with_a_header_between_vms_is_an_answer. Older releases at the helping VM still pass the header on.

--- a/src/cowsliprill/engines/hop_headers.py
+++ b/src/cowsliprill/engines/hop_headers.py
@@ -4,9 +4,17 @@
 
 from tornado import httputil
 
+# Headers between two VMs; see `entry.relayed_call`.
+RELAY_ENVELOPE = "X-Relay-Envelope"
+RELAY_ERROR = "X-Relay-Error"
+RELAY_VERSION = "X-Relay-Version"
+
 # Headers of a single connection, not of the message (RFC 9110, 7.6.1).
 _HOP_BY_HOP = frozenset(
     {
+        RELAY_ENVELOPE.lower(),
+        RELAY_ERROR.lower(),
+        RELAY_VERSION.lower(),
         "connection",
         "content-length",
         "host",
--- a/src/cowsliprill/entry/peer_relay.py
+++ b/src/cowsliprill/entry/peer_relay.py
@@ -30,8 +30,6 @@
 
 _MAX_VMS_TRIED = 3
 
-_RELAY_HEADERS = frozenset({relayed_call.VERSION_HEADER.lower()})
-
 # A VM that refuses with one of these may be out of service for the request
 # where others are not.
 _DECLINED_CODES = frozenset(
@@ -239,7 +237,7 @@
         ):
             raise engine_errors.CallError(f"status {response.status}")
         ctx.progress.first_token_at = ctx.progress.first_token_at or clock.now()
-        await peer_response.relay(ctx.response_writer, response, _RELAY_HEADERS)
+        await peer_response.relay(ctx.response_writer, response)
         ctx.progress.last_token_at = clock.now()
 
 
--- a/src/cowsliprill/entry/peer_response.py
+++ b/src/cowsliprill/entry/peer_response.py
@@ -8,20 +8,18 @@
 async def relay(
     writer: response_writer.ResponseWriter,
     response: exchange.Response,
-    without: frozenset[str] = frozenset(),
 ) -> None:
     """Relays a response chunk by chunk.
 
     Args:
       writer: Writer to the caller; may have started, to go on with a stream.
       response: Response with its headers read.
-      without: Names of headers to leave out, in lower case.
 
     Raises:
       engines.errors.CallError: The response is incomplete.
     """
     if not writer.started:
-        headers = hop_headers.end_to_end(response.headers, without)
+        headers = hop_headers.end_to_end(response.headers)
         if "Content-Length" in response.headers:
             headers["Content-Length"] = response.headers["Content-Length"]
         await writer.start(response.status, headers.get_all())
--- a/src/cowsliprill/entry/relayed_call.py
+++ b/src/cowsliprill/entry/relayed_call.py
@@ -19,11 +19,11 @@
 from cowsliprill.entry import errors
 from cowsliprill.entry import relay_envelope
 
-ENVELOPE_HEADER = "X-Relay-Envelope"
-ERROR_HEADER = "X-Relay-Error"
+ENVELOPE_HEADER = hop_headers.RELAY_ENVELOPE
+ERROR_HEADER = hop_headers.RELAY_ERROR
 # Marks the responses of the relay interface. A response without it comes from
 # a process that doesn't have the interface.
-VERSION_HEADER = "X-Relay-Version"
+VERSION_HEADER = hop_headers.RELAY_VERSION
 VERSION = "1"
 
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -8,6 +8,7 @@
 import json
 import socket
 import struct
+from collections.abc import Mapping
 from typing import Any
 
 from tools import held_ports
@@ -234,6 +235,7 @@
         to execute them, None for none.
       crash_part: Part of a prompt, other than the last, that ends the engine as
         soon as it begins to write an answer on it, None for none.
+      headers: Further headers of answers.
       unframed: Whether answers have neither a length nor chunks and end with
         their connection.
       end_after_bytes: Number of bytes after which an unframed answer ends, -1
@@ -252,6 +254,7 @@
     unsigned: bool = False
     crash_body: bytes | None = None
     crash_part: str | None = None
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     unframed: bool = False
     end_after_bytes: int = -1
     reset: bool = False
@@ -377,6 +380,8 @@
         faults = engine.next_faults()
         attempt = request.headers["Attempt-Id"]
         self.set_header("Attempt-Id", "other" if faults.foreign else attempt)
+        for name, value in faults.headers.items():
+            self.set_header(name, value)
         if engine.rate_limit is not None:
             self.set_header("Server-Limit", engine.rate_limit)
         if engine.leaving is not None:
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import json
 
 import pytest
 
@@ -348,6 +349,27 @@
         assert status == 502
         assert runs == ["a1"]
 
+    # Guards against an answer that is taken for the refusal of a peer, after
+    # which the request would run again.
+    def test_answer_with_a_header_between_vms_is_an_answer(self):
+        async def run():
+            async with platform_site.running(routers=3) as site:
+                error = {"code": "path_lost", "message": "", "run": "no"}
+                for name in ("s0", "s1"):
+                    site.engines[name].faults.headers = {
+                        "X-Relay-Error": json.dumps(error),
+                        "X-Relay-Version": "0",
+                    }
+                partition = await _cut_off(site)
+                relayed = await site.call(platform_site.UNSAFE_PATH)
+                partition.heal()
+                return relayed, site.runs()
+
+        (status, headers, _), runs = asyncio.run(run())
+        assert status == 200
+        assert runs == ["a1"]
+        assert not [name for name in headers if "Relay" in name]
+
     # Guards against requests that take the detour for good.
     def test_direct_path_is_taken_again_once_it_is_back(self):
         async def run():
