Simulate copies of a crashing request that come at one moment (red)

Tried and reverted: whole requests that are suspected start one after the other at the coordinator, told by crash records and by failed attempts. A part that was in the company of each end is blamed as the request is; fewer ends of the cause leave fewer chances to tell them apart.

--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -27,6 +27,8 @@
 _RESTART_S = 3.3
 # Interval at which a request that must wait for a start is tried again.
 _WAIT_STEP_S = 0.02
+# Copies of one request that come at about one moment come within this time.
+_COPIES_WITHIN_S = 0.05
 
 _FIRST_PART = f"{2**40:016x}"
 CRASHING_PART = f"{2**41:016x}"
@@ -45,6 +47,7 @@
       run_s: Time after the first output.
       crashing: Number of requests that end each engine.
       crashing_per_s: Repetitions a second of each of them.
+      crashing_copies: Number of copies of it that come at about one moment.
       crash_delay_s: Time from the start of such a request to the end.
       mass_crashes: Times at which all engines end by themselves.
       single_crashes_per_s: Ends of single engines by themselves a second.
@@ -64,6 +67,7 @@
     run_s: float = 2.0
     crashing: int = 1
     crashing_per_s: float = 1.0
+    crashing_copies: int = 1
     crash_delay_s: float = 0.08
     mass_crashes: tuple[float, ...] = ()
     single_crashes_per_s: float = 0.0
@@ -191,6 +195,9 @@
 
     def _crashing(self, now: float, fingerprint: str) -> None:
         self._submit(now, fingerprint, True, 0, 0, (_FIRST_PART,))
+        for _ in range(1, self._plan.crashing_copies):
+            at = now + self._random.uniform(0.0, _COPIES_WITHIN_S)
+            self._at(at, self._submit, fingerprint, True, 0, 0, (_FIRST_PART,))
 
     def _with_crashing_part(self, now: float) -> None:
         session = next(self._numbers) // self._plan.session_requests
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -26,6 +26,7 @@
     "slow-plain": _Plan(startup_s=0.4, run_s=0.0, crash_delay_s=0.05),
     "two-causes": _Plan(crashing=2, crashing_per_s=2.0),
     "long-startup": _Plan(startup_s=1.0, crashing_per_s=3.0),
+    "copies-at-one-moment": _Plan(crashing_per_s=0.25, crashing_copies=8),
 }
 _RACK_PLANS = {
     "racks": _Plan(crashing=0, mass_crashes=tuple(range(5, 60, 5))),
