Name the end of the pauses in every refusal of a model request

Found by reading the change as a caller of a pool whose engines all ask for rest. Cause: only requests that were refused for the pauses were told when the first engine takes requests again. One refused for another reason, as that its attempts or the retry budget are spent, got the time of the pool's usual schedule.

What callers saw: a request that both engines of a pool turned away, each with a pause of 30 s, was refused with 0.5 s; the next try was refused with 30 s.

Change: the refusal itself asks until when the request's entry process can use no engine, instead of one of its callers passing it. The check whether an entry process is restricted goes over the few engines that it named, no longer over all engines of the pool for each waiting request, and expired ones cost nothing more.

Test, red before (0.5 for 30): test_pool_scheduler_pauses, test_and_all_others_turn_the_last_attempt_away. 92 tests of the schedulers and of unavailable endpoints pass.

--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -567,20 +567,8 @@
         lease.release(request.submit.customer)
 
     def _refuse(
-        self,
-        request: requests.Request,
-        code: messages.RefusalCode,
-        now: float,
-        ready_at: float = 0.0,
+        self, request: requests.Request, code: messages.RefusalCode, now: float
     ) -> messages.Refuse:
-        """Refuses a request.
-
-        Args:
-          request: The request.
-          code: The reason.
-          now: Current time in seconds.
-          ready_at: Time in seconds before which it can't be served.
-        """
         pool = request.pool
         request_id = request.submit.request_id
         request.queue.remove(request_id)
@@ -596,15 +584,14 @@
         wait_s = (
             pool.backlog(request.submit.priority).wait_s() / capacity_fraction
         )
-        backoff_s = max(
-            wait_s, spare_capacity.overload_backoff_s, ready_at - now
-        )
+        ready_in_s = self._ready_in_s(request, now)
+        backoff_s = max(wait_s, spare_capacity.overload_backoff_s, ready_in_s)
         return messages.Refuse(
             request_id=request_id,
             code=code,
             retry_after_s=max(
                 pool.retry_schedule.retry_after_s(now, backoff_s, interval_s),
-                ready_at - now,
+                ready_in_s,
             ),
             wait_s=wait_s,
             waiting=len(pool.queue),
@@ -711,25 +698,30 @@
             return refusals
         for waiting in (*pool.queue, *pool.constrained):
             request = self._queued(waiting)
-            if not self._is_restricted(request, now):
-                continue
-            ready_at = self._ready_at(request, now)
+            ready_in_s = self._ready_in_s(request, now)
             too_late = max(
                 request.start_deadline, request.useful_start_deadline
             )
-            if too_late < ready_at < math.inf:
+            if ready_in_s and too_late < now + ready_in_s:
                 code = messages.RefusalCode.OVERLOADED
-                refusals.append(self._refuse(request, code, now, ready_at))
+                refusals.append(self._refuse(request, code, now))
         return refusals
 
     def _is_restricted(self, request: requests.Request, now: float) -> bool:
         """Returns whether its entry process can't use some of the engines."""
         return self._unavailable.restricts(
-            request.submit.entry, request.pool.endpoints_by_id.values(), now
+            request.submit.entry, request.pool.endpoints_by_id, now
         )
 
+    def _ready_in_s(self, request: requests.Request, now: float) -> float:
+        """Returns how long its entry process can't use any engine for it."""
+        if not self._is_restricted(request, now):
+            return 0.0
+        ready_at = self._ready_at(request, now)
+        # A pool without engines has none to wait for.
+        return max(ready_at - now, 0.0) if ready_at < math.inf else 0.0
+
     def _ready_at(self, request: requests.Request, now: float) -> float:
-        """Returns from when on its entry process can use engines for it."""
         pool, entry = request.pool, request.submit.entry
         decodes = [
             endpoint
--- a/src/cowsliprill/decisions/unavailable_engines.py
+++ b/src/cowsliprill/decisions/unavailable_engines.py
@@ -6,7 +6,7 @@
 
 import math
 from collections.abc import Collection
-from collections.abc import Iterable
+from collections.abc import Container
 from collections.abc import Mapping
 
 from cowsliprill.decisions import model
@@ -63,12 +63,13 @@
         return now < until_by_engine.get(engine_id, -math.inf)
 
     def restricts(
-        self, entry: str, engines: Iterable[model.Endpoint], now: float
+        self, entry: str, engine_ids: Container[str], now: float
     ) -> bool:
         """Returns whether any of some engines isn't available."""
-        if entry not in self._until_by_engine_by_entry:
-            return False
-        return any(self.has(entry, engine.id, now) for engine in engines)
+        return any(
+            now < until and engine_id in engine_ids
+            for engine_id, until in self._of(entry).items()
+        )
 
     def ready_at(
         self, entry: str | None, engines: Collection[model.Endpoint]
--- a/tests/test_pool_scheduler_pauses.py
+++ b/tests/test_pool_scheduler_pauses.py
@@ -90,6 +90,33 @@
         assert refusal.code is messages.RefusalCode.OVERLOADED
         assert refusal.retry_after_s >= 30.0
 
+    def test_and_all_others_turn_the_last_attempt_away(self) -> None:
+        """Guards against callers that come back while all engines still rest.
+
+        The request is refused as its attempts are spent.
+        """
+        site = _PauseSite()
+        site.send_heartbeats()
+        site.send("vm-0", _submit(1, site.now))
+        paused: dict[str, float] = {}
+        for _ in range(2):
+            [start] = _starts(site.decisions("vm-0"))
+            paused[start.decode_id] = site.now + 30.0
+            site.unavailable["vm-0"] = dict(paused)
+            site.send(
+                "vm-0",
+                messages.AttemptFailed(
+                    request_id=1,
+                    endpoint_id=start.decode_id,
+                    stage=messages.Stage.TRANSFER,
+                    refused=True,
+                    not_run=True,
+                ),
+            )
+        [refusal] = site.decisions("vm-0")
+        assert isinstance(refusal, messages.Refuse)
+        assert refusal.retry_after_s >= 30.0
+
     def test_that_prefills_is_missed_by_that_vm_only(self) -> None:
         site = _PauseSite()
         site.send_heartbeats()
