Wake the calls that wait for a paused endpoint by the project's notifier

The ledger of availability had written settings.change_notifier again: an event that each change replaces, and a wait for it with a time limit. The notifier moves out of settings, as its fourth user isn't one of them. Behaviour is the same; the tests of plain calls, pauses and settings pass (118).

--- a/src/cowsliprill/availability/ledger.py
+++ b/src/cowsliprill/availability/ledger.py
@@ -1,6 +1,5 @@
 """Which endpoints want no requests, with log, metrics and subscribers."""
 
-import asyncio
 import collections
 import enum
 from collections.abc import Callable
@@ -8,6 +7,7 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 
+from cowsliprill import change_notifier
 from cowsliprill import clock
 from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import endpoint_pauses
@@ -44,7 +44,7 @@
         self.pauses = endpoint_pauses.EndpointPauses()
         self._log = log
         self._metrics = metrics
-        self._changed = asyncio.Event()
+        self._changes = change_notifier.ChangeNotifier()
         self._callbacks: list[Callable[[], None]] = []
         self._leaving_callbacks: list[Callable[[_LeavingRecords], None]] = []
         self._sends_in_pause: collections.Counter[endpoint_pauses.Key] = (
@@ -150,11 +150,7 @@
         Args:
           timeout_s: Longest wait in seconds.
         """
-        try:
-            async with asyncio.timeout(timeout_s):
-                await self._changed.wait()
-        except TimeoutError:
-            pass
+        await self._changes.wait(timeout_s)
 
     def record_withheld(self, endpoint: model.Endpoint, reason: Reason) -> None:
         """Counts a request that isn't sent to an endpoint that wants none."""
@@ -243,8 +239,7 @@
             )
 
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._changes.notify()
         for callback in self._callbacks:
             callback()
 
--- a/src/cowsliprill/settings/controller.py
+++ b/src/cowsliprill/settings/controller.py
@@ -9,13 +9,13 @@
 import dataclasses
 import enum
 
+from cowsliprill import change_notifier as change_notifier_lib
 from cowsliprill import clock
 from cowsliprill.decisions import model
 from cowsliprill.decisions import settings_version
 from cowsliprill.observability import audit as audit_lib
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
-from cowsliprill.settings import change_notifier as change_notifier_lib
 from cowsliprill.settings import errors
 from cowsliprill.settings import fetch
 from cowsliprill.settings import parts
--- a/src/cowsliprill/settings/fleet.py
+++ b/src/cowsliprill/settings/fleet.py
@@ -8,11 +8,11 @@
 import math
 from collections.abc import Callable
 
+from cowsliprill import change_notifier as change_notifier_lib
 from cowsliprill import clock
 from cowsliprill.decisions import leaving_notices as notices_lib
 from cowsliprill.decisions import model
 from cowsliprill.observability import audit as audit_lib
-from cowsliprill.settings import change_notifier as change_notifier_lib
 
 _MIN_WAIT_S = 0.01
 _MAX_WAIT_S = 60.0
--- a/src/cowsliprill/settings/follower.py
+++ b/src/cowsliprill/settings/follower.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from cowsliprill import change_notifier as change_notifier_lib
 from cowsliprill import codec
 from cowsliprill import environment as environment_lib
 from cowsliprill import peer_auth
@@ -13,7 +14,6 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import settings_version
 from cowsliprill.observability import log as log_lib
-from cowsliprill.settings import change_notifier as change_notifier_lib
 from cowsliprill.settings import fetch
 from cowsliprill.settings import parts
 from cowsliprill.settings import resolve
--- a/tests/test_change_notifier.py
+++ b/tests/test_change_notifier.py
@@ -1,8 +1,8 @@
-"""Tests of `settings.change_notifier`."""
+"""Tests of `change_notifier`."""
 
 import asyncio
 
-from cowsliprill.settings import change_notifier
+from cowsliprill import change_notifier
 
 
 class TestWait:
