Look once whether the servers of a plain call are paused

Each selection asked for every server's pause twice, to know whether all are paused and again to leave the paused ones out.

--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -208,10 +208,15 @@
         wait_until = clock.now() + _max_wait_s(ctx)
         while True:
             serving = self._serving_endpoints(ctx, only_id)
-            if all(map(self.availability.paused_until, serving)):
+            unpaused = [
+                endpoint
+                for endpoint in serving
+                if not self.availability.paused_until(endpoint)
+            ]
+            if not unpaused:
                 await self._wait_for_pause(ctx, serving, wait_until)
                 continue
-            available = self._available_endpoints(ctx, serving, only_id)
+            available = self._available_endpoints(ctx, unpaused, only_id)
             if not any(map(self.permits.is_limited, available)):
                 return min(
                     available,
@@ -269,15 +274,10 @@
     def _available_endpoints(
         self,
         ctx: context.Context,
-        serving: list[model.Endpoint],
+        unpaused: list[model.Endpoint],
         only_id: str,
     ) -> list[model.Endpoint]:
         """Returns the servers that may get a call now, at least one."""
-        unpaused = [
-            endpoint
-            for endpoint in serving
-            if not self.availability.paused_until(endpoint)
-        ]
         if only_id:
             return unpaused
         available = [
