--- a/tests/test_crash_exchange.py
+++ b/tests/test_crash_exchange.py
@@ -1,22 +1,19 @@
 """Exchange of crash records between VMs, in virtual time."""
 
 import asyncio
-import random
 from collections.abc import Sequence
 
 import pytest
+from tests import exchange_network
 from tests import fake_log
 from tests import test_crash_records
 from tests import virtual_time
 
 from cowsliprill import clock
 from cowsliprill import codec
-from cowsliprill import record_exchange
 from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quarantine
-from cowsliprill.entry import cluster_state as cluster_state_lib
-from cowsliprill.entry import errors
 from cowsliprill.observability import metrics
 from cowsliprill.quarantine import ledger as ledger_lib
 from cowsliprill.quarantine import peer_exchange
@@ -24,104 +21,44 @@
 
 _REQUEST = f"{1:016x}"
 _PART = f"{2:016x}"
-_LATENCY_S = 0.02
 # Customers expect that all VMs in touch know within this time.
 _CONTACT_S = 3.0
 
 
-class _Network:
-    """Delivers messages between VMs, loses some and counts bytes."""
-
-    def __init__(self, loss: float = 0.0) -> None:
-        self.vms_by_id: dict[str, _Vm] = {}
-        self.cut_ids: set[str] = set()
-        self.old_ids: set[str] = set()
-        self.sent_bytes = 0
-        self.calls = 0
-        self._loss = loss
-        self._random = random.Random(1)
-
-    def client_of(self, vm_id: str) -> "_Client":
-        return _Client(self, vm_id)
-
-    async def deliver(
-        self, sender: str, receiver: str, message: wire.CrashExchange
-    ) -> bytes:
-        text = codec.encode_without_defaults(message)
-        self.calls += 1
-        self.sent_bytes += len(text)
-        await asyncio.sleep(_LATENCY_S)
-        lost = self._random.random() < self._loss
-        if lost or {sender, receiver} & self.cut_ids:
-            await asyncio.sleep(0.5)
-            raise errors.CoordinatorError("no answer")
-        if receiver in self.old_ids:
-            raise errors.CoordinatorError("status 404")
-        vm = self.vms_by_id[receiver]
-        response = vm.exchange.handle(codec.decode(wire.CrashExchange, text))
-        answer = codec.encode_without_defaults(response)
-        self.sent_bytes += len(answer)
-        await asyncio.sleep(_LATENCY_S)
-        return answer
-
-
-class _Client:
-    def __init__(self, network: _Network, vm_id: str) -> None:
-        self._network = network
-        self._vm_id = vm_id
-
-    async def post(self, vm, path, message, timeout_s):
-        return await self._network.deliver(self._vm_id, vm.id, message)
+def _network(loss: float = 0.0) -> exchange_network.ExchangeNetwork:
+    return exchange_network.ExchangeNetwork(wire.CrashExchange, loss)
 
 
 class _Vm:
     """The exchange and ledger of one VM."""
 
-    def __init__(self, network: _Network, number: int, fleet: model.Fleet):
+    def __init__(
+        self,
+        network: exchange_network.ExchangeNetwork,
+        number: int,
+        fleet: model.Fleet,
+    ) -> None:
         self.id = f"vm-{number}"
         self.ledger = ledger_lib.CrashLedger(
             quarantine.Quarantine(quarantine.Limits()),
             fake_log.FakeLog(),
             metrics.Metrics(),
         )
-        cluster_state = cluster_state_lib.ClusterState()
-        cluster_state.fleet = fleet
         self.exchange = peer_exchange.PeerExchange(
-            record_exchange.Network(
-                vm_id=self.id,
-                own_port=lambda: 1,
-                cluster_state=cluster_state,
-                client=network.client_of(self.id),
-                rng=random.Random(number),
-            ),
+            network.access_of(self.id, number, fleet),
             self.ledger,
             lambda record: True,
             fake_log.FakeLog(),
         )
-        network.vms_by_id[self.id] = self
+        network.exchanges_by_vm[self.id] = self.exchange
         self.task = asyncio.create_task(self.exchange.run())
 
     def restricts(self, parts: Sequence[str] = ()) -> bool:
         return self.ledger.restriction(_REQUEST, parts) is not None
 
 
-def _fleet(size: int) -> model.Fleet:
-    return model.Fleet(
-        vms_by_id={
-            f"vm-{number}": model.Vm(
-                id=f"vm-{number}",
-                host="10.0.0.1",
-                availability_zone="a",
-                role=model.VmRole.ENTRY,
-                entry_ports=(1,),
-            )
-            for number in range(size)
-        }
-    )
-
-
-def _start(network: _Network, size: int) -> list[_Vm]:
-    fleet = _fleet(size)
+def _start(network: exchange_network.ExchangeNetwork, size: int) -> list[_Vm]:
+    fleet = exchange_network.fleet(size)
     return [_Vm(network, number, fleet) for number in range(size)]
 
 
@@ -171,7 +108,7 @@
         """Guards against VMs that send the request on for want of news."""
 
         async def scenario():
-            vms = _start(_Network(loss), size)
+            vms = _start(_network(loss), size)
             await asyncio.sleep(10.0)
             await _report_ends(vms)
             took_s = await _time_until_all_restrict(vms)
@@ -185,7 +122,7 @@
         """Guards against VMs that send requests with the part on."""
 
         async def scenario():
-            vms = _start(_Network(loss=0.2), size)
+            vms = _start(_network(loss=0.2), size)
             await asyncio.sleep(10.0)
             await _report_part_ends(vms)
             took_s = await _time_until_all_restrict(vms, [_PART])
@@ -198,7 +135,7 @@
         """Guards against refusing a part for what only some VMs know."""
 
         async def scenario():
-            vms = _start(_Network(), 20)
+            vms = _start(_network(), 20)
             await asyncio.sleep(10.0)
             vms[9].ledger.record_survived(f"{99:016x}", "writers", [_PART])
             await _report_part_ends(vms)
@@ -212,7 +149,7 @@
         """Guards against traffic that grows with the fleet, not the trouble."""
 
         async def scenario():
-            network = _Network()
+            network = _network()
             vms = _start(network, 20)
             await asyncio.sleep(10.0)
             calls = network.calls
@@ -229,7 +166,7 @@
         size = 71
 
         async def scenario():
-            network = _Network()
+            network = _network()
             vms = _start(network, size)
             await _report_ends(vms)
             await asyncio.sleep(10.0)
@@ -255,13 +192,13 @@
         """Guards against a restarted VM that lets the request through."""
 
         async def scenario():
-            network = _Network()
+            network = _network()
             vms = _start(network, 6)
             await _report_ends(vms)
             self._confirm_all(vms)
             await asyncio.sleep(60.0)
             vms[5].task.cancel()
-            started = _Vm(network, 5, _fleet(6))
+            started = _Vm(network, 5, exchange_network.fleet(6))
             took_s = await _time_until_all_restrict([started])
             await _stop([*vms, started])
             return took_s
@@ -272,7 +209,7 @@
         """Guards against a view that stays old after a partition."""
 
         async def scenario():
-            network = _Network()
+            network = _network()
             vms = _start(network, 6)
             network.cut_ids = {"vm-5"}
             await _report_ends(vms)
@@ -290,7 +227,7 @@
         """Guards against a rollout in which some VMs lack the exchange."""
 
         async def scenario():
-            network = _Network()
+            network = _network()
             vms = _start(network, 6)
             network.old_ids = {"vm-4", "vm-5"}
             await _report_ends(vms)
--- a/tests/test_leaving_exchange.py
+++ b/tests/test_leaving_exchange.py
@@ -1,26 +1,22 @@
 """Exchange of leaving endpoints between VMs, in virtual time."""
 
 import asyncio
-import random
 
 import pytest
+from tests import exchange_network
 from tests import fake_log
 from tests import virtual_time
 
 from cowsliprill import clock
 from cowsliprill import codec
-from cowsliprill import record_exchange
 from cowsliprill.availability import ledger as ledger_lib
 from cowsliprill.availability import peer_exchange
 from cowsliprill.availability import wire
 from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import leaving_endpoints
 from cowsliprill.decisions import model
-from cowsliprill.entry import cluster_state as cluster_state_lib
-from cowsliprill.entry import errors
 from cowsliprill.observability import metrics
 
-_LATENCY_S = 0.02
 # All VMs in touch are to know within this time.
 _SPREAD_S = 0.2
 # Customers' bound from an answer that says so to the last request.
@@ -37,68 +33,25 @@
 )
 
 
-class _Network:
-    """Delivers messages between VMs and loses some."""
-
-    def __init__(self, loss: float) -> None:
-        self.vms_by_id: dict[str, _Vm] = {}
-        self.cut_ids: set[str] = set()
-        self.sent_bytes = 0
-        self._loss = loss
-        self._random = random.Random(1)
-
-    async def deliver(
-        self, sender: str, receiver: str, message: wire.LeavingExchange
-    ) -> bytes:
-        text = codec.encode_without_defaults(message)
-        self.sent_bytes += len(text)
-        await asyncio.sleep(_LATENCY_S)
-        lost = self._random.random() < self._loss
-        if lost or {sender, receiver} & self.cut_ids:
-            await asyncio.sleep(0.5)
-            raise errors.CoordinatorError("no answer")
-        vm = self.vms_by_id[receiver]
-        response = vm.exchange.handle(codec.decode(wire.LeavingExchange, text))
-        answer = codec.encode_without_defaults(response)
-        self.sent_bytes += len(answer)
-        await asyncio.sleep(_LATENCY_S)
-        return answer
-
-
-class _Client:
-    def __init__(self, network: _Network, vm_id: str) -> None:
-        self._network = network
-        self._vm_id = vm_id
-
-    async def post(self, vm, path, message, timeout_s):
-        del path, timeout_s
-        return await self._network.deliver(self._vm_id, vm.id, message)
-
-
 class _Vm:
     """The exchange and ledger of one VM."""
 
-    def __init__(self, network: _Network, number: int, size: int) -> None:
+    def __init__(
+        self,
+        network: exchange_network.ExchangeNetwork,
+        number: int,
+        fleet: model.Fleet,
+    ) -> None:
         self.id = f"vm-{number}"
         self.ledger = ledger_lib.AvailabilityLedger(
             fake_log.FakeLog(), metrics.Metrics()
         )
-        cluster_state = cluster_state_lib.ClusterState()
-        cluster_state.fleet = model.Fleet(
-            vms_by_id={f"vm-{other}": _vm(other) for other in range(size)}
-        )
         self.exchange = peer_exchange.PeerExchange(
-            record_exchange.Network(
-                vm_id=self.id,
-                own_port=lambda: 1,
-                cluster_state=cluster_state,
-                client=_Client(network, self.id),
-                rng=random.Random(number),
-            ),
+            network.access_of(self.id, number, fleet),
             self.ledger,
             fake_log.FakeLog(),
         )
-        network.vms_by_id[self.id] = self
+        network.exchanges_by_vm[self.id] = self.exchange
         self.task = asyncio.create_task(self.exchange.run())
 
     def knows(self) -> bool:
@@ -112,19 +65,12 @@
         )
 
 
-def _vm(number: int) -> model.Vm:
-    return model.Vm(
-        id=f"vm-{number}",
-        host="10.0.0.1",
-        availability_zone="a",
-        role=model.VmRole.ENTRY,
-        entry_ports=(1,),
-    )
-
-
-def _start(size: int, loss: float) -> tuple[_Network, list[_Vm]]:
-    network = _Network(loss)
-    return network, [_Vm(network, number, size) for number in range(size)]
+def _start(
+    size: int, loss: float
+) -> tuple[exchange_network.ExchangeNetwork, list[_Vm]]:
+    network = exchange_network.ExchangeNetwork(wire.LeavingExchange, loss)
+    fleet = exchange_network.fleet(size)
+    return network, [_Vm(network, number, fleet) for number in range(size)]
 
 
 def _stop(vms: list[_Vm]) -> None:
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -100,6 +100,17 @@
         )
         self.pool_scheduler.update(self.snapshot, self.fleet, self.now)
 
+    def set_versions(self, *versions: str) -> None:
+        """Sets the software version of each decode engine."""
+        engines = {
+            f"d{number}": dataclasses.replace(
+                self.snapshot.endpoints_by_id[f"d{number}"],
+                software_version=version,
+            )
+            for number, version in enumerate(versions)
+        }
+        self.set_engines({**self.snapshot.endpoints_by_id, **engines})
+
     def send_heartbeats(self) -> None:
         for name in self.names:
             self.send(name)
@@ -457,14 +468,7 @@
     def _site(*versions: str) -> _Site:
         """Returns a site with one decode engine of each version."""
         site = _Site(entries=1, decodes=len(versions))
-        engines = {
-            f"d{number}": dataclasses.replace(
-                site.snapshot.endpoints_by_id[f"d{number}"],
-                software_version=version,
-            )
-            for number, version in enumerate(versions)
-        }
-        site.set_engines({**site.snapshot.endpoints_by_id, **engines})
+        site.set_versions(*versions)
         return site
 
     @staticmethod
--- a/tests/test_resumed_admission.py
+++ b/tests/test_resumed_admission.py
@@ -14,18 +14,11 @@
 
 
 class _Site(base._Site):
-    """A pool whose engines are full until `finish` is called."""
+    """A pool whose engines are full."""
 
     def __init__(self, *versions: str, learns: bool = True) -> None:
         super().__init__(entries=1, decodes=len(versions))
-        engines = {
-            f"d{number}": dataclasses.replace(
-                self.snapshot.endpoints_by_id[f"d{number}"],
-                software_version=version,
-            )
-            for number, version in enumerate(versions)
-        }
-        self.set_engines({**self.snapshot.endpoints_by_id, **engines})
+        self.set_versions(*versions)
         self.send_heartbeats()
         if learns:
             self._learn()
