Reserve the peer port of test routers at all their addresses

Cause: the routers of a test share one peer port, each on an address of its own, and the port was reserved at 127.0.0.1 only. The other routers listen for readiness on any port of their address, before their peer port. The unit tests start over a thousand such routers.

The new test failed on the reservation before: a stranger could bind the port at 127.0.0.2.

Ruled out: a store that accepts connections and never answers (ready in 22 ms, from its peers). The store that the test means to be unreachable is now a reserved port, not one that any other program could get.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -38,8 +38,8 @@
     "Deadline-Ms": "8000",
 }
 
-# Routers of a site listen on 127.0.0.1 and the following addresses.
-_MAX_ROUTERS = 8
+# Addresses of the routers of a site.
+ROUTER_HOSTS = tuple(f"127.0.0.{number}" for number in range(1, 9))
 
 
 class Store:
@@ -558,7 +558,7 @@
         self.http = http_client.HttpClient()
         # All routers use one port number for UDP and TCP, as in production.
         self._reserved_port = hold_port()
-        self._peer_port = self._reserved_port.getsockname()[1]
+        self._peer_port = self._reserved_port.port
 
     async def start(self, routers: int, prefills: int = 2) -> None:
         for name in [f"p{number}" for number in range(prefills)]:
@@ -576,7 +576,7 @@
 
     def add_router(self, store: str = "", **node_fields: Any) -> int:
         number = len(self.routers)
-        host = f"127.0.0.{number + 1}"
+        host = ROUTER_HOSTS[number]
         node = config_lib.RouterConfig(
             vm=f"vm-{number}",
             availability_zone="gasabo",
@@ -661,7 +661,7 @@
         """Sends a request and returns the response before reading its body."""
         own = {**CALLER_HEADERS, "Attempt-Id": attempt}
         return await self.http.call(
-            f"127.0.0.{router + 1}",
+            ROUTER_HOSTS[router],
             self.routers[router].public_port,
             method,
             path,
@@ -683,24 +683,24 @@
         return [run for item in self.engines.values() for run in item.runs]
 
 
-def hold_port() -> socket.socket:
-    """Reserves a port for routers to listen on, until the socket is closed.
+def hold_port() -> held_ports.HeldPort:
+    """Reserves a port for routers to listen on, until it is closed.
 
     The port is also free for UDP, where a router of another test or another
     program may use it.
     """
     while True:
-        reserved = held_ports.hold_port(HOST)
-        if _is_free_for_udp(reserved.getsockname()[1]):
-            return reserved
-        reserved.close()
+        held = held_ports.hold_port(*ROUTER_HOSTS)
+        if _is_free_for_udp(held.port):
+            return held
+        held.close()
 
 
 def _is_free_for_udp(port: int) -> bool:
-    for number in range(_MAX_ROUTERS):
+    for host in ROUTER_HOSTS:
         with socket.socket(type=socket.SOCK_DGRAM) as probe_socket:
             try:
-                probe_socket.bind((f"127.0.0.{number + 1}", port))
+                probe_socket.bind((host, port))
             except OSError:
                 return False
     return True
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -64,8 +64,8 @@
 
 @contextlib.contextmanager
 def _closed_port():
-    with platform_site.hold_port() as reserved:
-        yield reserved.getsockname()[1]
+    with platform_site.hold_port() as held:
+        yield held.port
 
 
 @contextlib.contextmanager
--- a/tests/test_held_ports.py
+++ b/tests/test_held_ports.py
@@ -3,6 +3,7 @@
 import socket
 
 import pytest
+from tests import platform_site
 from tools import held_ports
 
 _HOST = "127.0.0.1"
@@ -27,6 +28,18 @@
                 client.recv(1)
         ports.close()
 
+    def test_port_is_reserved_at_all_hosts(self):
+        """Guards against a router whose peer port another socket took.
+
+        Routers of a test share one port number, each on its own address.
+        """
+        with platform_site.hold_port() as held:
+            for host in platform_site.ROUTER_HOSTS:
+                with socket.socket() as stranger, pytest.raises(OSError):
+                    stranger.bind((host, held.port))
+                with socket.create_server((host, held.port)):
+                    pass
+
     def test_several_processes_share_a_public_port(self):
         ports = held_ports.HeldPorts(_HOST)
         address = (_HOST, ports.take())
--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -82,8 +82,7 @@
             await self.store.put(f"servers/{name}", engine.entry())
 
         def free_port() -> int:
-            held = ports.enter_context(platform_site.hold_port())
-            return held.getsockname()[1]
+            return ports.enter_context(platform_site.hold_port()).port
 
         self.peer_port = free_port()
         for number, host in enumerate(_HOSTS):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -554,17 +554,16 @@
         """A router that can't reach the store gets the registry from peers."""
 
         async def scenario(site):
-            closed = platform_site.LocalServer([])
-            address = closed.address
-            await closed.close()
-            number = site.add_router(store=address)
-            log = site.logs[number]
-            await platform_site.until(
-                lambda: (
-                    "event=settings_in_force" in log.getvalue()
-                    and site.ready(number)
+            with platform_site.hold_port() as closed:
+                store = f"{platform_site.HOST}:{closed.port}"
+                number = site.add_router(store=store)
+                log = site.logs[number]
+                await platform_site.until(
+                    lambda: (
+                        "event=settings_in_force" in log.getvalue()
+                        and site.ready(number)
+                    )
                 )
-            )
             return (await site.call(_MODEL, router=number))[0]
 
         assert _on_site(scenario, routers=2) == 200
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -36,7 +36,7 @@
 
 
 def _free_port(ports: contextlib.ExitStack) -> int:
-    return ports.enter_context(platform_site.hold_port()).getsockname()[1]
+    return ports.enter_context(platform_site.hold_port()).port
 
 
 def _config(store: str, ports: contextlib.ExitStack) -> dict:
