Features: requests queue at the entry process however slowly they are sent

Cause: the step "a brief in each stage" needs 41 requests at one moment, while the briefs that fill the 40 slots decoded for 0.6 s each.

Now the decode engines are slow (10 times) for these briefs only, until all are sent. The step's check is unchanged.

--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -13,6 +13,9 @@
 
 _TOTAL_SLOTS = 40
 
+# Briefs that fill the slots run until all have been sent, however slowly.
+_FILLING_SLOW_FACTOR = 10.0
+
 
 @behave.given("two VMs with an entry process each")
 def step_start(context) -> None:
@@ -32,12 +35,14 @@
         site.send_brief(phrase_count=600, max_tokens=100)
     _wait_for_stage(site, "prefill", "prefill")
     # More requests than slots: the last ones queue at the entry process.
+    site.set_faults("decode", slow_factor=_FILLING_SLOW_FACTOR)
     for _ in range(_TOTAL_SLOTS):
         site.send_brief()
     dispatch_site.wait_until(
         lambda: site.status()["requests"] > _TOTAL_SLOTS,
         "requests are queued at the entry process",
     )
+    site.set_faults("decode")
 
 
 def _wait_for_stage(site, kind: str, stage: str) -> None:
