Try parts that were lost together again at different times

Cause: after two losses in a row a part waits 0.5 s, doubled with each further loss. Whatever was lost with one engine had the same times, so that the cause and its company were tried again at the same moment, met at one engine and were lost together again, up to five times: then the company is blamed as the cause is.

Now the delay has a pseudo-random factor from 1 to 2 by the part's digest; the longest delay stays 8 s (one doubling less).

Callers of a popular part that was lost twice wait up to twice as long for the next try.

--- a/src/cowsliprill/decisions/suspected_parts.py
+++ b/src/cowsliprill/decisions/suspected_parts.py
@@ -10,6 +10,8 @@
 from collections.abc import Collection
 from collections.abc import Iterable
 
+import xxhash
+
 from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import survived_requests
 
@@ -17,9 +19,13 @@
 # time, doubled with each further loss. By then VMs know of the losses, and
 # refuse its requests if they blame the part.
 _RETRY_DELAY_S = 0.5
-_MAX_DOUBLINGS = 4
+_MAX_DOUBLINGS = 3
 _LOSSES_BEFORE_DELAY = 2
 
+# Range of the pseudo-random factors of these delays. Parts that were lost with
+# one engine are tried again at different times, which tells them apart.
+_DELAY_SPREAD = 1.0
+
 _MAX_SUSPECTED = 8_192
 
 _PartKey = tuple[str, str]
@@ -40,13 +46,18 @@
     losses: int = 0
     crashes: frozenset[crash_records.CrashKey] = frozenset()
 
-    def retry_at(self) -> float:
+    def retry_at(self, part: str) -> float:
         losses = max(self.losses, len(self.crashes))
         further = losses - _LOSSES_BEFORE_DELAY
         if further < 0:
             return self.lost_at
         delay_s = _RETRY_DELAY_S * 2.0 ** min(further, _MAX_DOUBLINGS)
-        return self.lost_at + delay_s
+        return self.lost_at + delay_s * _delay_factor(part)
+
+
+def _delay_factor(part: str) -> float:
+    """Returns a factor that all VMs agree on."""
+    return 1.0 + _DELAY_SPREAD * xxhash.xxh32_intdigest(part.encode()) / 2**32
 
 
 class SuspectedParts:
@@ -135,7 +146,10 @@
         }
         if not suspicions_by_part:
             return False
-        if any(now < item.retry_at() for item in suspicions_by_part.values()):
+        if any(
+            now < suspicion.retry_at(part)
+            for part, suspicion in suspicions_by_part.items()
+        ):
             return True
         return any(
             pool == other_pool
