Start copies of a suspected request one by one

Cause: only parts of prompts were suspected from the first loss on; a whole request was restricted once it was blamed, after two separate ends. Ends whose sends overlap count as one, so copies that come at one moment ended an engine each, each time they came.

Now a coordinator suspects features: the request and the parts of its prompt. The fingerprint reaches it in an optional field (a VM of the release before sends and reads none, and starts copies as before). What is starting is counted by feature: going over all starts for each retry would take the coordinator seconds after the loss of thousands.

Callers of copies of a request that was lost wait for the first copy's output, or get the refusal that the first ones cause. Plain services have no coordinator; there copies still end a server each.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -83,6 +83,8 @@
         it; empty if it named none.
       stream_age_max_s: Time in seconds for which the stream can be resumed; if
         it is resumed now, how long ago it began at most.
+      fingerprint: Fingerprint of the request, empty if the sender doesn't know
+        of it.
       prompt_parts: Digests of the parts of its prompt that other requests may
         share and that its entry process doesn't know engines to survive.
       entry: Id of its entry process at a scheduler that serves several.
@@ -102,9 +104,16 @@
     version: str | None = None
     origin: str = ""
     stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
+    fingerprint: str = ""
     prompt_parts: tuple[str, ...] = ()
     entry: str = ""
 
+    @property
+    def features(self) -> tuple[str, ...]:
+        """What may be to blame if engines end as they begin to run it."""
+        own = (self.fingerprint,) if self.fingerprint else ()
+        return (*own, *self.prompt_parts)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Adopt:
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -55,8 +55,8 @@
       probed_ids: Ids of ejected endpoints that the newest attempt probes.
       version: Software version that began its stream, None before the first
         token. Only engines of this version may go on.
-      starts_apart: Whether it waits for the start of another request with a
-        suspected part of the prompt.
+      starts_apart: Whether it waits for the start of another request that may
+        end an engine for the same reason.
       avoids_engines: Whether it waits for one of the engines that its entry
         process can use, while others may be free.
       needs_version: Whether it waits for an engine of its version, while the
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -25,7 +25,7 @@
 from cowsliprill.decisions import retry_budget
 from cowsliprill.decisions import slot_demands
 from cowsliprill.decisions import stream_origins
-from cowsliprill.decisions import suspected_parts
+from cowsliprill.decisions import suspected_features
 from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import version_history
 from cowsliprill.decisions import wait_estimates
@@ -98,7 +98,7 @@
             availability_zone, self._health, self._unavailable
         )
         self._retry_budgets = retry_budget.RetryBudgets()
-        self._suspected_parts = suspected_parts.SuspectedParts()
+        self._suspected_features = suspected_features.SuspectedFeatures()
         self._sequence = 0
 
     def handle(
@@ -120,7 +120,7 @@
                 return self._adopt(event, now)
             case messages.Cancel(request_id, connection_lost):
                 if connection_lost:
-                    self._suspected_parts.lose(request_id, now)
+                    self._suspected_features.lose(request_id, now)
                 return self._cancel(request_id, now)
             case messages.PrefillFinished(request_id):
                 return self._prefill_finished(request_id, now)
@@ -142,7 +142,7 @@
                 self._pools.set_rate_limits(limits, now)
                 return self._schedule_all(now)
             case messages.CrashRecordsChanged(records):
-                self._suspected_parts.learn(records, now)
+                self._suspected_features.learn(records, now)
                 return []
             case messages.EnginesUnavailable():
                 self._unavailable.set(event.entry, event.until_by_engine)
@@ -350,8 +350,8 @@
 
     def _record_start(self, request: requests.Request) -> None:
         submit = request.submit
-        self._suspected_parts.start(
-            submit.request_id, submit.service.pool, submit.prompt_parts
+        self._suspected_features.start(
+            submit.request_id, submit.service.pool, submit.features
         )
 
     def _record_origin(self, request: requests.Request, now: float) -> None:
@@ -449,7 +449,7 @@
             return []
         assert request.decode is not None
         self._outcomes.record_first_token(request, now)
-        self._suspected_parts.survive(request_id, now)
+        self._suspected_features.survive(request_id, now)
         request.version = request.decode.software_version
         request.stage = messages.Stage.DECODE
         request.stage_started_at = now
@@ -502,7 +502,7 @@
             entry, until = request.submit.entry, now + _UNSENT_BACKOFF_S
             self._unavailable.add(entry, event.endpoint_id, until, now)
         if event.connection_lost:
-            self._suspected_parts.lose(event.request_id, now)
+            self._suspected_features.lose(event.request_id, now)
         cancel = self._cancel_attempt(request)
         streaming = request.stage is messages.Stage.DECODE
         self._release(request)
@@ -549,7 +549,7 @@
         )
 
     def _release(self, request: requests.Request) -> None:
-        self._suspected_parts.end(request.submit.request_id)
+        self._suspected_features.end(request.submit.request_id)
         if request.stage is messages.Stage.PREFILL:
             self._release_prefill(request)
         assert request.decode is not None
@@ -792,8 +792,8 @@
     def _must_wait(self, request: requests.Request, now: float) -> bool:
         submit = request.submit
         # Engines have given output for a stream that has begun.
-        return request.version is None and self._suspected_parts.must_wait(
-            submit.service.pool, submit.prompt_parts, now
+        return request.version is None and self._suspected_features.must_wait(
+            submit.service.pool, submit.features, now
         )
 
     def _set_apart(self, request: requests.Request, now: float) -> None:
--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -14,7 +14,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import quarantine
 from cowsliprill.decisions import survived_requests
-from cowsliprill.decisions import suspected_parts
+from cowsliprill.decisions import suspected_features
 
 _POOL = "writers"
 _ATTEMPTS = 2
@@ -138,7 +138,7 @@
         self._engines: list[_Engine] = []
         self._quarantine = quarantine.Quarantine(quarantine.Limits())
         self._survived = survived_requests.SurvivedRequests()
-        self._suspected_parts = suspected_parts.SuspectedParts()
+        self._suspected_features = suspected_features.SuspectedFeatures()
         self._ends_by_fingerprint: dict[str, list[float]] = {}
         self._output_at = -math.inf
         self.result = Result()
@@ -219,7 +219,9 @@
             if not crashing:
                 self.result.refused_proper.append(restriction.kind.value)
             return
-        if self._suspected_parts.must_wait(_POOL, parts, now):
+        if self._suspected_features.must_wait(
+            _POOL, (fingerprint, *parts), now
+        ):
             self._at(
                 now + _WAIT_STEP_S,
                 self._submit,
@@ -247,7 +249,7 @@
             parts=parts,
         )
         engine.running[run.number] = run
-        self._suspected_parts.start(run.number, _POOL, parts)
+        self._suspected_features.start(run.number, _POOL, (fingerprint, *parts))
         if crashing:
             self._count_send(run, now)
             self._at(now + self._plan.crash_delay_s, self._crash, engine, run)
@@ -271,7 +273,7 @@
         if run.number not in engine.running:
             return
         run.had_output = True
-        self._suspected_parts.survive(run.number, now)
+        self._suspected_features.survive(run.number, now)
         self._at(now + self._plan.news_delay_s, self._acquit, run)
 
     def _acquit(self, now: float, run: _Run) -> None:
@@ -319,7 +321,7 @@
         engine.running.clear()
         for run in lost:
             if not run.had_output:
-                self._suspected_parts.lose(run.number, now)
+                self._suspected_features.lose(run.number, now)
                 self._at(
                     now + self._plan.news_delay_s,
                     self._observe,
@@ -327,7 +329,7 @@
                     run,
                     now,
                 )
-            self._suspected_parts.end(run.number)
+            self._suspected_features.end(run.number)
         self._at(now + _EXPIRY_S, self._expire, engine)
         self._at(now + _RESTART_S, self._start_engine)
         for run in lost:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -16,9 +16,9 @@
 _CRASHES_MAX = 3
 _LATE_SENDS_MAX = 3
 _CONTACT_S = 3.0
-# One request after the other: the first end after the change, and one that was
-# let start before all VMs knew of it.
-_ENDS_OF_NEW_COORDINATOR_MAX = 2
+# One request after the other: the first end, and one that was let start before
+# all VMs knew of it.
+_ENDS_ONE_BY_ONE_MAX = 2
 # An entry of an engine that has ended expires after three missed heartbeats.
 _EXPIRY_S = 1.0
 
@@ -204,6 +204,33 @@
         assert stream[0] <= _LATE_SENDS_MAX
         assert plain[0] <= _LATE_SENDS_MAX
 
+    def test_copies_at_one_moment_end_few_engines(self):
+        """Guards against copies that end an engine each at the same time.
+
+        The first request has ended engines, but too few to be refused.
+        """
+
+        async def scenario():
+            async with platform_site.running(_ROUTERS) as site:
+                crash_site = _CrashSite(site, "llm", replaces=False)
+                await crash_site.start()
+                path = platform_site.RESUMABLE_PATH
+                await crash_site.send(path, 0, "first")
+                before = crash_site.crashes()
+                await asyncio.gather(
+                    *(
+                        crash_site.send(path, number % _ROUTERS, f"c{number}")
+                        for number in range(8)
+                    )
+                )
+                ended = crash_site.crashes() - before
+                await crash_site.stop()
+                return before, ended
+
+        before, ended = asyncio.run(scenario())
+        assert 0 < before < _CRASHES_MAX
+        assert ended <= _ENDS_ONE_BY_ONE_MAX
+
 
 class _PartSender:
     """Sends different requests, some with the part that ends engines.
@@ -295,7 +322,7 @@
 
         before, ended = asyncio.run(scenario())
         assert before
-        assert ended <= _ENDS_OF_NEW_COORDINATOR_MAX
+        assert ended <= _ENDS_ONE_BY_ONE_MAX
 
     def test_is_served_by_a_release_that_survives_it(self):
         """Guards against a verdict that outlives the release that mends it."""
--- a/tests/test_pool_scheduling_wire.py
+++ b/tests/test_pool_scheduling_wire.py
@@ -74,8 +74,8 @@
         with pytest.raises(TypeError):
             wire.event_to_wire(messages.Tick())
 
-    def test_parts_of_the_prompt_reach_the_coordinator(self):
-        """Guards against suspected parts that start at many engines."""
+    def test_features_reach_the_coordinator(self):
+        """Guards against suspected requests that start at many engines."""
         submit = messages.Submit(
             request_id=1,
             service=model.Service(
@@ -88,12 +88,11 @@
             customer="u",
             prompt_tokens=1,
             output_tokens=1,
+            fingerprint="r",
             prompt_parts=("x", "y"),
         )
         request = wire.request_to_wire(submit, now=0.0)
         text = codec.encode_without_defaults(request)
         received = codec.decode(wire.Request, text)
-        assert wire.request_from_wire(received, now=0.0).prompt_parts == (
-            "x",
-            "y",
-        )
+        submit = wire.request_from_wire(received, now=0.0)
+        assert submit.features == ("r", "x", "y")
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -568,8 +568,8 @@
         assert start.has_prefill()
 
 
-class TestSuspectedPart:
-    """Requests with a part that may end engines start one after the other."""
+class TestSuspectedFeature:
+    """Requests that may end engines for one reason start one by one."""
 
     def _lost(self) -> scheduler.Scheduler:
         """Returns a scheduler after an engine was lost with part x."""
@@ -592,6 +592,22 @@
         ]
         assert starts == [2, 4]
 
+    def test_copies_of_a_lost_request_start_one_by_one(self):
+        """Guards against copies that end an engine each at the same time."""
+        subject = _scheduler_with_slots(4)
+        subject.handle(_submit(1, fingerprint="r"), 0.0)
+        subject.handle(messages.PrefillFinished(1), 0.1)
+        subject.handle(messages.Cancel(1, connection_lost=True), 0.1)
+        starts = [
+            start.request_id
+            for number, fingerprint in ((2, "r"), (3, "r"), (4, "s"))
+            for start in _actions_of(
+                subject.handle(_submit(number, fingerprint=fingerprint), 0.1),
+                messages.Start,
+            )
+        ]
+        assert starts == [2, 4]
+
     def test_waiting_requests_start_once_there_is_output(self):
         """Guards against sound requests that wait longer than needed."""
         subject = self._lost()
--- a/tests/test_suspected_parts.py
+++ b/tests/test_suspected_features.py
@@ -1,16 +1,16 @@
-"""Requests with a suspected part of the prompt start one after the other."""
+"""Requests with a suspected feature start one after the other."""
 
 import pytest
 
 from cowsliprill.decisions import crash_records
-from cowsliprill.decisions import suspected_parts
+from cowsliprill.decisions import suspected_features
 
 _POOL = "writers"
 
 
 def _suspected(*parts, now=10.0):
     """Returns the state after an engine was lost with these parts."""
-    state = suspected_parts.SuspectedParts()
+    state = suspected_features.SuspectedFeatures()
     state.start(1, _POOL, parts)
     state.lose(1, now)
     state.end(1)
@@ -21,7 +21,7 @@
     """Which requests have to wait for the start of others."""
 
     def test_unsuspected_requests_start_together(self):
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         state.start(1, _POOL, ("x",))
         assert not state.must_wait(_POOL, ("x",), 10.0)
 
@@ -47,7 +47,7 @@
         assert state.must_wait(_POOL, ("y",), 10.3)
 
     def test_part_that_engines_survived_lately_is_not_suspected(self):
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         state.start(1, _POOL, ("x",))
         state.survive(1, 9.0)
         state.start(2, _POOL, ("x",))
@@ -64,7 +64,7 @@
         self, losses, least_s, most_s
     ):
         """Guards against engines that end before the VMs know the part."""
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         for number in range(losses):
             state.start(number, _POOL, ("x",))
             state.lose(number, 10.0)
@@ -79,7 +79,7 @@
         What is always lost with the cause is blamed as the cause is.
         """
         parts = ("x", "y", "z")
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         for _ in range(2):
             for number, part in enumerate(parts):
                 state.start(number, _POOL, (part,))
@@ -96,13 +96,13 @@
         }
         assert len(delays_s) == len(parts)
 
-    def test_number_of_suspected_parts_is_bounded(self):
+    def test_number_of_suspected_features_is_bounded(self):
         """Guards against memory that grows with each lost request."""
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         for number in range(10_000):
             state.start(number, _POOL, (f"{number:016x}",))
             state.lose(number, 10.0)
-        assert len(state._suspicions_by_part) == 8_192
+        assert len(state._suspicions_by_feature) == 8_192
 
 
 def _record(endpoint: str, *parts: str, **changes) -> crash_records.CrashRecord:
@@ -122,24 +122,31 @@
 
     def test_part_of_a_record_is_suspected(self):
         """Guards against a new coordinator that starts all requests at once."""
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         state.learn([_record("d0", "x")], 10.1)
         assert not state.must_wait(_POOL, ("x",), 10.1)
         state.start(1, _POOL, ("x",))
         assert state.must_wait(_POOL, ("x",), 10.2)
         assert not state.must_wait("other", ("x",), 10.2)
 
+    def test_request_of_a_record_is_suspected(self):
+        """Guards against copies of a request that end several engines."""
+        state = suspected_features.SuspectedFeatures()
+        state.learn([_record("d0")], 10.1)
+        state.start(1, _POOL, ("r",))
+        assert state.must_wait(_POOL, ("r",), 10.2)
+
     def test_part_with_output_since_is_not(self):
         """Guards against sound requests that wait for each other."""
         acquitted = _record("d0", "x", acquitted_parts=frozenset({"x"}))
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         state.learn([acquitted], 10.1)
         state.start(1, _POOL, ("x",))
         assert not state.must_wait(_POOL, ("x",), 10.2)
 
     def test_part_that_engines_survived_here_is_not(self):
         """Guards against a record that comes later than the output."""
-        state = suspected_parts.SuspectedParts()
+        state = suspected_features.SuspectedFeatures()
         state.start(1, _POOL, ("x",))
         state.survive(1, 10.1)
         state.learn([_record("d0", "x")], 10.2)
