Let one VM use connections for all leased slots of an engine

Cause: each VM may open its equal share of the connections that an engine accepts, whoever has the requests. The platform may hand most new connections to one VM for a while. That VM was leased slots, opened its share of connections, and lost ten attempts for each further request (never sent, "all 4 connections are in use") while the engines had free slots: of 12 requests 4 were refused with 503 after 2.7 to 6.5 s, red before in TestOneBusyVm.

Coordinators bound the calls that run at an engine over all VMs. A VM may now open as many connections as there are leased slots, and its idle ones, if the idle ones of all VMs fit in beside them within three quarters of the engine's limit; else its share is as before (engines that accept fewer connections than they have slots). Idle connections have the same limits as before. Plain servers have no leases; nothing changes there.

--- a/src/cowsliprill/decisions/connection_limits.py
+++ b/src/cowsliprill/decisions/connection_limits.py
@@ -75,21 +75,29 @@
         return idle < self.idle and connections <= self.connections
 
 
-def limits_per_vm(endpoint_limit: int, vm_count: int) -> ConnectionLimits:
+def limits_per_vm(
+    endpoint_limit: int, vm_count: int, leased_slots: int = 0
+) -> ConnectionLimits:
     """Returns the connection limits of one VM.
 
+    Coordinators lease an engine's slots to the VMs that have requests for it,
+    so that the calls of all VMs together take no more connections than that.
+    One VM may use them all, if the idle connections of the others fit in too.
+
     Args:
       endpoint_limit: Number of connections that the endpoint accepts from all
         VMs.
       vm_count: Number of VMs that share them.
+      leased_slots: Number of slots that coordinators lease to the VMs, 0 if
+        nothing bounds the calls of all VMs together.
     """
-    share = max(
-        int(endpoint_limit * _SHARED_FRACTION / max(vm_count, 1)),
-        _MIN_CONNECTIONS,
-    )
-    return ConnectionLimits(
-        connections=share, idle=max(int(share * _IDLE_FRACTION), 1)
-    )
+    vm_count = max(vm_count, 1)
+    shared = int(endpoint_limit * _SHARED_FRACTION)
+    share = max(shared // vm_count, _MIN_CONNECTIONS)
+    idle = max(int(share * _IDLE_FRACTION), 1)
+    if leased_slots and leased_slots + vm_count * idle <= shared:
+        share = max(share, leased_slots + idle)
+    return ConnectionLimits(connections=share, idle=idle)
 
 
 def limits_for_endpoints(
@@ -109,8 +117,14 @@
     )
     return {
         (endpoint.host, endpoint.port): limits_per_vm(
-            endpoint.connections_max, vm_count
+            endpoint.connections_max, vm_count, _leased_slots(endpoint)
         )
         for endpoint in snapshot.endpoints_by_id.values()
         if endpoint.connections_max
     }
+
+
+def _leased_slots(endpoint: model.Endpoint) -> int:
+    if endpoint.kind is model.EndpointKind.PLAIN:
+        return 0
+    return endpoint.places or endpoint.slots
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -17,10 +17,10 @@
 _OPEN_ACTION = connection_limits.OpenAction
 
 
-def _endpoint(endpoint_limit, number=1):
+def _endpoint(endpoint_limit, number=1, kind=model.EndpointKind.PLAIN):
     return model.Endpoint(
         id=f"e{number}",
-        kind=model.EndpointKind.PLAIN,
+        kind=kind,
         host="10.0.0.1",
         port=number,
         availability_zone="a",
@@ -59,6 +59,35 @@
         assert vm_count * limits.connections <= 96
         assert 1 <= limits.idle < limits.connections
 
+    @pytest.mark.parametrize("vm_count", [1, 4, 6, 16, 71])
+    def test_one_vm_can_use_all_slots_of_an_engine(self, vm_count):
+        """Guards against idle engines while one VM gets most requests.
+
+        Coordinators lease the slots, so that the calls of all VMs together
+        never need more connections than there are slots.
+        """
+        limits = connection_limits.limits_per_vm(360, vm_count, 64)
+        assert limits.connections >= 64
+        assert 64 + vm_count * limits.idle <= 360
+
+    def test_slots_beyond_the_limit_leave_the_share_unchanged(self):
+        """Guards against connection resets at engines that accept few."""
+        limits = connection_limits.limits_per_vm(60, 6, 64)
+        assert limits == connection_limits.limits_per_vm(60, 6)
+
+    def test_plain_endpoints_have_no_leased_slots(self):
+        """Guards against connection resets at servers without coordinator."""
+        kinds = (model.EndpointKind.PLAIN, model.EndpointKind.DECODE)
+        endpoints = {
+            kind.value: _endpoint(360, number, kind)
+            for number, kind in enumerate(kinds, 1)
+        }
+        found = connection_limits.limits_for_endpoints(
+            model.Snapshot(endpoints_by_id=endpoints), _fleet(71)
+        )
+        assert found["10.0.0.1", 1].connections == 3
+        assert found["10.0.0.1", 2].connections > 6
+
     def test_each_vm_of_a_large_fleet_gets_two_connections(self):
         limits = connection_limits.limits_per_vm(96, 690)
         assert limits.connections == 2
@@ -225,3 +254,44 @@
                 await _spin_until(lambda: client.idle_count() == 0)
 
         asyncio.run(scenario())
+
+
+class TestOneBusyVm:
+    """The platform hands most new connections to one VM for a while."""
+
+    _REQUESTS = 12
+
+    def test_serves_its_requests_while_engines_have_slots(self):
+        """Guards against requests that wait or are refused beside idle engines.
+
+        Each VM's share of the connections is smaller than an engine's slots.
+        """
+
+        async def scenario():
+            services = platform_site.config()["services"]
+            services[0]["maxConns"] = 24
+            services[0]["engine"]["slots"] = 8
+            document = platform_site.config(version=2, services=services)
+            async with platform_site.running(4) as site:
+                await site.store.put("op/config", document)
+                await platform_site.until(
+                    lambda: all(
+                        "event=settings_in_force version=2" in log.getvalue()
+                        for log in site.logs
+                    )
+                )
+                for engine in site.engines.values():
+                    engine.faults.pause_after_events = 2
+                responses = await asyncio.gather(
+                    *(
+                        site.open(
+                            platform_site.MODEL_PATH, attempt=f"a{number}"
+                        )
+                        for number in range(self._REQUESTS)
+                    )
+                )
+                for engine in site.engines.values():
+                    engine.cut.set()
+                return [response.status for response in responses]
+
+        assert asyncio.run(scenario()) == [200] * self._REQUESTS
