Don't blame endpoints for this VM's own connection limit

Cause: the error for a VM's own limit was a kind of failed connection. A call to a plain server that found all of this VM's connections in use counted against the server (outlier detection) and against the path to it; a prefill that did counted as an unreachable engine, which ejects it for all VMs; a decode call marked the engine full for all VMs for half a second. The VM that gets most of the new connections would so have taken sound endpoints from all others.

The error is now one of an endpoint that this VM may send nothing: the attempt is unsent, the engine is left out for this VM for a moment, and the next server is tried. Tests failed before for prepare, prefill and decode calls and for plain ones; a probe of the crash detector under the limit says nothing, as before.

--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -42,14 +42,12 @@
         self.refused = refused
 
 
-class ConnectionLimitReached(ConnectFailed):
-    """This VM has reached its connection limit for the endpoint."""
-
-    code = "connections_spent"
-
-
 class EndpointUnavailable(CallError):  # noqa: N818
-    """The endpoint has said that it wants no requests, so nothing was sent."""
+    """This VM may send the endpoint no requests now, so nothing was sent.
+
+    The endpoint has asked for that, or it is one of the subclasses. It says
+    nothing about whether the endpoint is reachable.
+    """
 
     code = "endpoint_unavailable"
 
@@ -57,6 +55,12 @@
         super().__init__(message, run=messages.Executed.NO)
 
 
+class ConnectionLimitReached(EndpointUnavailable):
+    """This VM has reached its connection limit for the endpoint."""
+
+    code = "connections_spent"
+
+
 class ConnectionLost(CallError):  # noqa: N818
     """The endpoint closed or reset the connection during the call."""
 
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -248,6 +248,7 @@
 
         Raises:
           errors.ConnectFailed: The connection could not be established.
+          errors.ConnectionLimitReached: All permitted ones are in use.
         """
         return Connection(await self._connect(host, port, timeout_s))
 
@@ -284,7 +285,7 @@
         """Closes the oldest idle connection if the limit requires it.
 
         Raises:
-          errors.ConnectionsSpent: All permitted connections are in use.
+          errors.ConnectionLimitReached: All permitted connections are in use.
         """
         limits = self.limits_by_address.get(address)
         if limits is None:
--- a/src/cowsliprill/entry/calls.py
+++ b/src/cowsliprill/entry/calls.py
@@ -63,6 +63,7 @@
 
         Raises:
           engines.errors.ConnectFailed: No connection could be opened.
+          engines.errors.EndpointUnavailable: This VM may open none now.
         """
 
     async def prefill(
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -157,16 +157,12 @@
                 else 0.0,
             ) from error
         except engine_errors.ConnectFailed as error:
-            connections_exhausted = isinstance(
-                error, engine_errors.ConnectionLimitReached
-            )
             raise attempts.AttemptError(
                 endpoint.id,
                 messages.Stage.TRANSFER,
                 str(error),
-                refused=connections_exhausted,
                 unsent=True,
-                unreachable=not connections_exhausted,
+                unreachable=True,
                 kept_s=self._export_left_s(ctx)
                 if ctx.exported_prefill
                 else 0.0,
--- a/src/cowsliprill/quarantine/crash_detector.py
+++ b/src/cowsliprill/quarantine/crash_detector.py
@@ -193,6 +193,8 @@
             if error.refused:
                 return _PortState.CLOSED
             return _PortState.UNREACHABLE
+        except engine_errors.EndpointUnavailable:
+            return _PortState.UNREACHABLE
         connection.close()
         return _PortState.OPEN
 
--- a/tests/test_crash_detector.py
+++ b/tests/test_crash_detector.py
@@ -134,6 +134,15 @@
         monkeypatch.setattr(http_client.HttpClient, "connect", connect)
         assert _after_loss().records() == []
 
+    def test_engine_that_no_connection_is_left_for_is_not(self, monkeypatch):
+        """Guards against blame while this VM's connections are spent."""
+
+        async def connect(self, host, port, timeout_s):
+            raise engine_errors.ConnectionLimitReached("all are in use")
+
+        monkeypatch.setattr(http_client.HttpClient, "connect", connect)
+        assert _after_loss().records() == []
+
     def test_leaving_engine_is_not(self):
         """Guards against blame for engines that end in order."""
         assert _after_loss(leaving=("e1",)).records() == []
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -201,6 +201,23 @@
         assert lost.value.endpoint_id == name
         assert harness.calls.decoded_from == []
 
+    @pytest.mark.parametrize("call", ["prepare", "prefill", "decode"])
+    def test_own_connection_limit_is_not_the_engine_s_fault(self, call):
+        """Guards against ejected engines as this VM's connections are spent."""
+
+        async def reach_limit(*arguments):
+            del arguments
+            raise engine_errors.ConnectionLimitReached("all are in use")
+
+        harness = _Harness()
+        setattr(harness.calls, call, reach_limit)
+        with pytest.raises(attempts.AttemptError) as lost:
+            harness.run()
+        assert lost.value.unsent
+        assert not lost.value.unreachable
+        assert not lost.value.refused
+        assert harness.ctx.progress.run is messages.Executed.NO
+
     def test_engine_that_starts_leaving_during_prefill_is_not_called(self):
         harness = _Harness()
 
--- a/tests/test_plain_call_outcomes.py
+++ b/tests/test_plain_call_outcomes.py
@@ -20,6 +20,7 @@
 from cowsliprill.decisions import retry_budget
 from cowsliprill.engines import errors as engine_errors
 from cowsliprill.engines import service_client
+from cowsliprill.entry import attempts
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import plain_relay
@@ -34,6 +35,7 @@
 
 # Outcomes of a call, and whether the server has executed the request.
 _CONNECT_FAILED = "connection failed"
+_LIMIT_REACHED = "own connection limit reached"
 _REFUSED = "refused without execution"
 _RESPONSE_LOST = "executed, response lost"
 _REQUEST_LOST = "request lost before execution"
@@ -64,6 +66,8 @@
         self.observed.append(outcome)
         if outcome == _CONNECT_FAILED:
             raise engine_errors.ConnectFailed("no connection")
+        if outcome == _LIMIT_REACHED:
+            raise engine_errors.ConnectionLimitReached("all are in use")
         progress.mark_writing()
         if outcome == _REFUSED:
             progress.mark_refused()
@@ -227,6 +231,18 @@
         assert statuses == [200]
         assert error is None
 
+    def test_own_connection_limit_is_not_the_server_s_fault(self):
+        """Guards against ejected servers as this VM's connections are spent."""
+        relay = plain_relay.PlainRelay(_ScriptedServers([_LIMIT_REACHED]))
+        ctx = types.SimpleNamespace(
+            progress=context.Progress(),
+            endpoint=types.SimpleNamespace(id="s0"),
+        )
+        with pytest.raises(attempts.PlainCallError) as lost:
+            asyncio.run(relay(ctx))
+        assert lost.value.unsent
+        assert lost.value.withheld
+
     def test_retry_goes_to_another_server(self):
         """Guards against a retry that fails on the same server again."""
         servers = _ScriptedServers((_SERVER_ERROR,) * _MAX_ATTEMPTS)
