--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -130,7 +130,7 @@
             stream_age_max_s=(
                 age_max_s if resumes else self.ages.retention_s(ctx.service)
             ),
-            fingerprint=ctx.fingerprint,
+            fingerprint=self.quarantine.fingerprint(ctx),
             prompt_parts=self.quarantine.unproven_parts(ctx),
         )
 
--- a/src/cowsliprill/entry/request_quarantine.py
+++ b/src/cowsliprill/entry/request_quarantine.py
@@ -38,6 +38,9 @@
     def report_survived(self, ctx: context.Context) -> None:
         """Reports that an engine has given output for the request."""
 
+    def fingerprint(self, ctx: context.Context) -> str:
+        """Returns the fingerprint by which copies of it may be suspected."""
+
     def unproven_parts(self, ctx: context.Context) -> tuple[str, ...]:
         """Returns the parts of the prompt that may end engines, as digests.
 
@@ -63,6 +66,11 @@
     def report_survived(self, ctx: context.Context) -> None:
         """Does nothing."""
 
+    def fingerprint(self, ctx: context.Context) -> str:
+        """Returns no fingerprint."""
+        del ctx
+        return ""
+
     def unproven_parts(self, ctx: context.Context) -> tuple[str, ...]:
         """Returns no parts."""
         del ctx
@@ -145,6 +153,10 @@
             ctx.fingerprint, ctx.service.pool, ctx.prompt_parts
         )
 
+    def fingerprint(self, ctx: context.Context) -> str:
+        """Returns the fingerprint by which copies of it may be suspected."""
+        return ctx.fingerprint
+
     def unproven_parts(self, ctx: context.Context) -> tuple[str, ...]:
         """Returns the parts that no engine is known to survive."""
         return self._ledger.unproven_parts(ctx.prompt_parts, ctx.service.pool)
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -146,3 +146,14 @@
             return waits, process.detector.sent_at
 
         assert asyncio.run(run()) == (ends > 0, [5.0])
+
+
+class TestDisabled:
+    """One switch turns off all of the quarantine."""
+
+    def test_coordinators_learn_no_features(self):
+        """Guards against copies that wait although the quarantine is off."""
+        disabled = request_quarantine.Disabled()
+        ctx = _context()
+        assert disabled.fingerprint(ctx) == ""
+        assert disabled.unproven_parts(ctx) == ()
