--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -45,8 +45,8 @@
 class EndpointUnavailable(CallError):  # noqa: N818
     """This VM may send the endpoint no requests now, so nothing was sent.
 
-    The endpoint has asked for that, or a limit of this VM applies. Neither tells
-    whether it is reachable.
+    The endpoint has asked for that, or a limit of this VM applies. Neither
+    tells whether it is reachable.
     """
 
     code = "endpoint_unavailable"
