Simulate plain services without a coordinator (plain copies red)

The simulated minutes of plain services started suspected requests one by one, which only coordinators of model requests do: since whole requests are suspected too, the plans plain, slow-plain and racks-popular-plain were easier than the product.

plain-copies is new and red: copies of one crashing request to a plain service that come at one moment end a server each, and their ends count as one.

--- a/tests/crash_simulation.py
+++ b/tests/crash_simulation.py
@@ -58,6 +58,8 @@
       session_requests: Number of successive proper requests that share a part
         which no others have.
       news_delay_s: Time until the crash table learns of an end or an output.
+      coordinated: Whether a coordinator starts suspected requests one by one.
+        Plain services have none.
     """
 
     engines: int = 4
@@ -76,6 +78,7 @@
     burst: int = 6
     session_requests: int = 4
     news_delay_s: float = 0.0
+    coordinated: bool = True
 
 
 @dataclasses.dataclass(slots=True)
@@ -219,7 +222,7 @@
             if not crashing:
                 self.result.refused_proper.append(restriction.kind.value)
             return
-        if self._suspected_features.must_wait(
+        if self._plan.coordinated and self._suspected_features.must_wait(
             _POOL, (fingerprint, *parts), now
         ):
             self._at(
--- a/tests/test_crash_simulation.py
+++ b/tests/test_crash_simulation.py
@@ -21,12 +21,26 @@
     "streams": _Plan(),
     "large-pool": _Plan(engines=30, requests_per_s=60.0),
     "plain": _Plan(
-        startup_s=0.05, run_s=0.0, requests_per_s=40.0, crash_delay_s=0.02
+        startup_s=0.05,
+        run_s=0.0,
+        requests_per_s=40.0,
+        crash_delay_s=0.02,
+        coordinated=False,
+    ),
+    "slow-plain": _Plan(
+        startup_s=0.4, run_s=0.0, crash_delay_s=0.05, coordinated=False
     ),
-    "slow-plain": _Plan(startup_s=0.4, run_s=0.0, crash_delay_s=0.05),
     "two-causes": _Plan(crashing=2, crashing_per_s=2.0),
     "long-startup": _Plan(startup_s=1.0, crashing_per_s=3.0),
     "copies-at-one-moment": _Plan(crashing_per_s=0.25, crashing_copies=8),
+    "plain-copies": _Plan(
+        startup_s=0.05,
+        run_s=0.0,
+        crash_delay_s=0.02,
+        crashing_per_s=0.25,
+        crashing_copies=8,
+        coordinated=False,
+    ),
 }
 _RACK_PLANS = {
     "racks": _Plan(crashing=0, mass_crashes=tuple(range(5, 60, 5))),
@@ -39,6 +53,7 @@
         contents=10,
         startup_s=0.3,
         run_s=0.0,
+        coordinated=False,
     ),
     # All requests share parts that no engine has lived to give output on.
     "racks-new-part": _Plan(
