Use connections that were established while the process stood still

Cause: after such a pause the timer of a connect attempt is due together with the event that the connection is established, and tornado's timer is handled before the stream is handed on. All attempts of that moment failed: the router (connect timeout 0.25 s) called its engines unreachable, which ejects them for all VMs, lost its path to the pool ("path_lost"), was turned away by peers for the same reason, and refused its callers (503) or a router's client raised an error. Engines had accepted all.

Now a timeout gives the event loop some turns before the attempt counts as failed, and tornado's own timer comes a second later. The new test stops the loop for twice the timeout: failed before. A pause of over a second fails as before. Ruled out: a full accept queue, a port shared by two listeners.

Callers of a VM that stood still for a moment are served instead of refused, and its engines stay in use for all others.

--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -38,6 +38,13 @@
 _MAX_IDLE_PER_ENDPOINT = 64
 _IDLE_TIMEOUT_S = 30.0
 
+# Turns of the event loop in which a connection that is established is known.
+_LOOP_TURNS = 10
+
+# A connect attempt outlives its timeout by this time in seconds. A process that
+# stood still for less finds the connections that were established meanwhile.
+_STALL_MAX_S = 1.0
+
 # Fraction of the `Keep-Alive` timeout for which an idle connection is kept. A
 # request sent while the endpoint closes the connection is lost, but may have
 # been executed.
@@ -316,16 +323,16 @@
             self._tcp.connect(
                 host,
                 port,
-                timeout=timeout_s,
+                timeout=timeout_s + _STALL_MAX_S,
                 max_buffer_size=_MAX_STREAM_BUFFER_BYTES,
             )
         )
         try:
+            stream = await _wait_for_connection(connect_task, timeout_s)
+        except asyncio.CancelledError:
             # A cancellation just as the connection is established would lose
             # the stream and leave the socket open. So the connect attempt
-            # continues for at most `timeout_s`, and its result is closed.
-            stream = await asyncio.shield(connect_task)
-        except asyncio.CancelledError:
+            # continues for a while, and its result is closed.
             connect_task.add_done_callback(_close_abandoned)
             raise
         except (OSError, iostream.StreamClosedError) as error:
@@ -448,6 +455,27 @@
     return error
 
 
+async def _wait_for_connection(
+    connect_task: asyncio.Future[iostream.IOStream], timeout_s: float
+) -> iostream.IOStream:
+    """Waits for a connection; the attempt continues after a timeout.
+
+    If the process has stood still, the connection may be established and the
+    event loop not have handled it yet.
+
+    Raises:
+      OSError: The connection could not be established in time.
+      tornado.iostream.StreamClosedError: It failed.
+    """
+    await asyncio.wait([connect_task], timeout=timeout_s)
+    for _ in range(_LOOP_TURNS):
+        if connect_task.done():
+            return connect_task.result()
+        await asyncio.sleep(0)
+    connect_task.add_done_callback(_close_abandoned)
+    raise TimeoutError("Timeout while connecting")
+
+
 def _close_abandoned(connect_task: asyncio.Future[iostream.IOStream]) -> None:
     if not connect_task.cancelled() and connect_task.exception() is None:
         connect_task.result().close()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 from tests import raw_endpoint
@@ -226,6 +227,30 @@
         asyncio.run(scenario())
 
 
+class TestStalledProcess:
+    """The process stands still while a connection is being opened."""
+
+    def test_connection_that_was_established_meanwhile_is_used(self) -> None:
+        """Guards against endpoints that are blamed for a pause of this VM."""
+
+        async def scenario() -> None:
+            timeout_s = 0.05
+            with socket.create_server(("127.0.0.1", 0)) as server:
+                client = http_client.HttpClient()
+                address = server.getsockname()
+                connecting = asyncio.create_task(
+                    client.connect(*address, timeout_s)
+                )
+                for _ in range(5):
+                    await asyncio.sleep(0)
+                time.sleep(2 * timeout_s)  # noqa: ASYNC251 stops the loop
+                connection = await connecting
+                connection.close()
+                client.close()
+
+        asyncio.run(scenario())
+
+
 class TestCancel:
     """The calling task is cancelled during a call."""
 
