Features: restart engines once a VM has noticed their end

Cause: the step restarted an engine as soon as its process had ended. The checks are unchanged, one is added (all ends are suspected).

--- a/features/steps/crashing_steps.py
+++ b/features/steps/crashing_steps.py
@@ -24,25 +24,22 @@
     )
 
 
-def _restart_ended(context) -> int:
-    """Starts the engines that have ended and returns how many there were."""
-    ended = [
+def _ended_engines(context) -> list[str]:
+    """Returns the ids of the engines that have ended."""
+    return [
         endpoint_id
         for endpoint_id in context.fleet.endpoint_ids("decode")
         if not context.fleet.children_by_name[endpoint_id].running
     ]
-    for endpoint_id in ended:
-        context.fleet.restart_endpoint(endpoint_id)
-    return len(ended)
 
 
-def _confirmed_ends(context) -> int:
-    """Returns how many ends any VM has confirmed."""
+def _logged_ends(context, event: str) -> int:
+    """Returns how many ends any VM has logged with an event."""
     lines = [
         child.parse_line(line)
         for vm_id in context.fleet.vms_by_id
         for line in context.fleet.children_by_name[f"{vm_id}.e0"].lines
-        if "event=engine_crash_confirmed" in line
+        if f"event={event} " in line
     ]
     return len({(line["endpoint"], line["number"]) for line in lines})
 
@@ -80,11 +77,23 @@
     vm_ids = sorted(context.fleet.vms_by_id)
     for number in range(_MAX_SENDS):
         send(context, vm_ids[number % len(vm_ids)], _ENDS_ON)
-        context.ended += _restart_ended(context)
-        # An engine that ends again before its first end is confirmed counts
-        # once; engines take longer to start than stand-ins.
+        ended = _ended_engines(context)
+        context.ended += len(ended)
+        # Engines take longer to start than stand-ins. One that listens again
+        # before a VM has tried its port has not ended for that VM, and one that
+        # ends again before its first end is confirmed counts once.
         dispatch_site.wait_until(
-            lambda: _confirmed_ends(context) >= context.ended,
+            lambda: (
+                _logged_ends(context, "engine_crash_suspected") >= context.ended
+            ),
+            "all ends are suspected",
+        )
+        for endpoint_id in ended:
+            context.fleet.restart_endpoint(endpoint_id)
+        dispatch_site.wait_until(
+            lambda: (
+                _logged_ends(context, "engine_crash_confirmed") >= context.ended
+            ),
             "all ends are confirmed",
         )
         if context.ended >= ends:
@@ -130,7 +139,7 @@
             assert error["code"] == "request_quarantined", error
             assert error["run"] == "no", error
             assert error["retry_after_s"] > 0, error
-    assert not _restart_ended(context)
+    assert not _ended_engines(context)
 
 
 @behave.then("both VMs refuse it without another engine ending")
