Test a repeated SIGTERM in a process with other threads (red)

Cause: the stop signals are blocked for the main thread only, and the event loop restores the default handlers when it closes. A SIGTERM between that and the process's end goes to the thread that writes the log, which hasn't blocked it. Nothing is lost by then but the exit code.

The thread could block the signals when it starts.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -7,6 +7,8 @@
 import asyncio
 import os
 import signal
+import sys
+import threading
 
 from cowsliprill import environment
 from cowsliprill import process
@@ -34,11 +36,23 @@
     await server.run_until_stopped()
 
 
+for _ in range(int(sys.argv[1])):
+    threading.Thread(target=threading.Event().wait, daemon=True).start()
 asyncio.run(serve())
 os.kill(os.getpid(), signal.SIGTERM)
 """
 
 
+def _run_program(threads: int) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-c", _PROGRAM, str(threads)],
+        capture_output=True,
+        check=False,
+        text=True,
+        timeout=30,
+    )
+
+
 class TestShutdown:
     """Tests of the shutdown of a process after a stop request."""
 
@@ -49,12 +63,14 @@
         the signal terminated the process, its exit code of -15 looked as if
         requests had been cut.
         """
-        completed = subprocess.run(
-            [sys.executable, "-c", _PROGRAM],
-            capture_output=True,
-            check=False,
-            text=True,
-            timeout=30,
-        )
+        completed = _run_program(threads=0)
         assert completed.returncode == 0, completed.stderr
         assert "event=stopped" in completed.stderr
+
+    def test_sigterm_after_shutdown_with_other_threads(self) -> None:
+        """Guards against exit code -15 where a thread gets the signal.
+
+        Only the main thread has blocked it.
+        """
+        completed = _run_program(threads=1)
+        assert completed.returncode == 0, completed.stderr
