Look for any engine, not the best pair, when others could start a request

Cause: a request whose entry process can't use some engines is set apart while other entry processes could start it. That was asked by selecting the best pair for no entry process in particular: all transfers of all pairs, for each waiting request, at each event.

The question needs one free engine of each kind only. Selections get the same lists in the same order.

The question no longer resets the time since when prefill engines are short, as the selection did: a request that can't use the free ones was denied the prefill by a decode engine for as long as others could.

--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -1,6 +1,7 @@
 """Selects the engines for a request by their estimated time to first token."""
 
 import math
+from collections.abc import Iterator
 
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
@@ -58,14 +59,14 @@
           The best pair, None if the request has to wait.
         """
         pool, submit = request.pool, request.submit
-        prefills = self._prefill_candidates(pool, submit, now, entry)
+        prefills = list(self._prefill_candidates(pool, submit, now, entry))
         if not prefills:
             return self._choose_without_prefill(request, now, entry)
         pool.prefill_shortage_since = math.inf
         endpoints_by_id = pool.endpoints_by_id
         return pair_selection.select_pair(
             prefills,
-            self._decode_candidates(request, now, entry),
+            list(self._decode_candidates(request, now, entry)),
             lambda prefill_id, decode_id: estimates.transfer_s(
                 endpoints_by_id[prefill_id],
                 endpoints_by_id[decode_id],
@@ -73,6 +74,21 @@
             ),
         )
 
+    def has_engines(self, request: requests.Request, now: float) -> bool:
+        """Returns whether some entry process could start a request now.
+
+        Args:
+          request: The request.
+          now: Current time in seconds.
+        """
+        prefills = self._prefill_candidates(
+            request.pool, request.submit, now, entry=None
+        )
+        if request.can_reuse_prefill(now) or any(prefills):
+            return any(self._decode_candidates(request, now, entry=None))
+        pair = self._choose_without_prefill(request, now, entry=None)
+        return pair is not None
+
     def _choose_without_prefill(
         self, request: requests.Request, now: float, entry: str | None
     ) -> pair_selection.EnginePair | None:
@@ -125,7 +141,7 @@
         pool, submit = request.pool, request.submit
         return pair_selection.select_pair(
             [pair_selection.Candidate(prefill.id, 0.0)],
-            self._decode_candidates(request, now, entry),
+            list(self._decode_candidates(request, now, entry)),
             lambda _, decode_id: estimates.transfer_s(
                 prefill, pool.endpoints_by_id[decode_id], submit.prompt_tokens
             ),
@@ -137,8 +153,7 @@
         submit: messages.Submit,
         now: float,
         entry: str | None,
-    ) -> list[pair_selection.Candidate]:
-        candidates = []
+    ) -> Iterator[pair_selection.Candidate]:
         ejected_engine_ids = self._health.ejected_engine_ids(pool.prefills)
         all_ejected = len(ejected_engine_ids) == len(pool.prefills)
         for endpoint in pool.prefills:
@@ -155,14 +170,12 @@
                 continue
             cost_s = pool.prefill_wait_s(endpoint, submit)
             cost_s += self._cross_zone_s(endpoint)
-            candidates.append(pair_selection.Candidate(endpoint.id, cost_s))
-        return candidates
+            yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _decode_candidates(
         self, request: requests.Request, now: float, entry: str | None
-    ) -> list[pair_selection.Candidate]:
+    ) -> Iterator[pair_selection.Candidate]:
         pool, submit = request.pool, request.submit
-        candidates = []
         decodes = [
             endpoint
             for endpoint in pool.decodes
@@ -192,8 +205,7 @@
             cost_s = self._cross_zone_s(endpoint) * (1 + occupancy)
             if endpoint.block_tokens:
                 cost_s += occupancy * _FULL_MEMORY_COST_S
-            candidates.append(pair_selection.Candidate(endpoint.id, cost_s))
-        return candidates
+            yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _may_probe(
         self,
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -806,9 +806,8 @@
         self, request: requests.Request, now: float
     ) -> bool:
         """Returns whether it only waits as its entry process lacks engines."""
-        return (
-            self._is_restricted(request, now)
-            and self._select(request, now, entry=None) is not None
+        return self._is_restricted(request, now) and self._selector.has_engines(
+            request, now
         )
 
     def _avoid_engines(self, request: requests.Request, now: float) -> None:
