Move waiting requests, and report unsent decodes, in one place each

Two methods of the scheduler, and loops in two others, took a request out of its queue, set one of its marks and queued it again; now `_requeue` does. Two handlers of the model relay raised the same error but for whether the engine was unreachable, since the error for the own connection limit became one of unavailable endpoints. Two texts say that this limit counts too. Nothing decides differently; tests of the scheduler, its coordinator, the relay and pauses are unchanged and pass.

--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -52,8 +52,9 @@
 _FULL_ENGINE_BACKOFF_S = 0.5
 
 # Time for which an engine gets no requests of an entry process that didn't send
-# one there, as it knows the engine to leave or not to be listed. The scheduler
-# may learn of that later, and would place them there again at once.
+# one there: it knows the engine to leave or not to be listed, or has no
+# connection left. The scheduler may learn of that later or never, and would
+# place them there again at once.
 _UNSENT_BACKOFF_S = 0.1
 
 
@@ -627,8 +628,12 @@
         waiting = [*pool.queue, *pool.constrained]
         for request in map(self._queued, waiting):
             if request.needs_version != request.lacks_engines():
-                request.queue.remove(request.submit.request_id)
-                self._enqueue(request, now)
+                self._requeue(
+                    request,
+                    now,
+                    starts_apart=request.starts_apart,
+                    avoids_engines=request.avoids_engines,
+                )
 
     # Placement.
 
@@ -746,17 +751,38 @@
             assert waiting is not None
             request = self._queued(waiting)
             if self._must_wait(request, now):
-                self._set_apart(request, now)
+                self._requeue(request, now, starts_apart=True)
                 continue
             start = self._place(request, now)
             if start is not None:
                 starts.append(start)
             elif self._could_start_elsewhere(request, now):
-                self._avoid_engines(request, now)
+                self._requeue(request, now, avoids_engines=True)
             else:
                 break
         return starts
 
+    def _requeue(
+        self,
+        request: requests.Request,
+        now: float,
+        *,
+        starts_apart: bool = False,
+        avoids_engines: bool = False,
+    ) -> None:
+        """Moves a waiting request, so that it delays only those like it.
+
+        Args:
+          request: The request.
+          now: Current time in seconds.
+          starts_apart: See `requests.Request`.
+          avoids_engines: See `requests.Request`.
+        """
+        request.queue.remove(request.submit.request_id)
+        request.starts_apart = starts_apart
+        request.avoids_engines = avoids_engines
+        self._enqueue(request, now)
+
     def _return_to_queue(self, pool: pools.Pool, now: float) -> None:
         """Queues requests again that were set apart and needn't wait now."""
         for request in list(map(self._queued, pool.constrained)):
@@ -768,10 +794,9 @@
                 waits,
                 avoids,
             ):
-                request.queue.remove(request.submit.request_id)
-                request.starts_apart = waits
-                request.avoids_engines = avoids
-                self._enqueue(request, now)
+                self._requeue(
+                    request, now, starts_apart=waits, avoids_engines=avoids
+                )
 
     def _place_resumed(
         self, pool: pools.Pool, now: float
@@ -796,12 +821,6 @@
             submit.service.pool, submit.features, now
         )
 
-    def _set_apart(self, request: requests.Request, now: float) -> None:
-        """Keeps a request that must wait from delaying those behind it."""
-        request.queue.remove(request.submit.request_id)
-        request.starts_apart = True
-        self._enqueue(request, now)
-
     def _could_start_elsewhere(
         self, request: requests.Request, now: float
     ) -> bool:
@@ -810,12 +829,6 @@
             request, now
         )
 
-    def _avoid_engines(self, request: requests.Request, now: float) -> None:
-        """Keeps a request from delaying those that can use more engines."""
-        request.queue.remove(request.submit.request_id)
-        request.avoids_engines = True
-        self._enqueue(request, now)
-
     def _shed_requests(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -63,7 +63,7 @@
       reason: One sentence for the log.
       answer: The server's error response, None if there was none.
       unsent: Whether no byte of the call was sent.
-      withheld: Whether that was because the server wants no requests.
+      withheld: Whether that was because this VM may send it none now.
       connection_lost: Whether the server closed the connection during the call.
     """
 
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -146,23 +146,16 @@
         endpoint = self._decode_endpoint(ctx)
         try:
             await self.calls.prepare(ctx, endpoint)
-        except engine_errors.EndpointUnavailable as error:
+        except (
+            engine_errors.ConnectFailed,
+            engine_errors.EndpointUnavailable,
+        ) as error:
             raise attempts.AttemptError(
                 endpoint.id,
                 messages.Stage.TRANSFER,
                 str(error),
                 unsent=True,
-                kept_s=self._export_left_s(ctx)
-                if ctx.exported_prefill
-                else 0.0,
-            ) from error
-        except engine_errors.ConnectFailed as error:
-            raise attempts.AttemptError(
-                endpoint.id,
-                messages.Stage.TRANSFER,
-                str(error),
-                unsent=True,
-                unreachable=True,
+                unreachable=isinstance(error, engine_errors.ConnectFailed),
                 kept_s=self._export_left_s(ctx)
                 if ctx.exported_prefill
                 else 0.0,
