Read what an endpoint's answer says in one place on the own interface

Cause: calls to engines and to plain services each built this from the headers, and the engines' one left out the answer's date. An engine that asked for rest until a date (RFC 9110) was taken for one that wrote an invalid time, and got requests. The new test, for both kinds of calls, failed for engines; now one parser serves both.

Callers' requests no longer reach such an engine in its rest. An engine's answer is conclusive about its limit with any 2xx instead of 200, the only one it sends.

--- a/src/cowsliprill/engines/engine_caller.py
+++ b/src/cowsliprill/engines/engine_caller.py
@@ -6,7 +6,6 @@
 from cowsliprill import clock
 from cowsliprill import codec
 from cowsliprill.decisions import call_state as call_lib
-from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
 from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import errors
@@ -161,14 +160,11 @@
         if response.headers.get(protocol.REQUEST_ID_HEADER) != request_id:
             return
         self._feedback.observe(
-            endpoint_answers.Answer(
-                endpoint=endpoint,
-                limit_text=response.headers.get(protocol.RATE_LIMIT_HEADER),
-                sent_at=sent_at,
-                conclusive=response.status == _OK,
-                retry_after=protocol.retry_after(
-                    response.status, response.headers
-                ),
+            protocol.parse_answer(
+                endpoint,
+                response.status,
+                response.headers,
+                sent_at,
                 accepted=response.status == _OK,
             )
         )
--- a/src/cowsliprill/engines/protocol.py
+++ b/src/cowsliprill/engines/protocol.py
@@ -60,6 +60,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
 from cowsliprill.engines import model as engine_model
 
@@ -133,16 +134,33 @@
         return ErrorDetails(message="response has no error code")
 
 
-def retry_after(status: int, headers: Mapping[str, str]) -> str | None:
-    """Returns the text of a response that asks for a pause, None without one.
+def parse_answer(
+    endpoint: model.Endpoint,
+    status: int,
+    headers: Mapping[str, str],
+    sent_at: float,
+    *,
+    accepted: bool,
+) -> endpoint_answers.Answer:
+    """Returns what the response to a request says about its endpoint.
 
     Args:
+      endpoint: The endpoint that responded.
       status: HTTP status.
       headers: HTTP headers of the response.
+      sent_at: When the request was sent, in seconds.
+      accepted: Whether the endpoint took the request.
     """
-    if status != http.HTTPStatus.SERVICE_UNAVAILABLE:
-        return None
-    return headers.get(RETRY_AFTER_HEADER)
+    turned_away = status == http.HTTPStatus.SERVICE_UNAVAILABLE
+    return endpoint_answers.Answer(
+        endpoint=endpoint,
+        sent_at=sent_at,
+        limit_text=headers.get(RATE_LIMIT_HEADER),
+        conclusive=status < http.HTTPStatus.MULTIPLE_CHOICES,
+        retry_after=headers.get(RETRY_AFTER_HEADER) if turned_away else None,
+        date=headers.get("Date"),
+        accepted=accepted,
+    )
 
 
 def prefill_body(body: dict[str, Any]) -> dict[str, Any]:
--- a/src/cowsliprill/engines/service_client.py
+++ b/src/cowsliprill/engines/service_client.py
@@ -1,14 +1,12 @@
 """Client for plain services that forwards a call as one HTTP request."""
 
 import dataclasses
-import http
 from collections.abc import Mapping
 
 from tornado import httputil
 
 from cowsliprill import clock
 from cowsliprill.decisions import call_state as call_lib
-from cowsliprill.decisions import endpoint_answers
 from cowsliprill.decisions import model
 from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import errors
@@ -125,7 +123,15 @@
             response.status, error.run, response_id, request.request_id
         )
         if response_id == request.request_id or not service.echoes_request_id:
-            self._observe(endpoint, response, sent_at, accepted=not refused)
+            self._feedback.observe(
+                protocol.parse_answer(
+                    endpoint,
+                    response.status,
+                    response.headers,
+                    sent_at,
+                    accepted=not refused,
+                )
+            )
         if refused:
             progress.mark_refused()
             raise errors.ServiceRefused(error.message, code=error.code)
@@ -135,27 +141,6 @@
             )
         return _build_response(response, body)
 
-    def _observe(
-        self,
-        endpoint: model.Endpoint,
-        response: exchange_lib.Response,
-        sent_at: float,
-        *,
-        accepted: bool,
-    ) -> None:
-        status, headers = response.status, response.headers
-        self._feedback.observe(
-            endpoint_answers.Answer(
-                endpoint=endpoint,
-                sent_at=sent_at,
-                limit_text=headers.get(protocol.RATE_LIMIT_HEADER),
-                conclusive=status < http.HTTPStatus.MULTIPLE_CHOICES,
-                retry_after=protocol.retry_after(status, headers),
-                date=headers.get("Date"),
-                accepted=accepted,
-            )
-        )
-
 
 def request_headers(request: ServiceRequest) -> httputil.HTTPHeaders:
     """Builds the headers to send to the service.
--- a/tests/test_endpoint_feedback.py
+++ b/tests/test_endpoint_feedback.py
@@ -128,6 +128,16 @@
         assert answer.retry_after == "2.5"
         assert not answer.accepted
 
+    def test_tells_until_when_it_wants_none(self, call: _Call) -> None:
+        """Guards against a pause until a date that is taken for invalid."""
+        feedback = _FakeFeedback()
+        date, until = (
+            f"Fri, 04 Dec 2026 08:00:0{second} GMT" for second in (0, 3)
+        )
+        _run(call, feedback, f"Date: {date}\r\nRetry-After: {until}\r\n")
+        [answer] = feedback.answers
+        assert (answer.retry_after, answer.date) == (until, date)
+
     def test_without_a_time_asks_for_no_pause(self, call: _Call) -> None:
         feedback = _FakeFeedback()
         _run(call, feedback)
