Name an endpoint's incarnation once

Now it is a property of the endpoint. Nothing decides differently; the tests are unchanged and pass.

--- a/src/cowsliprill/availability/ledger.py
+++ b/src/cowsliprill/availability/ledger.py
@@ -98,7 +98,7 @@
 
     def record_sent(self, endpoint: model.Endpoint) -> None:
         """Records that a request is sent to an endpoint now."""
-        key, now = _key(endpoint), clock.now()
+        key, now = endpoint.incarnation, clock.now()
         reason = self.reason(endpoint)
         if reason is not None:
             self._metrics.unwanted_sends.inc(_labels(endpoint, reason))
@@ -117,12 +117,12 @@
 
     def paused_until(self, endpoint: model.Endpoint) -> float:
         """Returns when an endpoint may get a request, 0 if it may now."""
-        return self.pauses.until(_key(endpoint), clock.now())
+        return self.pauses.until(endpoint.incarnation, clock.now())
 
     def pause_left_s(self, endpoint: model.Endpoint) -> float:
         """Returns for how long an endpoint's pause lasts, in seconds."""
         now = clock.now()
-        return max(self.pauses.asked_until(_key(endpoint)) - now, 0.0)
+        return max(self.pauses.asked_until(endpoint.incarnation) - now, 0.0)
 
     def paused_until_by_id(
         self, endpoints_by_id: Mapping[str, model.Endpoint]
@@ -196,7 +196,7 @@
         except endpoint_answers.InvalidRetryAfterError as error:
             self._invalid.report(answer.endpoint.id, error.message)
             return False
-        key = _key(answer.endpoint)
+        key = answer.endpoint.incarnation
         if not self.pauses.ask(key, pause_s, clock.now()):
             return False
         self._log.event(
@@ -208,7 +208,7 @@
         return True
 
     def _observe_accepted(self, answer: endpoint_answers.Answer) -> bool:
-        key = _key(answer.endpoint)
+        key = answer.endpoint.incarnation
         if not self.pauses.record_accepted(key, answer.sent_at):
             return False
         self._report_pause_ended(*key, accepted=True)
@@ -244,9 +244,5 @@
             callback()
 
 
-def _key(endpoint: model.Endpoint) -> endpoint_pauses.Key:
-    return (endpoint.id, endpoint.life)
-
-
 def _labels(endpoint: model.Endpoint, reason: Reason) -> dict[str, str]:
     return {"pool": endpoint.pool, "reason": reason.value}
--- a/src/cowsliprill/decisions/leaving_endpoints.py
+++ b/src/cowsliprill/decisions/leaving_endpoints.py
@@ -59,7 +59,7 @@
         return iter(self._records_by_key.values())
 
     def __contains__(self, endpoint: model.Endpoint) -> bool:
-        return (endpoint.id, endpoint.life) in self._records_by_key
+        return endpoint.incarnation in self._records_by_key
 
     def ids_of(self, endpoints: Iterable[model.Endpoint]) -> frozenset[str]:
         """Returns the ids of those of some endpoints that are leaving."""
--- a/src/cowsliprill/decisions/model.py
+++ b/src/cowsliprill/decisions/model.py
@@ -130,6 +130,11 @@
     target: EngineTarget | None = None
     vm: str = ""
 
+    @property
+    def incarnation(self) -> tuple[str, str]:
+        """Identifies it among all that have been started under its id."""
+        return (self.id, self.life)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EngineSpec:
--- a/src/cowsliprill/decisions/rate_limits.py
+++ b/src/cowsliprill/decisions/rate_limits.py
@@ -148,7 +148,7 @@
 
     def get(self, endpoint: model.Endpoint) -> RateLimit | None:
         """Returns the limit of an endpoint, None if it never named one."""
-        return self.get_by_key((endpoint.id, endpoint.life))
+        return self.get_by_key(endpoint.incarnation)
 
     def get_by_key(self, key: LimitKey) -> RateLimit | None:
         """Returns the limit of an incarnation of an endpoint, if known."""
--- a/src/cowsliprill/decisions/role_planner.py
+++ b/src/cowsliprill/decisions/role_planner.py
@@ -112,11 +112,11 @@
           now: Current time in seconds.
         """
         pending = _PendingOrder(sent_at=now, kind=order.kind)
-        self._pending_by_incarnation[_incarnation(order.endpoint)] = pending
+        self._pending_by_incarnation[order.endpoint.incarnation] = pending
 
     def order_acknowledged(self, order: RoleOrder) -> None:
         """Records that the engine acknowledged an order."""
-        incarnation = _incarnation(order.endpoint)
+        incarnation = order.endpoint.incarnation
         pending = self._pending_by_incarnation[incarnation]
         self._pending_by_incarnation[incarnation] = dataclasses.replace(
             pending, acknowledged=True
@@ -133,7 +133,7 @@
         """
         found = []
         for item in endpoints:
-            pending = self._pending_by_incarnation.get(_incarnation(item))
+            pending = self._pending_by_incarnation.get(item.incarnation)
             if (
                 pending
                 and pending.acknowledged
@@ -154,7 +154,7 @@
         return prefills, decodes
 
     def _planned_kind(self, endpoint: model.Endpoint) -> model.EndpointKind:
-        pending = self._pending_by_incarnation.get(_incarnation(endpoint))
+        pending = self._pending_by_incarnation.get(endpoint.incarnation)
         return pending.kind if pending else endpoint.kind
 
     def _is_sustained(
@@ -207,7 +207,7 @@
         return [
             item
             for item in endpoints
-            if _incarnation(item) not in self._pending_by_incarnation
+            if item.incarnation not in self._pending_by_incarnation
         ]
 
     def _expire_pending(self, now: float) -> None:
@@ -303,7 +303,3 @@
         ),
     )
     return RoleOrder(endpoint=endpoint, kind=kind)
-
-
-def _incarnation(endpoint: model.Endpoint) -> tuple[str, str]:
-    return (endpoint.id, endpoint.life)
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -501,7 +501,7 @@
         for item in instances:
             endpoint = self._with_pool_settings(item.endpoint)
             endpoints_by_id[endpoint.id] = endpoint
-            says_so = (endpoint.id, endpoint.life) in self._leaving_keys
+            says_so = endpoint.incarnation in self._leaving_keys
             if item.leaving or says_so:
                 leaving.add(endpoint.id)
         self.snapshot = model.Snapshot(
