--- a/src/cowsliprill/decisions/endpoint_pauses.py
+++ b/src/cowsliprill/decisions/endpoint_pauses.py
@@ -1,7 +1,7 @@
 """Pauses that endpoints have asked this VM for.
 
 An endpoint that turns a request away may say for how long it wants nothing from
-the VM that sent it. After the pause one request at a time is sent as a trial,
+the VM that sent it. After the pause one request at a time is sent as a probe,
 until the endpoint takes one.
 """
 
@@ -12,8 +12,8 @@
 # tried again after this time.
 MAX_PAUSE_S = 3_600.0
 
-# A trial without an answer for this time no longer keeps others back.
-_TRIAL_TIMEOUT_S = 1.0
+# A probe without an answer for this time no longer keeps others back.
+_PROBE_TIMEOUT_S = 1.0
 
 # A pause that ended this long ago says nothing about the endpoint any more.
 _KEPT_S = 10.0
@@ -24,10 +24,10 @@
 @dataclasses.dataclass(slots=True)
 class _Pause:
     until: float
-    trial_until: float = 0.0
+    probe_until: float = 0.0
 
     def ends_at(self) -> float:
-        return max(self.until, self.trial_until)
+        return max(self.until, self.probe_until)
 
 
 class EndpointPauses:
@@ -93,12 +93,12 @@
           now: Current time in seconds.
 
         Returns:
-          Whether it is a trial, so that others have to wait for its answer.
+          Whether it is a probe, so that others have to wait for its answer.
         """
         pause = self._pauses_by_key.get(key)
         if pause is None:
             return False
-        pause.trial_until = now + _TRIAL_TIMEOUT_S
+        pause.probe_until = now + _PROBE_TIMEOUT_S
         return True
 
     def record_accepted(self, key: Key, sent_at: float) -> bool:
--- a/src/cowsliprill/entry/endpoint_availability.py
+++ b/src/cowsliprill/entry/endpoint_availability.py
@@ -11,7 +11,7 @@
     def paused_until(self, endpoint: model.Endpoint) -> float:
         """Returns when an endpoint may get a request, 0 if it may now.
 
-        While a trial after a pause is unanswered, that is when another is sent.
+        While a probe after a pause is unanswered, that is when another is sent.
         """
 
     def pause_left_s(self, endpoint: model.Endpoint) -> float:
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -250,7 +250,7 @@
             raise self._paused_error(ctx, pause_left_s + spread_s)
         self._waiting_by_pool[pool] += 1
         try:
-            # Without a pause left, a trial is about to be answered.
+            # Without a pause left, a probe is about to be answered.
             await self.availability.wait_for_change(pause_left_s or max_wait_s)
         finally:
             self._waiting_by_pool[pool] -= 1
