Log and count engines that are silent to all calls of a VM

attempt_lost told of one stream each that no data had come for 1.0 s: whether the engine was silent to one stream or to all, whether its host still accepted connections, and whether it spoke again was in no log.

Each VM now follows what it hears of an engine over all its calls, probes the host after 0.8 s of silence (engine_silent, engine_heard, a counter), and the reason of a lost attempt names the three figures. One policy per call replaces the fixed stall timeout in the exchange; when a call is given up is unchanged, but for one case: a timer that fires late, as the process itself stood still, no longer counts that time as silence of the engine.

--- a/src/cowsliprill/engines/engine_caller.py
+++ b/src/cowsliprill/engines/engine_caller.py
@@ -12,6 +12,7 @@
 from cowsliprill.engines import exchange as exchange_lib
 from cowsliprill.engines import http_client
 from cowsliprill.engines import protocol
+from cowsliprill.engines import silence
 from cowsliprill.engines import token_stream
 
 CONTROL_TIMEOUT_S = 2.0
@@ -69,7 +70,7 @@
             {**_JSON_HEADERS, protocol.REQUEST_ID_HEADER: stream.request_id},
             json.dumps(fields).encode(),
             timeout_s=timeout_s,
-            stall_timeout_s=self._stall_timeout_s,
+            silence=silence.FixedTimeout(self._stall_timeout_s),
             before_send=lambda: self._feedback.before_send(endpoint),
         )
         self._observe(endpoint, response, stream.request_id, sent_at)
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -2,21 +2,28 @@
 
 import asyncio
 import collections
+import math
 from collections.abc import AsyncIterator
 
 from tornado import httputil
 from tornado import iostream
 
+from cowsliprill.decisions import engine_silence
 from cowsliprill.engines import errors
+from cowsliprill.engines import silence as silence_lib
 
 # Reading from the socket pauses while this much data is unread, so that TCP
 # flow control slows the sender down to the pace of the reader.
 _MAX_BUFFERED_BYTES = 65_536
 # Time for the body to end after `release`.
 _RELEASE_TIMEOUT_S = 1.0
+# A timer that fires later than this shows that this process stood still.
+_STANDSTILL_MIN_S = 0.25
 _FIRST_FINAL_STATUS = 200
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
+_PATIENT = silence_lib.FixedTimeout(math.inf)
+
 
 class Response:
     """A response whose body is still being received.
@@ -134,8 +141,8 @@
         self._headers_future: asyncio.Future[None] = self._loop.create_future()
         self._error: errors.CallError | None = None
         self._timeout_timer: asyncio.TimerHandle | None = None
-        self._stall_timer: asyncio.TimerHandle | None = None
-        self._last_received_at = 0.0
+        self._silence_timer: asyncio.TimerHandle | None = None
+        self._silence: silence_lib.SilencePolicy = _PATIENT
 
     # Callbacks of tornado's `HTTP1Connection`.
 
@@ -157,7 +164,7 @@
             return None
         self._chunks.append(chunk)
         self.buffered_bytes += len(chunk)
-        self._last_received_at = self._loop.time()
+        self._silence.hear(self._loop.time())
         if self._data_available is not None:
             _set_done(self._data_available)
             self._data_available = None
@@ -249,39 +256,41 @@
             self.start_timers(_RELEASE_TIMEOUT_S, None)
 
     def start_timers(
-        self, timeout_s: float, stall_timeout_s: float | None
+        self, timeout_s: float, silence: silence_lib.SilencePolicy | None
     ) -> None:
-        """Starts the timers for the whole exchange and for stalls.
+        """Starts the timers for the whole exchange and for silence.
 
         Args:
           timeout_s: Timeout of the whole exchange in seconds.
-          stall_timeout_s: Maximum time in seconds between received bytes, None
-            for no limit.
+          silence: Decides what becomes of the exchange while no data is
+            received, None to wait for the timeout.
         """
         self._cancel_timers()
-        self._last_received_at = self._loop.time()
         self._timeout_timer = self._loop.call_later(
             timeout_s, self.fail, errors.CallTimeout("call timed out")
         )
-        if stall_timeout_s is not None:
-            self._check_stall(stall_timeout_s)
+        if silence is not None:
+            now = self._loop.time()
+            silence.begin(now)
+            self._silence = silence
+            self._check_silence(now)
 
-    def _check_stall(self, stall_timeout_s: float) -> None:
+    def _check_silence(self, due_at: float) -> None:
         # One timer per stream that checks the time of the last byte. A timer
         # per chunk would cost more than relaying the chunk.
-        idle_s = self._loop.time() - self._last_received_at
-        reading = self._space_available is None
-        if reading and idle_s >= stall_timeout_s:
-            self.fail(
-                errors.CallTimeout(f"no data received for {stall_timeout_s} s")
-            )
-            return
-        if self.complete or self._error is not None:
-            return
-        wait_s = stall_timeout_s - idle_s if reading else stall_timeout_s
-        self._stall_timer = self._loop.call_later(
-            wait_s, self._check_stall, stall_timeout_s
-        )
+        now = self._loop.time()
+        if now - due_at > _STANDSTILL_MIN_S:
+            self._silence.excuse(now - due_at)
+        if self._space_available is not None:
+            # The reader of the body is slow, not its sender.
+            self._silence.hear(now)
+        match self._silence.check(now):
+            case engine_silence.Gone():
+                self.fail(errors.CallTimeout(self._silence.describe(now)))
+            case engine_silence.Wait(check_in_s):
+                self._silence_timer = self._loop.call_at(
+                    now + check_in_s, self._check_silence, now + check_in_s
+                )
 
     def _closed_cleanly(self) -> bool:
         """Returns whether a close-delimited body counts as complete.
@@ -299,7 +308,8 @@
                 _set_done(future)
 
     def _cancel_timers(self) -> None:
-        for timer in (self._timeout_timer, self._stall_timer):
+        self._silence.end()
+        for timer in (self._timeout_timer, self._silence_timer):
             if timer is not None:
                 timer.cancel()
 
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -28,6 +28,7 @@
 from cowsliprill.decisions import connection_limits
 from cowsliprill.engines import errors
 from cowsliprill.engines import exchange as exchange_lib
+from cowsliprill.engines import silence as silence_lib
 
 _READ_CHUNK_BYTES = 16_384
 _MAX_HEADER_BYTES = 16_384
@@ -167,7 +168,7 @@
         *,
         connect_timeout_s: float = 1.0,
         timeout_s: float = 120.0,
-        stall_timeout_s: float | None = None,
+        silence: silence_lib.SilencePolicy | None = None,
         new_connection: bool = False,
         allow_close_delimited: bool = False,
         connection: Connection | None = None,
@@ -189,8 +190,8 @@
           connect_timeout_s: Connect timeout in seconds.
           timeout_s: Timeout of the call in seconds, from sending the request to
             the end of the response body.
-          stall_timeout_s: Maximum time in seconds between received bytes, None
-            for no limit.
+          silence: Decides what becomes of the call while it gets no data, None
+            to wait for the timeout.
           new_connection: Whether to open a new connection. An endpoint may
             close an idle one just as a request is sent on it, which leaves
             unknown whether the request was executed.
@@ -231,7 +232,7 @@
             http_connection = _send_request(
                 stream, (method, path, all_headers, body), progress
             )
-            exchange.start_timers(timeout_s, stall_timeout_s)
+            exchange.start_timers(timeout_s, silence)
             self._start_reader(http_connection, exchange, (host, port))
             await exchange.wait_for_headers()
         except BaseException:
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -10,6 +10,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.engines import http_client
+from cowsliprill.engines import silence as silence_lib
 from cowsliprill.entry import errors
 from cowsliprill.entry import relay_envelope
 from cowsliprill.entry import response_writer as response_writer_lib
@@ -164,9 +165,9 @@
       caller_timeout_s: Timeout that the caller declares in seconds, 0 for none.
       declared_tokens: Sum of prompt tokens and limit of output tokens that the
         caller declares, 0 for none.
-      stall_timeout_s: Read timeout of the current call to an endpoint in
-        seconds, None to wait until the response is due; set by the relay or the
-        placement.
+      silence: Decides what becomes of the current call to an endpoint while it
+        gets no data, None to wait until the response is due; set by the relay
+        or the placement.
       connection: Open, unused connection to the decode engine of the current
         attempt.
       exported_prefill: Exported KV cache of a finished prefill that no decode
@@ -207,7 +208,7 @@
     useful_until: float = 0.0
     caller_timeout_s: float = 0.0
     declared_tokens: int = 0
-    stall_timeout_s: float | None = None
+    silence: silence_lib.SilencePolicy | None = None
     connection: http_client.Connection | None = None
     exported_prefill: Any = None
     idempotency_key: str = ""
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -30,6 +30,7 @@
 from cowsliprill.entry import coordinator_client
 from cowsliprill.entry import dialect as dialect_lib
 from cowsliprill.entry import endpoint_permits
+from cowsliprill.entry import engine_silence
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import model_relay
 from cowsliprill.entry import native
@@ -352,6 +353,9 @@
                 self._report_leaving,
                 self._log,
                 self._quarantine.check,
+                engine_silence.SilenceMonitor(
+                    self._paths, self._log, self._metrics
+                ),
                 self._engine_permits(),
             ),
             plain_relay=plain_relay.PlainRelay(self._dialect.services),
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -11,6 +11,7 @@
 from cowsliprill.decisions import outlier_detection
 from cowsliprill.decisions import retry_budget
 from cowsliprill.engines import service_client
+from cowsliprill.engines import silence
 from cowsliprill.entry import attempts
 from cowsliprill.entry import authorization
 from cowsliprill.entry import cluster_state as cluster_state_lib
@@ -109,7 +110,7 @@
             self.authorization.check(ctx)
             self.quarantine.check(ctx)
             ctx.progress.attempts += 1
-            ctx.stall_timeout_s = _stall_timeout_s(ctx)
+            ctx.silence = _silence_policy(ctx)
             try:
                 await self._run_call(ctx, proceed)
                 self.health.record_success(ctx.endpoint.id)
@@ -412,15 +413,17 @@
         )
 
 
-def _stall_timeout_s(ctx: context.Context) -> float | None:
-    """Returns the time without data after which another server is tried."""
+def _silence_policy(ctx: context.Context) -> silence.FixedTimeout | None:
+    """Returns after which time without data another server is tried."""
     idempotent = ctx.service.idempotency is model.Idempotency.IDEMPOTENT
     is_last_attempt = ctx.progress.attempts >= ctx.service.retries.attempts
     if is_last_attempt or not idempotent:
         return None
-    return max(
-        ctx.service.ttft_target_s * _STALL_TIMEOUT_PER_TTFT_TARGET,
-        _MIN_STALL_TIMEOUT_S,
+    return silence.FixedTimeout(
+        max(
+            ctx.service.ttft_target_s * _STALL_TIMEOUT_PER_TTFT_TARGET,
+            _MIN_STALL_TIMEOUT_S,
+        )
     )
 
 
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -14,6 +14,7 @@
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import context
 from cowsliprill.entry import endpoint_permits
+from cowsliprill.entry import engine_silence
 from cowsliprill.entry import errors
 from cowsliprill.entry import placement_backend
 from cowsliprill.entry import request_quarantine
@@ -32,9 +33,6 @@
 _PREFILL_TIMEOUT_FACTOR = 4.0
 _PREFILL_TIMEOUT_BASE_S = 2.0
 _MIN_TIMEOUT_S = 0.001
-# A resumable stream without data for this long has most likely lost its engine.
-# Full or slow engines pause for a few tenths of a second only.
-_STREAM_STALL_TIMEOUT_S = 1.0
 # Part of an exported KV cache's TTL that is reserved for the next scheduling
 # decision and the transfer; both together take at most this long.
 _KV_FETCH_RESERVE_S = 0.06
@@ -60,6 +58,7 @@
         responds that it is draining.
       log: Process log.
       quarantine: Checked right before work is sent to an engine.
+      silence: Decides how long a call waits for data.
       permits: Permits for engines that limit their requests.
     """
 
@@ -71,6 +70,7 @@
     report_leaving: ReportLeaving
     log: log_lib.Log
     quarantine: request_quarantine.RequestQuarantine
+    silence: engine_silence.SilenceMonitor
     permits: endpoint_permits.EndpointPermits = dataclasses.field(
         default_factory=endpoint_permits.Unlimited
     )
@@ -84,9 +84,6 @@
             stream.
           errors.EntryError: The request has failed for good.
         """
-        ctx.stall_timeout_s = (
-            _STREAM_STALL_TIMEOUT_S if ctx.service.resume else None
-        )
         try:
             await self._wait_for_engines(ctx.start)
             await self._acquire_permits(ctx)
@@ -183,6 +180,7 @@
         self._check_lease(ctx.start, endpoint.id, stage)
         self.quarantine.check(ctx)
         ctx.progress.prefills += 1
+        ctx.silence = self._watch(ctx, endpoint)
         with self._guard_call(ctx, endpoint, stage) as call:
             call.result = await self.calls.prefill(
                 ctx, endpoint, _prefill_timeout_s(ctx, endpoint)
@@ -197,6 +195,7 @@
             endpoint = self._decode_endpoint(ctx)
             self._check_lease(ctx.start, endpoint.id, stage)
             self.quarantine.check(ctx)
+            ctx.silence = self._watch(ctx, endpoint)
             with self._guard_call(ctx, endpoint, stage) as call:
                 call.result = await self.calls.decode(
                     ctx, endpoint, prefilled, _remaining_time_s(ctx)
@@ -216,6 +215,11 @@
             raise
         return endpoint, call.result
 
+    def _watch(
+        self, ctx: context.Context, endpoint: model.Endpoint
+    ) -> engine_silence.CallWatch | None:
+        return self.silence.watch(endpoint) if ctx.service.resume else None
+
     def _discard_prefill(
         self, prefilled: calls_lib.FinishedPrefill | None
     ) -> None:
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -53,6 +53,9 @@
         `service` and `outcome`; `requests` doesn't include them.
       path_lost: 1 while this process can't open connections to endpoints, by
         `pool` (all: of any pool).
+      engine_silences: Times that an engine was silent to all calls of this VM
+        for 0.8 s, by `pool` and `reachable` (whether its host still accepted
+        connections).
       resumed_streams: Requests of callers that resume a stream, by `service`
         and `outcome`; `requests` includes them.
       engines: Listed engines by `pool`, `version` of their software and `state`
@@ -170,6 +173,12 @@
             "path_lost", "Whether no endpoint of a pool can be reached."
         )
 
+        self.engine_silences = aioprometheus.Counter(
+            prefix + "engine_silences_total",
+            "Times that an engine was silent to all calls.",
+            registry=self.registry,
+        )
+
         self.members = self._gauge("members", "VMs that are heard.")
         self.registry_position = self._gauge(
             "registry_position", "Newest change known of the registry."
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -266,7 +266,7 @@
         ctx.call.body,
         connect_timeout_s=_CONNECT_TIMEOUT_S,
         timeout_s=timeout_s,
-        stall_timeout_s=ctx.stall_timeout_s,
+        silence=ctx.silence,
         # An engine may close an idle connection just as a request is sent on
         # it; whether that request was executed would be unknown.
         new_connection=non_idempotent and not is_prefill,
--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -195,7 +195,7 @@
             deadline=now + self._fleet.timeout_s,
             idempotency_key="",
             endpoint=None,
-            stall_timeout_s=None,
+            silence=None,
         )
         try:
             await self._placement(ctx, self._send)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -13,6 +13,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.engines import errors
 from cowsliprill.engines import http_client
+from cowsliprill.engines import silence
 
 _BODY = b"a booking"
 
@@ -350,7 +351,7 @@
 
     @pytest.mark.parametrize(
         "limits",
-        [{"timeout_s": 0.05}, {"stall_timeout_s": 0.05, "timeout_s": 60}],
+        [{"timeout_s": 0.05}, {"silence": silence.FixedTimeout(0.05)}],
     )
     def test_stalled_response(self, limits) -> None:
         """An engine hangs during its response; the call must time out."""
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -137,6 +137,7 @@
             report_leaving=lambda *_: None,
             log=types.SimpleNamespace(warning=self._warn),
             quarantine=request_quarantine.Disabled(),
+            silence=types.SimpleNamespace(watch=lambda _: None),
         )
         start = messages.Start(
             request_id=1, attempt=0, prefill_id=prefill, decode_id="d"
@@ -154,7 +155,7 @@
             response_due_at=clock.now() + 60,
             connection=None,
             exported_prefill=None,
-            stall_timeout_s=None,
+            silence=None,
         )
 
     def _warn(self, event, **fields):
--- a/tests/test_plain_call_outcomes.py
+++ b/tests/test_plain_call_outcomes.py
@@ -136,7 +136,7 @@
         deadline=clock.now() + 60,
         idempotency_key="",
         endpoint=None,
-        stall_timeout_s=None,
+        silence=None,
         no_peer_serves=False,
         response_writer=None,
     )
--- a/tests/test_plain_placement.py
+++ b/tests/test_plain_placement.py
@@ -101,7 +101,7 @@
             deadline=clock.now() + 60,
             idempotency_key="",
             endpoint=None,
-            stall_timeout_s=None,
+            silence=None,
         )
         asyncio.run(self.placement(ctx, self._send))
 
