Test streams whose engines stand still for a moment (red)

Routers with engines that accept connections and answer nothing for 1.3 to 2.6 s: six tests fail on the code as it is, with an answer that is cut, a prompt that is read again or a request that runs at a second engine. Two tests of engines that are gone (host unreachable; process hangs for good) pass and must go on to.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -227,6 +227,8 @@
       pause_after_events: Number of events after which a stream pauses in the
         middle of the next event, until `cut` is set or the client disconnects;
         0 for none.
+      stand_still_after_events: Number of events after which the whole engine
+        stands still, 0 for none.
       foreign: Whether responses have the id of another request.
       lose_response: Whether the endpoint executes requests and closes the
         connection without a response.
@@ -249,6 +251,7 @@
     fail: int = 0
     hang: bool = False
     pause_after_events: int = 0
+    stand_still_after_events: int = 0
     foreign: bool = False
     lose_response: bool = False
     unsigned: bool = False
@@ -297,6 +300,8 @@
       crashed: Whether the engine has ended without notice.
       disconnects: Number of connections that clients closed during a request.
       cut: Set to cut the paused streams.
+      awake: Cleared while the engine stands still: it accepts connections and
+        answers nothing.
       rate_limit: Rate limit named in all answers, None for none.
       leaving: `Server-Leaving` in all answers, None for none.
       version: Version of its software.
@@ -316,6 +321,8 @@
         self.disconnects = 0
         self.crashed = False
         self.cut = asyncio.Event()
+        self.awake = asyncio.Event()
+        self.awake.set()
         self.rate_limit: str | None = None
         self.leaving: str | None = None
         self.site = LocalServer(
@@ -377,6 +384,9 @@
     async def get(self) -> None:
         engine, request = self.engine, self.request
         engine.requests.append(request)
+        await engine.awake.wait()
+        if self.disconnected.is_set():
+            return
         faults = engine.next_faults()
         attempt = request.headers["Attempt-Id"]
         self.set_header("Attempt-Id", "other" if faults.foreign else attempt)
@@ -476,6 +486,9 @@
             for number in range(begin + 1, EVENTS + 1):
                 self.write(f"id: {number}\ndata: t{number}\n\n")
                 await self.flush()
+                if number - begin == faults.stand_still_after_events:
+                    self.engine.awake.clear()
+                await self.engine.awake.wait()
                 if number - begin == faults.pause_after_events:
                     self.write(f"id: {number + 1}\nda")
                     await self.flush()
@@ -678,6 +691,16 @@
         body = await response.read(1 << 20)
         return response.status, response.headers, body
 
+    def stand_still(self, *names: str) -> None:
+        """Stops engines, all of them unless some are named."""
+        for name in names or self.engines:
+            self.engines[name].awake.clear()
+
+    def wake(self, *names: str) -> None:
+        """Lets engines go on, all of them unless some are named."""
+        for name in names or self.engines:
+            self.engines[name].awake.set()
+
     def runs(self) -> list[str]:
         """Returns the ids of the requests executed by all endpoints."""
         return [run for item in self.engines.values() for run in item.runs]
--- /dev/null
+++ b/tests/test_engine_silence.py
@@ -0,0 +1,181 @@
+"""Routers whose engines stand still for a moment, hang or are gone."""
+
+import asyncio
+
+import partition as partition_lib
+import platform_site
+
+_RESUMABLE = platform_site.RESUMABLE_PATH
+_DECODES = ("d0", "d1")
+_EVENTS_BEFORE = 2
+# Processes that stand still for up to 1.5 s are sound.
+_STANDSTILL_S = 1.3
+
+
+def _on_site(scenario, routers: int = 1, **fields):
+    async def run():
+        async with platform_site.running(routers, **fields) as site:
+            try:
+                return await scenario(site)
+            finally:
+                site.wake()
+
+    return asyncio.run(run())
+
+
+async def _open_silent(site, attempt="a1", router=0):
+    """Opens a stream whose engine stands still after some events."""
+    for name in _DECODES:
+        site.engines[name].faults.stand_still_after_events = _EVENTS_BEFORE
+        site.engines[name].faults.times = 1
+    response = await site.open(_RESUMABLE, attempt=attempt, router=router)
+    await platform_site.read_until(
+        response, platform_site.stream(_EVENTS_BEFORE, _EVENTS_BEFORE)
+    )
+    for name in _DECODES:
+        site.engines[name].faults = platform_site.Faults()
+    (silent,) = [
+        name for name in _DECODES if not site.engines[name].awake.is_set()
+    ]
+    return response, silent
+
+
+async def _rest(response) -> bytes:
+    try:
+        return await response.read(1 << 20)
+    finally:
+        response.close()
+
+
+def _prefills(site) -> int:
+    return sum(
+        request.headers.get("Stage") == "prefill"
+        for engine in site.engines.values()
+        for request in engine.requests
+    )
+
+
+_REST = platform_site.stream(_EVENTS_BEFORE + 1)
+
+
+class TestStandstill:
+    """Sound engines that answer nobody for a second or so."""
+
+    # Guards against streams that leave a sound engine for one as silent.
+    def test_streams_stay_while_all_engines_stand_still(self):
+        async def scenario(site):
+            response, _ = await _open_silent(site)
+            site.stand_still()
+            await asyncio.sleep(_STANDSTILL_S)
+            site.wake()
+            return await _rest(response), _prefills(site), site.runs()
+
+        assert _on_site(scenario) == (_REST, 1, ["a1"])
+
+    # Guards against prompts that are read again for an engine that goes on.
+    def test_streams_stay_while_one_engine_stands_still(self):
+        async def scenario(site):
+            response, silent = await _open_silent(site)
+            await asyncio.sleep(_STANDSTILL_S)
+            site.wake(silent)
+            return await _rest(response), _prefills(site), site.runs()
+
+        assert _on_site(scenario) == (_REST, 1, ["a1"])
+
+    # Guards against answers that end as their engine is silent and no attempt
+    # is left.
+    def test_answer_goes_on_though_no_attempt_is_left(self):
+        async def scenario(site):
+            response, silent = await _open_silent(site)
+            other = _DECODES[1 - _DECODES.index(silent)]
+            site.engines[other].faults.refuse = 503
+            await asyncio.sleep(2 * _STANDSTILL_S)
+            site.wake(silent)
+            return await _rest(response), site.runs().count("a1")
+
+        assert _on_site(scenario) == (_REST, 1)
+
+    # Guards against callers who are told nothing more as the place to which
+    # their stream would move is silent, too.
+    def test_engine_that_speaks_first_goes_on(self):
+        async def scenario(site):
+            response, silent = await _open_silent(site)
+            other = _DECODES[1 - _DECODES.index(silent)]
+            site.stand_still("p0", "p1")
+            await platform_site.until(
+                lambda: "attempt=1 " in site.logs[0].getvalue()
+            )
+            site.wake(silent)
+            rest = await _rest(response)
+            site.wake()
+            await platform_site.until(
+                lambda: (
+                    site.engines[other].disconnects
+                    or not site.engines[other].requests
+                )
+            )
+            return rest, site.runs()
+
+        assert _on_site(scenario) == (_REST, ["a1"])
+
+    # Guards against engines that are taken for failed, and callers who are
+    # refused, once a standstill is over.
+    def test_requests_are_served_after_it(self):
+        async def scenario(site):
+            responses = [await _open_silent(site)]
+            site.stand_still()
+            await asyncio.sleep(2 * _STANDSTILL_S)
+            site.wake()
+            statuses = [
+                (await site.call(_RESUMABLE, attempt=f"b{number}"))[0]
+                for number in range(4)
+            ]
+            rests = [await _rest(response) for response, _ in responses]
+            return rests, statuses
+
+        assert _on_site(scenario) == ([_REST], [200] * 4)
+
+    # Guards against a first answer that is given up as its prefill waits for
+    # engines that stand still.
+    def test_requests_that_begin_meanwhile_are_served_once(self):
+        async def scenario(site):
+            site.stand_still()
+            call = asyncio.create_task(site.call(_RESUMABLE))
+            await asyncio.sleep(_STANDSTILL_S)
+            site.wake()
+            status, _, body = await call
+            return status, body, _prefills(site), site.runs()
+
+        status, body, prefills, runs = _on_site(scenario)
+        assert (status, body) == (200, platform_site.stream())
+        assert (prefills, runs) == (1, ["a1"])
+
+
+class TestGone:
+    """Engines that don't come back."""
+
+    # Guards against staying with an engine whose host has ended.
+    def test_streams_leave_an_engine_whose_host_is_gone(self):
+        async def scenario(site):
+            response, silent = await _open_silent(site)
+            engine = site.engines[silent]
+            partition = partition_lib.Partition(
+                site.routers[0]._entry._http,
+                [(platform_site.HOST, engine.site.port)],
+                silent=True,
+            )
+            rest = await _rest(response)
+            partition.heal()
+            return rest, _prefills(site)
+
+        assert _on_site(scenario) == (_REST, 2)
+
+    # Guards against staying with a process that hangs while its host lives.
+    def test_streams_leave_an_engine_that_hangs(self):
+        async def scenario(site):
+            response, silent = await _open_silent(site)
+            rest = await _rest(response)
+            await platform_site.until(lambda: site.engines[silent].disconnects)
+            return rest, sorted(site.runs())
+
+        assert _on_site(scenario) == (_REST, ["a1", "a1"])
