Stay with engines that stand still until another goes on

Cause: a fixed second without bytes stood for the end of an engine. Each VM closed all streams of sound engines that had paused, at the same moment, and had their prompts read again by engines as silent; there the same second ended the wait for the prefill, and no attempt was left.

Ruled out: the change of the configuration.

- A silent engine is probed after 0.7 s by a call that takes no slot.
An unreachable host is left after 1 s, as before.
A process that stands still (host reachable, report unanswered) is left after 1.6 s, counted anew once it answers.
At an engine that runs, a stream is left after 1 s, as before; a call that waits for its first answer also has the time that prefills take.
- Left doesn't mean ended.
The stream is held while the coordinator places the request elsewhere; the first of the two to send events goes on, the other is closed.
If no other place is allowed, the answer waits where it is, until the engine speaks, its connection breaks or the time limit is reached.
- The coordinator takes a silent engine out for 2 s at most, until it sends output; if all are silent, streams stay where they are.

--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -33,6 +33,9 @@
 # stay idle.
 _UNREACHABLE_EJECTION_MAX_S = 2.0
 
+# Engines that stood still serve as before once they answer again.
+_SILENCE_EJECTION_S = 2.0
+
 # While all engines of a kind are ejected, each is probed this long after its
 # last failure. With a longer interval, the pool would reject requests long
 # after its engines have recovered.
@@ -52,6 +55,7 @@
     ejected: bool = False
     failing: bool = False
     unreachable: bool = False
+    silent: bool = False
     last_good_transfer_at: float = 0.0
 
 
@@ -91,9 +95,9 @@
     ) -> set[str]:
         """Returns which engines of one kind are ejected.
 
-        If all of them are, those that are slow but don't fail are left out: the
-        slowness then has a common cause, and ejecting every engine would reject
-        all requests while the engines have free slots.
+        If all of them are, those that are slow or silent but don't fail are
+        left out: that then has a common cause, and ejecting every engine would
+        reject all requests while the engines have free slots.
 
         Args:
           endpoints: All engines of one kind in one pool.
@@ -153,7 +157,7 @@
           sent_at: When the request was sent to the engine, in seconds.
         """
         state = self._states_by_endpoint.get(endpoint_id)
-        if state is not None and state.failing:
+        if state is not None and (state.failing or state.silent):
             self._record_good(state, sent_at)
 
     def record_failure(
@@ -171,6 +175,44 @@
         state.unreachable = unreachable
         self._eject(state, now)
 
+    def record_silence(self, endpoint_id: str, now: float) -> None:
+        """Records that an engine sends nothing while its host is reachable.
+
+        Args:
+          endpoint_id: Id of the engine.
+          now: Current time in seconds.
+        """
+        state = self._get_state(endpoint_id)
+        if state.ejected:
+            return
+        state.silent = True
+        state.last_failure_at = now
+        self._ejected_count += 1
+        state.ejected = True
+        state.ejected_until = now + _SILENCE_EJECTION_S
+        state.probe_expires_at = 0.0
+
+    def end_silence(self, endpoint_id: str) -> None:
+        """Records that an engine sends output, whenever that was begun.
+
+        Args:
+          endpoint_id: Id of the engine.
+        """
+        state = self._states_by_endpoint.get(endpoint_id)
+        if state is not None and state.silent:
+            self._readmit(state)
+
+    def are_all_silent(self, endpoints: Collection[model.Endpoint]) -> bool:
+        """Returns whether all engines of one kind are silent.
+
+        Args:
+          endpoints: All engines of one kind in one pool.
+        """
+        return all(
+            (state := self._states_by_endpoint.get(item.id)) and state.silent
+            for item in endpoints
+        )
+
     def was_unreachable(self, endpoint_id: str) -> bool:
         """Returns whether an engine's last failure was a failed connection."""
         state = self._states_by_endpoint.get(endpoint_id)
@@ -260,15 +302,19 @@
         # succeed. They don't show that it can serve new requests.
         if state.failing and sent_at < state.last_failure_at:
             return
+        self._readmit(state)
+        # The interval is halved with each success rather than reset, so that it
+        # soon gets long for an engine that alternates between success and
+        # failure.
+        state.ejection_s /= 2
+
+    def _readmit(self, state: _EngineState) -> None:
         state.slow_count = 0
         self._ejected_count -= state.ejected
         state.ejected = False
         state.failing = False
         state.unreachable = False
-        # The interval is halved with each success rather than reset, so that it
-        # soon gets long for an engine that alternates between success and
-        # failure.
-        state.ejection_s /= 2
+        state.silent = False
 
     def _eject(self, state: _EngineState, now: float) -> None:
         state.last_failure_at = now
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -209,6 +209,8 @@
         or the sender doesn't know.
       connection_lost: Whether the endpoint closed the connection before any
         output.
+      silent: Whether the endpoint may still go on: its stream is kept until it
+        does, or another engine has begun to.
     """
 
     request_id: int
@@ -223,6 +225,7 @@
     resumable: bool = False
     version: str | None = None
     connection_lost: bool = False
+    silent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -87,7 +87,9 @@
         if event.unsent and not event.unreachable:
             # The engine didn't get the request, which says nothing about it.
             return
-        if event.refused:
+        if event.silent:
+            self._health.record_silence(event.endpoint_id, now)
+        elif event.refused:
             lease = request.pool.lease(event.endpoint_id)
             # An engine that rejects its only request from this process isn't
             # full because of it: it is draining, or its slots are taken by
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -344,7 +344,9 @@
         request = requests.from_adopt(event, pool, now)
         self._requests_by_id[event.submit.request_id] = request
         self._acquire_slots(request)
-        if request.stage is not messages.Stage.DECODE:
+        if request.stage is messages.Stage.DECODE:
+            self._health.end_silence(event.start.decode_id)
+        else:
             self._record_start(request)
         self._record_origin(request, now)
         return []
@@ -466,6 +468,8 @@
     ) -> list[messages.Action]:
         request = self._requests_by_id.get(event.request_id)
         if request is not None and request.stage is messages.Stage.DECODE:
+            assert request.decode is not None
+            self._health.end_silence(request.decode.id)
             self._outcomes.record_pace(request, event.output_tokens, now)
         return []
 
@@ -523,7 +527,14 @@
             if event.version is not None:
                 request.version = event.version
                 request.knows_versions = True
-        code = requests.check_retry(request, event, self._retry_budgets, now)
+        if event.silent and self._health.are_all_silent(request.pool.decodes):
+            # The stream stays where it is rather than have its prompt read
+            # again for an engine as silent.
+            code = messages.RefusalCode.ENDPOINT_FAILED
+        else:
+            code = requests.check_retry(
+                request, event, self._retry_budgets, now
+            )
         if code is not None:
             return [
                 cancel,
--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -4,6 +4,7 @@
 """
 
 from cowsliprill import errors
+from cowsliprill.decisions import engine_silence
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import stream
 
@@ -16,6 +17,8 @@
     """
 
     code = "endpoint_failed"
+    # What it says about a silent engine if it ends a probe.
+    liveness = engine_silence.Liveness.STANDS_STILL
 
     def __init__(
         self,
@@ -36,6 +39,7 @@
     """
 
     code = "connect_failed"
+    liveness = engine_silence.Liveness.UNREACHABLE
 
     def __init__(self, message: str, *, refused: bool = False) -> None:
         super().__init__(message, run=messages.Executed.NO)
@@ -86,6 +90,15 @@
     code = "endpoint_timeout"
 
 
+class EngineSilent(CallError):  # noqa: N818
+    """The engine has sent nothing for a while; the call stays open.
+
+    Reading may be continued, and continues the response.
+    """
+
+    code = "engine_silent"
+
+
 class ResponseTooLarge(CallError):  # noqa: N818
     """The response body exceeds the size limit for buffering in memory."""
 
@@ -102,6 +115,7 @@
     """An engine returned no usable response."""
 
     code = "engine_failed"
+    liveness = engine_silence.Liveness.ANSWERS
 
 
 class EngineRefused(CallError):  # noqa: N818
@@ -111,6 +125,8 @@
       code: Error code sent by the engine, such as `protocol.CODE_FULL`.
     """
 
+    liveness = engine_silence.Liveness.ANSWERS
+
     def __init__(self, message: str, *, code: str) -> None:
         super().__init__(message, run=messages.Executed.NO, code=code)
 
--- a/src/cowsliprill/engines/event_stream.py
+++ b/src/cowsliprill/engines/event_stream.py
@@ -5,7 +5,6 @@
 """
 
 import re
-from collections.abc import AsyncIterator
 
 from tornado import httputil
 
@@ -55,31 +54,53 @@
         """HTTP headers of the response."""
         return self._response.headers
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
-        """Yields complete events, several in one item if received together.
+    def __aiter__(self) -> "EventStream":
+        """Iterates over the rest of the stream."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next complete events, several if received together.
 
         Raises:
+          errors.EngineSilent: The engine has sent nothing for a while. The
+            iteration may go on.
           errors.StreamBroken: The stream ended early or is out of order.
+          StopAsyncIteration: The stream is complete.
         """
         try:
-            async for chunk in self._response.chunks():
-                events = self._extract_complete_events(chunk)
-                if events:
-                    yield events
+            return await self._next_events()
+        except errors.EngineSilent:
+            raise
+        except BaseException:
+            self.close()
+            raise
+
+    async def _next_events(self) -> bytes:
+        while (chunk := await self._next_chunk()) is not None:
+            events = self._extract_complete_events(chunk)
+            if events:
+                return events
+        if self._pending or self._ended_before_first_event():
+            raise self._stream_error(stream_lib.StreamFault.TRUNCATED)
+        raise StopAsyncIteration
+
+    async def _next_chunk(self) -> bytes | None:
+        try:
+            return await self._response.next_chunk()
+        except errors.EngineSilent:
+            raise
         except errors.CallTimeout as error:
             raise self._stream_error(
                 stream_lib.StreamFault.STALLED, error
             ) from error
-        except errors.StreamBroken:
-            raise
         except errors.CallError as error:
             raise self._stream_error(
                 stream_lib.StreamFault.TRUNCATED, error
             ) from error
-        finally:
-            self.close()
-        if self._pending or self._ended_before_first_event():
-            raise self._stream_error(stream_lib.StreamFault.TRUNCATED)
+
+    def watch_silence(self) -> None:
+        """Has silence reported again; to be called after `EngineSilent`."""
+        self._response.watch_silence()
 
     def close(self) -> None:
         """Stops reading; an engine drops a stream that isn't read fully."""
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -59,11 +59,21 @@
             `close` was called before the body was complete.
         """
         while True:
-            chunk = await self._exchange.next_chunk()
+            chunk = await self.next_chunk()
             if chunk is None:
                 return
             yield chunk
 
+    async def next_chunk(self) -> bytes | None:
+        """Returns the next chunk of the body, None at its end.
+
+        Raises:
+          errors.EngineSilent: No data has been received for a while. The next
+            call waits for it.
+          errors.CallError: As for `chunks`.
+        """
+        return await self._exchange.next_chunk()
+
     async def read(self, limit: int) -> bytes:
         """Reads the complete body.
 
@@ -97,6 +107,10 @@
         """Returns the number of bytes received but not yet read."""
         return self._exchange.buffered_bytes
 
+    def watch_silence(self) -> None:
+        """Has silence reported again; to be called after `EngineSilent`."""
+        self._exchange.watch_silence()
+
     def release(self) -> None:
         """Keeps the connection for reuse if the body ends within a second.
 
@@ -140,6 +154,7 @@
         self._space_available: asyncio.Future[None] | None = None
         self._headers_future: asyncio.Future[None] = self._loop.create_future()
         self._error: errors.CallError | None = None
+        self._silent: errors.EngineSilent | None = None
         self._timeout_timer: asyncio.TimerHandle | None = None
         self._silence_timer: asyncio.TimerHandle | None = None
         self._silence: silence_lib.SilencePolicy = _PATIENT
@@ -157,6 +172,7 @@
         self.status = start_line.code
         self.headers = headers
         self._headers_future.set_result(None)
+        self._silence.hear(self._loop.time())
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Buffers a chunk. Returns a future to await if the buffer is full."""
@@ -209,15 +225,22 @@
         """Returns the next chunk of the body, None at the end.
 
         Raises:
+          errors.EngineSilent: No data has been received for a while.
           errors.CallError: The exchange failed.
         """
         while not self._chunks:
             if self._error is not None:
                 raise self._error
+            if self._silent is not None:
+                silent, self._silent = self._silent, None
+                raise silent
             if self.complete:
                 return None
             self._data_available = self._loop.create_future()
             await self._data_available
+        if self._silent is not None:
+            self._silent = None
+            self.watch_silence()
         chunk = self._chunks.popleft()
         self.buffered_bytes -= len(chunk)
         if (
@@ -285,13 +308,27 @@
             # The reader of the body is slow, not its sender.
             self._silence.hear(now)
         match self._silence.check(now):
-            case engine_silence.Gone():
+            case engine_silence.Leave() if self._headers_future.done():
+                self._report_silence(self._silence.describe(now))
+            case engine_silence.Leave() | engine_silence.Gone():
                 self.fail(errors.CallTimeout(self._silence.describe(now)))
             case engine_silence.Wait(check_in_s):
                 self._silence_timer = self._loop.call_at(
                     now + check_in_s, self._check_silence, now + check_in_s
                 )
 
+    def _report_silence(self, reason: str) -> None:
+        # The reader may go on to wait. It calls `watch_silence` once it wants
+        # to be told of silence again.
+        self._silent = errors.EngineSilent(reason)
+        if self._data_available is not None:
+            _set_done(self._data_available)
+
+    def watch_silence(self) -> None:
+        """Starts to check for silence again after it was reported."""
+        if not self.complete and self._error is None:
+            self._check_silence(self._loop.time())
+
     def _closed_cleanly(self) -> bool:
         """Returns whether a close-delimited body counts as complete.
 
--- a/src/cowsliprill/entry/calls.py
+++ b/src/cowsliprill/entry/calls.py
@@ -1,38 +1,17 @@
 """Interfaces of the calls to endpoints, one implementation per API dialect."""
 
-from collections.abc import AsyncIterator
 from typing import Protocol
 
 from cowsliprill.decisions import call_state as call_lib
+from cowsliprill.decisions import engine_silence
 from cowsliprill.decisions import model
 from cowsliprill.engines import errors as engine_errors
 from cowsliprill.engines import service_client
 from cowsliprill.entry import context
+from cowsliprill.entry import output_stream
 from cowsliprill.entry import sinks
 
 
-class OutputStream(Protocol):
-    """Output stream of a decode engine.
-
-    The iteration ends normally only if the stream is complete.
-
-    Attributes:
-      tokens: Number of tokens delivered so far.
-    """
-
-    tokens: int
-
-    def __aiter__(self) -> AsyncIterator[bytes]:
-        """Yields whole events.
-
-        Raises:
-          engines.errors.StreamBroken: The stream is truncated or invalid.
-        """
-
-    def close(self) -> None:
-        """Stops reading; allowed at any time."""
-
-
 class FinishedPrefill(Protocol):
     """A finished prefill with an exported KV cache for a decode engine."""
 
@@ -81,7 +60,7 @@
         endpoint: model.Endpoint,
         prefilled: FinishedPrefill | None,
         timeout_s: float,
-    ) -> OutputStream:
+    ) -> output_stream.OutputStream:
         """Starts decoding and opens the output stream.
 
         Without `prefilled` the decode engine prefills the prompt itself.
@@ -90,10 +69,15 @@
           engines.errors.CallError: The call failed.
         """
 
+    async def probe(self, endpoint: model.Endpoint) -> engine_silence.Liveness:
+        """Finds out within a few tenths of a second whether an engine runs."""
+
     def discard(self, prefilled: FinishedPrefill) -> None:
         """Has the engine free a KV cache that no decode engine will fetch."""
 
-    def sink(self, ctx: context.Context, stream: OutputStream) -> sinks.Sink:
+    def sink(
+        self, ctx: context.Context, stream: output_stream.OutputStream
+    ) -> sinks.Sink:
         """Returns the sink that sends the stream's events to the caller."""
 
 
@@ -117,7 +101,7 @@
         self,
         ctx: context.Context,
         endpoint: model.Endpoint,
-        stream: OutputStream,
+        stream: output_stream.OutputStream,
         broken: engine_errors.StreamBroken,
     ) -> bool:
         """Tries to resume the stream; returns whether that succeeded."""
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -12,6 +12,7 @@
 from cowsliprill.engines import http_client
 from cowsliprill.engines import silence as silence_lib
 from cowsliprill.entry import errors
+from cowsliprill.entry import held_stream
 from cowsliprill.entry import relay_envelope
 from cowsliprill.entry import response_writer as response_writer_lib
 from cowsliprill.entry import schema
@@ -172,6 +173,8 @@
         attempt.
       exported_prefill: Exported KV cache of a finished prefill that no decode
         engine has fetched yet.
+      held: Stream whose engine is silent, kept until it or another engine goes
+        on; set by the relay.
       idempotency_key: Idempotency key or ticket, empty for none; set by
         `idempotency`.
       continues_after_disconnect: Whether the request continues after its
@@ -211,6 +214,7 @@
     silence: silence_lib.SilencePolicy | None = None
     connection: http_client.Connection | None = None
     exported_prefill: Any = None
+    held: held_stream.HeldStream | None = None
     idempotency_key: str = ""
     continues_after_disconnect: bool = False
     start: messages.Start | None = None
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -354,7 +354,7 @@
                 self._log,
                 self._quarantine.check,
                 engine_silence.SilenceMonitor(
-                    self._paths, self._log, self._metrics
+                    self._dialect.engines.probe, self._log, self._metrics
                 ),
                 self._engine_permits(),
             ),
--- a/src/cowsliprill/entry/engine_silence.py
+++ b/src/cowsliprill/entry/engine_silence.py
@@ -1,44 +1,51 @@
 """Follows how long engines are silent to the calls of this VM."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 from cowsliprill.decisions import engine_silence
 from cowsliprill.decisions import model
-from cowsliprill.entry import path_monitor
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 
 _MS_PER_S = 1_000
 
+Probe = Callable[[model.Endpoint], Awaitable[engine_silence.Liveness]]
+
 
 class SilenceMonitor:
     """Probes and reports engines that are silent to calls in progress.
 
     Args:
-      paths: Probes the hosts of engines.
+      probe: Finds out whether an engine runs.
       log: Log of the process.
       metrics: Metrics of the process.
     """
 
     def __init__(
         self,
-        paths: path_monitor.PathMonitor,
+        probe: Probe,
         log: log_lib.Log,
         metrics: metrics_lib.Metrics,
     ) -> None:
-        self._paths = paths
+        self._probe_engine = probe
         self._log = log
         self._metrics = metrics
         self._activities_by_id: dict[str, engine_silence.EngineActivity] = {}
         self._probes_by_id: dict[str, asyncio.Task[None]] = {}
 
-    def watch(self, endpoint: model.Endpoint) -> "CallWatch":
+    def watch(
+        self, endpoint: model.Endpoint, first_answer_s: float
+    ) -> "CallWatch":
         """Returns the policy of a new call to an engine.
 
         Args:
           endpoint: The engine.
+          first_answer_s: How long the engine may serve others before it begins
+            to answer the call, in seconds.
         """
-        return CallWatch(self, endpoint)
+        return CallWatch(self, endpoint, first_answer_s)
 
     def activity(self, endpoint_id: str) -> engine_silence.EngineActivity:
         """Returns what this VM receives from an engine.
@@ -68,17 +75,15 @@
                 calls=activity.calls,
             )
 
-    def probe(self, endpoint: model.Endpoint, now: float) -> None:
-        """Begins to probe a silent engine, unless that is done already.
+    def probe(self, endpoint: model.Endpoint) -> None:
+        """Begins to probe an engine, unless that is under way.
 
         Args:
           endpoint: The engine.
-          now: Current time in seconds.
         """
-        activity = self.activity(endpoint.id)
-        if activity.reachable is not None or endpoint.id in self._probes_by_id:
+        if endpoint.id in self._probes_by_id:
             return
-        task = asyncio.create_task(self._probe(endpoint, now))
+        task = asyncio.create_task(self._probe(endpoint))
         self._probes_by_id[endpoint.id] = task
         task.add_done_callback(
             lambda _: self._probes_by_id.pop(endpoint.id, None)
@@ -95,25 +100,26 @@
         if not activity.calls:
             del self._activities_by_id[endpoint_id]
 
-    async def _probe(self, endpoint: model.Endpoint, now: float) -> None:
-        reachable = await self._paths.reaches(endpoint)
+    async def _probe(self, endpoint: model.Endpoint) -> None:
+        liveness = await self._probe_engine(endpoint)
         activity = self._activities_by_id.get(endpoint.id)
         if activity is None:
             return
-        activity.reachable = reachable
+        now = asyncio.get_running_loop().time()
+        activity.record_probe(liveness, now)
         silent_s = activity.silent_s(now)
-        if silent_s < engine_silence.PROBE_AFTER_S:
+        if activity.reported or silent_s < engine_silence.PROBE_AFTER_S:
             return
         activity.reported = True
         self._metrics.engine_silences.inc(
-            {"pool": endpoint.pool, "reachable": str(reachable).lower()}
+            {"pool": endpoint.pool, "liveness": liveness.value}
         )
         self._log.warning(
             "engine_silent",
             endpoint=endpoint.id,
             silent_ms=round(silent_s * _MS_PER_S),
             calls=activity.calls,
-            reachable=reachable,
+            liveness=liveness.value,
         )
 
 
@@ -123,13 +129,19 @@
     Args:
       monitor: Knows of the other calls to the engine.
       endpoint: The engine.
+      first_answer_s: How long the engine may serve others before it begins to
+        answer the call, in seconds.
     """
 
     def __init__(
-        self, monitor: SilenceMonitor, endpoint: model.Endpoint
+        self,
+        monitor: SilenceMonitor,
+        endpoint: model.Endpoint,
+        first_answer_s: float,
     ) -> None:
         self._monitor = monitor
         self._endpoint = endpoint
+        self._patience_s = first_answer_s
         self._heard_at = 0.0
         self._in_progress = False
 
@@ -142,6 +154,7 @@
     def hear(self, now: float) -> None:
         """Records data of this call."""
         self._heard_at = now
+        self._patience_s = engine_silence.STREAM_PAUSE_MAX_S
         if self._in_progress:
             self._monitor.hear(self._endpoint, now)
 
@@ -152,17 +165,17 @@
     def check(self, now: float) -> engine_silence.Verdict:
         """Decides whether the call goes on."""
         evidence = self._evidence(now)
-        if evidence.call_silent_s >= engine_silence.PROBE_AFTER_S:
-            self._monitor.probe(self._endpoint, now)
+        silent = evidence.silent_s >= engine_silence.PROBE_AFTER_S
+        if silent and evidence.liveness is None:
+            self._monitor.probe(self._endpoint)
         return engine_silence.judge(evidence)
 
     def describe(self, now: float) -> str:
         """Returns the evidence as text."""
         evidence = self._evidence(now)
         return (
-            f"no data received for {evidence.call_silent_s:.1f} s, "
-            f"of any call for {evidence.engine_silent_s:.1f} s, "
-            f"host reachable: {evidence.reachable}"
+            f"no data received for {now - self._heard_at:.1f} s, "
+            f"the engine: {evidence.liveness}"
         )
 
     def end(self) -> None:
@@ -174,7 +187,7 @@
     def _evidence(self, now: float) -> engine_silence.Evidence:
         activity = self._monitor.activity(self._endpoint.id)
         return engine_silence.Evidence(
-            call_silent_s=now - self._heard_at,
-            engine_silent_s=activity.silent_s(now),
-            reachable=activity.reachable,
+            silent_s=now - max(self._heard_at, activity.spoke_again_at),
+            liveness=activity.liveness(now),
+            patience_s=self._patience_s,
         )
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -13,6 +13,7 @@
 from cowsliprill.entry import authorization
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
+from cowsliprill.entry import held_stream
 from cowsliprill.entry import path_monitor
 from cowsliprill.entry import placement_backend
 from cowsliprill.entry import request_quarantine
@@ -84,13 +85,14 @@
         """Runs attempts until one succeeds or the scheduler refuses."""
         self.quarantine.check(ctx)
         self.budgets.of(ctx.service).deposit()
-        decisions = self.scheduling.submit(self._make_submit(ctx))
+        submit = self._make_submit(ctx)
+        decisions = self.scheduling.submit(submit)
         completed = False
         try:
             left_s = ctx.response_due_at - clock.now()
             async with asyncio.timeout(left_s) as timeout:
                 with self.quarantine.notify(ctx, decisions):
-                    await self._run_attempts(ctx, proceed, decisions)
+                    await self._run_attempts(ctx, proceed, submit, decisions)
             completed = True
         except TimeoutError as error:
             if not timeout.expired():
@@ -101,6 +103,8 @@
                 run=ctx.progress.run,
             ) from error
         finally:
+            if ctx.held is not None:
+                ctx.held.close()
             self.scheduling.forget(ctx.number)
             # Whatever ended the request (caller disconnect, timeout, broken
             # stream), engines may still hold memory for it. The scheduler
@@ -138,24 +142,29 @@
         self,
         ctx: context.Context,
         proceed: context.Handler,
+        submit: messages.Submit,
         decisions: asyncio.Queue[messages.Decision | messages.Recheck],
     ) -> None:
         while True:
-            match await decisions.get():
+            match await _next_decision(ctx, decisions):
                 case messages.Recheck():
                     self.quarantine.check(ctx)
                 case messages.Refuse() as refusal:
-                    raise self._refusal_error(ctx, refusal)
+                    error = self._refusal_error(ctx, refusal)
+                    if not await _goes_on(ctx):
+                        raise error
                 case messages.Start() as start:
-                    if await self._run_attempt(ctx, proceed, start):
+                    self._begin_attempt(ctx, start)
+                    if await self._run_attempt(ctx, proceed):
                         return
+            if _is_going_on(ctx):
+                self._continue_attempt(ctx, submit, decisions)
+                if await self._run_attempt(ctx, proceed):
+                    return
 
-    async def _run_attempt(
-        self,
-        ctx: context.Context,
-        proceed: context.Handler,
-        start: messages.Start,
-    ) -> bool:
+    def _begin_attempt(
+        self, ctx: context.Context, start: messages.Start
+    ) -> None:
         if not ctx.progress.tokens:
             # A stream that is resumed on another engine was started while the
             # API key was valid, so the key isn't checked after the first token.
@@ -179,11 +188,41 @@
             resumes=ctx.resumes,
             after_event=ctx.progress.last_event_id,
         )
+
+    def _continue_attempt(
+        self,
+        ctx: context.Context,
+        submit: messages.Submit,
+        decisions: asyncio.Queue[messages.Decision | messages.Recheck],
+    ) -> None:
+        """Goes on with the held stream, whose engine has spoken again."""
+        ctx.start = ctx.held.start
+        submit = dataclasses.replace(
+            submit, resumes=True, version=ctx.progress.software_version
+        )
+        self.scheduling.readopt(submit, ctx.start, decisions)
+        self.log.event(
+            "attempt_continues",
+            request=ctx.request_id,
+            attempt=ctx.start.attempt,
+            endpoint=ctx.held.endpoint.id,
+            after_event=ctx.progress.last_event_id,
+        )
+
+    async def _run_attempt(
+        self, ctx: context.Context, proceed: context.Handler
+    ) -> bool:
+        """Runs an attempt; returns whether it has completed the response.
+
+        It is cancelled if a held stream goes on before it has sent output.
+        """
         try:
-            await proceed(ctx)
+            if not await _run_unless_held_goes_on(ctx, proceed):
+                return False
         except attempts.AttemptError as lost:
             self._log_lost_attempt(ctx, lost)
-            await self._examine_path(ctx, lost)
+            if not lost.silent:
+                await self._examine_path(ctx, lost)
             ctx.progress.connection_lost = (
                 lost.connection_lost
                 and not lost.had_output
@@ -284,6 +323,7 @@
             stage=lost.stage.value,
             sent=lost.sent,
             had_output=lost.had_output,
+            silent=lost.silent,
             refused=lost.refused,
             reason=lost.reason,
         )
@@ -313,10 +353,71 @@
                 resumable=lost.resumable,
                 version=ctx.progress.software_version,
                 connection_lost=ctx.progress.connection_lost,
+                silent=lost.silent,
             )
         )
 
 
+async def _next_decision(
+    ctx: context.Context,
+    decisions: asyncio.Queue[messages.Decision | messages.Recheck],
+) -> messages.Decision | messages.Recheck | None:
+    """Returns the next decision, or None if the held stream goes on first."""
+    if ctx.held is None:
+        return await decisions.get()
+    decision = asyncio.ensure_future(decisions.get())
+    going_on = asyncio.ensure_future(_goes_on(ctx))
+    try:
+        await asyncio.wait(
+            {decision, going_on}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if going_on.done() and going_on.result():
+            return None
+        return await decision
+    finally:
+        decision.cancel()
+        going_on.cancel()
+
+
+async def _goes_on(ctx: context.Context) -> bool:
+    """Waits for the end of a held stream's silence.
+
+    Returns:
+      Whether there is a held stream and it goes on.
+    """
+    if ctx.held is None:
+        return False
+    return await ctx.held.wait() is held_stream.State.GOES_ON
+
+
+def _is_going_on(ctx: context.Context) -> bool:
+    held = ctx.held
+    return held is not None and held.state is held_stream.State.GOES_ON
+
+
+async def _run_unless_held_goes_on(
+    ctx: context.Context, proceed: context.Handler
+) -> bool:
+    """Passes the request on; returns whether that ended by itself."""
+    if ctx.held is None or _is_going_on(ctx):
+        await proceed(ctx)
+        return True
+    attempt = asyncio.ensure_future(proceed(ctx))
+    going_on = asyncio.ensure_future(_goes_on(ctx))
+    try:
+        await asyncio.wait(
+            {attempt, going_on}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not _is_going_on(ctx):
+            await attempt
+            return True
+        return False
+    finally:
+        going_on.cancel()
+        attempt.cancel()
+        await asyncio.gather(attempt, return_exceptions=True)
+
+
 def _decode_version(ctx: context.Context) -> str:
     endpoint = ctx.snapshot.endpoints_by_id.get(ctx.start.decode_id)
     return endpoint.software_version if endpoint else ""
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -16,6 +16,8 @@
 from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import engine_silence
 from cowsliprill.entry import errors
+from cowsliprill.entry import held_stream
+from cowsliprill.entry import output_stream
 from cowsliprill.entry import placement_backend
 from cowsliprill.entry import request_quarantine
 from cowsliprill.entry import sinks
@@ -33,6 +35,10 @@
 _PREFILL_TIMEOUT_FACTOR = 4.0
 _PREFILL_TIMEOUT_BASE_S = 2.0
 _MIN_TIMEOUT_S = 0.001
+# An engine that runs begins to answer within this time, plus the multiple above
+# of the time for a prefill. Transfers and batches of others take some tenths of
+# a second.
+_FIRST_ANSWER_BASE_S = 1.0
 # Part of an exported KV cache's TTL that is reserved for the next scheduling
 # decision and the transfer; both together take at most this long.
 _KV_FETCH_RESERVE_S = 0.06
@@ -78,12 +84,21 @@
     async def __call__(self, ctx: context.Context) -> None:
         """Runs the attempt in `ctx.start` and relays the output to the caller.
 
+        If the stream of an earlier attempt is held, the first to send events
+        goes on. A held stream that goes on is relayed in place of the attempt.
+
         Raises:
           attempts.AttemptLost: The attempt failed and another one may follow:
             the caller has received nothing, or another engine may resume the
             stream.
           errors.EntryError: The request has failed for good.
         """
+        held = ctx.held
+        if held is not None and held.state is held_stream.State.GOES_ON:
+            ctx.held = None
+            held.stream.watch_silence()
+            await self._deliver(ctx, held.endpoint, held.stream, held)
+            return
         try:
             await self._wait_for_engines(ctx.start)
             await self._acquire_permits(ctx)
@@ -94,10 +109,7 @@
             if ctx.connection is not None:
                 ctx.connection.close()
                 ctx.connection = None
-        try:
-            await self._deliver(ctx, endpoint, stream)
-        finally:
-            stream.close()
+        await self._deliver(ctx, endpoint, stream)
 
     async def _wait_for_engines(self, start: messages.Start) -> None:
         # The pool's coordinator may know new engines before this process does.
@@ -180,22 +192,27 @@
         self._check_lease(ctx.start, endpoint.id, stage)
         self.quarantine.check(ctx)
         ctx.progress.prefills += 1
-        ctx.silence = self._watch(ctx, endpoint)
+        timeout_s = _prefill_timeout_s(ctx, endpoint)
+        first_answer_s = _first_answer_s(ctx, endpoint)
+        ctx.silence = self._watch(ctx, endpoint, first_answer_s)
         with self._guard_call(ctx, endpoint, stage) as call:
-            call.result = await self.calls.prefill(
-                ctx, endpoint, _prefill_timeout_s(ctx, endpoint)
-            )
+            call.result = await self.calls.prefill(ctx, endpoint, timeout_s)
         return call.result
 
     async def _decode(
         self, ctx: context.Context, prefilled: calls_lib.FinishedPrefill | None
-    ) -> tuple[model.Endpoint, calls_lib.OutputStream]:
+    ) -> tuple[model.Endpoint, output_stream.OutputStream]:
         stage = messages.Stage.TRANSFER
         try:
             endpoint = self._decode_endpoint(ctx)
             self._check_lease(ctx.start, endpoint.id, stage)
             self.quarantine.check(ctx)
-            ctx.silence = self._watch(ctx, endpoint)
+            first_answer_s = (
+                _FIRST_ANSWER_BASE_S
+                if prefilled is not None
+                else _first_answer_s(ctx, endpoint)
+            )
+            ctx.silence = self._watch(ctx, endpoint, first_answer_s)
             with self._guard_call(ctx, endpoint, stage) as call:
                 call.result = await self.calls.decode(
                     ctx, endpoint, prefilled, _remaining_time_s(ctx)
@@ -216,9 +233,14 @@
         return endpoint, call.result
 
     def _watch(
-        self, ctx: context.Context, endpoint: model.Endpoint
+        self,
+        ctx: context.Context,
+        endpoint: model.Endpoint,
+        first_answer_s: float,
     ) -> engine_silence.CallWatch | None:
-        return self.silence.watch(endpoint) if ctx.service.resume else None
+        if not ctx.service.resume:
+            return None
+        return self.silence.watch(endpoint, first_answer_s)
 
     def _discard_prefill(
         self, prefilled: calls_lib.FinishedPrefill | None
@@ -247,10 +269,37 @@
         self,
         ctx: context.Context,
         endpoint: model.Endpoint,
-        stream: calls_lib.OutputStream,
+        stream: output_stream.OutputStream,
+        held: held_stream.HeldStream | None = None,
+    ) -> None:
+        try:
+            await self._relay_stream(ctx, endpoint, stream, held)
+        except engine_errors.EngineSilent as silent:
+            ctx.held = held_stream.HeldStream(endpoint, stream, ctx.start)
+            raise attempts.AttemptError(
+                endpoint.id,
+                messages.Stage.DECODE,
+                str(silent),
+                resumable=True,
+                sent=True,
+                had_output=stream.tokens > 0,
+                silent=True,
+            ) from silent
+        finally:
+            if ctx.held is None or ctx.held.stream is not stream:
+                stream.close()
+
+    async def _relay_stream(
+        self,
+        ctx: context.Context,
+        endpoint: model.Endpoint,
+        stream: output_stream.OutputStream,
+        held: held_stream.HeldStream | None,
     ) -> None:
         sink = self.calls.sink(ctx, stream)
-        before_first_token = True
+        before_first_token = held is None
+        if held is not None and held.events:
+            await self._write_events(ctx, stream, sink, held.events)
         while True:
             try:
                 await self._relay_events(
@@ -305,7 +354,7 @@
         self,
         ctx: context.Context,
         endpoint: model.Endpoint,
-        stream: calls_lib.OutputStream,
+        stream: output_stream.OutputStream,
         sink: sinks.Sink,
         *,
         before_first_token: bool,
@@ -314,10 +363,11 @@
         reported_at = clock.now()
         async for events in stream:
             now = clock.now()
-            progress.last_token_at = now
-            progress.tokens = stream.tokens
             if before_first_token:
                 before_first_token = False
+                if ctx.held is not None:
+                    ctx.held.close()
+                    ctx.held = None
                 progress.first_token_at = progress.first_token_at or now
                 progress.software_version = endpoint.software_version
                 progress.prefills_used += 1
@@ -326,11 +376,22 @@
             elif now - reported_at > _PROGRESS_INTERVAL_S:
                 reported_at = now
                 self.scheduling.post(
-                    messages.Progress(ctx.number, progress.tokens)
+                    messages.Progress(ctx.number, stream.tokens)
                 )
-            await sink.write_events(events)
+            await self._write_events(ctx, stream, sink, events)
         await sink.end()
 
+    async def _write_events(
+        self,
+        ctx: context.Context,
+        stream: output_stream.OutputStream,
+        sink: sinks.Sink,
+        events: bytes,
+    ) -> None:
+        ctx.progress.last_token_at = clock.now()
+        ctx.progress.tokens = stream.tokens
+        await sink.write_events(events)
+
     def _can_resume_elsewhere(
         self, ctx: context.Context, broken: engine_errors.StreamBroken
     ) -> bool:
@@ -484,6 +545,14 @@
     return min(timeout_s, _remaining_time_s(ctx))
 
 
+def _first_answer_s(ctx: context.Context, endpoint: model.Endpoint) -> float:
+    """Returns how long a prompt may wait for and take its prefill."""
+    if endpoint.prefill_tokens_per_s <= 0:
+        return _FIRST_ANSWER_BASE_S
+    expected_s = ctx.generation.prompt_tokens / endpoint.prefill_tokens_per_s
+    return _FIRST_ANSWER_BASE_S + _PREFILL_TIMEOUT_FACTOR * expected_s
+
+
 def _remaining_time_s(ctx: context.Context) -> float:
     # A timeout of 0 would mean a timer that never fires.
     return max(ctx.response_due_at - clock.now(), _MIN_TIMEOUT_S)
--- a/src/cowsliprill/entry/native.py
+++ b/src/cowsliprill/entry/native.py
@@ -6,9 +6,11 @@
 from tornado import web
 
 from cowsliprill.decisions import call_state as call_lib
+from cowsliprill.decisions import engine_silence
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import model
 from cowsliprill.engines import engine_client
+from cowsliprill.engines import errors as engine_errors
 from cowsliprill.engines import model as engine_model
 from cowsliprill.engines import prompt_blocks
 from cowsliprill.engines import service_client
@@ -80,6 +82,14 @@
             timeout_s=timeout_s,
         )
 
+    async def probe(self, endpoint: model.Endpoint) -> engine_silence.Liveness:
+        """Asks an engine for its load."""
+        try:
+            await self.client.load(endpoint)
+        except engine_errors.CallError as error:
+            return error.liveness
+        return engine_silence.Liveness.ANSWERS
+
     def discard(self, prefilled: engine_model.PrefillResult) -> None:
         """Does nothing: cancelling the attempt frees the exported KV cache."""
 
--- a/src/cowsliprill/entry/path_monitor.py
+++ b/src/cowsliprill/entry/path_monitor.py
@@ -100,18 +100,6 @@
             )
         await asyncio.shield(task)
 
-    async def reaches(self, endpoint: model.Endpoint) -> bool:
-        """Probes an endpoint.
-
-        Args:
-          endpoint: The endpoint.
-
-        Returns:
-          Whether its host accepts connections.
-        """
-        await self._probe(endpoint)
-        return not self._paths.has_failed(endpoint)
-
     async def run(self) -> None:
         """Probes lost paths until cancelled."""
         while True:
--- a/src/cowsliprill/entry/placement_backend.py
+++ b/src/cowsliprill/entry/placement_backend.py
@@ -48,6 +48,20 @@
     def post(self, event: messages.Event) -> None:
         """Sends an event to the scheduler."""
 
+    def readopt(
+        self,
+        submit: messages.Submit,
+        start: messages.Start,
+        decisions: asyncio.Queue,
+    ) -> None:
+        """Takes back that an attempt failed: its engine streams again.
+
+        Args:
+          submit: The request.
+          start: Placement of the attempt.
+          decisions: Queue of the decisions about the request.
+        """
+
     def forget(self, request_id: int) -> None:
         """Removes the decision queue of a request."""
 
--- a/src/cowsliprill/entry/scheduler_task.py
+++ b/src/cowsliprill/entry/scheduler_task.py
@@ -74,6 +74,18 @@
         self.post(submit)
         return decisions
 
+    def readopt(
+        self,
+        submit: messages.Submit,
+        start: messages.Start,
+        decisions: asyncio.Queue[Decision],
+    ) -> None:
+        """Takes back that an attempt failed: its engine streams again."""
+        self._decisions_by_request[submit.request_id] = decisions
+        self.post(messages.Cancel(submit.request_id))
+        stage = messages.Stage.DECODE
+        self.post(messages.Adopt(submit=submit, start=start, stage=stage))
+
     def forget(self, request_id: int) -> None:
         """Removes the decision queue of a request."""
         self._decisions_by_request.pop(request_id, None)
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -54,8 +54,8 @@
       path_lost: 1 while this process can't open connections to endpoints, by
         `pool` (all: of any pool).
       engine_silences: Times that an engine was silent to all calls of this VM
-        for 0.8 s, by `pool` and `reachable` (whether its host still accepted
-        connections).
+        for 0.7 s, by `pool` and `liveness`, as a probe has found (unreachable,
+        stands_still, answers).
       resumed_streams: Requests of callers that resume a stream, by `service`
         and `outcome`; `requests` includes them.
       engines: Listed engines by `pool`, `version` of their software and `state`
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -9,6 +9,7 @@
 
 from cowsliprill import clock
 from cowsliprill.decisions import call_state as call_lib
+from cowsliprill.decisions import engine_silence
 from cowsliprill.decisions import model
 from cowsliprill.engines import endpoint_feedback
 from cowsliprill.engines import errors
@@ -27,6 +28,8 @@
 _MAX_RESPONSE_BYTES = 16_777_216
 _MS_PER_S = 1_000
 _RELEASE_TIMEOUT_S = 1.0
+# Reports are answered within a few ms, whatever else the engine does.
+_PROBE_TIMEOUT_S = 0.15
 # Connecting takes a few ms. TCP retransmits a lost SYN only after a second, by
 # which time another engine would have responded.
 _CONNECT_TIMEOUT_S = 0.15
@@ -158,6 +161,28 @@
             ctx.service.tokens_per_event,
         )
 
+    async def probe(self, endpoint: model.Endpoint) -> engine_silence.Liveness:
+        """Asks an engine for its report, which takes no slot."""
+        try:
+            self._feedback.check(endpoint)
+            response = await self._http.call(
+                endpoint.host,
+                endpoint.port,
+                "GET",
+                "/report",
+                {headers_lib.EXPECTED_INSTANCE: endpoint.id},
+                connect_timeout_s=_CONNECT_TIMEOUT_S,
+                timeout_s=_PROBE_TIMEOUT_S,
+                new_connection=True,
+            )
+            await response.read(_MAX_RESPONSE_BYTES)
+        except errors.CallError as error:
+            self._log.event(
+                "probe_unanswered", endpoint=endpoint.id, reason=error.message
+            )
+            return error.liveness
+        return engine_silence.Liveness.ANSWERS
+
     def discard(self, prefilled: FinishedPrefill) -> None:
         """Releases a KV cache that no decode will fetch, in the background."""
         task = asyncio.create_task(self._release(prefilled))
--- a/src/cowsliprill/pool_scheduling/client.py
+++ b/src/cowsliprill/pool_scheduling/client.py
@@ -120,6 +120,17 @@
         request = wire.request_to_wire(tracked.submit, clock.now())
         self._add(wire.Submit(kind="submit", request=request))
 
+    def readopt(self, tracked: _TrackedRequest) -> None:
+        """Replaces a request by a running one, known to the coordinator or not.
+
+        Args:
+          tracked: The request, with the placement of its running attempt.
+        """
+        request_id = tracked.submit.request_id
+        self._add(wire.Step(kind="cancel", number=request_id))
+        self.tracked_by_id[request_id] = tracked
+        self._add(_adoption(tracked, tracked.start, clock.now()))
+
     def add(self, event: messages.Event, request_id: int) -> None:
         """Records an event of a submitted request and sends it."""
         tracked = self.tracked_by_id.get(request_id)
@@ -235,22 +246,11 @@
         now = clock.now()
         self._unsent_origins = self._known_origins(now)
         for tracked in self.tracked_by_id.values():
-            request = wire.request_to_wire(tracked.submit, now)
-            start = tracked.start
-            if start is None:
+            if tracked.start is None:
+                request = wire.request_to_wire(tracked.submit, now)
                 self._add(wire.Submit(kind="submit", request=request))
-                continue
-            self._add(
-                wire.Adopt(
-                    kind="adopt",
-                    request=request,
-                    stage=tracked.stage,
-                    prefill_id=start.prefill_id,
-                    decode_id=start.decode_id,
-                    slots=start.slots,
-                    attempt=start.attempt,
-                )
-            )
+            else:
+                self._add(_adoption(tracked, tracked.start, now))
 
     def _known_origins(self, now: float) -> tuple[stream_origins.Origin, ...]:
         """Returns origins of streams that a new coordinator may not know."""
@@ -362,7 +362,9 @@
         now = clock.now()
         for decision in self._inbox.receive(response.first, decisions):
             tracked = self.tracked_by_id.get(decision.request_id)
-            if tracked is None:
+            if tracked is None or tracked.start is not None:
+                # The second is an older decision about a request whose earlier
+                # attempt goes on.
                 continue
             match decision:
                 case messages.Start():
@@ -393,6 +395,20 @@
             self._update_coordinator()
 
 
+def _adoption(
+    tracked: _TrackedRequest, start: messages.Start, now: float
+) -> wire.Adopt:
+    return wire.Adopt(
+        kind="adopt",
+        request=wire.request_to_wire(tracked.submit, now),
+        stage=tracked.stage,
+        prefill_id=start.prefill_id,
+        decode_id=start.decode_id,
+        slots=start.slots,
+        attempt=start.attempt,
+    )
+
+
 class PoolSchedulingClient:
     """Obtains decisions about this process's requests from coordinators.
 
@@ -453,6 +469,27 @@
         )
         return dataclasses.replace(submit, version=version)
 
+    def readopt(
+        self,
+        submit: messages.Submit,
+        start: messages.Start,
+        decisions: asyncio.Queue[pool_scheduler_lib.Decision],
+    ) -> None:
+        """Takes back that an attempt failed: its engine streams again.
+
+        The coordinator may have refused the request meanwhile.
+
+        Args:
+          submit: The request.
+          start: Placement of the attempt.
+          decisions: Queue of the decisions about the request.
+        """
+        pool = submit.service.pool
+        self._pools_by_id[submit.request_id] = pool
+        stage = messages.Stage.DECODE
+        tracked = _TrackedRequest(submit, decisions, start, stage)
+        self._channel(pool).readopt(tracked)
+
     def post(self, event: messages.Event) -> None:
         """Sends an event of a request to the coordinator of its pool.
 
--- a/src/cowsliprill/pool_scheduling/wire.py
+++ b/src/cowsliprill/pool_scheduling/wire.py
@@ -137,6 +137,7 @@
     resumable: bool = False
     version: str | None = None
     connection_lost: bool = False
+    silent: bool = False
 
 
 Event = Annotated[
@@ -401,6 +402,7 @@
                 resumable=event.resumable,
                 version=event.version,
                 connection_lost=event.connection_lost,
+                silent=event.silent,
             )
 
 
@@ -444,6 +446,7 @@
                 resumable=event.resumable,
                 version=event.version,
                 connection_lost=event.connection_lost,
+                silent=event.silent,
             )
         case _:
             raise TypeError(f"event has no message to a coordinator: {event}")
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -329,6 +329,7 @@
             [
                 ("/kv-handle/(.*)", _HandleHandler, {"engine": self}),
                 ("/order", _OrderHandler, {"engine": self}),
+                ("/report", _ReportHandler, {"engine": self}),
                 (".*", _EngineHandler, {"engine": self}),
             ]
         )
@@ -360,6 +361,15 @@
         self.engine.freed.append(handle)
 
 
+class _ReportHandler(web.RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        self.engine = engine
+
+    async def get(self) -> None:
+        await self.engine.awake.wait()
+        self.finish({"stage": self.engine.stage})
+
+
 class _OrderHandler(web.RequestHandler):
     def initialize(self, engine: Engine) -> None:
         self.engine = engine
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -1,7 +1,6 @@
 """Tests of `engines.event_stream`: complete events, each once, in order."""
 
 import asyncio
-from collections.abc import AsyncIterator
 
 import hypothesis
 import pytest
@@ -26,15 +25,16 @@
         *,
         is_close_delimited: bool = False,
     ) -> None:
-        self._chunks, self._error = chunks, error
+        self._chunks, self._error = iter(chunks), error
         self.is_close_delimited = is_close_delimited
         self.closed = False
 
-    async def chunks(self) -> AsyncIterator[bytes]:
+    async def next_chunk(self) -> bytes | None:
         for chunk in self._chunks:
-            yield chunk
+            return chunk
         if self._error is not None:
             raise self._error
+        return None
 
     def close(self) -> None:
         self.closed = True
--- a/tests/test_model_relay.py
+++ b/tests/test_model_relay.py
@@ -137,7 +137,7 @@
             report_leaving=lambda *_: None,
             log=types.SimpleNamespace(warning=self._warn),
             quarantine=request_quarantine.Disabled(),
-            silence=types.SimpleNamespace(watch=lambda _: None),
+            silence=types.SimpleNamespace(watch=lambda *_: None),
         )
         start = messages.Start(
             request_id=1, attempt=0, prefill_id=prefill, decode_id="d"
@@ -155,6 +155,7 @@
             response_due_at=clock.now() + 60,
             connection=None,
             exported_prefill=None,
+            held=None,
             silence=None,
         )
 
