Test verdicts on silent engines, their ejection and readopted attempts

The units behind the staying streams: what a probe decides, that a silence is forgotten after 2 s and at the first output, that streams stay where all engines are silent, and that a coordinator that has refused a request knows it again once its engine goes on.

--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+
 import partition as partition_lib
 import platform_site
+from cowsliprill.decisions import engine_silence
 
 _RESUMABLE = platform_site.RESUMABLE_PATH
 _DECODES = ("d0", "d1")
@@ -179,3 +182,75 @@
             return rest, sorted(site.runs())
 
         assert _on_site(scenario) == (_REST, ["a1", "a1"])
+
+
+def _verdict(silent_s, liveness, patience_s=1.0):
+    return engine_silence.judge(
+        engine_silence.Evidence(
+            silent_s=silent_s, liveness=liveness, patience_s=patience_s
+        )
+    )
+
+
+class TestVerdicts:
+    """What becomes of a silent call, by what a probe finds."""
+
+    @pytest.mark.parametrize(
+        ("liveness", "left_after_s", "verdict"),
+        [
+            (
+                engine_silence.Liveness.UNREACHABLE,
+                1.0,
+                engine_silence.Gone(),
+            ),
+            (
+                engine_silence.Liveness.STANDS_STILL,
+                1.6,
+                engine_silence.Leave(),
+            ),
+            (engine_silence.Liveness.ANSWERS, 1.0, engine_silence.Leave()),
+        ],
+    )
+    def test_call_waits_until_the_limit(self, liveness, left_after_s, verdict):
+        for silent_s in (0.0, 0.5, 0.7, 0.9, left_after_s - 0.01):
+            wait = _verdict(silent_s, liveness)
+            assert isinstance(wait, engine_silence.Wait), silent_s
+            assert 0 < wait.check_in_s <= left_after_s - silent_s
+        assert _verdict(left_after_s, liveness) == verdict
+
+    def test_nothing_is_decided_without_a_probe(self):
+        assert isinstance(_verdict(60.0, None), engine_silence.Wait)
+
+    def test_call_waits_for_its_turn_at_an_engine_that_runs(self):
+        answers = engine_silence.Liveness.ANSWERS
+        assert isinstance(
+            _verdict(1.9, answers, patience_s=2.0), engine_silence.Wait
+        )
+        assert _verdict(2.0, answers, patience_s=2.0) == engine_silence.Leave()
+
+
+class TestActivity:
+    """What a VM receives from one engine over all its calls."""
+
+    # Guards against calls that are given up as the engine, which has just
+    # woken, serves others first.
+    def test_calls_get_their_time_anew_after_a_standstill(self):
+        activity = engine_silence.EngineActivity()
+        activity.begin_call(0.0)
+        activity.record_probe(engine_silence.Liveness.STANDS_STILL, 0.9)
+        activity.record_probe(engine_silence.Liveness.ANSWERS, 1.3)
+        assert activity.spoke_again_at == 1.3
+
+    # Guards against an engine that answers probes and keeps a call for ever.
+    def test_engine_that_answers_each_probe_gives_no_time_anew(self):
+        activity = engine_silence.EngineActivity()
+        activity.begin_call(0.0)
+        for now in (0.9, 1.3, 1.7):
+            activity.record_probe(engine_silence.Liveness.ANSWERS, now)
+        assert activity.spoke_again_at < 0
+
+    def test_old_probes_say_nothing(self):
+        activity = engine_silence.EngineActivity()
+        activity.record_probe(engine_silence.Liveness.ANSWERS, 1.0)
+        assert activity.liveness(1.1) is engine_silence.Liveness.ANSWERS
+        assert activity.liveness(1.5) is None
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -207,3 +207,38 @@
         assert engine_health.was_unreachable("d0")
         assert not engine_health.usable("d0", 1.4)
         assert engine_health.usable("d0", 1.6)
+
+
+class TestSilence:
+    """Engines that send nothing while their hosts are reachable."""
+
+    def test_silent_engine_gets_no_requests_until_it_sends_output(self) -> None:
+        engine_health = health.EngineHealth()
+        engine_health.record_silence("a", 0.0)
+        assert engine_health.ejected_engine_ids(_endpoints("a", "b")) == {"a"}
+        engine_health.end_silence("a")
+        assert not engine_health.ejected_engine_ids(_endpoints("a", "b"))
+
+    # Guards against a pool that serves nobody as all its engines stood still.
+    def test_not_all_engines_are_ejected_for_silence(self) -> None:
+        engine_health = health.EngineHealth()
+        for name in ("a", "b"):
+            engine_health.record_silence(name, 0.0)
+        assert engine_health.are_all_silent(_endpoints("a", "b"))
+        assert not engine_health.ejected_engine_ids(_endpoints("a", "b"))
+
+    # Guards against a silence that is remembered for longer each time.
+    def test_engine_is_tried_again_after_two_seconds_each_time(self) -> None:
+        engine_health = health.EngineHealth()
+        for now in (0.0, 10.0, 20.0):
+            engine_health.record_silence("a", now)
+            assert not engine_health.usable("a", now + 1.9)
+            assert engine_health.usable("a", now + 2.0)
+            engine_health.record_success("a", now + 2.0)
+
+    def test_output_does_not_readmit_an_engine_that_fails(self) -> None:
+        engine_health = health.EngineHealth()
+        engine_health.record_failure("a", 0.0)
+        engine_health.record_silence("a", 0.1)
+        engine_health.end_silence("a")
+        assert engine_health.ejected_engine_ids(_endpoints("a", "b")) == {"a"}
--- a/tests/test_pool_scheduling.py
+++ b/tests/test_pool_scheduling.py
@@ -251,3 +251,46 @@
         vms = [_vm(number, cores=0.516) for number in range(5)]
         high_capacity = _vm(9, cores=2.15, state=model.VmState.LEAVING)
         assert rendezvous.rank_vms(_POOL, [*vms, high_capacity])[0].cores < 1
+
+
+class TestReadoption:
+    """The engine of an attempt that was given up as silent goes on."""
+
+    @staticmethod
+    def _outcome(*, refused: bool):
+        """Returns what the coordinator has of it, and later decisions."""
+        vms = [_vm(0)]
+
+        async def run():
+            cluster = _Cluster(vms, {vms[0].id: vms}, vms)
+            scheduling = cluster.scheduling
+            start = await cluster.place()
+            channel = scheduling._channel(_POOL)
+            tracked = channel.tracked_by_id[1]
+            silent = messages.AttemptFailed(
+                request_id=1,
+                endpoint_id=start.decode_id,
+                stage=messages.Stage.DECODE,
+                resumable=True,
+                silent=True,
+                not_run=not refused,
+                version="",
+            )
+            scheduling.post(silent)
+            await channel._call_coordinator(0.0)
+            scheduling.readopt(tracked.submit, start, tracked.decisions)
+            await channel._call_coordinator(0.0)
+            pool_scheduler = cluster.pool_schedulers_by_vm[vms[0].id]
+            running = pool_scheduler.loads()[_POOL].running
+            assert channel.tracked_by_id[1].start == start
+            scheduling.post(messages.Finished(1, 9))
+            await channel._call_coordinator(0.0)
+            left = pool_scheduler.loads()[_POOL].running
+            return running, left, list(channel.tracked_by_id)
+
+        return asyncio.run(run())
+
+    # Guards against slots that are promised twice, or never come free.
+    @pytest.mark.parametrize("refused", [True, False])
+    def test_coordinator_knows_the_running_attempt(self, refused: bool):
+        assert self._outcome(refused=refused) == (1, 0, [])
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -636,3 +636,62 @@
             subject.handle(messages.Tick(), 1.1), messages.Refuse
         )
         assert [refusal.request_id for refusal in refusals] == [3]
+
+
+class TestSilentEngines:
+    """A stream whose engine has sent nothing for a while."""
+
+    _SERVICE = _service(
+        idempotency=model.Idempotency.IDEMPOTENT,
+        retries=model.RetryPolicy(ratio=1.0, burst=9, attempts=2),
+    )
+
+    def _streaming(self, subject: scheduler.Scheduler, request_id: int):
+        """Places a request and reports its first token."""
+        submit = _submit(request_id, service=self._SERVICE)
+        (start,) = _actions_of(subject.handle(submit, 0.0), messages.Start)
+        subject.handle(messages.PrefillFinished(request_id), 0.1)
+        subject.handle(messages.FirstToken(request_id), 0.2)
+        return submit, start
+
+    def _silent(self, start: messages.Start) -> messages.AttemptFailed:
+        return messages.AttemptFailed(
+            request_id=start.request_id,
+            endpoint_id=start.decode_id,
+            stage=messages.Stage.DECODE,
+            resumable=True,
+            silent=True,
+            version="",
+        )
+
+    def test_stream_may_move_to_an_engine_that_is_not_silent(self) -> None:
+        subject = _scheduler_with_slots()
+        _, start = self._streaming(subject, 1)
+        actions = subject.handle(self._silent(start), 1.0)
+        (moved,) = _actions_of(actions, messages.Start)
+        assert moved.decode_id != start.decode_id
+
+    # Guards against streams that leave a silent engine for one as silent.
+    def test_streams_stay_if_all_engines_are_silent(self) -> None:
+        subject = _scheduler_with_slots(1)
+        starts = [self._streaming(subject, number)[1] for number in (1, 2)]
+        assert len({start.decode_id for start in starts}) == 2
+        subject.handle(self._silent(starts[0]), 1.0)
+        actions = subject.handle(self._silent(starts[1]), 1.0)
+        assert not _actions_of(actions, messages.Start)
+        (refusal,) = _actions_of(actions, messages.Refuse)
+        assert refusal.request_id == 2
+
+    # Guards against sound engines that stay ejected once they have gone on.
+    def test_engine_is_used_again_once_its_stream_goes_on(self) -> None:
+        subject = _scheduler_with_slots()
+        submit, start = self._streaming(subject, 1)
+        subject.handle(self._silent(start), 1.0)
+        subject.handle(messages.Cancel(1), 1.1)
+        stage = messages.Stage.DECODE
+        subject.handle(
+            messages.Adopt(submit=submit, start=start, stage=stage), 1.1
+        )
+        load = subject.pool_load("g")
+        assert load is not None
+        assert not load.ejected
