Keep queued streams where they are once all engines are silent

Callers of a stream that waited for another engine would have had its prompt read again, for an engine that had fallen silent after the first: the check of silent engines was made when the first stream left only.

Now each held request in the queue stays where it is as soon as no decode engine is left that neither fails nor is silent.

--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/health.py
@@ -202,16 +202,17 @@
         if state is not None and state.silent:
             self._readmit(state)
 
-    def are_all_silent(self, endpoints: Collection[model.Endpoint]) -> bool:
-        """Returns whether all engines of one kind are silent.
+    def any_sound(self, endpoints: Collection[model.Endpoint]) -> bool:
+        """Returns whether any engine of one kind neither fails nor is silent.
 
         Args:
           endpoints: All engines of one kind in one pool.
         """
-        return all(
-            (state := self._states_by_endpoint.get(item.id)) and state.silent
+        states = [
+            self._states_by_endpoint.get(item.id, _EngineState())
             for item in endpoints
-        )
+        ]
+        return not all(state.failing or state.silent for state in states)
 
     def was_unreachable(self, endpoint_id: str) -> bool:
         """Returns whether an engine's last failure was a failed connection."""
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -527,9 +527,8 @@
             if event.version is not None:
                 request.version = event.version
                 request.knows_versions = True
-        if event.silent and self._health.are_all_silent(request.pool.decodes):
-            # The stream stays where it is rather than have its prompt read
-            # again for an engine as silent.
+        request.is_held = request.is_held or event.silent
+        if self._should_stay(request):
             code = messages.RefusalCode.ENDPOINT_FAILED
         else:
             code = requests.check_retry(
@@ -689,8 +688,9 @@
     ) -> list[messages.Action]:
         """Refuses requests that no engine can serve in time.
 
-        They resume a stream whose version no engine has any more, or their
-        entry process can't use any engine before it is too late.
+        They resume a stream whose version no engine has any more, are held at
+        an engine and have no better one, or their entry process can't use any
+        engine before it is too late.
         """
         unservable = [
             request
@@ -703,9 +703,25 @@
                 self._refuse(request, request.no_version_code, now)
                 for request in unservable
             ),
+            *(
+                self._refuse(request, messages.RefusalCode.ENDPOINT_FAILED, now)
+                for request in map(
+                    self._queued, (*pool.queue, *pool.constrained)
+                )
+                if self._should_stay(request)
+            ),
             *self._refuse_unavailable(pool, now),
         ]
 
+    def _should_stay(self, request: requests.Request) -> bool:
+        """Returns whether its stream had better stay at its silent engine.
+
+        If no other engine is sound, its prompt would be read again in vain.
+        """
+        return request.is_held and not self._health.any_sound(
+            request.pool.decodes
+        )
+
     def _refuse_unavailable(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
