Look through held requests only, not through all that wait

A pool's whole queue was searched at each event for requests whose streams are held; the ids of the few are kept now. A held stream that stays takes nothing from the retry budget.

--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -61,8 +61,6 @@
         process can use, while others may be free.
       needs_version: Whether it waits for an engine of its version, while the
         pool has engines of another one.
-      is_held: Whether its entry process keeps its stream at a silent engine,
-        which may still go on.
       knows_versions: Whether its entry process runs a release that knows of
         software versions and their error code.
     """
@@ -92,7 +90,6 @@
     starts_apart: bool = False
     avoids_engines: bool = False
     needs_version: bool = False
-    is_held: bool = False
     knows_versions: bool = False
 
     @property
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -86,6 +86,9 @@
             version_history.VersionHistory()
         )
         self._unknown_origin_ids: set[int] = set()
+        # Requests whose entry processes keep their streams at silent engines,
+        # which may still go on.
+        self._held_ids: set[int] = set()
         rng = random.Random(seed)
         self._requests_by_id: dict[int, requests.Request] = {}
         self._health = health.EngineHealth()
@@ -527,13 +530,9 @@
             if event.version is not None:
                 request.version = event.version
                 request.knows_versions = True
-        request.is_held = request.is_held or event.silent
-        if self._should_stay(request):
-            code = messages.RefusalCode.ENDPOINT_FAILED
-        else:
-            code = requests.check_retry(
-                request, event, self._retry_budgets, now
-            )
+        if event.silent:
+            self._held_ids.add(event.request_id)
+        code = self._retry_refusal(request, event, now)
         if code is not None:
             return [
                 cancel,
@@ -548,6 +547,17 @@
             actions += self._enqueue_resumed(request, now)
         return [*actions, *self._schedule(request.pool, now)]
 
+    def _retry_refusal(
+        self,
+        request: requests.Request,
+        event: messages.AttemptFailed,
+        now: float,
+    ) -> messages.RefusalCode | None:
+        if event.silent and not self._health.any_sound(request.pool.decodes):
+            # Its prompt would be read again for an engine as silent.
+            return messages.RefusalCode.ENDPOINT_FAILED
+        return requests.check_retry(request, event, self._retry_budgets, now)
+
     def _cancel_attempt(
         self, request: requests.Request
     ) -> messages.CancelAttempt:
@@ -703,24 +713,26 @@
                 self._refuse(request, request.no_version_code, now)
                 for request in unservable
             ),
-            *(
-                self._refuse(request, messages.RefusalCode.ENDPOINT_FAILED, now)
-                for request in map(
-                    self._queued, (*pool.queue, *pool.constrained)
-                )
-                if self._should_stay(request)
-            ),
+            *self._refuse_held(pool, now),
             *self._refuse_unavailable(pool, now),
         ]
 
-    def _should_stay(self, request: requests.Request) -> bool:
-        """Returns whether its stream had better stay at its silent engine.
-
-        If no other engine is sound, its prompt would be read again in vain.
-        """
-        return request.is_held and not self._health.any_sound(
-            request.pool.decodes
-        )
+    def _refuse_held(
+        self, pool: pools.Pool, now: float
+    ) -> list[messages.Action]:
+        """Refuses requests whose streams had better stay where they are."""
+        self._held_ids &= self._requests_by_id.keys()
+        held = [
+            self._requests_by_id[request_id]
+            for request_id in sorted(self._held_ids)
+        ]
+        return [
+            self._refuse(request, messages.RefusalCode.ENDPOINT_FAILED, now)
+            for request in held
+            if request.pool is pool
+            and request.stage is messages.Stage.QUEUED
+            and not self._health.any_sound(pool.decodes)
+        ]
 
     def _refuse_unavailable(
         self, pool: pools.Pool, now: float
