Bound streams that get bytes and no output

Only events of the output count as progress now, an event has at most 1 MiB, and handles and reports at most 256 KiB. The engine is then silent, is probed and left like any other; while its stream is held, comments don't show that it goes on.

The other kinds (no HTTP, heads, interim responses, chunks, sizes, extensions, trailers, bodies) were bounded in bytes and time before, by tornado's limits and the time limit of the call; a plain answer may still take 16 MiB before it is refused.

--- a/src/cowsliprill/engines/event_stream.py
+++ b/src/cowsliprill/engines/event_stream.py
@@ -13,6 +13,7 @@
 from cowsliprill.engines import exchange as exchange_lib
 
 _EVENT_END = b"\n\n"
+_MAX_EVENT_BYTES = 1_048_576
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -43,6 +44,7 @@
         self._response = response
         self._tokens_per_event = tokens_per_event
         self._pending = b""
+        response.expect_progress()
 
     @property
     def status(self) -> int:
@@ -114,6 +116,8 @@
         data = self._pending + chunk
         end = data.rfind(_EVENT_END) + len(_EVENT_END)
         if end < len(_EVENT_END):
+            if len(data) > _MAX_EVENT_BYTES:
+                raise self._stream_error(stream_lib.StreamFault.MALFORMED)
             self._pending = data
             return b""
         events, self._pending = data[:end], data[end:]
@@ -127,6 +131,7 @@
                 raise self._stream_error(stream_lib.StreamFault.OUT_OF_ORDER)
             self.last_id = text
             self.tokens += self._tokens_per_event
+            self._response.report_progress()
 
     def _is_lost_at_clean_close(
         self, reason: stream_lib.StreamFault, error: Exception | None
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -107,6 +107,18 @@
         """Returns the number of bytes received but not yet read."""
         return self._exchange.buffered_bytes
 
+    def expect_progress(self) -> None:
+        """Takes data for silence, for a reader that calls `report_progress`.
+
+        Otherwise an endpoint could keep a call open for ever by bytes that
+        make no message.
+        """
+        self._exchange.expect_progress()
+
+    def report_progress(self) -> None:
+        """Tells that the data received made a message."""
+        self._exchange.hear()
+
     def watch_silence(self) -> None:
         """Has silence reported again; to be called after `EngineSilent`."""
         self._exchange.watch_silence()
@@ -155,6 +167,7 @@
         self._headers_future: asyncio.Future[None] = self._loop.create_future()
         self._error: errors.CallError | None = None
         self._silent: errors.EngineSilent | None = None
+        self._data_is_progress = True
         self._timeout_timer: asyncio.TimerHandle | None = None
         self._silence_timer: asyncio.TimerHandle | None = None
         self._silence: silence_lib.SilencePolicy = _PATIENT
@@ -172,7 +185,7 @@
         self.status = start_line.code
         self.headers = headers
         self._headers_future.set_result(None)
-        self._silence.hear(self._loop.time())
+        self.hear()
 
     def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
         """Buffers a chunk. Returns a future to await if the buffer is full."""
@@ -180,7 +193,8 @@
             return None
         self._chunks.append(chunk)
         self.buffered_bytes += len(chunk)
-        self._silence.hear(self._loop.time())
+        if self._data_is_progress:
+            self.hear()
         if self._data_available is not None:
             _set_done(self._data_available)
             self._data_available = None
@@ -217,6 +231,14 @@
 
     # Methods for the client.
 
+    def hear(self) -> None:
+        """Tells the silence policy that the endpoint makes progress."""
+        self._silence.hear(self._loop.time())
+
+    def expect_progress(self) -> None:
+        """Has received data count as silence until `hear` is called."""
+        self._data_is_progress = False
+
     async def wait_for_headers(self) -> None:
         """Waits for the status and headers of the response."""
         await self._headers_future
@@ -228,19 +250,16 @@
           errors.EngineSilent: No data has been received for a while.
           errors.CallError: The exchange failed.
         """
-        while not self._chunks:
+        while not self._chunks and self._silent is None:
             if self._error is not None:
                 raise self._error
-            if self._silent is not None:
-                silent, self._silent = self._silent, None
-                raise silent
             if self.complete:
                 return None
             self._data_available = self._loop.create_future()
             await self._data_available
         if self._silent is not None:
-            self._silent = None
-            self.watch_silence()
+            silent, self._silent = self._silent, None
+            raise silent
         chunk = self._chunks.popleft()
         self.buffered_bytes -= len(chunk)
         if (
--- a/src/cowsliprill/entry/held_stream.py
+++ b/src/cowsliprill/entry/held_stream.py
@@ -9,6 +9,9 @@
 from cowsliprill.entry import output_stream
 
 
+_MAX_HELD_BYTES = 1_048_576
+
+
 class State(enum.Enum):
     """What became of a held stream."""
 
@@ -64,8 +67,14 @@
         self.stream.close()
 
     async def _receive(self) -> None:
+        tokens = self.stream.tokens
         try:
-            self.events = await anext(self.stream)
+            # Comments and the like don't show that the output goes on.
+            while self.stream.tokens == tokens:
+                self.events += await anext(self.stream)
+                if len(self.events) > _MAX_HELD_BYTES:
+                    self._state = State.BROKEN
+                    return
         except StopAsyncIteration:
             self.ended = True
         except engine_errors.CallError:
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -26,6 +26,8 @@
 from cowsliprill.platform import headers as headers_lib
 
 _MAX_RESPONSE_BYTES = 16_777_216
+# Handles and reports.
+_MAX_CONTROL_BYTES = 262_144
 _MS_PER_S = 1_000
 _RELEASE_TIMEOUT_S = 1.0
 # Reports are answered within a few ms, whatever else the engine does.
@@ -113,7 +115,7 @@
             extra_headers,
             timeout_s=timeout_s,
         )
-        body = await response.read(_MAX_RESPONSE_BYTES)
+        body = await response.read(_MAX_CONTROL_BYTES)
         _check_response(ctx, response, require_signature=False)
         try:
             handle = json.loads(body)["kvHandle"]
@@ -175,7 +177,7 @@
                 timeout_s=_PROBE_TIMEOUT_S,
                 new_connection=True,
             )
-            await response.read(_MAX_RESPONSE_BYTES)
+            await response.read(_MAX_CONTROL_BYTES)
         except errors.CallError as error:
             self._log.event(
                 "probe_unanswered", endpoint=endpoint.id, reason=error.message
@@ -215,7 +217,7 @@
                 timeout_s=_RELEASE_TIMEOUT_S,
             )
             answers.observe_control(self._feedback, endpoint, response, sent_at)
-            await response.read(_MAX_RESPONSE_BYTES)
+            await response.read(_MAX_CONTROL_BYTES)
         except errors.CallError as error:
             self._log_unreleased(endpoint, error.message)
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -227,6 +227,7 @@
       pause_after_events: Number of events after which a stream pauses in the
         middle of the next event, until `cut` is set or the client disconnects;
         0 for none.
+      dribble: Bytes that a paused stream sends again and again.
       stand_still_after_events: Number of events after which the whole engine
         stands still, 0 for none.
       foreign: Whether responses have the id of another request.
@@ -251,6 +252,7 @@
     fail: int = 0
     hang: bool = False
     pause_after_events: int = 0
+    dribble: bytes = b""
     stand_still_after_events: int = 0
     foreign: bool = False
     lose_response: bool = False
@@ -480,6 +482,12 @@
             )
         connection.close()
 
+    async def _dribble(self, data: bytes) -> None:
+        while data and not self.disconnected.is_set():
+            self.write(data)
+            await self.flush()
+            await asyncio.sleep(0.02)
+
     async def _pause(self) -> None:
         ends = [
             asyncio.ensure_future(event.wait())
@@ -500,6 +508,7 @@
                     self.engine.awake.clear()
                 await self.engine.awake.wait()
                 if number - begin == faults.pause_after_events:
+                    await self._dribble(faults.dribble)
                     self.write(f"id: {number + 1}\nda")
                     await self.flush()
                     await self._pause()
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,155 @@
+"""Endpoints whose bytes never end, and aren't an answer."""
+
+import asyncio
+import re
+
+import pytest
+
+import platform_site
+import raw_endpoint
+from cowsliprill.engines import errors
+from cowsliprill.engines import event_stream
+from cowsliprill.engines import http_client
+
+_TIMEOUT_S = 0.4
+_BODY_LIMIT = 1 << 20
+# What a client and the kernel's buffers may take before the call ends.
+_BYTES_MAX = 32 << 20
+_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\n"
+_CHUNKED = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+# What an endpoint sends first, and then again and again.
+_ENDLESS = {
+    "no HTTP": (b"", b"\x00\x17garbage"),
+    "a status line": (b"HTTP/1.1 2", b"0" * 64),
+    "a header line": (_HEAD + b"X-A: ", b"a" * 64),
+    "header lines": (_HEAD, b"X-A: b\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "early hints": (b"", b"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"),
+    "chunks": (_CHUNKED, b"4\r\nabcd\r\n"),
+    "a chunk's size": (_CHUNKED, b"0"),
+    "a chunk's extension": (_CHUNKED + b"4;x=", b"y" * 64),
+    "a chunk": (_CHUNKED + b"ffffffff\r\n", b"z" * 64),
+    "trailers": (_CHUNKED + b"4\r\nabcd\r\n0\r\n", b"X-A: b\r\n"),
+    "a body without length": (_HEAD + b"\r\n", b"z" * 64),
+    "a body of great length": (
+        _HEAD + b"Content-Length: 99999999999\r\n\r\n",
+        b"z" * 64,
+    ),
+}
+
+
+async def _call(port: int) -> None:
+    client = http_client.HttpClient()
+    try:
+        response = await client.call(
+            "127.0.0.1",
+            port,
+            "GET",
+            "/",
+            {},
+            timeout_s=_TIMEOUT_S,
+            allow_close_delimited=True,
+        )
+        await response.read(_BODY_LIMIT)
+    finally:
+        client.close()
+
+
+def _sent_until_closed(first: bytes, again: bytes, pause_s: float) -> int:
+    """Returns how much an endpoint sent until the call ended in an error."""
+    sent = 0
+
+    async def script(connection: raw_endpoint.Connection) -> None:
+        nonlocal sent
+        await connection.run()
+        await connection.send(first)
+        while True:
+            await connection.send(again)
+            sent += len(again)
+            await asyncio.sleep(pause_s)
+
+    async def scenario() -> None:
+        async with raw_endpoint.RawEndpoint(script) as endpoint:
+            with pytest.raises(errors.CallError):
+                await _call(endpoint.port)
+            await endpoint.wait_for_disconnect()
+
+    asyncio.run(scenario())
+    return sent
+
+
+class TestEndlessBytes:
+    """Bytes that are no answer come until the caller closes."""
+
+    # Guards against memory and time that bytes without end take.
+    @pytest.mark.parametrize("kind", _ENDLESS)
+    def test_fast_bytes_are_bounded(self, kind: str) -> None:
+        first, again = _ENDLESS[kind]
+        assert _sent_until_closed(first, again * 1_000, 0.0) < _BYTES_MAX
+
+    # Guards against calls that each byte prolongs.
+    @pytest.mark.parametrize("kind", _ENDLESS)
+    def test_slow_bytes_end_with_the_time_limit(self, kind: str) -> None:
+        first, again = _ENDLESS[kind]
+        assert _sent_until_closed(first, again[:8], 0.02) < _BYTES_MAX
+
+
+class _Endless:
+    """A response whose body repeats the same bytes for ever."""
+
+    status = 200
+    is_close_delimited = False
+
+    def __init__(self, again: bytes) -> None:
+        self._again = again
+        self.received = 0
+
+    async def next_chunk(self) -> bytes:
+        self.received += len(self._again)
+        assert self.received < _BYTES_MAX
+        return self._again
+
+    def expect_progress(self) -> None:
+        pass
+
+    def report_progress(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+
+class TestEndlessEvents:
+    """Streams that never get to their next event."""
+
+    # Guards against memory that an event without end takes.
+    def test_event_has_a_greatest_size(self) -> None:
+        response = _Endless(b"data: " + b"x" * 4_096)
+        stream = event_stream.EventStream(response, "", 8)
+        with pytest.raises(errors.StreamBroken):
+            asyncio.run(anext(stream))
+
+    # Guards against staying with an engine that sends bytes and no output.
+    @pytest.mark.parametrize("dribble", [b"x", b":\n\n", b"data: x\n\n"])
+    def test_streams_leave_an_engine_that_sends_no_output(self, dribble):
+        async def scenario():
+            async with platform_site.running() as site:
+                for name in ("d0", "d1"):
+                    site.engines[name].faults = platform_site.Faults(
+                        dribble=dribble, pause_after_events=4
+                    )
+                response = await site.open(platform_site.RESUMABLE_PATH)
+                body = await response.read(1 << 20)
+                await platform_site.until(
+                    lambda: any(
+                        site.engines[name].disconnects for name in ("d0", "d1")
+                    )
+                )
+                return body, site.runs()
+
+        body, runs = asyncio.run(scenario())
+        assert re.findall(rb"id: (\d+)", body) == [
+            b"%d" % n for n in range(1, 7)
+        ]
+        assert runs == ["a1", "a1"]
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -36,6 +36,12 @@
             raise self._error
         return None
 
+    def expect_progress(self) -> None:
+        pass
+
+    def report_progress(self) -> None:
+        pass
+
     def close(self) -> None:
         self.closed = True
 
