Let resumed streams wait while the only version may become known

After the end of all VMs, callers who resumed a stream within the first second were refused (stream_origin_unknown) though one software version had served all the time: unknown streams were refused 0.6 s after the start, and the version is taken as known after 1.0 s, or once the store's history has been read.

Now they wait for as long as the version may become known, 1.5 s at most.

--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -287,7 +287,9 @@
             if request.pool.serves_version(request.version):
                 return self._admit(request, now)
             return [self._refuse(request, request.no_version_code, now)]
-        if now < self.origins_complete_at:
+        if now < self.origins_complete_at or self._origins.is_settling(
+            submit.service.pool, now
+        ):
             self._unknown_origin_ids.add(submit.request_id)
             return []
         return [self._refuse(request, messages.RefusalCode.ORIGIN_UNKNOWN, now)]
--- a/src/cowsliprill/decisions/stream_origins.py
+++ b/src/cowsliprill/decisions/stream_origins.py
@@ -67,6 +67,9 @@
     ) -> str | None:
         """Returns the version that began a stream, None if unknown."""
 
+    def is_settling(self, pool: str, now: float) -> bool:
+        """Returns whether unknown versions may soon be known."""
+
 
 def key_of(customer: str, attempt: str) -> str:
     """Returns the key of a caller's attempt, empty if it has no id.
@@ -185,6 +188,15 @@
             return version
         return self.history.likely_version(pool, now)
 
+    def is_settling(self, pool: str, now: float) -> bool:
+        """Returns whether the version of unknown streams may soon be known.
+
+        Args:
+          pool: Name of the pool.
+          now: Current time in seconds.
+        """
+        return self.history.is_settling(pool, now)
+
     def only_version(self, pool: str) -> version_history.OnlyVersion | None:
         """Returns the only listed version, None if this isn't known for sure.
 
--- a/src/cowsliprill/decisions/version_history.py
+++ b/src/cowsliprill/decisions/version_history.py
@@ -12,6 +12,9 @@
 # time.
 SETTLING_S = 1.0
 
+# What was listed before is normally read within this time.
+_PAST_READ_S = 1.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OnlyVersion:
@@ -108,6 +111,19 @@
             return None
         return only.version if now - only.since >= SETTLING_S else None
 
+    def is_settling(self, pool: str, now: float) -> bool:
+        """Returns whether `likely_version` may soon tell a version.
+
+        Args:
+          pool: Name of the pool.
+          now: Current time in seconds.
+        """
+        only = self._only_by_pool.get(pool)
+        if only is None or only.replaced_other:
+            return False
+        settles_s = _PAST_READ_S if self._awaits_past else SETTLING_S
+        return now - only.since < settles_s
+
     def is_observed(self) -> bool:
         """Returns whether engines of any pool have been listed."""
         return bool(self._only_by_pool)
--- a/src/cowsliprill/entry/held_stream.py
+++ b/src/cowsliprill/entry/held_stream.py
@@ -8,7 +8,6 @@
 from cowsliprill.engines import errors as engine_errors
 from cowsliprill.entry import output_stream
 
-
 _MAX_HELD_BYTES = 1_048_576
 
 
--- a/src/cowsliprill/pool_scheduling/origin_exchange.py
+++ b/src/cowsliprill/pool_scheduling/origin_exchange.py
@@ -127,6 +127,10 @@
         """Returns the version that began a stream, None if unknown."""
         return self._origins.version_of(key, pool, age_max_s, now)
 
+    def is_settling(self, pool: str, now: float) -> bool:
+        """Returns whether unknown versions may soon be known."""
+        return self._origins.is_settling(pool, now)
+
     # Exchange with peers.
 
     async def run(self) -> None:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -9,6 +9,8 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import scheduler
+from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions import version_history
 
 _LEASE_S = 60.0
 
@@ -695,3 +697,29 @@
         load = subject.pool_load("g")
         assert load is not None
         assert not load.ejected
+
+
+class TestStreamsAfterTheEndOfAllVms:
+    """Callers resume their streams as soon as the VMs are back."""
+
+    # Guards against streams that are refused just before the only version that
+    # serves is known.
+    def test_resumed_stream_waits_until_the_version_is_known(self) -> None:
+        history = version_history.VersionHistory()
+        history.update(_DECODES, 0.0)
+        subject = scheduler.Scheduler(
+            "gasabo", 1, origins=stream_origins.StreamOrigins(history)
+        )
+        subject.origins_complete_at = 0.6
+        subject.handle(
+            messages.ClusterStateChanged(_SNAPSHOT, model.Fleet()), 0.0
+        )
+        for endpoint_id in _SNAPSHOT.endpoints_by_id:
+            subject.handle(_grant(endpoint_id, 2), 0.0)
+        submit = _submit(1, resumes=True, deadline=9.0)
+        for now, event in ((0.5, submit), (0.7, messages.Tick())):
+            actions = subject.handle(event, now)
+            assert not _actions_of(actions, messages.Refuse)
+            assert not _actions_of(actions, messages.Start)
+        actions = subject.handle(messages.Tick(), 1.05)
+        assert len(_actions_of(actions, messages.Start)) == 1
--- a/tests/test_version_history.py
+++ b/tests/test_version_history.py
@@ -76,6 +76,26 @@
         assert history.likely_version("llm", 100.9) is None
         assert history.likely_version("llm", 101.0) == "v1"
 
+    def test_is_awaited_for_as_long_as_it_may_become_known(self):
+        """Guards against refusals just before the version is known."""
+        history = version_history.VersionHistory(past_readable=True)
+        assert not history.is_settling("llm", 100.0)
+        history.update(versioned_engines.decode_engines("v1"), 100.0)
+        assert history.is_settling("llm", 101.2)
+        assert not history.is_settling("llm", 101.6)
+        recent = version_history.RecentVersions(
+            versions_by_pool={"llm": ["v1"]}, complete=True
+        )
+        history.add_recent(recent)
+        assert history.likely_version("llm", 101.2) == "v1"
+        assert not history.is_settling("llm", 101.2)
+
+    def test_is_not_awaited_if_another_version_was_listed(self):
+        history = version_history.VersionHistory()
+        history.update(versioned_engines.decode_engines("v1", "v2"), 100.0)
+        history.update(versioned_engines.decode_engines("v2"), 100.1)
+        assert not history.is_settling("llm", 100.2)
+
     def test_not_if_another_version_was_listed(self):
         """Guards against a guess where streams of another version may live."""
         history = version_history.VersionHistory()
