Ignore a repeated SIGTERM in all threads once a process has drained

Operators saw exit code -15 of processes that had drained completely: the event loop restores the default handlers when it closes, only the main thread had blocked the signals, and the thread that writes the log got the second one.

The signals are ignored from then on, in place of the loop's handlers; the writer thread leaves them to the main thread meanwhile.

Before: test_sigterm_after_shutdown_with_other_threads failed each time. After: passed, six runs.

--- a/src/cowsliprill/observability/writer.py
+++ b/src/cowsliprill/observability/writer.py
@@ -8,6 +8,7 @@
 
 import collections
 import io
+import signal
 import threading
 from collections.abc import Callable
 from typing import TextIO
@@ -15,6 +16,8 @@
 # Several seconds of output of a busy process, about 300 kB.
 MAX_QUEUED_LINES = 1_000
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 class NonBlockingWriter(io.TextIOBase):
     """A text stream that queues lines and writes them from a thread.
@@ -73,6 +76,8 @@
         return not self._lines and not self._writing
 
     def _run(self) -> None:
+        # Left to the main thread, which handles them.
+        signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
         while True:
             with self._state_changed:
                 self._state_changed.wait_for(lambda: self._lines)
--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -25,14 +25,22 @@
 _MAX_PEER_HEADER_BYTES = 262_144
 
 
-def block_stop_signals() -> None:
-    """Blocks SIGTERM and SIGINT for the rest of the process's life.
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
-    The event loop restores the default signal handlers when it closes. Another
-    SIGTERM at that point would kill a process that has drained completely, and
-    its exit code would report a failure.
+
+def ignore_stop_signals() -> None:
+    """Ignores SIGTERM and SIGINT for the rest of the process's life.
+
+    The event loop would restore the default signal handlers when it closes.
+    Another SIGTERM at that point would kill a process that has drained
+    completely, and its exit code would report a failure. A blocked signal could
+    still be delivered to another thread.
     """
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT})
+    loop = asyncio.get_running_loop()
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    for signal_number in _STOP_SIGNALS:
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_IGN)
 
 
 class _HealthHandler(web.RequestHandler):
@@ -175,7 +183,7 @@
     async def run_until_stopped(self) -> None:
         """Logs the ports, waits for a stop signal, drains and stops serving."""
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
+        for signal_number in _STOP_SIGNALS:
             loop.add_signal_handler(signal_number, self.stop)
         self.log.event(
             "started",
@@ -191,7 +199,7 @@
         for server in self._servers:
             server.stop()
         self.log.event("stopped")
-        block_stop_signals()
+        ignore_stop_signals()
 
     async def _log_readiness(self) -> None:
         reason = None
--- a/src/cowsliprill/standins/http_server.py
+++ b/src/cowsliprill/standins/http_server.py
@@ -178,4 +178,4 @@
     await stop_event.wait()
     await server.stop()
     log.event("stopped")
-    process.block_stop_signals()
+    process.ignore_stop_signals()
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -307,6 +307,7 @@
       rate_limit: Rate limit named in all answers, None for none.
       leaving: `Server-Leaving` in all answers, None for none.
       version: Version of its software.
+      event_interval_s: Time between the events of a stream in seconds.
     """
 
     def __init__(
@@ -327,6 +328,7 @@
         self.awake.set()
         self.rate_limit: str | None = None
         self.leaving: str | None = None
+        self.event_interval_s = 0.0
         self.site = LocalServer(
             [
                 ("/kv-handle/(.*)", _HandleHandler, {"engine": self}),
@@ -504,6 +506,8 @@
             for number in range(begin + 1, EVENTS + 1):
                 self.write(f"id: {number}\ndata: t{number}\n\n")
                 await self.flush()
+                if self.engine.event_interval_s:
+                    await asyncio.sleep(self.engine.event_interval_s)
                 if number - begin == faults.stand_still_after_events:
                     self.engine.awake.clear()
                 await self.engine.awake.wait()
