Leave no moment in which a stop signal kills a drained process

The second SIGTERM came just as the event loop's handler was taken off, which sets the default action first.

The processes now handle the signals themselves and go from that to ignoring them in one step.

--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -28,18 +28,29 @@
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
+def on_stop_signal(callback: Callable[[], None]) -> None:
+    """Has the running event loop call back at each SIGTERM and SIGINT.
+
+    The loop's own handlers can't be replaced without a moment in which a signal
+    kills the process.
+
+    Args:
+      callback: Called without arguments.
+    """
+    loop = asyncio.get_running_loop()
+    for signal_number in _STOP_SIGNALS:
+        signal.signal(
+            signal_number, lambda *_: loop.call_soon_threadsafe(callback)
+        )
+
+
 def ignore_stop_signals() -> None:
     """Ignores SIGTERM and SIGINT for the rest of the process's life.
 
-    The event loop would restore the default signal handlers when it closes.
-    Another SIGTERM at that point would kill a process that has drained
-    completely, and its exit code would report a failure. A blocked signal could
-    still be delivered to another thread.
+    A repeated SIGTERM would kill a process that has drained completely, and its
+    exit code would report a failure.
     """
-    loop = asyncio.get_running_loop()
-    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
     for signal_number in _STOP_SIGNALS:
-        loop.remove_signal_handler(signal_number)
         signal.signal(signal_number, signal.SIG_IGN)
 
 
@@ -182,9 +193,7 @@
 
     async def run_until_stopped(self) -> None:
         """Logs the ports, waits for a stop signal, drains and stops serving."""
-        loop = asyncio.get_running_loop()
-        for signal_number in _STOP_SIGNALS:
-            loop.add_signal_handler(signal_number, self.stop)
+        on_stop_signal(self.stop)
         self.log.event(
             "started",
             port=self.port,
--- a/src/cowsliprill/standins/http_server.py
+++ b/src/cowsliprill/standins/http_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import signal
 from typing import Any
 
 from tornado import httpserver
@@ -171,9 +170,7 @@
     """
     log = log_lib.open_log(name)
     stop_event = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_event.set)
+    process.on_stop_signal(stop_event.set)
     log.event("started", port=server.port, **fields)
     await stop_event.wait()
     await server.stop()
