Move the waiting requests out of the scheduler

Refusals are still made one by one, each before the next waiting request is looked at, since the time to come back depends on what still waits.

--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from cowsliprill.decisions import engine_selection
@@ -29,17 +30,10 @@
 from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import version_history
 from cowsliprill.decisions import wait_estimates
+from cowsliprill.decisions import waiting_requests
 
 _MAX_WAKEUP_INTERVAL_S = 0.5
 
-# A request stays in the queue only if the backlog is expected to drain within
-# this multiple of the time left to its start deadline.
-_ADMISSION_WAIT_FACTOR = 1.0
-
-# Seconds by which each second of expected decode slot time moves a request
-# back in the queue.
-_COST_WEIGHT = 3.0
-
 # Clients drop a stalled stream after about this time, so a stream that can't
 # be resumed on another engine by then is ended.
 _RESUME_TIMEOUT_S = 2.0
@@ -86,9 +80,6 @@
             version_history.VersionHistory()
         )
         self._unknown_origin_ids: set[int] = set()
-        # Requests whose entry processes keep their streams at silent engines,
-        # which may still go on.
-        self._held_ids: set[int] = set()
         rng = random.Random(seed)
         self._requests_by_id: dict[int, requests.Request] = {}
         self._health = health.EngineHealth()
@@ -103,6 +94,14 @@
         )
         self._retry_budgets = retry_budget.RetryBudgets()
         self._suspected_features = suspected_features.SuspectedFeatures()
+        self._waiting = waiting_requests.WaitingRequests(
+            self._requests_by_id,
+            self._health,
+            self._unavailable,
+            self._selector,
+            self._suspected_features,
+            lambda: self._pools.entry_count,
+        )
         self._sequence = 0
 
     def handle(
@@ -258,7 +257,7 @@
         self, request: requests.Request, now: float
     ) -> list[messages.Action]:
         """Starts a request, or queues it if it is expected to start in time."""
-        self._enqueue(request, now)
+        self._waiting.enqueue(request, now)
         starts = self._place_all(request.pool, now)
         is_queued = request.stage is messages.Stage.QUEUED
         can_meet_target = request.start_deadline > now
@@ -268,7 +267,9 @@
             and can_meet_target
             and not wait_estimates.should_queue(request, now, entry_count)
         ):
-            starts.extend(self._demote(request, now))
+            code = self._waiting.demote(request, now)
+            if code is not None:
+                starts.append(self._refuse(request, code, now))
         return starts
 
     def _submit_resumed(
@@ -314,31 +315,10 @@
         """
         assert request.version is not None
         if request.pool.serves_version(request.version):
-            self._enqueue(request, now)
+            self._waiting.enqueue(request, now)
             return []
         return [self._refuse(request, request.no_version_code, now)]
 
-    def _demote(
-        self, request: requests.Request, now: float
-    ) -> list[messages.Action]:
-        """Queues a request behind those that can still meet their targets.
-
-        A late response is worth less to the client than one in time, but more
-        than none. If the request is late already, or a late response would be
-        of no use, the request is refused.
-
-        Returns:
-          The refusal, if any.
-        """
-        request.queue.remove(request.submit.request_id)
-        late = request.start_deadline <= now
-        if late or request.useful_start_deadline <= request.start_deadline:
-            code = messages.RefusalCode.OVERLOADED
-            return [self._refuse(request, code, now)]
-        request.start_deadline = now
-        self._enqueue(request, now)
-        return []
-
     def _adopt(
         self, event: messages.Adopt, now: float
     ) -> list[messages.Action]:
@@ -391,28 +371,6 @@
         pool.lease(request.decode.id).acquire(customer, request.slots)
         pool.acquire(customer)
 
-    def _enqueue(self, request: requests.Request, now: float) -> None:
-        request.stage = messages.Stage.QUEUED
-        request.needs_version = request.lacks_engines()
-        late = request.start_deadline <= now < request.useful_start_deadline
-        request.queue.add(
-            request_queue.QueuedRequest(
-                submit=request.submit,
-                late=late,
-                start_deadline=(
-                    request.useful_start_deadline
-                    if late
-                    else request.start_deadline
-                ),
-                cost_s=request.cost_s
-                * (request.slots / request.pool.mean_slots_per_request)
-                / request.value,
-                cost_weight=_COST_WEIGHT,
-                slots=request.slots,
-                version=request.version if request.needs_version else None,
-            )
-        )
-
     def _cancel(self, request_id: int, now: float) -> list[messages.Action]:
         request = self._requests_by_id.pop(request_id, None)
         if request is None:
@@ -533,7 +491,7 @@
                 request.version = event.version
                 request.knows_versions = True
         if event.silent:
-            self._held_ids.add(event.request_id)
+            self._waiting.held_ids.add(event.request_id)
         code = self._retry_refusal(request, event, now)
         if code is not None:
             return [
@@ -544,7 +502,7 @@
         request.export_expires_at = now + event.kept_s if event.kept_s else 0.0
         actions: list[messages.Action] = [cancel]
         if request.version is None:
-            self._enqueue(request, now)
+            self._waiting.enqueue(request, now)
         else:
             actions += self._enqueue_resumed(request, now)
         return [*actions, *self._schedule(request.pool, now)]
@@ -607,7 +565,7 @@
         wait_s = (
             pool.backlog(request.submit.priority).wait_s() / capacity_fraction
         )
-        ready_in_s = self._ready_in_s(request, now)
+        ready_in_s = self._waiting.ready_in_s(request, now)
         backoff_s = max(wait_s, spare_capacity.overload_backoff_s, ready_in_s)
         return messages.Refuse(
             request_id=request_id,
@@ -642,21 +600,9 @@
     ) -> list[messages.Action]:
         self._pools.update(snapshot, fleet, now)
         for pool in self._pools.pools_by_name.values():
-            self._requeue_versions(pool, now)
+            self._waiting.requeue_versions(pool, now)
         return self._schedule_all(now)
 
-    def _requeue_versions(self, pool: pools.Pool, now: float) -> None:
-        """Moves streams between the queues after a change of the engines."""
-        waiting = [*pool.queue, *pool.constrained]
-        for request in map(self._queued, waiting):
-            if request.needs_version != request.lacks_engines():
-                self._requeue(
-                    request,
-                    now,
-                    starts_apart=request.starts_apart,
-                    avoids_engines=request.avoids_engines,
-                )
-
     # Placement.
 
     def set_slot_fraction(
@@ -687,158 +633,42 @@
     def _schedule(self, pool: pools.Pool, now: float) -> list[messages.Action]:
         """Starts or sheds a pool's queued requests and reports slot demand."""
         actions = self._retry_unknown_origins(now)
-        actions.extend(self._refuse_unservable(pool, now))
+        actions.extend(
+            self._refuse_all(self._waiting.unservable(pool, now), now)
+        )
         actions.extend(self._place_all(pool, now))
-        actions.extend(self._shed_requests(pool, now))
+        actions.extend(self._refuse_all(self._waiting.overdue(pool, now), now))
         if not self._owns_slots:
             self._sequence += 1
             actions.extend(self._asks_of(pool, now, only_urgent=True))
         return actions
 
-    def _refuse_unservable(
-        self, pool: pools.Pool, now: float
-    ) -> list[messages.Action]:
-        """Refuses requests that no engine can serve in time.
-
-        They resume a stream whose version no engine has any more, are held at
-        an engine and have no better one, or their entry process can't use any
-        engine before it is too late.
-        """
-        unservable = [
-            request
-            for request in map(self._queued, pool.constrained)
-            if request.version is not None
-            and not pool.serves_version(request.version)
-        ]
-        return [
-            *(
-                self._refuse(request, request.no_version_code, now)
-                for request in unservable
-            ),
-            *self._refuse_held(pool, now),
-            *self._refuse_unavailable(pool, now),
-        ]
-
-    def _refuse_held(
-        self, pool: pools.Pool, now: float
+    def _refuse_all(
+        self, unservable: Iterable[waiting_requests.Unservable], now: float
     ) -> list[messages.Action]:
-        """Refuses requests whose streams had better stay where they are."""
-        self._held_ids &= self._requests_by_id.keys()
-        held = [
-            self._requests_by_id[request_id]
-            for request_id in sorted(self._held_ids)
-        ]
         return [
-            self._refuse(request, messages.RefusalCode.ENDPOINT_FAILED, now)
-            for request in held
-            if request.pool is pool
-            and request.stage is messages.Stage.QUEUED
-            and not self._health.any_sound(pool.decodes)
-        ]
-
-    def _refuse_unavailable(
-        self, pool: pools.Pool, now: float
-    ) -> list[messages.Action]:
-        refusals: list[messages.Action] = []
-        if not self._unavailable:
-            return refusals
-        for waiting in (*pool.queue, *pool.constrained):
-            request = self._queued(waiting)
-            ready_in_s = self._ready_in_s(request, now)
-            too_late = max(
-                request.start_deadline, request.useful_start_deadline
-            )
-            if ready_in_s and too_late < now + ready_in_s:
-                code = messages.RefusalCode.OVERLOADED
-                refusals.append(self._refuse(request, code, now))
-        return refusals
-
-    def _is_restricted(self, request: requests.Request, now: float) -> bool:
-        """Returns whether its entry process can't use some of the engines."""
-        return self._unavailable.restricts(
-            request.submit.entry, request.pool.endpoints_by_id, now
-        )
-
-    def _ready_in_s(self, request: requests.Request, now: float) -> float:
-        """Returns how long its entry process can't use any engine for it."""
-        if not self._is_restricted(request, now):
-            return 0.0
-        ready_at = self._ready_at(request, now)
-        # A pool without engines has none to wait for.
-        return max(ready_at - now, 0.0) if ready_at < math.inf else 0.0
-
-    def _ready_at(self, request: requests.Request, now: float) -> float:
-        pool, entry = request.pool, request.submit.entry
-        decodes = [
-            endpoint
-            for endpoint in pool.decodes
-            if request.version in (None, endpoint.software_version)
+            self._refuse(request, code, now) for request, code in unservable
         ]
-        decode_ready_at = self._unavailable.ready_at(entry, decodes)
-        if request.can_reuse_prefill(now) or pool.decodes_can_prefill():
-            return decode_ready_at
-        return max(
-            decode_ready_at, self._unavailable.ready_at(entry, pool.prefills)
-        )
-
-    def _queued(self, waiting: request_queue.QueuedRequest) -> requests.Request:
-        return self._requests_by_id[waiting.submit.request_id]
 
     def _place_all(self, pool: pools.Pool, now: float) -> list[messages.Action]:
-        self._return_to_queue(pool, now)
+        self._waiting.return_to_queue(pool, now)
         starts = self._place_resumed(pool, now)
         while len(pool.queue):
             waiting = pool.queue.first(pool.over_share)
             assert waiting is not None
-            request = self._queued(waiting)
-            if self._must_wait(request, now):
-                self._requeue(request, now, starts_apart=True)
+            request = self._waiting.request_of(waiting)
+            if self._waiting.must_wait(request, now):
+                self._waiting.requeue(request, now, starts_apart=True)
                 continue
             start = self._place(request, now)
             if start is not None:
                 starts.append(start)
-            elif self._could_start_elsewhere(request, now):
-                self._requeue(request, now, avoids_engines=True)
+            elif self._waiting.could_start_elsewhere(request, now):
+                self._waiting.requeue(request, now, avoids_engines=True)
             else:
                 break
         return starts
 
-    def _requeue(
-        self,
-        request: requests.Request,
-        now: float,
-        *,
-        starts_apart: bool = False,
-        avoids_engines: bool = False,
-    ) -> None:
-        """Moves a waiting request, so that it delays only those like it.
-
-        Args:
-          request: The request.
-          now: Current time in seconds.
-          starts_apart: See `requests.Request`.
-          avoids_engines: See `requests.Request`.
-        """
-        request.queue.remove(request.submit.request_id)
-        request.starts_apart = starts_apart
-        request.avoids_engines = avoids_engines
-        self._enqueue(request, now)
-
-    def _return_to_queue(self, pool: pools.Pool, now: float) -> None:
-        """Queues requests again that were set apart and needn't wait now."""
-        for request in list(map(self._queued, pool.constrained)):
-            waits = request.starts_apart and self._must_wait(request, now)
-            avoids = request.avoids_engines and self._could_start_elsewhere(
-                request, now
-            )
-            if (request.starts_apart, request.avoids_engines) != (
-                waits,
-                avoids,
-            ):
-                self._requeue(
-                    request, now, starts_apart=waits, avoids_engines=avoids
-                )
-
     def _place_resumed(
         self, pool: pools.Pool, now: float
     ) -> list[messages.Action]:
@@ -850,75 +680,12 @@
         waiting = sorted(pool.constrained, key=request_queue.QueuedRequest.key)
         starts = [
             self._place(request, now)
-            for request in map(self._queued, waiting)
-            if not request.starts_apart and not self._must_wait(request, now)
+            for request in map(self._waiting.request_of, waiting)
+            if not request.starts_apart
+            and not self._waiting.must_wait(request, now)
         ]
         return [start for start in starts if start is not None]
 
-    def _must_wait(self, request: requests.Request, now: float) -> bool:
-        submit = request.submit
-        # Engines have given output for a stream that has begun.
-        return request.version is None and self._suspected_features.must_wait(
-            submit.service.pool, submit.features, now
-        )
-
-    def _could_start_elsewhere(
-        self, request: requests.Request, now: float
-    ) -> bool:
-        """Returns whether it only waits as its entry process lacks engines."""
-        return self._is_restricted(request, now) and self._selector.has_engines(
-            request, now
-        )
-
-    def _shed_requests(
-        self, pool: pools.Pool, now: float
-    ) -> list[messages.Action]:
-        """Demotes or refuses requests that miss or will miss their deadline."""
-        refusals: list[messages.Action] = []
-        past_deadline = [
-            *pool.queue.past_deadline(now),
-            *pool.constrained.past_deadline(now),
-        ]
-        for waiting in past_deadline:
-            request = self._queued(waiting)
-            if not waiting.late and request.useful_start_deadline > now:
-                request.queue.remove(waiting.submit.request_id)
-                self._enqueue(request, now)
-                continue
-            code = messages.RefusalCode.WAITED_TOO_LONG
-            refusals.append(self._refuse(request, code, now))
-        return refusals + self._demote_without_chance(pool, now)
-
-    def _demote_without_chance(
-        self, pool: pools.Pool, now: float
-    ) -> list[messages.Action]:
-        """Demotes or refuses requests that wait behind too many others."""
-        refusals: list[messages.Action] = []
-        while len(pool.queue):
-            last = pool.queue.last(pool.over_share)
-            assert last is not None
-            if self._has_chance(pool, last, now):
-                break
-            refusals.extend(self._demote(self._queued(last), now))
-        versions = {item.version for item in pool.constrained} - {None}
-        for version in sorted(versions):
-            while waiting := [
-                item for item in pool.constrained if item.version == version
-            ]:
-                last = max(waiting, key=request_queue.QueuedRequest.key)
-                if self._has_chance(pool, last, now):
-                    break
-                refusals.extend(self._demote(self._queued(last), now))
-        return refusals
-
-    def _has_chance(
-        self, pool: pools.Pool, last: request_queue.QueuedRequest, now: float
-    ) -> bool:
-        """Returns whether the last request of a queue may start in time."""
-        time_left = last.start_deadline - now
-        wait_s = wait_estimates.wait_s(pool, last, now, self._pools.entry_count)
-        return wait_s <= time_left * _ADMISSION_WAIT_FACTOR
-
     def _place(
         self, request: requests.Request, now: float
     ) -> messages.Start | None:
