Keep the first silent stream if the second engine is silent, too

Callers of a stream that was held while another engine took over lost it if that engine fell silent before its first event: it was held in place of the first, whose connection stayed open to no end. A stream that has no output yet isn't held any more, as there is nothing to go on with.

Found by reading. test_first_engine_goes_on failed before (the answer was cut) and passes now. The race of a held stream with its successor stands in held_stream alone; a stream that stays is logged as stream_stays, no longer as refused.

--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -146,13 +146,15 @@
         decisions: asyncio.Queue[messages.Decision | messages.Recheck],
     ) -> None:
         while True:
-            match await _next_decision(ctx, decisions):
+            decision = await held_stream.run_unless_going_on(
+                ctx.held, decisions.get()
+            )
+            match decision:
                 case messages.Recheck():
                     self.quarantine.check(ctx)
                 case messages.Refuse() as refusal:
-                    error = self._refusal_error(ctx, refusal)
-                    if not await _goes_on(ctx):
-                        raise error
+                    if not await self._stays(ctx, refusal):
+                        raise self._refusal_error(ctx, refusal)
                 case messages.Start() as start:
                     self._begin_attempt(ctx, start)
                     if await self._run_attempt(ctx, proceed):
@@ -162,6 +164,24 @@
                 if await self._run_attempt(ctx, proceed):
                     return
 
+    async def _stays(
+        self, ctx: context.Context, refusal: messages.Refuse
+    ) -> bool:
+        """Waits for a held stream that may move to no other engine.
+
+        Returns:
+          Whether there is one and its engine goes on.
+        """
+        if ctx.held is None:
+            return False
+        self.log.event(
+            "stream_stays",
+            request=ctx.request_id,
+            endpoint=ctx.held.endpoint.id,
+            reason=refusal.code.value,
+        )
+        return await ctx.held.wait()
+
     def _begin_attempt(
         self, ctx: context.Context, start: messages.Start
     ) -> None:
@@ -217,7 +237,11 @@
         It is cancelled if a held stream goes on before it has sent output.
         """
         try:
-            if not await _run_unless_held_goes_on(ctx, proceed):
+            if _is_going_on(ctx):
+                await proceed(ctx)
+            elif not await held_stream.run_unless_going_on(
+                ctx.held, _pass_on(ctx, proceed)
+            ):
                 return False
         except attempts.AttemptError as lost:
             self._log_lost_attempt(ctx, lost)
@@ -358,64 +382,13 @@
         )
 
 
-async def _next_decision(
-    ctx: context.Context,
-    decisions: asyncio.Queue[messages.Decision | messages.Recheck],
-) -> messages.Decision | messages.Recheck | None:
-    """Returns the next decision, or None if the held stream goes on first."""
-    if ctx.held is None:
-        return await decisions.get()
-    decision = asyncio.ensure_future(decisions.get())
-    going_on = asyncio.ensure_future(_goes_on(ctx))
-    try:
-        await asyncio.wait(
-            {decision, going_on}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if going_on.done() and going_on.result():
-            return None
-        return await decision
-    finally:
-        decision.cancel()
-        going_on.cancel()
-
-
-async def _goes_on(ctx: context.Context) -> bool:
-    """Waits for the end of a held stream's silence.
-
-    Returns:
-      Whether there is a held stream and it goes on.
-    """
-    if ctx.held is None:
-        return False
-    return await ctx.held.wait() is held_stream.State.GOES_ON
+async def _pass_on(ctx: context.Context, proceed: context.Handler) -> bool:
+    await proceed(ctx)
+    return True
 
 
 def _is_going_on(ctx: context.Context) -> bool:
-    held = ctx.held
-    return held is not None and held.state is held_stream.State.GOES_ON
-
-
-async def _run_unless_held_goes_on(
-    ctx: context.Context, proceed: context.Handler
-) -> bool:
-    """Passes the request on; returns whether that ended by itself."""
-    if ctx.held is None or _is_going_on(ctx):
-        await proceed(ctx)
-        return True
-    attempt = asyncio.ensure_future(proceed(ctx))
-    going_on = asyncio.ensure_future(_goes_on(ctx))
-    try:
-        await asyncio.wait(
-            {attempt, going_on}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if not _is_going_on(ctx):
-            await attempt
-            return True
-        return False
-    finally:
-        going_on.cancel()
-        attempt.cancel()
-        await asyncio.gather(attempt, return_exceptions=True)
+    return ctx.held is not None and ctx.held.is_going_on
 
 
 def _decode_version(ctx: context.Context) -> str:
--- a/src/cowsliprill/entry/held_stream.py
+++ b/src/cowsliprill/entry/held_stream.py
@@ -1,7 +1,9 @@
 """A stream whose engine is silent, kept open while another may take over."""
 
 import asyncio
-import enum
+from collections.abc import Coroutine
+from typing import Any
+from typing import TypeVar
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -10,13 +12,7 @@
 
 _MAX_HELD_BYTES = 1_048_576
 
-
-class State(enum.Enum):
-    """What became of a held stream."""
-
-    SILENT = enum.auto()
-    GOES_ON = enum.auto()
-    BROKEN = enum.auto()
+_Result = TypeVar("_Result")
 
 
 class HeldStream:
@@ -32,7 +28,7 @@
       stream: The stream.
       start: Placement of the attempt that the stream belongs to.
       events: The events received while it was held.
-      ended: Whether the stream is complete.
+      is_going_on: Whether the engine has gone on with the stream.
     """
 
     def __init__(
@@ -45,23 +41,21 @@
         self.stream = stream
         self.start = start
         self.events = b""
-        self.ended = False
-        self._state = State.SILENT
+        self.is_going_on = False
         self._task = asyncio.create_task(self._receive())
 
-    @property
-    def state(self) -> State:
-        """What became of the stream so far."""
-        return self._state
+    async def wait(self) -> bool:
+        """Waits for the end of the silence.
 
-    async def wait(self) -> State:
-        """Waits until the stream goes on, breaks or is closed."""
+        Returns:
+          Whether the engine goes on, else the stream is broken or closed.
+        """
         await asyncio.wait([self._task])
-        return self._state
+        return self.is_going_on
 
     def close(self) -> None:
         """Closes the stream, which another engine goes on with."""
-        self._state = State.BROKEN
+        self.is_going_on = False
         self._task.cancel()
         self.stream.close()
 
@@ -72,11 +66,37 @@
             while self.stream.tokens == tokens:
                 self.events += await anext(self.stream)
                 if len(self.events) > _MAX_HELD_BYTES:
-                    self._state = State.BROKEN
                     return
         except StopAsyncIteration:
-            self.ended = True
+            # The stream is complete.
+            pass
         except engine_errors.CallError:
-            self._state = State.BROKEN
             return
-        self._state = State.GOES_ON
+        self.is_going_on = True
+
+
+async def run_unless_going_on(
+    held: HeldStream | None, work: Coroutine[Any, Any, _Result]
+) -> _Result | None:
+    """Does some work until a held stream goes on.
+
+    Args:
+      held: The held stream, if any.
+      work: The work; cancelled if the stream goes on first.
+
+    Returns:
+      The result of the work, None if the stream goes on.
+    """
+    if held is None:
+        return await work
+    working = asyncio.create_task(work)
+    waiting = asyncio.create_task(held.wait())
+    try:
+        await asyncio.wait(
+            {working, waiting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        return None if held.is_going_on else await working
+    finally:
+        waiting.cancel()
+        working.cancel()
+        await asyncio.gather(working, return_exceptions=True)
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -94,7 +94,7 @@
           errors.EntryError: The request has failed for good.
         """
         held = ctx.held
-        if held is not None and held.state is held_stream.State.GOES_ON:
+        if held is not None and held.is_going_on:
             ctx.held = None
             held.stream.watch_silence()
             await self._deliver(ctx, held.endpoint, held.stream, held)
@@ -275,15 +275,18 @@
         try:
             await self._relay_stream(ctx, endpoint, stream, held)
         except engine_errors.EngineSilent as silent:
-            ctx.held = held_stream.HeldStream(endpoint, stream, ctx.start)
+            # Only a stream that has begun is worth to be held.
+            is_held = stream.tokens > 0
+            if is_held:
+                ctx.held = held_stream.HeldStream(endpoint, stream, ctx.start)
             raise attempts.AttemptError(
                 endpoint.id,
                 messages.Stage.DECODE,
                 str(silent),
                 resumable=True,
                 sent=True,
-                had_output=stream.tokens > 0,
-                silent=True,
+                had_output=is_held,
+                silent=is_held,
             ) from silent
         finally:
             if ctx.held is None or ctx.held.stream is not stream:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -227,6 +227,8 @@
       pause_after_events: Number of events after which a stream pauses in the
         middle of the next event, until `cut` is set or the client disconnects;
         0 for none.
+      headers_first: Whether the engine stands still once it has sent the
+        headers of a stream.
       dribble: Bytes that a paused stream sends again and again.
       stand_still_after_events: Number of events after which the whole engine
         stands still, 0 for none.
@@ -252,6 +254,7 @@
     fail: int = 0
     hang: bool = False
     pause_after_events: int = 0
+    headers_first: bool = False
     dribble: bytes = b""
     stand_still_after_events: int = 0
     foreign: bool = False
@@ -503,6 +506,10 @@
         self.set_header("Content-Type", "text/event-stream")
         begin = int(self.request.headers.get("Last-Event-Id", "0"))
         try:
+            if faults.headers_first:
+                await self.flush()
+                self.engine.awake.clear()
+                await self.engine.awake.wait()
             for number in range(begin + 1, EVENTS + 1):
                 self.write(f"id: {number}\ndata: t{number}\n\n")
                 await self.flush()
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -154,6 +154,45 @@
         assert (prefills, runs) == (1, ["a1"])
 
 
+class TestSecondSilence:
+    """The engine that is to take over is silent, too, before any output."""
+
+    # Guards against a first engine that is forgotten, with its connection open.
+    def test_first_engine_goes_on(self):
+        async def scenario(site):
+            response, silent = await _open_silent(site)
+            other = _DECODES[1 - _DECODES.index(silent)]
+            site.engines[other].faults.headers_first = True
+            await platform_site.until(
+                lambda: not site.engines[other].awake.is_set()
+            )
+            await asyncio.sleep(2 * _STANDSTILL_S)
+            site.wake(silent)
+            rest = await _rest(response)
+            await platform_site.until(lambda: site.engines[other].disconnects)
+            return rest, site.engines[silent].disconnects
+
+        assert _on_site(scenario) == (_REST, 0)
+
+    # Guards against a stream without output that is taken for one that goes on.
+    def test_stream_without_output_begins_elsewhere(self):
+        async def scenario(site):
+            for name in _DECODES:
+                site.engines[name].faults.headers_first = True
+            call = asyncio.create_task(site.call(_RESUMABLE))
+            await platform_site.until(
+                lambda: (
+                    not all(site.engines[d].awake.is_set() for d in _DECODES)
+                )
+            )
+            for name in _DECODES:
+                site.engines[name].faults = platform_site.Faults()
+            status, _, body = await call
+            return status, body
+
+        assert _on_site(scenario) == (200, platform_site.stream())
+
+
 class TestGone:
     """Engines that don't come back."""
 
