Give calls their time anew only after a standstill that a probe has found

At a VM with few calls to an engine, a call that hung there could have waited to its time limit: each answer to another call that came 0.7 to 1.0 s after the one before counted as the end of a silence, and gave the hanging call its time anew.

Found by reading. test_pause_between_calls_gives_no_time_anew failed before and passes now, with the other 19 of test_engine_silence.

--- a/src/cowsliprill/decisions/engine_silence.py
+++ b/src/cowsliprill/decisions/engine_silence.py
@@ -120,10 +120,11 @@
         """
         silent_s = self.silent_s(now)
         self._heard_at = now
-        if silent_s >= PROBE_AFTER_S:
+        if self._liveness is Liveness.STANDS_STILL:
             self.spoke_again_at = now
-            self.reported = False
             self._liveness = Liveness.ANSWERS
+        if silent_s >= PROBE_AFTER_S:
+            self.reported = False
         return silent_s
 
     def silent_s(self, now: float) -> float:
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -288,6 +288,21 @@
             activity.record_probe(engine_silence.Liveness.ANSWERS, now)
         assert activity.spoke_again_at < 0
 
+    # Guards against a call that hangs for ever beside calls that come seldom.
+    def test_pause_between_calls_gives_no_time_anew(self):
+        activity = engine_silence.EngineActivity()
+        activity.begin_call(0.0)
+        for now in (0.9, 1.8, 2.7):
+            activity.hear(now)
+        assert activity.spoke_again_at < 0
+
+    def test_data_after_a_standstill_gives_time_anew(self):
+        activity = engine_silence.EngineActivity()
+        activity.begin_call(0.0)
+        activity.record_probe(engine_silence.Liveness.STANDS_STILL, 0.9)
+        activity.hear(1.2)
+        assert activity.spoke_again_at == 1.2
+
     def test_old_probes_say_nothing(self):
         activity = engine_silence.EngineActivity()
         activity.record_probe(engine_silence.Liveness.ANSWERS, 1.0)
