--- a/tests/router_processes.py
+++ b/tests/router_processes.py
@@ -20,6 +20,7 @@
 _SEEDS = 3
 # Many processes share the processors of one machine.
 _START_TIMEOUT_S = 60.0
+_END_TIMEOUT_S = 20.0
 
 
 def lines(text: str, event: str) -> list[str]:
@@ -27,22 +28,53 @@
     return [line for line in text.splitlines() if f"event={event} " in line]
 
 
+async def start_process(file: pathlib.Path) -> asyncio.subprocess.Process:
+    """Starts a router process.
+
+    Args:
+      file: Its configuration.
+    """
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "cowsliprill.router",
+        str(file),
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": "src"},
+    )
+
+
 class Router:
-    """A router process and the output received from it so far."""
+    """A router process and the output received from it so far.
+
+    Args:
+      process: The process.
+      public: Address for callers.
+
+    Attributes:
+      process: The process.
+      text: Its output so far.
+      host: IP address for callers.
+      port: TCP port for callers.
+    """
 
     def __init__(
-        self, host: str, port: int, process: asyncio.subprocess.Process
+        self, process: asyncio.subprocess.Process, public: str
     ) -> None:
-        self.host = host
-        self.port = port
         self.process = process
         self.text = ""
+        self.host, _, port = public.rpartition(":")
+        self.port = int(port)
         self._reading = asyncio.create_task(self._read())
 
     async def _read(self) -> None:
         while chunk := await self.process.stdout.read(65_536):
             self.text += chunk.decode()
 
+    async def until(self, text: str) -> None:
+        """Waits until the process has written a text."""
+        await platform_site.until(lambda: text in self.text)
+
     def has_joined(self, routers: int) -> bool:
         """Returns whether it takes all others for routers that serve."""
         changes = lines(self.text, "members_changed")
@@ -60,16 +92,21 @@
             named += sum(map(int, counts))
         return named >= engines
 
-    def kill(self) -> None:
-        """Kills the process."""
+    def send_signal(self, number: int) -> None:
+        """Sends a signal, unless the process has ended."""
         if self.process.returncode is None:
-            self.process.send_signal(signal.SIGKILL)
+            self.process.send_signal(number)
+
+    async def end(self, number: int = signal.SIGKILL) -> int:
+        """Sends a signal and waits for the end of the process.
 
-    async def end(self) -> None:
-        """Kills the process and waits for its end."""
-        self.kill()
-        await self.process.wait()
+        Returns:
+          The exit code.
+        """
+        self.send_signal(number)
+        code = await asyncio.wait_for(self.process.wait(), _END_TIMEOUT_S)
         await self._reading
+        return code
 
 
 class Fleet:
@@ -139,16 +176,8 @@
         """Starts a process for each router."""
         for file in self._files:
             config = json.loads(file.read_text())
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "cowsliprill.router",
-                str(file),
-                stdout=asyncio.subprocess.PIPE,
-                env={**os.environ, "PYTHONPATH": "src"},
-            )
-            host, _, port = config["public"].rpartition(":")
-            self.routers.append(Router(host, int(port), process))
+            process = await start_process(file)
+            self.routers.append(Router(process, config["public"]))
 
     async def until_joined(self) -> None:
         """Waits until all routers serve and know each other."""
@@ -163,7 +192,7 @@
     async def end_routers(self) -> None:
         """Kills all routers at once."""
         for router in self.routers:
-            router.kill()
+            router.send_signal(signal.SIGKILL)
         for router in self.routers:
             await router.end()
         self.routers.clear()
--- a/tests/test_router_process.py
+++ b/tests/test_router_process.py
@@ -9,32 +9,11 @@
 import sys
 
 from tests import platform_site
+from tests import router_processes
 
 from cowsliprill.engines import http_client
 
 
-class _RouterProcess:
-    """A router process and the output received from it so far."""
-
-    def __init__(self, process: asyncio.subprocess.Process) -> None:
-        self.process = process
-        self.text = ""
-        self._reading = asyncio.create_task(self._read())
-
-    async def _read(self) -> None:
-        while chunk := await self.process.stdout.read(65_536):
-            self.text += chunk.decode()
-
-    async def until(self, text: str) -> None:
-        await platform_site.until(lambda: text in self.text)
-
-    async def end(self, number: int) -> int:
-        self.process.send_signal(number)
-        code = await asyncio.wait_for(self.process.wait(), 20)
-        await self._reading
-        return code
-
-
 def _free_port(ports: contextlib.ExitStack) -> int:
     return ports.enter_context(platform_site.hold_port()).port
 
@@ -54,13 +33,6 @@
     }
 
 
-def _unblock_termination_signals() -> None:
-    # Other tests stop processes inside this one, which block the termination
-    # signals permanently. A child process inherits the signal mask and could
-    # not be terminated.
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGTERM, signal.SIGINT})
-
-
 @contextlib.asynccontextmanager
 async def _running(folder: pathlib.Path):
     store = platform_site.Store()
@@ -69,17 +41,10 @@
     await store.put("servers/s0", server.entry())
     file = folder / "vm-0.json"
     ports = contextlib.ExitStack()
-    file.write_text(json.dumps(_config(store.address, ports)))
-    _unblock_termination_signals()
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "cowsliprill.router",
-        str(file),
-        stdout=asyncio.subprocess.PIPE,
-        env={**os.environ, "PYTHONPATH": "src"},
-    )
-    router = _RouterProcess(process)
+    config = _config(store.address, ports)
+    file.write_text(json.dumps(config))
+    process = await router_processes.start_process(file)
+    router = router_processes.Router(process, config["public"])
     try:
         await router.until("event=endpoint_listed")
         yield router, file
