Answer requests that are in flight when a drain is over

What callers saw: a request that had been read whole, and that waited or ran when the time to drain was over, got a closed connection: neither an answer nor a refusal, and nothing that told whether it may be sent again.

Cause: the end of a drain closed all connections and cancelled the requests. The log called them caller_gone.

The fix: the requests are cancelled as interrupted. The outermost filter then sends what is true: 503 leaving, run no, if no engine had the request; else 502 interrupted, run unknown; a stream that has begun ends with that event and without its proper end. Callers that don't read it within 0.1 s are disconnected. The outcome in log and metrics has the same names.

Ruled out: waiting longer; the time is the platform's.

--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -179,6 +179,7 @@
         `idempotency`.
       continues_after_disconnect: Whether the request continues after its
         caller has disconnected; set by `idempotency`.
+      is_interrupted: Whether it is cancelled because the process ends.
       start: Engines chosen for the current attempt; set by `model_placement`.
       endpoint: Endpoint of a plain service; set by `plain_placement`.
       relayed_to: VM that serves the request for this one, empty for none; set
@@ -217,6 +218,7 @@
     held: held_stream.HeldStream | None = None
     idempotency_key: str = ""
     continues_after_disconnect: bool = False
+    is_interrupted: bool = False
     start: messages.Start | None = None
     endpoint: model.Endpoint | None = None
     relayed_to: str = ""
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -66,6 +66,8 @@
 # tornado's own limit is out of reach: the request gate limits bodies and
 # responds with an error in the API's format.
 _MAX_BODY_BYTES = 2**40
+# Callers that don't read their error within this time are disconnected.
+_INTERRUPT_TIMEOUT_S = 0.1
 
 
 class Entry:
@@ -467,7 +469,7 @@
         The port stays open for the drain notice, because the load balancer
         sends connections until its readiness check fails; closing the port
         earlier would refuse these. Requests still in flight at the drain limit
-        are aborted.
+        are ended with an error.
         """
         notice_s = self._environment.drain_notice_s
         self._gate.draining = True
@@ -480,6 +482,8 @@
         )
         if remaining:
             self._log.warning("requests_cut", requests=remaining)
+            self._gate.interrupt_all()
+            await self._gate.wait_until_idle(_INTERRUPT_TIMEOUT_S)
             self._gate.abort_all()
         await self._canceller.drain(_CANCEL_FLUSH_TIMEOUT_S)
         await self._placement_backend.release_leases()
--- a/src/cowsliprill/entry/errors.py
+++ b/src/cowsliprill/entry/errors.py
@@ -40,6 +40,7 @@
     OVERLOADED = "overloaded"
     NOT_READY = "not_ready"
     LEAVING = "leaving"
+    INTERRUPTED = "interrupted"
     NO_ENDPOINT = "no_endpoint"
     PATH_LOST = "path_lost"
     ENDPOINT_FAILED = "endpoint_failed"
@@ -72,6 +73,7 @@
     Code.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
     Code.ENDPOINT_FAILED: http.HTTPStatus.BAD_GATEWAY,
     Code.STREAM_BROKEN: http.HTTPStatus.BAD_GATEWAY,
+    Code.INTERRUPTED: http.HTTPStatus.BAD_GATEWAY,
     Code.TIMEOUT: http.HTTPStatus.GATEWAY_TIMEOUT,
 }
 
@@ -199,6 +201,28 @@
     )
 
 
+def leaving() -> EntryError:
+    """Returns the error for a request that a process on its way out refuses."""
+    return EntryError(
+        Code.LEAVING, "This process is leaving.", retry_after_s=0.0
+    )
+
+
+def interrupted(run: messages.Executed) -> EntryError:
+    """Returns the error for a request in flight when its process ends.
+
+    Args:
+      run: Whether the request was executed, as far as known.
+    """
+    if run is messages.Executed.NO:
+        return leaving()
+    return EntryError(
+        Code.INTERRUPTED,
+        "This process ended before the request did.",
+        run=run,
+    )
+
+
 def from_status(status: int) -> EntryError:
     """Returns the error for a status that tornado itself has set.
 
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -40,14 +40,14 @@
             await proceed(ctx)
             ctx.progress.outcome = ctx.progress.outcome or COMPLETED
         except errors.EntryError as error:
-            ctx.progress.outcome = error.code
-            ctx.progress.run = error.run
-            await self._send_error(ctx, error)
+            await self._end_with(ctx, error)
         except response_writer_lib.CallerDisconnected:
             ctx.progress.outcome = CALLER_GONE
         except asyncio.CancelledError:
-            ctx.progress.outcome = CALLER_GONE
-            raise
+            if not ctx.is_interrupted:
+                ctx.progress.outcome = CALLER_GONE
+                raise
+            await self._end_with(ctx, errors.interrupted(ctx.progress.run))
         except Exception as error:
             # An internal error in one request must not affect other requests.
             ctx.progress.outcome = errors.Code.INTERNAL.value
@@ -58,6 +58,13 @@
         finally:
             self._record_outcome(ctx)
 
+    async def _end_with(
+        self, ctx: context.Context, error: errors.EntryError
+    ) -> None:
+        ctx.progress.outcome = error.code
+        ctx.progress.run = error.run
+        await self._send_error(ctx, error)
+
     async def _send_error(
         self, ctx: context.Context, error: errors.EntryError
     ) -> None:
--- a/src/cowsliprill/entry/gate.py
+++ b/src/cowsliprill/entry/gate.py
@@ -94,12 +94,19 @@
             pass
         return len(self.tasks)
 
-    def abort_all(self) -> None:
-        """Aborts all requests in flight.
+    def interrupt_all(self) -> None:
+        """Ends all requests in flight, because the process ends.
 
-        Each connection is closed without a proper end of the response, so that
-        the caller sees that the response is truncated.
+        Requests without a response get an error that tells whether they were
+        run. A response that has begun is left without its proper end, so that
+        the caller sees that it is truncated.
         """
+        for task, ctx in list(self.tasks.items()):
+            ctx.is_interrupted = True
+            task.cancel()
+
+    def abort_all(self) -> None:
+        """Closes the connections of all requests in flight."""
         for task, ctx in list(self.tasks.items()):
             ctx.response_writer.abort()
             task.cancel()
@@ -111,13 +118,7 @@
         balancer has excluded this process. A request accepted shortly before
         the process ends would be aborted; a refused one is retried elsewhere.
         """
-        if not self.closed:
-            return None
-        return errors.EntryError(
-            errors.Code.LEAVING,
-            "This process is leaving.",
-            retry_after_s=0.0,
-        )
+        return errors.leaving() if self.closed else None
 
     def check_body_size(self, size: int) -> errors.EntryError | None:
         """Returns the error for a body that is too large, None if it fits.
--- a/tests/entry_site.py
+++ b/tests/entry_site.py
@@ -160,8 +160,11 @@
 class Site:
     """Entry processes, a coordinator, engines and servers of plain services."""
 
-    def __init__(self, drain_notice_s: float = 0.0) -> None:
+    def __init__(
+        self, drain_notice_s: float = 0.0, drain_limit_s: float = 600.0
+    ) -> None:
         self.drain_notice_s = drain_notice_s
+        self.drain_limit_s = drain_limit_s
         self.coordinator = FakeCoordinator()
         self.engines: dict[str, engine_lib.Engine] = {}
         self._engine_servers: list[http_server.Server] = []
@@ -316,6 +319,7 @@
             availability_zone="gasabo",
             process="e0",
             drain_notice_s=self.drain_notice_s,
+            drain_limit_s=self.drain_limit_s,
             seed=number,
             peer_secret=SECRET,
         )
@@ -474,7 +478,10 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    entries: int = 1, drain_notice_s: float = 0.0, **changes: Any
+    entries: int = 1,
+    drain_notice_s: float = 0.0,
+    drain_limit_s: float = 600.0,
+    **changes: Any,
 ):
     """Runs a site for the duration of one test.
 
@@ -482,9 +489,10 @@
       entries: Number of entry processes, each on its own VM.
       drain_notice_s: Seconds for which a draining entry process still accepts
         requests.
+      drain_limit_s: Seconds after which it ends the requests in flight.
       **changes: Changed fields of the service `brief`.
     """
-    site = Site(drain_notice_s)
+    site = Site(drain_notice_s, drain_limit_s)
     await site.start(entries)
     if changes:
         site.publish(site.snapshot(2, **changes))
