Get tickets from another peer if the first one is leaving too

What callers saw: a draining process refused a request for a ticket with the code leaving, because the peer that it asked was leaving too, although another peer, or the process itself, could issue one.

Cause: any response of the first peer that could be reached was passed on.

Evidence: tests/test_requests_during_drain, the ticket test failed before (503 leaving), passed after.

The fix: a peer that answers 503 is skipped, as one that can't be reached.

--- a/src/cowsliprill/entry/ticket_forwarding.py
+++ b/src/cowsliprill/entry/ticket_forwarding.py
@@ -78,7 +78,8 @@
         ctx.progress.run = messages.Executed.UNKNOWN
         address = (vm.host, ticket.port)
         try:
-            await self._proxy_to(ctx, address, str(ticket.incarnation))
+            owner = str(ticket.incarnation)
+            await _relay_response(ctx, await self._send(ctx, address, owner))
         except engine_errors.CallError as error:
             if ctx.response_writer.started:
                 ctx.response_writer.abort()
@@ -99,7 +100,8 @@
           ctx: Context of the request for a ticket.
 
         Returns:
-          Whether a peer has responded and its response was relayed.
+          Whether a peer's response was relayed; else the peers tried are
+          unreachable or unavailable, for instance because they shut down too.
 
         Raises:
           engine_errors.CallError: The connection to the peer failed after the
@@ -110,7 +112,11 @@
         for address in addresses[:_MAX_PEERS_TRIED]:
             try:
                 incarnation = await self._fetch_incarnation(address)
-                await self._proxy_to(ctx, address, incarnation)
+                response = await self._send(ctx, address, incarnation)
+                if response.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+                    response.close()
+                    continue
+                await _relay_response(ctx, response)
                 return True
             except (engine_errors.CallError, codec.CodecError):
                 if ctx.response_writer.started:
@@ -128,14 +134,14 @@
         body = await response.read(_MAX_INCARNATION_BYTES)
         return codec.decode(dict[str, str], body).get("incarnation", "")
 
-    async def _proxy_to(
+    async def _send(
         self,
         ctx: context.Context,
         address: tuple[str, int],
         owner_incarnation: str,
-    ) -> None:
+    ) -> exchange.Response:
         timeout_s = ctx.service.timeout_s if ctx.service else _PEER_TIMEOUT_S
-        response = await self.client.call(
+        return await self.client.call(
             *address,
             "POST",
             peers.FORWARD_PATH,
@@ -144,7 +150,6 @@
             timeout_s=timeout_s,
             new_connection=True,
         )
-        await _relay_response(ctx, response)
 
     def _peer_addresses(self) -> list[tuple[str, int]]:
         return [
--- a/tests/test_requests_during_drain.py
+++ b/tests/test_requests_during_drain.py
@@ -78,3 +78,14 @@
         first, second = asyncio.run(run())
         assert first.status == 200
         assert _is_refused_as_leaving(second)
+
+    # Guards against a refusal by a peer that is leaving too, where others, or
+    # this process itself, can issue a ticket.
+    def test_leaving_peer_does_not_refuse_a_ticket(self):
+        async def run():
+            async with entry_site.running(2, drain_notice_s=0.5) as site:
+                site.entries[1]._gate.closed = True  # noqa: SLF001
+                site.entries[0]._gate.draining = True  # noqa: SLF001
+                return await _issue_ticket(site, 0)
+
+        assert asyncio.run(run())
