Refuse a forwarded request whose owner ends during its response

What callers saw: a request that was forwarded to the owner of its ticket, or relayed to a peer, got a closed connection without a byte, or a truncated answer, if the peer ended after the head of its response.

Cause: the response to the caller was started with the peer's head, which is sent with the first chunk. If no chunk came, nothing had been sent, but no error could be sent either.

Evidence: tests/test_entry_tickets, owner ends during its response: 3 failed before (no body, half a body, no chunk), 3 passed after with 503 ticket_owner_unreachable, run unknown, Retry-After 1.

The fix: a response with a length is received before the caller's is started, as responses of plain services are; of one without, the first chunk is. Streams aren't later: tornado sends the head with the first chunk.

--- a/src/cowsliprill/entry/peer_response.py
+++ b/src/cowsliprill/entry/peer_response.py
@@ -1,5 +1,7 @@
 """Relays the response of another process of this system to the caller."""
 
+from collections.abc import AsyncIterator
+
 from cowsliprill.engines import exchange
 from cowsliprill.engines import hop_headers
 from cowsliprill.entry import response_writer
@@ -9,7 +11,11 @@
     writer: response_writer.ResponseWriter,
     response: exchange.Response,
 ) -> None:
-    """Relays a response chunk by chunk.
+    """Relays a response.
+
+    A response without a length is relayed chunk by chunk. One with a length is
+    received completely before it is started: if the connection is lost, the
+    caller can still be sent an error.
 
     Args:
       writer: Writer to the caller; may have started, to go on with a stream.
@@ -18,11 +24,25 @@
     Raises:
       engines.errors.CallError: The response is incomplete.
     """
+    chunks = response.chunks()
     if not writer.started:
+        first_chunks = await _receive_before_start(response, chunks)
         headers = hop_headers.end_to_end(response.headers)
         if "Content-Length" in response.headers:
             headers["Content-Length"] = response.headers["Content-Length"]
         await writer.start(response.status, headers.get_all())
-    async for chunk in response.chunks():
+        for chunk in first_chunks:
+            await writer.write(chunk)
+    async for chunk in chunks:
         await writer.write(chunk)
     await writer.end()
+
+
+async def _receive_before_start(
+    response: exchange.Response, chunks: AsyncIterator[bytes]
+) -> list[bytes]:
+    """Returns what is to be received before the caller's response starts."""
+    if "Content-Length" in response.headers:
+        return [chunk async for chunk in chunks]
+    first = await anext(chunks, None)
+    return [] if first is None else [first]
--- a/tests/test_entry_tickets.py
+++ b/tests/test_entry_tickets.py
@@ -8,6 +8,7 @@
 
 import pytest
 from tests import entry_site
+from tests import raw_endpoint
 
 from cowsliprill import peers
 from cowsliprill.decisions import identity
@@ -235,6 +236,48 @@
         assert executions == int(used)
         assert _is_unknown(answer, "ticket_owner_unreachable")
 
+    # Guards against a closed connection, or a truncated answer, in place of an
+    # error that tells that the request may have been run.
+    @pytest.mark.parametrize(
+        "response",
+        [
+            raw_endpoint.http_response(b"", length=100),
+            raw_endpoint.http_response(b"half of", length=100),
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        ],
+        ids=["no_body", "half_a_body", "no_chunk"],
+    )
+    def test_owner_ends_during_its_response(self, response):
+        async def respond(connection):
+            await connection.run()
+            await connection.send(response)
+
+        async def steps(site):
+            key = await _issue_ticket(site)
+            ticket = tickets.Ticket.parse(key["Idempotency-Key"])
+            async with raw_endpoint.RawEndpoint(respond) as owner:
+                ended = dataclasses.replace(
+                    ticket,
+                    incarnation=identity.Incarnation("vm-1", "e0", "ended"),
+                    port=owner.port,
+                )
+                fleet = site.fleet()
+                vm = dataclasses.replace(
+                    fleet.vms_by_id["vm-0"],
+                    id="vm-1",
+                    entry_ports=(owner.port,),
+                )
+                fleet.vms_by_id["vm-1"] = vm
+                site.sources[0].set(site.snapshot(), fleet)
+                key = {"Idempotency-Key": str(ended)}
+                return await site.call("POST", _BOOKING_PATH, _BODY, key)
+
+        answer, executions = _run_scenario(steps)
+        assert executions == 0
+        assert answer.status == 503
+        assert answer.headers["Retry-After"] == "1"
+        assert _is_unknown(answer, "ticket_owner_unreachable")
+
     def test_owner_replaced_on_its_port(self):
         """Another incarnation listens on the port of the ticket's owner."""
 
