Answer requests that are cancelled before they begin or can't be refused

What callers saw: a connection that stayed open without an answer, until the process ended.

Cause: a task that is cancelled before its first step does nothing: no filter runs, nothing is sent, no line is logged. A request that arrived in the turn of the event loop in which a drain ended had such a task. In the same way, an error response that couldn't be sent left its caller without any.

Evidence: tests/test_connection_ends, two tests.

The fix: a request is cancelled only after its first step; then it is answered as all that are interrupted. A request whose error can't be sent gets the handler's own 500, and the log says why.

Ruled out: header values of engines that tornado refuses to send: its parser refuses them in the engine's answer already, which makes it a failed call.

--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -84,6 +84,11 @@
             ctx.response_writer.abort()
         except response_writer_lib.CallerDisconnected:
             pass
+        except Exception as failure:
+            # The handler sends an error of its own.
+            self.log.error(
+                "internal_error", request=ctx.request_id, reason=repr(failure)
+            )
 
     def _record_outcome(self, ctx: context.Context) -> None:
         progress = ctx.progress
--- a/src/cowsliprill/entry/gate.py
+++ b/src/cowsliprill/entry/gate.py
@@ -15,6 +15,18 @@
 _RETRY_AFTER_S = 1.0
 
 
+def cancel(task: asyncio.Task) -> None:
+    """Cancels the task of a request once the task has begun.
+
+    A task that is cancelled before its first step does nothing at all: its
+    request gets no answer and has no line in the log.
+
+    Args:
+      task: Task that serves a request.
+    """
+    asyncio.get_running_loop().call_soon(task.cancel)
+
+
 @dataclasses.dataclass(slots=True)
 class Gate:
     """State shared by the HTTP handlers for callers and for peers.
@@ -103,13 +115,13 @@
         """
         for task, ctx in list(self.tasks.items()):
             ctx.is_interrupted = True
-            task.cancel()
+            cancel(task)
 
     def abort_all(self) -> None:
         """Closes the connections of all requests in flight."""
         for task, ctx in list(self.tasks.items()):
             ctx.response_writer.abort()
-            task.cancel()
+            cancel(task)
 
     def check_accepting(self) -> errors.EntryError | None:
         """Returns the error for requests during shutdown, None if accepting.
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -124,7 +124,7 @@
             # counted would add up until every request is refused as overload.
             self._release_body()
         elif not self._ctx.continues_after_disconnect:
-            self._task.cancel()
+            gate_lib.cancel(self._task)
 
     def call(self, body: bytes) -> context.Call:
         """Returns the request as the caller sent it."""
@@ -148,6 +148,9 @@
             await asyncio.wait([self._task])
         finally:
             self._release_body()
+        if not self._finished and not self.request.connection.stream.closed():
+            # The error that ended the request couldn't be sent.
+            self.send_error()
 
     def _release_body(self) -> None:
         self._chunks.clear()
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -6,6 +6,9 @@
 import pytest
 from tests import entry_site
 
+from cowsliprill.entry import errors
+from cowsliprill.entry import gate as gate_lib
+
 _AUTHORIZATION = (
     f"Authorization: Bearer {entry_site.KEYS['umurongo/amahoro']}\r\n".encode()
 )
@@ -90,3 +93,58 @@
                 return await caller.read_status()
 
         assert asyncio.run(scenario()) == 200
+
+
+class TestProcessEnd:
+    """A process ends while callers use its connections."""
+
+    # Guards against a request that gets no answer, and has no line in the log,
+    # because it is cancelled before its task has begun.
+    def test_request_that_arrives_as_others_are_interrupted_is_refused(
+        self, monkeypatch
+    ):
+        run = gate_lib.Gate.run
+
+        def run_and_interrupt(gate, handle, ctx):
+            task = run(gate, handle, ctx)
+            gate.interrupt_all()
+            return task
+
+        async def scenario():
+            async with entry_site.running() as site:
+                monkeypatch.setattr(gate_lib.Gate, "run", run_and_interrupt)
+                body = b'{"model": "brief", "prompt": "a", "max_tokens": 4}'
+                response = await asyncio.wait_for(
+                    site.call("POST", "/v1/completions", body), 10
+                )
+                return response, site.logs[0].getvalue()
+
+        response, log = asyncio.run(scenario())
+        assert response.status == 503
+        assert response.json()["error"]["code"] == "leaving"
+        assert log.count("event=request_ended") == 1
+
+
+class TestUnexpectedEnd:
+    """The filter chain of a request ends without a response."""
+
+    # Guards against a caller that waits for ever, because the error that ended
+    # the request couldn't be sent either.
+    def test_request_whose_error_cannot_be_sent_is_answered(self, monkeypatch):
+        def fail(*_):
+            raise ValueError("not sendable")
+
+        async def scenario():
+            async with entry_site.running() as site:
+                monkeypatch.setattr(
+                    errors.JsonErrorFormatter, "error_response", fail
+                )
+                caller = await _Caller.connect(site)
+                await caller.send(_head("GET", "/nowhere"))
+                status = await caller.read_status()
+                return status, site.logs[0].getvalue()
+
+        status, log = asyncio.run(scenario())
+        assert status == 500
+        assert "event=internal_error" in log
+        assert "event=request_ended" in log
