--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -24,8 +24,9 @@
 # Requests that peers relay have their callers' headers and an envelope.
 _MAX_PEER_HEADER_BYTES = 262_144
 
-# Limits how long a sender that is slow, or never ends, delays the exit.
-_CLOSE_TIMEOUT_S = 0.5
+# Limits how long a sender that is slow, or never ends, delays the exit. The
+# platform kills processes that take longer than their reserve for it.
+_CLOSE_TIMEOUT_S = 0.25
 
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
