Features: reserve the ports of fake entry processes

Cause, as far as shown: the port of the killed fake entry process was any free one. A listener that is no entry process answers the probe with neither a refusal nor an incarnation, so the coordinator rightly waits: 5 s to the next probe, then 4 s of refusals.

The fix: the test's fault. The site reserves these ports as it does those of dispatch processes. If the step fails, it prints the dispatch logs.

Ruled out: the product; a port that answers otherwise doesn't show that the entry process has ended.

--- a/features/steps/dispatch_steps.py
+++ b/features/steps/dispatch_steps.py
@@ -192,9 +192,13 @@
             ids |= context.site.running_ids(engine)
         return not any(each.startswith(incarnation) for each in ids)
 
-    dispatch_site.wait_until(
-        is_released, f"the engines hold no request of {incarnation}"
-    )
+    try:
+        dispatch_site.wait_until(
+            is_released, f"the engines hold no request of {incarnation}"
+        )
+    except AssertionError:
+        context.site.print_logs()
+        raise
 
 
 @behave.then('the decode engine still holds the request of "{incarnation}"')
--- a/features/support/dispatch_site.py
+++ b/features/support/dispatch_site.py
@@ -151,10 +151,16 @@
             vm.wait_for_dispatch()
 
     def add_entry(self, vm_name: str, process: str, nonce: str) -> str:
-        """Starts a fake entry process on a VM and returns its incarnation."""
+        """Starts a fake entry process on a VM and returns its incarnation.
+
+        Its port stays reserved: if another process listened on the port of one
+        that was killed, the port would tell nothing about its end.
+        """
         incarnation = f"{vm_name}.{process}.{nonce}"
         entry = child.Child(
-            incarnation, "features.support.fake_entry", [incarnation, "0"]
+            incarnation,
+            "features.support.fake_entry",
+            [incarnation, str(self._held_ports.take())],
         )
         self.vms_by_name[vm_name].entry_ports.append(_port(entry))
         self.entries_by_incarnation[incarnation] = entry
@@ -237,6 +243,11 @@
         url = f"{self.engine_url(engine)}/standin/misbehave"
         assert http_calls.call("POST", url, fields).status == 200
 
+    def print_logs(self) -> None:
+        """Prints the logs of the VMs' dispatch processes."""
+        for vm in self.vms_by_name.values():
+            print("\n".join(vm.dispatch.lines))
+
     def close(self) -> None:
         """Ends all processes and removes the temporary directory."""
         processes = [
