End a forwarded request once its caller has disconnected

What callers saw: others waited for engine slots, or a process took long to drain: the owner of a ticket went on with a stream whose caller was gone.

Cause: a process that forwards a request kept its connection to the owner open after its own task was cancelled, until the service's timeout.

Evidence: tests/test_entry_disconnects, a caller that leaves during a forwarded stream: failed before (engines not free after 10 s), passed after.

The fix: the response of the owner is closed however its relay ends, as that of a relayed request is.

--- a/src/cowsliprill/entry/ticket_forwarding.py
+++ b/src/cowsliprill/entry/ticket_forwarding.py
@@ -184,7 +184,10 @@
 async def _relay_response(
     ctx: context.Context, response: exchange.Response
 ) -> None:
-    await peer_response.relay(ctx.response_writer, response)
+    try:
+        await peer_response.relay(ctx.response_writer, response)
+    finally:
+        response.close()
     succeeded = response.status < http.HTTPStatus.BAD_REQUEST
     ctx.progress.outcome = "forwarded" if succeeded else "forwarded_error"
 
--- a/tests/test_entry_disconnects.py
+++ b/tests/test_entry_disconnects.py
@@ -56,6 +56,25 @@
 
         asyncio.run(scenario())
 
+    # Guards against an owner of tickets that goes on for a caller that is gone,
+    # because the forwarding process keeps its connection open.
+    def test_during_a_forwarded_stream(self):
+        async def scenario():
+            async with entry_site.running(2) as site:
+                _inject_faults(site, "decode", {"stall_at_token": 3})
+                issued = await site.call(
+                    "POST", "/v1/tickets", {"service": "brief"}
+                )
+                key = {"Idempotency-Key": issued.json()["ticket"]}
+                response = await site.open(
+                    "POST", _COMPLETIONS, _LONG, key, entry=1
+                )
+                assert response.status == 200
+                response.close()
+                await site.until_free()
+
+        asyncio.run(scenario())
+
     def test_while_queued(self):
         """A caller disconnects while its request is queued for a slot.
 
