Count only standstills as silence of an engine

Cause: `silent` said two things, that a stream is held and that its engine stands still. A single stream that hangs at an engine which answers probes marked the engine as silent at the coordinator. Once all decode engines of a small pool were marked so, such a stream was refused another engine, stayed, and was cut with its connection or at its time limit.

`AttemptFailed.silent` now says that the engine stands still (mute to a probe). A stream that hangs at an engine that answers is held as before and is a failed attempt for the coordinator. Wire and names are as they were: an older entry still sends silent=true for both, which is taken for a standstill as before; an older coordinator takes a hang for a failure.

Ruled out: the versions of the engines; a lost message; the retry budget. Callers saw: a stream that closed in the middle, in small pools whose decode engines had each one hanging stream within 2 s.

--- a/src/cowsliprill/decisions/engine_silence.py
+++ b/src/cowsliprill/decisions/engine_silence.py
@@ -120,7 +120,7 @@
         """
         silent_s = self.silent_s(now)
         self._heard_at = now
-        if self._liveness is Liveness.STANDS_STILL:
+        if self.stands_still:
             self.spoke_again_at = now
             self._liveness = Liveness.ANSWERS
         if silent_s >= PROBE_AFTER_S:
@@ -138,12 +138,16 @@
           liveness: The outcome.
           now: Current time in seconds.
         """
-        stood_still = self._liveness is Liveness.STANDS_STILL
-        if stood_still and liveness is Liveness.ANSWERS:
+        if self.stands_still and liveness is Liveness.ANSWERS:
             self.spoke_again_at = now
         self._probed_at = now
         self._liveness = liveness
 
+    @property
+    def stands_still(self) -> bool:
+        """Whether the engine was last found mute and hasn't spoken since."""
+        return self._liveness is Liveness.STANDS_STILL
+
     def liveness(self, now: float) -> Liveness | None:
         """Returns the outcome of the last probe, None if that is too old."""
         if now - self._probed_at > _PROBE_TTL_S:
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -209,8 +209,8 @@
         or the sender doesn't know.
       connection_lost: Whether the endpoint closed the connection before any
         output.
-      silent: Whether the endpoint may still go on: its stream is kept until it
-        does, or another engine has begun to.
+      silent: Whether the endpoint stands still. Its stream is kept until it
+        goes on or another engine has begun to.
     """
 
     request_id: int
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -21,7 +21,8 @@
         answered it.
       connection_lost: Whether the endpoint then closed the connection.
       had_output: Whether the endpoint had sent output of this attempt.
-      silent: Whether the endpoint may still go on: its stream is held.
+      held: Whether the endpoint may still go on: its stream is held.
+      silent: Whether the endpoint of a held stream stands still.
       reason: One sentence for the log.
     """
 
@@ -40,12 +41,14 @@
         sent: bool = False,
         connection_lost: bool = False,
         had_output: bool = False,
+        held: bool = False,
         silent: bool = False,
     ) -> None:
         super().__init__(reason)
         self.sent = sent
         self.connection_lost = connection_lost
         self.had_output = had_output
+        self.held = held
         self.silent = silent
         self.endpoint_id = endpoint_id
         self.stage = stage
--- a/src/cowsliprill/entry/engine_silence.py
+++ b/src/cowsliprill/entry/engine_silence.py
@@ -57,6 +57,15 @@
             endpoint_id, engine_silence.EngineActivity()
         )
 
+    def stands_still(self, endpoint_id: str) -> bool:
+        """Returns whether an engine is mute to all calls and to a probe.
+
+        Args:
+          endpoint_id: Id of the engine.
+        """
+        activity = self._activities_by_id.get(endpoint_id)
+        return activity is not None and activity.stands_still
+
     def hear(self, endpoint: model.Endpoint, now: float) -> None:
         """Records data of any call to an engine.
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -245,7 +245,7 @@
                 return False
         except attempts.AttemptError as lost:
             self._log_lost_attempt(ctx, lost)
-            if not lost.silent:
+            if not lost.held:
                 await self._examine_path(ctx, lost)
             ctx.progress.connection_lost = (
                 lost.connection_lost
@@ -347,6 +347,7 @@
             stage=lost.stage.value,
             sent=lost.sent,
             had_output=lost.had_output,
+            held=lost.held,
             silent=lost.silent,
             refused=lost.refused,
             reason=lost.reason,
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -286,7 +286,9 @@
                 resumable=True,
                 sent=True,
                 had_output=is_held,
-                silent=is_held,
+                held=is_held,
+                # A single call may hang at an engine that serves others.
+                silent=is_held and self.silence.stands_still(endpoint.id),
             ) from silent
         finally:
             if ctx.held is None or ctx.held.stream is not stream:
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -193,6 +193,57 @@
         assert _on_site(scenario) == (200, platform_site.stream())
 
 
+async def _open_one_per_engine(site, **faults):
+    """Opens a stream at each decode engine that shows faults after events."""
+    for name in _DECODES:
+        site.engines[name].faults = platform_site.Faults(**faults, times=1)
+    responses_by_engine = {}
+    while len(responses_by_engine) < len(_DECODES):
+        before = {name: len(site.engines[name].runs) for name in _DECODES}
+        response = await site.open(
+            _RESUMABLE, attempt=f"a{len(responses_by_engine)}"
+        )
+        await platform_site.read_until(
+            response, platform_site.stream(_EVENTS_BEFORE, _EVENTS_BEFORE)
+        )
+        (name,) = [
+            name
+            for name in _DECODES
+            if len(site.engines[name].runs) > before[name]
+        ]
+        assert name not in responses_by_engine
+        responses_by_engine[name] = response
+    for name in _DECODES:
+        site.engines[name].faults = platform_site.Faults()
+    return responses_by_engine
+
+
+class TestHangingStreams:
+    """Single streams hang at engines that answer probes."""
+
+    # Guards against engines that are taken for silent for one stream each, so
+    # that no stream may move and each ends with its connection.
+    @pytest.mark.parametrize("breaks", [False, True])
+    def test_streams_go_on_though_each_engine_has_one(self, breaks):
+        async def scenario(site):
+            responses = await _open_one_per_engine(
+                site, pause_after_events=_EVENTS_BEFORE
+            )
+            rests = asyncio.gather(*map(_rest, responses.values()))
+            await asyncio.sleep(2 * _STANDSTILL_S)
+            ended = rests.done()
+            if breaks:
+                for name in _DECODES:
+                    site.engines[name].cut.set()
+            return ended, await rests, sorted(site.runs())
+
+        assert _on_site(scenario) == (
+            True,
+            [_REST] * 2,
+            ["a0", "a0", "a1", "a1"],
+        )
+
+
 class TestGone:
     """Engines that don't come back."""
 
@@ -303,6 +354,17 @@
         activity.hear(1.2)
         assert activity.spoke_again_at == 1.2
 
+    # Guards against engines that are taken for mute as a single call hangs.
+    def test_only_an_engine_mute_to_a_probe_stands_still(self):
+        activity = engine_silence.EngineActivity()
+        activity.begin_call(0.0)
+        activity.record_probe(engine_silence.Liveness.ANSWERS, 0.9)
+        assert not activity.stands_still
+        activity.record_probe(engine_silence.Liveness.STANDS_STILL, 1.3)
+        assert activity.stands_still
+        activity.hear(1.4)
+        assert not activity.stands_still
+
     def test_old_probes_say_nothing(self):
         activity = engine_silence.EngineActivity()
         activity.record_probe(engine_silence.Liveness.ANSWERS, 1.0)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -656,13 +656,15 @@
         subject.handle(messages.FirstToken(request_id), 0.2)
         return submit, start
 
-    def _silent(self, start: messages.Start) -> messages.AttemptFailed:
+    def _silent(
+        self, start: messages.Start, *, silent: bool = True
+    ) -> messages.AttemptFailed:
         return messages.AttemptFailed(
             request_id=start.request_id,
             endpoint_id=start.decode_id,
             stage=messages.Stage.DECODE,
             resumable=True,
-            silent=True,
+            silent=silent,
             version="",
         )
 
@@ -684,6 +686,24 @@
         refusals = _actions_of(actions, messages.Refuse)
         assert {refusal.request_id for refusal in refusals} == {1, 2}
 
+    # Guards against streams that stay where they hang as each engine has one.
+    def test_streams_move_if_single_ones_hang_at_all_engines(self) -> None:
+        subject = _scheduler_with_slots(1)
+        starts = [self._streaming(subject, number)[1] for number in (1, 2)]
+        hangs = [self._silent(start, silent=False) for start in starts]
+        actions = [
+            action
+            for now, event in (
+                (1.0, hangs[0]),
+                (1.0, hangs[1]),
+                (1.55, messages.Tick()),
+            )
+            for action in subject.handle(event, now)
+        ]
+        assert not _actions_of(actions, messages.Refuse)
+        moved = _actions_of(actions, messages.Start)
+        assert {start.request_id for start in moved} == {1, 2}
+
     # Guards against sound engines that stay ejected once they have gone on.
     def test_engine_is_used_again_once_its_stream_goes_on(self) -> None:
         subject = _scheduler_with_slots()
