Count the attempts made while a stream was held

Cause: a held stream that goes on is adopted again by its coordinator with the number of its own attempt. An attempt that another engine turned away meanwhile was forgotten, so a later break got one attempt more than `maxAttempts`.

The adoption now has the number of the newest attempt. Ruled out: the free attempts that reach no engine; they aren't adopted and now count, which can only end a request sooner. Before: the new test sees a third call of a decode engine for a request that may have two. Callers saw nothing; engines got one call too many.

--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -216,7 +216,9 @@
         decisions: asyncio.Queue[messages.Decision | messages.Recheck],
     ) -> None:
         """Goes on with the held stream, whose engine has spoken again."""
-        ctx.start = ctx.held.start
+        # Attempts that were made elsewhere meanwhile count.
+        attempt = max(ctx.held.start.attempt, ctx.start.attempt)
+        ctx.start = dataclasses.replace(ctx.held.start, attempt=attempt)
         submit = dataclasses.replace(
             submit, resumes=True, version=ctx.progress.software_version
         )
@@ -224,7 +226,7 @@
         self.log.event(
             "attempt_continues",
             request=ctx.request_id,
-            attempt=ctx.start.attempt,
+            attempt=ctx.held.start.attempt,
             endpoint=ctx.held.endpoint.id,
             after_event=ctx.progress.last_event_id,
         )
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -7,6 +7,7 @@
 import partition as partition_lib
 import platform_site
 from cowsliprill.decisions import engine_silence
+from cowsliprill.engines import errors
 
 _RESUMABLE = platform_site.RESUMABLE_PATH
 _DECODES = ("d0", "d1")
@@ -244,6 +245,43 @@
         )
 
 
+def _decodes(site, attempt):
+    return sum(
+        request.headers["Attempt-Id"] == attempt
+        and request.headers.get("Stage") != "prefill"
+        for name in _DECODES
+        for request in site.engines[name].requests
+    )
+
+
+class TestBreakAfterSilence:
+    """The connection of a stream that was held ends."""
+
+    # Guards against a third engine for a request that may have two.
+    def test_attempts_before_count(self):
+        async def scenario(site):
+            response, silent = await _open_silent(site)
+            site.engines[silent].event_interval_s = 0.5
+            other = _DECODES[1 - _DECODES.index(silent)]
+            site.engines[other].faults = platform_site.Faults(
+                refuse=503, times=1
+            )
+            log = site.logs[0]
+            await platform_site.until(
+                lambda: "event=stream_stays" in log.getvalue()
+            )
+            site.wake(silent)
+            await platform_site.until(
+                lambda: "event=attempt_continues" in log.getvalue()
+            )
+            site.engines[silent].site.crash()
+            with pytest.raises(errors.CallError):
+                await _rest(response)
+            return _decodes(site, "a1")
+
+        assert _on_site(scenario) == 2
+
+
 class TestGone:
     """Engines that don't come back."""
 
