Ask again for a held stream that breaks after a refusal

Cause: a stream whose engine and all others stand still is refused another engine and stays. If its connection ended then, the answer ended with that old refusal, though an attempt was left and other engines had woken.

The request is now adopted again and its attempt reported as failed, so the coordinator decides by attempts, budget and time as for any broken stream. The stream is closed before another engine is asked for.

Ruled out: to submit the request anew, as the coordinator would forget the attempts made. Before: the new test sees the answer cut, with one engine called. After: it is whole, with two calls of decode engines; without an attempt left it is refused as before (the other test). Conclusion: no refusal outlives the state of the engines that it came from. Callers saw: a stream that closed in the middle though engines were free.

--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -153,8 +153,10 @@
                 case messages.Recheck():
                     self.quarantine.check(ctx)
                 case messages.Refuse() as refusal:
-                    if not await self._stays(ctx, refusal):
+                    if ctx.held is None:
                         raise self._refusal_error(ctx, refusal)
+                    if not await self._stays(ctx, refusal):
+                        await self._ask_again(ctx, submit, decisions)
                 case messages.Start() as start:
                     self._begin_attempt(ctx, start)
                     if await self._run_attempt(ctx, proceed):
@@ -170,10 +172,8 @@
         """Waits for a held stream that may move to no other engine.
 
         Returns:
-          Whether there is one and its engine goes on.
+          Whether its engine goes on.
         """
-        if ctx.held is None:
-            return False
         self.log.event(
             "stream_stays",
             request=ctx.request_id,
@@ -216,13 +216,7 @@
         decisions: asyncio.Queue[messages.Decision | messages.Recheck],
     ) -> None:
         """Goes on with the held stream, whose engine has spoken again."""
-        # Attempts that were made elsewhere meanwhile count.
-        attempt = max(ctx.held.start.attempt, ctx.start.attempt)
-        ctx.start = dataclasses.replace(ctx.held.start, attempt=attempt)
-        submit = dataclasses.replace(
-            submit, resumes=True, version=ctx.progress.software_version
-        )
-        self.scheduling.readopt(submit, ctx.start, decisions)
+        self._readopt(ctx, ctx.held, submit, decisions)
         self.log.event(
             "attempt_continues",
             request=ctx.request_id,
@@ -231,6 +225,36 @@
             after_event=ctx.progress.last_event_id,
         )
 
+    async def _ask_again(
+        self,
+        ctx: context.Context,
+        submit: messages.Submit,
+        decisions: asyncio.Queue[messages.Decision | messages.Recheck],
+    ) -> None:
+        """Asks for another engine for a held stream that has broken.
+
+        The refusal let it stay where it was, and may be void by now.
+        """
+        held, ctx.held = ctx.held, None
+        held.close()
+        self._readopt(ctx, held, submit, decisions)
+        await self._lose_attempt(ctx, held.lost())
+
+    def _readopt(
+        self,
+        ctx: context.Context,
+        held: held_stream.HeldStream,
+        submit: messages.Submit,
+        decisions: asyncio.Queue[messages.Decision | messages.Recheck],
+    ) -> None:
+        # Attempts that were made elsewhere meanwhile count.
+        attempt = max(held.start.attempt, ctx.start.attempt)
+        ctx.start = dataclasses.replace(held.start, attempt=attempt)
+        submit = dataclasses.replace(
+            submit, resumes=True, version=ctx.progress.software_version
+        )
+        self.scheduling.readopt(submit, ctx.start, decisions)
+
     async def _run_attempt(
         self, ctx: context.Context, proceed: context.Handler
     ) -> bool:
@@ -246,22 +270,28 @@
             ):
                 return False
         except attempts.AttemptError as lost:
-            self._log_lost_attempt(ctx, lost)
-            if not lost.held:
-                await self._examine_path(ctx, lost)
-            ctx.progress.connection_lost = (
-                lost.connection_lost
-                and not lost.had_output
-                and not self.paths.is_cut_off()
-            )
-            if ctx.progress.connection_lost:
-                await self.quarantine.report_lost(ctx, lost.endpoint_id)
-            self._check_path(ctx, lost)
-            self._handle_lost_attempt(ctx, lost)
+            await self._lose_attempt(ctx, lost)
             return False
         self.scheduling.post(messages.Finished(ctx.number, ctx.progress.tokens))
         return True
 
+    async def _lose_attempt(
+        self, ctx: context.Context, lost: attempts.AttemptError
+    ) -> None:
+        """Reports a failed attempt; the scheduler decides what follows."""
+        self._log_lost_attempt(ctx, lost)
+        if not lost.held:
+            await self._examine_path(ctx, lost)
+        ctx.progress.connection_lost = (
+            lost.connection_lost
+            and not lost.had_output
+            and not self.paths.is_cut_off()
+        )
+        if ctx.progress.connection_lost:
+            await self.quarantine.report_lost(ctx, lost.endpoint_id)
+        self._check_path(ctx, lost)
+        self._handle_lost_attempt(ctx, lost)
+
     def _check_version(self, ctx: context.Context) -> None:
         """Takes over the version of a resumed stream from the coordinator.
 
--- a/src/cowsliprill/entry/held_stream.py
+++ b/src/cowsliprill/entry/held_stream.py
@@ -8,6 +8,7 @@
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.engines import errors as engine_errors
+from cowsliprill.entry import attempts
 from cowsliprill.entry import output_stream
 
 _MAX_HELD_BYTES = 1_048_576
@@ -42,6 +43,7 @@
         self.start = start
         self.events = b""
         self.is_going_on = False
+        self._broken: engine_errors.CallError | None = None
         self._task = asyncio.create_task(self._receive())
 
     async def wait(self) -> bool:
@@ -53,6 +55,20 @@
         await asyncio.wait([self._task])
         return self.is_going_on
 
+    def lost(self) -> attempts.AttemptError:
+        """Returns the error for a stream that won't go on."""
+        broken = self._broken
+        return attempts.AttemptError(
+            self.endpoint.id,
+            messages.Stage.DECODE,
+            str(broken or "too much data without output"),
+            resumable=True,
+            sent=True,
+            connection_lost=isinstance(broken, engine_errors.StreamBroken)
+            and broken.connection_lost,
+            had_output=True,
+        )
+
     def close(self) -> None:
         """Closes the stream, which another engine goes on with."""
         self.is_going_on = False
@@ -70,7 +86,8 @@
         except StopAsyncIteration:
             # The stream is complete.
             pass
-        except engine_errors.CallError:
+        except engine_errors.CallError as broken:
+            self._broken = broken
             return
         self.is_going_on = True
 
--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -1,6 +1,7 @@
 """Routers whose engines stand still for a moment, hang or are gone."""
 
 import asyncio
+import re
 
 import pytest
 
@@ -257,8 +258,35 @@
 class TestBreakAfterSilence:
     """The connection of a stream that was held ends."""
 
+    # Guards against answers that end with a refusal from a time when all
+    # engines were silent.
+    def test_stream_is_asked_for_again(self):
+        async def scenario(site):
+            responses = await _open_one_per_engine(
+                site, stand_still_after_events=_EVENTS_BEFORE
+            )
+            site.stand_still()
+            log = site.logs[0]
+            await platform_site.until(
+                lambda: "event=stream_stays" in log.getvalue()
+            )
+            # The other stream may have had its second attempt already.
+            (engine,) = re.findall(
+                r"event=stream_stays .* endpoint=(\S+)", log.getvalue()
+            )
+            site.wake(*({"p0", "p1", *_DECODES} - {engine}))
+            site.engines[engine].site.crash()
+            attempt = site.engines[engine].runs[0]
+            rest = await _rest(responses.pop(engine))
+            for response in responses.values():
+                response.close()
+            return rest, _decodes(site, attempt)
+
+        assert _on_site(scenario) == (_REST, 2)
+
     # Guards against a third engine for a request that may have two.
-    def test_attempts_before_count(self):
+    @pytest.mark.parametrize("goes_on", [False, True])
+    def test_attempts_before_count(self, goes_on):
         async def scenario(site):
             response, silent = await _open_silent(site)
             site.engines[silent].event_interval_s = 0.5
@@ -270,10 +298,11 @@
             await platform_site.until(
                 lambda: "event=stream_stays" in log.getvalue()
             )
-            site.wake(silent)
-            await platform_site.until(
-                lambda: "event=attempt_continues" in log.getvalue()
-            )
+            if goes_on:
+                site.wake(silent)
+                await platform_site.until(
+                    lambda: "event=attempt_continues" in log.getvalue()
+                )
             site.engines[silent].site.crash()
             with pytest.raises(errors.CallError):
                 await _rest(response)
