Count and log how connections of callers end, and who closed them

Cause: a report "my request got nothing" couldn't be looked up. A connection that this process closed left no trace, or the log said caller_gone, as for a caller that had left; and an answer whose last bytes weren't sent was logged as completed.

Evidence: tests/test_connection_ends, TestReasons.

What is new: connections of callers have a stream of their own that knows how far the request was received, whether it was answered, and who closed. cowsliprill_caller_connections_closed_total counts by reason, once a connection. request_ended has closed_by and read wherever the answer isn't complete, next to the run, the request's id and the caller's that it had before. Its outcome is caller_gone only if the caller closed, else interrupted.

Ruled out: to tell a caller that ends its sending half from one that has left; both send the same. It counts as a caller that left.

--- a/src/cowsliprill/cli/explain.py
+++ b/src/cowsliprill/cli/explain.py
@@ -312,7 +312,8 @@
 
 _DESCRIPTIONS_BY_OUTCOME = {
     "completed": "It got its whole answer.",
-    "caller_gone": "Its caller left, or this process ended.",
+    "caller_gone": "Its caller left.",
+    "interrupted": "This process ended it, or ended before it.",
     "overloaded": "It was refused: there was no room in time.",
     "waited_too_long": "It was refused: no room came free in time.",
     "target_unreachable": "It was refused: it came too late to be of use.",
--- a/src/cowsliprill/entry/caller_server.py
+++ b/src/cowsliprill/entry/caller_server.py
@@ -8,6 +8,9 @@
 from tornado import httputil
 from tornado import iostream
 
+from cowsliprill.entry import caller_stream
+from cowsliprill.observability import metrics as metrics_lib
+
 # A connection that has been idle for long enough, but has unread data, is
 # checked again after this interval.
 _RECHECK_INTERVAL_S = 0.05
@@ -25,24 +28,44 @@
     """
 
     def initialize(
-        self, *args: Any, idle_timeout_s: float, **options: Any
+        self,
+        *args: Any,
+        idle_timeout_s: float,
+        metrics: metrics_lib.Metrics,
+        **options: Any,
     ) -> None:
         """Sets up the server; called by tornado in place of `__init__`.
 
         Args:
           *args: Arguments of `tornado.httpserver.HTTPServer`.
           idle_timeout_s: Initial value of the attribute.
+          metrics: Metrics that count how connections end.
           **options: Options of `tornado.httpserver.HTTPServer`.
         """
         super().initialize(*args, **options)
         self.conn_params.header_timeout = None
         self.idle_timeout_s = idle_timeout_s
+        self._metrics = metrics
         self._idle_by_connection: dict[object, _IdleConnection] = {}
 
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Serves a new connection."""
+        recorded = caller_stream.CallerStream(
+            stream.socket,
+            self._count_end,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+        super().handle_stream(recorded, address)
+
+    def _count_end(self, end: caller_stream.End) -> None:
+        self._metrics.caller_connections_closed.inc({"reason": end.value})
+
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Starts to wait for the head of a request."""
+        request_conn.stream.expect_request()
         delegate = super().start_request(server_conn, request_conn)
         idle = _IdleConnection(self, request_conn.stream)
         self._idle_by_connection[server_conn] = idle
@@ -57,7 +80,9 @@
 class _IdleConnection:
     """Closes a connection on which no request arrives in time."""
 
-    def __init__(self, server: CallerServer, stream: iostream.IOStream) -> None:
+    def __init__(
+        self, server: CallerServer, stream: caller_stream.CallerStream
+    ) -> None:
         self._server = server
         self._stream = stream
         self._loop = asyncio.get_running_loop()
@@ -68,6 +93,15 @@
         """Records that a request has begun or the connection is closed."""
         self._timer.cancel()
 
+    def begin(self) -> None:
+        """Records that the head of a request has been received."""
+        self._stream.state = caller_stream.State.RECEIVING
+        self.end()
+
+    def finish(self) -> None:
+        """Records that a whole request has been received."""
+        self._stream.state = caller_stream.State.RECEIVED
+
     def _check_in(self, delay_s: float) -> None:
         self._timer = self._loop.call_later(delay_s, self._check)
 
@@ -78,6 +112,7 @@
         elif self._has_received():
             self._check_in(_RECHECK_INTERVAL_S)
         else:
+            self._stream.end = caller_stream.End.IDLE
             self._stream.close()
 
     def _has_received(self) -> bool:
@@ -94,7 +129,7 @@
 
 
 class _RequestDelegate(httputil.HTTPMessageDelegate):
-    """Passes a request on and tells when its head has been received."""
+    """Passes a request on and tells how much of it has been received."""
 
     def __init__(
         self, delegate: httputil.HTTPMessageDelegate, idle: _IdleConnection
@@ -107,13 +142,14 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Any:
-        self._idle.end()
+        self._idle.begin()
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Any:
         return self._delegate.data_received(chunk)
 
     def finish(self) -> None:
+        self._idle.finish()
         self._delegate.finish()
 
     def on_connection_close(self) -> None:
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -293,6 +293,7 @@
         self._public_server = caller_server.CallerServer(
             self._dialect.application(self._gate, components),
             idle_timeout_s=self._source.snapshot.limits.idle_timeout_s,
+            metrics=self._metrics,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
         )
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -42,10 +42,10 @@
         except errors.EntryError as error:
             await self._end_with(ctx, error)
         except response_writer_lib.CallerDisconnected:
-            ctx.progress.outcome = CALLER_GONE
+            ctx.progress.outcome = _unanswered_outcome(ctx)
         except asyncio.CancelledError:
             if not ctx.is_interrupted:
-                ctx.progress.outcome = CALLER_GONE
+                ctx.progress.outcome = _unanswered_outcome(ctx)
                 raise
             await self._end_with(ctx, errors.interrupted(ctx.progress.run))
         except Exception as error:
@@ -126,6 +126,7 @@
             tokens=progress.tokens,
             ttft_ms=round(ttft_s * _MS_PER_S, 1),
             took_ms=round((now - ctx.arrived_at) * _MS_PER_S, 1),
+            **_unanswered_fields(ctx),
             **_part_fields(ctx),
             **_resume_fields(ctx),
             **_relay_fields(ctx),
@@ -151,6 +152,23 @@
             self.metrics.goodput.inc(labels)
 
 
+def _unanswered_outcome(ctx: context.Context) -> str:
+    if ctx.response_writer.closed_by_caller:
+        return CALLER_GONE
+    return errors.Code.INTERRUPTED.value
+
+
+def _unanswered_fields(ctx: context.Context) -> dict[str, str]:
+    """Returns what explains why a caller got no complete response."""
+    writer = ctx.response_writer
+    if writer.complete:
+        return {}
+    return {
+        "closed_by": "caller" if writer.closed_by_caller else "router",
+        "read": "whole" if writer.request_read else "part",
+    }
+
+
 def _relay_fields(ctx: context.Context) -> dict[str, str]:
     if ctx.call.envelope is not None:
         envelope = ctx.call.envelope
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -8,6 +8,7 @@
 
 from cowsliprill import peer_auth
 from cowsliprill.decisions import identity
+from cowsliprill.entry import caller_stream
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import gate as gate_lib
@@ -117,8 +118,18 @@
 
     head = post = put = patch = delete = options = get
 
+    def finish(
+        self, chunk: str | bytes | dict | None = None
+    ) -> asyncio.Future[None]:
+        """Finishes the response."""
+        stream = self.request.connection.stream
+        if isinstance(stream, caller_stream.CallerStream):
+            stream.answered = True
+        return super().finish(chunk)
+
     def on_connection_close(self) -> None:
         """Cancels the request of a caller that has disconnected."""
+        super().on_connection_close()
         if self._task is None:
             # The caller disconnected during its upload. Bytes that stayed
             # counted would add up until every request is refused as overload.
--- a/src/cowsliprill/entry/response_writer.py
+++ b/src/cowsliprill/entry/response_writer.py
@@ -9,6 +9,7 @@
 
 from cowsliprill.decisions import tickets
 from cowsliprill.engines import protocol
+from cowsliprill.entry import caller_stream
 
 Headers = Iterable[tuple[str, str]]
 
@@ -26,6 +27,18 @@
 
     started: bool
 
+    @property
+    def complete(self) -> bool:
+        """Whether the caller was sent the complete response."""
+
+    @property
+    def closed_by_caller(self) -> bool:
+        """Whether the caller closed the connection."""
+
+    @property
+    def request_read(self) -> bool:
+        """Whether the request was received to its end."""
+
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers, which may be sent with the first chunk."""
 
@@ -71,9 +84,26 @@
 
     def __init__(self, handler: web.RequestHandler) -> None:
         self._handler = handler
+        self._ended = False
+        self._stream = getattr(handler.request.connection, "stream", None)
         self.started = False
         self.request_id = ""
 
+    @property
+    def complete(self) -> bool:
+        """Whether the caller was sent the complete response."""
+        return self._ended and not caller_stream.is_cut(self._stream)
+
+    @property
+    def closed_by_caller(self) -> bool:
+        """Whether the caller closed the connection."""
+        return caller_stream.closed_by_caller(self._stream)
+
+    @property
+    def request_read(self) -> bool:
+        """Whether the request was received to its end."""
+        return caller_stream.request_read(self._stream)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers, which are sent with the first chunk."""
         self.started = True
@@ -102,6 +132,9 @@
             await self._handler.flush()
         except iostream.StreamClosedError as error:
             raise CallerDisconnected from error
+        # tornado reports a write that ended with the connection as done.
+        if caller_stream.is_cut(self._stream):
+            raise CallerDisconnected
 
     async def end(self) -> None:
         """Finishes a complete response.
@@ -111,15 +144,14 @@
         """
         try:
             await self._handler.finish()
+            self._ended = True
         except iostream.StreamClosedError as error:
             raise CallerDisconnected from error
 
     def abort(self) -> None:
         """Closes the connection without terminating the body."""
-        connection = self._handler.request.connection
-        stream = getattr(connection, "stream", None)
-        if stream is not None:
-            stream.close()
+        if self._stream is not None:
+            self._stream.close()
 
 
 @dataclasses.dataclass(slots=True)
@@ -163,6 +195,21 @@
     _recorded_bytes: int = 0
     _within_limits: bool = True
 
+    @property
+    def complete(self) -> bool:
+        """Whether the caller was sent the complete response."""
+        return self.inner.complete
+
+    @property
+    def closed_by_caller(self) -> bool:
+        """Whether the caller closed the connection."""
+        return self.inner.closed_by_caller
+
+    @property
+    def request_read(self) -> bool:
+        """Whether the request was received to its end."""
+        return self.inner.request_read
+
     async def start(self, status: int, headers: Headers) -> None:
         """Records and forwards status and headers."""
         self.started = True
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -29,6 +29,9 @@
         view is up to date, by `prefix`; set at VMs that watch the store.
       registry_reads: Calls to the store by `prefix` and `result` (answered,
         failed).
+      caller_connections_closed: Connections of callers that this process has
+        closed, or whose caller left during a request, by `reason` (see
+        `entry.caller_stream.End`).
       log_lines_dropped: Log lines dropped because the reader was too slow.
       engine_crashes: Ends of engines that lost a started request, by `state`
         (suspected, confirmed), as seen by this process.
@@ -173,6 +176,12 @@
             "path_lost", "Whether no endpoint of a pool can be reached."
         )
 
+        self.caller_connections_closed = aioprometheus.Counter(
+            prefix + "caller_connections_closed_total",
+            "Connections of callers that ended other than between requests.",
+            registry=self.registry,
+        )
+
         self.engine_silences = aioprometheus.Counter(
             prefix + "engine_silences_total",
             "Times that an engine was silent to all calls.",
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -37,6 +37,10 @@
         """Returns all bytes until the connection ends."""
         return await asyncio.wait_for(self._reader.read(), 10)
 
+    async def read_head(self) -> bytes:
+        """Returns the headers that are left of a response."""
+        return await asyncio.wait_for(self._reader.readuntil(b"\r\n\r\n"), 10)
+
     async def read_status(self) -> int:
         """Returns the status of the next response, 0 if there is none."""
         line = await asyncio.wait_for(self._reader.readline(), 10)
@@ -63,6 +67,32 @@
     await entry_site.until(lambda: site.status()["buffered_bytes"] >= size)
 
 
+def _ends(site: entry_site.Site) -> dict[str, int]:
+    """Returns how many connections ended, by reason."""
+    counter = site.entries[0].shell.metrics.caller_connections_closed
+    return {labels["reason"]: int(count) for labels, count in counter.get_all()}
+
+
+async def _until_ended(site: entry_site.Site) -> dict[str, int]:
+    await entry_site.until(lambda: bool(_ends(site)))
+    return _ends(site)
+
+
+def _run(scenario):
+    async def run():
+        async with entry_site.running() as site:
+            return await scenario(site, await _Caller.connect(site))
+
+    return asyncio.run(run())
+
+
+def _last_request(site: entry_site.Site) -> dict[str, str]:
+    """Returns the fields of the newest line of a request that has ended."""
+    lines = site.logs[0].getvalue().splitlines()
+    line = [each for each in lines if "event=request_ended" in each][-1]
+    return dict(pair.split("=", 1) for pair in line.split(" ") if "=" in pair)
+
+
 class TestLimitsThatShrink:
     """The configuration gets smaller limits while a request is received."""
 
@@ -124,6 +154,26 @@
         assert response.json()["error"]["code"] == "leaving"
         assert log.count("event=request_ended") == 1
 
+    # Guards against a connection that is closed after `Connection: close`
+    # while its caller's next request is under way.
+    def test_connection_stays_readable_while_draining(self):
+        async def scenario():
+            async with entry_site.running(drain_notice_s=600.0) as site:
+                caller = await _Caller.connect(site)
+                entry = site.entries[0]
+                entry.shell.stop()
+                await entry_site.until(lambda: site.status()["draining"])
+                for _ in range(3):
+                    await caller.send(_head("HEAD", "/v1/models"))
+                    assert await caller.read_status() == 405
+                    head = await caller.read_head()
+                    assert b"Connection: close" in head
+                site.tasks[0].cancel()
+                await asyncio.wait(site.tasks)
+                site.tasks.clear()
+
+        asyncio.run(scenario())
+
 
 class TestUnexpectedEnd:
     """The filter chain of a request ends without a response."""
@@ -148,3 +198,105 @@
         assert status == 500
         assert "event=internal_error" in log
         assert "event=request_ended" in log
+
+
+class TestRequestsNotReadToTheirEnd:
+    """A request is refused before it has been received."""
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"nonsense\r\n\r\n",
+            b"GET /v1/models HTTP/1.1\r\n\r\n",
+            b"GET /v1/models HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n",
+        ],
+        ids=["start-line", "no-host", "header"],
+    )
+    def test_malformed_head_is_refused(self, head):
+        async def scenario(site, caller):
+            await caller.send(head)
+            return await caller.read_all(), await _until_ended(site)
+
+        answer, ends = _run(scenario)
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert ends == {"malformed": 1}
+
+
+class TestReasons:
+    """The metric and the log tell who has closed a connection, and why."""
+
+    def test_caller_that_leaves_between_requests_is_not_counted(self):
+        async def scenario(site, caller):
+            await caller.send(_head("GET", "/v1/models"))
+            await caller.read_status()
+            caller.writer.close()
+            other = await _Caller.connect(site)
+            await other.send(_head("GET", "/a", b"Connection: close"))
+            await other.read_all()
+            return await _until_ended(site)
+
+        assert _run(scenario) == {"answered": 1}
+
+    def test_caller_that_leaves_during_its_request(self):
+        async def scenario(site, caller):
+            await caller.send(
+                _head("POST", "/services/lookup/a", b"Content-Length: 9") + b"a"
+            )
+            await _until_read(site, 1)
+            caller.writer.close()
+            return await _until_ended(site)
+
+        assert _run(scenario) == {"caller_left_request": 1}
+
+    # Guards against a request that ends without an answer and isn't named. A
+    # caller that ends only its sending half looks like one that has left.
+    @pytest.mark.parametrize("leave", ["close", "write_eof"])
+    def test_caller_that_leaves_before_its_answer(self, leave):
+        async def scenario(site, caller):
+            for service in site.services.values():
+                service.faults.set({"delay_s": 600.0})
+            await caller.send(_head("GET", "/services/lookup/a"))
+            await entry_site.until(lambda: site.status()["requests"] == 1)
+            getattr(caller.writer, leave)()
+            ends = await _until_ended(site)
+            await entry_site.until(lambda: site.status()["requests"] == 0)
+            return ends, _last_request(site)
+
+        ends, fields = _run(scenario)
+        assert ends == {"caller_left_answer": 1}
+        assert fields["outcome"] == "caller_gone"
+        assert (fields["closed_by"], fields["read"]) == ("caller", "whole")
+
+    # Guards against a connection that this process has closed and that the log
+    # blames on the caller.
+    def test_answer_that_this_process_cuts(self):
+        async def scenario(site, caller):
+            for engine in site.engines.values():
+                engine.faults.set({"stall_at_token": 3})
+            body = (
+                b'{"model": "brief", "prompt": "a", "max_tokens": 9,'
+                b' "stream": true}'
+            )
+            length = b"Content-Length: %d" % len(body)
+            await caller.send(_head("POST", "/v1/completions", length) + body)
+            assert await caller.read_status() == 200
+            gate = site.entries[0]._gate  # noqa: SLF001
+            gate.abort_all()
+            await caller.read_all()
+            await entry_site.until(lambda: site.status()["requests"] == 0)
+            return _ends(site), _last_request(site)
+
+        ends, fields = _run(scenario)
+        assert ends == {"cut": 1}
+        assert fields["outcome"] == "interrupted"
+        assert (fields["closed_by"], fields["read"]) == ("router", "whole")
+
+    def test_pipelined_requests_are_all_answered(self):
+        async def scenario(site, caller):
+            last = _head("GET", "/v1/models", b"Connection: close")
+            await caller.send(_head("GET", "/v1/models") * 2 + last)
+            return await caller.read_all(), await _until_ended(site)
+
+        answers, ends = _run(scenario)
+        assert answers.count(b"HTTP/1.1 200 ") == 3
+        assert ends == {"answered": 1}
