Refuse requests that are too large or malformed before closing on them

What callers saw: a closed or reset connection without an answer, for a head above 128 kB, a chunk with an overlong size, or a body of over four times the limit. No line of the log named the first two, nor a body without a length.

Cause: tornado closes a connection without an answer once a head or the size of a chunk exceeds its bound. The handler did the same for a chunked body. For a body with a length the 413 was sent, but the close with unread data reset the connection, which discards the response.

Evidence: tests/test_connection_ends, TestRequestsNotReadToTheirEnd. Before: the head and both bodies got a reset, the chunk a bare close. After: 431, 413, 413 and 400, all read to their end.

The fix: the stream itself sends what tornado doesn't, and a connection with an unread request ends its sending half, discards what still arrives for 1 s, and is closed then.

Ruled out: a higher bound of tornado's parser; it only moves the bare close.

--- a/src/cowsliprill/entry/caller_stream.py
+++ b/src/cowsliprill/entry/caller_stream.py
@@ -1,5 +1,6 @@
 """Connection of a caller that knows how it ends."""
 
+import asyncio
 import enum
 import socket
 from collections.abc import Callable
@@ -7,6 +8,15 @@
 
 from tornado import iostream
 
+_HEAD_TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large"
+_MALFORMED = b"HTTP/1.1 400 Bad Request"
+_NO_BODY = b"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+# How long what a caller still sends is read and discarded, so that the response
+# to an incomplete request reaches it. With unread data, the system would reset
+# the connection and discard the response.
+_LINGER_S = 1.0
+_DISCARD_BYTES = 262_144
+
 
 class State(enum.Enum):
     """How far the current request of a connection has been received."""
@@ -83,7 +93,12 @@
         end = self._end()
         if end is not None:
             self._on_end(end)
-        super().close_fd()
+        if end in (End.UNREAD, End.MALFORMED):
+            self._refuse_malformed()
+            _linger(self.socket)
+            self.socket = None
+        else:
+            super().close_fd()
 
     def _end(self) -> End | None:
         if self.closed_by_caller:
@@ -101,6 +116,19 @@
         is_idle = self.state is State.IDLE and not self._read_buffer_size
         return None if is_idle else End.CALLER_LEFT_REQUEST
 
+    def _refuse_malformed(self) -> None:
+        """Answers a head or a chunk that tornado gives up without an answer."""
+        if self.answered or not isinstance(
+            self.error, iostream.UnsatisfiableReadError
+        ):
+            return
+        is_head = self.state is State.IDLE
+        line = _HEAD_TOO_LARGE if is_head else _MALFORMED
+        try:
+            self.socket.send(line + _NO_BODY)
+        except OSError:
+            self.closed_by_caller = True
+
 
 def closed_by_caller(stream: iostream.IOStream | None) -> bool:
     """Returns whether a closed stream was closed by the other side.
@@ -130,3 +158,32 @@
     return (
         not isinstance(stream, CallerStream) or stream.state is State.RECEIVED
     )
+
+
+def _linger(connection: socket.socket) -> None:
+    """Ends the sending half, discards what still arrives, then closes."""
+    loop = asyncio.get_running_loop()
+
+    def close() -> None:
+        timer.cancel()
+        loop.remove_reader(connection)
+        connection.close()
+
+    def discard() -> None:
+        try:
+            is_open = bool(connection.recv(_DISCARD_BYTES))
+        except BlockingIOError:
+            return
+        except OSError:
+            is_open = False
+        if not is_open:
+            close()
+
+    timer = loop.call_later(_LINGER_S, close)
+    try:
+        connection.shutdown(socket.SHUT_WR)
+    except OSError:
+        # The caller has reset the connection.
+        close()
+        return
+    loop.add_reader(connection, discard)
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable
 
 from tornado import httputil
 from tornado import web
@@ -17,7 +18,8 @@
 from cowsliprill.entry import ticket_forwarding
 
 # A body above the limit is read and discarded up to this multiple of the limit,
-# so that its sender gets to read the 413; above, the connection is closed.
+# so that its sender may reuse the connection; above, the connection is closed
+# after the 413.
 _MAX_DISCARDED_BODY_RATIO = 4
 
 # The signature, and headers that HTTP clients add.
@@ -99,11 +101,9 @@
     def _check_size(self, size: int) -> errors.EntryError | None:
         return self._gate.check_body_size(size, self._limits)
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Buffers a chunk of the body, unless the request is refused."""
         self._received_bytes += len(chunk)
-        if self._received_bytes > self._max_discarded_bytes:
-            self.request.connection.stream.close()
         self._rejection = self._rejection or self._check_size(len(chunk))
         if self._received_bytes > self._limits.body_bytes:
             self._rejection = self._check_size(self._received_bytes)
@@ -111,6 +111,9 @@
             self._chunks.append(chunk)
             self._buffered_bytes += len(chunk)
             self._gate.buffered_bytes += len(chunk)
+        if self._received_bytes <= self._max_discarded_bytes or self._task:
+            return None
+        return self._serve()
 
     async def get(self, *_: str) -> None:
         """Serves the request."""
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -203,6 +203,57 @@
 class TestRequestsNotReadToTheirEnd:
     """A request is refused before it has been received."""
 
+    # Guards against a bare close in place of the refusal.
+    def test_head_above_the_parsers_bound_is_refused(self):
+        async def scenario(site, caller):
+            large = b"X-Large: " + b"a" * 400_000
+            await caller.send(_head("GET", "/v1/models", large))
+            answer = await caller.read_all()
+            return answer, await _until_ended(site)
+
+        answer, ends = _run(scenario)
+        assert answer.startswith(b"HTTP/1.1 431 ")
+        assert ends == {"malformed": 1}
+
+    # Guards against a bare close, or a reset that destroys the refusal while
+    # its caller still sends.
+    @pytest.mark.parametrize("chunked", [False, True])
+    def test_body_far_above_the_limit_is_refused(self, chunked):
+        size = 200_000
+
+        async def scenario(site, caller):
+            _set_limits(site, body_bytes=1_000)
+            length = (
+                b"Transfer-Encoding: chunked"
+                if chunked
+                else b"Content-Length: %d" % size
+            )
+            await caller.send(_head("POST", "/services/lookup/a", length))
+            for _ in range(20):
+                part = b"a" * (size // 20)
+                await caller.send(_chunk(part) if chunked else part)
+                await asyncio.sleep(0)
+            answer = await caller.read_all()
+            return answer, await _until_ended(site), _last_request(site)
+
+        answer, ends, fields = _run(scenario)
+        assert answer.startswith(b"HTTP/1.1 413 ")
+        assert answer.endswith(b"}")
+        assert ends == {"unread": 1}
+        assert fields["outcome"] == "body_too_large"
+
+    # Guards against a bare close of a chunked body whose framing is wrong.
+    def test_overlong_size_of_a_chunk_is_refused(self):
+        async def scenario(site, caller):
+            length = b"Transfer-Encoding: chunked"
+            await caller.send(_head("POST", "/services/lookup/a", length))
+            await caller.send(b"1" * 1_000)
+            return await caller.read_all(), await _until_ended(site)
+
+        answer, ends = _run(scenario)
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert ends == {"malformed": 1}
+
     @pytest.mark.parametrize(
         "head",
         [
