Close idle connections of callers before the process exits

What callers saw: a request sent on a kept connection while its process was exiting got a closed or reset connection in place of an answer.

Cause: nothing closed connections at the end of a drain. They stayed open while the process shut its other parts down, with nobody to read what arrived on them, until the exit closed them all. With unread data that is a reset, which may also destroy the end of the response before.

Evidence: tests/test_connection_ends, TestProcessEnd. Before: an idle connection was still open when the entry process had ended (no end within 10 s). After: it is closed as `leaving`, and a request that was received before is answered.

The fix: after the drain, each connection is closed once no more data was received on it; 0.25 s at most.

Also tested: a connection whose answers say `Connection: close` stays readable during the drain, and further requests on it are answered. Ruled out: to close them when the drain begins; until its end they can be answered, and each answer tells the caller not to reuse the connection. What is still under way at the moment of the close remains unread.

--- a/src/cowsliprill/entry/caller_server.py
+++ b/src/cowsliprill/entry/caller_server.py
@@ -14,6 +14,7 @@
 # A connection that has been idle for long enough, but has unread data, is
 # checked again after this interval.
 _RECHECK_INTERVAL_S = 0.05
+_CLOSE_INTERVAL_S = 0.005
 
 
 class CallerServer(httpserver.HTTPServer):
@@ -25,6 +26,7 @@
     Attributes:
       idle_timeout_s: How long a connection may wait for the head of the next
         request, in seconds. A change also holds for connections that wait.
+      idle_end: Why idle connections are closed.
     """
 
     def initialize(
@@ -45,9 +47,31 @@
         super().initialize(*args, **options)
         self.conn_params.header_timeout = None
         self.idle_timeout_s = idle_timeout_s
+        self.idle_end = caller_stream.End.IDLE
         self._metrics = metrics
         self._idle_by_connection: dict[object, _IdleConnection] = {}
 
+    async def close_idle_connections(self, timeout_s: float) -> None:
+        """Closes connections, each once nothing more was received on it.
+
+        A request that stays unread when the process exits would be lost, and
+        the reset of its connection may destroy the response before it.
+
+        Args:
+          timeout_s: How long requests that were received are waited for.
+        """
+        self.idle_timeout_s = 0.0
+        self.idle_end = caller_stream.End.LEAVING
+        for idle in list(self._idle_by_connection.values()):
+            idle.check_now()
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._idle_by_connection:  # noqa: ASYNC110 no event
+                    await asyncio.sleep(_CLOSE_INTERVAL_S)
+        except TimeoutError:
+            # The exit of the process closes the others.
+            return
+
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
         """Serves a new connection."""
         recorded = caller_stream.CallerStream(
@@ -85,14 +109,22 @@
     ) -> None:
         self._server = server
         self._stream = stream
+        self._ended = False
         self._loop = asyncio.get_running_loop()
         self._since = self._loop.time()
         self._check_in(server.idle_timeout_s)
 
     def end(self) -> None:
         """Records that a request has begun or the connection is closed."""
+        self._ended = True
         self._timer.cancel()
 
+    def check_now(self) -> None:
+        """Applies an idle timeout that has become shorter."""
+        if not self._ended:
+            self._timer.cancel()
+            self._check()
+
     def begin(self) -> None:
         """Records that the head of a request has been received."""
         self._stream.state = caller_stream.State.RECEIVING
@@ -112,7 +144,7 @@
         elif self._has_received():
             self._check_in(_RECHECK_INTERVAL_S)
         else:
-            self._stream.end = caller_stream.End.IDLE
+            self._stream.end = self._server.idle_end
             self._stream.close()
 
     def _has_received(self) -> bool:
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -68,6 +68,8 @@
 _MAX_BODY_BYTES = 2**40
 # Callers that don't read their error within this time are disconnected.
 _INTERRUPT_TIMEOUT_S = 0.1
+# Requests that arrive as the process ends are refused within this time.
+_CLOSE_TIMEOUT_S = 0.25
 
 
 class Entry:
@@ -263,6 +265,7 @@
                 task.result()
             task.cancel()
         await ended
+        await self._public_server.close_idle_connections(_CLOSE_TIMEOUT_S)
         self._http.close()
 
     def _listen(self) -> None:
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -154,6 +154,32 @@
         assert response.json()["error"]["code"] == "leaving"
         assert log.count("event=request_ended") == 1
 
+    # Guards against requests that are left unread on kept connections, and
+    # against resets, while the process exits.
+    def test_idle_connections_are_closed_as_the_process_ends(self):
+        async def scenario():
+            async with entry_site.running() as site:
+                caller = await _Caller.connect(site)
+                await caller.send(_head("GET", "/v1/models"))
+                assert await caller.read_status() == 200
+            await caller.read_all()
+            return _ends(site)
+
+        assert asyncio.run(scenario()) == {"leaving": 1}
+
+    def test_request_received_before_the_close_is_answered(self):
+        async def scenario(site, caller):
+            await caller.send(_head("GET", "/v1/models"))
+            assert await caller.read_status() == 200
+            caller.writer.write(_head("GET", "/v1/models"))
+            server = site.entries[0]._public_server  # noqa: SLF001
+            await server.close_idle_connections(10.0)
+            return await caller.read_all(), _ends(site)
+
+        answers, ends = _run(scenario)
+        assert answers.count(b"HTTP/1.1 200 ") == 1
+        assert ends == {"leaving": 1}
+
     # Guards against a connection that is closed after `Connection: close`
     # while its caller's next request is under way.
     def test_connection_stays_readable_while_draining(self):
