Accept the connections that wait when a drain ends listening

What callers saw: a reset of a new connection on which a whole request had been sent, beside the stop of a process.

Cause: connections wait in the system's queue until the event loop accepts them. A close of the port resets those that wait. While the loop is busy, as when it takes over a large configuration, they are many.

Evidence: tests/test_connection_ends, three connections with a request each. Before: failed, reset by peer. After: all three get 200.

The fix: the callers' server accepts what waits before it closes its port; these requests are answered or refused as others during a drain. Ruled out: an order of events in the loop that accepts them anyway: a drain that goes on after a timer runs before the next accept. What arrives between the last accept and the close is still reset; that window is a few system calls.

--- a/src/cowsliprill/entry/caller_server.py
+++ b/src/cowsliprill/entry/caller_server.py
@@ -51,6 +51,27 @@
         self._metrics = metrics
         self._idle_by_connection: dict[object, _IdleConnection] = {}
 
+    def stop(self) -> None:
+        """Stops listening; serves connections that wait to be accepted.
+
+        The system resets these, although requests may have been sent on them.
+        """
+        if not self._stopped:
+            for listener in self._sockets.values():
+                self._accept_waiting(listener)
+        super().stop()
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                connection, address = listener.accept()
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                # None is left, or the process can't have more.
+                return
+            self._handle_connection(connection, address)
+
     async def close_idle_connections(self, timeout_s: float) -> None:
         """Closes connections, each once nothing more was received on it.
 
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import socket
 
 import pytest
 from tests import entry_site
@@ -180,6 +181,27 @@
         assert answers.count(b"HTTP/1.1 200 ") == 1
         assert ends == {"leaving": 1}
 
+    # Guards against a reset of connections that were waiting to be accepted,
+    # with a whole request on them, while the event loop was busy.
+    def test_connections_that_wait_as_listening_ends_are_served(self):
+        async def scenario():
+            async with entry_site.running() as site:
+                address = (entry_site.HOST, site.public_port())
+                waiting = [socket.create_connection(address) for _ in range(3)]
+                for connection in waiting:
+                    connection.sendall(_head("GET", "/v1/models"))
+                site.entries[0]._public_server.stop()  # noqa: SLF001
+                answers = []
+                for connection in waiting:
+                    reader, writer = await asyncio.open_connection(
+                        sock=connection
+                    )
+                    caller = _Caller(reader, writer)
+                    answers.append(await caller.read_status())
+                return answers
+
+        assert asyncio.run(scenario()) == [200, 200, 200]
+
     # Guards against a connection that is closed after `Connection: close`
     # while its caller's next request is under way.
     def test_connection_stays_readable_while_draining(self):
