End streams to callers of HTTP/1.0 with their connection

What callers saw: a caller of HTTP/1.0 that asks to keep its connection got the whole stream, but no end of it: neither a length, nor chunks, nor a close.

Cause: tornado sends chunks only to callers of HTTP/1.1, and keeps the connection if the request asks for that, whatever the response.

Evidence: tests/test_connection_ends, TestOldCallers. Before: the caller waited until the test's limit of 10 s with keep-alive; with close it passed. After: both passed.

The fix: a response to HTTP/1.0 without a length closes the connection.

--- a/src/cowsliprill/entry/response_writer.py
+++ b/src/cowsliprill/entry/response_writer.py
@@ -85,6 +85,7 @@
     def __init__(self, handler: web.RequestHandler) -> None:
         self._handler = handler
         self._ended = False
+        self._ends_with_connection = False
         self._stream = getattr(handler.request.connection, "stream", None)
         self.started = False
         self.request_id = ""
@@ -107,6 +108,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers, which are sent with the first chunk."""
         self.started = True
+        headers = tuple(headers)
         self._handler.clear()
         self._handler.set_status(status)
         self._handler.clear_header("Content-Type")
@@ -114,6 +116,12 @@
         for name, value in headers:
             if name.lower() != protocol.REQUEST_ID_HEADER.lower():
                 self._handler.add_header(name, value)
+        # Callers of HTTP/1.0 know no chunks: a body without a length ends with
+        # the connection, which tornado keeps if they ask for that.
+        self._ends_with_connection = (
+            self._handler.request.version == "HTTP/1.0"
+            and not any(name.lower() == "content-length" for name, _ in headers)
+        )
 
     async def write(self, chunk: bytes) -> None:
         """Writes a chunk of the body and waits until the socket accepts it.
@@ -145,6 +153,8 @@
         try:
             await self._handler.finish()
             self._ended = True
+            if self._ends_with_connection:
+                self.abort()
         except iostream.StreamClosedError as error:
             raise CallerDisconnected from error
 
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -321,6 +321,33 @@
         assert ends == {"malformed": 1}
 
 
+class TestOldCallers:
+    """Callers that speak HTTP/1.0."""
+
+    # Guards against a stream whose end a caller can't see: it has neither a
+    # length nor chunks, and the connection stays open.
+    @pytest.mark.parametrize("connection", [b"keep-alive", b"close"])
+    def test_stream_ends_with_its_connection(self, connection):
+        body = (
+            b'{"model": "brief", "prompt": "a", "max_tokens": 3,'
+            b' "stream": true}'
+        )
+        head = _head(
+            "POST",
+            "/v1/completions",
+            b"Connection: " + connection,
+            b"Content-Length: %d" % len(body),
+        ).replace(b"HTTP/1.1", b"HTTP/1.0")
+
+        async def scenario(_, caller):
+            await caller.send(head + body)
+            return await caller.read_all()
+
+        answer = _run(scenario)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert answer.endswith(b"data: [DONE]\n\n")
+
+
 class TestReasons:
     """The metric and the log tell who has closed a connection, and why."""
 
