--- a/src/cowsliprill/entry/caller_server.py
+++ b/src/cowsliprill/entry/caller_server.py
@@ -7,6 +7,8 @@
 from tornado import iostream
 
 from cowsliprill import graceful_server
+from cowsliprill.entry import caller_stream
+from cowsliprill.observability import metrics as metrics_lib
 
 # A connection that has been idle for long enough, but has unread data, is
 # checked again after this interval.
@@ -25,49 +27,84 @@
     """
 
     def initialize(
-        self, *args: Any, idle_timeout_s: float, **options: Any
+        self,
+        *args: Any,
+        idle_timeout_s: float,
+        metrics: metrics_lib.Metrics,
+        **options: Any,
     ) -> None:
         """Sets up the server; called by tornado in place of `__init__`.
 
         Args:
           *args: Arguments of `tornado.httpserver.HTTPServer`.
           idle_timeout_s: Initial value of the attribute.
+          metrics: Metrics that count how connections end.
           **options: Options of `tornado.httpserver.HTTPServer`.
         """
         super().initialize(*args, **options)
         self.conn_params.header_timeout = None
         self.idle_timeout_s = idle_timeout_s
-        self._idle_by_connection: dict[object, _IdleConnection] = {}
-
-    def start_request(
-        self, server_conn: object, request_conn: httputil.HTTPConnection
-    ) -> httputil.HTTPMessageDelegate:
-        """Starts to wait for the head of a request."""
-        delegate = super().start_request(server_conn, request_conn)
-        idle = _IdleConnection(self, request_conn.stream)
-        self._idle_by_connection[server_conn] = idle
-        return _RequestDelegate(delegate, idle)
+        self._metrics = metrics
+
+    def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
+        """Serves a new connection."""
+        recorded = caller_stream.CallerStream(
+            stream.socket,
+            self._count_end,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
+        )
+        super().handle_stream(recorded, address)
+
+    def _count_end(self, end: caller_stream.End) -> None:
+        self._metrics.caller_connections_closed.inc({"reason": end.value})
+
+    def create_request(
+        self,
+        delegate: httputil.HTTPMessageDelegate,
+        stream: caller_stream.CallerStream,
+    ) -> graceful_server.Request:
+        """Returns the record of the next request on a connection."""
+        return _CallerRequest(self, delegate, stream)
 
-    def on_close(self, server_conn: object) -> None:
-        """Forgets a closed connection."""
-        self._idle_by_connection.pop(server_conn).end()
-        super().on_close(server_conn)
+    def close_idle(self, stream: caller_stream.CallerStream) -> None:
+        """Closes an idle connection, because the process ends."""
+        stream.end = caller_stream.End.LEAVING
+        stream.close()
 
 
-class _IdleConnection:
-    """Closes a connection on which no request arrives in time."""
+class _CallerRequest(graceful_server.Request):
+    """Closes the connection if no request arrives in time."""
 
-    def __init__(self, server: CallerServer, stream: iostream.IOStream) -> None:
+    def __init__(
+        self,
+        server: CallerServer,
+        delegate: httputil.HTTPMessageDelegate,
+        stream: caller_stream.CallerStream,
+    ) -> None:
+        super().__init__(delegate, stream)
+        stream.expect_request()
         self._server = server
-        self._stream = stream
         self._loop = asyncio.get_running_loop()
         self._since = self._loop.time()
         self._check_in(server.idle_timeout_s)
 
     def end(self) -> None:
-        """Records that a request has begun or the connection is closed."""
         self._timer.cancel()
 
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Any:
+        self._timer.cancel()
+        self.stream.state = caller_stream.State.RECEIVING
+        return super().headers_received(start_line, headers)
+
+    def finish(self) -> None:
+        self.stream.state = caller_stream.State.RECEIVED
+        super().finish()
+
     def _check_in(self, delay_s: float) -> None:
         self._timer = self._loop.call_later(delay_s, self._check)
 
@@ -75,34 +112,8 @@
         idle_s = self._loop.time() - self._since
         if idle_s < self._server.idle_timeout_s:
             self._check_in(self._server.idle_timeout_s - idle_s)
-        elif graceful_server.has_received(self._stream):
+        elif graceful_server.has_received(self.stream):
             self._check_in(_RECHECK_INTERVAL_S)
         else:
-            self._stream.close()
-
-
-class _RequestDelegate(httputil.HTTPMessageDelegate):
-    """Passes a request on and tells when its head has been received."""
-
-    def __init__(
-        self, delegate: httputil.HTTPMessageDelegate, idle: _IdleConnection
-    ) -> None:
-        self._delegate = delegate
-        self._idle = idle
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> Any:
-        self._idle.end()
-        return self._delegate.headers_received(start_line, headers)
-
-    def data_received(self, chunk: bytes) -> Any:
-        return self._delegate.data_received(chunk)
-
-    def finish(self) -> None:
-        self._delegate.finish()
-
-    def on_connection_close(self) -> None:
-        self._delegate.on_connection_close()
+            self.stream.end = caller_stream.End.IDLE
+            self.stream.close()
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable
 
 from tornado import httputil
 from tornado import web
 
 from cowsliprill import peer_auth
 from cowsliprill.decisions import identity
+from cowsliprill.entry import caller_stream
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import gate as gate_lib
@@ -16,7 +18,8 @@
 from cowsliprill.entry import ticket_forwarding
 
 # A body above the limit is read and discarded up to this multiple of the limit,
-# so that its sender gets to read the 413; above, the connection is closed.
+# so that its sender may reuse the connection; above, the connection is closed
+# after the 413.
 _MAX_DISCARDED_BODY_RATIO = 4
 
 # The signature, and headers that HTTP clients add.
@@ -98,11 +101,9 @@
     def _check_size(self, size: int) -> errors.EntryError | None:
         return self._gate.check_body_size(size, self._limits)
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Buffers a chunk of the body, unless the request is refused."""
         self._received_bytes += len(chunk)
-        if self._received_bytes > self._max_discarded_bytes:
-            self.request.connection.stream.close()
         self._rejection = self._rejection or self._check_size(len(chunk))
         if self._received_bytes > self._limits.body_bytes:
             self._rejection = self._check_size(self._received_bytes)
@@ -110,6 +111,9 @@
             self._chunks.append(chunk)
             self._buffered_bytes += len(chunk)
             self._gate.buffered_bytes += len(chunk)
+        if self._received_bytes <= self._max_discarded_bytes or self._task:
+            return None
+        return self._serve()
 
     async def get(self, *_: str) -> None:
         """Serves the request."""
@@ -117,8 +121,18 @@
 
     head = post = put = patch = delete = options = get
 
+    def finish(
+        self, chunk: str | bytes | dict | None = None
+    ) -> asyncio.Future[None]:
+        """Finishes the response."""
+        stream = self.request.connection.stream
+        if isinstance(stream, caller_stream.CallerStream):
+            stream.answered = True
+        return super().finish(chunk)
+
     def on_connection_close(self) -> None:
         """Cancels the request of a caller that has disconnected."""
+        super().on_connection_close()
         if self._task is None:
             # The caller disconnected during its upload. Bytes that stayed
             # counted would add up until every request is refused as overload.
--- a/src/cowsliprill/graceful_server.py
+++ b/src/cowsliprill/graceful_server.py
@@ -46,7 +46,7 @@
         """
         super().initialize(*args, **options)
         self._listening: list[socket.socket] = []
-        self._request_by_connection: dict[object, _Request] = {}
+        self._request_by_connection: dict[object, Request] = {}
 
     def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
         """Serves connections to listening sockets."""
@@ -76,7 +76,7 @@
             if request.is_received
         }
         end = asyncio.get_running_loop().time() + timeout_s
-        while self._close_idle(served):
+        while self._close_idle_connections(served):
             if asyncio.get_running_loop().time() >= end:
                 return
             await asyncio.sleep(_POLL_INTERVAL_S)
@@ -85,18 +85,26 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Starts to wait for a request."""
-        request = _Request(
-            super().start_request(server_conn, request_conn),
-            request_conn.stream,
-        )
+        delegate = super().start_request(server_conn, request_conn)
+        request = self.create_request(delegate, request_conn.stream)
         self._request_by_connection[server_conn] = request
         return request
 
+    def create_request(
+        self, delegate: httputil.HTTPMessageDelegate, stream: iostream.IOStream
+    ) -> "Request":
+        """Returns the record of the next request on a connection."""
+        return Request(delegate, stream)
+
     def on_close(self, server_conn: object) -> None:
         """Forgets a closed connection."""
-        self._request_by_connection.pop(server_conn)
+        self._request_by_connection.pop(server_conn).end()
         super().on_close(server_conn)
 
+    def close_idle(self, stream: iostream.IOStream) -> None:
+        """Closes an idle connection, because the process ends."""
+        stream.close()
+
     def _accept_all(self, listening: socket.socket) -> None:
         while True:
             try:
@@ -117,7 +125,7 @@
             )
             self.handle_stream(stream, address)
 
-    def _close_idle(self, ignored: set["_Request"]) -> bool:
+    def _close_idle_connections(self, ignored: set["Request"]) -> bool:
         """Closes idle connections; returns whether others are left."""
         any_left = False
         for request in self._request_by_connection.values():
@@ -126,11 +134,11 @@
             if request.has_begun or has_received(request.stream):
                 any_left = True
             else:
-                request.stream.close()
+                self.close_idle(request.stream)
         return any_left
 
 
-class _Request(httputil.HTTPMessageDelegate):
+class Request(httputil.HTTPMessageDelegate):
     """Passes a request on and records how far it has been received.
 
     Attributes:
@@ -149,20 +157,27 @@
         self.has_begun = False
         self.is_received = False
 
+    def end(self) -> None:
+        """Called when the connection is closed."""
+
     def headers_received(
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> Any:
+        """Records and passes on the head of the request."""
         self.has_begun = True
         return self._delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Any:
+        """Passes on a chunk of the body."""
         return self._delegate.data_received(chunk)
 
     def finish(self) -> None:
+        """Records and passes on the end of the request."""
         self.is_received = True
         self._delegate.finish()
 
     def on_connection_close(self) -> None:
+        """Passes on that the connection was closed during the request."""
         self._delegate.on_connection_close()
