Count decode engines whose answers never end as failing

Cause: an attempt on a route that isn't resumable ends the request; the coordinator got a cancellation and no failure, so the engine stayed first choice. A stream that broke after its first event, and one that gave no output until the time limit, told it nothing either. Bytes that are no HTTP read as a lost connection or as a transfer that never ended.

Ruled out: the client (each of these calls ends, with bounded memory) and the ejection itself (the same failures on resumable routes eject the engine).

Conclusion: a failure that ends its request is reported before the cancellation. At the time limit the engine counts as failing only if it gave no output for longer than sound engines stand still, while the request waited for it and not for its caller. Nothing is ended sooner or run twice.

Callers saw: a 502 at once or a 504 after the whole time limit, again and again, with other engines free.

--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -3,6 +3,8 @@
 Each error records whether the endpoint executed the request, as far as known.
 """
 
+from tornado import iostream
+
 from cowsliprill import errors
 from cowsliprill.decisions import engine_silence
 from cowsliprill.decisions import messages
@@ -78,12 +80,21 @@
       message: Error message.
       cause: Error of the connection, None if the endpoint closed it.
     """
+    if isinstance(cause, iostream.UnsatisfiableReadError):
+        # The client has closed it.
+        return MalformedResponse(f"malformed response: {cause}")
     if isinstance(cause, TimeoutError):
         # The host stopped answering, so the endpoint has closed nothing.
         return CallError(message)
     return ConnectionLost(message)
 
 
+class MalformedResponse(CallError):  # noqa: N818
+    """The endpoint sent bytes that are no HTTP response."""
+
+    code = "malformed_answer"
+
+
 class CallTimeout(CallError):  # noqa: N818
     """The response exceeded the call timeout or the stall timeout."""
 
@@ -163,6 +174,7 @@
       reason: Why the stream is not complete.
       last_token: Number of the last token delivered.
       connection_lost: Whether the engine closed or reset the connection.
+      malformed: Whether the engine sent bytes that are no stream of events.
     """
 
     code = "stream_broken"
@@ -174,8 +186,10 @@
         reason: stream.StreamFault,
         last_token: int,
         connection_lost: bool = False,
+        malformed: bool = False,
     ) -> None:
         super().__init__(message)
+        self.malformed = malformed
         self.connection_lost = connection_lost
         self.reason = reason
         self.last_token = last_token
--- a/src/cowsliprill/engines/event_stream.py
+++ b/src/cowsliprill/engines/event_stream.py
@@ -14,6 +14,9 @@
 
 _EVENT_END = b"\n\n"
 _MAX_EVENT_BYTES = 1_048_576
+_MALFORMED_FAULTS = frozenset(
+    {stream_lib.StreamFault.MALFORMED, stream_lib.StreamFault.OUT_OF_ORDER}
+)
 _ID = re.compile(rb"^id:[ ]?([^\r\n]*)", re.MULTILINE)
 
 
@@ -151,6 +154,8 @@
             last_token=self.tokens,
             connection_lost=isinstance(error, errors.ConnectionLost)
             or self._is_lost_at_clean_close(reason, error),
+            malformed=reason in _MALFORMED_FAULTS
+            or isinstance(error, errors.MalformedResponse),
         )
 
 
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -427,8 +427,10 @@
                 errors.lost_connection(f"connection lost: {cause}", cause)
             )
         except iostream.UnsatisfiableReadError as error:
-            exchange.fail(errors.CallError(f"malformed response: {error}"))
-        exchange.fail(errors.CallError("malformed response"))
+            exchange.fail(
+                errors.MalformedResponse(f"malformed response: {error}")
+            )
+        exchange.fail(errors.MalformedResponse("malformed response"))
         if exchange.complete and _is_reusable(exchange, stream):
             self._add_idle(stream, address, _idle_timeout_s(exchange.headers))
         else:
--- a/src/cowsliprill/entry/attempts.py
+++ b/src/cowsliprill/entry/attempts.py
@@ -1,9 +1,43 @@
 """Exceptions for attempts at a request that failed without a response."""
 
+import dataclasses
+import math
+
 from cowsliprill.decisions import messages
 from cowsliprill.engines import service_client
 
 
+@dataclasses.dataclass(slots=True)
+class EngineWait:
+    """The wait for the output of an engine.
+
+    Attributes:
+      endpoint_id: ID of the engine.
+      stage: What the engine is to do.
+      max_s: How long a sound engine may take for it, in seconds.
+      begun_at: When the wait has begun in seconds, infinite while the request
+        waits for its caller.
+    """
+
+    endpoint_id: str
+    stage: messages.Stage
+    max_s: float
+    begun_at: float = math.inf
+
+    def failure(self, number: int, now: float) -> messages.AttemptFailed | None:
+        """Returns the failure of the engine, None if it may be sound.
+
+        Args:
+          number: Number of the request.
+          now: Current time in seconds.
+        """
+        if now - self.begun_at < self.max_s:
+            return None
+        return messages.AttemptFailed(
+            request_id=number, endpoint_id=self.endpoint_id, stage=self.stage
+        )
+
+
 class AttemptError(Exception):  # noqa: N818
     """Raised when an attempt failed in a way that may allow a retry.
 
@@ -22,6 +56,7 @@
       connection_lost: Whether the endpoint then closed the connection.
       had_output: Whether the endpoint had sent output of this attempt.
       silent: Whether the endpoint may still go on: its stream is held.
+      timed_out: Whether the time for the call was over.
       reason: One sentence for the log.
     """
 
@@ -41,8 +76,10 @@
         connection_lost: bool = False,
         had_output: bool = False,
         silent: bool = False,
+        timed_out: bool = False,
     ) -> None:
         super().__init__(reason)
+        self.timed_out = timed_out
         self.sent = sent
         self.connection_lost = connection_lost
         self.had_output = had_output
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -11,6 +11,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.engines import http_client
 from cowsliprill.engines import silence as silence_lib
+from cowsliprill.entry import attempts
 from cowsliprill.entry import errors
 from cowsliprill.entry import held_stream
 from cowsliprill.entry import relay_envelope
@@ -173,6 +174,8 @@
         attempt.
       exported_prefill: Exported KV cache of a finished prefill that no decode
         engine has fetched yet.
+      engine_wait: Wait for the output of the attempt's decode engine, None
+        before it has got the request.
       held: Stream whose engine is silent, kept until it or another engine goes
         on; set by the relay.
       idempotency_key: Idempotency key or ticket, empty for none; set by
@@ -215,6 +218,7 @@
     silence: silence_lib.SilencePolicy | None = None
     connection: http_client.Connection | None = None
     exported_prefill: Any = None
+    engine_wait: attempts.EngineWait | None = None
     held: held_stream.HeldStream | None = None
     idempotency_key: str = ""
     continues_after_disconnect: bool = False
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -97,6 +97,7 @@
         except TimeoutError as error:
             if not timeout.expired():
                 raise
+            self._report_wait(ctx)
             raise errors.EntryError(
                 errors.Code.TIMEOUT,
                 f"There was no answer within {left_s:.3f} s.",
@@ -356,13 +357,31 @@
         self, ctx: context.Context, lost: attempts.AttemptError
     ) -> None:
         may_have_executed = ctx.progress.run is messages.Executed.UNKNOWN
-        non_idempotent = model.Idempotency.NON_IDEMPOTENT
-        if may_have_executed and ctx.service.idempotency is non_idempotent:
+        if may_have_executed and _is_non_idempotent(ctx):
+            if lost.timed_out:
+                self._report_wait(ctx)
+            else:
+                self._post_failure(ctx, lost)
             raise errors.EntryError(
                 errors.Code.ENDPOINT_FAILED,
                 "The engines failed; the request may have been run.",
                 run=messages.Executed.UNKNOWN,
             ) from lost
+        self._post_failure(ctx, lost)
+
+    def _report_wait(self, ctx: context.Context) -> None:
+        """Reports an engine that gave no output until the time limit."""
+        # Other streams are watched for silence.
+        if ctx.engine_wait is None or not _is_non_idempotent(ctx):
+            return
+        failure = ctx.engine_wait.failure(ctx.number, clock.now())
+        if failure is not None:
+            self.scheduling.post(failure)
+
+    def _post_failure(
+        self, ctx: context.Context, lost: attempts.AttemptError
+    ) -> None:
+        may_have_executed = ctx.progress.run is messages.Executed.UNKNOWN
         self.scheduling.post(
             messages.AttemptFailed(
                 request_id=ctx.number,
@@ -387,6 +406,10 @@
     return True
 
 
+def _is_non_idempotent(ctx: context.Context) -> bool:
+    return ctx.service.idempotency is model.Idempotency.NON_IDEMPOTENT
+
+
 def _is_going_on(ctx: context.Context) -> bool:
     return ctx.held is not None and ctx.held.is_going_on
 
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -1,12 +1,15 @@
 """Runs one attempt at a model request: prefill, KV transfer, decode, relay."""
 
 import dataclasses
+import math
 from collections.abc import Callable
 from typing import Any
 
 from cowsliprill import clock
+from cowsliprill.decisions import engine_silence as silence_lib
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import stream as stream_lib
 from cowsliprill.engines import errors as engine_errors
 from cowsliprill.engines import protocol
 from cowsliprill.entry import attempts
@@ -213,6 +216,12 @@
                 else _first_answer_s(ctx, endpoint)
             )
             ctx.silence = self._watch(ctx, endpoint, first_answer_s)
+            ctx.engine_wait = attempts.EngineWait(
+                endpoint.id,
+                stage,
+                max(first_answer_s, silence_lib.STANDSTILL_MAX_S),
+                clock.now(),
+            )
             with self._guard_call(ctx, endpoint, stage) as call:
                 call.result = await self.calls.decode(
                     ctx, endpoint, prefilled, _remaining_time_s(ctx)
@@ -331,6 +340,7 @@
                     ) from broken
                 if ctx.progress.first_token_at:
                     # The scheduler starts no new attempt after a first token.
+                    self._report_broken(ctx, endpoint, broken)
                     self.log.warning(
                         "stream_broken",
                         request=ctx.request_id,
@@ -351,8 +361,32 @@
                     str(broken),
                     sent=True,
                     connection_lost=broken.connection_lost,
+                    timed_out=_is_stalled(broken),
                 ) from broken
 
+    def _report_broken(
+        self,
+        ctx: context.Context,
+        endpoint: model.Endpoint,
+        broken: engine_errors.StreamBroken,
+    ) -> None:
+        """Reports an engine that has broken its stream for good.
+
+        A lost connection doesn't tell whether the engine or the path failed.
+        """
+        if broken.malformed:
+            failure = messages.AttemptFailed(
+                request_id=ctx.number,
+                endpoint_id=endpoint.id,
+                stage=messages.Stage.DECODE,
+            )
+        elif _is_stalled(broken) and ctx.engine_wait is not None:
+            failure = ctx.engine_wait.failure(ctx.number, clock.now())
+        else:
+            return
+        if failure is not None:
+            self.scheduling.post(failure)
+
     async def _relay_events(
         self,
         ctx: context.Context,
@@ -364,6 +398,8 @@
     ) -> None:
         progress = ctx.progress
         reported_at = clock.now()
+        if ctx.engine_wait is not None:
+            ctx.engine_wait.stage = messages.Stage.DECODE
         async for events in stream:
             now = clock.now()
             if before_first_token:
@@ -391,9 +427,17 @@
         sink: sinks.Sink,
         events: bytes,
     ) -> None:
+        had_output = stream.tokens > ctx.progress.tokens
         ctx.progress.last_token_at = clock.now()
         ctx.progress.tokens = stream.tokens
+        wait = ctx.engine_wait
+        if wait is None or not had_output:
+            await sink.write_events(events)
+            return
+        wait.begun_at = math.inf
         await sink.write_events(events)
+        wait.max_s = silence_lib.STANDSTILL_MAX_S
+        wait.begun_at = clock.now()
 
     def _can_resume_elsewhere(
         self, ctx: context.Context, broken: engine_errors.StreamBroken
@@ -523,7 +567,11 @@
             refused=refused and error.code in _BUSY_CODES,
             unsent=isinstance(error, engine_errors.EndpointUnavailable),
             unreachable=isinstance(error, engine_errors.ConnectFailed),
-            answered=isinstance(error, engine_errors.EngineFailed),
+            answered=isinstance(
+                error,
+                engine_errors.EngineFailed | engine_errors.MalformedResponse,
+            ),
+            timed_out=isinstance(error, engine_errors.CallTimeout),
             sent=_was_sent(error),
             connection_lost=isinstance(error, engine_errors.ConnectionLost),
         ) from error
@@ -534,6 +582,10 @@
             self._ctx.progress.prefills -= 1
 
 
+def _is_stalled(broken: engine_errors.StreamBroken) -> bool:
+    return broken.reason is stream_lib.StreamFault.STALLED
+
+
 def _was_sent(error: engine_errors.CallError) -> bool:
     answered = isinstance(error, engine_errors.EngineFailed)
     return error.run is messages.Executed.UNKNOWN and not answered
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -246,6 +246,10 @@
       end_after_bytes: Number of bytes after which an unframed answer ends, -1
         for none.
       reset: Whether the connection is reset at the end of an unframed answer.
+      endless: What is sent in place of an answer: bytes that come first, bytes
+        that are repeated until the client closes, and the pause in seconds
+        before each repetition. The first may hold `{id}` for the lines that an
+        answer to the request must have. None for none.
       times: Number of requests affected, -1 for all.
     """
 
@@ -266,6 +270,7 @@
     unframed: bool = False
     end_after_bytes: int = -1
     reset: bool = False
+    endless: tuple[bytes, bytes, float] | None = None
     times: int = -1
 
 
@@ -444,6 +449,9 @@
         if faults.lose_response:
             request.connection.stream.close()
             return
+        if faults.endless is not None:
+            await self._send_without_end(*faults.endless)
+            return
         self.clear_header("Content-Type")
         if not faults.unsigned:
             self.set_header("Instance-Signature", f"sig-{engine.name}")
@@ -474,6 +482,21 @@
         head = "".join(f"{line}\r\n" for line in lines) + "\r\n"
         await self.request.connection.stream.write(head.encode() + body)
 
+    async def _send_without_end(
+        self, first: bytes, again: bytes, pause_s: float
+    ) -> None:
+        """Sends bytes that are no answer until the client closes."""
+        lines = (
+            f"Attempt-Id: {self.request.headers['Attempt-Id']}\r\n"
+            f"Instance-Signature: sig-{self.engine.name}\r\n"
+        )
+        connection = self.request.connection.stream
+        with contextlib.suppress(iostream.StreamClosedError):
+            await connection.write(first.replace(b"{id}", lines.encode()))
+            while True:
+                await asyncio.sleep(pause_s)
+                await connection.write(again)
+
     async def _end_unframed(self, body: bytes, faults: Faults) -> None:
         """Writes an unframed answer, or a part of it, and ends it."""
         if faults.end_after_bytes >= 0:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -153,3 +153,91 @@
             b"%d" % n for n in range(1, 7)
         ]
         assert runs == ["a1", "a1"]
+
+
+_ANSWER_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{id}"
+_CHUNKED_ANSWER = _ANSWER_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_EVENT = b"id: 1\ndata: t1\n\n"
+_CHUNKED_EVENT = b"%x\r\n%s\r\n" % (len(_EVENT), _EVENT)
+
+# What an engine sends in place of its stream, first and then again and again.
+_ENDLESS_STREAMS = {
+    "no HTTP": (b"", b"\x00\x17garbage"),
+    "a status line": (b"HTTP/1.1 2", b"0" * 64),
+    "a header line": (_ANSWER_HEAD + b"X-A: ", b"a" * 64),
+    "header lines": (_ANSWER_HEAD, b"X-A: b\r\n"),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "a chunk's size": (_CHUNKED_ANSWER, b"0"),
+    "a chunk's extension": (_CHUNKED_ANSWER + b"4;x=", b"y" * 64),
+    "a chunk": (_CHUNKED_ANSWER + b"ffffffff\r\n", b"z" * 64),
+    "chunks": (_CHUNKED_ANSWER, b"4\r\nabcd\r\n"),
+    "trailers": (_CHUNKED_ANSWER + b"4\r\nabcd\r\n0\r\n", b"X-A: b\r\n"),
+    "line breaks": (_CHUNKED_ANSWER, b"1\r\n\n\r\n"),
+    "comments": (_CHUNKED_ANSWER, b"3\r\n:\n\n\r\n"),
+    "a body without length": (_ANSWER_HEAD + b"\r\n", b"z" * 64),
+    "a chunk's size after an event": (_CHUNKED_ANSWER + _CHUNKED_EVENT, b"0"),
+    "chunks after an event": (
+        _CHUNKED_ANSWER + _CHUNKED_EVENT,
+        b"4\r\nabcd\r\n",
+    ),
+    "comments after an event": (
+        _CHUNKED_ANSWER + _CHUNKED_EVENT,
+        b"3\r\n:\n\n\r\n",
+    ),
+}
+_LATER_CALLERS = 6
+
+
+async def _call_to_the_end(site: platform_site.Site, number: int) -> bytes:
+    """Returns what a caller of a stream gets until it ends or breaks."""
+    got = b""
+    try:
+        response = await site.open(
+            platform_site.MODEL_PATH,
+            headers={"Deadline-Ms": "2000"},
+            attempt=f"a{number}",
+        )
+        async for chunk in response.chunks():
+            got += chunk
+    except errors.CallError:
+        pass
+    return got
+
+
+async def _meet(endless: tuple[bytes, bytes, float]) -> tuple[int, list[bytes]]:
+    """Has callers meet a decode engine whose answers never end.
+
+    Returns:
+      How many callers met it after the first one, and what these later callers
+      got.
+    """
+    async with platform_site.running() as site:
+        engine = site.engines["d0"]
+        engine.faults = platform_site.Faults(endless=endless)
+        number = 0
+        while not engine.runs:
+            await _call_to_the_end(site, number)
+            number += 1
+            assert number < 20
+        later = [
+            await _call_to_the_end(site, number + n)
+            for n in range(_LATER_CALLERS)
+        ]
+        runs = site.runs()
+        assert len(runs) == len(set(runs))
+        return len(engine.runs) - 1, later
+
+
+class TestEndlessStreams:
+    """Decode engines whose streams never end, without a way to resume them."""
+
+    # Guards against sending caller after caller to an engine that fails.
+    @pytest.mark.parametrize("pause_s", [0.0, 0.02])
+    @pytest.mark.parametrize("kind", _ENDLESS_STREAMS)
+    def test_later_callers_are_served_by_others(self, kind, pause_s):
+        first, again = _ENDLESS_STREAMS[kind]
+        again = again[:16] if pause_s else again * 1_000
+        met, later = asyncio.run(_meet((first, again, pause_s)))
+        assert met <= 1
+        whole = [got for got in later if got == platform_site.stream()]
+        assert len(whole) >= _LATER_CALLERS - met
