Try another server when a plain answer only trickles

Cause: each byte of a body counted as a sign of life, so an idempotent call waited for line breaks, comments or other small chunks without end until its time limit, and the server didn't count as failing.

Ruled out: fast endless bodies (ended by their size) and heads (no byte of them counts).

Before: 5 of 5 new tests failed, the call that met the server got a 502 after its whole time limit. After: 5 of 5 pass; the call is served by another server after the time that a silent server gets, 1.5 times its target, and two later calls don't meet the first one. A long answer that goes on at 10 KB/s is read. test_http_client, test_plain_call_outcomes, test_service_client, test_platform, test_engine_silence, test_event_stream pass.

Conclusion: a body makes progress by each KiB of it. A last attempt waits to its time limit as before.

Callers saw: a 502 at the time limit with a sound server free.

--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -15,6 +15,8 @@
 # Reading from the socket pauses while this much data is unread, so that TCP
 # flow control slows the sender down to the pace of the reader.
 _MAX_BUFFERED_BYTES = 65_536
+# Part of a body that shows that its sender makes progress.
+_PROGRESS_MIN_BYTES = 1_024
 # Time for the body to end after `release`.
 _RELEASE_TIMEOUT_S = 1.0
 # A timer that fires later than this shows that this process stood still.
@@ -77,6 +79,9 @@
     async def read(self, limit: int) -> bytes:
         """Reads the complete body.
 
+        A trickle of bytes counts as silence: endpoints may send line breaks or
+        comments without end in place of an answer.
+
         Args:
           limit: Maximum size of the body in bytes.
 
@@ -88,10 +93,14 @@
           errors.CallError: As for `chunks`.
         """
         chunks = []
-        size = 0
+        size = progress_size = 0
+        self.expect_progress()
         try:
             async for chunk in self.chunks():
                 size += len(chunk)
+                if size - progress_size >= _PROGRESS_MIN_BYTES:
+                    progress_size = size
+                    self.report_progress()
                 if size > limit:
                     raise errors.ResponseTooLarge(
                         f"response body exceeds {limit} bytes"
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 from cowsliprill.engines import errors
 from cowsliprill.engines import event_stream
 from cowsliprill.engines import http_client
+from cowsliprill.engines import silence
 
 _TIMEOUT_S = 0.4
 _BODY_LIMIT = 1 << 20
@@ -186,6 +187,16 @@
     ),
 }
 _LATER_CALLERS = 6
+_ENDLESS_BODIES = {
+    kind: _ENDLESS_STREAMS[kind]
+    for kind in (
+        "a chunk",
+        "chunks",
+        "line breaks",
+        "comments",
+        "a body without length",
+    )
+}
 
 
 async def _call_to_the_end(site: platform_site.Site, number: int) -> bytes:
@@ -236,8 +247,116 @@
     @pytest.mark.parametrize("kind", _ENDLESS_STREAMS)
     def test_later_callers_are_served_by_others(self, kind, pause_s):
         first, again = _ENDLESS_STREAMS[kind]
-        again = again[:16] if pause_s else again * 1_000
+        again = again if pause_s else again * 1_000
         met, later = asyncio.run(_meet((first, again, pause_s)))
         assert met <= 1
         whole = [got for got in later if got == platform_site.stream()]
         assert len(whole) >= _LATER_CALLERS - met
+
+    # Guards against taking engines that are slow or pause for failing ones.
+    @pytest.mark.parametrize("interval_s", [0.5, 1.0])
+    def test_slow_engine_is_not_blamed_at_the_time_limit(self, interval_s):
+        async def scenario():
+            async with platform_site.running() as site:
+                for name in ("d0", "d1"):
+                    site.engines[name].event_interval_s = interval_s
+                got = await _call_to_the_end(site, 0)
+                # The coordinator gets the end of the call a moment later.
+                await asyncio.sleep(0.2)
+                return got, _ejected(site)
+
+        got, ejected = asyncio.run(scenario())
+        assert got.startswith(_EVENT)
+        assert got != platform_site.stream()
+        assert not ejected
+
+
+def _ejected(site: platform_site.Site) -> set[str]:
+    """Returns the engines that get no requests for now, at any coordinator."""
+    return {
+        engine
+        for router in site.routers
+        for load in router._pool_schedulers.loads().values()
+        for engine in load.ejected.split(",")
+        if engine
+    }
+
+
+async def _call_beside(
+    endless: tuple[bytes, bytes, float],
+) -> tuple[list[int], int]:
+    """Calls a plain service of which one server's answers never end.
+
+    Returns:
+      The statuses of the first call that met the server and of two later ones,
+      and how many calls met it.
+    """
+    document = platform_site.config(2)
+    for route in document["routes"]:
+        route["sloMs"] = 400
+    async with platform_site.running() as site:
+        await site.store.put("op/config", document)
+        await platform_site.until(
+            lambda: "settings_in_force version=2" in site.logs[0].getvalue()
+        )
+        server = site.engines["s0"]
+        server.faults = platform_site.Faults(endless=endless)
+        statuses = []
+        number = 0
+        while not server.runs:
+            statuses = [await _call_plain(site, number)]
+            number += 1
+            assert number < 20
+        statuses += [await _call_plain(site, number + n) for n in range(2)]
+        return statuses, len(server.runs)
+
+
+async def _call_plain(site: platform_site.Site, number: int) -> int:
+    status, _, _ = await site.call(
+        platform_site.SAFE_PATH,
+        headers={"Deadline-Ms": "2000"},
+        attempt=f"a{number}",
+    )
+    return status
+
+
+class TestEndlessPlainAnswers:
+    """Servers of plain services whose answers never end."""
+
+    # Guards against idempotent calls that wait for an answer without end.
+    @pytest.mark.parametrize("kind", _ENDLESS_BODIES)
+    def test_idempotent_calls_go_to_another_server(self, kind):
+        first, again = _ENDLESS_BODIES[kind]
+        statuses, met = asyncio.run(_call_beside((first, again[:16], 0.02)))
+        assert statuses == [200, 200, 200]
+        assert met == 1
+
+    # Guards against leaving a server whose long answer goes on.
+    def test_long_answer_that_goes_on_is_read(self):
+        part = b"x" * 512
+
+        async def script(connection: raw_endpoint.Connection) -> None:
+            await connection.run()
+            await connection.send(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 10240\r\n\r\n"
+            )
+            for _ in range(20):
+                await asyncio.sleep(0.05)
+                await connection.send(part)
+
+        async def scenario() -> bytes:
+            client = http_client.HttpClient()
+            async with raw_endpoint.RawEndpoint(script) as endpoint:
+                response = await client.call(
+                    "127.0.0.1",
+                    endpoint.port,
+                    "GET",
+                    "/",
+                    {},
+                    silence=silence.FixedTimeout(0.6),
+                )
+                body = await response.read(_BODY_LIMIT)
+            client.close()
+            return body
+
+        assert asyncio.run(scenario()) == part * 20
