Wait for requests that are still being received when a process drains

What callers saw: a request whose body was under way when the last of the others ended got neither an answer nor a refusal from a process that was stopped; its last bytes met a closed connection.

Cause: a drain waited for requests that are served. One that is still received isn't served yet, so the process took itself for idle and went on to exit. At the drain limit such a request wasn't refused either.

Evidence: tests/test_connection_ends, TestProcessEnd, two tests. Before: 2 failed (the process had stopped; the caller waited until the test's limit of 10 s). After: 2 passed, 200 and 503 leaving with run no.

The fix: requests that are being received count as in flight. At the drain limit they are refused, and what still arrives is discarded. Cost: a caller that never ends its body delays the exit to the drain limit.

--- a/src/cowsliprill/entry/gate.py
+++ b/src/cowsliprill/entry/gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Callable
 
 from cowsliprill import clock
 from cowsliprill.decisions import identity
@@ -13,6 +14,7 @@
 
 _MAX_BUFFERED_BYTES = 16_777_216
 _RETRY_AFTER_S = 1.0
+_UPLOAD_CHECK_S = 0.01
 
 
 def cancel(task: asyncio.Task) -> None:
@@ -38,6 +40,8 @@
       closed: Whether new requests are refused.
       buffered_bytes: Total size of the request bodies in memory.
       tasks: Contexts of the requests in flight by the tasks that serve them.
+      uploads: For each request that is still being received, the function that
+        refuses it.
     """
 
     incarnation: identity.Incarnation
@@ -48,6 +52,7 @@
     tasks: dict[asyncio.Task, context.Context] = dataclasses.field(
         default_factory=dict
     )
+    uploads: set[Callable[[], None]] = dataclasses.field(default_factory=set)
     _next_number: int = 0
 
     @property
@@ -90,32 +95,38 @@
         return task
 
     async def wait_until_idle(self, timeout_s: float) -> int:
-        """Waits until no request is in flight.
+        """Waits until no request is in flight or being received.
 
         Args:
           timeout_s: Timeout in seconds.
 
         Returns:
-          Number of requests that are still in flight.
+          Number of requests that still are.
         """
         try:
             async with asyncio.timeout(timeout_s):
-                while self.tasks:
-                    await asyncio.wait(self.tasks)
+                while self.tasks or self.uploads:
+                    if self.tasks:
+                        await asyncio.wait(self.tasks)
+                    else:
+                        await asyncio.sleep(_UPLOAD_CHECK_S)
         except TimeoutError:
             pass
-        return len(self.tasks)
+        return len(self.tasks) + len(self.uploads)
 
     def interrupt_all(self) -> None:
         """Ends all requests in flight, because the process ends.
 
         Requests without a response get an error that tells whether they were
-        run. A response that has begun is left without its proper end, so that
+        run, and requests that are still being received are refused. A response
+        that has begun is left without its proper end, so that
         the caller sees that it is truncated.
         """
         for task, ctx in list(self.tasks.items()):
             ctx.is_interrupted = True
             cancel(task)
+        for refuse in list(self.uploads):
+            refuse()
 
     def abort_all(self) -> None:
         """Closes the connections of all requests in flight."""
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -88,6 +88,8 @@
             self._rejection = self._rejection or self._check_size(int(length))
             if int(length) > self._max_discarded_bytes:
                 await self._serve()
+        if self._task is None:
+            self._gate.uploads.add(self._refuse_upload)
 
     @property
     def _envelope_bytes(self) -> int:
@@ -137,6 +139,7 @@
             # The caller disconnected during its upload. Bytes that stayed
             # counted would add up until every request is refused as overload.
             self._release_body()
+            self._gate.uploads.discard(self._refuse_upload)
         elif not self._ctx.continues_after_disconnect:
             gate_lib.cancel(self._task)
 
@@ -153,11 +156,8 @@
         )
 
     async def _serve(self) -> None:
-        body = b"".join(self._chunks)
-        response_writer = response_writer_lib.HttpResponseWriter(self)
-        self._ctx = self._gate.create_context(self.call(body), response_writer)
-        response_writer.request_id = self._ctx.request_id
-        self._task = self._gate.run(self._handle, self._ctx)
+        if self._task is None:
+            self._start()
         try:
             await asyncio.wait([self._task])
         finally:
@@ -166,6 +166,20 @@
             # The error that ended the request couldn't be sent.
             self.send_error()
 
+    def _start(self) -> None:
+        self._gate.uploads.discard(self._refuse_upload)
+        body = b"".join(self._chunks)
+        response_writer = response_writer_lib.HttpResponseWriter(self)
+        self._ctx = self._gate.create_context(self.call(body), response_writer)
+        response_writer.request_id = self._ctx.request_id
+        self._task = self._gate.run(self._handle, self._ctx)
+
+    def _refuse_upload(self) -> None:
+        """Refuses a request that the process can't wait for."""
+        self._rejection = errors.leaving()
+        self._start()
+        self._release_body()
+
     def _release_body(self) -> None:
         self._chunks.clear()
         self._gate.buffered_bytes -= self._buffered_bytes
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -54,6 +54,9 @@
     return start + _AUTHORIZATION + fields + b"\r\n"
 
 
+_UPLOAD = _head("POST", "/services/lookup/a", b"Content-Length: 2") + b"a"
+
+
 def _set_limits(site: entry_site.Site, **limits: int) -> None:
     snapshot = site.snapshot()
     changed = dataclasses.replace(snapshot.limits, **limits)
@@ -202,6 +205,37 @@
 
         assert asyncio.run(scenario()) == [200, 200, 200]
 
+    # Guards against a reset of a request that is still being received when no
+    # other is in flight: the process took itself for idle.
+    def test_drain_waits_for_requests_that_are_being_received(self):
+        async def scenario():
+            async with entry_site.running() as site:
+                caller = await _Caller.connect(site)
+                await caller.send(_UPLOAD)
+                await _until_read(site, 1)
+                site.entries[0].shell.stop()
+                await entry_site.until(lambda: site.status()["draining"])
+                await asyncio.sleep(0.05)
+                assert "event=stopped" not in site.logs[0].getvalue()
+                await caller.send(b"b")
+                return await caller.read_status()
+
+        assert asyncio.run(scenario()) == 200
+
+    def test_request_not_received_by_the_drain_limit_is_refused(self):
+        async def scenario():
+            async with entry_site.running(drain_limit_s=0.05) as site:
+                caller = await _Caller.connect(site)
+                await caller.send(_UPLOAD)
+                await _until_read(site, 1)
+                site.entries[0].shell.stop()
+                answer = await caller.read_all()
+                return answer, _last_request(site)
+
+        answer, fields = asyncio.run(scenario())
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert (fields["outcome"], fields["run"]) == ("leaving", "no")
+
     # Guards against a connection that is closed after `Connection: close`
     # while its caller's next request is under way.
     def test_connection_stays_readable_while_draining(self):
