--- a/src/cowsliprill/entry/response_writer.py
+++ b/src/cowsliprill/entry/response_writer.py
@@ -140,9 +140,6 @@
             await self._handler.flush()
         except iostream.StreamClosedError as error:
             raise CallerDisconnected from error
-        # tornado reports a write that ended with the connection as done.
-        if caller_stream.is_cut(self._stream):
-            raise CallerDisconnected
 
     async def end(self) -> None:
         """Finishes a complete response.
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -9,6 +9,8 @@
 
 from cowsliprill.entry import errors
 from cowsliprill.entry import gate as gate_lib
+from cowsliprill.entry import local_responses
+from cowsliprill.entry import response_writer
 
 _AUTHORIZATION = (
     f"Authorization: Bearer {entry_site.KEYS['umurongo/amahoro']}\r\n".encode()
@@ -42,9 +44,13 @@
         """Returns the headers that are left of a response."""
         return await asyncio.wait_for(self._reader.readuntil(b"\r\n\r\n"), 10)
 
+    async def read_line(self) -> bytes:
+        """Returns the next line, none once the connection has ended."""
+        return await asyncio.wait_for(self._reader.readline(), 10)
+
     async def read_status(self) -> int:
         """Returns the status of the next response, 0 if there is none."""
-        line = await asyncio.wait_for(self._reader.readline(), 10)
+        line = await self.read_line()
         return int(line.split()[1]) if line else 0
 
 
@@ -205,6 +211,28 @@
 
         assert asyncio.run(scenario()) == [200, 200, 200]
 
+    def test_request_after_the_notice_is_refused(self):
+        async def scenario():
+            async with entry_site.running() as site:
+                kept = await _Caller.connect(site)
+                await kept.send(_head("GET", "/v1/models"))
+                assert await kept.read_status() == 200
+                other = await _Caller.connect(site)
+                await other.send(_UPLOAD)
+                await _until_read(site, 1)
+                gate = site.entries[0]._gate  # noqa: SLF001
+                site.entries[0].shell.stop()
+                await entry_site.until(lambda: gate.closed)
+                await kept.send(_head("GET", "/v1/models", b"X-Last: 1"))
+                await other.send(b"b")
+                answers = await kept.read_all()
+                return answers, _ends(site)
+
+        answers, ends = asyncio.run(scenario())
+        assert answers.count(b"HTTP/1.1 503 ") == 1
+        assert b'"leaving"' in answers
+        assert ends == {"leaving": 2}
+
     # Guards against a reset of a request that is still being received when no
     # other is in flight: the process took itself for idle.
     def test_drain_waits_for_requests_that_are_being_received(self):
@@ -355,6 +383,58 @@
         assert ends == {"malformed": 1}
 
 
+class TestOtherCallers:
+    """Callers that use less common parts of HTTP."""
+
+    def test_caller_that_waits_for_continue(self):
+        async def scenario(_, caller):
+            await caller.send(
+                _head(
+                    "POST",
+                    "/services/lookup/a",
+                    b"Content-Length: 1",
+                    b"Expect: 100-continue",
+                )
+            )
+            interim = await caller.read_status()
+            await caller.read_line()
+            await caller.send(b"a")
+            return interim, await caller.read_status()
+
+        assert _run(scenario) == (100, 200)
+
+    def test_unknown_method(self):
+        async def scenario(_, caller):
+            await caller.send(_head("BREW", "/services/lookup/a"))
+            return await caller.read_status()
+
+        assert _run(scenario) == 405
+
+    # Guards against an answer that is logged as completed although its caller
+    # closed the connection before all of it was sent.
+    def test_caller_that_leaves_before_the_last_bytes(self, monkeypatch):
+        async def send(ctx):
+            await response_writer.send(
+                ctx.response_writer, 200, (), b"a" * 50_000_000
+            )
+
+        async def scenario():
+            monkeypatch.setattr(local_responses, "list_models", send)
+            async with entry_site.running() as site:
+                caller = await _Caller.connect(site)
+                await caller.send(_head("GET", "/v1/models"))
+                assert await caller.read_status() == 200
+                caller.writer.transport.abort()
+                ends = await _until_ended(site)
+                await entry_site.until(lambda: site.status()["requests"] == 0)
+                return ends, _last_request(site)
+
+        ends, fields = asyncio.run(scenario())
+        assert ends == {"caller_left_answer": 1}
+        assert fields["outcome"] == "caller_gone"
+        assert fields["closed_by"] == "caller"
+
+
 class TestOldCallers:
     """Callers that speak HTTP/1.0."""
 
