--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -309,6 +309,24 @@
         assert "event=internal_error" in log
         assert "event=request_ended" in log
 
+    # Guards against a bare close of a request whose limits became smaller while
+    # its head was received: the new limits explain its answer.
+    @pytest.mark.parametrize(
+        ("limits", "status"),
+        [({"header_bytes": 10}, 431), ({"body_bytes": 10}, 413)],
+    )
+    def test_limits_at_the_end_of_the_head_hold(self, limits, status):
+        head = _head("POST", "/services/lookup/a", b"Content-Length: 25000")
+
+        async def scenario(site, caller):
+            await caller.send(head[:-4])
+            await asyncio.sleep(0)
+            _set_limits(site, **limits)
+            await caller.send(head[-4:] + b"a" * 25_000)
+            return await caller.read_status()
+
+        assert _run(scenario) == status
+
 
 class TestRequestsNotReadToTheirEnd:
     """A request is refused before it has been received."""
@@ -477,6 +495,18 @@
 
         assert _run(scenario) == {"answered": 1}
 
+    def test_connection_that_is_idle_for_too_long(self):
+        async def scenario(site, caller):
+            snapshot = site.snapshot()
+            limits = dataclasses.replace(snapshot.limits, idle_timeout_s=0.01)
+            site.publish(dataclasses.replace(snapshot, limits=limits))
+            other = await _Caller.connect(site)
+            await other.send(b"GET /v1/mod")
+            assert await other.read_all() == b""
+            return await _until_ended(site)
+
+        assert _run(scenario) == {"idle": 1}
+
     def test_caller_that_leaves_during_its_request(self):
         async def scenario(site, caller):
             await caller.send(
