Bound the head of a request by its own timeout, not by the idle time

What callers saw: a request whose head came in two parts met a closed connection between them, though its caller had begun it within the idle time.

Cause: the idle time ran on while a head arrived, and the configuration's time for a head was read and used nowhere.

Evidence: test_config_changes TestArrivingHeads failed before, passes now; so does the test of a head that stays incomplete, with its own limit.

An incomplete head is closed at the time for heads; the test of the idle time now sends nothing, and has a second case for heads.

--- a/src/cowsliprill/entry/caller_server.py
+++ b/src/cowsliprill/entry/caller_server.py
@@ -7,11 +7,12 @@
 from tornado import iostream
 
 from cowsliprill import graceful_server
+from cowsliprill.decisions import model
 from cowsliprill.entry import caller_stream
 from cowsliprill.observability import metrics as metrics_lib
 
-# A connection that has been idle for long enough, but has unread data, is
-# checked again after this interval.
+# Connections are checked no more often than this, also one that is due and has
+# unread data.
 _RECHECK_INTERVAL_S = 0.05
 
 
@@ -22,14 +23,14 @@
     received on it, if both become due while the event loop is busy.
 
     Attributes:
-      idle_timeout_s: How long a connection may wait for the head of the next
-        request, in seconds. A change also holds for connections that wait.
+      limits: How long a connection may be idle, and a head may take. A change
+        also holds for connections that wait.
     """
 
     def initialize(
         self,
         *args: Any,
-        idle_timeout_s: float,
+        limits: model.HttpLimits,
         metrics: metrics_lib.Metrics,
         **options: Any,
     ) -> None:
@@ -37,13 +38,13 @@
 
         Args:
           *args: Arguments of `tornado.httpserver.HTTPServer`.
-          idle_timeout_s: Initial value of the attribute.
+          limits: Initial value of the attribute.
           metrics: Metrics that count how connections end.
           **options: Options of `tornado.httpserver.HTTPServer`.
         """
         super().initialize(*args, **options)
         self.conn_params.header_timeout = None
-        self.idle_timeout_s = idle_timeout_s
+        self.limits = limits
         self._metrics = metrics
 
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
@@ -87,7 +88,7 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._since = self._loop.time()
-        self._check_in(server.idle_timeout_s)
+        self._check_again(server.limits.idle_timeout_s)
 
     def end(self) -> None:
         self._timer.cancel()
@@ -105,15 +106,25 @@
         self.stream.state = caller_stream.State.RECEIVED
         super().finish()
 
-    def _check_in(self, delay_s: float) -> None:
-        self._timer = self._loop.call_later(delay_s, self._check)
+    def _check_again(self, left_s: float) -> None:
+        """Checks again when the time left is over, or that of a head may be."""
+        delay_s = min(left_s, self._server.limits.header_timeout_s)
+        self._timer = self._loop.call_later(
+            max(delay_s, _RECHECK_INTERVAL_S), self._check
+        )
 
     def _check(self) -> None:
-        idle_s = self._loop.time() - self._since
-        if idle_s < self._server.idle_timeout_s:
-            self._check_in(self._server.idle_timeout_s - idle_s)
+        left_s = self._due_at() - self._loop.time()
+        if left_s > 0:
+            self._check_again(left_s)
         elif graceful_server.has_received(self.stream):
-            self._check_in(_RECHECK_INTERVAL_S)
+            self._check_again(_RECHECK_INTERVAL_S)
         else:
             self.stream.end = caller_stream.End.IDLE
             self.stream.close()
+
+    def _due_at(self) -> float:
+        limits = self._server.limits
+        if self.stream.head_begun_at is None:
+            return self._since + limits.idle_timeout_s
+        return self.stream.head_begun_at + limits.header_timeout_s
--- a/src/cowsliprill/entry/caller_stream.py
+++ b/src/cowsliprill/entry/caller_stream.py
@@ -47,6 +47,8 @@
       answered: Whether the response to it has been handed to the stream.
       closed_by_caller: Whether the caller has closed the connection.
       cut: Whether the connection was closed before all data was sent.
+      head_begun_at: Time of the event loop at which the head of the current
+        request began to arrive, in seconds; None before.
       end: Why this process closes the connection, if that isn't plain from the
         state.
     """
@@ -70,6 +72,7 @@
         self.answered = False
         self.closed_by_caller = False
         self.cut = False
+        self.head_begun_at: float | None = None
         self.end: End | None = None
         self._on_end = on_end
 
@@ -77,12 +80,15 @@
         """Records that the next request may arrive."""
         self.state = State.IDLE
         self.answered = False
+        self.head_begun_at = None
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads from the socket; tornado closes the stream if it returns 0."""
         size = super().read_from_fd(buf)
         if size == 0:
             self.closed_by_caller = True
+        elif size and self.state is State.IDLE and self.head_begun_at is None:
+            self.head_begun_at = asyncio.get_running_loop().time()
         return size
 
     def close_fd(self) -> None:
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -292,7 +292,7 @@
         ticket_store.port = self.shell.port
         self._public_server = caller_server.CallerServer(
             self._dialect.application(self._gate, components),
-            idle_timeout_s=self._source.snapshot.limits.idle_timeout_s,
+            limits=self._source.snapshot.limits,
             metrics=self._metrics,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
@@ -407,7 +407,7 @@
         self._outlier_detector.retain(snapshot.endpoints_by_id.keys())
         self._metrics.revision.set({}, snapshot.revision)
         if self._public_server is not None:
-            self._public_server.idle_timeout_s = snapshot.limits.idle_timeout_s
+            self._public_server.limits = snapshot.limits
         self._notify_scheduler()
 
     def _apply_availability(self) -> None:
