Test: no fixed time for streams that go on elsewhere

Cause: the test of hanging streams asked whether all had gone on 2.6 s after they hung, which a busy machine may miss. Replaced by the end of the answers themselves: without a break a stream that stays is cut at its time limit of 8 s, so the test is as strict.

--- a/tests/test_engine_silence.py
+++ b/tests/test_engine_silence.py
@@ -232,18 +232,13 @@
                 site, pause_after_events=_EVENTS_BEFORE
             )
             rests = asyncio.gather(*map(_rest, responses.values()))
-            await asyncio.sleep(2 * _STANDSTILL_S)
-            ended = rests.done()
             if breaks:
+                await asyncio.sleep(2 * _STANDSTILL_S)
                 for name in _DECODES:
                     site.engines[name].cut.set()
-            return ended, await rests, sorted(site.runs())
+            return await rests, sorted(site.runs())
 
-        assert _on_site(scenario) == (
-            True,
-            [_REST] * 2,
-            ["a0", "a0", "a1", "a1"],
-        )
+        assert _on_site(scenario) == ([_REST] * 2, ["a0", "a0", "a1", "a1"])
 
 
 def _decodes(site, attempt):
