--- a/tests/test_config_changes.py
+++ b/tests/test_config_changes.py
@@ -14,6 +14,7 @@
 import partition as partition_lib
 import platform_site
 import raw_caller
+from cowsliprill.rate_limiting import permit_client
 
 _SAFE = platform_site.SAFE_PATH
 _UNSAFE = platform_site.UNSAFE_PATH
@@ -23,6 +24,16 @@
 _ENGINES = ("p0", "p1", "d0", "d1")
 _SERVERS = ("s0", "s1")
 _BODY = b"a" * 3_000
+_TENANTS = [
+    {
+        "name": "firm",
+        "apiKeys": ["k1"],
+        "priority": 1,
+        "ratePerS": 1_000,
+        "burst": 1_000,
+    }
+]
+_KEY = "Bearer k1"
 
 
 def _run(scenario, routers: int = 1, **fields):
@@ -201,11 +212,39 @@
     site.stand_still("d0", "d1")
     callers = [_caller(site), _caller(site)]
     for number, caller in enumerate(callers):
-        await caller.send(raw_caller.request(_MODEL, f"other{number}"))
+        await caller.send(
+            raw_caller.request(_MODEL, f"other{number}", Authorization=_KEY)
+        )
     await platform_site.until(lambda: _requests(site, "d0", "d1") == 2)
     return callers
 
 
+async def _begin_wait_for_permit(site: platform_site.Site) -> None:
+    """Has a permit come once the servers go on."""
+    permits = site.routers[0]._entry.rate_limits.permits
+
+    async def acquire(ctx, endpoints, max_wait_s):
+        await site.engines["s0"].awake.wait()
+        return permit_client.Permit(endpoint_id=endpoints[0].id)
+
+    site.stand_still(*_SERVERS)
+    permits.is_limited = lambda _: True
+    permits.acquire = acquire
+
+
+async def _begin_wait_for_quota(site: platform_site.Site) -> None:
+    """Has the verdict of the quota's owner come once the servers go on."""
+    quotas = site.routers[0]._quotas
+    admit = quotas.admit
+
+    async def admit_later(*args):
+        await site.engines["s0"].awake.wait()
+        return await admit(*args)
+
+    site.stand_still(*_SERVERS)
+    quotas.admit = admit_later
+
+
 async def _begin_relay(site: platform_site.Site) -> None:
     """Cuts a router off from all engines."""
     addresses = [
@@ -239,6 +278,10 @@
     routers: int = 1
 
 
+def _is_one_in_flight(site: platform_site.Site) -> bool:
+    return site.routers[0].status()["requests"] == 1
+
+
 def _is_held(site: platform_site.Site) -> bool:
     return "event=engine_silent " in site.logs[0].getvalue()
 
@@ -264,6 +307,8 @@
         _STREAMS,
         lambda site: site.routers[0].status()["requests"] == 3,
     ),
+    "permit": _State(_begin_wait_for_permit, _CALLS, _is_one_in_flight),
+    "quota": _State(_begin_wait_for_quota, _ALL_PATHS, _is_one_in_flight),
     "relayed": _State(
         _begin_relay,
         (*_CALLS, *_STREAMS),
@@ -344,14 +389,19 @@
         async def scenario(site):
             if wanted.routers > 1:
                 await site.until_routers_are_live()
+            first = platform_site.config(2, tenants=_TENANTS)
+            await _publish(site, first)
             others = await wanted.begin(site)
             caller = _caller(site)
-            await caller.send(raw_caller.request(path, "a1"))
+            await caller.send(
+                raw_caller.request(path, "a1", Authorization=_KEY)
+            )
             await platform_site.until(lambda: wanted.reached(site))
             for engine in site.engines.values():
                 engine.faults.stand_still_after_events = 0
-            for version, change in enumerate(_CHANGES.values(), start=2):
-                await _publish(site, {**change(path), "version": version})
+            for version, change in enumerate(_CHANGES.values(), start=3):
+                config = {**change(path), "version": version}
+                await _publish(site, {**config, "tenants": _TENANTS})
             site.wake()
             answer = await caller.receive()
             for other in others or ():
