--- a/tests/test_config_change_soak.py
+++ b/tests/test_config_change_soak.py
@@ -9,6 +9,7 @@
 import copy
 import dataclasses
 import random
+import re
 import sys
 import weakref
 from typing import Any
@@ -287,6 +288,7 @@
             name = f"r-{path.strip('/')}"
             routes.append({**routes[like], "name": name, "pathPrefix": path})
         self._all = copy.deepcopy(routes)
+        self._by_version = {1: self.config}
         self.config["services"].append(
             {"name": "desk2", "healthPath": "/healthz"}
         )
@@ -308,13 +310,19 @@
     def idle_s(self) -> float:
         return self.config["limits"]["idleTimeoutMs"] / 1_000
 
-    def time_limit_s(self, path: str) -> float:
-        """Returns the time limit of a route, infinite without the route."""
+    def time_limit_s(self, path: str, since: int) -> float:
+        """Returns the shortest time limit of a route, infinite without it.
+
+        Args:
+          path: Path of the route.
+          since: First version that a router may go by.
+        """
         return min(
             (
                 route["timeoutMs"] / 1_000
-                for route in self.config["routes"]
-                if route["pathPrefix"] == path
+                for version, config in self._by_version.items()
+                for route in config["routes"]
+                if version >= since and route["pathPrefix"] == path
             ),
             default=float("inf"),
         )
@@ -325,6 +333,7 @@
         self.config["version"] += 1
         change = self._rng.choice(self._changes)
         change()
+        self._by_version[self.config["version"]] = self.config
         return f"{self.config['version']}{change.__name__}"
 
     def _route(self, path: str | None = None) -> dict[str, Any]:
@@ -469,10 +478,20 @@
             self._changes.append(self._settings.change())
             for request in self._requests:
                 if request.answer is None:
-                    limit_s = self._settings.time_limit_s(request.path)
-                    request.limit_s = min(request.limit_s, limit_s)
+                    version = self._settings.config["version"]
+                    self._shorten_limit(request, version)
             await self._site.store.put("op/config", self._settings.config)
 
+    def _version(self, process: _Process) -> int:
+        """Returns the version that a router goes by."""
+        log = self._site.logs[process.number].getvalue()
+        found = re.findall("event=settings_in_force version=([0-9]+)", log)
+        return int(found[-1])
+
+    def _shorten_limit(self, request: _Request, since: int) -> None:
+        limit_s = self._settings.time_limit_s(request.path, since)
+        request.limit_s = min(request.limit_s, limit_s)
+
     def _count_states(self) -> None:
         self._states.update(
             each.sent
@@ -556,8 +575,7 @@
             request.sent = "whole"
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
-        limit_s = self._settings.time_limit_s(request.path)
-        request.limit_s = min(request.limit_s, limit_s)
+        self._shorten_limit(request, self._version(request.process))
         try:
             async with asyncio.timeout(_HANG_S):
                 request.answer = await caller.receive()
