--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -821,3 +821,14 @@
         yield site
     finally:
         await site.stop()
+
+
+def ejected_engines(site: Site) -> set[str]:
+    """Returns the engines that get no requests for now, at any coordinator."""
+    return {
+        engine
+        for router in site.routers
+        for load in router._pool_schedulers.loads().values()
+        for engine in load.ejected.split(",")
+        if engine
+    }
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -263,7 +263,7 @@
                 got = await _call_to_the_end(site, 0)
                 # The coordinator gets the end of the call a moment later.
                 await asyncio.sleep(0.2)
-                return got, _ejected(site)
+                return got, platform_site.ejected_engines(site)
 
         got, ejected = asyncio.run(scenario())
         assert got.startswith(_EVENT)
@@ -271,17 +271,6 @@
         assert not ejected
 
 
-def _ejected(site: platform_site.Site) -> set[str]:
-    """Returns the engines that get no requests for now, at any coordinator."""
-    return {
-        engine
-        for router in site.routers
-        for load in router._pool_schedulers.loads().values()
-        for engine in load.ejected.split(",")
-        if engine
-    }
-
-
 async def _call_beside(
     endless: tuple[bytes, bytes, float],
 ) -> tuple[list[int], int]:
--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -54,17 +54,6 @@
     return statuses.count(200) / len(statuses)
 
 
-def _ejected(site: platform_site.Site) -> set[str]:
-    """Returns the engines that get no requests for now, at any coordinator."""
-    return {
-        engine
-        for router in site.routers
-        for load in router._pool_schedulers.loads().values()
-        for engine in load.ejected.split(",")
-        if engine
-    }
-
-
 def _served_while_cut(path: str, *, silent: bool) -> tuple[float, int]:
     """Returns the part of calls served at a cut-off router, and repeated runs.
 
@@ -427,7 +416,7 @@
                     await _statuses(
                         site, platform_site.MODEL_PATH, f"{number}-", calls=1
                     )
-                    ejected |= _ejected(site)
+                    ejected |= platform_site.ejected_engines(site)
                 partition.heal()
                 return ejected
 
@@ -442,7 +431,7 @@
                 statuses = await _statuses(
                     site, platform_site.MODEL_PATH, "a", calls=4
                 )
-                return statuses, _ejected(site)
+                return statuses, platform_site.ejected_engines(site)
 
         statuses, ejected = asyncio.run(run())
         assert statuses == [200] * 4
