Answer a peer's rejected request before its signature is verified

Cause: the body of a rejected request isn't kept, so the signature over it can't match, and that came first.

After: 503 leaving, after which another VM is asked, and 413.

--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -307,19 +307,16 @@
 
     def call(self, body: bytes) -> context.Call:
         """Returns the caller's request that the peer relays."""
+        # The body of a rejected request isn't kept, so that its signature
+        # can't be verified.
+        if self._rejection is not None:
+            return _rejected_call(self._rejection)
         try:
             envelope, headers = relayed_call.decode(
                 self.request.headers, body, self._auth
             )
         except errors.EntryError as error:
-            return context.Call(
-                method="",
-                path="",
-                query="",
-                headers=httputil.HTTPHeaders(),
-                body=b"",
-                rejection=error,
-            )
+            return _rejected_call(error)
         path, _, query = envelope.uri.partition("?")
         return context.Call(
             method=envelope.method,
@@ -327,7 +324,6 @@
             query=query,
             headers=headers,
             body=body,
-            rejection=self._rejection,
             uri=envelope.uri,
             envelope=envelope,
         )
@@ -344,6 +340,17 @@
         self.finish()
 
 
+def _rejected_call(rejection: errors.EntryError) -> context.Call:
+    return context.Call(
+        method="",
+        path="",
+        query="",
+        headers=httputil.HTTPHeaders(),
+        body=b"",
+        rejection=rejection,
+    )
+
+
 async def _not_found(ctx: context.Context) -> None:
     raise errors.EntryError(
         errors.Code.PATH_NOT_FOUND, f"There is nothing at {ctx.call.path}."
--- a/tests/test_relay_handler.py
+++ b/tests/test_relay_handler.py
@@ -12,6 +12,7 @@
 from cowsliprill import peer_auth
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
 from cowsliprill.entry import cluster_state as cluster_state_lib
 from cowsliprill.entry import context
 from cowsliprill.entry import gate as gate_lib
@@ -34,10 +35,13 @@
 class _Vm:
     """A VM whose peers sign what they relay to it."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: model.HttpLimits | None = None) -> None:
+        cluster_state = cluster_state_lib.ClusterState()
+        if limits is not None:
+            snapshot = model.Snapshot(limits=limits)
+            cluster_state.update(snapshot, model.Fleet())
         self.gate = gate_lib.Gate(
-            identity.Incarnation("vm", "e0", "0"),
-            cluster_state_lib.ClusterState(),
+            identity.Incarnation("vm", "e0", "0"), cluster_state
         )
         self._auth = peer_auth.PeerAuth("shared by the VMs")
         arguments = {
@@ -95,3 +99,14 @@
         empty, with_body = asyncio.run(scenario())
         assert with_body == empty
         assert with_body[0] == 503
+
+    # Guards against 403 for a body that is too large under the settings of the
+    # VM that was asked.
+    def test_body_above_the_limit_is_refused_as_too_large(self):
+        async def scenario():
+            limits = model.HttpLimits(body_bytes=len(_BODY) - 1)
+            return await _Vm(limits).relay(_BODY)
+
+        status, error = asyncio.run(scenario())
+        assert status == 413
+        assert "body_too_large" in error
