--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 from collections.abc import Mapping
+from collections.abc import Sequence
 from typing import Any
 
 from tools import held_ports
@@ -626,7 +627,7 @@
         self._reserved_port = hold_port()
         self._peer_port = self._reserved_port.port
 
-    async def start(self, routers: int, prefills: int = 2) -> None:
+    async def start(self, zones: Sequence[str], prefills: int = 2) -> None:
         for name in [f"p{number}" for number in range(prefills)]:
             self.engines[name] = Engine(name, "llm", "prefill")
         for name in ("d0", "d1"):
@@ -636,16 +637,18 @@
         await self.store.put("op/config", config())
         for name, engine in self.engines.items():
             await self.store.put(f"servers/{name}", engine.entry())
-        for _ in range(routers):
-            self.add_router()
-        await until(lambda: all(self.ready(n) for n in range(routers)))
+        for zone in zones:
+            self.add_router(zone=zone)
+        await until(lambda: all(self.ready(n) for n in range(len(zones))))
 
-    def add_router(self, store: str = "", **node_fields: Any) -> int:
+    def add_router(
+        self, store: str = "", zone: str = "gasabo", **node_fields: Any
+    ) -> int:
         number = len(self.routers)
         host = ROUTER_HOSTS[number]
         node = config_lib.RouterConfig(
             vm=f"vm-{number}",
-            availability_zone="gasabo",
+            availability_zone=zone,
             public=f"{host}:0",
             ready=f"{host}:0",
             peer_ports=(self._peer_port, self._peer_port),
@@ -812,11 +815,20 @@
     routers: int = 1,
     drain_notice_s: float = 0.0,
     prefills: int = 2,
+    zones: Sequence[str] = (),
     **node_fields: Any,
 ):
-    """Runs a site for the duration of one test."""
+    """Runs a site for the duration of one test.
+
+    Args:
+      routers: Number of routers, all in one availability zone.
+      drain_notice_s: Drain notice of the routers in seconds.
+      prefills: Number of prefill engines.
+      zones: Availability zone of each router, in place of `routers`.
+      **node_fields: Fields of the routers' configuration.
+    """
     site = Site(drain_notice_s, **node_fields)
-    await site.start(routers, prefills)
+    await site.start(zones or ["gasabo"] * routers, prefills)
     try:
         yield site
     finally:
