Give a head that began to arrive early its own time limit

A caller that sent part of its next request before it had the answer to the one before was cut at the idle timeout, in the middle of that head.

Cause: the record of a connection starts anew with each request and took the time of the head's first bytes only from later reads, not from bytes that were buffered already.

Before: test_head_that_began_early_may_take_the_header_timeout red (the second answer is a closed connection). After: passes.

--- a/src/cowsliprill/entry/caller_stream.py
+++ b/src/cowsliprill/entry/caller_stream.py
@@ -81,6 +81,8 @@
         self.state = State.IDLE
         self.answered = False
         self.head_begun_at = None
+        if self._read_buffer_size:
+            self.head_begun_at = asyncio.get_running_loop().time()
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads from the socket; tornado closes the stream if it returns 0."""
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -94,6 +94,18 @@
 
         _run(scenario)
 
+    # Guards against a close in the middle of a head that began to arrive before
+    # the answer to the request before it had ended.
+    def test_head_that_began_early_may_take_the_header_timeout(self):
+        async def scenario(_, caller):
+            caller.send(_REQUEST + _REQUEST[:20])
+            assert (await caller.receive()).startswith(b"HTTP/1.1 200")
+            await asyncio.sleep(_IDLE_TIMEOUT_S * 2)
+            caller.send(_REQUEST[20:])
+            assert (await caller.receive()).startswith(b"HTTP/1.1 200")
+
+        _run(scenario)
+
     def test_connection_stays_open_while_a_request_is_served(self):
         async def scenario(_, caller):
             body = b'{"model": "brief", "prompt": "a", "max_tokens": 400}'
