Don't record what is written after the end of a recording

After enough errors with an idempotency key, answers were no longer recorded, and a caller's repeat got response_not_stored in place of the answer.

Cause: the error that ended a request was written through its recording writer after the recording had been dropped, and its bytes stayed taken from the budget of all recordings.

Before: test_what_is_written_later_is_not_recorded red (5 of 10 bytes left). After: passes.

--- a/src/cowsliprill/entry/response_writer.py
+++ b/src/cowsliprill/entry/response_writer.py
@@ -249,7 +249,11 @@
         )
 
     def release(self) -> None:
-        """Drops the recording and returns its bytes to the shared budget."""
+        """Drops the recording and returns its bytes to the shared budget.
+
+        What is written later isn't recorded.
+        """
+        self._within_limits = False
         self._chunks.clear()
         self.budget.remaining_bytes += self._recorded_bytes
         self._recorded_bytes = 0
@@ -260,7 +264,6 @@
         if not (
             self._within_limits and fits and size <= self.budget.remaining_bytes
         ):
-            self._within_limits = False
             self.release()
             return
         self._chunks.append(chunk)
--- a/tests/test_entry_tickets.py
+++ b/tests/test_entry_tickets.py
@@ -495,6 +495,20 @@
         assert dropped is None
         assert remaining_bytes == 10
 
+    # Guards against errors, written after the end of the recording, which use
+    # up the memory of later recordings for good.
+    def test_what_is_written_later_is_not_recorded(self):
+        async def write_later():
+            budget = response_writer.RecordingBudget(remaining_bytes=10)
+            recording = response_writer.RecordingResponseWriter(
+                _NullReply(), budget
+            )
+            recording.release()
+            await response_writer.send(recording, 502, [], b"error")
+            return budget.remaining_bytes
+
+        assert asyncio.run(write_later()) == 10
+
 
 class _NullReply:
     started = False
