Withhold an engine only from the VMs that don't reach it

While some VMs had lost their paths to some engines of a pool, model requests of all other VMs were refused as overloaded although these engines were free.

An engine that gives one VM no answer was ejected by the pool's coordinator for all VMs; the one next probe often came from a VM without a path as well.

The first failure counts for all as before. If another VM is then answered, the engine runs, and for ten seconds failures count for the VM that fails, for five; three VMs that fail in a row show that it has ended after all.

--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -1,9 +1,11 @@
 """Reports request outcomes to engine health checks and speed estimates."""
 
+from cowsliprill.decisions import engine_reach
 from cowsliprill.decisions import estimates
 from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import requests
+from cowsliprill.decisions import unavailable_engines
 
 
 class OutcomeRecorder:
@@ -11,10 +13,36 @@
 
     Args:
       engine_health: Receives the samples and detects outliers.
+      unavailable: Gets the engines that only some entry processes can't reach.
     """
 
-    def __init__(self, engine_health: health.EngineHealth) -> None:
+    def __init__(
+        self,
+        engine_health: health.EngineHealth,
+        unavailable: unavailable_engines.UnavailableEngines,
+    ) -> None:
         self._health = engine_health
+        self._unavailable = unavailable
+        self._reach = engine_reach.EngineReach()
+
+    def retain(self, engine_ids: set[str]) -> None:
+        """Drops what is known of engines that were removed.
+
+        Args:
+          engine_ids: Ids of the engines that are left.
+        """
+        self._reach.retain(engine_ids)
+
+    def record_prefill(self, request: requests.Request, now: float) -> None:
+        """Records that a prefill has ended.
+
+        Args:
+          request: The request.
+          now: Current time in seconds.
+        """
+        assert request.prefill is not None
+        self._health.record_success(request.prefill.id, request.started_at)
+        self._record_answer(request, request.prefill.id, now)
 
     def record_first_token(self, request: requests.Request, now: float) -> None:
         """Records the time of a KV cache transfer.
@@ -28,6 +56,7 @@
         """
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
+        self._record_answer(request, decode.id, now)
         if prefill is decode:
             expected_s = estimates.local_prefill_s(decode, request.submit)
         else:
@@ -102,9 +131,7 @@
             if alone and not limited and not paused:
                 self._health.record_failure(event.endpoint_id, now)
         elif event.unreachable:
-            self._health.record_failure(
-                event.endpoint_id, now, unreachable=True
-            )
+            self._record_no_answer(request, event, now)
         elif event.answered:
             self._health.record_failure(event.endpoint_id, now)
         elif event.stage is messages.Stage.TRANSFER:
@@ -115,4 +142,26 @@
                 prefill.id, decode.id, never_s, 0.0, now
             )
         else:
-            self._health.record_failure(event.endpoint_id, now)
+            self._record_no_answer(request, event, now)
+
+    def _record_answer(
+        self, request: requests.Request, engine_id: str, now: float
+    ) -> None:
+        self._reach.record_answer(
+            engine_id, request.submit.entry, request.started_at, now
+        )
+
+    def _record_no_answer(
+        self,
+        request: requests.Request,
+        event: messages.AttemptFailed,
+        now: float,
+    ) -> None:
+        entry, engine_id = request.submit.entry, event.endpoint_id
+        if self._reach.record_no_answer(engine_id, entry, now):
+            self._health.record_failure(
+                engine_id, now, unreachable=event.unreachable
+            )
+            return
+        until = now + engine_reach.UNREACHED_S
+        self._unavailable.add(entry, engine_id, until, now)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -87,8 +87,10 @@
             availability_zone, seed, rng, self._health, owns_slots=owns_slots
         )
         self._owns_slots = owns_slots
-        self._outcomes = outcome_recorder.OutcomeRecorder(self._health)
         self._unavailable = unavailable_engines.UnavailableEngines()
+        self._outcomes = outcome_recorder.OutcomeRecorder(
+            self._health, self._unavailable
+        )
         self._selector = engine_selection.EngineSelector(
             availability_zone, self._health, self._unavailable
         )
@@ -391,7 +393,7 @@
             return []
         self._release_prefill(request)
         assert request.prefill is not None
-        self._health.record_success(request.prefill.id, request.started_at)
+        self._outcomes.record_prefill(request, now)
         prefill_duration_s = now - request.started_at
         request.pool.record_prefill_slowdown(
             request.prefill.id, prefill_duration_s / request.expected_prefill_s
@@ -599,6 +601,7 @@
         self, snapshot: model.Snapshot, fleet: model.Fleet, now: float
     ) -> list[messages.Action]:
         self._pools.update(snapshot, fleet, now)
+        self._outcomes.retain(set(self._pools.pools_by_endpoint))
         for pool in self._pools.pools_by_name.values():
             self._waiting.requeue_versions(pool, now)
         return self._schedule_all(now)
