Count only failed connections for single VMs

Lost answers and broken connections say something of the engine, whoever sent the request; counted for single VMs, an engine that loses answers now and then would be withheld from one VM after the other for five seconds each.

--- a/src/cowsliprill/decisions/engine_reach.py
+++ b/src/cowsliprill/decisions/engine_reach.py
@@ -1,6 +1,6 @@
 """Tells engines that have ended from those that some processes can't reach.
 
-An engine that gives an entry process no answer may have ended, or that process
+An engine that an entry process can't connect to may have ended, or that process
 may have lost its network path to it. The first failure counts for all entry
 processes. If another one then gets answers, the engine runs, and failures count
 for those that fail.
@@ -15,8 +15,8 @@
 # How long after such an answer failures count for single entry processes.
 _REACHED_TTL_S = 10.0
 
-# This many entry processes that fail without an answer to any in between show
-# that the engine has ended meanwhile.
+# This many entry processes that can't connect, without an answer to any in
+# between, show that the engine has ended meanwhile.
 _FAILURES_OF_ENDED = 3
 
 
@@ -28,7 +28,7 @@
 
 
 class EngineReach:
-    """Which entry processes have got answers of engines that others haven't."""
+    """Which engines are reached by some entry processes and not by others."""
 
     def __init__(self) -> None:
         self._states_by_engine: dict[str, _State] = {}
@@ -53,12 +53,14 @@
         if state.reached_until < now:
             del self._states_by_engine[engine_id]
 
-    def record_no_answer(self, engine_id: str, entry: str, now: float) -> bool:
-        """Records that a request got no answer of an engine.
+    def record_unreachable(
+        self, engine_id: str, entry: str, now: float
+    ) -> bool:
+        """Records that an entry process couldn't connect to an engine.
 
         Args:
           engine_id: Id of the engine.
-          entry: Id of the entry process that has sent the request.
+          entry: Id of the entry process.
           now: Current time in seconds.
 
         Returns:
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -131,7 +131,7 @@
             if alone and not limited and not paused:
                 self._health.record_failure(event.endpoint_id, now)
         elif event.unreachable:
-            self._record_no_answer(request, event, now)
+            self._record_unreachable(request, event.endpoint_id, now)
         elif event.answered:
             self._health.record_failure(event.endpoint_id, now)
         elif event.stage is messages.Stage.TRANSFER:
@@ -142,7 +142,7 @@
                 prefill.id, decode.id, never_s, 0.0, now
             )
         else:
-            self._record_no_answer(request, event, now)
+            self._health.record_failure(event.endpoint_id, now)
 
     def _record_answer(
         self, request: requests.Request, engine_id: str, now: float
@@ -151,17 +151,12 @@
             engine_id, request.submit.entry, request.started_at, now
         )
 
-    def _record_no_answer(
-        self,
-        request: requests.Request,
-        event: messages.AttemptFailed,
-        now: float,
+    def _record_unreachable(
+        self, request: requests.Request, engine_id: str, now: float
     ) -> None:
-        entry, engine_id = request.submit.entry, event.endpoint_id
-        if self._reach.record_no_answer(engine_id, entry, now):
-            self._health.record_failure(
-                engine_id, now, unreachable=event.unreachable
-            )
+        entry = request.submit.entry
+        if self._reach.record_unreachable(engine_id, entry, now):
+            self._health.record_failure(engine_id, now, unreachable=True)
             return
         until = now + engine_reach.UNREACHED_S
         self._unavailable.add(entry, engine_id, until, now)
