Ask engines which version began a stream that no VM knows

Cause: who began a stream was known to VMs only. Engines know as well: their report lists the attempts that they run, their list of kept KV caches the last part of each prompt.

The coordinator of a pool asks its decode engines once, at the first resumed stream without a record, within a minute from when it begins to coordinate. An attempt that one version runs has been begun by it. Otherwise the whole last part must be kept by one version only, and all engines must have answered. Nothing is asked where records are known. test_killed_routers failed before (503 for all streams), with real processes, for both kinds of evidence.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -83,6 +83,7 @@
         it; empty if it named none.
       stream_age_max_s: Time in seconds for which the stream can be resumed; if
         it is resumed now, how long ago it began at most.
+      last_part: Last part of the prompt, if the stream is resumed.
       fingerprint: Fingerprint of the request, empty if the sender doesn't know
         of it.
       prompt_parts: Digests of the parts of its prompt that other requests may
@@ -104,6 +105,7 @@
     version: str | None = None
     origin: str = ""
     stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
+    last_part: stream_origins.PromptPart = stream_origins.PromptPart()
     fingerprint: str = ""
     prompt_parts: tuple[str, ...] = ()
     entry: str = ""
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -280,12 +280,7 @@
         """Admits a stream that a caller resumes, if its version is known."""
         submit = request.submit
         if request.version is None:
-            request.version = self._origins.version_of(
-                submit.origin,
-                submit.service.pool,
-                submit.stream_age_max_s,
-                now,
-            )
+            request.version = self._find_version(submit, now)
         if request.version is not None:
             if request.pool.serves_version(request.version):
                 return self._admit(request, now)
@@ -297,6 +292,18 @@
             return []
         return [self._refuse(request, messages.RefusalCode.ORIGIN_UNKNOWN, now)]
 
+    def _find_version(self, submit: messages.Submit, now: float) -> str | None:
+        """Returns the version that began a resumed stream, None if unknown."""
+        pool = submit.service.pool
+        version = self._origins.version_of(
+            submit.origin, pool, submit.stream_age_max_s, now
+        )
+        if version is not None:
+            return version
+        return self._origins.version_at_engines(
+            submit.customer, submit.origin, submit.last_part, pool
+        )
+
     def _retry_unknown_origins(self, now: float) -> list[messages.Action]:
         waiting, self._unknown_origin_ids = self._unknown_origin_ids, set()
         return [
--- a/src/cowsliprill/decisions/stream_origins.py
+++ b/src/cowsliprill/decisions/stream_origins.py
@@ -53,6 +53,19 @@
         return (self.begun, self.attempt) > (other.begun, other.attempt)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PromptPart:
+    """The last part of a prompt, which no other request shares.
+
+    Attributes:
+      id: Its id, empty if unknown.
+      tokens: Number of its tokens.
+    """
+
+    id: str = ""
+    tokens: int = 0
+
+
 class Origins(Protocol):
     """What a scheduler needs to know and to tell about streams."""
 
@@ -67,6 +80,11 @@
     ) -> str | None:
         """Returns the version that began a stream, None if unknown."""
 
+    def version_at_engines(
+        self, customer: str, key: str, last_part: PromptPart, pool: str
+    ) -> str | None:
+        """Returns the version that began a stream, by what engines tell."""
+
     def is_settling(self, pool: str, now: float) -> bool:
         """Returns whether unknown versions may soon be known."""
 
@@ -188,6 +206,13 @@
             return version
         return self.history.likely_version(pool, now)
 
+    def version_at_engines(
+        self, customer: str, key: str, last_part: PromptPart, pool: str
+    ) -> str | None:
+        """Returns None: only coordinators ask engines."""
+        del customer, key, last_part, pool
+        return None
+
     def is_settling(self, pool: str, now: float) -> bool:
         """Returns whether the version of unknown streams may soon be known.
 
--- a/src/cowsliprill/entry/context.py
+++ b/src/cowsliprill/entry/context.py
@@ -9,6 +9,7 @@
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import stream_origins
 from cowsliprill.engines import http_client
 from cowsliprill.engines import silence as silence_lib
 from cowsliprill.entry import attempts
@@ -66,6 +67,7 @@
         customer so that no customer can observe another's cached prefixes.
       part_ids: Identify the parts of the prompt that other requests may share,
         in their order; the last part belongs to the request alone.
+      last_part: That last part.
       output_tokens: Limit of output tokens.
       expected_tokens: Caller's own estimate of the output tokens, 0 for none.
     """
@@ -76,6 +78,7 @@
     prompt_tokens: int
     prefix_hashes: tuple[int, ...] = ()
     part_ids: tuple[str, ...] = ()
+    last_part: stream_origins.PromptPart = stream_origins.PromptPart()
     output_tokens: int
     expected_tokens: int = 0
 
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -135,6 +135,9 @@
             stream_age_max_s=(
                 age_max_s if resumes else self.ages.retention_s(ctx.service)
             ),
+            last_part=(
+                generation.last_part if resumes else stream_origins.PromptPart()
+            ),
             fingerprint=self.quarantine.fingerprint(ctx),
             prompt_parts=self.quarantine.unproven_parts(ctx),
         )
--- a/src/cowsliprill/platform/callers.py
+++ b/src/cowsliprill/platform/callers.py
@@ -6,6 +6,7 @@
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import stream_origins
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.platform import headers as headers_lib
@@ -97,9 +98,11 @@
     headers: httputil.HTTPHeaders, prompt_tokens: int, output_tokens: int
 ) -> context.Generation:
     hint = headers.get(headers_lib.LENGTH_HINT, "0")
+    prefix = headers.get(headers_lib.PREFIX_HASH, "")
     return context.Generation(
         prompt_tokens=prompt_tokens,
-        part_ids=_shared_part_ids(headers.get(headers_lib.PREFIX_HASH, "")),
+        part_ids=_shared_part_ids(prefix),
+        last_part=_last_part(prefix),
         output_tokens=output_tokens,
         expected_tokens=int(_parse_number(hint, headers_lib.LENGTH_HINT)),
     )
@@ -112,6 +115,15 @@
     return tuple(part_id for part_id in ids if part_id)
 
 
+def _last_part(text: str) -> stream_origins.PromptPart:
+    part_id, _, tokens = text.rpartition(",")[-1].partition(":")
+    if not tokens.strip().isdecimal():
+        return stream_origins.PromptPart()
+    return stream_origins.PromptPart(
+        id=part_id.strip().lower(), tokens=int(tokens)
+    )
+
+
 def _parse_number(text: str, name: str) -> float:
     try:
         value = float(text)
--- a/src/cowsliprill/pool_scheduling/origin_exchange.py
+++ b/src/cowsliprill/pool_scheduling/origin_exchange.py
@@ -19,6 +19,7 @@
 from cowsliprill.decisions import stream_origins
 from cowsliprill.entry import coordinator_client
 from cowsliprill.observability import log as log_lib
+from cowsliprill.pool_scheduling import engine_survey
 from cowsliprill.pool_scheduling import origin_wire
 
 # VMs that get copies: those ranked next for the pool.
@@ -50,6 +51,8 @@
       origins: The origins known to this process.
       client: Sends messages to other VMs.
       log: Log of the process.
+      survey: Asks engines about streams without a record; None if engines can't
+        be asked.
     """
 
     def __init__(
@@ -58,11 +61,13 @@
         origins: stream_origins.StreamOrigins,
         client: coordinator_client.CoordinatorClient,
         log: log_lib.Log,
+        survey: engine_survey.EngineSurvey | None = None,
     ) -> None:
         self._vm_id = vm_id
         self._origins = origins
         self._client = client
         self._log = log
+        self._survey = survey
         self.ranked_vms: Callable[[str], list[model.Vm]] = lambda _: []
         self.pools: Callable[[], list[str]] = lambda: []
         self._begun_by_pool: dict[str, dict[str, stream_origins.Origin]] = {}
@@ -127,10 +132,34 @@
         """Returns the version that began a stream, None if unknown."""
         return self._origins.version_of(key, pool, age_max_s, now)
 
+    def version_at_engines(
+        self,
+        customer: str,
+        key: str,
+        last_part: stream_origins.PromptPart,
+        pool: str,
+    ) -> str | None:
+        """Returns the version that began a stream, by what engines tell."""
+        if self._survey is None:
+            return None
+        return self._survey.version_of(customer, key, last_part, pool)
+
     def is_settling(self, pool: str, now: float) -> bool:
         """Returns whether unknown versions may soon be known."""
+        if self._survey and self._survey.is_under_way(pool):
+            return True
         return self._origins.is_settling(pool, now)
 
+    def begin(self, pool: str) -> None:
+        """Collects what others know of a pool's streams.
+
+        Args:
+          pool: Name of a pool that this process begins to coordinate.
+        """
+        self.ask(pool, again=True)
+        if self._survey:
+            self._survey.begin(pool)
+
     # Exchange with peers.
 
     async def run(self) -> None:
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -245,7 +245,7 @@
                 )
             )
             if self._origins is not None:
-                self._origins.ask(pool, again=True)
+                self._origins.begin(pool)
             hosted.scheduler.update(self._snapshot, self._fleet, now)
             hosted.scheduler.set_rate_limits(self._rate_limits, now)
             hosted.scheduler.add_crash_records(tuple(self.crash_records()), now)
--- a/src/cowsliprill/pool_scheduling/wire.py
+++ b/src/cowsliprill/pool_scheduling/wire.py
@@ -49,6 +49,7 @@
       version: Software version that began the stream, None if unknown.
       origin: Key of the caller's attempt that begins or has begun the stream.
       stream_age_max_s: See `messages.Submit`.
+      last_part: See `messages.Submit`.
       fingerprint: See `messages.Submit`.
       prompt_parts: See `messages.Submit`.
     """
@@ -75,6 +76,7 @@
     version: str | None = None
     origin: str = ""
     stream_age_max_s: float = stream_origins.STREAM_AGE_MIN_S
+    last_part: stream_origins.PromptPart = stream_origins.PromptPart()
     fingerprint: str = ""
     prompt_parts: Annotated[
         tuple[str, ...], pydantic.Field(max_length=crash_records.MAX_PARTS)
@@ -297,6 +299,7 @@
         version=submit.version,
         origin=submit.origin,
         stream_age_max_s=submit.stream_age_max_s,
+        last_part=submit.last_part,
         fingerprint=submit.fingerprint,
         prompt_parts=submit.prompt_parts,
     )
@@ -348,6 +351,7 @@
         version=request.version,
         origin=request.origin,
         stream_age_max_s=request.stream_age_max_s,
+        last_part=request.last_part,
         fingerprint=request.fingerprint,
         prompt_parts=request.prompt_parts,
     )
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections.abc import Awaitable
+from collections.abc import Iterable
 from typing import Any
 
 from cowsliprill import clock
@@ -17,6 +18,7 @@
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import member_records
 from cowsliprill.decisions import membership
+from cowsliprill.decisions import model
 from cowsliprill.decisions import stream_origins
 from cowsliprill.decisions import version_history
 from cowsliprill.engines import http_client
@@ -30,10 +32,12 @@
 from cowsliprill.observability import writer
 from cowsliprill.platform import catalog
 from cowsliprill.platform import dialect
+from cowsliprill.platform import engine_contents
 from cowsliprill.platform import orders
 from cowsliprill.platform import store as store_lib
 from cowsliprill.pool_scheduling import caller as coordinator_caller
 from cowsliprill.pool_scheduling import client as scheduling_client
+from cowsliprill.pool_scheduling import engine_survey
 from cowsliprill.pool_scheduling import origin_exchange
 from cowsliprill.pool_scheduling import origin_wire
 from cowsliprill.pool_scheduling import server as server_lib
@@ -118,6 +122,13 @@
                 http_client.HttpClient(), peer_auth.PeerAuth(config.peer_secret)
             ),
             log,
+            engine_survey.EngineSurvey(
+                engine_contents.EngineContentsReader(
+                    http_client.HttpClient()
+                ).read,
+                self._endpoints,
+                log,
+            ),
         )
         self._pool_schedulers = server_lib.PoolSchedulerServer(
             config.vm,
@@ -335,6 +346,9 @@
             store_unreachable=self._source.is_store_unreachable()
         )
 
+    def _endpoints(self) -> Iterable[model.Endpoint]:
+        return self._source.snapshot.endpoints_by_id.values()
+
     def _is_endpoint_list_current(self) -> bool:
         """Returns whether another VM can't know of engines unknown here."""
         in_contact = self._members.has_recent_contact(clock.now())
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -305,6 +305,10 @@
     Attributes:
       requests: Requests received.
       runs: Ids of the requests executed.
+      running: Ids of those that it executes at present.
+      tokens_by_part: Number of tokens that it keeps, by part of a prompt.
+      keeps_parts: Whether prompts stay in its memory.
+      keeps_requests: Whether it goes on with requests whose client has gone.
       handles: Handles of the KV caches that are held.
       freed: Handles that were released.
       orders: Orders received, each with the id of the engine that is addressed.
@@ -327,6 +331,10 @@
         self.faults = Faults()
         self.requests: list[Any] = []
         self.runs: list[str] = []
+        self.running: list[str] = []
+        self.tokens_by_part: dict[str, int] = {}
+        self.keeps_parts = True
+        self.keeps_requests = False
         self.handles: set[str] = set()
         self.freed: list[str] = []
         self.orders: list[tuple[str, dict[str, Any]]] = []
@@ -343,6 +351,7 @@
                 ("/kv-handle/(.*)", _HandleHandler, {"engine": self}),
                 ("/order", _OrderHandler, {"engine": self}),
                 ("/report", _ReportHandler, {"engine": self}),
+                ("/kv-list", _KeptHandler, {"engine": self}),
                 (".*", _EngineHandler, {"engine": self}),
             ]
         )
@@ -359,6 +368,13 @@
         return faults
 
 
+def kept_parts(request: Any) -> dict[str, int]:
+    """Returns the tokens of all parts of a request's prompt."""
+    text = request.headers.get("Prefix-Hash", "")
+    entries = (entry.partition(":") for entry in text.split(",") if entry)
+    return {part: int(tokens or 0) for part, _, tokens in entries}
+
+
 def shared_parts(request: Any) -> list[str]:
     """Returns the parts of a request's prompt but the last."""
     entries = request.headers.get("Prefix-Hash", "").split(",")[:-1]
@@ -380,7 +396,21 @@
 
     async def get(self) -> None:
         await self.engine.awake.wait()
-        self.finish({"stage": self.engine.stage})
+        runs = [[attempt, 10, 1, 5] for attempt in self.engine.running]
+        self.finish({"stage": self.engine.stage, "runs": runs})
+
+
+class _KeptHandler(web.RequestHandler):
+    def initialize(self, engine: Engine) -> None:
+        self.engine = engine
+
+    async def get(self) -> None:
+        await self.engine.awake.wait()
+        held = [
+            ["", part, tokens, "m"]
+            for part, tokens in self.engine.tokens_by_part.items()
+        ]
+        self.finish({"epoch": 1, "next": 1, "held": held})
 
 
 class _OrderHandler(web.RequestHandler):
@@ -439,6 +469,17 @@
             self.finish({"kvHandle": handle, "tokens": 1, "version": 1})
             return
         engine.runs.append(attempt)
+        if engine.keeps_parts:
+            engine.tokens_by_part.update(kept_parts(request))
+        engine.running.append(attempt)
+        try:
+            await self._answer(faults)
+        finally:
+            if not (engine.keeps_requests and self.disconnected.is_set()):
+                engine.running.remove(attempt)
+
+    async def _answer(self, faults: Faults) -> None:
+        engine, request = self.engine, self.request
         if request.body == faults.crash_body or (
             faults.crash_part in shared_parts(request)
         ):
--- a/tests/router_processes.py
+++ b/tests/router_processes.py
@@ -189,6 +189,15 @@
             ):
                 await asyncio.sleep(0.05)
 
+    async def until_serving(self) -> None:
+        """Waits until all routers are ready and have listed engines."""
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while not all(  # noqa: ASYNC110 logs offer no events
+                "event=ready\n" in router.text and router.lists(1)
+                for router in self.routers
+            ):
+                await asyncio.sleep(0.05)
+
     async def end_routers(self) -> None:
         """Kills all routers at once."""
         for router in self.routers:
@@ -250,10 +259,12 @@
         return {origin.key for origin in answer.begun}
 
     def version_of(self, attempt: str) -> str:
-        (version,) = {
+        """Returns the version that ran an attempt, empty if none did."""
+        versions = {
             engine.version for engine in self.engines if attempt in engine.runs
         }
-        return version
+        assert len(versions) <= 1
+        return versions.pop() if versions else ""
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 
+import pytest
 from tests import platform_site
 from tests import router_processes
 
@@ -14,6 +15,11 @@
     ("d0", "decode", "v1"),
     ("d1", "decode", "v2"),
 ]
+_TWO_VERSIONS = [
+    (f"{stage[0]}{number}", stage, f"v{number}")
+    for number in (1, 2)
+    for stage in ("prefill", "decode")
+]
 _STREAMS = 4
 _PAUSED_AFTER = 3
 
@@ -77,3 +83,104 @@
         assert resumed == [expected] * _STREAMS
         assert all(began == went_on for began, went_on in versions)
         assert {began for began, _ in versions} == {"v1", "v2"}
+
+
+class _AllKilled:
+    """All routers are killed while they relay streams, and start again.
+
+    Args:
+      fleet: The fleet.
+    """
+
+    def __init__(self, fleet: router_processes.Fleet) -> None:
+        self.fleet = fleet
+
+    async def play(self, *, old_version_leaves: bool = False) -> None:
+        """Begins streams, kills all routers and starts them again.
+
+        Args:
+          old_version_leaves: Whether the engines of the first version end with
+            the routers and the store discards its history.
+        """
+        fleet = self.fleet
+        fleet.pause_streams(_PAUSED_AFTER)
+        for number in range(_STREAMS):
+            response = await self._open(number, f"a{number}")
+            await platform_site.read_until(
+                response, platform_site.stream(_PAUSED_AFTER, _PAUSED_AFTER)
+            )
+        await fleet.end_routers()
+        fleet.pause_streams(0)
+        if old_version_leaves:
+            for engine in fleet.engines:
+                if engine.version == "v1":
+                    await fleet.store.remove(f"servers/{engine.name}")
+            fleet.store.compacted_revision = fleet.store.revision
+        await fleet.start_routers()
+        await fleet.until_serving()
+
+    async def resume(self) -> list[tuple[int, str, str]]:
+        """Resumes all streams.
+
+        Returns:
+          Status, version that began each and version that it went on at.
+        """
+        results = []
+        for number in range(_STREAMS):
+            response = await self._open(
+                number,
+                f"b{number}",
+                Last_Event_Id=str(_PAUSED_AFTER),
+                Resumes=f"a{number}",
+            )
+            body = await response.read(1 << 20)
+            if response.status == 200:
+                assert body == platform_site.stream(_PAUSED_AFTER + 1)
+            results.append(
+                (
+                    response.status,
+                    self.fleet.version_of(f"a{number}"),
+                    self.fleet.version_of(f"b{number}"),
+                )
+            )
+        return results
+
+    async def _open(self, number: int, attempt: str, **headers: str):
+        fleet = self.fleet
+        router = fleet.routers[number % len(fleet.routers)]
+        prompt = f"shared:16,own{number}:100"
+        return await fleet.open(router, attempt, Prefix_Hash=prompt, **headers)
+
+
+async def _begun_and_resumed(
+    folder: pathlib.Path,
+    *,
+    engines_go_on: bool = False,
+    **options: bool,
+) -> list[tuple[int, str, str]]:
+    async with router_processes.running(
+        _ROUTERS, _TWO_VERSIONS, folder
+    ) as fleet:
+        for engine in fleet.engines:
+            engine.keeps_requests = engines_go_on
+            if engines_go_on:
+                engine.keeps_parts = False
+        killed = _AllKilled(fleet)
+        await killed.play(**options)
+        return await killed.resume()
+
+
+class TestAllKilled:
+    """No VM is left that knows which version began a stream."""
+
+    # Guards against refusals of streams whose engines still have them.
+    @pytest.mark.parametrize("engines_go_on", [False, True])
+    def test_streams_go_on_at_the_version_that_began_them(
+        self, engines_go_on: bool, tmp_path: pathlib.Path
+    ) -> None:
+        results = asyncio.run(
+            _begun_and_resumed(tmp_path, engines_go_on=engines_go_on)
+        )
+        assert {began for _, began, _ in results} == {"v1", "v2"}
+        for status, began, went_on in results:
+            assert (status, went_on) == (200, began)
