Don't take a discarded history for a whole one

What callers saw: streams of two software versions in one answer (ORDER), after all VMs had ended and the last engine of the older version had left.

Cause: the versions read from the store's history counted as complete however short it was. A store may discard its history at any time, so an empty one says nothing; the only version listed then went on with all streams.

It is complete only if nothing was discarded. Changes bear no times, so a span can't be shown otherwise.

--- a/src/cowsliprill/registry/recent_versions.py
+++ b/src/cowsliprill/registry/recent_versions.py
@@ -39,17 +39,26 @@
         self._log = log
 
     async def read(self) -> version_history.RecentVersions:
-        """Returns the versions that the store's whole history shows.
+        """Returns the versions that the store's history shows.
+
+        A store may discard its history at any time, and changes bear no times.
+        So the versions are complete only if nothing was discarded.
 
         Raises:
           store.StoreError: The store failed or its response is unusable.
         """
-        return self._versions(await self._oldest_changes())
+        changes, is_whole = await self._oldest_changes()
+        return self._versions(changes, is_whole)
 
-    async def _oldest_changes(self) -> tuple[registry_view.Change, ...]:
+    async def _oldest_changes(
+        self,
+    ) -> tuple[tuple[registry_view.Change, ...], bool]:
         """Returns all changes that the store still has.
 
         It doesn't tell where its history begins, so this is searched for.
+
+        Returns:
+          The changes, and whether there were none before.
         """
         lost = -1
         known = self._view.position
@@ -65,14 +74,14 @@
             else:
                 known = after
                 changes = watched.changes
-        return changes
+        return changes, lost < 0
 
     def _versions(
-        self, changes: tuple[registry_view.Change, ...]
+        self, changes: tuple[registry_view.Change, ...], is_whole: bool
     ) -> version_history.RecentVersions:
         versions_by_pool: dict[str, set[str]] = {}
         written: set[str] = set()
-        complete = True
+        complete = is_whole
         for change in changes:
             match change:
                 case registry_view.Removal():
--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -173,6 +173,19 @@
 class TestAllKilled:
     """No VM is left that knows which version began a stream."""
 
+    # Guards against joined streams as a discarded history shows no version but
+    # the one that is left.
+    def test_streams_of_a_version_that_left_are_refused(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        results = asyncio.run(
+            _begun_and_resumed(tmp_path, old_version_leaves=True)
+        )
+        assert {began for _, began, _ in results} == {"v1", "v2"}
+        for status, began, went_on in results:
+            expected = (503, "") if began == "v1" else (200, "v2")
+            assert (status, went_on) == expected
+
     # Guards against refusals of streams whose engines still have them.
     @pytest.mark.parametrize("engines_go_on", [False, True])
     def test_streams_go_on_at_the_version_that_began_them(
--- a/tests/test_recent_versions.py
+++ b/tests/test_recent_versions.py
@@ -81,6 +81,14 @@
         recent = _read(case, monkeypatch)
         expected = {f"v{number}" for number in range(12 - kept, 12)}
         assert recent.versions_by_pool == {"llm": expected}
+        assert not recent.complete
+
+    def test_nothing_was_discarded(self, case, monkeypatch):
+        for number in range(12):
+            case.put(f"d{number}", f"v{number}")
+        recent = _read(case, monkeypatch)
+        expected = {f"v{number}" for number in range(12)}
+        assert recent.versions_by_pool == {"llm": expected}
         assert recent.complete
 
     def test_engine_that_ended_without_a_word(self, case, monkeypatch):
@@ -93,12 +101,16 @@
         assert recent.versions_by_pool == {}
         assert not recent.complete
 
-    def test_nothing_has_changed(self, case, monkeypatch):
+    # Guards against joined streams after a version has left: an empty history
+    # says nothing about the time before it was discarded.
+    def test_whole_history_was_discarded(self, case, monkeypatch):
         case.put("d0", "v1")
-        case.store.compact(1)
+        case.put("d1", "v2")
+        case.remove("d0")
+        case.store.compact(3)
         recent = _read(case, monkeypatch)
         assert recent.versions_by_pool == {}
-        assert recent.complete
+        assert not recent.complete
 
     def test_unreadable_entry(self, case, monkeypatch):
         """Guards against a version that was skipped without a log line."""
