Use what engines tell beside one that doesn't answer

Cause: kept prompts counted only once every engine had answered. An engine that doesn't answer has most likely ended, and keeps nothing then. It must have been asked; what the others tell is used, and it is asked again each second. test_killed_routers, with an engine that stays listed after its end, failed before.

--- a/src/cowsliprill/decisions/stream_evidence.py
+++ b/src/cowsliprill/decisions/stream_evidence.py
@@ -5,8 +5,6 @@
 """
 
 import dataclasses
-from collections.abc import Collection
-from collections.abc import Iterable
 from collections.abc import Mapping
 
 from cowsliprill.decisions import stream_origins
@@ -48,20 +46,21 @@
         self._contents_by_engine.setdefault(engine_id, contents)
         self._versions_by_key_by_customer.clear()
 
-    def missing(self, engine_ids: Iterable[str]) -> set[str]:
-        """Returns the engines whose contents are unknown.
+    def knows(self, engine_id: str) -> bool:
+        """Returns whether the contents of an engine are known.
 
         Args:
-          engine_ids: Ids of engines.
+          engine_id: Id of the engine.
         """
-        return set(engine_ids) - self._contents_by_engine.keys()
+        return engine_id in self._contents_by_engine
 
     def version_of(
         self,
         customer: str,
         key: str,
         last_part: stream_origins.PromptPart,
-        engine_ids: Collection[str],
+        *,
+        all_asked: bool,
     ) -> str | None:
         """Returns the software version that began a stream.
 
@@ -74,7 +73,8 @@
           key: Key of the attempt that brought the stream's first event; see
             `stream_origins.key_of`.
           last_part: Last part of its prompt.
-          engine_ids: Ids of the pool's decode engines.
+          all_asked: Whether all decode engines have been asked. Those that
+            didn't answer have most likely ended.
 
         Returns:
           The version, None if the engines don't tell it.
@@ -82,7 +82,7 @@
         running = self._versions_by_key(customer).get(key, set())
         if running:
             return _only(running)
-        if not last_part.id or self.missing(engine_ids):
+        if not last_part.id or not all_asked:
             return None
         return _only(self._versions_that_keep(last_part))
 
--- a/src/cowsliprill/pool_scheduling/engine_survey.py
+++ b/src/cowsliprill/pool_scheduling/engine_survey.py
@@ -24,6 +24,7 @@
     evidence: stream_evidence.StreamEvidence = dataclasses.field(
         default_factory=stream_evidence.StreamEvidence
     )
+    asked_ids: set[str] = dataclasses.field(default_factory=set)
     next_at: float = -math.inf
     task: asyncio.Task[None] | None = None
 
@@ -87,7 +88,10 @@
             return None
         engines = self._decode_engines(pool)
         version = survey.evidence.version_of(
-            customer, key, last_part, engines.keys()
+            customer,
+            key,
+            last_part,
+            all_asked=engines.keys() <= survey.asked_ids,
         )
         if version is None:
             self._ask(pool, survey, engines)
@@ -119,11 +123,16 @@
         survey: _PoolSurvey,
         engines: dict[str, model.Endpoint],
     ) -> None:
-        missing = survey.evidence.missing(engines)
-        if not missing or survey.task or clock.now() < survey.next_at:
+        if survey.task or clock.now() < survey.next_at:
+            return
+        asked = [
+            engine
+            for engine_id, engine in sorted(engines.items())
+            if not survey.evidence.knows(engine_id)
+        ]
+        if not asked:
             return
         survey.next_at = clock.now() + _RETRY_INTERVAL_S
-        asked = [engines[engine_id] for engine_id in sorted(missing)]
         survey.task = asyncio.create_task(self._ask_all(pool, survey, asked))
 
     async def _ask_all(
@@ -135,6 +144,7 @@
             )
         finally:
             survey.task = None
+        survey.asked_ids.update(engine.id for engine in engines)
         self._log.event(
             "engines_surveyed",
             pool=pool,
