Compile modules once before make starts processes

make run, make up and the tests start dozens of processes from a tree without bytecode where PYTHONDONTWRITEBYTECODE is set, or none was started before; each compiled 235 modules.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 
-.PHONY: setup run up test check format unit features bench capacity replay seeds
+.PHONY: setup compile run up test check format unit features bench capacity replay seeds
 
 setup: $(VENV)/installed
 
@@ -13,16 +13,20 @@
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements.lock
 	touch $@
 
-run: setup
+# Many processes start from this tree.
+compile: setup
+	@$(PYTHON) -m compileall -q src
+
+run: compile
 	@$(PYTHON) -m tools.demo run
 
-up: setup
+up: compile
 	@$(PYTHON) -m tools.demo up
 
 test: check
 	@$(PYTHON) -m tools.test_all
 
-check: setup
+check: compile
 	@$(VENV)/bin/ruff format --check --quiet src tests features tools
 	@$(VENV)/bin/ruff check --quiet src tests features tools
 	@$(PYTHON) -m tools.check_imports src tests features tools
@@ -32,13 +36,13 @@
 	$(VENV)/bin/ruff check --fix --quiet src tests features tools
 	$(VENV)/bin/ruff format --quiet src tests features tools
 
-unit: setup
+unit: compile
 	$(PYTHON) -m pytest
 
-features: setup
+features: compile
 	$(PYTHON) -m behave --format progress features
 
-bench: setup
+bench: compile
 	$(PYTHON) -m tools.bench
 
 capacity: setup
