Log what a start has taken, and how many modules it compiles

The logs couldn't tell a process that loads from one that waits: nothing is written before the ports are open. started and ready have the time since the start and the processor time of the process; started also has the number of modules without stored bytecode, which each start compiles again.

--- a/src/cowsliprill/process.py
+++ b/src/cowsliprill/process.py
@@ -14,6 +14,7 @@
 from cowsliprill import environment as environment_lib
 from cowsliprill import graceful_server
 from cowsliprill import peers
+from cowsliprill import start_cost
 from cowsliprill.observability import log as log_lib
 from cowsliprill.observability import metrics as metrics_lib
 
@@ -194,6 +195,8 @@
             port=self.port,
             public_port=self.public_port,
             availability_zone=self.environment.availability_zone,
+            modules_without_bytecode=start_cost.modules_without_bytecode(),
+            **start_cost.times(),
         )
         readiness = asyncio.create_task(self._log_readiness())
         await self._stop_requested.wait()
@@ -221,7 +224,7 @@
             if current_reason != reason and current_reason:
                 self.log.event("unready", reason=current_reason)
             elif current_reason != reason:
-                self.log.event("ready")
+                self.log.event("ready", **start_cost.times())
             reason = current_reason
             await asyncio.sleep(_READINESS_CHECK_S)
 
--- a/src/cowsliprill/router/__main__.py
+++ b/src/cowsliprill/router/__main__.py
@@ -3,6 +3,8 @@
 import gc
 import sys
 
+from cowsliprill import start_cost  # noqa: F401 its time begins here
+
 
 def main() -> int:
     """Runs the process.
--- a/tests/router_processes.py
+++ b/tests/router_processes.py
@@ -193,7 +193,7 @@
         """Waits until all routers are ready and have listed engines."""
         async with asyncio.timeout(_START_TIMEOUT_S):
             while not all(  # noqa: ASYNC110 logs offer no events
-                "event=ready\n" in router.text and router.lists(1)
+                lines(router.text, "ready") and router.lists(1)
                 for router in self.routers
             ):
                 await asyncio.sleep(0.05)
