Ask engines at once after a start while several versions serve

Cause: engines were asked when the first caller came back, 0.9 s after the VMs, and requests of others had evicted the KV caches meanwhile.

A process that has just started asks when it begins to coordinate a pool of several versions. With one version, as at each restart, nothing is asked unless a stream needs it.

--- a/src/cowsliprill/pool_scheduling/engine_survey.py
+++ b/src/cowsliprill/pool_scheduling/engine_survey.py
@@ -14,6 +14,9 @@
 from cowsliprill.decisions import stream_origins
 from cowsliprill.observability import log as log_lib
 
+# Until this time after the start of the process, all VMs may have ended before.
+_FRESH_S = 5.0
+
 # Engines that haven't answered are asked again after this time.
 _RETRY_INTERVAL_S = 1.0
 
@@ -32,8 +35,9 @@
 class EngineSurvey:
     """Finds the versions of streams that no VM has a record of.
 
-    Engines are asked at the first such stream, and once only: listing what they
-    keep delays their work.
+    Engines are asked once only, as listing what they keep delays their work: at
+    the first such stream, or as soon as a process that has just started begins
+    to coordinate a pool of several versions, since KV caches are evicted.
 
     Args:
       read: Reads the contents of a decode engine.
@@ -53,6 +57,7 @@
         self._endpoints = endpoints
         self._log = log
         self._surveys_by_pool: dict[str, _PoolSurvey] = {}
+        self._fresh_until = clock.now() + _FRESH_S
 
     def begin(self, pool: str) -> None:
         """Allows engines to be asked while streams from before may go on.
@@ -64,7 +69,11 @@
         if previous is not None and previous.task is not None:
             previous.task.cancel()
         ends_at = clock.now() + stream_origins.STREAM_AGE_MIN_S
-        self._surveys_by_pool[pool] = _PoolSurvey(ends_at)
+        survey = self._surveys_by_pool[pool] = _PoolSurvey(ends_at)
+        engines = self._decode_engines(pool)
+        versions = {engine.software_version for engine in engines.values()}
+        if len(versions) > 1 and clock.now() < self._fresh_until:
+            self._ask(pool, survey, engines)
 
     def version_of(
         self,
