Tests: build the deployed tree in one place

The test that builds again repeated the call of the deploy file's build that the fixture makes. Assertions are unchanged; test_deployed_tree passes.

--- a/tests/test_deployed_tree.py
+++ b/tests/test_deployed_tree.py
@@ -30,22 +30,22 @@
         shutil.copytree(name, folder / name, ignore=ignored)
     # Dependencies that are newer than their list aren't installed again.
     (folder / "target/deps").mkdir(parents=True)
-    system = tomllib.loads(pathlib.Path("deploy/system.toml").read_text())
+    # The build's `python3` is the interpreter of this process.
+    (folder / "programs").mkdir()
+    (folder / "programs/python3").symlink_to(sys.executable)
+    _build(folder)
+    return folder
+
+
+def _build(folder: pathlib.Path) -> None:
+    system = tomllib.loads((folder / "deploy/system.toml").read_text())
+    path = f"{folder / 'programs'}:{os.environ['PATH']}"
     subprocess.run(
         ["sh", "-c", system["build"]],
         cwd=folder,
-        env={**os.environ, "PATH": _path_with_python3(folder)},
+        env={**os.environ, "PATH": path},
         check=True,
     )
-    return folder
-
-
-def _path_with_python3(folder: pathlib.Path) -> str:
-    """Returns a path whose `python3` is the interpreter of this process."""
-    programs = folder / "programs"
-    programs.mkdir()
-    (programs / "python3").symlink_to(sys.executable)
-    return f"{programs}:{os.environ['PATH']}"
 
 
 def _output(tree: pathlib.Path, program: str) -> str:
@@ -78,13 +78,6 @@
     def test_build_again_takes_new_sources(self, tree: pathlib.Path) -> None:
         file = tree / "src/cowsliprill/router/core.py"
         file.write_text(file.read_text() + "\nBUILT_AGAIN = 1\n")
-        system = tomllib.loads((tree / "deploy/system.toml").read_text())
-        path = f"{tree / 'programs'}:{os.environ['PATH']}"
-        subprocess.run(
-            ["sh", "-c", system["build"]],
-            cwd=tree,
-            env={**os.environ, "PATH": path},
-            check=True,
-        )
+        _build(tree)
         program = "from cowsliprill.router import core; print(core.BUILT_AGAIN)"
         assert _output(tree, program) == "1"
