--- /dev/null
+++ b/tests/test_overload_ranking.py
@@ -0,0 +1,94 @@
+"""Tests of the order of competing work under overload."""
+
+import itertools
+
+from cowsliprill.decisions.overload import ranking
+
+_URGENT, _ROUTINE = 0, -2
+_numbers = itertools.count()
+
+
+def _work(customer, priority=_ROUTINE, *, deadline=1.0, late=False, cost=1.0):
+    return ranking.Work(
+        customer=customer,
+        priority=priority,
+        start_deadline=deadline,
+        cost=cost,
+        late=late,
+        number=next(_numbers),
+    )
+
+
+def _ranking(running, waiting, shares=None):
+    return ranking.Ranking(
+        len(running),
+        ranking.SlotUse.of(running),
+        ranking.SlotUse.of(waiting),
+        shares or {},
+    )
+
+
+class TestFloodOfRoutineWork:
+    """One customer sends many routine requests with urgent ones among them."""
+
+    def test_urgent_work_of_the_flooding_customer_is_served_first(self):
+        # Guards against routine work that uses up the share of urgent work.
+        running = [_work("flood") for _ in range(9)] + [_work("calm")]
+        urgent = _work("flood", _URGENT)
+        waiting = [_work("flood"), _work("calm"), urgent]
+        assert _ranking(running, waiting).ordered(waiting)[0] is urgent
+
+    def test_customers_within_their_share_come_first(self):
+        running = [_work("flood") for _ in range(8)] + [_work("calm")]
+        flood = [_work("flood", deadline=0.1) for _ in range(5)]
+        calm = [_work("calm", deadline=2.0) for _ in range(2)]
+        ordered = _ranking(running, flood + calm).ordered(flood + calm)
+        assert ordered == calm + flood
+
+    def test_only_the_part_within_the_share_ranks_before_others(self):
+        # Guards against a queue of 30 requests that counts as ahead of a
+        # customer within its share because few of them run yet.
+        running = [_work("flood")] + [_work("calm") for _ in range(2)]
+        running += [_work("other") for _ in range(5)]
+        flood = [_work("flood", deadline=0.1) for _ in range(30)]
+        calm = [_work("calm", deadline=2.0)]
+        ordered = _ranking(running, flood + calm).ordered(flood + calm)
+        assert ordered.index(calm[0]) == 2
+
+    def test_over_share_at_a_priority_is_over_share_below_it(self):
+        # Guards against routine work that ranks before more urgent work of the
+        # same customer.
+        running = [_work("flood", _URGENT) for _ in range(8)]
+        running += [_work(name) for name in ("a", "b")]
+        waiting = [_work("flood", _URGENT), _work("flood")]
+        waiting += [_work("calm", _URGENT) for _ in range(4)]
+        ranked = _ranking(running, waiting)
+        assert ranked.over_share("flood", _URGENT)
+        assert ranked.over_share("flood", _ROUTINE)
+
+    def test_shares_are_weighted(self):
+        running = [_work("large") for _ in range(6)]
+        running += [_work("small") for _ in range(3)]
+        waiting = [_work("large"), _work("small")]
+        ranked = _ranking(running, waiting, {"large": 3.0})
+        assert not ranked.over_share("large", _ROUTINE)
+        assert ranked.over_share("small", _ROUTINE)
+
+
+class TestBurstOfTheLeastUrgentWork:
+    """All customers are within their shares; the work differs in urgency."""
+
+    def test_order_is_lateness_priority_deadline_and_cost(self):
+        late = _work("a", _URGENT, late=True)
+        urgent = _work("a", _URGENT, deadline=9.0)
+        soon = _work("a", deadline=1.0, cost=0.1)
+        costly = _work("a", deadline=1.0, cost=5.0)
+        works = [costly, late, soon, urgent]
+        ordered = _ranking([], works).ordered(works)
+        assert ordered == [urgent, soon, costly, late]
+
+    def test_no_customer_is_over_its_share_while_there_is_room(self):
+        works = [_work("flood") for _ in range(5)]
+        use = ranking.SlotUse.of(works)
+        ranked = ranking.Ranking(10, use, ranking.SlotUse(), {})
+        assert not ranked.over_share("flood", _ROUTINE)
