Add the switch overload_control and the header Request-Priority

Engines admit and preempt by the header Request-Priority, which no request carried. The entry process sends it with prefills and decodes if the new switch overload_control is on.

--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -169,6 +169,7 @@
                 metrics=self._metrics,
                 log=log,
                 feedback=self.availability.feedback,
+                overload_control=environment.overload_control,
             )
         )
         self._gate = gate_lib.Gate(self._incarnation, self._cluster_state)
--- a/src/cowsliprill/entry/dialect.py
+++ b/src/cowsliprill/entry/dialect.py
@@ -35,6 +35,7 @@
       metrics: Metrics of the process.
       log: Log of the process.
       feedback: Receives what each answer of an endpoint says about it.
+      overload_control: Whether engines are to serve requests by priority.
     """
 
     incarnation: identity.Incarnation
@@ -43,6 +44,7 @@
     metrics: metrics_lib.Metrics
     log: log_lib.Log
     feedback: endpoint_feedback.EndpointFeedback
+    overload_control: bool = False
 
 
 class Dialect(errors.ErrorFormatter, Protocol):
--- a/src/cowsliprill/platform/dialect.py
+++ b/src/cowsliprill/platform/dialect.py
@@ -27,7 +27,10 @@
 
     def __init__(self, dependencies: dialect.Dependencies) -> None:
         self.engines = engines.EngineClient(
-            dependencies.http, dependencies.log, dependencies.feedback
+            dependencies.http,
+            dependencies.log,
+            dependencies.feedback,
+            sends_priority=dependencies.overload_control,
         )
         self.services = engines.ServiceClient(
             dependencies.http, dependencies.feedback
--- a/src/cowsliprill/platform/engines.py
+++ b/src/cowsliprill/platform/engines.py
@@ -69,6 +69,7 @@
       client: HTTP client.
       log: Log of the process.
       feedback: Receives what answers say about their engines.
+      sends_priority: Whether engines are told the priority of each request.
     """
 
     prefill_counts_as_execution = False
@@ -80,9 +81,12 @@
         client: http_client.HttpClient,
         log: log_lib.Log,
         feedback: endpoint_feedback.EndpointFeedback,
+        *,
+        sends_priority: bool = False,
     ) -> None:
         self._http = client
         self._log = log
+        self._sends_priority = sends_priority
         self._feedback = feedback
         self._release_tasks: set[asyncio.Task] = set()
 
@@ -106,7 +110,10 @@
 
         A prefill doesn't count as an execution of the request.
         """
-        extra_headers = {headers_lib.STAGE: headers_lib.STAGE_PREFILL}
+        extra_headers = {
+            headers_lib.STAGE: headers_lib.STAGE_PREFILL,
+            **self._priority_header(ctx),
+        }
         response = await _send(
             self._http,
             self._feedback,
@@ -131,7 +138,7 @@
         timeout_s: float,
     ) -> event_stream.EventStream:
         """Starts decoding and returns the stream of events."""
-        extra_headers = {}
+        extra_headers = self._priority_header(ctx)
         if prefilled is not None:
             source = prefilled.endpoint
             address = f"{source.host}:{source.port}"
@@ -197,6 +204,11 @@
         """Returns a sink that relays events and engine headers unchanged."""
         return sinks.PassthroughSink(ctx, stream)
 
+    def _priority_header(self, ctx: context.Context) -> dict[str, str]:
+        if not self._sends_priority:
+            return {}
+        return {headers_lib.PRIORITY: headers_lib.priority_value(ctx.priority)}
+
     async def _release(self, prefilled: FinishedPrefill) -> None:
         endpoint = prefilled.endpoint
         pause_s = self._feedback.pause_left_s(endpoint)
--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -40,6 +40,9 @@
 
 STAGE_PREFILL = "prefill"
 
+# Largest value of the header `Request-Priority`, the least urgent.
+LEAST_URGENT = 9
+
 # Set only by the router and removed from callers' requests. A client that sends
 # them could use another client's KV cache, or hold engine memory without a
 # request.
@@ -57,3 +60,12 @@
         "tenant",
     }
 )
+
+
+def priority_value(priority: int) -> str:
+    """Returns the value of the header `Request-Priority`.
+
+    Args:
+      priority: Priority of a request; higher is more urgent.
+    """
+    return str(min(max(-priority, 0), LEAST_URGENT))
--- a/src/cowsliprill/router/config.py
+++ b/src/cowsliprill/router/config.py
@@ -8,6 +8,7 @@
 from cowsliprill import environment
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import quota_owner
+from cowsliprill.platform import terms as terms_lib
 
 # Time in seconds reserved between the end of the last request and the end of
 # the process.
@@ -29,6 +30,11 @@
     return host, int(port)
 
 
+def _empty_if_none(terms: object) -> object:
+    """Returns no terms for null, as a platform without any may render it."""
+    return () if terms is None else terms
+
+
 Address = Annotated[tuple[str, int], pydantic.BeforeValidator(_parse_address)]
 
 
@@ -71,6 +77,10 @@
         further engine.
       released_requests: Fingerprints of requests that are never refused for
         this reason; applied when the file changes.
+      overload_control: Whether the overload ranking orders the requests that
+        wait, whatever the terms say.
+      terms: Parts of the platform's rules that are in force; see
+        `platform.terms`.
       path: Path of the file, None if the configuration was not read from one.
     """
 
@@ -98,6 +108,10 @@
     quarantine_crashes: environment.CrashLimit = 3
     quarantine_s: environment.QuarantineSeconds = 600.0
     released_requests: frozenset[environment.Fingerprint] = frozenset()
+    overload_control: bool = False
+    terms: Annotated[
+        tuple[str, ...], pydantic.BeforeValidator(_empty_if_none)
+    ] = ()
     path: pathlib.Path | None = None
 
     def cores(self) -> float:
@@ -117,6 +131,10 @@
             tokens=(self.quota_slack or 0.0) * _TOLERANCE_FRACTION,
         )
 
+    def controls_overload(self) -> bool:
+        """Returns whether the overload ranking is switched on."""
+        return self.overload_control or terms_lib.controls_overload(self.terms)
+
     def knows_all_streams(self) -> bool:
         """Returns whether no stream can have begun unknown to this process."""
         versions_off = mechanisms.Mechanism.STREAM_VERSIONS
@@ -140,6 +158,7 @@
             quarantine_crashes=self.quarantine_crashes,
             quarantine_s=self.quarantine_s,
             released_requests=self.released_requests,
+            overload_control=self.controls_overload(),
         )
 
 
