Order and admit the requests of a pool by the overload ranking

With overload_control, the pool scheduler places and sheds requests by the ranking. A new request is admitted by the waiting work ahead of it only, and it is refused only if nothing waits that ranks behind it. The delay of first tokens is averaged by priority. Without the switch the queues work as before.

tests/test_scheduler.py, test_pool_scheduler.py, test_wait_estimates.py and test_request_queue.py pass.

--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -389,6 +389,23 @@
         return self.prefill_id != self.decode_id
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Rank:
+    """Where a request stood in the overload ranking.
+
+    Attributes:
+      priority: Its priority; higher is more urgent.
+      over_share: Whether it was beyond the share of its customer.
+      ahead: Waiting requests that ranked before it.
+      wait_s: Expected wait for those, in seconds.
+    """
+
+    priority: int
+    over_share: bool
+    ahead: int
+    wait_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refuse:
     """Reject the request with an error response.
@@ -399,6 +416,7 @@
       retry_after_s: Time after which the caller should retry.
       wait_s: Expected queueing time of the last request in the queue.
       waiting: Requests queued here for the same pool.
+      rank: Where it stood in the overload ranking, None without one.
     """
 
     request_id: int
@@ -406,6 +424,7 @@
     retry_after_s: float
     wait_s: float = 0.0
     waiting: int = 0
+    rank: Rank | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/cowsliprill/decisions/overload/ranking.py
+++ b/src/cowsliprill/decisions/overload/ranking.py
@@ -204,13 +204,19 @@
         return demand
 
 
+def adjusted_start_deadline(work: Work) -> float:
+    """Returns the start deadline plus a penalty for expensive work."""
+    return work.start_deadline + (
+        COST_WEIGHT * work.cost / max(work.value, _MIN_VALUE)
+    )
+
+
 def _own_key(work: Work) -> tuple[bool, int, float, int]:
     """Returns the sort key among the work of one customer."""
-    cost_s = COST_WEIGHT * work.cost / max(work.value, _MIN_VALUE)
     return (
         work.late,
         -work.priority,
-        work.start_deadline + cost_s,
+        adjusted_start_deadline(work),
         work.number,
     )
 
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -18,6 +18,9 @@
 from cowsliprill.decisions import request_value
 from cowsliprill.decisions import speeds
 from cowsliprill.decisions import workload
+from cowsliprill.decisions.overload import first_token_delays
+from cowsliprill.decisions.overload import ranked_queue
+from cowsliprill.decisions.overload import ranking
 
 _EMA_WEIGHT = 0.05
 _INITIAL_HOLD_S = 5.0
@@ -101,17 +104,25 @@
     Args:
       rng: Random number generator for retry-after times.
       engine_health: Health of the engines as seen by this process.
+      overload_control: Whether the overload ranking orders the requests.
     """
 
     def __init__(
-        self, rng: random.Random, engine_health: health.EngineHealth
+        self,
+        rng: random.Random,
+        engine_health: health.EngineHealth,
+        *,
+        overload_control: bool = False,
     ) -> None:
         self._health = engine_health
-        self.queue = request_queue.RequestQueue()
+        self.overload_control = overload_control
+        self._running = ranking.SlotUse()
+        self._waiting = ranking.SlotUse()
+        self.queue = self._new_queue()
         # Streams that only engines of one software version may continue, and
         # requests that start one after the other. In the other queue they would
         # block the requests that any engine can serve now.
-        self.constrained = request_queue.RequestQueue()
+        self.constrained = self._new_queue()
         self.demand = demand.DemandWindow()
         self.prefills: list[model.Endpoint] = []
         self.decodes: list[model.Endpoint] = []
@@ -130,7 +141,9 @@
         self.mean_hold_s = _INITIAL_HOLD_S
         self._has_hold_samples = False
         self.prefill_s = _INITIAL_PREFILL_S
-        self.first_token_delay_s = 0.0
+        self.first_token_delays = first_token_delays.FirstTokenDelays(
+            by_priority=overload_control
+        )
         self.prefill_shortage_since = math.inf
         self.slowdown_by_prefill: dict[str, float] = {}
         self._token_interval_s = 0.0
@@ -287,11 +300,6 @@
         """Returns the fraction of engine time spent on prefills, if known."""
         return self._workload.prompt_part()
 
-    def record_first_token_delay(self, seconds: float) -> None:
-        """Records how much later than on idle engines a first token came."""
-        change = max(seconds, 0.0) - self.first_token_delay_s
-        self.first_token_delay_s += change * _EMA_WEIGHT
-
     def record_prefill_estimate(self, seconds: float) -> None:
         """Records the expected duration of a prefill that starts."""
         self.prefill_s += (seconds - self.prefill_s) * _EMA_WEIGHT
@@ -326,19 +334,64 @@
         slowdown = self.slowdown_by_prefill.get(endpoint.id, 1.0)
         return seconds if ignore_slowdown else seconds * slowdown
 
-    def acquire(self, customer: str) -> None:
+    def _new_queue(self) -> request_queue.RequestQueue:
+        if self.overload_control:
+            return ranked_queue.RankedQueue(self._waiting)
+        return request_queue.RequestQueue()
+
+    def acquire(self, customer: str, priority: int, slots: int) -> None:
         """Counts a started request, for fair sharing."""
         self.in_use_by_customer[customer] = (
             self.in_use_by_customer.get(customer, 0) + 1
         )
+        self._running.add(customer, priority, slots)
 
-    def release(self, customer: str) -> None:
+    def release(self, customer: str, priority: int, slots: int) -> None:
         """Counts a request that has ended or failed, for fair sharing."""
         remaining = self.in_use_by_customer[customer] - 1
         if remaining:
             self.in_use_by_customer[customer] = remaining
         else:
             del self.in_use_by_customer[customer]
+        self._running.remove(customer, priority, slots)
+
+    def ranking(self) -> ranking.Ranking:
+        """Returns the ranking of the waiting requests, valid for this moment.
+
+        The capacity to share is what runs, and one more request. The engines'
+        slots would be too much where prefills limit the pool before decode
+        slots do: no customer would be beyond its share then.
+        """
+        return ranking.Ranking(
+            self._running.total + self.mean_slots_per_request,
+            self._running,
+            self._waiting,
+            self.shares_by_customer,
+        )
+
+    def first_waiting(self) -> request_queue.QueuedRequest | None:
+        """Returns the request of `queue` to place next, None if it is empty."""
+        match self.queue:
+            case ranked_queue.RankedQueue() as queue:
+                return queue.first_ranked(self.ranking())
+            case queue:
+                return queue.first(self.over_share)
+
+    def last_waiting(self) -> request_queue.QueuedRequest | None:
+        """Returns the request of `queue` to shed first, None if it is empty."""
+        match self.queue:
+            case ranked_queue.RankedQueue() as queue:
+                return queue.last_ranked(self.ranking())
+            case queue:
+                return queue.last(self.over_share)
+
+    def constrained_in_order(self) -> list[request_queue.QueuedRequest]:
+        """Returns the requests of `constrained` in the order of placement."""
+        match self.constrained:
+            case ranked_queue.RankedQueue() as queue:
+                return queue.ordered(self.ranking())
+            case queue:
+                return sorted(queue, key=request_queue.QueuedRequest.key)
 
     def over_share(self, customer: str) -> float:
         """Returns how far a customer's running requests exceed its fair share.
@@ -453,6 +506,30 @@
           version: Software version of the engines that the request needs, None
             for any.
         """
+        queue = self.queue if version is None else self.constrained
+        queued = [
+            item
+            for item in queue
+            if item.submit.priority >= priority and item.version == version
+        ]
+        return self.backlog_of(
+            queued, version, self.demand.fraction_at_or_above(priority)
+        )
+
+    def backlog_of(
+        self,
+        queued: list[request_queue.QueuedRequest],
+        version: str | None = None,
+        others_fraction: float = 1.0,
+    ) -> admission.Backlog:
+        """Returns the backlog of some queued requests.
+
+        Args:
+          queued: The requests.
+          version: Software version of the engines that they need, None for any.
+          others_fraction: Fraction that counts of the requests that wait at
+            other entry processes.
+        """
         usable = [
             item
             for item in self.decodes
@@ -463,13 +540,7 @@
         others = max(
             (item.others_waiting for item in endpoint_leases), default=0
         )
-        queue = self.queue if version is None else self.constrained
-        queued = [
-            item
-            for item in queue
-            if item.submit.priority >= priority and item.version == version
-        ]
-        ahead = others * self.demand.fraction_at_or_above(priority)
+        ahead = others * others_fraction
         slots = sum(map(self._usable_slots, decodes))
         used = sum(
             min(self.lease(item.id).used, self._usable_slots(item))
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -83,6 +83,7 @@
       seed: Seed of the random number generator.
       origins: Tells and records which software version began a stream.
       begun_at: Time in seconds at which this process began to host the pool.
+      overload_control: Whether the overload ranking orders the requests.
     """
 
     def __init__(
@@ -91,9 +92,15 @@
         seed: int,
         origins: stream_origins.Origins | None = None,
         begun_at: float = -math.inf,
+        *,
+        overload_control: bool = False,
     ) -> None:
         self._scheduler = scheduler_lib.Scheduler(
-            availability_zone, seed, owns_slots=True, origins=origins
+            availability_zone,
+            seed,
+            owns_slots=True,
+            origins=origins,
+            overload_control=overload_control,
         )
         self._scheduler.origins_complete_at = begun_at + _ORIGINS_WAIT_S
         self._sessions_by_entry: dict[str, _EntrySession] = {}
@@ -276,6 +283,10 @@
         """
         return self._scheduler.prompt_part(pool)
 
+    def displaced(self) -> Mapping[tuple[str, str], int]:
+        """Returns how often a request was displaced, by pool and reason."""
+        return self._scheduler.displaced()
+
     def running(self, entry: str) -> int:
         """Returns the number of queued and running requests of an entry."""
         return len(self._sessions_by_entry[entry].request_ids_by_number)
--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -26,6 +26,7 @@
       rng: Random number generator.
       engine_health: Health of the engines as seen by this process.
       owns_slots: Whether this process alone uses the engines, without leases.
+      overload_control: Whether the overload ranking orders the requests.
 
     Attributes:
       pools_by_name: The pools.
@@ -43,8 +44,10 @@
         engine_health: health.EngineHealth,
         *,
         owns_slots: bool = False,
+        overload_control: bool = False,
     ) -> None:
         self._owns_slots = owns_slots
+        self._overload_control = overload_control
         self.slot_fraction = 1.0
         self.pools_by_name: dict[str, pools.Pool] = {}
         self.pools_by_endpoint: dict[str, pools.Pool] = {}
@@ -130,7 +133,11 @@
     def _pool(self, name: str) -> pools.Pool:
         pool = self.pools_by_name.get(name)
         if pool is None:
-            pool = pools.Pool(self._random, self._health)
+            pool = pools.Pool(
+                self._random,
+                self._health,
+                overload_control=self._overload_control,
+            )
             self.pools_by_name[name] = pool
         return pool
 
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -134,7 +134,8 @@
     unloaded_start_deadline = submit.deadline - min_ttft_s
     start_deadline = min(
         unloaded_start_deadline
-        - pool.first_token_delay_s * _DELAY_MARGIN_FACTOR,
+        - pool.first_token_delays.expected_s(submit.priority)
+        * _DELAY_MARGIN_FACTOR,
         now + submit.service.may_wait_s,
     )
     useful_start_deadline = start_deadline
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 from cowsliprill.decisions import engine_selection
 from cowsliprill.decisions import estimates
@@ -21,7 +22,6 @@
 from cowsliprill.decisions import pair_selection
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import pool_set
-from cowsliprill.decisions import request_queue
 from cowsliprill.decisions import requests
 from cowsliprill.decisions import retry_budget
 from cowsliprill.decisions import slot_demands
@@ -61,6 +61,7 @@
       owns_slots: Whether this scheduler alone uses the engines, so that it
         needs no slot leases.
       origins: Tells and records which software version began a stream.
+      overload_control: Whether the overload ranking orders the requests.
 
     Attributes:
       origins_complete_at: Time in seconds from which a stream that `origins`
@@ -74,6 +75,7 @@
         *,
         owns_slots: bool = False,
         origins: stream_origins.Origins | None = None,
+        overload_control: bool = False,
     ) -> None:
         self.origins_complete_at = -math.inf
         self._origins = origins or stream_origins.StreamOrigins(
@@ -84,7 +86,12 @@
         self._requests_by_id: dict[int, requests.Request] = {}
         self._health = health.EngineHealth()
         self._pools = pool_set.PoolSet(
-            availability_zone, seed, rng, self._health, owns_slots=owns_slots
+            availability_zone,
+            seed,
+            rng,
+            self._health,
+            owns_slots=owns_slots,
+            overload_control=overload_control,
         )
         self._owns_slots = owns_slots
         self._unavailable = unavailable_engines.UnavailableEngines()
@@ -175,6 +182,10 @@
         pool_state = self._pools.pools_by_name.get(pool)
         return pool_state.prompt_part() if pool_state else None
 
+    def displaced(self) -> Mapping[tuple[str, str], int]:
+        """Returns how often a request was displaced, by pool and reason."""
+        return self._waiting.displaced
+
     def asks(self, now: float) -> list[messages.SlotDemand]:
         """Returns this process's slot demand at each endpoint it uses.
 
@@ -263,13 +274,8 @@
         starts = self._place_all(request.pool, now)
         is_queued = request.stage is messages.Stage.QUEUED
         can_meet_target = request.start_deadline > now
-        entry_count = self._pools.entry_count
-        if (
-            is_queued
-            and can_meet_target
-            and not wait_estimates.should_queue(request, now, entry_count)
-        ):
-            code = self._waiting.demote(request, now)
+        if is_queued and can_meet_target:
+            code = self._waiting.admit(request, now)
             if code is not None:
                 starts.append(self._refuse(request, code, now))
         return starts
@@ -378,7 +384,7 @@
         if request.stage is messages.Stage.PREFILL:
             pool.lease(request.prefill.id).acquire(customer)
         pool.lease(request.decode.id).acquire(customer, request.slots)
-        pool.acquire(customer)
+        pool.acquire(customer, request.submit.priority, request.slots)
 
     def _cancel(self, request_id: int, now: float) -> list[messages.Action]:
         request = self._requests_by_id.pop(request_id, None)
@@ -428,8 +434,9 @@
         request.version = request.decode.software_version
         request.stage = messages.Stage.DECODE
         request.stage_started_at = now
-        request.pool.record_first_token_delay(
-            now - request.started_at - request.min_ttft_s
+        request.pool.first_token_delays.record(
+            request.submit.priority,
+            now - request.started_at - request.min_ttft_s,
         )
         if len(request.pool.constrained):
             return self._schedule(request.pool, now)
@@ -549,7 +556,7 @@
         customer = request.submit.customer
         lease = request.pool.lease(request.decode.id)
         lease.release(customer, request.slots)
-        request.pool.release(customer)
+        request.pool.release(customer, request.submit.priority, request.slots)
 
     def _release_prefill(self, request: requests.Request) -> None:
         assert request.prefill is not None
@@ -561,6 +568,7 @@
     ) -> messages.Refuse:
         pool = request.pool
         request_id = request.submit.request_id
+        rank = self._waiting.rank(request, now)
         request.queue.remove(request_id)
         del self._requests_by_id[request_id]
         entry_count = self._pools.entry_count
@@ -585,6 +593,7 @@
             ),
             wait_s=wait_s,
             waiting=len(pool.queue),
+            rank=rank,
         )
 
     # Events of leases and the cluster state.
@@ -664,7 +673,7 @@
         self._waiting.return_to_queue(pool, now)
         starts = self._place_resumed(pool, now)
         while len(pool.queue):
-            waiting = pool.queue.first(pool.over_share)
+            waiting = pool.first_waiting()
             assert waiting is not None
             request = self._waiting.request_of(waiting)
             if self._waiting.must_wait(request, now):
@@ -687,7 +696,7 @@
         They come before the others: streams that are resumed, whose callers
         have a part of the output, and requests that were first in the queue.
         """
-        waiting = sorted(pool.constrained, key=request_queue.QueuedRequest.key)
+        waiting = pool.constrained_in_order()
         starts = [
             self._place(request, now)
             for request in map(self._waiting.request_of, waiting)
--- a/src/cowsliprill/decisions/wait_estimates.py
+++ b/src/cowsliprill/decisions/wait_estimates.py
@@ -6,6 +6,8 @@
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import request_queue
 from cowsliprill.decisions import requests
+from cowsliprill.decisions.overload import ranked_queue
+from cowsliprill.decisions.overload import standing as standing_lib
 
 # If the expected wait is below this fraction of the time left to the start
 # deadline, requests are admitted without a check of demand against capacity.
@@ -95,6 +97,71 @@
     return pool.demand.fits(item, slots, pool.shares_by_customer)
 
 
+def should_queue_ranked(
+    request: requests.Request,
+    standing: standing_lib.Standing,
+    now: float,
+    entry_count: int,
+) -> bool:
+    """Returns whether to queue a request, given its place in the ranking.
+
+    Args:
+      request: The request, which can't start now.
+      standing: Where it stands.
+      now: Current time in seconds.
+      entry_count: Number of entry processes that share the pool's slots.
+    """
+    backlog = standing.backlog
+    if not backlog.is_scarce():
+        return True
+    time_left_s = request.start_deadline - now
+    if backlog.wait_s() > time_left_s:
+        return False
+    # The demand window would also refuse requests of customers below their
+    # shares, and requests ahead of waiting ones.
+    if (
+        request.needs_version
+        or not (standing.customer_over_share and standing.is_last)
+        or backlog.wait_s() < time_left_s * _SHORT_WAIT_FRACTION
+    ):
+        return True
+    pool = request.pool
+    return pool.demand.fits(
+        request_demand(request, now),
+        pool.slots() / entry_count,
+        pool.shares_by_customer,
+    )
+
+
+def wait_s_ranked(
+    pool: pools.Pool,
+    queue: ranked_queue.RankedQueue,
+    last: request_queue.QueuedRequest,
+    now: float,
+    entry_count: int,
+) -> float:
+    """Returns the expected wait of the request that ranks last, in seconds.
+
+    Late requests of a customer within its share rank before all those beyond a
+    share. Only late ones beyond it are left with what requests in time leave.
+
+    Args:
+      pool: The pool.
+      queue: The queue in which the request waits.
+      last: The last request of those for engines of its version.
+      now: Current time in seconds.
+      entry_count: Number of entry processes that share the pool's slots.
+    """
+    queued = [item for item in queue if item.version == last.version]
+    drain_s = pool.backlog_of(queued, last.version).wait_s()
+    if not last.late or drain_s > last.start_deadline - now:
+        return drain_s
+    standing = standing_lib.standing(pool, queue, last)
+    if not standing.rank.over_share:
+        return drain_s
+    return drain_s / spare_capacity(pool, now, entry_count).for_late_requests
+
+
 def wait_s(
     pool: pools.Pool,
     last: request_queue.QueuedRequest,
--- a/src/cowsliprill/decisions/waiting_requests.py
+++ b/src/cowsliprill/decisions/waiting_requests.py
@@ -3,6 +3,7 @@
 Decides where each waits and which had better not wait any longer.
 """
 
+import collections
 import math
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -16,6 +17,8 @@
 from cowsliprill.decisions import suspected_features
 from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import wait_estimates
+from cowsliprill.decisions.overload import ranked_queue
+from cowsliprill.decisions.overload import standing as standing_lib
 
 # A request stays in the queue only if the backlog is expected to drain within
 # this multiple of the time left to its start deadline.
@@ -25,6 +28,9 @@
 # back in the queue.
 _COST_WEIGHT = 3.0
 
+# Reason for which requests count as displaced by those in time.
+_DEMOTED = "demoted"
+
 # A request that should be refused, and why. It must be refused before the next
 # one is taken, as that depends on what still waits.
 Unservable = tuple[requests.Request, messages.RefusalCode]
@@ -44,6 +50,8 @@
     Attributes:
       held_ids: Requests whose entry processes keep their streams at silent
         engines, which may still go on.
+      displaced: How often the overload ranking put a request behind others or
+        ended its wait, by pool and reason; empty without the ranking.
     """
 
     def __init__(
@@ -56,6 +64,9 @@
         entry_count: Callable[[], int],
     ) -> None:
         self.held_ids: set[int] = set()
+        self.displaced: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
         self._requests_by_id = requests_by_id
         self._health = engine_health
         self._unavailable = unavailable
@@ -78,24 +89,7 @@
         """
         request.stage = messages.Stage.QUEUED
         request.needs_version = request.lacks_engines()
-        late = request.start_deadline <= now < request.useful_start_deadline
-        request.queue.add(
-            request_queue.QueuedRequest(
-                submit=request.submit,
-                late=late,
-                start_deadline=(
-                    request.useful_start_deadline
-                    if late
-                    else request.start_deadline
-                ),
-                cost_s=request.cost_s
-                * (request.slots / request.pool.mean_slots_per_request)
-                / request.value,
-                cost_weight=_COST_WEIGHT,
-                slots=request.slots,
-                version=request.version if request.needs_version else None,
-            )
-        )
+        request.queue.add(_queued(request, now))
 
     def requeue(
         self,
@@ -145,6 +139,40 @@
                     request, now, starts_apart=waits, avoids_engines=avoids
                 )
 
+    def rank(
+        self, request: requests.Request, now: float
+    ) -> messages.Rank | None:
+        """Returns where a request stands in the ranking, None without one."""
+        standing = _standing(request, now)
+        return None if standing is None else standing.rank
+
+    def admit(
+        self, request: requests.Request, now: float
+    ) -> messages.RefusalCode | None:
+        """Decides about a new request that waits and could still be in time.
+
+        It is demoted or refused if it isn't expected to start in time. With the
+        overload ranking, it is refused only if nothing waits that ranks behind
+        it; else it keeps its place until its deadline.
+
+        Args:
+          request: The request.
+          now: Current time in seconds.
+
+        Returns:
+          Why it must be refused, None if it waits on.
+        """
+        standing = _standing(request, now)
+        entry_count = self._entry_count()
+        if standing is None:
+            queues = wait_estimates.should_queue(request, now, entry_count)
+        else:
+            can_be_late = request.useful_start_deadline > request.start_deadline
+            queues = wait_estimates.should_queue_ranked(
+                request, standing, now, entry_count
+            ) or not (can_be_late or standing.is_last)
+        return None if queues else self.demote(request, now)
+
     def demote(
         self, request: requests.Request, now: float
     ) -> messages.RefusalCode | None:
@@ -167,6 +195,7 @@
             return messages.RefusalCode.OVERLOADED
         request.start_deadline = now
         self.enqueue(request, now)
+        self._count_displaced(request, _DEMOTED)
         return None
 
     def must_wait(self, request: requests.Request, now: float) -> bool:
@@ -222,8 +251,11 @@
             if not waiting.late and request.useful_start_deadline > now:
                 request.queue.remove(waiting.submit.request_id)
                 self.enqueue(request, now)
+                self._count_displaced(request, _DEMOTED)
                 continue
-            yield request, messages.RefusalCode.WAITED_TOO_LONG
+            code = messages.RefusalCode.WAITED_TOO_LONG
+            self._count_displaced(request, code)
+            yield request, code
         yield from self._demote_without_chance(pool, now)
 
     def _is_restricted(self, request: requests.Request, now: float) -> bool:
@@ -251,7 +283,7 @@
     ) -> Iterator[Unservable]:
         """Demotes or yields requests that wait behind too many others."""
         while len(pool.queue):
-            last = pool.queue.last(pool.over_share)
+            last = pool.last_waiting()
             assert last is not None
             if self._has_chance(pool, last, now):
                 break
@@ -259,9 +291,11 @@
         versions = {item.version for item in pool.constrained} - {None}
         for version in sorted(versions):
             while waiting := [
-                item for item in pool.constrained if item.version == version
+                item
+                for item in pool.constrained_in_order()
+                if item.version == version
             ]:
-                last = max(waiting, key=request_queue.QueuedRequest.key)
+                last = waiting[-1]
                 if self._has_chance(pool, last, now):
                     break
                 yield from self._demoted(last, now)
@@ -272,14 +306,26 @@
         request = self.request_of(waiting)
         code = self.demote(request, now)
         if code is not None:
+            self._count_displaced(request, code)
             yield request, code
 
+    def _count_displaced(self, request: requests.Request, reason: str) -> None:
+        if request.pool.overload_control:
+            self.displaced[request.submit.service.pool, reason] += 1
+
     def _has_chance(
         self, pool: pools.Pool, last: request_queue.QueuedRequest, now: float
     ) -> bool:
         """Returns whether the last request of a queue may start in time."""
         time_left = last.start_deadline - now
-        wait_s = wait_estimates.wait_s(pool, last, now, self._entry_count())
+        entry_count = self._entry_count()
+        match self.request_of(last).queue:
+            case ranked_queue.RankedQueue() as queue:
+                wait_s = wait_estimates.wait_s_ranked(
+                    pool, queue, last, now, entry_count
+                )
+            case _:
+                wait_s = wait_estimates.wait_s(pool, last, now, entry_count)
         return wait_s <= time_left * _ADMISSION_WAIT_FACTOR
 
     def _held_without_engine(self, pool: pools.Pool) -> Iterator[Unservable]:
@@ -310,3 +356,35 @@
             )
             if ready_in_s and too_late < now + ready_in_s:
                 yield request, messages.RefusalCode.OVERLOADED
+
+
+def _queued(
+    request: requests.Request, now: float
+) -> request_queue.QueuedRequest:
+    """Returns a request as an entry of its queue."""
+    late = request.start_deadline <= now < request.useful_start_deadline
+    return request_queue.QueuedRequest(
+        submit=request.submit,
+        late=late,
+        start_deadline=(
+            request.useful_start_deadline if late else request.start_deadline
+        ),
+        cost_s=request.cost_s
+        * (request.slots / request.pool.mean_slots_per_request)
+        / request.value,
+        cost_weight=_COST_WEIGHT,
+        slots=request.slots,
+        version=request.version if request.needs_version else None,
+    )
+
+
+def _standing(
+    request: requests.Request, now: float
+) -> standing_lib.Standing | None:
+    """Returns where a request stands in the ranking, None without one."""
+    match request.queue:
+        case ranked_queue.RankedQueue() as queue:
+            waiting = _queued(request, now)
+            return standing_lib.standing(request.pool, queue, waiting)
+        case _:
+            return None
--- a/src/cowsliprill/entry/filters/model_placement.py
+++ b/src/cowsliprill/entry/filters/model_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from typing import Any
 
 from cowsliprill import clock
 from cowsliprill.decisions import messages
@@ -329,6 +330,7 @@
             time_left_ms=round(
                 (ctx.response_due_at - clock.now()) * _MS_PER_S, 1
             ),
+            **_rank_fields(refusal.rank),
         )
         return errors.EntryError(
             refusal.code,
@@ -453,3 +455,17 @@
 def _decode_version(ctx: context.Context) -> str:
     endpoint = ctx.snapshot.endpoints_by_id.get(ctx.start.decode_id)
     return endpoint.software_version if endpoint else ""
+
+
+def _rank_fields(rank: messages.Rank | None) -> dict[str, Any]:
+    """Returns the log fields of a place in the overload ranking."""
+    if rank is None:
+        return {}
+    return {
+        "priority": rank.priority,
+        "over_share": rank.over_share,
+        "ahead": rank.ahead,
+        "ahead_wait_ms": round(
+            min(rank.wait_s, _MAX_LOGGED_WAIT_S) * _MS_PER_S, 1
+        ),
+    }
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -67,6 +67,9 @@
         and `state` (promised: reserved; all: total).
       pool_waiting: Requests queued for a decode slot, by `pool`, at the pool's
         coordinator.
+      overload_displaced: Requests that the overload ranking put behind others
+        or whose wait it ended, by `pool` and `reason` (demoted, overloaded,
+        waited_too_long), at the pool's coordinator.
     """
 
     def __init__(self) -> None:
@@ -219,6 +222,11 @@
         self.pool_waiting = self._gauge(
             "pool_waiting", "Requests that wait for a pool homed here."
         )
+        self.overload_displaced = aioprometheus.Counter(
+            prefix + "overload_displaced_total",
+            "Waiting requests put behind others or refused by pool and reason.",
+            registry=self.registry,
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from cowsliprill import clock
 from cowsliprill.decisions import crash_records
@@ -56,6 +57,7 @@
       log: The process's log.
       origins: Shares with other VMs which software version began a stream;
         None where engines have no versions.
+      overload_control: Whether the overload ranking orders the requests.
 
     Attributes:
       crash_records: Returns the ends of engines that this process knows of.
@@ -68,7 +70,10 @@
         rng: random.Random,
         log: log_lib.Log,
         origins: origin_exchange.OriginExchange | None = None,
+        *,
+        overload_control: bool = False,
     ) -> None:
+        self._overload_control = overload_control
         self.crash_records: Callable[
             [], Iterable[crash_records.CrashRecord]
         ] = tuple
@@ -203,6 +208,14 @@
                 loads[pool] = load
         return loads
 
+    def displaced(self) -> Mapping[tuple[str, str], int]:
+        """Returns how often a request was displaced, by pool and reason."""
+        return {
+            key: count
+            for hosted in self._hosted_by_pool.values()
+            for key, count in hosted.scheduler.displaced().items()
+        }
+
     def hosted_pools(self) -> list[str]:
         """Returns the names of the pools hosted by this process."""
         return list(self._hosted_by_pool)
@@ -241,7 +254,11 @@
             now = clock.now()
             hosted = _HostedPool(
                 pool_scheduler_lib.PoolScheduler(
-                    self._availability_zone, seed, self._origins, now
+                    self._availability_zone,
+                    seed,
+                    self._origins,
+                    now,
+                    overload_control=self._overload_control,
                 )
             )
             if self._origins is not None:
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -136,6 +136,7 @@
             rng,
             log,
             self._origin_exchange,
+            overload_control=config.controls_overload(),
         )
         self._usage_handler = usage_handler_lib.UsageReportHandler(
             config.quota_tolerance(), self._members.reachable_fraction
--- a/src/cowsliprill/router/gauges.py
+++ b/src/cowsliprill/router/gauges.py
@@ -64,6 +64,10 @@
         metrics.log_lines_dropped.set({}, dropped)
         self._sample_registry()
         self._sample_engines()
+        for (pool, reason), count in self._pool_schedulers.displaced().items():
+            metrics.overload_displaced.set(
+                {"pool": pool, "reason": reason}, count
+            )
         for pool, load in self._pool_schedulers.loads().items():
             for state, slots in (
                 ("promised", load.promised),
