--- a/src/cowsliprill/decisions/overload/ranked_queue.py
+++ b/src/cowsliprill/decisions/overload/ranked_queue.py
@@ -5,9 +5,9 @@
 from cowsliprill.decisions import request_queue
 from cowsliprill.decisions.overload import ranking
 
-# Customer, late, negative priority. Within a group the order doesn't depend on
+# Customer, priority, late. Within a group the order doesn't depend on
 # what runs, so it is kept sorted and only the ends of the groups are compared.
-_Group = tuple[str, bool, int]
+_Group = tuple[str, int, bool]
 
 
 def work_of(waiting: request_queue.QueuedRequest) -> ranking.Work:
@@ -126,14 +126,16 @@
     def _slots_ahead(self, work: ranking.Work) -> float:
         """Returns the slots of its customer's work before a group's last."""
         customer, priority = work.customer, work.priority
-        slots = self._in_time.of_customer(customer, priority) - work.slots
-        if work.late:
-            slots += self._late.of_customer(customer, priority)
-        return slots
+        late_from = priority if work.late else priority + 1
+        return (
+            self._in_time.of_customer(customer, priority)
+            + self._late.of_customer(customer, late_from)
+            - work.slots
+        )
 
 
 def _group(work: ranking.Work) -> _Group:
-    return (work.customer, work.late, -work.priority)
+    return (work.customer, work.priority, work.late)
 
 
 def _key_in_group(work: ranking.Work) -> tuple[float, int]:
--- a/src/cowsliprill/decisions/overload/ranking.py
+++ b/src/cowsliprill/decisions/overload/ranking.py
@@ -1,5 +1,9 @@
 """Order in which competing work is served, and in reverse order shed.
 
+The order is by share, priority, lateness, deadline and cost. Priority comes
+before lateness: otherwise an urgent request that is late would be shed while
+routine work of its own customer is served.
+
 Load pattern: a customer floods a pool with routine requests, with urgent ones
 of its own among them, while others stay within their shares. Its share at a
 priority counts only its work of at least that priority, so the routine flood
@@ -18,8 +22,8 @@
 # Lower bound of a work's value, against division by zero.
 _MIN_VALUE = 1e-6
 
-# Over share, late, negative priority, adjusted start deadline, number.
-Key = tuple[bool, bool, int, float, int]
+# Over share, negative priority, late, adjusted start deadline, number.
+Key = tuple[bool, int, bool, float, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,7 +104,7 @@
 
 
 class Ranking:
-    """Ranks work by share, lateness, priority, deadline and cost.
+    """Ranks work by share, priority, lateness, deadline and cost.
 
     It holds for one moment: changes of `running` or `waiting` after its
     creation give wrong results.
@@ -211,11 +215,11 @@
     )
 
 
-def _own_key(work: Work) -> tuple[bool, int, float, int]:
+def _own_key(work: Work) -> tuple[int, bool, float, int]:
     """Returns the sort key among the work of one customer."""
     return (
-        work.late,
         -work.priority,
+        work.late,
         adjusted_start_deadline(work),
         work.number,
     )
--- a/src/cowsliprill/decisions/waiting_requests.py
+++ b/src/cowsliprill/decisions/waiting_requests.py
@@ -311,7 +311,7 @@
 
     def _count_displaced(self, request: requests.Request, reason: str) -> None:
         if request.pool.overload_control:
-            self.displaced[request.submit.service.pool, reason] += 1
+            self.displaced[request.submit.service.pool, str(reason)] += 1
 
     def _has_chance(
         self, pool: pools.Pool, last: request_queue.QueuedRequest, now: float
