Prefer engines in the caller's availability zone

Cause: engines were placed by the zone of the pool's coordinator rather than of the caller, so that two thirds of all prompts and outputs crossed zones. Change: the pool scheduler knows the zone of each entry process, and placement counts an engine outside it as 20 ms (prefill) or 10 ms (decode) dearer, in place of 3 ms from the coordinator's zone.

--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -24,12 +24,20 @@
 # and outputs that grow longer than expected preempt other requests.
 _FULL_MEMORY_COST_S = 0.1
 
+# Cost of an engine outside the availability zone of the entry process. The
+# prompt, and from a decode engine the output, then cross zones, which is slower
+# and billed. An engine in the zone is preferred unless its prefill starts later
+# by this time, or its KV cache memory is fuller by a tenth.
+_PREFILL_CROSS_ZONE_COST_S = 0.02
+_DECODE_CROSS_ZONE_COST_S = 0.01
+
 
 class EngineSelector:
     """Selects engines for the requests of one scheduler.
 
     Args:
-      availability_zone: Availability zone of the entry process.
+      availability_zone: Availability zone of this process, assumed for the
+        requests of entry processes whose zone is unknown.
       engine_health: Ejection state of the engines.
       unavailable: Engines that single entry processes can't use.
     """
@@ -169,7 +177,8 @@
             ):
                 continue
             cost_s = pool.prefill_wait_s(endpoint, submit)
-            cost_s += self._cross_zone_s(endpoint)
+            if self._is_cross_zone(endpoint, submit):
+                cost_s += _PREFILL_CROSS_ZONE_COST_S
             yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _decode_candidates(
@@ -202,7 +211,9 @@
             ):
                 continue
             occupancy = lease.used / max(endpoint.slots, 1)
-            cost_s = self._cross_zone_s(endpoint) * (1 + occupancy)
+            cost_s = 0.0
+            if self._is_cross_zone(endpoint, submit):
+                cost_s += _DECODE_CROSS_ZONE_COST_S * (1 + occupancy)
             if endpoint.block_tokens:
                 cost_s += occupancy * _FULL_MEMORY_COST_S
             yield pair_selection.Candidate(endpoint.id, cost_s)
@@ -224,7 +235,9 @@
         usable = self._health.usable(endpoint.id, now, last_resort=all_ejected)
         return usable and (is_cheap or all_ejected)
 
-    def _cross_zone_s(self, endpoint: model.Endpoint) -> float:
-        if endpoint.availability_zone == self._availability_zone:
-            return 0.0
-        return estimates.CROSS_ZONE_S
+    def _is_cross_zone(
+        self, endpoint: model.Endpoint, submit: messages.Submit
+    ) -> bool:
+        """Returns whether an engine is outside the entry process's zone."""
+        zone = submit.availability_zone or self._availability_zone
+        return endpoint.availability_zone != zone
--- a/src/cowsliprill/decisions/messages.py
+++ b/src/cowsliprill/decisions/messages.py
@@ -89,6 +89,8 @@
       prompt_parts: Digests of the parts of its prompt that other requests may
         share and that its entry process doesn't know engines to survive.
       entry: Id of its entry process at a scheduler that serves several.
+      availability_zone: Availability zone of its entry process, empty if that
+        is the scheduler's own or unknown.
     """
 
     request_id: int
@@ -109,6 +111,7 @@
     fingerprint: str = ""
     prompt_parts: tuple[str, ...] = ()
     entry: str = ""
+    availability_zone: str = ""
 
     @property
     def features(self) -> tuple[str, ...]:
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -19,6 +19,7 @@
 from collections.abc import Mapping
 
 from cowsliprill.decisions import crash_records
+from cowsliprill.decisions import identity
 from cowsliprill.decisions import message_channel
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -100,6 +101,7 @@
         self._origins_by_request_id: dict[int, tuple[str, int]] = {}
         self._next_id = 0
         self._live_entry_count = 1
+        self._zones_by_vm: dict[str, str] = {}
         self._coordinator_since: float | None = None
         self._slot_fraction: float | None = None
 
@@ -133,6 +135,9 @@
             if vm.role is model.VmRole.ENTRY
             and vm.state is not model.VmState.JOINING
         )
+        self._zones_by_vm = {
+            vm.id: vm.availability_zone for vm in fleet.vms_by_id.values()
+        }
         self._handle(messages.ClusterStateChanged(snapshot, fleet), now)
         self._update_slot_fraction(now)
 
@@ -347,6 +352,7 @@
                     event,
                     request_id=request_id,
                     entry=entry,
+                    availability_zone=self._availability_zone(entry),
                     service=self._with_pooled_retry_budget(event.service),
                 )
             case messages.Adopt(submit=submit, start=start):
@@ -354,7 +360,10 @@
                 return dataclasses.replace(
                     event,
                     submit=dataclasses.replace(
-                        submit, request_id=request_id, entry=entry
+                        submit,
+                        request_id=request_id,
+                        entry=entry,
+                        availability_zone=self._availability_zone(entry),
                     ),
                     start=dataclasses.replace(start, request_id=request_id),
                 )
@@ -367,6 +376,14 @@
             return None
         return dataclasses.replace(event, request_id=request_id)
 
+    def _availability_zone(self, entry: str) -> str:
+        """Returns the zone of an entry process, empty if it is unknown."""
+        try:
+            vm = identity.Incarnation.parse(entry).vm
+        except identity.IdentityError:
+            return ""
+        return self._zones_by_vm.get(vm, "")
+
     def _with_pooled_retry_budget(
         self, service: model.Service
     ) -> model.Service:
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -671,3 +671,59 @@
             submit = _submit(number, site.now, prompt_parts=("x",))
             site.send("vm-0", submit)
         assert len(_starts(site.decisions("vm-0"))) == 1
+
+
+class TestAvailabilityZones:
+    """Requests prefer engines in the zone of their entry process.
+
+    The load is light: prompts and outputs of every request would cross zones
+    though an equal engine is near.
+    """
+
+    def _site(self) -> _Site:
+        site = _Site(decodes=0)
+        zones = ("gasabo", "remera")
+        engines = [
+            dataclasses.replace(
+                _engine(f"{kind.value}-{zone}", kind, _BLOCKS),
+                availability_zone=zone,
+            )
+            for zone in zones
+            for kind in (model.EndpointKind.PREFILL, model.EndpointKind.DECODE)
+        ]
+        site.names = [f"vm-{number}.router.1" for number in range(2)]
+        site.fleet = model.Fleet(
+            version=2,
+            vms_by_id={
+                f"vm-{number}": dataclasses.replace(
+                    _vm(f"vm-{number}"), availability_zone=zone
+                )
+                for number, zone in enumerate(zones)
+            },
+        )
+        site.sent = dict.fromkeys(site.names, 0)
+        site.set_engines({item.id: item for item in engines})
+        site.send_heartbeats()
+        return site
+
+    def test_engines_of_the_callers_zone_are_preferred(self):
+        """Guards against placement by the zone of the coordinator."""
+        site = self._site()
+        for name, zone in zip(site.names, ("gasabo", "remera"), strict=True):
+            site.send(name, _submit(0, site.now))
+            (start,) = _starts(site.decisions(name))
+            assert start.prefill_id == f"prefill-{zone}"
+            assert start.decode_id == f"decode-{zone}"
+
+    def test_a_full_zone_uses_engines_of_the_other(self):
+        """Guards against requests that wait beside idle engines."""
+        site = self._site()
+        name = site.names[1]
+        for number in range(6):
+            site.send(name, _submit(number, site.now))
+        starts = _starts(site.decisions(name))
+        assert len(starts) == 6
+        assert {start.decode_id for start in starts} == {
+            "decode-gasabo",
+            "decode-remera",
+        }
