Rank a customer's requests by the priority of their service

Cause: a customer's priority replaced that of the service, so that its urgent requests ranked as its routine ones. Change: with overload_control on, the priority of the customer comes first and that of the service orders the requests of equal customers, also in Request-Priority.

--- a/src/cowsliprill/platform/dialect.py
+++ b/src/cowsliprill/platform/dialect.py
@@ -7,6 +7,7 @@
 from cowsliprill.entry import errors
 from cowsliprill.entry import gate as gate_lib
 from cowsliprill.entry import routes
+from cowsliprill.entry.filters import combined_priority
 from cowsliprill.platform import callers
 from cowsliprill.platform import engines
 
@@ -35,16 +36,19 @@
         self.services = engines.ServiceClient(
             dependencies.http, dependencies.feedback
         )
+        self._parse_call: context.Filter = callers.parse_call
+        if dependencies.overload_control:
+            self._parse_call = combined_priority.after(callers.parse_call)
 
     def application(
         self, gate: gate_lib.Gate, components: routes.Components
     ) -> web.Application:
         """Returns the web application that serves callers."""
-        return routes.routed_application(gate, components, callers.parse_call)
+        return routes.routed_application(gate, components, self._parse_call)
 
     def relayed_chain(self, components: routes.Components) -> context.Handler:
         """Returns the filter chain for requests that peers relay."""
-        return routes.relayed_routed_chain(components, callers.parse_call)
+        return routes.relayed_routed_chain(components, self._parse_call)
 
     def error_response(self, error: errors.EntryError) -> errors.ErrorResponse:
         """Returns the response to a caller for an error."""
--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -1,5 +1,7 @@
 """Names of HTTP headers in the platform's protocol."""
 
+from cowsliprill.decisions.overload import priorities
+
 # Client-chosen id, unique per attempt; engines echo it.
 ATTEMPT_ID = "Attempt-Id"
 # Remaining time in milliseconds until the sender times out.
@@ -66,6 +68,6 @@
     """Returns the value of the header `Request-Priority`.
 
     Args:
-      priority: Priority of a request; higher is more urgent.
+      priority: Combined priority of a request; higher is more urgent.
     """
-    return str(min(max(-priority, 0), LEAST_URGENT))
+    return str(min(priorities.urgency(priority), LEAST_URGENT))
