--- a/src/cowsliprill/platform/headers.py
+++ b/src/cowsliprill/platform/headers.py
@@ -1,5 +1,7 @@
 """Names of HTTP headers in the platform's protocol."""
 
+from cowsliprill.decisions.overload import priorities
+
 # Client-chosen id, unique per attempt; engines echo it.
 ATTEMPT_ID = "Attempt-Id"
 # Remaining time in milliseconds until the sender times out.
@@ -40,6 +42,9 @@
 
 STAGE_PREFILL = "prefill"
 
+# Largest value of the header `Request-Priority`, the least urgent.
+LEAST_URGENT = 9
+
 # Set only by the router and removed from callers' requests. A client that sends
 # them could use another client's KV cache, or hold engine memory without a
 # request.
@@ -57,3 +62,12 @@
         "tenant",
     }
 )
+
+
+def priority_value(priority: int) -> str:
+    """Returns the value of the header `Request-Priority`.
+
+    Args:
+      priority: Combined priority of a request; higher is more urgent.
+    """
+    return str(min(priorities.urgency(priority), LEAST_URGENT))
