Admit plain calls fairly under overload

Cause: each process sees only its own calls to a plain pool, so a flood of one customer fills the servers and their 503 responses meet all customers alike.

Change: with overload_control, processes report counts of an overloaded pool to the pool's coordinator. It estimates the capacity, divides it by max-min fairness and answers with the fraction of each customer over its share.

--- /dev/null
+++ b/src/cowsliprill/decisions/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which work is delayed or shed under overload."""
--- /dev/null
+++ b/src/cowsliprill/decisions/overload/plain_admission.py
@@ -0,0 +1,528 @@
+"""Fair admission to a pool of plain servers that many processes call.
+
+Load pattern: one customer floods a pool of few servers through many processes,
+each of which sees only a few calls a second, while the other customers stay
+within their shares. The processes report counts to the pool's coordinator,
+which estimates the capacity, divides it by max-min fairness over the customers'
+shares, and answers with the calls to admit. No I/O.
+"""
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from cowsliprill.decisions import demand
+
+MIN_INTERVAL_S = 0.25
+
+# All reports of a pool and their answers together take at most this many bytes
+# a second. That is a tenth of the coordinator's link of 5 Mbit/s.
+MAX_BYTES_PER_S = 64_000
+
+# Size of a report and its answer in bytes: HTTP headers and fixed fields of
+# both, and what each customer adds.
+EXCHANGE_BYTES = 900
+CUSTOMER_BYTES = 40
+
+# Customers that one report or verdict names; bounds its size.
+MAX_CUSTOMERS = 16
+
+# A verdict and a report hold for this many report intervals.
+VALID_INTERVALS = 2.0
+
+# Fraction of the attempts that full servers reject, and of the calls that are
+# late, from which on a pool counts as overloaded.
+_MIN_REJECTED_FRACTION = 0.03
+_MIN_LATE_FRACTION = 0.3
+_MIN_LATE_FRACTION_LIMITED = 0.1
+
+# A single server that rejects may be defective, so the capacity is lowered only
+# if more than this fraction of the pool's servers reject.
+_MIN_REJECTING_SERVERS = 0.5
+
+# A limit below the rate of completions lets the queues of the servers drain.
+_DECREASE = 0.8
+
+# Near the rate at which the servers were full, a faster rise would fill their
+# queues again within seconds, and each time all customers' calls are late.
+_INCREASE_PER_S = 0.01
+
+# Below this fraction of the greatest recent rate of completions the capacity
+# rises faster: the first reports of an overload come from few processes and
+# count completions from before the servers were busy.
+_SAFE_FRACTION = 0.85
+_FAST_INCREASE_PER_S = 0.4
+
+# Responses may be late for another cause than overload, such as a slow server.
+# Without rejections the capacity is lowered only so many times.
+_MAX_LATE_DECREASES = 3
+
+# The capacity is never taken for less than this fraction of the greatest recent
+# rate of completions, so that servers which reject for another cause than load
+# don't lower it without end.
+_FLOOR = 0.6
+_PEAK_DECAY_PER_S = 0.02
+
+# Time without overload after which the limits end.
+_CALM_S = 3.0
+
+# Reports of one process within this time are taken together, as a process sees
+# only a few calls in a short interval.
+_WINDOW_S = 1.0
+
+# With fewer attempts in the window, completions say too little about capacity.
+_MIN_ATTEMPTS = 10
+
+_MIN_SPAN_S = MIN_INTERVAL_S
+
+_Key = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """Calls of one process to one pool over an interval.
+
+    Attributes:
+      span_s: Length of the interval in seconds.
+      arrived: Calls that arrived, by customer and priority, whether or not they
+        were admitted; of at most `MAX_CUSTOMERS` pairs.
+      others: Calls of all other customers.
+      completed: Calls that a server completed.
+      late: Those of them, and calls without a response, that missed the target.
+      rejected_by_server: Attempts that each server rejected as it was full.
+    """
+
+    span_s: float
+    arrived: Mapping[_Key, int] = dataclasses.field(default_factory=dict)
+    others: int = 0
+    completed: int = 0
+    late: int = 0
+    rejected_by_server: Mapping[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limit:
+    """Which calls of a customer over its share are admitted.
+
+    Attributes:
+      priority: Calls of higher priority are all admitted, those of lower
+        priority refused.
+      fraction: Fraction of the calls of this priority that is admitted.
+      calls_per_s: Calls of the customer that one process may admit a second;
+        refused callers come back at this rate.
+    """
+
+    priority: int
+    fraction: float
+    calls_per_s: float
+
+    def fraction_at(self, priority: int) -> float:
+        """Returns the fraction of the calls of some priority to admit."""
+        if priority != self.priority:
+            return 1.0 if priority > self.priority else 0.0
+        return self.fraction
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict:
+    """The coordinator's answer to a report.
+
+    Attributes:
+      limits_by_customer: Customers over their share.
+      interval_s: When the process reports again, in seconds.
+    """
+
+    limits_by_customer: Mapping[str, Limit] = dataclasses.field(
+        default_factory=dict
+    )
+    interval_s: float = MIN_INTERVAL_S
+
+    @property
+    def valid_s(self) -> float:
+        """Time for which the verdict holds, in seconds."""
+        return self.interval_s * VALID_INTERVALS
+
+
+class CallCounts:
+    """Counts the calls of this process to one pool.
+
+    Args:
+      now: Current time in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self.since = now
+        self._arrived: collections.Counter[_Key] = collections.Counter()
+        self._rejected: collections.Counter[str] = collections.Counter()
+        self._completed = 0
+        self._late = 0
+
+    def arrived(self, customer: str, priority: int) -> None:
+        """Counts a call before it is admitted or refused."""
+        self._arrived[customer, priority] += 1
+
+    def rejected(self, server: str) -> None:
+        """Counts an attempt that a server rejected as it was full."""
+        self._rejected[server] += 1
+
+    def completed(self, *, late: bool) -> None:
+        """Counts a call that a server completed."""
+        self._completed += 1
+        self._late += late
+
+    def unanswered(self) -> None:
+        """Counts a call that got no response in time."""
+        self._late += 1
+
+    def report(self, now: float) -> Report:
+        """Returns the counts since the last report and begins anew."""
+        named = self._arrived.most_common(MAX_CUSTOMERS)
+        report = Report(
+            span_s=max(now - self.since, _MIN_SPAN_S),
+            arrived=dict(named),
+            others=self._arrived.total() - sum(count for _, count in named),
+            completed=self._completed,
+            late=self._late,
+            rejected_by_server=dict(self._rejected.most_common(MAX_CUSTOMERS)),
+        )
+        self.__init__(now)
+        return report
+
+
+class Thinning:
+    """Admits fractions of the calls of customers over their share.
+
+    Error accumulation admits the exact fraction without random numbers, so a
+    process with few calls doesn't deviate from it by chance.
+
+    Args:
+      offset: Fraction of a call that each customer has in credit at first,
+        different in each process so that not all refuse their first calls.
+    """
+
+    def __init__(self, offset: float) -> None:
+        self._offset = offset
+        self._limits_by_customer: Mapping[str, Limit] = {}
+        self._credit_by_customer: dict[str, float] = {}
+        self._valid_until = -math.inf
+
+    def apply(self, verdict: Verdict, now: float) -> None:
+        """Replaces the limits by those of a verdict."""
+        self._limits_by_customer = verdict.limits_by_customer
+        self._valid_until = now + verdict.valid_s
+        self._credit_by_customer = {
+            customer: credit
+            for customer, credit in self._credit_by_customer.items()
+            if customer in verdict.limits_by_customer
+        }
+
+    def is_limiting(self, now: float) -> bool:
+        """Returns whether a verdict with limits holds."""
+        return bool(self._limits_by_customer) and now < self._valid_until
+
+    def refusing_limit(
+        self, customer: str, priority: int, now: float
+    ) -> Limit | None:
+        """Returns the limit that a call exceeds, None if it is admitted."""
+        limit = self._limits_by_customer.get(customer)
+        if limit is None or now >= self._valid_until:
+            return None
+        fraction = limit.fraction_at(priority)
+        if fraction in (0.0, 1.0):
+            return None if fraction else limit
+        credit = self._credit_by_customer.get(customer, self._offset) + fraction
+        admitted = credit >= 1.0
+        self._credit_by_customer[customer] = credit - admitted
+        return None if admitted else limit
+
+
+def _merge(reports: Iterable[Report]) -> Report:
+    """Returns the sum of consecutive reports of one process."""
+    arrived: collections.Counter[_Key] = collections.Counter()
+    rejected: collections.Counter[str] = collections.Counter()
+    span_s, others, completed, late = 0.0, 0, 0, 0
+    for report in reports:
+        span_s += report.span_s
+        arrived.update(report.arrived)
+        others += report.others
+        completed += report.completed
+        late += report.late
+        rejected.update(report.rejected_by_server)
+    return Report(
+        span_s=span_s,
+        arrived=arrived,
+        others=others,
+        completed=completed,
+        late=late,
+        rejected_by_server=rejected,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class _Received:
+    """Recent reports of one process.
+
+    Attributes:
+      recent: Time of receipt and counts of the reports in the window.
+      report: Their sum.
+      valid_until: When they no longer count, in seconds.
+    """
+
+    recent: collections.deque[tuple[float, Report]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    report: Report = Report(span_s=_MIN_SPAN_S)
+    valid_until: float = -math.inf
+
+    def add(self, report: Report, now: float, interval_s: float) -> None:
+        self.recent.append((now, report))
+        while len(self.recent) > 1 and self.recent[0][0] <= now - _WINDOW_S:
+            self.recent.popleft()
+        self.report = _merge(item for _, item in self.recent)
+        self.valid_until = now + VALID_INTERVALS * interval_s
+
+    @property
+    def completed_per_s(self) -> float:
+        return self.report.completed / self.report.span_s
+
+
+@dataclasses.dataclass(slots=True)
+class _Totals:
+    """Rates over all reports, per second."""
+
+    by_customer: dict[str, dict[int, float]]
+    others: float = 0.0
+    completed: float = 0.0
+    late: float = 0.0
+    rejected: float = 0.0
+    attempts: int = 0
+    rejecting_servers: int = 0
+
+    def has_rejections(self) -> bool:
+        attempts = self.completed + self.rejected
+        return self.rejected > _MIN_REJECTED_FRACTION * attempts
+
+    def demand(self) -> dict[str, float]:
+        return {
+            customer: sum(rates.values())
+            for customer, rates in self.by_customer.items()
+        }
+
+
+class PoolAdmission:
+    """Capacity of one pool and its division, at the pool's coordinator.
+
+    All is relative to the processes that report: capacity grows and shrinks
+    with the completions of those that begin and cease to report.
+
+    Attributes:
+      capacity_per_s: Calls a second that the reporting processes may admit,
+        None while the pool isn't overloaded.
+    """
+
+    def __init__(self) -> None:
+        self.capacity_per_s: float | None = None
+        self._received_by_process: dict[str, _Received] = {}
+        self._interval_s = MIN_INTERVAL_S
+        self._limits_by_customer: dict[str, Limit] = {}
+        self._evaluated_at = -math.inf
+        self._changed_at = -math.inf
+        self._overloaded_at = -math.inf
+        self._late_decreases = 0
+        self._peak_per_s = 0.0
+
+    def handle(
+        self,
+        process: str,
+        report: Report,
+        servers: int,
+        shares_by_customer: Mapping[str, float],
+        now: float,
+    ) -> Verdict:
+        """Takes a report into account.
+
+        Args:
+          process: Id of the process that reports.
+          report: Its counts.
+          servers: Number of servers of the pool.
+          shares_by_customer: Weights of the customers.
+          now: Current time in seconds.
+
+        Returns:
+          The verdict.
+        """
+        self._drop_expired(now)
+        is_new = process not in self._received_by_process
+        self._interval_s = self._report_interval_s(is_new)
+        received = self._received_by_process.setdefault(process, _Received())
+        received.add(report, now, self._interval_s)
+        if is_new and self.capacity_per_s is not None:
+            self.capacity_per_s += received.completed_per_s
+            self._peak_per_s += received.completed_per_s
+        if now - self._evaluated_at >= MIN_INTERVAL_S:
+            self._evaluate(servers, shares_by_customer, now)
+        return Verdict(
+            limits_by_customer=self._limits_by_customer,
+            interval_s=self._interval_s,
+        )
+
+    def expire(self, now: float) -> bool:
+        """Drops old reports; returns whether no process reports any more."""
+        self._drop_expired(now)
+        if not self._received_by_process:
+            self._end()
+        return not self._received_by_process
+
+    @property
+    def fractions_by_customer(self) -> dict[str, float]:
+        """Fraction of the calls at the limiting priority, by customer."""
+        return {
+            customer: round(limit.fraction, 3)
+            for customer, limit in self._limits_by_customer.items()
+        }
+
+    def _drop_expired(self, now: float) -> None:
+        for process, received in list(self._received_by_process.items()):
+            if received.valid_until <= now:
+                del self._received_by_process[process]
+                if self.capacity_per_s is not None:
+                    lost = received.completed_per_s
+                    self.capacity_per_s = max(self.capacity_per_s - lost, 0.0)
+                    self._peak_per_s = max(self._peak_per_s - lost, 0.0)
+
+    def _report_interval_s(self, is_new: bool) -> float:
+        reports = [item.report for item in self._received_by_process.values()]
+        processes = len(reports) + is_new
+        named = sum(len(report.arrived) for report in reports)
+        named += (processes - len(reports)) * MAX_CUSTOMERS
+        named += processes * len(self._limits_by_customer)
+        size = processes * EXCHANGE_BYTES + named * CUSTOMER_BYTES
+        return max(MIN_INTERVAL_S, size / MAX_BYTES_PER_S)
+
+    def _totals(self) -> _Totals:
+        totals = _Totals({})
+        rejecting = set()
+        for received in self._received_by_process.values():
+            report = received.report
+            for (customer, priority), count in report.arrived.items():
+                rates = totals.by_customer.setdefault(customer, {})
+                rate = count / report.span_s
+                rates[priority] = rates.get(priority, 0.0) + rate
+            totals.others += report.others / report.span_s
+            totals.completed += received.completed_per_s
+            totals.late += report.late / report.span_s
+            rejected = sum(report.rejected_by_server.values())
+            totals.rejected += rejected / report.span_s
+            totals.attempts += report.completed + rejected
+            rejecting.update(report.rejected_by_server)
+        totals.rejecting_servers = len(rejecting)
+        return totals
+
+    def _evaluate(
+        self, servers: int, shares_by_customer: Mapping[str, float], now: float
+    ) -> None:
+        elapsed_s = min(now - self._evaluated_at, self._interval_s)
+        self._evaluated_at = now
+        totals = self._totals()
+        self._peak_per_s = max(
+            self._peak_per_s * (1 - _PEAK_DECAY_PER_S * elapsed_s),
+            totals.completed,
+        )
+        if self._is_overloaded(totals, servers):
+            self._overloaded_at = now
+            self._decrease(totals, now)
+        elif self.capacity_per_s is not None:
+            is_low = self.capacity_per_s < _SAFE_FRACTION * self._peak_per_s
+            rise = _FAST_INCREASE_PER_S if is_low else _INCREASE_PER_S
+            self.capacity_per_s *= 1 + rise * elapsed_s
+        self._divide(totals, shares_by_customer)
+        is_calm = now - self._overloaded_at >= _CALM_S
+        if is_calm and not self._limits_by_customer:
+            self._end()
+
+    def _is_overloaded(self, totals: _Totals, servers: int) -> bool:
+        if totals.attempts < _MIN_ATTEMPTS:
+            return False
+        if totals.has_rejections() and (
+            totals.rejecting_servers > _MIN_REJECTING_SERVERS * servers
+        ):
+            self._late_decreases = 0
+            return True
+        min_late = (
+            _MIN_LATE_FRACTION
+            if self.capacity_per_s is None
+            else _MIN_LATE_FRACTION_LIMITED
+        )
+        return (
+            totals.late > min_late * max(totals.completed, totals.late)
+            and self._late_decreases < _MAX_LATE_DECREASES
+        )
+
+    def _decrease(self, totals: _Totals, now: float) -> None:
+        # The effect of the last decrease shows once all processes have got it
+        # and have reported after it.
+        settle_s = VALID_INTERVALS * self._interval_s + _WINDOW_S
+        is_settling = now - self._changed_at < settle_s
+        current = self.capacity_per_s
+        served = totals.completed
+        if not totals.has_rejections() and current is not None:
+            served = min(served, current)
+        floor = _FLOOR * self._peak_per_s
+        capacity_per_s = max(served * _DECREASE, floor)
+        if current is not None and capacity_per_s > current:
+            # Full servers complete what they can.
+            self.capacity_per_s = capacity_per_s
+        elif current is None or not is_settling:
+            self._changed_at = now
+            self._late_decreases += not totals.has_rejections()
+            self.capacity_per_s = capacity_per_s
+
+    def _divide(
+        self, totals: _Totals, shares_by_customer: Mapping[str, float]
+    ) -> None:
+        self._limits_by_customer = {}
+        if self.capacity_per_s is None:
+            return
+        demand_by_customer = totals.demand()
+        allotted = demand.fair_shares(
+            max(self.capacity_per_s - totals.others, 0.0),
+            demand_by_customer,
+            shares_by_customer,
+        )
+        excess = {
+            customer: rate - allotted[customer]
+            for customer, rate in demand_by_customer.items()
+            if allotted[customer] < rate
+        }
+        largest = sorted(excess, key=excess.__getitem__, reverse=True)
+        processes = len(self._received_by_process)
+        for customer in largest[:MAX_CUSTOMERS]:
+            self._limits_by_customer[customer] = _limit(
+                totals.by_customer[customer], allotted[customer], processes
+            )
+
+    def _end(self) -> None:
+        self.capacity_per_s = None
+        self._limits_by_customer = {}
+        self._late_decreases = 0
+        self._peak_per_s = 0.0
+
+
+def _limit(
+    rate_by_priority: Mapping[int, float], allotted: float, processes: int
+) -> Limit:
+    """Returns the limit that admits the allotted rate, urgent calls first."""
+    calls_per_s = allotted / processes
+    left = allotted
+    priority, fraction = 0, 1.0
+    for priority in sorted(rate_by_priority, reverse=True):
+        rate = rate_by_priority[priority]
+        if rate > left:
+            fraction = left / rate
+            break
+        left -= rate
+    return Limit(priority=priority, fraction=fraction, calls_per_s=calls_per_s)
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -39,6 +39,7 @@
 from cowsliprill.entry import peer_paths as peer_paths_lib
 from cowsliprill.entry import peer_relay
 from cowsliprill.entry import placement_backend as backend_lib
+from cowsliprill.entry import plain_admission_components
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import quarantine_components
 from cowsliprill.entry import rate_limit_components
@@ -161,6 +162,17 @@
             enabled=mechanisms.Mechanism.AVAILABILITY
             not in environment.mechanisms_off,
         )
+        self._plain_admission = (
+            plain_admission_components.PlainAdmissionComponents(
+                str(self._incarnation),
+                self._auth,
+                self._peer_network,
+                log,
+                self._metrics,
+                self._random,
+                enabled=environment.overload_control,
+            )
+        )
         self._dialect = make_dialect(
             dialect_lib.Dependencies(
                 incarnation=self._incarnation,
@@ -255,6 +267,7 @@
                 *self._quarantine.background_work(),
                 *self.rate_limits.background_work(),
                 *self.availability.background_work(),
+                *self._plain_admission.background_work(),
                 self._paths.run(),
             )
         ]
@@ -290,6 +303,7 @@
                 *self._quarantine.peer_routes(),
                 *self.rate_limits.peer_routes(),
                 *self.availability.peer_routes(),
+                *self._plain_admission.peer_routes(),
                 *self.peer_routes,
             ]
         )
@@ -351,6 +365,7 @@
                 self._outlier_detector,
                 self.rate_limits.permits,
                 self.availability.endpoints,
+                self._plain_admission.calls,
             ),
             model_relay=model_relay.ModelRelay(
                 self._dialect.engines,
@@ -401,6 +416,7 @@
         self._cluster_state.update(snapshot, self._source.fleet)
         self._quarantine.cluster_state_changed()
         self.rate_limits.cluster_state_changed()
+        self._plain_admission.cluster_state_changed()
         if self.availability.enabled and len(self.availability.ledger.pauses):
             self._apply_availability()
         self._http.limits_by_address = connection_limits.limits_for_endpoints(
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -20,6 +20,7 @@
 from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import errors
 from cowsliprill.entry import path_monitor
+from cowsliprill.entry import plain_call_admission
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
@@ -46,7 +47,7 @@
 _WAIT_FRACTION = 0.5
 _MAX_WAIT_S = 0.5
 
-_SelectionKey = tuple[bool, bool, float, bool, float]
+_SelectionKey = tuple[bool, bool, bool, float, bool, float]
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +67,7 @@
       health: Outlier detector that ejects failing servers for a while.
       permits: Permits for servers that limit their requests.
       availability: Tells which servers want no requests for a while.
+      admission: Refuses calls of customers over their share under overload.
     """
 
     availability_zone: str
@@ -85,6 +87,9 @@
     availability: endpoint_availability.EndpointAvailability = (
         dataclasses.field(default_factory=endpoint_availability.AlwaysAvailable)
     )
+    admission: plain_call_admission.PlainCallAdmission = dataclasses.field(
+        default_factory=plain_call_admission.AdmitAll
+    )
     _waiting_by_pool: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -97,6 +102,7 @@
     ) -> None:
         """Calls servers until one responds or no retry is allowed."""
         self.quarantine.check(ctx)
+        self.admission.admit(ctx)
         self.budgets.of(ctx.service).deposit()
         tried_ids: set[str] = set()
         ctx.endpoint = await self._select_endpoint(ctx, tried_ids)
@@ -114,6 +120,7 @@
             try:
                 await self._run_call(ctx, proceed)
                 self.health.record_success(ctx.endpoint.id)
+                self.admission.responded(ctx)
                 self.quarantine.report_survived(ctx)
                 return
             except attempts.PlainCallError as lost:
@@ -287,6 +294,7 @@
             if self._running_by_endpoint[endpoint.id] < endpoint.slots
         ]
         if not available:
+            self.admission.no_server_free(ctx, {item.id for item in unpaused})
             raise _refusal_error(ctx, messages.RefusalCode.OVERLOADED)
         return available
 
@@ -367,25 +375,39 @@
             # again.
             endpoint.id in tried_ids,
             self.health.is_ejected(endpoint.id, clock.now()),
+            self.admission.is_full(endpoint.id),
             self._running_by_endpoint[endpoint.id],
             endpoint.availability_zone != self.availability_zone,
             self.random_source.random(),
         )
 
     def _refused_for_load(
-        self, endpoint: model.Endpoint, lost: attempts.PlainCallError
+        self,
+        endpoint: model.Endpoint,
+        lost: attempts.PlainCallError,
+        peer_ids: list[str],
     ) -> bool:
         """Returns whether a server refused a call because of its load.
 
         A server that limits its requests or wants a pause is busy, not
-        defective.
+        defective, and so is a full server of an overloaded pool.
         """
-        refused = lost.run is messages.Executed.NO and not lost.unsent
-        return refused and (
+        return _is_rejection(lost) and (
             self.permits.is_limited(endpoint)
             or bool(self.availability.paused_until(endpoint))
+            or self.admission.is_busy(endpoint.pool, peer_ids)
         )
 
+    def _report_to_admission(
+        self, ctx: context.Context, lost: attempts.PlainCallError
+    ) -> None:
+        if _is_rejection(lost):
+            self.admission.rejected(ctx, ctx.endpoint.id)
+        elif lost.answer is not None:
+            self.admission.responded(ctx)
+        elif not lost.unsent:
+            self.admission.unanswered(ctx)
+
     def _record_lost_call(
         self, ctx: context.Context, lost: attempts.PlainCallError
     ) -> None:
@@ -396,7 +418,8 @@
             if other.pool == endpoint.pool and other.id != endpoint.id
         ]
         now = clock.now()
-        if lost.withheld or self._refused_for_load(endpoint, lost):
+        self._report_to_admission(ctx, lost)
+        if lost.withheld or self._refused_for_load(endpoint, lost, peer_ids):
             pass
         elif lost.answer is None:
             self.health.record_no_response(endpoint.id, peer_ids, now)
@@ -432,6 +455,10 @@
     return min(remaining_s * _WAIT_FRACTION, _MAX_WAIT_S)
 
 
+def _is_rejection(lost: attempts.PlainCallError) -> bool:
+    return lost.run is messages.Executed.NO and not lost.unsent
+
+
 def _may_have_side_effects(ctx: context.Context) -> bool:
     return (
         ctx.progress.run is messages.Executed.UNKNOWN
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -61,6 +61,8 @@
         further engine.
       released_requests: Fingerprints of requests that are never refused for
         this reason.
+      overload_control: Whether work is ranked and admitted by its customer's
+        share under overload.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -83,6 +85,7 @@
     quarantine_crashes: CrashLimit = 3
     quarantine_s: QuarantineSeconds = 600.0
     released_requests: frozenset[Fingerprint] = frozenset()
+    overload_control: bool = False
 
     def quarantine_limits(self) -> quarantine.Limits:
         """Returns the limits of the quarantine of requests."""
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -45,6 +45,10 @@
         process has handed out, by `endpoint`.
       rate_permits_denied: Requests for such a permit that it has denied, by
         `pool`.
+      plain_refusals: Plain calls refused under overload, by `pool` and
+        `customer_class` (over_share, any: no server had room).
+      plain_pool_capacity: Calls a second that may be admitted to an overloaded
+        plain pool coordinated here, 0 without overload, by `pool`.
       unavailable_endpoints: Endpoints that say that they leave, or want no
         requests from this VM, by `pool` and `reason` (leaving, paused).
       unwanted_sends: Requests sent to such endpoints, by `pool` and `reason`.
@@ -148,6 +152,16 @@
             registry=self.registry,
         )
 
+        self.plain_refusals = aioprometheus.Counter(
+            prefix + "plain_refusals_total",
+            "Plain calls refused under overload.",
+            registry=self.registry,
+        )
+        self.plain_pool_capacity = self._gauge(
+            "plain_pool_capacity_per_second",
+            "Calls a second that may be admitted to an overloaded pool.",
+        )
+
         self.unavailable_endpoints = self._gauge(
             "unavailable_endpoints", "Endpoints that want no requests."
         )
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -55,6 +55,9 @@
   `POST /v1/rate_permits` `rate_limiting.wire.PermitCall` ->
   `rate_limiting.wire.PermitAnswer`: asks a pool's coordinator for a permit to
   send a request to one of some limited endpoints; answered when one is due.
+  `POST /v1/plain_reports` `plain_admission.wire.CallReport` ->
+  `plain_admission.wire.CallVerdict`: calls to an overloaded plain pool, for the
+  pool's coordinator, and which of them to admit.
 All processes: `GET /healthz`, `GET /readyz`, `GET /metrics`, `GET /v1/status`.
 """
 
@@ -79,6 +82,7 @@
 RATE_LIMITS_PATH = "/v1/rate_limits"
 LEAVING_ENDPOINTS_PATH = "/v1/leaving_endpoints"
 RATE_PERMITS_PATH = "/v1/rate_permits"
+PLAIN_REPORTS_PATH = "/v1/plain_reports"
 HEALTH_PATH = "/healthz"
 READY_PATH = "/readyz"
 METRICS_PATH = "/metrics"
--- /dev/null
+++ b/src/cowsliprill/plain_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Fair admission of calls to plain pools under overload."""
