--- a/src/cowsliprill/decisions/overload/plain_admission.py
+++ b/src/cowsliprill/decisions/overload/plain_admission.py
@@ -334,6 +334,7 @@
         self._overloaded_at = -math.inf
         self._late_decreases = 0
         self._peak_per_s = 0.0
+        self._servers = 0
 
     def handle(
         self,
@@ -356,6 +357,7 @@
           The verdict.
         """
         self._drop_expired(now)
+        self._set_servers(servers)
         is_new = process not in self._received_by_process
         self._interval_s = self._report_interval_s(is_new)
         received = self._received_by_process.setdefault(process, _Received())
@@ -364,7 +366,7 @@
             self.capacity_per_s += received.completed_per_s
             self._peak_per_s += received.completed_per_s
         if now - self._evaluated_at >= MIN_INTERVAL_S:
-            self._evaluate(servers, shares_by_customer, now)
+            self._evaluate(shares_by_customer, now)
         return Verdict(
             limits_by_customer=self._limits_by_customer,
             interval_s=self._interval_s,
@@ -394,6 +396,14 @@
                     self.capacity_per_s = max(self.capacity_per_s - lost, 0.0)
                     self._peak_per_s = max(self._peak_per_s - lost, 0.0)
 
+    def _set_servers(self, servers: int) -> None:
+        """Scales the capacity as servers join or leave."""
+        if self.capacity_per_s is not None and servers != self._servers:
+            scale = servers / self._servers
+            self.capacity_per_s *= scale
+            self._peak_per_s *= scale
+        self._servers = servers
+
     def _report_interval_s(self, is_new: bool) -> float:
         reports = [item.report for item in self._received_by_process.values()]
         processes = len(reports) + is_new
@@ -423,7 +433,7 @@
         return totals
 
     def _evaluate(
-        self, servers: int, shares_by_customer: Mapping[str, float], now: float
+        self, shares_by_customer: Mapping[str, float], now: float
     ) -> None:
         elapsed_s = min(now - self._evaluated_at, self._interval_s)
         self._evaluated_at = now
@@ -432,7 +442,7 @@
             self._peak_per_s * (1 - _PEAK_DECAY_PER_S * elapsed_s),
             totals.completed,
         )
-        if self._is_overloaded(totals, servers):
+        if self._is_overloaded(totals):
             self._overloaded_at = now
             self._decrease(totals, now)
         elif self.capacity_per_s is not None:
@@ -444,11 +454,11 @@
         if is_calm and not self._limits_by_customer:
             self._end()
 
-    def _is_overloaded(self, totals: _Totals, servers: int) -> bool:
+    def _is_overloaded(self, totals: _Totals) -> bool:
         if totals.attempts < _MIN_ATTEMPTS:
             return False
         if totals.has_rejections() and (
-            totals.rejecting_servers > _MIN_REJECTING_SERVERS * servers
+            totals.rejecting_servers > _MIN_REJECTING_SERVERS * self._servers
         ):
             self._late_decreases = 0
             return True
--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -140,7 +140,7 @@
                     if answer is not None:
                         await plain_relay.relay_response(ctx, answer)
                         return
-                    raise _failure_error(ctx) from lost
+                    raise self._last_error(ctx, lost) from lost
                 if path_lost:
                     raise errors.path_lost(ctx.progress.run) from lost
                 try:
@@ -163,6 +163,17 @@
             await self.paths.examine(ctx.endpoint)
         return not ctx.no_peer_serves and self.paths.is_lost(ctx.service.pool)
 
+    def _last_error(
+        self, ctx: context.Context, lost: attempts.PlainCallError
+    ) -> errors.EntryError:
+        """Returns the error of a call whose last attempt has failed."""
+        if ctx.progress.run is messages.Executed.NO and (
+            self._refused_by_full_server(ctx.endpoint, lost)
+        ):
+            self.admission.no_server_free(ctx, set())
+            return _refusal_error(ctx, messages.RefusalCode.OVERLOADED)
+        return _failure_error(ctx)
+
     async def _report_to_quarantine(
         self, ctx: context.Context, lost: attempts.PlainCallError
     ) -> None:
@@ -382,22 +393,35 @@
         )
 
     def _refused_for_load(
-        self,
-        endpoint: model.Endpoint,
-        lost: attempts.PlainCallError,
-        peer_ids: list[str],
+        self, endpoint: model.Endpoint, lost: attempts.PlainCallError
     ) -> bool:
         """Returns whether a server refused a call because of its load.
 
         A server that limits its requests or wants a pause is busy, not
         defective, and so is a full server of an overloaded pool.
         """
-        return _is_rejection(lost) and (
-            self.permits.is_limited(endpoint)
-            or bool(self.availability.paused_until(endpoint))
-            or self.admission.is_busy(endpoint.pool, peer_ids)
+        return self._refused_by_full_server(endpoint, lost) or (
+            _is_rejection(lost)
+            and (
+                self.permits.is_limited(endpoint)
+                or bool(self.availability.paused_until(endpoint))
+            )
         )
 
+    def _refused_by_full_server(
+        self, endpoint: model.Endpoint, lost: attempts.PlainCallError
+    ) -> bool:
+        return _is_rejection(lost) and self.admission.is_busy(
+            endpoint.pool, self._peer_ids(endpoint)
+        )
+
+    def _peer_ids(self, endpoint: model.Endpoint) -> list[str]:
+        return [
+            other.id
+            for other in self.cluster_state.snapshot.endpoints_by_id.values()
+            if other.pool == endpoint.pool and other.id != endpoint.id
+        ]
+
     def _report_to_admission(
         self, ctx: context.Context, lost: attempts.PlainCallError
     ) -> None:
@@ -412,14 +436,10 @@
         self, ctx: context.Context, lost: attempts.PlainCallError
     ) -> None:
         endpoint = ctx.endpoint
-        peer_ids = [
-            other.id
-            for other in self.cluster_state.snapshot.endpoints_by_id.values()
-            if other.pool == endpoint.pool and other.id != endpoint.id
-        ]
+        peer_ids = self._peer_ids(endpoint)
         now = clock.now()
         self._report_to_admission(ctx, lost)
-        if lost.withheld or self._refused_for_load(endpoint, lost, peer_ids):
+        if lost.withheld or self._refused_for_load(endpoint, lost):
             pass
         elif lost.answer is None:
             self.health.record_no_response(endpoint.id, peer_ids, now)
--- a/src/cowsliprill/entry/plain_call_admission.py
+++ b/src/cowsliprill/entry/plain_call_admission.py
@@ -30,7 +30,13 @@
         """Records that a full server has rejected a call."""
 
     def no_server_free(self, ctx: context.Context, servers: set[str]) -> None:
-        """Records that a call found no server with room."""
+        """Records that a call is refused as no server has room.
+
+        Args:
+          ctx: The call.
+          servers: Servers that were not asked as this process alone keeps them
+            busy.
+        """
 
     def responded(self, ctx: context.Context) -> None:
         """Records that a server has responded to a call."""
@@ -108,9 +114,8 @@
         if not self._applies():
             return
         pool = ctx.service.pool
-        retry_after_s = self._client.arrived(
-            pool, ctx.customer.id, ctx.priority
-        )
+        customer = ctx.customer.id if ctx.customer else ""
+        retry_after_s = self._client.arrived(pool, customer, ctx.priority)
         if retry_after_s is None:
             return
         self._count_refusal(pool, "over_share")
@@ -135,7 +140,7 @@
             self._client.rejected(ctx.service.pool, server)
 
     def no_server_free(self, ctx: context.Context, servers: set[str]) -> None:
-        """Counts a call without a free server as rejected by all of them."""
+        """Counts a refused call, and servers as if they had rejected it."""
         if not self._applies():
             return
         for server in servers:
--- a/tests/test_plain_placement.py
+++ b/tests/test_plain_placement.py
@@ -14,6 +14,7 @@
 from cowsliprill.entry import attempts
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
+from cowsliprill.entry import plain_call_admission
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import request_quarantine
 from cowsliprill.entry.filters import plain_placement
@@ -174,3 +175,64 @@
         permits.on_acquire = lambda: harness.endpoints_by_id.pop("s0", None)
         harness.run()
         assert harness.called == ["s1"]
+
+
+class _FakeAdmission(plain_call_admission.AdmitAll):
+    """Admission with switched verdicts."""
+
+    def __init__(self) -> None:
+        self.refuses = False
+        self.full: set[str] = set()
+
+    def admit(self, ctx) -> None:
+        if self.refuses:
+            raise errors.EntryError(messages.RefusalCode.OVERLOADED, "")
+
+    def rejected(self, ctx, server: str) -> None:
+        self.full.add(server)
+
+    def is_full(self, server: str) -> bool:
+        return server in self.full
+
+    def is_busy(self, pool: str, others) -> bool:
+        return any(map(self.is_full, others))
+
+
+class TestOverload:
+    """A flood fills the servers of a pool."""
+
+    def _harness(self) -> _Harness:
+        harness = _Harness("s0 s1 s2", _FakePermits(""))
+        harness.placement.admission = _FakeAdmission()
+        return harness
+
+    def test_a_customer_over_its_share_reaches_no_server(self) -> None:
+        """Guards against refusals after a server has been called."""
+        harness = self._harness()
+        harness.placement.admission.refuses = True
+        with pytest.raises(errors.EntryError) as raised:
+            harness.run()
+        assert raised.value.run is messages.Executed.NO
+        assert not harness.called
+
+    def test_full_servers_are_avoided_and_not_ejected(self) -> None:
+        """Guards against calls to full servers while another has room."""
+        harness = self._harness()
+        full = attempts.PlainCallError(messages.Executed.NO, "full")
+        harness.outcomes = [full, full]
+        for _ in range(5):
+            harness.run()
+        last = harness.called[2]
+        assert set(harness.called[2:]) == {last}
+        ejected = harness.placement.health.is_ejected
+        assert not ejected(harness.called[1], clock.now())
+
+    def test_a_call_that_all_servers_reject_is_overloaded(self) -> None:
+        """Guards against status 502 for a call that was never run."""
+        harness = self._harness()
+        full = attempts.PlainCallError(messages.Executed.NO, "full")
+        harness.outcomes = [full, full, full]
+        with pytest.raises(errors.EntryError) as raised:
+            harness.run()
+        assert raised.value.code == "overloaded"
+        assert raised.value.status == 503
