--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -20,6 +20,7 @@
 from cowsliprill.entry import endpoint_permits
 from cowsliprill.entry import errors
 from cowsliprill.entry import path_monitor
+from cowsliprill.entry import plain_call_admission
 from cowsliprill.entry import plain_relay
 from cowsliprill.entry import request_quarantine
 from cowsliprill.observability import log as log_lib
@@ -46,7 +47,7 @@
 _WAIT_FRACTION = 0.5
 _MAX_WAIT_S = 0.5
 
-_SelectionKey = tuple[bool, bool, float, bool, float]
+_SelectionKey = tuple[bool, bool, bool, float, bool, float]
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,6 +67,7 @@
       health: Outlier detector that ejects failing servers for a while.
       permits: Permits for servers that limit their requests.
       availability: Tells which servers want no requests for a while.
+      admission: Refuses calls of customers over their share under overload.
     """
 
     availability_zone: str
@@ -85,6 +87,9 @@
     availability: endpoint_availability.EndpointAvailability = (
         dataclasses.field(default_factory=endpoint_availability.AlwaysAvailable)
     )
+    admission: plain_call_admission.PlainCallAdmission = dataclasses.field(
+        default_factory=plain_call_admission.AdmitAll
+    )
     _waiting_by_pool: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -97,6 +102,7 @@
     ) -> None:
         """Calls servers until one responds or no retry is allowed."""
         self.quarantine.check(ctx)
+        self.admission.admit(ctx)
         self.budgets.of(ctx.service).deposit()
         tried_ids: set[str] = set()
         ctx.endpoint = await self._select_endpoint(ctx, tried_ids)
@@ -114,6 +120,7 @@
             try:
                 await self._run_call(ctx, proceed)
                 self.health.record_success(ctx.endpoint.id)
+                self.admission.responded(ctx)
                 self.quarantine.report_survived(ctx)
                 return
             except attempts.PlainCallError as lost:
@@ -133,7 +140,7 @@
                     if answer is not None:
                         await plain_relay.relay_response(ctx, answer)
                         return
-                    raise _failure_error(ctx) from lost
+                    raise self._last_error(ctx, lost) from lost
                 if path_lost:
                     raise errors.path_lost(ctx.progress.run) from lost
                 try:
@@ -156,6 +163,17 @@
             await self.paths.examine(ctx.endpoint)
         return not ctx.no_peer_serves and self.paths.is_lost(ctx.service.pool)
 
+    def _last_error(
+        self, ctx: context.Context, lost: attempts.PlainCallError
+    ) -> errors.EntryError:
+        """Returns the error of a call whose last attempt has failed."""
+        if ctx.progress.run is messages.Executed.NO and (
+            self._refused_by_full_server(ctx.endpoint, lost)
+        ):
+            self.admission.no_server_free(ctx, set())
+            return _refusal_error(ctx, messages.RefusalCode.OVERLOADED)
+        return _failure_error(ctx)
+
     async def _report_to_quarantine(
         self, ctx: context.Context, lost: attempts.PlainCallError
     ) -> None:
@@ -287,6 +305,7 @@
             if self._running_by_endpoint[endpoint.id] < endpoint.slots
         ]
         if not available:
+            self.admission.no_server_free(ctx, {item.id for item in unpaused})
             raise _refusal_error(ctx, messages.RefusalCode.OVERLOADED)
         return available
 
@@ -367,6 +386,7 @@
             # again.
             endpoint.id in tried_ids,
             self.health.is_ejected(endpoint.id, clock.now()),
+            self.admission.is_full(endpoint.id),
             self._running_by_endpoint[endpoint.id],
             endpoint.availability_zone != self.availability_zone,
             self.random_source.random(),
@@ -378,24 +398,47 @@
         """Returns whether a server refused a call because of its load.
 
         A server that limits its requests or wants a pause is busy, not
-        defective.
+        defective, and so is a full server of an overloaded pool.
         """
-        refused = lost.run is messages.Executed.NO and not lost.unsent
-        return refused and (
-            self.permits.is_limited(endpoint)
-            or bool(self.availability.paused_until(endpoint))
+        return self._refused_by_full_server(endpoint, lost) or (
+            _is_rejection(lost)
+            and (
+                self.permits.is_limited(endpoint)
+                or bool(self.availability.paused_until(endpoint))
+            )
         )
 
-    def _record_lost_call(
-        self, ctx: context.Context, lost: attempts.PlainCallError
-    ) -> None:
-        endpoint = ctx.endpoint
-        peer_ids = [
+    def _refused_by_full_server(
+        self, endpoint: model.Endpoint, lost: attempts.PlainCallError
+    ) -> bool:
+        return _is_rejection(lost) and self.admission.is_busy(
+            endpoint.pool, self._peer_ids(endpoint)
+        )
+
+    def _peer_ids(self, endpoint: model.Endpoint) -> list[str]:
+        return [
             other.id
             for other in self.cluster_state.snapshot.endpoints_by_id.values()
             if other.pool == endpoint.pool and other.id != endpoint.id
         ]
+
+    def _report_to_admission(
+        self, ctx: context.Context, lost: attempts.PlainCallError
+    ) -> None:
+        if _is_rejection(lost):
+            self.admission.rejected(ctx, ctx.endpoint.id)
+        elif lost.answer is not None:
+            self.admission.responded(ctx)
+        elif not lost.unsent:
+            self.admission.unanswered(ctx)
+
+    def _record_lost_call(
+        self, ctx: context.Context, lost: attempts.PlainCallError
+    ) -> None:
+        endpoint = ctx.endpoint
+        peer_ids = self._peer_ids(endpoint)
         now = clock.now()
+        self._report_to_admission(ctx, lost)
         if lost.withheld or self._refused_for_load(endpoint, lost):
             pass
         elif lost.answer is None:
@@ -432,6 +475,10 @@
     return min(remaining_s * _WAIT_FRACTION, _MAX_WAIT_S)
 
 
+def _is_rejection(lost: attempts.PlainCallError) -> bool:
+    return lost.run is messages.Executed.NO and not lost.unsent
+
+
 def _may_have_side_effects(ctx: context.Context) -> bool:
     return (
         ctx.progress.run is messages.Executed.UNKNOWN
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -62,7 +62,7 @@
       released_requests: Fingerprints of requests that are never refused for
         this reason.
       overload_control: Whether requests that compete for capacity are ordered
-        by the overload ranking.
+        by the overload ranking, and plain calls admitted by customers' shares.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
