Eject engines by their failure rate, within what the load needs

Cause: one lost response ejected an engine for 2 s and more. While engines lose 2.5% to 40% of their responses for some seconds, 4 of 7 prefill engines were ejected at once, and requests were refused as overloaded with KV cache free.

Change: decisions/health.py becomes the package decisions/engine_health. A lost response (connection lost before any output, or a stream broken after some) counts in a decayed, shrunken rate, which is a cost of placement. An outlier among its peers, or three losses in a row, ejects an engine, as long as the others suffice for the recent prompt tokens and decode slots; the rest stay in as last choices. The ejection lasts 2 s and doubles up to 10 s only while probes fail. Refused connections, silence and error responses act at once as before. While prefill engines are ejected, decode engines run prefills without the wait of 0.1 s if that is sooner, and admission counts their capacity. pool_standing has the field lossy.

The role planner is unchanged: three tests in tests/test_role_orders.py expect orders to surplus prefill engines before any traffic.

No existing test of health or the scheduler had to change but for the import.

--- a/src/cowsliprill/decisions/health.py
+++ b/src/cowsliprill/decisions/engine_health/health.py
@@ -3,6 +3,9 @@
 An engine that fails or is slow is ejected for an interval that doubles with
 each ejection; then one request at a time probes it. No active health checks are
 sent: an engine that answers one may still fail to serve requests.
+
+An engine that loses responses is ejected only if its failure rate exceeds that
+of its peers, and only while the other engines suffice for the load.
 """
 
 import dataclasses
@@ -10,6 +13,7 @@
 from collections.abc import Collection
 
 from cowsliprill.decisions import model
+from cowsliprill.decisions.engine_health import failure_rates
 
 # Streams whose time per token exceeds the configured one by this ratio count as
 # slow. Batching and random variation stay below it.
@@ -25,6 +29,10 @@
 _EJECTION_MIN_S = 2.0
 _EJECTION_MAX_S = 30.0
 
+# Losses of responses last for some seconds. Each failed probe costs a request,
+# and an engine that is ejected for longer than its losses last stays idle.
+_LOSSY_EJECTION_MAX_S = 10.0
+
 # A failed connection attempt costs the next request a few milliseconds and no
 # prefill, so an unreachable engine is probed sooner.
 _UNREACHABLE_EJECTION_MIN_S = 0.5
@@ -56,6 +64,7 @@
     failing: bool = False
     unreachable: bool = False
     silent: bool = False
+    lossy: bool = False
     last_good_transfer_at: float = 0.0
 
 
@@ -65,6 +74,7 @@
     def __init__(self) -> None:
         self._states_by_endpoint: dict[str, _EngineState] = {}
         self._ejected_count = 0
+        self._rates = failure_rates.FailureRates()
 
     def usable(
         self, endpoint_id: str, now: float, *, last_resort: bool = False
@@ -90,8 +100,12 @@
         state = self._states_by_endpoint.get(endpoint_id)
         return state is not None and state.ejected
 
+    def has_ejected(self) -> bool:
+        """Returns whether any engine of any pool is ejected."""
+        return bool(self._ejected_count)
+
     def ejected_engine_ids(
-        self, endpoints: Collection[model.Endpoint]
+        self, endpoints: Collection[model.Endpoint], needed: float = 0.0
     ) -> set[str]:
         """Returns which engines of one kind are ejected.
 
@@ -99,8 +113,13 @@
         left out: that then has a common cause, and ejecting every engine would
         reject all requests while the engines have free slots.
 
+        Engines that lose responses are left out, those with the least failure
+        rate first, as long as fewer engines than needed would be left. They are
+        last choices by their `expected_loss_s`.
+
         Args:
           endpoints: All engines of one kind in one pool.
+          needed: How many of them the recent load needs.
 
         Returns:
           Ids of the engines that may only get probe requests.
@@ -110,6 +129,9 @@
         ejected_ids = {
             item.id for item in endpoints if self._is_ejected(item.id)
         }
+        ejected_ids -= self._last_choice_ids(
+            ejected_ids, len(endpoints), needed
+        )
         if len(ejected_ids) < len(endpoints):
             return ejected_ids
         return {
@@ -118,6 +140,36 @@
             if self._states_by_endpoint[endpoint_id].failing
         }
 
+    def last_choice_ids(
+        self, endpoints: Collection[model.Endpoint], needed: float
+    ) -> set[str]:
+        """Returns which engines capacity alone keeps from being ejected.
+
+        Args:
+          endpoints: All engines of one kind in one pool.
+          needed: How many of them the recent load needs.
+        """
+        if not self._ejected_count:
+            return set()
+        ejected_ids = {
+            item.id for item in endpoints if self._is_ejected(item.id)
+        }
+        return self._last_choice_ids(ejected_ids, len(endpoints), needed)
+
+    def _last_choice_ids(
+        self, ejected_ids: set[str], count: int, needed: float
+    ) -> set[str]:
+        missing = math.ceil(max(needed, 1.0)) - (count - len(ejected_ids))
+        if missing <= 0:
+            return set()
+        lossy_ids = [
+            endpoint_id
+            for endpoint_id in ejected_ids
+            if self._states_by_endpoint[endpoint_id].lossy
+        ]
+        lossy_ids.sort(key=lambda item: (self._rates.rate(item), item))
+        return set(lossy_ids[:missing])
+
     def record_placement(self, endpoint_id: str, now: float) -> bool:
         """Records that a request was placed on an engine.
 
@@ -157,8 +209,83 @@
           sent_at: When the request was sent to the engine, in seconds.
         """
         state = self._states_by_endpoint.get(endpoint_id)
-        if state is not None and (state.failing or state.silent):
-            self._record_good(state, sent_at)
+        if state is not None and (state.failing or state.silent or state.lossy):
+            self._record_good(endpoint_id, state, sent_at)
+
+    def record_answer(self, endpoint_id: str, now: float) -> None:
+        """Records that an engine has answered a request, for its rate.
+
+        Args:
+          endpoint_id: Id of the engine.
+          now: Current time in seconds.
+        """
+        self._rates.record_answer(endpoint_id, now)
+
+    def record_loss(
+        self, endpoint_id: str, peers: Collection[model.Endpoint], now: float
+    ) -> None:
+        """Records that an engine has lost the response to a request it got.
+
+        The engine is ejected if it is an outlier among its peers, or if nothing
+        else than losses came of it lately.
+
+        Args:
+          endpoint_id: Id of the engine.
+          peers: All engines of its kind in its pool.
+          now: Current time in seconds.
+        """
+        self._rates.record_loss(endpoint_id, now)
+        state = self._get_state(endpoint_id)
+        if state.ejected and not state.lossy:
+            self._eject(state, now)
+            return
+        state.last_failure_at = now
+        peer_ids = [item.id for item in peers if item.id != endpoint_id]
+        if state.lossy or self._rates.is_outlier(endpoint_id, peer_ids, now):
+            state.lossy = True
+            self._eject(state, now)
+
+    def expected_loss_s(
+        self, endpoint_id: str, attempt_s: float, now: float
+    ) -> float:
+        """Returns the time that a request is expected to lose at an engine.
+
+        Args:
+          endpoint_id: Id of the engine.
+          attempt_s: Time that a failed attempt costs its caller, in seconds.
+          now: Current time in seconds.
+
+        Returns:
+          Seconds; exactly 0 for an engine that has lost no response.
+        """
+        return self._rates.rate(endpoint_id, now) * attempt_s
+
+    def describe_lossy(
+        self, endpoints: Collection[model.Endpoint], needed: float
+    ) -> str:
+        """Returns the failure rates of engines that lose responses, as text.
+
+        Args:
+          endpoints: All engines of one kind in one pool.
+          needed: How many of them the recent load needs.
+
+        Returns:
+          For each engine that is ejected for its losses its id, its rate, its
+          peers' mean rate, and `ejected` or `needed` (kept as the load needs
+          it); separated by commas.
+        """
+        kept_ids = self.last_choice_ids(endpoints, needed)
+        parts = []
+        for item in endpoints:
+            state = self._states_by_endpoint.get(item.id)
+            if state is None or not (state.ejected and state.lossy):
+                continue
+            peer_ids = [peer.id for peer in endpoints if peer is not item]
+            rate = self._rates.rate(item.id)
+            peers_rate = self._rates.mean_rate(peer_ids)
+            verdict = "needed" if item.id in kept_ids else "ejected"
+            parts.append(f"{item.id}:{rate:.2f}/{peers_rate:.2f}:{verdict}")
+        return ",".join(sorted(parts))
 
     def record_failure(
         self, endpoint_id: str, now: float, *, unreachable: bool = False
@@ -172,6 +299,7 @@
         """
         state = self._get_state(endpoint_id)
         state.failing = True
+        state.lossy = False
         state.unreachable = unreachable
         self._eject(state, now)
 
@@ -183,11 +311,12 @@
           now: Current time in seconds.
         """
         state = self._get_state(endpoint_id)
-        if state.ejected:
+        if state.ejected and not state.lossy:
             return
         state.silent = True
+        state.lossy = False
         state.last_failure_at = now
-        self._ejected_count += 1
+        self._ejected_count += not state.ejected
         state.ejected = True
         state.ejected_until = now + _SILENCE_EJECTION_S
         state.probe_expires_at = 0.0
@@ -238,7 +367,7 @@
         if ratio > _SLOW_STREAM_RATIO:
             self._record_slow(state, now)
         else:
-            self._record_good(state, sent_at)
+            self._record_good(endpoint_id, state, sent_at)
 
     def record_transfer(
         self,
@@ -270,21 +399,25 @@
         )
         states = (self._get_state(decode_id), self._get_state(prefill_id))
         if not slow:
-            for state in states:
+            for endpoint_id, state in zip(
+                (decode_id, prefill_id), states, strict=True
+            ):
                 state.last_good_transfer_at = now
-                self._record_good(state, sent_at)
+                self._record_good(endpoint_id, state, sent_at)
             return
         blamed = min(states, key=lambda state: state.last_good_transfer_at)
         self._record_slow(blamed, now)
 
     def reset(self, endpoint_id: str) -> None:
         """Drops the state of an engine that has restarted."""
+        self._rates.forget(endpoint_id)
         state = self._states_by_endpoint.pop(endpoint_id, None)
         if state is not None:
             self._ejected_count -= state.ejected
 
     def retain(self, endpoint_ids: set[str]) -> None:
         """Drops the state of engines that were removed."""
+        self._rates.retain(endpoint_ids)
         for endpoint_id in self._states_by_endpoint.keys() - endpoint_ids:
             self._ejected_count -= self._states_by_endpoint.pop(
                 endpoint_id
@@ -298,11 +431,17 @@
         if state.slow_count >= _SLOW_RESULTS_TO_EJECT or state.ejected:
             self._eject(state, now)
 
-    def _record_good(self, state: _EngineState, sent_at: float) -> None:
+    def _record_good(
+        self, endpoint_id: str, state: _EngineState, sent_at: float
+    ) -> None:
         # Streams that started before the engine began to fail may still
         # succeed. They don't show that it can serve new requests.
-        if state.failing and sent_at < state.last_failure_at:
+        if (state.failing or state.lossy) and sent_at < state.last_failure_at:
             return
+        if state.lossy:
+            # The interval grows only while probes go on failing.
+            state.ejection_s = 0.0
+            self._rates.record_readmission(endpoint_id)
         self._readmit(state)
         # The interval is halved with each success rather than reset, so that it
         # soon gets long for an engine that alternates between success and
@@ -316,6 +455,7 @@
         state.failing = False
         state.unreachable = False
         state.silent = False
+        state.lossy = False
 
     def _eject(self, state: _EngineState, now: float) -> None:
         state.last_failure_at = now
@@ -329,6 +469,8 @@
                 _UNREACHABLE_EJECTION_MIN_S,
                 _UNREACHABLE_EJECTION_MAX_S,
             )
+        elif state.lossy:
+            max_s = _LOSSY_EJECTION_MAX_S
         state.ejection_s = min(max(state.ejection_s * 2, min_s), max_s)
         self._ejected_count += not state.ejected
         state.ejected = True
--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -4,13 +4,13 @@
 from collections.abc import Iterator
 
 from cowsliprill.decisions import estimates
-from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pair_selection
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import requests
 from cowsliprill.decisions import unavailable_engines
+from cowsliprill.decisions.engine_health import health
 
 # While all prefill slots are taken and a decode engine has free slots, prefill
 # is the bottleneck. A prefill slot is free again after the time of one prompt,
@@ -64,7 +64,7 @@
             return self._choose_without_prefill(request, now, entry)
         pool.prefill_shortage_since = math.inf
         endpoints_by_id = pool.endpoints_by_id
-        return pair_selection.select_pair(
+        pair = pair_selection.select_pair(
             prefills,
             list(self._decode_candidates(request, now, entry)),
             lambda prefill_id, decode_id: estimates.transfer_s(
@@ -73,6 +73,14 @@
                 submit.prompt_tokens,
             ),
         )
+        if pair is None or pair.prefill_id not in pool.last_choice_ids(
+            pool.prefills
+        ):
+            return pair
+        # About half of the prefills there are lost. One at a decode engine
+        # takes longer, but counts as done.
+        local = self._local_pair(request, now, entry)
+        return min(local or pair, pair, key=lambda item: item.cost_s)
 
     def has_engines(self, request: requests.Request, now: float) -> bool:
         """Returns whether some entry process could start a request now.
@@ -95,6 +103,22 @@
         pool, submit = request.pool, request.submit
         if not pool.decodes_can_prefill():
             return None
+        pair = self._local_pair(request, now, entry)
+        if pair is None:
+            return None
+        prefill_ready_at = self._unavailable.ready_at(entry, pool.prefills)
+        may_get_prefill = prefill_ready_at <= now and self._may_get_prefill(
+            pool, now
+        )
+        if may_get_prefill and not _is_sooner(pool, submit, pair.cost_s):
+            return None
+        return pair
+
+    def _local_pair(
+        self, request: requests.Request, now: float, entry: str | None
+    ) -> pair_selection.EnginePair | None:
+        """Returns the best decode engine that can run the prefill itself."""
+        pool = request.pool
         local_prefill_engines = [
             (candidate.cost_s, candidate.id)
             for candidate in self._decode_candidates(request, now, entry)
@@ -102,12 +126,9 @@
         ]
         if not local_prefill_engines:
             return None
-        prefill_ready_at = self._unavailable.ready_at(entry, pool.prefills)
-        if prefill_ready_at <= now and self._may_get_prefill(pool, now):
-            return None
         cost_s, engine_id = min(local_prefill_engines)
         cost_s += estimates.local_prefill_s(
-            pool.endpoints_by_id[engine_id], submit
+            pool.endpoints_by_id[engine_id], request.submit
         )
         return pair_selection.EnginePair(engine_id, engine_id, cost_s)
 
@@ -154,7 +175,7 @@
         now: float,
         entry: str | None,
     ) -> Iterator[pair_selection.Candidate]:
-        ejected_engine_ids = self._health.ejected_engine_ids(pool.prefills)
+        ejected_engine_ids = pool.ejected_ids(pool.prefills)
         all_ejected = len(ejected_engine_ids) == len(pool.prefills)
         for endpoint in pool.prefills:
             if not pool.lease(endpoint.id).fits(1, now):
@@ -170,6 +191,7 @@
                 continue
             cost_s = pool.prefill_wait_s(endpoint, submit)
             cost_s += self._cross_zone_s(endpoint)
+            cost_s += self._expected_loss_s(pool, endpoint, now)
             yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _decode_candidates(
@@ -181,7 +203,7 @@
             for endpoint in pool.decodes
             if request.version in (None, endpoint.software_version)
         ]
-        ejected_engine_ids = self._health.ejected_engine_ids(decodes)
+        ejected_engine_ids = pool.ejected_ids(decodes)
         all_ejected = len(ejected_engine_ids) == len(decodes)
         for endpoint in decodes:
             lease = pool.lease(endpoint.id)
@@ -205,6 +227,7 @@
             cost_s = self._cross_zone_s(endpoint) * (1 + occupancy)
             if endpoint.block_tokens:
                 cost_s += occupancy * _FULL_MEMORY_COST_S
+            cost_s += self._expected_loss_s(pool, endpoint, now)
             yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _may_probe(
@@ -224,7 +247,37 @@
         usable = self._health.usable(endpoint.id, now, last_resort=all_ejected)
         return usable and (is_cheap or all_ejected)
 
+    def _expected_loss_s(
+        self, pool: pools.Pool, endpoint: model.Endpoint, now: float
+    ) -> float:
+        return self._health.expected_loss_s(
+            endpoint.id, pool.failed_attempt_s(), now
+        )
+
     def _cross_zone_s(self, endpoint: model.Endpoint) -> float:
         if endpoint.availability_zone == self._availability_zone:
             return 0.0
         return estimates.CROSS_ZONE_S
+
+
+def _is_sooner(
+    pool: pools.Pool, submit: messages.Submit, local_s: float
+) -> bool:
+    """Returns whether a local prefill ends before one at a prefill engine.
+
+    This matters while prefill engines are ejected: the queues of the others
+    don't get short again within `_PREFILL_BUSY_GRACE_S`.
+
+    Args:
+      pool: The pool, whose usable prefill engines are all busy.
+      submit: The request.
+      local_s: Expected duration of the local prefill, in seconds.
+    """
+    if not pool.lacks_prefill():
+        return False
+    ejected_ids = pool.ejected_ids(pool.prefills)
+    return all(
+        pool.prefill_wait_s(endpoint, submit) > local_s
+        for endpoint in pool.prefills
+        if endpoint.id not in ejected_ids
+    )
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -2,10 +2,11 @@
 
 from cowsliprill.decisions import engine_reach
 from cowsliprill.decisions import estimates
-from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
 from cowsliprill.decisions import requests
 from cowsliprill.decisions import unavailable_engines
+from cowsliprill.decisions.engine_health import health
 
 
 class OutcomeRecorder:
@@ -134,6 +135,10 @@
             self._record_unreachable(request, event.endpoint_id, now)
         elif event.answered:
             self._health.record_failure(event.endpoint_id, now)
+        elif event.connection_lost or event.resumable:
+            # The connection shows which engine has lost the response, also
+            # while that engine fetches the KV cache of another.
+            self._record_loss(request, event.endpoint_id, now)
         elif event.stage is messages.Stage.TRANSFER:
             # A transfer that never completed counts as infinitely slow, which
             # doesn't tell which end is at fault.
@@ -144,9 +149,27 @@
         else:
             self._health.record_failure(event.endpoint_id, now)
 
+    def _record_loss(
+        self, request: requests.Request, engine_id: str, now: float
+    ) -> None:
+        pool = request.pool
+        current = pool.endpoints_by_id.get(engine_id)
+        used = (request.prefill, request.decode)
+        if current is None or not any(
+            item is not None and item.incarnation == current.incarnation
+            for item in used
+        ):
+            # The engine has restarted since, and its counts begin anew.
+            return
+        peers = pool.prefills
+        if current.kind is model.EndpointKind.DECODE:
+            peers = pool.decodes
+        self._health.record_loss(engine_id, peers, now)
+
     def _record_answer(
         self, request: requests.Request, engine_id: str, now: float
     ) -> None:
+        self._health.record_answer(engine_id, now)
         self._reach.record_answer(
             engine_id, request.submit.entry, request.started_at, now
         )
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -11,13 +11,14 @@
 from cowsliprill.decisions import endpoint_lease
 from cowsliprill.decisions import endpoint_rates
 from cowsliprill.decisions import estimates
-from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import request_queue
 from cowsliprill.decisions import request_value
 from cowsliprill.decisions import speeds
 from cowsliprill.decisions import workload
+from cowsliprill.decisions.engine_health import health
+from cowsliprill.decisions.engine_health import needed_engines
 
 _EMA_WEIGHT = 0.05
 _INITIAL_HOLD_S = 5.0
@@ -38,6 +39,10 @@
 # with a higher one, memory stays empty while requests are refused.
 _RESERVED_OUTPUT_FRACTION = 0.7
 
+# Assumed time between a request's failure and its caller's next attempt, on top
+# of the time that the failed attempt took.
+_RETRY_DELAY_S = 2.0
+
 # One process sees only some of each customer's requests, so small differences
 # mean nothing. Only customers beyond their share by this factor and number of
 # requests are put behind others.
@@ -82,6 +87,8 @@
       prompt_part: Fraction of the engine time spent on prefills, 0 if unknown.
       ejected: Ids of the engines that get no requests because others failed
         there, separated by commas.
+      lossy: Engines whose failure rate is that of an ejected one, as
+        `EngineHealth.describe_lossy` writes them.
     """
 
     promised: int
@@ -93,6 +100,7 @@
     seconds_per_token: float
     prompt_part: float
     ejected: str = ""
+    lossy: str = ""
 
 
 class Pool:
@@ -125,6 +133,7 @@
         self.mean_prompt_tokens = 0.0
         self._speeds = speeds.SpeedEstimator()
         self._workload = workload.Workload()
+        self.prompt_load = needed_engines.PromptLoad()
         self.output_lengths = estimates.OutputLengths()
         self.request_values = request_value.RequestValues()
         self.mean_hold_s = _INITIAL_HOLD_S
@@ -378,10 +387,103 @@
             prompt_part=self.prompt_part() or 0.0,
             ejected=",".join(
                 sorted(
-                    self._health.ejected_engine_ids(self.prefills)
-                    | self._health.ejected_engine_ids(self.decodes)
+                    self.ejected_ids(self.prefills)
+                    | self.ejected_ids(self.decodes)
                 )
             ),
+            lossy=self._describe_lossy(),
+        )
+
+    def _describe_lossy(self) -> str:
+        if not self._health.has_ejected():
+            return ""
+        texts = [
+            self._health.describe_lossy(items, self.needed_count(items))
+            for items in (self.prefills, self.decodes)
+        ]
+        return ",".join(filter(None, texts))
+
+    def ejected_ids(self, endpoints: list[model.Endpoint]) -> set[str]:
+        """Returns which engines may only get probe requests.
+
+        Args:
+          endpoints: Engines of one kind.
+        """
+        if not self._health.has_ejected():
+            return set()
+        return self._health.ejected_engine_ids(
+            endpoints, self.needed_count(endpoints)
+        )
+
+    def last_choice_ids(self, endpoints: list[model.Endpoint]) -> set[str]:
+        """Returns which engines only the load keeps from being ejected.
+
+        Args:
+          endpoints: Engines of one kind.
+        """
+        if not self._health.has_ejected():
+            return set()
+        return self._health.last_choice_ids(
+            endpoints, self.needed_count(endpoints)
+        )
+
+    def needed_count(self, endpoints: list[model.Endpoint]) -> float:
+        """Returns how many of some engines the recent load needs.
+
+        Args:
+          endpoints: Engines of one kind: all, or those of one version.
+        """
+        if not endpoints:
+            return 0.0
+        if endpoints[0].kind is model.EndpointKind.PREFILL:
+            return needed_engines.prefill_engines(
+                self.prompt_load.tokens_per_s(),
+                statistics.fmean(
+                    item.prefill_tokens_per_s for item in endpoints
+                ),
+                len(endpoints),
+            )
+        waiting = sum(item.slots for item in self.queue)
+        waiting += sum(item.slots for item in self.constrained)
+        return needed_engines.decode_engines(
+            sum(self.lease(item.id).used for item in endpoints),
+            waiting * len(endpoints) / len(self.decodes),
+            statistics.fmean(item.slots for item in endpoints),
+        )
+
+    def failed_attempt_s(self) -> float:
+        """Returns the time that a failed attempt costs its caller.
+
+        The caller gets the response later by the time of one request and by its
+        delay before the retry, in seconds.
+        """
+        return self.mean_hold_s + _RETRY_DELAY_S
+
+    def lacks_prefill(self) -> bool:
+        """Returns whether prefill engines are ejected."""
+        return bool(self.ejected_ids(self.prefills))
+
+    def local_prefill_engines(self) -> float:
+        """Returns the prefill capacity that decode engines add.
+
+        They add some only while prefill engines are ejected: decode engines
+        then run prefills at once. Only their free slots count, since a request
+        whose prefill runs there needs slots too.
+
+        Returns:
+          Capacity in prefill engines.
+        """
+        prefills = self._healthy(self.prefills)
+        if not prefills or not self.lacks_prefill():
+            return 0.0
+        speed = statistics.fmean(item.prefill_tokens_per_s for item in prefills)
+        if speed <= 0:
+            return 0.0
+        return sum(
+            item.own_prefill_tokens_per_s
+            / speed
+            * max(1 - self.lease(item.id).used / max(item.slots, 1), 0.0)
+            for item in self._healthy(self.decodes)
         )
 
     def slots(self) -> int:
@@ -410,9 +512,7 @@
 
     def has_healthy_prefill(self) -> bool:
         """Returns whether any prefill engine is not ejected."""
-        return len(self._health.ejected_engine_ids(self.prefills)) < len(
-            self.prefills
-        )
+        return len(self.ejected_ids(self.prefills)) < len(self.prefills)
 
     def decodes_can_prefill(self) -> bool:
         """Returns whether any decode engine can run prefills."""
@@ -431,7 +531,7 @@
         return bool(self.prefills) or self.decodes_can_prefill()
 
     def _healthy(self, endpoints: list[model.Endpoint]) -> list[model.Endpoint]:
-        ejected_engine_ids = self._health.ejected_engine_ids(endpoints)
+        ejected_engine_ids = self.ejected_ids(endpoints)
         if not ejected_engine_ids:
             return endpoints
         healthy = [
@@ -484,7 +584,8 @@
             free_slots=max(slots - used, 0),
             slots=slots,
             mean_hold_s=self._expected_hold_s(queued),
-            prefills=sum(map(self._usable_fraction, prefills)),
+            prefills=sum(map(self._usable_fraction, prefills))
+            + self.local_prefill_engines(),
             prefill_s=self._expected_prefill_s(queued, prefills),
             slots_per_request=self.mean_slots_per_request,
         )
--- a/src/cowsliprill/decisions/pool_set.py
+++ b/src/cowsliprill/decisions/pool_set.py
@@ -4,10 +4,10 @@
 
 from cowsliprill.decisions import customer_shares
 from cowsliprill.decisions import engine_subset
-from cowsliprill.decisions import health
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import rate_limits
+from cowsliprill.decisions.engine_health import health
 
 _LIMITS_BY_KIND = {
     model.EndpointKind.PREFILL: engine_subset.MAX_PREFILL_ENGINES,
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -144,6 +144,7 @@
     pool.record_slots(slots)
     pool.record_work(submit, slots, min_ttft_s, now)
     pool.record_prompt_tokens(submit.prompt_tokens)
+    pool.prompt_load.add(submit.prompt_tokens, now)
     tokens = pool.output_lengths.expected_tokens(submit)
     pool.request_values.record(submit, tokens)
     return Request(
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -14,7 +14,6 @@
 
 from cowsliprill.decisions import engine_selection
 from cowsliprill.decisions import estimates
-from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import outcome_recorder
@@ -31,6 +30,7 @@
 from cowsliprill.decisions import version_history
 from cowsliprill.decisions import wait_estimates
 from cowsliprill.decisions import waiting_requests
+from cowsliprill.decisions.engine_health import health
 
 _MAX_WAKEUP_INTERVAL_S = 0.5
 
--- a/src/cowsliprill/decisions/slot_demands.py
+++ b/src/cowsliprill/decisions/slot_demands.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterator
 
 from cowsliprill.decisions import endpoint_lease
-from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import request_queue
+from cowsliprill.decisions.engine_health import health
 
 # Idle slots kept leased at each endpoint while no requests wait, so that a
 # request to a pool with free capacity is placed without a slot demand.
@@ -27,6 +27,9 @@
     ) -> None:
         self._pool = pool
         self._health = engine_health
+        self._last_choice_ids = pool.last_choice_ids(
+            pool.prefills
+        ) | pool.last_choice_ids(pool.decodes)
 
     def build(
         self, now: float, sequence: int, *, only_urgent: bool
@@ -81,7 +84,7 @@
         idle = sum(
             lease.idle_slots(now)
             for endpoint, lease in zip(endpoints, endpoint_leases, strict=True)
-            if self._health.usable(endpoint.id, now)
+            if self._is_usable(endpoint.id, now)
         )
         missing = max(needed - idle, 0)
         surplus = max(idle - needed, 0)
@@ -89,7 +92,7 @@
         for endpoint, lease in zip(endpoints, endpoint_leases, strict=True):
             endpoint_idle = lease.idle_slots(now)
             contended = lease.others_waiting > 0
-            if self._health.usable(endpoint.id, now):
+            if self._is_usable(endpoint.id, now):
                 released = min(endpoint_idle, surplus) if contended else 0
                 surplus -= released
                 need = endpoint_idle - released + missing if needed else 0
@@ -125,7 +128,7 @@
         sequence: int,
     ) -> messages.SlotDemand:
         held = lease.held_slots(now) - released
-        usable = self._health.usable(endpoint_id, now)
+        usable = self._is_usable(endpoint_id, now)
         reserve = _RESERVE_SLOTS if usable and not lease.others_waiting else 0
         lease.demanded_slots = need
         lease.record_demand(sequence, held)
@@ -144,6 +147,11 @@
             sequence=sequence,
         )
 
+    def _is_usable(self, endpoint_id: str, now: float) -> bool:
+        return endpoint_id in self._last_choice_ids or self._health.usable(
+            endpoint_id, now
+        )
+
     def _customer_wants(self, need: int) -> tuple[tuple[str, int], ...]:
         waiting_by_customer = []
         remaining = need
--- a/src/cowsliprill/decisions/waiting_requests.py
+++ b/src/cowsliprill/decisions/waiting_requests.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterator
 
 from cowsliprill.decisions import engine_selection
-from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import request_queue
@@ -16,6 +15,7 @@
 from cowsliprill.decisions import suspected_features
 from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import wait_estimates
+from cowsliprill.decisions.engine_health import health
 
 # A request stays in the queue only if the backlog is expected to drain within
 # this multiple of the time left to its start deadline.
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -1,7 +1,7 @@
 """Tests of `decisions.health`."""
 
-from cowsliprill.decisions import health
 from cowsliprill.decisions import model
+from cowsliprill.decisions.engine_health import health
 
 _INFINITE = float("inf")
 
--- a/tests/test_wait_estimates.py
+++ b/tests/test_wait_estimates.py
@@ -5,11 +5,11 @@
 from tests import test_pool_scheduler
 
 from cowsliprill.decisions import demand
-from cowsliprill.decisions import health
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import request_queue
 from cowsliprill.decisions import wait_estimates
+from cowsliprill.decisions.engine_health import health
 
 _NOW = 100.0
 _SLOTS = 5_000
