--- a/src/cowsliprill/decisions/engine_health/failure_rates.py
+++ b/src/cowsliprill/decisions/engine_health/failure_rates.py
@@ -105,6 +105,10 @@
             factor = math.exp((counts.updated_at - now) / _DECAY_S)
         return counts.losses * factor / (counts.calls * factor + _PRIOR_CALLS)
 
+    def has_losses(self) -> bool:
+        """Returns whether the rate of any engine exceeds 0."""
+        return bool(self._lossy_ids)
+
     def mean_rate(
         self, engine_ids: Collection[str], now: float | None = None
     ) -> float:
--- a/src/cowsliprill/decisions/engine_health/health.py
+++ b/src/cowsliprill/decisions/engine_health/health.py
@@ -104,6 +104,10 @@
         """Returns whether any engine of any pool is ejected."""
         return bool(self._ejected_count)
 
+    def has_losses(self) -> bool:
+        """Returns whether any engine has lost responses lately."""
+        return self._rates.has_losses()
+
     def ejected_engine_ids(
         self, endpoints: Collection[model.Endpoint], needed: float = 0.0
     ) -> set[str]:
--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -176,7 +176,8 @@
         entry: str | None,
     ) -> Iterator[pair_selection.Candidate]:
         ejected_engine_ids = pool.ejected_ids(pool.prefills)
-        all_ejected = len(ejected_engine_ids) == len(pool.prefills)
+        all_ejected = pool.none_sound(pool.prefills)
+        attempt_s = self._failed_attempt_s(pool)
         for endpoint in pool.prefills:
             if not pool.lease(endpoint.id).fits(1, now):
                 continue
@@ -191,7 +192,10 @@
                 continue
             cost_s = pool.prefill_wait_s(endpoint, submit)
             cost_s += self._cross_zone_s(endpoint)
-            cost_s += self._expected_loss_s(pool, endpoint, now)
+            if attempt_s:
+                cost_s += self._health.expected_loss_s(
+                    endpoint.id, attempt_s, now
+                )
             yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _decode_candidates(
@@ -204,7 +208,8 @@
             if request.version in (None, endpoint.software_version)
         ]
         ejected_engine_ids = pool.ejected_ids(decodes)
-        all_ejected = len(ejected_engine_ids) == len(decodes)
+        all_ejected = pool.none_sound(decodes)
+        attempt_s = self._failed_attempt_s(pool)
         for endpoint in decodes:
             lease = pool.lease(endpoint.id)
             if not lease.fits(request.slots, now):
@@ -227,7 +232,10 @@
             cost_s = self._cross_zone_s(endpoint) * (1 + occupancy)
             if endpoint.block_tokens:
                 cost_s += occupancy * _FULL_MEMORY_COST_S
-            cost_s += self._expected_loss_s(pool, endpoint, now)
+            if attempt_s:
+                cost_s += self._health.expected_loss_s(
+                    endpoint.id, attempt_s, now
+                )
             yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _may_probe(
@@ -247,12 +255,12 @@
         usable = self._health.usable(endpoint.id, now, last_resort=all_ejected)
         return usable and (is_cheap or all_ejected)
 
-    def _expected_loss_s(
-        self, pool: pools.Pool, endpoint: model.Endpoint, now: float
-    ) -> float:
-        return self._health.expected_loss_s(
-            endpoint.id, pool.failed_attempt_s(), now
-        )
+    def _failed_attempt_s(self, pool: pools.Pool) -> float:
+        """Returns what a failed attempt costs, 0 if no engine has failed any.
+
+        Most of the time none has, and the candidates need no rates.
+        """
+        return pool.failed_attempt_s() if self._health.has_losses() else 0.0
 
     def _cross_zone_s(self, endpoint: model.Endpoint) -> float:
         if endpoint.availability_zone == self._availability_zone:
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -427,6 +427,21 @@
             endpoints, self.needed_count(endpoints)
         )
 
+    def none_sound(self, endpoints: list[model.Endpoint]) -> bool:
+        """Returns whether all of some engines are ejected or last choices.
+
+        Ejected engines are then probed early, since a last choice is likely to
+        fail too.
+
+        Args:
+          endpoints: Engines of one kind.
+        """
+        if not self._health.has_ejected():
+            return False
+        count = len(self.ejected_ids(endpoints))
+        count += len(self.last_choice_ids(endpoints))
+        return count == len(endpoints)
+
     def needed_count(self, endpoints: list[model.Endpoint]) -> float:
         """Returns how many of some engines the recent load needs.
 
