--- a/src/cowsliprill/decisions/waiting_requests.py
+++ b/src/cowsliprill/decisions/waiting_requests.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterator
 
 from cowsliprill.decisions import engine_selection
-from cowsliprill.decisions import health
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import request_queue
@@ -17,6 +16,7 @@
 from cowsliprill.decisions import suspected_features
 from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import wait_estimates
+from cowsliprill.decisions.engine_health import health
 from cowsliprill.decisions.overload import ranked_queue
 from cowsliprill.decisions.overload import standing as standing_lib
 
