Reject registry entries that name no usable endpoint

Other programs may write below the registry's prefixes. An entry with a port above 65535, an address that is no IP, a lone surrogate, a huge number or deep nesting was taken as an endpoint or ended the process with RecursionError. Customer rates near 1.8e308 raised OverflowError, which ended the task that parses the settings. An invalid entry was logged at each of its writer's heartbeats.

The parser bounds ids, addresses, slots and start times, and names faults without the values. The table logs an entry again only when its fault changes. A version text of over 256 characters counts as none.

--- a/src/cowsliprill/platform/catalog.py
+++ b/src/cowsliprill/platform/catalog.py
@@ -1,7 +1,8 @@
 """Parses entries of the metadata store into settings and endpoints."""
 
 import asyncio
-import json
+import ipaddress
+import re
 import statistics
 from collections.abc import Iterable
 from typing import Annotated
@@ -65,6 +66,19 @@
 _ABANDONMENT_TIMEOUT_TTFT_TARGETS = 4.0
 _ABANDONMENT_TIMEOUT_ITL_TARGETS = 8.0
 
+# Bounds for entries of other writers. Larger numbers make sums and messages
+# overflow; no server has as many slots.
+_MAX_SLOTS = 65_536
+_MAX_PORT = 65_535
+_MAX_WHOLE_NUMBER = 2**53
+_MAX_VERSION_LENGTH = 256
+
+# Endpoint ids are sent in headers, where other characters are malformed.
+_ENDPOINT_ID = re.compile(r"[!-~]{1,256}")
+
+# Faults of an entry that its log line names.
+_MAX_NAMED_FAULTS = 3
+
 NonNegativeNumber = Annotated[float, pydantic.Field(allow_inf_nan=False, ge=0)]
 
 
@@ -143,7 +157,7 @@
 
 
 class _Config(_Model):
-    version: int
+    version: int = pydantic.Field(le=_MAX_WHOLE_NUMBER)
     routes: list[Any]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
@@ -159,10 +173,10 @@
     service: str
     address: str
     zone: str
-    slots: pydantic.PositiveInt
+    slots: int = pydantic.Field(ge=1, le=_MAX_SLOTS)
     state: Literal["ready", "draining"]
     stage: Literal["prefill", "decode"] | None = None
-    born: int | None = None
+    born: int | None = pydantic.Field(default=None, ge=0, le=_MAX_WHOLE_NUMBER)
     version: Any = None
 
 
@@ -197,6 +211,15 @@
         Raises:
           ValueError: The entry is malformed.
         """
+        try:
+            return await self._parse_settings(value, members)
+        except ArithmeticError as error:
+            # Rates near the limits of floating point overflow in their mean.
+            raise ValueError(f"numbers out of range: {error}") from error
+
+    async def _parse_settings(
+        self, value: bytes, members: int
+    ) -> source.Settings:
         config = _Config.model_validate_json(value)
         services_by_name = {item.name: item for item in config.services}
         services_by_id: dict[str, model.Service] = {}
@@ -245,15 +268,19 @@
         Raises:
           ValueError: The entry is malformed.
         """
-        server = _Server.model_validate(json.loads(value), strict=True)
-        host, _, port = server.address.rpartition(":")
-        if not (host and port.isdigit()):
-            raise ValueError(f"malformed address {server.address!r}")
+        endpoint_id = key.removeprefix(_ENDPOINTS_PREFIX)
+        if not _ENDPOINT_ID.fullmatch(endpoint_id):
+            raise ValueError("malformed id")
+        try:
+            server = _Server.model_validate_json(value, strict=True)
+        except pydantic.ValidationError as error:
+            raise ValueError(_describe_faults(error)) from error
+        host, port = _parse_address(server.address)
         endpoint = model.Endpoint(
-            id=key.removeprefix(_ENDPOINTS_PREFIX),
+            id=endpoint_id,
             kind=_KIND_BY_STAGE[server.stage],
             host=host,
-            port=int(port),
+            port=port,
             availability_zone=server.zone,
             pool=server.service,
             slots=server.slots,
@@ -285,12 +312,43 @@
         ]
 
 
+def _parse_address(text: str) -> tuple[str, int]:
+    """Returns the IP address and port of an endpoint.
+
+    Raises:
+      ValueError: The text isn't of the form IP:PORT.
+    """
+    host, _, port_text = text.rpartition(":")
+    # Longer texts may be numbers that take long to parse.
+    if not re.fullmatch(r"[0-9]{1,5}", port_text):
+        raise ValueError("malformed address")
+    port = int(port_text)
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError("malformed address: port out of range")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise ValueError("malformed address: no IP address") from error
+    return host, port
+
+
+def _describe_faults(error: pydantic.ValidationError) -> str:
+    """Describes faults without the values, which may be large or changing."""
+    faults = error.errors(
+        include_url=False, include_input=False, include_context=False
+    )
+    return "; ".join(
+        ": ".join(filter(None, (".".join(map(str, item["loc"])), item["msg"])))
+        for item in faults[:_MAX_NAMED_FAULTS]
+    )
+
+
 def _software_version(value: Any) -> str:
     """Returns an entry's version as text, empty if it is of another type."""
     match value:
         case bool():
             return ""
-        case str() | int() | float():
+        case str() | int() | float() if len(str(value)) <= _MAX_VERSION_LENGTH:
             return str(value)
         case _:
             return ""
--- a/src/cowsliprill/registry/endpoints.py
+++ b/src/cowsliprill/registry/endpoints.py
@@ -62,6 +62,7 @@
         self._log = log
         self._listed_by_key: dict[str, ListedEndpoint] = {}
         self._deferred_until_by_key: dict[str, float] = {}
+        self._fault_by_key: dict[str, str] = {}
 
     def all_instances(self) -> Collection[ListedEndpoint]:
         """Returns all listed endpoints, also several with one address."""
@@ -139,11 +140,10 @@
         except ValueError as error:
             # Another writer may have stored an invalid value. That entry is
             # dropped; the other endpoints are unaffected.
-            self._log.warning(
-                "endpoint_unreadable", key=entry.key, reason=str(error)
-            )
             self._listed_by_key.pop(entry.key, None)
+            self._record_fault(entry.key, str(error))
             return None
+        self._fault_by_key.pop(entry.key, None)
         previous = self._listed_by_key.get(entry.key)
         self._listed_by_key[entry.key] = listed
         if previous is not None and _logged_state(previous) == _logged_state(
@@ -152,6 +152,15 @@
             return None
         return listed
 
+    def _record_fault(self, key: str, reason: str) -> None:
+        """Logs an invalid entry, unless it was logged for the same reason.
+
+        Its writer may store it again with each of its heartbeats.
+        """
+        if self._fault_by_key.get(key) != reason:
+            self._fault_by_key[key] = reason
+            self._log.warning("endpoint_unreadable", key=key, reason=reason)
+
     def _log_listed(
         self, changed: list[tuple[registry_view.Entry, ListedEndpoint]]
     ) -> None:
@@ -186,6 +195,7 @@
         self, removal: registry_view.Removal, deferred_until: float, now: float
     ) -> None:
         may_be_expiry = deferred_until > now
+        self._fault_by_key.pop(removal.key, None)
         self._log.event(
             "endpoint_removed",
             key=removal.key,
