Bound what a process holds for slow readers

Each stream is bounded, but the sum over all connections was not: the kernel held up to some MB for each caller that doesn't read, plain responses of up to 16 MiB had no common bound and were copied when written, and a caller that stopped reading stayed until its engine cut the response. That loss then counted as a failure of the engine, and an unframed stream that the engine cut with a proper close looked complete.

- A budget counts the unread bytes of all connections, 3/16 of the process's memory (`memory_mb`, from the platform's limits).
Beyond it, the connection with the largest product of bytes and unread time is cut.
- A caller whose system takes no byte for 3 s is cut with a reset, also on HTTP/1.0.
The kernel's queue shows the progress of slow callers.
- A response that ends early after reading was paused for 2 s ends as `stream_unread`; no engine is blamed.
- Socket buffers of callers and endpoints are bounded, large bodies are written in pieces, and request bodies are held once.

--- a/src/cowsliprill/engines/errors.py
+++ b/src/cowsliprill/engines/errors.py
@@ -110,6 +110,15 @@
     code = "engine_silent"
 
 
+class ResponseUnread(CallError):  # noqa: N818
+    """The response was cut or dropped because it wasn't read in time.
+
+    That says nothing about the endpoint.
+    """
+
+    code = "response_unread"
+
+
 class ResponseTooLarge(CallError):  # noqa: N818
     """The response body exceeds the size limit for buffering in memory."""
 
@@ -175,6 +184,7 @@
       last_token: Number of the last token delivered.
       connection_lost: Whether the engine closed or reset the connection.
       malformed: Whether the engine sent bytes that are no stream of events.
+      unread: Whether it ended because its reader was too slow.
     """
 
     code = "stream_broken"
@@ -187,8 +197,10 @@
         last_token: int,
         connection_lost: bool = False,
         malformed: bool = False,
+        unread: bool = False,
     ) -> None:
         super().__init__(message)
+        self.unread = unread
         self.malformed = malformed
         self.connection_lost = connection_lost
         self.reason = reason
--- a/src/cowsliprill/engines/event_stream.py
+++ b/src/cowsliprill/engines/event_stream.py
@@ -156,6 +156,7 @@
             or self._is_lost_at_clean_close(reason, error),
             malformed=reason in _MALFORMED_FAULTS
             or isinstance(error, errors.MalformedResponse),
+            unread=isinstance(error, errors.ResponseUnread),
         )
 
 
--- a/src/cowsliprill/engines/exchange.py
+++ b/src/cowsliprill/engines/exchange.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from cowsliprill import buffer_budget
 from cowsliprill.decisions import engine_silence
 from cowsliprill.engines import errors
 from cowsliprill.engines import silence as silence_lib
@@ -17,6 +18,9 @@
 _MAX_BUFFERED_BYTES = 65_536
 # Part of a body that shows that its sender makes progress.
 _PROGRESS_MIN_BYTES = 1_024
+# Endpoints cut responses that stay unread for some seconds. If a response ends
+# early after reading was paused for this long, its endpoint isn't to blame.
+_UNREAD_MIN_S = 2.0
 # Time for the body to end after `release`.
 _RELEASE_TIMEOUT_S = 1.0
 # A timer that fires later than this shows that this process stood still.
@@ -105,6 +109,7 @@
                     raise errors.ResponseTooLarge(
                         f"response body exceeds {limit} bytes"
                     )
+                self._exchange.keep(size)
                 chunks.append(chunk)
         finally:
             # If the reading task is cancelled, nothing reads the rest. Without
@@ -143,6 +148,7 @@
 
     def close(self) -> None:
         """Closes the connection at once, unless the body is complete."""
+        self._exchange.discard()
         self._exchange.fail(errors.CallError("response closed by the client"))
 
 
@@ -161,7 +167,12 @@
         body (close-delimited body).
     """
 
-    def __init__(self, stream: iostream.IOStream, method: str) -> None:
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        method: str,
+        budget: buffer_budget.BufferBudget | None = None,
+    ) -> None:
         self.status = 0
         self.headers = httputil.HTTPHeaders()
         self.complete = False
@@ -180,6 +191,12 @@
         self._timeout_timer: asyncio.TimerHandle | None = None
         self._silence_timer: asyncio.TimerHandle | None = None
         self._silence: silence_lib.SilencePolicy = _PATIENT
+        self._kept_bytes = 0
+        self._paused_at = math.inf
+        self._longest_pause_s = 0.0
+        self._reservation = (budget or buffer_budget.BufferBudget()).reserve(
+            self._drop_soon
+        )
 
     # Callbacks of tornado's `HTTP1Connection`.
 
@@ -202,6 +219,7 @@
             return None
         self._chunks.append(chunk)
         self.buffered_bytes += len(chunk)
+        self._reserve()
         if self._data_is_progress:
             self.hear()
         if self._data_available is not None:
@@ -209,12 +227,14 @@
             self._data_available = None
         if self.buffered_bytes < _MAX_BUFFERED_BYTES:
             return None
+        self._paused_at = self._loop.time()
         self._space_available = self._loop.create_future()
         return self._space_available
 
     def finish(self) -> None:
         """Marks the body as complete, unless its end is ambiguous."""
         if not self.is_framed() and not self._closed_cleanly():
+            # After a pause, the endpoint may have cut the body as unread.
             self.fail(
                 errors.CallError(
                     "response has neither a length nor chunked encoding"
@@ -271,18 +291,55 @@
             raise silent
         chunk = self._chunks.popleft()
         self.buffered_bytes -= len(chunk)
+        self._reserve()
         if (
             self._space_available is not None
             and self.buffered_bytes < _MAX_BUFFERED_BYTES
         ):
             _set_done(self._space_available)
             self._space_available = None
+            self._longest_pause_s = self._pause_s()
+            self._paused_at = math.inf
         return chunk
 
+    def keep(self, kept_bytes: int) -> None:
+        """Counts bytes that the reader of the body keeps until its end."""
+        self._kept_bytes = kept_bytes
+        self._reserve()
+
+    def discard(self) -> None:
+        """Drops what was received, as nobody reads it any more."""
+        self._chunks.clear()
+        self.buffered_bytes = self._kept_bytes = 0
+        self._reserve()
+
+    def _reserve(self) -> None:
+        self._reservation.hold(self.buffered_bytes + self._kept_bytes)
+
+    def _drop_soon(self) -> None:
+        self._loop.call_soon(self._drop)
+
+    def _drop(self) -> None:
+        """Drops an unread response, because the process holds too many."""
+        self.discard()
+        error = errors.ResponseUnread("dropped: too much is held unread")
+        if self.complete:
+            self._error = error
+        else:
+            self.fail(error)
+
+    def _pause_s(self) -> float:
+        """Returns for how long reading was paused at most, in seconds."""
+        return max(self._longest_pause_s, self._loop.time() - self._paused_at)
+
     def fail(self, error: errors.CallError) -> None:
         """Fails the exchange and closes its connection, unless it has ended."""
         if self.complete or self._error is not None:
             return
+        if self._pause_s() >= _UNREAD_MIN_S and not isinstance(
+            error, errors.MalformedResponse
+        ):
+            error = errors.ResponseUnread(f"{error} while it wasn't read")
         self._error = error
         self._stream.close()
         if not self._headers_future.done():
@@ -364,7 +421,11 @@
         the end from a lost connection, and only if the server is known to
         close cleanly exactly when the body is complete.
         """
-        return self.allow_close_delimited and self._stream.error is None
+        return (
+            self.allow_close_delimited
+            and self._stream.error is None
+            and self._pause_s() < _UNREAD_MIN_S
+        )
 
     def _stop_waiting(self) -> None:
         self._cancel_timers()
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -24,6 +24,7 @@
 from tornado import netutil
 from tornado import tcpclient
 
+from cowsliprill import buffer_budget
 from cowsliprill.decisions import call_state as call_lib
 from cowsliprill.decisions import connection_limits
 from cowsliprill.engines import errors
@@ -35,6 +36,9 @@
 # tornado allocates half of this for each read, even for a small token. Twice
 # the read size leaves room for one chunk beyond the requested bytes.
 _MAX_STREAM_BUFFER_BYTES = 2 * _READ_CHUNK_BYTES
+# The kernel would hold up to 6 MB of a response that isn't read. It doubles
+# this value.
+_RECEIVE_BUFFER_BYTES = 131_072
 _MAX_BODY_BYTES = 2**40
 _MAX_IDLE_PER_ENDPOINT = 64
 _IDLE_TIMEOUT_S = 30.0
@@ -137,12 +141,19 @@
     There is no queue: a call starts at once or fails. Slot leases limit the
     number of concurrent calls.
 
+    Args:
+      budget: Bound on the responses that are held unread, None for one of its
+        own.
+
     Attributes:
       limits_by_address: Connection limits of the endpoints that have one.
       observe_connection: Receives the outcome of each connection attempt.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, budget: buffer_budget.BufferBudget | None = None
+    ) -> None:
+        self._budget = budget or buffer_budget.BufferBudget()
         self._tcp = tcpclient.TCPClient(_NumericResolver())
         self.limits_by_address: Mapping[
             _Address, connection_limits.ConnectionLimits
@@ -224,7 +235,7 @@
             stream = None if new_connection else self._pop_idle((host, port))
         if stream is None:
             stream = await self._connect(host, port, connect_timeout_s)
-        exchange = exchange_lib.Exchange(stream, method)
+        exchange = exchange_lib.Exchange(stream, method, self._budget)
         exchange.allow_close_delimited = allow_close_delimited
         try:
             if before_send is not None:
@@ -348,6 +359,9 @@
             raise errors.ConnectFailed(f"{host}:{port}: closed once connected")
         self.observe_connection((host, port), connected=True)
         stream.set_nodelay(True)
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
         _enable_keep_alive(stream.socket)
         return stream
 
--- a/src/cowsliprill/entry/caller_server.py
+++ b/src/cowsliprill/entry/caller_server.py
@@ -6,6 +6,7 @@
 from tornado import httputil
 from tornado import iostream
 
+from cowsliprill import buffer_budget
 from cowsliprill import graceful_server
 from cowsliprill.decisions import model
 from cowsliprill.entry import caller_stream
@@ -32,6 +33,7 @@
         *args: Any,
         limits: model.HttpLimits,
         metrics: metrics_lib.Metrics,
+        budget: buffer_budget.BufferBudget,
         **options: Any,
     ) -> None:
         """Sets up the server; called by tornado in place of `__init__`.
@@ -40,18 +42,21 @@
           *args: Arguments of `tornado.httpserver.HTTPServer`.
           limits: Initial value of the attribute.
           metrics: Metrics that count how connections end.
+          budget: Bound on the responses that callers don't read.
           **options: Options of `tornado.httpserver.HTTPServer`.
         """
         super().initialize(*args, **options)
         self.conn_params.header_timeout = None
         self.limits = limits
         self._metrics = metrics
+        self._budget = budget
 
     def handle_stream(self, stream: iostream.IOStream, address: tuple) -> None:
         """Serves a new connection."""
         recorded = caller_stream.CallerStream(
             stream.socket,
             self._count_end,
+            self._budget,
             max_buffer_size=stream.max_buffer_size,
             read_chunk_size=stream.read_chunk_size,
         )
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from cowsliprill import buffer_budget
 from cowsliprill import clock
 from cowsliprill import environment as environment_lib
 from cowsliprill import peer_auth
@@ -128,7 +129,10 @@
         self._cluster_state = cluster_state_lib.ClusterState()
         self._budgets = retry_budget.RetryBudgets()
         self._outlier_detector = self._make_outlier_detector()
-        self._http = http_client.HttpClient()
+        self._buffer_budget = buffer_budget.BufferBudget(
+            buffer_budget.response_bytes(environment.memory_mb)
+        )
+        self._http = http_client.HttpClient(self._buffer_budget)
         self._peer_paths = peer_paths or peer_paths_lib.NoPeerPaths()
         self._paths = path_monitor.PathMonitor(
             self._http, log, self._metrics, self._random, self._peer_paths
@@ -171,7 +175,11 @@
                 feedback=self.availability.feedback,
             )
         )
-        self._gate = gate_lib.Gate(self._incarnation, self._cluster_state)
+        self._gate = gate_lib.Gate(
+            self._incarnation,
+            self._cluster_state,
+            max_buffered_bytes=buffer_budget.body_bytes(environment.memory_mb),
+        )
         self._canceller = self._make_canceller(homes)
         self._placement_backend = make_backend(
             backend_lib.Dependencies(
@@ -298,6 +306,7 @@
             self._dialect.application(self._gate, components),
             limits=self._source.snapshot.limits,
             metrics=self._metrics,
+            budget=self._buffer_budget,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
         )
--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -166,6 +166,7 @@
     return {
         "closed_by": "caller" if writer.closed_by_caller else "router",
         "read": "whole" if writer.request_read else "part",
+        **({"cut": writer.unread_end} if writer.unread_end else {}),
     }
 
 
--- a/src/cowsliprill/entry/gate.py
+++ b/src/cowsliprill/entry/gate.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from cowsliprill import buffer_budget
 from cowsliprill import clock
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import model
@@ -12,7 +13,6 @@
 from cowsliprill.entry import errors
 from cowsliprill.entry import response_writer as response_writer_lib
 
-_MAX_BUFFERED_BYTES = 16_777_216
 _RETRY_AFTER_S = 1.0
 _UPLOAD_CHECK_S = 0.01
 
@@ -38,6 +38,7 @@
       cluster_state: Current settings and VM list.
       draining: Whether shutdown has begun; requests are still accepted.
       closed: Whether new requests are refused.
+      max_buffered_bytes: Bound on `buffered_bytes`.
       buffered_bytes: Total size of the request bodies in memory.
       tasks: Contexts of the requests in flight by the tasks that serve them.
       uploads: For each request that is still being received, the function that
@@ -48,6 +49,7 @@
     cluster_state: cluster_state_lib.ClusterState
     draining: bool = False
     closed: bool = False
+    max_buffered_bytes: int = buffer_budget.body_bytes(0)
     buffered_bytes: int = 0
     tasks: dict[asyncio.Task, context.Context] = dataclasses.field(
         default_factory=dict
@@ -158,7 +160,7 @@
                 errors.Code.BODY_TOO_LARGE,
                 f"The body has over {limit} bytes.",
             )
-        if self.buffered_bytes + size > _MAX_BUFFERED_BYTES:
+        if self.buffered_bytes + size > self.max_buffered_bytes:
             return errors.EntryError(
                 errors.Code.OVERLOADED,
                 "This process holds as many bodies as it can.",
--- a/src/cowsliprill/entry/handlers.py
+++ b/src/cowsliprill/entry/handlers.py
@@ -169,6 +169,8 @@
     def _start(self) -> None:
         self._gate.uploads.discard(self._refuse_upload)
         body = b"".join(self._chunks)
+        # The body stays counted until the request ends, but is held once.
+        self._chunks.clear()
         response_writer = response_writer_lib.HttpResponseWriter(self)
         self._ctx = self._gate.create_context(self.call(body), response_writer)
         response_writer.request_id = self._ctx.request_id
--- a/src/cowsliprill/entry/model_relay.py
+++ b/src/cowsliprill/entry/model_relay.py
@@ -326,6 +326,8 @@
                 return
             except engine_errors.StreamBroken as broken:
                 before_first_token = before_first_token and not stream.tokens
+                if broken.unread:
+                    raise self._unread(ctx, endpoint, broken) from broken
                 if self.resumer is not None and await self.resumer.resume(
                     ctx, endpoint, stream, broken
                 ):
@@ -366,6 +368,27 @@
                     timed_out=_is_stalled(broken),
                 ) from broken
 
+    def _unread(
+        self,
+        ctx: context.Context,
+        endpoint: model.Endpoint,
+        broken: engine_errors.StreamBroken,
+    ) -> errors.EntryError:
+        """Logs a stream whose caller was too slow; no engine has failed."""
+        self.log.event(
+            "stream_unread",
+            request=ctx.request_id,
+            caller=ctx.caller_id,
+            endpoint=endpoint.id,
+            tokens=broken.last_token,
+            reason=str(broken),
+        )
+        return errors.EntryError(
+            errors.Code.STREAM_BROKEN,
+            "The stream wasn't read in time.",
+            run=messages.Executed.UNKNOWN,
+        )
+
     def _report_broken(
         self,
         ctx: context.Context,
--- a/src/cowsliprill/entry/peer_response.py
+++ b/src/cowsliprill/entry/peer_response.py
@@ -6,6 +6,9 @@
 from cowsliprill.engines import hop_headers
 from cowsliprill.entry import response_writer
 
+# The peer reads the responses of plain services up to this size.
+_MAX_RESPONSE_BYTES = 16_777_216
+
 
 async def relay(
     writer: response_writer.ResponseWriter,
@@ -43,6 +46,7 @@
 ) -> list[bytes]:
     """Returns what is to be received before the caller's response starts."""
     if "Content-Length" in response.headers:
-        return [chunk async for chunk in chunks]
+        body = await response.read(_MAX_RESPONSE_BYTES)
+        return [body] if body else []
     first = await anext(chunks, None)
     return [] if first is None else [first]
--- a/src/cowsliprill/entry/plain_relay.py
+++ b/src/cowsliprill/entry/plain_relay.py
@@ -12,6 +12,7 @@
 from cowsliprill.entry import attempts
 from cowsliprill.entry import calls as calls_lib
 from cowsliprill.entry import context
+from cowsliprill.entry import errors
 from cowsliprill.entry import response_writer as response_writer_lib
 
 
@@ -51,6 +52,12 @@
             raise attempts.PlainCallError(
                 error.run, str(error), unsent=True, withheld=True
             ) from error
+        except engine_errors.ResponseUnread as error:
+            raise errors.EntryError(
+                errors.Code.INTERRUPTED,
+                "This process couldn't hold the whole response.",
+                run=error.run,
+            ) from error
         except engine_errors.CallError as error:
             raise attempts.PlainCallError(
                 error.run,
--- a/src/cowsliprill/entry/response_writer.py
+++ b/src/cowsliprill/entry/response_writer.py
@@ -11,6 +11,9 @@
 from cowsliprill.engines import protocol
 from cowsliprill.entry import caller_stream
 
+# tornado copies what it writes. A large body is written in pieces of this size.
+_PIECE_BYTES = 262_144
+
 Headers = Iterable[tuple[str, str]]
 
 
@@ -39,6 +42,10 @@
     def request_read(self) -> bool:
         """Whether the request was received to its end."""
 
+    @property
+    def unread_end(self) -> str:
+        """Why the response was cut as its caller didn't read it, or ""."""
+
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers, which may be sent with the first chunk."""
 
@@ -105,6 +112,11 @@
         """Whether the request was received to its end."""
         return caller_stream.request_read(self._stream)
 
+    @property
+    def unread_end(self) -> str:
+        """Why the response was cut as its caller didn't read it, or ""."""
+        return caller_stream.unread_end(self._stream)
+
     async def start(self, status: int, headers: Headers) -> None:
         """Sets status and headers, which are sent with the first chunk."""
         self.started = True
@@ -135,11 +147,16 @@
         Raises:
           CallerDisconnected: The connection is closed.
         """
-        self._handler.write(chunk)
-        try:
-            await self._handler.flush()
-        except iostream.StreamClosedError as error:
-            raise CallerDisconnected from error
+        for begin in range(0, len(chunk), _PIECE_BYTES):
+            piece = chunk[begin : begin + _PIECE_BYTES]
+            caller_stream.set_pending(
+                self._stream, len(chunk) - begin - len(piece)
+            )
+            self._handler.write(piece)
+            try:
+                await self._handler.flush()
+            except iostream.StreamClosedError as error:
+                raise CallerDisconnected from error
 
     async def end(self) -> None:
         """Finishes a complete response.
@@ -217,6 +234,11 @@
         """Whether the request was received to its end."""
         return self.inner.request_read
 
+    @property
+    def unread_end(self) -> str:
+        """Why the response was cut as its caller didn't read it, or ""."""
+        return self.inner.unread_end
+
     async def start(self, status: int, headers: Headers) -> None:
         """Records and forwards status and headers."""
         self.started = True
--- a/src/cowsliprill/environment.py
+++ b/src/cowsliprill/environment.py
@@ -53,6 +53,7 @@
         in progress are aborted and the process exits.
       peer_secret: Shared secret that authenticates the processes of this
         system to each other; if empty, every message is accepted.
+      memory_mb: Memory limit of the process in MB, 0 if it isn't known.
       seed: Seed of the process's random numbers; None chooses one at random.
       mechanisms_off: Mechanisms that are disabled for an experiment.
       quarantine_crashes: Number of engines that a request may end before it is
@@ -78,6 +79,7 @@
     drain_notice_s: float = pydantic.Field(default=5.0, ge=0.0, le=600.0)
     drain_limit_s: float = pydantic.Field(default=600.0, gt=0.0)
     peer_secret: pydantic.SecretStr = pydantic.SecretStr("")
+    memory_mb: float = pydantic.Field(default=0.0, ge=0.0)
     seed: int | None = None
     mechanisms_off: frozenset[mechanisms.Mechanism] = frozenset()
     quarantine_crashes: CrashLimit = 3
