Begin the state of an endpoint anew when it restarts under its id

State keyed by endpoint id survived a restart: the slots of requests that ran at the former process, its prefix cache and its refusal counted against the restarted engine. So did its health, if it was unlisted while it drained, the ejection of a plain server, and for a minute the mark of an engine that had said that it drains. Idle connections of the former process failed only when they were used.

The pool keeps the former lease apart until its requests have released it, and a late failure of the former process isn't recorded. Leaving marks name the incarnation. Outlier state and idle connections are dropped when the listed incarnation changes.

--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -116,6 +116,10 @@
         if event.unsent and not event.unreachable:
             # The engine didn't get the request, which says nothing about it.
             return
+        failed = prefill if event.endpoint_id == prefill.id else decode
+        if request.pool.is_former(failed):
+            # The engine has restarted since, which is another engine.
+            return
         if event.silent:
             self._health.record_silence(event.endpoint_id, now)
         elif event.refused:
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -117,6 +117,11 @@
         self.decodes: list[model.Endpoint] = []
         self.endpoints_by_id: dict[str, model.Endpoint] = {}
         self.leases_by_endpoint: dict[str, endpoint_lease.EndpointLease] = {}
+        # Also of engines that aren't listed but have a lease.
+        self._lives_by_endpoint: dict[str, str] = {}
+        self._former_leases: dict[
+            tuple[str, str], endpoint_lease.EndpointLease
+        ] = {}
         self.rates = endpoint_rates.EndpointRates()
         self.in_use_by_customer: dict[str, int] = {}
         self.shares_by_customer: Mapping[str, float] = {}
@@ -162,6 +167,12 @@
                 # rejected a prompt during its role change could stay ejected
                 # for good.
                 self._health.reset(endpoint.id)
+            life = self._lives_by_endpoint.get(endpoint.id, endpoint.life)
+            if life != endpoint.life:
+                # It may have been unlisted while it drained.
+                self._health.reset(endpoint.id)
+                self._end_lease(endpoint.id, life)
+            self._lives_by_endpoint[endpoint.id] = endpoint.life
         self.endpoints_by_id = {item.id: item for item in prefills + decodes}
         self.block_tokens = max(
             (item.block_tokens for item in decodes), default=self.block_tokens
@@ -185,6 +196,35 @@
         for endpoint_id, lease in list(self.leases_by_endpoint.items()):
             if endpoint_id not in current_ids and not lease.in_use:
                 del self.leases_by_endpoint[endpoint_id]
+                self._lives_by_endpoint.pop(endpoint_id, None)
+
+    def _end_lease(self, endpoint_id: str, life: str) -> None:
+        """Ends the lease of an engine that has restarted under its id.
+
+        Requests that ran there release their slots once they are lost. Until
+        then they must not count against the restarted engine, which knows
+        nothing of them nor of the prompts cached before.
+        """
+        lease = self.leases_by_endpoint.pop(endpoint_id, None)
+        self._former_leases = {
+            incarnation: item
+            for incarnation, item in self._former_leases.items()
+            if item.running
+        }
+        if lease is not None and lease.running:
+            self._former_leases[endpoint_id, life] = lease
+
+    def is_former(self, endpoint: model.Endpoint) -> bool:
+        """Returns whether an engine has restarted under its id since."""
+        life = self._lives_by_endpoint.get(endpoint.id, endpoint.life)
+        return life != endpoint.life
+
+    def lease_of(
+        self, endpoint: model.Endpoint
+    ) -> endpoint_lease.EndpointLease:
+        """Returns the slots leased at an incarnation of an engine."""
+        former = self._former_leases.get(endpoint.incarnation)
+        return former or self.lease(endpoint.id)
 
     def lease(self, endpoint_id: str) -> endpoint_lease.EndpointLease:
         """Returns the slots leased at an endpoint, a new lease if unknown."""
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -407,7 +407,7 @@
         )
         # Concurrent prompts slow each other down, the more so the busier the
         # engine is. Only a prefill that ran alone shows the engine's speed.
-        prompts = request.pool.lease(request.prefill.id).prompts
+        prompts = request.pool.lease_of(request.prefill).prompts
         if request.solo_prompt_number == prompts:
             request.pool.record_prefill_speed(
                 request.uncached_tokens, prefill_duration_s
@@ -547,13 +547,13 @@
             self._health.end_probe(endpoint_id)
         request.probed_ids = ()
         customer = request.submit.customer
-        lease = request.pool.lease(request.decode.id)
+        lease = request.pool.lease_of(request.decode)
         lease.release(customer, request.slots)
         request.pool.release(customer)
 
     def _release_prefill(self, request: requests.Request) -> None:
         assert request.prefill is not None
-        lease = request.pool.lease(request.prefill.id)
+        lease = request.pool.lease_of(request.prefill)
         lease.release(request.submit.customer)
 
     def _refuse(
--- a/src/cowsliprill/engines/http_client.py
+++ b/src/cowsliprill/engines/http_client.py
@@ -275,6 +275,11 @@
         """Returns the number of idle connections in the pool."""
         return sum(len(idle) for idle in self._idle_by_address.values())
 
+    def close_idle(self, host: str, port: int) -> None:
+        """Closes the idle connections to an endpoint that has restarted."""
+        for entry in list(self._idle_by_address.get((host, port), ())):
+            entry.stream.close()
+
     def close(self) -> None:
         """Closes the idle connections; calls in progress continue."""
         for idle in list(self._idle_by_address.values()):
--- a/src/cowsliprill/entry/cluster_state.py
+++ b/src/cowsliprill/entry/cluster_state.py
@@ -56,8 +56,8 @@
 
     snapshot: model.Snapshot = dataclasses.field(default_factory=model.Snapshot)
     fleet: model.Fleet = dataclasses.field(default_factory=model.Fleet)
-    _leaving_until_by_endpoint: dict[str, float] = dataclasses.field(
-        default_factory=dict
+    _leaving_until_by_incarnation: dict[tuple[str, str], float] = (
+        dataclasses.field(default_factory=dict)
     )
     _coordinators_by_endpoint: dict[str, model.Vm | None] = dataclasses.field(
         default_factory=dict
@@ -118,7 +118,9 @@
           endpoint_id: The endpoint.
           until: When the mark expires, in seconds.
         """
-        self._leaving_until_by_endpoint[endpoint_id] = until
+        endpoint = self.snapshot.endpoints_by_id.get(endpoint_id)
+        if endpoint is not None:
+            self._leaving_until_by_incarnation[endpoint.incarnation] = until
 
     def is_leaving(self, endpoint_id: str, now: float) -> bool:
         """Returns whether an endpoint is leaving by either kind of notice."""
@@ -130,10 +132,15 @@
         Args:
           now: Current time in seconds.
         """
+        endpoints_by_id = self.snapshot.endpoints_by_id
         marked = {
             endpoint_id
-            for endpoint_id, until in self._leaving_until_by_endpoint.items()
+            for (endpoint_id, life), until in (
+                self._leaving_until_by_incarnation.items()
+            )
             if until > now
+            and (endpoint := endpoints_by_id.get(endpoint_id))
+            and endpoint.life == life
         }
         return dataclasses.replace(
             self.fleet,
--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -17,6 +17,7 @@
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
 from cowsliprill.decisions import outlier_detection
 from cowsliprill.decisions import quarantine
 from cowsliprill.decisions import request_fingerprint
@@ -407,6 +408,7 @@
 
     def _apply_cluster_state(self) -> None:
         snapshot = self._source.snapshot
+        self._forget_restarted(snapshot)
         self._cluster_state.update(snapshot, self._source.fleet)
         self._quarantine.cluster_state_changed()
         self.rate_limits.cluster_state_changed()
@@ -424,6 +426,25 @@
             self._public_server.limits = snapshot.limits
         self._notify_scheduler()
 
+    def _forget_restarted(self, snapshot: model.Snapshot) -> None:
+        """Drops what is known of endpoints that have restarted."""
+        restarted = {
+            endpoint_id
+            for endpoint_id, former in (
+                self._cluster_state.snapshot.endpoints_by_id.items()
+            )
+            if (current := snapshot.endpoints_by_id.get(endpoint_id))
+            and current.life != former.life
+        }
+        if not restarted:
+            return
+        ids = snapshot.endpoints_by_id.keys() - restarted
+        self._outlier_detector.retain(ids)
+        for endpoint_id in restarted:
+            endpoint = snapshot.endpoints_by_id[endpoint_id]
+            # A connection of the former process fails only when it is used.
+            self._http.close_idle(endpoint.host, endpoint.port)
+
     def _apply_availability(self) -> None:
         # An engine that is back under its id hasn't asked for a pause.
         endpoints_by_id = self._cluster_state.snapshot.endpoints_by_id
--- a/src/cowsliprill/registry/source.py
+++ b/src/cowsliprill/registry/source.py
@@ -170,7 +170,7 @@
         self._deduplicates_addresses = (
             mechanisms.Mechanism.ONE_INCARNATION_PER_ADDRESS not in disabled
         )
-        self._leaving_until_by_endpoint: dict[str, float] = {}
+        self._leaving_until_by_incarnation: dict[tuple[str, str], float] = {}
         self._leaving_keys: frozenset[leaving_endpoints.Key] = frozenset()
         self._reads_required = False
         self._is_reader = False
@@ -309,7 +309,11 @@
           endpoint_id: The leaving endpoint.
           ttl_s: Time in seconds after which the announcement expires.
         """
-        self._leaving_until_by_endpoint[endpoint_id] = clock.now() + ttl_s
+        endpoint = self.snapshot.endpoints_by_id.get(endpoint_id)
+        if endpoint is None:
+            return
+        until = clock.now() + ttl_s
+        self._leaving_until_by_incarnation[endpoint.incarnation] = until
         self._rebuild()
 
     def apply_leaving(self, keys: frozenset[leaving_endpoints.Key]) -> None:
@@ -493,15 +497,18 @@
         )
         now = clock.now()
         endpoints_by_id = {}
-        leaving = {
-            endpoint_id
-            for endpoint_id, until in self._leaving_until_by_endpoint.items()
+        leaving = set()
+        marked = {
+            incarnation
+            for incarnation, until in (
+                self._leaving_until_by_incarnation.items()
+            )
             if until > now
         }
         for item in instances:
             endpoint = self._with_pool_settings(item.endpoint)
             endpoints_by_id[endpoint.id] = endpoint
-            says_so = endpoint.incarnation in self._leaving_keys
+            says_so = endpoint.incarnation in self._leaving_keys | marked
             if item.leaving or says_so:
                 leaving.add(endpoint.id)
         self.snapshot = model.Snapshot(
