--- a/src/cowsliprill/entry/core.py
+++ b/src/cowsliprill/entry/core.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from cowsliprill import buffer_budget
 from cowsliprill import clock
 from cowsliprill import environment as environment_lib
 from cowsliprill import peer_auth
@@ -16,6 +17,7 @@
 from cowsliprill.decisions import identity
 from cowsliprill.decisions import mechanisms
 from cowsliprill.decisions import messages
+from cowsliprill.decisions import model
 from cowsliprill.decisions import outlier_detection
 from cowsliprill.decisions import quarantine
 from cowsliprill.decisions import request_fingerprint
@@ -129,7 +131,10 @@
         self._cluster_state = cluster_state_lib.ClusterState()
         self._budgets = retry_budget.RetryBudgets()
         self._outlier_detector = self._make_outlier_detector()
-        self._http = http_client.HttpClient()
+        self._buffer_budget = buffer_budget.BufferBudget(
+            buffer_budget.response_bytes(environment.memory_mb)
+        )
+        self._http = http_client.HttpClient(self._buffer_budget)
         self._peer_paths = peer_paths or peer_paths_lib.NoPeerPaths()
         self._paths = path_monitor.PathMonitor(
             self._http, log, self._metrics, self._random, self._peer_paths
@@ -184,7 +189,11 @@
                 overload_control=environment.overload_control,
             )
         )
-        self._gate = gate_lib.Gate(self._incarnation, self._cluster_state)
+        self._gate = gate_lib.Gate(
+            self._incarnation,
+            self._cluster_state,
+            max_buffered_bytes=buffer_budget.body_bytes(environment.memory_mb),
+        )
         self._canceller = self._make_canceller(homes)
         self._placement_backend = make_backend(
             backend_lib.Dependencies(
@@ -313,6 +322,7 @@
             self._dialect.application(self._gate, components),
             limits=self._source.snapshot.limits,
             metrics=self._metrics,
+            budget=self._buffer_budget,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
         )
@@ -414,6 +424,7 @@
 
     def _apply_cluster_state(self) -> None:
         snapshot = self._source.snapshot
+        self._forget_restarted(snapshot)
         self._cluster_state.update(snapshot, self._source.fleet)
         self._quarantine.cluster_state_changed()
         self.rate_limits.cluster_state_changed()
@@ -432,6 +443,25 @@
             self._public_server.limits = snapshot.limits
         self._notify_scheduler()
 
+    def _forget_restarted(self, snapshot: model.Snapshot) -> None:
+        """Drops what is known of endpoints that have restarted."""
+        restarted = {
+            endpoint_id
+            for endpoint_id, former in (
+                self._cluster_state.snapshot.endpoints_by_id.items()
+            )
+            if (current := snapshot.endpoints_by_id.get(endpoint_id))
+            and current.life != former.life
+        }
+        if not restarted:
+            return
+        ids = snapshot.endpoints_by_id.keys() - restarted
+        self._outlier_detector.retain(ids)
+        for endpoint_id in restarted:
+            endpoint = snapshot.endpoints_by_id[endpoint_id]
+            # A connection of the former process fails only when it is used.
+            self._http.close_idle(endpoint.host, endpoint.port)
+
     def _apply_availability(self) -> None:
         # An engine that is back under its id hasn't asked for a pause.
         endpoints_by_id = self._cluster_state.snapshot.endpoints_by_id
