Estimate the speed of each engine

A pool had one prefill and one decode speed for all its engines. Where engines differ, a slow one got as many requests as the others and was ejected for being slow, and the estimate of 31 mixed prompts swung by a factor of two.

The package engine_speeds keeps the pool's estimate over a longer window, from times divided by each engine's relative time, and a shrunk relative time for each incarnation. Endpoints carry their own speeds; decode placement, prefill waits, the prefill capacity and the check for slow streams use them.

--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -96,7 +96,13 @@
         if not pool.decodes_can_prefill():
             return None
         local_prefill_engines = [
-            (candidate.cost_s, candidate.id)
+            (
+                candidate.cost_s
+                + estimates.local_prefill_s(
+                    pool.endpoints_by_id[candidate.id], submit
+                ),
+                candidate.id,
+            )
             for candidate in self._decode_candidates(request, now, entry)
             if pool.endpoints_by_id[candidate.id].own_prefill_tokens_per_s
         ]
@@ -106,9 +112,6 @@
         if prefill_ready_at <= now and self._may_get_prefill(pool, now):
             return None
         cost_s, engine_id = min(local_prefill_engines)
-        cost_s += estimates.local_prefill_s(
-            pool.endpoints_by_id[engine_id], submit
-        )
         return pair_selection.EnginePair(engine_id, engine_id, cost_s)
 
     def _may_get_prefill(self, pool: pools.Pool, now: float) -> bool:
@@ -183,6 +186,15 @@
         ]
         ejected_engine_ids = self._health.ejected_engine_ids(decodes)
         all_ejected = len(ejected_engine_ids) == len(decodes)
+        fastest_s_per_token = min(
+            (
+                item.seconds_per_token
+                for item in decodes
+                if item.seconds_per_token > 0
+            ),
+            default=0.0,
+        )
+        output_tokens = pool.output_lengths.expected_tokens(submit)
         for endpoint in decodes:
             lease = pool.lease(endpoint.id)
             if not lease.fits(request.slots, now):
@@ -205,6 +217,9 @@
             cost_s = self._cross_zone_s(endpoint) * (1 + occupancy)
             if endpoint.block_tokens:
                 cost_s += occupancy * _FULL_MEMORY_COST_S
+            cost_s += estimates.extra_decode_s(
+                endpoint, fastest_s_per_token, submit, output_tokens
+            )
             yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _may_probe(
--- a/src/cowsliprill/decisions/estimates.py
+++ b/src/cowsliprill/decisions/estimates.py
@@ -1,6 +1,7 @@
 """Expected durations of prefills and KV cache transfers, and output lengths."""
 
 import math
+import statistics
 
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
@@ -12,6 +13,12 @@
 # Latency added by each hop to another availability zone.
 CROSS_ZONE_S = 0.003
 
+# Weight of the time of an output's tokens after the first event, relative to
+# the time to first token, in the choice of a decode engine. An engine of half
+# the speed then gets requests once the others are about four fifths fuller; at
+# full weight it would stay empty until the others are full.
+_LATER_TOKEN_WEIGHT = 0.1
+
 _INITIAL_OUTPUT_FRACTION = 0.7
 _EMA_WEIGHT = 0.02
 _DEFAULT_SECONDS_PER_TOKEN = 0.03
@@ -46,6 +53,34 @@
     return submit.prompt_tokens / speed if speed > 0 else math.inf
 
 
+def extra_decode_s(
+    decode: model.Endpoint,
+    fastest_s_per_token: float,
+    submit: messages.Submit,
+    output_tokens: float,
+) -> float:
+    """Returns what a decode on an engine costs more than on the fastest one.
+
+    The tokens of the first event delay it by as much. Those after it only fill
+    the engine's memory for longer, so that they count for a fraction.
+
+    Args:
+      decode: Decode engine.
+      fastest_s_per_token: Time per token of the fastest decode engine, in
+        seconds.
+      submit: Request.
+      output_tokens: Expected length of its output.
+
+    Returns:
+      Cost in seconds of time to first token.
+    """
+    extra_s_per_token = max(decode.seconds_per_token - fastest_s_per_token, 0.0)
+    first = min(float(submit.service.tokens_per_event), output_tokens)
+    return extra_s_per_token * (
+        first + (output_tokens - first) * _LATER_TOKEN_WEIGHT
+    )
+
+
 def transfer_s(
     prefill: model.Endpoint, decode: model.Endpoint, prompt_tokens: int
 ) -> float:
@@ -117,3 +152,17 @@
         if intervals
         else _DEFAULT_SECONDS_PER_TOKEN
     )
+
+
+def mean_prefill_speed(endpoints: list[model.Endpoint]) -> float:
+    """Returns the mean prefill speed of engines, in tokens per second.
+
+    Args:
+      endpoints: The engines; those with unknown speed are left out.
+
+    Returns:
+      The mean, 0 if no speed is known.
+    """
+    speeds = [item.prefill_tokens_per_s for item in endpoints]
+    speeds = [speed for speed in speeds if speed > 0]
+    return statistics.fmean(speeds) if speeds else 0.0
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -86,11 +86,15 @@
         decode = request.decode
         assert decode is not None
         decode_s = now - request.stage_started_at
-        request.pool.record_decode_speed(output_tokens - 1, decode_s)
-        if output_tokens < 2 or decode.seconds_per_token <= 0:
+        # The usual speed is the one before this stream is taken into account.
+        usual_s_per_token = request.pool.usual_seconds_per_token(decode)
+        request.pool.record_decode_speed(
+            decode, output_tokens - 1, decode_s, now
+        )
+        if output_tokens < 2 or usual_s_per_token <= 0:
             return
         measured_s_per_token = decode_s / (output_tokens - 1)
-        ratio = measured_s_per_token / decode.seconds_per_token
+        ratio = measured_s_per_token / usual_s_per_token
         self._health.record_token_time_ratio(
             decode.id, ratio, now, request.started_at
         )
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -16,8 +16,9 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import request_queue
 from cowsliprill.decisions import request_value
-from cowsliprill.decisions import speeds
 from cowsliprill.decisions import workload
+from cowsliprill.decisions.engine_speeds import changes
+from cowsliprill.decisions.engine_speeds import estimator
 
 _EMA_WEIGHT = 0.05
 _INITIAL_HOLD_S = 5.0
@@ -82,6 +83,9 @@
       prompt_part: Fraction of the engine time spent on prefills, 0 if unknown.
       ejected: Ids of the engines that get no requests because others failed
         there, separated by commas.
+      slowest_engine: Least speed of an engine in its role relative to the
+        pool's estimate; 1.0 where all are equal.
+      fastest_engine: Largest relative speed of an engine.
     """
 
     promised: int
@@ -93,6 +97,8 @@
     seconds_per_token: float
     prompt_part: float
     ejected: str = ""
+    slowest_engine: float = 1.0
+    fastest_engine: float = 1.0
 
 
 class Pool:
@@ -123,7 +129,11 @@
         self.block_tokens = 0
         self.mean_slots_per_request = 1.0
         self.mean_prompt_tokens = 0.0
-        self._speeds = speeds.SpeedEstimator()
+        self._speeds = estimator.SpeedEstimator()
+        self._speed_changes = changes.SpeedChanges()
+        self._configured_prefills: list[model.Endpoint] = []
+        self._configured_decodes: list[model.Endpoint] = []
+        self._mean_prefill_speed = 0.0
         self._workload = workload.Workload()
         self.output_lengths = estimates.OutputLengths()
         self.request_values = request_value.RequestValues()
@@ -149,9 +159,8 @@
           prefills: Prefill engines.
           decodes: Decode engines.
         """
-        self.prefills = [self._speeds.apply_to(item) for item in prefills]
-        self.decodes = [self._speeds.apply_to(item) for item in decodes]
-        prefills, decodes = self.prefills, self.decodes
+        self._configured_prefills, self._configured_decodes = prefills, decodes
+        self._speeds.set_engines(prefills + decodes)
         for endpoint in prefills + decodes:
             previous = self.endpoints_by_id.get(endpoint.id)
             if previous is not None and _incarnation(previous) != _incarnation(
@@ -162,11 +171,11 @@
                 # rejected a prompt during its role change could stay ejected
                 # for good.
                 self._health.reset(endpoint.id)
-        self.endpoints_by_id = {item.id: item for item in prefills + decodes}
+                self.slowdown_by_prefill.pop(endpoint.id, None)
+        self._apply_speeds()
         self.block_tokens = max(
             (item.block_tokens for item in decodes), default=self.block_tokens
         )
-        self._token_interval_s = estimates.seconds_per_token(decodes)
         self._transfer_s_per_token = min(
             (
                 estimates.transfer_s(prefill, decode, _TRANSFER_SAMPLE_TOKENS)
@@ -186,6 +195,42 @@
             if endpoint_id not in current_ids and not lease.in_use:
                 del self.leases_by_endpoint[endpoint_id]
 
+    def _apply_speeds(self) -> None:
+        """Sets the estimated speeds of all engines."""
+        self.prefills = [
+            self._speeds.apply_to(item) for item in self._configured_prefills
+        ]
+        self.decodes = [
+            self._speeds.apply_to(item) for item in self._configured_decodes
+        ]
+        self.slowdown_by_prefill = {
+            item.id: self._remaining_slowdown(item)
+            for item in self.prefills
+            if item.id in self.slowdown_by_prefill
+        }
+        self.endpoints_by_id = {
+            item.id: item for item in self.prefills + self.decodes
+        }
+        self._token_interval_s = estimates.seconds_per_token(self.decodes)
+        self._mean_prefill_speed = estimates.mean_prefill_speed(
+            self.prefills or self.decodes
+        )
+
+    def _remaining_slowdown(self, endpoint: model.Endpoint) -> float:
+        """Returns the slowdown that an engine's estimated speed leaves.
+
+        The recorded slowdown is relative to the speed estimated before. The
+        part that a new estimate explains must not count twice.
+        """
+        slowdown = self.slowdown_by_prefill[endpoint.id]
+        previous = self.endpoints_by_id.get(endpoint.id)
+        if previous is None or previous.prefill_tokens_per_s <= 0:
+            return slowdown
+        speed_ratio = (
+            endpoint.prefill_tokens_per_s / previous.prefill_tokens_per_s
+        )
+        return min(max(slowdown * speed_ratio, 1.0), _SLOWDOWN_MAX)
+
     def lease(self, endpoint_id: str) -> endpoint_lease.EndpointLease:
         """Returns the slots leased at an endpoint, a new lease if unknown."""
         lease = self.leases_by_endpoint.get(endpoint_id)
@@ -229,25 +274,59 @@
         self._has_hold_samples = True
         self.mean_hold_s += (seconds - self.mean_hold_s) * _EMA_WEIGHT
 
-    def record_prefill_speed(self, tokens: int, seconds: float) -> None:
+    def record_prefill_speed(
+        self,
+        endpoint: model.Endpoint,
+        tokens: int,
+        seconds: float,
+        now: float,
+    ) -> None:
         """Records a prefill that ran without concurrent prefills.
 
         Args:
+          endpoint: The prefill engine.
           tokens: Prompt tokens that were not cached.
           seconds: Duration of the prefill.
+          now: Current time in seconds.
         """
-        if self._speeds.add_prefill(tokens, seconds):
-            self.set_engines(self.prefills, self.decodes)
+        if self._speeds.add_prefill(endpoint, tokens, seconds, now):
+            self._apply_speeds()
 
-    def record_decode_speed(self, tokens: int, seconds: float) -> None:
+    def record_decode_speed(
+        self,
+        endpoint: model.Endpoint,
+        tokens: int,
+        seconds: float,
+        now: float,
+    ) -> None:
         """Records the decode speed of a stream.
 
         Args:
+          endpoint: The decode engine.
           tokens: Output tokens after the first one.
           seconds: Time since the first token.
+          now: Current time in seconds.
+        """
+        if self._speeds.add_decode(endpoint, tokens, seconds, now):
+            self._apply_speeds()
+
+    def usual_seconds_per_token(self, endpoint: model.Endpoint) -> float:
+        """Returns the decode time per token that isn't slow for an engine."""
+        return self._speeds.usual_seconds_per_token(endpoint)
+
+    def next_speed_change(self, now: float) -> changes.SpeedChange | None:
+        """Returns a clear change of an engine's speed to log, if any.
+
+        Args:
+          now: Current time in seconds.
         """
-        if self._speeds.add_decode(tokens, seconds):
-            self.set_engines(self.prefills, self.decodes)
+        return self._speed_changes.next_change(
+            [
+                (item, self._speeds.relative_speed(item))
+                for item in self.endpoints_by_id.values()
+            ],
+            now,
+        )
 
     def record_work(
         self,
@@ -268,16 +347,19 @@
           now: Current time in seconds.
         """
         if not (
-            self.prefills and self.decodes and self._speeds.has_estimates()
+            self.prefills
+            and self.decodes
+            and self._mean_prefill_speed > 0
+            and self._speeds.has_estimates()
         ):
             return
-        prefill, decode = self.prefills[0], self.decodes[0]
+        decode = self.decodes[0]
         occupancy = max(
             slots / decode.slots, 1 / (decode.places or decode.slots)
         )
         output_tokens = self.output_lengths.expected_tokens(submit)
         self._workload.add(
-            prefill_s=submit.prompt_tokens / prefill.prefill_tokens_per_s,
+            prefill_s=submit.prompt_tokens / self._mean_prefill_speed,
             decode_s=(min_ttft_s + output_tokens * self._token_interval_s)
             * occupancy,
             now=now,
@@ -292,10 +374,24 @@
         change = max(seconds, 0.0) - self.first_token_delay_s
         self.first_token_delay_s += change * _EMA_WEIGHT
 
-    def record_prefill_estimate(self, seconds: float) -> None:
-        """Records the expected duration of a prefill that starts."""
+    def record_prefill_estimate(
+        self, endpoint: model.Endpoint, seconds: float
+    ) -> None:
+        """Records the expected duration of a prefill that starts.
+
+        Args:
+          endpoint: Its engine. The mean is kept for an engine of mean speed.
+          seconds: Expected duration there.
+        """
+        seconds *= self._prefill_capacity(endpoint)
         self.prefill_s += (seconds - self.prefill_s) * _EMA_WEIGHT
 
+    def _prefill_capacity(self, endpoint: model.Endpoint) -> float:
+        """Returns an engine's prefill speed relative to the engines' mean."""
+        if endpoint.prefill_tokens_per_s <= 0 or self._mean_prefill_speed <= 0:
+            return 1.0
+        return endpoint.prefill_tokens_per_s / self._mean_prefill_speed
+
     def record_prefill_slowdown(self, endpoint_id: str, ratio: float) -> None:
         """Records the ratio of a prefill's actual to its expected duration."""
         slowdown = self.slowdown_by_prefill.get(endpoint_id, 1.0)
@@ -322,7 +418,8 @@
         lease = self.lease(endpoint.id)
         cached = lease.cached.cached_tokens(submit.prefix_hashes)
         processing_s = estimates.prefill_s(endpoint, submit, cached)
-        seconds = processing_s + lease.used * self.prefill_s
+        prefill_s = self.prefill_s / self._prefill_capacity(endpoint)
+        seconds = processing_s + lease.used * prefill_s
         slowdown = self.slowdown_by_prefill.get(endpoint.id, 1.0)
         return seconds if ignore_slowdown else seconds * slowdown
 
@@ -362,6 +459,10 @@
 
     def pool_load(self) -> PoolLoad:
         """Returns the load of the pool."""
+        relative_speeds = [
+            self._speeds.relative_speed(item)
+            for item in self.endpoints_by_id.values()
+        ]
         return PoolLoad(
             promised=sum(self.lease(item.id).used for item in self.decodes),
             running=sum(self.lease(item.id).running for item in self.decodes),
@@ -382,6 +483,8 @@
                     | self._health.ejected_engine_ids(self.decodes)
                 )
             ),
+            slowest_engine=round(min(relative_speeds, default=1.0), 3),
+            fastest_engine=round(max(relative_speeds, default=1.0), 3),
         )
 
     def slots(self) -> int:
@@ -403,10 +506,14 @@
         fillable = per_s * self.mean_hold_s * self.mean_slots_per_request
         return min(endpoint.slots, math.ceil(fillable))
 
-    def _usable_fraction(self, endpoint: model.Endpoint) -> float:
-        """Returns the fraction of a prefill engine's time that can be used."""
+    def _usable_prefill(self, endpoint: model.Endpoint) -> float:
+        """Returns the usable capacity of a prefill engine.
+
+        Returns:
+          Capacity relative to an engine of mean speed that has no rate limit.
+        """
         per_s = self.rates.named_per_s(endpoint.id)
-        return min(per_s * self.prefill_s, 1.0)
+        return min(per_s * self.prefill_s, self._prefill_capacity(endpoint))
 
     def has_healthy_prefill(self) -> bool:
         """Returns whether any prefill engine is not ejected."""
@@ -484,8 +591,8 @@
             free_slots=max(slots - used, 0),
             slots=slots,
             mean_hold_s=self._expected_hold_s(queued),
-            prefills=sum(map(self._usable_fraction, prefills)),
-            prefill_s=self._expected_prefill_s(queued, prefills),
+            prefills=sum(map(self._usable_prefill, prefills)),
+            prefill_s=self._expected_prefill_s(queued),
             slots_per_request=self.mean_slots_per_request,
         )
 
@@ -500,21 +607,14 @@
         return statistics.fmean(item.cost_s for item in waiting)
 
     def _expected_prefill_s(
-        self,
-        waiting: list[request_queue.QueuedRequest],
-        prefills: list[model.Endpoint],
+        self, waiting: list[request_queue.QueuedRequest]
     ) -> float:
         # The lengths of the queued prompts are known. After some long prompts,
         # the moving average would refuse short ones that drain at once.
-        speeds = [
-            endpoint.prefill_tokens_per_s
-            for endpoint in prefills
-            if endpoint.prefill_tokens_per_s > 0
-        ]
-        if not waiting or not speeds:
+        if not waiting or not self._mean_prefill_speed:
             return self.prefill_s
         tokens = statistics.fmean(item.submit.prompt_tokens for item in waiting)
-        return min(self.prefill_s, tokens / statistics.fmean(speeds))
+        return min(self.prefill_s, tokens / self._mean_prefill_speed)
 
     def unloaded_latency(self, submit: messages.Submit) -> UnloadedLatency:
         """Returns the expected latency of a request on idle engines."""
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -26,6 +26,7 @@
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import scheduler as scheduler_lib
 from cowsliprill.decisions import stream_origins
+from cowsliprill.decisions.engine_speeds import changes
 
 # Heartbeat timeout of an entry process with requests. Its slots are then free,
 # as engines drop requests whose connection is lost. It is longer than the
@@ -267,6 +268,17 @@
         """Returns the load of a pool, or None if the pool is unknown."""
         return self._scheduler.pool_load(pool)
 
+    def next_speed_change(
+        self, pool: str, now: float
+    ) -> changes.SpeedChange | None:
+        """Returns a clear change of an engine's speed to log, if any.
+
+        Args:
+          pool: Name of the pool.
+          now: Current time in seconds.
+        """
+        return self._scheduler.next_speed_change(pool, now)
+
     def prompt_part(self, pool: str) -> float | None:
         """Returns the fraction of a pool's engine time spent on prefills.
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -31,6 +31,7 @@
 from cowsliprill.decisions import version_history
 from cowsliprill.decisions import wait_estimates
 from cowsliprill.decisions import waiting_requests
+from cowsliprill.decisions.engine_speeds import changes
 
 _MAX_WAKEUP_INTERVAL_S = 0.5
 
@@ -165,6 +166,18 @@
         pool_state = self._pools.pools_by_name.get(pool)
         return pool_state.pool_load() if pool_state else None
 
+    def next_speed_change(
+        self, pool: str, now: float
+    ) -> changes.SpeedChange | None:
+        """Returns a clear change of an engine's speed to log, if any.
+
+        Args:
+          pool: Name of the pool.
+          now: Current time in seconds.
+        """
+        pool_state = self._pools.pools_by_name.get(pool)
+        return pool_state.next_speed_change(now) if pool_state else None
+
     def prompt_part(self, pool: str) -> float | None:
         """Returns the fraction of a pool's engine time spent on prefills.
 
@@ -410,7 +423,10 @@
         prompts = request.pool.lease(request.prefill.id).prompts
         if request.solo_prompt_number == prompts:
             request.pool.record_prefill_speed(
-                request.uncached_tokens, prefill_duration_s
+                request.prefill,
+                request.uncached_tokens,
+                prefill_duration_s,
+                now,
             )
         request.stage = messages.Stage.TRANSFER
         request.stage_started_at = now
@@ -778,6 +794,7 @@
         request.solo_prompt_number = None if lease.running else lease.prompts
         request.uncached_tokens = submit.prompt_tokens - pool_state
         pool.record_prefill_estimate(
-            estimates.prefill_s(request.prefill, submit, pool_state)
+            request.prefill,
+            estimates.prefill_s(request.prefill, submit, pool_state),
         )
         cached.add(submit.prefix_hashes)
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -14,6 +14,7 @@
 from cowsliprill.decisions import pool_scheduler as pool_scheduler_lib
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import rendezvous
+from cowsliprill.decisions.engine_speeds import changes
 from cowsliprill.observability import log as log_lib
 from cowsliprill.pool_scheduling import origin_exchange
 from cowsliprill.pool_scheduling import wire
@@ -203,6 +204,19 @@
                 loads[pool] = load
         return loads
 
+    def speed_changes(self, now: float) -> dict[str, changes.SpeedChange]:
+        """Returns a clear change of an engine's speed for each pool with one.
+
+        Args:
+          now: Current time in seconds.
+        """
+        found = {}
+        for pool, hosted in self._hosted_by_pool.items():
+            change = hosted.scheduler.next_speed_change(pool, now)
+            if change is not None:
+                found[pool] = change
+        return found
+
     def hosted_pools(self) -> list[str]:
         """Returns the names of the pools hosted by this process."""
         return list(self._hosted_by_pool)
--- a/src/cowsliprill/router/gauges.py
+++ b/src/cowsliprill/router/gauges.py
@@ -76,6 +76,20 @@
                     "pool_standing", pool=pool, **dataclasses.asdict(load)
                 )
 
+        self._log_speed_changes()
+
+    def _log_speed_changes(self) -> None:
+        found = self._pool_schedulers.speed_changes(clock.now())
+        for pool, change in found.items():
+            self._log.event(
+                "engine_speed",
+                pool=pool,
+                endpoint=change.endpoint_id,
+                role=change.role.value,
+                relative_speed=round(change.relative_speed, 3),
+                previous=round(change.previous, 3),
+            )
+
     def _sample_engines(self) -> None:
         leaving_ids = self._source.fleet.leaving_endpoint_ids
         counts = collections.Counter(
