--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -84,7 +84,8 @@
     def test_explicit_speeds_are_kept(self):
         estimator = _estimator()
         stated = _engine(speeds_guessed=False)
-        estimator.add_decode(stated, 6_000, 4.2, 0.0)
+        estimator.add_decode(_engine(), 6_000, 4.2, 0.0)
+        estimator.add_decode(stated, 6_000, 4.2, 1.0)
         assert estimator.apply_to(stated) == stated
 
     def test_robust_to_one_slow_engine_of_four(self):
