Bound the placement cost of long outputs on slow engines

The later tokens of an output of 480 tokens cost 0.38 s on an engine of half the speed, more than an engine with full memory: the slow engine stayed empty until the others were full. The cost is bounded by half of that of full memory.

--- a/src/cowsliprill/decisions/estimates.py
+++ b/src/cowsliprill/decisions/estimates.py
@@ -19,6 +19,11 @@
 # full weight it would stay empty until the others are full.
 _LATER_TOKEN_WEIGHT = 0.1
 
+# Upper bound of the cost of those tokens, in seconds: half of that of an engine
+# with full memory. Otherwise a slow engine would get no long output before the
+# memory of the others is full, and they would preempt requests.
+_LATER_TOKENS_MAX_S = 0.05
+
 _INITIAL_OUTPUT_FRACTION = 0.7
 _EMA_WEIGHT = 0.02
 _DEFAULT_SECONDS_PER_TOKEN = 0.03
@@ -76,8 +81,9 @@
     """
     extra_s_per_token = max(decode.seconds_per_token - fastest_s_per_token, 0.0)
     first = min(float(submit.service.tokens_per_event), output_tokens)
-    return extra_s_per_token * (
-        first + (output_tokens - first) * _LATER_TOKEN_WEIGHT
+    later_s = extra_s_per_token * (output_tokens - first)
+    return extra_s_per_token * first + min(
+        later_s * _LATER_TOKEN_WEIGHT, _LATER_TOKENS_MAX_S
     )
 
 
--- a/tests/test_speeds.py
+++ b/tests/test_speeds.py
@@ -87,6 +87,7 @@
         estimator.add_decode(_engine(), 6_000, 4.2, 0.0)
         estimator.add_decode(stated, 6_000, 4.2, 1.0)
         assert estimator.apply_to(stated) == stated
+        assert estimator.usual_seconds_per_token(stated) == 0.008
 
     def test_robust_to_one_slow_engine_of_four(self):
         engines = [_engine(id=f"d{number}") for number in range(4)]
