--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -128,16 +128,19 @@
         """Returns the best decode engine that can run the prefill itself."""
         pool = request.pool
         local_prefill_engines = [
-            (candidate.cost_s, candidate.id)
+            (
+                candidate.cost_s
+                + estimates.local_prefill_s(
+                    pool.endpoints_by_id[candidate.id], request.submit
+                ),
+                candidate.id,
+            )
             for candidate in self._decode_candidates(request, now, entry)
             if pool.endpoints_by_id[candidate.id].own_prefill_tokens_per_s
         ]
         if not local_prefill_engines:
             return None
         cost_s, engine_id = min(local_prefill_engines)
-        cost_s += estimates.local_prefill_s(
-            pool.endpoints_by_id[engine_id], request.submit
-        )
         return pair_selection.EnginePair(engine_id, engine_id, cost_s)
 
     def _may_get_prefill(self, pool: pools.Pool, now: float) -> bool:
@@ -219,6 +222,15 @@
         ejected_engine_ids = pool.ejected_ids(decodes)
         all_ejected = pool.none_sound(decodes)
         attempt_s = self._failed_attempt_s(pool)
+        fastest_s_per_token = min(
+            (
+                item.seconds_per_token
+                for item in decodes
+                if item.seconds_per_token > 0
+            ),
+            default=0.0,
+        )
+        output_tokens = pool.output_lengths.expected_tokens(submit)
         for endpoint in decodes:
             lease = pool.lease(endpoint.id)
             if not lease.fits(request.slots, now):
@@ -247,6 +259,9 @@
                 cost_s += self._health.expected_loss_s(
                     endpoint.id, attempt_s, now
                 )
+            cost_s += estimates.extra_decode_s(
+                endpoint, fastest_s_per_token, submit, output_tokens
+            )
             yield pair_selection.Candidate(endpoint.id, cost_s)
 
     def _may_probe(
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -10,9 +10,9 @@
 from tests import raw_endpoint
 
 from cowsliprill import clock
-from cowsliprill.decisions import health
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
+from cowsliprill.decisions.engine_health import health
 from cowsliprill.engines import http_client
 from cowsliprill.entry import cluster_state
 from cowsliprill.registry import endpoints
