--- a/src/cowsliprill/decisions/overload/ranking.py
+++ b/src/cowsliprill/decisions/overload/ranking.py
@@ -53,9 +53,15 @@
 
 
 class SlotUse:
-    """Slots that work takes or asks for, by customer and priority."""
+    """Slots that work takes or asks for, by customer and priority.
+
+    Attributes:
+      total: Slots of all work.
+      changes: Number of changes so far.
+    """
 
     def __init__(self) -> None:
+        self.changes = 0
         self._slots_by_priority_by_customer: dict[str, dict[int, float]] = {}
         self.total = 0.0
 
@@ -74,12 +80,14 @@
         )
         by_priority[priority] = by_priority.get(priority, 0.0) + slots
         self.total += slots
+        self.changes += 1
 
     def remove(self, customer: str, priority: int, slots: float) -> None:
         """Removes the slots of one request that was added with them."""
         by_priority = self._slots_by_priority_by_customer[customer]
         by_priority[priority] -= slots
         self.total -= slots
+        self.changes += 1
         if by_priority[priority] <= 0:
             del by_priority[priority]
         if not by_priority:
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -118,6 +118,10 @@
         self.overload_control = overload_control
         self._running = ranking.SlotUse()
         self._waiting = ranking.SlotUse()
+        # It is kept while its inputs are the same, as it is asked for several
+        # times after each event.
+        self._ranking: ranking.Ranking | None = None
+        self._ranked_state: tuple | None = None
         self.queue = self._new_queue()
         # Streams that only engines of one software version may continue, and
         # requests that start one after the other. In the other queue they would
@@ -362,12 +366,22 @@
         slots would be too much where prefills limit the pool before decode
         slots do: no customer would be beyond its share then.
         """
-        return ranking.Ranking(
-            self._running.total + self.mean_slots_per_request,
-            self._running,
-            self._waiting,
-            self.shares_by_customer,
+        state = (
+            self._running.changes,
+            self._waiting.changes,
+            self.mean_slots_per_request,
+            # Comparing the contents would read all customers.
+            id(self.shares_by_customer),
         )
+        if self._ranking is None or state != self._ranked_state:
+            self._ranked_state = state
+            self._ranking = ranking.Ranking(
+                self._running.total + self.mean_slots_per_request,
+                self._running,
+                self._waiting,
+                self.shares_by_customer,
+            )
+        return self._ranking
 
     def first_waiting(self) -> request_queue.QueuedRequest | None:
         """Returns the request of `queue` to place next, None if it is empty."""
