--- a/src/cowsliprill/decisions/waiting_requests.py
+++ b/src/cowsliprill/decisions/waiting_requests.py
@@ -18,16 +18,13 @@
 from cowsliprill.decisions import unavailable_engines
 from cowsliprill.decisions import wait_estimates
 from cowsliprill.decisions.overload import ranked_queue
+from cowsliprill.decisions.overload import ranking
 from cowsliprill.decisions.overload import standing as standing_lib
 
 # A request stays in the queue only if the backlog is expected to drain within
 # this multiple of the time left to its start deadline.
 _ADMISSION_WAIT_FACTOR = 1.0
 
-# Seconds by which each second of expected decode slot time moves a request
-# back in the queue.
-_COST_WEIGHT = 3.0
-
 # Reason for which requests count as displaced by those in time.
 _DEMOTED = "demoted"
 
@@ -372,7 +369,7 @@
         cost_s=request.cost_s
         * (request.slots / request.pool.mean_slots_per_request)
         / request.value,
-        cost_weight=_COST_WEIGHT,
+        cost_weight=ranking.COST_WEIGHT,
         slots=request.slots,
         version=request.version if request.needs_version else None,
     )
