--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -1,5 +1,6 @@
 """Filter that load-balances plain calls over servers and retries failures."""
 
+import asyncio
 import collections
 import dataclasses
 import random
@@ -198,6 +199,10 @@
         self._running_by_endpoint[endpoint_id] += 1
         try:
             await proceed(ctx)
+        except asyncio.CancelledError:
+            # The caller has left, perhaps because it no longer waits.
+            self.admission.unanswered(ctx)
+            raise
         finally:
             self._running_by_endpoint[endpoint_id] -= 1
             if not self._running_by_endpoint[endpoint_id]:
--- a/src/cowsliprill/entry/plain_call_admission.py
+++ b/src/cowsliprill/entry/plain_call_admission.py
@@ -42,7 +42,7 @@
         """Records that a server has responded to a call."""
 
     def unanswered(self, ctx: context.Context) -> None:
-        """Records that a call got no response in time."""
+        """Records that a call ended without a response."""
 
     def is_full(self, server: str) -> bool:
         """Returns whether a server has just rejected a call as full."""
@@ -150,14 +150,11 @@
     def responded(self, ctx: context.Context) -> None:
         """Counts a completed call, late if it missed its target."""
         if self._applies():
-            taken_s = clock.now() - ctx.arrived_at
-            self._client.completed(
-                ctx.service.pool, late=taken_s > ctx.service.ttft_target_s
-            )
+            self._client.completed(ctx.service.pool, late=_is_late(ctx))
 
     def unanswered(self, ctx: context.Context) -> None:
-        """Counts a call without a response as late."""
-        if self._applies():
+        """Counts a call without a response once its target has passed."""
+        if self._applies() and _is_late(ctx):
             self._client.unanswered(ctx.service.pool)
 
     def is_full(self, server: str) -> bool:
@@ -184,6 +181,10 @@
         )
 
 
+def _is_late(ctx: context.Context) -> bool:
+    return clock.now() - ctx.arrived_at > ctx.service.ttft_target_s
+
+
 def _has_shares(snapshot: model.Snapshot) -> bool:
     shares = set()
     for customer in snapshot.customers_by_id.values():
