Tests of engine ejection: a floor of served requests for each loss rate

Cause: one floor of 440 of 500 for all rates passed even where a loss of 6% left as many unserved as one of 40% may.

Change: floors of 490, 475 and 460 at 6%, 20% and 40%.

--- a/tests/test_engine_health.py
+++ b/tests/test_engine_health.py
@@ -107,8 +107,10 @@
 class TestLoad:
     """Engines lose responses under 30 requests/s with a burst of 100/s."""
 
-    @pytest.mark.parametrize("loss", [0.06, 0.2, 0.4])
-    def test_nobody_is_refused_for_lost_responses(self, loss: float) -> None:
+    @pytest.mark.parametrize(
+        "loss,least", [(0.06, 490), (0.2, 475), (0.4, 460)]
+    )
+    def test_nobody_is_refused_for_lost_responses(self, loss, least) -> None:
         """Guards against refusals with room, as ejection takes prefill.
 
         All prefill engines and half of the decode engines lose responses.
@@ -117,7 +119,7 @@
         day = _Day(dict.fromkeys(losing, loss))
         day.play()
         assert not day.ends[messages.RefusalCode.OVERLOADED]
-        assert day.ends["served"] >= 440
+        assert day.ends["served"] >= least
 
     @pytest.mark.parametrize("loss", [0.5, 1.0])
     def test_failing_engines_get_few_requests(self, loss: float) -> None:
