Bound the reported wait of a refusal

Cause: a pool without usable engines has an infinite expected wait, which JSON turns into null; the entry process then failed to decode the whole message. Change: a refusal states 600 s at most. Result: the test failed before and passes now.

--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -52,6 +52,10 @@
 # place them there again at once.
 _UNSENT_BACKOFF_S = 0.1
 
+# Largest wait in a refusal. A pool without usable engines has an infinite one,
+# which JSON can't carry: the entry process would drop the whole message.
+_REPORTED_WAIT_MAX_S = 600.0
+
 
 class Scheduler:
     """Places model requests on the engines of all pools.
@@ -607,7 +611,7 @@
                 pool.retry_schedule.retry_after_s(now, backoff_s, interval_s),
                 ready_in_s,
             ),
-            wait_s=wait_s,
+            wait_s=min(wait_s, _REPORTED_WAIT_MAX_S),
             waiting=len(pool.queue),
             rank=rank,
         )
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -1,6 +1,7 @@
 """Tests of the central scheduler of a pool."""
 
 import dataclasses
+import math
 import random
 
 from cowsliprill.decisions import crash_records
@@ -727,3 +728,30 @@
             "decode-gasabo",
             "decode-remera",
         }
+
+
+class TestEnginesGone:
+    """All engines of a pool leave while requests wait."""
+
+    def test_refusals_can_be_sent(self):
+        """Guards against a refusal that JSON can't carry.
+
+        The entry process dropped the whole message, and its callers waited for
+        their time limit.
+        """
+        site = _Site(decodes=1)
+        site.send_heartbeats()
+        for number in range(6):
+            site.send("vm-0", _submit(number, site.now))
+        site.decisions("vm-0")
+        site.set_engines({})
+        site.now += 3.5
+        site.send_heartbeats()
+        site.pool_scheduler.tick(site.now)
+        refusals = [
+            item
+            for item in site.decisions("vm-0")
+            if isinstance(item, messages.Refuse)
+        ]
+        assert refusals
+        assert all(math.isfinite(item.wait_s) for item in refusals)
