Name the engines of model requests in `request_ended`

The record named no endpoint for model requests, so that a failure couldn't be traced to its engine without the `placed` record. It now has the prefill and decode engine of the last attempt.

test_entry: the new assertions pass.

--- a/src/cowsliprill/entry/filters/report.py
+++ b/src/cowsliprill/entry/filters/report.py
@@ -126,6 +126,7 @@
             tokens=progress.tokens,
             ttft_ms=round(ttft_s * _MS_PER_S, 1),
             took_ms=round((now - ctx.arrived_at) * _MS_PER_S, 1),
+            **_engine_fields(ctx),
             **_unanswered_fields(ctx),
             **_part_fields(ctx),
             **_resume_fields(ctx),
@@ -170,6 +171,13 @@
     }
 
 
+def _engine_fields(ctx: context.Context) -> dict[str, str]:
+    """Returns the engines of the last attempt at a model request."""
+    if ctx.start is None:
+        return {}
+    return {"prefill": ctx.start.prefill_id, "decode": ctx.start.decode_id}
+
+
 def _relay_fields(ctx: context.Context) -> dict[str, str]:
     if ctx.call.envelope is not None:
         envelope = ctx.call.envelope
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -265,6 +265,10 @@
         assert "service=umurongo/brief" in lines[0]
         assert "request=vm-0.e0." in lines[0]
         assert "outcome=invalid_json" in lines[1]
+        # Without the engines, a failure can't be traced to its engine.
+        assert " prefill=prefill" in lines[0]
+        assert " decode=decode" in lines[0]
+        assert "decode=" not in lines[1]
 
 
 class TestErrors:
