--- a/src/cowsliprill/router/config.py
+++ b/src/cowsliprill/router/config.py
@@ -47,7 +47,8 @@
       store: Address of the registry's store.
       processor_share: Fraction of the VM's processor that the process may use.
       processor_speed: Speed of the processor relative to the slowest VM class.
-      memory_mb: Memory limit of the process in MB, 0 if it isn't known.
+      memory_mb: Memory limit of the process in MB, 0 or None if it isn't
+        known.
       retry_budget_ratio: Retries allowed per request.
       retry_budget_slack: Retries allowed in addition, for all VMs together.
       drain_notice_s: Seconds until the load balancer detects that the process
@@ -86,7 +87,7 @@
     store: Address
     processor_share: float = 0.0
     processor_speed: float = 1.0
-    memory_mb: float = pydantic.Field(default=0.0, ge=0.0)
+    memory_mb: float | None = pydantic.Field(default=None, ge=0.0)
     retry_budget_ratio: float = 0.1
     retry_budget_slack: float = 10.0
     drain_notice_s: float = 2.6
@@ -137,7 +138,7 @@
             drain_limit_s=max(
                 self.grace_s - _SHUTDOWN_RESERVE_S, self.drain_notice_s
             ),
-            memory_mb=self.memory_mb,
+            memory_mb=self.memory_mb or 0.0,
             peer_secret=self.peer_secret,
             mechanisms_off=self.mechanisms_off,
             quarantine_crashes=self.quarantine_crashes,
