Add the command `where`, which previews a placement

Cause: operators could see why a request was placed or refused only in the log, after it had been sent.

Change: `cowsliprill where URL POOL` asks the pool's coordinator (`GET /v1/placement`) what would become of a request now: start, wait or refusal, the customer's standing, and the best engines with the parts of their costs. The request is tried on a copy of the pool's queues and demand with the code that places requests, so the coordinator's state stays as it is. The selector's candidates carry the parts of their costs; their sums are as before.

--- a/src/cowsliprill/cli/__main__.py
+++ b/src/cowsliprill/cli/__main__.py
@@ -20,6 +20,7 @@
     commands.AccountCommand,
     commands.StatusCommand,
     commands.AuditCommand,
+    commands.WhereCommand,
 )
 
 
--- a/src/cowsliprill/cli/commands.py
+++ b/src/cowsliprill/cli/commands.py
@@ -116,3 +116,35 @@
     """Show the recent audit trail of a VM, read from its settings process."""
 
     url: _Url
+
+
+@cappa.command(name="where")
+@dataclasses.dataclass
+class WhereCommand:
+    """Tell where a model request would go now and why, without sending it.
+
+    The process must be a router process of the pool's coordinator.
+    """
+
+    url: _Url
+    pool: Annotated[str, cappa.Arg(help="Name of the pool.")]
+    prompt_tokens: Annotated[
+        int, cappa.Arg(long=True, help="Tokens of the prompt.")
+    ] = 1_000
+    output_tokens: Annotated[
+        int, cappa.Arg(long=True, help="Maximum number of output tokens.")
+    ] = 100
+    priority: Annotated[
+        int | None,
+        cappa.Arg(long=True, help="Priority; by default the service's."),
+    ] = None
+    customer: Annotated[
+        str, cappa.Arg(long=True, help="Id of the calling customer.")
+    ] = ""
+    zone: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            help="Availability zone of the caller; by default the process's.",
+        ),
+    ] = ""
--- a/src/cowsliprill/cli/runner.py
+++ b/src/cowsliprill/cli/runner.py
@@ -19,6 +19,7 @@
 from cowsliprill.cli import errors
 from cowsliprill.cli import explain
 from cowsliprill.cli import show
+from cowsliprill.cli import where
 from cowsliprill.observability import log
 from cowsliprill.settings import parts
 from cowsliprill.settings import publish
@@ -87,6 +88,9 @@
             _print_account(files, step, terminal)
         case commands.StatusCommand(url):
             _print_status(_fetch_json(url + peers.STATUS_PATH), terminal)
+        case commands.WhereCommand():
+            for line in where.format_lines(_fetch_json(where.url(command))):
+                terminal.write(line)
         case commands.AuditCommand(url):
             for entry in _fetch_json(url + peers.AUDIT_PATH):
                 terminal.write(log.serialize(entry))
@@ -220,12 +224,21 @@
     try:
         reply = asyncio.run(fetch())
         if reply.status != _STATUS_OK:
-            raise errors.CliError(f"{url} answered {reply.status}")
+            raise _error_of(url, reply)
         return reply.json()
     except (peer_client.PeerError, ValueError) as error:
         raise errors.CliError(f"{url} gives no answer: {error}") from error
 
 
+def _error_of(url: str, reply: peer_client.PeerResponse) -> errors.CliError:
+    """Returns the error that a process has answered with."""
+    try:
+        error = reply.json()["error"]
+        return errors.CliError(error["message"], code=error["code"])
+    except (peer_client.PeerError, LookupError, TypeError):
+        return errors.CliError(f"{url} answered {reply.status}")
+
+
 def standard_terminal() -> Terminal:
     """Returns the standard streams of the current process."""
     return Terminal(sys.stdin, sys.stdout, sys.stderr)
--- a/src/cowsliprill/decisions/demand.py
+++ b/src/cowsliprill/decisions/demand.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 from collections.abc import Mapping
+from typing import Self
 
 # The window keeps at least this many requests, and all of the last
 # `_MIN_SPAN_S`, which are more at a high request rate.
@@ -44,6 +45,10 @@
     cost_s: float
     value: float = 1.0
 
+    def __deepcopy__(self, memo: dict) -> Self:
+        """Returns itself, as it is immutable."""
+        return self
+
     def rank(self) -> tuple[int, float]:
         """Returns the sort key within its customer, smallest first."""
         return (-self.priority, self.cost_s / max(self.value, 1e-6))
--- a/src/cowsliprill/decisions/engine_selection.py
+++ b/src/cowsliprill/decisions/engine_selection.py
@@ -90,6 +90,25 @@
         local = self._local_pair(request, now, entry)
         return min(local or pair, pair, key=lambda item: item.cost_s)
 
+    def candidates(
+        self, request: requests.Request, now: float, entry: str | None
+    ) -> tuple[list[pair_selection.Candidate], list[pair_selection.Candidate]]:
+        """Returns the prefill and the decode engines that could be selected.
+
+        Args:
+          request: The request.
+          now: Current time in seconds.
+          entry: As for `select_pair`.
+        """
+        return (
+            list(
+                self._prefill_candidates(
+                    request.pool, request.submit, now, entry
+                )
+            ),
+            list(self._decode_candidates(request, now, entry)),
+        )
+
     def has_engines(self, request: requests.Request, now: float) -> bool:
         """Returns whether some entry process could start a request now.
 
@@ -201,14 +220,21 @@
                 pool, endpoint, submit, now, all_ejected
             ):
                 continue
-            cost_s = pool.prefill_wait_s(endpoint, submit)
+            cross_zone_s = loss_s = 0.0
             if self._is_cross_zone(endpoint, submit):
-                cost_s += _PREFILL_CROSS_ZONE_COST_S
+                cross_zone_s = _PREFILL_CROSS_ZONE_COST_S
             if attempt_s:
-                cost_s += self._health.expected_loss_s(
+                loss_s = self._health.expected_loss_s(
                     endpoint.id, attempt_s, now
                 )
-            yield pair_selection.Candidate(endpoint.id, cost_s)
+            yield _candidate(
+                endpoint,
+                pair_selection.CostParts(
+                    prefill=pool.prefill_wait_s(endpoint, submit),
+                    cross_zone=cross_zone_s,
+                    loss=loss_s,
+                ),
+            )
 
     def _decode_candidates(
         self, request: requests.Request, now: float, entry: str | None
@@ -250,19 +276,27 @@
             ):
                 continue
             occupancy = lease.used / max(endpoint.slots, 1)
-            cost_s = 0.0
+            cross_zone_s = memory_s = loss_s = 0.0
             if self._is_cross_zone(endpoint, submit):
-                cost_s += _DECODE_CROSS_ZONE_COST_S * (1 + occupancy)
+                cross_zone_s = _DECODE_CROSS_ZONE_COST_S * (1 + occupancy)
             if endpoint.block_tokens:
-                cost_s += occupancy * _FULL_MEMORY_COST_S
+                memory_s = occupancy * _FULL_MEMORY_COST_S
             if attempt_s:
-                cost_s += self._health.expected_loss_s(
+                loss_s = self._health.expected_loss_s(
                     endpoint.id, attempt_s, now
                 )
-            cost_s += estimates.extra_decode_s(
+            decode_s = estimates.extra_decode_s(
                 endpoint, fastest_s_per_token, submit, output_tokens
             )
-            yield pair_selection.Candidate(endpoint.id, cost_s)
+            yield _candidate(
+                endpoint,
+                pair_selection.CostParts(
+                    cross_zone=cross_zone_s,
+                    memory=memory_s,
+                    loss=loss_s,
+                    decode=decode_s,
+                ),
+            )
 
     def _may_probe(
         self,
@@ -296,6 +330,12 @@
         return pool.failed_attempt_s() if self._health.has_losses() else 0.0
 
 
+def _candidate(
+    endpoint: model.Endpoint, parts: pair_selection.CostParts
+) -> pair_selection.Candidate:
+    return pair_selection.Candidate(endpoint.id, sum(parts), parts)
+
+
 def _is_sooner(
     pool: pools.Pool, submit: messages.Submit, local_s: float
 ) -> bool:
--- a/src/cowsliprill/decisions/overload/ranking.py
+++ b/src/cowsliprill/decisions/overload/ranking.py
@@ -15,6 +15,7 @@
 import math
 from collections.abc import Iterable
 from collections.abc import Mapping
+from typing import Self
 
 # Seconds by which a cost of one slot-second moves work back in the queue.
 COST_WEIGHT = 3.0
@@ -51,6 +52,10 @@
     number: int = 0
     slots: float = 1.0
 
+    def __deepcopy__(self, memo: dict) -> Self:
+        """Returns itself, as it is immutable."""
+        return self
+
 
 class SlotUse:
     """Slots that work takes or asks for, by customer and priority.
--- a/src/cowsliprill/decisions/pair_selection.py
+++ b/src/cowsliprill/decisions/pair_selection.py
@@ -2,6 +2,25 @@
 
 import dataclasses
 from collections.abc import Callable
+from typing import NamedTuple
+
+
+class CostParts(NamedTuple):
+    """Parts of a candidate's cost, in seconds.
+
+    Attributes:
+      prefill: Waiting and prefill at a prefill engine.
+      cross_zone: Network delay and price of traffic between zones.
+      memory: Slowdown by the occupied KV cache memory.
+      loss: Expected time lost by a failed attempt.
+      decode: Extra decode time compared with the fastest engine.
+    """
+
+    prefill: float = 0.0
+    cross_zone: float = 0.0
+    memory: float = 0.0
+    loss: float = 0.0
+    decode: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -13,10 +32,12 @@
       cost_s: Seconds that this engine adds to the time to first token: waiting
         and prefill at a prefill engine, queueing and network delay at a
         decode engine.
+      parts: Parts of `cost_s`.
     """
 
     id: str
     cost_s: float
+    parts: CostParts = CostParts()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -1,10 +1,12 @@
 """State of one engine pool at a scheduler: leases, queue and averages."""
 
+import copy
 import dataclasses
 import math
 import random
 import statistics
 from collections.abc import Mapping
+from typing import Self
 
 from cowsliprill.decisions import admission
 from cowsliprill.decisions import demand
@@ -76,6 +78,18 @@
         return self.prefill_s + self.transfer_s + self.token_interval_s
 
 
+# Attributes of a pool that change in place when a request arrives or waits.
+_TRIAL_STATE = (
+    "queue",
+    "constrained",
+    "_waiting",
+    "demand",
+    "_workload",
+    "prompt_load",
+    "request_values",
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PoolLoad:
     """Load of a pool.
@@ -179,6 +193,20 @@
         self._export_ttl_s = 1.0
         self.retry_schedule = admission.RetryAfterSchedule(rng)
 
+    def trial_copy(self) -> Self:
+        """Returns a copy on which a request can be tried.
+
+        To record, queue and demote a new request there leaves this pool as it
+        is. Engines' leases and rates are shared: no request may start there.
+        """
+        trial = copy.copy(self)
+        # The queues share `_waiting`, so they are copied together.
+        state = {name: getattr(self, name) for name in _TRIAL_STATE}
+        for name, value in copy.deepcopy(state).items():
+            setattr(trial, name, value)
+        trial._ranking = None  # It refers to this pool's `_waiting`.
+        return trial
+
     def set_engines(
         self, prefills: list[model.Endpoint], decodes: list[model.Endpoint]
     ) -> None:
--- a/src/cowsliprill/decisions/pool_scheduler.py
+++ b/src/cowsliprill/decisions/pool_scheduler.py
@@ -23,6 +23,7 @@
 from cowsliprill.decisions import message_channel
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import placement_preview
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import scheduler as scheduler_lib
@@ -347,6 +348,17 @@
             self._handle(messages.Cancel(request_id), now)
         self._set_unavailable(entry, session, {}, now)
 
+    def preview(
+        self, submit: messages.Submit, now: float
+    ) -> placement_preview.Preview:
+        """Returns what would become of a new request, and changes nothing.
+
+        Args:
+          submit: The request; its id is replaced.
+          now: Current time in seconds.
+        """
+        return self._scheduler.preview(submit, now)
+
     def _update_slot_fraction(self, now: float) -> None:
         slot_fraction = self._reachable_fraction(now)
         if self._coordinator_since is not None:
--- a/src/cowsliprill/decisions/request_queue.py
+++ b/src/cowsliprill/decisions/request_queue.py
@@ -10,6 +10,7 @@
 import dataclasses
 from collections.abc import Callable
 from collections.abc import Iterator
+from typing import Self
 
 from cowsliprill.decisions import messages
 
@@ -45,6 +46,10 @@
     late: bool = False
     version: str | None = None
 
+    def __deepcopy__(self, memo: dict) -> Self:
+        """Returns itself, as it is immutable."""
+        return self
+
     def key(self) -> _Key:
         """Returns the sort key, smallest first.
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -7,6 +7,7 @@
 event `Cancel`.
 """
 
+import dataclasses
 import math
 import random
 from collections.abc import Iterable
@@ -19,6 +20,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import outcome_recorder
 from cowsliprill.decisions import pair_selection
+from cowsliprill.decisions import placement_preview
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import pool_set
 from cowsliprill.decisions import requests
@@ -203,6 +205,45 @@
         """Returns how often a request was displaced, by pool and reason."""
         return self._waiting.displaced
 
+    def preview(
+        self, submit: messages.Submit, now: float
+    ) -> placement_preview.Preview:
+        """Returns what would become of a new request, and changes nothing.
+
+        Args:
+          submit: The request; its id is replaced.
+          now: Current time in seconds.
+        """
+        pool = self._pools.pools_by_name.get(submit.service.pool)
+        if pool is None or not pool.decodes or not pool.can_prefill():
+            return placement_preview.Preview(
+                verdict=placement_preview.Verdict.REFUSE,
+                code=messages.RefusalCode.NO_ENDPOINT,
+                wait_s=_MAX_WAKEUP_INTERVAL_S,
+            )
+        number = max(self._requests_by_id, default=0) + 1
+        submit = dataclasses.replace(submit, request_id=number)
+        trial_pool = pool.trial_copy()
+        trial = requests.from_submit(submit, trial_pool, now)
+        # A trial may demote requests that wait already.
+        trials_by_id = {
+            item.submit.request_id: dataclasses.replace(
+                self._waiting.request_of(item), pool=trial_pool
+            )
+            for item in (*pool.queue, *pool.constrained)
+        }
+        waiting = waiting_requests.WaitingRequests(
+            {**trials_by_id, number: trial},
+            self._health,
+            self._unavailable,
+            self._selector,
+            self._suspected_features,
+            lambda: self._pools.entry_count,
+        )
+        return placement_preview.PlacementPreview(
+            trial, waiting, self._selector, self._pools.entry_count, now
+        ).build()
+
     def asks(self, now: float) -> list[messages.SlotDemand]:
         """Returns this process's slot demand at each endpoint it uses.
 
--- a/src/cowsliprill/peers.py
+++ b/src/cowsliprill/peers.py
@@ -45,6 +45,9 @@
   `POST /v1/stream_origins` `pool_scheduling.origin_wire.OriginMessage` ->
   `pool_scheduling.origin_wire.OriginAnswer`: software versions that have begun
   streams, for the VMs that may be a pool's coordinator next.
+  `GET /v1/placement?pool=P` -> `decisions.placement_preview.Preview`: what
+  would become of a request now; further arguments are the fields of
+  `pool_scheduling.placement_query.PlacementQuery`. For operators.
 Entry and router processes:
   `POST /v1/crashes` `quarantine.wire.CrashExchange` -> the same: ends of
   engines and the requests that may have caused them.
@@ -75,6 +78,7 @@
 RELAY_PATH = "/v1/relay"
 RELAY_STREAM_PATH = "/v1/relay_stream"
 CELLS_PATH = "/v1/cells"
+PLACEMENT_PATH = "/v1/placement"
 STREAM_ORIGINS_PATH = "/v1/stream_origins"
 QUOTAS_PATH = "/v1/quotas"
 REGISTRY_PATH = "/v1/registry"
--- a/src/cowsliprill/pool_scheduling/server.py
+++ b/src/cowsliprill/pool_scheduling/server.py
@@ -11,13 +11,16 @@
 from cowsliprill.decisions import crash_records
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
+from cowsliprill.decisions import placement_preview
 from cowsliprill.decisions import pool as pools
 from cowsliprill.decisions import pool_scheduler as pool_scheduler_lib
 from cowsliprill.decisions import rate_limits
 from cowsliprill.decisions import rendezvous
 from cowsliprill.decisions.engine_speeds import changes
 from cowsliprill.observability import log as log_lib
+from cowsliprill.pool_scheduling import errors
 from cowsliprill.pool_scheduling import origin_exchange
+from cowsliprill.pool_scheduling import placement_query
 from cowsliprill.pool_scheduling import wire
 
 # Upper limit of a long poll. An entry process whose connection was lost without
@@ -230,6 +233,47 @@
                 found[pool] = change
         return found
 
+    def preview(
+        self, query: placement_query.PlacementQuery
+    ) -> placement_preview.Preview:
+        """Returns what would become of a request now, without sending it.
+
+        Args:
+          query: The request.
+
+        Raises:
+          PlacementError: The pool is unknown, or another VM coordinates it.
+        """
+        if query.pool not in self._engine_pools():
+            raise errors.PlacementError(
+                f"there is no pool {query.pool!r} of model engines",
+                code="unknown_pool",
+            )
+        if not self._is_coordinator(query.pool):
+            vm = next(iter(self._ranked(query.pool)), None)
+            name = f"{vm.id} ({vm.host})" if vm else "not known"
+            raise errors.PlacementError(
+                f"{self._vm_id} isn't the coordinator of {query.pool}; it is "
+                f"{name}",
+                code="not_coordinator",
+            )
+        now = clock.now()
+        hosted = self._hosted_by_pool.get(query.pool)
+        scheduler = hosted.scheduler if hosted else self._idle_scheduler(now)
+        return scheduler.preview(query.submit(self._snapshot, now), now)
+
+    def _idle_scheduler(self, now: float) -> pool_scheduler_lib.PoolScheduler:
+        """Returns a scheduler for the preview of a pool without requests."""
+        scheduler = pool_scheduler_lib.PoolScheduler(
+            self._availability_zone,
+            seed=0,
+            overload_control=self._overload_control,
+        )
+        scheduler.set_is_coordinator(True, now - pool_scheduler_lib.TAKEOVER_S)
+        scheduler.update(self._snapshot, self._fleet, now)
+        scheduler.set_rate_limits(self._rate_limits, now)
+        return scheduler
+
     def hosted_pools(self) -> list[str]:
         """Returns the names of the pools hosted by this process."""
         return list(self._hosted_by_pool)
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -40,6 +40,7 @@
 from cowsliprill.pool_scheduling import engine_survey
 from cowsliprill.pool_scheduling import origin_exchange
 from cowsliprill.pool_scheduling import origin_wire
+from cowsliprill.pool_scheduling import placement_handler
 from cowsliprill.pool_scheduling import server as server_lib
 from cowsliprill.pool_scheduling import version_recovery
 from cowsliprill.pool_scheduling import wire as scheduling_wire
@@ -329,6 +330,11 @@
                 origin_args,
             ),
             (peers.CELLS_PATH, peer_handler.MessageHandler, scheduling_args),
+            (
+                peers.PLACEMENT_PATH,
+                placement_handler.PlacementHandler,
+                {"preview": self._pool_schedulers.preview},
+            ),
             (peers.QUOTAS_PATH, peer_handler.MessageHandler, quota_args),
             (
                 peers.REGISTRY_PATH,
