Compare the pool's whole state around a placement preview

Cause: the test of equal actions doesn't notice a preview that records its prompt in a pool's moving sums of load.

Change: the test compares the pool, its leases, rates and engine health byte by byte around a preview, and lets time pass between the events.

Result: it now also fails if the copy shares `prompt_load`, `request_values` or the slots asked for by waiting requests. A shared `_workload` or `constrained` isn't noticed, as the test has neither the samples nor the streams that would use them.

--- a/tests/test_placement_preview.py
+++ b/tests/test_placement_preview.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import io
+import pickle
 import random
 
 import pytest
@@ -121,7 +122,10 @@
         for number in range(1, 500):
             now += rng.expovariate(12.0)
             submit = _submit(number, now, rng)
+            pool = asked._pools.pools_by_name["g"]
+            state = pickle.dumps(pool)
             asked.preview(submit, now)
+            assert pickle.dumps(pool) == state
             # A preview doesn't start what waits and could start by now, as a
             # probe is due. A coordinator's timers do, within 0.5 s.
             tick = messages.Tick()
@@ -137,6 +141,7 @@
             )
             verdicts.add(preview.verdict)
             for _ in range(4):
+                now += rng.expovariate(100.0)
                 event = _event(number, now, rng)
                 assert asked.handle(event, now) == unasked.handle(event, now)
         assert verdicts == set(placement_preview.Verdict)
