Ignore results of engines' former lives

Cause: answers, paces and prefill times of requests that ran before an engine restarted under its id counted for the restarted engine when their events came after the registry's. They could eject it, readmit it or record a slowdown.

Change: they are dropped, as failures of former lives already are.

Result: the added test fails without the change and passes with it.

--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -42,6 +42,8 @@
           now: Current time in seconds.
         """
         assert request.prefill is not None
+        if request.pool.is_former(request.prefill):
+            return
         self._health.record_success(request.prefill.id, request.started_at)
         self._record_answer(request, request.prefill.id, now)
 
@@ -57,7 +59,11 @@
         """
         prefill, decode = request.prefill, request.decode
         assert prefill is not None and decode is not None
+        if request.pool.is_former(decode):
+            return
         self._record_answer(request, decode.id, now)
+        if request.pool.is_former(prefill):
+            return
         if prefill is decode:
             expected_s = estimates.local_prefill_s(decode, request.submit)
         else:
@@ -86,6 +92,8 @@
         """
         decode = request.decode
         assert decode is not None
+        if request.pool.is_former(decode):
+            return
         decode_s = now - request.stage_started_at
         # The usual speed is the one before this stream is taken into account.
         usual_s_per_token = request.pool.usual_seconds_per_token(decode)
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -425,9 +425,11 @@
         assert request.prefill is not None
         self._outcomes.record_prefill(request, now)
         prefill_duration_s = now - request.started_at
-        request.pool.record_prefill_slowdown(
-            request.prefill.id, prefill_duration_s / request.expected_prefill_s
-        )
+        if not request.pool.is_former(request.prefill):
+            request.pool.record_prefill_slowdown(
+                request.prefill.id,
+                prefill_duration_s / request.expected_prefill_s,
+            )
         # Concurrent prompts slow each other down, the more so the busier the
         # engine is. Only a prefill that ran alone shows the engine's speed.
         prompts = request.pool.lease_of(request.prefill).prompts
--- a/tests/test_engine_health.py
+++ b/tests/test_engine_health.py
@@ -198,3 +198,26 @@
         subject.handle(_listed(_PREFILLS[0], restarted), 0.2)
         subject.handle(loss, 0.3)
         assert subject._health.expected_loss_s("d0", 5.0, 0.3) == 0.0
+
+    def test_results_of_the_life_before_do_not_count(self) -> None:
+        """Guards against a restarted engine that is ejected or slowed down.
+
+        Events of requests to its life before arrive after its restart.
+        """
+        subject = _scheduler(*_PREFILLS[:1], *_DECODES[:2])
+        for number in range(3):
+            submit = test_pool_scheduler._submit(number, 0.0)
+            subject.handle(submit, 0.0)
+        for number in range(2):
+            subject.handle(messages.PrefillFinished(number), 0.1)
+            subject.handle(messages.FirstToken(number), 0.2)
+        engines = [*_PREFILLS[:1], *_DECODES[:2]]
+        restarted = [dataclasses.replace(item, life="2") for item in engines]
+        subject.handle(_listed(*restarted), 0.3)
+        for number in range(2):
+            for tokens in (2, 3):
+                subject.handle(messages.Progress(number, tokens), 9.0)
+        subject.handle(messages.PrefillFinished(2), 9.0)
+        assert not subject._health.has_ejected()
+        pool = subject._pools.pools_by_name["brief"]
+        assert not pool.slowdown_by_prefill
