State local prefill capacity in the backlog's unit; compute it less often

Cause: the capacity that decode engines add while prefill engines are ejected was relative to the mean speed of the engines left, the rest of the backlog to the mean of all. With the fast engines ejected, it was counted several times over. Engines of unknown speed lowered the mean from which the needed number of engines follows. And each list of candidates summed up the queue three times while any engine of any pool was ejected.

Change: one unit, the mean over all known speeds. What the load needs is computed only where an engine of the list itself is ejected, and once in most selections.

--- a/src/cowsliprill/decisions/engine_health/health.py
+++ b/src/cowsliprill/decisions/engine_health/health.py
@@ -100,6 +100,21 @@
         state = self._states_by_endpoint.get(endpoint_id)
         return state is not None and state.ejected
 
+    def any_ejected(self, endpoints: Collection[model.Endpoint]) -> bool:
+        """Returns whether any of some engines is ejected by its outcomes."""
+        return bool(self._ejected_count) and any(
+            self._is_ejected(item.id) for item in endpoints
+        )
+
+    def all_ejected(self, endpoints: Collection[model.Endpoint]) -> bool:
+        """Returns whether all of some engines are ejected by their outcomes.
+
+        Those that capacity alone keeps in use count.
+        """
+        return bool(self._ejected_count) and all(
+            self._is_ejected(item.id) for item in endpoints
+        )
+
     def has_ejected(self) -> bool:
         """Returns whether any engine of any pool is ejected."""
         return bool(self._ejected_count)
--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -619,7 +619,7 @@
         Args:
           endpoints: Engines of one kind.
         """
-        if not self._health.has_ejected():
+        if not self._health.any_ejected(endpoints):
             return set()
         return self._health.ejected_engine_ids(
             endpoints, self.needed_count(endpoints)
@@ -631,7 +631,7 @@
         Args:
           endpoints: Engines of one kind.
         """
-        if not self._health.has_ejected():
+        if not self._health.any_ejected(endpoints):
             return set()
         return self._health.last_choice_ids(
             endpoints, self.needed_count(endpoints)
@@ -646,7 +646,8 @@
         Args:
           endpoints: Engines of one kind.
         """
-        if not self._health.has_ejected():
+        # What the load needs is costly to tell and matters only here.
+        if not self._health.all_ejected(endpoints):
             return False
         count = len(self.ejected_ids(endpoints))
         count += len(self.last_choice_ids(endpoints))
@@ -663,9 +664,7 @@
         if endpoints[0].kind is model.EndpointKind.PREFILL:
             return needed_engines.prefill_engines(
                 self.prompt_load.tokens_per_s(),
-                statistics.fmean(
-                    item.prefill_tokens_per_s for item in endpoints
-                ),
+                estimates.mean_prefill_speed(endpoints),
                 len(endpoints),
             )
         waiting = sum(item.slots for item in self.queue)
@@ -696,12 +695,12 @@
         whose prefill runs there needs slots too.
 
         Returns:
-          Capacity in prefill engines.
+          Capacity relative to a prefill engine of mean speed, as that of
+          `_usable_prefill`.
         """
-        prefills = self._healthy(self.prefills)
-        if not prefills or not self.lacks_prefill():
+        if not self.lacks_prefill():
             return 0.0
-        speed = statistics.fmean(item.prefill_tokens_per_s for item in prefills)
+        speed = self._mean_prefill_speed
         if speed <= 0:
             return 0.0
         return sum(
--- a/tests/test_engine_health.py
+++ b/tests/test_engine_health.py
@@ -221,3 +221,21 @@
         assert not subject._health.has_ejected()
         pool = subject._pools.pools_by_name["brief"]
         assert not pool.slowdown_by_prefill
+
+
+class TestCapacity:
+    """Capacity that the engines in use add up to."""
+
+    def test_local_prefill_capacity_is_in_the_unit_of_the_others(self) -> None:
+        """Guards against admission beyond the capacity that is left.
+
+        All fast prefill engines are ejected, a slow one is left.
+        """
+        slow = dataclasses.replace(_PREFILLS[0], prefill_tokens_per_s=11_000.0)
+        subject = _scheduler(slow, *_PREFILLS[1:3], *_DECODES[:2])
+        pool = subject._pools.pools_by_name["brief"]
+        for engine in _PREFILLS[1:3]:
+            subject._health.record_failure(engine.id, 0.0)
+        mean = sum(item.prefill_tokens_per_s for item in pool.prefills) / 3
+        tokens_per_s = pool.backlog(0).prefills * mean
+        assert tokens_per_s == pytest.approx(11_000 + 2 * 16_000)
