Eject no engine for a slow phase of less than a second

Cause: two slow results in a row ejected an engine, also two of one stream. Engines whose work takes 2.5 times as long for 0.6 s were ejected for 2 s. A good transfer between two slow streams, on the other hand, hid the slowness.

Change: two slow streams must have begun a second apart, without a stream that isn't slow between their ends. Results of streams that have been 3.5 times slower for a second count as before.

The added test of a short phase fails without the change.

--- a/src/cowsliprill/decisions/engine_health/health.py
+++ b/src/cowsliprill/decisions/engine_health/health.py
@@ -26,6 +26,14 @@
 _SLOW_TRANSFER_MIN_S = 0.2
 
 _SLOW_RESULTS_TO_EJECT = 2
+
+# Time for which an engine must be slow to be ejected. Some engines have phases
+# of 0.6 s in which work takes 2.5 times as long. They are as fast as before
+# when an ejection of 2 s begins. Work that began in a phase may end long after
+# it, so that the length of a stream tells nothing unless it is far slower.
+_SLOW_MIN_S = 1.0
+_FAR_SLOWER_RATIO = 3.5
+
 _EJECTION_MIN_S = 2.0
 _EJECTION_MAX_S = 30.0
 
@@ -66,6 +74,7 @@
     silent: bool = False
     lossy: bool = False
     last_good_transfer_at: float = 0.0
+    slow_stream_began_at: float | None = None
 
 
 class EngineHealth:
@@ -373,20 +382,31 @@
         ratio: float,
         now: float,
         sent_at: float = math.inf,
+        began_at: float | None = None,
     ) -> None:
         """Records the time per output token of a stream.
 
+        An engine is ejected for two slow streams that began apart, without a
+        stream that isn't slow between their ends, or for two results of streams
+        that have been far slower for long enough.
+
         Args:
           endpoint_id: Id of the decode engine.
           ratio: Measured time per token over the expected one.
           now: Current time in seconds.
           sent_at: When the request was sent to the engine, in seconds.
+          began_at: When its first token arrived, in seconds; None if that is
+            unknown. The stream then counts as begun apart from all others.
         """
         state = self._get_state(endpoint_id)
-        if ratio > _SLOW_STREAM_RATIO:
+        if ratio <= _SLOW_STREAM_RATIO:
+            state.slow_stream_began_at = None
+            self._record_good(endpoint_id, state, sent_at)
+        elif began_at is None:
             self._record_slow(state, now)
         else:
-            self._record_good(endpoint_id, state, sent_at)
+            is_far_slower = ratio > _FAR_SLOWER_RATIO
+            self._record_slow_stream(state, began_at, now, is_far_slower)
 
     def record_transfer(
         self,
@@ -450,6 +470,24 @@
         if state.slow_count >= _SLOW_RESULTS_TO_EJECT or state.ejected:
             self._eject(state, now)
 
+    def _record_slow_stream(
+        self,
+        state: _EngineState,
+        began_at: float,
+        now: float,
+        is_far_slower: bool,
+    ) -> None:
+        # A good transfer doesn't end the slowness: an engine that decodes
+        # slowly fetches KV cache as fast as ever between its streams' ends.
+        first_began_at = state.slow_stream_began_at
+        if first_began_at is None:
+            state.slow_stream_began_at = first_began_at = began_at
+        is_apart = abs(began_at - first_began_at) >= _SLOW_MIN_S
+        if is_apart or state.ejected:
+            self._eject(state, now)
+        elif is_far_slower and now - began_at >= _SLOW_MIN_S:
+            self._record_slow(state, now)
+
     def _record_good(
         self, endpoint_id: str, state: _EngineState, sent_at: float
     ) -> None:
--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -105,7 +105,11 @@
         measured_s_per_token = decode_s / (output_tokens - 1)
         ratio = measured_s_per_token / usual_s_per_token
         self._health.record_token_time_ratio(
-            decode.id, ratio, now, request.started_at
+            decode.id,
+            ratio,
+            now,
+            request.started_at,
+            request.stage_started_at,
         )
 
     def record_failure(
--- a/tests/test_engine_health.py
+++ b/tests/test_engine_health.py
@@ -239,3 +239,53 @@
         mean = sum(item.prefill_tokens_per_s for item in pool.prefills) / 3
         tokens_per_s = pool.backlog(0).prefills * mean
         assert tokens_per_s == pytest.approx(11_000 + 2 * 16_000)
+
+
+class TestSlowPhases:
+    """A decode engine whose streams take longer from second 10 on.
+
+    Three streams of 67 tokens begin every two seconds.
+    """
+
+    def _play(self, slow_s: float, factor: float) -> list[float]:
+        """Returns when the engine was found ejected, from second 10."""
+        subject = _scheduler(_PREFILLS[0], *_DECODES[:2])
+        events: list[tuple[float, messages.Event]] = []
+        for number in range(24):
+            at = 2 + number / 1.5
+            is_slow = 10 <= at < 10 + slow_s
+            end = at + 66 * 0.008 * (factor if is_slow else 1.0)
+            start = messages.Start(
+                request_id=number, attempt=1, prefill_id="p0", decode_id="d0"
+            )
+            submit = test_pool_scheduler._submit(number, at)
+            adopt = messages.Adopt(
+                submit=submit, start=start, stage=messages.Stage.TRANSFER
+            )
+            events.append((at - 0.01, adopt))
+            events.append((at, messages.FirstToken(number)))
+            if end > at + 1:
+                tokens = 1 + int(66 / (end - at))
+                events.append((at + 1, messages.Progress(number, tokens)))
+            events.append((end, messages.Finished(number, 67)))
+        ejected_at = []
+        for now, event in sorted(events, key=lambda item: item[0]):
+            subject.handle(event, now)
+            if subject._health.any_ejected(_DECODES[:1]):
+                ejected_at.append(now - 10)
+        return ejected_at
+
+    def test_phase_of_less_than_a_second_does_not_eject(self) -> None:
+        """Guards against an ejection of 2 s for a phase that is over by then.
+
+        Two streams begin in the phase, and one reports twice.
+        """
+        assert not self._play(0.9, 2.5)
+
+    def test_engine_that_turns_slower_is_out_soon(self) -> None:
+        """Guards against slowness that transfers hide.
+
+        The engine still fetches KV cache as fast as ever.
+        """
+        ejected_at = self._play(100.0, 5.0)
+        assert ejected_at[0] < 3.5
