Count far slower streams whenever they began

Cause: a test of the scheduler demands that an engine five times slower is out after results of streams of 0.75 s.

Change: results more than 3.5 times slower count as before, without a minimum length. Phases of 2.5 times still eject no engine; shorter ones that are far slower do, as before.

--- a/src/cowsliprill/decisions/engine_health/health.py
+++ b/src/cowsliprill/decisions/engine_health/health.py
@@ -27,11 +27,14 @@
 
 _SLOW_RESULTS_TO_EJECT = 2
 
-# Time for which an engine must be slow to be ejected. Some engines have phases
-# of 0.6 s in which work takes 2.5 times as long. They are as fast as before
-# when an ejection of 2 s begins. Work that began in a phase may end long after
-# it, so that the length of a stream tells nothing unless it is far slower.
-_SLOW_MIN_S = 1.0
+# Time between the beginnings of two slow streams that show a slow engine. Some
+# engines have phases of 0.6 s in which work takes 2.5 times as long, and are as
+# fast as before when an ejection of 2 s begins. Work that began in a phase may
+# end long after it, so that the length of a stream tells nothing.
+_SLOW_STREAMS_APART_S = 1.0
+
+# From this ratio on, streams needn't begin apart: no such phases are known, and
+# their callers would wait too long.
 _FAR_SLOWER_RATIO = 3.5
 
 _EJECTION_MIN_S = 2.0
@@ -388,7 +391,7 @@
 
         An engine is ejected for two slow streams that began apart, without a
         stream that isn't slow between their ends, or for two results of streams
-        that have been far slower for long enough.
+        that are far slower, whenever they began.
 
         Args:
           endpoint_id: Id of the decode engine.
@@ -482,10 +485,10 @@
         first_began_at = state.slow_stream_began_at
         if first_began_at is None:
             state.slow_stream_began_at = first_began_at = began_at
-        is_apart = abs(began_at - first_began_at) >= _SLOW_MIN_S
+        is_apart = abs(began_at - first_began_at) >= _SLOW_STREAMS_APART_S
         if is_apart or state.ejected:
             self._eject(state, now)
-        elif is_far_slower and now - began_at >= _SLOW_MIN_S:
+        elif is_far_slower:
             self._record_slow(state, now)
 
     def _record_good(
