Learn no speed from streams that were taken over

Cause: a new coordinator doesn't know when the streams that it takes over began, and took the time since for that of their whole output. Engines seemed several times faster than they are; sound ones could then count as slow.

Change: such streams give neither a decode speed nor a hold time.

--- a/src/cowsliprill/decisions/outcome_recorder.py
+++ b/src/cowsliprill/decisions/outcome_recorder.py
@@ -92,7 +92,7 @@
         """
         decode = request.decode
         assert decode is not None
-        if request.pool.is_former(decode):
+        if request.began_unseen or request.pool.is_former(decode):
             return
         decode_s = now - request.stage_started_at
         # The usual speed is the one before this stream is taken into account.
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -63,6 +63,8 @@
         pool has engines of another one.
       knows_versions: Whether its entry process runs a release that knows of
         software versions and their error code.
+      began_unseen: Whether it was taken over while it decoded. When its output
+        began is unknown then, and so are its pace and duration.
     """
 
     submit: messages.Submit
@@ -91,6 +93,7 @@
     avoids_engines: bool = False
     needs_version: bool = False
     knows_versions: bool = False
+    began_unseen: bool = False
 
     @property
     def queue(self) -> request_queue.RequestQueue:
@@ -201,6 +204,7 @@
         started_at=now,
         stage_started_at=now,
         version=version,
+        began_unseen=event.stage is messages.Stage.DECODE,
     )
 
 
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -490,7 +490,8 @@
             request.pool.output_lengths.record(
                 request.submit, event.output_tokens
             )
-            request.pool.record_hold(now - request.started_at)
+            if not request.began_unseen:
+                request.pool.record_hold(now - request.started_at)
         self._release(request)
         return self._schedule(request.pool, now)
 
@@ -770,6 +771,7 @@
             messages.Stage.PREFILL if prefills else messages.Stage.TRANSFER
         )
         request.attempt += 1
+        request.began_unseen = False
         request.started_at = now
         request.stage_started_at = now
         if prefills:
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -261,6 +261,28 @@
         after_s = pool.prefill_wait_s(pool.prefills[0], submit)
         assert after_s == pytest.approx(before_s, rel=0.1)
 
+    def test_streams_taken_over_tell_no_speed(self):
+        """Guards against speeds that seem too high after a failover.
+
+        A new coordinator sees only the ends of streams that it takes over.
+        Later streams would seem slow, and sound engines would be ejected.
+        """
+        site, pool = self._site(1.0)
+        token_s, hold_s = pool.decodes[0].seconds_per_token, pool.mean_hold_s
+        for number in range(100):
+            start = messages.Start(
+                request_id=number, attempt=0, prefill_id="p", decode_id="d0"
+            )
+            submit = test_pool_scheduler._submit(number, site.now)
+            adopt = messages.Adopt(
+                submit=submit, start=start, stage=messages.Stage.DECODE
+            )
+            site.send("vm-0", adopt)
+            site.now += 0.1
+            site.send("vm-0", messages.Finished(number, 67))
+        assert pool.decodes[0].seconds_per_token == token_s
+        assert pool.mean_hold_s == hold_s
+
 
 class TestChanges:
     """Which change of a speed is logged."""
