Take back the lease of an incarnation that is listed once more

Cause: if an outdated registry entry was read between two newer ones, a request acquired slots at one lease of the engine and released them at another. The scheduler raised KeyError as the request ended.

Change: the lease of the earlier incarnation is in use again.

Result: the added test fails with that error without the change and passes.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -208,6 +208,7 @@
                 # It may have been unlisted while it drained.
                 self._health.reset(endpoint.id)
                 self._end_lease(endpoint.id, life)
+                self._resume_lease(endpoint)
             self._lives_by_endpoint[endpoint.id] = endpoint.life
         self._apply_speeds()
         self.block_tokens = max(
@@ -249,6 +250,16 @@
         if lease is not None and lease.running:
             self._former_leases[endpoint_id, life] = lease
 
+    def _resume_lease(self, endpoint: model.Endpoint) -> None:
+        """Takes back the lease of an incarnation that is listed once more.
+
+        An outdated entry may be read between two newer ones. Requests release
+        their slots at the lease at which they acquired them.
+        """
+        lease = self._former_leases.pop(endpoint.incarnation, None)
+        if lease is not None:
+            self.leases_by_endpoint[endpoint.id] = lease
+
     def is_former(self, endpoint: model.Endpoint) -> bool:
         """Returns whether an engine has restarted under its id since."""
         life = self._lives_by_endpoint.get(endpoint.id, endpoint.life)
--- a/tests/test_engine_health.py
+++ b/tests/test_engine_health.py
@@ -222,6 +222,22 @@
         pool = subject._pools.pools_by_name["brief"]
         assert not pool.slowdown_by_prefill
 
+    def test_outdated_entry_between_newer_ones_mixes_no_leases(self) -> None:
+        """Guards against a scheduler that fails as a request ends."""
+        engines = (_PREFILLS[0], _DECODES[0])
+        subject = _scheduler(*engines)
+        subject.handle(test_pool_scheduler._submit(0, 0.0), 0.0)
+        others = (dataclasses.replace(item, life="2") for item in engines)
+        subject.handle(_listed(*others), 0.1)
+        subject.handle(_listed(*engines), 0.1)
+        subject.handle(test_pool_scheduler._submit(1, 0.1), 0.1)
+        for number in (1, 0):
+            subject.handle(messages.PrefillFinished(number), 0.2)
+            subject.handle(messages.FirstToken(number), 0.2)
+            subject.handle(messages.Finished(number, 2), 0.2)
+        pool = subject._pools.pools_by_name["brief"]
+        assert [pool.lease(name).in_use for name in ("p0", "d0")] == [0, 0]
+
 
 class TestCapacity:
     """Capacity that the engines in use add up to."""
