--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -236,6 +236,7 @@
                 # It may have been unlisted while it drained.
                 self._health.reset(endpoint.id)
                 self._end_lease(endpoint.id, life)
+                self._resume_lease(endpoint)
             self._lives_by_endpoint[endpoint.id] = endpoint.life
         self._apply_speeds()
         self.block_tokens = max(
@@ -277,6 +278,16 @@
         if lease is not None and lease.running:
             self._former_leases[endpoint_id, life] = lease
 
+    def _resume_lease(self, endpoint: model.Endpoint) -> None:
+        """Takes back the lease of an incarnation that is listed once more.
+
+        An outdated entry may be read between two newer ones. Requests release
+        their slots at the lease at which they acquired them.
+        """
+        lease = self._former_leases.pop(endpoint.incarnation, None)
+        if lease is not None:
+            self.leases_by_endpoint[endpoint.id] = lease
+
     def is_former(self, endpoint: model.Endpoint) -> bool:
         """Returns whether an engine has restarted under its id since."""
         life = self._lives_by_endpoint.get(endpoint.id, endpoint.life)
@@ -647,7 +658,7 @@
         Args:
           endpoints: Engines of one kind.
         """
-        if not self._health.has_ejected():
+        if not self._health.any_ejected(endpoints):
             return set()
         return self._health.ejected_engine_ids(
             endpoints, self.needed_count(endpoints)
@@ -659,7 +670,7 @@
         Args:
           endpoints: Engines of one kind.
         """
-        if not self._health.has_ejected():
+        if not self._health.any_ejected(endpoints):
             return set()
         return self._health.last_choice_ids(
             endpoints, self.needed_count(endpoints)
@@ -674,7 +685,8 @@
         Args:
           endpoints: Engines of one kind.
         """
-        if not self._health.has_ejected():
+        # What the load needs is costly to tell and matters only here.
+        if not self._health.all_ejected(endpoints):
             return False
         count = len(self.ejected_ids(endpoints))
         count += len(self.last_choice_ids(endpoints))
@@ -691,9 +703,7 @@
         if endpoints[0].kind is model.EndpointKind.PREFILL:
             return needed_engines.prefill_engines(
                 self.prompt_load.tokens_per_s(),
-                statistics.fmean(
-                    item.prefill_tokens_per_s for item in endpoints
-                ),
+                estimates.mean_prefill_speed(endpoints),
                 len(endpoints),
             )
         waiting = sum(item.slots for item in self.queue)
@@ -724,12 +734,12 @@
         whose prefill runs there needs slots too.
 
         Returns:
-          Capacity in prefill engines.
+          Capacity relative to a prefill engine of mean speed, as that of
+          `_usable_prefill`.
         """
-        prefills = self._healthy(self.prefills)
-        if not prefills or not self.lacks_prefill():
+        if not self.lacks_prefill():
             return 0.0
-        speed = statistics.fmean(item.prefill_tokens_per_s for item in prefills)
+        speed = self._mean_prefill_speed
         if speed <= 0:
             return 0.0
         return sum(
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -466,9 +466,11 @@
         assert request.prefill is not None
         self._outcomes.record_prefill(request, now)
         prefill_duration_s = now - request.started_at
-        request.pool.record_prefill_slowdown(
-            request.prefill.id, prefill_duration_s / request.expected_prefill_s
-        )
+        if not request.pool.is_former(request.prefill):
+            request.pool.record_prefill_slowdown(
+                request.prefill.id,
+                prefill_duration_s / request.expected_prefill_s,
+            )
         # Concurrent prompts slow each other down, the more so the busier the
         # engine is. Only a prefill that ran alone shows the engine's speed.
         prompts = request.pool.lease_of(request.prefill).prompts
@@ -529,7 +531,8 @@
             request.pool.output_lengths.record(
                 request.submit, event.output_tokens
             )
-            request.pool.record_hold(now - request.started_at)
+            if not request.began_unseen:
+                request.pool.record_hold(now - request.started_at)
         self._release(request)
         return self._schedule(request.pool, now)
 
@@ -809,6 +812,7 @@
             messages.Stage.PREFILL if prefills else messages.Stage.TRANSFER
         )
         request.attempt += 1
+        request.began_unseen = False
         request.started_at = now
         request.stage_started_at = now
         if prefills:
--- a/tests/test_engine_health.py
+++ b/tests/test_engine_health.py
@@ -198,3 +198,110 @@
         subject.handle(_listed(_PREFILLS[0], restarted), 0.2)
         subject.handle(loss, 0.3)
         assert subject._health.expected_loss_s("d0", 5.0, 0.3) == 0.0
+
+    def test_results_of_the_life_before_do_not_count(self) -> None:
+        """Guards against a restarted engine that is ejected or slowed down.
+
+        Events of requests to its life before arrive after its restart.
+        """
+        subject = _scheduler(*_PREFILLS[:1], *_DECODES[:2])
+        for number in range(3):
+            submit = test_pool_scheduler._submit(number, 0.0)
+            subject.handle(submit, 0.0)
+        for number in range(2):
+            subject.handle(messages.PrefillFinished(number), 0.1)
+            subject.handle(messages.FirstToken(number), 0.2)
+        engines = [*_PREFILLS[:1], *_DECODES[:2]]
+        restarted = [dataclasses.replace(item, life="2") for item in engines]
+        subject.handle(_listed(*restarted), 0.3)
+        for number in range(2):
+            for tokens in (2, 3):
+                subject.handle(messages.Progress(number, tokens), 9.0)
+        subject.handle(messages.PrefillFinished(2), 9.0)
+        assert not subject._health.has_ejected()
+        pool = subject._pools.pools_by_name["brief"]
+        assert not pool.slowdown_by_prefill
+
+    def test_outdated_entry_between_newer_ones_mixes_no_leases(self) -> None:
+        """Guards against a scheduler that fails as a request ends."""
+        engines = (_PREFILLS[0], _DECODES[0])
+        subject = _scheduler(*engines)
+        subject.handle(test_pool_scheduler._submit(0, 0.0), 0.0)
+        others = (dataclasses.replace(item, life="2") for item in engines)
+        subject.handle(_listed(*others), 0.1)
+        subject.handle(_listed(*engines), 0.1)
+        subject.handle(test_pool_scheduler._submit(1, 0.1), 0.1)
+        for number in (1, 0):
+            subject.handle(messages.PrefillFinished(number), 0.2)
+            subject.handle(messages.FirstToken(number), 0.2)
+            subject.handle(messages.Finished(number, 2), 0.2)
+        pool = subject._pools.pools_by_name["brief"]
+        assert [pool.lease(name).in_use for name in ("p0", "d0")] == [0, 0]
+
+
+class TestCapacity:
+    """Capacity that the engines in use add up to."""
+
+    def test_local_prefill_capacity_is_in_the_unit_of_the_others(self) -> None:
+        """Guards against admission beyond the capacity that is left.
+
+        All fast prefill engines are ejected, a slow one is left.
+        """
+        slow = dataclasses.replace(_PREFILLS[0], prefill_tokens_per_s=11_000.0)
+        subject = _scheduler(slow, *_PREFILLS[1:3], *_DECODES[:2])
+        pool = subject._pools.pools_by_name["brief"]
+        for engine in _PREFILLS[1:3]:
+            subject._health.record_failure(engine.id, 0.0)
+        mean = sum(item.prefill_tokens_per_s for item in pool.prefills) / 3
+        tokens_per_s = pool.backlog(0).prefills * mean
+        assert tokens_per_s == pytest.approx(11_000 + 2 * 16_000)
+
+
+class TestSlowPhases:
+    """A decode engine whose streams take longer from second 10 on.
+
+    Three streams of 67 tokens begin every two seconds.
+    """
+
+    def _play(self, slow_s: float, factor: float) -> list[float]:
+        """Returns when the engine was found ejected, from second 10."""
+        subject = _scheduler(_PREFILLS[0], *_DECODES[:2])
+        events: list[tuple[float, messages.Event]] = []
+        for number in range(24):
+            at = 2 + number / 1.5
+            is_slow = 10 <= at < 10 + slow_s
+            end = at + 66 * 0.008 * (factor if is_slow else 1.0)
+            start = messages.Start(
+                request_id=number, attempt=1, prefill_id="p0", decode_id="d0"
+            )
+            submit = test_pool_scheduler._submit(number, at)
+            adopt = messages.Adopt(
+                submit=submit, start=start, stage=messages.Stage.TRANSFER
+            )
+            events.append((at - 0.01, adopt))
+            events.append((at, messages.FirstToken(number)))
+            if end > at + 1:
+                tokens = 1 + int(66 / (end - at))
+                events.append((at + 1, messages.Progress(number, tokens)))
+            events.append((end, messages.Finished(number, 67)))
+        ejected_at = []
+        for now, event in sorted(events, key=lambda item: item[0]):
+            subject.handle(event, now)
+            if subject._health.any_ejected(_DECODES[:1]):
+                ejected_at.append(now - 10)
+        return ejected_at
+
+    def test_phase_of_less_than_a_second_does_not_eject(self) -> None:
+        """Guards against an ejection of 2 s for a phase that is over by then.
+
+        Two streams begin in the phase, and one reports twice.
+        """
+        assert not self._play(0.9, 2.5)
+
+    def test_engine_that_turns_slower_is_out_soon(self) -> None:
+        """Guards against slowness that transfers hide.
+
+        The engine still fetches KV cache as fast as ever.
+        """
+        ejected_at = self._play(100.0, 5.0)
+        assert ejected_at[0] < 3.5
