Plain admission: drain the servers' queues in a short flood

Cause: the model of the flood never reset the counts of processes that don't report, as the client does.

Change: the first limit and each process that begins to report count 0.6 of the completions; the first report follows 0.1 s after a sign of overload; the coordinator evaluates each 0.1 s before there are limits; the capacity isn't raised to the completions while a decrease settles. The model resets counts.

--- a/src/cowsliprill/decisions/overload/plain_admission.py
+++ b/src/cowsliprill/decisions/overload/plain_admission.py
@@ -17,6 +17,11 @@
 
 MIN_INTERVAL_S = 0.25
 
+# A process first reports this long after a sign of overload. A flood may last
+# only a few seconds, and the queues of the servers are full within half a
+# second; each process is limited from its first report on.
+FIRST_REPORT_S = 0.1
+
 # All reports of a pool and their answers together take at most this many bytes
 # a second. That is a tenth of the coordinator's link of 5 Mbit/s.
 MAX_BYTES_PER_S = 64_000
@@ -45,6 +50,11 @@
 # A limit below the rate of completions lets the queues of the servers drain.
 _DECREASE = 0.8
 
+# The queues are full when the first limits come and a flood lasts only a few
+# seconds, so the first limit drains them faster. The same holds for the
+# completions of each process that begins to report.
+_FIRST_DECREASE = 0.6
+
 # Near the rate at which the servers were full, a faster rise would fill their
 # queues again within seconds, and each time all customers' calls are late.
 _INCREASE_PER_S = 0.01
@@ -72,6 +82,10 @@
 # only a few calls in a short interval.
 _WINDOW_S = 1.0
 
+# Shortest time between two evaluations before there are limits: the reports of
+# one or two processes say too little, so the next ones are taken in soon.
+_DETECTION_INTERVAL_S = 0.1
+
 # With fewer attempts in the window, completions say too little about capacity.
 _MIN_ATTEMPTS = 10
 
@@ -363,9 +377,11 @@
         received = self._received_by_process.setdefault(process, _Received())
         received.add(report, now, self._interval_s)
         if is_new and self.capacity_per_s is not None:
-            self.capacity_per_s += received.completed_per_s
+            self.capacity_per_s += _FIRST_DECREASE * received.completed_per_s
             self._peak_per_s += received.completed_per_s
-        if now - self._evaluated_at >= MIN_INTERVAL_S:
+        is_unlimited = self.capacity_per_s is None
+        gap_s = _DETECTION_INTERVAL_S if is_unlimited else MIN_INTERVAL_S
+        if now - self._evaluated_at >= gap_s:
             self._evaluate(shares_by_customer, now)
         return Verdict(
             limits_by_customer=self._limits_by_customer,
@@ -482,8 +498,9 @@
         if not totals.has_rejections() and current is not None:
             served = min(served, current)
         floor = _FLOOR * self._peak_per_s
-        capacity_per_s = max(served * _DECREASE, floor)
-        if current is not None and capacity_per_s > current:
+        factor = _FIRST_DECREASE if current is None else _DECREASE
+        capacity_per_s = max(served * factor, floor)
+        if current is not None and not is_settling and capacity_per_s > current:
             # Full servers complete what they can.
             self.capacity_per_s = capacity_per_s
         elif current is None or not is_settling:
--- a/src/cowsliprill/plain_admission/client.py
+++ b/src/cowsliprill/plain_admission/client.py
@@ -180,7 +180,7 @@
     def _extend_reporting(self, state: _PoolState, now: float) -> None:
         state.overloaded_until = now + _REPORTING_S
         if not math.isfinite(state.report_at):
-            state.report_at = now + plain_admission.MIN_INTERVAL_S
+            state.report_at = now + plain_admission.FIRST_REPORT_S
             self._wake.set()
 
     async def _report(self, pool: str, state: _PoolState) -> None:
--- a/tests/plain_flood.py
+++ b/tests/plain_flood.py
@@ -21,6 +21,7 @@
 _WORK_S = 0.045
 _TARGET_S = 0.21
 _REPORTING_S = 3.0
+_COUNT_RESET_S = 1.0
 _FULL_S = 0.25
 
 
@@ -41,16 +42,17 @@
 
     Args:
       admits: Whether calls are admitted fairly.
+      seed: Seed of the arrivals.
     """
 
-    def __init__(self, *, admits: bool = True) -> None:
+    def __init__(self, *, admits: bool = True, seed: int = 1) -> None:
         self.now = 0.0
         self.outcomes: collections.Counter = collections.Counter()
         self.retry_after_s: list[float] = []
         self.reports = 0
         self.coordinator = plain_admission.PoolAdmission()
         self._admits = admits
-        self._random = random.Random(1)
+        self._random = random.Random(seed)
         self.processes = [
             _Process(number, self._random) for number in range(PROCESSES)
         ]
@@ -85,6 +87,9 @@
         heapq.heappush(self._events, event)
 
     def _arrive(self, process, customer, arrived_at, retried) -> None:
+        begun_s = self.now - process.counts.since
+        if not process.reporting and begun_s > _COUNT_RESET_S:
+            process.counts = plain_admission.CallCounts(self.now)
         process.counts.arrived(customer, 0)
         limit = process.thinning.refusing_limit(customer, 0, self.now)
         if self._admits and limit is not None:
@@ -141,7 +146,7 @@
         process.overloaded_until = self.now + _REPORTING_S
         if not process.reporting:
             process.reporting = True
-            due = self.now + plain_admission.MIN_INTERVAL_S
+            due = self.now + plain_admission.FIRST_REPORT_S
             self._at(due, self._report, process)
 
     def _report(self, process) -> None:
--- a/tests/test_plain_admission.py
+++ b/tests/test_plain_admission.py
@@ -58,6 +58,17 @@
         unlimited.run(15.0)
         assert unlimited.others_in_time() < 0.3
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_a_short_flood_is_limited_in_time(self, seed) -> None:
+        """Guards against queues that stay full for as long as a flood lasts."""
+        flood = plain_flood.PlainFlood(seed=seed)
+        flood.add_calls(80.0, _OTHERS, until=10.5)
+        flood.run(4.0)
+        flood.add_calls(600.0, [plain_flood.FLOODING], until=10.5)
+        flood.outcomes.clear()
+        flood.run(10.5)
+        assert flood.others_in_time() >= 0.9
+
     def test_limits_and_reports_end_after_the_flood(self) -> None:
         """Guards against limits and traffic that outlive an overload."""
         flood = _flood()
