Tests: use the renamed endpoint factory

tests/test_plain_pauses.py still called test_plain_placement._endpoint, which had been renamed, so one of its tests failed with AttributeError.

--- a/tests/test_plain_pauses.py
+++ b/tests/test_plain_pauses.py
@@ -159,7 +159,7 @@
         """Guards against a herd at the end of a pause."""
         availability = _FakeAvailability(s0=_SHORT_S)
         harness = _PauseHarness("s0", availability)
-        slots = test_plain_placement._endpoint("s0").slots
+        slots = test_plain_placement.endpoint("s0").slots
         harness.placement._waiting_by_pool["desk"] = slots
         with pytest.raises(errors.EntryError):
             harness.run()
