Plain admission: admit a call once when its path is lost

Cause: a call that finds its path lost and no peer passes the placement filter again, and was counted and thinned a second time. Change: the second pass doesn't ask. Result: tests/test_plain_placement.py passes with the new test.

--- a/src/cowsliprill/entry/filters/plain_placement.py
+++ b/src/cowsliprill/entry/filters/plain_placement.py
@@ -103,7 +103,9 @@
     ) -> None:
         """Calls servers until one responds or no retry is allowed."""
         self.quarantine.check(ctx)
-        self.admission.admit(ctx)
+        if not ctx.no_peer_serves:
+            # Otherwise the call has been admitted before its path was lost.
+            self.admission.admit(ctx)
         self.budgets.of(ctx.service).deposit()
         tried_ids: set[str] = set()
         ctx.endpoint = await self._select_endpoint(ctx, tried_ids)
--- a/tests/test_plain_placement.py
+++ b/tests/test_plain_placement.py
@@ -94,7 +94,7 @@
         if outcome is not None:
             raise outcome
 
-    def run(self) -> None:
+    def run(self, *, no_peer_serves: bool = False) -> None:
         ctx = types.SimpleNamespace(
             request_id="r",
             caller_id="c",
@@ -105,6 +105,7 @@
             idempotency_key="",
             endpoint=None,
             silence=None,
+            no_peer_serves=no_peer_serves,
         )
         asyncio.run(self.placement(ctx, self._send))
 
@@ -214,6 +215,14 @@
             harness.run()
         assert not harness.called
 
+    def test_a_call_is_admitted_once(self) -> None:
+        """Guards against two thinnings of a call whose path was lost."""
+        harness = self._harness()
+        harness.placement.admission.admit = mock.Mock()
+        harness.run(no_peer_serves=True)
+        assert harness.called
+        harness.placement.admission.admit.assert_not_called()
+
     def test_full_servers_are_avoided_and_not_ejected(self) -> None:
         """Guards against calls to full servers while another has room."""
         harness = self._harness(rejections=2)
