Plain admission: let capacity recover fast after VMs have ended

Cause: a process that ceased to report took all of its completions from the capacity, though only a part of them had been added, and lowered the peak as well; so the calls that other VMs then got met a capacity that rose by 1% a second. Change: the capacity is scaled by the completions that are left, and the peak stays. Result: tests/test_plain_admission.py passes; with the former subtraction the new test reached 46 of 100 calls/s.

--- a/src/cowsliprill/decisions/overload/plain_admission.py
+++ b/src/cowsliprill/decisions/overload/plain_admission.py
@@ -404,13 +404,24 @@
         }
 
     def _drop_expired(self, now: float) -> None:
-        for process, received in list(self._received_by_process.items()):
-            if received.valid_until <= now:
-                del self._received_by_process[process]
-                if self.capacity_per_s is not None:
-                    lost = received.completed_per_s
-                    self.capacity_per_s = max(self.capacity_per_s - lost, 0.0)
-                    self._peak_per_s = max(self._peak_per_s - lost, 0.0)
+        expired = [
+            process
+            for process, received in self._received_by_process.items()
+            if received.valid_until <= now
+        ]
+        if not expired:
+            return
+        before = self._completed_per_s()
+        for process in expired:
+            del self._received_by_process[process]
+        if self.capacity_per_s is not None and before:
+            # The peak stays: if the processes have ended, others get their
+            # calls, and the capacity of those has to rise fast.
+            self.capacity_per_s *= self._completed_per_s() / before
+
+    def _completed_per_s(self) -> float:
+        received = self._received_by_process.values()
+        return sum(item.completed_per_s for item in received)
 
     def _set_servers(self, servers: int) -> None:
         """Scales the capacity as servers join or leave."""
--- a/tests/test_plain_admission.py
+++ b/tests/test_plain_admission.py
@@ -138,6 +138,17 @@
         assert not pool.expire(0.4)
         assert pool.expire(0.6)
 
+    def test_capacity_of_ended_processes_passes_to_the_others(self) -> None:
+        """Guards against refusals beside free servers after VMs have ended."""
+        pool = plain_admission.PoolAdmission()
+        for process in "ab":
+            pool.handle(process, _report({("a", 0): 300}), 2, {}, 0.0)
+        for step in range(1, 20):
+            served = round(pool.capacity_per_s)
+            report = _report({("a", 0): 300}, served, rejected={})
+            pool.handle("a", report, 2, {}, step * 0.25)
+        assert pool.capacity_per_s >= 0.7 * 100
+
     @pytest.mark.parametrize(
         ("processes", "interval_s"), [(66, 1.1), (195, 3.2), (690, 11.3)]
     )
