--- a/tests/test_plain_admission.py
+++ b/tests/test_plain_admission.py
@@ -58,6 +58,17 @@
         unlimited.run(15.0)
         assert unlimited.others_in_time() < 0.3
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_a_short_flood_is_limited_in_time(self, seed) -> None:
+        """Guards against queues that stay full for as long as a flood lasts."""
+        flood = plain_flood.PlainFlood(seed=seed)
+        flood.add_calls(80.0, _OTHERS, until=10.5)
+        flood.run(4.0)
+        flood.add_calls(600.0, [plain_flood.FLOODING], until=10.5)
+        flood.outcomes.clear()
+        flood.run(10.5)
+        assert flood.others_in_time() >= 0.9
+
     def test_limits_and_reports_end_after_the_flood(self) -> None:
         """Guards against limits and traffic that outlive an overload."""
         flood = _flood()
@@ -127,6 +138,17 @@
         assert not pool.expire(0.4)
         assert pool.expire(0.6)
 
+    def test_capacity_of_ended_processes_passes_to_the_others(self) -> None:
+        """Guards against refusals beside free servers after VMs have ended."""
+        pool = plain_admission.PoolAdmission()
+        for process in "ab":
+            pool.handle(process, _report({("a", 0): 300}), 2, {}, 0.0)
+        for step in range(1, 20):
+            served = round(pool.capacity_per_s)
+            report = _report({("a", 0): 300}, served, rejected={})
+            pool.handle("a", report, 2, {}, step * 0.25)
+        assert pool.capacity_per_s >= 0.7 * 100
+
     @pytest.mark.parametrize(
         ("processes", "interval_s"), [(66, 1.1), (195, 3.2), (690, 11.3)]
     )
