Release the slots of a request at the lease that it took

The lease was looked up by the engine's incarnation. A stream that a new coordinator adopts before it knows its engine has none: once the engine had been listed and restarted, the end of the stream raised a KeyError in the coordinator. A request now keeps the leases in which its attempt takes part, which also replaces the table of leases of former processes.

Test: fails with the KeyError before.

--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -148,9 +148,6 @@
         self.leases_by_endpoint: dict[str, endpoint_lease.EndpointLease] = {}
         # Also of engines that aren't listed but have a lease.
         self._lives_by_endpoint: dict[str, str] = {}
-        self._former_leases: dict[
-            tuple[str, str], endpoint_lease.EndpointLease
-        ] = {}
         self.rates = endpoint_rates.EndpointRates()
         self.in_use_by_customer: dict[str, int] = {}
         self.shares_by_customer: Mapping[str, float] = {}
@@ -207,7 +204,10 @@
             if life != endpoint.life:
                 # It may have been unlisted while it drained.
                 self._health.reset(endpoint.id)
-                self._end_lease(endpoint.id, life)
+                # Requests that ran at the former process keep its lease. They
+                # must not count against the restarted engine, which knows
+                # nothing of them nor of the prompts cached before.
+                self.leases_by_endpoint.pop(endpoint.id, None)
             self._lives_by_endpoint[endpoint.id] = endpoint.life
         self._apply_speeds()
         self.block_tokens = max(
@@ -233,34 +233,11 @@
                 del self.leases_by_endpoint[endpoint_id]
                 self._lives_by_endpoint.pop(endpoint_id, None)
 
-    def _end_lease(self, endpoint_id: str, life: str) -> None:
-        """Ends the lease of an engine that has restarted under its id.
-
-        Requests that ran there release their slots once they are lost. Until
-        then they must not count against the restarted engine, which knows
-        nothing of them nor of the prompts cached before.
-        """
-        lease = self.leases_by_endpoint.pop(endpoint_id, None)
-        self._former_leases = {
-            incarnation: item
-            for incarnation, item in self._former_leases.items()
-            if item.running
-        }
-        if lease is not None and lease.running:
-            self._former_leases[endpoint_id, life] = lease
-
     def is_former(self, endpoint: model.Endpoint) -> bool:
         """Returns whether an engine has restarted under its id since."""
         life = self._lives_by_endpoint.get(endpoint.id, endpoint.life)
         return life != endpoint.life
 
-    def lease_of(
-        self, endpoint: model.Endpoint
-    ) -> endpoint_lease.EndpointLease:
-        """Returns the slots leased at an incarnation of an engine."""
-        former = self._former_leases.get(endpoint.incarnation)
-        return former or self.lease(endpoint.id)
-
     def _apply_speeds(self) -> None:
         """Sets the estimated speeds of all engines."""
         self.prefills = [
--- a/src/cowsliprill/decisions/requests.py
+++ b/src/cowsliprill/decisions/requests.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from cowsliprill.decisions import endpoint_lease
 from cowsliprill.decisions import messages
 from cowsliprill.decisions import model
 from cowsliprill.decisions import pool as pools
@@ -43,6 +44,9 @@
       unsent: Number of attempts that failed before they reached an engine.
       prefill: Prefill engine of the newest attempt.
       decode: Decode engine of the newest attempt.
+      prefill_lease: Lease of the prefill engine in which the newest attempt
+        takes part while it prefills. The engine may have restarted since.
+      decode_lease: The same for the decode engine, until the attempt ends.
       started_at: When the newest attempt began.
       expected_prefill_s: Expected duration of its prefill, without the
         slowdown recorded for the engine.
@@ -79,6 +83,8 @@
     unsent: int = 0
     prefill: model.Endpoint | None = None
     decode: model.Endpoint | None = None
+    prefill_lease: endpoint_lease.EndpointLease | None = None
+    decode_lease: endpoint_lease.EndpointLease | None = None
     started_at: float = 0.0
     expected_prefill_s: float = 1.0
     uncached_tokens: int = 0
--- a/src/cowsliprill/decisions/scheduler.py
+++ b/src/cowsliprill/decisions/scheduler.py
@@ -399,8 +399,10 @@
         pool, customer = request.pool, request.submit.customer
         assert request.prefill is not None and request.decode is not None
         if request.stage is messages.Stage.PREFILL:
-            pool.lease(request.prefill.id).acquire(customer)
-        pool.lease(request.decode.id).acquire(customer, request.slots)
+            request.prefill_lease = pool.lease(request.prefill.id)
+            request.prefill_lease.acquire(customer)
+        request.decode_lease = pool.lease(request.decode.id)
+        request.decode_lease.acquire(customer, request.slots)
         pool.acquire(customer, request.submit.priority, request.slots)
 
     def _cancel(self, request_id: int, now: float) -> list[messages.Action]:
@@ -430,8 +432,8 @@
         )
         # Concurrent prompts slow each other down, the more so the busier the
         # engine is. Only a prefill that ran alone shows the engine's speed.
-        prompts = request.pool.lease_of(request.prefill).prompts
-        if request.solo_prompt_number == prompts:
+        assert request.prefill_lease is not None
+        if request.solo_prompt_number == request.prefill_lease.prompts:
             request.pool.record_prefill_speed(
                 request.prefill,
                 request.uncached_tokens,
@@ -569,19 +571,17 @@
         self._suspected_features.end(request.submit.request_id)
         if request.stage is messages.Stage.PREFILL:
             self._release_prefill(request)
-        assert request.decode is not None
+        assert request.decode_lease is not None
         for endpoint_id in request.probed_ids:
             self._health.end_probe(endpoint_id)
         request.probed_ids = ()
         customer = request.submit.customer
-        lease = request.pool.lease_of(request.decode)
-        lease.release(customer, request.slots)
+        request.decode_lease.release(customer, request.slots)
         request.pool.release(customer, request.submit.priority, request.slots)
 
     def _release_prefill(self, request: requests.Request) -> None:
-        assert request.prefill is not None
-        lease = request.pool.lease_of(request.prefill)
-        lease.release(request.submit.customer)
+        assert request.prefill_lease is not None
+        request.prefill_lease.release(request.submit.customer)
 
     def _refuse(
         self, request: requests.Request, code: messages.RefusalCode, now: float
--- a/tests/test_pool_scheduler.py
+++ b/tests/test_pool_scheduler.py
@@ -611,6 +611,35 @@
         site.send("vm-0", messages.FirstToken(1), messages.Finished(1, 200))
         assert site.pool_scheduler.pool_load("brief").promised == 0
 
+    def test_stream_adopted_before_its_engine_is_listed_survives_a_restart(
+        self,
+    ):
+        """Guards against a coordinator that fails as it frees the slots.
+
+        A new coordinator doesn't know which process of the engine it was.
+        """
+        site = self._site("v1", "v2")
+        adopt = messages.Adopt(
+            submit=_submit(1, site.now, version="v1"),
+            start=messages.Start(
+                request_id=1,
+                attempt=0,
+                prefill_id="p",
+                decode_id="new",
+                slots=200,
+            ),
+            stage=messages.Stage.DECODE,
+        )
+        site.send("vm-0", adopt)
+        listed = site.snapshot.endpoints_by_id
+        engine = dataclasses.replace(listed["d0"], id="new")
+        for life in ("1", "2"):
+            restarted = dataclasses.replace(engine, life=life)
+            site.set_engines({**listed, "new": restarted})
+        assert site.pool_scheduler.pool_load("brief").promised == 0
+        site.send("vm-0", messages.Finished(1, 200))
+        assert site.pool_scheduler.pool_load("brief").promised == 0
+
 
 class TestRandomEvents:
     """No KV cache block is reserved twice under random events."""
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -55,9 +55,9 @@
         restarted = pool.lease("d0")
         assert (restarted.in_use, restarted.full_until) == (0, 0.0)
         assert not restarted.cached.cached_tokens((7,))
-        pool.lease_of(_FORMER).release("u", 4)
+        lease.release("u", 4)
         assert (lease.in_use, restarted.in_use) == (0, 0)
-        assert pool.lease_of(_RESTARTED) is restarted
+        assert pool.lease("d0") is restarted
         assert pool.is_former(_FORMER)
 
 
