Tell without sorting whether the last request is beyond its share

While the last request of a queue is late, its expected wait is asked for after each event.

Test: the answers equal those of the sorted order in random queues.

--- a/src/cowsliprill/decisions/overload/ranked_queue.py
+++ b/src/cowsliprill/decisions/overload/ranked_queue.py
@@ -89,6 +89,29 @@
         )
         return None if last is None else self._waiting_by_id[last.number]
 
+    def over_share(
+        self, order: ranking.Ranking, waiting: request_queue.QueuedRequest
+    ) -> bool:
+        """Returns whether a queued request is beyond its customer's share.
+
+        It is as in the keys of `ranked_with`, but without sorting the queue:
+        this is asked after each event while the last request is late.
+
+        Args:
+          order: The ranking.
+          waiting: A request that is queued here.
+        """
+        work = self._work_by_id[waiting.submit.request_id]
+        own_key = ranking.own_key(work)
+        ahead = sum(
+            other.slots
+            for number, other in self._work_by_id.items()
+            if other.customer == work.customer
+            and self._waiting_by_id[number].version == waiting.version
+            and ranking.own_key(other) < own_key
+        )
+        return order.over_share(work.customer, work.priority, ahead)
+
     def ordered(
         self, order: ranking.Ranking
     ) -> list[request_queue.QueuedRequest]:
--- a/src/cowsliprill/decisions/overload/ranking.py
+++ b/src/cowsliprill/decisions/overload/ranking.py
@@ -166,7 +166,7 @@
             that is served before.
         """
         over = self.over_share(work.customer, work.priority, ahead)
-        return (over, *_own_key(work))
+        return (over, *own_key(work))
 
     def ordered(self, works: Iterable[Work]) -> list[Work]:
         """Returns waiting work in the order in which it is served.
@@ -191,7 +191,7 @@
     def _ranked_of_customer(self, works: list[Work]) -> list[tuple[Key, Work]]:
         ahead = SlotUse()
         ranked = []
-        for work in sorted(works, key=_own_key):
+        for work in sorted(works, key=own_key):
             slots = ahead.of_customer(work.customer, work.priority)
             ranked.append((self.key(work, slots), work))
             ahead.add(work.customer, work.priority, work.slots)
@@ -223,7 +223,7 @@
     )
 
 
-def _own_key(work: Work) -> tuple[int, bool, float, int]:
+def own_key(work: Work) -> tuple[int, bool, float, int]:
     """Returns the sort key among the work of one customer."""
     return (
         -work.priority,
--- a/src/cowsliprill/decisions/wait_estimates.py
+++ b/src/cowsliprill/decisions/wait_estimates.py
@@ -156,8 +156,7 @@
     drain_s = pool.backlog_of(queued, last.version).wait_s()
     if not last.late or drain_s > last.start_deadline - now:
         return drain_s
-    standing = standing_lib.standing(pool, queue, last)
-    if not standing.rank.over_share:
+    if not queue.over_share(pool.ranking(), last):
         return drain_s
     return drain_s / spare_capacity(pool, now, entry_count).for_late_requests
 
--- a/tests/test_overload_ranking.py
+++ b/tests/test_overload_ranking.py
@@ -73,6 +73,11 @@
             ordered = queue.ordered(order) or [None]
             assert queue.first_ranked(order) is ordered[0]
             assert queue.last_ranked(order) is ordered[-1]
+            for item in queue:
+                # Else the last request would wait for capacity that it can't
+                # get, or be shed although its customer is within its share.
+                keys = {i: key for key, i in queue.ranked_with(order, item)}
+                assert queue.over_share(order, item) == keys[item][0]
             # Else routine work would be served before its customer's urgent.
             pairs = itertools.combinations([i.submit for i in ordered if i], 2)
             assert all(
@@ -95,4 +100,5 @@
         cost_s=rng.random(),
         slots=rng.randint(1, 3),
         late=rng.random() < 0.3,
+        version=rng.choice((None, "v1")),
     )
