--- a/src/cowsliprill/decisions/pool.py
+++ b/src/cowsliprill/decisions/pool.py
@@ -293,13 +293,6 @@
         life = self._lives_by_endpoint.get(endpoint.id, endpoint.life)
         return life != endpoint.life
 
-    def lease_of(
-        self, endpoint: model.Endpoint
-    ) -> endpoint_lease.EndpointLease:
-        """Returns the slots leased at an incarnation of an engine."""
-        former = self._former_leases.get(endpoint.incarnation)
-        return former or self.lease(endpoint.id)
-
     def _apply_speeds(self) -> None:
         """Sets the estimated speeds of all engines."""
         self.prefills = [
