Split the decisions of plain admission by job

Change: plain_reports, plain_limits and plain_admission; the code is moved, not changed. Result: tests/test_plain_admission.py, test_plain_placement.py and test_docs.py pass.

--- a/src/cowsliprill/decisions/overload/plain_admission.py
+++ b/src/cowsliprill/decisions/overload/plain_admission.py
@@ -10,17 +10,11 @@
 import collections
 import dataclasses
 import math
-from collections.abc import Iterable
 from collections.abc import Mapping
 
 from cowsliprill.decisions import demand
-
-MIN_INTERVAL_S = 0.25
-
-# A process first reports this long after a sign of overload. A flood may last
-# only a few seconds, and the queues of the servers are full within half a
-# second; each process is limited from its first report on.
-FIRST_REPORT_S = 0.1
+from cowsliprill.decisions.overload import plain_limits
+from cowsliprill.decisions.overload import plain_reports
 
 # All reports of a pool and their answers together take at most this many bytes
 # a second. That is a tenth of the coordinator's link of 5 Mbit/s.
@@ -31,12 +25,6 @@
 EXCHANGE_BYTES = 900
 CUSTOMER_BYTES = 40
 
-# Customers that one report or verdict names; bounds its size.
-MAX_CUSTOMERS = 16
-
-# A verdict and a report hold for this many report intervals.
-VALID_INTERVALS = 2.0
-
 # Fraction of the attempts that full servers reject, and of the calls that are
 # late, from which on a pool counts as overloaded.
 _MIN_REJECTED_FRACTION = 0.03
@@ -89,192 +77,6 @@
 # With fewer attempts in the window, completions say too little about capacity.
 _MIN_ATTEMPTS = 10
 
-_MIN_SPAN_S = MIN_INTERVAL_S
-
-_Key = tuple[str, int]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Report:
-    """Calls of one process to one pool over an interval.
-
-    Attributes:
-      span_s: Length of the interval in seconds.
-      arrived: Calls that arrived, by customer and priority, whether or not they
-        were admitted; of at most `MAX_CUSTOMERS` pairs.
-      others: Calls of all other customers.
-      completed: Calls that a server completed.
-      late: Those of them, and calls without a response, that missed the target.
-      rejected_by_server: Attempts that each server rejected as it was full.
-    """
-
-    span_s: float
-    arrived: Mapping[_Key, int] = dataclasses.field(default_factory=dict)
-    others: int = 0
-    completed: int = 0
-    late: int = 0
-    rejected_by_server: Mapping[str, int] = dataclasses.field(
-        default_factory=dict
-    )
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Limit:
-    """Which calls of a customer over its share are admitted.
-
-    Attributes:
-      priority: Calls of higher priority are all admitted, those of lower
-        priority refused.
-      fraction: Fraction of the calls of this priority that is admitted.
-      calls_per_s: Calls of the customer that one process may admit a second;
-        refused callers come back at this rate.
-    """
-
-    priority: int
-    fraction: float
-    calls_per_s: float
-
-    def fraction_at(self, priority: int) -> float:
-        """Returns the fraction of the calls of some priority to admit."""
-        if priority != self.priority:
-            return 1.0 if priority > self.priority else 0.0
-        return self.fraction
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Verdict:
-    """The coordinator's answer to a report.
-
-    Attributes:
-      limits_by_customer: Customers over their share.
-      interval_s: When the process reports again, in seconds.
-    """
-
-    limits_by_customer: Mapping[str, Limit] = dataclasses.field(
-        default_factory=dict
-    )
-    interval_s: float = MIN_INTERVAL_S
-
-    @property
-    def valid_s(self) -> float:
-        """Time for which the verdict holds, in seconds."""
-        return self.interval_s * VALID_INTERVALS
-
-
-class CallCounts:
-    """Counts the calls of this process to one pool.
-
-    Args:
-      now: Current time in seconds.
-    """
-
-    def __init__(self, now: float) -> None:
-        self.since = now
-        self._arrived: collections.Counter[_Key] = collections.Counter()
-        self._rejected: collections.Counter[str] = collections.Counter()
-        self._completed = 0
-        self._late = 0
-
-    def arrived(self, customer: str, priority: int) -> None:
-        """Counts a call before it is admitted or refused."""
-        self._arrived[customer, priority] += 1
-
-    def rejected(self, server: str) -> None:
-        """Counts an attempt that a server rejected as it was full."""
-        self._rejected[server] += 1
-
-    def completed(self, *, late: bool) -> None:
-        """Counts a call that a server completed."""
-        self._completed += 1
-        self._late += late
-
-    def unanswered(self) -> None:
-        """Counts a call that got no response in time."""
-        self._late += 1
-
-    def report(self, now: float) -> Report:
-        """Returns the counts since the last report and begins anew."""
-        named = self._arrived.most_common(MAX_CUSTOMERS)
-        report = Report(
-            span_s=max(now - self.since, _MIN_SPAN_S),
-            arrived=dict(named),
-            others=self._arrived.total() - sum(count for _, count in named),
-            completed=self._completed,
-            late=self._late,
-            rejected_by_server=dict(self._rejected.most_common(MAX_CUSTOMERS)),
-        )
-        self.__init__(now)
-        return report
-
-
-class Thinning:
-    """Admits fractions of the calls of customers over their share.
-
-    Error accumulation admits the exact fraction without random numbers, so a
-    process with few calls doesn't deviate from it by chance.
-
-    Args:
-      offset: Fraction of a call that each customer has in credit at first,
-        different in each process so that not all refuse their first calls.
-    """
-
-    def __init__(self, offset: float) -> None:
-        self._offset = offset
-        self._limits_by_customer: Mapping[str, Limit] = {}
-        self._credit_by_customer: dict[str, float] = {}
-        self._valid_until = -math.inf
-
-    def apply(self, verdict: Verdict, now: float) -> None:
-        """Replaces the limits by those of a verdict."""
-        self._limits_by_customer = verdict.limits_by_customer
-        self._valid_until = now + verdict.valid_s
-        self._credit_by_customer = {
-            customer: credit
-            for customer, credit in self._credit_by_customer.items()
-            if customer in verdict.limits_by_customer
-        }
-
-    def is_limiting(self, now: float) -> bool:
-        """Returns whether a verdict with limits holds."""
-        return bool(self._limits_by_customer) and now < self._valid_until
-
-    def refusing_limit(
-        self, customer: str, priority: int, now: float
-    ) -> Limit | None:
-        """Returns the limit that a call exceeds, None if it is admitted."""
-        limit = self._limits_by_customer.get(customer)
-        if limit is None or now >= self._valid_until:
-            return None
-        fraction = limit.fraction_at(priority)
-        if fraction in (0.0, 1.0):
-            return None if fraction else limit
-        credit = self._credit_by_customer.get(customer, self._offset) + fraction
-        admitted = credit >= 1.0
-        self._credit_by_customer[customer] = credit - admitted
-        return None if admitted else limit
-
-
-def _merge(reports: Iterable[Report]) -> Report:
-    """Returns the sum of consecutive reports of one process."""
-    arrived: collections.Counter[_Key] = collections.Counter()
-    rejected: collections.Counter[str] = collections.Counter()
-    span_s, others, completed, late = 0.0, 0, 0, 0
-    for report in reports:
-        span_s += report.span_s
-        arrived.update(report.arrived)
-        others += report.others
-        completed += report.completed
-        late += report.late
-        rejected.update(report.rejected_by_server)
-    return Report(
-        span_s=span_s,
-        arrived=arrived,
-        others=others,
-        completed=completed,
-        late=late,
-        rejected_by_server=rejected,
-    )
-
 
 @dataclasses.dataclass(slots=True)
 class _Received:
@@ -286,18 +88,22 @@
       valid_until: When they no longer count, in seconds.
     """
 
-    recent: collections.deque[tuple[float, Report]] = dataclasses.field(
-        default_factory=collections.deque
+    recent: collections.deque[tuple[float, plain_reports.Report]] = (
+        dataclasses.field(default_factory=collections.deque)
+    )
+    report: plain_reports.Report = plain_reports.Report(
+        span_s=plain_reports.MIN_INTERVAL_S
     )
-    report: Report = Report(span_s=_MIN_SPAN_S)
     valid_until: float = -math.inf
 
-    def add(self, report: Report, now: float, interval_s: float) -> None:
+    def add(
+        self, report: plain_reports.Report, now: float, interval_s: float
+    ) -> None:
         self.recent.append((now, report))
         while len(self.recent) > 1 and self.recent[0][0] <= now - _WINDOW_S:
             self.recent.popleft()
-        self.report = _merge(item for _, item in self.recent)
-        self.valid_until = now + VALID_INTERVALS * interval_s
+        self.report = plain_reports.merge(item for _, item in self.recent)
+        self.valid_until = now + plain_limits.VALID_INTERVALS * interval_s
 
     @property
     def completed_per_s(self) -> float:
@@ -341,8 +147,8 @@
     def __init__(self) -> None:
         self.capacity_per_s: float | None = None
         self._received_by_process: dict[str, _Received] = {}
-        self._interval_s = MIN_INTERVAL_S
-        self._limits_by_customer: dict[str, Limit] = {}
+        self._interval_s = plain_reports.MIN_INTERVAL_S
+        self._limits_by_customer: dict[str, plain_limits.Limit] = {}
         self._evaluated_at = -math.inf
         self._changed_at = -math.inf
         self._overloaded_at = -math.inf
@@ -353,11 +159,11 @@
     def handle(
         self,
         process: str,
-        report: Report,
+        report: plain_reports.Report,
         servers: int,
         shares_by_customer: Mapping[str, float],
         now: float,
-    ) -> Verdict:
+    ) -> plain_limits.Verdict:
         """Takes a report into account.
 
         Args:
@@ -380,10 +186,14 @@
             self.capacity_per_s += _FIRST_DECREASE * received.completed_per_s
             self._peak_per_s += received.completed_per_s
         is_unlimited = self.capacity_per_s is None
-        gap_s = _DETECTION_INTERVAL_S if is_unlimited else MIN_INTERVAL_S
+        gap_s = (
+            _DETECTION_INTERVAL_S
+            if is_unlimited
+            else plain_reports.MIN_INTERVAL_S
+        )
         if now - self._evaluated_at >= gap_s:
             self._evaluate(shares_by_customer, now)
-        return Verdict(
+        return plain_limits.Verdict(
             limits_by_customer=self._limits_by_customer,
             interval_s=self._interval_s,
         )
@@ -435,10 +245,10 @@
         reports = [item.report for item in self._received_by_process.values()]
         processes = len(reports) + is_new
         named = sum(len(report.arrived) for report in reports)
-        named += (processes - len(reports)) * MAX_CUSTOMERS
+        named += (processes - len(reports)) * plain_reports.MAX_CUSTOMERS
         named += processes * len(self._limits_by_customer)
         size = processes * EXCHANGE_BYTES + named * CUSTOMER_BYTES
-        return max(MIN_INTERVAL_S, size / MAX_BYTES_PER_S)
+        return max(plain_reports.MIN_INTERVAL_S, size / MAX_BYTES_PER_S)
 
     def _totals(self) -> _Totals:
         totals = _Totals({})
@@ -502,7 +312,7 @@
     def _decrease(self, totals: _Totals, now: float) -> None:
         # The effect of the last decrease shows once all processes have got it
         # and have reported after it.
-        settle_s = VALID_INTERVALS * self._interval_s + _WINDOW_S
+        settle_s = plain_limits.VALID_INTERVALS * self._interval_s + _WINDOW_S
         is_settling = now - self._changed_at < settle_s
         current = self.capacity_per_s
         served = totals.completed
@@ -538,7 +348,7 @@
         }
         largest = sorted(excess, key=excess.__getitem__, reverse=True)
         processes = len(self._received_by_process)
-        for customer in largest[:MAX_CUSTOMERS]:
+        for customer in largest[: plain_reports.MAX_CUSTOMERS]:
             self._limits_by_customer[customer] = _limit(
                 totals.by_customer[customer], allotted[customer], processes
             )
@@ -552,7 +362,7 @@
 
 def _limit(
     rate_by_priority: Mapping[int, float], allotted: float, processes: int
-) -> Limit:
+) -> plain_limits.Limit:
     """Returns the limit that admits the allotted rate, urgent calls first."""
     calls_per_s = allotted / processes
     left = allotted
@@ -563,4 +373,6 @@
             fraction = left / rate
             break
         left -= rate
-    return Limit(priority=priority, fraction=fraction, calls_per_s=calls_per_s)
+    return plain_limits.Limit(
+        priority=priority, fraction=fraction, calls_per_s=calls_per_s
+    )
--- a/src/cowsliprill/plain_admission/client.py
+++ b/src/cowsliprill/plain_admission/client.py
@@ -13,7 +13,8 @@
 from cowsliprill.decisions import admission
 from cowsliprill.decisions import coordinator_choice
 from cowsliprill.decisions import model
-from cowsliprill.decisions.overload import plain_admission
+from cowsliprill.decisions.overload import plain_limits
+from cowsliprill.decisions.overload import plain_reports
 from cowsliprill.observability import log as log_lib
 from cowsliprill.plain_admission import server as server_lib
 from cowsliprill.plain_admission import wire
@@ -38,12 +39,12 @@
 @dataclasses.dataclass(slots=True)
 class _PoolState:
     choice: coordinator_choice.CoordinatorChoice
-    counts: plain_admission.CallCounts
-    thinning: plain_admission.Thinning
+    counts: plain_reports.CallCounts
+    thinning: plain_limits.Thinning
     schedule_by_customer: dict[str, admission.RetryAfterSchedule] = (
         dataclasses.field(default_factory=dict)
     )
-    interval_s: float = plain_admission.MIN_INTERVAL_S
+    interval_s: float = plain_reports.MIN_INTERVAL_S
     report_at: float = math.inf
     overloaded_until: float = -math.inf
 
@@ -168,19 +169,19 @@
         if state is None:
             state = _PoolState(
                 coordinator_choice.CoordinatorChoice(pool),
-                plain_admission.CallCounts(now),
-                plain_admission.Thinning(self._random.random()),
+                plain_reports.CallCounts(now),
+                plain_limits.Thinning(self._random.random()),
             )
             self._state_by_pool[pool] = state
         is_reporting = math.isfinite(state.report_at)
         if not is_reporting and now - state.counts.since > _COUNT_RESET_S:
-            state.counts = plain_admission.CallCounts(now)
+            state.counts = plain_reports.CallCounts(now)
         return state
 
     def _extend_reporting(self, state: _PoolState, now: float) -> None:
         state.overloaded_until = now + _REPORTING_S
         if not math.isfinite(state.report_at):
-            state.report_at = now + plain_admission.FIRST_REPORT_S
+            state.report_at = now + plain_reports.FIRST_REPORT_S
             self._wake.set()
 
     async def _report(self, pool: str, state: _PoolState) -> None:
@@ -202,7 +203,7 @@
         self,
         choice: coordinator_choice.CoordinatorChoice,
         message: wire.CallReport,
-    ) -> plain_admission.Verdict | None:
+    ) -> plain_limits.Verdict | None:
         """Reports to the coordinator; returns None without a valid answer."""
         choice.update(self._network.cluster_state.fleet.vms_by_id, clock.now())
         coordinator = choice.home
--- a/src/cowsliprill/plain_admission/wire.py
+++ b/src/cowsliprill/plain_admission/wire.py
@@ -5,7 +5,8 @@
 
 import pydantic
 
-from cowsliprill.decisions.overload import plain_admission
+from cowsliprill.decisions.overload import plain_limits
+from cowsliprill.decisions.overload import plain_reports
 
 _MAX_INTERVAL_S = 60.0
 
@@ -17,12 +18,12 @@
 _Seconds = Annotated[
     float, pydantic.Field(ge=0.0, le=_MAX_INTERVAL_S, allow_inf_nan=False)
 ]
-_MaxCustomers = pydantic.Field(max_length=plain_admission.MAX_CUSTOMERS)
+_MaxCustomers = pydantic.Field(max_length=plain_reports.MAX_CUSTOMERS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallReport:
-    """Counts of one process, see `plain_admission.Report`.
+    """Counts of one process, see `plain_reports.Report`.
 
     Attributes:
       process: Id of the process.
@@ -40,7 +41,7 @@
     span_s: Annotated[
         float,
         pydantic.Field(
-            ge=plain_admission.MIN_INTERVAL_S,
+            ge=plain_reports.MIN_INTERVAL_S,
             le=_MAX_INTERVAL_S,
             allow_inf_nan=False,
         ),
@@ -56,7 +57,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallVerdict:
-    """The coordinator's answer, see `plain_admission.Verdict`.
+    """The coordinator's answer, see `plain_limits.Verdict`.
 
     Attributes:
       limits: Customer, priority, fraction and calls a second of each limit.
@@ -66,11 +67,11 @@
     limits: Annotated[
         tuple[tuple[_Name, _Priority, _Fraction, _Rate], ...], _MaxCustomers
     ] = ()
-    interval_s: _Seconds = plain_admission.MIN_INTERVAL_S
+    interval_s: _Seconds = plain_reports.MIN_INTERVAL_S
 
 
 def report_to_wire(
-    process: str, pool: str, report: plain_admission.Report
+    process: str, pool: str, report: plain_reports.Report
 ) -> CallReport:
     """Converts a report to its wire format."""
     return CallReport(
@@ -88,9 +89,9 @@
     )
 
 
-def report_from_wire(report: CallReport) -> plain_admission.Report:
+def report_from_wire(report: CallReport) -> plain_reports.Report:
     """Converts a report from its wire format."""
-    return plain_admission.Report(
+    return plain_reports.Report(
         span_s=report.span_s,
         arrived={
             (customer, priority): count
@@ -103,7 +104,7 @@
     )
 
 
-def verdict_to_wire(verdict: plain_admission.Verdict) -> CallVerdict:
+def verdict_to_wire(verdict: plain_limits.Verdict) -> CallVerdict:
     """Converts a verdict to its wire format."""
     return CallVerdict(
         limits=tuple(
@@ -119,14 +120,14 @@
     )
 
 
-def verdict_from_wire(verdict: CallVerdict) -> plain_admission.Verdict:
+def verdict_from_wire(verdict: CallVerdict) -> plain_limits.Verdict:
     """Converts a verdict from its wire format."""
-    return plain_admission.Verdict(
+    return plain_limits.Verdict(
         limits_by_customer={
-            customer: plain_admission.Limit(
+            customer: plain_limits.Limit(
                 priority=priority, fraction=fraction, calls_per_s=calls_per_s
             )
             for customer, priority, fraction, calls_per_s in verdict.limits
         },
-        interval_s=max(verdict.interval_s, plain_admission.MIN_INTERVAL_S),
+        interval_s=max(verdict.interval_s, plain_reports.MIN_INTERVAL_S),
     )
--- a/tests/plain_flood.py
+++ b/tests/plain_flood.py
@@ -12,6 +12,8 @@
 
 from cowsliprill.decisions import admission as admission_lib
 from cowsliprill.decisions.overload import plain_admission
+from cowsliprill.decisions.overload import plain_limits
+from cowsliprill.decisions.overload import plain_reports
 
 FLOODING = "flooding"
 PROCESSES = 66
@@ -28,8 +30,8 @@
 class _Process:
     def __init__(self, number: int, rng: random.Random) -> None:
         self.id = f"p{number}"
-        self.counts = plain_admission.CallCounts(0.0)
-        self.thinning = plain_admission.Thinning(rng.random())
+        self.counts = plain_reports.CallCounts(0.0)
+        self.thinning = plain_limits.Thinning(rng.random())
         self.schedule = admission_lib.RetryAfterSchedule(rng)
         self.full_until = dict.fromkeys(_SERVERS, 0.0)
         self.running = collections.Counter()
@@ -89,7 +91,7 @@
     def _arrive(self, process, customer, arrived_at, retried) -> None:
         begun_s = self.now - process.counts.since
         if not process.reporting and begun_s > _COUNT_RESET_S:
-            process.counts = plain_admission.CallCounts(self.now)
+            process.counts = plain_reports.CallCounts(self.now)
         process.counts.arrived(customer, 0)
         limit = process.thinning.refusing_limit(customer, 0, self.now)
         if self._admits and limit is not None:
@@ -146,7 +148,7 @@
         process.overloaded_until = self.now + _REPORTING_S
         if not process.reporting:
             process.reporting = True
-            due = self.now + plain_admission.FIRST_REPORT_S
+            due = self.now + plain_reports.FIRST_REPORT_S
             self._at(due, self._report, process)
 
     def _report(self, process) -> None:
--- a/tests/test_plain_admission.py
+++ b/tests/test_plain_admission.py
@@ -17,6 +17,7 @@
 from cowsliprill.decisions import model
 from cowsliprill.decisions import rendezvous
 from cowsliprill.decisions.overload import plain_admission
+from cowsliprill.decisions.overload import plain_reports
 from cowsliprill.entry import context
 from cowsliprill.entry import errors
 from cowsliprill.entry import plain_admission_components
@@ -91,8 +92,8 @@
         assert flood.others_in_time() >= 0.9
 
 
-def _report(arrived, completed=50, rejected=None) -> plain_admission.Report:
-    return plain_admission.Report(
+def _report(arrived, completed=50, rejected=None) -> plain_reports.Report:
+    return plain_reports.Report(
         span_s=1.0,
         arrived=arrived,
         completed=completed,
