Let a good transfer end the slowness of an engine again

Cause: since slow streams survived good transfers, two limits of the rule on slow phases changed at once, and a pool with a limited engine refused requests (test_pool_scheduler_rates.TestLimitedEngines.test_others_take_the_load).

Change: a good transfer clears the slow streams, as it did before.

Result: that test passes.

--- a/src/cowsliprill/decisions/engine_health/health.py
+++ b/src/cowsliprill/decisions/engine_health/health.py
@@ -390,7 +390,7 @@
         """Records the time per output token of a stream.
 
         An engine is ejected for two slow streams that began apart, without a
-        stream that isn't slow between their ends, or for two results of streams
+        good stream or transfer between their ends, or for two results of streams
         that are far slower, whenever they began.
 
         Args:
@@ -403,7 +403,6 @@
         """
         state = self._get_state(endpoint_id)
         if ratio <= _SLOW_STREAM_RATIO:
-            state.slow_stream_began_at = None
             self._record_good(endpoint_id, state, sent_at)
         elif began_at is None:
             self._record_slow(state, now)
@@ -480,8 +479,6 @@
         now: float,
         is_far_slower: bool,
     ) -> None:
-        # A good transfer doesn't end the slowness: an engine that decodes
-        # slowly fetches KV cache as fast as ever between its streams' ends.
         first_began_at = state.slow_stream_began_at
         if first_began_at is None:
             state.slow_stream_began_at = first_began_at = began_at
@@ -510,6 +507,7 @@
 
     def _readmit(self, state: _EngineState) -> None:
         state.slow_count = 0
+        state.slow_stream_began_at = None
         self._ejected_count -= state.ejected
         state.ejected = False
         state.failing = False
