Tests: expect the combined level in Request-Priority

A route of priority 1 without a customer's priority has level 4: three levels lie between two priorities of customers. The check is as strict as before.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -66,7 +66,7 @@
 
     @pytest.mark.parametrize(
         ("terms", "sent"),
-        [(["pressure"], "1"), (["other"], None), (None, None)],
+        [(["pressure"], "4"), (["other"], None), (None, None)],
     )
     def test_engines_get_the_priority_under_overload_control(self, terms, sent):
         # Guards against engines that admit and preempt by arrival alone.
