--- a/src/cowsliprill/decisions/engine_health/health.py
+++ b/src/cowsliprill/decisions/engine_health/health.py
@@ -390,8 +390,8 @@
         """Records the time per output token of a stream.
 
         An engine is ejected for two slow streams that began apart, without a
-        good stream or transfer between their ends, or for two results of streams
-        that are far slower, whenever they began.
+        good stream or transfer between their ends, or for two results of
+        streams that are far slower, whenever they began.
 
         Args:
           endpoint_id: Id of the decode engine.
