--- a/tests/rate_limit_simulation.py
+++ b/tests/rate_limit_simulation.py
@@ -194,6 +194,7 @@
             progress=context.Progress(),
             deadline=now + self._fleet.timeout_s,
             idempotency_key="",
+            no_peer_serves=False,
             endpoint=None,
             silence=None,
         )
