--- a/review/stand_ins/fleet.py
+++ b/review/stand_ins/fleet.py
@@ -115,7 +115,13 @@
     async def start_platform(self, settings):
         """Starts store and engines; `settings` is the configuration."""
         await self.store.start()
-        for number, stage in enumerate(self._stages):
+        await self.add_engines()
+        await self.store.put("op/config", settings)
+
+    async def add_engines(self, version="v1"):
+        """Starts a set of engines of a software version and lists them."""
+        for stage in self._stages:
+            number = len(self.engines)
             engine = platform.Engine(
                 f"i-{number:08x}",
                 "brief",
@@ -123,10 +129,10 @@
                 ZONES[number % len(ZONES)],
                 self.now,
             )
+            engine.version = version
             await engine.start()
             self.engines.append(engine)
             await self.store.put(f"servers/{engine.name}", engine.entry())
-        await self.store.put("op/config", settings)
 
     def make_routers(self):
         hosts = [f"127.0.1.{number + 1}" for number in range(self._vms)]
--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -87,6 +87,8 @@
     Attributes:
       runs: Requests run: time, id, tenant, tokens (prompt and maximum output).
       orders: Orders: time, peer address, body.
+      version: Version of its software; each event names it.
+      state: `ready` or `draining`, as in its entry.
     """
 
     def __init__(self, name, service, stage, zone, clock, host="127.0.0.1"):
@@ -99,6 +101,8 @@
         self.address = ""
         self.runs = []
         self.orders = []
+        self.version = "v1"
+        self.state = "ready"
         self.slots = 64
         self.events = 7
         self.event_interval_s = 0.03
@@ -123,9 +127,9 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
-            "state": "ready",
+            "state": self.state,
             "coldLeftMs": 0,
             "stage": self.stage,
             "models": [{"name": "m", "version": 1, "adapters": []}],
@@ -194,7 +198,7 @@
         request.writer.write(http.head(200, fields))
         begin = int(request.headers.get("last-event-id", "0") or 0)
         for number in range(begin + 1, self.events + 1):
-            event = b"id: %d\ndata: t%d\n\n" % (number, number)
+            event = f"id: {number}\ndata: {self.version}\n\n".encode()
             request.writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await request.writer.drain()
             await asyncio.sleep(self.event_interval_s)
