--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,7 +13,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = pathlib.Path(__file__).resolve().parent
 TENANT, RATE = "huka270", 1_000_000
-VMS, STREAMS = 12, 24
+VMS, STREAMS = 10, 24
 # The longest wait that the operator wants; clients wait for 14 s.
 ROUTE_TIMEOUT_MS = 7_000
 PAUSE_S = 2.0
