Review: move the stand-ins out of a folder of their own

Folders below review/ are cases, so the stand-ins are now modules review/stand_in_*.py, and review/build.sh puts their bytecode below target/.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,8 +7,8 @@
 import tempfile
 import traceback
 
-from review.stand_ins import fleet as fleet_lib
-from review.stand_ins import streams as streams_lib
+from review import stand_in_fleet as fleet_lib
+from review import stand_in_streams as streams_lib
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HERE = pathlib.Path(__file__).resolve().parent
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts start: bytecode of review/stand_ins.
+# Builds the stand-ins that the scripts start: their bytecode, below target/.
 # They use the standard library only.
 set -eu
 cd "$(dirname "$0")/.."
-python3 -m compileall -q review/stand_ins
+PYTHONPYCACHEPREFIX=target/review python3 -m compileall -q review
--- a/review/stand_ins/fleet.py
+++ b/review/stand_in_fleet.py
@@ -4,9 +4,9 @@
 import random
 import time
 
-from review.stand_ins import http
-from review.stand_ins import platform
-from review.stand_ins import routers
+from review import stand_in_http as http
+from review import stand_in_platform as platform
+from review import stand_in_routers as routers
 
 HOST_NAME = "desk.example"
 PATH = "/brief/"
--- a/review/stand_ins/platform.py
+++ b/review/stand_in_platform.py
@@ -5,7 +5,7 @@
 import json
 import time
 
-from review.stand_ins import http
+from review import stand_in_http as http
 
 
 class Store:
--- a/review/stand_ins/routers.py
+++ b/review/stand_in_routers.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 _COMMAND = ("python3", "-m", "cowsliprill.router")
 
 
@@ -82,7 +82,7 @@
 
     async def until_ready(self, timeout_s=30.0):
         """Asks the ready address, as the platform does, until it says 200."""
-        from review.stand_ins import http
+        from review import stand_in_http as http
 
         host, _, port = self.settings["ready"].rpartition(":")
         async with asyncio.timeout(timeout_s):
--- a/review/stand_ins/streams.py
+++ b/review/stand_in_streams.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from review.stand_ins import fleet as fleet_lib
-from review.stand_ins import http
+from review import stand_in_fleet as fleet_lib
+from review import stand_in_http as http
 
 # As on the small sheets: the clients' time limit, and one more try.
 LIMIT_S = 14.0
