--- a/src/cowsliprill/decisions/quota_owner.py
+++ b/src/cowsliprill/decisions/quota_owner.py
@@ -88,6 +88,21 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AccountOpening:
+    """An account that this process has begun to keep.
+
+    Attributes:
+      customer: Id of the customer.
+      level: Cost units that the account begins with.
+      burst: Size of its bucket in cost units.
+    """
+
+    customer: str
+    level: float
+    burst: float
+
+
 @dataclasses.dataclass(slots=True)
 class _Demand:
     """Exponentially decayed rate of the requested cost units."""
@@ -136,6 +151,7 @@
     def __init__(self, tolerance: QuotaTolerance | None = None) -> None:
         self._tolerance = tolerance or QuotaTolerance()
         self._accounts_by_customer: dict[str, _Account] = {}
+        self._openings: list[AccountOpening] = []
 
     def report(
         self,
@@ -175,6 +191,11 @@
         account = self._accounts_by_customer.get(customer)
         return account.bucket.level if account else math.inf
 
+    def take_openings(self) -> list[AccountOpening]:
+        """Returns the accounts that were begun since the last call."""
+        openings, self._openings = self._openings, []
+        return openings
+
     def keep_only(self, customers: Iterable[str]) -> None:
         """Drops the accounts of customers that were removed."""
         gone = self._accounts_by_customer.keys() - set(customers)
@@ -197,6 +218,11 @@
         if account is None:
             account = _Account(token_bucket.TokenBucket(burst, now))
             self._accounts_by_customer[usage.customer] = account
+            self._openings.append(
+                AccountOpening(
+                    customer=usage.customer, level=burst, burst=burst
+                )
+            )
         account.bucket.refill(per_s, burst, now)
         reporter = self._get_reporter(account, reporter_id, usage, now)
         reporter.reported_at = now
--- a/src/cowsliprill/quotas/usage_reporter.py
+++ b/src/cowsliprill/quotas/usage_reporter.py
@@ -61,6 +61,7 @@
         self._choices_by_customer: dict[
             str, coordinator_choice.CoordinatorChoice
         ] = {}
+        self._owner_ids_by_customer: dict[str, str] = {}
         self._calls: set[asyncio.Task] = set()
         self._report_due = asyncio.Event()
         self._urgent_report_due = asyncio.Event()
@@ -82,6 +83,7 @@
         removed = self._choices_by_customer.keys() - quotas_by_customer.keys()
         for customer_id in removed:
             del self._choices_by_customer[customer_id]
+            self._owner_ids_by_customer.pop(customer_id, None)
 
     async def admit(
         self, customer_id: str, quota: model.Quota, cost: float
@@ -173,6 +175,7 @@
             )
             self._record_failure(vm, usages)
             return
+        self._log_owner_change(vm, usages)
         now = clock.now()
         verdicts_by_customer = {
             verdict.customer: verdict for verdict in response.verdicts
@@ -182,6 +185,26 @@
             if verdict is not None:
                 self._gate.record_verdict(usage, verdict, now)
 
+    def _log_owner_change(self, vm: model.Vm, usages: _Usages) -> None:
+        moved = [
+            usage
+            for usage in usages
+            if self._owner_ids_by_customer.get(usage.customer) != vm.id
+        ]
+        if not moved:
+            return
+        for usage in moved:
+            self._owner_ids_by_customer[usage.customer] = vm.id
+        unreported = sum(
+            usage.admitted - usage.admitted_before for usage in moved
+        )
+        self._log.event(
+            "quota_owner_changed",
+            vm=vm.id,
+            customers=len(moved),
+            unreported=round(unreported),
+        )
+
     def _record_failure(self, vm: model.Vm, usages: _Usages) -> None:
         for usage in usages:
             choice = self._choices_by_customer.get(usage.customer)
