Resume the level of a customer's quota when its owner changes

Cause: an owner that begins to keep an account took the usage that it wasn't told of for none, and began with a full bucket, tolerance included. A restart changes the owner twice, so that two buckets were given out in excess of the rate. The VMs' totals only kept usage from being counted twice. Removing a quota for a moment did the same.

What VMs had admitted without an answer at those moments was at most a request each, so that reports that were lost don't explain it, nor does the gate of the VM that starts.

Fix: the answer to a report states the account's level, and the VMs' reports carry the level that they were told last, with its age.

--- a/src/cowsliprill/decisions/quota_gate.py
+++ b/src/cowsliprill/decisions/quota_gate.py
@@ -11,6 +11,7 @@
 from collections.abc import Set
 
 from cowsliprill.decisions import model
+from cowsliprill.decisions import quota_account
 from cowsliprill.decisions import quota_owner
 from cowsliprill.decisions import token_bucket
 
@@ -115,24 +116,34 @@
         unreported = customer.admitted - customer.admitted_before
         return unreported > quota.per_s * _UNREPORTED_MAX_S
 
-    def usages(self) -> list[quota_owner.Usage]:
-        """Returns the usage of all customers with unacknowledged changes."""
+    def usages(self, now: float) -> list[quota_owner.Usage]:
+        """Returns the usage of all customers with unacknowledged changes.
+
+        Args:
+          now: Current time in seconds.
+        """
         return [
-            self.usage(customer_id)
+            self.usage(customer_id, now)
             for customer_id, customer in self._customers_by_id.items()
             if customer.asked != customer.asked_before
             or customer.admitted != customer.admitted_before
         ]
 
-    def usage(self, customer_id: str) -> quota_owner.Usage:
-        """Returns the usage of a customer that has sent requests."""
-        customer = self._customers_by_id[customer_id]
+    def usage(self, customer_id: str, now: float) -> quota_owner.Usage:
+        """Returns the usage of a customer that has sent requests.
+
+        Args:
+          customer_id: Id of the customer.
+          now: Current time in seconds.
+        """
+        customer = self._customer(customer_id)
         return quota_owner.Usage(
             customer=customer_id,
             asked=customer.asked,
             admitted=customer.admitted,
             asked_before=customer.asked_before,
             admitted_before=customer.admitted_before,
+            level=_known_level(customer, now),
         )
 
     def record_verdict(
@@ -217,3 +228,16 @@
             return max(-bucket.level / per_s, _RETRY_AFTER_S)
         bucket.level -= cost
         return None
+
+
+def _known_level(
+    customer: _CustomerState, now: float
+) -> quota_account.ReportedLevel | None:
+    verdict = customer.verdict
+    if verdict is None or verdict.level is None:
+        return None
+    return quota_account.ReportedLevel(
+        level=round(verdict.level, 1),
+        age_s=round(now - customer.verdict_at, 3),
+        assumed=verdict.level_assumed,
+    )
--- a/src/cowsliprill/observability/metrics.py
+++ b/src/cowsliprill/observability/metrics.py
@@ -74,6 +74,8 @@
       overload_displaced: Requests that the overload ranking put behind others
         or whose wait it ended, by `pool` and `reason` (demoted, overloaded,
         waited_too_long), at the pool's coordinator.
+      quota_accounts_opened: Accounts of customers' quotas that this process has
+        begun to keep, by `basis` of their level (reported, assumed).
     """
 
     def __init__(self) -> None:
@@ -241,6 +243,11 @@
             "Waiting requests put behind others or refused by pool and reason.",
             registry=self.registry,
         )
+        self.quota_accounts_opened = aioprometheus.Counter(
+            prefix + "quota_accounts_opened_total",
+            "Accounts of quotas opened, by what their level rests on.",
+            registry=self.registry,
+        )
 
     def _gauge(self, name: str, text: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(
--- a/src/cowsliprill/quotas/usage_reporter.py
+++ b/src/cowsliprill/quotas/usage_reporter.py
@@ -140,11 +140,12 @@
         """Reports one customer's usage and waits for the verdict."""
         vm = self._owner_of(customer_id)
         if vm is not None:
-            await self._send_report(vm, [self._gate.usage(customer_id)])
+            usage = self._gate.usage(customer_id, clock.now())
+            await self._send_report(vm, [usage])
 
     def _report_all(self) -> None:
         by_vm: dict[str, tuple[model.Vm, _Usages]] = {}
-        for usage in self._gate.usages():
+        for usage in self._gate.usages(clock.now()):
             vm = self._owner_of(usage.customer)
             if vm is not None:
                 by_vm.setdefault(vm.id, (vm, []))[1].append(usage)
@@ -182,8 +183,14 @@
         }
         for usage in usages:
             verdict = verdicts_by_customer.get(usage.customer)
-            if verdict is not None:
+            if verdict is None:
+                continue
+            if verdict.is_valid():
                 self._gate.record_verdict(usage, verdict, now)
+            else:
+                self._log.warning(
+                    "quota_verdict_invalid", vm=vm.id, customer=usage.customer
+                )
 
     def _log_owner_change(self, vm: model.Vm, usages: _Usages) -> None:
         moved = [
--- a/src/cowsliprill/router/core.py
+++ b/src/cowsliprill/router/core.py
@@ -156,7 +156,10 @@
             overload_control=config.controls_overload(),
         )
         self._usage_handler = usage_handler_lib.UsageReportHandler(
-            config.quota_tolerance(), self._members.reachable_fraction, log
+            config.quota_tolerance(),
+            self._members.reachable_fraction,
+            log,
+            self._metrics,
         )
         self._quotas = usage_reporter_lib.UsageReporter(
             config.vm,
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -98,7 +98,7 @@
 
     def _report(self, number: int) -> None:
         gate = self.gates[number]
-        usages = gate.usages()
+        usages = gate.usages(self.now)
         if not usages or number in self.cut_off_vms:
             return
         verdicts = self.owner.report(
@@ -180,9 +180,9 @@
         owner = quota_owner.QuotaOwner()
         gate.admit("firm", _QUOTA, 600.0, 0.0)
         # The response is lost.
-        owner.report("vm", gate.usages(), _QUOTAS, 1.0, 0.1)
+        owner.report("vm", gate.usages(0.1), _QUOTAS, 1.0, 0.1)
         gate.admit("firm", _QUOTA, 300.0, 0.1)
-        (usage,) = gate.usages()
+        (usage,) = gate.usages(0.1)
         (verdict,) = owner.report("vm", [usage], _QUOTAS, 1.0, 0.1)
         # 100 units of the burst are left, less than the reserve.
         assert verdict.admit_part < 1.0
@@ -193,7 +193,7 @@
         for _ in range(20):
             gate.admit("firm", _QUOTA, 500.0, 0.0)
             gate.refund("firm", 500.0)
-        (verdict,) = owner.report("vm", gate.usages(), _QUOTAS, 1.0, 0.0)
+        (verdict,) = owner.report("vm", gate.usages(0.0), _QUOTAS, 1.0, 0.0)
         assert verdict.admit_part == 1.0
 
     def test_lowered_quota_takes_effect(self):
@@ -203,7 +203,7 @@
         gate = fleet.gates[0]
         gate.admit("firm", lowered["firm"], 500.0, fleet.now)
         (verdict,) = fleet.owner.report(
-            "vm-0", gate.usages(), lowered, 1.0, fleet.now
+            "vm-0", gate.usages(fleet.now), lowered, 1.0, fleet.now
         )
         assert verdict.admit_part < 1.0
 
@@ -243,7 +243,7 @@
                 case "refund":
                     gate.refund("firm", 0.0)
                 case kind:
-                    usages = gate.usages()
+                    usages = gate.usages(0.0)
                     verdicts = owner.report(
                         f"vm-{number}", usages, {"firm": quota}, 1.0, 0.0
                     )
@@ -254,7 +254,7 @@
                             gate.record_verdict(usage, verdict, 0.0)
         for number, gate in enumerate(gates):
             owner.report(
-                f"vm-{number}", gate.usages(), {"firm": quota}, 1.0, 0.0
+                f"vm-{number}", gate.usages(0.0), {"firm": quota}, 1.0, 0.0
             )
         level = owner.level("firm")
         assert math.isclose(level, 1e6 - admitted if admitted else level)
@@ -273,7 +273,7 @@
         usages = []
         for _ in range(count):
             gate.admit("firm", self._QUOTA, 10.0, 0.0)
-            usages.append(gate.usage("firm"))
+            usages.append(gate.usage("firm", 0.0))
         return usages
 
     def _report(self, owner, usage):
@@ -295,8 +295,8 @@
         verdicts = [self._report(owner, usage) for usage in usages]
         for usage, verdict in reversed([*zip(usages, verdicts, strict=True)]):
             gate.record_verdict(usage, verdict, 0.0)
-        assert gate.usages() == []
-        assert gate.usage("firm").admitted_before == 20
+        assert gate.usages(0.0) == []
+        assert gate.usage("firm", 0.0).admitted_before == 20
 
     # Guards against totals that begin anew within one process.
     def test_quota_that_is_removed_for_a_moment_gives_nothing_back(self):
@@ -328,7 +328,7 @@
             gate.record_verdict(usages[index], verdicts_by_index[index], 0.0)
         assert levels == sorted(levels, reverse=True)
         assert levels[-1] == 1e6 - 60
-        assert gate.usages() == []
+        assert gate.usages(0.0) == []
 
 
 def _owner():
