Bound what a VM admits for a customer before its quota's owner answers

What callers saw: beside restarts, a customer above its quota was served more than its VMs' parts while the owner gave no answer.

Cause: a VM admitted all requests for 1.2 s after its owner's last answer, also one that had started and had no answer yet; each time that an owner answered again, the VM's own part was full again; and a VM that had stood still admitted all requests that had come meanwhile by one answer. What a VM didn't know was again taken for room.

Evidence: one of six VMs at four times the quota without any answer admits 101,277 tokens in 8 s, where its sixth with burst is 70,500. 30 requests at one moment are all admitted, 98,010 tokens, where 5,000 were left.

Fix: an answer older than 0.4 s decides alone only if much of the burst was left. Else a request waits for the owner, or for the next one if it doesn't answer; requests that come at one moment wait for one report, and after one without an answer none waits for a second. Before the next report, a VM admits no more than its part of what is left, or one request. The VM's own part is used up by what the owner let in, too, and decides where no owner answers.

In test_quotas, the sender asks where the VM would; test_lowered_quota_takes_effect follows a request that has to wait for the owner, where it took for granted that the VM admits it.

It waits 1.05 s at most for owners that stand still.

--- a/src/cowsliprill/decisions/quota_gate.py
+++ b/src/cowsliprill/decisions/quota_gate.py
@@ -1,8 +1,10 @@
 """Admission control on one VM for customers with quotas.
 
-Requests are admitted according to the latest verdict of the quota's owner. If
-the owner doesn't answer, the VM enforces its own share of the quota, as last
-reported by the owner.
+Requests are admitted according to the latest verdict of the quota's owner. An
+outdated verdict only admits requests of a customer that had much of its quota
+left, and before the first verdict the VM's own share of the quota is admitted;
+else the owner is asked first. If it doesn't answer, the VM enforces its own
+share, as last reported by the owner.
 """
 
 import dataclasses
@@ -18,8 +20,13 @@
 # The latest verdict is ignored if the owner hasn't answered for this long.
 _OWNER_TIMEOUT_S = 1.2
 
-# An older verdict rejects no request before the owner is asked again.
+# An older verdict rejects no request before the owner is asked again, and only
+# admits one if more than this fraction of the customer's burst was left.
 _VERDICT_TTL_S = 0.4
+_AMPLE_BURST_FRACTION = 0.5
+
+# An owner that gave no answer isn't waited for again within this time.
+_ASK_AGAIN_AFTER_S = 1.0
 
 # Usage is reported at once if the unreported part exceeds the quota of this
 # many seconds.
@@ -37,6 +44,7 @@
     verdict: quota_owner.Verdict | None = None
     verdict_at: float = -math.inf
     unanswered_since: float | None = None
+    ask_failed_at: float = -math.inf
     local_bucket: token_bucket.TokenBucket | None = None
 
 
@@ -69,35 +77,54 @@
           now: Current time in seconds.
 
         Returns:
-          None if the request is admitted, else the retry delay in seconds.
+          None if the request is admitted, else the retry delay in seconds. It
+          may still be admitted where `should_ask` is true.
         """
         customer = self._customer(customer_id)
         customer.asked += cost
         if customer.unanswered_since is None:
             customer.unanswered_since = now
+        if not self.has_fresh_verdict(customer_id, now) and (
+            _had_ample_quota(customer, quota, now)
+            or self._is_within_first_share(customer, quota, cost, now)
+        ):
+            return self._count(customer, quota, cost, None, now)
+        if self.should_ask(customer_id, cost, now):
+            return _RETRY_AFTER_S
         return self.decide_again(customer_id, quota, cost, now)
 
+    def should_ask(self, customer_id: str, cost: float, now: float) -> bool:
+        """Returns whether a request waits until the owner was asked.
+
+        Args:
+          customer_id: Id of the customer.
+          cost: Cost units of the request.
+          now: Current time in seconds.
+        """
+        customer = self._customer(customer_id)
+        if now - customer.ask_failed_at <= _ASK_AGAIN_AFTER_S:
+            return False
+        if not self.has_fresh_verdict(customer_id, now):
+            return True
+        return not self._is_within_own_part(customer, cost)
+
     def decide_again(
         self, customer_id: str, quota: model.Quota, cost: float, now: float
     ) -> float | None:
-        """Decides again on a request that `admit` has rejected.
+        """Decides again on a request after the owner was asked.
 
         The request is not counted as demand again. Arguments and result are as
         for `admit`.
         """
         customer = self._customer(customer_id)
-        unanswered_since = customer.unanswered_since
-        if (
-            unanswered_since is not None
-            and now - unanswered_since > _OWNER_TIMEOUT_S
-        ):
-            retry_after_s = self._admit_local_share(customer, quota, cost, now)
-        else:
-            customer.local_bucket = None
+        if not self.has_fresh_verdict(customer_id, now):
+            customer.ask_failed_at = now
+            retry_after_s = self._admit_local_share(customer, quota, now)
+        elif self._is_within_own_part(customer, cost):
             retry_after_s = self._admit_by_verdict(customer)
-        if retry_after_s is None:
-            customer.admitted += cost
-        return retry_after_s
+        else:
+            return _RETRY_AFTER_S
+        return self._count(customer, quota, cost, retry_after_s, now)
 
     def refund(self, customer_id: str, cost: float) -> None:
         """Refunds the cost of an admitted request that was not executed."""
@@ -206,28 +233,96 @@
             return None
         return verdict.retry_after_s
 
+    def _is_within_first_share(
+        self,
+        customer: _CustomerState,
+        quota: model.Quota,
+        cost: float,
+        now: float,
+    ) -> bool:
+        """Returns whether the local share covers a request before a verdict."""
+        if customer.verdict is not None:
+            return False
+        return self._refill(customer, quota, now).level >= cost
+
+    def _is_within_own_part(
+        self, customer: _CustomerState, cost: float
+    ) -> bool:
+        """Returns whether a request fits in before usage is reported again.
+
+        Without this bound, a VM that stood still could admit all that has
+        arrived meanwhile by one verdict.
+        """
+        verdict = customer.verdict
+        unreported = customer.admitted - customer.admitted_before
+        if verdict.level is None or unreported <= 0:
+            return True
+        own_part = max(verdict.own_part, 1 / self._vm_count)
+        return unreported + cost <= verdict.level * own_part
+
     def _admit_local_share(
+        self, customer: _CustomerState, quota: model.Quota, now: float
+    ) -> float | None:
+        per_s, _ = self._local_share(customer, quota)
+        level = self._refill(customer, quota, now).level
+        # The local share may be smaller than one request, which then leaves the
+        # bucket negative.
+        if level > 0:
+            return None
+        wait_s = -level / per_s if per_s else 0.0
+        return max(wait_s, _RETRY_AFTER_S)
+
+    def _count(
         self,
         customer: _CustomerState,
         quota: model.Quota,
         cost: float,
+        retry_after_s: float | None,
         now: float,
     ) -> float | None:
+        """Counts a request if it was admitted; returns `retry_after_s`."""
+        if retry_after_s is not None:
+            return retry_after_s
+        customer.admitted += cost
+        bucket = self._refill(customer, quota, now)
+        _, burst = self._local_share(customer, quota)
+        # A share of the quota that was larger leaves no lasting debt.
+        bucket.level = max(bucket.level - cost, -max(burst, cost))
+        return None
+
+    def _refill(
+        self, customer: _CustomerState, quota: model.Quota, now: float
+    ) -> token_bucket.TokenBucket:
+        """Returns the bucket of this VM's share, filled up to this time."""
+        per_s, burst = self._local_share(customer, quota)
+        if customer.local_bucket is None:
+            customer.local_bucket = token_bucket.TokenBucket(burst, now)
+        customer.local_bucket.refill(per_s, burst, now)
+        return customer.local_bucket
+
+    def _local_share(
+        self, customer: _CustomerState, quota: model.Quota
+    ) -> tuple[float, float]:
+        """Returns rate and burst of this VM's share of a quota."""
         fraction = 1 / self._vm_count
         if customer.verdict is not None:
             fraction = max(customer.verdict.own_part, fraction)
-        per_s, burst = quota.per_s * fraction, quota.burst * fraction
-        bucket = customer.local_bucket
-        if bucket is None:
-            bucket = token_bucket.TokenBucket(burst, now)
-            customer.local_bucket = bucket
-        bucket.refill(per_s, burst, now)
-        # The local share may be smaller than one request, which then leaves the
-        # bucket negative.
-        if bucket.level <= 0:
-            return max(-bucket.level / per_s, _RETRY_AFTER_S)
-        bucket.level -= cost
-        return None
+        return quota.per_s * fraction, quota.burst * fraction
+
+
+def _had_ample_quota(
+    customer: _CustomerState, quota: model.Quota, now: float
+) -> bool:
+    """Returns whether the last verdict left room for further requests."""
+    verdict = customer.verdict
+    if verdict is None or verdict.admit_part < 1.0:
+        return False
+    unanswered_since = customer.unanswered_since
+    if unanswered_since is None or now - unanswered_since > _OWNER_TIMEOUT_S:
+        return False
+    if verdict.level is None:
+        return True
+    return verdict.level > quota.burst * _AMPLE_BURST_FRACTION
 
 
 def _known_level(
--- a/src/cowsliprill/quotas/usage_reporter.py
+++ b/src/cowsliprill/quotas/usage_reporter.py
@@ -24,6 +24,14 @@
 
 _CALL_TIMEOUT_S = 0.35
 
+# Questions that a request waits for while others use up what is left.
+_QUESTIONS_MAX = 8
+
+# A question goes on to the next owner after two calls that fail. VMs that have
+# ended refuse connections at once, others may give no answer.
+_QUESTION_TIMEOUT_S = 3 * _CALL_TIMEOUT_S
+_QUESTION_CALLS_MAX = 6 * coordinator_choice.MAX_CONSECUTIVE_FAILURES
+
 _Usages = list[quota_owner.Usage]
 
 
@@ -62,6 +70,7 @@
             str, coordinator_choice.CoordinatorChoice
         ] = {}
         self._owner_ids_by_customer: dict[str, str] = {}
+        self._questions_by_customer: dict[str, asyncio.Task] = {}
         self._calls: set[asyncio.Task] = set()
         self._report_due = asyncio.Event()
         self._urgent_report_due = asyncio.Event()
@@ -90,8 +99,8 @@
     ) -> float | None:
         """Decides whether to admit a request.
 
-        If the customer's latest verdict is too old to refuse a request, its
-        usage is reported first and the decision is made with the new verdict.
+        If the customer's latest verdict is too old to decide by, its usage is
+        reported first and the decision is made with the new verdict.
 
         Args:
           customer_id: Id of the customer.
@@ -105,10 +114,12 @@
         now = clock.now()
         retry_after_s = self._gate.admit(customer_id, quota, cost, now)
         self._report_due.set()
-        if retry_after_s is not None and not self._gate.has_fresh_verdict(
-            customer_id, now
-        ):
-            await self._report_one(customer_id)
+        for _ in range(_QUESTIONS_MAX):
+            if retry_after_s is None or not self._gate.should_ask(
+                customer_id, cost, clock.now()
+            ):
+                break
+            await self._ask_owner(customer_id)
             retry_after_s = self._gate.decide_again(
                 customer_id, quota, cost, clock.now()
             )
@@ -136,12 +147,30 @@
             self._urgent_report_due.clear()
             self._report_all()
 
-    async def _report_one(self, customer_id: str) -> None:
-        """Reports one customer's usage and waits for the verdict."""
-        vm = self._owner_of(customer_id)
-        if vm is not None:
+    async def _ask_owner(self, customer_id: str) -> None:
+        """Reports a customer's usage and waits for a verdict.
+
+        Requests that come at one moment wait for one report.
+        """
+        task = self._questions_by_customer.get(customer_id)
+        if task is None:
+            task = asyncio.create_task(self._report_until_answered(customer_id))
+            self._questions_by_customer[customer_id] = task
+            task.add_done_callback(
+                lambda _: self._questions_by_customer.pop(customer_id, None)
+            )
+        await asyncio.shield(task)
+
+    async def _report_until_answered(self, customer_id: str) -> None:
+        """Reports to the owner, or to the next one if it doesn't answer."""
+        ends_at = clock.now() + _QUESTION_TIMEOUT_S
+        for _ in range(_QUESTION_CALLS_MAX):
+            vm = self._owner_of(customer_id)
+            if vm is None:
+                return
             usage = self._gate.usage(customer_id, clock.now())
-            await self._send_report(vm, [usage])
+            if await self._send_report(vm, [usage]) or clock.now() >= ends_at:
+                return
 
     def _report_all(self) -> None:
         by_vm: dict[str, tuple[model.Vm, _Usages]] = {}
@@ -164,7 +193,8 @@
         choice.update(self._vms_by_id, clock.now())
         return choice.home
 
-    async def _send_report(self, vm: model.Vm, usages: _Usages) -> None:
+    async def _send_report(self, vm: model.Vm, usages: _Usages) -> bool:
+        """Sends a report; returns whether it was answered."""
         report = wire.UsageReport(
             reporter=self._process_id, usages=tuple(usages)
         )
@@ -175,7 +205,7 @@
                 "quota_owner_failed", vm=vm.id, reason=error.message
             )
             self._record_failure(vm, usages)
-            return
+            return False
         self._log_owner_change(vm, usages)
         now = clock.now()
         verdicts_by_customer = {
@@ -191,6 +221,7 @@
                 self._log.warning(
                     "quota_verdict_invalid", vm=vm.id, customer=usage.customer
                 )
+        return True
 
     def _log_owner_change(self, vm: model.Vm, usages: _Usages) -> None:
         moved = [
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -86,8 +86,8 @@
         gate = self.gates[number]
         outcome.asked += cost
         retry_after_s = gate.admit("firm", _QUOTA, cost, self.now)
-        if retry_after_s is not None and not gate.has_fresh_verdict(
-            "firm", self.now
+        if retry_after_s is not None and gate.should_ask(
+            "firm", cost, self.now
         ):
             self._report(number)
             retry_after_s = gate.decide_again("firm", _QUOTA, cost, self.now)
@@ -202,10 +202,16 @@
         lowered = {"firm": model.Quota(per_s=100.0, burst=100.0)}
         gate = fleet.gates[0]
         gate.admit("firm", lowered["firm"], 500.0, fleet.now)
-        (verdict,) = fleet.owner.report(
-            "vm-0", gate.usages(fleet.now), lowered, 1.0, fleet.now
-        )
-        assert verdict.admit_part < 1.0
+        verdicts = []
+        for _ in range(2):
+            (usage,) = gate.usages(fleet.now)
+            (verdict,) = fleet.owner.report(
+                "vm-0", [usage], lowered, 1.0, fleet.now
+            )
+            gate.record_verdict(usage, verdict, fleet.now)
+            gate.decide_again("firm", lowered["firm"], 500.0, fleet.now)
+            verdicts.append(verdict)
+        assert verdicts[-1].admit_part < 1.0
 
     def test_customers_without_a_quota_are_not_limited(self):
         owner = quota_owner.QuotaOwner()
