--- a/tests/test_killed_routers.py
+++ b/tests/test_killed_routers.py
@@ -23,6 +23,10 @@
 _STREAMS = 4
 _PAUSED_AFTER = 3
 
+# A list of engines that is older than this was once taken to show all versions
+# of the streams that are resumed.
+_LIST_AGE_S = 1.5
+
 
 class TestKilledTogether:
     """The VM that relays streams and the pool's coordinator are killed."""
@@ -164,6 +168,7 @@
     folder: pathlib.Path,
     *,
     engines_go_on: bool = False,
+    resumed_after_s: float = 0.0,
     **options: bool,
 ) -> list[tuple[int, str, str]]:
     async with router_processes.running(
@@ -175,6 +180,7 @@
                 engine.keeps_parts = False
         killed = _AllKilled(fleet)
         await killed.play(**options)
+        await asyncio.sleep(resumed_after_s)
         return await killed.resume()
 
 
@@ -194,6 +200,19 @@
             expected = (503, "") if began == "v1" else (200, "v2")
             assert (status, went_on) == expected
 
+    # Guards against streams taken for younger than the list of engines.
+    def test_streams_of_a_version_that_left_are_refused_later(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        results = asyncio.run(
+            _begun_and_resumed(
+                tmp_path, resumed_after_s=_LIST_AGE_S, old_version_leaves=True
+            )
+        )
+        assert {began for _, began, _ in results} == {"v1", "v2"}
+        for status, began, went_on in results:
+            assert began == "v2" or (status, went_on) == (503, "")
+
     # Guards against refusals of all streams as one engine doesn't answer.
     def test_streams_go_on_beside_an_engine_that_ended(
         self, tmp_path: pathlib.Path
