Ask a quota's owner again a second after it gave no answer

Cause: each decision without an answer counted as a question that wasn't answered, so that a VM with a request a second or more didn't wait for the owner again, and the owner was back for it only with the next report.

Fix: only a question that ends without an answer is recorded. A quota that is removed during one ends it without an error.

test_owner_is_asked_again_after_a_second failed before.

--- a/src/cowsliprill/decisions/quota_account.py
+++ b/src/cowsliprill/decisions/quota_account.py
@@ -106,6 +106,7 @@
         self.lost_refill += min(full - self._bucket.level, earned)
         self._inherited.refill(quota.per_s, quota.burst, now)
         if now - self._opened_at > _TAKEOVER_S:
+            # No VM has reported a level that contradicts the assumption.
             self.basis = LevelBasis.REPORTED
         if fraction >= 1:
             self._part = None
--- a/src/cowsliprill/decisions/quota_gate.py
+++ b/src/cowsliprill/decisions/quota_gate.py
@@ -108,6 +108,15 @@
             return True
         return not self._is_within_own_part(customer, cost)
 
+    def record_unanswered(self, customer_id: str, now: float) -> None:
+        """Records that the owner was asked and gave no answer.
+
+        Args:
+          customer_id: Id of the customer.
+          now: Current time in seconds.
+        """
+        self._customer(customer_id).ask_failed_at = now
+
     def decide_again(
         self, customer_id: str, quota: model.Quota, cost: float, now: float
     ) -> float | None:
@@ -118,7 +127,6 @@
         """
         customer = self._customer(customer_id)
         if not self.has_fresh_verdict(customer_id, now):
-            customer.ask_failed_at = now
             retry_after_s = self._admit_local_share(customer, quota, now)
         elif self._is_within_own_part(customer, cost):
             retry_after_s = self._admit_by_verdict(customer)
@@ -134,7 +142,7 @@
 
     def has_fresh_verdict(self, customer_id: str, now: float) -> bool:
         """Returns whether the latest verdict may reject a request."""
-        customer = self._customers_by_id[customer_id]
+        customer = self._customer(customer_id)
         return now - customer.verdict_at <= _VERDICT_TTL_S
 
     def needs_prompt_report(self, customer_id: str, quota: model.Quota) -> bool:
--- a/src/cowsliprill/quotas/usage_reporter.py
+++ b/src/cowsliprill/quotas/usage_reporter.py
@@ -167,10 +167,12 @@
         for _ in range(_QUESTION_CALLS_MAX):
             vm = self._owner_of(customer_id)
             if vm is None:
-                return
+                break
             usage = self._gate.usage(customer_id, clock.now())
             if await self._send_report(vm, [usage]) or clock.now() >= ends_at:
-                return
+                break
+        if not self._gate.has_fresh_verdict(customer_id, clock.now()):
+            self._gate.record_unanswered(customer_id, clock.now())
 
     def _report_all(self) -> None:
         by_vm: dict[str, tuple[model.Vm, _Usages]] = {}
--- a/tests/test_usage_reporter.py
+++ b/tests/test_usage_reporter.py
@@ -144,6 +144,38 @@
         assert sum(wait_s > 0 for wait_s in waits_s) == 1
         assert max(waits_s) < 1.1
 
+    # Guards against an owner that isn't asked again while requests go on.
+    def test_owner_is_asked_again_after_a_second(self, monkeypatch):
+        owners = _Owners(lambda report: None)
+        reporter = _reporter(owners)
+
+        async def scenario():
+            end = clock.now() + 5.0
+            while clock.now() < end:
+                await reporter.admit("firm", _QUOTA, _COST)
+                await asyncio.sleep(0.1)
+
+        virtual_time.run(scenario(), monkeypatch)
+        assert len(owners.called) >= 6
+
+    def test_removed_quota_ends_a_question(self, monkeypatch):
+        reporter = _reporter(_Owners(lambda report: None))
+
+        async def scenario():
+            requests = [
+                asyncio.create_task(reporter.admit("firm", _QUOTA, _COST))
+                for _ in range(4)
+            ]
+            await asyncio.sleep(0.1)
+            reporter.update(
+                types.SimpleNamespace(customers_by_id={}),
+                types.SimpleNamespace(vms_by_id={}),
+            )
+            return await asyncio.gather(*requests)
+
+        results = virtual_time.run(scenario(), monkeypatch)
+        assert len(results) == 4
+
 
 class TestWokenVm:
     """Many requests wait while the VM stands still."""
