Ask a quota's owner that is back before refusing beyond a VM's part

What callers saw: for a second after an unanswered question, requests within the quota were refused although the owner answered again and the account was full, for a restart or a standstill that isn't theirs. Found on reading.

Cause: whether a request waits for the owner looked at the last unanswered question before the answers since. A request beyond the VM's part of what is left was then neither admitted nor asked for.

Fix: an answer that is fresh decides first; an unanswered question only counts without one.

test_owner_that_is_back_admits_at_once failed before (two of four refused).

--- a/src/cowsliprill/decisions/quota_gate.py
+++ b/src/cowsliprill/decisions/quota_gate.py
@@ -102,11 +102,9 @@
           now: Current time in seconds.
         """
         customer = self._customer(customer_id)
-        if now - customer.ask_failed_at <= _ASK_AGAIN_AFTER_S:
-            return False
-        if not self.has_fresh_verdict(customer_id, now):
-            return True
-        return not self._is_within_own_part(customer, cost)
+        if self.has_fresh_verdict(customer_id, now):
+            return not self._is_within_own_part(customer, cost)
+        return now - customer.ask_failed_at > _ASK_AGAIN_AFTER_S
 
     def record_unanswered(self, customer_id: str, now: float) -> None:
         """Records that the owner was asked and gave no answer.
--- a/tests/test_usage_reporter.py
+++ b/tests/test_usage_reporter.py
@@ -158,6 +158,32 @@
         virtual_time.run(scenario(), monkeypatch)
         assert len(owners.called) >= 6
 
+    # Guards against refusals within the quota once the owner answers again.
+    def test_owner_that_is_back_admits_at_once(self, monkeypatch):
+        owner = quota_owner.QuotaOwner()
+        answer = _answers_of(owner)
+        owners = _Owners(lambda report: None)
+        reporter = _reporter(owners)
+
+        async def scenario():
+            running = asyncio.create_task(reporter.run())
+            for _ in range(4):
+                await reporter.admit("firm", _QUOTA, _COST)
+            owners.answer = answer
+            await asyncio.sleep(0.3)
+            # Other VMs have the customer's other requests.
+            others = quota_owner.Usage(customer="firm", asked=1e6, admitted=0.0)
+            owner.report("vm-9", [others], {"firm": _QUOTA}, 1.0, clock.now())
+            await reporter.admit("firm", _QUOTA, _COST)
+            await asyncio.sleep(0.3)
+            results = [
+                await reporter.admit("firm", _QUOTA, _COST) for _ in range(4)
+            ]
+            running.cancel()
+            return results
+
+        assert virtual_time.run(scenario(), monkeypatch) == [None] * 4
+
     def test_removed_quota_ends_a_question(self, monkeypatch):
         reporter = _reporter(_Owners(lambda report: None))
 
